Lay the types that cross packages

Cause: five parts are to be built side by side and need one set of types for requests, outcomes, the platform, engines and settings. Ruled out: one shared types package, since it would gather what belongs to many subjects. Conclusion: the parts can start.

--- /dev/null
+++ b/event/daemon.go
@@ -0,0 +1,10 @@
+package event
+
+// The events of the daemon itself.
+var (
+	DaemonStarted   = define(100, "DaemonStarted", Info, "The daemon serves callers.")
+	DaemonDraining  = define(101, "DaemonDraining", Info, "The daemon fails its health check and finishes what runs.")
+	DaemonStopped   = define(102, "DaemonStopped", Info, "The daemon ended; the fields tell how many requests it finished and cut.")
+	DutyFailed      = define(103, "DutyFailed", Error, "A duty of the daemon ended with an error.")
+	SettingsRefused = define(104, "SettingsRefused", Error, "The settings file has errors.")
+)
--- /dev/null
+++ b/upstream/tier.go
@@ -0,0 +1,14 @@
+package upstream
+
+// Tier tells where an upstream has a checkpoint.
+type Tier int
+
+// The tiers, from the slowest to the fastest.
+const (
+	// Remote is the weight store.
+	Remote Tier = iota
+	// Disk is the disk of the upstream.
+	Disk
+	// Memory is the main memory of the upstream.
+	Memory
+)
