--- /dev/null
+++ b/decider/check.go
@@ -0,0 +1,92 @@
+package decider
+
+import (
+	"time"
+
+	"github.com/bronzestall/bronzestall/intent"
+	"github.com/bronzestall/bronzestall/internal/invariant"
+	"github.com/bronzestall/bronzestall/placement"
+	"github.com/bronzestall/bronzestall/upstream"
+)
+
+// check asserts that no more is charged than there is and that no engine shows more replicas
+// of a model than were decided.
+func (reign *reign) check() {
+	for name := range reign.met {
+		view, known := reign.book.View(name)
+		if !known {
+			continue
+		}
+		charged := reign.book.Charge(name, reign.now)
+		invariant.Check(charged <= view.State.Capacity, invariant.MemoryCharged,
+			"Upstream", name, "Charged", charged, "Capacity", view.State.Capacity)
+		for _, replica := range view.State.Replicas {
+			key := intent.ReplicaKey{Upstream: name, Model: replica.Model, Version: replica.Version}
+			invariant.Check(replica.Phase == upstream.Failed || reign.hasEntry(key), invariant.ReplicasDecided,
+				"Upstream", name, "Model", replica.Model, "Version", replica.Version)
+		}
+	}
+}
+
+// noteOutlooks keeps for each model that requests wait for when it is expected to serve.
+func (reign *reign) noteOutlooks(outlooks []placement.Outlook) {
+	for _, outlook := range outlooks {
+		estimate := Estimate{Known: true, Obstacle: outlook.Obstacle, ReadyIn: outlook.ReadyIn}
+		if remaining, coming := reign.remaining(outlook.Model); coming {
+			estimate.ReadyIn = remaining
+		}
+		reign.outlooks[outlook.Model] = outlookAt{estimate: estimate, at: reign.now}
+	}
+	for _, need := range reign.needs {
+		hold, held := reign.isHeld(need.Model)
+		if held {
+			reign.outlooks[need.Model] = outlookAt{estimate: Estimate{Known: true, Failed: true, ReadyIn: hold}, at: reign.now}
+		}
+	}
+}
+
+// remaining returns the expected time until the first replica on its way serves.
+func (reign *reign) remaining(name string) (time.Duration, bool) {
+	model, inForce := reign.catalogue.Model(name)
+	if !inForce {
+		return 0, false
+	}
+	shortest, coming := time.Duration(0), false
+	for _, entry := range reign.book.Entries() {
+		row := entry.Intent
+		if row.Verb != upstream.Load || row.Model != name || row.Version != model.Version {
+			continue
+		}
+		if status := reign.book.Status(entry, reign.now); status != intent.Open && status != intent.Shown {
+			continue
+		}
+		left := reign.decider.placer.Tiers().Time(row.Tier, model.Weights)
+		if !entry.Sent.IsZero() {
+			left = max(0, left-reign.now.Sub(entry.Sent))
+		}
+		if !coming || left < shortest {
+			shortest, coming = left, true
+		}
+	}
+	return shortest, coming
+}
+
+func (reign *reign) status() Status {
+	status := Status{
+		Deciding: true,
+		Fence:    reign.fence,
+		Away:     reign.away,
+		Slots:    reign.slots(),
+		Busy:     reign.busy(),
+		Charged:  map[string]int64{},
+	}
+	for name := range reign.met {
+		status.Charged[name] = reign.book.Charge(name, reign.now)
+	}
+	for _, entry := range reign.book.Entries() {
+		if entry.Intent.Verb == upstream.Load && reign.book.Status(entry, reign.now) == intent.Open {
+			status.Open++
+		}
+	}
+	return status
+}
--- /dev/null
+++ b/decider/commit.go
@@ -0,0 +1,129 @@
+package decider
+
+import (
+	"context"
+	"errors"
+
+	"github.com/bronzestall/bronzestall/event"
+	"github.com/bronzestall/bronzestall/intent"
+	"github.com/bronzestall/bronzestall/placement"
+	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/upstream"
+)
+
+// decide records the decisions. Their orders are sent only after that.
+func (reign *reign) decide(ctx context.Context, decisions []placement.Decision) error {
+	if reign.away {
+		reign.decideAway(decisions)
+		return nil
+	}
+	if reign.pending != nil {
+		return nil
+	}
+	change := reign.change(decisions)
+	if change.IsEmpty() {
+		return nil
+	}
+	guard, owned := reign.decider.deps.Lease.Guard()
+	if !owned {
+		return nil
+	}
+	err := reign.decider.log.Commit(ctx, guard, change)
+	switch {
+	case err == nil:
+		reign.apply(change)
+		return nil
+	case errors.Is(err, platform.ErrConflict):
+		_, until, _ := reign.decider.deps.Lease.Held()
+		reign.deposed = true
+		reign.awayTerm = until
+		return err
+	case errors.Is(err, platform.ErrUnavailable):
+		return reign.failed(err)
+	default:
+		reign.pending = &change
+		return reign.failed(err)
+	}
+}
+
+// change puts what is to be recorded into one transaction: the decisions, what was loaded
+// without the table service, what is gone, and the new budget.
+func (reign *reign) change(decisions []placement.Decision) intent.Change {
+	var change intent.Change
+	for _, entry := range reign.book.Entries() {
+		gone := reign.book.Status(entry, reign.now) == intent.Gone
+		switch {
+		case gone && entry.Recorded:
+			change.Close = append(change.Close, entry.Intent.ID)
+		case gone:
+			reign.book.Remove(entry.Intent.ID)
+		case !entry.Recorded:
+			change.Open = append(change.Open, entry.Intent)
+		}
+	}
+	for _, decision := range decisions {
+		change.Open = append(change.Open, reign.intend(decision))
+	}
+	change.CloseBudgets = reign.book.ClosableBudgets(reign.now)
+	budget := reign.nextBudget(change.Open)
+	if !budget.Equal(reign.budget) && (!change.IsEmpty() || reign.due(&reign.budgetAt, defaultBudgetEvery)) {
+		change.Budget = &budget
+	}
+	return change
+}
+
+// intend returns the intent of a decision.
+func (reign *reign) intend(decision placement.Decision) intent.Intent {
+	row := reign.newIntent(decision.Verb, decision.Upstream, decision.Model, decision.Version)
+	row.Memory = decision.Memory
+	row.Role = decision.Role
+	row.Tier = decision.Tier
+	logDecision(row, decision)
+	return row
+}
+
+func logDecision(row intent.Intent, decision placement.Decision) {
+	switch row.Verb {
+	case upstream.Load:
+		event.LoadDecided.Log("Upstream", row.Upstream, "Model", row.Model, "Version", row.Version,
+			"Order", row.ID, "Fence", row.Fence, "Tier", int(row.Tier), "Warm", decision.Warm)
+	case upstream.Unload:
+		event.UnloadDecided.Log("Upstream", row.Upstream, "Model", row.Model, "Version", row.Version, "Order", row.ID, "Fence", row.Fence)
+	default:
+		event.RoleDecided.Log("Upstream", row.Upstream, "Role", row.Role, "Order", row.ID, "Fence", row.Fence)
+	}
+}
+
+// apply takes a change that is in the table service into the book.
+func (reign *reign) apply(change intent.Change) {
+	for _, row := range change.Open {
+		known := reign.book.Entry(row.ID) != nil
+		reign.book.Add(row, true)
+		if !known && row.Verb == upstream.Load && row.Tier == upstream.Remote {
+			reign.decider.bucket.Start(reign.now)
+		}
+	}
+	for _, id := range change.Close {
+		reign.book.Remove(id)
+	}
+	for _, fence := range change.CloseBudgets {
+		reign.book.RemoveBudget(fence)
+	}
+	if change.Budget != nil {
+		reign.budget = *change.Budget
+	}
+}
+
+// decideAway decides within the recorded budget. Rows follow once the table service is back.
+func (reign *reign) decideAway(decisions []placement.Decision) {
+	for _, decision := range decisions {
+		if decision.Verb == upstream.ChangeRole {
+			continue
+		}
+		row := reign.intend(decision)
+		reign.book.Add(row, false)
+		if row.Verb == upstream.Load && row.Tier == upstream.Remote {
+			reign.decider.bucket.Start(reign.now)
+		}
+	}
+}
--- /dev/null
+++ b/decider/input.go
@@ -0,0 +1,170 @@
+package decider
+
+import (
+	"github.com/bronzestall/bronzestall/catalogue"
+	"github.com/bronzestall/bronzestall/intent"
+	"github.com/bronzestall/bronzestall/placement"
+	"github.com/bronzestall/bronzestall/upstream"
+)
+
+// pass runs placement over what is known now.
+func (reign *reign) pass() placement.Result {
+	reign.machines = reign.machines[:0]
+	for name := range reign.met {
+		if view, known := reign.book.View(name); known {
+			reign.machines = append(reign.machines, reign.machine(view))
+		}
+	}
+	decider := reign.decider
+	busy := reign.busy()
+	slots := reign.slots()
+	decider.bucket.SetSlots(slots, reign.now)
+	return decider.placer.Pass(placement.Input{
+		Now:       reign.now,
+		Upstreams: reign.machines,
+		Needs:     reign.admittedNeeds(),
+		Warm:      reign.warmWishes(),
+		Models:    reign.catalogue,
+		Starts:    decider.bucket.Free(busy, reign.now),
+		StartsIn:  decider.bucket.Wait(reign.now),
+		Assigned:  reign.assigned,
+	})
+}
+
+// admittedNeeds leaves out the models that are held back after failed loads.
+func (reign *reign) admittedNeeds() []placement.Need {
+	admitted := make([]placement.Need, 0, len(reign.needs))
+	for _, need := range reign.needs {
+		if _, held := reign.isHeld(need.Model); !held {
+			admitted = append(admitted, need)
+		}
+	}
+	return admitted
+}
+
+func (reign *reign) machine(view intent.View) placement.Upstream {
+	name := view.State.Upstream
+	fresh := reign.now.Sub(view.AsOf) <= reign.decider.settings.StaleAfter
+	touched := !view.ChecksFencing || reign.book.IsTouched(name, reign.fence)
+	machine := placement.Upstream{
+		Name:        name,
+		Role:        view.State.Role,
+		Capacity:    view.State.Capacity,
+		Charged:     reign.book.Charge(name, reign.now),
+		Usable:      fresh && touched,
+		Leaving:     view.State.Leaving,
+		Replicas:    reign.replicas(view),
+		Checkpoints: view.State.Checkpoints,
+	}
+	if reign.away {
+		machine.Charged = max(machine.Charged, machine.Capacity-reign.budgetLeft(name))
+	}
+	return machine
+}
+
+// replicas returns the replicas that the engine shows and those that are decided.
+func (reign *reign) replicas(view intent.View) []placement.Replica {
+	name := view.State.Upstream
+	var replicas []placement.Replica
+	for _, shown := range view.State.Replicas {
+		if shown.Phase == upstream.Failed {
+			continue
+		}
+		key := intent.ReplicaKey{Upstream: name, Model: shown.Model, Version: shown.Version}
+		replicas = append(replicas, placement.Replica{
+			Model:    shown.Model,
+			Version:  shown.Version,
+			Memory:   shown.Memory,
+			Phase:    reign.phase(key, shown.Phase),
+			Load:     shown.Running + shown.Waiting,
+			LastUsed: reign.uses[key],
+			Pinned:   reign.away && !reign.isOwn(key),
+		})
+	}
+	for _, entry := range reign.book.On(name) {
+		if entry.Intent.Verb != upstream.Load || reign.book.Status(entry, reign.now) != intent.Open {
+			continue
+		}
+		replicas = append(replicas, placement.Replica{
+			Model:   entry.Intent.Model,
+			Version: entry.Intent.Version,
+			Memory:  entry.Intent.Memory,
+			Phase:   placement.Coming,
+		})
+	}
+	return replicas
+}
+
+func (reign *reign) phase(key intent.ReplicaKey, shown upstream.Phase) placement.Phase {
+	if shown == upstream.Unloading || reign.isUnloading(key) {
+		return placement.Going
+	}
+	if shown == upstream.Ready {
+		return placement.Serving
+	}
+	return placement.Coming
+}
+
+// isUnloading reports whether an unload of the replica is open.
+func (reign *reign) isUnloading(key intent.ReplicaKey) bool {
+	for _, entry := range reign.book.On(key.Upstream) {
+		if entry.Intent.Verb == upstream.Unload && entry.Key() == key && reign.book.Status(entry, reign.now) == intent.Open {
+			return true
+		}
+	}
+	return false
+}
+
+// isOwn reports whether this reign may use the memory of the replica again without the table service.
+func (reign *reign) isOwn(key intent.ReplicaKey) bool {
+	for _, entry := range reign.book.On(key.Upstream) {
+		if entry.Intent.Verb == upstream.Load && entry.Key() == key && entry.Intent.Sender != reign.sender {
+			return false
+		}
+	}
+	return true
+}
+
+// assigned restricts a model to the upstream on which a former holder may still load it, or
+// while the table service is away to the one that the budget names.
+func (reign *reign) assigned(model catalogue.Model) (string, bool, bool) {
+	memory := model.Memory()
+	if reign.away {
+		name, ok := reign.budgetUpstream(model.Name, memory)
+		return name, true, ok
+	}
+	for _, name := range reign.book.PermittedElsewhere(model.Name, memory, reign.now) {
+		return name, true, true
+	}
+	return "", false, false
+}
+
+// busy returns the number of loads from the weight store that have not provably ended.
+func (reign *reign) busy() int {
+	count := reign.book.OpenLoads(reign.now)
+	for _, entry := range reign.book.Entries() {
+		row := entry.Intent
+		if row.Verb != upstream.Load || row.Tier != upstream.Remote || entry.IsAdopted() {
+			continue
+		}
+		switch reign.book.Status(entry, reign.now) {
+		case intent.Open:
+			count++
+		case intent.Shown:
+			view, _ := reign.book.View(row.Upstream)
+			if replica, _ := view.Replica(row.Model, row.Version); replica.Phase == upstream.Loading {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// slots returns the permits of the data centre, or those of the budget while the table service is away.
+func (reign *reign) slots() int {
+	slots := reign.decider.division.Slots()
+	if reign.away {
+		return min(slots, reign.budget.Loads)
+	}
+	return slots
+}
--- /dev/null
+++ b/decider/orders.go
@@ -0,0 +1,178 @@
+package decider
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/bronzestall/bronzestall/event"
+	"github.com/bronzestall/bronzestall/intent"
+	"github.com/bronzestall/bronzestall/upstream"
+)
+
+// answer is the end of one attempt.
+type answer struct {
+	// fence is the fencing number under which it was sent.
+	fence    uint64
+	upstream string
+	order    upstream.Order
+	verdict  upstream.Verdict
+	err      error
+}
+
+// send gives an order to an engine on a goroutine of its own, and reports whether it began.
+func (decider *Decider) send(ctx context.Context, name string, order upstream.Order) bool {
+	engine, known := decider.deps.Engines.Engine(name)
+	if !known || decider.countOnTheWay() >= ordersAtOnce {
+		return false
+	}
+	fence := order.Fence
+	decider.onTheWay[fence]++
+	decider.senders.Add(1)
+	go func() {
+		defer decider.senders.Done()
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), decider.settings.OrderTimeout)
+		defer cancel()
+		verdict, err := engine.Send(ctx, order)
+		// The ring has room for every order on its way.
+		decider.answers.TryPut(answer{fence: fence, upstream: name, order: order, verdict: verdict, err: err})
+	}()
+	return true
+}
+
+func (decider *Decider) countOnTheWay() int {
+	count := 0
+	for _, orders := range decider.onTheWay {
+		count += orders
+	}
+	return count
+}
+
+func (decider *Decider) takeAll() {
+	for {
+		select {
+		case got := <-decider.answers.Items():
+			decider.take(got)
+		default:
+			return
+		}
+	}
+}
+
+// take notes the end of an attempt.
+func (decider *Decider) take(got answer) {
+	decider.onTheWay[got.fence]--
+	if decider.onTheWay[got.fence] == 0 {
+		delete(decider.onTheWay, got.fence)
+	}
+	if decider.reign == nil || decider.reign.fence != got.fence {
+		return
+	}
+	decider.reign.take(got)
+}
+
+func (reign *reign) take(got answer) {
+	now := reign.decider.deps.Clock.Now()
+	if got.order.Verb == upstream.Touch {
+		delete(reign.touching, got.upstream)
+		if got.err == nil && got.verdict == upstream.Accepted {
+			reign.book.Touched(got.upstream, got.order.BootID, reign.fence, now)
+		}
+		return
+	}
+	id := got.order.ID
+	switch {
+	case got.err == nil:
+		reign.book.Answered(id, got.verdict, now)
+		if got.verdict != upstream.Accepted {
+			event.OrderRefused.Log("Upstream", got.upstream, "Order", id, "Verb", got.order.Verb, "Model", got.order.Model, "Verdict", got.verdict)
+		}
+	case errors.Is(got.err, upstream.ErrNotSent):
+		reign.book.NotSent(id, now)
+	default:
+		reign.book.Unanswered(id, now)
+		event.OrderUnanswered.LogError(got.err, "Upstream", got.upstream, "Order", id, "Verb", got.order.Verb, "Model", got.order.Model)
+	}
+}
+
+// touch raises the fencing number on engines that check it and have not seen it in their present boot.
+func (reign *reign) touch(ctx context.Context) {
+	for name := range reign.met {
+		view, known := reign.book.View(name)
+		if !known || !view.ChecksFencing || reign.touching[name] || reign.book.IsTouched(name, reign.fence) {
+			continue
+		}
+		order := upstream.Order{ID: reign.nextID(), Verb: upstream.Touch, Fence: reign.fence, BootID: view.State.BootID}
+		reign.touching[name] = reign.decider.send(ctx, name, order)
+	}
+}
+
+// sendOpen sends each open order that has not been sent, or whose attempts ended without a verdict.
+func (reign *reign) sendOpen(ctx context.Context) {
+	for _, entry := range reign.book.Entries() {
+		if reign.shouldSend(entry) {
+			reign.sendEntry(ctx, entry)
+		}
+	}
+}
+
+func (reign *reign) shouldSend(entry *intent.Entry) bool {
+	if entry.IsOpen() || entry.IsAbandoned() || entry.Verdict != "" {
+		return false
+	}
+	if reign.book.Status(entry, reign.now) != intent.Open {
+		return false
+	}
+	if entry.Attempts > 0 && reign.now.Sub(entry.Sent) < defaultRetryAfter {
+		return false
+	}
+	wanted := reign.isWanted(entry.Intent.Model)
+	if entry.Intent.Sender != reign.sender {
+		return wanted && reign.isInForce(entry.Intent)
+	}
+	if entry.Attempts >= attemptsWithout && !wanted || !reign.isInForce(entry.Intent) {
+		reign.book.Abandon(entry.Intent.ID)
+		return false
+	}
+	return true
+}
+
+// isInForce reports whether the subject of a load is in force; other orders always are.
+func (reign *reign) isInForce(row intent.Intent) bool {
+	if row.Verb != upstream.Load {
+		return true
+	}
+	model, ok := reign.catalogue.Model(row.Model)
+	return ok && model.Version == row.Version
+}
+
+func (reign *reign) sendEntry(ctx context.Context, entry *intent.Entry) {
+	view, known := reign.book.View(entry.Intent.Upstream)
+	if !known {
+		return
+	}
+	order := entry.Intent.Order(reign.fence, view.State.BootID)
+	if reign.decider.send(ctx, entry.Intent.Upstream, order) {
+		reign.book.Sending(entry.Intent.ID, reign.now)
+	}
+}
+
+func (reign *reign) newIntent(verb upstream.Verb, name, model, version string) intent.Intent {
+	view, _ := reign.book.View(name)
+	return intent.Intent{
+		ID:       reign.nextID(),
+		Upstream: name,
+		BootID:   view.State.BootID,
+		Verb:     verb,
+		Model:    model,
+		Version:  version,
+		Fence:    reign.fence,
+		Sender:   reign.sender,
+	}
+}
+
+// nextID returns an identifier that no other order ever has.
+func (reign *reign) nextID() string {
+	reign.decider.serial++
+	return fmt.Sprintf("%s-%d-%06d", reign.sender.Process, reign.fence, reign.decider.serial)
+}
--- /dev/null
+++ b/decider/store.go
@@ -0,0 +1,149 @@
+package decider
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/bronzestall/bronzestall/event"
+	"github.com/bronzestall/bronzestall/intent"
+	"github.com/bronzestall/bronzestall/platform"
+)
+
+// askStore does what needs the table service before a pass: settles a change without a known
+// result, proves senders gone and shares permits.
+func (reign *reign) askStore(ctx context.Context) error {
+	reign.noteHeld()
+	if reign.away {
+		return nil
+	}
+	if err := reign.settle(ctx); err != nil {
+		return reign.failed(err)
+	}
+	reign.noteOwnReigns()
+	if reign.due(&reign.sendersAt, defaultSendersEvery) {
+		senders := reign.book.ForeignSenders()
+		for _, sender := range reign.decider.registry.Gone(ctx, senders) {
+			reign.book.SenderGone(sender, reign.now)
+		}
+	}
+	if reign.due(&reign.permitsAt, defaultPermitsEvery) {
+		return reign.failed(reign.sharePermits(ctx))
+	}
+	return nil
+}
+
+// noteHeld notes whether the table service is away. It counts as away after a call without a
+// usable answer and after the lease lapsed, until the lease is renewed.
+func (reign *reign) noteHeld() {
+	_, until, held := reign.decider.deps.Lease.Held()
+	switch {
+	case !reign.away && !held:
+		reign.goAway()
+	case reign.away && held && !until.Equal(reign.awayTerm):
+		reign.away = false
+		event.OutageEnded.Log("DataCentre", reign.decider.settings.DataCentre, "Fence", reign.fence)
+	}
+}
+
+func (reign *reign) goAway() {
+	_, until, _ := reign.decider.deps.Lease.Held()
+	reign.away = true
+	reign.awayTerm = until
+	event.OutageBegan.Log("DataCentre", reign.decider.settings.DataCentre, "Fence", reign.fence)
+}
+
+// failed notes a failed call to the table service and returns its error.
+func (reign *reign) failed(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, platform.ErrConflict):
+		return err
+	default:
+		if !reign.away {
+			reign.goAway()
+		}
+		return err
+	}
+}
+
+// isStale reports whether the reign was refused by the table service and the lease has been
+// renewed since, so that what is recorded must be read again.
+func (reign *reign) isStale() bool {
+	_, until, held := reign.decider.deps.Lease.Held()
+	return reign.deposed && held && !until.Equal(reign.awayTerm)
+}
+
+// due reports whether the interval has passed since the time, and then moves it to now.
+func (reign *reign) due(last *time.Time, interval time.Duration) bool {
+	if !last.IsZero() && reign.now.Sub(*last) < interval {
+		return false
+	}
+	*last = reign.now
+	return true
+}
+
+// noteOwnReigns closes earlier reigns of this process once none of their orders is on its way.
+func (reign *reign) noteOwnReigns() {
+	for _, sender := range reign.book.ForeignSenders() {
+		own := sender.Process == reign.sender.Process
+		if own && sender.Reign != reign.fence && reign.decider.onTheWay[sender.Reign] == 0 {
+			reign.book.SenderGone(sender, reign.now)
+		}
+	}
+}
+
+// settle finds out whether a change without a known result took effect. The refreshed guard
+// makes sure that it cannot take effect later.
+func (reign *reign) settle(ctx context.Context) error {
+	if reign.pending == nil {
+		return nil
+	}
+	if err := reign.decider.deps.Lease.Refresh(ctx); err != nil {
+		return err
+	}
+	took, err := reign.took(ctx, *reign.pending)
+	if err != nil {
+		return err
+	}
+	change := *reign.pending
+	reign.pending = nil
+	if took {
+		reign.apply(change)
+	}
+	return nil
+}
+
+// took reports whether the change is in the table service.
+func (reign *reign) took(ctx context.Context, change intent.Change) (bool, error) {
+	if len(change.Open) > 0 {
+		return reign.decider.log.Exists(ctx, change.Open[0].ID)
+	}
+	if len(change.Close) > 0 {
+		exists, err := reign.decider.log.Exists(ctx, change.Close[0])
+		return !exists, err
+	}
+	budgets, err := reign.decider.log.Budgets(ctx)
+	if err != nil {
+		return false, err
+	}
+	for _, budget := range budgets {
+		if budget.Fence == reign.fence && change.Budget != nil {
+			return budget.Equal(*change.Budget), nil
+		}
+	}
+	return false, nil
+}
+
+func (reign *reign) sharePermits(ctx context.Context) error {
+	guard, owned := reign.decider.deps.Lease.Guard()
+	if !owned || reign.decider.settings.LoadsAtOnce == 0 {
+		return nil
+	}
+	err := reign.decider.division.Sync(ctx, guard, reign.permitUse())
+	if errors.Is(err, platform.ErrConflict) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/intent/book.go
@@ -0,0 +1,233 @@
+package intent
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bronzestall/bronzestall/upstream"
+)
+
+// Book holds the intents and budgets of one data centre with what is known of their orders.
+// It belongs to one goroutine. It does no I/O and takes the time as an argument.
+type Book struct {
+	me Sender
+	// linger bounds how long the bytes of a call without an answer may still take effect.
+	linger time.Duration
+	// entries holds every entry once, by identifier; byUpstream holds the same by upstream.
+	entries    map[string]*Entry
+	byUpstream map[string][]*Entry
+	views      map[string]View
+	touches    map[string]touch
+	budgets    []*openBudget
+}
+
+// touch is the highest fencing number that an engine acknowledged in one boot.
+type touch struct {
+	bootID string
+	fence  uint64
+	at     time.Time
+}
+
+// NewBook returns an empty book of the process. The linger bounds how long the bytes of a call
+// without an answer, or of a process that is gone, may still take effect on an engine.
+func NewBook(me Sender, linger time.Duration) *Book {
+	return &Book{
+		me:         me,
+		linger:     linger,
+		entries:    map[string]*Entry{},
+		byUpstream: map[string][]*Entry{},
+		views:      map[string]View{},
+		touches:    map[string]touch{},
+	}
+}
+
+// Add puts an intent into the book and returns its entry. An intent that is there is left alone.
+func (book *Book) Add(intent Intent, recorded bool) *Entry {
+	if entry, ok := book.entries[intent.ID]; ok {
+		entry.Recorded = entry.Recorded || recorded
+		return entry
+	}
+	entry := &Entry{Intent: intent, Recorded: recorded}
+	book.entries[intent.ID] = entry
+	book.byUpstream[intent.Upstream] = append(book.byUpstream[intent.Upstream], entry)
+	return entry
+}
+
+// Remove takes an intent out of the book.
+func (book *Book) Remove(id string) {
+	entry, ok := book.entries[id]
+	if !ok {
+		return
+	}
+	delete(book.entries, id)
+	name := entry.Intent.Upstream
+	rest := slices.DeleteFunc(book.byUpstream[name], func(other *Entry) bool { return other == entry })
+	book.byUpstream[name] = rest
+	if len(rest) == 0 {
+		delete(book.byUpstream, name)
+	}
+}
+
+// Entry returns the entry of the intent, or nil.
+func (book *Book) Entry(id string) *Entry {
+	return book.entries[id]
+}
+
+// Entries returns all entries in order of identifiers.
+func (book *Book) Entries() []*Entry {
+	all := make([]*Entry, 0, len(book.entries))
+	for _, entry := range book.entries {
+		all = append(all, entry)
+	}
+	slices.SortFunc(all, func(a, b *Entry) int { return compare(a.Intent.ID, b.Intent.ID) })
+	return all
+}
+
+// On returns the entries of an upstream. The caller must not change the slice.
+func (book *Book) On(name string) []*Entry {
+	return book.byUpstream[name]
+}
+
+// Observe takes a newer view of an engine and reports whether it was newer.
+func (book *Book) Observe(view View) bool {
+	name := view.State.Upstream
+	last, known := book.views[name]
+	if known && view.AsOf.Before(last.AsOf) {
+		return false
+	}
+	if known && view.State.BootID == last.State.BootID && view.State.Sequence < last.State.Sequence {
+		return false
+	}
+	book.views[name] = view
+	return true
+}
+
+// View returns the newest view of an engine.
+func (book *Book) View(name string) (View, bool) {
+	view, ok := book.views[name]
+	return view, ok
+}
+
+// Sending notes that an attempt of this process begins.
+func (book *Book) Sending(id string, now time.Time) {
+	entry := book.entries[id]
+	if entry == nil {
+		return
+	}
+	entry.Attempts++
+	entry.open++
+	entry.Sent = now
+}
+
+// Answered notes that an attempt ended with a verdict.
+func (book *Book) Answered(id string, verdict upstream.Verdict, now time.Time) {
+	entry := book.entries[id]
+	if entry == nil {
+		return
+	}
+	entry.Verdict = verdict
+	entry.reached = true
+	book.end(entry, now)
+}
+
+// NotSent notes that an attempt ended before any byte reached the engine.
+func (book *Book) NotSent(id string, now time.Time) {
+	if entry := book.entries[id]; entry != nil {
+		book.end(entry, now)
+	}
+}
+
+// Unanswered notes that an attempt ended without an answer; the engine may act on it for the linger.
+func (book *Book) Unanswered(id string, now time.Time) {
+	if entry := book.entries[id]; entry != nil {
+		entry.reached = true
+		book.end(entry, now.Add(book.linger))
+	}
+}
+
+func (book *Book) end(entry *Entry, effective time.Time) {
+	entry.open--
+	if effective.After(entry.ended) {
+		entry.ended = effective
+	}
+}
+
+// Abandon notes that this process sends no further attempt of the intent.
+func (book *Book) Abandon(id string) {
+	if entry := book.entries[id]; entry != nil {
+		entry.abandoned = true
+	}
+}
+
+// Touched notes that an engine acknowledged a fencing number in a boot.
+func (book *Book) Touched(name, bootID string, fence uint64, now time.Time) {
+	last, known := book.touches[name]
+	if known && last.bootID == bootID && last.fence >= fence {
+		return
+	}
+	book.touches[name] = touch{bootID: bootID, fence: fence, at: now}
+}
+
+// IsTouched reports whether the engine acknowledged the fencing number in its present boot.
+func (book *Book) IsTouched(name string, fence uint64) bool {
+	view, known := book.views[name]
+	last, touched := book.touches[name]
+	return known && touched && last.bootID == view.State.BootID && last.fence >= fence
+}
+
+// SenderGone notes that a foreign process sends no more orders.
+func (book *Book) SenderGone(sender Sender, now time.Time) {
+	for _, entry := range book.entries {
+		if entry.Intent.Sender == sender && entry.senderGone.IsZero() {
+			entry.senderGone = now
+		}
+	}
+	for _, budget := range book.budgets {
+		if budget.Sender == sender && budget.senderGone.IsZero() {
+			budget.senderGone = now
+		}
+	}
+}
+
+// IsOpen reports whether an attempt of this process has not ended.
+func (entry *Entry) IsOpen() bool {
+	return entry.open > 0
+}
+
+// IsAbandoned reports whether this process sends no further attempt.
+func (entry *Entry) IsAbandoned() bool {
+	return entry.abandoned
+}
+
+// IsAdopted reports whether the intent stands for a replica that was found without a row.
+func (entry *Entry) IsAdopted() bool {
+	return entry.abandoned && entry.Attempts == 0
+}
+
+// ForeignSenders returns each process other than this one that may still send an order.
+func (book *Book) ForeignSenders() []Sender {
+	var senders []Sender
+	add := func(sender Sender, gone time.Time) {
+		if sender != book.me && gone.IsZero() && !slices.Contains(senders, sender) {
+			senders = append(senders, sender)
+		}
+	}
+	for _, entry := range book.Entries() {
+		add(entry.Intent.Sender, entry.senderGone)
+	}
+	for _, budget := range book.budgets {
+		add(budget.Sender, budget.senderGone)
+	}
+	return senders
+}
+
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/intent/budget.go
@@ -0,0 +1,70 @@
+package intent
+
+import "github.com/cespare/xxhash/v2"
+
+// Budget is what one holder may decide without the table service.
+type Budget struct {
+	// Fence is the fencing number of the holder.
+	Fence uint64 `json:"Fence"`
+	// Sender is the process of the holder.
+	Sender Sender `json:"Sender"`
+	// Loads is the largest number of loads from the weight store at once that have no row.
+	Loads int `json:"Loads"`
+	// Shares are the shares in order of upstreams, at most one for each.
+	Shares []Share `json:"Shares"`
+}
+
+// Share is the part of a budget on one upstream.
+type Share struct {
+	// Upstream is the name of the engine's VM.
+	Upstream string `json:"Upstream"`
+	// Memory is the largest sum in bytes of replicas without a row.
+	Memory int64 `json:"Memory"`
+	// Evictable is the memory in bytes of the holder's own rows, which it may use again for
+	// replicas without a row once the engine has confirmed that it is free.
+	Evictable int64 `json:"Evictable,omitempty"`
+}
+
+// Memory returns the memory in bytes of the budget on an upstream.
+func (budget Budget) Memory(name string) int64 {
+	for _, share := range budget.Shares {
+		if share.Upstream == name {
+			return share.Memory
+		}
+	}
+	return 0
+}
+
+// Upstream returns the only upstream on which the budget permits a replica of the model, by
+// rendezvous hashing over the shares that hold it. Its cost is one hash for each share.
+func (budget Budget) Upstream(model string, memory int64) (string, bool) {
+	best, found := "", false
+	var top uint64
+	for _, share := range budget.Shares {
+		if share.Memory+share.Evictable < memory {
+			continue
+		}
+		var digest xxhash.Digest
+		digest.Reset()
+		_, _ = digest.WriteString(model)
+		_, _ = digest.WriteString("\x00")
+		_, _ = digest.WriteString(share.Upstream)
+		if sum := digest.Sum64(); !found || sum > top {
+			best, top, found = share.Upstream, sum, true
+		}
+	}
+	return best, found
+}
+
+// Equal reports whether both budgets permit the same.
+func (budget Budget) Equal(other Budget) bool {
+	if budget.Fence != other.Fence || budget.Loads != other.Loads || budget.Sender != other.Sender || len(budget.Shares) != len(other.Shares) {
+		return false
+	}
+	for i, share := range budget.Shares {
+		if share != other.Shares[i] {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/intent/charge.go
@@ -0,0 +1,194 @@
+package intent
+
+import (
+	"time"
+
+	"github.com/bronzestall/bronzestall/upstream"
+)
+
+// openBudget is a budget with what is known of its holder.
+type openBudget struct {
+	Budget
+	// senderGone is the time from which the holder sends no more, or zero.
+	senderGone time.Time
+}
+
+// AddBudget puts the budget of a former holder into the book.
+func (book *Book) AddBudget(budget Budget) {
+	for _, known := range book.budgets {
+		if known.Fence == budget.Fence {
+			known.Budget = budget
+			return
+		}
+	}
+	book.budgets = append(book.budgets, &openBudget{Budget: budget})
+}
+
+// Charge returns the accelerator memory in bytes that is charged on an upstream: for each replica
+// the larger of what was decided and what the engine says, and what former holders may still
+// decide within their budgets. Its cost follows the entries and replicas of the upstream.
+func (book *Book) Charge(name string, now time.Time) int64 {
+	view := book.views[name]
+	var total int64
+	entries := book.byUpstream[name]
+	for i, entry := range entries {
+		if !book.isCounted(entry, now) || book.duplicated(entries[:i], entry, now) {
+			continue
+		}
+		memory := book.largest(entries[i:], entry, now)
+		if replica, shown := view.Replica(entry.Intent.Model, entry.Intent.Version); shown {
+			memory = max(memory, replica.Memory)
+		}
+		total += memory
+	}
+	for _, replica := range view.State.Replicas {
+		if replica.Phase != upstream.Failed && !covered(entries, replica) {
+			total += replica.Memory
+		}
+	}
+	return total + book.openBudgets(name, now)
+}
+
+func (book *Book) isCounted(entry *Entry, now time.Time) bool {
+	if entry.Intent.Verb != upstream.Load {
+		return false
+	}
+	status := book.Status(entry, now)
+	return status == Open || status == Shown
+}
+
+// duplicated reports whether an earlier entry that counts stands for the same replica.
+func (book *Book) duplicated(earlier []*Entry, entry *Entry, now time.Time) bool {
+	for _, other := range earlier {
+		if other.Key() == entry.Key() && book.isCounted(other, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// largest returns the largest memory in bytes among the entries that count and stand for the same replica.
+func (book *Book) largest(entries []*Entry, entry *Entry, now time.Time) int64 {
+	memory := entry.Intent.Memory
+	for _, other := range entries {
+		if other.Key() == entry.Key() && book.isCounted(other, now) {
+			memory = max(memory, other.Intent.Memory)
+		}
+	}
+	return memory
+}
+
+func covered(entries []*Entry, replica upstream.Replica) bool {
+	for _, entry := range entries {
+		load := entry.Intent.Verb == upstream.Load
+		if load && entry.Intent.Model == replica.Model && entry.Intent.Version == replica.Version {
+			return true
+		}
+	}
+	return false
+}
+
+// openBudgets returns the memory in bytes that former holders may still decide on an upstream
+// beyond the replicas that are counted.
+func (book *Book) openBudgets(name string, now time.Time) int64 {
+	var total int64
+	for _, budget := range book.budgets {
+		memory := budget.Memory(name)
+		if memory == 0 || book.budgetClosed(budget, name, now) {
+			continue
+		}
+		for _, entry := range book.byUpstream[name] {
+			if entry.Intent.Budget == budget.Fence && book.isCounted(entry, now) {
+				memory -= entry.Intent.Memory
+			}
+		}
+		total += max(0, memory)
+	}
+	return total
+}
+
+// OpenLoads returns the number of loads from the weight store that former holders may still
+// begin within their budgets.
+func (book *Book) OpenLoads(now time.Time) int {
+	total := 0
+	for _, budget := range book.budgets {
+		for _, share := range budget.Shares {
+			if !book.budgetClosed(budget, share.Upstream, now) {
+				total += budget.Loads
+				break
+			}
+		}
+	}
+	return total
+}
+
+// budgetClosed reports whether the former holder can decide nothing more on the upstream that
+// the view does not show.
+func (book *Book) budgetClosed(budget *openBudget, name string, now time.Time) bool {
+	view, known := book.views[name]
+	if !known {
+		return false
+	}
+	if closed, ok := book.fencedOff(budget.Fence, view); ok && view.AsOf.After(closed) {
+		return true
+	}
+	return book.budgetSettled(budget, now) && view.AsOf.After(budget.senderGone.Add(book.linger))
+}
+
+func (book *Book) budgetSettled(budget *openBudget, now time.Time) bool {
+	return !budget.senderGone.IsZero() && now.After(budget.senderGone.Add(book.linger))
+}
+
+// ClosableBudgets returns the fencing numbers of the budgets whose holder is gone and whose
+// upstreams have all been seen since.
+func (book *Book) ClosableBudgets(now time.Time) []uint64 {
+	var fences []uint64
+	for _, budget := range book.budgets {
+		if !book.budgetSettled(budget, now) {
+			continue
+		}
+		closed := true
+		for _, share := range budget.Shares {
+			view, known := book.views[share.Upstream]
+			closed = closed && known && view.AsOf.After(budget.senderGone.Add(book.linger))
+		}
+		if closed {
+			fences = append(fences, budget.Fence)
+		}
+	}
+	return fences
+}
+
+// RemoveBudget takes the budget of a former holder out of the book.
+func (book *Book) RemoveBudget(fence uint64) {
+	for i, budget := range book.budgets {
+		if budget.Fence == fence {
+			book.budgets = append(book.budgets[:i], book.budgets[i+1:]...)
+			return
+		}
+	}
+}
+
+// Permitted returns the fencing number of the former holder whose budget permits the replica on
+// the upstream, or zero.
+func (book *Book) Permitted(model string, memory int64, name string) uint64 {
+	for _, budget := range book.budgets {
+		if assigned, ok := budget.Upstream(model, memory); ok && assigned == name {
+			return budget.Fence
+		}
+	}
+	return 0
+}
+
+// PermittedElsewhere returns the upstreams on which a former holder may still load the model
+// although no replica of it is shown there.
+func (book *Book) PermittedElsewhere(model string, memory int64, now time.Time) []string {
+	var names []string
+	for _, budget := range book.budgets {
+		name, ok := budget.Upstream(model, memory)
+		if ok && !book.budgetClosed(budget, name, now) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/intent/log.go
@@ -0,0 +1,128 @@
+package intent
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/gravitational/trace"
+
+	"github.com/bronzestall/bronzestall/platform"
+)
+
+// The tables of this package. Rows are named after data centre and identifier.
+const (
+	// Table holds the intents.
+	Table = "Intents"
+	// BudgetTable holds the budgets.
+	BudgetTable = "Budgets"
+)
+
+const scanLimit = 500
+
+// Log reads and writes the intents and budgets of one data centre.
+type Log struct {
+	tables     platform.Tables
+	dataCentre string
+}
+
+// NewLog returns the log of the data centre.
+func NewLog(tables platform.Tables, dataCentre string) *Log {
+	return &Log{tables: tables, dataCentre: dataCentre}
+}
+
+// Change is what one transaction writes.
+type Change struct {
+	// Open are the intents to add.
+	Open []Intent
+	// Close are the identifiers of intents to remove.
+	Close []string
+	// Budget is the new budget of the holder, or nil to leave it.
+	Budget *Budget
+	// CloseBudgets are the fencing numbers of budgets to remove.
+	CloseBudgets []uint64
+}
+
+// IsEmpty reports whether the change writes nothing.
+func (change Change) IsEmpty() bool {
+	return len(change.Open) == 0 && len(change.Close) == 0 && change.Budget == nil && len(change.CloseBudgets) == 0
+}
+
+// Commit writes the change in one transaction under the guard of the lease. Its errors are
+// those of platform.Tables; ErrUnclear is settled by Took.
+func (log *Log) Commit(ctx context.Context, guard platform.Write, change Change) error {
+	writes := make([]platform.Write, 0, 2+len(change.Open)+len(change.Close)+len(change.CloseBudgets))
+	writes = append(writes, guard)
+	for _, intent := range change.Open {
+		writes = append(writes, platform.Write{Key: log.key(intent.ID), Check: true, Value: encode(intent)})
+	}
+	for _, id := range change.Close {
+		writes = append(writes, platform.Write{Key: log.key(id), Delete: true})
+	}
+	if change.Budget != nil {
+		writes = append(writes, platform.Write{Key: log.budgetKey(change.Budget.Fence), Value: encode(change.Budget)})
+	}
+	for _, fence := range change.CloseBudgets {
+		writes = append(writes, platform.Write{Key: log.budgetKey(fence), Delete: true})
+	}
+	_, err := log.tables.Commit(ctx, writes)
+	return trace.Wrap(err)
+}
+
+// Exists reports whether the row of the intent is there.
+func (log *Log) Exists(ctx context.Context, id string) (bool, error) {
+	_, err := log.tables.Read(ctx, log.key(id))
+	if errors.Is(err, platform.ErrNotFound) {
+		return false, nil
+	}
+	return err == nil, trace.Wrap(err)
+}
+
+// Intents returns all intents of the data centre in order of identifiers.
+func (log *Log) Intents(ctx context.Context) ([]Intent, error) {
+	return scan[Intent](ctx, log.tables, Table, log.dataCentre+"/")
+}
+
+// Budgets returns all budgets of the data centre in order of fencing numbers.
+func (log *Log) Budgets(ctx context.Context) ([]Budget, error) {
+	return scan[Budget](ctx, log.tables, BudgetTable, log.dataCentre+"/")
+}
+
+func scan[T any](ctx context.Context, tables platform.Tables, table, prefix string) ([]T, error) {
+	var all []T
+	after := ""
+	for {
+		rows, err := tables.Scan(ctx, table, prefix, after, scanLimit)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		for _, row := range rows {
+			var value T
+			if err := json.Unmarshal(row.Value, &value); err != nil {
+				return nil, trace.Wrap(err, "row %s of table %s", row.Row, table)
+			}
+			all = append(all, value)
+			after = row.Row
+		}
+		if len(rows) < scanLimit {
+			return all, nil
+		}
+	}
+}
+
+func (log *Log) key(id string) platform.Key {
+	return platform.Key{Table: Table, Row: log.dataCentre + "/" + id}
+}
+
+func (log *Log) budgetKey(fence uint64) platform.Key {
+	return platform.Key{Table: BudgetTable, Row: fmt.Sprintf("%s/%020d", log.dataCentre, fence)}
+}
+
+func encode(value any) []byte {
+	content, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return content
+}
--- /dev/null
+++ b/intent/sender.go
@@ -0,0 +1,14 @@
+package intent
+
+// Sender identifies the process that may send the order of an intent.
+type Sender struct {
+	// VM is the name of its VM.
+	VM string `json:"VM"`
+	// VMIncarnation is the incarnation of the VM in the VM list; empty if unknown.
+	VMIncarnation string `json:"VMIncarnation,omitempty"`
+	// Process differs for every start of a process.
+	Process string `json:"Process"`
+	// Reign is the fencing number under which the process decided. A process that lost its lease
+	// and got it again counts as another sender.
+	Reign uint64 `json:"Reign,omitempty"`
+}
--- /dev/null
+++ b/intent/status.go
@@ -0,0 +1,86 @@
+package intent
+
+import (
+	"time"
+
+	"github.com/bronzestall/bronzestall/upstream"
+)
+
+// Status tells what the entry counts for at a time.
+func (book *Book) Status(entry *Entry, now time.Time) Status {
+	if entry.Intent.Verb != upstream.Load {
+		return book.orderStatus(entry, now)
+	}
+	view, known := book.views[entry.Intent.Upstream]
+	if _, shown := view.Replica(entry.Intent.Model, entry.Intent.Version); shown {
+		return Shown
+	}
+	if entry.Intent.Sender == book.me && entry.abandoned && !entry.reached && entry.open == 0 {
+		return Gone
+	}
+	if !known {
+		return Open
+	}
+	if settled, ok := book.settled(entry, now); ok && view.AsOf.After(settled) {
+		return Gone
+	}
+	if closed, ok := book.fencedOff(entry.Intent.Fence, view); ok && entry.open == 0 && view.AsOf.After(later(closed, entry.ended)) {
+		if entry.Intent.Sender != book.me {
+			return Sleeping
+		}
+	}
+	return Open
+}
+
+// orderStatus is the status of an intent that charges nothing: it is gone once it was answered
+// or belongs to a former holder, since a late order of its kind changes no sum.
+func (book *Book) orderStatus(entry *Entry, now time.Time) Status {
+	if entry.Intent.Sender != book.me {
+		return Gone
+	}
+	if _, ok := book.settled(entry, now); ok {
+		return Gone
+	}
+	return Open
+}
+
+// settled returns the time from which no order of the entry takes effect any more.
+func (book *Book) settled(entry *Entry, now time.Time) (time.Time, bool) {
+	if entry.open > 0 || now.Before(entry.ended) {
+		return time.Time{}, false
+	}
+	if entry.Intent.Sender == book.me {
+		if entry.Verdict == "" && !entry.abandoned {
+			return time.Time{}, false
+		}
+		return entry.ended, true
+	}
+	if entry.senderGone.IsZero() {
+		return time.Time{}, false
+	}
+	gone := entry.senderGone.Add(book.linger)
+	if now.Before(gone) {
+		return time.Time{}, false
+	}
+	return later(gone, entry.ended), true
+}
+
+// fencedOff returns the time from which the engine, in the boot of the view, refuses orders
+// with the fencing number.
+func (book *Book) fencedOff(fence uint64, view View) (time.Time, bool) {
+	last, touched := book.touches[view.State.Upstream]
+	if !view.ChecksFencing || !touched {
+		return time.Time{}, false
+	}
+	if last.bootID != view.State.BootID || last.fence <= fence {
+		return time.Time{}, false
+	}
+	return last.at, true
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/placement/decision.go
@@ -0,0 +1,60 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/bronzestall/bronzestall/upstream"
+)
+
+// Decision is one order to give.
+type Decision struct {
+	// Verb is Load, Unload or ChangeRole.
+	Verb upstream.Verb
+	// Upstream is the name of the engine's VM.
+	Upstream string
+	// Model and Version name the replica.
+	Model, Version string
+	// Memory is the accelerator memory in bytes of a Load.
+	Memory int64
+	// Role is the new role of a ChangeRole.
+	Role upstream.Role
+	// Tier is where a Load takes the checkpoint from.
+	Tier upstream.Tier
+	// Warm states that no request waits for a Load.
+	Warm bool
+}
+
+// Obstacle tells why a replica cannot be loaded at once.
+type Obstacle int
+
+// The obstacles.
+const (
+	// NoObstacle means that the load is decided.
+	NoObstacle Obstacle = iota
+	// AwaitsMemory means that memory is being freed.
+	AwaitsMemory
+	// AwaitsPermit means that the weight store takes no further load now.
+	AwaitsPermit
+	// NoRoom means that busy replicas hold the memory of every upstream.
+	NoRoom
+	// NoUpstream means that no usable upstream can ever hold the model.
+	NoUpstream
+)
+
+// Outlook is when a model that requests wait for is expected to serve.
+type Outlook struct {
+	// Model is the name of the model.
+	Model string
+	// Obstacle tells what stands in the way.
+	Obstacle Obstacle
+	// ReadyIn is the expected time until a replica serves; it means nothing for NoRoom and NoUpstream.
+	ReadyIn time.Duration
+}
+
+// Result is what a pass decided. It is valid until the next pass.
+type Result struct {
+	// Decisions are the orders to give, most urgent first.
+	Decisions []Decision
+	// Outlooks has one entry for each model that requests wait for and that has no serving replica.
+	Outlooks []Outlook
+}
--- /dev/null
+++ b/placement/input.go
@@ -0,0 +1,82 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/bronzestall/bronzestall/catalogue"
+	"github.com/bronzestall/bronzestall/upstream"
+)
+
+// Models is the catalogue in force.
+type Models interface {
+	// Model returns a model in force.
+	Model(name string) (catalogue.Model, bool)
+}
+
+// Phase is what placement knows of a replica.
+type Phase int
+
+// The phases of replicas.
+const (
+	// Coming is a replica that is decided or loading.
+	Coming Phase = iota
+	// Serving is a replica that takes requests.
+	Serving
+	// Going is a replica that is being unloaded; its memory is not free yet.
+	Going
+)
+
+// Replica is one replica on an upstream.
+type Replica struct {
+	// Model and Version name the weights.
+	Model, Version string
+	// Memory is the accelerator memory in bytes that it is charged.
+	Memory int64
+	// Phase tells whether it serves.
+	Phase Phase
+	// Load is the number of requests that it runs or that wait at the engine.
+	Load int
+	// Pinned states that it must not be unloaded to make room.
+	Pinned bool
+	// LastUsed is the last time it was seen with a request, or the time it became ready.
+	LastUsed time.Time
+}
+
+// Upstream is one engine.
+type Upstream struct {
+	// Name is the name of the VM.
+	Name string
+	// Role is the role in force.
+	Role upstream.Role
+	// Capacity is the accelerator memory in bytes and Charged what is charged of it.
+	// Charged includes every replica below.
+	Capacity, Charged int64
+	// Usable states that loads may be decided on it: its state is fresh and it takes new work.
+	Usable bool
+	// Leaving states that it takes no new work; its replicas are to be replaced.
+	Leaving bool
+	// Replicas are its replicas in any phase.
+	Replicas []Replica
+	// Checkpoints tells for "model@version" the fastest tier that has it.
+	Checkpoints map[string]upstream.Tier
+}
+
+// Input is the state of one data centre for one pass.
+type Input struct {
+	// Now is the time of the pass.
+	Now time.Time
+	// Upstreams are the engines.
+	Upstreams []Upstream
+	// Needs is the demand, at most one entry for each model.
+	Needs []Need
+	// Warm are the wishes, at most one entry for each model.
+	Warm []Warm
+	// Models is the catalogue in force.
+	Models Models
+	// Starts is the number of loads that may start from the weight store now.
+	Starts int
+	// StartsIn is the time until a further load may start once Starts is used up.
+	StartsIn time.Duration
+	// Assigned tells for a model whether it is restricted to one upstream, and which if there is one; nil restricts none.
+	Assigned func(model catalogue.Model) (name string, restricted, ok bool)
+}
--- /dev/null
+++ b/placement/outlook.go
@@ -0,0 +1,33 @@
+package placement
+
+// addOutlooks tells for each model that requests wait for and that nothing serves when it will.
+func (placer *Placer) addOutlooks() {
+	for i := range placer.models {
+		entry := &placer.models[i]
+		if !entry.inForce || entry.need.Waiting == 0 || entry.serving > 0 {
+			continue
+		}
+		placer.result.Outlooks = append(placer.result.Outlooks, placer.outlook(entry))
+	}
+}
+
+func (placer *Placer) outlook(entry *active) Outlook {
+	outlook := Outlook{Model: entry.name}
+	if entry.count > 0 {
+		return outlook
+	}
+	memory := entry.model.Memory()
+	if entry.placed {
+		outlook.Obstacle = entry.site.wait
+		outlook.ReadyIn = entry.site.cost
+		return outlook
+	}
+	outlook.Obstacle = NoUpstream
+	for u := range placer.input.Upstreams {
+		machine := &placer.input.Upstreams[u]
+		if machine.Usable && !machine.Leaving && machine.Capacity >= memory {
+			outlook.Obstacle = NoRoom
+		}
+	}
+	return outlook
+}
--- /dev/null
+++ b/placement/settings.go
@@ -0,0 +1,29 @@
+package placement
+
+import "time"
+
+const (
+	defaultConcurrency = 16
+	defaultIdleAfter   = 10 * time.Second
+	defaultDrain       = time.Second
+	// shrinkShare is the share of the capacity left after scaling down below which a replica is given up.
+	shrinkShare = 0.5
+)
+
+// Settings holds the times of placement. The zero value means the defaults.
+type Settings struct {
+	// IdleAfter is how long a replica must have been idle before it is unloaded; zero means 10 s.
+	IdleAfter time.Duration
+	// Drain is the expected time from an unload to free memory; zero means 1 s.
+	Drain time.Duration
+}
+
+func (settings Settings) withDefaults() Settings {
+	if settings.IdleAfter == 0 {
+		settings.IdleAfter = defaultIdleAfter
+	}
+	if settings.Drain == 0 {
+		settings.Drain = defaultDrain
+	}
+	return settings
+}
