Count requests in bounded series

Cause: operators need histograms for each tenant and class, in a form that scrapers read. Ruled out: a registry per tenant, whose number nobody bounds; writing the text format by hand. Change: package meter on go-metrics, folded into one series above 2,048, served through expfmt; series are found by a comparable key instead of a joined string.

--- a/internal/deps/deps.go
+++ b/internal/deps/deps.go
@@ -10,6 +10,8 @@
 	_ "github.com/cespare/xxhash/v2"
 	_ "github.com/goccy/go-yaml"
 	_ "github.com/gravitational/trace"
+	_ "github.com/prometheus/client_model/go"
+	_ "github.com/prometheus/common/expfmt"
 	_ "github.com/rcrowley/go-metrics"
 	_ "github.com/zeromicro/go-zero/rest"
 	_ "github.com/zeromicro/go-zero/rest/httpc"
--- /dev/null
+++ b/meter/meter.go
@@ -0,0 +1,102 @@
+package meter
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+const (
+	// maxSeries bounds the series of one daemon.
+	maxSeries = 2048
+	// sampleSize is the number of values that one histogram keeps.
+	sampleSize = 1028
+)
+
+// Meter is the set of metrics of one daemon. It is safe for concurrent use. Use New.
+type Meter struct {
+	registry metrics.Registry
+	lock     sync.RWMutex
+	// series has at most maxSeries entries beside the folded ones.
+	series map[seriesKey]series
+}
+
+type seriesKey struct {
+	name   Name
+	labels Labels
+}
+
+type series struct {
+	name   Name
+	labels Labels
+	metric any
+}
+
+// New returns an empty meter.
+func New() *Meter {
+	return &Meter{registry: metrics.NewRegistry(), series: map[seriesKey]series{}}
+}
+
+// Observe adds a duration to a histogram.
+func (meter *Meter) Observe(name Name, labels Labels, value time.Duration) {
+	histogram := meter.metric(name, labels, newHistogram).(metrics.Histogram)
+	histogram.Update(value.Microseconds())
+}
+
+// Count adds to a counter.
+func (meter *Meter) Count(name Name, labels Labels, delta int64) {
+	counter := meter.metric(name, labels, newCounter).(metrics.Counter)
+	counter.Inc(delta)
+}
+
+// Set sets a gauge.
+func (meter *Meter) Set(name Name, labels Labels, value int64) {
+	gauge := meter.metric(name, labels, newGauge).(metrics.Gauge)
+	gauge.Update(value)
+}
+
+// Histogram returns a copy of a histogram for status pages, or nil if nothing was observed.
+func (meter *Meter) Histogram(name Name, labels Labels) metrics.Histogram {
+	meter.lock.RLock()
+	defer meter.lock.RUnlock()
+	found, ok := meter.series[seriesKey{name, labels}]
+	if !ok {
+		return nil
+	}
+	return found.metric.(metrics.Histogram).Snapshot()
+}
+
+func (meter *Meter) metric(name Name, labels Labels, create func() any) any {
+	key := seriesKey{name, labels}
+	meter.lock.RLock()
+	found, ok := meter.series[key]
+	meter.lock.RUnlock()
+	if ok {
+		return found.metric
+	}
+	return meter.register(name, labels, create)
+}
+
+func (meter *Meter) register(name Name, labels Labels, create func() any) any {
+	meter.lock.Lock()
+	defer meter.lock.Unlock()
+	if len(meter.series) >= maxSeries {
+		labels = labels.folded()
+	}
+	key := seriesKey{name, labels}
+	if found, ok := meter.series[key]; ok {
+		return found.metric
+	}
+	metric := meter.registry.GetOrRegister(labels.key(string(name)), create)
+	meter.series[key] = series{name: name, labels: labels, metric: metric}
+	return metric
+}
+
+func newHistogram() any {
+	return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, 0.015))
+}
+
+func newCounter() any { return metrics.NewCounter() }
+
+func newGauge() any { return metrics.NewGauge() }
--- /dev/null
+++ b/meter/name.go
@@ -0,0 +1,40 @@
+package meter
+
+// Name is the name of a metric.
+type Name string
+
+// The closed list of metrics. Histograms are in microseconds.
+const (
+	// FirstToken is the time from arrival to the first piece of the answer.
+	FirstToken Name = "bronzestall_first_token_microseconds"
+	// BetweenTokens is the time between two pieces of the answer.
+	BetweenTokens Name = "bronzestall_between_tokens_microseconds"
+	// QueueTime is the time from arrival to the first sending.
+	QueueTime Name = "bronzestall_queue_microseconds"
+	// TotalTime is the time from arrival to the end of the answer.
+	TotalTime Name = "bronzestall_total_microseconds"
+	// ColdStart is the time from the decision of a load to a ready replica, by tier.
+	ColdStart Name = "bronzestall_cold_start_microseconds"
+	// Answered counts requests answered in full.
+	Answered Name = "bronzestall_requests_answered"
+	// Refused counts requests that ended with an error, by kind.
+	Refused Name = "bronzestall_requests_refused"
+	// Retried counts attempts after the first.
+	Retried Name = "bronzestall_requests_retried"
+	// InFlight is the number of requests in the daemon.
+	InFlight Name = "bronzestall_requests_in_flight"
+	// InForce is the number of the release note in force.
+	InForce Name = "bronzestall_release_note_in_force"
+	// MemoryCharged is the charged accelerator memory of an upstream in bytes.
+	MemoryCharged Name = "bronzestall_memory_charged_bytes"
+	// ReplicasDecided is the number of replicas decided in the data centre.
+	ReplicasDecided Name = "bronzestall_replicas_decided"
+	// ReplicasLoaded is the number of replicas that are ready.
+	ReplicasLoaded Name = "bronzestall_replicas_loaded"
+	// LeaseHeld is one while the daemon holds the lease of the data centre.
+	LeaseHeld Name = "bronzestall_lease_held"
+	// InvariantsBroken counts broken invariants.
+	InvariantsBroken Name = "bronzestall_invariants_broken"
+	// PeersHeard is the number of daemons heard of lately.
+	PeersHeard Name = "bronzestall_peers_heard"
+)
