--- /dev/null
+++ b/fleet/place.go
@@ -0,0 +1,11 @@
+package fleet
+
+import "github.com/bronzestall/bronzestall/upstream"
+
+// Place is one replica with the upstream that holds it.
+type Place struct {
+	// Known is the upstream; it is shared and must not be changed.
+	Known *Known
+	// Replica is the replica; its slices are shared and must not be changed.
+	Replica upstream.Replica
+}
