Serve callers over HTTP with a closed list of refusals

Cause: callers need chat, completion, models, health and plain services, and every refusal must tell whether the request ran. Ruled out: go-zero's middlewares for timeout, shedding, breaker and connections, which refuse outside the closed list; its own listener, which closes one second after SIGTERM. Change: package gateway on rest as a handler; admission of requests; refusals with kind, outcome word, advice and Retry-After; a broken answer is cut and never ended as whole. Measured: 17 kinds of bad input each give their kind with outcome not run (go test ./gateway).

--- a/event/daemon.go
+++ b/event/daemon.go
@@ -8,3 +8,6 @@
 	DutyFailed      = define(103, "DutyFailed", Error, "A duty of the daemon ended with an error.")
 	SettingsRefused = define(104, "SettingsRefused", Error, "The settings file has errors.")
 )
+
+// HandlerPanicked is the event of a panic in an HTTP handler.
+var HandlerPanicked = define(105, "HandlerPanicked", Error, "An HTTP handler panicked; the request ended as Internal.")
--- /dev/null
+++ b/gateway/body.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/bronzestall/bronzestall/outcome"
+)
+
+const (
+	// defaultBodyBytes is the largest body if the settings name none.
+	defaultBodyBytes = 8 << 20
+	// defaultAnswerTokens is the assumed length of an answer if the caller names none.
+	defaultAnswerTokens = 256
+	// bytesPerToken is the assumed length of a token of a prompt.
+	bytesPerToken = 4
+	// prefixBytes is the length of the first block of a prompt that engines are expected to cache.
+	prefixBytes = 1024
+)
+
+// prompt is the part of a chat or completion body that the daemon reads.
+type prompt struct {
+	Model     string          `json:"model"`
+	Messages  json.RawMessage `json:"messages"`
+	Prompt    json.RawMessage `json:"prompt"`
+	Stream    bool            `json:"stream"`
+	MaxTokens int             `json:"max_tokens"`
+}
+
+// content returns the prompt in the form of its interface.
+func (prompt *prompt) content() []byte {
+	if len(prompt.Messages) > 0 {
+		return prompt.Messages
+	}
+	return prompt.Prompt
+}
+
+// tokens estimates the cost of the request in tokens.
+func (prompt *prompt) tokens() int {
+	answer := prompt.MaxTokens
+	if answer <= 0 {
+		answer = defaultAnswerTokens
+	}
+	return answer + len(prompt.content())/bytesPerToken
+}
+
+// prefix returns the first block of the prompt.
+func (prompt *prompt) prefix() []byte {
+	content := prompt.content()
+	return content[:min(len(content), prefixBytes)]
+}
+
+// readBody reads a bounded body.
+func (gateway *Gateway) readBody(writer http.ResponseWriter, req *http.Request) ([]byte, error) {
+	limit := gateway.settings.Queue.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(writer, req.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, outcome.New(outcome.BodyTooLarge, "the body is larger than %d bytes", limit)
+	}
+	if err != nil {
+		return nil, outcome.New(outcome.InvalidBody, "the body could not be read").WithCause(err)
+	}
+	return body, nil
+}
+
+func parsePrompt(body []byte) (*prompt, error) {
+	parsed := &prompt{}
+	if err := json.Unmarshal(body, parsed); err != nil {
+		return nil, outcome.New(outcome.InvalidBody, "the body is not valid JSON of this interface").WithCause(err)
+	}
+	if parsed.Model == "" {
+		return nil, outcome.New(outcome.MissingField, "the field model is missing")
+	}
+	if len(parsed.content()) == 0 {
+		return nil, outcome.New(outcome.MissingField, "the field messages or prompt is missing")
+	}
+	return parsed, nil
+}
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,200 @@
+package gateway
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"k8s.io/utils/clock"
+
+	"github.com/bronzestall/bronzestall/catalogue"
+	"github.com/bronzestall/bronzestall/meter"
+	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/request"
+	"github.com/bronzestall/bronzestall/settings"
+)
+
+const key = "key-of-a"
+
+type fakeNames struct{}
+
+func (fakeNames) Resolve(target catalogue.Target) error {
+	switch target.Model {
+	case "m":
+		return nil
+	case "old":
+		return outcome.New(outcome.Withdrawn, "withdrawn")
+	default:
+		return outcome.New(outcome.UnknownModel, "unknown")
+	}
+}
+
+func (fakeNames) Call(service, method, path string) (catalogue.Call, error) {
+	if service != "orders" || path != "/confirm/now" || method != http.MethodPost {
+		return catalogue.Call{}, outcome.New(outcome.UnknownService, "unknown")
+	}
+	return catalogue.Call{Method: method, Path: path}, nil
+}
+
+func (fakeNames) Targets() []string { return []string{"m", "m:a"} }
+
+type fakeHealth struct{ reason string }
+
+func (health fakeHealth) Ready() (bool, string) { return health.reason == "", health.reason }
+
+// fakeRunner keeps the requests that reach it and answers with what it is told.
+type fakeRunner struct {
+	got    []request.Request
+	answer func(ctx context.Context, sink request.Sink) error
+}
+
+func (runner *fakeRunner) Do(ctx context.Context, req request.Request, sink request.Sink) error {
+	runner.got = append(runner.got, req)
+	return runner.answer(ctx, sink)
+}
+
+func newTestGateway(t *testing.T, runner Runner) *Gateway {
+	t.Helper()
+	sum := sha256.Sum256([]byte(key))
+	gateway, err := New(settings.Settings{
+		Tenants: []settings.Tenant{{Name: "a", KeySHA256: hex.EncodeToString(sum[:])}},
+		Classes: []settings.Class{{Name: "gate", Deadline: 2 * time.Second, Priority: 7}},
+		Queue:   settings.Queue{BodyBytes: 200},
+	}, Parts{Names: fakeNames{}, Runner: runner, Health: fakeHealth{}, Meter: meter.New(), Clock: clock.RealClock{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return gateway
+}
+
+func TestBadInputIsRefusedAsNotRun(t *testing.T) {
+	const good = `{"model":"m","messages":[{"role":"user","content":"x"}]}`
+	for _, test := range []struct {
+		name, method, path, body string
+		headers                  map[string]string
+		want                     outcome.Kind
+	}{
+		{"malformed body", "POST", chatPath, `{"model":`, nil, outcome.InvalidBody},
+		{"wrong type", "POST", chatPath, `{"model":1}`, nil, outcome.InvalidBody},
+		{"no model", "POST", chatPath, `{"messages":[]}`, nil, outcome.MissingField},
+		{"no prompt", "POST", completionPath, `{"model":"m"}`, nil, outcome.MissingField},
+		{"unknown model", "POST", chatPath, strings.Replace(good, `"m"`, `"x"`, 1), nil, outcome.UnknownModel},
+		{"withdrawn model", "POST", chatPath, strings.Replace(good, `"m"`, `"old"`, 1), nil, outcome.Withdrawn},
+		{"body over the limit", "POST", chatPath, strings.Repeat(" ", 201), nil, outcome.BodyTooLarge},
+		{"unknown path", "GET", "/v1/unknown", "", nil, outcome.UnknownPath},
+		{"wrong method", "GET", chatPath, "", nil, outcome.MethodNotAllowed},
+		{"no key", "POST", chatPath, good, map[string]string{"Authorization": ""}, outcome.Unauthenticated},
+		{"wrong key", "POST", chatPath, good, map[string]string{"Authorization": "Bearer x"}, outcome.Unauthenticated},
+		{"unknown class", "POST", chatPath, good, map[string]string{headerClass: "x"}, outcome.MissingField},
+		{"bare deadline", "POST", chatPath, good, map[string]string{headerDeadline: "5"}, outcome.MissingField},
+		{"negative deadline", "POST", chatPath, good, map[string]string{headerDeadline: "-1s"}, outcome.MissingField},
+		{"unknown service", "POST", "/services/x/confirm/now", "", nil, outcome.UnknownService},
+		{"unknown call", "POST", "/services/orders/other", "", nil, outcome.UnknownService},
+		{"wrong method of a call", "GET", "/services/orders/confirm/now", "", nil, outcome.UnknownService},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			runner := &fakeRunner{}
+			recorder := send(newTestGateway(t, runner), test.method, test.path, test.body, test.headers)
+			entry := test.want.Entry()
+			if recorder.Code != entry.Status {
+				t.Errorf("status %d, want %d", recorder.Code, entry.Status)
+			}
+			if got := recorder.Header().Get(headerKind); got != entry.Name {
+				t.Errorf("kind %q, want %q", got, entry.Name)
+			}
+			if got := recorder.Header().Get(headerOutcome); got != string(outcome.NotRun) {
+				t.Errorf("outcome %q, want not run", got)
+			}
+			if !json.Valid(recorder.Body.Bytes()) {
+				t.Errorf("the body is not JSON: %s", recorder.Body)
+			}
+			if len(runner.got) != 0 {
+				t.Error("the request reached the runner")
+			}
+		})
+	}
+}
+
+func send(gateway http.Handler, method, path, body string, headers map[string]string) *httptest.ResponseRecorder {
+	req := httptest.NewRequest(method, path, strings.NewReader(body))
+	req.Header.Set("Authorization", "Bearer "+key)
+	for name, value := range headers {
+		req.Header.Set(name, value)
+	}
+	recorder := httptest.NewRecorder()
+	gateway.ServeHTTP(recorder, req)
+	return recorder
+}
+
+func TestAdmittedRequest(t *testing.T) {
+	runner := &fakeRunner{answer: func(_ context.Context, sink request.Sink) error {
+		_ = sink.Begin(http.StatusOK, contentStream)
+		return sink.Chunk([]byte("id: 1\ndata: x\n\n"))
+	}}
+	body := `{"model":"m:a","messages":[{"role":"user","content":"plan"}],"stream":true,"max_tokens":40}`
+	recorder := send(newTestGateway(t, runner), "POST", chatPath, body, map[string]string{headerDeadline: "500ms"})
+	got := runner.got[0]
+	want := request.Request{
+		ID: got.ID, Tenant: "a", Class: "gate", Priority: 7, Form: request.Chat,
+		Target: catalogue.Target{Model: "m", Adapter: "a"}, Idempotent: true, Stream: true, Tokens: 48,
+	}
+	if got.Tenant != want.Tenant || got.Class != want.Class || got.Priority != want.Priority ||
+		got.Target != want.Target || got.Idempotent != want.Idempotent || got.Stream != want.Stream || got.Tokens != want.Tokens {
+		t.Errorf("request is %+v, want %+v", got, want)
+	}
+	if within := got.Deadline.Sub(got.Arrived); within != 500*time.Millisecond {
+		t.Errorf("deadline is %s after arrival, want the caller's 500ms", within)
+	}
+	if recorder.Body.String() != "id: 1\ndata: x\n\n" || recorder.Header().Get(headerRequestID) != got.ID {
+		t.Errorf("answer is %q with headers %v", recorder.Body, recorder.Header())
+	}
+}
+
+func TestServiceCallKeepsKeyAndKind(t *testing.T) {
+	runner := &fakeRunner{answer: func(context.Context, request.Sink) error {
+		return outcome.New(outcome.ClaimUnavailable, "the platform is away").WithRetryAfter(1500 * time.Millisecond)
+	}}
+	recorder := send(newTestGateway(t, runner), "POST", "/services/orders/confirm/now", "{}", map[string]string{headerKey: "k1"})
+	got := runner.got[0]
+	if got.Form != request.ServiceCall || got.Idempotent || got.Key != "k1" || got.Service != "orders" || got.Call.Path != "/confirm/now" {
+		t.Errorf("request is %+v", got)
+	}
+	if recorder.Header().Get(headerRetry) != "2" || recorder.Header().Get(headerOutcome) != "not run" {
+		t.Errorf("headers are %v", recorder.Header())
+	}
+}
+
+func TestBrokenAnswerIsCutAndNotEndedAsWhole(t *testing.T) {
+	runner := &fakeRunner{answer: func(_ context.Context, sink request.Sink) error {
+		_ = sink.Begin(http.StatusOK, contentJSON)
+		_ = sink.Chunk([]byte(`{"half":`))
+		return outcome.New(outcome.UpstreamLost, "lost")
+	}}
+	server := httptest.NewServer(newTestGateway(t, runner))
+	defer server.Close()
+	req, _ := http.NewRequest("POST", server.URL+chatPath, strings.NewReader(`{"model":"m","messages":[{}]}`))
+	req.Header.Set("Authorization", "Bearer "+key)
+	answer, err := server.Client().Do(req)
+	if err != nil {
+		return
+	}
+	defer answer.Body.Close()
+	var whole any
+	if err := json.NewDecoder(answer.Body).Decode(&whole); err == nil {
+		t.Error("the caller read a whole answer")
+	}
+}
+
+func TestPanicEndsAsInternal(t *testing.T) {
+	runner := &fakeRunner{answer: func(context.Context, request.Sink) error { panic("fault") }}
+	recorder := send(newTestGateway(t, runner), "POST", chatPath, `{"model":"m","messages":[{}]}`, nil)
+	if recorder.Header().Get(headerKind) != "Internal" || recorder.Header().Get(headerOutcome) != "may have run" {
+		t.Errorf("headers are %v", recorder.Header())
+	}
+}
--- /dev/null
+++ b/gateway/refusal.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/bronzestall/bronzestall/event"
+	"github.com/bronzestall/bronzestall/outcome"
+)
+
+// refuse sends the error as the whole answer.
+func refuse(writer http.ResponseWriter, id string, failure *outcome.Error) {
+	entry := failure.Kind.Entry()
+	header := writer.Header()
+	header.Set("Content-Type", contentJSON)
+	header.Set(headerRequestID, id)
+	header.Set(headerKind, entry.Name)
+	header.Set(headerOutcome, string(entry.Word))
+	if failure.RetryAfter > 0 {
+		header.Set(headerRetry, strconv.Itoa(wholeSeconds(failure.RetryAfter)))
+	}
+	writer.WriteHeader(entry.Status)
+	_, _ = writer.Write(refusalBody(id, failure))
+}
+
+// refusalBody is the usual error object of the completion interface with the outcome added.
+func refusalBody(id string, failure *outcome.Error) []byte {
+	entry := failure.Kind.Entry()
+	body := struct {
+		Error any `json:"error"`
+	}{struct {
+		Message    string `json:"message"`
+		Type       string `json:"type"`
+		Outcome    string `json:"outcome"`
+		Advice     string `json:"advice"`
+		RetryAfter int    `json:"retry_after_seconds,omitempty"`
+		RequestID  string `json:"request_id"`
+	}{failure.Message, entry.Name, string(entry.Word), string(entry.Advice), wholeSeconds(failure.RetryAfter), id}}
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return []byte(`{"error":{"type":"Internal"}}`)
+	}
+	return encoded
+}
+
+func wholeSeconds(delay time.Duration) int {
+	return int(math.Ceil(delay.Seconds()))
+}
+
+func logRefusal(id, tenant, class string, failure *outcome.Error) {
+	fields := []any{"Request", id, "Tenant", tenant, "Class", class, "Kind", failure.Kind.String(), "Message", failure.Message}
+	if failure.Cause != nil {
+		fields = append(fields, "Below", failure.Cause.Error())
+	}
+	event.Refusal(failure.Kind).Log(fields...)
+}
