--- /dev/null
+++ b/internal/platformfake/store.go
@@ -0,0 +1,97 @@
+package platformfake
+
+import (
+	"bytes"
+	"slices"
+	"strings"
+
+	"github.com/bronzestall/bronzestall/platform"
+)
+
+// store is the content of the tables and the object store. It is not safe for concurrent use.
+type store struct {
+	// rows maps table and row name to the row.
+	rows map[string]map[string]platform.Row
+	// objects maps names to contents.
+	objects map[string][]byte
+	// revision rises with each row written, so that no version is used twice.
+	revision uint64
+}
+
+func newStore() *store {
+	return &store{rows: map[string]map[string]platform.Row{}, objects: map[string][]byte{}}
+}
+
+func (store *store) read(key platform.Key) (platform.Row, error) {
+	row, ok := store.rows[key.Table][key.Row]
+	if !ok {
+		return platform.Row{}, platform.ErrNotFound
+	}
+	row.Value = bytes.Clone(row.Value)
+	return row, nil
+}
+
+func (store *store) scan(table, prefix, after string, limit int) []platform.Row {
+	var names []string
+	for name := range store.rows[table] {
+		if strings.HasPrefix(name, prefix) && name > after {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	names = names[:min(limit, len(names))]
+	rows := make([]platform.Row, 0, len(names))
+	for _, name := range names {
+		row, _ := store.read(platform.Key{Table: table, Row: name})
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+func (store *store) commit(writes []platform.Write) ([]uint64, error) {
+	for _, write := range writes {
+		version := store.rows[write.Table][write.Row].Version
+		if write.Check && version != write.IfVersion {
+			return nil, platform.ErrConflict
+		}
+	}
+	versions := make([]uint64, len(writes))
+	for i, write := range writes {
+		versions[i] = store.apply(write)
+	}
+	return versions, nil
+}
+
+func (store *store) apply(write platform.Write) uint64 {
+	if write.Only {
+		return store.rows[write.Table][write.Row].Version
+	}
+	store.revision++
+	if write.Delete {
+		delete(store.rows[write.Table], write.Row)
+		return store.revision
+	}
+	if store.rows[write.Table] == nil {
+		store.rows[write.Table] = map[string]platform.Row{}
+	}
+	row := platform.Row{Key: write.Key, Version: store.revision, Value: bytes.Clone(write.Value)}
+	store.rows[write.Table][write.Row] = row
+	return store.revision
+}
+
+func (store *store) get(name string) ([]byte, error) {
+	content, ok := store.objects[name]
+	if !ok {
+		return nil, platform.ErrNotFound
+	}
+	return bytes.Clone(content), nil
+}
+
+func (store *store) put(name string, content []byte) error {
+	old, ok := store.objects[name]
+	if ok && !bytes.Equal(old, content) {
+		return platform.ErrConflict
+	}
+	store.objects[name] = bytes.Clone(content)
+	return nil
+}
