Speak to the platform over HTTP, with a stand-in

Cause: everything that must last lives in the platform, and nothing spoke to it. Change: platform.Client maps failures truly (nothing sent or refused before an effect is ErrUnavailable, anything after a byte of a write is ErrUnclear). It goes through internal/transport, which counts writes to connections and never lets the transport of net/http repeat a request. The stand-in keeps tables, objects and VM list in memory and takes faults over HTTP; the weight store stands beside it. Conclusion: tests over real sockets pass with the answer lost before and after the effect of a write.

--- /dev/null
+++ b/internal/standin/cmd/standin/main.go
@@ -0,0 +1,28 @@
+// Command standin serves the stand-ins for the outside systems of bronzestall. It is not shipped.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+// commands is the command line.
+type commands struct {
+	Platform platformCommand `cmd:"" help:"Serve the platform (tables, objects, VM list) and the weight store."`
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	var line commands
+	run := kong.Parse(&line,
+		kong.Name("standin"),
+		kong.Description("Stand-ins for the outside systems of bronzestall, for tests and trials."),
+		kong.BindTo(ctx, (*context.Context)(nil)),
+	)
+	run.FatalIfErrorf(run.Run())
+}
--- /dev/null
+++ b/internal/standin/platform/server_test.go
@@ -0,0 +1,98 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"testing"
+
+	"k8s.io/utils/clock"
+
+	"github.com/bronzestall/bronzestall/platform"
+)
+
+func start(t *testing.T) (*Server, *platform.Client) {
+	t.Helper()
+	server := New(clock.RealClock{})
+	listener := httptest.NewServer(server)
+	t.Cleanup(listener.Close)
+	client := platform.NewClient(platform.ClientSettings{Address: listener.Listener.Addr().String()}, clock.RealClock{})
+	t.Cleanup(client.Close)
+	return server, client
+}
+
+func TestTransactionsOverTheClient(t *testing.T) {
+	_, client := start(t)
+	ctx := context.Background()
+	key := platform.Key{Table: "t", Row: "a"}
+	if _, err := client.Read(ctx, key); !errors.Is(err, platform.ErrNotFound) {
+		t.Fatalf("reading no row: %v", err)
+	}
+	versions, err := client.Commit(ctx, []platform.Write{{Key: key, Check: true, Value: []byte("1")}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := client.Commit(ctx, []platform.Write{{Key: key, Check: true, Value: []byte("2")}}); !errors.Is(err, platform.ErrConflict) {
+		t.Fatalf("inserting twice: %v", err)
+	}
+	update := []platform.Write{
+		{Key: key, Check: true, IfVersion: versions[0], Only: true},
+		{Key: platform.Key{Table: "t", Row: "b"}, Value: []byte("3")},
+	}
+	if _, err := client.Commit(ctx, update); err != nil {
+		t.Fatal(err)
+	}
+	rows, err := client.Scan(ctx, "t", "", "a", 10)
+	if err != nil || len(rows) != 1 || string(rows[0].Value) != "3" {
+		t.Fatalf("scan gave %v, %v", rows, err)
+	}
+}
+
+func TestFailuresAreToldTruly(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults Faults
+		write  error
+		read   error
+		stored bool
+	}{
+		{"unavailable", Faults{Unavailable: true}, platform.ErrUnavailable, platform.ErrUnavailable, false},
+		{"cut before", Faults{CutBefore: true}, platform.ErrUnclear, platform.ErrNotFound, false},
+		{"answer lost", Faults{LoseAnswers: 1}, platform.ErrUnclear, nil, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			server, client := start(t)
+			ctx := context.Background()
+			server.SetFaults(c.faults)
+			key := platform.Key{Table: "t", Row: "a"}
+			if _, err := client.Commit(ctx, []platform.Write{{Key: key}}); !errors.Is(err, c.write) {
+				t.Errorf("write gave %v, not %v", err, c.write)
+			}
+			if _, err := client.Read(ctx, key); !errors.Is(err, c.read) {
+				t.Errorf("read gave %v, not %v", err, c.read)
+			}
+			if commits := server.Counts().Commits; (commits == 1) != c.stored {
+				t.Errorf("%d commits", commits)
+			}
+		})
+	}
+}
+
+func TestObjectsNeverChange(t *testing.T) {
+	_, client := start(t)
+	ctx := context.Background()
+	if err := client.Put(ctx, "a/b", []byte("1")); err != nil {
+		t.Fatal(err)
+	}
+	if err := client.Put(ctx, "a/b", []byte("1")); err != nil {
+		t.Fatal(err)
+	}
+	if err := client.Put(ctx, "a/b", []byte("2")); !errors.Is(err, platform.ErrConflict) {
+		t.Fatalf("changing an object: %v", err)
+	}
+	content, err := client.Get(ctx, "a/b")
+	if err != nil || string(content) != "1" {
+		t.Fatalf("get gave %q, %v", content, err)
+	}
+}
--- /dev/null
+++ b/internal/standin/weights/server.go
@@ -0,0 +1,163 @@
+package weights
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"maps"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+	"k8s.io/utils/clock"
+
+	"github.com/bronzestall/bronzestall/internal/standin/answer"
+)
+
+// errAbsent is the failure of a transfer while the store is away.
+var errAbsent = errors.New("weight store is absent")
+
+// Server is the weight store. Use New.
+type Server struct {
+	settings Settings
+	clock    clock.Clock
+	mux      *http.ServeMux
+
+	mu     sync.Mutex
+	rate   *rate.Limiter
+	faults Faults
+	counts Counts
+}
+
+// New returns a store that has every checkpoint and adapter.
+func New(settings Settings, clk clock.Clock) *Server {
+	settings = settings.withDefaults()
+	server := &Server{
+		settings: settings,
+		clock:    clk,
+		mux:      http.NewServeMux(),
+		rate:     rate.NewLimiter(rate.Limit(settings.LoadsPerSecond), settings.LoadsAtOnce),
+		counts:   Counts{Loads: map[string]int{}},
+	}
+	server.mux.HandleFunc("POST /weights/fetch", server.fetch)
+	server.mux.HandleFunc("GET /weights/counts", server.showCounts)
+	server.mux.HandleFunc("POST /weights/faults", server.changeFaults)
+	return server
+}
+
+// ServeHTTP answers one call.
+func (server *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	server.mux.ServeHTTP(writer, request)
+}
+
+// SetFaults puts other faults in force.
+func (server *Server) SetFaults(faults Faults) {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	server.faults = faults
+}
+
+// Counts returns the transfers since the start.
+func (server *Server) Counts() Counts {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	counts := server.counts
+	counts.Loads = maps.Clone(counts.Loads)
+	return counts
+}
+
+// Fetch blocks for the time of one transfer.
+func (server *Server) Fetch(ctx context.Context, name string, bytes int64, adapter bool) error {
+	if err := server.begin(name, adapter); err != nil {
+		return err
+	}
+	defer server.end(adapter)
+	step := server.duration(name, bytes, adapter) / steps
+	for range steps {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-server.clock.After(time.Duration(float64(step) * server.crowding(adapter))):
+		}
+	}
+	return nil
+}
+
+func (server *Server) duration(name string, bytes int64, adapter bool) time.Duration {
+	if !adapter {
+		return time.Duration(float64(bytes) / float64(server.settings.BytesPerSecond) * float64(time.Second))
+	}
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(name))
+	spread := uint32((adapterSlowest - adapterFastest) / time.Millisecond)
+	return adapterFastest + time.Duration(hash.Sum32()%(spread+1))*time.Millisecond
+}
+
+func (server *Server) begin(name string, adapter bool) error {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	if server.faults.Absent {
+		return errAbsent
+	}
+	counts := &server.counts
+	if adapter {
+		counts.Adapters++
+		counts.AdaptersNow++
+		counts.AdaptersPeak = max(counts.AdaptersPeak, counts.AdaptersNow)
+		return nil
+	}
+	if !server.rate.AllowN(server.clock.Now(), 1) {
+		counts.OverRate++
+	}
+	counts.Loads[name]++
+	counts.LoadsNow++
+	counts.LoadsPeak = max(counts.LoadsPeak, counts.LoadsNow)
+	return nil
+}
+
+func (server *Server) end(adapter bool) {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	if adapter {
+		server.counts.AdaptersNow--
+		return
+	}
+	server.counts.LoadsNow--
+}
+
+// crowding returns how many times as long a transfer takes now.
+func (server *Server) crowding(adapter bool) float64 {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	factor := float64(server.counts.LoadsNow) / float64(server.settings.LoadsAtOnce)
+	if adapter {
+		factor = float64(server.counts.AdaptersNow) / float64(server.settings.AdaptersAtOnce)
+	}
+	return max(factor, 1) * max(server.faults.SlowFactor, 1)
+}
+
+func (server *Server) fetch(writer http.ResponseWriter, request *http.Request) {
+	var question struct {
+		Name    string
+		Bytes   int64
+		Adapter bool
+	}
+	if !answer.Decode(writer, request, &question) {
+		return
+	}
+	if err := server.Fetch(request.Context(), question.Name, question.Bytes, question.Adapter); err != nil {
+		answer.JSON(writer, http.StatusServiceUnavailable, struct{ Reason string }{err.Error()})
+	}
+}
+
+func (server *Server) changeFaults(writer http.ResponseWriter, request *http.Request) {
+	var faults Faults
+	if answer.Decode(writer, request, &faults) {
+		server.SetFaults(faults)
+	}
+}
+
+func (server *Server) showCounts(writer http.ResponseWriter, _ *http.Request) {
+	answer.JSON(writer, http.StatusOK, server.Counts())
+}
--- /dev/null
+++ b/internal/standin/weights/settings.go
@@ -0,0 +1,38 @@
+package weights
+
+import "time"
+
+// The times of an adapter transfer at full speed, and the steps in which a transfer proceeds.
+const (
+	adapterFastest = 5 * time.Millisecond
+	adapterSlowest = 14 * time.Millisecond
+	steps          = 8
+)
+
+// Settings are the limits of the store. The zero value of a field means its default.
+type Settings struct {
+	// LoadsPerSecond is the rate of loads that the store allows; zero means 2.6.
+	LoadsPerSecond float64
+	// LoadsAtOnce is the number of loads at full speed; zero means 4.
+	LoadsAtOnce int
+	// AdaptersAtOnce is the number of adapter transfers at full speed; zero means 32.
+	AdaptersAtOnce int
+	// BytesPerSecond is the full speed of one load; zero means 4 GiB/s.
+	BytesPerSecond int64
+}
+
+func (settings Settings) withDefaults() Settings {
+	if settings.LoadsPerSecond == 0 {
+		settings.LoadsPerSecond = 2.6
+	}
+	if settings.LoadsAtOnce == 0 {
+		settings.LoadsAtOnce = 4
+	}
+	if settings.AdaptersAtOnce == 0 {
+		settings.AdaptersAtOnce = 32
+	}
+	if settings.BytesPerSecond == 0 {
+		settings.BytesPerSecond = 4 << 30
+	}
+	return settings
+}
--- /dev/null
+++ b/internal/transport/settings.go
@@ -0,0 +1,48 @@
+package transport
+
+import (
+	"context"
+	"net"
+	"time"
+)
+
+// The defaults of Settings.
+const (
+	defaultDialTimeout   = time.Second
+	defaultIdleTimeout   = 15 * time.Second
+	defaultConnectionAge = 5 * time.Minute
+	defaultConnections   = 512
+)
+
+// Settings bounds the connections of a Client. The zero value of a field means its default.
+type Settings struct {
+	// DialTimeout bounds the opening of a connection; zero means 1 s.
+	DialTimeout time.Duration
+	// IdleTimeout is how long an unused connection is kept; zero means 15 s.
+	IdleTimeout time.Duration
+	// ConnectionAge is the age from which a connection takes no further request; zero means 5 min.
+	ConnectionAge time.Duration
+	// Connections is the largest number of connections to the address; zero means 512.
+	Connections int
+	// Dial opens a connection; nil means TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+func (settings Settings) withDefaults() Settings {
+	if settings.DialTimeout == 0 {
+		settings.DialTimeout = defaultDialTimeout
+	}
+	if settings.IdleTimeout == 0 {
+		settings.IdleTimeout = defaultIdleTimeout
+	}
+	if settings.ConnectionAge == 0 {
+		settings.ConnectionAge = defaultConnectionAge
+	}
+	if settings.Connections == 0 {
+		settings.Connections = defaultConnections
+	}
+	if settings.Dial == nil {
+		settings.Dial = (&net.Dialer{}).DialContext
+	}
+	return settings
+}
