Check settings strictly and list every problem with its line

Cause: a misspelt or contradicting setting must be refused before a daemon serves with it, and the operator should see all of them at once. Ruled out: the strict decoder of goccy/go-yaml, which stops at the first error and takes bare numbers as durations.

--- a/catalogue/model.go
+++ b/catalogue/model.go
@@ -7,13 +7,13 @@
 	// Version names the weights in force.
 	Version string `yaml:"Version" json:"Version"`
 	// Weights is the accelerator memory of the weights in bytes.
-	Weights int64 `yaml:"Weights" json:"Weights"`
+	Weights int64 `yaml:"Weights" json:"Weights" unit:"bytes"`
 	// Reserve is the accelerator memory in bytes that an engine keeps beside the weights for its caches.
-	Reserve int64 `yaml:"Reserve,omitempty" json:"Reserve,omitempty"`
+	Reserve int64 `yaml:"Reserve,omitempty" json:"Reserve,omitempty" unit:"bytes"`
 	// AdapterSlots is the number of adapters that one replica can hold at once.
 	AdapterSlots int `yaml:"AdapterSlots,omitempty" json:"AdapterSlots,omitempty"`
 	// AdapterBytes is the accelerator memory in bytes of one adapter slot.
-	AdapterBytes int64 `yaml:"AdapterBytes,omitempty" json:"AdapterBytes,omitempty"`
+	AdapterBytes int64 `yaml:"AdapterBytes,omitempty" json:"AdapterBytes,omitempty" unit:"bytes"`
 	// MinReplicas is the number of replicas kept loaded in each data centre.
 	MinReplicas int `yaml:"MinReplicas,omitempty" json:"MinReplicas,omitempty"`
 	// MaxReplicas is the largest number of replicas in each data centre; zero means one.
--- /dev/null
+++ b/internal/strictyaml/decode.go
@@ -0,0 +1,151 @@
+package strictyaml
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+)
+
+// Decode fills into, a pointer to a struct, from content. Fields that the file lacks keep their value.
+// If there are problems, the fields that have none are filled. The cost grows with the size of content.
+func Decode(content []byte, into any) (Lines, []Problem) {
+	file, err := parser.ParseBytes(content, 0)
+	if err != nil {
+		return Lines{}, []Problem{syntaxProblem(err)}
+	}
+	if len(file.Docs) != 1 || file.Docs[0].Body == nil {
+		return Lines{}, []Problem{{Line: 1, Reason: "the file must hold exactly one document"}}
+	}
+	decoder := &decoder{lines: Lines{}}
+	decoder.structure(file.Docs[0].Body, reflect.ValueOf(into).Elem(), "")
+	return decoder.lines, decoder.problems
+}
+
+func syntaxProblem(err error) Problem {
+	var syntax yaml.Error
+	if !errors.As(err, &syntax) {
+		return Problem{Line: 1, Reason: err.Error()}
+	}
+	return Problem{Line: syntax.GetToken().Position.Line, Reason: syntax.GetMessage()}
+}
+
+// decoder walks a tree and collects what is wrong.
+type decoder struct {
+	lines    Lines
+	problems []Problem
+}
+
+func (decoder *decoder) refuse(node ast.Node, key, format string, args ...any) {
+	line := node.GetToken().Position.Line
+	decoder.problems = append(decoder.problems, Problem{Line: line, Key: key, Reason: fmt.Sprintf(format, args...)})
+}
+
+func (decoder *decoder) value(node ast.Node, into reflect.Value, key, unit string) {
+	if node.Type() == ast.NullType {
+		decoder.refuse(node, key, "has no value; write one or remove the key")
+		return
+	}
+	switch into.Kind() {
+	case reflect.Struct:
+		decoder.structure(node, into, key)
+	case reflect.Slice:
+		decoder.list(node, into, key)
+	default:
+		decoder.scalar(node, into, key, unit)
+	}
+}
+
+func (decoder *decoder) structure(node ast.Node, into reflect.Value, key string) {
+	entries, ok := entriesOf(node)
+	if !ok {
+		decoder.refuse(node, key, "must be a mapping with the keys %s", strings.Join(keysOf(into.Type()), ", "))
+		return
+	}
+	for _, entry := range entries {
+		decoder.entry(entry, into, key)
+	}
+}
+
+func (decoder *decoder) entry(entry *ast.MappingValueNode, into reflect.Value, key string) {
+	name := entry.Key.GetToken().Value
+	path := join(key, name)
+	field, ok := fieldOf(into.Type(), name)
+	if !ok {
+		decoder.refuse(entry.Key, path, "unknown key; allowed are %s", strings.Join(keysOf(into.Type()), ", "))
+		return
+	}
+	decoder.lines[path] = entry.Key.GetToken().Position.Line
+	decoder.value(entry.Value, into.FieldByIndex(field.Index), path, field.Tag.Get("unit"))
+}
+
+func (decoder *decoder) list(node ast.Node, into reflect.Value, key string) {
+	sequence, ok := node.(*ast.SequenceNode)
+	if !ok {
+		decoder.refuse(node, key, "must be a list")
+		return
+	}
+	list := reflect.MakeSlice(into.Type(), len(sequence.Values), len(sequence.Values))
+	for i, element := range sequence.Values {
+		path := fmt.Sprintf("%s[%d]", key, i)
+		decoder.lines[path] = lineOf(element)
+		decoder.value(element, list.Index(i), path, "")
+	}
+	into.Set(list)
+}
+
+// lineOf returns the line on which the node begins; the token of a mapping is its first colon.
+func lineOf(node ast.Node) int {
+	entries, ok := entriesOf(node)
+	if !ok || len(entries) == 0 {
+		return node.GetToken().Position.Line
+	}
+	return entries[0].Key.GetToken().Position.Line
+}
+
+func entriesOf(node ast.Node) ([]*ast.MappingValueNode, bool) {
+	switch mapping := node.(type) {
+	case *ast.MappingNode:
+		return mapping.Values, true
+	case *ast.MappingValueNode:
+		return []*ast.MappingValueNode{mapping}, true
+	default:
+		return nil, false
+	}
+}
+
+func join(key, name string) string {
+	if key == "" {
+		return name
+	}
+	return key + "." + name
+}
+
+// keyOf returns the name of a field in YAML.
+func keyOf(field reflect.StructField) string {
+	name, _, _ := strings.Cut(field.Tag.Get("yaml"), ",")
+	return name
+}
+
+func fieldOf(structure reflect.Type, name string) (reflect.StructField, bool) {
+	return structure.FieldByNameFunc(func(candidate string) bool {
+		field, _ := structure.FieldByName(candidate)
+		return name != "" && name != "-" && keyOf(field) == name
+	})
+}
+
+func keysOf(structure reflect.Type) []string {
+	var keys []string
+	for _, field := range reflect.VisibleFields(structure) {
+		if key := keyOf(field); key != "" && key != "-" {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/strictyaml/lines.go
@@ -0,0 +1,22 @@
+package strictyaml
+
+import "strings"
+
+// Lines maps the path of each key of a file to its line.
+type Lines map[string]int
+
+// Of returns the line of the key, or that of the nearest key above it that the file has, or one.
+func (lines Lines) Of(key string) int {
+	for key != "" {
+		if line, ok := lines[key]; ok {
+			return line
+		}
+		key = key[:max(0, strings.LastIndexAny(key, ".["))]
+	}
+	return 1
+}
+
+// Problem returns a problem at the line of the key.
+func (lines Lines) Problem(key, reason string) Problem {
+	return Problem{Line: lines.Of(key), Key: key, Reason: reason}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -79,6 +79,8 @@
 	Kind UpstreamKind `yaml:"Kind"`
 	// ChecksFencing states that the engine refuses orders with an old fencing number.
 	ChecksFencing bool `yaml:"ChecksFencing"`
+	// Memory is the accelerator memory of an engine in bytes, against which notes are checked; zero means unknown.
+	Memory int64 `yaml:"Memory" unit:"bytes"`
 }
 
 // Platform tells where the platform's services are.
@@ -148,7 +150,7 @@
 	// Total is the largest number of waiting requests of a daemon; zero means 4096.
 	Total int `yaml:"Total"`
 	// BodyBytes is the largest body of a request; zero means 8 MiB.
-	BodyBytes int64 `yaml:"BodyBytes"`
+	BodyBytes int64 `yaml:"BodyBytes" unit:"bytes"`
 }
 
 // Drain holds the times of a planned stop.
