--- a/event/daemon.go
+++ b/event/daemon.go
@@ -11,3 +11,9 @@
 
 // HandlerPanicked is the event of a panic in an HTTP handler.
 var HandlerPanicked = define(105, "HandlerPanicked", Error, "An HTTP handler panicked; the request ended as Internal.")
+
+// The events of the VM list.
+var (
+	VMListAway = define(110, "VMListAway", Warning, "The VM list cannot be read; the last one stays in force.")
+	VMListBack = define(111, "VMListBack", Info, "The VM list can be read again.")
+)
