Exchange records between daemons

Daemons must hear each other's load, number in force, suspects and what they observe of upstreams, without a discovery service. A record is ordered by incarnation and version and travels as a difference where the receiver has an earlier version; only ages travel, so a wrong clock of a peer does no harm.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 TOOL = $(GO) tool -modfile=tools/go.mod
 
-.PHONY: build test lint try soak measure
+.PHONY: build test lint try soak measure generate
 
 build:
 	$(GO) build -o bin/bronzestall ./cmd/bronzestall
@@ -17,3 +17,6 @@
 
 try: build
 	bash scripts/try.sh
+
+generate:
+	$(GO) run ./internal/cmd/protogen request peer/peerpb/peer.proto | $(TOOL) protoc-gen-go | $(GO) run ./internal/cmd/protogen write peer/peerpb
--- /dev/null
+++ b/internal/cmd/protogen/parse.go
@@ -0,0 +1,131 @@
+package main
+
+import (
+	"fmt"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/descriptorpb"
+)
+
+var (
+	packageLine = regexp.MustCompile(`^package ([\w.]+);$`)
+	optionLine  = regexp.MustCompile(`^option go_package = "([^"]+)";$`)
+	messageLine = regexp.MustCompile(`^message (\w+) \{$`)
+	fieldLine   = regexp.MustCompile(`^(repeated )?(\w+) (\w+) = (\d+);$`)
+)
+
+// scalars maps the names of scalar types to their descriptors.
+var scalars = map[string]descriptorpb.FieldDescriptorProto_Type{
+	"bool":    descriptorpb.FieldDescriptorProto_TYPE_BOOL,
+	"bytes":   descriptorpb.FieldDescriptorProto_TYPE_BYTES,
+	"fixed64": descriptorpb.FieldDescriptorProto_TYPE_FIXED64,
+	"int64":   descriptorpb.FieldDescriptorProto_TYPE_INT64,
+	"string":  descriptorpb.FieldDescriptorProto_TYPE_STRING,
+	"uint32":  descriptorpb.FieldDescriptorProto_TYPE_UINT32,
+	"uint64":  descriptorpb.FieldDescriptorProto_TYPE_UINT64,
+}
+
+// Numbers of the fields in descriptor messages, as they stand in paths of source locations.
+const (
+	pathMessage = 4
+	pathField   = 2
+)
+
+// parser builds a file descriptor line by line.
+type parser struct {
+	file *descriptorpb.FileDescriptorProto
+	// open is the message whose fields follow, or nil.
+	open *descriptorpb.DescriptorProto
+	// comments holds the comment lines before the next element.
+	comments []string
+}
+
+// parse returns the descriptor of a proto file, or an error with the line number.
+func parse(name, source string) (*descriptorpb.FileDescriptorProto, error) {
+	parser := &parser{file: &descriptorpb.FileDescriptorProto{
+		Name:           proto.String(name),
+		Syntax:         proto.String("proto3"),
+		Options:        &descriptorpb.FileOptions{},
+		SourceCodeInfo: &descriptorpb.SourceCodeInfo{},
+	}}
+	for number, line := range strings.Split(source, "\n") {
+		if err := parser.line(strings.TrimSpace(line)); err != nil {
+			return nil, fmt.Errorf("%s:%d: %w", name, number+1, err)
+		}
+	}
+	return parser.file, nil
+}
+
+func (parser *parser) line(line string) error {
+	if comment, ok := strings.CutPrefix(line, "//"); ok {
+		parser.comments = append(parser.comments, comment)
+		return nil
+	}
+	switch {
+	case line == "" || line == `syntax = "proto3";`:
+	case line == "}":
+		parser.open = nil
+	case packageLine.MatchString(line):
+		parser.file.Package = proto.String(packageLine.FindStringSubmatch(line)[1])
+	case optionLine.MatchString(line):
+		parser.file.Options.GoPackage = proto.String(optionLine.FindStringSubmatch(line)[1])
+	case messageLine.MatchString(line):
+		parser.message(messageLine.FindStringSubmatch(line)[1])
+	case fieldLine.MatchString(line) && parser.open != nil:
+		return parser.field(fieldLine.FindStringSubmatch(line))
+	default:
+		return fmt.Errorf("cannot read %q", line)
+	}
+	return nil
+}
+
+func (parser *parser) message(name string) {
+	parser.open = &descriptorpb.DescriptorProto{Name: proto.String(name)}
+	parser.file.MessageType = append(parser.file.MessageType, parser.open)
+	parser.comment(pathMessage, parser.lastMessage())
+}
+
+func (parser *parser) field(parts []string) error {
+	number, err := strconv.ParseInt(parts[4], 10, 32)
+	if err != nil {
+		return err
+	}
+	field := &descriptorpb.FieldDescriptorProto{
+		Name:   proto.String(parts[3]),
+		Number: proto.Int32(int32(number)),
+		Label:  descriptorpb.FieldDescriptorProto_LABEL_OPTIONAL.Enum(),
+	}
+	if parts[1] != "" {
+		field.Label = descriptorpb.FieldDescriptorProto_LABEL_REPEATED.Enum()
+	}
+	if scalar, ok := scalars[parts[2]]; ok {
+		field.Type = scalar.Enum()
+	} else {
+		field.Type = descriptorpb.FieldDescriptorProto_TYPE_MESSAGE.Enum()
+		field.TypeName = proto.String("." + parser.file.GetPackage() + "." + parts[2])
+	}
+	parser.open.Field = append(parser.open.Field, field)
+	parser.comment(pathMessage, parser.lastMessage(), pathField, int32(len(parser.open.Field)-1))
+	return nil
+}
+
+func (parser *parser) lastMessage() int32 {
+	return int32(len(parser.file.MessageType) - 1)
+}
+
+// comment attaches the pending comment lines to the element at the path.
+func (parser *parser) comment(path ...int32) {
+	if len(parser.comments) == 0 {
+		return
+	}
+	location := &descriptorpb.SourceCodeInfo_Location{
+		Path:            path,
+		Span:            []int32{0, 0, 0},
+		LeadingComments: proto.String(strings.Join(parser.comments, "\n") + "\n"),
+	}
+	parser.file.SourceCodeInfo.Location = append(parser.file.SourceCodeInfo.Location, location)
+	parser.comments = nil
+}
--- /dev/null
+++ b/peer/demand.go
@@ -0,0 +1,100 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"github.com/bronzestall/bronzestall/peer/peerpb"
+)
+
+// Demand tells the decider at the address what this daemon's callers want.
+// Repeating it is harmless. It fails when the context ends or the timeout passes.
+func (node *Node) Demand(ctx context.Context, address string, wants []Want) (DemandAnswer, error) {
+	request := &peerpb.DemandRequest{Sender: node.Self().digest()}
+	now := node.clock.Now()
+	for _, want := range wants {
+		request.Wants = append(request.Wants, encodeWant(want, now))
+	}
+	ctx, cancel := node.bound(ctx)
+	defer cancel()
+	response, err := call[peerpb.DemandRequest, peerpb.DemandResponse](ctx, node.wire, address, demandProcedure, request)
+	if err != nil {
+		return DemandAnswer{}, err
+	}
+	answer := DemandAnswer{Decides: response.GetDecides(), Decider: response.GetDecider()}
+	for _, estimate := range response.GetEstimates() {
+		answer.Estimates = append(answer.Estimates, decodeEstimate(estimate))
+	}
+	return answer, nil
+}
+
+func (node *Node) serveDemand(ctx context.Context, request *peerpb.DemandRequest) (*peerpb.DemandResponse, error) {
+	if node.settings.Decider == nil {
+		return nil, ErrNotOffered
+	}
+	now := node.clock.Now()
+	wants := make([]Want, 0, len(request.GetWants()))
+	for _, want := range request.GetWants() {
+		wants = append(wants, decodeWant(want, now))
+	}
+	answer, err := node.settings.Decider.Demand(ctx, request.GetSender().GetName(), wants)
+	if err != nil {
+		return nil, err
+	}
+	response := &peerpb.DemandResponse{Decides: answer.Decides, Decider: answer.Decider}
+	for _, estimate := range answer.Estimates {
+		response.Estimates = append(response.Estimates, encodeEstimate(estimate))
+	}
+	return response, nil
+}
+
+func encodeWant(want Want, now time.Time) *peerpb.Want {
+	message := &peerpb.Want{
+		Model:   want.Model,
+		Adapter: want.Adapter,
+		Waiting: uint32(want.Waiting),
+		Running: uint32(want.Running),
+		Arrived: uint32(want.Arrived),
+	}
+	if !want.OldestDeadline.IsZero() {
+		message.Remaining = max(want.OldestDeadline.Sub(now).Milliseconds(), 1)
+	}
+	return message
+}
+
+func decodeWant(message *peerpb.Want, now time.Time) Want {
+	want := Want{
+		Model:   message.GetModel(),
+		Adapter: message.GetAdapter(),
+		Waiting: int(message.GetWaiting()),
+		Running: int(message.GetRunning()),
+		Arrived: int(message.GetArrived()),
+	}
+	if message.GetRemaining() > 0 {
+		want.OldestDeadline = now.Add(duration(uint64(message.GetRemaining())))
+	}
+	return want
+}
+
+func encodeEstimate(estimate Estimate) *peerpb.Estimate {
+	return &peerpb.Estimate{
+		Model:   estimate.Model,
+		Adapter: estimate.Adapter,
+		State:   uint32(estimate.Readiness),
+		Ready:   estimate.Ready.Milliseconds(),
+		Reason:  estimate.Reason,
+	}
+}
+
+func decodeEstimate(message *peerpb.Estimate) Estimate {
+	estimate := Estimate{
+		Model:   message.GetModel(),
+		Adapter: message.GetAdapter(),
+		Ready:   duration(uint64(max(message.GetReady(), 0))),
+		Reason:  message.GetReason(),
+	}
+	if state := message.GetState(); state <= uint32(Refused) {
+		estimate.Readiness = Readiness(state)
+	}
+	return estimate
+}
--- /dev/null
+++ b/peer/duties.go
@@ -0,0 +1,103 @@
+package peer
+
+import (
+	"context"
+	"time"
+)
+
+// Want is the demand for one target at one daemon.
+type Want struct {
+	// Model and Adapter name the target; Adapter may be empty.
+	Model, Adapter string
+	// Waiting and Running count the requests for it.
+	Waiting, Running int
+	// Arrived counts the requests that came since the last call.
+	Arrived int
+	// OldestDeadline is the earliest deadline of those that wait, or zero.
+	OldestDeadline time.Time
+}
+
+// Readiness is the state of a target at the decider.
+type Readiness int
+
+// The states of a target.
+const (
+	// Unknown means that the target is not in the catalogue of the decider.
+	Unknown Readiness = iota
+	// Served means that a replica serves it.
+	Served
+	// Loading means that a replica is being loaded.
+	Loading
+	// Decided means that a load is decided and waits for its turn.
+	Decided
+	// Refused means that no load will be decided now.
+	Refused
+)
+
+// Estimate is the decider's answer for one target.
+type Estimate struct {
+	// Model and Adapter name the target.
+	Model, Adapter string
+	// Readiness is the state of the target.
+	Readiness Readiness
+	// Ready is the time until a replica serves the target.
+	Ready time.Duration
+	// Reason tells why a target is refused.
+	Reason string
+}
+
+// DemandAnswer is the answer to Demand.
+type DemandAnswer struct {
+	// Decides states that the callee decides; without it only Decider is set.
+	Decides bool
+	// Decider is the name of the daemon that decides, if known.
+	Decider string
+	// Estimates holds one entry for each Want.
+	Estimates []Estimate
+}
+
+// GrantRequest asks for transfers of adapters.
+type GrantRequest struct {
+	// ID identifies the request, so that a repeated call grants once.
+	ID string
+	// Transfers is the number of transfers asked for.
+	Transfers int
+}
+
+// Grant is the answer to a GrantRequest.
+type Grant struct {
+	// Decides states that the callee decides; without it only Decider is set.
+	Decides bool
+	// Decider is the name of the daemon that decides, if known.
+	Decider string
+	// Transfers is the number granted, at most what was asked.
+	Transfers int
+	// Lasts is how long the grant lasts from its receipt.
+	Lasts time.Duration
+}
+
+// Decider is the local decider of a daemon. It must return within the context's deadline.
+type Decider interface {
+	// Demand takes what a daemon's callers want.
+	Demand(ctx context.Context, from string, wants []Want) (DemandAnswer, error)
+	// Grant gives transfers of adapters to a daemon.
+	Grant(ctx context.Context, from string, request GrantRequest) (Grant, error)
+}
+
+// Changes is what happened after a number in force.
+type Changes struct {
+	// InForce is the number that the changes lead to.
+	InForce uint64
+	// Snapshot states that Content is the whole state rather than the notes since.
+	Snapshot bool
+	// Content is encoded by the package of release notes.
+	Content []byte
+}
+
+// Notes offers the release notes that a daemon has.
+type Notes interface {
+	// InForce returns the number in force at this daemon.
+	InForce() uint64
+	// Since returns the changes after a number.
+	Since(ctx context.Context, after uint64) (Changes, error)
+}
--- /dev/null
+++ b/peer/node.go
@@ -0,0 +1,225 @@
+package peer
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"k8s.io/utils/clock"
+
+	"github.com/bronzestall/bronzestall/event"
+	"github.com/bronzestall/bronzestall/peer/peerpb"
+)
+
+// liveRounds is the number of silent intervals after which a daemon does not count as live.
+const liveRounds = 5
+
+// Node is the part of one daemon in the exchange. Use NewNode. Its methods may
+// be called from several goroutines.
+type Node struct {
+	settings Settings
+	clock    clock.WithTicker
+	wire     *wire
+
+	mutex sync.Mutex
+	// random is guarded by mutex.
+	random *rand.Rand
+	// self is the own record; its version rises only.
+	self *held
+	// others holds the records of other daemons by name.
+	others map[string]*held
+	// links holds what is known of the calls to and from each member.
+	links map[string]*link
+	// changed is closed at the next change of others.
+	changed chan struct{}
+	// turn counts the rounds and chooses the remote data centre.
+	turn int
+	// urgent has room for one signal and asks for a round at once.
+	urgent chan struct{}
+}
+
+// NewNode returns a node that knows nothing but its own settings.
+func NewNode(settings Settings, clock clock.WithTicker, random *rand.Rand) *Node {
+	settings = settings.withDefaults()
+	node := &Node{
+		settings: settings,
+		clock:    clock,
+		wire:     newWire(settings),
+		random:   random,
+		others:   map[string]*held{},
+		links:    map[string]*link{},
+		changed:  make(chan struct{}),
+		urgent:   make(chan struct{}, 1),
+	}
+	node.self = &held{record: node.identify(Record{Version: 1})}
+	return node
+}
+
+// identify fills in what the settings say of the daemon itself.
+func (node *Node) identify(record Record) Record {
+	record.Name = node.settings.Name
+	record.Incarnation = node.settings.Incarnation
+	record.DataCentre = node.settings.DataCentre
+	record.PeerAddress = node.settings.PeerAddress
+	record.CallerAddress = node.settings.CallerAddress
+	return record
+}
+
+// Update changes the own record. Name, incarnation, version, data centre and
+// addresses are the node's and stay. A change of Leaving, InForce or Suspects
+// is sent at once, others with the next round. The function must not block and
+// must not change slices in place.
+func (node *Node) Update(change func(Record) Record) {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	last := node.self.record
+	next := node.identify(change(last))
+	next.Incarnation = last.Incarnation
+	next.Version = last.Version + 1
+	node.self.replace(next)
+	if last.Leaving != next.Leaving || last.InForce != next.InForce || !slices.Equal(last.Suspects, next.Suspects) {
+		node.hurry()
+	}
+}
+
+func (node *Node) hurry() {
+	select {
+	case node.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// Self returns the own record.
+func (node *Node) Self() Record {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	return node.self.record
+}
+
+// Records returns the newest records of the other daemons, ordered by name.
+func (node *Node) Records() []Known {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	known := make([]Known, 0, len(node.others))
+	for _, name := range slices.Sorted(maps.Keys(node.others)) {
+		held := node.others[name]
+		known = append(known, Known{Record: held.record, Heard: held.heard})
+	}
+	return known
+}
+
+// Changed returns a channel that is closed at the next change of Records.
+func (node *Node) Changed() <-chan struct{} {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	return node.changed
+}
+
+// Live returns the names of the daemons of the own data centre that were heard
+// lately and do not leave, ordered, with the own name unless it leaves.
+func (node *Node) Live() []string {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	oldest := node.clock.Now().Add(-liveRounds * node.settings.Every)
+	var live []string
+	if !node.self.record.Leaving {
+		live = append(live, node.settings.Name)
+	}
+	for name, held := range node.others {
+		record := held.record
+		if record.DataCentre == node.settings.DataCentre && !record.Leaving && !held.heard.Before(oldest) {
+			live = append(live, name)
+		}
+	}
+	slices.Sort(live)
+	return live
+}
+
+// HighestInForce returns the largest number in force that this daemon or a peer has told.
+func (node *Node) HighestInForce() uint64 {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	highest := node.self.record.InForce
+	for _, held := range node.others {
+		highest = max(highest, held.record.InForce)
+	}
+	return highest
+}
+
+// take merges a record from a message. The caller holds the mutex.
+func (node *Node) take(message *peerpb.Record, now time.Time) {
+	name := message.GetName()
+	heard := now.Add(-duration(message.GetAge()))
+	if name == "" || name == node.settings.Name || now.Sub(heard) > node.settings.Forget {
+		return
+	}
+	known, ok := node.others[name]
+	if ok && message.GetIncarnation() < known.record.Incarnation {
+		return
+	}
+	fresh := !ok || message.GetIncarnation() > known.record.Incarnation
+	if fresh {
+		known = &held{}
+	}
+	if message.GetVersion() > known.record.Version {
+		next, complete := apply(known.record, message, now)
+		if !complete {
+			return
+		}
+		known.replace(next)
+		node.announce()
+	}
+	if known.record.Version == 0 {
+		return
+	}
+	node.others[name] = known
+	if heard.After(known.heard) {
+		known.heard = heard
+	}
+}
+
+// announce wakes those that wait for a change. The caller holds the mutex.
+func (node *Node) announce() {
+	close(node.changed)
+	node.changed = make(chan struct{})
+}
+
+// outlive raises the own incarnation above one that a peer remembers of a
+// former process of this name. The caller holds the mutex.
+func (node *Node) outlive(remembered *peerpb.Digest) {
+	record := node.self.record
+	if remembered.GetName() != record.Name || remembered.GetIncarnation() <= record.Incarnation {
+		return
+	}
+	record.Incarnation = remembered.GetIncarnation() + 1
+	node.self = &held{record: Record{}}
+	node.self.replace(record)
+	node.links = map[string]*link{}
+	event.PeerOutlived.Log("Incarnation", record.Incarnation)
+}
+
+// forget drops records and links of daemons that are silent. The caller holds the mutex.
+func (node *Node) forget(now time.Time, members []Member) {
+	oldest := now.Add(-node.settings.Forget)
+	for name, held := range node.others {
+		if held.heard.Before(oldest) {
+			delete(node.others, name)
+			node.announce()
+		}
+	}
+	for name := range node.links {
+		_, known := node.others[name]
+		listed := slices.ContainsFunc(members, func(member Member) bool { return member.Name == name })
+		if !known && !listed {
+			delete(node.links, name)
+		}
+	}
+}
+
+// compareMembers orders members by name.
+func compareMembers(a, b Member) int {
+	return strings.Compare(a.Name, b.Name)
+}
--- /dev/null
+++ b/peer/node_test.go
@@ -0,0 +1,119 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"k8s.io/utils/clock"
+
+	"github.com/bronzestall/bronzestall/upstream"
+)
+
+// bubble runs the test in a synctest bubble and ends all processes after it.
+func bubble(t *testing.T, run func(t *testing.T, ctx context.Context)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer cancel()
+		run(t, ctx)
+	})
+}
+
+func state(name string, sequence uint64, running int) upstream.State {
+	return upstream.State{
+		Upstream: name, BootID: "boot-1", Sequence: sequence, Role: upstream.Mixed, Capacity: 80 << 30,
+		Replicas: []upstream.Replica{{
+			Model: "planner", Version: "v1", Order: "order-1", Phase: upstream.Ready, Memory: 14 << 30,
+			Adapters: []string{"gate"}, Running: running, Waiting: 1,
+		}},
+		Checkpoints: map[string]upstream.Tier{"planner@v1": upstream.Disk},
+	}
+}
+
+func TestExchangeReachesEveryDaemon(t *testing.T) {
+	for _, way := range []Way{Mesh, Digests} {
+		t.Run(fmt.Sprint(way), func(t *testing.T) {
+			bubble(t, func(t *testing.T, ctx context.Context) {
+				nodes := newCluster(ctx, 4, 1, 1).startAll(way)
+				time.Sleep(settle)
+				seen := time.Now()
+				nodes[0].Update(func(record Record) Record {
+					record.InForce = 7
+					record.Observations = []Observation{{Seen: seen, State: state("gpu-1", 9, 3)}}
+					record.Suspects = []Suspect{{Fingerprint: 42, Crashes: 1, Until: seen.Add(time.Minute)}}
+					record.Backlogs = []Backlog{{Tenant: "patch", Waiting: 2, Tokens: 900}}
+					return record
+				})
+				time.Sleep(settle)
+				for _, node := range nodes[1:] {
+					record := mustKnow(t, node, "entry-0-0").Record
+					if record.InForce != 7 || node.HighestInForce() != 7 {
+						t.Fatalf("in force at %s: %d", node.Self().Name, record.InForce)
+					}
+					if len(record.Observations) != 1 || !sameShape(record.Observations[0].State, state("gpu-1", 9, 3)) {
+						t.Fatalf("observations at %s: %+v", node.Self().Name, record.Observations)
+					}
+					if got := record.Observations[0]; got.State.Replicas[0].Running != 3 || !got.Seen.Equal(seen) {
+						t.Fatalf("load at %s: %+v, seen %s, want %s", node.Self().Name, got.State, got.Seen, seen)
+					}
+					if !record.Suspects[0].Until.Equal(seen.Add(time.Minute)) || record.Backlogs[0].Tokens != 900 {
+						t.Fatalf("suspects or backlogs at %s: %+v", node.Self().Name, record)
+					}
+				}
+			})
+		})
+	}
+}
+
+func TestDifferencesCarryChangesAndRemovals(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		nodes := newCluster(ctx, 2).startAll(Mesh)
+		set := func(observations ...Observation) {
+			nodes[0].Update(func(record Record) Record {
+				record.Observations = observations
+				return record
+			})
+			time.Sleep(3 * time.Second)
+		}
+		set(Observation{State: state("a", 1, 1)}, Observation{State: state("b", 1, 1)})
+		set(Observation{State: state("a", 1, 1)}, Observation{State: state("b", 2, 5)})
+		got := mustKnow(t, nodes[1], "entry-0-0").Record.Observations
+		if len(got) != 2 || got[1].State.Replicas[0].Running != 5 || got[1].State.Capacity != 80<<30 {
+			t.Fatalf("after a change of load: %+v", got)
+		}
+		set(Observation{State: state("b", 3, 5)})
+		got = mustKnow(t, nodes[1], "entry-0-0").Record.Observations
+		if len(got) != 1 || got[0].State.Upstream != "b" {
+			t.Fatalf("after a removal: %+v", got)
+		}
+	})
+}
+
+func TestRestartIsToldFromFormerProcess(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		cluster := newCluster(ctx, 3)
+		former, kill := cluster.start(cluster.members[0], 1_000, Mesh, clock.RealClock{})
+		other, _ := cluster.start(cluster.members[1], 1, Mesh, clock.RealClock{})
+		former.Update(func(record Record) Record {
+			record.InForce, record.Running = 5, 9
+			return record
+		})
+		time.Sleep(settle)
+		kill()
+		// The clock of the new process was set back: its incarnation is lower.
+		next, _ := cluster.start(cluster.members[0], 10, Mesh, clock.RealClock{})
+		next.Update(func(record Record) Record {
+			record.Running = 1
+			return record
+		})
+		time.Sleep(settle)
+		known := mustKnow(t, other, "entry-0-0")
+		if known.Record.Incarnation <= 1_000 || known.Record.Running != 1 {
+			t.Fatalf("record of the former process is kept: %+v", known.Record)
+		}
+	})
+}
--- /dev/null
+++ b/peer/settings.go
@@ -0,0 +1,90 @@
+package peer
+
+import (
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+)
+
+// Defaults of Settings.
+const (
+	defaultEvery   = time.Second
+	defaultTimeout = time.Second
+	defaultForget  = time.Minute
+	defaultCalls   = 16
+)
+
+// Settings configures a Node. The zero value of a field means its default.
+type Settings struct {
+	// Name is the name of the daemon.
+	Name string
+	// DataCentre is its data centre.
+	DataCentre string
+	// Incarnation is larger than that of any earlier process of this name, as far as is known.
+	// The Node raises it when a peer remembers a larger one.
+	Incarnation uint64
+	// PeerAddress is its address for other daemons.
+	PeerAddress string
+	// CallerAddress is its address for callers.
+	CallerAddress string
+	// Way chooses the form of exchange.
+	Way Way
+	// Every is the interval of exchange with each peer of the own data centre; zero means 1 s.
+	Every time.Duration
+	// Timeout bounds one call; zero means 1 s.
+	Timeout time.Duration
+	// Forget is how long a silent peer's record is kept; zero means 1 min.
+	Forget time.Duration
+	// Calls is the largest number of exchanges in flight; zero means 16.
+	Calls int
+	// Client sends the calls; nil means a client for HTTP/2 without encryption.
+	Client connect.HTTPClient
+	// Members names the other daemons.
+	Members Members
+	// Decider answers Demand and Grant; nil refuses them.
+	Decider Decider
+	// Notes answers Changes; nil refuses it.
+	Notes Notes
+}
+
+func (settings Settings) withDefaults() Settings {
+	if settings.Every == 0 {
+		settings.Every = defaultEvery
+	}
+	if settings.Timeout == 0 {
+		settings.Timeout = defaultTimeout
+	}
+	if settings.Forget == 0 {
+		settings.Forget = defaultForget
+	}
+	if settings.Calls == 0 {
+		settings.Calls = defaultCalls
+	}
+	if settings.Client == nil {
+		settings.Client = NewClient()
+	}
+	if settings.Members == nil {
+		settings.Members = MembersFunc(func() []Member { return nil })
+	}
+	return settings
+}
+
+// Limits of the connections between daemons.
+const (
+	idleConnection = 90 * time.Second
+	pingAfter      = 5 * time.Second
+	pingTimeout    = 2 * time.Second
+)
+
+// NewClient returns a client that speaks HTTP/2 without encryption and finds silent connections by pings.
+func NewClient() *http.Client {
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{
+		Protocols:       protocols,
+		IdleConnTimeout: idleConnection,
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+	}
+	return &http.Client{Transport: transport}
+}
