Read, check and show release notes; hold the catalogue in force

Cause: a note must be refused with line and reason before anything changes, and every reader needs one unchanging value of what is in force. Ruled out: cloned maps, which lose the order; a tree, which costs more code than the copies cost time.

--- /dev/null
+++ b/catalogue/catalogue.go
@@ -0,0 +1,138 @@
+package catalogue
+
+import "iter"
+
+// Catalogue is the models, adapters and plain services in force. It is
+// immutable and safe for concurrent use. The zero value is empty.
+type Catalogue struct {
+	// models are ordered by name.
+	models sorted[string, modelEntry]
+	// services are ordered by name.
+	services sorted[string, Service]
+	// adapters is the number of adapters of all models.
+	adapters int
+	// withdrawn are the entries that ended; none of them is in force.
+	withdrawn withdrawals
+}
+
+// modelEntry is one model with its adapters. It is never changed.
+type modelEntry struct {
+	model Model
+	// previous is the model before its last change, or nil.
+	previous *Model
+	// adapters are ordered by name.
+	adapters sorted[string, adapterEntry]
+}
+
+// adapterEntry is one adapter. It is never changed.
+type adapterEntry struct {
+	adapter Adapter
+	// previous is the adapter before its last change, or nil.
+	previous *Adapter
+}
+
+// Model returns the model in force. The cost is logarithmic.
+func (catalogue Catalogue) Model(name string) (Model, bool) {
+	entry := catalogue.models.Get(name)
+	if entry == nil {
+		return Model{}, false
+	}
+	return entry.model, true
+}
+
+// PreviousModel returns the model as it was before the last note that changed it.
+// It is false for a model that was never changed.
+func (catalogue Catalogue) PreviousModel(name string) (Model, bool) {
+	entry := catalogue.models.Get(name)
+	if entry == nil || entry.previous == nil {
+		return Model{}, false
+	}
+	return *entry.previous, true
+}
+
+// Adapter returns the adapter in force. The cost is logarithmic.
+func (catalogue Catalogue) Adapter(model, name string) (Adapter, bool) {
+	entry := catalogue.adapterEntry(model, name)
+	if entry == nil {
+		return Adapter{}, false
+	}
+	return entry.adapter, true
+}
+
+// PreviousAdapter returns the adapter as it was before the last note that changed it.
+// It is false for an adapter that was never changed.
+func (catalogue Catalogue) PreviousAdapter(model, name string) (Adapter, bool) {
+	entry := catalogue.adapterEntry(model, name)
+	if entry == nil || entry.previous == nil {
+		return Adapter{}, false
+	}
+	return *entry.previous, true
+}
+
+func (catalogue Catalogue) adapterEntry(model, name string) *adapterEntry {
+	entry := catalogue.models.Get(model)
+	if entry == nil {
+		return nil
+	}
+	return entry.adapters.Get(name)
+}
+
+// Service returns the plain service in force. Its slices must not be changed.
+func (catalogue Catalogue) Service(name string) (Service, bool) {
+	service := catalogue.services.Get(name)
+	if service == nil {
+		return Service{}, false
+	}
+	return *service, true
+}
+
+// Withdrawn reports whether a note withdrew the entry. Only the newest WithdrawnLimit entries are remembered.
+func (catalogue Catalogue) Withdrawn(name EntryName) bool {
+	return catalogue.withdrawn.has(name)
+}
+
+// Models returns the models in order of their names.
+func (catalogue Catalogue) Models() iter.Seq[Model] {
+	return func(yield func(Model) bool) {
+		for _, entry := range catalogue.models.All() {
+			if !yield(entry.model) {
+				return
+			}
+		}
+	}
+}
+
+// Adapters returns the adapters of one model in order of their names.
+func (catalogue Catalogue) Adapters(model string) iter.Seq[Adapter] {
+	return func(yield func(Adapter) bool) {
+		entry := catalogue.models.Get(model)
+		if entry == nil {
+			return
+		}
+		for _, adapter := range entry.adapters.All() {
+			if !yield(adapter.adapter) {
+				return
+			}
+		}
+	}
+}
+
+// Services returns the plain services in order of their names.
+func (catalogue Catalogue) Services() iter.Seq[Service] {
+	return func(yield func(Service) bool) {
+		for _, service := range catalogue.services.All() {
+			if !yield(*service) {
+				return
+			}
+		}
+	}
+}
+
+// Size returns the number of models, adapters and plain services.
+func (catalogue Catalogue) Size() Size {
+	return Size{
+		Models:   catalogue.models.Len(),
+		Adapters: catalogue.adapters,
+		Services: catalogue.services.Len(),
+	}
+}
--- /dev/null
+++ b/catalogue/catalogue_test.go
@@ -0,0 +1,231 @@
+package catalogue
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/bronzestall/bronzestall/outcome"
+)
+
+// simple is a catalogue as plain maps, against which the shared structure is tested.
+type simple struct {
+	models   map[string]Model
+	adapters map[AdapterName]Adapter
+}
+
+func (model simple) clone() simple {
+	next := simple{models: map[string]Model{}, adapters: map[AdapterName]Adapter{}}
+	for name, entry := range model.models {
+		next.models[name] = entry
+	}
+	for name, entry := range model.adapters {
+		next.adapters[name] = entry
+	}
+	return next
+}
+
+// apply changes the maps by one entry and reports whether the change fits.
+func (model simple) apply(change Change) bool {
+	for _, name := range change.Adapters.Withdrawn {
+		if _, ok := model.adapters[name]; !ok {
+			return false
+		}
+		delete(model.adapters, name)
+	}
+	for _, name := range change.Models.Withdrawn {
+		for adapter := range model.adapters {
+			if adapter.Model == name {
+				return false
+			}
+		}
+		if _, ok := model.models[name]; !ok {
+			return false
+		}
+		delete(model.models, name)
+	}
+	for _, added := range change.Models.Added {
+		if _, ok := model.models[added.Name]; ok {
+			return false
+		}
+		model.models[added.Name] = added
+	}
+	for _, changed := range change.Models.Changed {
+		if _, ok := model.models[changed.Name]; !ok {
+			return false
+		}
+		model.models[changed.Name] = changed
+	}
+	for _, added := range change.Adapters.Added {
+		_, known := model.models[added.Model]
+		if _, ok := model.adapters[added.FullName()]; ok || !known {
+			return false
+		}
+		model.adapters[added.FullName()] = added
+	}
+	for _, changed := range change.Adapters.Changed {
+		if _, ok := model.adapters[changed.FullName()]; !ok {
+			return false
+		}
+		model.adapters[changed.FullName()] = changed
+	}
+	return true
+}
+
+func draw(t *rapid.T) Change {
+	name := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "model")
+	adapter := rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "adapter")
+	version := fmt.Sprint(rapid.IntRange(1, 9).Draw(t, "version"))
+	model := Model{Name: name, Version: version}
+	full := Adapter{Model: name, Name: adapter, Version: version}
+	switch rapid.IntRange(0, 5).Draw(t, "change") {
+	case 0:
+		return Change{Models: Changes[Model, string]{Added: []Model{model}}}
+	case 1:
+		return Change{Models: Changes[Model, string]{Changed: []Model{model}}}
+	case 2:
+		return Change{Models: Changes[Model, string]{Withdrawn: []string{name}}}
+	case 3:
+		return Change{Adapters: Changes[Adapter, AdapterName]{Added: []Adapter{full}}}
+	case 4:
+		return Change{Adapters: Changes[Adapter, AdapterName]{Changed: []Adapter{full}}}
+	default:
+		return Change{Adapters: Changes[Adapter, AdapterName]{Withdrawn: []AdapterName{full.FullName()}}}
+	}
+}
+
+// same compares what readers see of a catalogue with the maps.
+func same(t *rapid.T, catalogue Catalogue, want simple) {
+	got := simple{models: map[string]Model{}, adapters: map[AdapterName]Adapter{}}
+	var names []string
+	for model := range catalogue.Models() {
+		names = append(names, model.Name)
+		got.models[model.Name] = model
+		for adapter := range catalogue.Adapters(model.Name) {
+			got.adapters[adapter.FullName()] = adapter
+		}
+	}
+	if !reflect.DeepEqual(got, want) || !slices.IsSorted(names) {
+		t.Fatalf("got %+v, want %+v", got, want)
+	}
+	if size := catalogue.Size(); size.Models != len(want.models) || size.Adapters != len(want.adapters) {
+		t.Fatalf("size is %+v", size)
+	}
+}
+
+func TestApplyAgainstMaps(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var catalogue Catalogue
+		model := simple{models: map[string]Model{}, adapters: map[AdapterName]Adapter{}}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			change := draw(t)
+			wanted := model.clone()
+			fits := wanted.apply(change)
+			next, err := catalogue.Apply(change)
+			if (err == nil) != fits {
+				t.Fatalf("Apply(%+v) gave %v, fits is %t", change, err, fits)
+			}
+			same(t, catalogue, model)
+			if !fits {
+				wanted = model
+			}
+			same(t, next, wanted)
+			path, err := catalogue.Apply(Compare(catalogue, next))
+			if err != nil {
+				t.Fatalf("Compare does not lead to the next catalogue: %v", err)
+			}
+			same(t, path, wanted)
+			same(t, readBack(t, next), wanted)
+			catalogue, model = next, wanted
+		}
+	})
+}
+
+func readBack(t *rapid.T, catalogue Catalogue) Catalogue {
+	content, err := json.Marshal(catalogue)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var read Catalogue
+	if err := json.Unmarshal(content, &read); err != nil {
+		t.Fatal(err)
+	}
+	again, err := json.Marshal(read)
+	if err != nil || string(again) != string(content) {
+		t.Fatalf("a snapshot changed by reading: %s, %s, %v", content, again, err)
+	}
+	return read
+}
+
+func apply(t *testing.T, catalogue Catalogue, change Change) Catalogue {
+	t.Helper()
+	next, err := catalogue.Apply(change)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return next
+}
+
+func TestPreviousVersionsAndWithdrawals(t *testing.T) {
+	first := apply(t, Catalogue{}, Change{
+		Models:   Changes[Model, string]{Added: []Model{{Name: "m", Version: "1"}, {Name: "n", Version: "1"}}},
+		Adapters: Changes[Adapter, AdapterName]{Added: []Adapter{{Model: "m", Name: "a", Version: "1"}}},
+		Services: Changes[Service, string]{Added: []Service{{Name: "s", Calls: []Call{{Method: "GET", Path: "/p"}}}}},
+	})
+	second := apply(t, first, Change{
+		Models:   Changes[Model, string]{Changed: []Model{{Name: "m", Version: "2"}}, Withdrawn: []string{"n"}},
+		Adapters: Changes[Adapter, AdapterName]{Withdrawn: []AdapterName{{Model: "m", Name: "a"}}},
+	})
+	if previous, ok := second.PreviousModel("m"); !ok || previous.Version != "1" {
+		t.Errorf("previous is %+v, %t", previous, ok)
+	}
+	if _, ok := first.PreviousModel("m"); ok {
+		t.Error("a model that was never changed has a previous version")
+	}
+	for target, want := range map[string]outcome.Kind{
+		"n": outcome.Withdrawn, "m:a": outcome.Withdrawn, "m:b": outcome.UnknownModel, "x": outcome.UnknownModel, "n:a": outcome.Withdrawn,
+	} {
+		if _, _, failure := second.Resolve(ParseTarget(target)); failure == nil || failure.Kind != want {
+			t.Errorf("%s resolves to %v, want %s", target, failure, want)
+		}
+	}
+	third := apply(t, second, Change{Models: Changes[Model, string]{Added: []Model{{Name: "n", Version: "2"}}}})
+	if _, _, failure := third.Resolve(Target{Model: "n"}); failure != nil {
+		t.Errorf("a model that came back is refused: %v", failure)
+	}
+	for _, call := range []struct {
+		service, method, path string
+		want                  outcome.Kind
+	}{
+		{"t", "GET", "/p", outcome.UnknownService}, {"s", "GET", "/q", outcome.UnknownService}, {"s", "PUT", "/p", outcome.MethodNotAllowed},
+	} {
+		if _, _, failure := third.ResolveCall(call.service, call.method, call.path); failure == nil || failure.Kind != call.want {
+			t.Errorf("%+v resolves to %v", call, failure)
+		}
+	}
+}
+
+func TestWithdrawalsAreBounded(t *testing.T) {
+	var catalogue Catalogue
+	for i := range WithdrawnLimit + 1 {
+		name := fmt.Sprint(i)
+		catalogue = apply(t, catalogue, Change{Models: Changes[Model, string]{Added: []Model{{Name: name}}}})
+		catalogue = apply(t, catalogue, Change{Models: Changes[Model, string]{Withdrawn: []string{name}}})
+	}
+	if catalogue.Withdrawn(EntryName{Kind: ModelKind, Name: "0"}) || !catalogue.Withdrawn(EntryName{Kind: ModelKind, Name: "1"}) {
+		t.Error("the oldest withdrawal is not the one forgotten")
+	}
+}
+
+func TestApplyNamesTheFault(t *testing.T) {
+	_, err := Catalogue{}.Apply(Change{Models: Changes[Model, string]{Withdrawn: []string{"m"}}})
+	var failure *ChangeError
+	if !errors.As(err, &failure) || failure.Fault != Absent || failure.Entry.Name != "m" {
+		t.Errorf("got %v", err)
+	}
+}
--- /dev/null
+++ b/catalogue/resolve.go
@@ -0,0 +1,57 @@
+package catalogue
+
+import (
+	"slices"
+
+	"github.com/bronzestall/bronzestall/outcome"
+)
+
+// Resolve returns the model of the target in force, and the adapter if the target names one.
+// It fails with Withdrawn or UnknownModel.
+func (catalogue Catalogue) Resolve(target Target) (Model, Adapter, *outcome.Error) {
+	model, ok := catalogue.Model(target.Model)
+	if !ok {
+		return Model{}, Adapter{}, catalogue.missing(EntryName{Kind: ModelKind, Name: target.Model}, outcome.UnknownModel)
+	}
+	if target.Adapter == "" {
+		return model, Adapter{}, nil
+	}
+	adapter, ok := catalogue.Adapter(target.Model, target.Adapter)
+	if !ok {
+		return Model{}, Adapter{}, catalogue.missing(EntryName{Kind: AdapterKind, Name: target.String()}, outcome.UnknownModel)
+	}
+	return model, adapter, nil
+}
+
+// ResolveCall returns the plain service in force and its call. It fails with
+// Withdrawn, UnknownService, or MethodNotAllowed for a path that takes another method.
+func (catalogue Catalogue) ResolveCall(service, method, path string) (Service, Call, *outcome.Error) {
+	found, ok := catalogue.Service(service)
+	if !ok {
+		return Service{}, Call{}, catalogue.missing(EntryName{Kind: ServiceKind, Name: service}, outcome.UnknownService)
+	}
+	call, ok := found.Call(method, path)
+	if ok {
+		return found, call, nil
+	}
+	if slices.ContainsFunc(found.Calls, func(call Call) bool { return call.Path == path }) {
+		return Service{}, Call{}, outcome.New(outcome.MethodNotAllowed, "the call %s of service %s does not take %s", path, service, method)
+	}
+	return Service{}, Call{}, outcome.New(outcome.UnknownService, "service %s has no call %s", service, path)
+}
+
+// Call returns the call with the method and the path.
+func (service Service) Call(method, path string) (Call, bool) {
+	at := slices.IndexFunc(service.Calls, func(call Call) bool { return call.Method == method && call.Path == path })
+	if at < 0 {
+		return Call{}, false
+	}
+	return service.Calls[at], true
+}
+
+func (catalogue Catalogue) missing(name EntryName, unknown outcome.Kind) *outcome.Error {
+	if catalogue.Withdrawn(name) {
+		return outcome.New(outcome.Withdrawn, "%s was withdrawn", name)
+	}
+	return outcome.New(unknown, "%s is not in force", name)
+}
--- /dev/null
+++ b/catalogue/sorted.go
@@ -0,0 +1,70 @@
+package catalogue
+
+import (
+	"cmp"
+	"iter"
+	"slices"
+)
+
+// sorted is an immutable list of pointers ordered by a unique key. A changed
+// list shares every entry that did not change: With and Without copy the
+// pointers, 8 bytes for each entry. The zero value is empty.
+type sorted[K cmp.Ordered, T any] struct {
+	// keys and items have the same length and order; neither is written after it was shared.
+	keys  []K
+	items []*T
+}
+
+// Get returns the entry, or nil, by binary search.
+func (list sorted[K, T]) Get(key K) *T {
+	at, ok := slices.BinarySearch(list.keys, key)
+	if !ok {
+		return nil
+	}
+	return list.items[at]
+}
+
+// With returns a list that holds the entry under the key.
+func (list sorted[K, T]) With(key K, item *T) sorted[K, T] {
+	at, ok := slices.BinarySearch(list.keys, key)
+	if ok {
+		items := slices.Clone(list.items)
+		items[at] = item
+		return sorted[K, T]{keys: list.keys, items: items}
+	}
+	return sorted[K, T]{keys: inserted(list.keys, at, key), items: inserted(list.items, at, item)}
+}
+
+// Without returns a list that lacks the key.
+func (list sorted[K, T]) Without(key K) sorted[K, T] {
+	at, ok := slices.BinarySearch(list.keys, key)
+	if !ok {
+		return list
+	}
+	keys := slices.Delete(slices.Clone(list.keys), at, at+1)
+	items := slices.Delete(slices.Clone(list.items), at, at+1)
+	return sorted[K, T]{keys: keys, items: items}
+}
+
+// Len returns the number of entries.
+func (list sorted[K, T]) Len() int {
+	return len(list.keys)
+}
+
+// All returns the entries in order of their keys.
+func (list sorted[K, T]) All() iter.Seq2[K, *T] {
+	return func(yield func(K, *T) bool) {
+		for i, key := range list.keys {
+			if !yield(key, list.items[i]) {
+				return
+			}
+		}
+	}
+}
+
+func inserted[T any](list []T, at int, item T) []T {
+	longer := make([]T, 0, len(list)+1)
+	longer = append(longer, list[:at]...)
+	longer = append(longer, item)
+	return append(longer, list[at:]...)
+}
--- a/internal/strictyaml/scalar.go
+++ b/internal/strictyaml/scalar.go
@@ -25,6 +25,8 @@
 		decoder.boolean(node, into, key)
 	case into.CanInt():
 		decoder.integer(node, into, key)
+	case into.CanUint():
+		decoder.natural(node, into, key)
 	case into.CanFloat():
 		decoder.float(node, into, key)
 	default:
@@ -89,6 +91,15 @@
 	into.SetInt(number)
 }
 
+func (decoder *decoder) natural(node ast.Node, into reflect.Value, key string) {
+	number, ok := integerOf(node)
+	if !ok || number < 0 || into.OverflowUint(uint64(number)) {
+		decoder.refuse(node, key, "must be a whole number of at least 0")
+		return
+	}
+	into.SetUint(uint64(number))
+}
+
 func (decoder *decoder) float(node ast.Node, into reflect.Value, key string) {
 	if number, ok := node.(*ast.FloatNode); ok {
 		into.SetFloat(number.Value)
--- /dev/null
+++ b/note/diff.go
@@ -0,0 +1,55 @@
+package note
+
+import "github.com/bronzestall/bronzestall/catalogue"
+
+// Diff returns what the note does to the catalogue in force, for showing.
+func (note Note) Diff(inForce catalogue.Catalogue) []Line {
+	return Lines(inForce, note.Change())
+}
+
+// Lines returns what a change does to a catalogue, for showing. Entries that do not fit are shown as the change names them.
+func Lines(inForce catalogue.Catalogue, change catalogue.Change) []Line {
+	lines := make([]Line, 0, change.Len())
+	for _, model := range change.Models.Added {
+		lines = append(lines, Line{Added, modelEntry(model.Name), fields(catalogue.Model{}, model)})
+	}
+	for _, model := range change.Models.Changed {
+		old, _ := inForce.Model(model.Name)
+		lines = append(lines, Line{Changed, modelEntry(model.Name), fields(old, model)})
+	}
+	for _, name := range change.Models.Withdrawn {
+		lines = append(lines, Line{Withdrawn, modelEntry(name), nil})
+	}
+	lines = append(lines, adapterLines(inForce, change)...)
+	return append(lines, serviceLines(inForce, change)...)
+}
+
+func adapterLines(inForce catalogue.Catalogue, change catalogue.Change) []Line {
+	var lines []Line
+	for _, adapter := range change.Adapters.Added {
+		lines = append(lines, Line{Added, adapterEntry(adapter.FullName()), fields(catalogue.Adapter{}, adapter)})
+	}
+	for _, adapter := range change.Adapters.Changed {
+		old, _ := inForce.Adapter(adapter.Model, adapter.Name)
+		lines = append(lines, Line{Changed, adapterEntry(adapter.FullName()), fields(old, adapter)})
+	}
+	for _, name := range change.Adapters.Withdrawn {
+		lines = append(lines, Line{Withdrawn, adapterEntry(name), nil})
+	}
+	return lines
+}
+
+func serviceLines(inForce catalogue.Catalogue, change catalogue.Change) []Line {
+	var lines []Line
+	for _, service := range change.Services.Added {
+		lines = append(lines, Line{Added, serviceEntry(service.Name), fields(catalogue.Service{}, service)})
+	}
+	for _, service := range change.Services.Changed {
+		old, _ := inForce.Service(service.Name)
+		lines = append(lines, Line{Changed, serviceEntry(service.Name), fields(old, service)})
+	}
+	for _, name := range change.Services.Withdrawn {
+		lines = append(lines, Line{Withdrawn, serviceEntry(name), nil})
+	}
+	return lines
+}
--- /dev/null
+++ b/note/note_test.go
@@ -0,0 +1,135 @@
+package note
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/bronzestall/bronzestall/catalogue"
+	"github.com/bronzestall/bronzestall/settings"
+)
+
+func read(t *testing.T, name string) Note {
+	t.Helper()
+	content, err := os.ReadFile(filepath.Join("..", "examples", name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	parsed, err := Parse(name, content)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return parsed
+}
+
+func TestExamplesPassTheirChecks(t *testing.T) {
+	for _, user := range []string{"yamabuki", "calabaza"} {
+		daemon, err := settings.Load(filepath.Join("..", "examples", user+".yaml"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		first := read(t, user+"-note-1.yaml")
+		if problems := first.Check(catalogue.Catalogue{}, CapacityOf(daemon)); len(problems) != 0 {
+			t.Errorf("%s: %v", user, problems)
+		}
+		inForce, err := catalogue.Catalogue{}.Apply(first.Change())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if problems := first.Check(inForce, CapacityOf(daemon)); len(problems) == 0 {
+			t.Errorf("%s: the note fits the catalogue that it made", user)
+		}
+	}
+}
+
+func inForce(t *testing.T) catalogue.Catalogue {
+	t.Helper()
+	one, err := catalogue.Catalogue{}.Apply(read(t, "yamabuki-note-1.yaml").Change())
+	if err != nil {
+		t.Fatal(err)
+	}
+	two, err := one.Apply(catalogue.Change{Models: catalogue.Changes[catalogue.Model, string]{Withdrawn: []string{"soaking-times"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return two
+}
+
+func TestCheckRefuses(t *testing.T) {
+	catalogue := inForce(t)
+	capacity := Capacity{LargestEngine: 80 << 30, Services: []string{"order-desk-1"}}
+	const head = "Note: n\nBase: 2\nSummary: s\n"
+	for _, test := range []struct{ name, body, want string }{
+		{"nothing", "", "line 1: the note changes nothing"},
+		{"model in force", "Models:\n  Added:\n    - {Name: round-assistant, Version: \"2\", Weights: 1GiB}", "line 6: Models.Added[0].Name: Model round-assistant is in force already"},
+		{"change of nothing", "Models:\n  Changed:\n    - Name: x\n      Version: v2\n      Weights: 1GiB", "line 6: Models.Changed[0].Name: Model x is not in force"},
+		{"change of the same", "Models:\n  Changed:\n    - {Name: new-year-orders, Version: \"1\", Weights: 14GiB, Reserve: 4GiB}", "line 6: Models.Changed[0].Name: Model new-year-orders is the same in force"},
+		{"withdrawal of nothing", "Models:\n  Withdrawn:\n    - x", "line 6: Models.Withdrawn[0]: Model x is not in force"},
+		{"second withdrawal", "Models:\n  Withdrawn: [soaking-times]", "line 5: Models.Withdrawn[0]: Model soaking-times was withdrawn before"},
+		{"withdrawn model with adapters", "Models:\n  Withdrawn: [standing-orders]\nAdapters:\n  Withdrawn: [{Model: standing-orders, Name: cafes}]", "line 5: Models.Withdrawn[0]: Model standing-orders still has the adapter schools"},
+		{"too large", "Models:\n  Added: [{Name: x, Version: v, Weights: 79GiB, Reserve: 2GiB}]", "line 5: Models.Added[0].Weights: Model x needs 81GiB with reserve and adapter slots; the largest engine has 80GiB"},
+		{"too large by its slots", "Models:\n  Added: [{Name: x, Version: v, Weights: 79GiB, AdapterSlots: 5, AdapterBytes: 256MiB}]", "needs 80.25GiB"},
+		{"no weights", "Models:\n  Added: [{Name: x, Version: v}]", "Models.Added[0].Weights: must be above 0B"},
+		{"name with a colon", "Models:\n  Added: [{Name: \"x:y\", Version: v, Weights: 1GiB}]", "Models.Added[0].Name: \"x:y\" is not a name"},
+		{"no version", "Models:\n  Added: [{Name: x, Weights: 1GiB}]", "Models.Added[0].Version: \"\" is not a name"},
+		{"replicas", "Models:\n  Added: [{Name: x, Version: v, Weights: 1GiB, MinReplicas: 2}]", "MinReplicas: 2 is above MaxReplicas, which is 1"},
+		{"negative slots", "Models:\n  Added: [{Name: x, Version: v, Weights: 1GiB, AdapterSlots: -1}]", "AdapterSlots: -1 is out of range"},
+		{"slots without size", "Models:\n  Added: [{Name: x, Version: v, Weights: 1GiB, AdapterSlots: 1}]", "AdapterSlots and AdapterBytes go together"},
+		{"duplicate", "Models:\n  Added: [{Name: x, Version: v, Weights: 1GiB}]\n  Withdrawn:\n    - new-year-orders\n    - new-year-orders", "line 8: Models.Withdrawn[1]: Model new-year-orders stands already on line 7"},
+		{"adapter of an unknown model", "Adapters:\n  Added:\n    - {Model: x, Name: a, Version: v}", "line 6: Adapters.Added[0].Model: Model x is not in force after this note"},
+		{"adapter of a withdrawn model", "Models:\n  Withdrawn: [new-year-orders]\nAdapters:\n  Added:\n    - {Model: new-year-orders, Name: a, Version: v}", "line 8: Adapters.Added[0].Model: Model new-year-orders is not in force after"},
+		{"adapter of a model without slots", "Adapters:\n  Added:\n    - {Model: new-year-orders, Name: a, Version: v}", "Model new-year-orders has no AdapterSlots"},
+		{"model that loses its slots", "Models:\n  Changed:\n    - {Name: standing-orders, Version: v, Weights: 1GiB}", "Models.Changed[0].AdapterSlots: Model standing-orders has the adapter cafes and needs slots"},
+		{"change of no adapter", "Adapters:\n  Changed:\n    - {Model: standing-orders, Name: a, Version: v}", "Adapter standing-orders:a is not in force"},
+		{"unknown upstream", "Services:\n  Added:\n    - Name: s\n      Upstreams: [order-desk-9]\n      Calls: [{Method: GET, Path: /}]", "line 7: Services.Added[0].Upstreams[0]: upstream \"order-desk-9\" is not a known plain service"},
+		{"method", "Services:\n  Added:\n    - {Name: s, Upstreams: [order-desk-1], Calls: [{Method: get, Path: /}]}", "\"get\" is not a method"},
+		{"call twice", "Services:\n  Added:\n    - {Name: s, Upstreams: [order-desk-1], Calls: [{Method: GET, Path: /}, {Method: GET, Path: /, Idempotent: true}]}", "Calls[1].Path: GET / stands twice"},
+		{"service in force", "Services:\n  Added:\n    - {Name: order-desk, Upstreams: [order-desk-1], Calls: [{Method: GET, Path: /}]}", "Service order-desk is in force already"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			parsed, err := Parse("note.yaml", []byte(head+test.body))
+			if err != nil {
+				t.Fatal(err)
+			}
+			var all []string
+			for _, problem := range parsed.Check(catalogue, capacity) {
+				all = append(all, problem.String())
+			}
+			if got := strings.Join(all, "\n"); !strings.Contains(got, test.want) {
+				t.Errorf("got %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
+func TestCheckAcceptsWhatFits(t *testing.T) {
+	parsed, err := Parse("note.yaml", []byte(`Note: n
+Base: 2
+Summary: s
+Models:
+  Added:
+    - {Name: soaking-times, Version: "2", Weights: 8GiB}
+  Withdrawn: [standing-orders]
+Adapters:
+  Changed:
+    - {Model: round-assistant, Name: fukuoka-rounds, Version: "2"}
+  Withdrawn:
+    - {Model: standing-orders, Name: cafes}
+    - {Model: standing-orders, Name: schools}
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	current := inForce(t)
+	if problems := parsed.Check(current, Capacity{}); len(problems) != 0 {
+		t.Fatal(problems)
+	}
+	next, err := current.Apply(parsed.Change())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := next.Size(); got != (catalogue.Size{Models: 3, Adapters: 3, Services: 1}) {
+		t.Errorf("size is %+v", got)
+	}
+}
