--- a/catalogue/benchmark_test.go
+++ b/catalogue/benchmark_test.go
@@ -52,6 +52,16 @@
 	}
 }
 
+func BenchmarkApplyWhole(b *testing.B) {
+	whole := Compare(Catalogue{}, large(b, 1_900, 8_000))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := (Catalogue{}).Apply(whole); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
 func BenchmarkSnapshot(b *testing.B) {
 	catalogue := large(b, 1_900, 8_000)
 	content, err := json.Marshal(catalogue)
@@ -60,12 +70,12 @@
 	}
 	b.Run("Write", func(b *testing.B) {
 		b.ReportAllocs()
-		b.ReportMetric(float64(len(content)), "bytes")
 		for b.Loop() {
 			if _, err := json.Marshal(catalogue); err != nil {
 				b.Fatal(err)
 			}
 		}
+		b.ReportMetric(float64(len(content)), "bytes")
 	})
 	b.Run("Read", func(b *testing.B) {
 		b.ReportAllocs()
--- a/catalogue/catalogue_test.go
+++ b/catalogue/catalogue_test.go
@@ -222,6 +222,21 @@
 	}
 }
 
+func TestSnapshotsOutOfOrderAreRefused(t *testing.T) {
+	for _, content := range []string{
+		`{"Models":[{"InForce":{"Name":"b"}},{"InForce":{"Name":"a"}}]}`,
+		`{"Models":[{"InForce":{"Name":"a"}},{"InForce":{"Name":"a"}}]}`,
+		`{"Adapters":[{"InForce":{"Model":"a","Name":"x"}}]}`,
+		`{"Models":[{"InForce":{"Name":"a"}}],"Adapters":[{"InForce":{"Model":"a","Name":"x"}},{"InForce":{"Model":"a","Name":"x"}}]}`,
+		`{"Services":[{"Name":"b"},{"Name":"a"}]}`,
+	} {
+		var read Catalogue
+		if err := json.Unmarshal([]byte(content), &read); err == nil {
+			t.Errorf("%s was read", content)
+		}
+	}
+}
+
 func TestApplyNamesTheFault(t *testing.T) {
 	_, err := Catalogue{}.Apply(Change{Models: Changes[Model, string]{Withdrawn: []string{"m"}}})
 	var failure *ChangeError
--- a/catalogue/snapshot.go
+++ b/catalogue/snapshot.go
@@ -46,32 +46,42 @@
 	return nil
 }
 
+// catalogue builds the lists in one pass, since adding entry by entry would copy them each time.
 func (whole snapshot) catalogue() (Catalogue, error) {
-	var change Change
-	for _, model := range whole.Models {
-		change.Models.Added = append(change.Models.Added, model.InForce)
-	}
-	for _, adapter := range whole.Adapters {
-		change.Adapters.Added = append(change.Adapters.Added, adapter.InForce)
-	}
-	change.Services.Added = whole.Services
-	read, err := Catalogue{}.Apply(change)
+	adapters, err := whole.adaptersByModel()
 	if err != nil {
 		return Catalogue{}, err
 	}
-	whole.restorePrevious(read)
-	for _, name := range whole.Withdrawn {
-		read.withdrawn = read.withdrawn.with(name)
+	read := Catalogue{adapters: len(whole.Adapters)}
+	for _, model := range whole.Models {
+		name := model.InForce.Name
+		entry := &modelEntry{model: model.InForce, previous: model.Previous, adapters: adapters[name]}
+		if !read.models.append(name, entry) {
+			return Catalogue{}, &ChangeError{Entry: EntryName{Kind: ModelKind, Name: name}, Fault: Misplaced}
+		}
+		delete(adapters, name)
+	}
+	for model := range adapters {
+		return Catalogue{}, &ChangeError{Entry: EntryName{Kind: ModelKind, Name: model}, Fault: Absent}
+	}
+	for _, service := range whole.Services {
+		if !read.services.append(service.Name, &service) {
+			return Catalogue{}, &ChangeError{Entry: EntryName{Kind: ServiceKind, Name: service.Name}, Fault: Misplaced}
+		}
 	}
+	read.withdrawn = withdrawalsOf(whole.Withdrawn)
 	return read, nil
 }
 
-// restorePrevious fills in the previous versions of a catalogue that nobody else has seen yet.
-func (whole snapshot) restorePrevious(read Catalogue) {
-	for _, model := range whole.Models {
-		read.models.Get(model.InForce.Name).previous = model.Previous
-	}
+func (whole snapshot) adaptersByModel() (map[string]sorted[string, adapterEntry], error) {
+	adapters := map[string]sorted[string, adapterEntry]{}
 	for _, adapter := range whole.Adapters {
-		read.adapterEntry(adapter.InForce.Model, adapter.InForce.Name).previous = adapter.Previous
+		name := adapter.InForce.FullName()
+		list := adapters[name.Model]
+		if !list.append(name.Name, &adapterEntry{adapter: adapter.InForce, previous: adapter.Previous}) {
+			return nil, &ChangeError{Entry: EntryName{Kind: AdapterKind, Name: name.String()}, Fault: Misplaced}
+		}
+		adapters[name.Model] = list
 	}
+	return adapters, nil
 }
--- a/catalogue/sorted.go
+++ b/catalogue/sorted.go
@@ -46,6 +46,17 @@
 	return sorted[K, T]{keys: keys, items: items}
 }
 
+// append adds an entry at the end and reports whether its key is the largest. The
+// list must not have been shared yet.
+func (list *sorted[K, T]) append(key K, item *T) bool {
+	if last := len(list.keys) - 1; last >= 0 && list.keys[last] >= key {
+		return false
+	}
+	list.keys = append(list.keys, key)
+	list.items = append(list.items, item)
+	return true
+}
+
 // Len returns the number of entries.
 func (list sorted[K, T]) Len() int {
 	return len(list.keys)
--- a/catalogue/withdrawn.go
+++ b/catalogue/withdrawn.go
@@ -1,6 +1,9 @@
 package catalogue
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // WithdrawnLimit is the number of withdrawn entries that a catalogue remembers.
 const WithdrawnLimit = 4096
@@ -13,6 +16,19 @@
 	byName sorted[string, EntryName]
 }
 
+// withdrawalsOf returns the list of the names, the one withdrawn first in front.
+func withdrawalsOf(names []EntryName) withdrawals {
+	names = names[max(0, len(names)-WithdrawnLimit):]
+	list := withdrawals{oldest: slices.Clone(names)}
+	byKey := slices.SortedFunc(slices.Values(names), func(a, b EntryName) int {
+		return cmp.Compare(list.key(a), list.key(b))
+	})
+	for _, name := range byKey {
+		list.byName.append(list.key(name), &name)
+	}
+	return list
+}
+
 // key returns the key of an entry in byName.
 func (list withdrawals) key(name EntryName) string {
 	return string(name.Kind) + "/" + name.Name
