--- a/internal/standin/cmd/standin/main.go
+++ b/internal/standin/cmd/standin/main.go
@@ -13,6 +13,7 @@
 // commands is the command line.
 type commands struct {
 	Platform platformCommand `cmd:"" help:"Serve the platform (tables, objects, VM list) and the weight store."`
+	Engine   engineCommand   `cmd:"" help:"Serve a model engine."`
 }
 
 func main() {
--- a/internal/standin/cmd/standin/serve.go
+++ b/internal/standin/cmd/standin/serve.go
@@ -7,19 +7,28 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/bronzestall/bronzestall/internal/standin/answer"
+	"github.com/bronzestall/bronzestall/internal/standin/network"
 )
 
-// headerTimeout bounds the reading of the head of a request.
-const headerTimeout = 10 * time.Second
+// headerTimeout bounds the reading of the head of a request; answerTime is the time for the
+// answer to POST /silence to leave.
+const (
+	headerTimeout = 10 * time.Second
+	answerTime    = 20 * time.Millisecond
+)
 
 // serve answers on the address until the context ends. It prints a line once it listens.
+// POST /silence makes the open connections silent for good, POST /cut closes them.
 func serve(ctx context.Context, role, address string, handler http.Handler) error {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	inner, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
 	if err != nil {
 		return fmt.Errorf("stand-in %s cannot listen: %w", role, err)
 	}
+	listener := network.Wrap(inner)
 	fmt.Println(role, "listens on", listener.Addr())
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: withNetwork(handler, listener), ReadHeaderTimeout: headerTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -27,3 +36,17 @@
 	}
 	return nil
 }
+
+func withNetwork(handler http.Handler, listener *network.Listener) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", handler)
+	mux.HandleFunc("POST /silence", func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Connection", "close")
+		time.AfterFunc(answerTime, func() { listener.Silence() })
+	})
+	mux.HandleFunc("POST /cut", func(http.ResponseWriter, *http.Request) {
+		listener.Cut()
+		answer.Cut()
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/standin/engine/settings.go
@@ -0,0 +1,91 @@
+package engine
+
+import (
+	"context"
+	"time"
+)
+
+// The defaults of Settings.
+const (
+	defaultCapacity     = 80 << 30
+	defaultMemoryTier   = 200 << 30
+	defaultDiskTier     = 1000 << 30
+	defaultMemorySpeed  = 40 << 30
+	defaultDiskSpeed    = 8 << 30
+	defaultBatch        = 32
+	defaultWaiting      = 64
+	defaultAdapterSlots = 8
+	defaultFirstToken   = 50 * time.Millisecond
+	defaultTokenEvery   = 10 * time.Millisecond
+	defaultHeartbeat    = 250 * time.Millisecond
+	defaultResumeGrace  = 2 * time.Second
+	defaultKeepFinished = 30 * time.Second
+	defaultRestartAfter = 2 * time.Second
+	defaultCrashMark    = "CRASH-THE-ENGINE"
+)
+
+// Settings describe one engine. The zero value of a field means its default.
+type Settings struct {
+	// Name is the name of the VM.
+	Name string
+	// ChecksFencing makes the engine refuse old fencing numbers and orders for another boot.
+	ChecksFencing bool
+	// Capacity is the accelerator memory in bytes; zero means 80 GiB.
+	Capacity int64
+	// MemoryTier and DiskTier are the sizes in bytes of the checkpoint caches; zero means 200 GiB and 1000 GiB.
+	MemoryTier, DiskTier int64
+	// MemorySpeed and DiskSpeed are the bytes per second of a load from a cache; zero means 40 GiB/s and 8 GiB/s.
+	MemorySpeed, DiskSpeed int64
+	// Batch is the largest number of requests of one replica that run at once; zero means 32.
+	Batch int
+	// Waiting is the largest number of requests before the batch of one replica; zero means 64.
+	Waiting int
+	// AdapterSlots is the number of adapters of a replica whose order does not say; zero means 8.
+	AdapterSlots int
+	// FirstToken is the time to the first token; zero means 50 ms.
+	FirstToken time.Duration
+	// TokenEvery is the time between tokens; zero means 10 ms.
+	TokenEvery time.Duration
+	// Heartbeat is the time of silence after which a heartbeat is sent; zero means 250 ms.
+	Heartbeat time.Duration
+	// ResumeGrace is how long a generation goes on without its connection; zero means 2 s.
+	ResumeGrace time.Duration
+	// KeepFinished is how long a finished generation can be resumed; zero means 30 s.
+	KeepFinished time.Duration
+	// RestartAfter is the time from a crash to the next boot; zero means 2 s.
+	RestartAfter time.Duration
+	// CrashMark is the text in a body that crashes the engine; empty means CRASH-THE-ENGINE.
+	CrashMark string
+	// Fetch blocks for the time of one transfer from the weight store; nil means that transfers take no time.
+	Fetch func(ctx context.Context, name string, bytes int64, adapter bool) error
+}
+
+func (settings Settings) withDefaults() Settings {
+	settings.Capacity = orDefault(settings.Capacity, defaultCapacity)
+	settings.MemoryTier = orDefault(settings.MemoryTier, defaultMemoryTier)
+	settings.DiskTier = orDefault(settings.DiskTier, defaultDiskTier)
+	settings.MemorySpeed = orDefault(settings.MemorySpeed, defaultMemorySpeed)
+	settings.DiskSpeed = orDefault(settings.DiskSpeed, defaultDiskSpeed)
+	settings.Batch = orDefault(settings.Batch, defaultBatch)
+	settings.Waiting = orDefault(settings.Waiting, defaultWaiting)
+	settings.AdapterSlots = orDefault(settings.AdapterSlots, defaultAdapterSlots)
+	settings.FirstToken = orDefault(settings.FirstToken, defaultFirstToken)
+	settings.TokenEvery = orDefault(settings.TokenEvery, defaultTokenEvery)
+	settings.Heartbeat = orDefault(settings.Heartbeat, defaultHeartbeat)
+	settings.ResumeGrace = orDefault(settings.ResumeGrace, defaultResumeGrace)
+	settings.KeepFinished = orDefault(settings.KeepFinished, defaultKeepFinished)
+	settings.RestartAfter = orDefault(settings.RestartAfter, defaultRestartAfter)
+	settings.CrashMark = orDefault(settings.CrashMark, defaultCrashMark)
+	if settings.Fetch == nil {
+		settings.Fetch = func(context.Context, string, int64, bool) error { return nil }
+	}
+	return settings
+}
+
+func orDefault[T comparable](value, fallback T) T {
+	var zero T
+	if value == zero {
+		return fallback
+	}
+	return value
+}
--- /dev/null
+++ b/internal/standin/platform/main_test.go
@@ -0,0 +1,13 @@
+package platform
+
+import (
+	"os"
+	"testing"
+
+	"github.com/zeromicro/go-zero/core/logx"
+)
+
+func TestMain(m *testing.M) {
+	logx.Disable()
+	os.Exit(m.Run())
+}
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -48,6 +48,7 @@
 		MaxIdleConnsPerHost: client.settings.Connections,
 		IdleConnTimeout:     client.settings.IdleTimeout,
 		DisableCompression:  true,
+		DisableKeepAlives:   client.settings.Fresh,
 	}
 }
 
--- a/upstream/order.go
+++ b/upstream/order.go
@@ -33,6 +33,8 @@
 	Adapter string `json:"Adapter,omitempty"`
 	// Memory is the accelerator memory in bytes that a loaded replica may hold.
 	Memory int64 `json:"Memory,omitempty"`
+	// AdapterSlots is the number of adapters that a loaded replica may hold; zero means the engine's default.
+	AdapterSlots int `json:"AdapterSlots,omitempty"`
 	// Role is the new role of ChangeRole.
 	Role Role `json:"Role,omitempty"`
 	// Fence is the fencing number of the lease under which the order was decided.
@@ -59,3 +61,13 @@
 	// EngineLeaving states that the engine takes no new work.
 	EngineLeaving Verdict = "Leaving"
 )
+
+// known reports whether the verdict is in the closed list.
+func (verdict Verdict) known() bool {
+	switch verdict {
+	case Accepted, Fenced, WrongBoot, NoMemory, NoSubject, EngineLeaving:
+		return true
+	default:
+		return false
+	}
+}
