Call plain services over HTTP, with a stand-in

Cause: calls that may not be repeated had no client. Change: service.Client has the failures of package upstream and sends each call that is not idempotent over a connection of its own, since a kept connection that went silent would leave its outcome unknown. The stand-in counts executions by identifier and key. Conclusion: every fault gives at most one execution and a true error, also with an idempotency key, at which the transport of net/http would resend.

--- a/internal/standin/cmd/standin/main.go
+++ b/internal/standin/cmd/standin/main.go
@@ -14,6 +14,7 @@
 type commands struct {
 	Platform platformCommand `cmd:"" help:"Serve the platform (tables, objects, VM list) and the weight store."`
 	Engine   engineCommand   `cmd:"" help:"Serve a model engine."`
+	Service  serviceCommand  `cmd:"" help:"Serve a plain service."`
 }
 
 func main() {
--- /dev/null
+++ b/service/answer.go
@@ -0,0 +1,11 @@
+package service
+
+// Answer is the whole answer to one call.
+type Answer struct {
+	// Status is the HTTP status.
+	Status int
+	// ContentType is the content type of Body.
+	ContentType string
+	// Body is the content.
+	Body []byte
+}
--- /dev/null
+++ b/service/client_test.go
@@ -0,0 +1,110 @@
+package service_test
+
+import (
+	"errors"
+	"net/http"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/zeromicro/go-zero/core/logx"
+	"k8s.io/utils/clock"
+
+	"github.com/bronzestall/bronzestall/catalogue"
+	"github.com/bronzestall/bronzestall/internal/standin/network"
+	standin "github.com/bronzestall/bronzestall/internal/standin/service"
+	"github.com/bronzestall/bronzestall/request"
+	"github.com/bronzestall/bronzestall/service"
+	"github.com/bronzestall/bronzestall/upstream"
+)
+
+func TestMain(m *testing.M) {
+	logx.Disable()
+	os.Exit(m.Run())
+}
+
+func confirm(id string, idempotent bool) request.Request {
+	return request.Request{
+		ID:         id,
+		Form:       request.ServiceCall,
+		Service:    "orders",
+		Call:       catalogue.Call{Method: http.MethodPost, Path: "/confirm", Idempotent: idempotent},
+		Idempotent: idempotent,
+		Key:        "key-" + id,
+		Body:       []byte(`{"slip":1}`),
+	}
+}
+
+func inBubble(t *testing.T, test func(t *testing.T, server *standin.Server, listener *network.Listener, client *service.Client)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		server := standin.New("s1", clock.RealClock{})
+		listener := network.NewPipe()
+		outer := &http.Server{Handler: server}
+		go func() { _ = outer.Serve(listener) }()
+		client := service.NewClient(service.ClientSettings{Address: "s1", Dial: listener.Dial}, clock.RealClock{})
+		test(t, server, listener, client)
+		client.Close()
+		_ = outer.Close()
+	})
+}
+
+func TestCallsRunAtMostOnceAndFailTruly(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults standin.Faults
+		want   error
+		runs   int
+	}{
+		{"healthy", standin.Faults{}, nil, 1},
+		{"cut before", standin.Faults{CutBefore: 1}, upstream.ErrNoAnswer, 0},
+		{"cut after", standin.Faults{CutAfter: 1}, upstream.ErrNoAnswer, 1},
+		{"crossed", standin.Faults{Crossed: 1}, upstream.ErrForeign, 1},
+		{"truncated", standin.Faults{Truncated: 1}, upstream.ErrTruncated, 1},
+	}
+	for _, c := range cases {
+		for _, idempotent := range []bool{false, true} {
+			inBubble(t, func(t *testing.T, server *standin.Server, _ *network.Listener, client *service.Client) {
+				warm := confirm("warm", true)
+				if _, err := client.Call(t.Context(), warm); err != nil {
+					t.Fatal(err)
+				}
+				server.SetFaults(c.faults)
+				if _, err := client.Call(t.Context(), confirm("r1", idempotent)); !errors.Is(err, c.want) {
+					t.Errorf("%s: got %v, not %v", c.name, err, c.want)
+				}
+				if runs := server.Counts().Keys["key-r1"]; runs != c.runs {
+					t.Errorf("%s: ran %d times, not %d", c.name, runs, c.runs)
+				}
+			})
+		}
+	}
+}
+
+func TestProofOfRefusal(t *testing.T) {
+	inBubble(t, func(t *testing.T, server *standin.Server, _ *network.Listener, client *service.Client) {
+		server.SetFaults(standin.Faults{Refuse: 1})
+		_, err := client.Call(t.Context(), confirm("r1", false))
+		var refused *upstream.RefusedError
+		if !errors.As(err, &refused) || server.Counts().Executions["r1"] != 0 {
+			t.Errorf("got %v after %d runs", err, server.Counts().Executions["r1"])
+		}
+	})
+}
+
+func TestSilentPooledConnectionLeavesCallsThatMayNotBeRepeatedAlone(t *testing.T) {
+	inBubble(t, func(t *testing.T, server *standin.Server, listener *network.Listener, client *service.Client) {
+		if _, err := client.Call(t.Context(), confirm("warm", true)); err != nil {
+			t.Fatal(err)
+		}
+		listener.Silence()
+		if _, err := client.Call(t.Context(), confirm("r1", false)); err != nil {
+			t.Errorf("call over a fresh connection: %v", err)
+		}
+		if runs := server.Counts().Executions["r1"]; runs != 1 {
+			t.Errorf("ran %d times", runs)
+		}
+		time.Sleep(time.Minute)
+	})
+}
--- /dev/null
+++ b/service/settings.go
@@ -0,0 +1,30 @@
+package service
+
+import (
+	"context"
+	"net"
+	"time"
+)
+
+// defaultMaxBody is the default of ClientSettings.MaxBody in bytes.
+const defaultMaxBody = 16 << 20
+
+// ClientSettings describe the connections to one service. The zero value of a field means its default.
+type ClientSettings struct {
+	// Name is the name of the upstream, for errors.
+	Name string
+	// Address is the IP address and port.
+	Address string
+	// DialTimeout bounds the opening of a connection; zero means 1 s.
+	DialTimeout time.Duration
+	// IdleTimeout is how long an unused connection is kept; zero means 15 s.
+	IdleTimeout time.Duration
+	// ConnectionAge is the age from which a connection takes no further call; zero means 5 min.
+	ConnectionAge time.Duration
+	// Connections is the largest number of connections; zero means 512.
+	Connections int
+	// MaxBody is the largest answer in bytes; zero means 16 MiB.
+	MaxBody int64
+	// Dial opens a connection; nil means TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
