Walk a request through queue, route and upstream

Cause: nothing took a request from a caller to an engine yet. Change: package dispatch admits a request to the bounded fair queue of its model, grants it a replica by two random choices, relays the answer as server-sent events or whole, and tries again within a budget what may run again. Packages queue, route, retry and quarantine hold the pure parts; claim holds its types.

--- /dev/null
+++ b/dispatch/attempt.go
@@ -0,0 +1,148 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/request"
+	"github.com/bronzestall/bronzestall/upstream"
+)
+
+// attempt runs the request on the place and gives the place back.
+func (journey *journey) attempt(ctx context.Context, place *place) result {
+	ending := journey.onPlace(ctx, place)
+	journey.dispatcher.release(place, ending.failure == nil)
+	return ending
+}
+
+// onPlace prepares and runs the request on the upstream of the place.
+func (journey *journey) onPlace(ctx context.Context, place *place) result {
+	start := journey.startLimit(ctx)
+	defer start.stop()
+	ctx = start.ctx
+	if ending, done := journey.claim(ctx); done {
+		return ending
+	}
+	journey.attempts++
+	if journey.attempts == 1 {
+		journey.dispatcher.budget.Earn()
+	}
+	if journey.req.Form == request.ServiceCall {
+		return journey.call(ctx, place)
+	}
+	if err := journey.dispatcher.loadAdapter(ctx, &journey.req, place); err != nil {
+		return journey.judge(ctx, place, err)
+	}
+	return journey.generate(ctx, place, start.begun)
+}
+
+// generate runs the generation and relays its answer, over several connections if one goes silent.
+func (journey *journey) generate(ctx context.Context, place *place, begun func()) result {
+	dispatcher := journey.dispatcher
+	name := place.candidate.Upstream
+	generator, ok := dispatcher.deps.Engines.Generator(name)
+	if !ok {
+		return journey.judge(ctx, place, upstream.ErrNotSent)
+	}
+	var old upstream.Stream
+	for resumes := 0; ; resumes++ {
+		stream, err := generator.Generate(ctx, journey.generation(place, resumes))
+		closeStream(old)
+		if err == nil {
+			err = journey.relay(ctx, stream, begun)
+			if load, known := stream.Load(); known {
+				dispatcher.router.Report(name, load.Running, load.Waiting)
+			}
+		}
+		if err == nil {
+			closeStream(stream)
+			return journey.answered(place)
+		}
+		if !errors.Is(err, upstream.ErrSilent) || !journey.resumable(ctx, place, resumes) {
+			closeStream(stream)
+			return journey.judge(ctx, place, err)
+		}
+		old = stream
+	}
+}
+
+// generation returns the attempt to send.
+func (journey *journey) generation(place *place, resumes int) upstream.Generation {
+	return upstream.Generation{
+		Request:     journey.req,
+		Version:     place.candidate.Version,
+		Attempt:     journey.attempts + resumes,
+		ResumeAfter: journey.last,
+	}
+}
+
+// answered notes a complete answer.
+func (journey *journey) answered(place *place) result {
+	journey.dispatcher.router.Succeeded(place.candidate.Upstream)
+	journey.dispatcher.book.Clear(journey.req.Fingerprint)
+	return result{}
+}
+
+// maxResumes is the number of fresh connections that one attempt may use.
+const maxResumes = 3
+
+// resumable reports whether the attempt may go on over a fresh connection to the same boot. Without a
+// piece seen a resumption starts the request anew, so that only an idempotent one may do it.
+func (journey *journey) resumable(ctx context.Context, place *place, resumes int) bool {
+	if resumes >= maxResumes || !journey.req.Idempotent || ctx.Err() != nil {
+		return false
+	}
+	boot := journey.dispatcher.probe(ctx, place.candidate.Upstream)
+	return boot != "" && (place.candidate.BootID == "" || boot == place.candidate.BootID)
+}
+
+// closeStream closes a stream if there is one. What it says no longer matters.
+func closeStream(stream upstream.Stream) {
+	if stream != nil {
+		_ = stream.Close()
+	}
+}
+
+// relay passes the answer on. It returns nil after a complete answer.
+func (journey *journey) relay(ctx context.Context, stream upstream.Stream, begun func()) error {
+	if journey.req.Stream && stream.Status() < firstErrorStatus {
+		return journey.relayPieces(ctx, stream, begun)
+	}
+	body, err := journey.collect(ctx, stream, begun)
+	if err != nil {
+		return err
+	}
+	return journey.whole(stream.Status(), stream.ContentType(), body)
+}
+
+// collect returns the whole body of an answer.
+func (journey *journey) collect(ctx context.Context, stream upstream.Stream, begun func()) ([]byte, error) {
+	var body []byte
+	for {
+		piece, err := stream.Next(ctx)
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		begun()
+		body = append(body, piece.Data...)
+		if len(body) > journey.dispatcher.settings.AnswerBytes {
+			return nil, outcome.New(outcome.AnswerInvalid, "the answer is larger than allowed")
+		}
+	}
+}
+
+// whole sends a complete answer.
+func (journey *journey) whole(status int, contentType string, body []byte) error {
+	if err := journey.sink.Begin(status, contentType); err != nil {
+		return errSink
+	}
+	if err := journey.sink.Chunk(body); err != nil {
+		return errSink
+	}
+	return nil
+}
--- /dev/null
+++ b/dispatch/claiming.go
@@ -0,0 +1,78 @@
+package dispatch
+
+import (
+	"context"
+
+	"github.com/bronzestall/bronzestall/claim"
+	"github.com/bronzestall/bronzestall/outcome"
+)
+
+// keyed reports whether the request must not run twice under its key.
+func (journey *journey) keyed() bool {
+	return journey.req.Key != "" && !journey.req.Idempotent
+}
+
+// claim claims a keyed request before it is sent. done states that the request ended here, with the
+// recorded answer or a failure.
+func (journey *journey) claim(ctx context.Context) (ending result, done bool) {
+	if !journey.keyed() || journey.ticket != nil {
+		return result{}, false
+	}
+	if journey.dispatcher.deps.Claims == nil {
+		failure := outcome.New(outcome.ClaimUnavailable, "calls cannot be claimed here")
+		return result{failure: failure, notRun: true, final: true}, true
+	}
+	ticket, answer, err := journey.dispatcher.deps.Claims.Claim(ctx, journey.req)
+	if err != nil {
+		return result{failure: outcome.From(err), notRun: true, final: true}, true
+	}
+	if answer != nil {
+		return journey.replay(answer), true
+	}
+	journey.ticket = &ticket
+	journey.sink = &recorder{sink: journey.sink, limit: journey.dispatcher.settings.RecordBytes}
+	return result{}, false
+}
+
+// replay sends the recorded answer.
+func (journey *journey) replay(answer *claim.Answer) result {
+	if err := journey.whole(answer.Status, answer.ContentType, answer.Body); err != nil {
+		return result{failure: outcome.New(outcome.CallerGone, "the caller does not take the answer"), final: true}
+	}
+	return result{}
+}
+
+// settle records the end of a claimed request.
+func (journey *journey) settle(ctx context.Context, failure *outcome.Error) {
+	if journey.ticket == nil {
+		return
+	}
+	ctx = context.WithoutCancel(ctx)
+	if failure == nil {
+		journey.dispatcher.deps.Claims.Complete(ctx, *journey.ticket, journey.sink.(*recorder).answer())
+		return
+	}
+	if !journey.mayHaveRun {
+		journey.dispatcher.deps.Claims.Release(ctx, *journey.ticket)
+	}
+}
+
+// earlier returns what an earlier sending with the same key came to, in place of a refusal that says
+// that the request did not run.
+func (journey *journey) earlier(ctx context.Context, failure *outcome.Error) *outcome.Error {
+	claims := journey.dispatcher.deps.Claims
+	if !journey.keyed() || claims == nil || journey.ticket != nil {
+		return failure
+	}
+	if failure.Kind.Entry().Word != outcome.NotRun || failure.Kind == outcome.ClaimMismatch {
+		return failure
+	}
+	answer, err := claims.Find(ctx, journey.req)
+	if err != nil {
+		return outcome.From(err)
+	}
+	if answer == nil {
+		return failure
+	}
+	return journey.replay(answer).failure
+}
--- /dev/null
+++ b/dispatch/deps.go
@@ -0,0 +1,19 @@
+package dispatch
+
+// Deps are what a Dispatcher needs. Fleet, Engines and Demand are required.
+type Deps struct {
+	// Fleet tells what can serve a request.
+	Fleet Fleet
+	// Engines gives access to the model engines.
+	Engines Engines
+	// Demand tells the decider what is needed.
+	Demand Demand
+	// Services calls plain services; nil refuses service calls.
+	Services Services
+	// Claims keeps keyed non-idempotent calls from running twice; nil refuses them.
+	Claims Claims
+	// Transfers limits adapter transfers; nil means no limit.
+	Transfers Transfers
+	// Suspects tells other daemons of requests that crash upstreams; nil tells nobody.
+	Suspects Suspects
+}
--- /dev/null
+++ b/dispatch/dispatcher.go
@@ -0,0 +1,53 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"sync"
+
+	"k8s.io/utils/clock"
+
+	"github.com/bronzestall/bronzestall/quarantine"
+	"github.com/bronzestall/bronzestall/retry"
+	"github.com/bronzestall/bronzestall/route"
+)
+
+// Dispatcher walks requests to upstreams and back. It is safe for concurrent use. Use New.
+type Dispatcher struct {
+	settings Settings
+	deps     Deps
+	clock    clock.Clock
+	router   *route.Router
+	budget   *retry.Budget
+	book     *quarantine.Book
+
+	mutex sync.Mutex
+	// lanes holds a lane for each model or service that was asked for lately.
+	lanes map[string]*lane
+	// waiting is the number of requests in all queues, at most settings.Total.
+	waiting int
+	// active is the number of requests between the begin and the end of Do.
+	active int
+	// stopping states that no new request is taken.
+	stopping bool
+	// emptied is closed when stopping and active is zero.
+	emptied chan struct{}
+}
+
+// New returns a dispatcher without requests. Run must run beside it.
+func New(settings Settings, deps Deps, clock clock.Clock, random *rand.Rand) *Dispatcher {
+	return &Dispatcher{
+		settings: settings.withDefaults(),
+		deps:     deps,
+		clock:    clock,
+		router:   route.New(clock, random),
+		budget:   retry.New(),
+		book:     quarantine.New(),
+		lanes:    map[string]*lane{},
+		emptied:  make(chan struct{}),
+	}
+}
+
+// Quarantine returns the suspects, to be exchanged with the other daemons of the data centre.
+func (dispatcher *Dispatcher) Quarantine() *quarantine.Book {
+	return dispatcher.book
+}
--- /dev/null
+++ b/dispatch/fakes_test.go
@@ -0,0 +1,272 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"k8s.io/utils/clock"
+
+	"github.com/bronzestall/bronzestall/catalogue"
+	"github.com/bronzestall/bronzestall/request"
+	"github.com/bronzestall/bronzestall/route"
+	"github.com/bronzestall/bronzestall/upstream"
+)
+
+// fakeWorld implements Fleet, Engines and Demand over fake engines.
+type fakeWorld struct {
+	mutex    sync.Mutex
+	engines  map[string]*fakeEngine
+	order    []string
+	changed  chan struct{}
+	forecast Forecast
+	coldErr  error
+	needs    map[string]Need
+}
+
+func newWorld(names ...string) *fakeWorld {
+	world := &fakeWorld{engines: map[string]*fakeEngine{}, changed: make(chan struct{}), needs: map[string]Need{}}
+	for _, name := range names {
+		world.add(name)
+	}
+	return world
+}
+
+func (world *fakeWorld) add(name string) *fakeEngine {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	engine := &fakeEngine{name: name, boot: name + "/1", slots: 4, pieces: 3, gap: 10 * time.Millisecond, runs: map[string]int{}}
+	world.engines[name] = engine
+	world.order = append(world.order, name)
+	close(world.changed)
+	world.changed = make(chan struct{})
+	return engine
+}
+
+func (world *fakeWorld) dispatcher(settings Settings) *Dispatcher {
+	return New(settings, Deps{Fleet: world, Engines: world, Demand: world}, clock.RealClock{}, rand.New(rand.NewPCG(1, 2)))
+}
+
+func (world *fakeWorld) Replicas(catalogue.Target) (Snapshot, error) {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	snapshot := Snapshot{Changed: world.changed}
+	for _, name := range world.order {
+		snapshot.Own = append(snapshot.Own, world.engines[name].candidate())
+	}
+	return snapshot, nil
+}
+
+func (world *fakeWorld) Service(string) (Snapshot, error) { return world.Replicas(catalogue.Target{}) }
+
+func (world *fakeWorld) Generator(name string) (upstream.Generator, bool) {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	engine, ok := world.engines[name]
+	return engine, ok
+}
+
+func (world *fakeWorld) Engine(name string) (upstream.Engine, bool) {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	engine, ok := world.engines[name]
+	return engine, ok
+}
+
+func (world *fakeWorld) Report(need Need) {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	world.needs[need.Target.String()] = need
+}
+
+func (world *fakeWorld) need(model string) Need {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	return world.needs[model]
+}
+
+func (world *fakeWorld) Forecast(string) (Forecast, error) {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	return world.forecast, world.coldErr
+}
+
+// fakeEngine is an engine that streams numbered pieces and fails as its fields tell.
+type fakeEngine struct {
+	mutex  sync.Mutex
+	name   string
+	boot   string
+	slots  int
+	pieces int
+	gap    time.Duration
+	// leaving states that the candidate leaves.
+	leaving bool
+	// adapters are the adapters that were loaded, in order.
+	adapters []string
+	// generate is the error of the next generations, by request body.
+	generate map[string]error
+	// breakAt cuts a stream that was not resumed with breakErr before the piece.
+	breakAt  int
+	breakErr error
+	// poison is the body that crashes the engine.
+	poison string
+	// runs counts the executions by request body.
+	runs map[string]int
+	// active is the number of streams, most its largest value.
+	active, most int
+	// dead states that the engine does not answer.
+	dead bool
+}
+
+func (engine *fakeEngine) candidate() route.Candidate {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	return route.Candidate{Upstream: engine.name, BootID: engine.boot, Slots: engine.slots, Leaving: engine.leaving, Version: "v1"}
+}
+
+func (engine *fakeEngine) Generate(_ context.Context, generation upstream.Generation) (upstream.Stream, error) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	body := string(generation.Request.Body)
+	if engine.dead {
+		return nil, upstream.ErrNotSent
+	}
+	if err := engine.generate[body]; err != nil {
+		return nil, err
+	}
+	if generation.ResumeAfter == 0 {
+		engine.runs[body]++
+	}
+	if engine.poison != "" && body == engine.poison {
+		engine.dead = true
+	}
+	engine.active++
+	engine.most = max(engine.most, engine.active)
+	stream := &fakeStream{engine: engine, boot: engine.boot, body: body, next: generation.ResumeAfter + 1, total: engine.pieces}
+	if generation.ResumeAfter == 0 {
+		stream.breakAt, stream.breakErr = engine.breakAt, engine.breakErr
+	}
+	return stream, nil
+}
+
+func (engine *fakeEngine) Probe(context.Context) (string, error) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	if engine.dead {
+		return "", upstream.ErrNotSent
+	}
+	return engine.boot, nil
+}
+
+func (engine *fakeEngine) State(context.Context) (upstream.State, error) {
+	return upstream.State{}, upstream.ErrNotSent
+}
+
+func (engine *fakeEngine) Send(_ context.Context, order upstream.Order) (upstream.Verdict, error) {
+	time.Sleep(5 * time.Millisecond)
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	engine.adapters = append(engine.adapters, order.Adapter)
+	return upstream.Accepted, nil
+}
+
+// fakeStream is one answer of a fakeEngine.
+type fakeStream struct {
+	engine   *fakeEngine
+	boot     string
+	body     string
+	next     int
+	total    int
+	breakAt  int
+	breakErr error
+	closed   bool
+}
+
+func (stream *fakeStream) Status() int                       { return 200 }
+func (stream *fakeStream) ContentType() string               { return "text/plain" }
+func (stream *fakeStream) Load() (upstream.LoadReport, bool) { return upstream.LoadReport{}, false }
+
+func (stream *fakeStream) Next(ctx context.Context) (upstream.Piece, error) {
+	timer := time.NewTimer(stream.engine.gap)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return upstream.Piece{}, ctx.Err()
+	}
+	stream.engine.mutex.Lock()
+	defer stream.engine.mutex.Unlock()
+	if stream.engine.dead || stream.engine.boot != stream.boot {
+		return upstream.Piece{}, upstream.ErrTruncated
+	}
+	if stream.breakAt == stream.next {
+		return upstream.Piece{}, stream.breakErr
+	}
+	if stream.next > stream.total {
+		return upstream.Piece{}, io.EOF
+	}
+	piece := upstream.Piece{Index: stream.next, Data: fmt.Appendf(nil, "%s-%d", stream.body, stream.next), Tokens: 1}
+	stream.next++
+	return piece, nil
+}
+
+func (stream *fakeStream) Close() error {
+	stream.engine.mutex.Lock()
+	defer stream.engine.mutex.Unlock()
+	if !stream.closed {
+		stream.closed = true
+		stream.engine.active--
+	}
+	return nil
+}
+
+// fakeSink keeps an answer.
+type fakeSink struct {
+	mutex  sync.Mutex
+	status int
+	body   []byte
+	begun  bool
+	failAt int
+}
+
+func (sink *fakeSink) Begin(status int, _ string) error {
+	sink.mutex.Lock()
+	defer sink.mutex.Unlock()
+	if sink.begun {
+		panic("begun twice")
+	}
+	sink.status, sink.begun = status, true
+	return nil
+}
+
+func (sink *fakeSink) Chunk(part []byte) error {
+	sink.mutex.Lock()
+	defer sink.mutex.Unlock()
+	sink.body = append(sink.body, part...)
+	return nil
+}
+
+func (sink *fakeSink) Begun() bool {
+	sink.mutex.Lock()
+	defer sink.mutex.Unlock()
+	return sink.begun
+}
+
+func chat(body string) request.Request {
+	return request.Request{
+		ID: "id-" + body, Tenant: "a", Target: catalogue.Target{Model: "m"}, Idempotent: true, Stream: true,
+		Arrived: time.Now(), Deadline: time.Now().Add(10 * time.Second), Tokens: 1,
+		Fingerprint: fingerprint(body), Body: []byte(body),
+	}
+}
+
+func fingerprint(body string) uint64 {
+	sum := uint64(14695981039346656037)
+	for _, letter := range []byte(body) {
+		sum = (sum ^ uint64(letter)) * 1099511628211
+	}
+	return sum
+}
--- /dev/null
+++ b/dispatch/judge.go
@@ -0,0 +1,97 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+
+	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/upstream"
+)
+
+// judge turns the error of an attempt into its result and notes what it says of the upstream.
+func (journey *journey) judge(ctx context.Context, place *place, err error) result {
+	var failure *outcome.Error
+	if errors.As(err, &failure) {
+		journey.mayHaveRun = journey.mayHaveRun || failure.Kind.Entry().Word != outcome.NotRun
+		return result{failure: failure, final: true}
+	}
+	if ending, proved := journey.unsent(place, err); proved {
+		return ending
+	}
+	journey.mayHaveRun = true
+	if ending, ended := journey.stopped(ctx, err); ended {
+		return ending
+	}
+	return journey.lost(ctx, place, err)
+}
+
+// unsent judges errors that prove that the upstream did not run the request.
+func (journey *journey) unsent(place *place, err error) (result, bool) {
+	var refusal *upstream.RefusedError
+	if errors.As(err, &refusal) {
+		failure := outcome.New(outcome.UpstreamRefused, "the upstream refused the request").WithCause(err).WithRetryAfter(minRetry)
+		return result{failure: failure, notRun: true}, true
+	}
+	if errors.Is(err, upstream.ErrNotSent) {
+		journey.dispatcher.router.Failed(place.candidate.Upstream)
+		failure := outcome.New(outcome.UpstreamRefused, "the upstream cannot be reached").WithCause(err).WithRetryAfter(minRetry)
+		return result{failure: failure, notRun: true}, true
+	}
+	return result{}, false
+}
+
+// stopped judges attempts that this side ended.
+func (journey *journey) stopped(ctx context.Context, err error) (result, bool) {
+	if errors.Is(err, errSink) {
+		return result{failure: outcome.New(outcome.CallerGone, "the caller does not take the answer"), final: true}, true
+	}
+	if ctx.Err() == nil {
+		return result{}, false
+	}
+	if errors.Is(context.Cause(ctx), errBeginDeadline) {
+		failure := outcome.New(outcome.DeadlineRunning, "the answer did not begin before the deadline")
+		return result{failure: failure, final: true}, true
+	}
+	return result{failure: callerGone(ctx), final: true}, true
+}
+
+// lost judges attempts that may have run and did not end well.
+func (journey *journey) lost(ctx context.Context, place *place, err error) result {
+	name := place.candidate.Upstream
+	if errors.Is(err, upstream.ErrForeign) {
+		journey.dispatcher.router.Failed(name)
+		return result{failure: outcome.New(outcome.AnswerInvalid, "the answer belongs to another request").WithCause(err)}
+	}
+	boot := journey.dispatcher.probe(context.WithoutCancel(ctx), name)
+	if hasCrashed(place, boot, err) {
+		journey.crashed(ctx, place)
+		return result{failure: outcome.New(outcome.UpstreamLost, "the upstream failed while the request ran").WithCause(err), crashed: true}
+	}
+	journey.dispatcher.router.Failed(name)
+	if errors.Is(err, upstream.ErrTruncated) {
+		return result{failure: outcome.New(outcome.AnswerInvalid, "the answer was not complete").WithCause(err)}
+	}
+	return result{failure: outcome.New(outcome.UpstreamLost, "the connection to the upstream failed while the request ran").WithCause(err)}
+}
+
+// hasCrashed tells a crash from a cut by the boot that a probe found, or none. Silence without an answer
+// to the probe may be a cut or a pause and is not a crash.
+func hasCrashed(place *place, boot string, err error) bool {
+	if boot == "" {
+		return !errors.Is(err, upstream.ErrSilent)
+	}
+	return place.candidate.BootID != "" && boot != place.candidate.BootID
+}
+
+// crashed ejects the upstream and makes the request a suspect, here and at the other daemons.
+func (journey *journey) crashed(ctx context.Context, place *place) {
+	dispatcher := journey.dispatcher
+	dispatcher.router.Eject(place.candidate.Upstream)
+	suspect := dispatcher.suspect(journey.req.Fingerprint, place)
+	if dispatcher.deps.Suspects == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, dispatcher.settings.PublishTimeout)
+	defer cancel()
+	dispatcher.deps.Suspects.Publish(ctx, suspect)
+}
--- /dev/null
+++ b/dispatch/lane.go
@@ -0,0 +1,83 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/bronzestall/bronzestall/catalogue"
+	"github.com/bronzestall/bronzestall/queue"
+	"github.com/bronzestall/bronzestall/request"
+)
+
+// lane holds the requests of one model or service. The mutex of the dispatcher guards it.
+type lane struct {
+	// target names the model; it is empty for a service.
+	target catalogue.Target
+	// look returns what can serve the lane now.
+	look func() (Snapshot, error)
+	// queue holds the first attempts in fair order.
+	queue *queue.Queue[*waiter]
+	// special holds suspects and second attempts, which take the first place that fits them.
+	special *queue.Queue[*waiter]
+	// rate is how long requests hold their places.
+	rate queue.Rate
+	// running is the number of granted places.
+	running int
+	// minded states that a goroutine looks after the waiting requests.
+	minded bool
+	// used is the time of the last change.
+	used time.Time
+}
+
+// laneName returns the key of the lane of the request.
+func laneName(req *request.Request) string {
+	if req.Form == request.ServiceCall {
+		return "service/" + req.Service
+	}
+	return "model/" + req.Target.Model
+}
+
+// lane returns the lane of the request, made if need be. The mutex is held.
+func (dispatcher *Dispatcher) lane(req *request.Request) *lane {
+	name := laneName(req)
+	found, ok := dispatcher.lanes[name]
+	if !ok {
+		found = dispatcher.newLane(req)
+		dispatcher.lanes[name] = found
+	}
+	found.used = dispatcher.clock.Now()
+	return found
+}
+
+// newLane returns an empty lane for requests like this one.
+func (dispatcher *Dispatcher) newLane(req *request.Request) *lane {
+	made := &lane{
+		queue:   queue.New[*waiter](dispatcher.settings.PerModel),
+		special: queue.New[*waiter](dispatcher.settings.PerModel),
+	}
+	if req.Form == request.ServiceCall {
+		service := req.Service
+		made.look = func() (Snapshot, error) { return dispatcher.deps.Fleet.Service(service) }
+		return made
+	}
+	made.target = catalogue.Target{Model: req.Target.Model}
+	made.look = func() (Snapshot, error) { return dispatcher.deps.Fleet.Replicas(made.target) }
+	return made
+}
+
+// line returns the queue of the lane that the request waits in.
+func (lane *lane) line(waiting *entry) *queue.Queue[*waiter] {
+	if waiting.Item.special {
+		return lane.special
+	}
+	return lane.queue
+}
+
+// waiting returns the number of waiting requests.
+func (lane *lane) waiting() int {
+	return lane.queue.Len() + lane.special.Len()
+}
+
+// idle reports whether the lane holds nothing.
+func (lane *lane) idle() bool {
+	return lane.waiting() == 0 && lane.running == 0 && !lane.minded
+}
--- /dev/null
+++ b/dispatch/mind.go
@@ -0,0 +1,85 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/bronzestall/bronzestall/outcome"
+)
+
+// mindEvery is the interval at which waiting requests are looked after.
+const mindEvery = 50 * time.Millisecond
+
+// mind starts the goroutine that looks after the waiting requests of the lane. It ends with the
+// last of them. The mutex is held.
+func (dispatcher *Dispatcher) mind(lane *lane) {
+	if lane.minded || lane.waiting() == 0 {
+		return
+	}
+	lane.minded = true
+	go dispatcher.lookAfter(lane)
+}
+
+// lookAfter wakes the lane when the fleet changes and in intervals until nothing waits.
+func (dispatcher *Dispatcher) lookAfter(lane *lane) {
+	for {
+		changed, more := dispatcher.step(lane)
+		if !more {
+			return
+		}
+		timer := dispatcher.clock.NewTimer(mindEvery)
+		select {
+		case <-changed:
+		case <-timer.C():
+		}
+		timer.Stop()
+	}
+}
+
+// step answers what is given up, grants what has room and reports whether anything still waits.
+func (dispatcher *Dispatcher) step(lane *lane) (changed <-chan struct{}, more bool) {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	snapshot, err := lane.look()
+	if err != nil {
+		dispatcher.giveUp(lane, func(*entry) *outcome.Error { return outcome.From(err) })
+	} else {
+		dispatcher.pump(lane, snapshot)
+		dispatcher.giveUp(lane, dispatcher.hopeless(lane, snapshot))
+	}
+	dispatcher.report(lane)
+	lane.minded = lane.waiting() > 0
+	return snapshot.Changed, lane.minded
+}
+
+// hopeless returns a function that tells why a waiting request is given up, or nil. The mutex is held.
+func (dispatcher *Dispatcher) hopeless(lane *lane, snapshot Snapshot) func(*entry) *outcome.Error {
+	now := dispatcher.clock.Now()
+	return func(waiting *entry) *outcome.Error {
+		left := waiting.Deadline.Sub(now)
+		if left <= 0 {
+			return outcome.New(outcome.DeadlineInQueue, "the deadline passed in the queue").WithRetryAfter(dispatcher.clears(lane))
+		}
+		if !dispatcher.served(snapshot) {
+			return dispatcher.cold(lane, left)
+		}
+		return nil
+	}
+}
+
+// giveUp removes the waiting requests for which why returns a failure and answers them. The mutex is held.
+func (dispatcher *Dispatcher) giveUp(lane *lane, why func(*entry) *outcome.Error) {
+	failures := map[*entry]*outcome.Error{}
+	collect := func(waiting *entry) bool {
+		if failure := why(waiting); failure != nil {
+			failures[waiting] = failure
+		}
+		return true
+	}
+	lane.queue.Each(collect)
+	lane.special.Each(collect)
+	for waiting, failure := range failures {
+		lane.line(waiting).Remove(waiting)
+		dispatcher.waiting--
+		waiting.Item.granted <- grant{failure: failure}
+	}
+}
--- /dev/null
+++ b/dispatch/pump.go
@@ -0,0 +1,119 @@
+package dispatch
+
+import (
+	"github.com/bronzestall/bronzestall/route"
+)
+
+// served reports whether a candidate can serve, whatever its load.
+func (dispatcher *Dispatcher) served(snapshot Snapshot) bool {
+	return dispatcher.router.Serves(snapshot.Own) || dispatcher.router.Serves(snapshot.Others)
+}
+
+// only reports whether the upstream is the only candidate.
+func (snapshot Snapshot) only(name string) bool {
+	for _, candidates := range [][]route.Candidate{snapshot.Own, snapshot.Others} {
+		for index := range candidates {
+			if candidates[index].Upstream != name {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// pump grants places to waiting requests while there is room. The mutex is held.
+func (dispatcher *Dispatcher) pump(lane *lane, snapshot Snapshot) {
+	dispatcher.pumpSpecial(lane, snapshot)
+	for lane.queue.Len() > 0 {
+		next := lane.queue.Peek()
+		if !dispatcher.grant(lane, snapshot, next) {
+			return
+		}
+	}
+}
+
+// pumpSpecial grants places to the suspects and second attempts that fit. The mutex is held.
+func (dispatcher *Dispatcher) pumpSpecial(lane *lane, snapshot Snapshot) {
+	var all []*entry
+	lane.special.Each(func(next *entry) bool {
+		all = append(all, next)
+		return true
+	})
+	for _, next := range all {
+		dispatcher.grant(lane, snapshot, next)
+	}
+}
+
+// grant gives the waiting request a place if one fits. The mutex is held.
+func (dispatcher *Dispatcher) grant(lane *lane, snapshot Snapshot, waiting *entry) bool {
+	chosen, own, ok := dispatcher.choose(snapshot, waiting.Item.ask)
+	if !ok {
+		return false
+	}
+	lane.line(waiting).Take(waiting)
+	dispatcher.waiting--
+	lane.running++
+	waiting.Item.granted <- grant{place: &place{
+		lane:      lane,
+		candidate: chosen,
+		own:       own,
+		sent:      dispatcher.router.Send(chosen.Upstream, waiting.Item.ask.Suspect),
+		since:     dispatcher.clock.Now(),
+		cost:      waiting.Cost,
+	}}
+	return true
+}
+
+// choose picks a candidate of this data centre, or of another if there is no room here.
+func (dispatcher *Dispatcher) choose(snapshot Snapshot, ask route.Ask) (chosen route.Candidate, own, ok bool) {
+	if snapshot.only(ask.Exclude) {
+		ask.Exclude = ""
+	}
+	if index, ok := dispatcher.router.Choose(snapshot.Own, ask); ok {
+		return snapshot.Own[index], true, true
+	}
+	if ask.Suspect && dispatcher.router.Serves(snapshot.Own) {
+		return route.Candidate{}, false, false
+	}
+	if index, ok := dispatcher.router.Choose(snapshot.Others, ask); ok {
+		return snapshot.Others[index], false, true
+	}
+	return route.Candidate{}, false, false
+}
+
+// release gives a place back and grants it to the next. answered states that the answer was complete.
+func (dispatcher *Dispatcher) release(place *place, answered bool) {
+	place.sent.Done()
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	lane := place.lane
+	now := dispatcher.clock.Now()
+	lane.running--
+	lane.used = now
+	if answered {
+		lane.rate.Observe(place.cost, now.Sub(place.since))
+	}
+	if lane.waiting() > 0 {
+		if snapshot, err := lane.look(); err == nil {
+			dispatcher.pump(lane, snapshot)
+		}
+	}
+	dispatcher.report(lane)
+}
+
+// report tells the decider what the lane needs. The mutex is held.
+func (dispatcher *Dispatcher) report(lane *lane) {
+	if lane.target.Model == "" {
+		return
+	}
+	need := Need{Target: lane.target, Waiting: lane.waiting(), Running: lane.running}
+	earliest := func(next *entry) bool {
+		if need.Deadline.IsZero() || next.Deadline.Before(need.Deadline) {
+			need.Deadline = next.Deadline
+		}
+		return true
+	}
+	lane.queue.Each(earliest)
+	lane.special.Each(earliest)
+	dispatcher.deps.Demand.Report(need)
+}
--- /dev/null
+++ b/dispatch/result.go
@@ -0,0 +1,15 @@
+package dispatch
+
+import "github.com/bronzestall/bronzestall/outcome"
+
+// result is the end of one attempt.
+type result struct {
+	// failure is nil after a complete answer.
+	failure *outcome.Error
+	// notRun states that the upstream provably did not run the attempt.
+	notRun bool
+	// crashed states that the upstream ended while the attempt was in flight.
+	crashed bool
+	// final states that no other attempt can help, as after the caller left.
+	final bool
+}
--- /dev/null
+++ b/dispatch/services.go
@@ -0,0 +1,24 @@
+package dispatch
+
+import (
+	"context"
+
+	"github.com/bronzestall/bronzestall/request"
+)
+
+// Answer is the whole answer of a plain service.
+type Answer struct {
+	// Status is the HTTP status.
+	Status int
+	// ContentType is the content type of Body.
+	ContentType string
+	// Body is the whole body.
+	Body []byte
+}
+
+// Services calls plain services.
+type Services interface {
+	// Call sends the call to the upstream once. It fails like upstream.Generator.Generate and with
+	// upstream.ErrTruncated.
+	Call(ctx context.Context, name string, req request.Request) (Answer, error)
+}
--- /dev/null
+++ b/dispatch/settings.go
@@ -0,0 +1,51 @@
+package dispatch
+
+import "time"
+
+// Settings are the bounds of a Dispatcher. The zero value of a field means its default.
+type Settings struct {
+	// PerModel is the largest number of waiting requests of one model; zero means 256.
+	PerModel int
+	// Total is the largest number of waiting requests; zero means 4096.
+	Total int
+	// Shares holds the weights of tenants in fair queueing; a tenant that is absent has 1.
+	Shares map[string]int
+	// AnswerBytes is the largest answer that is not streamed; zero means 32 MiB.
+	AnswerBytes int
+	// RecordBytes is the largest answer that is recorded with a claim; zero means 1 MiB.
+	RecordBytes int
+	// ProbeTimeout bounds one probe of an upstream; zero means 1 s.
+	ProbeTimeout time.Duration
+	// PublishTimeout bounds how long suspects are told to other daemons before an answer; zero means 500 ms.
+	PublishTimeout time.Duration
+}
+
+// The defaults of Settings.
+const (
+	defaultPerModel       = 256
+	defaultTotal          = 4096
+	defaultAnswerBytes    = 32 << 20
+	defaultRecordBytes    = 1 << 20
+	defaultProbeTimeout   = time.Second
+	defaultPublishTimeout = 500 * time.Millisecond
+)
+
+// withDefaults returns the settings with the defaults filled in.
+func (settings Settings) withDefaults() Settings {
+	settings.PerModel = orDefault(settings.PerModel, defaultPerModel)
+	settings.Total = orDefault(settings.Total, defaultTotal)
+	settings.AnswerBytes = orDefault(settings.AnswerBytes, defaultAnswerBytes)
+	settings.RecordBytes = orDefault(settings.RecordBytes, defaultRecordBytes)
+	settings.ProbeTimeout = orDefault(settings.ProbeTimeout, defaultProbeTimeout)
+	settings.PublishTimeout = orDefault(settings.PublishTimeout, defaultPublishTimeout)
+	return settings
+}
+
+// orDefault returns value, or standard if value is zero.
+func orDefault[T comparable](value, standard T) T {
+	var zero T
+	if value == zero {
+		return standard
+	}
+	return value
+}
--- /dev/null
+++ b/dispatch/waiter.go
@@ -0,0 +1,39 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/queue"
+	"github.com/bronzestall/bronzestall/route"
+)
+
+// waiter is one request on its way through a lane.
+type waiter struct {
+	ask route.Ask
+	// special states that the request waits in lane.special.
+	special bool
+	// granted has room for one grant and gets exactly one, unless the request leaves the queue by itself.
+	granted chan grant
+}
+
+// entry is a waiter in a queue.
+type entry = queue.Entry[*waiter]
+
+// grant ends the wait of a request: it holds a place or a failure.
+type grant struct {
+	place   *place
+	failure *outcome.Error
+}
+
+// place is the right to run one request on one upstream. It must be given back once.
+type place struct {
+	lane      *lane
+	candidate route.Candidate
+	// own states that the upstream is in this data centre.
+	own  bool
+	sent *route.Sent
+	// since is the time of the grant.
+	since time.Time
+	cost  int
+}
--- /dev/null
+++ b/queue/queue.go
@@ -0,0 +1,188 @@
+package queue
+
+import "time"
+
+// Queue orders the waiting requests of one model. It is not safe for concurrent use.
+type Queue[T any] struct {
+	// capacity is the largest number of entries.
+	capacity int
+	// flows holds a flow for each tenant with entries, and for tenants whose debt is ahead of virtual time.
+	flows map[string]*flow[T]
+	// virtual is the start time of the entry that left last.
+	virtual float64
+	// length is the number of entries.
+	length int
+}
+
+// New returns an empty queue for at most capacity entries.
+func New[T any](capacity int) *Queue[T] {
+	return &Queue[T]{capacity: capacity, flows: map[string]*flow[T]{}}
+}
+
+// Len returns the number of entries.
+func (queue *Queue[T]) Len() int {
+	return queue.length
+}
+
+// Push adds an entry. In a full queue it displaces the last entry of the tenant with the most
+// entries for its share, if the tenant of the new entry has fewer; the displaced entry is returned
+// and no longer waits. It reports whether the entry was added.
+func (queue *Queue[T]) Push(entry *Entry[T]) (displaced *Entry[T], ok bool) {
+	if queue.length >= queue.capacity {
+		displaced = queue.displace(entry)
+		if displaced == nil {
+			return nil, false
+		}
+	}
+	queue.flow(entry).insert(entry)
+	queue.length++
+	return displaced, true
+}
+
+// Peek returns the entry that leaves next, or nil.
+func (queue *Queue[T]) Peek() *Entry[T] {
+	next := queue.next()
+	if next == nil {
+		return nil
+	}
+	return next.entries[0]
+}
+
+// Pop removes and returns the entry that leaves next, or nil, and charges its tenant.
+func (queue *Queue[T]) Pop() *Entry[T] {
+	entry := queue.Peek()
+	if entry != nil {
+		queue.Take(entry)
+	}
+	return entry
+}
+
+// Take removes a waiting entry that is served now and charges its tenant.
+func (queue *Queue[T]) Take(entry *Entry[T]) {
+	flow := entry.flow
+	queue.virtual = max(queue.virtual, flow.start)
+	flow.remove(entry)
+	queue.length--
+	flow.start += float64(max(entry.Cost, 1)) / float64(flow.share)
+	queue.prune()
+}
+
+// Remove takes a waiting entry out without a charge. Others are ignored.
+func (queue *Queue[T]) Remove(entry *Entry[T]) {
+	if entry.flow == nil {
+		return
+	}
+	entry.flow.remove(entry)
+	queue.length--
+	queue.prune()
+}
+
+// Each calls visit for each entry until it returns false. The queue must not change meanwhile.
+func (queue *Queue[T]) Each(visit func(entry *Entry[T]) bool) {
+	for _, flow := range queue.flows {
+		for _, entry := range flow.entries {
+			if !visit(entry) {
+				return
+			}
+		}
+	}
+}
+
+// Expired removes and returns the entries whose deadline is not after now.
+func (queue *Queue[T]) Expired(now time.Time) []*Entry[T] {
+	var expired []*Entry[T]
+	queue.Each(func(entry *Entry[T]) bool {
+		if !entry.Deadline.After(now) {
+			expired = append(expired, entry)
+		}
+		return true
+	})
+	for _, entry := range expired {
+		queue.Remove(entry)
+	}
+	return expired
+}
+
+// flow returns the flow of the tenant of the entry, made or woken if need be.
+func (queue *Queue[T]) flow(entry *Entry[T]) *flow[T] {
+	found, ok := queue.flows[entry.Tenant]
+	if !ok {
+		found = &flow[T]{tenant: entry.Tenant}
+		queue.flows[entry.Tenant] = found
+	}
+	found.share = max(entry.Share, 1)
+	if len(found.entries) == 0 {
+		found.start = max(found.start, queue.virtual)
+	}
+	return found
+}
+
+// next returns the flow with entries and the earliest virtual start; ties go by name.
+func (queue *Queue[T]) next() *flow[T] {
+	var best *flow[T]
+	for _, flow := range queue.flows {
+		if len(flow.entries) == 0 {
+			continue
+		}
+		if best == nil || flow.start < best.start || (flow.start == best.start && flow.tenant < best.tenant) {
+			best = flow
+		}
+	}
+	return best
+}
+
+// displace removes and returns the last entry of the longest flow, or nil if the tenant of the
+// new entry would then have more than it.
+func (queue *Queue[T]) displace(entry *Entry[T]) *Entry[T] {
+	var longest *flow[T]
+	for _, flow := range queue.flows {
+		if longest == nil || longer(flow, longest) {
+			longest = flow
+		}
+	}
+	if longest == nil || longest.tenant == entry.Tenant {
+		return nil
+	}
+	own := 0
+	if flow, ok := queue.flows[entry.Tenant]; ok {
+		own = len(flow.entries)
+	}
+	if (own+1)*longest.share >= len(longest.entries)*max(entry.Share, 1) {
+		return nil
+	}
+	last := longest.last()
+	queue.Remove(last)
+	return last
+}
+
+// longer reports whether a has more entries for its share than b; ties go by name.
+func longer[T any](a, b *flow[T]) bool {
+	left, right := len(a.entries)*b.share, len(b.entries)*a.share
+	if left == right {
+		return a.tenant < b.tenant
+	}
+	return left > right
+}
+
+// prune drops flows without entries whose debt virtual time has passed. An empty queue forgets all.
+func (queue *Queue[T]) prune() {
+	if queue.length == 0 {
+		clear(queue.flows)
+		queue.virtual = 0
+		return
+	}
+	for tenant, flow := range queue.flows {
+		if len(flow.entries) == 0 && flow.start <= queue.virtual {
+			delete(queue.flows, tenant)
+		}
+	}
+}
+
+// Cost returns the estimated tokens of all entries.
+func (queue *Queue[T]) Cost() float64 {
+	total := 0
+	for _, flow := range queue.flows {
+		total += flow.cost
+	}
+	return float64(total)
+}
