Join catalogue, fleet, dispatch and peers in the daemon

Cause: the parts need adapters between them: names for the gateway, candidates for the dispatcher, clients for members, demand for the decider, a report for operators. Ruled out: a request to the decider for each caller, which grows with a burst; levels join them.

--- a/catalogue/resolve.go
+++ b/catalogue/resolve.go
@@ -26,9 +26,9 @@
 // ResolveCall returns the plain service in force and its call. It fails with
 // Withdrawn, UnknownService, or MethodNotAllowed for a path that takes another method.
 func (catalogue Catalogue) ResolveCall(service, method, path string) (Service, Call, *outcome.Error) {
-	found, ok := catalogue.Service(service)
-	if !ok {
-		return Service{}, Call{}, catalogue.missing(EntryName{Kind: ServiceKind, Name: service}, outcome.UnknownService)
+	found, failure := catalogue.ResolveService(service)
+	if failure != nil {
+		return Service{}, Call{}, failure
 	}
 	call, ok := found.Call(method, path)
 	if ok {
@@ -40,6 +40,15 @@
 	return Service{}, Call{}, outcome.New(outcome.UnknownService, "service %s has no call %s", service, path)
 }
 
+// ResolveService returns the plain service in force. It fails with Withdrawn or UnknownService.
+func (catalogue Catalogue) ResolveService(name string) (Service, *outcome.Error) {
+	service, ok := catalogue.Service(name)
+	if !ok {
+		return Service{}, catalogue.missing(EntryName{Kind: ServiceKind, Name: name}, outcome.UnknownService)
+	}
+	return service, nil
+}
+
 // Call returns the call with the method and the path.
 func (service Service) Call(method, path string) (Call, bool) {
 	at := slices.IndexFunc(service.Calls, func(call Call) bool { return call.Method == method && call.Path == path })
--- /dev/null
+++ b/daemon/directory.go
@@ -0,0 +1,110 @@
+package daemon
+
+import (
+	"github.com/bronzestall/bronzestall/catalogue"
+	"github.com/bronzestall/bronzestall/dispatch"
+	"github.com/bronzestall/bronzestall/fleet"
+	"github.com/bronzestall/bronzestall/route"
+	"github.com/bronzestall/bronzestall/settings"
+	"github.com/bronzestall/bronzestall/upstream"
+)
+
+// directory tells the dispatcher what can serve a request.
+type directory struct {
+	dataCentre string
+	fleet      *fleet.Fleet
+	state      inForce
+}
+
+// Replicas returns the ready replicas of the version in force in each data centre. A data centre
+// without one is served by its replicas of other versions until the new one is ready there.
+func (directory *directory) Replicas(target catalogue.Target) (dispatch.Snapshot, error) {
+	known, err := directory.state.catalogue()
+	if err != nil {
+		return dispatch.Snapshot{}, err
+	}
+	model, _, failure := known.Resolve(target)
+	if failure != nil {
+		return dispatch.Snapshot{}, failure
+	}
+	changed := directory.fleet.Changed()
+	places := directory.fleet.View().Places(model.Name)
+	return directory.snapshot(places, model, changed), nil
+}
+
+func (directory *directory) snapshot(places []fleet.Place, model catalogue.Model, changed <-chan struct{}) dispatch.Snapshot {
+	current := currentIn(places, model.Version)
+	snapshot := dispatch.Snapshot{Changed: changed}
+	for _, place := range places {
+		dataCentre := place.Known.Member.DataCentre
+		if place.Replica.Phase != upstream.Ready {
+			continue
+		}
+		if current[dataCentre] && place.Replica.Version != model.Version {
+			continue
+		}
+		if dataCentre == directory.dataCentre {
+			snapshot.Own = append(snapshot.Own, candidate(place, model))
+		} else {
+			snapshot.Others = append(snapshot.Others, candidate(place, model))
+		}
+	}
+	return snapshot
+}
+
+// currentIn tells which data centres have a ready replica of the version that takes new work.
+func currentIn(places []fleet.Place, version string) map[string]bool {
+	current := map[string]bool{}
+	for _, place := range places {
+		if place.Replica.Phase == upstream.Ready && place.Replica.Version == version && !place.Known.Leaving() {
+			current[place.Known.Member.DataCentre] = true
+		}
+	}
+	return current
+}
+
+func candidate(place fleet.Place, model catalogue.Model) route.Candidate {
+	return route.Candidate{
+		Upstream: place.Known.Member.Name,
+		BootID:   place.Known.State.BootID,
+		Version:  place.Replica.Version,
+		Slots:    model.Concurrency,
+		Running:  place.Replica.Running,
+		Waiting:  place.Replica.Waiting,
+		Reported: place.Known.Heard,
+		Adapters: place.Replica.Adapters,
+		Role:     place.Known.State.Role,
+		Leaving:  place.Known.Leaving(),
+	}
+}
+
+// Service returns the upstreams of a plain service.
+func (directory *directory) Service(name string) (dispatch.Snapshot, error) {
+	known, err := directory.state.catalogue()
+	if err != nil {
+		return dispatch.Snapshot{}, err
+	}
+	service, failure := known.ResolveService(name)
+	if failure != nil {
+		return dispatch.Snapshot{}, failure
+	}
+	snapshot := dispatch.Snapshot{Changed: directory.fleet.Changed()}
+	view := directory.fleet.View()
+	for _, upstreamName := range service.Upstreams {
+		directory.addService(&snapshot, view, upstreamName)
+	}
+	return snapshot, nil
+}
+
+func (directory *directory) addService(snapshot *dispatch.Snapshot, view *fleet.View, name string) {
+	known, ok := view.Upstream(name)
+	if !ok || known.Member.Kind != settings.ServiceKind {
+		return
+	}
+	made := route.Candidate{Upstream: name, Leaving: known.Leaving()}
+	if known.Member.DataCentre == directory.dataCentre {
+		snapshot.Own = append(snapshot.Own, made)
+	} else {
+		snapshot.Others = append(snapshot.Others, made)
+	}
+}
--- /dev/null
+++ b/daemon/pool.go
@@ -0,0 +1,92 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+
+	"k8s.io/utils/clock"
+
+	"github.com/bronzestall/bronzestall/dispatch"
+	"github.com/bronzestall/bronzestall/fleet"
+	"github.com/bronzestall/bronzestall/request"
+	"github.com/bronzestall/bronzestall/service"
+	"github.com/bronzestall/bronzestall/upstream"
+)
+
+// pool keeps one client for each upstream. A member with a new address or incarnation gets a new client.
+type pool struct {
+	fleet *fleet.Fleet
+	clock clock.Clock
+	lock  sync.Mutex
+	// engines and services have at most one entry for each member that was asked for.
+	engines  map[string]pooled[*upstream.Client]
+	services map[string]pooled[*service.Client]
+}
+
+type pooled[C any] struct {
+	address     string
+	incarnation string
+	client      C
+}
+
+func newPool(fleet *fleet.Fleet, clock clock.Clock) *pool {
+	return &pool{
+		fleet:    fleet,
+		clock:    clock,
+		engines:  map[string]pooled[*upstream.Client]{},
+		services: map[string]pooled[*service.Client]{},
+	}
+}
+
+// find returns the client of a member, or false if the name is not a member. A client that is
+// replaced is closed.
+func find[C interface{ Close() }](pool *pool, clients map[string]pooled[C], name string, open func(member fleet.Member) C) (C, bool) {
+	known, ok := pool.fleet.View().Upstream(name)
+	pool.lock.Lock()
+	defer pool.lock.Unlock()
+	old, had := clients[name]
+	if ok && had && old.address == known.Member.Address && old.incarnation == known.Member.Incarnation {
+		return old.client, true
+	}
+	if had {
+		old.client.Close()
+		delete(clients, name)
+	}
+	if !ok {
+		var none C
+		return none, false
+	}
+	client := open(known.Member)
+	clients[name] = pooled[C]{known.Member.Address, known.Member.Incarnation, client}
+	return client, true
+}
+
+func (pool *pool) engine(name string) (*upstream.Client, bool) {
+	return find(pool, pool.engines, name, func(member fleet.Member) *upstream.Client {
+		return upstream.NewClient(upstream.ClientSettings{Name: name, Address: member.Address}, pool.clock)
+	})
+}
+
+// Engine returns the order side of an engine.
+func (pool *pool) Engine(name string) (upstream.Engine, bool) {
+	client, ok := pool.engine(name)
+	return client, ok
+}
+
+// Generator returns the request side of an engine.
+func (pool *pool) Generator(name string) (upstream.Generator, bool) {
+	client, ok := pool.engine(name)
+	return client, ok
+}
+
+// Call sends a call to a plain service once.
+func (pool *pool) Call(ctx context.Context, name string, req request.Request) (dispatch.Answer, error) {
+	client, ok := find(pool, pool.services, name, func(member fleet.Member) *service.Client {
+		return service.NewClient(service.ClientSettings{Name: name, Address: member.Address}, pool.clock)
+	})
+	if !ok {
+		return dispatch.Answer{}, upstream.ErrNotSent
+	}
+	answer, err := client.Call(ctx, req)
+	return dispatch.Answer{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body}, err
+}
--- a/event/daemon.go
+++ b/event/daemon.go
@@ -17,3 +17,9 @@
 	VMListAway = define(110, "VMListAway", Warning, "The VM list cannot be read; the last one stays in force.")
 	VMListBack = define(111, "VMListBack", Info, "The VM list can be read again.")
 )
+
+// The events of reporting demand.
+var (
+	DeciderLost  = define(130, "DeciderLost", Warning, "No decider of the data centre answers; cold requests wait for a successor within their deadlines.")
+	DeciderFound = define(131, "DeciderFound", Info, "A decider of the data centre answers again.")
+)
