--- a/decider/reign.go
+++ b/decider/reign.go
@@ -42,7 +42,7 @@
 	outlooks  map[string]outlookAt
 	needs     []placement.Need
 	// wanted has the models that routers ask for or that are to be warm, with the number of replicas.
-	machines []placement.Upstream
+	machines  []placement.Upstream
 	catalogue Catalogue
 	now       time.Time
 }
--- a/decider/settings.go
+++ b/decider/settings.go
@@ -12,7 +12,7 @@
 	defaultStaleAfter   = 5 * time.Second
 	defaultLinger       = 30 * time.Second
 	defaultListLag      = 30 * time.Second
-	defaultDemandLasts  = time.Second
+	defaultDemandLasts  = 3 * time.Second
 	defaultOrderTimeout = 5 * time.Second
 	defaultRetryAfter   = time.Second
 	defaultSendersEvery = 2 * time.Second
@@ -51,7 +51,7 @@
 	Linger time.Duration
 	// ListLag bounds how late the VM list is; zero means 30 s.
 	ListLag time.Duration
-	// DemandLasts is how long a report of a router counts; zero means 1 s.
+	// DemandLasts is how long a report of a router counts; zero means 3 s.
 	DemandLasts time.Duration
 	// OrderTimeout bounds one order; zero means 5 s.
 	OrderTimeout time.Duration
--- /dev/null
+++ b/internal/enginefake/fault.go
@@ -0,0 +1,74 @@
+package enginefake
+
+import "github.com/bronzestall/bronzestall/upstream"
+
+// Fault is what happens to one order.
+type Fault int
+
+// The faults of orders.
+const (
+	// None does the order and answers.
+	None Fault = iota
+	// NotSent refuses the connection.
+	NotSent
+	// LostBefore drops the order and the answer.
+	LostBefore
+	// LostAfter does the order and loses the answer.
+	LostAfter
+	// Late loses the answer and does the order at Deliver.
+	Late
+)
+
+// FailOrders sets the faults of the next orders other than Touch, in order.
+func (engine *Engine) FailOrders(faults ...Fault) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	engine.faults = append(engine.faults, faults...)
+}
+
+// SetUnreachable makes every call fail before it is sent.
+func (engine *Engine) SetUnreachable(unreachable bool) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	engine.unreachable = unreachable
+}
+
+// SetLeaving makes the engine say that it takes no new work.
+func (engine *Engine) SetLeaving(leaving bool) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	engine.leaving = leaving
+}
+
+// FailLoads makes the next loads end as Failed.
+func (engine *Engine) FailLoads(count int) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	engine.failing += count
+}
+
+// Deliver does the orders that Late holds back and returns how many there were.
+func (engine *Engine) Deliver() int {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	late := engine.late
+	engine.late = nil
+	for _, order := range late {
+		engine.do(order)
+	}
+	return len(late)
+}
+
+// DeliverOrder does an order as a paused sender would after it went on.
+func (engine *Engine) DeliverOrder(order upstream.Order) upstream.Verdict {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	return engine.do(order)
+}
+
+// Restart begins a new boot with empty memory that remembers no order and no fencing number.
+func (engine *Engine) Restart() {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	engine.boot()
+}
--- /dev/null
+++ b/internal/enginefake/inspect.go
@@ -0,0 +1,61 @@
+package enginefake
+
+import (
+	"slices"
+
+	"github.com/bronzestall/bronzestall/upstream"
+)
+
+// Overcommits returns how many loads did not fit into the memory.
+func (engine *Engine) Overcommits() int {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	return engine.overcommits
+}
+
+// Used returns the accelerator memory in bytes that replicas hold.
+func (engine *Engine) Used() int64 {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	engine.progress()
+	return engine.used()
+}
+
+// Loaded returns the replicas of a model that are not failed, as the engine itself counts them.
+func (engine *Engine) Loaded(model string) int {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	engine.progress()
+	count := 0
+	for _, replica := range engine.replicas {
+		if replica.Model == model && replica.Phase != upstream.Failed {
+			count++
+		}
+	}
+	return count
+}
+
+// Orders returns the orders that reached the engine or were lost on the way, in order.
+func (engine *Engine) Orders(verb upstream.Verb) []upstream.Order {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	return slices.DeleteFunc(slices.Clone(engine.sent), func(order upstream.Order) bool { return order.Verb != verb })
+}
+
+// SetLoad sets the requests that a replica runs.
+func (engine *Engine) SetLoad(model string, running int) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	for _, replica := range engine.replicas {
+		if replica.Model == model {
+			replica.Running = running
+		}
+	}
+}
+
+// SetCheckpoint sets the fastest tier that has a checkpoint.
+func (engine *Engine) SetCheckpoint(model, version string, tier upstream.Tier) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	engine.checkpoints[upstream.Checkpoint(model, version)] = tier
+}
