--- a/decider/world_test.go
+++ b/decider/world_test.go
@@ -36,7 +36,7 @@
 
 // kind is a kind of engines.
 type kind struct {
-	name                     string
+	name                      string
 	checksFencing, checksBoot bool
 }
 
