Judge leases by histories under faults

Cause: the lease had no test. Change: table tests for takeover, unclear renewals and takeovers, hand-back and release, and random histories of four candidates judged by porcupine with at most one holder at a time.

--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,268 @@
+package lease
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"k8s.io/klog/v2"
+	testingclock "k8s.io/utils/clock/testing"
+
+	"github.com/bronzestall/bronzestall/internal/platformfake"
+	"github.com/bronzestall/bronzestall/platform"
+)
+
+func TestMain(m *testing.M) {
+	klog.LogToStderr(false)
+	klog.SetOutput(io.Discard)
+	os.Exit(m.Run())
+}
+
+// site is one table service with candidates under one clock.
+type site struct {
+	clock    *testingclock.FakeClock
+	platform *platformfake.Platform
+}
+
+func newSite(seed uint64) *site {
+	clock := testingclock.NewFakeClock(time.Date(2026, 3, 1, 4, 0, 0, 0, time.UTC))
+	return &site{clock: clock, platform: platformfake.New(clock, rand.New(rand.NewPCG(seed, 1)))}
+}
+
+func (site *site) candidate(name, dataCentre string) (*Lease, *platformfake.Client) {
+	client := site.platform.Client()
+	holder := Holder{Name: name, Incarnation: name + "-1", DataCentre: dataCentre}
+	return New(client, Settings{DataCentre: "fukuoka"}, site.clock, holder), client
+}
+
+func held(lease *Lease) bool {
+	_, _, ok := lease.Held()
+	return ok
+}
+
+func mustStep(t *testing.T, lease *Lease) {
+	t.Helper()
+	if err := lease.Step(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestSuccessorWaitsForWholeTermOfItsOwn(t *testing.T) {
+	site := newSite(1)
+	first, _ := site.candidate("entry-1", "fukuoka")
+	second, _ := site.candidate("entry-2", "fukuoka")
+	mustStep(t, first)
+	site.clock.Step(8 * time.Second)
+	mustStep(t, second)
+	site.clock.Step(9 * time.Second)
+	mustStep(t, second)
+	if held(second) {
+		t.Fatal("taken 9 s after the row was first read, the term is 10 s")
+	}
+	if held(first) {
+		t.Fatal("held past the term")
+	}
+	site.clock.Step(time.Second)
+	mustStep(t, second)
+	fence, _, ok := second.Held()
+	if !ok || fence != 2 {
+		t.Fatalf("fence %d, held %t, want 2 and true", fence, ok)
+	}
+}
+
+func TestFormerHolderCannotWriteUnderItsGuard(t *testing.T) {
+	site := newSite(1)
+	first, client := site.candidate("entry-1", "fukuoka")
+	second, _ := site.candidate("entry-2", "fukuoka")
+	mustStep(t, first)
+	guard, _ := first.Guard()
+	mustStep(t, second)
+	site.clock.Step(11 * time.Second)
+	mustStep(t, second)
+	if _, err := client.Commit(context.Background(), []platform.Write{guard}); err == nil {
+		t.Fatal("a transaction under the guard of a former holder was accepted")
+	}
+	mustStep(t, first)
+	if _, owned := first.Owned(); owned {
+		t.Fatal("the former holder did not notice")
+	}
+}
+
+func TestUnclearRenewalCountsFromItsStart(t *testing.T) {
+	for _, fault := range []platformfake.Fault{platformfake.UnclearWithEffect, platformfake.UnclearWithoutEffect, platformfake.UnclearLate} {
+		t.Run(fmt.Sprint(fault), func(t *testing.T) {
+			site := newSite(1)
+			lease, client := site.candidate("entry-1", "fukuoka")
+			mustStep(t, lease)
+			site.clock.Step(3 * time.Second)
+			sent := site.clock.Now()
+			client.FailWrites(fault)
+			client.FailReads(1)
+			_ = lease.Step(context.Background())
+			site.clock.Step(time.Second)
+			client.FailReads(1)
+			site.platform.ApplyLate()
+			_ = lease.Step(context.Background())
+			site.clock.Step(time.Second)
+			mustStep(t, lease)
+			_, until, ok := lease.Held()
+			if !ok {
+				t.Fatal("lost")
+			}
+			if fault != platformfake.UnclearWithoutEffect && until.After(sent.Add(9*time.Second)) {
+				t.Fatalf("held until %v after the unclear renewal, want at most 9 s", until.Sub(sent))
+			}
+		})
+	}
+}
+
+func TestUnclearTakeoverIsTakenUp(t *testing.T) {
+	site := newSite(1)
+	lease, client := site.candidate("entry-1", "fukuoka")
+	client.FailWrites(platformfake.UnclearLate)
+	_ = lease.Step(context.Background())
+	if held(lease) {
+		t.Fatal("held without a clear answer")
+	}
+	site.platform.ApplyLate()
+	mustStep(t, lease)
+	if fence, _, ok := lease.Held(); !ok || fence != 1 {
+		t.Fatalf("fence %d, held %t, want 1 and true", fence, ok)
+	}
+}
+
+func TestForeignHolderHandsBack(t *testing.T) {
+	site := newSite(1)
+	foreign, _ := site.candidate("entry-9", "kumamoto")
+	mustStep(t, foreign)
+	local, _ := site.candidate("entry-1", "fukuoka")
+	longest, without := time.Duration(0), time.Duration(0)
+	for second := range 20 {
+		site.clock.Step(time.Second)
+		mustStep(t, local)
+		if second%3 == 0 {
+			mustStep(t, foreign)
+		}
+		without += time.Second
+		if held(local) || held(foreign) {
+			without = 0
+		}
+		longest = max(longest, without)
+	}
+	if !held(local) || held(foreign) {
+		t.Fatalf("local %t, foreign %t", held(local), held(foreign))
+	}
+	if longest > time.Second {
+		t.Errorf("nobody held the lease for %v", longest)
+	}
+}
+
+func TestForeignHolderKeepsLeaseFromDeadLocal(t *testing.T) {
+	site := newSite(1)
+	foreign, _ := site.candidate("entry-9", "kumamoto")
+	mustStep(t, foreign)
+	local, _ := site.candidate("entry-1", "fukuoka")
+	mustStep(t, local)
+	for range 5 {
+		site.clock.Step(3 * time.Second)
+		mustStep(t, foreign)
+	}
+	if !held(foreign) {
+		t.Fatal("handed over for a wish that was not repeated")
+	}
+}
+
+func TestReleaseIsTakenAtOnce(t *testing.T) {
+	site := newSite(1)
+	first, _ := site.candidate("entry-1", "fukuoka")
+	second, _ := site.candidate("entry-2", "fukuoka")
+	mustStep(t, first)
+	mustStep(t, second)
+	if err := first.Release(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	mustStep(t, second)
+	if fence, _, ok := second.Held(); !ok || fence != 2 {
+		t.Fatalf("fence %d, held %t, want 2 and true", fence, ok)
+	}
+}
+
+// hold is one operation of a history: a process believed to hold a fencing number.
+type hold struct {
+	holder string
+	fence  uint64
+}
+
+// holdModel is a register of the newest fencing number. A hold is legal under a higher number,
+// or under the same number by the same holder.
+var holdModel = porcupine.Model{
+	Init: func() any { return hold{} },
+	Step: func(state, input, _ any) (bool, any) {
+		last, next := state.(hold), input.(hold)
+		return next.fence > last.fence || next == last, next
+	},
+}
+
+// TestRandomHistoriesAreLinearizable lets candidates of two data centres run, pause and meet faults.
+func TestRandomHistoriesAreLinearizable(t *testing.T) {
+	for seed := range uint64(15) {
+		runHistory(t, seed)
+	}
+}
+
+func runHistory(t *testing.T, seed uint64) {
+	t.Helper()
+	site := newSite(seed)
+	random := rand.New(rand.NewPCG(seed, 2))
+	var candidates []*Lease
+	var clients []*platformfake.Client
+	for i := range 4 {
+		centre := "fukuoka"
+		if i > 1 {
+			centre = "kumamoto"
+		}
+		lease, client := site.candidate(fmt.Sprintf("entry-%d", i), centre)
+		client.BeforeCommit(func() { site.clock.Step(time.Duration(random.IntN(1500)) * time.Millisecond) })
+		candidates, clients = append(candidates, lease), append(clients, client)
+	}
+	site.platform.SetRates(platformfake.Rates{Unavailable: 0.1, UnclearWithEffect: 0.1, UnclearWithoutEffect: 0.1})
+	var history []porcupine.Operation
+	for moment := range int64(2000) {
+		site.clock.Step(time.Duration(random.IntN(700)) * time.Millisecond)
+		chosen := random.IntN(len(candidates))
+		if random.IntN(50) == 0 {
+			clients[chosen].FailWrites(platformfake.UnclearLate)
+		}
+		if random.IntN(100) == 0 {
+			site.platform.ApplyLate()
+		}
+		if random.IntN(3) > 0 {
+			_ = candidates[chosen].Step(context.Background())
+		}
+		holders := 0
+		for i, lease := range candidates {
+			fence, _, ok := lease.Held()
+			if !ok {
+				continue
+			}
+			holders++
+			history = append(history, porcupine.Operation{
+				ClientId: i, Input: hold{lease.holder.Name, fence}, Call: 2 * moment, Return: 2*moment + 1,
+			})
+		}
+		if holders > 1 {
+			t.Fatalf("seed %d: %d holders at once", seed, holders)
+		}
+	}
+	if len(history) < 100 {
+		t.Fatalf("seed %d: only %d holds", seed, len(history))
+	}
+	if !porcupine.CheckOperations(holdModel, history) {
+		t.Fatalf("seed %d: fencing numbers of holders are not in order", seed)
+	}
+}
