--- a/decider/commit.go
+++ b/decider/commit.go
@@ -42,7 +42,8 @@
 		return reign.failed(err)
 	default:
 		reign.pending = &change
-		return reign.failed(err)
+		reign.overtaken = false
+		return err
 	}
 }
 
@@ -116,6 +117,7 @@
 
 // decideAway decides within the recorded budget. Rows follow once the table service is back.
 func (reign *reign) decideAway(decisions []placement.Decision) {
+	reign.overtaken = true
 	for _, decision := range decisions {
 		if decision.Verb == upstream.ChangeRole {
 			continue
--- a/decider/observe.go
+++ b/decider/observe.go
@@ -50,14 +50,15 @@
 }
 
 // adopt counts a replica without a row as decided. That is expected of an upstream that is seen
-// for the first time and of replicas within the budget of a former holder.
+// for the first time, of replicas within the budget of a former holder, and of a successor's
+// while the table service is away for this process alone.
 func (reign *reign) adopt(key intent.ReplicaKey, replica upstream.Replica) {
 	memory := replica.Memory
 	if model, ok := reign.catalogue.Model(key.Model); ok {
 		memory = model.Memory()
 	}
 	budget := reign.book.Permitted(key.Model, memory, key.Upstream)
-	invariant.Check(budget > 0 || !reign.met[key.Upstream], invariant.ReplicasDecided,
+	invariant.Check(budget > 0 || reign.away || !reign.met[key.Upstream], invariant.ReplicasDecided,
 		"Upstream", key.Upstream, "Model", key.Model, "Version", key.Version, "Order", replica.Order)
 	row := reign.newIntent(upstream.Load, key.Upstream, key.Model, key.Version)
 	row.Memory = max(replica.Memory, 0)
--- a/decider/reign.go
+++ b/decider/reign.go
@@ -20,6 +20,8 @@
 	budgetAt time.Time
 	// pending is a change whose commit has no known result, or nil.
 	pending *intent.Change
+	// overtaken states that loads were decided without the table service since then.
+	overtaken bool
 	// away states that the table service gave no usable answer. It ends when the lease was
 	// renewed, that is when its term no longer ends at awayTerm.
 	away     bool
@@ -93,6 +95,7 @@
 	reign.catalogue = reign.decider.deps.Catalogue()
 	reign.needs = reign.decider.needs(reign.now)
 	reign.outlooks = map[string]outlookAt{}
+	reign.noteHeld()
 	reign.observe()
 	reign.touch(ctx)
 	reign.wish()
--- a/decider/store.go
+++ b/decider/store.go
@@ -13,7 +13,6 @@
 // askStore does what needs the table service before a pass: settles a change without a known
 // result, proves senders gone and shares permits.
 func (reign *reign) askStore(ctx context.Context) error {
-	reign.noteHeld()
 	if reign.away {
 		return nil
 	}
@@ -109,12 +108,25 @@
 	}
 	change := *reign.pending
 	reign.pending = nil
-	if took {
-		reign.apply(change)
+	if !took {
+		return nil
+	}
+	reign.apply(change)
+	if reign.overtaken {
+		reign.abandon(change)
 	}
 	return nil
 }
 
+// abandon gives up the orders of a change that were never sent and have been decided anew.
+func (reign *reign) abandon(change intent.Change) {
+	for _, row := range change.Open {
+		if entry := reign.book.Entry(row.ID); entry != nil && entry.Attempts == 0 {
+			reign.book.Abandon(row.ID)
+		}
+	}
+}
+
 // took reports whether the change is in the table service.
 func (reign *reign) took(ctx context.Context, change intent.Change) (bool, error) {
 	if len(change.Open) > 0 {
--- a/internal/enginefake/fault.go
+++ b/internal/enginefake/fault.go
@@ -26,6 +26,13 @@
 	engine.faults = append(engine.faults, faults...)
 }
 
+// ClearFaults drops the faults of orders to come.
+func (engine *Engine) ClearFaults() {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	engine.faults = nil
+}
+
 // SetUnreachable makes every call fail before it is sent.
 func (engine *Engine) SetUnreachable(unreachable bool) {
 	engine.mutex.Lock()
