Count rows on engines that were never seen; record closed budgets

Change: passes include engines that have rows and no view; budgets of gone holders are written again without their closed shares.

--- a/decider/commit.go
+++ b/decider/commit.go
@@ -65,7 +65,7 @@
 	for _, decision := range decisions {
 		change.Open = append(change.Open, reign.intend(decision))
 	}
-	change.CloseBudgets = reign.book.ClosableBudgets(reign.now)
+	change.Trim = reign.book.TrimBudgets(reign.now)
 	budget := reign.nextBudget(change.Open)
 	if !budget.Equal(reign.budget) && (!change.IsEmpty() || reign.due(&reign.budgetAt, defaultBudgetEvery)) {
 		change.Budget = &budget
@@ -107,8 +107,12 @@
 	for _, id := range change.Close {
 		reign.book.Remove(id)
 	}
-	for _, fence := range change.CloseBudgets {
-		reign.book.RemoveBudget(fence)
+	for _, budget := range change.Trim {
+		if len(budget.Shares) == 0 {
+			reign.book.RemoveBudget(budget.Fence)
+			continue
+		}
+		reign.book.AddBudget(budget, reign.now)
 	}
 	if change.Budget != nil {
 		reign.budget = *change.Budget
--- a/decider/input.go
+++ b/decider/input.go
@@ -10,10 +10,8 @@
 // pass runs placement over what is known now.
 func (reign *reign) pass() placement.Result {
 	reign.machines = reign.machines[:0]
-	for name := range reign.met {
-		if view, known := reign.book.View(name); known {
-			reign.machines = append(reign.machines, reign.machine(view))
-		}
+	for _, name := range reign.upstreams() {
+		reign.machines = append(reign.machines, reign.machine(name))
 	}
 	decider := reign.decider
 	busy := reign.busy()
@@ -42,17 +40,17 @@
 	return admitted
 }
 
-func (reign *reign) machine(view intent.View) placement.Upstream {
-	name := view.State.Upstream
+func (reign *reign) machine(name string) placement.Upstream {
+	view, _ := reign.book.View(name)
 	fresh := reign.now.Sub(view.AsOf) <= reign.decider.settings.StaleAfter
 	machine := placement.Upstream{
 		Name:        name,
 		Role:        view.State.Role,
 		Capacity:    view.State.Capacity,
 		Charged:     reign.book.Charge(name, reign.now),
-		Usable:      fresh,
+		Usable:      fresh && reign.met[name],
 		Leaving:     view.State.Leaving,
-		Replicas:    reign.replicas(view),
+		Replicas:    reign.replicas(name, view),
 		Checkpoints: view.State.Checkpoints,
 	}
 	if reign.away {
@@ -62,8 +60,7 @@
 }
 
 // replicas returns the replicas that the engine shows and those that are decided.
-func (reign *reign) replicas(view intent.View) []placement.Replica {
-	name := view.State.Upstream
+func (reign *reign) replicas(name string, view intent.View) []placement.Replica {
 	var replicas []placement.Replica
 	for _, shown := range view.State.Replicas {
 		if shown.Phase == upstream.Failed {
--- a/decider/interfaces.go
+++ b/decider/interfaces.go
@@ -10,7 +10,8 @@
 
 // Fleet is what the daemon knows of the engines of the data centre.
 type Fleet interface {
-	// Views returns the newest state of every engine. An engine whose VM is gone from the VM list is left out.
+	// Views returns the newest state of every engine of the VM list. An engine that was never
+	// heard has a zero AsOf; one whose VM is gone from the list is left out.
 	Views() []intent.View
 	// Changed is sent to, or closed, when a view has changed; a missed signal delays a step by one interval.
 	Changed() <-chan struct{}
--- a/decider/observe.go
+++ b/decider/observe.go
@@ -1,6 +1,7 @@
 package decider
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bronzestall/bronzestall/event"
@@ -14,7 +15,7 @@
 	present := map[string]bool{}
 	for _, view := range reign.decider.deps.Fleet.Views() {
 		present[view.State.Upstream] = true
-		if reign.book.Observe(view) {
+		if !view.AsOf.IsZero() && reign.book.Observe(view) {
 			reign.observeView(view)
 		}
 	}
@@ -71,7 +72,7 @@
 // forgetMissing takes an upstream as empty once it has been left out of the views for as long as
 // the VM list may lag.
 func (reign *reign) forgetMissing(present map[string]bool) {
-	for name := range reign.met {
+	for _, name := range reign.upstreams() {
 		if present[name] {
 			delete(reign.missing, name)
 			continue
@@ -82,13 +83,29 @@
 			continue
 		}
 		if reign.now.Sub(since) > reign.decider.settings.ListLag {
-			reign.book.Observe(intent.View{State: upstream.State{Upstream: name}, AsOf: reign.now})
-			delete(reign.met, name)
-			delete(reign.missing, name)
+			reign.forget(name)
 		}
 	}
 }
 
+func (reign *reign) forget(name string) {
+	reign.book.Observe(intent.View{State: upstream.State{Upstream: name}, AsOf: reign.now})
+	for _, entry := range reign.book.On(name) {
+		reign.book.Abandon(entry.Intent.ID)
+	}
+	delete(reign.met, name)
+}
+
+// upstreams returns the upstreams that were seen or that have intents, in order of names.
+func (reign *reign) upstreams() []string {
+	names := reign.book.Upstreams()
+	for name := range reign.met {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // noteLoads learns from loads that have ended since the last step.
 func (reign *reign) noteLoads() {
 	for _, entry := range reign.book.Entries() {
--- a/decider/store.go
+++ b/decider/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/bronzestall/bronzestall/event"
@@ -136,16 +137,24 @@
 		exists, err := reign.decider.log.Exists(ctx, change.Close[0])
 		return !exists, err
 	}
-	budgets, err := reign.decider.log.Budgets(ctx)
-	if err != nil {
-		return false, err
+	wanted := slices.Clone(change.Trim)
+	if change.Budget != nil {
+		wanted = append(wanted, *change.Budget)
 	}
-	for _, budget := range budgets {
-		if budget.Fence == reign.fence && change.Budget != nil {
-			return budget.Equal(*change.Budget), nil
+	budgets, err := reign.decider.log.Budgets(ctx)
+	return err == nil && holdsBudgets(budgets, wanted), err
+}
+
+// holdsBudgets reports whether the recorded budgets are as wanted; a wanted one without shares
+// must be gone.
+func holdsBudgets(recorded, wanted []intent.Budget) bool {
+	for _, budget := range wanted {
+		at := slices.IndexFunc(recorded, func(other intent.Budget) bool { return other.Fence == budget.Fence })
+		if at < 0 && len(budget.Shares) > 0 || at >= 0 && !recorded[at].Equal(budget) {
+			return false
 		}
 	}
-	return false, nil
+	return true
 }
 
 func (reign *reign) sharePermits(ctx context.Context) error {
--- a/decider/world_test.go
+++ b/decider/world_test.go
@@ -151,7 +151,9 @@
 // Views implements Fleet.
 func (process *process) Views() []intent.View {
 	views := make([]intent.View, 0, len(process.views))
-	for _, view := range process.views {
+	for name := range process.world.byName {
+		view := process.views[name]
+		view.State.Upstream = name
 		views = append(views, view)
 	}
 	return views
--- a/intent/book.go
+++ b/intent/book.go
@@ -75,6 +75,15 @@
 	return all
 }
 
+// Upstreams returns the names of the upstreams with entries.
+func (book *Book) Upstreams() []string {
+	names := make([]string, 0, len(book.byUpstream))
+	for name := range book.byUpstream {
+		names = append(names, name)
+	}
+	return names
+}
+
 // On returns the entries of an upstream. The caller must not change the slice.
 func (book *Book) On(name string) []*Entry {
 	return book.byUpstream[name]
--- a/intent/charge.go
+++ b/intent/charge.go
@@ -144,24 +144,26 @@
 	return !budget.senderGone.IsZero() && now.After(budget.senderGone.Add(book.linger))
 }
 
-// ClosableBudgets returns the fencing numbers of the budgets whose holder is gone and whose
-// upstreams have all been seen since.
-func (book *Book) ClosableBudgets(now time.Time) []uint64 {
-	var fences []uint64
+// TrimBudgets returns the budgets whose holder is gone, each with the shares on upstreams that
+// have not been seen since. A budget without shares left may be removed.
+func (book *Book) TrimBudgets(now time.Time) []Budget {
+	var trimmed []Budget
 	for _, budget := range book.budgets {
 		if !book.budgetSettled(budget, now) {
 			continue
 		}
-		closed := true
+		rest := budget.Budget
+		rest.Shares = nil
 		for _, share := range budget.Shares {
-			view, known := book.views[share.Upstream]
-			closed = closed && known && view.AsOf.After(budget.senderGone.Add(book.linger))
+			if !book.budgetClosed(budget, share.Upstream, now) {
+				rest.Shares = append(rest.Shares, share)
+			}
 		}
-		if closed {
-			fences = append(fences, budget.Fence)
+		if len(rest.Shares) < len(budget.Shares) || len(rest.Shares) == 0 {
+			trimmed = append(trimmed, rest)
 		}
 	}
-	return fences
+	return trimmed
 }
 
 // RemoveBudget takes the budget of a former holder out of the book.
--- a/intent/log.go
+++ b/intent/log.go
@@ -40,19 +40,19 @@
 	Close []string
 	// Budget is the new budget of the holder, or nil to leave it.
 	Budget *Budget
-	// CloseBudgets are the fencing numbers of budgets to remove.
-	CloseBudgets []uint64
+	// Trim are budgets of former holders with the shares that are still open; one without shares is removed.
+	Trim []Budget
 }
 
 // IsEmpty reports whether the change writes nothing.
 func (change Change) IsEmpty() bool {
-	return len(change.Open) == 0 && len(change.Close) == 0 && change.Budget == nil && len(change.CloseBudgets) == 0
+	return len(change.Open) == 0 && len(change.Close) == 0 && change.Budget == nil && len(change.Trim) == 0
 }
 
 // Commit writes the change in one transaction under the guard of the lease. Its errors are
 // those of platform.Tables; ErrUnclear is settled by Took.
 func (log *Log) Commit(ctx context.Context, guard platform.Write, change Change) error {
-	writes := make([]platform.Write, 0, 2+len(change.Open)+len(change.Close)+len(change.CloseBudgets))
+	writes := make([]platform.Write, 0, 2+len(change.Open)+len(change.Close)+len(change.Trim))
 	writes = append(writes, guard)
 	for _, intent := range change.Open {
 		writes = append(writes, platform.Write{Key: log.key(intent.ID), Check: true, Value: encode(intent)})
@@ -63,8 +63,12 @@
 	if change.Budget != nil {
 		writes = append(writes, platform.Write{Key: log.budgetKey(change.Budget.Fence), Value: encode(change.Budget)})
 	}
-	for _, fence := range change.CloseBudgets {
-		writes = append(writes, platform.Write{Key: log.budgetKey(fence), Delete: true})
+	for _, budget := range change.Trim {
+		write := platform.Write{Key: log.budgetKey(budget.Fence), Value: encode(budget)}
+		if len(budget.Shares) == 0 {
+			write.Delete, write.Value = true, nil
+		}
+		writes = append(writes, write)
 	}
 	_, err := log.tables.Commit(ctx, writes)
 	return trace.Wrap(err)
--- a/intent/view.go
+++ b/intent/view.go
@@ -11,7 +11,7 @@
 	// State is what the engine said.
 	State upstream.State
 	// AsOf is a time of the local clock at which the state was not yet made, such as the time
-	// before it was asked for.
+	// before it was asked for. The time at which the answer came would be too late.
 	AsOf time.Time
 	// ChecksFencing states that the engine refuses orders with an old fencing number.
 	ChecksFencing bool
