Accept release notes into the platform and follow them

Cause: each accepted note is the one state in force everywhere; answers of the platform may be lost after the write, and operators race each other. Ruled out: reading back once after a lost answer, since the write may still be on its way; the transaction is repeated instead, which can take effect once only. Conclusion: lost, late and repeated answers, races, cuts, restarts without the platform, damaged objects and updates that do not fit are tested.

--- /dev/null
+++ b/release/accept.go
@@ -0,0 +1,157 @@
+package release
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"github.com/gravitational/trace"
+
+	"github.com/bronzestall/bronzestall/event"
+	"github.com/bronzestall/bronzestall/note"
+	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/platform"
+)
+
+// Accept puts the note in force and returns its entry. A note that was
+// accepted before gives its entry again. It fails with
+//
+//   - NoteConflict if Base is not in force; the cause is a *ConflictError,
+//   - NoteInvalid if the note does not fit or its identifier belongs to another note,
+//   - PlatformUnavailable if the platform cannot be reached and nothing was accepted,
+//   - NoteUnclear if nobody can tell; applying the note again settles it.
+//
+// It does not check the note against the capacity; Note.Check does.
+func (ledger *Ledger) Accept(ctx context.Context, proposed note.Note, by string) (Entry, error) {
+	acceptance := &acceptance{Ledger: ledger, note: proposed, by: by}
+	entry, again, err := acceptance.run(ctx)
+	switch {
+	case err != nil:
+		return Entry{}, err
+	case again:
+		event.NoteAnswerRepeated.Log("Note", entry.Note, "InForce", entry.Number)
+	default:
+		event.NoteAccepted.Log("Note", entry.Note, "InForce", entry.Number, "By", entry.By)
+	}
+	return entry, nil
+}
+
+// acceptance is one call of Accept.
+type acceptance struct {
+	*Ledger
+	note note.Note
+	by   string
+	// body is the content of the note's object and bodyName its name.
+	body     []byte
+	bodyName string
+	// unclear states that a transaction was sent whose effect is not known.
+	unclear bool
+}
+
+// run returns the entry and whether it was there before.
+func (acceptance *acceptance) run(ctx context.Context) (Entry, bool, error) {
+	var err error
+	if acceptance.body, err = encodeBody(acceptance.note); err != nil {
+		return Entry{}, false, outcome.New(outcome.NoteInvalid, "the note cannot be encoded").WithCause(err)
+	}
+	acceptance.bodyName = objectName(prefixBody, acceptance.body)
+	earlier, found, err := acceptance.earlier(ctx)
+	if err != nil || found {
+		return earlier, found, err
+	}
+	head, version, err := acceptance.head(ctx)
+	if err != nil {
+		return Entry{}, false, acceptance.failure(err)
+	}
+	if head.Number != acceptance.note.Base {
+		return acceptance.settle(ctx)
+	}
+	entry, err := acceptance.prepare(ctx, head)
+	if err != nil {
+		return Entry{}, false, err
+	}
+	return acceptance.commit(ctx, entry, version)
+}
+
+// earlier returns the entry under the note's identifier, if there is one.
+func (acceptance *acceptance) earlier(ctx context.Context) (Entry, bool, error) {
+	var entry Entry
+	err := acceptance.retry(ctx, func() error {
+		var err error
+		entry, err = acceptance.entryAt(ctx, idKey(acceptance.note.Note))
+		return err
+	})
+	if errors.Is(err, platform.ErrNotFound) {
+		return Entry{}, false, nil
+	}
+	if err != nil {
+		return Entry{}, false, acceptance.failure(err)
+	}
+	if entry.Body != acceptance.bodyName {
+		return Entry{}, false, outcome.New(outcome.NoteInvalid, "the identifier %s belongs to another note, accepted as number %d", entry.Note, entry.Number)
+	}
+	return entry, true, nil
+}
+
+// prepare writes the objects of the note and returns its entry.
+func (acceptance *acceptance) prepare(ctx context.Context, head Entry) (Entry, error) {
+	entry := Entry{
+		Number:   head.Number + 1,
+		Note:     acceptance.note.Note,
+		By:       acceptance.by,
+		At:       acceptance.clock.Now().UTC(),
+		Summary:  acceptance.note.Summary,
+		Body:     acceptance.bodyName,
+		Bytes:    len(acceptance.body),
+		Snapshot: head.Snapshot,
+	}
+	base, _, err := acceptance.advance(ctx, InForce{}, head)
+	if err != nil {
+		return Entry{}, acceptance.failure(err)
+	}
+	next, err := base.follow(Difference{Number: entry.Number, Body: acceptance.body})
+	if err != nil {
+		return Entry{}, outcome.New(outcome.NoteInvalid, "the note does not fit number %d: %v", base.Number, trace.UserMessage(err))
+	}
+	if err := acceptance.put(ctx, entry.Body, acceptance.body); err != nil {
+		return Entry{}, acceptance.failure(err)
+	}
+	if entry.Number%SnapshotEvery != 0 {
+		return entry, nil
+	}
+	return acceptance.prepareSnapshot(ctx, entry, next)
+}
+
+func (acceptance *acceptance) prepareSnapshot(ctx context.Context, entry Entry, next InForce) (Entry, error) {
+	content, err := json.Marshal(next.Catalogue)
+	if err != nil {
+		return Entry{}, outcome.New(outcome.Internal, "the snapshot cannot be encoded").WithCause(err)
+	}
+	entry.Snapshot = Snapshot{Number: entry.Number, Object: objectName(prefixSnapshot, content)}
+	if err := acceptance.put(ctx, entry.Snapshot.Object, content); err != nil {
+		return Entry{}, acceptance.failure(err)
+	}
+	return entry, nil
+}
+
+// put writes an object, which is harmless to repeat.
+func (acceptance *acceptance) put(ctx context.Context, name string, content []byte) error {
+	return acceptance.retry(ctx, func() error {
+		return trace.Wrap(acceptance.objects.Put(ctx, name, content))
+	})
+}
+
+// failure returns the error for a platform that does not answer. It tells whether a transaction may have taken effect.
+func (acceptance *acceptance) failure(err error) error {
+	var known *outcome.Error
+	switch {
+	case errors.As(err, &known):
+		return known
+	case acceptance.unclear:
+		return outcome.New(outcome.NoteUnclear, "the platform does not tell whether the note was accepted; apply it again").WithCause(err)
+	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrUnclear):
+		return outcome.New(outcome.PlatformUnavailable, "this call accepted nothing").WithCause(err)
+	default:
+		return outcome.New(outcome.Internal, "this call accepted nothing").WithCause(err)
+	}
+}
--- /dev/null
+++ b/release/accept_test.go
@@ -0,0 +1,203 @@
+package release
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+
+	"github.com/bronzestall/bronzestall/internal/platformfake"
+	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/platform"
+)
+
+const (
+	none        = platformfake.None
+	unavailable = platformfake.Unavailable
+	effect      = platformfake.UnclearWithEffect
+	noEffect    = platformfake.UnclearWithoutEffect
+	late        = platformfake.UnclearLate
+)
+
+// repeated returns the fault for every attempt of a call.
+func repeated(fault platformfake.Fault) []platformfake.Fault {
+	faults := make([]platformfake.Fault, attempts)
+	for i := range faults {
+		faults[i] = fault
+	}
+	return faults
+}
+
+func TestAcceptSettlesLostAnswers(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// body and commit are the faults of the writes of the body and of the transaction.
+		body, commit []platformfake.Fault
+		// want is the kind of the refusal, or -1 for an accepted note.
+		want outcome.Kind
+		// number is the number in force afterwards.
+		number uint64
+	}{
+		{"no fault", nil, nil, -1, 1},
+		{"body lost, then written", []platformfake.Fault{noEffect, effect, none}, nil, -1, 1},
+		{"answer lost after the write", []platformfake.Fault{none}, []platformfake.Fault{effect}, -1, 1},
+		{"answer and write lost", []platformfake.Fault{none}, []platformfake.Fault{noEffect, noEffect}, -1, 1},
+		{"write comes late", []platformfake.Fault{none}, []platformfake.Fault{late, noEffect}, -1, 1},
+		{"platform away at first", []platformfake.Fault{unavailable, unavailable, none}, []platformfake.Fault{unavailable}, -1, 1},
+		{"every answer lost, all written", []platformfake.Fault{none}, repeated(effect), outcome.NoteUnclear, 1},
+		{"every answer lost, nothing written", []platformfake.Fault{none}, repeated(noEffect), outcome.NoteUnclear, 0},
+		{"platform away for the transaction", []platformfake.Fault{none}, repeated(unavailable), outcome.PlatformUnavailable, 0},
+		{"platform away after a lost answer", []platformfake.Fault{none}, append(repeated(unavailable)[1:], noEffect), outcome.NoteUnclear, 0},
+		{"platform away for the body", repeated(unavailable), nil, outcome.PlatformUnavailable, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fake := newPlatform(1)
+				client := fake.Client()
+				client.FailWrites(append(test.body, test.commit...)...)
+				entry, err := ledgerOn(client).Accept(t.Context(), adding("a", 0), "operator")
+				if kindOf(err) != test.want {
+					t.Fatalf("Accept gave %+v, %v", entry, err)
+				}
+				fake.ApplyLate()
+				inForce, err := ledgerOn(fake.Client()).InForce(t.Context())
+				if err != nil || inForce.Number != test.number || has(inForce, "a") != (test.number == 1) {
+					t.Errorf("in force is %+v, %v", inForce, err)
+				}
+				again, err := ledgerOn(fake.Client()).Accept(t.Context(), adding("a", 0), "another")
+				if err != nil || again.Number != 1 || (test.number == 1 && again.By != "operator") {
+					t.Errorf("applying again gave %+v, %v", again, err)
+				}
+			})
+		})
+	}
+}
+
+func TestRacingOperatorsHaveOneWinner(t *testing.T) {
+	for _, fault := range []platformfake.Fault{none, noEffect, late} {
+		synctest.Test(t, func(t *testing.T) {
+			fake := newPlatform(1)
+			accept(t, ledgerOn(fake.Client()), 0, 2)
+			loser := fake.Client()
+			loser.FailWrites(none, fault)
+			race := func() {
+				loser.BeforeCommit(nil)
+				accept(t, ledgerOn(fake.Client()), 2, 1)
+			}
+			loser.BeforeCommit(race)
+			_, err := ledgerOn(loser).Accept(t.Context(), adding("x", 2), "loser")
+			var conflict *ConflictError
+			if kindOf(err) != outcome.NoteConflict || !errors.As(err, &conflict) {
+				t.Fatalf("the loser got %v", err)
+			}
+			if conflict.InForce != 3 || len(conflict.Since) != 1 || len(conflict.Lines) != 1 || conflict.Lines[0].Entry.Name != "model-n3" {
+				t.Errorf("the conflict shows %+v", conflict)
+			}
+			fake.ApplyLate()
+			inForce, err := ledgerOn(fake.Client()).InForce(t.Context())
+			if err != nil || inForce.Number != 3 || has(inForce, "x") || !has(inForce, "n3") {
+				t.Errorf("in force is %+v, %v", inForce, err)
+			}
+		})
+	}
+}
+
+func TestLostAnswerAndAnotherNoteAfterIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := newPlatform(1)
+		first := fake.Client()
+		first.FailWrites(none, effect)
+		calls := 0
+		first.BeforeCommit(func() {
+			calls++
+			if calls == 2 {
+				if _, err := ledgerOn(fake.Client()).Accept(t.Context(), adding("b", 1), "second"); err != nil {
+					t.Errorf("the second operator got %v", err)
+				}
+			}
+		})
+		entry, err := ledgerOn(first).Accept(t.Context(), adding("a", 0), "first")
+		if err != nil || entry.Number != 1 || calls != 2 {
+			t.Errorf("the first operator got %+v, %v after %d calls", entry, err, calls)
+		}
+	})
+}
+
+// beforeRead calls a function before each reading of a row.
+type beforeRead struct {
+	platform.Tables
+	call func(platform.Key)
+}
+
+func (tables beforeRead) Read(ctx context.Context, key platform.Key) (platform.Row, error) {
+	tables.call(key)
+	return tables.Tables.Read(ctx, key)
+}
+
+// The history of seed 52 showed a conflict for a note that was accepted through another ledger meanwhile.
+func TestSameNoteThroughTwoLedgersIsOneNote(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := newPlatform(1)
+		client := fake.Client()
+		first := ledgerOn(client)
+		raced := false
+		first.tables = beforeRead{client, func(key platform.Key) {
+			if key == inForceKey && !raced {
+				raced = true
+				accept(t, ledgerOn(fake.Client()), 0, 1)
+			}
+		}}
+		entry, err := first.Accept(t.Context(), adding("n1", 0), "operator")
+		if err != nil || entry.Number != 1 || !raced {
+			t.Errorf("the note accepted meanwhile gave %+v, %v", entry, err)
+		}
+	})
+}
+
+func TestAcceptRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := newPlatform(1)
+		ledger := ledgerOn(fake.Client())
+		accept(t, ledger, 0, 3)
+		before := fake.Counts()
+		double := adding("x", 3)
+		double.Models.Added[0].Name = "model-n1"
+		other := adding("n2", 1)
+		other.Summary = "another note of the same identifier"
+		for _, test := range []struct {
+			name string
+			note func() (Entry, error)
+			want outcome.Kind
+		}{
+			{"stale base", func() (Entry, error) { return ledger.Accept(t.Context(), adding("x", 1), "o") }, outcome.NoteConflict},
+			{"base of the future", func() (Entry, error) { return ledger.Accept(t.Context(), adding("x", 9), "o") }, outcome.NoteConflict},
+			{"change that does not fit", func() (Entry, error) { return ledger.Accept(t.Context(), double, "o") }, outcome.NoteInvalid},
+			{"identifier of another note", func() (Entry, error) { return ledger.Accept(t.Context(), other, "o") }, outcome.NoteInvalid},
+		} {
+			if _, err := test.note(); kindOf(err) != test.want {
+				t.Errorf("%s gave %v", test.name, err)
+			}
+		}
+		if after := fake.Counts().Sub(before); after.Writes != 0 || after.Puts != 0 {
+			t.Errorf("refused notes wrote: %+v", after)
+		}
+	})
+}
+
+func TestHistoryKeepsEveryNote(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := newPlatform(1)
+		ledger := ledgerOn(fake.Client())
+		accept(t, ledger, 0, SnapshotEvery+3)
+		entries, err := ledger.History(t.Context(), 5)
+		if err != nil || len(entries) != 5 || entries[4].Number != SnapshotEvery+3 || entries[0].Snapshot.Number != 0 {
+			t.Errorf("history is %+v, %v", entries, err)
+		}
+		for _, number := range []uint64{0, 1, SnapshotEvery, SnapshotEvery + 2} {
+			state, err := ledger.At(t.Context(), number)
+			if err != nil || state.Number != number || state.Catalogue.Size().Models != int(number) {
+				t.Errorf("at %d was %d with %+v, %v", number, state.Number, state.Catalogue.Size(), err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/release/body.go
@@ -0,0 +1,37 @@
+package release
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+
+	"github.com/gravitational/trace"
+
+	"github.com/bronzestall/bronzestall/note"
+)
+
+// The prefixes of object names; the SHA-256 of the content follows.
+const (
+	prefixBody     = "Notes/"
+	prefixSnapshot = "Snapshots/"
+)
+
+// encodeBody returns the content of a note's object. Equal notes give equal bytes.
+func encodeBody(accepted note.Note) ([]byte, error) {
+	content, err := json.Marshal(accepted)
+	return content, trace.Wrap(err)
+}
+
+func decodeBody(content []byte) (note.Note, error) {
+	var accepted note.Note
+	if err := json.Unmarshal(content, &accepted); err != nil {
+		return note.Note{}, trace.Wrap(err)
+	}
+	return accepted, nil
+}
+
+// objectName returns the prefix followed by the hash of the content.
+func objectName(prefix string, content []byte) string {
+	hash := sha256.Sum256(content)
+	return prefix + hex.EncodeToString(hash[:])
+}
--- /dev/null
+++ b/release/commit.go
@@ -0,0 +1,100 @@
+package release
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/platform"
+)
+
+// The repetition of calls to the platform within one acceptance: 100 ms, 200 ms and so on, 3.1 s in all.
+const (
+	attempts   = 6
+	firstDelay = 100 * time.Millisecond
+)
+
+// commit moves the number in force. The transaction can take effect once only,
+// since it needs the version of the row in force and an unused identifier, so
+// it is repeated after an unclear answer.
+func (acceptance *acceptance) commit(ctx context.Context, entry Entry, version uint64) (Entry, bool, error) {
+	writes, err := commitWrites(entry, version)
+	if err != nil {
+		return Entry{}, false, acceptance.failure(err)
+	}
+	err = acceptance.retry(ctx, func() error {
+		_, err := acceptance.tables.Commit(ctx, writes)
+		acceptance.unclear = acceptance.unclear || errors.Is(err, platform.ErrUnclear)
+		return trace.Wrap(err)
+	})
+	switch {
+	case err == nil:
+		return entry, false, nil
+	case errors.Is(err, platform.ErrConflict):
+		return acceptance.settle(ctx)
+	default:
+		return Entry{}, false, acceptance.failure(err)
+	}
+}
+
+// settle tells, once the base is not in force any more, whether this note or
+// another one was accepted. It reads the identifier after the number, since the
+// same note may be accepted through another ledger between the two readings. No
+// transaction of this acceptance can take effect any more.
+func (acceptance *acceptance) settle(ctx context.Context) (Entry, bool, error) {
+	entry, found, err := acceptance.earlier(ctx)
+	if err != nil || found {
+		return entry, found && !acceptance.unclear, err
+	}
+	acceptance.unclear = false
+	head, _, err := acceptance.head(ctx)
+	if err != nil {
+		return Entry{}, false, conflictFailure(&ConflictError{Base: acceptance.note.Base, InForce: acceptance.note.Base + 1})
+	}
+	return Entry{}, false, acceptance.conflict(ctx, head)
+}
+
+// conflict returns NoteConflict with what changed since the base of the note, as far as the platform tells.
+func (acceptance *acceptance) conflict(ctx context.Context, head Entry) error {
+	conflict := &ConflictError{Base: acceptance.note.Base, InForce: head.Number}
+	if head.Number > conflict.Base {
+		_ = acceptance.explain(ctx, conflict, head)
+	}
+	return conflictFailure(conflict)
+}
+
+func conflictFailure(conflict *ConflictError) error {
+	return outcome.New(outcome.NoteConflict, "%v", conflict).WithCause(conflict)
+}
+
+func commitWrites(entry Entry, version uint64) ([]platform.Write, error) {
+	value, err := json.Marshal(entry)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return []platform.Write{
+		{Key: inForceKey, Check: true, IfVersion: version, Value: value},
+		{Key: historyKey(entry.Number), Check: true, Value: value},
+		{Key: idKey(entry.Note), Check: true, Value: value},
+	}, nil
+}
+
+// retry repeats a call that is harmless to repeat while the platform is away or unclear.
+func (acceptance *acceptance) retry(ctx context.Context, call func() error) error {
+	delay := firstDelay
+	for attempt := 1; ; attempt++ {
+		err := call()
+		again := errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUnclear)
+		if !again || attempt == attempts {
+			return err
+		}
+		if wait(ctx, acceptance.clock, delay) != nil {
+			return err
+		}
+		delay *= 2
+	}
+}
--- /dev/null
+++ b/release/difference.go
@@ -0,0 +1,29 @@
+package release
+
+import (
+	"github.com/gravitational/trace"
+)
+
+// Difference is what one note changed.
+type Difference struct {
+	// Number is the number in force after the note.
+	Number uint64
+	// Body is the content of the note's object.
+	Body []byte
+}
+
+// follow returns the state after the difference, which must be the next one.
+func (inForce InForce) follow(difference Difference) (InForce, error) {
+	if difference.Number != inForce.Number+1 {
+		return inForce, trace.BadParameter("difference %d does not follow number %d", difference.Number, inForce.Number)
+	}
+	accepted, err := decodeBody(difference.Body)
+	if err != nil {
+		return inForce, err
+	}
+	next, err := inForce.Catalogue.Apply(accepted.Change())
+	if err != nil {
+		return inForce, trace.Wrap(err)
+	}
+	return InForce{Number: difference.Number, Catalogue: next}, nil
+}
--- /dev/null
+++ b/release/follow.go
@@ -0,0 +1,113 @@
+package release
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/bronzestall/bronzestall/event"
+	"github.com/bronzestall/bronzestall/internal/invariant"
+)
+
+// peerTimeout bounds the fetching of one update from a peer.
+const peerTimeout = 2 * time.Second
+
+// readPlatform takes over what the platform has in force; while it fails, the highest offer of a peer.
+func (follower *Follower) readPlatform(ctx context.Context) {
+	err := follower.advanceToHead(ctx)
+	if ctx.Err() != nil {
+		return
+	}
+	follower.noteReading(err)
+	if err != nil {
+		follower.takeOffer(ctx)
+	}
+}
+
+func (follower *Follower) advanceToHead(ctx context.Context) error {
+	head, _, err := follower.head(ctx)
+	if err != nil {
+		return err
+	}
+	inForce, known := follower.InForce()
+	if known && head.Number < inForce.Number {
+		event.PlatformBehind.Log("InForce", inForce.Number, "Platform", head.Number)
+		return nil
+	}
+	if known && head.Number == inForce.Number {
+		return nil
+	}
+	next, differences, err := follower.advance(ctx, inForce, head)
+	if err != nil {
+		return err
+	}
+	follower.publish(next, differences, "platform")
+	return nil
+}
+
+// readPeer takes over an offer at once, unless no state is known yet: then the next reading of the
+// platform decides, and offers of other peers may arrive until then.
+func (follower *Follower) readPeer(ctx context.Context) {
+	if _, known := follower.InForce(); known {
+		follower.takeOffer(ctx)
+	}
+}
+
+// takeOffer takes over the highest offer. A source that fails is left until it offers again.
+func (follower *Follower) takeOffer(ctx context.Context) {
+	inForce, known := follower.InForce()
+	offer, ok := follower.offers.take(inForce.Number)
+	if !ok {
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	update, err := offer.source.Since(limited, inForce.Number)
+	if err != nil {
+		event.PeerUpdateRefused.LogError(err, "Offered", offer.number)
+		return
+	}
+	if known && update.Number <= inForce.Number {
+		return
+	}
+	next, err := inForce.apply(update)
+	if err != nil {
+		event.PeerUpdateRefused.LogError(err, "Offered", offer.number)
+		return
+	}
+	follower.publish(next, update.Differences, "peer")
+}
+
+// publish makes the state visible. Only Run calls it.
+func (follower *Follower) publish(next InForce, differences []Difference, from string) {
+	last, known := follower.InForce()
+	rises := !known || next.Number > last.Number
+	if !invariant.Check(rises, invariant.InForceRises, "Last", last.Number, "Next", next.Number) {
+		return
+	}
+	follower.recent.add(differences)
+	follower.inForce.Store(&next)
+	event.NoteInForce.Log("InForce", next.Number, "Last", last.Number, "From", from)
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	close(follower.changed)
+	follower.changed = make(chan struct{})
+}
+
+// noteReading keeps the status and logs the first failure of a row and its end.
+func (follower *Follower) noteReading(err error) {
+	follower.mutex.Lock()
+	last := follower.status
+	next := last.after(err, follower.clock.Now())
+	follower.status = next
+	follower.mutex.Unlock()
+	var damage *DamageError
+	switch {
+	case err == nil && last.Failures > 0:
+		event.FollowRecovered.Log("Failures", last.Failures)
+	case err != nil && last.Failures == 0 && errors.As(err, &damage):
+		event.NoteDamaged.LogError(err, "Object", damage.Object, "InForce", damage.Number)
+	case err != nil && last.Failures == 0:
+		event.FollowFailed.LogError(err)
+	}
+}
--- /dev/null
+++ b/release/follower_test.go
@@ -0,0 +1,236 @@
+package release
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/bronzestall/bronzestall/internal/invariant"
+	"github.com/bronzestall/bronzestall/internal/platformfake"
+	"github.com/bronzestall/bronzestall/platform"
+)
+
+// run starts the follower and returns a function that stops it.
+func run(t *testing.T, follower *Follower) context.CancelFunc {
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { _ = follower.Run(ctx) }()
+	return cancel
+}
+
+// pass lets time go by and every goroutine come to rest.
+func pass(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+func wantNumber(t *testing.T, follower *Follower, number uint64) {
+	t.Helper()
+	inForce, known := follower.InForce()
+	if !known || inForce.Number != number || inForce.Catalogue.Size().Models != int(number) {
+		t.Errorf("in force is %d with %+v, known is %t, want %d", inForce.Number, inForce.Catalogue.Size(), known, number)
+	}
+}
+
+func TestFollowerCutOffAndReturning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := newPlatform(1)
+		operator := ledgerOn(fake.Client())
+		client := fake.Client()
+		follower := followerOn(client)
+		defer run(t, follower)()
+		pass(time.Millisecond)
+		wantNumber(t, follower, 0)
+		changed := follower.Changed()
+		accept(t, operator, 0, 2)
+		pass(2 * time.Second)
+		wantNumber(t, follower, 2)
+		select {
+		case <-changed:
+		default:
+			t.Error("the change was not told")
+		}
+		client.Cut(true)
+		accept(t, operator, 2, 3)
+		pass(time.Hour)
+		wantNumber(t, follower, 2)
+		if status := follower.Status(); status.Failures == 0 || !strings.Contains(status.LastError, platform.ErrUnavailable.Error()) {
+			t.Errorf("the status hides the cut: %+v", status)
+		}
+		client.Cut(false)
+		pass(2 * time.Second)
+		wantNumber(t, follower, 5)
+		if status := follower.Status(); status.Failures != 0 || time.Since(status.Confirmed) > 2*time.Second {
+			t.Errorf("the status keeps the cut: %+v", status)
+		}
+	})
+}
+
+func TestFollowerReadsDifferencesOrOneSnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := newPlatform(1)
+		operator := ledgerOn(fake.Client())
+		near := followerOn(fake.Client())
+		defer run(t, near)()
+		for base := uint64(0); base < 3*SnapshotEvery+2; base++ {
+			accept(t, operator, base, 1)
+			pass(2 * time.Second)
+		}
+		wantNumber(t, near, 3*SnapshotEvery+2)
+		before := fake.Counts()
+		fresh := followerOn(fake.Client())
+		defer run(t, fresh)()
+		pass(time.Millisecond)
+		wantNumber(t, fresh, 3*SnapshotEvery+2)
+		if got := fake.Counts().Sub(before); got.Gets != 3 {
+			t.Errorf("a fresh follower read %d objects, want a snapshot and two differences", got.Gets)
+		}
+	})
+}
+
+func TestFollowerSurvivesDamagedObjects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := newPlatform(1)
+		operator := ledgerOn(fake.Client())
+		client := fake.Client()
+		follower := followerOn(client)
+		defer run(t, follower)()
+		accept(t, operator, 0, SnapshotEvery-2)
+		pass(2 * time.Second)
+		wantNumber(t, follower, SnapshotEvery-2)
+		client.Cut(true)
+		accept(t, operator, SnapshotEvery-2, 1)
+		damaged, err := operator.History(t.Context(), 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fake.DeleteObject(damaged[0].Body)
+		client.Cut(false)
+		pass(5 * time.Second)
+		wantNumber(t, follower, SnapshotEvery-2)
+		if status := follower.Status(); !strings.Contains(status.LastError, "is missing") {
+			t.Errorf("the status hides the damage: %+v", status)
+		}
+		witness := followerOn(fake.Client())
+		witness.publish(mustFollow(t, follower, adding("n31", SnapshotEvery-2).Note), nil, "test")
+		follower.Offer(SnapshotEvery-1, witness)
+		pass(time.Second)
+		wantNumber(t, follower, SnapshotEvery-1)
+	})
+}
+
+// mustFollow returns the state of the follower after a note that adds the model of the identifier.
+func mustFollow(t *testing.T, follower *Follower, id string) InForce {
+	t.Helper()
+	inForce, _ := follower.InForce()
+	body, err := encodeBody(adding(id, inForce.Number))
+	if err != nil {
+		t.Fatal(err)
+	}
+	next, err := inForce.follow(Difference{Number: inForce.Number + 1, Body: body})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return next
+}
+
+func TestFreshFollowerWithoutPlatformTakesTheHighestOfItsPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := newPlatform(1)
+		operator := ledgerOn(fake.Client())
+		peers := make([]*Follower, 3)
+		clients := make([]*platformfake.Client, 3)
+		for i := range peers {
+			clients[i] = fake.Client()
+			peers[i] = followerOn(clients[i])
+			defer run(t, peers[i])()
+			accept(t, operator, uint64(40*i), 40)
+			pass(3 * time.Second)
+			clients[i].Cut(true)
+		}
+		cut := fake.Client()
+		cut.Cut(true)
+		fresh := followerOn(cut)
+		defer run(t, fresh)()
+		pass(time.Minute)
+		if _, known := fresh.InForce(); known {
+			t.Fatal("a follower that heard nothing knows a state")
+		}
+		for _, i := range []int{1, 2, 0} {
+			fresh.Offer(uint64(40*(i+1)), peers[i])
+		}
+		pass(2 * time.Second)
+		wantNumber(t, fresh, 120)
+		cut.Cut(false)
+		accept(t, operator, 120, 1)
+		pass(2 * time.Second)
+		wantNumber(t, fresh, 121)
+	})
+}
+
+// brokenSource is a peer that offers what it does not have.
+type brokenSource struct {
+	update Update
+	err    error
+}
+
+func (source brokenSource) Since(context.Context, uint64) (Update, error) {
+	return source.update, source.err
+}
+
+func TestFollowerRefusesWhatDoesNotFit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		broken := invariant.Broken()
+		fake := newPlatform(1)
+		operator := ledgerOn(fake.Client())
+		client := fake.Client()
+		follower := followerOn(client)
+		defer run(t, follower)()
+		accept(t, operator, 0, 3)
+		pass(2 * time.Second)
+		client.Cut(true)
+		for _, source := range []brokenSource{
+			{err: errors.New("gone")},
+			{update: Update{Number: 2}},
+			{update: Update{Number: 9}},
+			{update: Update{Number: 2, Whole: []byte("{}"), WholeNumber: 2}},
+			{update: Update{Number: 9, Whole: []byte("{"), WholeNumber: 9}},
+			{update: Update{Number: 5, Differences: []Difference{{Number: 5, Body: []byte("{}")}}}},
+			{update: Update{Number: 4, Differences: []Difference{{Number: 4, Body: []byte("x")}}}},
+		} {
+			follower.Offer(9, source)
+			pass(3 * time.Second)
+			wantNumber(t, follower, 3)
+		}
+		if invariant.Broken() != broken {
+			t.Error("an invariant was broken")
+		}
+	})
+}
+
+func TestFollowerNeverGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := newPlatform(1)
+		ahead := fake.Client()
+		follower := followerOn(ahead)
+		accept(t, ledgerOn(ahead), 0, 3)
+		follower.readPlatform(t.Context())
+		wantNumber(t, follower, 3)
+		restored := fake.Client()
+		follower.tables = behind{restored, 2}
+		follower.readPlatform(t.Context())
+		wantNumber(t, follower, 3)
+	})
+}
+
+// behind is a table service that was restored to an earlier note.
+type behind struct {
+	platform.Tables
+	number uint64
+}
+
+func (tables behind) Read(ctx context.Context, _ platform.Key) (platform.Row, error) {
+	return tables.Tables.Read(ctx, historyKey(tables.number))
+}
--- /dev/null
+++ b/release/history_test.go
@@ -0,0 +1,174 @@
+package release
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/bronzestall/bronzestall/internal/platformfake"
+	"github.com/bronzestall/bronzestall/outcome"
+)
+
+// ledgerInput is one call: an acceptance, or a reading if Note is empty.
+type ledgerInput struct {
+	Note string
+	Base uint64
+}
+
+// ledgerOutput is the answer to one call.
+type ledgerOutput struct {
+	// Number is the number in force of an accepted note or of a reading.
+	Number uint64
+	// Kind is the kind of the refusal, or -1.
+	Kind outcome.Kind
+}
+
+// ledgerState is the accepted notes in order, each as "identifier@base/".
+type ledgerState string
+
+// find returns the number in force after the note of the identifier, and its base; zero if there is none.
+func (state ledgerState) find(id string) (number, base uint64) {
+	for i, accepted := range strings.Split(string(state), "/") {
+		name, after, _ := strings.Cut(accepted, "@")
+		if name == id && after != "" {
+			base, _ = strconv.ParseUint(after, 10, 64)
+			return uint64(i) + 1, base
+		}
+	}
+	return 0, 0
+}
+
+func (state ledgerState) number() uint64 {
+	return uint64(strings.Count(string(state), "/"))
+}
+
+// ledgerModel says that notes are accepted one after the other, each once and on its own base.
+var ledgerModel = (&porcupine.NondeterministicModel{
+	Init: func() []any { return []any{ledgerState("")} },
+	Step: func(state, input, output any) []any {
+		var next []any
+		for _, state := range stepLedger(state.(ledgerState), input.(ledgerInput), output.(ledgerOutput)) {
+			next = append(next, state)
+		}
+		return next
+	},
+}).ToModel()
+
+func stepLedger(state ledgerState, input ledgerInput, output ledgerOutput) []ledgerState {
+	if input.Note == "" {
+		return only(state, output.Kind != -1 || output.Number == state.number())
+	}
+	number, base := state.find(input.Note)
+	fits := number == 0 && state.number() == input.Base
+	with := state + ledgerState(fmt.Sprintf("%s@%d/", input.Note, input.Base))
+	switch output.Kind {
+	case outcome.NoteUnclear:
+		return append(only(state, true), only(with, fits)...)
+	case outcome.PlatformUnavailable:
+		return only(state, true)
+	case outcome.NoteConflict:
+		return only(state, number == 0 && !fits)
+	case outcome.NoteInvalid:
+		return only(state, number > 0 && base != input.Base)
+	case -1:
+		again := number > 0 && number == output.Number && base == input.Base
+		return append(only(state, again), only(with, fits && output.Number == with.number())...)
+	default:
+		return nil
+	}
+}
+
+// only returns the state if the step is allowed.
+func only(state ledgerState, allowed bool) []ledgerState {
+	if !allowed {
+		return nil
+	}
+	return []ledgerState{state}
+}
+
+// recorder collects operations with logical times.
+type recorder struct {
+	ticks      atomic.Int64
+	mutex      sync.Mutex
+	operations []porcupine.Operation
+}
+
+// record runs the call and keeps it. An unclear acceptance may still take effect later, so it has no end.
+func (recorder *recorder) record(client int, input ledgerInput, call func() ledgerOutput) ledgerOutput {
+	begin := recorder.ticks.Add(1)
+	output := call()
+	end := recorder.ticks.Add(1)
+	if output.Kind == outcome.NoteUnclear {
+		end = 1 << 62
+	}
+	recorder.mutex.Lock()
+	defer recorder.mutex.Unlock()
+	recorder.operations = append(recorder.operations, porcupine.Operation{ClientId: client, Input: input, Output: output, Call: begin, Return: end})
+	return output
+}
+
+// operate lets one operator read, write notes and repeat unclear ones. Two operators share each identifier.
+func operate(t *testing.T, recorder *recorder, number int, ledger *Ledger, random *rand.Rand) {
+	for i := range 8 {
+		read := recorder.record(number, ledgerInput{}, func() ledgerOutput {
+			inForce, err := ledger.InForce(t.Context())
+			return ledgerOutput{Number: inForce.Number, Kind: kindOf(err)}
+		})
+		time.Sleep(time.Duration(random.IntN(50)) * time.Millisecond)
+		id := fmt.Sprintf("%d-%d", number/2, i)
+		for range 2 {
+			output := recorder.record(number, ledgerInput{Note: id, Base: read.Number}, func() ledgerOutput {
+				entry, err := ledger.Accept(t.Context(), adding(id, read.Number), "operator")
+				return ledgerOutput{Number: entry.Number, Kind: kindOf(err)}
+			})
+			if output.Kind != outcome.NoteUnclear && random.IntN(4) > 0 {
+				break
+			}
+		}
+	}
+}
+
+func TestHistoriesOfRacingOperatorsAreLinearizable(t *testing.T) {
+	seeds := uint64(60)
+	if testing.Short() {
+		seeds = 5
+	}
+	kinds := map[outcome.Kind]int{}
+	for seed := range seeds {
+		synctest.Test(t, func(t *testing.T) {
+			fake := newPlatform(seed)
+			fake.SetDelay(time.Millisecond, 20*time.Millisecond)
+			fake.SetRates(platformfake.Rates{Unavailable: 0.2, UnclearWithEffect: 0.25, UnclearWithoutEffect: 0.25})
+			recorder := &recorder{}
+			var operators sync.WaitGroup
+			for number := range 4 {
+				operators.Go(func() {
+					random := rand.New(rand.NewPCG(seed, uint64(number)))
+					operate(t, recorder, number, ledgerOn(fake.Client()), random)
+				})
+			}
+			operators.Wait()
+			for _, operation := range recorder.operations {
+				kinds[operation.Output.(ledgerOutput).Kind]++
+			}
+			result := porcupine.CheckOperationsTimeout(ledgerModel, recorder.operations, 0)
+			if result != porcupine.Ok {
+				t.Errorf("seed %d: the history is %s", seed, result)
+			}
+		})
+	}
+	for _, kind := range []outcome.Kind{-1, outcome.NoteConflict, outcome.NoteInvalid, outcome.NoteUnclear, outcome.PlatformUnavailable} {
+		if kinds[kind] == 0 {
+			t.Errorf("no operation ended as %d; the histories are too tame: %v", kind, kinds)
+		}
+	}
+	t.Log("operations by kind:", kinds)
+}
--- /dev/null
+++ b/release/ledger.go
@@ -0,0 +1,86 @@
+package release
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/gravitational/trace"
+	"k8s.io/utils/clock"
+
+	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/platform"
+)
+
+// SnapshotEvery is the number of notes between two snapshots of the whole catalogue.
+const SnapshotEvery = 32
+
+// Ledger accepts notes and reads their history. It keeps no state and is safe for concurrent use.
+type Ledger struct {
+	reader
+	clock clock.Clock
+}
+
+// NewLedger returns a ledger over the platform.
+func NewLedger(tables platform.Tables, objects platform.Objects, clock clock.Clock) *Ledger {
+	return &Ledger{reader: reader{tables: tables, objects: objects}, clock: clock}
+}
+
+// InForce returns the state in force. It fails with PlatformUnavailable or Internal.
+func (ledger *Ledger) InForce(ctx context.Context) (InForce, error) {
+	head, _, err := ledger.head(ctx)
+	if err != nil {
+		return InForce{}, readFailure(err)
+	}
+	state, _, err := ledger.advance(ctx, InForce{}, head)
+	if err != nil {
+		return InForce{}, readFailure(err)
+	}
+	return state, nil
+}
+
+// At returns the state at a number, which must not be above the one in force.
+func (ledger *Ledger) At(ctx context.Context, number uint64) (InForce, error) {
+	state, err := ledger.at(ctx, number)
+	if err != nil {
+		return InForce{}, readFailure(err)
+	}
+	return state, nil
+}
+
+// History returns at most limit entries up to the one in force, the oldest first. Limit is at most 100.
+func (ledger *Ledger) History(ctx context.Context, limit int) ([]Entry, error) {
+	head, _, err := ledger.head(ctx)
+	if err != nil {
+		return nil, readFailure(err)
+	}
+	after := head.Number - min(head.Number, uint64(max(1, min(limit, scanLimit))))
+	if after == head.Number {
+		return nil, nil
+	}
+	entries, err := ledger.between(ctx, after, head.Number)
+	if err != nil {
+		return nil, readFailure(err)
+	}
+	return entries, nil
+}
+
+// readFailure returns the error of a call that only reads.
+func readFailure(err error) error {
+	if errors.Is(err, platform.ErrUnavailable) {
+		return outcome.New(outcome.PlatformUnavailable, "the notes cannot be read").WithCause(err)
+	}
+	return outcome.New(outcome.Internal, "the notes cannot be read").WithCause(trace.Wrap(err))
+}
+
+// wait lets the delay pass, or returns the error of the context.
+func wait(ctx context.Context, clock clock.Clock, delay time.Duration) error {
+	timer := clock.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C():
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/release/reader.go
@@ -0,0 +1,161 @@
+package release
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"github.com/gravitational/trace"
+
+	"github.com/bronzestall/bronzestall/catalogue"
+	"github.com/bronzestall/bronzestall/platform"
+)
+
+// scanLimit is the number of history rows in one scan, which counts as one read.
+const scanLimit = 100
+
+// farBehind is the number of differences above which a snapshot is read instead, if there is a newer one.
+const farBehind = 16
+
+// reader reads notes from the platform.
+type reader struct {
+	tables  platform.Tables
+	objects platform.Objects
+}
+
+// head returns the entry in force and the version of its row. Before the first note both are zero.
+func (reader reader) head(ctx context.Context) (Entry, uint64, error) {
+	row, err := reader.tables.Read(ctx, inForceKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return Entry{}, 0, nil
+	}
+	if err != nil {
+		return Entry{}, 0, trace.Wrap(err)
+	}
+	entry, err := decodeEntry(row)
+	return entry, row.Version, err
+}
+
+// entryAt returns an entry of the history.
+func (reader reader) entryAt(ctx context.Context, key platform.Key) (Entry, error) {
+	row, err := reader.tables.Read(ctx, key)
+	if err != nil {
+		return Entry{}, trace.Wrap(err)
+	}
+	return decodeEntry(row)
+}
+
+// between returns the entries after one number up to another, at most scanLimit of them.
+func (reader reader) between(ctx context.Context, after, upTo uint64) ([]Entry, error) {
+	limit := int(min(upTo-after, scanLimit))
+	rows, err := reader.tables.Scan(ctx, table, prefixHistory, historyKey(after).Row, limit)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	entries := make([]Entry, len(rows))
+	for i, row := range rows {
+		if entries[i], err = decodeEntry(row); err != nil {
+			return nil, err
+		}
+		if entries[i].Number != after+uint64(i)+1 {
+			return nil, trace.BadParameter("history lacks number %d", after+uint64(i)+1)
+		}
+	}
+	if len(entries) == 0 {
+		return nil, trace.NotFound("history lacks number %d", after+1)
+	}
+	return entries, nil
+}
+
+// advance returns the state of an entry, starting from a state that is not newer, and the
+// differences that led there. A snapshot is used if the state is far behind or a difference is damaged.
+func (reader reader) advance(ctx context.Context, from InForce, to Entry) (InForce, []Difference, error) {
+	newer := to.Snapshot.Number > from.Number
+	if newer && to.Number-from.Number > farBehind {
+		return reader.fromSnapshot(ctx, to)
+	}
+	next, differences, err := reader.follow(ctx, from, to)
+	var damage *DamageError
+	if newer && errors.As(err, &damage) {
+		return reader.fromSnapshot(ctx, to)
+	}
+	return next, differences, err
+}
+
+func (reader reader) fromSnapshot(ctx context.Context, to Entry) (InForce, []Difference, error) {
+	from, err := reader.snapshot(ctx, to.Snapshot)
+	if err != nil {
+		return InForce{}, nil, err
+	}
+	return reader.follow(ctx, from, to)
+}
+
+// follow applies the differences up to an entry one by one.
+func (reader reader) follow(ctx context.Context, from InForce, to Entry) (InForce, []Difference, error) {
+	var differences []Difference
+	for from.Number < to.Number {
+		entries, err := reader.between(ctx, from.Number, to.Number)
+		if err != nil {
+			return InForce{}, nil, err
+		}
+		for _, entry := range entries {
+			difference, err := reader.difference(ctx, entry)
+			if err != nil {
+				return InForce{}, nil, err
+			}
+			if from, err = from.follow(difference); err != nil {
+				return InForce{}, nil, &DamageError{Object: entry.Body, Number: entry.Number, Reason: err.Error()}
+			}
+			differences = append(differences, difference)
+		}
+	}
+	return from, differences, nil
+}
+
+func (reader reader) difference(ctx context.Context, entry Entry) (Difference, error) {
+	content, err := reader.object(ctx, entry.Body, prefixBody, entry.Number)
+	return Difference{Number: entry.Number, Body: content}, err
+}
+
+func (reader reader) snapshot(ctx context.Context, snapshot Snapshot) (InForce, error) {
+	if snapshot.Number == 0 {
+		return InForce{}, nil
+	}
+	content, err := reader.object(ctx, snapshot.Object, prefixSnapshot, snapshot.Number)
+	if err != nil {
+		return InForce{}, err
+	}
+	var whole catalogue.Catalogue
+	if err := json.Unmarshal(content, &whole); err != nil {
+		return InForce{}, &DamageError{Object: snapshot.Object, Number: snapshot.Number, Reason: err.Error()}
+	}
+	return InForce{Number: snapshot.Number, Catalogue: whole}, nil
+}
+
+// object returns the content of an object after checking its hash.
+func (reader reader) object(ctx context.Context, name, prefix string, number uint64) ([]byte, error) {
+	content, err := reader.objects.Get(ctx, name)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, &DamageError{Object: name, Number: number, Reason: "is missing"}
+	}
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if objectName(prefix, content) != name {
+		return nil, &DamageError{Object: name, Number: number, Reason: "differs from its hash"}
+	}
+	return content, nil
+}
+
+// at returns the state at an earlier number.
+func (reader reader) at(ctx context.Context, number uint64) (InForce, error) {
+	if number == 0 {
+		return InForce{}, nil
+	}
+	entry, err := reader.entryAt(ctx, historyKey(number))
+	if err != nil {
+		return InForce{}, err
+	}
+	state, _, err := reader.fromSnapshot(ctx, entry)
+	return state, err
+}
--- /dev/null
+++ b/release/rows.go
@@ -0,0 +1,39 @@
+package release
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/gravitational/trace"
+
+	"github.com/bronzestall/bronzestall/platform"
+)
+
+// The rows of notes.
+const (
+	table         = "Notes"
+	rowInForce    = "InForce"
+	prefixHistory = "History/"
+	prefixID      = "Id/"
+)
+
+// inForceKey names the row that holds the Entry in force.
+var inForceKey = platform.Key{Table: table, Row: rowInForce}
+
+// historyKey names the row that holds the Entry of a number. Rows are in order of numbers.
+func historyKey(number uint64) platform.Key {
+	return platform.Key{Table: table, Row: fmt.Sprintf("%s%012d", prefixHistory, number)}
+}
+
+// idKey names the row that holds the Entry of a note's identifier.
+func idKey(note string) platform.Key {
+	return platform.Key{Table: table, Row: prefixID + note}
+}
+
+func decodeEntry(row platform.Row) (Entry, error) {
+	var entry Entry
+	if err := json.Unmarshal(row.Value, &entry); err != nil {
+		return Entry{}, trace.Wrap(err, "row %s/%s", row.Table, row.Row)
+	}
+	return entry, nil
+}
--- /dev/null
+++ b/release/support_test.go
@@ -0,0 +1,64 @@
+package release
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"k8s.io/utils/clock"
+
+	"github.com/bronzestall/bronzestall/catalogue"
+	"github.com/bronzestall/bronzestall/internal/platformfake"
+	"github.com/bronzestall/bronzestall/note"
+	"github.com/bronzestall/bronzestall/outcome"
+)
+
+// The tests run in synctest bubbles, so that the real clock is the clock of the bubble.
+
+func newPlatform(seed uint64) *platformfake.Platform {
+	return platformfake.New(clock.RealClock{}, rand.New(rand.NewPCG(seed, seed)))
+}
+
+func ledgerOn(client *platformfake.Client) *Ledger {
+	return NewLedger(client, client, clock.RealClock{})
+}
+
+func followerOn(client *platformfake.Client) *Follower {
+	return NewFollower(client, client, clock.RealClock{}, rand.New(rand.NewPCG(1, 1)), FollowerSettings{})
+}
+
+// adding returns a note that adds one model of its own name.
+func adding(id string, base uint64) note.Note {
+	return note.Note{
+		Note:    id,
+		Base:    base,
+		Summary: "adds " + id,
+		Models:  catalogue.Changes[catalogue.Model, string]{Added: []catalogue.Model{{Name: "model-" + id, Version: "1", Weights: 1}}},
+	}
+}
+
+// accept puts notes in force one after the other, after the number base.
+func accept(t *testing.T, ledger *Ledger, base uint64, count int) {
+	t.Helper()
+	for i := range uint64(count) {
+		id := fmt.Sprintf("n%d", base+i+1)
+		entry, err := ledger.Accept(t.Context(), adding(id, base+i), "operator")
+		if err != nil || entry.Number != base+i+1 {
+			t.Fatalf("Accept of %s gave %+v, %v", id, entry, err)
+		}
+	}
+}
+
+func kindOf(err error) outcome.Kind {
+	var failure *outcome.Error
+	if !errors.As(err, &failure) {
+		return -1
+	}
+	return failure.Kind
+}
+
+func has(inForce InForce, id string) bool {
+	_, ok := inForce.Catalogue.Model("model-" + id)
+	return ok
+}
--- /dev/null
+++ b/release/update.go
@@ -0,0 +1,50 @@
+package release
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/gravitational/trace"
+
+	"github.com/bronzestall/bronzestall/catalogue"
+)
+
+// Update brings a follower from an older number to a newer one.
+type Update struct {
+	// Number is the number in force after the update.
+	Number uint64
+	// Whole is the whole catalogue in JSON before the differences, or empty.
+	Whole []byte
+	// WholeNumber is the number in force of Whole.
+	WholeNumber uint64
+	// Differences follow each other up to Number. Without Whole they begin after the number that was asked for.
+	Differences []Difference
+}
+
+// Source gives updates; package peer implements it for other daemons.
+type Source interface {
+	// Since returns what follows the number, or an update with Number at most number if there is nothing.
+	Since(ctx context.Context, number uint64) (Update, error)
+}
+
+// apply returns the state after the update.
+func (inForce InForce) apply(update Update) (InForce, error) {
+	if len(update.Whole) > 0 {
+		var whole catalogue.Catalogue
+		if err := json.Unmarshal(update.Whole, &whole); err != nil {
+			return inForce, trace.Wrap(err)
+		}
+		inForce = InForce{Number: update.WholeNumber, Catalogue: whole}
+	}
+	for _, difference := range update.Differences {
+		next, err := inForce.follow(difference)
+		if err != nil {
+			return inForce, err
+		}
+		inForce = next
+	}
+	if inForce.Number != update.Number {
+		return inForce, trace.BadParameter("update ends at number %d instead of %d", inForce.Number, update.Number)
+	}
+	return inForce, nil
+}
