--- a/release/commit.go
+++ b/release/commit.go
@@ -68,7 +68,7 @@
 }
 
 func conflictFailure(conflict *ConflictError) error {
-	return outcome.New(outcome.NoteConflict, "%v", conflict).WithCause(conflict)
+	return outcome.New(outcome.NoteConflict, "another note was accepted first").WithCause(conflict)
 }
 
 func commitWrites(entry Entry, version uint64) ([]platform.Write, error) {
