Date states by the time before they were asked for

Cause: the decider frees memory on an engine's word, which must not be older than it thinks. Ruled out: the time of the answer, since the state may have been made before an order that reached the engine meanwhile. Change: observer and fleet keep the time before the question. Measured: tests of fleet and observer pass.

--- a/daemon/directory.go
+++ b/daemon/directory.go
@@ -71,7 +71,7 @@
 		Slots:    model.Concurrency,
 		Running:  place.Replica.Running,
 		Waiting:  place.Replica.Waiting,
-		Reported: place.Known.Heard,
+		Reported: place.Known.AsOf,
 		Adapters: place.Replica.Adapters,
 		Role:     place.Known.State.Role,
 		Leaving:  place.Known.Leaving(),
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -94,16 +94,16 @@
 	return member
 }
 
-// Put takes the state of an upstream that was heard at the time, unless a newer one is known.
+// Put takes the state of an upstream that was made not before the time, unless a newer one is known.
 // It reports whether the state was taken. States of upstreams that are not members are dropped.
-func (fleet *Fleet) Put(state upstream.State, heard time.Time, direct bool) bool {
+func (fleet *Fleet) Put(state upstream.State, asOf time.Time, direct bool) bool {
 	fleet.lock.Lock()
 	defer fleet.lock.Unlock()
 	old, ok := fleet.known[state.Upstream]
-	if !ok || !isNewer(old, state, heard) {
+	if !ok || !isNewer(old, state, asOf) {
 		return false
 	}
-	next := Known{Member: old.Member, State: state, Heard: heard, Direct: direct}
+	next := Known{Member: old.Member, State: state, AsOf: asOf, Direct: direct}
 	if state.Leaving && next.Member.LeavingSince.IsZero() {
 		next.Member.LeavingSince = fleet.clock.Now()
 	}
@@ -115,11 +115,11 @@
 	return true
 }
 
-func isNewer(old Known, state upstream.State, heard time.Time) bool {
+func isNewer(old Known, state upstream.State, asOf time.Time) bool {
 	if old.State.BootID == state.BootID {
 		return state.Sequence > old.State.Sequence
 	}
-	return heard.After(old.Heard)
+	return asOf.After(old.AsOf)
 }
 
 func sameShape(a, b upstream.State) bool {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -24,7 +24,7 @@
 	for _, test := range []struct {
 		name   string
 		state  upstream.State
-		heard  time.Duration
+		asOf   time.Duration
 		taken  bool
 		wakens bool
 	}{
@@ -41,7 +41,7 @@
 			fleet.SetMembers([]Member{{Name: "u"}})
 			fleet.Put(ready("u", "a", 5, upstream.Loading), start, true)
 			changed := fleet.Changed()
-			if got := fleet.Put(test.state, start.Add(test.heard), false); got != test.taken {
+			if got := fleet.Put(test.state, start.Add(test.asOf), false); got != test.taken {
 				t.Errorf("taken is %t, want %t", got, test.taken)
 			}
 			if got := isClosed(changed); got != test.wakens {
--- a/fleet/known.go
+++ b/fleet/known.go
@@ -12,8 +12,8 @@
 	Member Member
 	// State is the newest state, or the zero value if none was heard.
 	State upstream.State
-	// Heard is the time at which the state was taken or heard, on this daemon's clock.
-	Heard time.Time
+	// AsOf is a time on this daemon's clock that is not later than the making of the state.
+	AsOf time.Time
 	// Direct states that this daemon asked the engine itself.
 	Direct bool
 }
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -19,8 +19,8 @@
 
 // Store takes the states.
 type Store interface {
-	// Put takes a state that was heard at the time.
-	Put(state upstream.State, heard time.Time, direct bool) bool
+	// Put takes a state that was asked for at the time.
+	Put(state upstream.State, asOf time.Time, direct bool) bool
 }
 
 // Observer runs one goroutine for each upstream that it is assigned. Use New.
@@ -102,12 +102,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, observer.settings.Timeout)
 	defer cancel()
+	asked := observer.clock.Now()
 	state, err := engine.State(ctx)
 	if err != nil {
 		return upstream.State{}, err
 	}
 	state.Upstream = name
-	observer.store.Put(state, observer.clock.Now(), true)
+	observer.store.Put(state, asked, true)
 	return state, nil
 }
 
