Claim keyed calls in the table service

Cause: a call that must not run twice had nothing that all daemons agree on. Ruled out: two writes before the send (claimed, then sent): a daemon that dies between them would still leave a doubt, and the store takes several hundred writes a second for everybody. Reading before the insertion: one read for each call where a conflict tells the same. Large answers in the object store: it has no deletion, so that answers over 64 KiB are not kept and resends learn that the call ran. Change: one insertion before the send and one write after the answer; changes of one moment share a transaction; conflicts are split off by halves; lost answers are settled by reading back the attempt. Tried: without the check of the insertion, of the neighbours, of the own attempt or of the version at release, the tests fail.

--- a/claim/answer.go
+++ b/claim/answer.go
@@ -8,6 +8,6 @@
 	ContentType string `json:"ContentType"`
 	// Body is the body with the framing of the caller's side.
 	Body []byte `json:"Body,omitempty"`
-	// Kept is false if the body was too large to record.
+	// Kept is false if the body was too large to record; Body is then empty.
 	Kept bool `json:"Kept"`
 }
--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,205 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"k8s.io/utils/clock"
+
+	"github.com/bronzestall/bronzestall/internal/invariant"
+	"github.com/bronzestall/bronzestall/internal/platformfake"
+	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/request"
+)
+
+func newFake(seed uint64) *platformfake.Platform {
+	return platformfake.New(clock.RealClock{}, rand.New(rand.NewPCG(seed, 7)))
+}
+
+func newStore(tables platform.Tables, name string) *Store {
+	return New(Settings{Incarnation: name, Ended: func(other string) bool { return other == "dead" }}, tables, clock.RealClock{})
+}
+
+func call(id, key string) request.Request {
+	return request.Request{ID: id, Tenant: "t", Key: key, Fingerprint: 1}
+}
+
+// answerOf returns an answer that can be told from others.
+func answerOf(id string) Answer {
+	return Answer{Status: 200, ContentType: "text/plain", Body: []byte(id), Kept: true}
+}
+
+func TestResendThroughAnotherDaemon(t *testing.T) {
+	kept := answerOf("first")
+	other := call("second", "k")
+	other.Fingerprint = 2
+	cases := []struct {
+		name   string
+		daemon string
+		finish func(ctx context.Context, store *Store, ticket Ticket)
+		resend request.Request
+		want   outcome.Kind
+		answer bool
+	}{
+		{"complete", "one", func(ctx context.Context, s *Store, k Ticket) { s.Complete(ctx, k, kept) }, call("second", "k"), 0, true},
+		{"too large", "one", func(ctx context.Context, s *Store, k Ticket) { s.Complete(ctx, k, Answer{Status: 200}) }, call("second", "k"), outcome.ClaimUnresolved, false},
+		{"running", "one", func(context.Context, *Store, Ticket) {}, call("second", "k"), outcome.ClaimRunning, false},
+		{"lost", "one", func(ctx context.Context, s *Store, k Ticket) { s.Lose(ctx, k) }, call("second", "k"), outcome.ClaimUnresolved, false},
+		{"daemon ended", "dead", func(context.Context, *Store, Ticket) {}, call("second", "k"), outcome.ClaimUnresolved, false},
+		{"other request", "one", func(ctx context.Context, s *Store, k Ticket) { s.Complete(ctx, k, kept) }, other, outcome.ClaimMismatch, false},
+		{"other tenant", "one", func(context.Context, *Store, Ticket) {}, request.Request{ID: "second", Tenant: "u", Key: "k"}, -1, false},
+		{"not run", "one", func(ctx context.Context, s *Store, k Ticket) { s.Release(ctx, k) }, call("second", "k"), -1, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fake := newFake(1)
+				first := newStore(fake.Client(), c.daemon)
+				ticket, answer, err := first.Claim(t.Context(), call("first", "k"))
+				if err != nil || answer != nil {
+					t.Fatalf("the first sending got %v, %v", answer, err)
+				}
+				c.finish(t.Context(), first, ticket)
+
+				second := newStore(fake.Client(), "two")
+				_, answer, err = second.Claim(t.Context(), c.resend)
+				if c.answer != (answer != nil) || (answer != nil && string(answer.Body) != "first") {
+					t.Errorf("the resend got the answer %v", answer)
+				}
+				if (c.want > 0) != (err != nil) || (err != nil && !outcome.Is(err, c.want)) {
+					t.Errorf("the resend got %v", err)
+				}
+			})
+		})
+	}
+}
+
+// TestLostAnswersOfTheTableService checks for each fault of the insertion that the call is claimed once
+// or refused, and that a call refused for good can be sent again once the table service is back.
+func TestLostAnswersOfTheTableService(t *testing.T) {
+	faults := []struct {
+		name    string
+		writes  []platformfake.Fault
+		reads   int
+		claimed bool
+	}{
+		{"none", nil, 0, true},
+		{"unavailable", []platformfake.Fault{platformfake.Unavailable}, 0, false},
+		{"written, answer lost", []platformfake.Fault{platformfake.UnclearWithEffect}, 0, true},
+		{"not written, answer lost", []platformfake.Fault{platformfake.UnclearWithoutEffect}, 0, true},
+		{"written, answer lost, reads fail", []platformfake.Fault{platformfake.UnclearWithEffect}, 1, false},
+		{"written between two tries", []platformfake.Fault{platformfake.UnclearLate}, 0, true},
+		{"written late", []platformfake.Fault{platformfake.UnclearLate}, 0, true},
+		{"never clear", []platformfake.Fault{platformfake.UnclearLate, platformfake.UnclearLate, platformfake.UnclearLate}, 0, false},
+	}
+	for _, fault := range faults {
+		t.Run(fault.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fake := newFake(1)
+				client := fake.Client()
+				store := newStore(client, "one")
+				client.FailWrites(fault.writes...)
+				client.FailReads(fault.reads)
+				if fault.name == "written between two tries" {
+					client.BeforeCommit(func() { fake.ApplyLate() })
+				}
+				_, _, err := store.Claim(t.Context(), call("first", "k"))
+				if (err == nil) != fault.claimed || (err != nil && !outcome.Is(err, outcome.ClaimUnavailable)) {
+					t.Fatalf("the first sending got %v", err)
+				}
+				fake.ApplyLate()
+				store.Flush(t.Context())
+				_, _, err = newStore(fake.Client(), "two").Claim(t.Context(), call("second", "k"))
+				if fault.claimed != outcome.Is(err, outcome.ClaimRunning) || (!fault.claimed && err != nil) {
+					t.Errorf("the resend got %v", err)
+				}
+			})
+		})
+	}
+}
+
+// TestClaimsShareTransactions measures transactions for each claim under load.
+func TestClaimsShareTransactions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := newFake(1)
+		fake.SetDelay(10*time.Millisecond, 20*time.Millisecond)
+		store := newStore(fake.Client(), "one")
+		const calls = 1000
+		var all sync.WaitGroup
+		for n := range calls {
+			time.Sleep(time.Millisecond)
+			all.Go(func() {
+				ticket, _, err := store.Claim(t.Context(), call(fmt.Sprint(n), fmt.Sprint(n)))
+				if err != nil {
+					t.Errorf("claim failed: %v", err)
+				}
+				store.Complete(t.Context(), ticket, answerOf("x"))
+			})
+		}
+		all.Wait()
+		writes := fake.Counts().Writes
+		t.Logf("%d calls at 1000/s cost %d transactions and %d reads", calls, writes, fake.Counts().Reads)
+		if writes > calls/10 {
+			t.Errorf("%d calls cost %d transactions", calls, writes)
+		}
+	})
+}
+
+func TestOneConflictDoesNotFailTheGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := newFake(1)
+		fake.SetDelay(10*time.Millisecond, 20*time.Millisecond)
+		if _, _, err := newStore(fake.Client(), "zero").Claim(t.Context(), call("old", "7")); err != nil {
+			t.Fatal(err)
+		}
+		store := newStore(fake.Client(), "one")
+		var all sync.WaitGroup
+		for n := range 40 {
+			all.Go(func() {
+				_, _, err := store.Claim(t.Context(), call(fmt.Sprint("id", n), fmt.Sprint(n)))
+				if (err != nil) != (n == 7) {
+					t.Errorf("claim %d got %v", n, err)
+				}
+			})
+		}
+		all.Wait()
+	})
+}
+
+func TestRetentionAndSweep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := newFake(1)
+		store := newStore(fake.Client(), "one")
+		for n := range 150 {
+			if _, _, err := store.Claim(t.Context(), call(fmt.Sprint(n), fmt.Sprint(n))); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(24 * time.Hour)
+		if _, _, err := store.Claim(t.Context(), call("again", "3")); err == nil {
+			t.Error("a claim was forgotten within its retention")
+		}
+		left := func() int {
+			rows, _ := fake.Client().Scan(t.Context(), table, "", "", 1000)
+			return len(rows)
+		}
+		if full, err := store.Sweep(t.Context()); full || err != nil || left() != 150 {
+			t.Errorf("a sweep within the retention left %d rows, %v", left(), err)
+		}
+		time.Sleep(48 * time.Hour)
+		for _, want := range []int{50, 0} {
+			if _, err := store.Sweep(t.Context()); err != nil || left() != want {
+				t.Errorf("a sweep left %d rows, want %d: %v", left(), want, err)
+			}
+		}
+	})
+	if invariant.Broken() != 0 {
+		t.Error("an invariant was broken")
+	}
+}
--- a/claim/record.go
+++ b/claim/record.go
@@ -1,6 +1,11 @@
 package claim
 
-import "time"
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/gravitational/trace"
+)
 
 // record is the content of the row of a claim.
 type record struct {
@@ -8,12 +13,26 @@
 	Fingerprint uint64 `json:"Fingerprint"`
 	// Attempt is the identifier of the request that inserted the row.
 	Attempt string `json:"Attempt"`
-	// Daemon is the name of the daemon that inserted the row.
+	// Daemon is the incarnation of the daemon that inserted the row.
 	Daemon string `json:"Daemon"`
-	// RunsUntil is the time after which the first sending is not expected to run any more.
+	// RunsUntil is the time after which the first sending does not run any more.
 	RunsUntil time.Time `json:"RunsUntil"`
 	// Answer is the recorded answer, or nil while there is none.
 	Answer *Answer `json:"Answer,omitempty"`
-	// Object is the name of the object that holds the body, or empty if it is in Answer.
-	Object string `json:"Object,omitempty"`
+}
+
+// encode returns the value of the row.
+func (record record) encode() []byte {
+	value, err := json.Marshal(record)
+	if err != nil {
+		panic("claim: record cannot be encoded: " + err.Error())
+	}
+	return value
+}
+
+// decode returns the record in the value of a row.
+func decode(value []byte) (record, error) {
+	var decoded record
+	err := json.Unmarshal(value, &decoded)
+	return decoded, trace.Wrap(err)
 }
--- a/claim/ticket.go
+++ b/claim/ticket.go
@@ -4,12 +4,10 @@
 
 // Ticket is a claim that is held by one request.
 type Ticket struct {
-	// Key names the row.
-	Key platform.Key
-	// Attempt is the identifier of the request that holds the claim.
-	Attempt string
-	// Version is the version of the row as claimed, or zero if it has to be read.
-	Version uint64
-	// record is the content of the row.
+	// key names the row.
+	key platform.Key
+	// version is the version of the row as claimed, or zero if it has to be read.
+	version uint64
+	// record is the content of the row as claimed.
 	record record
 }
--- a/dispatch/claiming.go
+++ b/dispatch/claiming.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/bronzestall/bronzestall/claim"
 	"github.com/bronzestall/bronzestall/outcome"
@@ -42,18 +43,26 @@
 	return result{}
 }
 
-// settle records the end of a claimed request.
+// releaseTimeout bounds how long a refusal waits until its claim is given up.
+const releaseTimeout = 250 * time.Millisecond
+
+// settle records the end of a claimed request. Answers do not wait for it; a drain does.
 func (journey *journey) settle(ctx context.Context, failure *outcome.Error) {
 	if journey.ticket == nil {
 		return
 	}
+	claims, ticket := journey.dispatcher.deps.Claims, *journey.ticket
 	ctx = context.WithoutCancel(ctx)
-	if failure == nil {
-		journey.dispatcher.deps.Claims.Complete(ctx, *journey.ticket, journey.sink.(*recorder).answer())
-		return
-	}
-	if !journey.mayHaveRun {
-		journey.dispatcher.deps.Claims.Release(ctx, *journey.ticket)
+	switch {
+	case failure == nil:
+		answer := journey.sink.(*recorder).answer()
+		journey.dispatcher.behind(func() { claims.Complete(ctx, ticket, answer) })
+	case journey.mayHaveRun:
+		journey.dispatcher.behind(func() { claims.Lose(ctx, ticket) })
+	default:
+		ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+		defer cancel()
+		claims.Release(ctx, ticket)
 	}
 }
 
--- a/dispatch/claims.go
+++ b/dispatch/claims.go
@@ -16,6 +16,8 @@
 	Find(ctx context.Context, req request.Request) (*claim.Answer, error)
 	// Complete records the whole answer.
 	Complete(ctx context.Context, ticket claim.Ticket, answer claim.Answer)
+	// Lose records that the request ended without a known answer.
+	Lose(ctx context.Context, ticket claim.Ticket)
 	// Release gives up a claim whose request provably did not run.
 	Release(ctx context.Context, ticket claim.Ticket)
 }
--- a/dispatch/do.go
+++ b/dispatch/do.go
@@ -35,6 +35,17 @@
 	return nil
 }
 
+// behind runs the work while the request counts as active, without the caller waiting for it.
+func (dispatcher *Dispatcher) behind(work func()) {
+	dispatcher.mutex.Lock()
+	dispatcher.active++
+	dispatcher.mutex.Unlock()
+	go func() {
+		defer dispatcher.leave()
+		work()
+	}()
+}
+
 // leave counts the request out.
 func (dispatcher *Dispatcher) leave() {
 	dispatcher.mutex.Lock()
--- a/dispatch/settings.go
+++ b/dispatch/settings.go
@@ -12,7 +12,7 @@
 	Shares map[string]int
 	// AnswerBytes is the largest answer that is not streamed; zero means 32 MiB.
 	AnswerBytes int
-	// RecordBytes is the largest answer that is recorded with a claim; zero means 1 MiB.
+	// RecordBytes is the largest answer that is recorded with a claim; zero means 64 KiB.
 	RecordBytes int
 	// ProbeTimeout bounds one probe of an upstream; zero means 1 s.
 	ProbeTimeout time.Duration
@@ -25,7 +25,7 @@
 	defaultPerModel       = 256
 	defaultTotal          = 4096
 	defaultAnswerBytes    = 32 << 20
-	defaultRecordBytes    = 1 << 20
+	defaultRecordBytes    = 64 << 10
 	defaultProbeTimeout   = time.Second
 	defaultPublishTimeout = 500 * time.Millisecond
 )
