Wire the daemon's duties

Cause: requests, notes, deciding, peers and operators must run in one process. Ruled out: a foreign candidacy under the name of the VM alone, since two seats of one VM would prove each other's end; a decider before the state in force is known, which would take every replica for withdrawn. Change: daemon.Run with its duties, planned stop, status report, metrics, operators' key; senders carry their seat. Conclusion: the whole path can be tried.

--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,221 @@
+package daemon
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+	"k8s.io/utils/clock"
+
+	"github.com/bronzestall/bronzestall/catalogue"
+	"github.com/bronzestall/bronzestall/claim"
+	"github.com/bronzestall/bronzestall/dispatch"
+	"github.com/bronzestall/bronzestall/event"
+	"github.com/bronzestall/bronzestall/fleet"
+	"github.com/bronzestall/bronzestall/gateway"
+	"github.com/bronzestall/bronzestall/meter"
+	"github.com/bronzestall/bronzestall/observer"
+	"github.com/bronzestall/bronzestall/peer"
+	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/release"
+	"github.com/bronzestall/bronzestall/settings"
+)
+
+// Daemon is one daemon with all its duties. Use New.
+type Daemon struct {
+	settings settings.Settings
+	clock    clock.WithTicker
+	// process differs for every start of a process.
+	process    string
+	started    time.Time
+	meter      *meter.Meter
+	fleet      *fleet.Fleet
+	pool       *pool
+	platform   *platform.Client
+	members    *members
+	follower   *release.Follower
+	node       *peer.Node
+	observer   *observer.Observer
+	seats      *seats
+	demand     *demand
+	arrivals   *arrivals
+	dispatcher *dispatch.Dispatcher
+	claims     *claim.Store
+	warmth     *warmth
+	health     *health
+
+	callers   *server
+	operators *server
+	peers     *server
+}
+
+// New opens the addresses of the daemon and wires its duties. It fails if an address cannot be opened.
+func New(settings settings.Settings) (*Daemon, error) {
+	clock := clock.RealClock{}
+	daemon := &Daemon{
+		settings: settings,
+		clock:    clock,
+		process:  crand.Text(),
+		started:  clock.Now(),
+		meter:    meter.New(),
+		fleet:    fleet.New(clock),
+		platform: platform.NewClient(platform.ClientSettings{Address: settings.Platform.Address, Timeout: settings.Platform.Timeout}, clock),
+	}
+	daemon.pool = newPool(daemon.fleet, clock)
+	daemon.wireKnowledge()
+	daemon.wireDeciding()
+	daemon.wireRequests()
+	return daemon, daemon.open()
+}
+
+// wireKnowledge makes what the daemon knows of notes, VMs, upstreams and peers.
+func (daemon *Daemon) wireKnowledge() {
+	daemon.members = &members{
+		settings: daemon.settings,
+		list:     daemon.platform,
+		fleet:    daemon.fleet,
+		clock:    daemon.clock,
+	}
+	daemon.follower = release.NewFollower(daemon.platform, daemon.platform, daemon.clock, daemon.random(), release.FollowerSettings{
+		Every:   daemon.settings.Platform.FollowEvery,
+		Daemons: daemon.daemonCount,
+	})
+	daemon.observer = observer.New(observer.Settings{}, daemon.pool, daemon.fleet, daemon.clock)
+	daemon.seats = &seats{byDataCentre: map[string]*seat{}, dataCentreOf: daemon.dataCentreOf}
+	daemon.node = peer.NewNode(peer.Settings{
+		Name:          daemon.settings.Name,
+		DataCentre:    daemon.settings.DataCentre,
+		Incarnation:   uint64(daemon.started.UnixNano()),
+		PeerAddress:   daemon.settings.PeerAddress,
+		CallerAddress: daemon.settings.CallerAddress,
+		Members:       peer.MembersFunc(daemon.peerMembers),
+		Decider:       daemon.seats,
+		Notes:         noteSource{daemon.follower},
+	}, daemon.clock, daemon.random())
+}
+
+func (daemon *Daemon) wireDeciding() {
+	daemon.warmth = newWarmth(daemon.settings, daemon.platform, daemon.clock, daemon.catalogue)
+	for _, dataCentre := range daemon.settings.DataCentres {
+		daemon.seats.byDataCentre[dataCentre.Name] = &seat{
+			dataCentre: dataCentre.Name,
+			clock:      daemon.clock,
+			learner:    daemon.warmth,
+		}
+	}
+}
+
+func (daemon *Daemon) wireRequests() {
+	daemon.arrivals = newArrivals(nil, daemon.meter)
+	asker := &deciderAsker{
+		name:    daemon.settings.Name,
+		seat:    daemon.seats.byDataCentre[daemon.settings.DataCentre],
+		node:    daemon.node,
+		address: daemon.peerAddress,
+	}
+	daemon.demand = newDemand(asker, daemon.arrivals, daemon.clock, successorTerms*daemon.settings.Lease.Term)
+	daemon.claims = claim.New(claim.Settings{Incarnation: daemon.process, Timeout: daemon.settings.Platform.Timeout}, daemon.platform, daemon.clock)
+	directory := &directory{dataCentre: daemon.settings.DataCentre, fleet: daemon.fleet, state: daemon.catalogue}
+	daemon.dispatcher = dispatch.New(daemon.dispatchSettings(), dispatch.Deps{
+		Fleet:    directory,
+		Engines:  daemon.pool,
+		Demand:   daemon.demand,
+		Services: daemon.pool,
+		Claims:   daemon.claims,
+	}, daemon.clock, daemon.random())
+	daemon.arrivals.runner = daemon.dispatcher
+	daemon.health = &health{known: func() bool {
+		_, _, ok := daemon.catalogue()
+		return ok
+	}}
+}
+
+// successorTerms is the number of lease terms after which a lost decider is replaced.
+const successorTerms = 2
+
+func (daemon *Daemon) dispatchSettings() dispatch.Settings {
+	shares := map[string]int{}
+	for _, tenant := range daemon.settings.Tenants {
+		shares[tenant.Name] = tenant.Share
+	}
+	return dispatch.Settings{
+		PerModel: daemon.settings.Queue.PerModel,
+		Total:    daemon.settings.Queue.Total,
+		Shares:   shares,
+	}
+}
+
+// open listens on the three addresses.
+func (daemon *Daemon) open() error {
+	front, err := gateway.New(daemon.settings, gateway.Parts{
+		Names:  names{daemon.catalogue},
+		Runner: daemon.arrivals,
+		Health: daemon.health,
+		Meter:  daemon.meter,
+		Clock:  daemon.clock,
+	})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if daemon.callers, err = listen(daemon.settings.CallerAddress, front); err != nil {
+		return err
+	}
+	if daemon.operators, err = listen(daemon.settings.OperatorAddress, daemon.operatorHandler(front)); err != nil {
+		return err
+	}
+	daemon.peers, err = listen(daemon.settings.PeerAddress, daemon.node.Handler())
+	if err != nil {
+		return err
+	}
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	daemon.peers.http.Protocols = protocols
+	return nil
+}
+
+// catalogue returns the catalogue in force and its number, or false while neither is known.
+func (daemon *Daemon) catalogue() (catalogue.Catalogue, uint64, bool) {
+	state, ok := daemon.follower.InForce()
+	return state.Catalogue, state.Number, ok
+}
+
+// random returns a source of random numbers of its own for one user.
+func (daemon *Daemon) random() *rand.Rand {
+	var seed [16]byte
+	_, _ = crand.Read(seed[:])
+	return rand.New(rand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:])))
+}
+
+// Run opens the daemon, serves until ctx ends, and then stops it as planned.
+func Run(ctx context.Context, settings settings.Settings) error {
+	settings = settings.WithDefaults()
+	quietLibrary(settings.Drain.Notice + settings.Drain.Limit)
+	daemon, err := New(settings)
+	if err != nil {
+		return err
+	}
+	daemon.run(ctx)
+	return nil
+}
+
+// run starts the duties, waits for the end of ctx and stops.
+func (daemon *Daemon) run(ctx context.Context) {
+	work, endWork := context.WithCancel(context.WithoutCancel(ctx))
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		runDuties(work, daemon.clock, daemon.duties())
+	}()
+	event.DaemonStarted.Log("Name", daemon.settings.Name, "DataCentre", daemon.settings.DataCentre, "Process", daemon.process)
+	<-ctx.Done()
+	drained := daemon.drain()
+	endWork()
+	<-ended
+	daemon.closeServers()
+	event.DaemonStopped.Log("Finished", drained.Finished, "Cut", drained.Cut)
+}
--- a/daemon/demand.go
+++ b/daemon/demand.go
@@ -198,3 +198,13 @@
 		}
 	}
 }
+
+// lostFor returns the time for which no decider has answered, or zero.
+func (demand *demand) lostFor(now time.Time) time.Duration {
+	demand.lock.Lock()
+	defer demand.lock.Unlock()
+	if demand.lostSince.IsZero() {
+		return 0
+	}
+	return now.Sub(demand.lostSince)
+}
--- /dev/null
+++ b/daemon/duties.go
@@ -0,0 +1,79 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/bronzestall/bronzestall/event"
+)
+
+// releaseGrace bounds the hand-over of a lease at a planned stop.
+const releaseGrace = 5 * time.Second
+
+// duties lists every job of the daemon.
+func (daemon *Daemon) duties() []duty {
+	duties := []duty{
+		{"serve callers", daemon.callers.duty},
+		{"serve operators", daemon.operators.duty},
+		{"serve peers", daemon.peers.duty},
+		{"follow release notes", daemon.follower.Run},
+		{"follow the VM list", daemon.members.run},
+		{"observe upstreams", daemon.observe},
+		{"exchange with peers", daemon.node.Run},
+		{"tell peers", daemon.tellPeers},
+		{"hear peers", daemon.hearPeers},
+		{"report demand", daemon.demand.run},
+		{"look after requests", daemon.lookAfterRequests},
+		{"keep claims", daemon.keepClaims},
+		{"keep what was learnt", daemon.warmth.run},
+		{"set gauges", daemon.setGauges},
+	}
+	for _, seat := range daemon.seats.byDataCentre {
+		duties = append(duties, duty{"decide for " + seat.dataCentre, func(ctx context.Context) error {
+			return daemon.sit(ctx, seat)
+		}})
+	}
+	return duties
+}
+
+// duty serves until the context ends. A server without an address only waits.
+func (server *server) duty(ctx context.Context) error {
+	failed := make(chan error, 1)
+	go func() { failed <- server.serve() }()
+	select {
+	case err := <-failed:
+		if err != nil {
+			return err
+		}
+		<-ctx.Done()
+		return ctx.Err()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (daemon *Daemon) lookAfterRequests(ctx context.Context) error {
+	daemon.dispatcher.Run(ctx)
+	return ctx.Err()
+}
+
+func (daemon *Daemon) keepClaims(ctx context.Context) error {
+	daemon.claims.Run(ctx)
+	return ctx.Err()
+}
+
+// observeEvery is the interval at which the assignment of upstreams is looked at.
+const observeEvery = time.Second
+
+// observe keeps the assignment of upstreams in line with the live daemons.
+func (daemon *Daemon) observe(ctx context.Context) error {
+	defer daemon.observer.Wait()
+	return every(ctx, daemon.clock, observeEvery, func(ctx context.Context) {
+		daemon.observer.Assign(ctx, daemon.assigned())
+	})
+}
+
+// logChange logs a new number in force.
+func logChange(number uint64, models, adapters int) {
+	event.StateInForce.Log("InForce", number, "Models", models, "Adapters", adapters)
+}
--- /dev/null
+++ b/daemon/gauges.go
@@ -0,0 +1,63 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/bronzestall/bronzestall/fleet"
+	"github.com/bronzestall/bronzestall/internal/invariant"
+	"github.com/bronzestall/bronzestall/meter"
+	"github.com/bronzestall/bronzestall/upstream"
+)
+
+// gaugeEvery is the interval at which gauges are set.
+const gaugeEvery = 2 * time.Second
+
+func (daemon *Daemon) setGauges(ctx context.Context) error {
+	var logged uint64
+	return every(ctx, daemon.clock, gaugeEvery, func(context.Context) {
+		known, number, ok := daemon.catalogue()
+		if ok && number != logged {
+			logChange(number, known.Size().Models, known.Size().Adapters)
+			logged = number
+		}
+		daemon.meter.Set(meter.InForce, meter.Labels{}, int64(number))
+		daemon.meter.Set(meter.PeersHeard, meter.Labels{}, int64(len(daemon.node.Records())))
+		daemon.meter.Set(meter.InvariantsBroken, meter.Labels{}, invariant.Broken())
+		daemon.setSeatGauges()
+		daemon.meter.Set(meter.ReplicasLoaded, meter.Labels{Subject: daemon.settings.DataCentre}, daemon.readyReplicas())
+	})
+}
+
+func (daemon *Daemon) setSeatGauges() {
+	for dataCentre, seat := range daemon.seats.byDataCentre {
+		decides, owned := seat.decides()
+		subject := meter.Labels{Subject: dataCentre}
+		daemon.meter.Set(meter.LeaseHeld, subject, asGauge(owned))
+		if !owned {
+			continue
+		}
+		for upstreamName, charged := range decides.Status().Charged {
+			daemon.meter.Set(meter.MemoryCharged, meter.Labels{Subject: upstreamName}, charged)
+		}
+	}
+}
+
+func asGauge(set bool) int64 {
+	if set {
+		return 1
+	}
+	return 0
+}
+
+func (daemon *Daemon) readyReplicas() int64 {
+	ready := int64(0)
+	daemon.fleet.View().Models(func(_ string, places []fleet.Place) {
+		for _, place := range places {
+			if place.Replica.Phase == upstream.Ready && place.Known.Member.DataCentre == daemon.settings.DataCentre {
+				ready++
+			}
+		}
+	})
+	return ready
+}
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -20,12 +20,11 @@
 	list     platform.VMs
 	fleet    *fleet.Fleet
 	clock    clock.Clock
-	lock     sync.Mutex
+	// lock guards the fields below.
+	lock sync.Mutex
 	// vms is the last list that was read, or nil.
-	vms []platform.VM
-	// changed is called after each list.
-	changed func(vms []platform.VM)
-	away    bool
+	vms  []platform.VM
+	away bool
 }
 
 func (members *members) run(ctx context.Context) error {
@@ -46,6 +45,8 @@
 
 // notice logs the change between a readable and an unreadable list and reports whether the read failed.
 func (members *members) notice(err error) bool {
+	members.lock.Lock()
+	defer members.lock.Unlock()
 	if err != nil && !members.away {
 		event.VMListAway.LogError(err)
 	}
@@ -56,14 +57,18 @@
 	return members.away
 }
 
+// isAway reports whether the list could not be read the last time.
+func (members *members) isAway() bool {
+	members.lock.Lock()
+	defer members.lock.Unlock()
+	return members.away
+}
+
 func (members *members) apply(vms []platform.VM) {
 	members.lock.Lock()
 	members.vms = vms
 	members.lock.Unlock()
 	members.fleet.SetMembers(members.upstreams(vms))
-	if members.changed != nil {
-		members.changed(vms)
-	}
 }
 
 // all returns the last list that was read.
--- /dev/null
+++ b/daemon/peers.go
@@ -0,0 +1,172 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/bronzestall/bronzestall/peer"
+	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/settings"
+)
+
+const (
+	// tellEvery is the interval at which the own record is brought up to date.
+	tellEvery = 500 * time.Millisecond
+	// observersEach is the number of daemons that ask one upstream for its state.
+	observersEach = 1
+)
+
+// peerMembers lists the other daemons of settings and VM list.
+func (daemon *Daemon) peerMembers() []peer.Member {
+	byName := map[string]peer.Member{}
+	for _, known := range daemon.settings.Peers {
+		byName[known.Name] = peer.Member{Name: known.Name, Address: known.Address}
+	}
+	for _, vm := range daemon.members.all() {
+		if vm.Role == platform.Entry {
+			byName[vm.Name] = peer.Member{Name: vm.Name, Address: vm.Address, DataCentre: vm.DataCentre}
+		}
+	}
+	delete(byName, daemon.settings.Name)
+	members := make([]peer.Member, 0, len(byName))
+	for _, member := range byName {
+		members = append(members, member)
+	}
+	return members
+}
+
+// daemonCount returns the number of daemons that are known, with this one.
+func (daemon *Daemon) daemonCount() int {
+	return len(daemon.peerMembers()) + 1
+}
+
+// dataCentreOf returns the data centre of a daemon, or an empty name if it is not known.
+func (daemon *Daemon) dataCentreOf(name string) string {
+	if name == daemon.settings.Name {
+		return daemon.settings.DataCentre
+	}
+	for _, known := range daemon.node.Records() {
+		if known.Record.Name == name {
+			return known.Record.DataCentre
+		}
+	}
+	for _, member := range daemon.peerMembers() {
+		if member.Name == name {
+			return member.DataCentre
+		}
+	}
+	return ""
+}
+
+// peerAddress returns the address of a daemon for other daemons, or an empty one if it is not known.
+func (daemon *Daemon) peerAddress(name string) string {
+	for _, known := range daemon.node.Records() {
+		if known.Record.Name == name && known.Record.PeerAddress != "" {
+			return known.Record.PeerAddress
+		}
+	}
+	for _, member := range daemon.peerMembers() {
+		if member.Name == name {
+			return member.Address
+		}
+	}
+	return ""
+}
+
+// liveIn returns the daemons of a data centre that were heard lately and do not leave.
+func (daemon *Daemon) liveIn(dataCentre string) []string {
+	if dataCentre == daemon.settings.DataCentre {
+		return daemon.node.Live()
+	}
+	oldest := daemon.clock.Now().Add(-remoteLive)
+	var live []string
+	for _, known := range daemon.node.Records() {
+		if known.Record.DataCentre == dataCentre && !known.Record.Leaving && known.Heard.After(oldest) {
+			live = append(live, known.Record.Name)
+		}
+	}
+	return live
+}
+
+// remoteLive is the age up to which a record from another data centre shows a live daemon.
+const remoteLive = 15 * time.Second
+
+// assigned returns the engines that this daemon asks for their states: its share of those of its
+// own data centre and of data centres without a live daemon.
+func (daemon *Daemon) assigned() []string {
+	var names []string
+	for _, known := range daemon.fleet.View().Known() {
+		if known.Member.Kind == settings.EngineKind && daemon.observes(known.Member.Name, known.Member.DataCentre) {
+			names = append(names, known.Member.Name)
+		}
+	}
+	return names
+}
+
+func (daemon *Daemon) observes(upstreamName, dataCentre string) bool {
+	live := daemon.liveIn(dataCentre)
+	if len(live) == 0 {
+		live = daemon.node.Live()
+	}
+	for _, name := range peer.Assigned(upstreamName, live, observersEach) {
+		if name == daemon.settings.Name {
+			return true
+		}
+	}
+	return false
+}
+
+// tellPeers keeps the own record up to date.
+func (daemon *Daemon) tellPeers(ctx context.Context) error {
+	for {
+		daemon.node.Update(daemon.record)
+		select {
+		case <-daemon.fleet.Changed():
+		case <-daemon.follower.Changed():
+		case <-daemon.clock.After(tellEvery):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (daemon *Daemon) record(last peer.Record) peer.Record {
+	next := last
+	_, number, _ := daemon.catalogue()
+	next.InForce = number
+	next.Running = int(daemon.arrivals.running())
+	next.Observations = daemon.observations()
+	return next
+}
+
+func (daemon *Daemon) observations() []peer.Observation {
+	var seen []peer.Observation
+	for _, known := range daemon.fleet.View().Known() {
+		if known.Direct && known.State.BootID != "" {
+			seen = append(seen, peer.Observation{Seen: known.AsOf, State: known.State})
+		}
+	}
+	return seen
+}
+
+// hearPeers takes states of upstreams and numbers in force from the records of other daemons.
+func (daemon *Daemon) hearPeers(ctx context.Context) error {
+	for {
+		changed := daemon.node.Changed()
+		for _, known := range daemon.node.Records() {
+			daemon.hear(known.Record)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (daemon *Daemon) hear(record peer.Record) {
+	for _, seen := range record.Observations {
+		daemon.fleet.Put(seen.State, seen.Seen, false)
+	}
+	daemon.follower.Offer(record.InForce, peerNotes{daemon.node, record.PeerAddress})
+}
--- /dev/null
+++ b/daemon/seats.go
@@ -0,0 +1,29 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/bronzestall/bronzestall/peer"
+)
+
+// seats holds the candidacies of this daemon by data centre. It answers demand of peers.
+type seats struct {
+	// byDataCentre never changes.
+	byDataCentre map[string]*seat
+	// dataCentreOf returns the data centre of a daemon, or an empty name if it is not known.
+	dataCentreOf func(daemon string) string
+}
+
+// Demand takes what a daemon wants for its data centre.
+func (seats *seats) Demand(_ context.Context, from string, wants []peer.Want) (peer.DemandAnswer, error) {
+	seat, ok := seats.byDataCentre[seats.dataCentreOf(from)]
+	if !ok {
+		return peer.DemandAnswer{}, nil
+	}
+	return seat.demand(from, wants), nil
+}
+
+// Grant is not decided here: transfers of adapters are divided by the share of the daemon.
+func (seats *seats) Grant(context.Context, string, peer.GrantRequest) (peer.Grant, error) {
+	return peer.Grant{}, nil
+}
--- /dev/null
+++ b/daemon/stop.go
@@ -0,0 +1,38 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/bronzestall/bronzestall/dispatch"
+	"github.com/bronzestall/bronzestall/event"
+	"github.com/bronzestall/bronzestall/peer"
+)
+
+// drain fails the health check, waits until the balancer has noticed, closes the callers' listener
+// and lets running requests finish within the limit.
+func (daemon *Daemon) drain() dispatch.Drained {
+	event.DaemonDraining.Log("Running", daemon.arrivals.running())
+	daemon.health.stopping.Store(true)
+	daemon.node.Update(func(record peer.Record) peer.Record {
+		record.Leaving = true
+		return record
+	})
+	daemon.callers.refuseReuse()
+	daemon.clock.Sleep(daemon.settings.Drain.Notice)
+	ctx, cancel := context.WithTimeout(context.Background(), daemon.settings.Drain.Limit)
+	defer cancel()
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		daemon.callers.shutdown(ctx)
+	}()
+	drained := daemon.dispatcher.Drain(ctx)
+	<-closed
+	return drained
+}
+
+// closeServers ends the listeners for operators and peers.
+func (daemon *Daemon) closeServers() {
+	_ = daemon.operators.http.Close()
+	_ = daemon.peers.http.Close()
+}
--- a/intent/registry.go
+++ b/intent/registry.go
@@ -48,7 +48,7 @@
 // Register records this process as the newest of its VM. The write depends on the version read,
 // so that a late write of an older process cannot replace a newer one.
 func (registry *Registry) Register(ctx context.Context) error {
-	row, found, err := registry.read(ctx, registry.me.VM)
+	row, found, err := registry.read(ctx, registry.me)
 	if err != nil {
 		return err
 	}
@@ -57,7 +57,7 @@
 		return nil
 	}
 	versions, err := registry.tables.Commit(ctx, []platform.Write{{
-		Key: senderKey(registry.me.VM), Check: true, IfVersion: row.Version, Value: encode(senderRecord{Sender: registry.me}),
+		Key: senderKey(registry.me), Check: true, IfVersion: row.Version, Value: encode(senderRecord{Sender: registry.me}),
 	}})
 	if err != nil {
 		return trace.Wrap(err)
@@ -72,7 +72,7 @@
 		return nil
 	}
 	_, err := registry.tables.Commit(ctx, []platform.Write{{
-		Key: senderKey(registry.me.VM), Check: true, IfVersion: registry.version,
+		Key: senderKey(registry.me), Check: true, IfVersion: registry.version,
 		Value: encode(senderRecord{Sender: registry.me, Ended: true}),
 	}})
 	return trace.Wrap(err)
@@ -93,7 +93,7 @@
 
 // replaced reports whether the process recorded its end or a newer one runs on the VM.
 func (registry *Registry) replaced(ctx context.Context, sender Sender) bool {
-	row, found, err := registry.read(ctx, sender.VM)
+	row, found, err := registry.read(ctx, sender)
 	if err != nil || row.Version == 0 {
 		return false
 	}
@@ -131,8 +131,8 @@
 	return registry.clock.Since(since) > registry.lag
 }
 
-func (registry *Registry) read(ctx context.Context, vm string) (platform.Row, senderRecord, error) {
-	row, err := registry.tables.Read(ctx, senderKey(vm))
+func (registry *Registry) read(ctx context.Context, sender Sender) (platform.Row, senderRecord, error) {
+	row, err := registry.tables.Read(ctx, senderKey(sender))
 	if errors.Is(err, platform.ErrNotFound) {
 		return platform.Row{}, senderRecord{}, nil
 	}
@@ -144,8 +144,12 @@
 	return row, found, trace.Wrap(err)
 }
 
-func senderKey(vm string) platform.Key {
-	return platform.Key{Table: SenderTable, Row: vm}
+func senderKey(sender Sender) platform.Key {
+	row := sender.VM
+	if sender.Seat != "" {
+		row += "/" + sender.Seat
+	}
+	return platform.Key{Table: SenderTable, Row: row}
 }
 
 func vmKey(name, incarnation string) string {
