Serve the whole path in separate processes

Cause: the whole path had not been tried; the daemon reached the world directly, so that no test could run it. Ruled out: fakes in place of the clients, which would leave the clients' own rules untested. Change: the daemon takes clock, dialler, listener, peer client and seed as Outside; clients of lost members are closed.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	crand "crypto/rand"
-	"encoding/binary"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -28,6 +26,7 @@
 // Daemon is one daemon with all its duties. Use New.
 type Daemon struct {
 	settings settings.Settings
+	outside  Outside
 	clock    clock.WithTicker
 	// process differs for every start of a process.
 	process    string
@@ -53,19 +52,32 @@
 	peers     *server
 }
 
+// The duties with random numbers of their own.
+const (
+	followSeed uint64 = iota + 1
+	peerSeed
+	dispatchSeed
+)
+
 // New opens the addresses of the daemon and wires its duties. It fails if an address cannot be opened.
-func New(settings settings.Settings) (*Daemon, error) {
-	clock := clock.RealClock{}
+func New(settings settings.Settings, outside Outside) (*Daemon, error) {
+	outside = outside.withDefaults()
+	clock := outside.Clock
 	daemon := &Daemon{
 		settings: settings,
+		outside:  outside,
 		clock:    clock,
 		process:  crand.Text(),
 		started:  clock.Now(),
 		meter:    meter.New(),
 		fleet:    fleet.New(clock),
-		platform: platform.NewClient(platform.ClientSettings{Address: settings.Platform.Address, Timeout: settings.Platform.Timeout}, clock),
+		platform: platform.NewClient(platform.ClientSettings{
+			Address: settings.Platform.Address,
+			Timeout: settings.Platform.Timeout,
+			Dial:    outside.Dial,
+		}, clock),
 	}
-	daemon.pool = newPool(daemon.fleet, clock)
+	daemon.pool = newPool(daemon.fleet, outside.Dial, clock)
 	daemon.wireKnowledge()
 	daemon.wireDeciding()
 	daemon.wireRequests()
@@ -80,7 +92,7 @@
 		fleet:    daemon.fleet,
 		clock:    daemon.clock,
 	}
-	daemon.follower = release.NewFollower(daemon.platform, daemon.platform, daemon.clock, daemon.random(), release.FollowerSettings{
+	daemon.follower = release.NewFollower(daemon.platform, daemon.platform, daemon.clock, daemon.outside.random(followSeed), release.FollowerSettings{
 		Every:   daemon.settings.Platform.FollowEvery,
 		Daemons: daemon.daemonCount,
 	})
@@ -92,10 +104,11 @@
 		Incarnation:   uint64(daemon.started.UnixNano()),
 		PeerAddress:   daemon.settings.PeerAddress,
 		CallerAddress: daemon.settings.CallerAddress,
+		Client:        daemon.outside.PeerClient,
 		Members:       peer.MembersFunc(daemon.peerMembers),
 		Decider:       daemon.seats,
 		Notes:         noteSource{daemon.follower},
-	}, daemon.clock, daemon.random())
+	}, daemon.clock, daemon.outside.random(peerSeed))
 }
 
 func (daemon *Daemon) wireDeciding() {
@@ -126,7 +139,7 @@
 		Demand:   daemon.demand,
 		Services: daemon.pool,
 		Claims:   daemon.claims,
-	}, daemon.clock, daemon.random())
+	}, daemon.clock, daemon.outside.random(dispatchSeed))
 	daemon.arrivals.runner = daemon.dispatcher
 	daemon.health = &health{known: func() bool {
 		_, _, ok := daemon.catalogue()
@@ -161,13 +174,13 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	if daemon.callers, err = listen(daemon.settings.CallerAddress, front); err != nil {
+	if daemon.callers, err = daemon.listen(daemon.settings.CallerAddress, front); err != nil {
 		return err
 	}
-	if daemon.operators, err = listen(daemon.settings.OperatorAddress, daemon.operatorHandler(front)); err != nil {
+	if daemon.operators, err = daemon.listen(daemon.settings.OperatorAddress, daemon.operatorHandler(front)); err != nil {
 		return err
 	}
-	daemon.peers, err = listen(daemon.settings.PeerAddress, daemon.node.Handler())
+	daemon.peers, err = daemon.listen(daemon.settings.PeerAddress, daemon.node.Handler())
 	if err != nil {
 		return err
 	}
@@ -184,27 +197,20 @@
 	return state.Catalogue, state.Number, ok
 }
 
-// random returns a source of random numbers of its own for one user.
-func (daemon *Daemon) random() *rand.Rand {
-	var seed [16]byte
-	_, _ = crand.Read(seed[:])
-	return rand.New(rand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:])))
-}
-
 // Run opens the daemon, serves until ctx ends, and then stops it as planned.
 func Run(ctx context.Context, settings settings.Settings) error {
 	settings = settings.WithDefaults()
 	quietLibrary(settings.Drain.Notice + settings.Drain.Limit)
-	daemon, err := New(settings)
+	daemon, err := New(settings, Outside{})
 	if err != nil {
 		return err
 	}
-	daemon.run(ctx)
+	daemon.Serve(ctx)
 	return nil
 }
 
-// run starts the duties, waits for the end of ctx and stops.
-func (daemon *Daemon) run(ctx context.Context) {
+// Serve starts the duties, waits for the end of ctx, stops as planned and closes all connections.
+func (daemon *Daemon) Serve(ctx context.Context) {
 	work, endWork := context.WithCancel(context.WithoutCancel(ctx))
 	ended := make(chan struct{})
 	go func() {
@@ -216,6 +222,6 @@
 	drained := daemon.drain()
 	endWork()
 	<-ended
-	daemon.closeServers()
+	daemon.close()
 	event.DaemonStopped.Log("Finished", drained.Finished, "Cut", drained.Cut)
 }
--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"github.com/bronzestall/bronzestall/event"
 )
 
 // releaseGrace bounds the hand-over of a lease at a planned stop.
@@ -70,10 +68,6 @@
 	defer daemon.observer.Wait()
 	return every(ctx, daemon.clock, observeEvery, func(ctx context.Context) {
 		daemon.observer.Assign(ctx, daemon.assigned())
+		daemon.pool.prune()
 	})
 }
-
-// logChange logs a new number in force.
-func logChange(number uint64, models, adapters int) {
-	event.StateInForce.Log("InForce", number, "Models", models, "Adapters", adapters)
-}
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -14,13 +14,8 @@
 const gaugeEvery = 2 * time.Second
 
 func (daemon *Daemon) setGauges(ctx context.Context) error {
-	var logged uint64
 	return every(ctx, daemon.clock, gaugeEvery, func(context.Context) {
-		known, number, ok := daemon.catalogue()
-		if ok && number != logged {
-			logChange(number, known.Size().Models, known.Size().Adapters)
-			logged = number
-		}
+		_, number, _ := daemon.catalogue()
 		daemon.meter.Set(meter.InForce, meter.Labels{}, int64(number))
 		daemon.meter.Set(meter.PeersHeard, meter.Labels{}, int64(len(daemon.node.Records())))
 		daemon.meter.Set(meter.InvariantsBroken, meter.Labels{}, invariant.Broken())
--- a/daemon/pool.go
+++ b/daemon/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 
 	"k8s.io/utils/clock"
@@ -16,6 +17,7 @@
 // pool keeps one client for each upstream. A member with a new address or incarnation gets a new client.
 type pool struct {
 	fleet *fleet.Fleet
+	dial  dialer
 	clock clock.Clock
 	lock  sync.Mutex
 	// engines and services have at most one entry for each member that was asked for.
@@ -23,15 +25,19 @@
 	services map[string]pooled[*service.Client]
 }
 
+// dialer opens a connection; nil means TCP.
+type dialer = func(ctx context.Context, network, address string) (net.Conn, error)
+
 type pooled[C any] struct {
 	address     string
 	incarnation string
 	client      C
 }
 
-func newPool(fleet *fleet.Fleet, clock clock.Clock) *pool {
+func newPool(fleet *fleet.Fleet, dial dialer, clock clock.Clock) *pool {
 	return &pool{
 		fleet:    fleet,
+		dial:     dial,
 		clock:    clock,
 		engines:  map[string]pooled[*upstream.Client]{},
 		services: map[string]pooled[*service.Client]{},
@@ -63,7 +69,7 @@
 
 func (pool *pool) engine(name string) (*upstream.Client, bool) {
 	return find(pool, pool.engines, name, func(member fleet.Member) *upstream.Client {
-		return upstream.NewClient(upstream.ClientSettings{Name: name, Address: member.Address}, pool.clock)
+		return upstream.NewClient(upstream.ClientSettings{Name: name, Address: member.Address, Dial: pool.dial}, pool.clock)
 	})
 }
 
@@ -82,7 +88,7 @@
 // Call sends a call to a plain service once.
 func (pool *pool) Call(ctx context.Context, name string, req request.Request) (dispatch.Answer, error) {
 	client, ok := find(pool, pool.services, name, func(member fleet.Member) *service.Client {
-		return service.NewClient(service.ClientSettings{Name: name, Address: member.Address}, pool.clock)
+		return service.NewClient(service.ClientSettings{Name: name, Address: member.Address, Dial: pool.dial}, pool.clock)
 	})
 	if !ok {
 		return dispatch.Answer{}, upstream.ErrNotSent
@@ -90,3 +96,33 @@
 	answer, err := client.Call(ctx, req)
 	return dispatch.Answer{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body}, err
 }
+
+// prune closes the clients of upstreams that are no longer members.
+func (pool *pool) prune() {
+	view := pool.fleet.View()
+	pool.lock.Lock()
+	defer pool.lock.Unlock()
+	pruneClients(view, pool.engines)
+	pruneClients(view, pool.services)
+}
+
+func pruneClients[C interface{ Close() }](view *fleet.View, clients map[string]pooled[C]) {
+	for name, old := range clients {
+		if _, ok := view.Upstream(name); !ok {
+			old.client.Close()
+			delete(clients, name)
+		}
+	}
+}
+
+// close closes every client.
+func (pool *pool) close() {
+	pool.lock.Lock()
+	defer pool.lock.Unlock()
+	for _, old := range pool.engines {
+		old.client.Close()
+	}
+	for _, old := range pool.services {
+		old.client.Close()
+	}
+}
--- a/daemon/report.go
+++ b/daemon/report.go
@@ -59,6 +59,9 @@
 func (daemon *Daemon) reportPlatform(now time.Time) status.Platform {
 	report := status.Platform{ListAway: daemon.members.isAway()}
 	if following := daemon.follower.Status(); following.Failures > 0 {
+		if following.Confirmed.IsZero() {
+			following.Confirmed = daemon.started
+		}
 		report.TablesAwayFor = now.Sub(following.Confirmed)
 	}
 	return report
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -20,12 +20,12 @@
 }
 
 // listen opens the address. An empty address gives a server that serves nothing.
-func listen(address string, handler http.Handler) (*server, error) {
+func (daemon *Daemon) listen(address string, handler http.Handler) (*server, error) {
 	made := &server{http: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}}
 	if address == "" {
 		return made, nil
 	}
-	listener, err := net.Listen("tcp", address)
+	listener, err := daemon.outside.Listen("tcp", address)
 	if err != nil {
 		return nil, trace.Wrap(err, "cannot listen on %s", address)
 	}
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -31,8 +31,13 @@
 	return drained
 }
 
-// closeServers ends the listeners for operators and peers.
-func (daemon *Daemon) closeServers() {
+// close ends the listeners for operators and peers and all connections.
+func (daemon *Daemon) close() {
 	_ = daemon.operators.http.Close()
 	_ = daemon.peers.http.Close()
+	daemon.pool.close()
+	daemon.platform.Close()
+	if client, ok := daemon.outside.PeerClient.(interface{ CloseIdleConnections() }); ok {
+		client.CloseIdleConnections()
+	}
 }
--- a/event/daemon.go
+++ b/event/daemon.go
@@ -23,6 +23,3 @@
 	DeciderLost  = define(130, "DeciderLost", Warning, "No decider of the data centre answers; cold requests wait for a successor within their deadlines.")
 	DeciderFound = define(131, "DeciderFound", Info, "A decider of the data centre answers again.")
 )
-
-// StateInForce is the event of a new number in force at this daemon.
-var StateInForce = define(112, "StateInForce", Info, "A release note is in force at this daemon.")
