--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -16,18 +16,23 @@
 	opened time.Time
 
 	mu sync.Mutex
-	// writes is the number of writes begun, successful or not.
+	// writes is the number of writes that took a byte, or may still take one.
 	writes int
 	// sealed makes further writes fail before a byte is sent.
 	sealed bool
 }
 
-// Write writes to the connection unless it is sealed. The write is counted before its first byte is sent.
+// Write writes to the connection unless it is sealed. The write is counted before its first byte
+// is sent, and no longer once it is certain that none was.
 func (c *conn) Write(data []byte) (int, error) {
 	if !c.begin() {
 		return 0, errSealed
 	}
-	return c.Conn.Write(data)
+	n, err := c.Conn.Write(data)
+	if n == 0 {
+		c.undo()
+	}
+	return n, err
 }
 
 func (c *conn) begin() bool {
@@ -40,13 +45,19 @@
 	return true
 }
 
+func (c *conn) undo() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writes--
+}
+
 func (c *conn) begun() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.writes
 }
 
-// seal makes further writes fail and reports whether none began since the count was since.
+// seal makes further writes fail and reports whether no byte was taken since the count was since.
 func (c *conn) seal(since int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
