--- /dev/null
+++ b/catalogue/withdrawn.go
@@ -0,0 +1,61 @@
+package catalogue
+
+import (
+	"cmp"
+	"slices"
+)
+
+// WithdrawnLimit is the number of withdrawn entries that a catalogue remembers.
+const WithdrawnLimit = 4096
+
+// withdrawals remembers the newest withdrawn entries. It is immutable.
+type withdrawals struct {
+	// oldest holds at most WithdrawnLimit entries, the one withdrawn first in front.
+	oldest []EntryName
+	// byName holds the same entries.
+	byName sorted[string, EntryName]
+}
+
+// withdrawalsOf returns the list of the names, the one withdrawn first in front.
+func withdrawalsOf(names []EntryName) withdrawals {
+	names = names[max(0, len(names)-WithdrawnLimit):]
+	list := withdrawals{oldest: slices.Clone(names)}
+	byKey := slices.SortedFunc(slices.Values(names), func(a, b EntryName) int {
+		return cmp.Compare(list.key(a), list.key(b))
+	})
+	for _, name := range byKey {
+		list.byName.append(list.key(name), &name)
+	}
+	return list
+}
+
+// key returns the key of an entry in byName.
+func (list withdrawals) key(name EntryName) string {
+	return string(name.Kind) + "/" + name.Name
+}
+
+// has reports whether the entry was withdrawn and is remembered.
+func (list withdrawals) has(name EntryName) bool {
+	return list.byName.Get(list.key(name)) != nil
+}
+
+// with remembers the entry and forgets the oldest beyond the limit.
+func (list withdrawals) with(name EntryName) withdrawals {
+	list = list.without(name)
+	oldest := append(slices.Clone(list.oldest), name)
+	byName := list.byName.With(list.key(name), &name)
+	if len(oldest) > WithdrawnLimit {
+		byName = byName.Without(list.key(oldest[0]))
+		oldest = oldest[1:]
+	}
+	return withdrawals{oldest: oldest, byName: byName}
+}
+
+// without forgets the entry.
+func (list withdrawals) without(name EntryName) withdrawals {
+	if !list.has(name) {
+		return list
+	}
+	oldest := slices.DeleteFunc(slices.Clone(list.oldest), func(other EntryName) bool { return other == name })
+	return withdrawals{oldest: oldest, byName: list.byName.Without(list.key(name))}
+}
