--- a/internal/standin/cmd/standin/main.go
+++ b/internal/standin/cmd/standin/main.go
@@ -15,6 +15,7 @@
 	Platform platformCommand `cmd:"" help:"Serve the platform (tables, objects, VM list) and the weight store."`
 	Engine   engineCommand   `cmd:"" help:"Serve a model engine."`
 	Service  serviceCommand  `cmd:"" help:"Serve a plain service."`
+	Load     loadCommand     `cmd:"" help:"Offer a load of streamed chat requests and print a report."`
 }
 
 func main() {
