Share the control of faults and counts between stand-ins

Cause: duplicates listed the same handlers in four stand-ins and the same defaults in three packages. Change: answer.Control serves faults and counts for all; defaults by cmp.Or; the reading of not sent stands once in transport.

--- a/internal/standin/engine/cacheevent.go
+++ b/internal/standin/engine/cacheevent.go
@@ -33,8 +33,8 @@
 	if hash == "" {
 		return false
 	}
-	server.mu.Lock()
-	defer server.mu.Unlock()
+	server.Lock()
+	defer server.Unlock()
 	entry := prefix{model, hash}
 	at := slices.Index(life.cached, entry)
 	if at >= 0 {
@@ -67,18 +67,18 @@
 
 func (server *Server) showEvents(writer http.ResponseWriter, request *http.Request) {
 	after, _ := strconv.ParseUint(request.URL.Query().Get("after"), 10, 64)
-	server.mu.Lock()
-	lag := time.Duration(server.faults.EventLagMilliseconds) * time.Millisecond
+	server.Lock()
+	lag := time.Duration(server.InForce.EventLagMilliseconds) * time.Millisecond
 	now := server.clock.Now()
 	found := []upstream.CacheEvent{}
 	for _, event := range server.boot.events {
-		gap := server.faults.EventGap > 0 && event.Sequence%server.faults.EventGap == 0
+		gap := server.InForce.EventGap > 0 && event.Sequence%server.InForce.EventGap == 0
 		if event.Sequence > after && !gap && now.Sub(event.at) >= lag {
 			found = append(found, event.CacheEvent)
 		}
 	}
 	bootID := server.boot.id
-	server.mu.Unlock()
+	server.Unlock()
 	answer.JSON(writer, http.StatusOK, struct {
 		BootID string `json:"BootId"`
 		Events []upstream.CacheEvent
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -31,9 +32,9 @@
 }
 
 func (server *Server) generate(writer http.ResponseWriter, request *http.Request) {
-	server.mu.Lock()
+	server.Lock()
 	life := server.boot
-	server.mu.Unlock()
+	server.Unlock()
 	question, err := server.ask(life, request)
 	if err != nil {
 		answer.Refuse(writer, http.StatusBadRequest, err.Error())
@@ -78,7 +79,7 @@
 			model:    model,
 			chat:     strings.HasSuffix(request.URL.Path, "/chat/completions"),
 			priority: priority,
-			total:    orDefault(fields.MaxTokens, defaultTokens),
+			total:    cmp.Or(fields.MaxTokens, defaultTokens),
 			mark:     fmt.Sprintf("%08x", hash.Sum32()),
 			crashes:  bytes.Contains(body, []byte(server.settings.CrashMark)),
 			ctx:      ctx,
@@ -105,13 +106,13 @@
 
 // resumable returns the generation if it goes on or is complete, and counts the resumption.
 func (server *Server) resumable(life *boot, id string) *job {
-	server.mu.Lock()
-	defer server.mu.Unlock()
+	server.Lock()
+	defer server.Unlock()
 	j := life.jobs[id]
 	if j == nil || (j.ctx.Err() != nil && !j.complete()) {
 		return nil
 	}
-	server.counts.Resumed++
+	server.Done.Resumed++
 	return j
 }
 
@@ -123,7 +124,7 @@
 		}
 	}()
 	shown := j.id
-	if server.take(func(faults *Faults) *int { return &faults.CrossedHeads }) {
+	if server.Take(func(faults *Faults) *int { return &faults.CrossedHeads }) {
 		shown = foreignID
 	}
 	writer.Header().Set("X-Request-Id", shown)
@@ -159,7 +160,7 @@
 	writer.Header().Set("Content-Type", "application/json")
 	writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	server.writeLoad(writer, "X-Load", j)
-	if server.take(func(faults *Faults) *int { return &faults.Truncated }) {
+	if server.Take(func(faults *Faults) *int { return &faults.Truncated }) {
 		_, _ = writer.Write(body[:len(body)/2])
 		_ = http.NewResponseController(writer).Flush()
 		answer.Cut()
--- a/internal/standin/engine/kv.go
+++ b/internal/standin/engine/kv.go
@@ -27,9 +27,9 @@
 	if !answer.Decode(writer, request, &question) {
 		return
 	}
-	server.mu.Lock()
+	server.Lock()
 	j := server.boot.jobs[question.RequestID]
-	server.mu.Unlock()
+	server.Unlock()
 	if j == nil || j.adapter != nil {
 		answer.Refuse(writer, http.StatusNotFound, "no such generation")
 		return
@@ -48,9 +48,9 @@
 	if !answer.Decode(writer, request, &content) {
 		return
 	}
-	server.mu.Lock()
+	server.Lock()
 	life := server.boot
-	server.mu.Unlock()
+	server.Unlock()
 	ctx, cancel := context.WithCancel(life.ctx)
 	j := &job{
 		id: content.RequestID, model: content.Model, chat: content.Chat, priority: content.Priority,
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -15,7 +16,7 @@
 		return
 	}
 	verdict, err := server.Order(request.Context(), order)
-	if server.take(func(faults *Faults) *int { return &faults.LoseOrderAnswers }) {
+	if server.Take(func(faults *Faults) *int { return &faults.LoseOrderAnswers }) {
 		answer.Cut()
 	}
 	if err != nil {
@@ -27,21 +28,21 @@
 
 // Order does the order, at most once for each identifier in one boot. It fails if a transfer fails.
 func (server *Server) Order(ctx context.Context, order upstream.Order) (upstream.Verdict, error) {
-	server.mu.Lock()
+	server.Lock()
 	life := server.boot
 	if verdict := server.check(order); verdict != upstream.Accepted {
-		server.mu.Unlock()
+		server.Unlock()
 		return verdict, nil
 	}
 	if verdict, done := life.orders[order.ID]; done {
-		server.mu.Unlock()
+		server.Unlock()
 		return verdict, nil
 	}
 	if order.Verb == upstream.LoadAdapter {
-		server.mu.Unlock()
+		server.Unlock()
 		return server.loadAdapter(ctx, life, order)
 	}
-	defer server.mu.Unlock()
+	defer server.Unlock()
 	verdict := server.do(order)
 	if verdict == upstream.Accepted {
 		life.orders[order.ID] = verdict
@@ -59,7 +60,7 @@
 		return upstream.WrongBoot
 	}
 	if order.Fence < life.fence {
-		server.counts.Fenced++
+		server.Done.Fenced++
 		return upstream.Fenced
 	}
 	life.fence = order.Fence
@@ -85,8 +86,8 @@
 	life := server.boot
 	name := upstream.Checkpoint(order.Model, order.Version)
 	existing := life.replicas[name]
-	if server.faults.Leaving {
-		server.counts.AfterLeaving++
+	if server.InForce.Leaving {
+		server.Done.AfterLeaving++
 		return upstream.EngineLeaving
 	}
 	if existing != nil && (existing.phase == upstream.Loading || existing.phase == upstream.Ready) {
@@ -94,18 +95,18 @@
 	}
 	fits := life.used()+order.Memory <= server.settings.Capacity
 	if !fits || (existing != nil && existing.phase == upstream.Unloading) {
-		server.counts.OvercommitAttempts++
+		server.Done.OvercommitAttempts++
 		return upstream.NoMemory
 	}
 	r := &replica{
 		model: order.Model, version: order.Version, order: order.ID, phase: upstream.Loading,
-		memory: order.Memory, slots: orDefault(order.AdapterSlots, server.settings.AdapterSlots),
+		memory: order.Memory, slots: cmp.Or(order.AdapterSlots, server.settings.AdapterSlots),
 	}
 	life.replicas[name] = r
 	life.loading++
-	server.counts.Loads[name]++
-	server.counts.LoadsPeak = max(server.counts.LoadsPeak, life.loading)
-	server.counts.MemoryPeak = max(server.counts.MemoryPeak, life.used())
+	server.Done.Loads[name]++
+	server.Done.LoadsPeak = max(server.Done.LoadsPeak, life.loading)
+	server.Done.MemoryPeak = max(server.Done.MemoryPeak, life.used())
 	go server.bring(life, r, name)
 	return upstream.Accepted
 }
@@ -113,9 +114,9 @@
 // bring brings the weights of one replica from the fastest tier that has them.
 func (server *Server) bring(life *boot, r *replica, name string) {
 	err := server.transfer(life, name, r.memory)
-	failed := err != nil || server.take(func(faults *Faults) *int { return &faults.FailLoads })
-	server.mu.Lock()
-	defer server.mu.Unlock()
+	failed := err != nil || server.Take(func(faults *Faults) *int { return &faults.FailLoads })
+	server.Lock()
+	defer server.Unlock()
 	life.loading--
 	if failed {
 		r.phase = upstream.Failed
@@ -128,10 +129,10 @@
 }
 
 func (server *Server) transfer(life *boot, name string, bytes int64) error {
-	server.mu.Lock()
+	server.Lock()
 	inMemory := life.memory.touch(name)
 	onDisk := server.disk.touch(name)
-	server.mu.Unlock()
+	server.Unlock()
 	switch {
 	case inMemory:
 		return server.wait(life.ctx, bytes, server.settings.MemorySpeed)
@@ -195,8 +196,8 @@
 
 // reserve returns the adapter of the order and whether the caller must transfer it.
 func (server *Server) reserve(life *boot, order upstream.Order) (target *adapter, mine bool, verdict upstream.Verdict) {
-	server.mu.Lock()
-	defer server.mu.Unlock()
+	server.Lock()
+	defer server.Unlock()
 	r := life.find(order.Model, "")
 	if r == nil {
 		return nil, false, upstream.NoSubject
@@ -213,13 +214,13 @@
 	}
 	target = &adapter{name: order.Adapter, version: order.Version, ready: make(chan struct{})}
 	r.adapters = append(r.adapters, target)
-	server.counts.Adapters++
+	server.Done.Adapters++
 	return target, true, upstream.Accepted
 }
 
 func (server *Server) settle(life *boot, order upstream.Order, target *adapter, err error) {
-	server.mu.Lock()
-	defer server.mu.Unlock()
+	server.Lock()
+	defer server.Unlock()
 	if err != nil {
 		target.failed = true
 		if r := life.find(order.Model, ""); r != nil {
--- a/internal/standin/engine/outlet.go
+++ b/internal/standin/engine/outlet.go
@@ -25,8 +25,8 @@
 
 func (out *outlet) stream() {
 	server := out.server
-	out.crossed = server.take(func(faults *Faults) *int { return &faults.CrossedPieces })
-	out.cut = server.take(func(faults *Faults) *int { return &faults.Truncated })
+	out.crossed = server.Take(func(faults *Faults) *int { return &faults.CrossedPieces })
+	out.cut = server.Take(func(faults *Faults) *int { return &faults.Truncated })
 	out.writer.Header().Set("Content-Type", "text/event-stream")
 	server.writeLoad(out.writer, "X-Load", out.job)
 	out.writer.WriteHeader(http.StatusOK)
--- a/internal/standin/engine/run.go
+++ b/internal/standin/engine/run.go
@@ -11,18 +11,18 @@
 
 // admit puts the job in the batch or before it. It returns the reason if the engine does not take it.
 func (server *Server) admit(life *boot, j *job, version, adapterName string) (refusal string) {
-	server.mu.Lock()
-	defer server.mu.Unlock()
+	server.Lock()
+	defer server.Unlock()
 	refusal = server.place(life, j, version, adapterName)
 	if refusal != "" {
-		server.counts.Refused[refusal]++
+		server.Done.Refused[refusal]++
 	}
 	return refusal
 }
 
 func (server *Server) place(life *boot, j *job, version, adapterName string) (refusal string) {
-	if server.faults.Leaving {
-		server.counts.AfterLeaving++
+	if server.InForce.Leaving {
+		server.Done.AfterLeaving++
 		return "leaving"
 	}
 	r := life.find(j.model, version)
@@ -70,7 +70,7 @@
 func (server *Server) start(life *boot, j *job) {
 	j.replica.running++
 	if j.produced == 0 {
-		server.counts.Executions[j.id]++
+		server.Done.Executions[j.id]++
 	}
 	go server.run(life, j)
 }
@@ -105,15 +105,15 @@
 func (server *Server) leave(life *boot, j *job) {
 	j.end(server.clock.Now())
 	j.cancel()
-	server.mu.Lock()
-	defer server.mu.Unlock()
+	server.Lock()
+	defer server.Unlock()
 	if j.adapter != nil {
 		j.adapter.busy--
 	}
 	if j.complete() {
-		server.counts.Completed++
+		server.Done.Completed++
 	} else {
-		server.counts.Cancelled++
+		server.Done.Cancelled++
 	}
 	r := j.replica
 	r.running--
@@ -140,7 +140,7 @@
 	if j.adapter != nil {
 		j.adapter.busy--
 	}
-	server.counts.Cancelled++
+	server.Done.Cancelled++
 }
 
 // abandon ends the job unless another connection takes it up within the grace.
@@ -153,8 +153,8 @@
 		return
 	}
 	j.cancel()
-	server.mu.Lock()
-	defer server.mu.Unlock()
+	server.Lock()
+	defer server.Unlock()
 	for at, waiting := range j.replica.waiting {
 		if waiting == j {
 			j.replica.waiting = append(j.replica.waiting[:at:at], j.replica.waiting[at+1:]...)
@@ -167,8 +167,8 @@
 
 // loadOf returns the load report of the job's replica.
 func (server *Server) loadOf(j *job) load {
-	server.mu.Lock()
-	defer server.mu.Unlock()
+	server.Lock()
+	defer server.Unlock()
 	name := upstream.Checkpoint(j.replica.model, j.replica.version)
 	if server.boot.replicas[name] != j.replica {
 		return load{}
@@ -178,9 +178,9 @@
 
 // heartbeatEvery returns the interval of heartbeats, or a very long one while they are muted.
 func (server *Server) heartbeatEvery() time.Duration {
-	server.mu.Lock()
-	defer server.mu.Unlock()
-	if server.faults.Mute {
+	server.Lock()
+	defer server.Unlock()
+	if server.InForce.Mute {
 		return 24 * time.Hour
 	}
 	return server.settings.Heartbeat
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"k8s.io/utils/clock"
@@ -16,16 +15,15 @@
 
 // Server is one engine. Use New.
 type Server struct {
+	answer.Control[Faults, Counts]
+
 	settings Settings
 	clock    clock.WithTicker
 	mux      *http.ServeMux
 
-	mu     sync.Mutex
-	boot   *boot
-	boots  int
-	disk   tier
-	faults Faults
-	counts Counts
+	boot  *boot
+	boots int
+	disk  tier
 }
 
 // New returns an engine that has just started. Close ends it.
@@ -36,8 +34,8 @@
 		clock:    clk,
 		mux:      http.NewServeMux(),
 		disk:     tier{capacity: settings.DiskTier},
-		counts:   Counts{Executions: map[string]int{}, Refused: map[string]int{}, Loads: map[string]int{}},
 	}
+	server.Done = Counts{Executions: map[string]int{}, Refused: map[string]int{}, Loads: map[string]int{}}
 	server.boot = server.newBoot(clk.Now())
 	server.mux.HandleFunc("GET /engine/state", server.showState)
 	server.mux.HandleFunc("POST /engine/orders", server.takeOrder)
@@ -46,16 +44,15 @@
 	server.mux.HandleFunc("POST /engine/kv/import", server.importKV)
 	server.mux.HandleFunc("POST /v1/chat/completions", server.generate)
 	server.mux.HandleFunc("POST /v1/completions", server.generate)
-	server.mux.HandleFunc("GET /counts", server.showCounts)
-	server.mux.HandleFunc("POST /faults", server.changeFaults)
+	server.Handle(server.mux, "", server.Counts)
 	server.mux.HandleFunc("POST /crash", func(http.ResponseWriter, *http.Request) { server.Crash() })
 	return server
 }
 
 // Close ends everything in flight.
 func (server *Server) Close() {
-	server.mu.Lock()
-	defer server.mu.Unlock()
+	server.Lock()
+	defer server.Unlock()
 	server.boot.cancel()
 }
 
@@ -72,31 +69,24 @@
 }
 
 func (server *Server) down() bool {
-	server.mu.Lock()
-	defer server.mu.Unlock()
+	server.Lock()
+	defer server.Unlock()
 	return server.clock.Now().Before(server.boot.back)
 }
 
-// SetFaults puts other faults in force.
-func (server *Server) SetFaults(faults Faults) {
-	server.mu.Lock()
-	defer server.mu.Unlock()
-	server.faults = faults
-}
-
 // Crash cuts everything in flight and starts the next boot, which answers after Settings.RestartAfter.
 func (server *Server) Crash() {
-	server.mu.Lock()
-	defer server.mu.Unlock()
+	server.Lock()
+	defer server.Unlock()
 	server.boot.cancel()
 	server.boot = server.newBoot(server.clock.Now().Add(server.settings.RestartAfter))
-	server.counts.Crashes++
+	server.Done.Crashes++
 }
 
 // Preload puts a checkpoint in a cache before the first load.
 func (server *Server) Preload(model, version string, bytes int64, where upstream.Tier) {
-	server.mu.Lock()
-	defer server.mu.Unlock()
+	server.Lock()
+	defer server.Unlock()
 	name := upstream.Checkpoint(model, version)
 	if where == upstream.Memory {
 		server.boot.memory.put(name, bytes)
@@ -109,8 +99,8 @@
 // Install loads a model, written as model@version, at once and without memory.
 func (server *Server) Install(name string) {
 	model, version, _ := strings.Cut(name, "@")
-	server.mu.Lock()
-	defer server.mu.Unlock()
+	server.Lock()
+	defer server.Unlock()
 	server.boot.replicas[name] = &replica{
 		model: model, version: version, phase: upstream.Ready, slots: server.settings.AdapterSlots,
 	}
@@ -118,9 +108,9 @@
 
 // Counts returns what the engine did since it was made.
 func (server *Server) Counts() Counts {
-	server.mu.Lock()
-	defer server.mu.Unlock()
-	counts := server.counts
+	server.Lock()
+	defer server.Unlock()
+	counts := server.Done
 	counts.Executions = maps.Clone(counts.Executions)
 	counts.Refused = maps.Clone(counts.Refused)
 	counts.Loads = maps.Clone(counts.Loads)
@@ -129,8 +119,8 @@
 
 // State returns what the engine says of itself.
 func (server *Server) State() upstream.State {
-	server.mu.Lock()
-	defer server.mu.Unlock()
+	server.Lock()
+	defer server.Unlock()
 	life := server.boot
 	life.sequence++
 	state := upstream.State{
@@ -142,7 +132,7 @@
 		Capacity:    server.settings.Capacity,
 		Replicas:    []upstream.Replica{},
 		Checkpoints: server.checkpoints(),
-		Leaving:     server.faults.Leaving,
+		Leaving:     server.InForce.Leaving,
 	}
 	if server.settings.ChecksFencing {
 		state.Fence = life.fence
@@ -169,7 +159,7 @@
 	life := server.boot
 	r := life.replicas[name]
 	now := server.clock.Now()
-	lag := time.Duration(server.faults.LoadLagMilliseconds) * time.Millisecond
+	lag := time.Duration(server.InForce.LoadLagMilliseconds) * time.Millisecond
 	report, ok := life.loads[name]
 	if !ok || now.Sub(report.taken) >= lag {
 		report = load{taken: now, running: r.running, waiting: len(r.waiting)}
@@ -180,34 +170,11 @@
 
 // slow returns the time as the faults stretch it. The lock is not held.
 func (server *Server) slow(duration time.Duration) time.Duration {
-	server.mu.Lock()
-	defer server.mu.Unlock()
-	return time.Duration(float64(duration) * max(server.faults.SlowFactor, 1))
-}
-
-// take reports whether one of the coming answers that the counter holds is this one, and counts it off.
-func (server *Server) take(counter func(faults *Faults) *int) bool {
-	server.mu.Lock()
-	defer server.mu.Unlock()
-	left := counter(&server.faults)
-	if *left == 0 {
-		return false
-	}
-	*left--
-	return true
+	server.Lock()
+	defer server.Unlock()
+	return time.Duration(float64(duration) * max(server.InForce.SlowFactor, 1))
 }
 
 func (server *Server) showState(writer http.ResponseWriter, _ *http.Request) {
 	answer.JSON(writer, http.StatusOK, server.State())
 }
-
-func (server *Server) showCounts(writer http.ResponseWriter, _ *http.Request) {
-	answer.JSON(writer, http.StatusOK, server.Counts())
-}
-
-func (server *Server) changeFaults(writer http.ResponseWriter, request *http.Request) {
-	var faults Faults
-	if answer.Decode(writer, request, &faults) {
-		server.SetFaults(faults)
-	}
-}
--- a/internal/standin/engine/settings.go
+++ b/internal/standin/engine/settings.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"context"
 	"time"
 )
@@ -61,31 +62,23 @@
 }
 
 func (settings Settings) withDefaults() Settings {
-	settings.Capacity = orDefault(settings.Capacity, defaultCapacity)
-	settings.MemoryTier = orDefault(settings.MemoryTier, defaultMemoryTier)
-	settings.DiskTier = orDefault(settings.DiskTier, defaultDiskTier)
-	settings.MemorySpeed = orDefault(settings.MemorySpeed, defaultMemorySpeed)
-	settings.DiskSpeed = orDefault(settings.DiskSpeed, defaultDiskSpeed)
-	settings.Batch = orDefault(settings.Batch, defaultBatch)
-	settings.Waiting = orDefault(settings.Waiting, defaultWaiting)
-	settings.AdapterSlots = orDefault(settings.AdapterSlots, defaultAdapterSlots)
-	settings.FirstToken = orDefault(settings.FirstToken, defaultFirstToken)
-	settings.TokenEvery = orDefault(settings.TokenEvery, defaultTokenEvery)
-	settings.Heartbeat = orDefault(settings.Heartbeat, defaultHeartbeat)
-	settings.ResumeGrace = orDefault(settings.ResumeGrace, defaultResumeGrace)
-	settings.KeepFinished = orDefault(settings.KeepFinished, defaultKeepFinished)
-	settings.RestartAfter = orDefault(settings.RestartAfter, defaultRestartAfter)
-	settings.CrashMark = orDefault(settings.CrashMark, defaultCrashMark)
+	settings.Capacity = cmp.Or(settings.Capacity, defaultCapacity)
+	settings.MemoryTier = cmp.Or(settings.MemoryTier, defaultMemoryTier)
+	settings.DiskTier = cmp.Or(settings.DiskTier, defaultDiskTier)
+	settings.MemorySpeed = cmp.Or(settings.MemorySpeed, defaultMemorySpeed)
+	settings.DiskSpeed = cmp.Or(settings.DiskSpeed, defaultDiskSpeed)
+	settings.Batch = cmp.Or(settings.Batch, defaultBatch)
+	settings.Waiting = cmp.Or(settings.Waiting, defaultWaiting)
+	settings.AdapterSlots = cmp.Or(settings.AdapterSlots, defaultAdapterSlots)
+	settings.FirstToken = cmp.Or(settings.FirstToken, defaultFirstToken)
+	settings.TokenEvery = cmp.Or(settings.TokenEvery, defaultTokenEvery)
+	settings.Heartbeat = cmp.Or(settings.Heartbeat, defaultHeartbeat)
+	settings.ResumeGrace = cmp.Or(settings.ResumeGrace, defaultResumeGrace)
+	settings.KeepFinished = cmp.Or(settings.KeepFinished, defaultKeepFinished)
+	settings.RestartAfter = cmp.Or(settings.RestartAfter, defaultRestartAfter)
+	settings.CrashMark = cmp.Or(settings.CrashMark, defaultCrashMark)
 	if settings.Fetch == nil {
 		settings.Fetch = func(context.Context, string, int64, bool) error { return nil }
 	}
 	return settings
 }
-
-func orDefault[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
-	}
-	return value
-}
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"k8s.io/utils/clock"
@@ -19,17 +18,16 @@
 
 // Server is the platform in memory. Use New.
 type Server struct {
+	answer.Control[Faults, Counts]
+
 	clock clock.Clock
 	mux   *http.ServeMux
 
-	mu      sync.Mutex
 	tables  tables
 	objects map[string][]byte
 	vms     []platform.VM
 	// shown is the VM list as callers see it.
-	shown  []platform.VM
-	faults Faults
-	counts Counts
+	shown []platform.VM
 }
 
 // New returns an empty platform.
@@ -47,8 +45,7 @@
 	server.mux.HandleFunc("PUT /objects/{name}", server.put)
 	server.mux.HandleFunc("GET /vms", server.list)
 	server.mux.HandleFunc("POST /vms", server.changeVMs)
-	server.mux.HandleFunc("GET /counts", server.showCounts)
-	server.mux.HandleFunc("POST /faults", server.changeFaults)
+	server.Handle(server.mux, "", server.Counts)
 	return server
 }
 
@@ -57,38 +54,31 @@
 	server.mux.ServeHTTP(writer, request)
 }
 
-// SetFaults puts other faults in force.
-func (server *Server) SetFaults(faults Faults) {
-	server.mu.Lock()
-	defer server.mu.Unlock()
-	server.faults = faults
-}
-
 // SetVMs changes the VM list.
 func (server *Server) SetVMs(vms []platform.VM) {
-	server.mu.Lock()
-	defer server.mu.Unlock()
+	server.Lock()
+	defer server.Unlock()
 	server.vms = slices.Clone(vms)
-	if !server.faults.StaleVMs {
+	if !server.InForce.StaleVMs {
 		server.shown = server.vms
 	}
 }
 
 // Counts returns the calls since the start.
 func (server *Server) Counts() Counts {
-	server.mu.Lock()
-	defer server.mu.Unlock()
-	return server.counts
+	server.Lock()
+	defer server.Unlock()
+	return server.Done
 }
 
 // admit applies the faults before a call and reports whether it may go on.
 func (server *Server) admit(writer http.ResponseWriter, request *http.Request) bool {
-	server.mu.Lock()
-	faults := server.faults
+	server.Lock()
+	faults := server.InForce
 	if faults.Unavailable {
-		server.counts.Refused++
+		server.Done.Refused++
 	}
-	server.mu.Unlock()
+	server.Unlock()
 	if faults.SlowMilliseconds > 0 {
 		select {
 		case <-server.clock.After(time.Duration(faults.SlowMilliseconds) * time.Millisecond):
@@ -107,9 +97,9 @@
 	if !server.admit(writer, request) {
 		return false
 	}
-	server.mu.Lock()
-	cut := server.faults.CutBefore
-	server.mu.Unlock()
+	server.Lock()
+	cut := server.InForce.CutBefore
+	server.Unlock()
 	if cut {
 		answer.Cut()
 	}
@@ -118,11 +108,7 @@
 
 // loseAnswer cuts the connection if the answer to this write is to be lost. The lock is held.
 func (server *Server) loseAnswer() bool {
-	if server.faults.LoseAnswers == 0 {
-		return false
-	}
-	server.faults.LoseAnswers--
-	return true
+	return answer.TakeOne(&server.InForce.LoseAnswers)
 }
 
 func (server *Server) read(writer http.ResponseWriter, request *http.Request) {
@@ -130,10 +116,10 @@
 	if !server.admit(writer, request) || !answer.Decode(writer, request, &key) {
 		return
 	}
-	server.mu.Lock()
-	server.counts.Reads++
+	server.Lock()
+	server.Done.Reads++
 	row, ok := server.tables.rows[key]
-	server.mu.Unlock()
+	server.Unlock()
 	if !ok {
 		answer.JSON(writer, http.StatusNotFound, struct{ Reason string }{"no such row"})
 		return
@@ -149,10 +135,10 @@
 	if !server.admit(writer, request) || !answer.Decode(writer, request, &question) {
 		return
 	}
-	server.mu.Lock()
+	server.Lock()
 	rows := server.tables.scan(question.Table, question.Prefix, question.After, question.Limit)
-	server.counts.Reads += 1 + len(rows)/rowsPerRead
-	server.mu.Unlock()
+	server.Done.Reads += 1 + len(rows)/rowsPerRead
+	server.Unlock()
 	answer.JSON(writer, http.StatusOK, struct{ Rows []platform.Row }{rows})
 }
 
@@ -173,14 +159,14 @@
 }
 
 func (server *Server) apply(writes []platform.Write) (versions []uint64, ok, lost bool) {
-	server.mu.Lock()
-	defer server.mu.Unlock()
+	server.Lock()
+	defer server.Unlock()
 	versions, ok = server.tables.commit(writes)
 	if !ok {
-		server.counts.Conflicts++
+		server.Done.Conflicts++
 		return nil, false, server.loseAnswer()
 	}
-	server.counts.Commits++
+	server.Done.Commits++
 	return versions, true, server.loseAnswer()
 }
 
@@ -188,10 +174,10 @@
 	if !server.admit(writer, request) {
 		return
 	}
-	server.mu.Lock()
-	server.counts.Gets++
+	server.Lock()
+	server.Done.Gets++
 	content, ok := server.objects[request.PathValue("name")]
-	server.mu.Unlock()
+	server.Unlock()
 	if !ok {
 		answer.JSON(writer, http.StatusNotFound, struct{ Reason string }{"no such object"})
 		return
@@ -214,15 +200,15 @@
 }
 
 func (server *Server) store(name string, content []byte) (ok, lost bool) {
-	server.mu.Lock()
-	defer server.mu.Unlock()
+	server.Lock()
+	defer server.Unlock()
 	existing, exists := server.objects[name]
 	if exists && !bytes.Equal(existing, content) {
-		server.counts.Conflicts++
+		server.Done.Conflicts++
 		return false, server.loseAnswer()
 	}
 	server.objects[name] = content
-	server.counts.Puts++
+	server.Done.Puts++
 	return true, server.loseAnswer()
 }
 
@@ -230,10 +216,10 @@
 	if !server.admit(writer, request) {
 		return
 	}
-	server.mu.Lock()
-	server.counts.Lists++
+	server.Lock()
+	server.Done.Lists++
 	vms := slices.Clone(server.shown)
-	server.mu.Unlock()
+	server.Unlock()
 	answer.JSON(writer, http.StatusOK, struct{ VMs []platform.VM }{vms})
 }
 
@@ -243,14 +229,3 @@
 		server.SetVMs(question.VMs)
 	}
 }
-
-func (server *Server) changeFaults(writer http.ResponseWriter, request *http.Request) {
-	var faults Faults
-	if answer.Decode(writer, request, &faults) {
-		server.SetFaults(faults)
-	}
-}
-
-func (server *Server) showCounts(writer http.ResponseWriter, _ *http.Request) {
-	answer.JSON(writer, http.StatusOK, server.Counts())
-}
--- a/internal/standin/service/server.go
+++ b/internal/standin/service/server.go
@@ -5,7 +5,6 @@
 	"maps"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"k8s.io/utils/clock"
@@ -15,25 +14,22 @@
 
 // Server is one plain service. Use New.
 type Server struct {
+	answer.Control[Faults, Counts]
+
 	name  string
 	clock clock.Clock
 	mux   *http.ServeMux
-
-	mu     sync.Mutex
-	faults Faults
-	counts Counts
 }
 
 // New returns a service with the name of its VM.
 func New(name string, clk clock.Clock) *Server {
 	server := &Server{
-		name:   name,
-		clock:  clk,
-		mux:    http.NewServeMux(),
-		counts: Counts{Executions: map[string]int{}, Keys: map[string]int{}},
+		name:  name,
+		clock: clk,
+		mux:   http.NewServeMux(),
 	}
-	server.mux.HandleFunc("GET /counts", server.showCounts)
-	server.mux.HandleFunc("POST /faults", server.changeFaults)
+	server.Done = Counts{Executions: map[string]int{}, Keys: map[string]int{}}
+	server.Handle(server.mux, "", server.Counts)
 	server.mux.HandleFunc("/", server.call)
 	return server
 }
@@ -43,18 +39,11 @@
 	server.mux.ServeHTTP(writer, request)
 }
 
-// SetFaults puts other faults in force.
-func (server *Server) SetFaults(faults Faults) {
-	server.mu.Lock()
-	defer server.mu.Unlock()
-	server.faults = faults
-}
-
 // Counts returns the calls since the start.
 func (server *Server) Counts() Counts {
-	server.mu.Lock()
-	defer server.mu.Unlock()
-	counts := server.counts
+	server.Lock()
+	defer server.Unlock()
+	counts := server.Done
 	counts.Executions = maps.Clone(counts.Executions)
 	counts.Keys = maps.Clone(counts.Keys)
 	return counts
@@ -68,29 +57,21 @@
 
 // draw counts off the faults of one call.
 func (server *Server) draw() fate {
-	server.mu.Lock()
-	defer server.mu.Unlock()
-	faults := &server.faults
+	server.Lock()
+	defer server.Unlock()
+	faults := &server.InForce
 	drawn := fate{slow: time.Duration(faults.SlowMilliseconds) * time.Millisecond}
-	drawn.cutBefore = take(&faults.CutBefore)
-	drawn.refuse = !drawn.cutBefore && take(&faults.Refuse)
+	drawn.cutBefore = answer.TakeOne(&faults.CutBefore)
+	drawn.refuse = !drawn.cutBefore && answer.TakeOne(&faults.Refuse)
 	if drawn.cutBefore || drawn.refuse {
 		return drawn
 	}
-	drawn.cutAfter = take(&faults.CutAfter)
-	drawn.crossed = take(&faults.Crossed)
-	drawn.truncated = take(&faults.Truncated)
+	drawn.cutAfter = answer.TakeOne(&faults.CutAfter)
+	drawn.crossed = answer.TakeOne(&faults.Crossed)
+	drawn.truncated = answer.TakeOne(&faults.Truncated)
 	return drawn
 }
 
-func take(left *int) bool {
-	if *left == 0 {
-		return false
-	}
-	*left--
-	return true
-}
-
 func (server *Server) call(writer http.ResponseWriter, request *http.Request) {
 	if _, err := io.Copy(io.Discard, request.Body); err != nil {
 		return
@@ -127,30 +108,19 @@
 }
 
 func (server *Server) refuse(writer http.ResponseWriter) {
-	server.mu.Lock()
-	server.counts.Refused++
-	server.mu.Unlock()
+	server.Lock()
+	server.Done.Refused++
+	server.Unlock()
 	answer.Refuse(writer, http.StatusServiceUnavailable, "leaving")
 }
 
 // execute counts the execution and returns how often the identifier was executed.
 func (server *Server) execute(id, key string) int {
-	server.mu.Lock()
-	defer server.mu.Unlock()
-	server.counts.Executions[id]++
+	server.Lock()
+	defer server.Unlock()
+	server.Done.Executions[id]++
 	if key != "" {
-		server.counts.Keys[key]++
-	}
-	return server.counts.Executions[id]
-}
-
-func (server *Server) changeFaults(writer http.ResponseWriter, request *http.Request) {
-	var faults Faults
-	if answer.Decode(writer, request, &faults) {
-		server.SetFaults(faults)
+		server.Done.Keys[key]++
 	}
-}
-
-func (server *Server) showCounts(writer http.ResponseWriter, _ *http.Request) {
-	answer.JSON(writer, http.StatusOK, server.Counts())
+	return server.Done.Executions[id]
 }
--- a/internal/standin/weights/server.go
+++ b/internal/standin/weights/server.go
@@ -6,7 +6,6 @@
 	"hash/fnv"
 	"maps"
 	"net/http"
-	"sync"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -20,14 +19,13 @@
 
 // Server is the weight store. Use New.
 type Server struct {
+	answer.Control[Faults, Counts]
+
 	settings Settings
 	clock    clock.Clock
 	mux      *http.ServeMux
 
-	mu     sync.Mutex
-	rate   *rate.Limiter
-	faults Faults
-	counts Counts
+	rate *rate.Limiter
 }
 
 // New returns a store that has every checkpoint and adapter.
@@ -38,11 +36,10 @@
 		clock:    clk,
 		mux:      http.NewServeMux(),
 		rate:     rate.NewLimiter(rate.Limit(settings.LoadsPerSecond), settings.LoadsAtOnce),
-		counts:   Counts{Loads: map[string]int{}},
 	}
+	server.Done = Counts{Loads: map[string]int{}}
 	server.mux.HandleFunc("POST /weights/fetch", server.fetch)
-	server.mux.HandleFunc("GET /weights/counts", server.showCounts)
-	server.mux.HandleFunc("POST /weights/faults", server.changeFaults)
+	server.Handle(server.mux, "/weights", server.Counts)
 	return server
 }
 
@@ -51,18 +48,11 @@
 	server.mux.ServeHTTP(writer, request)
 }
 
-// SetFaults puts other faults in force.
-func (server *Server) SetFaults(faults Faults) {
-	server.mu.Lock()
-	defer server.mu.Unlock()
-	server.faults = faults
-}
-
 // Counts returns the transfers since the start.
 func (server *Server) Counts() Counts {
-	server.mu.Lock()
-	defer server.mu.Unlock()
-	counts := server.counts
+	server.Lock()
+	defer server.Unlock()
+	counts := server.Done
 	counts.Loads = maps.Clone(counts.Loads)
 	return counts
 }
@@ -95,12 +85,12 @@
 }
 
 func (server *Server) begin(name string, adapter bool) error {
-	server.mu.Lock()
-	defer server.mu.Unlock()
-	if server.faults.Absent {
+	server.Lock()
+	defer server.Unlock()
+	if server.InForce.Absent {
 		return errAbsent
 	}
-	counts := &server.counts
+	counts := &server.Done
 	if adapter {
 		counts.Adapters++
 		counts.AdaptersNow++
@@ -117,24 +107,24 @@
 }
 
 func (server *Server) end(adapter bool) {
-	server.mu.Lock()
-	defer server.mu.Unlock()
+	server.Lock()
+	defer server.Unlock()
 	if adapter {
-		server.counts.AdaptersNow--
+		server.Done.AdaptersNow--
 		return
 	}
-	server.counts.LoadsNow--
+	server.Done.LoadsNow--
 }
 
 // crowding returns how many times as long a transfer takes now.
 func (server *Server) crowding(adapter bool) float64 {
-	server.mu.Lock()
-	defer server.mu.Unlock()
-	factor := float64(server.counts.LoadsNow) / float64(server.settings.LoadsAtOnce)
+	server.Lock()
+	defer server.Unlock()
+	factor := float64(server.Done.LoadsNow) / float64(server.settings.LoadsAtOnce)
 	if adapter {
-		factor = float64(server.counts.AdaptersNow) / float64(server.settings.AdaptersAtOnce)
+		factor = float64(server.Done.AdaptersNow) / float64(server.settings.AdaptersAtOnce)
 	}
-	return max(factor, 1) * max(server.faults.SlowFactor, 1)
+	return max(factor, 1) * max(server.InForce.SlowFactor, 1)
 }
 
 func (server *Server) fetch(writer http.ResponseWriter, request *http.Request) {
@@ -150,14 +140,3 @@
 		answer.JSON(writer, http.StatusServiceUnavailable, struct{ Reason string }{err.Error()})
 	}
 }
-
-func (server *Server) changeFaults(writer http.ResponseWriter, request *http.Request) {
-	var faults Faults
-	if answer.Decode(writer, request, &faults) {
-		server.SetFaults(faults)
-	}
-}
-
-func (server *Server) showCounts(writer http.ResponseWriter, _ *http.Request) {
-	answer.JSON(writer, http.StatusOK, server.Counts())
-}
--- a/internal/standin/weights/settings.go
+++ b/internal/standin/weights/settings.go
@@ -1,6 +1,9 @@
 package weights
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // The times of an adapter transfer at full speed, and the steps in which a transfer proceeds.
 const (
@@ -22,17 +25,9 @@
 }
 
 func (settings Settings) withDefaults() Settings {
-	if settings.LoadsPerSecond == 0 {
-		settings.LoadsPerSecond = 2.6
-	}
-	if settings.LoadsAtOnce == 0 {
-		settings.LoadsAtOnce = 4
-	}
-	if settings.AdaptersAtOnce == 0 {
-		settings.AdaptersAtOnce = 32
-	}
-	if settings.BytesPerSecond == 0 {
-		settings.BytesPerSecond = 4 << 30
-	}
+	settings.LoadsPerSecond = cmp.Or(settings.LoadsPerSecond, 2.6)
+	settings.LoadsAtOnce = cmp.Or(settings.LoadsAtOnce, 4)
+	settings.AdaptersAtOnce = cmp.Or(settings.AdaptersAtOnce, 32)
+	settings.BytesPerSecond = cmp.Or(settings.BytesPerSecond, 4<<30)
 	return settings
 }
--- a/internal/transport/error.go
+++ b/internal/transport/error.go
@@ -1,5 +1,7 @@
 package transport
 
+import "errors"
+
 // Error is a failed exchange.
 type Error struct {
 	// NotSent states that no byte of the request was written to a connection or can be written later.
@@ -20,3 +22,9 @@
 func (failure *Error) Unwrap() error {
 	return failure.Cause
 }
+
+// IsNotSent reports whether the failure of an exchange states that no byte was written or can be written later.
+func IsNotSent(err error) bool {
+	var failure *Error
+	return errors.As(err, &failure) && failure.NotSent
+}
--- a/internal/transport/settings.go
+++ b/internal/transport/settings.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"time"
@@ -31,18 +32,10 @@
 }
 
 func (settings Settings) withDefaults() Settings {
-	if settings.DialTimeout == 0 {
-		settings.DialTimeout = defaultDialTimeout
-	}
-	if settings.IdleTimeout == 0 {
-		settings.IdleTimeout = defaultIdleTimeout
-	}
-	if settings.ConnectionAge == 0 {
-		settings.ConnectionAge = defaultConnectionAge
-	}
-	if settings.Connections == 0 {
-		settings.Connections = defaultConnections
-	}
+	settings.DialTimeout = cmp.Or(settings.DialTimeout, defaultDialTimeout)
+	settings.IdleTimeout = cmp.Or(settings.IdleTimeout, defaultIdleTimeout)
+	settings.ConnectionAge = cmp.Or(settings.ConnectionAge, defaultConnectionAge)
+	settings.Connections = cmp.Or(settings.Connections, defaultConnections)
 	if settings.Dial == nil {
 		settings.Dial = (&net.Dialer{}).DialContext
 	}
--- a/service/client.go
+++ b/service/client.go
@@ -69,7 +69,7 @@
 	}
 	response, err := wire.Do(ctx, message, call.Body)
 	if err != nil {
-		return Answer{}, sendFailure(err)
+		return Answer{}, upstream.SendFailure(err)
 	}
 	defer response.Body.Close()
 	return client.receive(response, call.ID)
@@ -131,12 +131,3 @@
 	_ = json.Unmarshal(content, &told)
 	return &upstream.RefusedError{Status: status, Reason: told.Reason}
 }
-
-// sendFailure returns ErrNotSent only if no byte was or can still be written.
-func sendFailure(err error) error {
-	var failure *transport.Error
-	if errors.As(err, &failure) && failure.NotSent {
-		return fmt.Errorf("%w: %w", upstream.ErrNotSent, err)
-	}
-	return fmt.Errorf("%w: %w", upstream.ErrNoAnswer, err)
-}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -161,7 +160,7 @@
 	}
 	response, err := wire.Do(ctx, request, body)
 	if err != nil {
-		return sendFailure(err)
+		return SendFailure(err)
 	}
 	defer response.Body.Close()
 	return receive(response, call, answer)
@@ -207,10 +206,10 @@
 	return content, nil
 }
 
-// sendFailure returns ErrNotSent only if no byte was or can still be written.
-func sendFailure(err error) error {
-	var failure *transport.Error
-	if errors.As(err, &failure) && failure.NotSent {
+// SendFailure returns the failure of an exchange that got no answer: ErrNotSent only if no byte was
+// or can still be written, else ErrNoAnswer.
+func SendFailure(err error) error {
+	if transport.IsNotSent(err) {
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	return fmt.Errorf("%w: %w", ErrNoAnswer, err)
--- a/upstream/generate.go
+++ b/upstream/generate.go
@@ -28,7 +28,7 @@
 	response, err := client.send(ctx, watch, generation)
 	if err != nil {
 		cancel()
-		return nil, withSilence(watch, sendFailure(err))
+		return nil, withSilence(watch, SendFailure(err))
 	}
 	watch.rest()
 	answer := &body{parent: parent, cancel: cancel, watch: watch, response: response}
--- a/upstream/settings.go
+++ b/upstream/settings.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"time"
@@ -44,14 +45,8 @@
 }
 
 func (settings ClientSettings) withDefaults() ClientSettings {
-	if settings.Timeout == 0 {
-		settings.Timeout = defaultTimeout
-	}
-	if settings.SilenceLimit == 0 {
-		settings.SilenceLimit = defaultSilenceLimit
-	}
-	if settings.MaxBody == 0 {
-		settings.MaxBody = defaultMaxBody
-	}
+	settings.Timeout = cmp.Or(settings.Timeout, defaultTimeout)
+	settings.SilenceLimit = cmp.Or(settings.SilenceLimit, defaultSilenceLimit)
+	settings.MaxBody = cmp.Or(settings.MaxBody, defaultMaxBody)
 	return settings
 }
