Keep requests that crash upstreams apart

Ruled out: a home daemon for every request, which costs a round trip for each; and marks alone, which come too late for copies that run at the same time. Change: equal requests that were never answered share one upstream within a daemon; suspects prefer one upstream by fingerprint in all daemons, run there under a reservation, and pause for the marks of others before they run again; marks are told to the other daemons before the answer. A failure that says "not run" gives way to that of an earlier attempt that may have run. Also: adapters are loaded once for concurrent requests, under a permit.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -17,7 +17,7 @@
 		Cost:     max(req.Tokens, 1),
 		Priority: req.Priority,
 		Deadline: req.Deadline,
-		Item:     &waiter{ask: ask, special: special, granted: make(chan grant, 1)},
+		Item:     &waiter{fingerprint: req.Fingerprint, ask: ask, special: special, granted: make(chan grant, 1)},
 	}
 	lane, failure := dispatcher.push(req, waiting)
 	if failure != nil {
@@ -28,7 +28,7 @@
 		return granted.place, granted.failure
 	case <-ctx.Done():
 		dispatcher.abandon(lane, waiting)
-		return nil, callerGone(ctx)
+		return nil, endedBefore(ctx)
 	}
 }
 
@@ -40,6 +40,7 @@
 	if err != nil {
 		return nil, outcome.From(err)
 	}
+	waiting.Item.adapterVersion = snapshot.AdapterVersion
 	lane := dispatcher.lane(req)
 	if failure := dispatcher.door(lane, snapshot, waiting); failure != nil {
 		return nil, failure
@@ -106,7 +107,7 @@
 	}
 	dispatcher.waiting++
 	if displaced != nil {
-		dispatcher.waiting--
+		dispatcher.leaveQueue(lane)
 		displaced.Item.granted <- grant{failure: outcome.New(outcome.TenantLimit, "the tenant has the most requests in a full queue").WithRetryAfter(dispatcher.clears(lane))}
 	}
 	return nil
@@ -127,7 +128,7 @@
 	left := waiting.Waiting()
 	if left {
 		lane.line(waiting).Remove(waiting)
-		dispatcher.waiting--
+		dispatcher.leaveQueue(lane)
 		dispatcher.report(lane)
 	}
 	dispatcher.mutex.Unlock()
--- a/dispatch/again.go
+++ b/dispatch/again.go
@@ -11,8 +11,8 @@
 const (
 	// maxRun is the largest number of upstreams that may have run one request.
 	maxRun = 2
-	// maxNotRun is the largest number of upstreams that are asked while none ran the request.
-	maxNotRun = 4
+	// maxAttempts is the largest number of attempts, with those that provably did not run.
+	maxAttempts = 4
 )
 
 // again reports whether another attempt may follow, and pays for it. If the budget is spent it
@@ -24,7 +24,7 @@
 	if !last.notRun && !journey.repeatable() {
 		return false
 	}
-	if journey.attempts >= journey.cap() {
+	if journey.ran >= maxRun || journey.attempts >= maxAttempts {
 		return false
 	}
 	if !journey.sink.Begun() && journey.left() <= 0 {
@@ -39,14 +39,6 @@
 	return false
 }
 
-// cap returns the largest number of attempts.
-func (journey *journey) cap() int {
-	if journey.mayHaveRun {
-		return maxRun
-	}
-	return maxNotRun
-}
-
 // repeatable reports whether the request may run again after an attempt that may have run.
 func (journey *journey) repeatable() bool {
 	if !journey.req.Idempotent {
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -12,6 +12,12 @@
 
 // attempt runs the request on the place and gives the place back.
 func (journey *journey) attempt(ctx context.Context, place *place) result {
+	free, ok := journey.reserve(ctx, place)
+	if !ok {
+		journey.dispatcher.release(place, false)
+		return result{failure: outcome.New(outcome.UpstreamRefused, "another suspect runs on the upstream"), notRun: true, busy: true}
+	}
+	defer free()
 	ending := journey.onPlace(ctx, place)
 	journey.dispatcher.release(place, ending.failure == nil)
 	return ending
@@ -32,9 +38,11 @@
 	if journey.req.Form == request.ServiceCall {
 		return journey.call(ctx, place)
 	}
-	if err := journey.dispatcher.loadAdapter(ctx, &journey.req, place); err != nil {
+	release, err := journey.loadAdapter(ctx, place)
+	if err != nil {
 		return journey.judge(ctx, place, err)
 	}
+	defer release()
 	return journey.generate(ctx, place, start.begun)
 }
 
@@ -82,6 +90,7 @@
 func (journey *journey) answered(place *place) result {
 	journey.dispatcher.router.Succeeded(place.candidate.Upstream)
 	journey.dispatcher.book.Clear(journey.req.Fingerprint)
+	journey.dispatcher.proven.Add(journey.req.Fingerprint)
 	return result{}
 }
 
--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -28,10 +28,11 @@
 // judgeCall judges the error of a call. A plain service has no boot to compare, so that a failure is
 // never taken for a crash.
 func (journey *journey) judgeCall(ctx context.Context, place *place, err error) result {
-	if ending, proved := journey.unsent(place, err); proved {
+	if ending, proved := journey.unsent(ctx, place, err); proved {
 		return ending
 	}
 	journey.mayHaveRun = true
+	journey.ran++
 	if ending, ended := journey.stopped(ctx, err); ended {
 		return ending
 	}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -19,10 +19,14 @@
 	router   *route.Router
 	budget   *retry.Budget
 	book     *quarantine.Book
+	proven   *quarantine.Proven
+	adapters *adapters
 
 	mutex sync.Mutex
 	// lanes holds a lane for each model or service that was asked for lately.
 	lanes map[string]*lane
+	// flying holds the requests that run, by fingerprint.
+	flying map[uint64]flight
 	// waiting is the number of requests in all queues, at most settings.Total.
 	waiting int
 	// active is the number of requests between the begin and the end of Do.
@@ -42,6 +46,9 @@
 		router:   route.New(clock, random),
 		budget:   retry.New(),
 		book:     quarantine.New(),
+		proven:   quarantine.NewProven(),
+		flying:   map[uint64]flight{},
+		adapters: &adapters{loads: map[slot]*load{}},
 		lanes:    map[string]*lane{},
 		emptied:  make(chan struct{}),
 	}
--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -117,6 +117,8 @@
 	runs map[string]int
 	// active is the number of streams, most its largest value.
 	active, most int
+	// tried counts the generations if it is set.
+	tried *int
 	// dead states that the engine does not answer.
 	dead bool
 }
@@ -131,6 +133,9 @@
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
 	body := string(generation.Request.Body)
+	if engine.tried != nil {
+		*engine.tried++
+	}
 	if engine.dead {
 		return nil, upstream.ErrNotSent
 	}
--- /dev/null
+++ b/dispatch/faults_test.go
@@ -0,0 +1,219 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/quarantine"
+	"github.com/bronzestall/bronzestall/request"
+	"github.com/bronzestall/bronzestall/upstream"
+)
+
+// fakePeers hands suspects to the books of other daemons at once.
+type fakePeers struct {
+	books   []*quarantine.Book
+	arbiter *quarantine.Arbiter
+}
+
+func (peers *fakePeers) Reserve(_ context.Context, upstream, holder string) (func(), bool) {
+	ok := peers.arbiter.Reserve(upstream, holder, time.Now())
+	return func() { peers.arbiter.Release(upstream, holder) }, ok
+}
+
+func (peers *fakePeers) Publish(_ context.Context, suspects []quarantine.Suspect) {
+	for _, book := range peers.books {
+		book.Import(suspects, time.Now())
+	}
+}
+
+// TestCrashRequestLosesAtMostTwoUpstreams sends a request that crashes its upstreams again and again
+// through three daemons, beside innocent requests.
+func TestCrashRequestLosesAtMostTwoUpstreams(t *testing.T) {
+	for _, atOnce := range []bool{false, true} {
+		t.Run(fmt.Sprint("at once ", atOnce), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { crashRequest(t, atOnce) })
+		})
+	}
+}
+
+func crashRequest(t *testing.T, atOnce bool) {
+	world := newWorld("u1", "u2", "u3", "u4", "u5")
+	for _, engine := range world.engines {
+		engine.poison = "poison"
+	}
+	peers := &fakePeers{arbiter: quarantine.NewArbiter()}
+	var daemons []*Dispatcher
+	for range 3 {
+		daemon := world.dispatcher(Settings{})
+		daemon.deps.Suspects = peers
+		peers.books = append(peers.books, daemon.book)
+		daemons = append(daemons, daemon)
+	}
+	var innocents, poison sync.WaitGroup
+	for n := range 12 {
+		innocents.Go(func() {
+			sink := &fakeSink{}
+			if err := daemons[n%3].Do(t.Context(), chat(fmt.Sprint("innocent", n)), sink); err != nil {
+				t.Errorf("an innocent request ended with %v", err)
+			}
+		})
+	}
+	synctest.Wait()
+	for n := range 9 {
+		poison.Go(func() {
+			req := chat("poison")
+			req.ID = fmt.Sprint("poison", n)
+			err := daemons[n%3].Do(t.Context(), req, &fakeSink{})
+			if !outcome.Is(err, outcome.UpstreamLost) && !outcome.Is(err, outcome.Quarantined) && !outcome.Is(err, outcome.UpstreamRefused) {
+				t.Errorf("the crash request ended with %v", err)
+			}
+		})
+		if !atOnce {
+			poison.Wait()
+		}
+	}
+	poison.Wait()
+	innocents.Wait()
+	dead := 0
+	for _, engine := range world.engines {
+		if engine.dead {
+			dead++
+		}
+	}
+	if dead > 2 {
+		t.Errorf("%d upstreams were lost", dead)
+	}
+	if err := daemons[0].Do(t.Context(), chat("poison"), &fakeSink{}); !outcome.Is(err, outcome.Quarantined) {
+		t.Errorf("a resend after two crashes ended with %v", err)
+	}
+}
+
+func TestAdapterIsLoadedOnceForManyRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		world := newWorld("u1")
+		dispatcher := world.dispatcher(Settings{})
+		var all sync.WaitGroup
+		for n := range 4 {
+			all.Go(func() {
+				req := chat(fmt.Sprint("b", n))
+				req.Target.Adapter = "style"
+				if err := dispatcher.Do(t.Context(), req, &fakeSink{}); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		all.Wait()
+		if loaded := world.engines["u1"].adapters; !slices.Equal(loaded, []string{"style"}) {
+			t.Errorf("the loads were %v", loaded)
+		}
+	})
+}
+
+func TestCallerThatLeavesCancelsUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		world := newWorld("u1")
+		world.engines["u1"].pieces = 1000
+		ctx, leave := context.WithTimeout(t.Context(), time.Second)
+		defer leave()
+		err := world.dispatcher(Settings{}).Do(ctx, chat("b"), &fakeSink{})
+		if err == nil || world.engines["u1"].active != 0 {
+			t.Errorf("ended with %v and %d streams", err, world.engines["u1"].active)
+		}
+	})
+}
+
+func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		world := newWorld("u1", "u2")
+		world.engines["u1"].leaving = true
+		dispatcher := world.dispatcher(Settings{})
+		for n := range 50 {
+			if err := dispatcher.Do(t.Context(), chat(fmt.Sprint(n)), &fakeSink{}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if runs := len(world.engines["u1"].runs); runs != 0 {
+			t.Errorf("the leaving upstream got %d requests", runs)
+		}
+	})
+}
+
+func TestEjectedUpstreamIsProbedBackIn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		world := newWorld("u1")
+		world.engines["u1"].dead = true
+		dispatcher := world.dispatcher(Settings{})
+		ctx, stop := context.WithCancel(t.Context())
+		var duty sync.WaitGroup
+		duty.Go(func() { dispatcher.Run(ctx) })
+		for n := range 3 {
+			_ = dispatcher.Do(ctx, chat(fmt.Sprint(n)), &fakeSink{})
+		}
+		world.engines["u1"].mutex.Lock()
+		world.engines["u1"].dead = false
+		world.engines["u1"].mutex.Unlock()
+		if err := dispatcher.Do(ctx, chat("b"), &fakeSink{}); err != nil {
+			t.Errorf("a request after the recovery ended with %v", err)
+		}
+		stop()
+		duty.Wait()
+	})
+}
+
+func TestRetriesAreAShareOfTraffic(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		world := newWorld("u1", "u2")
+		tries := 0
+		for _, engine := range world.engines {
+			engine.generate = map[string]error{"b": &upstream.RefusedError{Status: 503, Reason: "full"}}
+			engine.tried = &tries
+		}
+		dispatcher := world.dispatcher(Settings{})
+		kinds := map[outcome.Kind]int{}
+		const sent = 400
+		for range sent {
+			kinds[outcome.From(dispatcher.Do(t.Context(), chat("b"), &fakeSink{})).Kind]++
+		}
+		if tries > sent+sent/10+32 {
+			t.Errorf("%d requests made %d attempts", sent, tries)
+		}
+		if kinds[outcome.RetriesSpent] == 0 || len(kinds) > 2 {
+			t.Errorf("the requests ended as %v", kinds)
+		}
+	})
+}
+
+func TestServiceCallThatMayNotRepeatIsSentOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		world := newWorld("u1", "u2")
+		dispatcher := world.dispatcher(Settings{})
+		services := &fakeServices{err: upstream.ErrNoAnswer}
+		dispatcher.deps.Services = services
+		req := chat("charge")
+		req.Form, req.Service, req.Stream, req.Idempotent = request.ServiceCall, "tickets", false, false
+		if err := dispatcher.Do(t.Context(), req, &fakeSink{}); !outcome.Is(err, outcome.UpstreamLost) || services.calls != 1 {
+			t.Errorf("%d calls ended with %v", services.calls, err)
+		}
+		services.err = nil
+		sink := &fakeSink{}
+		if err := dispatcher.Do(t.Context(), req, sink); err != nil || string(sink.body) != "done" {
+			t.Errorf("ended with %v and %q", err, sink.body)
+		}
+	})
+}
+
+type fakeServices struct {
+	calls int
+	err   error
+}
+
+func (services *fakeServices) Call(context.Context, string, request.Request) (Answer, error) {
+	services.calls++
+	return Answer{Status: 200, ContentType: "text/plain", Body: []byte("done")}, services.err
+}
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -12,6 +12,8 @@
 	Own []route.Candidate
 	// Others are the candidates of other data centres that can be reached.
 	Others []route.Candidate
+	// AdapterVersion is the version in force of the adapter of the target, or empty without one.
+	AdapterVersion string
 	// Changed is closed when a candidate appears, leaves or is found to be leaving.
 	Changed <-chan struct{}
 }
--- a/dispatch/journey.go
+++ b/dispatch/journey.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -17,10 +18,12 @@
 	dispatcher *Dispatcher
 	req        request.Request
 	sink       request.Sink
-	// attempts is the number of upstreams that the request was given to.
-	attempts int
+	// attempts is the number of attempts, and ran the number of those that may have run.
+	attempts, ran int
 	// mayHaveRun states that an upstream may have run a part of the request.
 	mayHaveRun bool
+	// doubt is the failure of the latest attempt that may have run, or nil.
+	doubt *outcome.Error
 	// last is the index of the last piece that the caller got.
 	last int
 	// ticket is the claim that the request holds, or nil.
@@ -42,46 +45,85 @@
 
 // try runs attempts until one succeeds or none may follow.
 func (journey *journey) try(ctx context.Context, ask route.Ask) *outcome.Error {
-	var last result
 	for {
 		place, failure := journey.dispatcher.admit(ctx, &journey.req, ask, journey.attempts > 0 || ask.Suspect)
 		if failure != nil {
-			return journey.refused(failure, last)
+			return journey.truthful(failure)
 		}
-		last = journey.attempt(ctx, place)
-		if last.failure == nil || !journey.again(ctx, &last) {
-			return last.failure
+		last := journey.attempt(ctx, place)
+		if last.failure == nil {
+			return nil
 		}
-		ask.Exclude = place.candidate.Upstream
-		if last.crashed {
+		if last.busy {
 			ask = suspected(ask, &journey.req)
+			journey.pause(ctx, reserveAgain)
+			continue
+		}
+		if !last.notRun {
+			journey.doubt = last.failure
+		}
+		if !journey.again(ctx, &last) {
+			return journey.truthful(last.failure)
+		}
+		ask.Exclude = place.candidate.Upstream
+		ask.Affinity = journey.req.Fingerprint
+		if journey.suspect() || (last.unreachable && !journey.dispatcher.proven.Has(journey.req.Fingerprint)) {
+			journey.pause(ctx, suspectPause)
 		}
+		ask.Suspect = journey.suspect()
 	}
 }
 
-// refused returns the failure of an admission, or that of the attempt before if it may have run.
-func (journey *journey) refused(failure *outcome.Error, last result) *outcome.Error {
+// truthful returns the failure, or that of an attempt before which may have run.
+func (journey *journey) truthful(failure *outcome.Error) *outcome.Error {
 	if journey.mayHaveRun && failure.Kind.Entry().Word == outcome.NotRun {
-		return last.failure
+		return journey.doubt
 	}
 	return failure
 }
 
+// suspectPause is the time in which the other daemons tell of their crashes.
+const suspectPause = 500 * time.Millisecond
+
+// pause lets a suspect wait for what other daemons know of equal requests before it runs again.
+func (journey *journey) pause(ctx context.Context, pause time.Duration) {
+	timer := journey.dispatcher.clock.NewTimer(min(pause, max(journey.left(), 0)))
+	defer timer.Stop()
+	select {
+	case <-timer.C():
+	case <-ctx.Done():
+	}
+}
+
 // ask returns what the request needs, or refuses a request that is quarantined.
 func (journey *journey) ask() (route.Ask, *outcome.Error) {
 	req := &journey.req
-	now := journey.dispatcher.clock.Now()
-	crashes, until := journey.dispatcher.book.Crashes(req.Fingerprint, now)
-	if quarantine.Refused(crashes) {
-		return route.Ask{}, outcome.New(outcome.Quarantined, "earlier sendings of the request crashed upstreams").WithRetryAfter(until.Sub(now))
+	if failure := journey.dispatcher.quarantined(req.Fingerprint); failure != nil {
+		return route.Ask{}, failure
 	}
-	ask := route.Ask{Affinity: req.Prefix, Adapter: req.Target.Adapter}
-	if crashes > 0 {
+	ask := route.Ask{Affinity: cmp.Or(req.Prefix, req.Fingerprint), Adapter: req.Target.Adapter}
+	if journey.suspect() {
 		ask = suspected(ask, req)
 	}
 	return ask, nil
 }
 
+// quarantined returns the refusal of a request that crashed too many upstreams, or nil.
+func (dispatcher *Dispatcher) quarantined(fingerprint uint64) *outcome.Error {
+	now := dispatcher.clock.Now()
+	crashes, until := dispatcher.book.Crashes(fingerprint, now)
+	if !quarantine.Refused(crashes) {
+		return nil
+	}
+	return outcome.New(outcome.Quarantined, "earlier sendings of the request crashed upstreams").WithRetryAfter(until.Sub(now))
+}
+
+// suspect reports whether the request was in flight on an upstream that crashed.
+func (journey *journey) suspect() bool {
+	crashes, _ := journey.dispatcher.book.Crashes(journey.req.Fingerprint, journey.dispatcher.clock.Now())
+	return crashes > 0
+}
+
 // suspected returns the ask of a suspect. Equal suspects of all daemons prefer the same upstream.
 func suspected(ask route.Ask, req *request.Request) route.Ask {
 	ask.Suspect = true
@@ -89,7 +131,16 @@
 	return ask
 }
 
-// callerGone returns the failure of a request whose context ended.
+// endedBefore returns the failure of a request whose context ended before it was sent.
+func endedBefore(ctx context.Context) *outcome.Error {
+	cause := context.Cause(ctx)
+	if errors.Is(cause, errBeginDeadline) || errors.Is(cause, context.DeadlineExceeded) {
+		return outcome.New(outcome.DeadlineInQueue, "the deadline passed before the request was sent").WithRetryAfter(minRetry)
+	}
+	return outcome.New(outcome.CallerGone, "the caller closed the connection")
+}
+
+// callerGone returns the failure of a request whose context ended while it ran.
 func callerGone(ctx context.Context) *outcome.Error {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return outcome.New(outcome.DeadlineRunning, "the total time of the request is over")
--- a/dispatch/judge.go
+++ b/dispatch/judge.go
@@ -12,13 +12,14 @@
 func (journey *journey) judge(ctx context.Context, place *place, err error) result {
 	var failure *outcome.Error
 	if errors.As(err, &failure) {
-		journey.mayHaveRun = journey.mayHaveRun || failure.Kind.Entry().Word != outcome.NotRun
+		journey.mayHaveRun = true
 		return result{failure: failure, final: true}
 	}
-	if ending, proved := journey.unsent(place, err); proved {
+	if ending, proved := journey.unsent(ctx, place, err); proved {
 		return ending
 	}
 	journey.mayHaveRun = true
+	journey.ran++
 	if ending, ended := journey.stopped(ctx, err); ended {
 		return ending
 	}
@@ -26,16 +27,19 @@
 }
 
 // unsent judges errors that prove that the upstream did not run the request.
-func (journey *journey) unsent(place *place, err error) (result, bool) {
+func (journey *journey) unsent(ctx context.Context, place *place, err error) (result, bool) {
 	var refusal *upstream.RefusedError
 	if errors.As(err, &refusal) {
 		failure := outcome.New(outcome.UpstreamRefused, "the upstream refused the request").WithCause(err).WithRetryAfter(minRetry)
 		return result{failure: failure, notRun: true}, true
 	}
+	if errors.Is(err, upstream.ErrNotSent) && ctx.Err() != nil {
+		return result{failure: endedBefore(ctx), notRun: true, final: true}, true
+	}
 	if errors.Is(err, upstream.ErrNotSent) {
 		journey.dispatcher.router.Failed(place.candidate.Upstream)
 		failure := outcome.New(outcome.UpstreamRefused, "the upstream cannot be reached").WithCause(err).WithRetryAfter(minRetry)
-		return result{failure: failure, notRun: true}, true
+		return result{failure: failure, notRun: true, unreachable: true}, true
 	}
 	return result{}, false
 }
@@ -86,8 +90,9 @@
 // crashed ejects the upstream and makes the request a suspect, here and at the other daemons.
 func (journey *journey) crashed(ctx context.Context, place *place) {
 	dispatcher := journey.dispatcher
-	dispatcher.router.Eject(place.candidate.Upstream)
+	// The mark comes first, so that an equal request that waits is not granted the next upstream between.
 	suspect := dispatcher.suspect(journey.req.Fingerprint, place)
+	dispatcher.router.Eject(place.candidate.Upstream)
 	if dispatcher.deps.Suspects == nil {
 		return
 	}
--- a/dispatch/lane.go
+++ b/dispatch/lane.go
@@ -24,6 +24,8 @@
 	running int
 	// minded states that a goroutine looks after the waiting requests.
 	minded bool
+	// emptied is closed when minded turns false.
+	emptied chan struct{}
 	// used is the time of the last change.
 	used time.Time
 }
@@ -77,6 +79,15 @@
 	return lane.queue.Len() + lane.special.Len()
 }
 
+// leaveQueue counts a request out of the queues after it was removed from its lane. The mutex is held.
+func (dispatcher *Dispatcher) leaveQueue(lane *lane) {
+	dispatcher.waiting--
+	if lane.minded && lane.waiting() == 0 {
+		lane.minded = false
+		close(lane.emptied)
+	}
+}
+
 // idle reports whether the lane holds nothing.
 func (lane *lane) idle() bool {
 	return lane.waiting() == 0 && lane.running == 0 && !lane.minded
--- a/dispatch/mind.go
+++ b/dispatch/mind.go
@@ -16,27 +16,28 @@
 		return
 	}
 	lane.minded = true
-	go dispatcher.lookAfter(lane)
+	lane.emptied = make(chan struct{})
+	go dispatcher.lookAfter(lane, lane.emptied)
 }
 
 // lookAfter wakes the lane when the fleet changes and in intervals until nothing waits.
-func (dispatcher *Dispatcher) lookAfter(lane *lane) {
+func (dispatcher *Dispatcher) lookAfter(lane *lane, emptied <-chan struct{}) {
 	for {
-		changed, more := dispatcher.step(lane)
-		if !more {
-			return
-		}
+		changed := dispatcher.step(lane)
 		timer := dispatcher.clock.NewTimer(mindEvery)
 		select {
 		case <-changed:
 		case <-timer.C():
+		case <-emptied:
+			timer.Stop()
+			return
 		}
 		timer.Stop()
 	}
 }
 
-// step answers what is given up, grants what has room and reports whether anything still waits.
-func (dispatcher *Dispatcher) step(lane *lane) (changed <-chan struct{}, more bool) {
+// step answers what is given up, grants what has room and returns what tells of the next change.
+func (dispatcher *Dispatcher) step(lane *lane) (changed <-chan struct{}) {
 	dispatcher.mutex.Lock()
 	defer dispatcher.mutex.Unlock()
 	snapshot, err := lane.look()
@@ -47,8 +48,7 @@
 		dispatcher.giveUp(lane, dispatcher.hopeless(lane, snapshot))
 	}
 	dispatcher.report(lane)
-	lane.minded = lane.waiting() > 0
-	return snapshot.Changed, lane.minded
+	return snapshot.Changed
 }
 
 // hopeless returns a function that tells why a waiting request is given up, or nil. The mutex is held.
@@ -62,7 +62,7 @@
 		if !dispatcher.served(snapshot) {
 			return dispatcher.cold(lane, left)
 		}
-		return nil
+		return dispatcher.quarantined(waiting.Item.fingerprint)
 	}
 }
 
@@ -79,7 +79,7 @@
 	lane.special.Each(collect)
 	for waiting, failure := range failures {
 		lane.line(waiting).Remove(waiting)
-		dispatcher.waiting--
+		dispatcher.leaveQueue(lane)
 		waiting.Item.granted <- grant{failure: failure}
 	}
 }
--- a/dispatch/pump.go
+++ b/dispatch/pump.go
@@ -24,12 +24,28 @@
 // pump grants places to waiting requests while there is room. The mutex is held.
 func (dispatcher *Dispatcher) pump(lane *lane, snapshot Snapshot) {
 	dispatcher.pumpSpecial(lane, snapshot)
-	for lane.queue.Len() > 0 {
-		next := lane.queue.Peek()
-		if !dispatcher.grant(lane, snapshot, next) {
-			return
+	for dispatcher.pumpOne(lane, snapshot) {
+		continue
+	}
+}
+
+// pumpOne grants a place to the first tenant in order whose next request fits. The mutex is held.
+func (dispatcher *Dispatcher) pumpOne(lane *lane, snapshot Snapshot) bool {
+	for _, next := range lane.queue.Heads() {
+		if dispatcher.grant(lane, snapshot, next) {
+			return true
+		}
+		if !dispatcher.bound(next) && dispatcher.quarantined(next.Item.fingerprint) == nil {
+			return false
 		}
 	}
+	return false
+}
+
+// bound reports whether the request must go to the upstream where an equal one runs. The mutex is held.
+func (dispatcher *Dispatcher) bound(waiting *entry) bool {
+	_, flying := dispatcher.flying[waiting.Item.fingerprint]
+	return flying && !dispatcher.proven.Has(waiting.Item.fingerprint)
 }
 
 // pumpSpecial grants places to the suspects and second attempts that fit. The mutex is held.
@@ -46,13 +62,21 @@
 
 // grant gives the waiting request a place if one fits. The mutex is held.
 func (dispatcher *Dispatcher) grant(lane *lane, snapshot Snapshot, waiting *entry) bool {
-	chosen, own, ok := dispatcher.choose(snapshot, waiting.Item.ask)
+	ask := waiting.Item.ask
+	if dispatcher.quarantined(waiting.Item.fingerprint) != nil {
+		return false
+	}
+	if dispatcher.bound(waiting) {
+		ask.Only = dispatcher.flying[waiting.Item.fingerprint].upstream
+	}
+	chosen, own, ok := dispatcher.choose(snapshot, ask)
 	if !ok {
 		return false
 	}
 	lane.line(waiting).Take(waiting)
-	dispatcher.waiting--
+	dispatcher.leaveQueue(lane)
 	lane.running++
+	dispatcher.fly(waiting.Item.fingerprint, chosen.Upstream)
 	waiting.Item.granted <- grant{place: &place{
 		lane:      lane,
 		candidate: chosen,
@@ -60,6 +84,9 @@
 		sent:      dispatcher.router.Send(chosen.Upstream, waiting.Item.ask.Suspect),
 		since:     dispatcher.clock.Now(),
 		cost:      waiting.Cost,
+
+		fingerprint:    waiting.Item.fingerprint,
+		adapterVersion: waiting.Item.adapterVersion,
 	}}
 	return true
 }
@@ -89,6 +116,7 @@
 	lane := place.lane
 	now := dispatcher.clock.Now()
 	lane.running--
+	dispatcher.land(place.fingerprint)
 	lane.used = now
 	if answered {
 		lane.rate.Observe(place.cost, now.Sub(place.since))
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -10,6 +10,10 @@
 	notRun bool
 	// crashed states that the upstream ended while the attempt was in flight.
 	crashed bool
+	// unreachable states that no connection to the upstream could be made, as after a crash.
+	unreachable bool
+	// busy states that the attempt was not made since another suspect runs on the upstream.
+	busy bool
 	// final states that no other attempt can help, as after the caller left.
 	final bool
 }
--- a/dispatch/settings.go
+++ b/dispatch/settings.go
@@ -16,6 +16,8 @@
 	RecordBytes int
 	// ProbeTimeout bounds one probe of an upstream; zero means 1 s.
 	ProbeTimeout time.Duration
+	// AdapterTimeout bounds the load of one adapter with the wait for its permit; zero means 10 s.
+	AdapterTimeout time.Duration
 	// PublishTimeout bounds how long suspects are told to other daemons before an answer; zero means 500 ms.
 	PublishTimeout time.Duration
 }
@@ -27,6 +29,7 @@
 	defaultAnswerBytes    = 32 << 20
 	defaultRecordBytes    = 64 << 10
 	defaultProbeTimeout   = time.Second
+	defaultAdapterTimeout = 10 * time.Second
 	defaultPublishTimeout = 500 * time.Millisecond
 )
 
@@ -37,6 +40,7 @@
 	settings.AnswerBytes = orDefault(settings.AnswerBytes, defaultAnswerBytes)
 	settings.RecordBytes = orDefault(settings.RecordBytes, defaultRecordBytes)
 	settings.ProbeTimeout = orDefault(settings.ProbeTimeout, defaultProbeTimeout)
+	settings.AdapterTimeout = orDefault(settings.AdapterTimeout, defaultAdapterTimeout)
 	settings.PublishTimeout = orDefault(settings.PublishTimeout, defaultPublishTimeout)
 	return settings
 }
--- a/dispatch/waiter.go
+++ b/dispatch/waiter.go
@@ -10,7 +10,11 @@
 
 // waiter is one request on its way through a lane.
 type waiter struct {
-	ask route.Ask
+	// fingerprint is the fingerprint of the request.
+	fingerprint uint64
+	ask         route.Ask
+	// adapterVersion is the version in force of the adapter that the request names.
+	adapterVersion string
 	// special states that the request waits in lane.special.
 	special bool
 	// granted has room for one grant and gets exactly one, unless the request leaves the queue by itself.
@@ -33,7 +37,11 @@
 	// own states that the upstream is in this data centre.
 	own  bool
 	sent *route.Sent
+	// adapterVersion is the version in force of the adapter that the request names.
+	adapterVersion string
 	// since is the time of the grant.
 	since time.Time
-	cost  int
+	// fingerprint is the fingerprint of the request.
+	fingerprint uint64
+	cost        int
 }
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -1,6 +1,10 @@
 package queue
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Queue orders the waiting requests of one model. It is not safe for concurrent use.
 type Queue[T any] struct {
@@ -124,13 +128,34 @@
 		if len(flow.entries) == 0 {
 			continue
 		}
-		if best == nil || flow.start < best.start || (flow.start == best.start && flow.tenant < best.tenant) {
+		if best == nil || compare(flow, best) < 0 {
 			best = flow
 		}
 	}
 	return best
 }
 
+// Heads returns the first entry of each tenant in the order in which they leave.
+func (queue *Queue[T]) Heads() []*Entry[T] {
+	flows := make([]*flow[T], 0, len(queue.flows))
+	for _, flow := range queue.flows {
+		if len(flow.entries) > 0 {
+			flows = append(flows, flow)
+		}
+	}
+	slices.SortFunc(flows, compare[T])
+	heads := make([]*Entry[T], 0, len(flows))
+	for _, flow := range flows {
+		heads = append(heads, flow.entries[0])
+	}
+	return heads
+}
+
+// compare orders flows by virtual start, then by name.
+func compare[T any](a, b *flow[T]) int {
+	return cmp.Or(cmp.Compare(a.start, b.start), cmp.Compare(a.tenant, b.tenant))
+}
+
 // displace removes and returns the last entry of the longest flow, or nil if the tenant of the
 // new entry would then have more than it.
 func (queue *Queue[T]) displace(entry *Entry[T]) *Entry[T] {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -7,7 +7,7 @@
 	// share is the number of retries that each first attempt earns.
 	share = 0.1
 	// most is the largest number of retries that can be saved up.
-	most = 10.0
+	most = 32.0
 )
 
 // Budget is a bounded number of retries that grows with traffic. It is safe for concurrent use.
--- a/route/ask.go
+++ b/route/ask.go
@@ -8,6 +8,8 @@
 	Adapter string
 	// Exclude is an upstream that must not be chosen; empty means none.
 	Exclude string
+	// Only is the one upstream that may be chosen; empty means any.
+	Only string
 	// Suspect states that the request may crash its upstream: it runs alone among suspects
 	// and on the first upstream of its affinity only, whatever the load.
 	Suspect bool
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -17,6 +17,8 @@
 	BootID string
 	// Version is the version of the model that the replica holds.
 	Version string
+	// Fence is the highest fencing number that the engine said it saw.
+	Fence uint64
 	// Slots is the number of requests that the replica serves well at once; zero means 16.
 	Slots int
 	// Running and Waiting are the reported load from everybody together.
--- a/route/choose.go
+++ b/route/choose.go
@@ -153,6 +153,9 @@
 	if !candidate.serves() || candidate.Upstream == ask.Exclude {
 		return false
 	}
+	if ask.Only != "" && candidate.Upstream != ask.Only {
+		return false
+	}
 	ledger := router.ledgers[candidate.Upstream]
 	return ledger == nil || ledger.health.admits(len(ledger.sent))
 }
