Drop all kept connections once one was found silent

Cause: after a network in between lost its state, every kept connection cost one call its whole timeout, and the states of a healthy engine went missing for as long. Ruled out: probing idle connections, since the pool cannot address one. Conclusion: with three silent connections the second state call failed before and succeeds now.

--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -177,6 +177,30 @@
 	})
 }
 
+func TestOneSilentConnectionCostsOnlyOneCall(t *testing.T) {
+	inBubble(t, engine.Settings{}, func(t *testing.T, b *bench) {
+		streams := make([]upstream.Stream, 0, 3)
+		for _, id := range []string{"r1", "r2", "r3"} {
+			stream, err := b.client.Generate(t.Context(), chat(id, true, ""))
+			if err != nil {
+				t.Fatal(err)
+			}
+			streams = append(streams, stream)
+		}
+		for _, stream := range streams {
+			_, _ = drain(stream)
+			_ = stream.Close()
+		}
+		b.listener.Silence()
+		if _, err := b.client.State(t.Context()); !errors.Is(err, upstream.ErrNoAnswer) {
+			t.Errorf("state over a silent connection: %v", err)
+		}
+		if _, err := b.client.State(t.Context()); err != nil {
+			t.Errorf("state after a silent connection was found: %v", err)
+		}
+	})
+}
+
 func TestCancelPassesUpstream(t *testing.T) {
 	inBubble(t, engine.Settings{TokenEvery: time.Minute}, func(t *testing.T, b *bench) {
 		ctx, cancel := context.WithCancel(t.Context())
--- a/upstream/generate.go
+++ b/upstream/generate.go
@@ -22,7 +22,10 @@
 func (client *Client) Generate(ctx context.Context, generation Generation) (Stream, error) {
 	parent := ctx
 	ctx, cancel := context.WithCancel(ctx)
-	watch := newSilence(client.clock, client.settings.SilenceLimit, cancel)
+	watch := newSilence(client.clock, client.settings.SilenceLimit, func() {
+		cancel()
+		client.wire.Close()
+	})
 	watch.listen()
 	go watch.watch(ctx)
 	response, err := client.send(ctx, watch, generation)
