Add the command line: notes, status, settings, version and serve

Cause: operators drive the system by notes alone and scripts need exit codes. Failure found: a note all of whose answers were lost was reported as unclear although reading back shows it accepted; the identifier is now read at the end too (case "every answer lost, all written" and the test of the commands).

--- /dev/null
+++ b/cmd/bronzestall/commands_test.go
@@ -0,0 +1,218 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"k8s.io/utils/clock"
+
+	"github.com/bronzestall/bronzestall/internal/platformfake"
+	"github.com/bronzestall/bronzestall/settings"
+	"github.com/bronzestall/bronzestall/status"
+)
+
+// session runs commands one after the other against one platform.
+type session struct {
+	t      *testing.T
+	fake   *platformfake.Platform
+	client *platformfake.Client
+	served []settings.Settings
+}
+
+func newSession(t *testing.T) *session {
+	t.Setenv("USER", "naoko")
+	fake := platformfake.New(clock.RealClock{}, rand.New(rand.NewPCG(1, 1)))
+	return &session{t: t, fake: fake, client: fake.Client()}
+}
+
+// run executes a command line, in which SETTINGS and NOTE stand for the example's files.
+func (session *session) run(line string) (exitCode, string) {
+	session.t.Helper()
+	line = strings.NewReplacer(
+		"SETTINGS", "--settings "+example("yamabuki.yaml"),
+		"NOTE", example("yamabuki-note-1.yaml"),
+	).Replace(line)
+	var out bytes.Buffer
+	code := run(session.t.Context(), strings.Fields(line), &environment{
+		stdout:  &out,
+		stderr:  &out,
+		clock:   clock.RealClock{},
+		connect: func(settings.Platform, clock.Clock) store { return session.client },
+		serve: func(_ context.Context, daemon settings.Settings) error {
+			session.served = append(session.served, daemon)
+			return nil
+		},
+	})
+	return code, out.String()
+}
+
+// want runs a command line and checks its exit code and a part of its output.
+func (session *session) want(line string, code exitCode, part string) {
+	session.t.Helper()
+	got, out := session.run(line)
+	if got != code || !strings.Contains(out, part) {
+		session.t.Errorf("%s ended with %d, want %d with %q:\n%s", line, got, code, part, out)
+	}
+}
+
+func example(name string) string {
+	return filepath.Join("..", "..", "examples", name)
+}
+
+// write puts a file into a directory of the test.
+func write(t *testing.T, content string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "note.yaml")
+	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+const change = `Note: second
+Base: 1
+Summary: Longer answers
+Models:
+  Changed:
+    - {Name: soaking-times, Version: "2", Weights: 8GiB, Reserve: 3GiB}
+`
+
+func TestNoteFromCheckToHistory(t *testing.T) {
+	session := newSession(t)
+	second := write(t, change)
+	synctest.Test(t, func(t *testing.T) {
+		session.t = t
+		session.want("note show SETTINGS", exitDone, "Number 0: 0 models")
+		session.want("note history SETTINGS", exitDone, "No note was accepted yet.")
+		session.want("note check SETTINGS NOTE", exitDone, "fits number 0")
+		session.want("note diff SETTINGS NOTE", exitDone, "Added     Model round-assistant  Version: 1, Weights: 26GiB")
+		session.want("note check SETTINGS "+second, exitConflict, "written against number 1; number 0 is in force")
+		session.want("note apply SETTINGS NOTE", exitDone, "is accepted as number 1")
+		session.want("note apply SETTINGS NOTE", exitDone, "was accepted before as number 1 by naoko")
+		session.want("note check SETTINGS NOTE", exitDone, "was accepted before as number 1")
+		session.want("note diff SETTINGS "+second, exitDone, "Changed   Model soaking-times  Version: 1 -> 2, Reserve: 2GiB -> 3GiB")
+		session.want("note apply SETTINGS --by takeo "+second, exitDone, "is accepted as number 2")
+		session.want("note show SETTINGS", exitDone, "Number 2: 4 models, 5 adapters, 1 services.")
+		session.want("note show SETTINGS 1", exitDone, "Model soaking-times  Version: 1")
+		session.want("note show SETTINGS 3", exitUsage, "no such number")
+		session.want("note history SETTINGS", exitDone, "takeo")
+		session.want("note history SETTINGS --limit 0", exitUsage, "--limit must be 1 to 100")
+	})
+}
+
+func TestNoteRefusals(t *testing.T) {
+	session := newSession(t)
+	invalid := write(t, strings.Replace(change, "8GiB", "800GiB", 1))
+	malformed := write(t, strings.Replace(change, "8GiB", "8", 1))
+	stale := write(t, strings.Replace(strings.Replace(change, "second", "stale", 1), "Base: 1", "Base: 0", 1))
+	reused := write(t, strings.Replace(change, "second", "2026-12-04-first", 1))
+	second := write(t, change)
+	synctest.Test(t, func(t *testing.T) {
+		session.t = t
+		session.want("note apply SETTINGS NOTE", exitDone, "accepted")
+		session.want("note check SETTINGS "+invalid, exitRefused, "line 6: Models.Changed[0].Weights: Model soaking-times needs 803GiB")
+		session.want("note apply SETTINGS "+invalid, exitRefused, "the largest engine has 80GiB")
+		session.want("note apply SETTINGS "+malformed, exitRefused, "line 6: Models.Changed[0].Weights: must be a size with its unit")
+		session.want("note apply SETTINGS "+stale, exitConflict, "Added     Model round-assistant")
+		session.want("note check SETTINGS "+stale, exitConflict, "Accepted since:")
+		session.want("note apply SETTINGS "+reused, exitRefused, "belongs to another note")
+		session.want("note apply SETTINGS missing.yaml", exitFailure, "missing.yaml")
+		session.fake.SetDown(true)
+		session.want("note apply SETTINGS "+second, exitUnavailable, "PlatformUnavailable")
+		session.want("note show SETTINGS", exitUnavailable, "PlatformUnavailable")
+		session.fake.SetDown(false)
+		lost := platformfake.UnclearWithEffect
+		session.client.FailWrites(platformfake.None, lost, lost, lost, lost, lost, lost)
+		session.want("note apply SETTINGS "+second, exitDone, "accepted")
+	})
+}
+
+func TestUnclearApplyIsSettledByApplyingAgain(t *testing.T) {
+	session := newSession(t)
+	synctest.Test(t, func(t *testing.T) {
+		session.t = t
+		nothing := platformfake.UnclearWithoutEffect
+		session.client.FailWrites(platformfake.None, nothing, nothing, nothing, nothing, nothing, platformfake.UnclearLate)
+		session.want("note apply SETTINGS NOTE", exitUnavailable, "apply it again")
+		session.fake.ApplyLate()
+		session.want("note apply SETTINGS NOTE", exitDone, "was accepted before as number 1")
+	})
+}
+
+func TestJSONIsOneValue(t *testing.T) {
+	session := newSession(t)
+	invalid := write(t, strings.Replace(change, "soaking", "sinking", 1))
+	synctest.Test(t, func(t *testing.T) {
+		session.t = t
+		for _, line := range []string{
+			"note check SETTINGS NOTE", "note diff SETTINGS NOTE", "note apply SETTINGS NOTE", "note show SETTINGS",
+			"note history SETTINGS", "version", "settings check " + example("calabaza.yaml"),
+		} {
+			code, out := session.run("--output json " + line)
+			if code != exitDone || !json.Valid([]byte(out)) {
+				t.Errorf("%s ended with %d: %s", line, code, out)
+			}
+		}
+		session.want("--output json note check SETTINGS "+invalid, exitRefused, `"Key": "Models.Changed[0].Name"`)
+	})
+}
+
+func TestUsage(t *testing.T) {
+	session := newSession(t)
+	session.want("--help", exitDone, "note apply")
+	session.want("note apply --help", exitDone, "--by=NAME")
+	session.want("", exitUsage, "expected one of")
+	session.want("note aply", exitUsage, "did you mean")
+	session.want("note apply NOTE", exitUsage, "missing flags: --settings")
+	session.want("--output yaml version", exitUsage, "must be one of")
+	broken := write(t, "Name: x\nLease: {Term: 1}\n")
+	session.want("settings check "+broken, exitRefused, "line 2: Lease.Term: must be a duration")
+	session.want("serve --settings "+broken, exitRefused, "line 2: Lease.Term")
+	session.want("serve SETTINGS", exitDone, "")
+	if len(session.served) != 1 || session.served[0].Name != "entry-1" {
+		t.Errorf("served %+v", session.served)
+	}
+}
+
+func TestStatus(t *testing.T) {
+	report := status.Report{
+		At:        time.Unix(0, 0).UTC(),
+		Daemon:    status.Daemon{Name: "entry-1", DataCentre: "fukuoka", Ready: true},
+		InForce:   status.InForce{Known: true, Number: 7, Models: 4, Behind: []string{"entry-4"}},
+		Decider:   status.Decider{Name: "entry-2"},
+		Platform:  status.Platform{TablesAwayFor: 90 * time.Second},
+		Replicas:  []status.Replica{{Model: "round-assistant", Version: "1", Phase: "Ready", Use: "idle", HeardAgo: 1200 * time.Millisecond}},
+		Upstreams: []status.Upstream{{Name: "engine-1", Kind: "Engine", Capacity: 80 << 30, Used: 38 << 30}},
+		Refusals:  []status.Refusal{{Kind: "QueueFull", Count: 3}},
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.URL.Path != "/status" {
+			writer.WriteHeader(http.StatusNotFound)
+			return
+		}
+		_ = json.NewEncoder(writer).Encode(report)
+	}))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	session := newSession(t)
+	for _, part := range []string{
+		"number 7 with 4 models", "Not yet in force at: entry-4", "Decider: entry-2", "could not be read for 1m30s",
+		"1.2s ago", "38GiB", "QueueFull", "never",
+	} {
+		session.want("status SETTINGS --address "+address, exitDone, part)
+	}
+	session.want("--output json status SETTINGS --address "+address, exitDone, `"Number": 7`)
+	session.want("status SETTINGS --address localhost:1", exitUsage, "is not an IP address and port")
+	server.Close()
+	session.want("status SETTINGS --address "+address, exitUnavailable, "no answer from "+address)
+}
--- /dev/null
+++ b/cmd/bronzestall/main.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"k8s.io/klog/v2"
+	"k8s.io/utils/clock"
+
+	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/settings"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	code := run(ctx, os.Args[1:], &environment{
+		stdout:  os.Stdout,
+		stderr:  os.Stderr,
+		clock:   clock.RealClock{},
+		connect: connect,
+		serve:   serveDaemon,
+	})
+	klog.Flush()
+	os.Exit(int(code))
+}
+
+// environment is what the commands need of the process.
+type environment struct {
+	stdout, stderr io.Writer
+	clock          clock.Clock
+	// connect reaches the platform of the settings.
+	connect func(settings.Platform, clock.Clock) store
+	// serve runs a daemon until the context ends.
+	serve func(context.Context, settings.Settings) error
+}
+
+// store is what the notes need of the platform.
+type store interface {
+	platform.Tables
+	platform.Objects
+}
+
+func connect(at settings.Platform, clock clock.Clock) store {
+	return platform.NewClient(platform.ClientSettings{Address: at.Address, Timeout: at.Timeout}, clock)
+}
--- /dev/null
+++ b/cmd/bronzestall/notefile.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"os"
+
+	"github.com/gravitational/trace"
+
+	"github.com/bronzestall/bronzestall/internal/strictyaml"
+	"github.com/bronzestall/bronzestall/note"
+	"github.com/bronzestall/bronzestall/release"
+	"github.com/bronzestall/bronzestall/settings"
+)
+
+// platformFlags tell where the notes are kept.
+type platformFlags struct {
+	Settings string `help:"Settings file of any daemon; it tells where the platform is and what the upstreams hold." required:"" type:"path" placeholder:"FILE"`
+}
+
+// open reads the settings and returns the ledger of the notes.
+func (flags *platformFlags) open(environment *environment) (settings.Settings, *release.Ledger, error) {
+	daemon, err := settings.Load(flags.Settings)
+	if err != nil {
+		return settings.Settings{}, nil, err
+	}
+	store := environment.connect(daemon.Platform, environment.clock)
+	return daemon, release.NewLedger(store, store, environment.clock), nil
+}
+
+// noteFlags name a note beside the platform.
+type noteFlags struct {
+	platformFlags
+	File string `arg:"" help:"Release note." type:"path"`
+}
+
+// candidate is a note that is not accepted yet, and what it would change.
+type candidate struct {
+	file     string
+	note     note.Note
+	ledger   *release.Ledger
+	capacity note.Capacity
+	inForce  release.InForce
+}
+
+// read reads the note and what is in force.
+func (flags *noteFlags) read(ctx context.Context, environment *environment, printer *printer) (*candidate, error) {
+	content, err := os.ReadFile(flags.File)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	parsed, err := note.Parse(flags.File, content)
+	var malformed *strictyaml.Error
+	if errors.As(err, &malformed) {
+		printProblems(printer, flags.File, malformed.Problems)
+		return nil, &refusedError{file: flags.File}
+	}
+	if err != nil {
+		return nil, err
+	}
+	daemon, ledger, err := flags.open(environment)
+	if err != nil {
+		return nil, err
+	}
+	inForce, err := ledger.InForce(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &candidate{file: flags.File, note: parsed, ledger: ledger, capacity: note.CapacityOf(daemon), inForce: inForce}, nil
+}
+
+// check prints what is wrong with the note and returns an error if anything is.
+func (candidate *candidate) check(printer *printer) error {
+	problems := candidate.note.Check(candidate.inForce.Catalogue, candidate.capacity)
+	if len(problems) == 0 {
+		return nil
+	}
+	printProblems(printer, candidate.file, problems)
+	return &refusedError{file: candidate.file}
+}
+
+// stale reports whether the note was written against another number than the one in force.
+func (candidate *candidate) stale() bool {
+	return candidate.note.Base != candidate.inForce.Number
+}
--- /dev/null
+++ b/cmd/bronzestall/printer.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+)
+
+// printer writes the result of a command as text for people or as one JSON value for scripts.
+type printer struct {
+	out  io.Writer
+	json bool
+	// err is the first failure of writing.
+	err error
+}
+
+// print writes the value as JSON, or calls text.
+func (printer *printer) print(value any, text func(page *page)) {
+	if printer.json {
+		encoder := json.NewEncoder(printer.out)
+		encoder.SetIndent("", "  ")
+		printer.err = encoder.Encode(value)
+		return
+	}
+	page := &page{tabs: tabwriter.NewWriter(printer.out, 0, 0, 2, ' ', 0)}
+	text(page)
+	printer.err = page.tabs.Flush()
+}
+
+// page takes lines and aligns the cells of neighbouring rows.
+type page struct {
+	tabs *tabwriter.Writer
+}
+
+// line writes a line that is not part of a table.
+func (page *page) line(format string, args ...any) {
+	_, _ = fmt.Fprintf(page.tabs, format+"\n", args...)
+}
+
+// row writes the cells of one row of a table.
+func (page *page) row(cells ...any) {
+	text := make([]string, len(cells))
+	for i, cell := range cells {
+		text[i] = fmt.Sprint(cell)
+	}
+	_, _ = fmt.Fprintln(page.tabs, strings.Join(text, "\t")+"\t")
+}
--- a/release/accept.go
+++ b/release/accept.go
@@ -23,7 +23,10 @@
 //
 // It does not check the note against the capacity; Note.Check does.
 func (ledger *Ledger) Accept(ctx context.Context, proposed note.Note, by string) (Entry, error) {
-	acceptance := &acceptance{Ledger: ledger, note: proposed, by: by}
+	acceptance, err := ledger.acceptance(proposed, by)
+	if err != nil {
+		return Entry{}, err
+	}
 	entry, again, err := acceptance.run(ctx)
 	switch {
 	case err != nil:
@@ -36,6 +39,31 @@
 	return entry, nil
 }
 
+// Earlier returns the entry of the note if it was accepted before. It fails with NoteInvalid if its
+// identifier belongs to another note, or with PlatformUnavailable.
+func (ledger *Ledger) Earlier(ctx context.Context, proposed note.Note) (Entry, bool, error) {
+	acceptance, err := ledger.acceptance(proposed, "")
+	if err != nil {
+		return Entry{}, false, err
+	}
+	return acceptance.earlier(ctx)
+}
+
+// acceptance returns a call of Accept that has not begun.
+func (ledger *Ledger) acceptance(proposed note.Note, by string) (*acceptance, error) {
+	body, err := encodeBody(proposed)
+	if err != nil {
+		return nil, outcome.New(outcome.NoteInvalid, "the note cannot be encoded").WithCause(err)
+	}
+	return &acceptance{
+		Ledger:   ledger,
+		note:     proposed,
+		by:       by,
+		body:     body,
+		bodyName: objectName(prefixBody, body),
+	}, nil
+}
+
 // acceptance is one call of Accept.
 type acceptance struct {
 	*Ledger
@@ -50,11 +78,6 @@
 
 // run returns the entry and whether it was there before.
 func (acceptance *acceptance) run(ctx context.Context) (Entry, bool, error) {
-	var err error
-	if acceptance.body, err = encodeBody(acceptance.note); err != nil {
-		return Entry{}, false, outcome.New(outcome.NoteInvalid, "the note cannot be encoded").WithCause(err)
-	}
-	acceptance.bodyName = objectName(prefixBody, acceptance.body)
 	earlier, found, err := acceptance.earlier(ctx)
 	if err != nil || found {
 		return earlier, found, err
--- a/release/commit.go
+++ b/release/commit.go
@@ -8,7 +8,6 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/platform"
 )
 
@@ -36,11 +35,27 @@
 		return entry, false, nil
 	case errors.Is(err, platform.ErrConflict):
 		return acceptance.settle(ctx)
+	case acceptance.unclear:
+		return acceptance.readBack(ctx, err)
 	default:
 		return Entry{}, false, acceptance.failure(err)
 	}
 }
 
+// readBack settles a transaction whose answers stayed unclear, as far as reading can. As long as the
+// base is in force and the identifier is unused, the transaction may still take effect.
+func (acceptance *acceptance) readBack(ctx context.Context, unclear error) (Entry, bool, error) {
+	entry, found, err := acceptance.earlier(ctx)
+	if err != nil || found {
+		return entry, false, err
+	}
+	head, _, err := acceptance.head(ctx)
+	if err != nil || head.Number == acceptance.note.Base {
+		return Entry{}, false, acceptance.failure(unclear)
+	}
+	return acceptance.settle(ctx)
+}
+
 // settle tells, once the base is not in force any more, whether this note or
 // another one was accepted. It reads the identifier after the number, since the
 // same note may be accepted through another ledger between the two readings. No
@@ -55,20 +70,7 @@
 	if err != nil {
 		return Entry{}, false, conflictFailure(&ConflictError{Base: acceptance.note.Base, InForce: acceptance.note.Base + 1})
 	}
-	return Entry{}, false, acceptance.conflict(ctx, head)
-}
-
-// conflict returns NoteConflict with what changed since the base of the note, as far as the platform tells.
-func (acceptance *acceptance) conflict(ctx context.Context, head Entry) error {
-	conflict := &ConflictError{Base: acceptance.note.Base, InForce: head.Number}
-	if head.Number > conflict.Base {
-		_ = acceptance.explain(ctx, conflict, head)
-	}
-	return conflictFailure(conflict)
-}
-
-func conflictFailure(conflict *ConflictError) error {
-	return outcome.New(outcome.NoteConflict, "another note was accepted first").WithCause(conflict)
+	return Entry{}, false, acceptance.conflict(ctx, acceptance.note.Base, head)
 }
 
 func commitWrites(entry Entry, version uint64) ([]platform.Write, error) {
--- a/release/difference.go
+++ b/release/difference.go
@@ -1,15 +1,17 @@
 package release
 
 import (
+	"encoding/json"
+
 	"github.com/gravitational/trace"
 )
 
 // Difference is what one note changed.
 type Difference struct {
 	// Number is the number in force after the note.
-	Number uint64
-	// Body is the content of the note's object.
-	Body []byte
+	Number uint64 `json:"Number"`
+	// Body is the content of the note's object, which is JSON.
+	Body json.RawMessage `json:"Body"`
 }
 
 // follow returns the state after the difference, which must be the next one.
--- a/release/explain.go
+++ b/release/explain.go
@@ -5,8 +5,32 @@
 
 	"github.com/bronzestall/bronzestall/catalogue"
 	"github.com/bronzestall/bronzestall/note"
+	"github.com/bronzestall/bronzestall/outcome"
 )
 
+// Conflict returns the NoteConflict of a note that was written against the base, without accepting
+// anything. It fails with PlatformUnavailable or Internal if the platform does not tell what is in force.
+func (ledger *Ledger) Conflict(ctx context.Context, base uint64) error {
+	head, err := ledger.Head(ctx)
+	if err != nil {
+		return err
+	}
+	return ledger.conflict(ctx, base, head)
+}
+
+// conflict returns NoteConflict with what changed since the base, as far as the platform tells.
+func (reader reader) conflict(ctx context.Context, base uint64, head Entry) error {
+	conflict := &ConflictError{Base: base, InForce: head.Number}
+	if head.Number > base {
+		_ = reader.explain(ctx, conflict, head)
+	}
+	return conflictFailure(conflict)
+}
+
+func conflictFailure(conflict *ConflictError) error {
+	return outcome.New(outcome.NoteConflict, "another note was accepted first").WithCause(conflict)
+}
+
 // explain fills in what changed between the base of a conflict and the entry in force.
 func (reader reader) explain(ctx context.Context, conflict *ConflictError, head Entry) error {
 	first := max(conflict.Base, head.Number-min(head.Number, scanLimit))
--- a/release/ledger.go
+++ b/release/ledger.go
@@ -26,6 +26,24 @@
 	return &Ledger{reader: reader{tables: tables, objects: objects}, clock: clock}
 }
 
+// Head returns the entry in force; before the first note its Number is zero. It fails with PlatformUnavailable or Internal.
+func (ledger *Ledger) Head(ctx context.Context) (Entry, error) {
+	head, _, err := ledger.head(ctx)
+	if err != nil {
+		return Entry{}, readFailure(err)
+	}
+	return head, nil
+}
+
+// Entry returns the entry of a number. It fails with PlatformUnavailable or Internal.
+func (ledger *Ledger) Entry(ctx context.Context, number uint64) (Entry, error) {
+	entry, err := ledger.entryAt(ctx, historyKey(number))
+	if err != nil {
+		return Entry{}, readFailure(err)
+	}
+	return entry, nil
+}
+
 // InForce returns the state in force. It fails with PlatformUnavailable or Internal.
 func (ledger *Ledger) InForce(ctx context.Context) (InForce, error) {
 	head, _, err := ledger.head(ctx)
--- a/release/update.go
+++ b/release/update.go
@@ -12,21 +12,44 @@
 // Update brings a follower from an older number to a newer one.
 type Update struct {
 	// Number is the number in force after the update.
-	Number uint64
-	// Whole is the whole catalogue in JSON before the differences, or empty.
-	Whole []byte
+	Number uint64 `json:"Number"`
+	// Whole is the whole catalogue before the differences, or empty.
+	Whole json.RawMessage `json:"Whole,omitempty"`
 	// WholeNumber is the number in force of Whole.
-	WholeNumber uint64
+	WholeNumber uint64 `json:"WholeNumber,omitempty"`
 	// Differences follow each other up to Number. Without Whole they begin after the number that was asked for.
-	Differences []Difference
+	Differences []Difference `json:"Differences,omitempty"`
 }
 
-// Source gives updates; package peer implements it for other daemons.
+// Source gives updates; other daemons are sources.
 type Source interface {
 	// Since returns what follows the number, or an update with Number at most number if there is nothing.
 	Since(ctx context.Context, number uint64) (Update, error)
 }
 
+// SourceFunc is a Source made of a function.
+type SourceFunc func(ctx context.Context, number uint64) (Update, error)
+
+// Since calls the function.
+func (source SourceFunc) Since(ctx context.Context, number uint64) (Update, error) {
+	return source(ctx, number)
+}
+
+// Encode returns the update for the way between daemons.
+func (update Update) Encode() ([]byte, error) {
+	content, err := json.Marshal(update)
+	return content, trace.Wrap(err)
+}
+
+// DecodeUpdate returns the update that Encode wrote.
+func DecodeUpdate(content []byte) (Update, error) {
+	var update Update
+	if err := json.Unmarshal(content, &update); err != nil {
+		return Update{}, trace.Wrap(err)
+	}
+	return update, nil
+}
+
 // apply returns the state after the update.
 func (inForce InForce) apply(update Update) (InForce, error) {
 	if len(update.Whole) > 0 {
