Serve with the daemon; send updates as plain JSON

Cause: the daemon stands, and it encodes updates itself. Change: serve runs daemon.Run; Update.Encode and DecodeUpdate go.

--- a/cmd/bronzestall/main.go
+++ b/cmd/bronzestall/main.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 	"k8s.io/utils/clock"
 
+	"github.com/bronzestall/bronzestall/daemon"
 	"github.com/bronzestall/bronzestall/platform"
 	"github.com/bronzestall/bronzestall/settings"
 )
@@ -22,7 +23,7 @@
 		stderr:  os.Stderr,
 		clock:   clock.RealClock{},
 		connect: connect,
-		serve:   serveDaemon,
+		serve:   daemon.Run,
 	})
 	klog.Flush()
 	os.Exit(int(code))
--- a/cmd/bronzestall/serve.go
+++ b/cmd/bronzestall/serve.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 
-	"github.com/gravitational/trace"
-
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/settings"
 )
@@ -23,8 +21,3 @@
 	}
 	return environment.serve(ctx, daemon)
 }
-
-// serveDaemon runs a daemon.
-func serveDaemon(context.Context, settings.Settings) error {
-	return trace.NotImplemented("this build has no daemon")
-}
--- a/release/follower_test.go
+++ b/release/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"strings"
 	"testing"
@@ -177,11 +178,13 @@
 		if err != nil {
 			return Update{}, err
 		}
-		content, err := update.Encode()
+		content, err := json.Marshal(update)
 		if err != nil {
 			return Update{}, err
 		}
-		return DecodeUpdate(content)
+		var received Update
+		err = json.Unmarshal(content, &received)
+		return received, err
 	})
 }
 
--- a/release/update.go
+++ b/release/update.go
@@ -9,7 +9,7 @@
 	"github.com/bronzestall/bronzestall/catalogue"
 )
 
-// Update brings a follower from an older number to a newer one.
+// Update brings a follower from an older number to a newer one. Daemons send it to each other as JSON.
 type Update struct {
 	// Number is the number in force after the update.
 	Number uint64 `json:"Number"`
@@ -35,21 +35,6 @@
 	return source(ctx, number)
 }
 
-// Encode returns the update for the way between daemons.
-func (update Update) Encode() ([]byte, error) {
-	content, err := json.Marshal(update)
-	return content, trace.Wrap(err)
-}
-
-// DecodeUpdate returns the update that Encode wrote.
-func DecodeUpdate(content []byte) (Update, error) {
-	var update Update
-	if err := json.Unmarshal(content, &update); err != nil {
-		return Update{}, trace.Wrap(err)
-	}
-	return update, nil
-}
-
 // apply returns the state after the update.
 func (inForce InForce) apply(update Update) (InForce, error) {
 	if len(update.Whole) > 0 {
