Share slots fairly over daemons and give up in time

Cause: beside a tenant that flooded four daemons with five times the capacity, the begin of another tenant's answers moved from 298 ms to 902 ms at p99 (end 1.49 s to 1.88 s): daemons with lagging reports overfilled the engines. Requests waited in the queue until their deadline (1895 of 28,000) or were sent too late (351). Ruled out: a hard cap for each daemon on each replica, which leaves slots empty when only one daemon is busy; round trips between daemons for each request. Change: a daemon runs its part of the slots by its part of what all daemons run and hold; between two reports it uses its part of the free slots of a replica; an eighth of the slots is kept for tenants below their share over all daemons. The door and the queue estimate wait and begin from measured times and give up what comes too late.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -78,12 +78,16 @@
 		return nil
 	}
 	wait, known := lane.rate.Wait(lane.queue.Ahead(waiting), lane.running)
+	wait += wait/doorMargin + lane.rate.Begin()
 	if known && wait > left {
 		return unmeetable(wait - left)
 	}
 	return nil
 }
 
+// doorMargin is the part of the estimated wait, as a divisor, that the door adds to it.
+const doorMargin = 4
+
 // cold refuses a request without a replica that the forecast rules out. The mutex is held.
 func (dispatcher *Dispatcher) cold(lane *lane, left time.Duration) *outcome.Error {
 	if lane.target.Model == "" {
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -25,7 +25,7 @@
 
 // onPlace prepares and runs the request on the upstream of the place.
 func (journey *journey) onPlace(ctx context.Context, place *place) result {
-	start := journey.startLimit(ctx)
+	start := journey.startLimit(ctx, place)
 	defer start.stop()
 	ctx = start.ctx
 	if ending, done := journey.claim(ctx); done {
@@ -59,10 +59,9 @@
 		stream, err := generator.Generate(ctx, journey.generation(place, resumes))
 		closeStream(old)
 		if err == nil {
+			dispatcher.heard(name, stream)
 			err = journey.relay(ctx, stream, begun)
-			if load, known := stream.Load(); known {
-				dispatcher.router.Report(name, load.Running, load.Waiting)
-			}
+			dispatcher.heard(name, stream)
 		}
 		if err == nil {
 			closeStream(stream)
@@ -76,6 +75,13 @@
 	}
 }
 
+// heard notes the load that came with the answer of the upstream.
+func (dispatcher *Dispatcher) heard(name string, stream upstream.Stream) {
+	if load, known := stream.Load(); known {
+		dispatcher.router.Report(name, load.Running, load.Waiting)
+	}
+}
+
 // generation returns the attempt to send.
 func (journey *journey) generation(place *place, resumes int) upstream.Generation {
 	return upstream.Generation{
--- a/dispatch/deps.go
+++ b/dispatch/deps.go
@@ -14,6 +14,8 @@
 	Claims Claims
 	// Transfers limits adapter transfers; nil means no limit.
 	Transfers Transfers
+	// Peers tells what the other daemons run; nil means that there are none.
+	Peers Peers
 	// Suspects tells other daemons of requests that crash upstreams; nil tells nobody.
 	Suspects Suspects
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -39,6 +39,9 @@
 
 // New returns a dispatcher without requests. Run must run beside it.
 func New(settings Settings, deps Deps, clock clock.Clock, random *rand.Rand) *Dispatcher {
+	if deps.Peers == nil {
+		deps.Peers = alone{}
+	}
 	return &Dispatcher{
 		settings: settings.withDefaults(),
 		deps:     deps,
--- a/dispatch/judge.go
+++ b/dispatch/judge.go
@@ -53,7 +53,7 @@
 		return result{}, false
 	}
 	if errors.Is(context.Cause(ctx), errBeginDeadline) {
-		failure := outcome.New(outcome.DeadlineRunning, "the answer did not begin before the deadline")
+		failure := outcome.New(outcome.DeadlineRunning, "the answer did not begin before the deadline").WithRetryAfter(minRetry)
 		return result{failure: failure, final: true}, true
 	}
 	return result{failure: callerGone(ctx), final: true}, true
--- a/dispatch/lane.go
+++ b/dispatch/lane.go
@@ -20,8 +20,9 @@
 	special *queue.Queue[*waiter]
 	// rate is how long requests hold their places.
 	rate queue.Rate
-	// running is the number of granted places.
+	// running is the number of granted places, and tenants their number by tenant, without zeros.
 	running int
+	tenants map[string]int
 	// minded states that a goroutine looks after the waiting requests.
 	minded bool
 	// emptied is closed when minded turns false.
@@ -53,6 +54,7 @@
 // newLane returns an empty lane for requests like this one.
 func (dispatcher *Dispatcher) newLane(req *request.Request) *lane {
 	made := &lane{
+		tenants: map[string]int{},
 		queue:   queue.New[*waiter](dispatcher.settings.PerModel),
 		special: queue.New[*waiter](dispatcher.settings.PerModel),
 	}
@@ -88,6 +90,14 @@
 	}
 }
 
+// leave counts a running request of the tenant out.
+func (lane *lane) leave(tenant string) {
+	lane.tenants[tenant]--
+	if lane.tenants[tenant] == 0 {
+		delete(lane.tenants, tenant)
+	}
+}
+
 // idle reports whether the lane holds nothing.
 func (lane *lane) idle() bool {
 	return lane.waiting() == 0 && lane.running == 0 && !lane.minded
--- a/dispatch/mind.go
+++ b/dispatch/mind.go
@@ -46,6 +46,7 @@
 	} else {
 		dispatcher.pump(lane, snapshot)
 		dispatcher.giveUp(lane, dispatcher.hopeless(lane, snapshot))
+		dispatcher.giveUpLate(lane)
 	}
 	dispatcher.report(lane)
 	return snapshot.Changed
@@ -66,6 +67,21 @@
 	}
 }
 
+// giveUpLate answers the waiting requests that measured rates no longer let begin in time. The mutex is held.
+func (dispatcher *Dispatcher) giveUpLate(lane *lane) {
+	now := dispatcher.clock.Now()
+	late := func(waiting *entry, tokens float64) bool {
+		wait, known := lane.rate.Wait(tokens, lane.running)
+		return known && now.Add(wait+lane.rate.Begin()).After(waiting.Deadline)
+	}
+	failure := unmeetable(dispatcher.clears(lane))
+	for _, waiting := range lane.queue.Hopeless(late) {
+		lane.queue.Remove(waiting)
+		dispatcher.leaveQueue(lane)
+		waiting.Item.granted <- grant{failure: failure}
+	}
+}
+
 // giveUp removes the waiting requests for which why returns a failure and answers them. The mutex is held.
 func (dispatcher *Dispatcher) giveUp(lane *lane, why func(*entry) *outcome.Error) {
 	failures := map[*entry]*outcome.Error{}
--- a/dispatch/pump.go
+++ b/dispatch/pump.go
@@ -31,17 +31,24 @@
 
 // pumpOne grants a place to the first tenant in order whose next request fits. The mutex is held.
 func (dispatcher *Dispatcher) pumpOne(lane *lane, snapshot Snapshot) bool {
+	full := false
 	for _, next := range lane.queue.Heads() {
+		if full && !dispatcher.below(lane, snapshot, next) {
+			continue
+		}
 		if dispatcher.grant(lane, snapshot, next) {
 			return true
 		}
-		if !dispatcher.bound(next) && dispatcher.quarantined(next.Item.fingerprint) == nil {
-			return false
-		}
+		full = full || dispatcher.ordinary(next)
 	}
 	return false
 }
 
+// ordinary reports whether a request without a place tells that there is none for others. The mutex is held.
+func (dispatcher *Dispatcher) ordinary(waiting *entry) bool {
+	return !dispatcher.bound(waiting) && dispatcher.quarantined(waiting.Item.fingerprint) == nil
+}
+
 // bound reports whether the request must go to the upstream where an equal one runs. The mutex is held.
 func (dispatcher *Dispatcher) bound(waiting *entry) bool {
 	_, flying := dispatcher.flying[waiting.Item.fingerprint]
@@ -62,12 +69,12 @@
 
 // grant gives the waiting request a place if one fits. The mutex is held.
 func (dispatcher *Dispatcher) grant(lane *lane, snapshot Snapshot, waiting *entry) bool {
-	ask := waiting.Item.ask
 	if dispatcher.quarantined(waiting.Item.fingerprint) != nil {
 		return false
 	}
-	if dispatcher.bound(waiting) {
-		ask.Only = dispatcher.flying[waiting.Item.fingerprint].upstream
+	ask := dispatcher.ask(lane, snapshot, waiting)
+	if !ask.Below && !waiting.Item.special && dispatcher.capped(lane, snapshot) {
+		return false
 	}
 	chosen, own, ok := dispatcher.choose(snapshot, ask)
 	if !ok {
@@ -76,14 +83,18 @@
 	lane.line(waiting).Take(waiting)
 	dispatcher.leaveQueue(lane)
 	lane.running++
+	lane.tenants[waiting.Tenant]++
 	dispatcher.fly(waiting.Item.fingerprint, chosen.Upstream)
+	now := dispatcher.clock.Now()
 	waiting.Item.granted <- grant{place: &place{
 		lane:      lane,
 		candidate: chosen,
 		own:       own,
 		sent:      dispatcher.router.Send(chosen.Upstream, waiting.Item.ask.Suspect),
-		since:     dispatcher.clock.Now(),
+		since:     now,
+		begun:     now,
 		cost:      waiting.Cost,
+		tenant:    waiting.Tenant,
 
 		fingerprint:    waiting.Item.fingerprint,
 		adapterVersion: waiting.Item.adapterVersion,
@@ -116,10 +127,11 @@
 	lane := place.lane
 	now := dispatcher.clock.Now()
 	lane.running--
+	lane.leave(place.tenant)
 	dispatcher.land(place.fingerprint)
 	lane.used = now
 	if answered {
-		lane.rate.Observe(place.cost, now.Sub(place.since))
+		lane.rate.Observe(place.cost, place.begun.Sub(place.since), now.Sub(place.since))
 	}
 	if lane.waiting() > 0 {
 		if snapshot, err := lane.look(); err == nil {
--- a/dispatch/startlimit.go
+++ b/dispatch/startlimit.go
@@ -16,13 +16,15 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	once   sync.Once
+	clock  clock.PassiveClock
+	place  *place
 	// started is closed by begun.
 	started chan struct{}
 }
 
 // startLimit returns the limit of the begin of the answer, which no longer holds once it began.
-func (journey *journey) startLimit(ctx context.Context) *startLimit {
-	limit := &startLimit{started: make(chan struct{})}
+func (journey *journey) startLimit(ctx context.Context, place *place) *startLimit {
+	limit := &startLimit{clock: journey.dispatcher.clock, place: place, started: make(chan struct{})}
 	limit.ctx, limit.cancel = context.WithCancelCause(ctx)
 	if !journey.sink.Begun() {
 		go limit.watch(journey.dispatcher.clock.NewTimer(journey.left()))
@@ -43,7 +45,10 @@
 
 // begun notes that the answer began.
 func (limit *startLimit) begun() {
-	limit.once.Do(func() { close(limit.started) })
+	limit.once.Do(func() {
+		limit.place.begun = limit.clock.Now()
+		close(limit.started)
+	})
 }
 
 // stop frees what the limit holds.
--- a/dispatch/waiter.go
+++ b/dispatch/waiter.go
@@ -41,7 +41,11 @@
 	adapterVersion string
 	// since is the time of the grant.
 	since time.Time
+	// begun is the time when the answer began, or since.
+	begun time.Time
 	// fingerprint is the fingerprint of the request.
 	fingerprint uint64
 	cost        int
+	// tenant is the tenant that pays.
+	tenant string
 }
--- a/queue/ahead.go
+++ b/queue/ahead.go
@@ -17,3 +17,28 @@
 	fair := float64(own) * float64(shares) / float64(max(entry.Share, 1))
 	return min(fair, float64(total))
 }
+
+// Hopeless returns the waiting entries for which late returns true. late gets the entry and the estimated
+// tokens that leave the queue before the entry does, itself included.
+func (queue *Queue[T]) Hopeless(late func(entry *Entry[T], tokens float64) bool) []*Entry[T] {
+	total, shares := 0, 0
+	for _, flow := range queue.flows {
+		total += flow.cost
+		if len(flow.entries) > 0 {
+			shares += flow.share
+		}
+	}
+	var hopeless []*Entry[T]
+	for _, flow := range queue.flows {
+		own := 0
+		for _, entry := range flow.entries {
+			own += max(entry.Cost, 1)
+			fair := float64(own) * float64(shares) / float64(flow.share)
+			if late(entry, min(fair, float64(total))) {
+				hopeless = append(hopeless, entry)
+				own -= max(entry.Cost, 1)
+			}
+		}
+	}
+	return hopeless
+}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -28,6 +28,15 @@
 	return queue.length
 }
 
+// Of returns the number of entries of the tenant.
+func (queue *Queue[T]) Of(tenant string) int {
+	flow, ok := queue.flows[tenant]
+	if !ok {
+		return 0
+	}
+	return len(flow.entries)
+}
+
 // Push adds an entry. In a full queue it displaces the last entry of the tenant with the most
 // entries for its share, if the tenant of the new entry has fewer; the displaced entry is returned
 // and no longer waits. It reports whether the entry was added.
--- a/queue/rate.go
+++ b/queue/rate.go
@@ -9,20 +9,28 @@
 type Rate struct {
 	// hold is the mean time in seconds that a request holds its place.
 	hold float64
+	// begin is the mean time in seconds from the place to the begin of the answer.
+	begin float64
 	// cost is the mean cost of a request in tokens.
 	cost float64
 }
 
-// Observe notes that a request of the cost held its place for the time and was answered.
-func (rate *Rate) Observe(cost int, hold time.Duration) {
+// Observe notes that a request of the cost was answered: begin after it got its place, and whole after hold.
+func (rate *Rate) Observe(cost int, begin, hold time.Duration) {
 	if rate.hold == 0 {
-		rate.hold, rate.cost = hold.Seconds(), float64(max(cost, 1))
+		rate.begin, rate.hold, rate.cost = begin.Seconds(), hold.Seconds(), float64(max(cost, 1))
 		return
 	}
+	rate.begin += smoothing * (begin.Seconds() - rate.begin)
 	rate.hold += smoothing * (hold.Seconds() - rate.hold)
 	rate.cost += smoothing * (float64(max(cost, 1)) - rate.cost)
 }
 
+// Begin returns the mean time from the place to the begin of the answer.
+func (rate *Rate) Begin() time.Duration {
+	return time.Duration(rate.begin * float64(time.Second))
+}
+
 // Wait returns the time in which places free up for that many tokens while running requests hold
 // places, and false if nothing was measured yet or nothing runs.
 func (rate *Rate) Wait(tokens float64, running int) (time.Duration, bool) {
--- a/route/ask.go
+++ b/route/ask.go
@@ -13,6 +13,9 @@
 	// Suspect states that the request may crash its upstream: it runs alone among suspects
 	// and on the first upstream of its affinity only, whatever the load.
 	Suspect bool
-	// Reserve states that the request may use the slots kept for tenants below their share.
-	Reserve bool
+	// Below states that the tenant runs less than its share. Others leave an eighth of the slots free.
+	Below bool
+	// Daemons is the number of daemons that choose among the same candidates; zero means one. Between two
+	// reports of a replica, each of them uses its part of the free slots only.
+	Daemons int
 }
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -33,8 +33,8 @@
 	Leaving bool
 }
 
-// slots returns Slots or its default.
-func (candidate *Candidate) slots() int {
+// Capacity returns Slots or its default.
+func (candidate *Candidate) Capacity() int {
 	if candidate.Slots > 0 {
 		return candidate.Slots
 	}
--- a/route/choose.go
+++ b/route/choose.go
@@ -8,8 +8,8 @@
 	tries = 6
 	// affinityShare is the part of the slots, in eighths, up to which affinity is followed.
 	affinityShare = 6
-	// reserveShare is the part of the slots, in eighths, that is added for Ask.Reserve.
-	reserveShare = 2
+	// ReservePart is the part of the slots, as a divisor, that is kept for tenants below their share.
+	ReservePart = 8
 	// shareParts is the number of parts of a share.
 	shareParts = 8
 )
@@ -112,7 +112,7 @@
 	}
 	candidate := &candidates[index]
 	load, ok := router.room(candidate, ask)
-	if !ok || load*shareParts >= candidate.slots()*affinityShare {
+	if !ok || load*shareParts >= candidate.Capacity()*affinityShare {
 		return 0, false
 	}
 	return index, ask.Adapter == "" || candidate.holds(ask.Adapter)
@@ -165,12 +165,21 @@
 	if !router.usable(candidate, ask) {
 		return 0, false
 	}
-	load := router.ledgers[candidate.Upstream].load(candidate)
-	limit := candidate.slots()
-	if ask.Reserve {
-		limit += max(1, limit*reserveShare/shareParts)
-	}
-	return load, load < limit
+	ledger := router.ledgers[candidate.Upstream]
+	report, since := ledger.known(candidate, router.clock.Now())
+	load := report + since
+	limit := candidate.Capacity()
+	if ask.Below {
+		return load, load < limit
+	}
+	limit -= limit / ReservePart
+	return load, since < part(limit-report, ask.Daemons)
+}
+
+// part returns the part of the free slots that one of the daemons may use, rounded up.
+func part(free, daemons int) int {
+	daemons = max(daemons, 1)
+	return (free + daemons - 1) / daemons
 }
 
 // mix spreads the bits of a hash.
--- a/route/ledger.go
+++ b/route/ledger.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// staleAfter is the age from which a load report says nothing.
+const staleAfter = 5 * time.Second
+
 // ledger is what a Router knows of one upstream beside the reports.
 type ledger struct {
 	// sent holds the send times of the requests of this daemon that run there, in order.
@@ -18,16 +21,22 @@
 	touched time.Time
 }
 
-// load estimates the load from the newer of two reports and what was sent since.
-func (ledger *ledger) load(candidate *Candidate) int {
-	if ledger == nil {
-		return candidate.Running + candidate.Waiting
-	}
+// known returns the newer of two reports and what this daemon sent since. A report below what this
+// daemon runs there is raised to it.
+func (ledger *ledger) known(candidate *Candidate, now time.Time) (report, since int) {
+	stale := now.Add(-staleAfter)
 	report, at := candidate.Running+candidate.Waiting, candidate.Reported
-	if ledger.reported.After(at) {
+	if ledger != nil && ledger.reported.After(at) {
 		report, at = ledger.running+ledger.waiting, ledger.reported
 	}
-	return max(len(ledger.sent), report+ledger.sentAfter(at))
+	if at.Before(stale) {
+		report, at = 0, stale
+	}
+	if ledger == nil {
+		return report, 0
+	}
+	since = ledger.sentAfter(at)
+	return max(report, len(ledger.sent)-since), since
 }
 
 // sentAfter counts the running requests that were sent after the time.
