--- a/internal/transport/settings.go
+++ b/internal/transport/settings.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"time"
@@ -24,23 +25,17 @@
 	ConnectionAge time.Duration
 	// Connections is the largest number of connections to the address; zero means 512.
 	Connections int
+	// Fresh opens a connection for each exchange and closes it afterwards.
+	Fresh bool
 	// Dial opens a connection; nil means TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 func (settings Settings) withDefaults() Settings {
-	if settings.DialTimeout == 0 {
-		settings.DialTimeout = defaultDialTimeout
-	}
-	if settings.IdleTimeout == 0 {
-		settings.IdleTimeout = defaultIdleTimeout
-	}
-	if settings.ConnectionAge == 0 {
-		settings.ConnectionAge = defaultConnectionAge
-	}
-	if settings.Connections == 0 {
-		settings.Connections = defaultConnections
-	}
+	settings.DialTimeout = cmp.Or(settings.DialTimeout, defaultDialTimeout)
+	settings.IdleTimeout = cmp.Or(settings.IdleTimeout, defaultIdleTimeout)
+	settings.ConnectionAge = cmp.Or(settings.ConnectionAge, defaultConnectionAge)
+	settings.Connections = cmp.Or(settings.Connections, defaultConnections)
 	if settings.Dial == nil {
 		settings.Dial = (&net.Dialer{}).DialContext
 	}
