Tell daemons of suspects, backlogs and reservations

Cause: the dispatcher keeps requests that crash upstreams apart and shares slots fairly, for which it must hear what other daemons know and run; records carried only a count of crashes, which two daemons cannot merge. Ruled out: waiting for the next exchange before a suspect is told, which lets a resend crash a third upstream. Change: records carry crash lists and backlogs by model; calls to tell suspects at once and to reserve an upstream for one suspect at its arbiter (rendezvous among live daemons); adapter transfers are bounded by a daemon's share.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/bronzestall/bronzestall/observer"
 	"github.com/bronzestall/bronzestall/peer"
 	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/quarantine"
 	"github.com/bronzestall/bronzestall/release"
 	"github.com/bronzestall/bronzestall/settings"
 )
@@ -44,6 +45,8 @@
 	arrivals   *arrivals
 	dispatcher *dispatch.Dispatcher
 	claims     *claim.Store
+	suspects   *suspects
+	backlogs   *backlogs
 	warmth     *warmth
 	health     *health
 
@@ -98,6 +101,12 @@
 	})
 	daemon.observer = observer.New(observer.Settings{}, daemon.pool, daemon.fleet, daemon.clock)
 	daemon.seats = &seats{byDataCentre: map[string]*seat{}, dataCentreOf: daemon.dataCentreOf}
+	daemon.suspects = &suspects{
+		clock:   daemon.clock,
+		arbiter: quarantine.NewArbiter(),
+		name:    daemon.settings.Name,
+		address: daemon.peerAddress,
+	}
 	daemon.node = peer.NewNode(peer.Settings{
 		Name:          daemon.settings.Name,
 		DataCentre:    daemon.settings.DataCentre,
@@ -107,6 +116,7 @@
 		Client:        daemon.outside.PeerClient,
 		Members:       peer.MembersFunc(daemon.peerMembers),
 		Decider:       daemon.seats,
+		Quarantine:    quarantineCalls{daemon.suspects},
 		Notes:         noteSource{daemon.follower},
 	}, daemon.clock, daemon.outside.random(peerSeed))
 }
@@ -133,13 +143,19 @@
 	daemon.demand = newDemand(asker, daemon.arrivals, daemon.clock, successorTerms*daemon.settings.Lease.Term)
 	daemon.claims = claim.New(claim.Settings{Incarnation: daemon.process, Timeout: daemon.settings.Platform.Timeout}, daemon.platform, daemon.clock)
 	directory := &directory{dataCentre: daemon.settings.DataCentre, fleet: daemon.fleet, state: daemon.catalogue}
+	daemon.backlogs = newBacklogs()
 	daemon.dispatcher = dispatch.New(daemon.dispatchSettings(), dispatch.Deps{
-		Fleet:    directory,
-		Engines:  requestEngines{daemon.pool},
-		Demand:   daemon.demand,
-		Services: daemon.pool,
-		Claims:   daemon.claims,
+		Fleet:     directory,
+		Engines:   requestEngines{daemon.pool},
+		Demand:    daemon.demand,
+		Services:  daemon.pool,
+		Claims:    daemon.claims,
+		Transfers: &transfers{share: daemon.transferShare},
+		Peers:     daemon.backlogs,
+		Suspects:  daemon.suspects,
 	}, daemon.clock, daemon.outside.random(dispatchSeed))
+	daemon.suspects.node = daemon.node
+	daemon.suspects.book = daemon.dispatcher.Quarantine()
 	daemon.arrivals.runner = daemon.dispatcher
 	daemon.health = &health{known: func() bool {
 		_, _, ok := daemon.catalogue()
@@ -147,6 +163,12 @@
 	}}
 }
 
+// transferShare returns the part of the adapter transfers in flight that is this daemon's. Beyond
+// one daemon for each transfer the parts add up to more than the limit, which makes transfers slower.
+func (daemon *Daemon) transferShare() int {
+	return max(1, daemon.settings.WeightStore.AdaptersInFlight/daemon.daemonCount())
+}
+
 // successorTerms is the number of lease terms after which a lost decider is replaced.
 const successorTerms = 2
 
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/bronzestall/bronzestall/peer"
@@ -136,6 +137,12 @@
 	next.InForce = number
 	next.Running = int(daemon.arrivals.running())
 	next.Observations = daemon.observations()
+	next.Suspects = daemon.suspects.export()
+	next.Backlogs = toBacklogs(daemon.dispatcher.Loads())
+	next.Waiting = 0
+	for _, backlog := range next.Backlogs {
+		next.Waiting += backlog.Waiting
+	}
 	return next
 }
 
@@ -153,9 +160,11 @@
 func (daemon *Daemon) hearPeers(ctx context.Context) error {
 	for {
 		changed := daemon.node.Changed()
-		for _, known := range daemon.node.Records() {
+		records := daemon.node.Records()
+		for _, known := range records {
 			daemon.hear(known.Record)
 		}
+		daemon.backlogs.set(daemon.near(records))
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -164,7 +173,23 @@
 	}
 }
 
+// near returns the records of the other live daemons of the own data centre.
+func (daemon *Daemon) near(records []peer.Known) []peer.Record {
+	live := daemon.node.Live()
+	var near []peer.Record
+	for _, known := range records {
+		if slices.Contains(live, known.Record.Name) {
+			near = append(near, known.Record)
+		}
+	}
+	return near
+}
+
 func (daemon *Daemon) hear(record peer.Record) {
+	if record.DataCentre == daemon.settings.DataCentre {
+		daemon.suspects.Import(record.Suspects)
+	}
+
 	for _, seen := range record.Observations {
 		daemon.fleet.Put(seen.State, seen.Seen, false)
 	}
--- a/peer/decode.go
+++ b/peer/decode.go
@@ -49,13 +49,21 @@
 	for _, suspect := range message.GetSuspects() {
 		suspects = append(suspects, Suspect{
 			Fingerprint: suspect.GetFingerprint(),
-			Crashes:     int(suspect.GetCrashes()),
+			Crashes:     decodeCrashes(suspect.GetCrashes()),
 			Until:       now.Add(duration(suspect.GetRemaining())),
 		})
 	}
 	return suspects
 }
 
+func decodeCrashes(messages []*peerpb.Crash) []Crash {
+	crashes := make([]Crash, 0, len(messages))
+	for _, message := range messages {
+		crashes = append(crashes, Crash{Upstream: message.GetUpstream(), BootID: message.GetBoot()})
+	}
+	return crashes
+}
+
 func decodeBacklogs(message *peerpb.Backlogs) []Backlog {
 	var backlogs []Backlog
 	for _, backlog := range message.GetBacklogs() {
@@ -63,7 +71,7 @@
 			Tenant:  backlog.GetTenant(),
 			Running: int(backlog.GetRunning()),
 			Waiting: int(backlog.GetWaiting()),
-			Tokens:  int64(backlog.GetTokens()),
+			Model:   backlog.GetModel(),
 		})
 	}
 	return backlogs
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -74,13 +74,21 @@
 	for _, suspect := range suspects {
 		message.Suspects = append(message.Suspects, &peerpb.Suspect{
 			Fingerprint: suspect.Fingerprint,
-			Crashes:     uint32(suspect.Crashes),
+			Crashes:     encodeCrashes(suspect.Crashes),
 			Remaining:   milliseconds(suspect.Until.Sub(now)),
 		})
 	}
 	return message
 }
 
+func encodeCrashes(crashes []Crash) []*peerpb.Crash {
+	messages := make([]*peerpb.Crash, 0, len(crashes))
+	for _, crash := range crashes {
+		messages = append(messages, &peerpb.Crash{Upstream: crash.Upstream, Boot: crash.BootID})
+	}
+	return messages
+}
+
 func encodeBacklogs(backlogs []Backlog) *peerpb.Backlogs {
 	message := &peerpb.Backlogs{}
 	for _, backlog := range backlogs {
@@ -88,7 +96,7 @@
 			Tenant:  backlog.Tenant,
 			Running: uint32(backlog.Running),
 			Waiting: uint32(backlog.Waiting),
-			Tokens:  uint64(backlog.Tokens),
+			Model:   backlog.Model,
 		})
 	}
 	return message
--- a/peer/held.go
+++ b/peer/held.go
@@ -34,7 +34,7 @@
 // incarnation must be the same, and next.Version must be larger than the version held.
 func (held *held) replace(next Record) {
 	last := held.record
-	if !slices.Equal(last.Suspects, next.Suspects) {
+	if !sameSuspects(last.Suspects, next.Suspects) {
 		held.suspectsAt = next.Version
 	}
 	if !slices.Equal(last.Backlogs, next.Backlogs) {
--- a/peer/node.go
+++ b/peer/node.go
@@ -80,7 +80,7 @@
 	next.Incarnation = last.Incarnation
 	next.Version = last.Version + 1
 	node.self.replace(next)
-	if last.Leaving != next.Leaving || last.InForce != next.InForce || !slices.Equal(last.Suspects, next.Suspects) {
+	if last.Leaving != next.Leaving || last.InForce != next.InForce || !sameSuspects(last.Suspects, next.Suspects) {
 		node.hurry()
 	}
 }
--- a/peer/record.go
+++ b/peer/record.go
@@ -30,7 +30,7 @@
 	Waiting int
 	// Observations are the upstreams it polled, at most one for each name.
 	Observations []Observation
-	// Suspects are requests that may crash upstreams.
+	// Suspects are requests that may crash upstreams, ordered by fingerprint.
 	Suspects []Suspect
 	// Backlogs are the demands of its tenants.
 	Backlogs []Backlog
@@ -48,20 +48,28 @@
 type Suspect struct {
 	// Fingerprint identifies equal requests.
 	Fingerprint uint64
-	// Crashes counts the upstreams that crashed under it.
-	Crashes int
+	// Crashes are the crashes during which it was in flight.
+	Crashes []Crash
 	// Until is when it stops to count, by the clock of the daemon that holds the value.
 	Until time.Time
 }
 
-// Backlog is the demand of one tenant at one daemon.
+// Crash is one crash of one upstream.
+type Crash struct {
+	// Upstream is the name of the VM.
+	Upstream string
+	// BootID is the boot that ended.
+	BootID string
+}
+
+// Backlog is the demand of one tenant for one model at one daemon.
 type Backlog struct {
+	// Model is the name of the model.
+	Model string
 	// Tenant is the name of the tenant.
 	Tenant string
 	// Running and Waiting count its requests.
 	Running, Waiting int
-	// Tokens is the estimated cost of what waits, in tokens.
-	Tokens int64
 }
 
 // Known is a record with when its daemon was last heard.
--- a/peer/settings.go
+++ b/peer/settings.go
@@ -44,6 +44,8 @@
 	Members Members
 	// Decider answers Demand and Grant; nil refuses them.
 	Decider Decider
+	// Quarantine answers TellSuspects, Reserve and Release; nil refuses them.
+	Quarantine Quarantine
 	// Notes answers Changes; nil refuses it.
 	Notes Notes
 }
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -18,6 +18,8 @@
 	demandProcedure   = service + "Demand"
 	changesProcedure  = service + "Changes"
 	grantProcedure    = service + "Grant"
+	suspectsProcedure = service + "Suspects"
+	reserveProcedure  = service + "Reserve"
 )
 
 // messageLimit is the largest message in bytes.
@@ -58,6 +60,8 @@
 	handle(mux, demandProcedure, node.serveDemand)
 	handle(mux, changesProcedure, node.serveChanges)
 	handle(mux, grantProcedure, node.serveGrant)
+	handle(mux, suspectsProcedure, node.serveSuspects)
+	handle(mux, reserveProcedure, node.serveReserve)
 	return mux
 }
 
