--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -12,6 +12,12 @@
 
 // attempt runs the request on the place and gives the place back.
 func (journey *journey) attempt(ctx context.Context, place *place) result {
+	free, ok := journey.reserve(ctx, place)
+	if !ok {
+		journey.dispatcher.release(place, false)
+		return result{failure: outcome.New(outcome.UpstreamRefused, "another suspect runs on the upstream"), notRun: true, busy: true}
+	}
+	defer free()
 	ending := journey.onPlace(ctx, place)
 	journey.dispatcher.release(place, ending.failure == nil)
 	return ending
@@ -19,7 +25,7 @@
 
 // onPlace prepares and runs the request on the upstream of the place.
 func (journey *journey) onPlace(ctx context.Context, place *place) result {
-	start := journey.startLimit(ctx)
+	start := journey.startLimit(ctx, place)
 	defer start.stop()
 	ctx = start.ctx
 	if ending, done := journey.claim(ctx); done {
@@ -32,9 +38,11 @@
 	if journey.req.Form == request.ServiceCall {
 		return journey.call(ctx, place)
 	}
-	if err := journey.dispatcher.loadAdapter(ctx, &journey.req, place); err != nil {
+	release, err := journey.loadAdapter(ctx, place)
+	if err != nil {
 		return journey.judge(ctx, place, err)
 	}
+	defer release()
 	return journey.generate(ctx, place, start.begun)
 }
 
@@ -51,10 +59,9 @@
 		stream, err := generator.Generate(ctx, journey.generation(place, resumes))
 		closeStream(old)
 		if err == nil {
+			dispatcher.heard(name, stream)
 			err = journey.relay(ctx, stream, begun)
-			if load, known := stream.Load(); known {
-				dispatcher.router.Report(name, load.Running, load.Waiting)
-			}
+			dispatcher.heard(name, stream)
 		}
 		if err == nil {
 			closeStream(stream)
@@ -68,6 +75,13 @@
 	}
 }
 
+// heard notes the load that came with the answer of the upstream.
+func (dispatcher *Dispatcher) heard(name string, stream upstream.Stream) {
+	if load, known := stream.Load(); known {
+		dispatcher.router.Report(name, load.Running, load.Waiting)
+	}
+}
+
 // generation returns the attempt to send.
 func (journey *journey) generation(place *place, resumes int) upstream.Generation {
 	return upstream.Generation{
@@ -82,6 +96,7 @@
 func (journey *journey) answered(place *place) result {
 	journey.dispatcher.router.Succeeded(place.candidate.Upstream)
 	journey.dispatcher.book.Clear(journey.req.Fingerprint)
+	journey.dispatcher.proven.Add(journey.req.Fingerprint)
 	return result{}
 }
 
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -1,6 +1,10 @@
 package queue
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Queue orders the waiting requests of one model. It is not safe for concurrent use.
 type Queue[T any] struct {
@@ -24,6 +28,15 @@
 	return queue.length
 }
 
+// Of returns the number of entries of the tenant.
+func (queue *Queue[T]) Of(tenant string) int {
+	flow, ok := queue.flows[tenant]
+	if !ok {
+		return 0
+	}
+	return len(flow.entries)
+}
+
 // Push adds an entry. In a full queue it displaces the last entry of the tenant with the most
 // entries for its share, if the tenant of the new entry has fewer; the displaced entry is returned
 // and no longer waits. It reports whether the entry was added.
@@ -124,13 +137,34 @@
 		if len(flow.entries) == 0 {
 			continue
 		}
-		if best == nil || flow.start < best.start || (flow.start == best.start && flow.tenant < best.tenant) {
+		if best == nil || compare(flow, best) < 0 {
 			best = flow
 		}
 	}
 	return best
 }
 
+// Heads returns the first entry of each tenant in the order in which they leave.
+func (queue *Queue[T]) Heads() []*Entry[T] {
+	flows := make([]*flow[T], 0, len(queue.flows))
+	for _, flow := range queue.flows {
+		if len(flow.entries) > 0 {
+			flows = append(flows, flow)
+		}
+	}
+	slices.SortFunc(flows, compare[T])
+	heads := make([]*Entry[T], 0, len(flows))
+	for _, flow := range flows {
+		heads = append(heads, flow.entries[0])
+	}
+	return heads
+}
+
+// compare orders flows by virtual start, then by name.
+func compare[T any](a, b *flow[T]) int {
+	return cmp.Or(cmp.Compare(a.start, b.start), cmp.Compare(a.tenant, b.tenant))
+}
+
 // displace removes and returns the last entry of the longest flow, or nil if the tenant of the
 // new entry would then have more than it.
 func (queue *Queue[T]) displace(entry *Entry[T]) *Entry[T] {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -161,12 +161,21 @@
 	}
 	response, err := wire.Do(ctx, request, body)
 	if err != nil {
-		return sendFailure(err)
+		client.suspect(ctx)
+		return SendFailure(err)
 	}
 	defer response.Body.Close()
 	return receive(response, call, answer)
 }
 
+// suspect drops the kept connections after a call that ran out of time, since what made one
+// connection silent has often made all of them so.
+func (client *Client) suspect(ctx context.Context) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		client.wire.Close()
+	}
+}
+
 func encode(question any) ([]byte, error) {
 	if question == nil {
 		return nil, nil
@@ -207,10 +216,10 @@
 	return content, nil
 }
 
-// sendFailure returns ErrNotSent only if no byte was or can still be written.
-func sendFailure(err error) error {
-	var failure *transport.Error
-	if errors.As(err, &failure) && failure.NotSent {
+// SendFailure returns the failure of an exchange that got no answer: ErrNotSent only if no byte was
+// or can still be written, else ErrNoAnswer.
+func SendFailure(err error) error {
+	if transport.IsNotSent(err) {
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	return fmt.Errorf("%w: %w", ErrNoAnswer, err)
--- a/upstream/generate.go
+++ b/upstream/generate.go
@@ -22,13 +22,16 @@
 func (client *Client) Generate(ctx context.Context, generation Generation) (Stream, error) {
 	parent := ctx
 	ctx, cancel := context.WithCancel(ctx)
-	watch := newSilence(client.clock, client.settings.SilenceLimit, cancel)
+	watch := newSilence(client.clock, client.settings.SilenceLimit, func() {
+		cancel()
+		client.wire.Close()
+	})
 	watch.listen()
 	go watch.watch(ctx)
 	response, err := client.send(ctx, watch, generation)
 	if err != nil {
 		cancel()
-		return nil, withSilence(watch, sendFailure(err))
+		return nil, withSilence(watch, SendFailure(err))
 	}
 	watch.rest()
 	answer := &body{parent: parent, cancel: cancel, watch: watch, response: response}
