Count a replica until the engine confirms its unload

The order to unload a model was lost, and the model was loaded elsewhere while the first replica still served. Change: a replica whose unload is ordered and not confirmed stands in the way of a further one.

--- a/decider/input.go
+++ b/decider/input.go
@@ -92,13 +92,16 @@
 }
 
 func (reign *reign) phase(key intent.ReplicaKey, shown upstream.Phase) placement.Phase {
-	if shown == upstream.Unloading || reign.isUnloading(key) {
+	switch {
+	case shown == upstream.Unloading:
 		return placement.Going
-	}
-	if shown == upstream.Ready {
+	case shown == upstream.Loading:
+		return placement.Coming
+	case reign.isUnloading(key):
+		return placement.Retiring
+	default:
 		return placement.Serving
 	}
-	return placement.Coming
 }
 
 // isUnloading reports whether an unload of the replica is open.
--- a/placement/input.go
+++ b/placement/input.go
@@ -22,7 +22,9 @@
 	Coming Phase = iota
 	// Serving is a replica that takes requests.
 	Serving
-	// Going is a replica that is being unloaded; its memory is not free yet.
+	// Retiring is a replica whose unload is ordered and that the engine still shows as serving.
+	Retiring
+	// Going is a replica that the engine is unloading; its memory is not free yet.
 	Going
 )
 
--- a/placement/load.go
+++ b/placement/load.go
@@ -22,7 +22,7 @@
 
 // loadOne decides one load of the model if it can be begun, and reports whether it was decided.
 func (placer *Placer) loadOne(entry *active) bool {
-	if entry.count >= entry.target {
+	if !entry.lacks() {
 		return false
 	}
 	best, found := placer.bestSite(entry)
--- a/placement/outlook.go
+++ b/placement/outlook.go
@@ -1,5 +1,7 @@
 package placement
 
+import "github.com/bronzestall/bronzestall/upstream"
+
 // addOutlooks tells for each model that requests wait for and that nothing serves when it will.
 func (placer *Placer) addOutlooks() {
 	for i := range placer.models {
@@ -16,6 +18,11 @@
 	if entry.count > 0 {
 		return outlook
 	}
+	if entry.retiring > 0 {
+		outlook.Obstacle = AwaitsMemory
+		outlook.ReadyIn = placer.settings.Drain + placer.tiers.Time(upstream.Memory, entry.model.Weights)
+		return outlook
+	}
 	memory := entry.model.Memory()
 	if entry.placed {
 		outlook.Obstacle = entry.site.wait
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -34,6 +34,8 @@
 	refs    []ref
 	// count is the number of replicas in force that serve or come; serving of those that serve.
 	count, serving int
+	// retiring is the number of replicas in force that may still serve although their unload is ordered.
+	retiring int
 	// target is the number of replicas to have; forNeed of those that requests ask for.
 	target, forNeed int
 	// site is where the first replica is to be loaded; placed states that there is one.
@@ -94,7 +96,7 @@
 		placer.room = append(placer.room, room{})
 		for r := range machine.Replicas {
 			replica := &machine.Replicas[r]
-			if replica.Phase == Going {
+			if isLeaving(replica.Phase) {
 				placer.room[u].coming += replica.Memory
 			}
 			entry := placer.model(replica.Model)
@@ -102,10 +104,7 @@
 			if machine.Leaving || replica.Phase == Going || replica.Version != entry.model.Version {
 				continue
 			}
-			entry.count++
-			if replica.Phase == Serving {
-				entry.serving++
-			}
+			entry.add(replica.Phase)
 		}
 	}
 	for _, need := range placer.input.Needs {
@@ -116,6 +115,28 @@
 	}
 }
 
+// add counts a replica in force.
+func (entry *active) add(phase Phase) {
+	if phase == Retiring {
+		entry.retiring++
+		return
+	}
+	entry.count++
+	if phase == Serving {
+		entry.serving++
+	}
+}
+
+// lacks reports whether a further replica may be loaded. A replica whose unload is ordered is in
+// the way until the engine confirms, since the order may be lost.
+func (entry *active) lacks() bool {
+	return entry.target > entry.count+entry.retiring
+}
+
+func isLeaving(phase Phase) bool {
+	return phase == Retiring || phase == Going
+}
+
 // model returns the entry of a model, which is valid until the next call.
 func (placer *Placer) model(name string) *active {
 	if at, ok := placer.index[name]; ok {
@@ -144,7 +165,7 @@
 func (placer *Placer) loadMissing() {
 	placer.order = placer.order[:0]
 	for i := range placer.models {
-		if entry := &placer.models[i]; entry.target > entry.count {
+		if placer.models[i].lacks() {
 			placer.order = append(placer.order, i)
 		}
 	}
@@ -153,7 +174,7 @@
 		placer.loadOne(&placer.models[i])
 	}
 	for _, i := range placer.order {
-		for entry := &placer.models[i]; entry.count < entry.target; {
+		for entry := &placer.models[i]; entry.lacks(); {
 			if !placer.loadOne(entry) {
 				break
 			}
--- a/placement/target.go
+++ b/placement/target.go
@@ -29,7 +29,7 @@
 	inUse := 0
 	for _, position := range entry.refs {
 		machine, replica := placer.at(position)
-		if replica.Phase == Going || replica.Version == entry.model.Version && !machine.Leaving {
+		if isLeaving(replica.Phase) || replica.Version == entry.model.Version && !machine.Leaving {
 			continue
 		}
 		if replica.Load > 0 || placer.input.Now.Sub(replica.LastUsed) < placer.settings.IdleAfter {
--- a/placement/unload.go
+++ b/placement/unload.go
@@ -48,10 +48,11 @@
 		Model:    replica.Model,
 		Version:  replica.Version,
 	})
-	replica.Phase = Going
+	replica.Phase = Retiring
 	placer.room[position.upstream].coming += replica.Memory
 	if entry.inForce && replica.Version == entry.model.Version && !machine.Leaving {
 		entry.count--
 		entry.serving--
+		entry.retiring++
 	}
 }
