--- a/internal/transport/settings.go
+++ b/internal/transport/settings.go
@@ -12,7 +12,7 @@
 	defaultDialTimeout   = time.Second
 	defaultIdleTimeout   = 15 * time.Second
 	defaultConnectionAge = 5 * time.Minute
-	defaultConnections   = 512
+	defaultConnections   = 4096
 )
 
 // Settings bounds the connections of a Client. The zero value of a field means its default.
@@ -23,7 +23,7 @@
 	IdleTimeout time.Duration
 	// ConnectionAge is the age from which a connection takes no further request; zero means 5 min.
 	ConnectionAge time.Duration
-	// Connections is the largest number of connections to the address; zero means 512.
+	// Connections is the largest number of connections to the address; zero means 4096.
 	Connections int
 	// Fresh opens a connection for each exchange and closes it afterwards.
 	Fresh bool
--- a/service/settings.go
+++ b/service/settings.go
@@ -21,7 +21,7 @@
 	IdleTimeout time.Duration
 	// ConnectionAge is the age from which a connection takes no further call; zero means 5 min.
 	ConnectionAge time.Duration
-	// Connections is the largest number of connections; zero means 512.
+	// Connections is the largest number of connections; zero means 4096.
 	Connections int
 	// MaxBody is the largest answer in bytes; zero means 16 MiB.
 	MaxBody int64
--- a/upstream/settings.go
+++ b/upstream/settings.go
@@ -36,7 +36,7 @@
 	IdleTimeout time.Duration
 	// ConnectionAge is the age from which a connection takes no further request; zero means 5 min.
 	ConnectionAge time.Duration
-	// Connections is the largest number of connections; zero means 512.
+	// Connections is the largest number of connections; zero means 4096.
 	Connections int
 	// MaxBody is the largest answer in bytes that is not streamed; zero means 16 MiB.
 	MaxBody int64
