Read streams with small buffers

Cause: each stream held a read buffer of 64 KiB for the longest piece; 990 streams held 64 MB, half of what the daemon used. Change: 4 KiB, and lines that are longer are put together elsewhere, up to the same bound. The parser has a table of strict cases. The tests of silent connections wait until the other end reads: with an end that does not, no byte leaves and not sent is the true answer, which made one of them fail now and then.

--- a/service/client_test.go
+++ b/service/client_test.go
@@ -98,6 +98,7 @@
 		if _, err := client.Call(t.Context(), confirm("warm", true)); err != nil {
 			t.Fatal(err)
 		}
+		synctest.Wait()
 		listener.Silence()
 		if _, err := client.Call(t.Context(), confirm("r1", false)); err != nil {
 			t.Errorf("call over a fresh connection: %v", err)
--- a/upstream/body.go
+++ b/upstream/body.go
@@ -37,9 +37,11 @@
 	return n, err
 }
 
-// failure names the failure of a read by its cause.
-func (b *body) failure(err error) error {
+// named names the failure of a read by its cause.
+func (b *body) named(err error) error {
 	switch {
+	case errors.Is(err, ErrTruncated):
+		return err
 	case b.watch.fired.Load():
 		return fmt.Errorf("%w: %w", ErrSilent, err)
 	case b.ctx.Err() != nil:
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -47,6 +47,12 @@
 	})
 }
 
+// silence makes the open connections silent once the engine reads from all of them.
+func (b *bench) silence() {
+	synctest.Wait()
+	b.listener.Silence()
+}
+
 func chat(id string, stream bool, words string) upstream.Generation {
 	body := `{"model":"m","max_tokens":10,"messages":[{"role":"user","content":"` + words + `"}]}`
 	if stream {
@@ -154,7 +160,7 @@
 				t.Fatal(err)
 			}
 		}
-		b.listener.Silence()
+		b.silence()
 		if pieces, err := drain(stream); !errors.Is(err, upstream.ErrSilent) || pieces != 0 {
 			t.Fatalf("%d pieces over a silent connection, then %v", pieces, err)
 		}
@@ -191,7 +197,7 @@
 			_, _ = drain(stream)
 			_ = stream.Close()
 		}
-		b.listener.Silence()
+		b.silence()
 		if _, err := b.client.State(t.Context()); !errors.Is(err, upstream.ErrNoAnswer) {
 			t.Errorf("state over a silent connection: %v", err)
 		}
--- a/upstream/eventstream.go
+++ b/upstream/eventstream.go
@@ -18,8 +18,11 @@
 	endMarker = []byte("[DONE]")
 )
 
+// bufferSize is the read buffer of one stream in bytes. Longer lines are put together elsewhere.
+const bufferSize = 4 << 10
+
 // readers holds the read buffers of streams that ended.
-var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, maxPiece) }}
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferSize) }}
 
 // eventStream is a streamed answer.
 type eventStream struct {
@@ -32,6 +35,8 @@
 	reader *bufio.Reader
 	// data holds the payload of the current piece; it is reused.
 	data []byte
+	// long holds a line that is longer than the buffer of reader.
+	long []byte
 	// over is the end of the stream once it is known.
 	over error
 }
@@ -67,7 +72,7 @@
 	for {
 		line, err := stream.line()
 		if err != nil {
-			return Piece{}, err
+			return Piece{}, stream.named(err)
 		}
 		switch {
 		case len(line) == 0 && len(stream.data) > 0:
@@ -84,14 +89,27 @@
 func (stream *eventStream) line() ([]byte, error) {
 	line, err := stream.reader.ReadSlice('\n')
 	if errors.Is(err, bufio.ErrBufferFull) {
-		return nil, fmt.Errorf("%w: line is longer than %d bytes", ErrTruncated, maxPiece)
+		line, err = stream.longLine(line)
 	}
 	if err != nil {
-		return nil, stream.failure(err)
+		return nil, err
 	}
 	return bytes.TrimRight(line, "\r\n"), nil
 }
 
+// longLine puts a line together whose beginning fills the buffer.
+func (stream *eventStream) longLine(part []byte) ([]byte, error) {
+	stream.long = append(stream.long[:0], part...)
+	for len(stream.long) <= maxPiece {
+		part, err := stream.reader.ReadSlice('\n')
+		stream.long = append(stream.long, part...)
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return stream.long, err
+		}
+	}
+	return nil, fmt.Errorf("%w: line is longer than %d bytes", ErrTruncated, maxPiece)
+}
+
 func (stream *eventStream) addData(part []byte) {
 	if len(stream.data) > 0 {
 		stream.data = append(stream.data, '\n')
--- /dev/null
+++ b/upstream/eventstream_test.go
@@ -0,0 +1,74 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+
+	"k8s.io/utils/clock"
+)
+
+// newStream returns a stream of the request r1 that reads the text.
+func newStream(t *testing.T, source io.Reader) *eventStream {
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	answer := &body{
+		parent:   ctx,
+		cancel:   cancel,
+		watch:    newSilence(clock.RealClock{}, defaultSilenceLimit, cancel),
+		response: &http.Response{Body: io.NopCloser(source)},
+	}
+	return newEventStream(answer, "r1", 0)
+}
+
+func TestStreamsAreParsedStrictly(t *testing.T) {
+	const own = `{"id":"r1"}`
+	long := `{"id":"r1","text":"` + strings.Repeat("x", 5*bufferSize) + `"}`
+	cases := []struct {
+		name   string
+		text   string
+		pieces []string
+		end    error
+	}{
+		{"usual", "id: 1\ndata: " + own + "\n\nid: 2\ndata: " + own + "\n\ndata: [DONE]\n\n", []string{own, own}, io.EOF},
+		{"with heartbeats and CRLF", ": heartbeat\r\n\r\nid: 1\r\ndata: " + own + "\r\n\r\ndata: [DONE]\r\n\r\n", []string{own}, io.EOF},
+		{"identifier elsewhere", "id: 1\ndata: {\"a\": 1, \"id\": \"r1\"}\n\ndata: [DONE]\n\n", []string{`{"a": 1, "id": "r1"}`}, io.EOF},
+		{"payload of two lines", "id: 1\ndata: {\"id\":\ndata: \"r1\"}\n\ndata: [DONE]\n\n", []string{"{\"id\":\n\"r1\"}"}, io.EOF},
+		{"long piece", "id: 1\ndata: " + long + "\n\ndata: [DONE]\n\n", []string{long}, io.EOF},
+		{"piece without end", "id: 1\ndata: " + strings.Repeat("x", 2*maxPiece), nil, ErrTruncated},
+		{"no end marker", "id: 1\ndata: " + own + "\n\n", []string{own}, ErrTruncated},
+		{"cut in a piece", "id: 1\ndata: " + own[:5], nil, ErrTruncated},
+		{"lost piece", "id: 1\ndata: " + own + "\n\nid: 3\ndata: " + own + "\n\n", []string{own}, ErrTruncated},
+		{"piece twice", "id: 1\ndata: " + own + "\n\nid: 1\ndata: " + own + "\n\n", []string{own}, ErrTruncated},
+		{"no index", "data: " + own + "\n\n", nil, ErrTruncated},
+		{"another request", "id: 1\ndata: {\"id\":\"r2\"}\n\n", nil, ErrForeign},
+		{"longer identifier", "id: 1\ndata: {\"id\":\"r11\"}\n\n", nil, ErrForeign},
+		{"no identifier", "id: 1\ndata: {}\n\n", nil, ErrForeign},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			stream := newStream(t, strings.NewReader(c.text))
+			var pieces []string
+			for {
+				piece, err := stream.Next(t.Context())
+				if err != nil {
+					if !errors.Is(err, c.end) {
+						t.Errorf("ended with %v, not %v", err, c.end)
+					}
+					break
+				}
+				pieces = append(pieces, string(piece.Data))
+			}
+			if !slices.Equal(pieces, c.pieces) {
+				t.Errorf("pieces are %q", pieces)
+			}
+			if _, err := stream.Next(t.Context()); !errors.Is(err, c.end) {
+				t.Errorf("the end changed to %v", err)
+			}
+		})
+	}
+}
--- a/upstream/wholestream.go
+++ b/upstream/wholestream.go
@@ -30,7 +30,7 @@
 	}
 	content, err := io.ReadAll(io.LimitReader(stream.body, stream.limit+1))
 	if err != nil {
-		return Piece{}, stream.failure(err)
+		return Piece{}, stream.named(err)
 	}
 	if int64(len(content)) > stream.limit {
 		return Piece{}, fmt.Errorf("%w: longer than %d bytes", ErrTruncated, stream.limit)
