Measure following the number in force at 4 and 360 daemons

Cause: 360 daemons that read once a second take a sixth of the platform's reads for everybody. Ruled out: telling by peers alone, which leaves a cut-off data centre without a source of its own. Change: TestFollowingAtSize measures four ways and bounds reads and lag; the platform fake counts calls by client and can replace objects. Conclusion: shared reads and peers that tell.

--- a/internal/platformfake/client.go
+++ b/internal/platformfake/client.go
@@ -16,6 +16,20 @@
 	writes []Fault
 	reads  int
 	before func()
+	counts Counts
+}
+
+// Counts returns the calls of this client that reached the platform.
+func (client *Client) Counts() Counts {
+	client.fake.mutex.Lock()
+	defer client.fake.mutex.Unlock()
+	return client.counts
+}
+
+// count adds calls of this client. It is called with the mutex held.
+func (client *Client) count(calls Counts) {
+	client.counts = client.counts.Add(calls)
+	client.fake.counts = client.fake.counts.Add(calls)
 }
 
 // Cut separates the client from the platform, or joins it again.
@@ -51,7 +65,7 @@
 	var row platform.Row
 	err := client.read(ctx, func(fake *Platform) error {
 		var err error
-		fake.counts.Reads++
+		client.count(Counts{Reads: 1})
 		row, err = fake.store.read(key)
 		return err
 	})
@@ -63,7 +77,7 @@
 	var rows []platform.Row
 	err := client.read(ctx, func(fake *Platform) error {
 		rows = fake.store.scan(table, prefix, after, limit)
-		fake.counts.Reads += int64(max(1, (len(rows)+rowsPerRead-1)/rowsPerRead))
+		client.count(Counts{Reads: int64(max(1, (len(rows)+rowsPerRead-1)/rowsPerRead))})
 		return nil
 	})
 	return rows, err
@@ -75,8 +89,7 @@
 	err := client.read(ctx, func(fake *Platform) error {
 		var err error
 		content, err = fake.store.get(name)
-		fake.counts.Gets++
-		fake.counts.GetBytes += int64(len(content))
+		client.count(Counts{Gets: 1, GetBytes: int64(len(content))})
 		return err
 	})
 	return content, err
@@ -86,7 +99,7 @@
 func (client *Client) List(ctx context.Context) ([]platform.VM, error) {
 	var vms []platform.VM
 	err := client.read(ctx, func(fake *Platform) error {
-		fake.counts.Lists++
+		client.count(Counts{Lists: 1})
 		vms = fake.list()
 		return nil
 	})
@@ -104,7 +117,7 @@
 	var versions []uint64
 	err := client.write(ctx, func(fake *Platform) error {
 		var err error
-		fake.counts.Writes++
+		client.count(Counts{Writes: 1})
 		versions, err = fake.store.commit(writes)
 		return err
 	})
@@ -114,8 +127,7 @@
 // Put writes an object.
 func (client *Client) Put(ctx context.Context, name string, content []byte) error {
 	return client.write(ctx, func(fake *Platform) error {
-		fake.counts.Puts++
-		fake.counts.PutBytes += int64(len(content))
+		client.count(Counts{Puts: 1, PutBytes: int64(len(content))})
 		return fake.store.put(name, content)
 	})
 }
--- a/internal/platformfake/counts.go
+++ b/internal/platformfake/counts.go
@@ -21,6 +21,11 @@
 	Lists int64
 }
 
+// Add returns the sum of both.
+func (counts Counts) Add(other Counts) Counts {
+	return counts.Sub(Counts{}.Sub(other))
+}
+
 // Sub returns the calls since an earlier reading.
 func (counts Counts) Sub(earlier Counts) Counts {
 	return Counts{
--- a/internal/platformfake/platform.go
+++ b/internal/platformfake/platform.go
@@ -82,6 +82,13 @@
 	return len(late)
 }
 
+// ReplaceObject changes an object behind the back of its users.
+func (fake *Platform) ReplaceObject(name string, content []byte) {
+	fake.mutex.Lock()
+	defer fake.mutex.Unlock()
+	fake.store.objects[name] = content
+}
+
 // DeleteObject removes an object behind the back of its users.
 func (fake *Platform) DeleteObject(name string) {
 	fake.mutex.Lock()
--- a/release/follower_test.go
+++ b/release/follower_test.go
@@ -92,49 +92,39 @@
 }
 
 func TestFollowerSurvivesDamagedObjects(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		fake := newPlatform(1)
-		operator := ledgerOn(fake.Client())
-		client := fake.Client()
-		follower := followerOn(client)
-		defer run(t, follower)()
-		accept(t, operator, 0, SnapshotEvery-2)
-		pass(2 * time.Second)
-		wantNumber(t, follower, SnapshotEvery-2)
-		client.Cut(true)
-		accept(t, operator, SnapshotEvery-2, 1)
-		damaged, err := operator.History(t.Context(), 1)
-		if err != nil {
-			t.Fatal(err)
-		}
-		fake.DeleteObject(damaged[0].Body)
-		client.Cut(false)
-		pass(5 * time.Second)
-		wantNumber(t, follower, SnapshotEvery-2)
-		if status := follower.Status(); !strings.Contains(status.LastError, "is missing") {
-			t.Errorf("the status hides the damage: %+v", status)
-		}
-		witness := followerOn(fake.Client())
-		witness.publish(mustFollow(t, follower, adding("n31", SnapshotEvery-2).Note), nil, "test")
-		follower.Offer(SnapshotEvery-1, witness)
-		pass(time.Second)
-		wantNumber(t, follower, SnapshotEvery-1)
-	})
-}
-
-// mustFollow returns the state of the follower after a note that adds the model of the identifier.
-func mustFollow(t *testing.T, follower *Follower, id string) InForce {
-	t.Helper()
-	inForce, _ := follower.InForce()
-	body, err := encodeBody(adding(id, inForce.Number))
-	if err != nil {
-		t.Fatal(err)
-	}
-	next, err := inForce.follow(Difference{Number: inForce.Number + 1, Body: body})
-	if err != nil {
-		t.Fatal(err)
+	for _, damage := range []struct {
+		reason string
+		cause  func(fake *platformfake.Platform, object string)
+	}{
+		{"is missing", func(fake *platformfake.Platform, object string) { fake.DeleteObject(object) }},
+		{"differs from its hash", func(fake *platformfake.Platform, object string) { fake.ReplaceObject(object, []byte("{}")) }},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			fake := newPlatform(1)
+			operator := ledgerOn(fake.Client())
+			client := fake.Client()
+			follower := followerOn(client)
+			defer run(t, follower)()
+			accept(t, operator, 0, SnapshotEvery-3)
+			pass(2 * time.Second)
+			witness := followerOn(fake.Client())
+			accept(t, operator, SnapshotEvery-3, 1)
+			witness.readPlatform(t.Context())
+			damaged, err := operator.History(t.Context(), 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			damage.cause(fake, damaged[0].Body)
+			pass(5 * time.Second)
+			wantNumber(t, follower, SnapshotEvery-3)
+			if status := follower.Status(); !strings.Contains(status.LastError, damage.reason) {
+				t.Errorf("the status hides the damage: %+v", status)
+			}
+			follower.Offer(SnapshotEvery-2, witness)
+			pass(time.Second)
+			wantNumber(t, follower, SnapshotEvery-2)
+		})
 	}
-	return next
 }
 
 func TestFreshFollowerWithoutPlatformTakesTheHighestOfItsPeers(t *testing.T) {
--- /dev/null
+++ b/release/scale_test.go
@@ -0,0 +1,209 @@
+package release
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"k8s.io/klog/v2"
+	"k8s.io/utils/clock"
+
+	"github.com/bronzestall/bronzestall/catalogue"
+	"github.com/bronzestall/bronzestall/internal/platformfake"
+	"github.com/bronzestall/bronzestall/note"
+)
+
+// notesPerDay is the number of notes a day in two years.
+const notesPerDay = 880
+
+// gap is the time between two notes, shorter than in service so that the test is.
+const gap = 20 * time.Second
+
+// following is one way in which daemons follow the number in force.
+type following struct {
+	name    string
+	daemons int
+	// shared lets the interval grow with the number of daemons.
+	shared bool
+	// telling lets the 72 daemons of a data centre tell each other within 1 s.
+	telling bool
+	notes   int
+	// mostReads bounds the row reads per second, and mostLag the time until a note is in force everywhere.
+	mostReads float64
+	mostLag   time.Duration
+}
+
+// measured is what following cost.
+type measured struct {
+	lags []time.Duration
+	// counts are the calls of the followers, and operator those of the operator.
+	counts, operator platformfake.Counts
+	lasted           time.Duration
+	peerBytes        atomic.Int64
+}
+
+func TestFollowingAtSize(t *testing.T) {
+	for _, way := range []following{
+		{name: "4 daemons, each reads every second", daemons: 4, notes: 20, mostReads: 5, mostLag: 2 * time.Second},
+		{name: "360 daemons, each reads every second", daemons: 360, notes: 2, mostReads: 400, mostLag: 2 * time.Second},
+		{name: "360 daemons, 100 reads a second shared", daemons: 360, shared: true, notes: 5, mostReads: 120, mostLag: 6 * time.Second},
+		{name: "360 daemons, shared reads, peers tell", daemons: 360, shared: true, telling: true, notes: 5, mostReads: 120, mostLag: 3 * time.Second},
+	} {
+		t.Run(way.name, func(t *testing.T) {
+			if testing.Short() && way.daemons > 4 {
+				t.Skip("long")
+			}
+			synctest.Test(t, func(t *testing.T) { way.measure(t) })
+		})
+	}
+}
+
+func (way following) measure(t *testing.T) {
+	klog.LogToStderr(false)
+	klog.SetOutput(io.Discard)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	fake := newPlatform(7)
+	fake.SetDelay(2*time.Millisecond, 10*time.Millisecond)
+	client := fake.Client()
+	operator := ledgerOn(client)
+	if _, err := operator.Accept(ctx, firstOfSize(190, 800), "operator"); err != nil {
+		t.Fatal(err)
+	}
+	result := &measured{}
+	followers := way.start(ctx, fake, result)
+	pass(10 * time.Second)
+	before, own, begin := fake.Counts(), client.Counts(), time.Now()
+	for i := range way.notes {
+		time.Sleep(gap)
+		if _, err := operator.Accept(ctx, everyday(i), "operator"); err != nil {
+			t.Fatal(err)
+		}
+		result.lags = append(result.lags, everywhere(followers, uint64(i)+2))
+	}
+	result.operator = client.Counts().Sub(own)
+	result.counts, result.lasted = fake.Counts().Sub(before).Sub(result.operator), time.Since(begin)
+	way.report(t, result)
+	cancel()
+	pass(10 * time.Second)
+}
+
+// start runs the followers, in data centres of at most 72.
+func (way following) start(ctx context.Context, fake *platformfake.Platform, result *measured) []*Follower {
+	settings := FollowerSettings{}
+	if way.shared {
+		settings.Daemons = func() int { return way.daemons }
+	}
+	followers := make([]*Follower, way.daemons)
+	for i := range followers {
+		client := fake.Client()
+		followers[i] = NewFollower(client, client, clock.RealClock{}, rand.New(rand.NewPCG(7, uint64(i))), settings)
+		go func() {
+			time.Sleep(time.Duration(i) * 10 * time.Second / time.Duration(way.daemons))
+			_ = followers[i].Run(ctx)
+		}()
+	}
+	for at := 0; way.telling && at < len(followers); at += 72 {
+		tellEachOther(ctx, followers[at:min(at+72, len(followers))], result)
+	}
+	return followers
+}
+
+// tellEachOther lets each follower offer a new number to the others at random times within 1 s.
+func tellEachOther(ctx context.Context, followers []*Follower, result *measured) {
+	for i, teller := range followers {
+		random := rand.New(rand.NewPCG(8, uint64(i)))
+		source := SourceFunc(func(ctx context.Context, number uint64) (Update, error) {
+			update, err := teller.Since(ctx, number)
+			content, _ := json.Marshal(update)
+			result.peerBytes.Add(int64(len(content)))
+			return update, err
+		})
+		go func() {
+			for ctx.Err() == nil {
+				changed := teller.Changed()
+				inForce, _ := teller.InForce()
+				time.Sleep(time.Duration(random.Int64N(int64(time.Second))))
+				for _, other := range followers {
+					other.Offer(inForce.Number, source)
+				}
+				select {
+				case <-changed:
+				case <-ctx.Done():
+				}
+			}
+		}()
+	}
+}
+
+// everywhere returns the time until every follower has the number.
+func everywhere(followers []*Follower, number uint64) time.Duration {
+	begin := time.Now()
+	var waiting sync.WaitGroup
+	for _, follower := range followers {
+		waiting.Go(func() {
+			for {
+				changed := follower.Changed()
+				if inForce, _ := follower.InForce(); inForce.Number >= number {
+					return
+				}
+				<-changed
+			}
+		})
+	}
+	waiting.Wait()
+	return time.Since(begin)
+}
+
+func (way following) report(t *testing.T, result *measured) {
+	seconds := result.lasted.Seconds()
+	slices.Sort(result.lags)
+	median, most := result.lags[len(result.lags)/2], result.lags[len(result.lags)-1]
+	perDaemon := float64(result.counts.GetBytes) / float64(way.daemons*way.notes)
+	perPeer := float64(result.peerBytes.Load()) / float64(way.daemons*way.notes)
+	reads := float64(result.counts.Reads) / seconds
+	t.Logf("row reads %.1f/s, object reads %.2f for each daemon and note, everywhere after p50 %v max %v", reads,
+		float64(result.counts.Gets)/float64(way.daemons*way.notes), median.Round(time.Millisecond), most.Round(time.Millisecond))
+	t.Logf("bytes for each daemon and note: %.0f from the object store, %.0f from peers; at %d notes a day %.2f bytes/s",
+		perDaemon, perPeer, notesPerDay, (perDaemon+perPeer)*notesPerDay/86_400)
+	t.Logf("the operator's calls: %+v for %d notes", result.operator, way.notes)
+	if reads > way.mostReads || most > way.mostLag {
+		t.Errorf("%.1f reads a second and %v, want at most %.0f and %v", reads, most, way.mostReads, way.mostLag)
+	}
+}
+
+// firstOfSize returns a note that fills a catalogue.
+func firstOfSize(models, adapters int) note.Note {
+	first := note.Note{Note: "first", Summary: "everything"}
+	for i := range models {
+		model := catalogue.Model{Name: fmt.Sprintf("model-%04d", i), Version: "1", Weights: 26 << 30, AdapterSlots: 8, AdapterBytes: 256 << 20}
+		first.Models.Added = append(first.Models.Added, model)
+	}
+	for i := range adapters {
+		adapter := catalogue.Adapter{Model: fmt.Sprintf("model-%04d", i%models), Name: fmt.Sprintf("adapter-%04d", i), Version: "1"}
+		first.Adapters.Added = append(first.Adapters.Added, adapter)
+	}
+	return first
+}
+
+// everyday returns a note that changes one model and four adapters.
+func everyday(i int) note.Note {
+	changed := note.Note{Note: fmt.Sprintf("note-%d", i), Base: uint64(i) + 1, Summary: "a new version of one model and four adapters"}
+	version := fmt.Sprint(i + 2)
+	changed.Models.Changed = []catalogue.Model{
+		{Name: "model-0007", Version: version, Weights: 26 << 30, AdapterSlots: 8, AdapterBytes: 256 << 20},
+	}
+	for j := range 4 {
+		adapter := catalogue.Adapter{Model: fmt.Sprintf("model-%04d", j), Name: fmt.Sprintf("adapter-%04d", j), Version: version}
+		changed.Adapters.Changed = append(changed.Adapters.Changed, adapter)
+	}
+	return changed
+}
