Run mixed requests under faults from a seed

Cause: the parts were tested one by one; nothing ran them together under kills, drains, crashes, silence, freezes, refusals and a faulty platform. Found and mended: a caller that left while its request crashed an upstream and sent it again took 3 upstreams (now the upstream is asked for its boot after a request was given up); a request whose caller left in a pause was still sent; a resumed stream may begin before the piece asked for and must not skip one. Ruled out: marks only at the daemon whose request failed. Figures: 10 seeds, 40 callers, 20 s of virtual time, 4 daemons and 6 engines; each request ended once, no call ran twice, none refused as not run ran, at most 2 upstreams lost. Tried: with repeated non-idempotent work, released claims of doubt, resumption of non-idempotent work, or without the watch, tests fail.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -19,6 +19,9 @@
 		Deadline: req.Deadline,
 		Item:     &waiter{fingerprint: req.Fingerprint, ask: ask, special: special, granted: make(chan grant, 1)},
 	}
+	if ctx.Err() != nil {
+		return nil, endedBefore(ctx)
+	}
 	lane, failure := dispatcher.push(req, waiting)
 	if failure != nil {
 		return nil, failure
@@ -85,8 +88,12 @@
 	return nil
 }
 
-// doorMargin is the part of the estimated wait, as a divisor, that the door adds to it.
-const doorMargin = 4
+// The parts of the estimated wait, as divisors, that are added to it. The door adds more, so that few
+// requests are given up after they waited.
+const (
+	doorMargin  = 1
+	queueMargin = 2
+)
 
 // cold refuses a request without a replica that the forecast rules out. The mutex is held.
 func (dispatcher *Dispatcher) cold(lane *lane, left time.Duration) *outcome.Error {
--- /dev/null
+++ b/dispatch/chaos_test.go
@@ -0,0 +1,346 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"k8s.io/utils/clock"
+
+	"github.com/bronzestall/bronzestall/claim"
+	"github.com/bronzestall/bronzestall/internal/invariant"
+	"github.com/bronzestall/bronzestall/internal/platformfake"
+	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/quarantine"
+	"github.com/bronzestall/bronzestall/request"
+	"github.com/bronzestall/bronzestall/upstream"
+)
+
+// chaosLength is how long callers send and faults happen.
+const chaosLength = 20 * time.Second
+
+// chaos is several daemons, a platform and engines under faults from a seed.
+type chaos struct {
+	t        *testing.T
+	world    *fakeWorld
+	platform *platformfake.Platform
+	peers    *fakePeers
+	ctx      context.Context
+	duties   sync.WaitGroup
+
+	mutex   sync.Mutex
+	daemons []*chaosDaemon
+	made    int
+	kinds   map[string]int
+	// words holds the outcome words of the sendings of each call, by body.
+	words map[string][]outcome.Word
+}
+
+// chaosDaemon is one run of a daemon. Once it is killed, nothing of it reaches anybody.
+type chaosDaemon struct {
+	*Dispatcher
+	mutex  sync.Mutex
+	killed bool
+	end    context.CancelFunc
+}
+
+func (daemon *chaosDaemon) dead() bool {
+	daemon.mutex.Lock()
+	defer daemon.mutex.Unlock()
+	return daemon.killed
+}
+
+// chaosClaims drops what a killed daemon would write.
+type chaosClaims struct {
+	*claim.Store
+	daemon *chaosDaemon
+}
+
+func (claims chaosClaims) Complete(ctx context.Context, ticket claim.Ticket, answer claim.Answer) {
+	if !claims.daemon.dead() {
+		claims.Store.Complete(ctx, ticket, answer)
+	}
+}
+
+func (claims chaosClaims) Lose(ctx context.Context, ticket claim.Ticket) {
+	if !claims.daemon.dead() {
+		claims.Store.Lose(ctx, ticket)
+	}
+}
+
+func (claims chaosClaims) Release(ctx context.Context, ticket claim.Ticket) {
+	if !claims.daemon.dead() {
+		claims.Store.Release(ctx, ticket)
+	}
+}
+
+// chaosEngines keeps a killed daemon from the engines.
+type chaosEngines struct {
+	*fakeWorld
+	daemon *chaosDaemon
+}
+
+func (engines chaosEngines) Generator(name string) (upstream.Generator, bool) {
+	if engines.daemon.dead() {
+		return nil, false
+	}
+	return engines.fakeWorld.Generator(name)
+}
+
+func (engines chaosEngines) Call(ctx context.Context, name string, req request.Request) (Answer, error) {
+	generator, ok := engines.Generator(name)
+	if !ok {
+		return Answer{}, upstream.ErrNotSent
+	}
+	stream, err := generator.Generate(ctx, upstream.Generation{Request: req})
+	if err != nil {
+		return Answer{}, err
+	}
+	defer closeStream(stream)
+	answer := Answer{Status: 200, ContentType: "text/plain"}
+	for range 3 {
+		piece, err := stream.Next(ctx)
+		if err != nil {
+			return Answer{}, err
+		}
+		answer.Body = append(answer.Body, piece.Data...)
+	}
+	return answer, nil
+}
+
+// start adds a daemon.
+func (chaos *chaos) start(seed uint64) *chaosDaemon {
+	chaos.made++
+	ctx, end := context.WithCancel(chaos.ctx)
+	daemon := &chaosDaemon{end: end}
+	store := claim.New(claim.Settings{Incarnation: fmt.Sprint("run", chaos.made)}, chaos.platform.Client(), clock.RealClock{})
+	engines := chaosEngines{chaos.world, daemon}
+	deps := Deps{
+		Fleet: chaos.world, Engines: engines, Demand: chaos.world, Services: engines,
+		Claims: chaosClaims{store, daemon}, Suspects: chaos.peers,
+	}
+	random := rand.New(rand.NewPCG(seed, uint64(chaos.made)))
+	daemon.Dispatcher = New(Settings{}, deps, clock.RealClock{}, random)
+	chaos.peers.join(daemon.book)
+	chaos.duties.Go(func() { daemon.Run(ctx) })
+	chaos.duties.Go(func() { store.Run(ctx) })
+	return daemon
+}
+
+// pick returns a daemon that takes requests.
+func (chaos *chaos) pick(random *rand.Rand) *chaosDaemon {
+	chaos.mutex.Lock()
+	defer chaos.mutex.Unlock()
+	return chaos.daemons[random.IntN(len(chaos.daemons))]
+}
+
+// replace kills or drains a daemon and starts another in its place.
+func (chaos *chaos) replace(random *rand.Rand, kill bool) {
+	chaos.mutex.Lock()
+	at := random.IntN(len(chaos.daemons))
+	old := chaos.daemons[at]
+	chaos.daemons[at] = chaos.start(random.Uint64())
+	chaos.mutex.Unlock()
+	if kill {
+		old.mutex.Lock()
+		old.killed = true
+		old.mutex.Unlock()
+		old.end()
+		return
+	}
+	limit, stop := context.WithTimeout(chaos.ctx, 30*time.Second)
+	defer stop()
+	if drained := old.Drain(limit); drained.Cut != 0 {
+		chaos.t.Errorf("a drain cut %d requests", drained.Cut)
+	}
+	old.end()
+}
+
+// fault makes one fault happen.
+func (chaos *chaos) fault(random *rand.Rand) {
+	engine := chaos.world.engines[chaos.world.order[random.IntN(len(chaos.world.order))]]
+	switch random.IntN(8) {
+	case 0:
+		engine.restart(time.Duration(random.IntN(2000)) * time.Millisecond)
+	case 1:
+		engine.silence()
+	case 2:
+		engine.freeze(time.Duration(random.IntN(3000)) * time.Millisecond)
+	case 3:
+		engine.leave(time.Duration(random.IntN(2000)) * time.Millisecond)
+	case 4:
+		chaos.platform.SetDown(true)
+		time.Sleep(time.Duration(random.IntN(3000)) * time.Millisecond)
+		chaos.platform.SetDown(false)
+	case 5:
+		chaos.replace(random, true)
+	case 6:
+		chaos.replace(random, false)
+	case 7:
+		engine.mutex.Lock()
+		engine.lossy = rand.New(rand.NewPCG(random.Uint64(), 1))
+		engine.mutex.Unlock()
+	}
+}
+
+// TestMixedRequestsUnderFaults runs mixed requests with resends through daemons that are killed and
+// drained, before engines that crash, freeze, restart, leave and lose answers, over a faulty platform.
+func TestMixedRequestsUnderFaults(t *testing.T) {
+	broken := invariant.Broken()
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runChaos(t, seed) })
+		})
+	}
+	if invariant.Broken() != broken {
+		t.Error("an invariant was broken")
+	}
+}
+
+func runChaos(t *testing.T, seed uint64) {
+	ctx, stop := context.WithCancel(t.Context())
+	fake := platformfake.New(clock.RealClock{}, rand.New(rand.NewPCG(seed, 5)))
+	fake.SetDelay(time.Millisecond, 10*time.Millisecond)
+	fake.SetRates(platformfake.Rates{Unavailable: 0.02, UnclearWithEffect: 0.05, UnclearWithoutEffect: 0.05})
+	chaos := &chaos{
+		t: t, world: newWorld("u1", "u2", "u3", "u4", "u5", "u6"), platform: fake, ctx: ctx,
+		peers: &fakePeers{arbiter: quarantine.NewArbiter()}, kinds: map[string]int{}, words: map[string][]outcome.Word{},
+	}
+	for _, engine := range chaos.world.engines {
+		engine.slots = 8
+		engine.poison = "poison"
+		engine.recovers = 2 * time.Second
+	}
+	for range 4 {
+		chaos.daemons = append(chaos.daemons, chaos.start(seed))
+	}
+	var callers sync.WaitGroup
+	for n := range 40 {
+		random := rand.New(rand.NewPCG(seed, uint64(100+n)))
+		callers.Go(func() { chaos.caller(n, random) })
+	}
+	callers.Go(func() {
+		random := rand.New(rand.NewPCG(seed, 99))
+		for begin := time.Now(); time.Since(begin) < chaosLength; {
+			time.Sleep(time.Duration(random.IntN(800)) * time.Millisecond)
+			chaos.fault(random)
+		}
+	})
+	callers.Wait()
+	time.Sleep(30 * time.Second)
+	chaos.check()
+	stop()
+	chaos.duties.Wait()
+}
+
+// caller sends calls one after another and sends each again a few times unless it was answered.
+func (chaos *chaos) caller(n int, random *rand.Rand) {
+	for begin, call := time.Now(), 0; time.Since(begin) < chaosLength; call++ {
+		time.Sleep(time.Duration(random.IntN(500)) * time.Millisecond)
+		req := chat(fmt.Sprintf("call%d.%d", n, call))
+		req.Stream = random.IntN(2) == 0
+		switch random.IntN(5) {
+		case 0, 1:
+			req.Idempotent, req.Key = false, string(req.Body)
+		case 2:
+			req.Form, req.Service, req.Stream = request.ServiceCall, "s", false
+			req.Idempotent, req.Key = false, string(req.Body)
+		case 3:
+			req.Target.Adapter = fmt.Sprint("a", random.IntN(3))
+		}
+		if n == 0 && call%4 == 0 {
+			req = chat("poison")
+		}
+		for sending := range 1 + random.IntN(4) {
+			req.ID = fmt.Sprintf("%s/%d.%d#%d", req.Body, n, call, sending)
+			req.Arrived, req.Deadline = time.Now(), time.Now().Add(5*time.Second)
+			if chaos.send(req, random) {
+				break
+			}
+		}
+	}
+}
+
+// send sends the request once, checks what came back and reports whether the caller is done with it.
+func (chaos *chaos) send(req request.Request, random *rand.Rand) bool {
+	daemon := chaos.pick(random)
+	ctx := chaos.ctx
+	if random.IntN(10) == 0 {
+		var leave context.CancelFunc
+		ctx, leave = context.WithTimeout(ctx, time.Duration(random.IntN(100))*time.Millisecond)
+		defer leave()
+	}
+	sink := &fakeSink{}
+	err := daemon.Do(ctx, req, sink)
+	chaos.mutex.Lock()
+	defer chaos.mutex.Unlock()
+	if daemon.dead() {
+		chaos.kinds["daemon killed"]++
+		return false
+	}
+	if err == nil {
+		chaos.kinds["answered"]++
+		chaos.checkAnswer(req, string(sink.body))
+		return true
+	}
+	failure := outcome.From(err)
+	chaos.kinds[failure.Kind.String()]++
+	word := failure.Kind.Entry().Word
+	if word == outcome.NotRun && chaos.world.ran(req.ID) > 0 {
+		chaos.t.Errorf("%s was refused as %s and ran", req.ID, failure)
+	}
+	chaos.words[string(req.Body)] = append(chaos.words[string(req.Body)], word)
+	if sink.begun && req.Stream && (!strings.Contains(string(sink.body), "event: error\n") || strings.Contains(string(sink.body), "[DONE]")) {
+		chaos.t.Errorf("the broken stream of %s ends as %q", req.ID, sink.body)
+	}
+	return word == outcome.MayHaveRun && !req.Idempotent && req.Key == ""
+}
+
+func (chaos *chaos) checkAnswer(req request.Request, got string) {
+	want := strings.ReplaceAll(whole, "b-", string(req.Body)+"-")
+	if !req.Stream {
+		want = fmt.Sprintf("%[1]s-1%[1]s-2%[1]s-3", req.Body)
+	}
+	if got != want {
+		chaos.t.Errorf("the answer to %s is %q", req.ID, got)
+	}
+}
+
+// check looks at what ran and what is left over.
+func (chaos *chaos) check() {
+	chaos.t.Logf("ends: %v", chaos.kinds)
+	crashes := 0
+	for _, engine := range chaos.world.engines {
+		engine.mutex.Lock()
+		crashes += engine.crashes
+		if engine.active != 0 {
+			chaos.t.Errorf("%d streams of %s are open", engine.active, engine.name)
+		}
+		engine.mutex.Unlock()
+	}
+	if crashes > 2 {
+		chaos.t.Errorf("the crash request took %d upstreams", crashes)
+	}
+	for call, runs := range chaos.world.once() {
+		if runs > 1 {
+			chaos.t.Errorf("the call %s ran %d times", call, runs)
+		}
+	}
+	for _, daemon := range chaos.daemons {
+		daemon.Dispatcher.mutex.Lock()
+		for name, lane := range daemon.lanes {
+			if lane.waiting() != 0 || lane.running != 0 || len(lane.tenants) != 0 {
+				chaos.t.Errorf("lane %s is left with %d waiting and %d running", name, lane.waiting(), lane.running)
+			}
+		}
+		if daemon.active != 0 || daemon.waiting != 0 || len(daemon.flying) != 0 {
+			chaos.t.Errorf("a daemon is left with %d active, %d waiting, %d flying", daemon.active, daemon.waiting, len(daemon.flying))
+		}
+		daemon.Dispatcher.mutex.Unlock()
+	}
+}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -30,6 +30,8 @@
 		{"no answer, not idempotent", func(w *fakeWorld) { w.fail(upstream.ErrNoAnswer) }, false, true, outcome.UpstreamLost, false, 0},
 		{"foreign answers", func(w *fakeWorld) { w.fail(upstream.ErrForeign) }, true, true, outcome.AnswerInvalid, false, 0},
 		{"silent, resumed", func(w *fakeWorld) { w.cut(2, upstream.ErrSilent) }, true, true, 0, true, 1},
+		{"silent, resumed with pieces twice", func(w *fakeWorld) { w.cut(3, upstream.ErrSilent); w.resumeAt(-1) }, true, true, 0, true, 1},
+		{"silent, resumed without a piece", func(w *fakeWorld) { w.cut(2, upstream.ErrSilent); w.resumeAt(1) }, true, true, outcome.AnswerInvalid, false, 1},
 		{"silent, not idempotent", func(w *fakeWorld) { w.cut(2, upstream.ErrSilent) }, false, true, outcome.UpstreamLost, false, 1},
 		{"truncated, resumed elsewhere", func(w *fakeWorld) { w.cut(2, upstream.ErrTruncated) }, true, true, 0, true, 1},
 		{"truncated whole answer", func(w *fakeWorld) { w.cut(3, upstream.ErrTruncated) }, false, false, outcome.AnswerInvalid, false, 1},
@@ -70,6 +72,12 @@
 	}
 }
 
+func (world *fakeWorld) resumeAt(shift int) {
+	for _, engine := range world.engines {
+		engine.shift = shift
+	}
+}
+
 func (world *fakeWorld) cut(at int, err error) {
 	for _, engine := range world.engines {
 		engine.breakAt, engine.breakErr = at, err
--- a/dispatch/judge.go
+++ b/dispatch/judge.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/upstream"
@@ -21,6 +22,7 @@
 	journey.mayHaveRun = true
 	journey.ran++
 	if ending, ended := journey.stopped(ctx, err); ended {
+		journey.watch(place)
 		return ending
 	}
 	return journey.lost(ctx, place, err)
@@ -78,6 +80,29 @@
 	return result{failure: outcome.New(outcome.UpstreamLost, "the connection to the upstream failed while the request ran").WithCause(err)}
 }
 
+// watchAfter are the pauses after which the upstream of a request that was given up is asked for its boot.
+var watchAfter = [...]time.Duration{100 * time.Millisecond, 900 * time.Millisecond}
+
+// watch looks for a crash after this side ended a request that was never answered in full, since its
+// caller may send it again.
+func (journey *journey) watch(place *place) {
+	dispatcher := journey.dispatcher
+	if place.candidate.BootID == "" || dispatcher.proven.Has(journey.req.Fingerprint) {
+		return
+	}
+	dispatcher.behind(func() {
+		ctx := context.Background()
+		for _, pause := range watchAfter {
+			<-dispatcher.clock.After(pause)
+			boot := dispatcher.probe(ctx, place.candidate.Upstream)
+			if hasCrashed(place, boot, upstream.ErrNoAnswer) {
+				journey.crashed(ctx, place)
+				return
+			}
+		}
+	})
+}
+
 // hasCrashed tells a crash from a cut by the boot that a probe found, or none. Silence without an answer
 // to the probe may be a cut or a pause and is not a crash.
 func hasCrashed(place *place, boot string, err error) bool {
--- a/dispatch/mind.go
+++ b/dispatch/mind.go
@@ -72,7 +72,7 @@
 	now := dispatcher.clock.Now()
 	late := func(waiting *entry, tokens float64) bool {
 		wait, known := lane.rate.Wait(tokens, lane.running)
-		return known && now.Add(wait+lane.rate.Begin()).After(waiting.Deadline)
+		return known && now.Add(wait+wait/queueMargin+lane.rate.Begin()).After(waiting.Deadline)
 	}
 	failure := unmeetable(dispatcher.clears(lane))
 	for _, waiting := range lane.queue.Hopeless(late) {
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 )
 
 // Queue orders the waiting requests of one model. It is not safe for concurrent use.
@@ -101,21 +100,6 @@
 	}
 }
 
-// Expired removes and returns the entries whose deadline is not after now.
-func (queue *Queue[T]) Expired(now time.Time) []*Entry[T] {
-	var expired []*Entry[T]
-	queue.Each(func(entry *Entry[T]) bool {
-		if !entry.Deadline.After(now) {
-			expired = append(expired, entry)
-		}
-		return true
-	})
-	for _, entry := range expired {
-		queue.Remove(entry)
-	}
-	return expired
-}
-
 // flow returns the flow of the tenant of the entry, made or woken if need be.
 func (queue *Queue[T]) flow(entry *Entry[T]) *flow[T] {
 	found, ok := queue.flows[entry.Tenant]
