Send a predecessor's order only after its engine was seen

A successor sent the order of a row in its first step. The row had been closed by fencing under the reign before, which had used the memory again. Change: the order of a foreign row is sent only once a state of its engine from after the reading of the rows is known. The daemon shows the decider engines that were never heard, and takes an engine that checks fencing numbers as one that checks boots.

--- a/daemon/views.go
+++ b/daemon/views.go
@@ -21,12 +21,13 @@
 	dataCentre string
 }
 
-// Views returns the newest state of every engine that was heard of.
+// Views returns the newest state of every engine; one that was never heard has a zero AsOf, so
+// that it is told from one that is gone.
 func (views engineViews) Views() []intent.View {
 	var found []intent.View
 	for _, known := range views.fleet.View().Known() {
 		member := known.Member
-		if member.DataCentre != views.dataCentre || member.Kind != settings.EngineKind || known.State.BootID == "" {
+		if member.DataCentre != views.dataCentre || member.Kind != settings.EngineKind {
 			continue
 		}
 		found = append(found, engineView(known))
@@ -34,8 +35,13 @@
 	return found
 }
 
+// engineView takes an engine that checks fencing numbers as one that checks boots, too.
 func engineView(known fleet.Known) intent.View {
-	view := intent.View{State: known.State, AsOf: known.AsOf, ChecksFencing: known.Member.ChecksFencing}
+	if known.State.BootID == "" {
+		return intent.View{State: upstream.State{Upstream: known.Member.Name}}
+	}
+	checks := known.Member.ChecksFencing
+	view := intent.View{State: known.State, AsOf: known.AsOf, ChecksFencing: checks, ChecksBoot: checks}
 	view.State.Upstream = known.Member.Name
 	view.State.Leaving = known.Leaving()
 	if !known.Direct {
--- a/decider/orders.go
+++ b/decider/orders.go
@@ -128,7 +128,7 @@
 	}
 	wanted := reign.isWanted(entry.Intent.Model)
 	if entry.Intent.Sender != reign.sender {
-		return wanted && reign.isInForce(entry.Intent)
+		return wanted && reign.isInForce(entry.Intent) && reign.isSeen(entry.Intent.Upstream)
 	}
 	if entry.Attempts >= attemptsWithout && !wanted || !reign.isInForce(entry.Intent) {
 		reign.book.Abandon(entry.Intent.ID)
@@ -137,6 +137,13 @@
 	return true
 }
 
+// isSeen reports whether the engine was seen since the rows were read. Before that, the order of
+// a row may be sent that a former holder knew to be closed, and whose memory it used again.
+func (reign *reign) isSeen(name string) bool {
+	view, known := reign.book.View(name)
+	return known && view.AsOf.After(reign.began)
+}
+
 // isInForce reports whether the subject of a load is in force; other orders always are.
 func (reign *reign) isInForce(row intent.Intent) bool {
 	if row.Verb != upstream.Load {
