--- a/placement/load.go
+++ b/placement/load.go
@@ -54,6 +54,7 @@
 		Warm:     urgency(entry) == 2,
 	})
 	entry.count++
+	entry.decided = append(entry.decided, best.upstream)
 	return true
 }
 
@@ -121,17 +122,7 @@
 			return true
 		}
 	}
-	return placer.decidedOn(entry, placer.input.Upstreams[u].Name)
-}
-
-func (placer *Placer) decidedOn(entry *active, name string) bool {
-	for i := range placer.result.Decisions {
-		decision := &placer.result.Decisions[i]
-		if decision.Verb == upstream.Load && decision.Upstream == name && decision.Model == entry.name {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(entry.decided, u)
 }
 
 // evictable returns the memory in bytes of the replicas that may be unloaded for the model.
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -32,12 +32,16 @@
 	need    Need
 	warm    int
 	refs    []ref
+	// decided are the positions of the upstreams on which this pass decided a load.
+	decided []int
 	// count is the number of replicas in force that serve or come; serving of those that serve.
 	count, serving int
 	// retiring is the number of replicas in force that may still serve although their unload is ordered.
 	retiring int
 	// target is the number of replicas to have; forNeed of those that requests ask for.
 	target, forNeed int
+	// waits states that the next replica cannot be loaded in this pass.
+	waits bool
 	// site is where the first replica is to be loaded; placed states that there is one.
 	site   site
 	placed bool
@@ -151,7 +155,7 @@
 	}
 	entry := &placer.models[at]
 	model, inForce := placer.input.Models.Model(name)
-	*entry = active{name: name, model: model, inForce: inForce, refs: entry.refs[:0]}
+	*entry = active{name: name, model: model, inForce: inForce, refs: entry.refs[:0], decided: entry.decided[:0]}
 	return entry
 }
 
@@ -171,13 +175,12 @@
 	}
 	slices.SortFunc(placer.order, func(a, b int) int { return compareUrgency(&placer.models[a], &placer.models[b]) })
 	for _, i := range placer.order {
-		placer.loadOne(&placer.models[i])
+		entry := &placer.models[i]
+		entry.waits = !placer.loadOne(entry)
 	}
 	for _, i := range placer.order {
-		for entry := &placer.models[i]; entry.lacks(); {
-			if !placer.loadOne(entry) {
-				break
-			}
+		for entry := &placer.models[i]; entry.lacks() && !entry.waits; {
+			entry.waits = !placer.loadOne(entry)
 		}
 	}
 	placer.addOutlooks()
