--- a/decider/decider.go
+++ b/decider/decider.go
@@ -109,6 +109,7 @@
 		if err := decider.Step(ctx); err != nil && ctx.Err() == nil {
 			event.DeciderFailed.LogError(err, "DataCentre", decider.settings.DataCentre)
 		}
+		decider.rest(ctx)
 		timer := decider.deps.Clock.NewTimer(decider.settings.PassEvery)
 		select {
 		case <-ctx.Done():
@@ -122,6 +123,16 @@
 	}
 }
 
+// rest waits for the shortest time between two steps.
+func (decider *Decider) rest(ctx context.Context) {
+	timer := decider.deps.Clock.NewTimer(stepGap)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C():
+	}
+}
+
 // stop ends the orders of this process and hands the lease over.
 func (decider *Decider) stop(ctx context.Context, grace time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, grace)
--- a/decider/estimate.go
+++ b/decider/estimate.go
@@ -38,7 +38,7 @@
 	return estimate
 }
 
-// Status is what the decider shows of itself.
+// Status is what the decider shows of itself. It is renewed each second.
 type Status struct {
 	// Deciding states that this process owns the lease.
 	Deciding bool
@@ -54,7 +54,7 @@
 	Charged map[string]int64
 }
 
-// Status returns what the last step found.
+// Status returns what a step found within the last second.
 func (decider *Decider) Status() Status {
 	decider.mutex.Lock()
 	defer decider.mutex.Unlock()
@@ -71,5 +71,7 @@
 		return
 	}
 	decider.outlooks = reign.outlooks
-	decider.status = reign.status()
+	if reign.due(&reign.statusAt, statusEvery) || decider.status.Away != reign.away {
+		decider.status = reign.status()
+	}
 }
--- a/decider/reign.go
+++ b/decider/reign.go
@@ -42,6 +42,7 @@
 	warm      map[string]int
 	sendersAt time.Time
 	permitsAt time.Time
+	statusAt  time.Time
 	// touched tells when the fencing number was last sent to an upstream.
 	touched  map[string]time.Time
 	outlooks map[string]outlookAt
--- a/decider/settings.go
+++ b/decider/settings.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	defaultPassEvery    = 100 * time.Millisecond
+	defaultPassEvery    = 250 * time.Millisecond
 	defaultStaleAfter   = 5 * time.Second
 	defaultLinger       = 30 * time.Second
 	defaultListLag      = 30 * time.Second
@@ -19,6 +19,10 @@
 	defaultPermitsEvery = 2 * time.Second
 	defaultBudgetEvery  = 5 * time.Second
 	defaultBudgetShare  = 0.5
+	// stepGap is the shortest time between two steps, however many reports and states arrive.
+	stepGap = 25 * time.Millisecond
+	// statusEvery is the interval of renewing the status.
+	statusEvery = time.Second
 	// warmPerStep bounds how many idle models of the catalogue one step looks at.
 	warmPerStep = 64
 	// ordersAtOnce bounds the orders that are on their way.
@@ -43,7 +47,7 @@
 	LoadsPerSecond float64
 	// LoadsAtOnce is the number of loads at full speed.
 	LoadsAtOnce int
-	// PassEvery is the interval of steps; zero means 100 ms.
+	// PassEvery is the longest time between steps; reports and changes bring a step sooner; zero means 250 ms.
 	PassEvery time.Duration
 	// StaleAfter is the age from which a view is no longer used for loads; zero means 5 s.
 	StaleAfter time.Duration
--- a/decider/world_test.go
+++ b/decider/world_test.go
@@ -53,7 +53,7 @@
 
 // world is one data centre with engines and processes under one fake clock.
 type world struct {
-	t         *testing.T
+	t         testing.TB
 	clock     *testingclock.FakeClock
 	platform  *platformfake.Platform
 	engines   []*enginefake.Engine
@@ -80,7 +80,7 @@
 	renewed time.Time
 }
 
-func newWorld(t *testing.T, kind kind, engines int, capacity int64) *world {
+func newWorld(t testing.TB, kind kind, engines int, capacity int64) *world {
 	world := &world{
 		t:      t,
 		clock:  testingclock.NewFakeClock(time.Date(2026, 3, 1, 4, 0, 0, 0, time.UTC)),
--- a/intent/book.go
+++ b/intent/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/bronzestall/bronzestall/upstream"
@@ -14,7 +15,9 @@
 	// linger bounds how long the bytes of a call without an answer may still take effect.
 	linger time.Duration
 	// entries holds every entry once, by identifier; byUpstream holds the same by upstream.
-	entries    map[string]*Entry
+	entries map[string]*Entry
+	// sorted holds the entries in order, or is nil after a change.
+	sorted     []*Entry
 	byUpstream map[string][]*Entry
 	views      map[string]View
 	budgets    []*openBudget
@@ -41,6 +44,7 @@
 	}
 	entry := &Entry{Intent: intent, Recorded: recorded, since: now}
 	book.entries[intent.ID] = entry
+	book.sorted = nil
 	book.byUpstream[intent.Upstream] = append(book.byUpstream[intent.Upstream], entry)
 	return entry
 }
@@ -52,6 +56,7 @@
 		return
 	}
 	delete(book.entries, id)
+	book.sorted = nil
 	name := entry.Intent.Upstream
 	rest := slices.DeleteFunc(book.byUpstream[name], func(other *Entry) bool { return other == entry })
 	book.byUpstream[name] = rest
@@ -65,14 +70,18 @@
 	return book.entries[id]
 }
 
-// Entries returns all entries in order of identifiers.
+// Entries returns all entries in order of identifiers. The caller must not change the slice; it
+// stays as it is when the book changes.
 func (book *Book) Entries() []*Entry {
-	all := make([]*Entry, 0, len(book.entries))
+	if book.sorted != nil {
+		return book.sorted
+	}
+	book.sorted = make([]*Entry, 0, len(book.entries))
 	for _, entry := range book.entries {
-		all = append(all, entry)
+		book.sorted = append(book.sorted, entry)
 	}
-	slices.SortFunc(all, func(a, b *Entry) int { return compare(a.Intent.ID, b.Intent.ID) })
-	return all
+	slices.SortFunc(book.sorted, func(a, b *Entry) int { return strings.Compare(a.Intent.ID, b.Intent.ID) })
+	return book.sorted
 }
 
 // Upstreams returns the names of the upstreams with entries.
@@ -205,14 +214,3 @@
 	}
 	return senders
 }
-
-func compare(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
