Record the end of a reign; close the budget at a planned stop

A planned stop left its budget charged for the linger. Change: a process records the highest fencing number under which it sends no more, and a planned stop removes its budget.

--- a/decider/decider.go
+++ b/decider/decider.go
@@ -56,6 +56,10 @@
 	registered bool
 	// reign is what is known under one fencing number, or nil while the lease is not owned.
 	reign *reign
+	// ended is the fencing number of the last reign that is over.
+	ended uint64
+	// endedAt is the time of the last attempt to record it.
+	endedAt time.Time
 	// serial numbers the intents of this process.
 	serial uint64
 
@@ -138,6 +142,7 @@
 	ctx, cancel := context.WithTimeout(ctx, grace)
 	defer cancel()
 	decider.senders.Wait()
+	decider.closeBudget(ctx)
 	if decider.registered {
 		_ = decider.registry.RecordEnd(ctx)
 	}
@@ -151,9 +156,9 @@
 	decider.takeAll()
 	fence, owned := decider.deps.Lease.Owned()
 	if !owned {
-		decider.reign = nil
+		decider.endReign()
 		decider.publish(nil)
-		return nil
+		return decider.recordEnded(ctx)
 	}
 	if !decider.registered {
 		if err := decider.registry.Register(ctx); err != nil {
@@ -166,7 +171,11 @@
 		if err != nil {
 			return err
 		}
+		decider.endReign()
 		decider.reign = began
 	}
-	return decider.reign.step(ctx)
+	if err := decider.reign.step(ctx); err != nil {
+		return err
+	}
+	return decider.recordEnded(ctx)
 }
--- a/decider/failure_test.go
+++ b/decider/failure_test.go
@@ -91,6 +91,40 @@
 	})
 }
 
+// TestThawedHolderEndsItsReign lets the holder come back after a successor took over. What it left
+// is free again although its process lives on.
+func TestThawedHolderEndsItsReign(t *testing.T) {
+	eachKind(t, 1, func(t *testing.T, world *world, holder, successor *process) {
+		world.addModel(catalogue.Model{Name: "large", Version: "1", Weights: 60 * gigabyte})
+		world.advance(10 * time.Second)
+		world.fail(enginefake.LostBefore)
+		world.ask("planner", 2, 5)
+		world.advance(step)
+		holder.paused = true
+		world.advance(14 * time.Second)
+		if _, owned := successor.lease.Owned(); !owned {
+			t.Fatal("no takeover")
+		}
+		holder.paused = false
+		if !world.askFor("large", 600) {
+			t.Fatal("what the former holder left is still charged")
+		}
+	})
+}
+
+// TestPlannedStopHandsOver stops the holder and lets the successor use all memory soon after.
+func TestPlannedStopHandsOver(t *testing.T) {
+	eachKind(t, 1, func(t *testing.T, world *world, holder, _ *process) {
+		world.addModel(catalogue.Model{Name: "large", Version: "1", Weights: 60 * gigabyte})
+		world.advance(10 * time.Second)
+		holder.decider.stop(t.Context(), time.Second)
+		world.kill(holder)
+		if !world.askFor("large", 60) {
+			t.Fatal("the budget of the stopped holder is still charged")
+		}
+	})
+}
+
 // TestStaleListFreesNothing leaves the killed holder's VM in a list that went back to before its start.
 func TestStaleListFreesNothing(t *testing.T) {
 	world := newWorld(t, kinds[2], 1, 64*gigabyte)
--- a/intent/registry.go
+++ b/intent/registry.go
@@ -21,6 +21,9 @@
 	Sender Sender `json:"Sender"`
 	// Ended states that the process sends no more orders.
 	Ended bool `json:"Ended,omitempty"`
+	// EndedReign is the highest fencing number under which the process sends no more orders; all
+	// lower ones are ended, too.
+	EndedReign uint64 `json:"EndedReign,omitempty"`
 }
 
 // Registry records senders and proves that senders are gone. It belongs to one goroutine.
@@ -34,8 +37,9 @@
 	me     Sender
 	// lag bounds how late the VM list is.
 	lag time.Duration
-	// version is the version of the own row once it is written.
+	// version is the version of the own row once it is written, and ended what it says of reigns.
 	version uint64
+	ended   uint64
 	// absent tells since when each VM incarnation has been absent from every list read.
 	absent map[string]time.Time
 }
@@ -68,13 +72,36 @@
 
 // RecordEnd records that this process sends no more orders.
 func (registry *Registry) RecordEnd(ctx context.Context) error {
+	return registry.write(ctx, senderRecord{Sender: registry.me, Ended: true, EndedReign: registry.ended})
+}
+
+// EndReign records that this process sends no more orders under the fencing number or a lower one.
+func (registry *Registry) EndReign(ctx context.Context, fence uint64) error {
+	if fence <= registry.ended {
+		return nil
+	}
+	if err := registry.write(ctx, senderRecord{Sender: registry.me, EndedReign: fence}); err != nil {
+		return err
+	}
+	registry.ended = fence
+	return nil
+}
+
+// write replaces the own row. After an unclear write the version is read again.
+func (registry *Registry) write(ctx context.Context, record senderRecord) error {
 	if registry.version == 0 {
 		return nil
 	}
-	_, err := registry.tables.Commit(ctx, []platform.Write{{
-		Key: senderKey(registry.me), Check: true, IfVersion: registry.version,
-		Value: encode(senderRecord{Sender: registry.me, Ended: true}),
+	versions, err := registry.tables.Commit(ctx, []platform.Write{{
+		Key: senderKey(registry.me), Check: true, IfVersion: registry.version, Value: encode(record),
 	}})
+	if err == nil {
+		registry.version = versions[0]
+		return nil
+	}
+	if row, found, readErr := registry.read(ctx, registry.me); readErr == nil && found.Sender == registry.me {
+		registry.version = row.Version
+	}
 	return trace.Wrap(err)
 }
 
@@ -91,13 +118,14 @@
 	return gone
 }
 
-// replaced reports whether the process recorded its end or a newer one runs on the VM.
+// replaced reports whether the process recorded its end, or that of the reign, or a newer one
+// runs on the VM.
 func (registry *Registry) replaced(ctx context.Context, sender Sender) bool {
 	row, found, err := registry.read(ctx, sender)
 	if err != nil || row.Version == 0 {
 		return false
 	}
-	return found.Ended || found.Sender.Process != sender.Process
+	return found.Ended || found.Sender.Process != sender.Process || found.EndedReign >= sender.Reign
 }
 
 // list returns the incarnations of listed VMs. A list without this process's own VM is not trusted.
