--- a/decider/store.go
+++ b/decider/store.go
@@ -22,10 +22,7 @@
 	}
 	reign.noteOwnReigns()
 	if reign.due(&reign.sendersAt, defaultSendersEvery) {
-		senders := reign.book.ForeignSenders()
-		for _, sender := range reign.decider.registry.Gone(ctx, senders) {
-			reign.book.SenderGone(sender, reign.now)
-		}
+		reign.proveGone(ctx)
 	}
 	if reign.due(&reign.permitsAt, defaultPermitsEvery) {
 		return reign.failed(reign.sharePermits(ctx))
@@ -33,6 +30,17 @@
 	return nil
 }
 
+// proveGone asks for proof that senders of open rows and budgets send no more.
+func (reign *reign) proveGone(ctx context.Context) {
+	senders := reign.book.ForeignSenders()
+	if len(senders) == 0 {
+		return
+	}
+	for _, sender := range reign.decider.registry.Gone(ctx, senders) {
+		reign.book.SenderGone(sender, reign.now)
+	}
+}
+
 // noteHeld notes whether the table service is away. It counts as away after a call without a
 // usable answer and after the lease lapsed, until the lease is renewed.
 func (reign *reign) noteHeld() {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -86,7 +86,7 @@
 	for {
 		// A failed step changes nothing; the next one reads the row again.
 		_ = lease.Step(ctx)
-		timer := lease.clock.NewTimer(lease.pause())
+		timer := lease.clock.NewTimer(lease.Pause())
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -105,8 +105,8 @@
 	return lease.watch(ctx)
 }
 
-// pause returns the time until the next step.
-func (lease *Lease) pause() time.Duration {
+// Pause returns the time until the next step is due.
+func (lease *Lease) Pause() time.Duration {
 	if _, owned := lease.Owned(); owned {
 		return lease.settings.RenewEvery
 	}
