Use the memory of own rows without the table service where engines close orders

Cause: with all memory taken by idle replicas, no cold start was served in an hour without the table service, whatever the budget. Change: on engines that check boots and fencing numbers the holder may use the memory of its own rows again; a successor charges both until the engine shows its number, and sends none of their orders. Rows of senders that can send nothing more are written again under the holder. Rows that an engine closed are gone instead of asleep, since no later boot takes them either.

--- a/decider/budget.go
+++ b/decider/budget.go
@@ -26,7 +26,7 @@
 			if row.Upstream != name || row.Verb != upstream.Load {
 				continue
 			}
-			if reign.book.Entry(row.ID) == nil {
+			if reign.book.Entry(row.ID) == nil && !reign.isShown(row) {
 				free -= row.Memory
 			}
 		}
@@ -45,14 +45,15 @@
 // budgetShare returns the share of free memory that goes into the budget. On engines that close
 // the budget of a former holder at once it is all of it.
 func (reign *reign) budgetShare(view intent.View) float64 {
-	if view.ChecksFencing && view.ChecksBoot && reign.decider.settings.BudgetShare > 0 {
+	if view.Closes() && reign.decider.settings.BudgetShare > 0 {
 		return 1
 	}
 	return reign.decider.settings.BudgetShare
 }
 
 // budgetLeft returns the memory in bytes that may still be decided on an upstream without the
-// table service: the recorded budget less the replicas without a row.
+// table service: the recorded budget less the replicas without a row, and, where engines close
+// older orders, own rows whose replicas are gone.
 func (reign *reign) budgetLeft(name string) int64 {
 	view, _ := reign.book.View(name)
 	share, _ := reign.budget.Share(name)
@@ -65,8 +66,12 @@
 	}
 	for _, entry := range reign.book.On(name) {
 		gone := reign.book.Status(entry, reign.now) == intent.Gone
-		if !entry.Recorded && !gone && entry.Intent.Verb == upstream.Load && !reign.isRecorded(entry.Key()) {
+		switch {
+		case entry.Intent.Verb != upstream.Load:
+		case !entry.Recorded && !gone && (view.Closes() || !reign.isRecorded(entry.Key())):
 			left -= entry.Intent.Memory
+		case entry.Recorded && gone && view.Closes() && entry.Intent.Sender == reign.sender && !reign.book.IsVoid(entry):
+			left += entry.Intent.Memory
 		}
 	}
 	return max(0, left)
@@ -83,10 +88,13 @@
 	return false
 }
 
-// reserved returns the memory in bytes of own rows on an upstream whose replicas are gone. A
+// reserved returns the memory in bytes of rows on an upstream whose replicas are gone. A
 // successor charges them, so without the table service only the same replicas may use it.
 func (reign *reign) reserved(name string) int64 {
 	var total int64
+	if view, _ := reign.book.View(name); view.Closes() {
+		return 0
+	}
 	for _, entry := range reign.book.On(name) {
 		gone := reign.book.Status(entry, reign.now) == intent.Gone
 		if entry.Recorded && gone && !reign.book.IsVoid(entry) {
@@ -111,7 +119,8 @@
 		if row.Sender == reign.sender {
 			rows++
 			if gone && row.Version == model.Version {
-				return placement.Assignment{Restricted: true, Upstream: row.Upstream, Covered: true}
+				view, _ := reign.book.View(row.Upstream)
+				return placement.Assignment{Restricted: true, Upstream: row.Upstream, Covered: !view.Closes()}
 			}
 			continue
 		}
--- a/decider/commit.go
+++ b/decider/commit.go
@@ -60,6 +60,9 @@
 			reign.book.Remove(entry.Intent.ID)
 		case !entry.Recorded:
 			change.Open = append(change.Open, entry.Intent)
+		case entry.Intent.Verb == upstream.Load && reign.book.Inherited(entry, reign.now):
+			change.Close = append(change.Close, entry.Intent.ID)
+			change.Open = append(change.Open, reign.inherit(entry.Intent))
 		}
 	}
 	for _, decision := range decisions {
@@ -73,6 +76,17 @@
 	return change
 }
 
+// inherit returns a row of this reign for a replica whose row a former holder wrote.
+func (reign *reign) inherit(row intent.Intent) intent.Intent {
+	row.ID = reign.nextID()
+	row.Fence = reign.fence
+	row.Sender = reign.sender
+	row.Budget = 0
+	view, _ := reign.book.View(row.Upstream)
+	row.BootID = view.State.BootID
+	return row
+}
+
 // intend returns the intent of a decision.
 func (reign *reign) intend(decision placement.Decision) intent.Intent {
 	row := reign.newIntent(decision.Verb, decision.Upstream, decision.Model, decision.Version)
@@ -98,11 +112,7 @@
 // apply takes a change that is in the table service into the book.
 func (reign *reign) apply(change intent.Change) {
 	for _, row := range change.Open {
-		known := reign.book.Entry(row.ID) != nil
-		reign.book.Add(row, true, reign.now)
-		if !known && row.Verb == upstream.Load && row.Tier == upstream.Remote {
-			reign.decider.bucket.Start(reign.now)
-		}
+		reign.applyOpen(row)
 	}
 	for _, id := range change.Close {
 		reign.book.Remove(id)
@@ -119,6 +129,29 @@
 	}
 }
 
+func (reign *reign) applyOpen(row intent.Intent) {
+	known := reign.book.Entry(row.ID) != nil
+	reign.book.Add(row, true, reign.now)
+	if known || row.Verb != upstream.Load {
+		return
+	}
+	if reign.isShown(row) {
+		// The row was inherited: the replica is there and nothing is to be sent.
+		reign.book.Abandon(row.ID)
+		return
+	}
+	if row.Tier == upstream.Remote {
+		reign.decider.bucket.Start(reign.now)
+	}
+}
+
+// isShown reports whether the engine shows the replica of the row.
+func (reign *reign) isShown(row intent.Intent) bool {
+	view, _ := reign.book.View(row.Upstream)
+	_, shown := view.Replica(row.Model, row.Version)
+	return shown
+}
+
 // decideAway decides within the recorded budget. Rows follow once the table service is back.
 func (reign *reign) decideAway(decisions []placement.Decision) {
 	reign.overtaken = true
--- a/decider/input.go
+++ b/decider/input.go
@@ -74,7 +74,7 @@
 			Phase:    reign.phase(key, shown.Phase),
 			Load:     shown.Running + shown.Waiting,
 			LastUsed: reign.uses[key],
-			Pinned:   reign.away && reign.hasRow(key),
+			Pinned:   reign.away && reign.isPinned(key, view),
 		})
 	}
 	for _, entry := range reign.book.On(name) {
@@ -114,11 +114,14 @@
 	return false
 }
 
-// hasRow reports whether a row stands for the replica. While the table service is away, nothing
-// else may use its memory.
-func (reign *reign) hasRow(key intent.ReplicaKey) bool {
+// isPinned reports whether nothing else may use the memory of the replica while the table service
+// is away.
+func (reign *reign) isPinned(key intent.ReplicaKey, view intent.View) bool {
 	for _, entry := range reign.book.On(key.Upstream) {
-		if entry.Recorded && entry.Intent.Verb == upstream.Load && entry.Key() == key {
+		if !entry.Recorded || entry.Intent.Verb != upstream.Load || entry.Key() != key {
+			continue
+		}
+		if entry.Intent.Sender != reign.sender || !view.Closes() {
 			return true
 		}
 	}
@@ -143,7 +146,7 @@
 	count := reign.book.OpenLoads(reign.now)
 	for _, entry := range reign.book.Entries() {
 		row := entry.Intent
-		if row.Verb != upstream.Load || row.Tier != upstream.Remote || entry.IsAdopted() {
+		if row.Verb != upstream.Load || row.Tier != upstream.Remote {
 			continue
 		}
 		switch reign.book.Status(entry, reign.now) {
--- a/decider/orders.go
+++ b/decider/orders.go
@@ -128,7 +128,7 @@
 	}
 	wanted := reign.isWanted(entry.Intent.Model)
 	if entry.Intent.Sender != reign.sender {
-		return wanted && reign.isInForce(entry.Intent) && reign.isSeen(entry.Intent.Upstream)
+		return wanted && reign.isInForce(entry.Intent) && reign.mayTakeOver(entry.Intent.Upstream)
 	}
 	if entry.Attempts >= attemptsWithout && !wanted || !reign.isInForce(entry.Intent) {
 		reign.book.Abandon(entry.Intent.ID)
@@ -137,11 +137,13 @@
 	return true
 }
 
-// isSeen reports whether the engine was seen since the rows were read. Before that, the order of
-// a row may be sent that a former holder knew to be closed, and whose memory it used again.
-func (reign *reign) isSeen(name string) bool {
+// mayTakeOver reports whether the orders of former holders may be sent to the engine. They may
+// not where the former holder may have used the memory of its rows again: there the engine
+// closes the rows instead. Nor may they before the engine was seen since the rows were read,
+// since a row may have been closed and its memory used again in the meantime.
+func (reign *reign) mayTakeOver(name string) bool {
 	view, known := reign.book.View(name)
-	return known && view.AsOf.After(reign.began)
+	return known && !view.Closes() && view.AsOf.After(reign.began)
 }
 
 // isInForce reports whether the subject of a load is in force; other orders always are.
--- a/intent/book.go
+++ b/intent/book.go
@@ -193,11 +193,6 @@
 	return entry.abandoned
 }
 
-// IsAdopted reports whether the intent stands for a replica that was found without a row.
-func (entry *Entry) IsAdopted() bool {
-	return entry.abandoned && entry.Attempts == 0
-}
-
 // ForeignSenders returns each process other than this one that may still send an order.
 func (book *Book) ForeignSenders() []Sender {
 	var senders []Sender
--- a/intent/doc.go
+++ b/intent/doc.go
@@ -11,9 +11,7 @@
 //   - the order was answered, or its sender can send it no more, and a state of
 //     the engine taken after that does not show the replica;
 //   - the engine checks boots and shows another one than the order was decided for;
-//   - the engine checks boots and fencing numbers and shows a higher number. The row then
-//     sleeps: it stays in the table service until one of the other proofs, since its sender
-//     may still hold it for decided.
+//   - the engine checks boots and fencing numbers and shows a higher number.
 //
 // A sender can send no more if this process is the sender and no attempt is
 // open, or if its process is provably gone and the time that bytes may stay on
@@ -21,5 +19,8 @@
 //
 // A Budget is memory on upstreams that a holder may decide on while the table
 // service is away. It names for each model the one upstream where that model
-// may be loaded, so a successor knows which replicas may have been added.
+// may be loaded, so a successor knows which replicas may have been added. On
+// engines that close older orders, the holder may also use the memory of its
+// own rows for other replicas once theirs are gone; a successor charges both
+// until the engine has closed them, and does not send their orders.
 package intent
--- a/intent/entry.go
+++ b/intent/entry.go
@@ -15,9 +15,6 @@
 	Open Status = iota
 	// Shown is an intent whose replica the engine shows; it is counted and charged.
 	Shown
-	// Sleeping is an intent that the engine refuses in its present boot; it is neither counted
-	// nor charged, and its row stays.
-	Sleeping
 	// Gone is an intent that can take no effect any more; its row may be removed.
 	Gone
 )
--- a/intent/status.go
+++ b/intent/status.go
@@ -27,13 +27,31 @@
 	if view.AsOf.After(entry.since) && view.endsBoot(entry.Intent.BootID) {
 		return Gone
 	}
-	foreign := entry.Intent.Sender != book.me && entry.open == 0
-	if foreign && view.AsOf.After(later(entry.since, entry.ended)) && view.fencesOff(entry.Intent.Fence) {
-		return Sleeping
+	if book.isFencedOff(entry, view) && view.AsOf.After(later(entry.since, entry.ended)) {
+		return Gone
 	}
 	return Open
 }
 
+// isFencedOff reports whether the engine refuses every order of a foreign entry from now on.
+func (book *Book) isFencedOff(entry *Entry, view View) bool {
+	return entry.Intent.Sender != book.me && entry.open == 0 && view.fencesOff(entry.Intent.Fence)
+}
+
+// Inherited reports whether the engine shows the replica of a foreign entry whose sender can send
+// nothing more, so that a row of this process may stand for it instead.
+func (book *Book) Inherited(entry *Entry, now time.Time) bool {
+	if entry.Intent.Sender == book.me || book.Status(entry, now) != Shown {
+		return false
+	}
+	view := book.views[entry.Intent.Upstream]
+	if !view.AsOf.After(later(entry.since, entry.ended)) {
+		return false
+	}
+	_, settled := book.settled(entry, now)
+	return settled || book.isFencedOff(entry, view)
+}
+
 // orderStatus is the status of an intent that charges nothing: it is gone once it was answered
 // or belongs to a former holder, since a late order of its kind changes no sum.
 func (book *Book) orderStatus(entry *Entry, now time.Time) Status {
--- a/intent/view.go
+++ b/intent/view.go
@@ -19,11 +19,16 @@
 	ChecksBoot bool
 }
 
+// Closes reports whether a higher fencing number closes older orders for good.
+func (view View) Closes() bool {
+	return view.ChecksFencing && view.ChecksBoot
+}
+
 // fencesOff reports whether the engine takes no order with the fencing number in its present
 // boot, nor in a later one. Without a check of the boot, an order could come back after a restart,
 // in which engines forget the fencing number.
 func (view View) fencesOff(fence uint64) bool {
-	return view.ChecksFencing && view.ChecksBoot && view.State.Fence > fence
+	return view.Closes() && view.State.Fence > fence
 }
 
 // endsBoot reports whether the engine takes no order for the boot any more.
