Count a replica until it is gone; assign models by rows and free memory

A model was loaded again while its first replica was being unloaded; a late copy of the first order then loaded it twice. And with all memory in rows no upstream was named for the time without the table service. Change: a replica under unload stands in the way of a further one of its version; shares name the memory of own rows.

--- a/decider/budget.go
+++ b/decider/budget.go
@@ -15,23 +15,30 @@
 // upstream, its memory, the charge and the new loads are together at most the capacity.
 func (reign *reign) nextBudget(opening []intent.Intent) intent.Budget {
 	budget := intent.Budget{Fence: reign.fence, Sender: reign.sender}
+	if reign.decider.settings.BudgetShare == 0 {
+		return budget
+	}
 	for name := range reign.met {
 		view, known := reign.book.View(name)
 		if !known || view.State.Leaving {
 			continue
 		}
-		share := intent.Share{Upstream: name, BootID: view.State.BootID}
+		share := intent.Share{Upstream: name, BootID: view.State.BootID, Rows: reign.ownRows(name)}
 		free := view.State.Capacity - reign.book.Charge(name, reign.now)
 		for _, row := range opening {
 			if row.Upstream != name || row.Verb != upstream.Load {
 				continue
 			}
+			share.Rows += row.Memory
 			if reign.book.Entry(row.ID) == nil && !reign.isShown(row) {
 				free -= row.Memory
 			}
 		}
 		share.Memory = int64(reign.budgetShare(view) * float64(free))
-		if share.Memory > 0 {
+		if !view.Closes() {
+			share.Rows = 0
+		}
+		if share.Memory+share.Rows > 0 {
 			budget.Shares = append(budget.Shares, share)
 		}
 	}
@@ -42,10 +49,22 @@
 	return budget
 }
 
+// ownRows returns the memory in bytes of the recorded loads of this reign on an upstream.
+func (reign *reign) ownRows(name string) int64 {
+	var total int64
+	for _, entry := range reign.book.On(name) {
+		own := entry.Recorded && entry.Intent.Verb == upstream.Load && entry.Intent.Sender == reign.sender
+		if own && reign.book.Status(entry, reign.now) != intent.Gone {
+			total += entry.Intent.Memory
+		}
+	}
+	return total
+}
+
 // budgetShare returns the share of free memory that goes into the budget. On engines that close
 // the budget of a former holder at once it is all of it.
 func (reign *reign) budgetShare(view intent.View) float64 {
-	if view.Closes() && reign.decider.settings.BudgetShare > 0 {
+	if view.Closes() {
 		return 1
 	}
 	return reign.decider.settings.BudgetShare
--- a/intent/budget.go
+++ b/intent/budget.go
@@ -24,6 +24,9 @@
 	BootID string `json:"BootId,omitempty"`
 	// Memory is the largest sum in bytes of replicas without a row.
 	Memory int64 `json:"Memory"`
+	// Rows is the memory in bytes of the holder's own rows, which it may use again for other
+	// replicas once theirs are gone, if the engine closes older orders.
+	Rows int64 `json:"Rows,omitempty"`
 }
 
 // Share returns the share on an upstream.
@@ -48,7 +51,7 @@
 	best, found := "", false
 	var top uint64
 	for _, share := range budget.Shares {
-		if share.Memory < memory {
+		if share.Memory+share.Rows < memory {
 			continue
 		}
 		var digest xxhash.Digest
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -36,7 +36,7 @@
 	decided []int
 	// count is the number of replicas in force that serve or come; serving of those that serve.
 	count, serving int
-	// retiring is the number of replicas in force that may still serve although their unload is ordered.
+	// retiring is the number of replicas in force whose unload is ordered or under way.
 	retiring int
 	// target is the number of replicas to have; forNeed of those that requests ask for.
 	target, forNeed int
@@ -105,7 +105,7 @@
 			}
 			entry := placer.model(replica.Model)
 			entry.refs = append(entry.refs, ref{u, r})
-			if machine.Leaving || replica.Phase == Going || replica.Version != entry.model.Version {
+			if machine.Leaving || replica.Version != entry.model.Version {
 				continue
 			}
 			entry.add(replica.Phase)
@@ -121,7 +121,7 @@
 
 // add counts a replica in force.
 func (entry *active) add(phase Phase) {
-	if phase == Retiring {
+	if isLeaving(phase) {
 		entry.retiring++
 		return
 	}
@@ -131,8 +131,9 @@
 	}
 }
 
-// lacks reports whether a further replica may be loaded. A replica whose unload is ordered is in
-// the way until the engine confirms, since the order may be lost.
+// lacks reports whether a further replica may be loaded. A replica whose unload is ordered or
+// under way is in the way until the engine confirms that it is gone, since the order may be lost
+// and its row still counts as decided.
 func (entry *active) lacks() bool {
 	return entry.target > entry.count+entry.retiring
 }
