--- a/decider/report.go
+++ b/decider/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/bronzestall/bronzestall/placement"
@@ -29,7 +30,7 @@
 	}
 }
 
-// needs returns the demand by model and forgets routers that stopped reporting.
+// needs returns the demand by model in order of names and forgets routers that stopped reporting.
 func (decider *Decider) needs(now time.Time) []placement.Need {
 	decider.mutex.Lock()
 	defer decider.mutex.Unlock()
@@ -50,6 +51,7 @@
 			addDemand(&needs[at], demand)
 		}
 	}
+	slices.SortFunc(needs, func(a, b placement.Need) int { return strings.Compare(a.Model, b.Model) })
 	return needs
 }
 
--- a/decider/wish.go
+++ b/decider/wish.go
@@ -1,6 +1,11 @@
 package decider
 
-import "github.com/bronzestall/bronzestall/placement"
+import (
+	"slices"
+	"strings"
+
+	"github.com/bronzestall/bronzestall/placement"
+)
 
 // wish asks for a bounded number of models what is to be kept warm, going round the catalogue,
 // so that the cost of a step does not grow with idle models.
@@ -36,6 +41,7 @@
 	for name, replicas := range reign.warm {
 		wishes = append(wishes, placement.Warm{Model: name, Replicas: replicas})
 	}
+	slices.SortFunc(wishes, func(a, b placement.Warm) int { return strings.Compare(a.Model, b.Model) })
 	return wishes
 }
 
