Charge a former holder's rows and budget once

A replica that a former holder had loaded in the memory of its own rows was charged on top of those rows, above the capacity. Change: what a former holder has used of its rows lowers their charge; a replica without a row belongs to the newest budget that permits it.

--- a/decider/observe.go
+++ b/decider/observe.go
@@ -58,7 +58,7 @@
 	if model, ok := reign.catalogue.Model(key.Model); ok {
 		memory = model.Memory()
 	}
-	budget := reign.book.Permitted(key.Model, memory, key.Upstream)
+	budget := reign.book.Permitted(key.Model, memory, key.Upstream, reign.now)
 	invariant.Check(budget > 0 || reign.away || !reign.met[key.Upstream], invariant.ReplicasDecided,
 		"Upstream", key.Upstream, "Model", key.Model, "Version", key.Version, "Order", replica.Order)
 	row := reign.newIntent(upstream.Load, key.Upstream, key.Model, key.Version)
--- a/intent/charge.go
+++ b/intent/charge.go
@@ -92,24 +92,34 @@
 }
 
 // openBudgets returns the memory in bytes that former holders may still decide on an upstream
-// beyond the replicas that are counted.
+// beyond what is counted. It is negative where a former holder has used the memory of its own
+// open rows for replicas without a row, since those rows are counted in full.
 func (book *Book) openBudgets(name string, now time.Time) int64 {
 	var total int64
+	view := book.views[name]
 	for _, budget := range book.budgets {
 		memory := budget.Memory(name)
-		if memory == 0 || book.budgetClosed(budget, name, now) {
+		if book.budgetClosed(budget, name, now) {
 			continue
 		}
+		var used, rows int64
 		for _, entry := range book.byUpstream[name] {
 			if entry.Intent.Budget == budget.Fence && book.isCounted(entry, now) {
-				memory -= entry.Intent.Memory
+				used += entry.Intent.Memory
+			}
+			if entry.Intent.Sender == budget.Sender && book.isOpenLoad(entry, now) && view.Closes() {
+				rows += entry.Intent.Memory
 			}
 		}
-		total += max(0, memory)
+		total += max(-rows, memory-used)
 	}
 	return total
 }
 
+func (book *Book) isOpenLoad(entry *Entry, now time.Time) bool {
+	return entry.Intent.Verb == upstream.Load && book.Status(entry, now) == Open
+}
+
 // OpenLoads returns the number of loads from the weight store that former holders may still
 // begin within their budgets.
 func (book *Book) OpenLoads(now time.Time) int {
@@ -176,15 +186,26 @@
 	}
 }
 
-// Permitted returns the fencing number of the former holder whose budget permits the replica on
-// the upstream, or zero.
-func (book *Book) Permitted(model string, memory int64, name string) uint64 {
+// Permitted returns the highest fencing number of a former holder whose budget permits the
+// replica on the upstream, or zero. Budgets that are open go before those that have been closed
+// since.
+func (book *Book) Permitted(model string, memory int64, name string, now time.Time) uint64 {
+	var open, closed uint64
 	for _, budget := range book.budgets {
-		if assigned, ok := budget.Upstream(model, memory); ok && assigned == name {
-			return budget.Fence
+		assigned, ok := budget.Upstream(model, memory)
+		if !ok || assigned != name {
+			continue
+		}
+		if book.budgetClosed(budget, name, now) {
+			closed = max(closed, budget.Fence)
+			continue
 		}
+		open = max(open, budget.Fence)
+	}
+	if open > 0 {
+		return open
 	}
-	return 0
+	return closed
 }
 
 // PermittedElsewhere returns the upstreams on which former holders may still load a replica of
