Run whole daemons under mixed faults from a seed; repeat no order on an old view

Cause: the first randomised run stood still at 36 s of program time. The decider unloaded a replica that the engine had lost in a crash, got NoSubject, and decided the same unload again on the same old view: 127,739 times at one moment. Ruled out: a pause after each step, which only slows the repetition and delays cold starts; a hang of the bubble itself, which the goroutine dump showed to be the decider's loop. An earlier hang was the harness: net.Pipe keeps a lock during a blocked write, so connections in memory now buffer. Change: a decision whose subject an engine refused, or whose unload it did, waits for a newer view of that engine; internal/soak brings crashes, cuts, silent connections, platform outages, lost answers, replacements and kills from a seed, judges every answer, and checks recovery; make soak SEED= HOURS=.

--- a/Makefile
+++ b/Makefile
@@ -20,3 +20,9 @@
 
 generate:
 	$(GO) run ./internal/cmd/protogen request peer/peerpb/peer.proto | $(TOOL) protoc-gen-go | $(GO) run ./internal/cmd/protogen write peer/peerpb
+
+SEED ?= 1
+HOURS ?= 0.5
+
+soak:
+	$(GO) test ./internal/soak -run TestSoak -v -timeout 0 -seed $(SEED) -hours $(HOURS)
--- a/decider/orders.go
+++ b/decider/orders.go
@@ -80,6 +80,9 @@
 	switch {
 	case got.err == nil:
 		reign.book.Answered(id, got.verdict, now)
+		if got.verdict != upstream.Accepted || got.order.Verb == upstream.Unload {
+			reign.noteAnswer(got, now)
+		}
 		if got.verdict != upstream.Accepted {
 			event.OrderRefused.Log("Upstream", got.upstream, "Order", id, "Verb", got.order.Verb, "Model", got.order.Model, "Verdict", got.verdict)
 		}
--- a/decider/reign.go
+++ b/decider/reign.go
@@ -43,7 +43,9 @@
 	sendersAt time.Time
 	permitsAt time.Time
 	// touched tells when the fencing number was last sent to an upstream.
-	touched  map[string]time.Time
+	touched map[string]time.Time
+	// settled tells when an engine refused an order or did an unload, until a newer view of it is there.
+	settled  map[subject]time.Time
 	outlooks map[string]outlookAt
 	needs    []placement.Need
 	// wanted has the models that routers ask for or that are to be warm, with the number of replicas.
@@ -81,6 +83,7 @@
 		failures: map[string]failure{},
 		warm:     map[string]int{},
 		touched:  map[string]time.Time{},
+		settled:  map[subject]time.Time{},
 		outlooks: map[string]outlookAt{},
 	}
 	now := decider.deps.Clock.Now()
@@ -110,7 +113,7 @@
 	}
 	result := reign.pass()
 	reign.noteOutlooks(result.Outlooks)
-	if decideErr := reign.decide(ctx, result.Decisions); decideErr != nil {
+	if decideErr := reign.decide(ctx, reign.unsettled(result.Decisions)); decideErr != nil {
 		err = decideErr
 	}
 	reign.sendOpen(ctx)
--- a/internal/soak/main_test.go
+++ b/internal/soak/main_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/zeromicro/go-zero/core/logx"
 	"k8s.io/klog/v2"
@@ -16,6 +17,9 @@
 // traceLines is the number of log lines that a failing run prints.
 const traceLines = 400
 
+// stillFor is the time without progress of the program clock after which a run counts as stuck.
+const stillFor = 8 * time.Second
+
 // trace keeps the newest log lines of a run.
 type trace struct {
 	lock  sync.Mutex
@@ -34,6 +38,17 @@
 	return len(part), nil
 }
 
+// programTime returns the date and time of the newest line.
+func (trace *trace) programTime() string {
+	trace.lock.Lock()
+	defer trace.lock.Unlock()
+	if len(trace.lines) == 0 {
+		return ""
+	}
+	newest := trace.lines[len(trace.lines)-1]
+	return newest[:min(len(newest), len("I0101 00:00:00.000000"))]
+}
+
 func (trace *trace) print(out io.Writer) {
 	trace.lock.Lock()
 	defer trace.lock.Unlock()
@@ -50,10 +65,31 @@
 	_ = flags.Set("alsologtostderr", "false")
 	_ = flags.Set("stderrthreshold", "FATAL")
 	klog.SetOutput(events)
+	stopped := make(chan struct{})
+	go watch(stopped)
 	code := m.Run()
+	close(stopped)
 	klog.Flush()
 	if code != 0 {
 		events.print(os.Stdout)
 	}
 	os.Exit(code)
 }
+
+// watch prints the trace of a run that spins, since the clock of its bubble then stands still.
+func watch(stopped <-chan struct{}) {
+	last := ""
+	for {
+		select {
+		case <-stopped:
+			return
+		case <-time.After(stillFor):
+		}
+		now := events.programTime()
+		if now == last {
+			events.print(os.Stdout)
+			panic("soak: the clock of the run stands still")
+		}
+		last = now
+	}
+}
--- a/internal/soak/network_test.go
+++ b/internal/soak/network_test.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net"
 	"sync"
-	"sync/atomic"
 )
 
 // wires joins hosts by pipes in memory that can be cut in one or both directions.
@@ -89,10 +88,11 @@
 	if !listens {
 		return nil, &net.OpError{Op: "dial", Net: "pipe", Err: net.ErrClosed}
 	}
-	near, far := net.Pipe()
+	near, far := newCables(wires, from, to)
 	select {
-	case target.incoming <- wires.add(far, to, from):
-		return wires.add(near, from, to), nil
+	case target.incoming <- far:
+		wires.add(near, far)
+		return near, nil
 	case <-target.done:
 		return nil, &net.OpError{Op: "dial", Net: "pipe", Err: net.ErrClosed}
 	case <-ctx.Done():
@@ -100,12 +100,18 @@
 	}
 }
 
-func (wires *wires) add(conn net.Conn, from, to string) *cable {
-	made := &cable{Conn: conn, wires: wires, from: from, to: to, closed: make(chan struct{})}
+func (wires *wires) add(cables ...*cable) {
 	wires.lock.Lock()
 	defer wires.lock.Unlock()
-	wires.open[made] = struct{}{}
-	return made
+	for _, cable := range cables {
+		wires.open[cable] = struct{}{}
+	}
+}
+
+func (wires *wires) drop(cable *cable) {
+	wires.lock.Lock()
+	defer wires.lock.Unlock()
+	delete(wires.open, cable)
 }
 
 // cut loses all traffic from one host to another from now on. What is open stays silent for good.
@@ -117,9 +123,6 @@
 		if cable.from == from && cable.to == to {
 			cable.deaf.Store(true)
 		}
-		if cable.from == to && cable.to == from {
-			cable.blind.Store(true)
-		}
 	}
 }
 
@@ -129,14 +132,13 @@
 	delete(wires.cuts, pair{from, to})
 }
 
-// silence makes some open connections of a host silent for good while new ones work.
+// silence makes some open connections of a host silent for good, in one direction or both, while new ones work.
 func (wires *wires) silence(host string, random *rand.Rand) {
 	wires.lock.Lock()
 	defer wires.lock.Unlock()
 	for cable := range wires.open {
-		if cable.to == host && random.IntN(2) == 0 {
+		if cable.to == host && random.IntN(2) == 0 || cable.from == host && random.IntN(4) == 0 {
 			cable.deaf.Store(true)
-			cable.blind.Store(true)
 		}
 	}
 }
@@ -152,43 +154,6 @@
 	}
 	wires.lock.Unlock()
 	for _, cable := range severed {
-		_ = cable.Conn.Close()
+		_ = cable.Close()
 	}
 }
-
-// cable is one end of a connection.
-type cable struct {
-	net.Conn
-	wires    *wires
-	from, to string
-	// deaf states that what this end writes is lost; blind that it reads nothing more.
-	deaf, blind atomic.Bool
-	once        sync.Once
-	closed      chan struct{}
-}
-
-func (cable *cable) Read(part []byte) (int, error) {
-	if !cable.blind.Load() {
-		n, err := cable.Conn.Read(part)
-		if !cable.blind.Load() {
-			return n, err
-		}
-	}
-	<-cable.closed
-	return 0, net.ErrClosed
-}
-
-func (cable *cable) Write(part []byte) (int, error) {
-	if cable.deaf.Load() {
-		return len(part), nil
-	}
-	return cable.Conn.Write(part)
-}
-
-func (cable *cable) Close() error {
-	cable.once.Do(func() { close(cable.closed) })
-	cable.wires.lock.Lock()
-	delete(cable.wires.open, cable)
-	cable.wires.lock.Unlock()
-	return cable.Conn.Close()
-}
--- /dev/null
+++ b/internal/soak/operator_test.go
@@ -0,0 +1,38 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/release"
+	"github.com/bronzestall/bronzestall/status"
+)
+
+// inForce returns the number in force at the platform, or zero if that cannot be read.
+func (world *world) inForce() uint64 {
+	client := platform.NewClient(platform.ClientSettings{Address: platformAddress, Dial: world.wires.dialler("operator")}, world.clock)
+	defer client.Close()
+	state, err := release.NewLedger(client, client, world.clock).InForce(context.Background())
+	if err != nil {
+		return 0
+	}
+	return state.Number
+}
+
+// numberAt returns the number in force at a daemon.
+func (world *world) numberAt(entry *entry) uint64 {
+	transport := &http.Transport{DialContext: world.wires.dialler("operator"), DisableKeepAlives: true}
+	client := http.Client{Transport: transport}
+	answer, err := client.Get("http://" + entry.operators() + "/status")
+	if err != nil {
+		return 0
+	}
+	defer answer.Body.Close()
+	var report status.Report
+	if json.NewDecoder(answer.Body).Decode(&report) != nil {
+		return 0
+	}
+	return report.InForce.Number
+}
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -45,6 +45,8 @@
 	// stop ends the daemon as planned; ended is closed once it has ended.
 	stop  context.CancelFunc
 	ended chan struct{}
+	// killed holds the generations that were killed.
+	killed map[int]bool
 	// inService states that the balancer sends requests to it.
 	inService bool
 }
@@ -93,6 +95,7 @@
 			name:       fmt.Sprintf("entry-%d", number+1),
 			dataCentre: dataCentre,
 			address:    fmt.Sprintf("10.3.0.%d", number+1),
+			killed:     map[int]bool{},
 		})
 	}
 	for _, entry := range world.entries {
@@ -223,6 +226,7 @@
 func (world *world) kill(entry *entry, pause time.Duration) {
 	host := hostOf(entry)
 	world.withdraw(entry)
+	world.markKilled(entry)
 	world.isolate(host)
 	world.wires.sever(host)
 	entry.stop()
@@ -238,6 +242,19 @@
 	entry.inService = false
 }
 
+func (world *world) markKilled(entry *entry) {
+	world.lock.Lock()
+	defer world.lock.Unlock()
+	entry.killed[entry.generation] = true
+}
+
+// wasKilled reports whether a VM of the entry was killed.
+func (world *world) wasKilled(entry *entry, generation int) bool {
+	world.lock.Lock()
+	defer world.lock.Unlock()
+	return entry.killed[generation]
+}
+
 func (world *world) isolate(host string) {
 	for _, other := range world.hosts() {
 		world.wires.cut(host, other)
