--- a/decider/commit.go
+++ b/decider/commit.go
@@ -42,7 +42,8 @@
 		return reign.failed(err)
 	default:
 		reign.pending = &change
-		return reign.failed(err)
+		reign.overtaken = false
+		return err
 	}
 }
 
@@ -64,7 +65,7 @@
 	for _, decision := range decisions {
 		change.Open = append(change.Open, reign.intend(decision))
 	}
-	change.CloseBudgets = reign.book.ClosableBudgets(reign.now)
+	change.Trim = reign.book.TrimBudgets(reign.now)
 	budget := reign.nextBudget(change.Open)
 	if !budget.Equal(reign.budget) && (!change.IsEmpty() || reign.due(&reign.budgetAt, defaultBudgetEvery)) {
 		change.Budget = &budget
@@ -98,7 +99,7 @@
 func (reign *reign) apply(change intent.Change) {
 	for _, row := range change.Open {
 		known := reign.book.Entry(row.ID) != nil
-		reign.book.Add(row, true)
+		reign.book.Add(row, true, reign.now)
 		if !known && row.Verb == upstream.Load && row.Tier == upstream.Remote {
 			reign.decider.bucket.Start(reign.now)
 		}
@@ -106,8 +107,12 @@
 	for _, id := range change.Close {
 		reign.book.Remove(id)
 	}
-	for _, fence := range change.CloseBudgets {
-		reign.book.RemoveBudget(fence)
+	for _, budget := range change.Trim {
+		if len(budget.Shares) == 0 {
+			reign.book.RemoveBudget(budget.Fence)
+			continue
+		}
+		reign.book.AddBudget(budget, reign.now)
 	}
 	if change.Budget != nil {
 		reign.budget = *change.Budget
@@ -116,12 +121,18 @@
 
 // decideAway decides within the recorded budget. Rows follow once the table service is back.
 func (reign *reign) decideAway(decisions []placement.Decision) {
+	reign.overtaken = true
+	for _, entry := range reign.book.Entries() {
+		if !entry.Recorded && reign.book.Status(entry, reign.now) == intent.Gone {
+			reign.book.Remove(entry.Intent.ID)
+		}
+	}
 	for _, decision := range decisions {
 		if decision.Verb == upstream.ChangeRole {
 			continue
 		}
 		row := reign.intend(decision)
-		reign.book.Add(row, false)
+		reign.book.Add(row, false, reign.now)
 		if row.Verb == upstream.Load && row.Tier == upstream.Remote {
 			reign.decider.bucket.Start(reign.now)
 		}
--- a/decider/store.go
+++ b/decider/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/bronzestall/bronzestall/event"
@@ -13,7 +14,6 @@
 // askStore does what needs the table service before a pass: settles a change without a known
 // result, proves senders gone and shares permits.
 func (reign *reign) askStore(ctx context.Context) error {
-	reign.noteHeld()
 	if reign.away {
 		return nil
 	}
@@ -109,12 +109,25 @@
 	}
 	change := *reign.pending
 	reign.pending = nil
-	if took {
-		reign.apply(change)
+	if !took {
+		return nil
+	}
+	reign.apply(change)
+	if reign.overtaken {
+		reign.abandon(change)
 	}
 	return nil
 }
 
+// abandon gives up the orders of a change that were never sent and have been decided anew.
+func (reign *reign) abandon(change intent.Change) {
+	for _, row := range change.Open {
+		if entry := reign.book.Entry(row.ID); entry != nil && entry.Attempts == 0 {
+			reign.book.Abandon(row.ID)
+		}
+	}
+}
+
 // took reports whether the change is in the table service.
 func (reign *reign) took(ctx context.Context, change intent.Change) (bool, error) {
 	if len(change.Open) > 0 {
@@ -124,16 +137,24 @@
 		exists, err := reign.decider.log.Exists(ctx, change.Close[0])
 		return !exists, err
 	}
-	budgets, err := reign.decider.log.Budgets(ctx)
-	if err != nil {
-		return false, err
+	wanted := slices.Clone(change.Trim)
+	if change.Budget != nil {
+		wanted = append(wanted, *change.Budget)
 	}
-	for _, budget := range budgets {
-		if budget.Fence == reign.fence && change.Budget != nil {
-			return budget.Equal(*change.Budget), nil
+	budgets, err := reign.decider.log.Budgets(ctx)
+	return err == nil && holdsBudgets(budgets, wanted), err
+}
+
+// holdsBudgets reports whether the recorded budgets are as wanted; a wanted one without shares
+// must be gone.
+func holdsBudgets(recorded, wanted []intent.Budget) bool {
+	for _, budget := range wanted {
+		at := slices.IndexFunc(recorded, func(other intent.Budget) bool { return other.Fence == budget.Fence })
+		if at < 0 && len(budget.Shares) > 0 || at >= 0 && !recorded[at].Equal(budget) {
+			return false
 		}
 	}
-	return false, nil
+	return true
 }
 
 func (reign *reign) sharePermits(ctx context.Context) error {
--- a/decider/world_test.go
+++ b/decider/world_test.go
@@ -40,6 +40,11 @@
 	checksFencing, checksBoot bool
 }
 
+// closes reports whether a higher fencing number closes older orders for good.
+func (kind kind) closes() bool {
+	return kind.checksFencing && kind.checksBoot
+}
+
 var kinds = []kind{
 	{"checks fencing and boot", true, true},
 	{"checks fencing only", true, false},
@@ -90,7 +95,7 @@
 		name := fmt.Sprintf("engine-%d", i)
 		engine := enginefake.New(world.clock, enginefake.Settings{
 			Name: name, Capacity: capacity, ChecksFencing: kind.checksFencing, ChecksBoot: kind.checksBoot,
-			LoadTime: 2 * time.Second, UnloadTime: 500 * time.Millisecond,
+			LoadTime: 2 * time.Second, UnloadTime: 500 * time.Millisecond, OnLoad: world.judgeLoad,
 		})
 		world.engines = append(world.engines, engine)
 		world.byName[name] = engine
@@ -118,11 +123,18 @@
 func (world *world) Wanted(model string, _ time.Time) int { return world.wanted[model] }
 
 func (world *world) start(name string) *process {
+	return world.startProcess(name, "1")
+}
+
+// startProcess starts a process on a VM that may have run an older one.
+func (world *world) startProcess(name, incarnation string) *process {
 	started := &process{world: world, name: name, client: world.platform.Client(), views: map[string]intent.View{}}
 	vm := platform.VM{Name: name, Incarnation: name + "-vm", DataCentre: "fukuoka", Role: platform.Entry}
-	world.vms = append(world.vms, vm)
+	if incarnation == "1" {
+		world.vms = append(world.vms, vm)
+	}
 	world.platform.SetVMs(world.vms...)
-	holder := lease.Holder{Name: name, Incarnation: name + "-process", DataCentre: "fukuoka"}
+	holder := lease.Holder{Name: name, Incarnation: name + "-process-" + incarnation, DataCentre: "fukuoka"}
 	started.lease = lease.New(started.client, lease.Settings{DataCentre: "fukuoka"}, world.clock, holder)
 	started.decider = New(Deps{
 		Tables: started.client, VMs: started.client, Lease: started.lease, Fleet: started, Engines: started,
@@ -139,7 +151,9 @@
 // Views implements Fleet.
 func (process *process) Views() []intent.View {
 	views := make([]intent.View, 0, len(process.views))
-	for _, view := range process.views {
+	for name := range process.world.byName {
+		view := process.views[name]
+		view.State.Upstream = name
 		views = append(views, view)
 	}
 	return views
@@ -160,7 +174,7 @@
 	for name, engine := range process.world.byName {
 		state, err := engine.State(context.Background())
 		if err == nil {
-			process.views[name] = intent.View{State: state, AsOf: asked, ChecksFencing: process.world.kind.checksFencing}
+			process.views[name] = intent.View{State: state, AsOf: asked, ChecksFencing: process.world.kind.checksFencing, ChecksBoot: process.world.kind.checksBoot}
 		}
 	}
 }
@@ -199,23 +213,26 @@
 	world.t.Helper()
 	for _, engine := range world.engines {
 		if count := engine.Overcommits(); count > 0 {
-			world.t.Fatalf("%d loads overcommitted memory", count)
+			world.t.Fatalf("%d loads overcommitted memory\n%s", count, world.dump())
 		}
 	}
 	for name := range world.models {
 		if loaded, most := world.loaded(name), max(1, world.models[name].MaxReplicas); loaded > most {
-			world.t.Fatalf("%d replicas of %s are loaded, %d were decided", loaded, name, most)
+			world.t.Fatalf("%d replicas of %s are loaded, %d were decided\n%s", loaded, name, most, world.dump())
 		}
 	}
+	for _, process := range world.processes {
+		world.audit(process)
+	}
 	if broken := invariant.Broken() - world.broken; broken > 0 {
-		world.t.Fatalf("%d invariants are broken", broken)
+		world.t.Fatalf("%d invariants are broken\n%s", broken, world.dump())
 	}
 }
 
 func (world *world) loaded(model string) int {
 	total := 0
 	for _, engine := range world.engines {
-		total += engine.Loaded(model)
+		total += engine.Loaded(model, world.models[model].Version)
 	}
 	return total
 }
@@ -224,7 +241,7 @@
 func (world *world) ask(model string, routers, waiting int) {
 	for _, process := range world.processes {
 		for router := range routers {
-			process.decider.Report(fmt.Sprintf("router-%d", router), []placement.Demand{{
+			process.decider.Report(fmt.Sprintf("%s-router-%d", model, router), []placement.Demand{{
 				Model: model, Waiting: waiting, Oldest: world.clock.Now().Add(30 * time.Second),
 			}})
 		}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 )
 
 // Queue orders the waiting requests of one model. It is not safe for concurrent use.
@@ -28,6 +27,15 @@
 	return queue.length
 }
 
+// Of returns the number of entries of the tenant.
+func (queue *Queue[T]) Of(tenant string) int {
+	flow, ok := queue.flows[tenant]
+	if !ok {
+		return 0
+	}
+	return len(flow.entries)
+}
+
 // Push adds an entry. In a full queue it displaces the last entry of the tenant with the most
 // entries for its share, if the tenant of the new entry has fewer; the displaced entry is returned
 // and no longer waits. It reports whether the entry was added.
@@ -92,21 +100,6 @@
 	}
 }
 
-// Expired removes and returns the entries whose deadline is not after now.
-func (queue *Queue[T]) Expired(now time.Time) []*Entry[T] {
-	var expired []*Entry[T]
-	queue.Each(func(entry *Entry[T]) bool {
-		if !entry.Deadline.After(now) {
-			expired = append(expired, entry)
-		}
-		return true
-	})
-	for _, entry := range expired {
-		queue.Remove(entry)
-	}
-	return expired
-}
-
 // flow returns the flow of the tenant of the entry, made or woken if need be.
 func (queue *Queue[T]) flow(entry *Entry[T]) *flow[T] {
 	found, ok := queue.flows[entry.Tenant]
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -47,6 +47,12 @@
 	})
 }
 
+// silence makes the open connections silent once the engine reads from all of them.
+func (b *bench) silence() {
+	synctest.Wait()
+	b.listener.Silence()
+}
+
 func chat(id string, stream bool, words string) upstream.Generation {
 	body := `{"model":"m","max_tokens":10,"messages":[{"role":"user","content":"` + words + `"}]}`
 	if stream {
@@ -154,7 +160,7 @@
 				t.Fatal(err)
 			}
 		}
-		b.listener.Silence()
+		b.silence()
 		if pieces, err := drain(stream); !errors.Is(err, upstream.ErrSilent) || pieces != 0 {
 			t.Fatalf("%d pieces over a silent connection, then %v", pieces, err)
 		}
@@ -177,6 +183,30 @@
 	})
 }
 
+func TestOneSilentConnectionCostsOnlyOneCall(t *testing.T) {
+	inBubble(t, engine.Settings{}, func(t *testing.T, b *bench) {
+		streams := make([]upstream.Stream, 0, 3)
+		for _, id := range []string{"r1", "r2", "r3"} {
+			stream, err := b.client.Generate(t.Context(), chat(id, true, ""))
+			if err != nil {
+				t.Fatal(err)
+			}
+			streams = append(streams, stream)
+		}
+		for _, stream := range streams {
+			_, _ = drain(stream)
+			_ = stream.Close()
+		}
+		b.silence()
+		if _, err := b.client.State(t.Context()); !errors.Is(err, upstream.ErrNoAnswer) {
+			t.Errorf("state over a silent connection: %v", err)
+		}
+		if _, err := b.client.State(t.Context()); err != nil {
+			t.Errorf("state after a silent connection was found: %v", err)
+		}
+	})
+}
+
 func TestCancelPassesUpstream(t *testing.T) {
 	inBubble(t, engine.Settings{TokenEvery: time.Minute}, func(t *testing.T, b *bench) {
 		ctx, cancel := context.WithCancel(t.Context())
