Check notes against the VM list too

Cause: a plain service that only the VM list names was refused as unknown, and engines that only the list names went unnoticed in the check of memory. Change: note.CapacityOf takes the VM list; status shows a dash for memory that is not known. Conclusion: TestCapacityOf.

--- a/cmd/bronzestall/main.go
+++ b/cmd/bronzestall/main.go
@@ -39,10 +39,11 @@
 	serve func(context.Context, settings.Settings) error
 }
 
-// store is what the notes need of the platform.
+// store is what the commands on notes need of the platform.
 type store interface {
 	platform.Tables
 	platform.Objects
+	platform.VMs
 }
 
 func connect(at settings.Platform, clock clock.Clock) store {
--- a/cmd/bronzestall/notefile.go
+++ b/cmd/bronzestall/notefile.go
@@ -9,6 +9,7 @@
 
 	"github.com/bronzestall/bronzestall/internal/strictyaml"
 	"github.com/bronzestall/bronzestall/note"
+	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/release"
 	"github.com/bronzestall/bronzestall/settings"
 )
@@ -18,14 +19,14 @@
 	Settings string `help:"Settings file of any daemon; it tells where the platform is and what the upstreams hold." required:"" type:"path" placeholder:"FILE"`
 }
 
-// open reads the settings and returns the ledger of the notes.
-func (flags *platformFlags) open(environment *environment) (settings.Settings, *release.Ledger, error) {
+// open reads the settings and returns the platform and the ledger of the notes.
+func (flags *platformFlags) open(environment *environment) (settings.Settings, store, *release.Ledger, error) {
 	daemon, err := settings.Load(flags.Settings)
 	if err != nil {
-		return settings.Settings{}, nil, err
+		return settings.Settings{}, nil, nil, err
 	}
 	store := environment.connect(daemon.Platform, environment.clock)
-	return daemon, release.NewLedger(store, store, environment.clock), nil
+	return daemon, store, release.NewLedger(store, store, environment.clock), nil
 }
 
 // noteFlags name a note beside the platform.
@@ -58,15 +59,19 @@
 	if err != nil {
 		return nil, err
 	}
-	daemon, ledger, err := flags.open(environment)
+	daemon, store, ledger, err := flags.open(environment)
 	if err != nil {
 		return nil, err
 	}
+	vms, err := store.List(ctx)
+	if err != nil {
+		return nil, outcome.New(outcome.PlatformUnavailable, "the VM list cannot be read").WithCause(err)
+	}
 	inForce, err := ledger.InForce(ctx)
 	if err != nil {
 		return nil, err
 	}
-	return &candidate{file: flags.File, note: parsed, ledger: ledger, capacity: note.CapacityOf(daemon), inForce: inForce}, nil
+	return &candidate{file: flags.File, note: parsed, ledger: ledger, capacity: note.CapacityOf(daemon, vms), inForce: inForce}, nil
 }
 
 // check prints what is wrong with the note and returns an error if anything is.
--- a/cmd/bronzestall/notehistory.go
+++ b/cmd/bronzestall/notehistory.go
@@ -18,7 +18,7 @@
 	if command.Limit < 1 || command.Limit > 100 {
 		return &usageError{message: "--limit must be 1 to 100"}
 	}
-	_, ledger, err := command.open(environment)
+	_, _, ledger, err := command.open(environment)
 	if err != nil {
 		return err
 	}
--- a/cmd/bronzestall/noteshow.go
+++ b/cmd/bronzestall/noteshow.go
@@ -17,7 +17,7 @@
 
 // Run prints the catalogue at the number.
 func (command *noteShowCommand) Run(ctx context.Context, environment *environment, printer *printer) error {
-	_, ledger, err := command.open(environment)
+	_, _, ledger, err := command.open(environment)
 	if err != nil {
 		return err
 	}
--- a/cmd/bronzestall/printer.go
+++ b/cmd/bronzestall/printer.go
@@ -45,5 +45,5 @@
 	for i, cell := range cells {
 		text[i] = fmt.Sprint(cell)
 	}
-	_, _ = fmt.Fprintln(page.tabs, strings.Join(text, "\t")+"\t")
+	_, _ = fmt.Fprintln(page.tabs, strings.Join(text, "\t"))
 }
--- a/cmd/bronzestall/report.go
+++ b/cmd/bronzestall/report.go
@@ -95,11 +95,19 @@
 		if upstream.Heard {
 			heard = age(upstream.HeardAgo) + " ago"
 		}
-		page.row(upstream.Name, upstream.DataCentre, upstream.Kind, strictyaml.FormatSize(upstream.Used),
-			strictyaml.FormatSize(upstream.Capacity), state, heard)
+		page.row(upstream.Name, upstream.DataCentre, upstream.Kind, memory(upstream, upstream.Used),
+			memory(upstream, upstream.Capacity), state, heard)
 	}
 }
 
+// memory returns a size, or a dash for an upstream that has not told its memory.
+func memory(upstream status.Upstream, bytes int64) string {
+	if upstream.Capacity == 0 {
+		return "-"
+	}
+	return strictyaml.FormatSize(bytes)
+}
+
 func printPeers(page *page, peers []status.Peer) {
 	if len(peers) == 0 {
 		return
--- a/note/capacityof.go
+++ b/note/capacityof.go
@@ -1,13 +1,20 @@
 package note
 
-import "github.com/bronzestall/bronzestall/settings"
+import (
+	"slices"
 
-// CapacityOf returns what the upstreams of the settings offer. An engine whose
-// memory is not stated makes the largest memory unknown.
-func CapacityOf(daemon settings.Settings) Capacity {
+	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/settings"
+)
+
+// CapacityOf returns what the upstreams of the settings and of the VM list offer. An engine whose
+// memory the settings do not state makes the largest memory unknown.
+func CapacityOf(daemon settings.Settings, vms []platform.VM) Capacity {
 	capacity := Capacity{Services: []string{}}
 	unknown := false
+	stated := map[string]bool{}
 	for _, upstream := range daemon.Upstreams {
+		stated[upstream.Name] = true
 		switch upstream.Kind {
 		case settings.ServiceKind:
 			capacity.Services = append(capacity.Services, upstream.Name)
@@ -16,6 +23,12 @@
 			capacity.LargestEngine = max(capacity.LargestEngine, upstream.Memory)
 		}
 	}
+	for _, vm := range vms {
+		unknown = unknown || (vm.Role == platform.Engine && !stated[vm.Name])
+		if vm.Role == platform.Service && !slices.Contains(capacity.Services, vm.Name) {
+			capacity.Services = append(capacity.Services, vm.Name)
+		}
+	}
 	if unknown {
 		capacity.LargestEngine = 0
 	}
--- a/note/note_test.go
+++ b/note/note_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/bronzestall/bronzestall/catalogue"
+	"github.com/bronzestall/bronzestall/platform"
 	"github.com/bronzestall/bronzestall/settings"
 )
 
@@ -30,19 +31,43 @@
 			t.Fatal(err)
 		}
 		first := read(t, user+"-note-1.yaml")
-		if problems := first.Check(catalogue.Catalogue{}, CapacityOf(daemon)); len(problems) != 0 {
+		if problems := first.Check(catalogue.Catalogue{}, CapacityOf(daemon, nil)); len(problems) != 0 {
 			t.Errorf("%s: %v", user, problems)
 		}
 		inForce, err := catalogue.Catalogue{}.Apply(first.Change())
 		if err != nil {
 			t.Fatal(err)
 		}
-		if problems := first.Check(inForce, CapacityOf(daemon)); len(problems) == 0 {
+		if problems := first.Check(inForce, CapacityOf(daemon, nil)); len(problems) == 0 {
 			t.Errorf("%s: the note fits the catalogue that it made", user)
 		}
 	}
 }
 
+func TestCapacityOf(t *testing.T) {
+	daemon := settings.Settings{Upstreams: []settings.Upstream{
+		{Name: "e1", Kind: settings.EngineKind, Memory: 40 << 30},
+		{Name: "e2", Kind: settings.EngineKind, Memory: 80 << 30},
+		{Name: "s1", Kind: settings.ServiceKind},
+	}}
+	for _, test := range []struct {
+		name    string
+		vms     []platform.VM
+		largest int64
+		service string
+	}{
+		{"settings only", nil, 80 << 30, "s1"},
+		{"VMs of the settings", []platform.VM{{Name: "e1", Role: platform.Engine}, {Name: "s1", Role: platform.Service}}, 80 << 30, "s1"},
+		{"another engine", []platform.VM{{Name: "e3", Role: platform.Engine}}, 0, "s1"},
+		{"another service", []platform.VM{{Name: "s2", Role: platform.Service}, {Name: "d", Role: platform.Entry}}, 80 << 30, "s1 s2"},
+	} {
+		got := CapacityOf(daemon, test.vms)
+		if got.LargestEngine != test.largest || strings.Join(got.Services, " ") != test.service {
+			t.Errorf("%s: %+v", test.name, got)
+		}
+	}
+}
+
 func inForce(t *testing.T) catalogue.Catalogue {
 	t.Helper()
 	one, err := catalogue.Catalogue{}.Apply(read(t, "yamabuki-note-1.yaml").Change())
