Quote the key hashes of the examples

Cause: a hash of digits alone reads as a number in YAML and is refused. Conclusion: the refusal tells to put it in quotes; the examples do so now.

--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -62,7 +62,7 @@
 		{"negative weight", "IdleHourWeight: 4", "IdleHourWeight: -4", "KeepWarm.IdleHourWeight: -4 is out of range; allowed is 0 to"},
 		{"deadline above total", "Deadline: 20s", "Deadline: 6m", "Classes[0].Deadline: 6m0s is above Total"},
 		{"queue", "Total: 4096", "Total: 100", "Queue.PerModel: 256 is above Queue.Total"},
-		{"key hash", "KeySHA256: ", "KeySHA256: 0", "KeySHA256: is not a SHA-256 hash"},
+		{"key hash", "KeySHA256: \"", "KeySHA256: \"0", "KeySHA256: is not a SHA-256 hash"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			if !strings.Contains(good, test.old) {
