Keep late writes of the platform fake from racing with their callers

Cause: a late write stored its versions where the caller of Commit, which had its unclear answer already, still read them; the race detector told so in TestHistoriesOfRacingOperatorsAreLinearizable. Change: a failed Commit reads no versions. Conclusion: the history test passes with -race.

--- a/internal/platformfake/client.go
+++ b/internal/platformfake/client.go
@@ -121,7 +121,10 @@
 		versions, err = fake.store.commit(writes)
 		return err
 	})
-	return versions, err
+	if err != nil {
+		return nil, err
+	}
+	return versions, nil
 }
 
 // Put writes an object.
