--- a/cmd/bronzestall/commands_test.go
+++ b/cmd/bronzestall/commands_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -14,6 +15,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/alecthomas/kong"
 	"k8s.io/utils/clock"
 
 	"github.com/bronzestall/bronzestall/internal/platformfake"
@@ -216,3 +218,25 @@
 	server.Close()
 	session.want("status SETTINGS --address "+address, exitUnavailable, "no answer from "+address)
 }
+
+func TestDocsNameEveryCommandAndExitCode(t *testing.T) {
+	content, err := os.ReadFile(filepath.Join("..", "..", "docs", "COMMANDS.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	page := string(content)
+	parser, err := kong.New(&commands{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, leaf := range parser.Model.Leaves(true) {
+		if !strings.Contains(page, "\n| "+leaf.Path()+" ") {
+			t.Errorf("docs/COMMANDS.md lacks the command %s", leaf.Path())
+		}
+	}
+	for code := exitDone; code <= exitUnavailable; code++ {
+		if !strings.Contains(page, fmt.Sprintf("\n| %d |", code)) {
+			t.Errorf("docs/COMMANDS.md lacks the exit code %d", code)
+		}
+	}
+}
--- a/note/note_test.go
+++ b/note/note_test.go
@@ -44,6 +44,21 @@
 	}
 }
 
+func TestNoteOfThePageIsANote(t *testing.T) {
+	content, err := os.ReadFile(filepath.Join("..", "docs", "NOTES.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, after, found := strings.Cut(string(content), "\n    Note: ")
+	body, _, ended := strings.Cut("    Note: "+after, "\n\n")
+	if !found || !ended {
+		t.Fatal("docs/NOTES.md shows no note")
+	}
+	if _, err := Parse("docs/NOTES.md", []byte(strings.ReplaceAll(body, "\n    ", "\n")[4:])); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestCapacityOf(t *testing.T) {
 	daemon := settings.Settings{Upstreams: []settings.Upstream{
 		{Name: "e1", Kind: settings.EngineKind, Memory: 40 << 30},
