--- a/internal/standin/cmd/standin/main.go
+++ b/internal/standin/cmd/standin/main.go
@@ -16,6 +16,7 @@
 	Engine   engineCommand   `cmd:"" help:"Serve a model engine."`
 	Service  serviceCommand  `cmd:"" help:"Serve a plain service."`
 	Load     loadCommand     `cmd:"" help:"Offer a load of streamed chat requests and print a report."`
+	Callers  callersCommand  `cmd:"" help:"Send requests through failing daemons and judge every end."`
 }
 
 func main() {
