Keep no connections to plain services, and drop all after a timeout

Cause: over a kept connection that went silent, an idempotent call of a plain service waited until its deadline (services send no heartbeats), and each such connection to the platform cost a call its whole timeout. Ruled out: TCP keep-alive, which is not sent while data waits for its acknowledgement. Change: each call of a service has its own connection; an exchange that runs out of time drops the kept connections of its client.

--- a/internal/standin/platform/server_test.go
+++ b/internal/standin/platform/server_test.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
+	"testing/synctest"
 
 	"k8s.io/utils/clock"
 
+	"github.com/bronzestall/bronzestall/internal/standin/network"
 	"github.com/bronzestall/bronzestall/platform"
 )
 
@@ -79,6 +83,36 @@
 	}
 }
 
+func TestSilentKeptConnectionsCostOneCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		listener := network.NewPipe()
+		outer := &http.Server{Handler: New(clock.RealClock{})}
+		go func() { _ = outer.Serve(listener) }()
+		defer outer.Close()
+		client := platform.NewClient(platform.ClientSettings{Address: "platform", Dial: listener.Dial}, clock.RealClock{})
+		defer client.Close()
+		var all sync.WaitGroup
+		for range 5 {
+			all.Go(func() {
+				if _, err := client.List(t.Context()); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		all.Wait()
+		synctest.Wait()
+		if silent := listener.Silence(); silent < 2 {
+			t.Fatalf("only %d connections", silent)
+		}
+		if _, err := client.List(t.Context()); !errors.Is(err, platform.ErrUnavailable) {
+			t.Errorf("list over a silent connection: %v", err)
+		}
+		if _, err := client.List(t.Context()); err != nil {
+			t.Errorf("list after a silent connection was found: %v", err)
+		}
+	})
+}
+
 func TestObjectsNeverChange(t *testing.T) {
 	_, client := start(t)
 	ctx := context.Background()
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -63,7 +64,8 @@
 }
 
 // Do sends the request with the body and returns the answer once its head is there.
-// The context bounds the reading of the answer too. A failure is an *Error.
+// The context bounds the reading of the answer too. A failure is an *Error. After an exchange that ran out
+// of time all kept connections are dropped, since what made one silent has often made all so.
 func (client *Client) Do(ctx context.Context, request *http.Request, body []byte) (*http.Response, error) {
 	for attempt := 1; ; attempt++ {
 		deal := &exchange{oldest: client.clock.Now().Add(-client.settings.ConnectionAge)}
@@ -72,6 +74,9 @@
 			return response, nil
 		}
 		failure := &Error{NotSent: deal.unsent(), Cause: trace.Wrap(err)}
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			client.Close()
+		}
 		again := failure.NotSent && deal.stale() && attempt < maxAttempts && ctx.Err() == nil
 		if !again {
 			return nil, failure
--- a/service/client.go
+++ b/service/client.go
@@ -27,9 +27,8 @@
 // Client calls one plain service. It is safe for concurrent use. Use NewClient.
 type Client struct {
 	settings ClientSettings
-	wire     *transport.Client
-	// fresh opens a connection for each call.
-	fresh *transport.Client
+	// wire opens a connection for each call.
+	wire *transport.Client
 }
 
 // NewClient returns a client that has not connected yet.
@@ -37,37 +36,30 @@
 	if settings.MaxBody == 0 {
 		settings.MaxBody = defaultMaxBody
 	}
-	connections := transport.Settings{
-		DialTimeout:   settings.DialTimeout,
-		IdleTimeout:   settings.IdleTimeout,
-		ConnectionAge: settings.ConnectionAge,
-		Connections:   settings.Connections,
-		Dial:          settings.Dial,
-	}
-	wire := transport.New(connections, clk)
-	connections.Fresh = true
-	return &Client{settings: settings, wire: wire, fresh: transport.New(connections, clk)}
+	wire := transport.New(transport.Settings{
+		DialTimeout: settings.DialTimeout,
+		Connections: settings.Connections,
+		Fresh:       true,
+		Dial:        settings.Dial,
+	}, clk)
+	return &Client{settings: settings, wire: wire}
 }
 
-// Close closes the connections that no call uses.
+// Close releases what the client holds beside running calls.
 func (client *Client) Close() {
 	client.wire.Close()
-	client.fresh.Close()
 }
 
-// Call makes one call and returns the whole answer. A call that is not idempotent goes over a
-// connection of its own, since a kept one may have gone silent and would leave its outcome unknown.
+// Call makes one call and returns the whole answer. It goes over a connection of its own, since a kept
+// one may have gone silent: an idempotent call would wait there until its deadline, and the outcome of
+// another would stay unknown.
 // Call fails with upstream.ErrNotSent, ErrNoAnswer, ErrTruncated, ErrForeign or a *upstream.RefusedError.
 func (client *Client) Call(ctx context.Context, call request.Request) (Answer, error) {
 	message, err := client.message(ctx, call)
 	if err != nil {
 		return Answer{}, err
 	}
-	wire := client.wire
-	if !call.Idempotent {
-		wire = client.fresh
-	}
-	response, err := wire.Do(ctx, message, call.Body)
+	response, err := client.wire.Do(ctx, message, call.Body)
 	if err != nil {
 		return Answer{}, upstream.SendFailure(err)
 	}
--- a/service/client_test.go
+++ b/service/client_test.go
@@ -1,6 +1,7 @@
 package service_test
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"os"
@@ -93,19 +94,22 @@
 	})
 }
 
-func TestSilentPooledConnectionLeavesCallsThatMayNotBeRepeatedAlone(t *testing.T) {
-	inBubble(t, func(t *testing.T, server *standin.Server, listener *network.Listener, client *service.Client) {
-		if _, err := client.Call(t.Context(), confirm("warm", true)); err != nil {
-			t.Fatal(err)
-		}
-		synctest.Wait()
-		listener.Silence()
-		if _, err := client.Call(t.Context(), confirm("r1", false)); err != nil {
-			t.Errorf("call over a fresh connection: %v", err)
-		}
-		if runs := server.Counts().Executions["r1"]; runs != 1 {
-			t.Errorf("ran %d times", runs)
-		}
-		time.Sleep(time.Minute)
-	})
+func TestSilentKeptConnectionsDelayNoCall(t *testing.T) {
+	for _, idempotent := range []bool{false, true} {
+		inBubble(t, func(t *testing.T, server *standin.Server, listener *network.Listener, client *service.Client) {
+			if _, err := client.Call(t.Context(), confirm("warm", true)); err != nil {
+				t.Fatal(err)
+			}
+			synctest.Wait()
+			listener.Silence()
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			if _, err := client.Call(ctx, confirm("r1", idempotent)); err != nil {
+				t.Errorf("call while kept connections are silent: %v", err)
+			}
+			if runs := server.Counts().Executions["r1"]; runs != 1 {
+				t.Errorf("ran %d times", runs)
+			}
+		})
+	}
 }
--- a/service/settings.go
+++ b/service/settings.go
@@ -17,11 +17,7 @@
 	Address string
 	// DialTimeout bounds the opening of a connection; zero means 1 s.
 	DialTimeout time.Duration
-	// IdleTimeout is how long an unused connection is kept; zero means 15 s.
-	IdleTimeout time.Duration
-	// ConnectionAge is the age from which a connection takes no further call; zero means 5 min.
-	ConnectionAge time.Duration
-	// Connections is the largest number of connections; zero means 4096.
+	// Connections is the largest number of calls at once; zero means 4096.
 	Connections int
 	// MaxBody is the largest answer in bytes; zero means 16 MiB.
 	MaxBody int64
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -161,21 +160,12 @@
 	}
 	response, err := wire.Do(ctx, request, body)
 	if err != nil {
-		client.suspect(ctx)
 		return SendFailure(err)
 	}
 	defer response.Body.Close()
 	return receive(response, call, answer)
 }
 
-// suspect drops the kept connections after a call that ran out of time, since what made one
-// connection silent has often made all of them so.
-func (client *Client) suspect(ctx context.Context) {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		client.wire.Close()
-	}
-}
-
 func encode(question any) ([]byte, error) {
 	if question == nil {
 		return nil, nil
