Tell of runs before a refused resumption; mark suspects of silence

Ruled out: taking silence for a pause, which loses the crash; probing on until the engine answers, which holds a drain. Change: silence counts as a run; an upstream that a fresh connection does not reach counts as crashed until the same boot answers a later probe, which absolves its suspects. Places are checked again before the send when they are a second old.

--- a/claim/finish.go
+++ b/claim/finish.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/internal/invariant"
 	"github.com/bronzestall/bronzestall/platform"
 )
@@ -44,6 +45,7 @@
 func (store *Store) finish(ctx context.Context, ticket Ticket, last func(Ticket) *change) {
 	defer store.hold(ticket.record.Attempt, false)
 	if !store.apply(ctx, ticket, last) {
+		event.ClaimPostponed.Log("Row", ticket.key.Row, "Request", ticket.record.Attempt)
 		ticket.version = 0
 		store.postpone(func(ctx context.Context) bool { return store.apply(ctx, ticket, last) })
 	}
@@ -52,7 +54,9 @@
 // postpone keeps the work until the table service is back. Without room it is dropped, after which
 // resends learn that the call may have run.
 func (store *Store) postpone(work func(ctx context.Context) bool) {
-	store.later.TryPut(work)
+	if !store.later.TryPut(work) {
+		event.ClaimDropped.Log()
+	}
 }
 
 // apply writes the change once and reports whether nothing is left to do.
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -71,12 +71,12 @@
 	if left <= 0 {
 		return outcome.New(outcome.DeadlineInQueue, "the deadline passed before the request was queued")
 	}
-	if !dispatcher.served(snapshot) {
-		return dispatcher.cold(lane, left)
-	}
 	if dispatcher.waiting >= dispatcher.settings.Total {
 		return outcome.New(outcome.QueueFull, "the daemon holds as many requests as it may").WithRetryAfter(dispatcher.clears(lane))
 	}
+	if !dispatcher.served(snapshot) {
+		return dispatcher.cold(lane, left)
+	}
 	if waiting.Item.special || lane.queue.Len() == 0 {
 		return nil
 	}
--- a/dispatch/again.go
+++ b/dispatch/again.go
@@ -24,6 +24,10 @@
 	if !last.notRun && !journey.repeatable() {
 		return false
 	}
+	if last.notRun && !last.unreachable && journey.last > 0 {
+		// An engine that cannot resume says so, and others cannot either.
+		return false
+	}
 	if journey.ran >= maxRun || journey.attempts >= maxAttempts {
 		return false
 	}
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 
+	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/request"
 	"github.com/bronzestall/bronzestall/upstream"
@@ -43,6 +44,9 @@
 		return journey.judge(ctx, place, err)
 	}
 	defer release()
+	if !journey.dispatcher.stillServes(place) {
+		return journey.judge(ctx, place, &upstream.RefusedError{Reason: "leaving"})
+	}
 	return journey.generate(ctx, place, start.begun)
 }
 
@@ -71,10 +75,18 @@
 			closeStream(stream)
 			return journey.judge(ctx, place, err)
 		}
+		journey.silent(err)
+		event.StreamResumed.Log("Request", journey.req.ID, "Upstream", name, "After", journey.last)
 		old = stream
 	}
 }
 
+// silent notes that the upstream may have run a part of the request before its connection went silent.
+func (journey *journey) silent(err error) {
+	journey.mayHaveRun = true
+	journey.doubt = outcome.New(outcome.UpstreamLost, "the connection to the upstream went silent").WithCause(err)
+}
+
 // heard notes the load that came with the answer of the upstream.
 func (dispatcher *Dispatcher) heard(name string, stream upstream.Stream) {
 	if load, known := stream.Load(); known {
--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -36,7 +36,7 @@
 	if ending, ended := journey.stopped(ctx, err); ended {
 		return ending
 	}
-	journey.dispatcher.router.Failed(place.candidate.Upstream)
+	journey.failed(place)
 	if errors.Is(err, upstream.ErrForeign) || errors.Is(err, upstream.ErrTruncated) {
 		return result{failure: outcome.New(outcome.AnswerInvalid, "the answer of the service is not valid").WithCause(err)}
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -32,6 +32,10 @@
 		{"silent, resumed", func(w *fakeWorld) { w.cut(2, upstream.ErrSilent) }, true, true, 0, true, 1},
 		{"silent, resumed with pieces twice", func(w *fakeWorld) { w.cut(3, upstream.ErrSilent); w.resumeAt(-1) }, true, true, 0, true, 1},
 		{"silent, resumed without a piece", func(w *fakeWorld) { w.cut(2, upstream.ErrSilent); w.resumeAt(1) }, true, true, outcome.AnswerInvalid, false, 1},
+		{"silent, resumption refused", func(w *fakeWorld) {
+			w.cut(2, upstream.ErrSilent)
+			w.engines["u1"].final, w.engines["u2"].final = true, true
+		}, true, true, outcome.UpstreamLost, false, 1},
 		{"silent, not idempotent", func(w *fakeWorld) { w.cut(2, upstream.ErrSilent) }, false, true, outcome.UpstreamLost, false, 1},
 		{"truncated, resumed elsewhere", func(w *fakeWorld) { w.cut(2, upstream.ErrTruncated) }, true, true, 0, true, 1},
 		{"truncated whole answer", func(w *fakeWorld) { w.cut(3, upstream.ErrTruncated) }, false, false, outcome.AnswerInvalid, false, 1},
--- a/dispatch/do.go
+++ b/dispatch/do.go
@@ -65,6 +65,9 @@
 	}
 	truthful := failure.Kind.Entry().Word != outcome.NotRun || !journey.mayHaveRun
 	invariant.Check(truthful, invariant.TrueWord, "Request", journey.req.ID, "Kind", failure.Kind.String())
+	if failure.RetryAfter == 0 && failure.Kind.Entry().Advice != outcome.Never {
+		failure = failure.WithRetryAfter(minRetry)
+	}
 	if journey.sink.Begun() {
 		journey.tell(failure)
 	}
--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -215,6 +215,30 @@
 	})
 }
 
+// TestCutUpstreamIsAbsolved checks that a request whose upstream was paused is no suspect afterwards.
+func TestCutUpstreamIsAbsolved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		world := newWorld("u1")
+		dispatcher := world.dispatcher(Settings{})
+		ctx, stop := context.WithCancel(t.Context())
+		var duty sync.WaitGroup
+		duty.Go(func() { dispatcher.Run(ctx) })
+		world.engines["u1"].freeze(2 * time.Second)
+		req := chat("b")
+		req.Idempotent = false
+		err := dispatcher.Do(ctx, req, &fakeSink{})
+		if suspects := dispatcher.book.Export(time.Now()); !outcome.Is(err, outcome.UpstreamLost) || len(suspects) != 1 {
+			t.Errorf("ended with %v and the suspects %v", err, suspects)
+		}
+		time.Sleep(5 * time.Second)
+		if suspects := dispatcher.book.Export(time.Now()); len(suspects) != 0 {
+			t.Errorf("the suspects stayed: %v", suspects)
+		}
+		stop()
+		duty.Wait()
+	})
+}
+
 func TestRetriesAreAShareOfTraffic(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		world := newWorld("u1", "u2")
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 
+	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/upstream"
 )
 
@@ -13,6 +14,9 @@
 	ctx, cancel := context.WithTimeout(ctx, dispatcher.settings.AdapterTimeout)
 	defer cancel()
 	load.err = dispatcher.loadUnderPermit(ctx, slot, place, id)
+	if load.err != nil {
+		event.AdapterLoadFailed.LogError(load.err, "Upstream", slot.upstream, "Model", slot.model, "Adapter", slot.adapter)
+	}
 	close(load.ended)
 }
 
--- a/dispatch/pump.go
+++ b/dispatch/pump.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"github.com/bronzestall/bronzestall/route"
 )
 
@@ -119,6 +121,28 @@
 	return route.Candidate{}, false, false
 }
 
+// recheckAfter is the age of a place from which it is checked again before the request is sent.
+const recheckAfter = time.Second
+
+// stillServes reports whether the upstream of a place that was granted a while ago still takes work.
+func (dispatcher *Dispatcher) stillServes(place *place) bool {
+	if dispatcher.clock.Since(place.since) < recheckAfter {
+		return true
+	}
+	snapshot, err := place.lane.look()
+	if err != nil {
+		return false
+	}
+	for _, candidates := range [][]route.Candidate{snapshot.Own, snapshot.Others} {
+		for index := range candidates {
+			if candidates[index].Upstream == place.candidate.Upstream {
+				return !candidates[index].Leaving
+			}
+		}
+	}
+	return false
+}
+
 // release gives a place back and grants it to the next. answered states that the answer was complete.
 func (dispatcher *Dispatcher) release(place *place, answered bool) {
 	place.sent.Done()
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -3,10 +3,17 @@
 import (
 	"context"
 	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bronzestall/bronzestall/event"
+	"github.com/bronzestall/bronzestall/quarantine"
 )
 
-// The intervals of Run.
+// The intervals and limits of Run.
 const (
+	// probesAtOnce is the largest number of probes that run at once.
+	probesAtOnce = 16
 	// probeEvery is the interval at which ejected upstreams are looked at.
 	probeEvery = 500 * time.Millisecond
 	// keepLane is the time after which an idle lane is dropped.
@@ -23,13 +30,25 @@
 			timer.Stop()
 			return
 		}
-		for _, name := range dispatcher.router.DueProbes() {
-			dispatcher.router.Probed(name, dispatcher.answers(ctx, name))
-		}
+		dispatcher.probeDue(ctx)
 		dispatcher.prune()
 	}
 }
 
+// probeDue probes the ejected upstreams whose time has come, some at once.
+func (dispatcher *Dispatcher) probeDue(ctx context.Context) {
+	var probes errgroup.Group
+	probes.SetLimit(probesAtOnce)
+	for _, name := range dispatcher.router.DueProbes() {
+		probes.Go(func() error {
+			dispatcher.probeBack(ctx, name)
+			return nil
+		})
+	}
+	// The probes return no errors.
+	_ = probes.Wait()
+}
+
 // prune drops the lanes that are idle for long.
 func (dispatcher *Dispatcher) prune() {
 	dispatcher.mutex.Lock()
@@ -42,12 +61,20 @@
 	}
 }
 
-// answers reports whether the upstream may get a request on trial. A plain service has no probe.
-func (dispatcher *Dispatcher) answers(ctx context.Context, name string) bool {
-	if _, ok := dispatcher.deps.Engines.Generator(name); !ok {
-		return true
+// probeBack asks an ejected upstream for its boot. One that answers gets requests on trial, and no longer
+// counts as crashed if the boot is the one before. A plain service has no probe and gets its trial at once.
+func (dispatcher *Dispatcher) probeBack(ctx context.Context, name string) {
+	boot := ""
+	if _, engine := dispatcher.deps.Engines.Generator(name); engine {
+		boot = dispatcher.probe(ctx, name)
+		if boot == "" {
+			dispatcher.router.Probed(name, false)
+			return
+		}
+		dispatcher.book.Absolve(quarantine.Crash{Upstream: name, BootID: boot})
 	}
-	return dispatcher.probe(ctx, name) != ""
+	dispatcher.router.Probed(name, true)
+	event.UpstreamOnTrial.Log("Upstream", name, "Boot", boot)
 }
 
 // probe returns the boot of the upstream as a fresh connection tells it, or nothing if there is no answer.
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -13,13 +13,19 @@
 			active += max(dispatcher.settings.Shares[tenant], 1)
 		}
 	}
-	running := lane.tenants[waiting.Tenant] + dispatcher.deps.Peers.Running(lane.target.Model, waiting.Tenant)
+	running := lane.tenants[waiting.Tenant]
+	if lane.target.Model != "" {
+		running += dispatcher.deps.Peers.Running(lane.target.Model, waiting.Tenant)
+	}
 	return running*active < slots(snapshot)*share
 }
 
 // capped reports whether the daemon runs its part of the slots: as much as its part of what all daemons
 // run and wait for. Without others it is the whole. The mutex is held.
 func (dispatcher *Dispatcher) capped(lane *lane, snapshot Snapshot) bool {
+	if lane.target.Model == "" {
+		return false
+	}
 	own := lane.running + lane.waiting()
 	others := dispatcher.deps.Peers.Wanted(lane.target.Model)
 	if others <= 0 {
@@ -46,7 +52,9 @@
 func (dispatcher *Dispatcher) ask(lane *lane, snapshot Snapshot, waiting *entry) route.Ask {
 	ask := waiting.Item.ask
 	ask.Below = dispatcher.below(lane, snapshot, waiting)
-	ask.Daemons = dispatcher.deps.Peers.Daemons()
+	if lane.target.Model != "" {
+		ask.Daemons = dispatcher.deps.Peers.Daemons()
+	}
 	if dispatcher.bound(waiting) {
 		ask.Only = dispatcher.flying[waiting.Item.fingerprint].upstream
 	}
--- /dev/null
+++ b/dispatch/sink_test.go
@@ -0,0 +1,56 @@
+package dispatch
+
+import (
+	"sync"
+	"time"
+
+	"github.com/bronzestall/bronzestall/catalogue"
+	"github.com/bronzestall/bronzestall/request"
+)
+
+// fakeSink keeps an answer.
+type fakeSink struct {
+	mutex  sync.Mutex
+	status int
+	body   []byte
+	begun  bool
+}
+
+func (sink *fakeSink) Begin(status int, _ string) error {
+	sink.mutex.Lock()
+	defer sink.mutex.Unlock()
+	if sink.begun {
+		panic("begun twice")
+	}
+	sink.status, sink.begun = status, true
+	return nil
+}
+
+func (sink *fakeSink) Chunk(part []byte) error {
+	sink.mutex.Lock()
+	defer sink.mutex.Unlock()
+	sink.body = append(sink.body, part...)
+	return nil
+}
+
+func (sink *fakeSink) Begun() bool {
+	sink.mutex.Lock()
+	defer sink.mutex.Unlock()
+	return sink.begun
+}
+
+func chat(body string) request.Request {
+	return request.Request{
+		ID: "id-" + body, Tenant: "a", Target: catalogue.Target{Model: "m"}, Idempotent: true, Stream: true,
+		Arrived: time.Now(), Deadline: time.Now().Add(10 * time.Second), Tokens: 1,
+		Fingerprint: fingerprint(body), Body: []byte(body),
+	}
+}
+
+func fingerprint(body string) uint64 {
+	sum := uint64(14695981039346656037)
+	for _, letter := range []byte(body) {
+		sum = (sum ^ uint64(letter)) * 1099511628211
+	}
+	return sum
+}
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -83,6 +83,24 @@
 	}
 }
 
+// Absolve forgets the crash, since the boot turned out to live: the upstream was cut off or paused.
+func (book *Book) Absolve(crash Crash) {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	for fingerprint, suspect := range book.suspects {
+		at := slices.Index(suspect.Crashes, crash)
+		if at < 0 {
+			continue
+		}
+		if len(suspect.Crashes) == 1 {
+			delete(book.suspects, fingerprint)
+			continue
+		}
+		suspect.Crashes = slices.Delete(slices.Clone(suspect.Crashes), at, at+1)
+		book.suspects[fingerprint] = suspect
+	}
+}
+
 // merge adds the crashes of the suspect to what is known. The mutex is held.
 func (book *Book) merge(suspect Suspect, now time.Time) Suspect {
 	if !suspect.Until.After(now) {
--- a/route/router.go
+++ b/route/router.go
@@ -77,14 +77,15 @@
 	router.ledger(name, router.clock.Now()).health = health{}
 }
 
-// Failed notes a failure of the upstream itself and reports whether it is now ejected.
+// Failed notes a failure of the upstream itself and reports whether it ejects the upstream.
 func (router *Router) Failed(name string) bool {
 	router.mutex.Lock()
 	defer router.mutex.Unlock()
 	now := router.clock.Now()
 	ledger := router.ledger(name, now)
+	before := ledger.health.ejected
 	ledger.health.fail(now)
-	return ledger.health.ejected
+	return ledger.health.ejected && !before
 }
 
 // Eject takes an upstream out at once, as after a crash.
