Let settings say which engines check the boot of orders

Cause: the decider frees the charge of a lost order after a restart only on engines that check the boot; nothing told it which do. Ruled out: taking ChecksFencing for both, which frees memory too early on engines that check the number only.

--- a/daemon/members.go
+++ b/daemon/members.go
@@ -89,6 +89,7 @@
 			DataCentre:    known.DataCentre,
 			Kind:          known.Kind,
 			ChecksFencing: known.ChecksFencing,
+			ChecksBoot:    known.ChecksBoot,
 		}
 	}
 	for _, vm := range vms {
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -20,6 +20,8 @@
 	Kind settings.UpstreamKind
 	// ChecksFencing states that the engine refuses orders with an old fencing number.
 	ChecksFencing bool
+	// ChecksBoot states that the engine refuses orders for another of its boots.
+	ChecksBoot bool
 	// Leaving states that the platform will reclaim the VM.
 	Leaving bool
 	// LeavingSince is the time of the first sign of leaving, or zero.
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -138,7 +138,7 @@
 	world.vms = append(world.vms, vm)
 	world.members = append(world.members, settings.Upstream{
 		Name: vm.Name, Address: vm.Address, DataCentre: vm.DataCentre,
-		Kind: settings.UpstreamKind(vm.Role), ChecksFencing: checksFencing,
+		Kind: settings.UpstreamKind(vm.Role), ChecksFencing: checksFencing, ChecksBoot: checksFencing,
 	})
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -79,6 +79,8 @@
 	Kind UpstreamKind `yaml:"Kind"`
 	// ChecksFencing states that the engine refuses orders with an old fencing number.
 	ChecksFencing bool `yaml:"ChecksFencing"`
+	// ChecksBoot states that the engine refuses orders for another of its boots.
+	ChecksBoot bool `yaml:"ChecksBoot"`
 	// Memory is the accelerator memory of an engine in bytes, against which notes are checked; zero means unknown.
 	Memory int64 `yaml:"Memory" unit:"bytes"`
 }
