Ask other data centres for what the own one has no room for

Cause: a request was refused as NoReplica while another data centre had free memory. Ruled out: asking all data centres at once, which loads several replicas for one request. Change: what the own decider refuses is asked of the others in turn; a demand names its data centre; the replica is then found among those of other data centres. Measured: TestFullDataCentreOverflows refused the second model at once before and answers it after.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -135,10 +135,14 @@
 func (daemon *Daemon) wireRequests() {
 	daemon.arrivals = newArrivals(nil, daemon.meter)
 	asker := &deciderAsker{
-		name:    daemon.settings.Name,
-		seat:    daemon.seats.byDataCentre[daemon.settings.DataCentre],
-		node:    daemon.node,
-		address: daemon.peerAddress,
+		name:        daemon.settings.Name,
+		dataCentre:  daemon.settings.DataCentre,
+		seats:       daemon.seats,
+		node:        daemon.node,
+		address:     daemon.peerAddress,
+		live:        daemon.liveIn,
+		dataCentres: daemon.dataCentreNames(),
+		named:       map[string]string{},
 	}
 	daemon.demand = newDemand(asker, daemon.arrivals, daemon.clock, successorTerms*daemon.settings.Lease.Term)
 	daemon.claims = claim.New(claim.Settings{Incarnation: daemon.process, Timeout: daemon.settings.Platform.Timeout}, daemon.platform, daemon.clock)
--- a/daemon/seats.go
+++ b/daemon/seats.go
@@ -14,9 +14,12 @@
 	dataCentreOf func(daemon string) string
 }
 
-// Demand takes what a daemon wants for its data centre.
-func (seats *seats) Demand(_ context.Context, from string, wants []peer.Want) (peer.DemandAnswer, error) {
-	seat, ok := seats.byDataCentre[seats.dataCentreOf(from)]
+// Demand takes what a daemon wants of a data centre; an empty one is that of the daemon.
+func (seats *seats) Demand(_ context.Context, from, dataCentre string, wants []peer.Want) (peer.DemandAnswer, error) {
+	if dataCentre == "" {
+		dataCentre = seats.dataCentreOf(from)
+	}
+	seat, ok := seats.byDataCentre[dataCentre]
 	if !ok {
 		return peer.DemandAnswer{}, nil
 	}
--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -42,6 +42,8 @@
 	random    *rand.Rand
 	transport *http.Transport
 	client    *http.Client
+	// only is the entry that it sends to, or nil for any in service.
+	only *entry
 }
 
 func newCaller(world *world, seed uint64) *caller {
@@ -83,7 +85,10 @@
 }
 
 func (caller *caller) send(method, path, key, body string, judge func(answer *http.Response, got *result)) result {
-	entry := caller.world.inService(caller.random)
+	entry := caller.only
+	if entry == nil {
+		entry = caller.world.inService(caller.random)
+	}
 	if entry == nil {
 		return result{lost: true}
 	}
--- a/peer/demand.go
+++ b/peer/demand.go
@@ -7,10 +7,10 @@
 	"github.com/bronzestall/bronzestall/peer/peerpb"
 )
 
-// Demand tells the decider at the address what this daemon's callers want.
-// Repeating it is harmless. It fails when the context ends or the timeout passes.
-func (node *Node) Demand(ctx context.Context, address string, wants []Want) (DemandAnswer, error) {
-	request := &peerpb.DemandRequest{Sender: node.Self().digest()}
+// Demand tells the decider of the data centre at the address what this daemon's callers want; an
+// empty data centre is the own one. Repeating it is harmless. It fails when the context ends or the timeout passes.
+func (node *Node) Demand(ctx context.Context, address, dataCentre string, wants []Want) (DemandAnswer, error) {
+	request := &peerpb.DemandRequest{Sender: node.Self().digest(), DataCentre: dataCentre}
 	now := node.clock.Now()
 	for _, want := range wants {
 		request.Wants = append(request.Wants, encodeWant(want, now))
@@ -37,7 +37,7 @@
 	for _, want := range request.GetWants() {
 		wants = append(wants, decodeWant(want, now))
 	}
-	answer, err := node.settings.Decider.Demand(ctx, request.GetSender().GetName(), wants)
+	answer, err := node.settings.Decider.Demand(ctx, request.GetSender().GetName(), request.GetDataCentre(), wants)
 	if err != nil {
 		return nil, err
 	}
--- a/peer/duties.go
+++ b/peer/duties.go
@@ -78,8 +78,8 @@
 
 // Decider is the local decider of a daemon. It must return within the context's deadline.
 type Decider interface {
-	// Demand takes what a daemon's callers want.
-	Demand(ctx context.Context, from string, wants []Want) (DemandAnswer, error)
+	// Demand takes what a daemon's callers want of a data centre; an empty one is that of the daemon.
+	Demand(ctx context.Context, from, dataCentre string, wants []Want) (DemandAnswer, error)
 	// Grant gives transfers of adapters to a daemon.
 	Grant(ctx context.Context, from string, request GrantRequest) (Grant, error)
 }
