--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -80,21 +80,13 @@
 	if waiting.Item.special || lane.queue.Len() == 0 {
 		return nil
 	}
-	wait, known := lane.rate.Wait(lane.queue.Ahead(waiting), lane.running)
-	wait += wait/doorMargin + lane.rate.Begin()
-	if known && wait > left {
-		return unmeetable(wait - left)
+	begin, known := lane.begin(lane.queue.Ahead(waiting))
+	if known && begin > left {
+		return unmeetable(begin - left)
 	}
 	return nil
 }
 
-// The parts of the estimated wait, as divisors, that are added to it. The door adds more, so that few
-// requests are given up after they waited.
-const (
-	doorMargin  = 1
-	queueMargin = 2
-)
-
 // cold refuses a request without a replica that the forecast rules out. The mutex is held.
 func (dispatcher *Dispatcher) cold(lane *lane, left time.Duration) *outcome.Error {
 	if lane.target.Model == "" {
--- a/dispatch/lane.go
+++ b/dispatch/lane.go
@@ -98,6 +98,14 @@
 	}
 }
 
+// begin estimates the time until the answer begins to a request that leaves the queue after that many
+// tokens, and false if nothing was measured yet. The wait is doubled, so that few requests are given up
+// after they waited long.
+func (lane *lane) begin(tokens float64) (time.Duration, bool) {
+	wait, known := lane.rate.Wait(tokens, lane.running)
+	return 2*wait + lane.rate.Begin(), known
+}
+
 // idle reports whether the lane holds nothing.
 func (lane *lane) idle() bool {
 	return lane.waiting() == 0 && lane.running == 0 && !lane.minded
--- a/dispatch/mind.go
+++ b/dispatch/mind.go
@@ -71,8 +71,8 @@
 func (dispatcher *Dispatcher) giveUpLate(lane *lane) {
 	now := dispatcher.clock.Now()
 	late := func(waiting *entry, tokens float64) bool {
-		wait, known := lane.rate.Wait(tokens, lane.running)
-		return known && now.Add(wait+wait/queueMargin+lane.rate.Begin()).After(waiting.Deadline)
+		begin, known := lane.begin(tokens)
+		return known && now.Add(begin).After(waiting.Deadline)
 	}
 	failure := unmeetable(dispatcher.clears(lane))
 	for _, waiting := range lane.queue.Hopeless(late) {
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -148,10 +148,11 @@
 	if len(book.suspects) < capacity {
 		return
 	}
-	var weakest *Suspect
+	var weakest Suspect
+	found := false
 	for _, suspect := range book.suspects {
-		if weakest == nil || weaker(suspect, *weakest) {
-			weakest = &suspect
+		if !found || weaker(suspect, weakest) {
+			weakest, found = suspect, true
 		}
 	}
 	delete(book.suspects, weakest.Fingerprint)
