Learn arrivals and decide what to keep warm

Cause: a fixed idle timeout is warm through silent nights and cold at dawn. Change: package keepwarm forecasts each model by time of the week and by age of idleness, bookstore merges what was learnt into the platform's tables, and internal/arrivals, internal/replay and internal/cmd/measure measure policies on the same arrivals.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 TOOL = $(GO) tool -modfile=tools/go.mod
 
-.PHONY: build test lint try soak measure generate
+.PHONY: build test lint try soak measure generate measure-keepwarm
 
 build:
 	$(GO) build -o bin/bronzestall ./cmd/bronzestall
@@ -19,4 +19,13 @@
 	bash scripts/try.sh
 
 generate:
-	$(GO) run ./internal/cmd/protogen request peer/peerpb/peer.proto | $(TOOL) protoc-gen-go | $(GO) run ./internal/cmd/protogen write peer/peerpb
+	$(call protobuf,peer/peerpb,peer.proto)
+	$(call protobuf,keepwarm/bookpb,book.proto)
+
+# protobuf writes the Go code of one proto file beside it.
+define protobuf
+$(GO) run ./internal/cmd/protogen request $(1)/$(2) | $(TOOL) protoc-gen-go | $(GO) run ./internal/cmd/protogen write $(1)
+endef
+
+measure-keepwarm:
+	$(GO) run ./internal/cmd/measure keepwarm
--- /dev/null
+++ b/bookstore/store.go
@@ -0,0 +1,75 @@
+package bookstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/gravitational/trace"
+
+	"github.com/bronzestall/bronzestall/keepwarm"
+	"github.com/bronzestall/bronzestall/platform"
+)
+
+// Table is the name of the table.
+const Table = "keepwarm"
+
+// mostAttempts bounds the transactions of one save.
+const mostAttempts = 5
+
+// Store keeps the book of one data centre. Use New.
+type Store struct {
+	tables     platform.Tables
+	dataCentre string
+}
+
+// New returns the store of the data centre.
+func New(tables platform.Tables, dataCentre string) *Store {
+	return &Store{tables: tables, dataCentre: dataCentre}
+}
+
+// Read returns the stored content of all parts, to be given to Book.Restore.
+// It costs one read.
+func (store *Store) Read(ctx context.Context) ([][]byte, error) {
+	rows, err := store.tables.Scan(ctx, Table, store.dataCentre+"/", "", keepwarm.Parts)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	parts := make([][]byte, 0, len(rows))
+	for _, row := range rows {
+		parts = append(parts, row.Value)
+	}
+	return parts, nil
+}
+
+// Save merges the change into what is stored. It costs a read and a
+// transaction. After an error it must be called again with the same change,
+// which is then entered once.
+func (store *Store) Save(ctx context.Context, change keepwarm.Change) error {
+	var err error
+	for range mostAttempts {
+		err = store.attempt(ctx, change)
+		if err == nil {
+			return nil
+		}
+		if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnclear) {
+			return err
+		}
+	}
+	return err
+}
+
+func (store *Store) attempt(ctx context.Context, change keepwarm.Change) error {
+	key := platform.Key{Table: Table, Row: fmt.Sprintf("%s/%03d", store.dataCentre, change.Part)}
+	row, err := store.tables.Read(ctx, key)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return trace.Wrap(err)
+	}
+	content, changed, err := keepwarm.Merge(row.Value, change)
+	if err != nil || !changed {
+		return err
+	}
+	write := platform.Write{Key: key, Check: true, IfVersion: row.Version, Value: content}
+	_, err = store.tables.Commit(ctx, []platform.Write{write})
+	return trace.Wrap(err)
+}
--- /dev/null
+++ b/bookstore/store_test.go
@@ -0,0 +1,101 @@
+package bookstore
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	clocktesting "k8s.io/utils/clock/testing"
+
+	"github.com/bronzestall/bronzestall/internal/platformfake"
+	"github.com/bronzestall/bronzestall/keepwarm"
+)
+
+var start = time.Date(2026, time.September, 7, 8, 0, 0, 0, time.UTC)
+
+// change returns what a book learns from one arrival.
+func change(t *testing.T, saver string) keepwarm.Change {
+	t.Helper()
+	book := keepwarm.NewBook(time.UTC)
+	keepwarm.NewLearnt(book, keepwarm.Weights{}).Observe("planner", start, 1)
+	for part := range keepwarm.Parts {
+		if change, ok := book.Take(part, saver); ok {
+			return change
+		}
+	}
+	t.Fatal("nothing was learnt")
+	return keepwarm.Change{}
+}
+
+func content(t *testing.T, store *Store) string {
+	t.Helper()
+	parts, err := store.Read(context.Background())
+	if err != nil || len(parts) != 1 {
+		t.Fatalf("parts: %d, %v", len(parts), err)
+	}
+	return string(parts[0])
+}
+
+func TestSaveEntersEachChangeOnce(t *testing.T) {
+	clean := newStore()
+	a, b := change(t, "a"), change(t, "b")
+	for _, change := range []keepwarm.Change{a, b} {
+		if err := clean.store.Save(context.Background(), change); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want := content(t, clean.store)
+	for _, test := range []struct {
+		name   string
+		faults []platformfake.Fault
+		race   bool
+	}{
+		{"answer lost after the write", []platformfake.Fault{platformfake.UnclearWithEffect}, false},
+		{"answer lost before the write", []platformfake.Fault{platformfake.UnclearWithoutEffect}, false},
+		{"written late", []platformfake.Fault{platformfake.UnclearLate}, false},
+		{"refused", []platformfake.Fault{platformfake.Unavailable}, false},
+		{"written by another in between", nil, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			faulty := newStore()
+			if err := faulty.store.Save(context.Background(), a); err != nil {
+				t.Fatal(err)
+			}
+			faulty.client.FailWrites(test.faults...)
+			if test.race {
+				other := New(faulty.platform.Client(), "dc-1")
+				once := false
+				faulty.client.BeforeCommit(func() {
+					if !once {
+						once = true
+						if err := other.Save(context.Background(), change(t, "b")); err != nil {
+							t.Error(err)
+						}
+					}
+				})
+			}
+			for attempt := 0; faulty.store.Save(context.Background(), b) != nil; attempt++ {
+				if attempt == 3 {
+					t.Fatal("the change cannot be saved")
+				}
+			}
+			faulty.platform.ApplyLate()
+			if got := content(t, faulty.store); got != want {
+				t.Errorf("stored %q, want %q", got, want)
+			}
+		})
+	}
+}
+
+type setup struct {
+	platform *platformfake.Platform
+	client   *platformfake.Client
+	store    *Store
+}
+
+func newStore() setup {
+	platform := platformfake.New(clocktesting.NewFakeClock(start), rand.New(rand.NewPCG(1, 1)))
+	client := platform.Client()
+	return setup{platform: platform, client: client, store: New(client, "dc-1")}
+}
--- a/internal/cmd/protogen/parse.go
+++ b/internal/cmd/protogen/parse.go
@@ -22,6 +22,7 @@
 	"bool":    descriptorpb.FieldDescriptorProto_TYPE_BOOL,
 	"bytes":   descriptorpb.FieldDescriptorProto_TYPE_BYTES,
 	"fixed64": descriptorpb.FieldDescriptorProto_TYPE_FIXED64,
+	"float":   descriptorpb.FieldDescriptorProto_TYPE_FLOAT,
 	"int64":   descriptorpb.FieldDescriptorProto_TYPE_INT64,
 	"string":  descriptorpb.FieldDescriptorProto_TYPE_STRING,
 	"uint32":  descriptorpb.FieldDescriptorProto_TYPE_UINT32,
--- /dev/null
+++ b/keepwarm/encode.go
@@ -0,0 +1,75 @@
+package keepwarm
+
+import (
+	"github.com/bronzestall/bronzestall/keepwarm/bookpb"
+)
+
+func (ages *ages) encode() *bookpb.Ages {
+	message := &bookpb.Ages{}
+	for class := range ageClasses {
+		if ages.ends[class] == 0 && ages.risk[class] == 0 {
+			continue
+		}
+		message.Classes = append(message.Classes, uint32(class))
+		message.Ends = append(message.Ends, ages.ends[class])
+		message.Risk = append(message.Risk, ages.risk[class])
+	}
+	return message
+}
+
+// decodeAges ignores classes that this release does not know.
+func decodeAges(message *bookpb.Ages) ages {
+	var ages ages
+	ends, risk := message.GetEnds(), message.GetRisk()
+	for place, class := range message.GetClasses() {
+		if class >= ageClasses || place >= len(ends) || place >= len(risk) {
+			continue
+		}
+		ages.ends[class] = ends[place]
+		ages.risk[class] = risk[place]
+	}
+	return ages
+}
+
+func (counts *counts) encode(model string) *bookpb.History {
+	message := &bookpb.History{
+		Model:    model,
+		Day:      int64(counts.day),
+		Exposure: append([]float32(nil), counts.exposure[:]...),
+		Scores:   append([]float32(nil), counts.scores[:]...),
+		Ages:     counts.ages.encode(),
+	}
+	last := uint32(0)
+	for _, cell := range counts.cells {
+		message.Bins = append(message.Bins, uint32(cell.bin)-last)
+		message.Days = append(message.Days, cell.days)
+		message.Requests = append(message.Requests, cell.requests)
+		last = uint32(cell.bin)
+	}
+	return message
+}
+
+// decodeCounts ignores what this release does not know.
+func decodeCounts(message *bookpb.History) counts {
+	counts := newCounts(int(message.GetDay()))
+	copy(counts.exposure[:], message.GetExposure())
+	copy(counts.scores[:], message.GetScores())
+	counts.ages = decodeAges(message.GetAges())
+	days, requests := message.GetDays(), message.GetRequests()
+	bin := uint32(0)
+	for place, step := range message.GetBins() {
+		bin += step
+		if bin >= uint32(binsPerWeek) || place >= len(days) || place >= len(requests) {
+			break
+		}
+		counts.cells = counts.cells.add(int(bin), days[place], requests[place])
+	}
+	return counts
+}
+
+// rollTogether brings both counts to the later of their days.
+func rollTogether(a, b *counts) {
+	day := max(a.day, b.day)
+	a.roll(day)
+	b.roll(day)
+}
