--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 
+	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/request"
 	"github.com/bronzestall/bronzestall/upstream"
@@ -43,6 +44,9 @@
 		return journey.judge(ctx, place, err)
 	}
 	defer release()
+	if !journey.dispatcher.stillServes(place) {
+		return journey.judge(ctx, place, &upstream.RefusedError{Reason: "leaving"})
+	}
 	return journey.generate(ctx, place, start.begun)
 }
 
@@ -54,27 +58,42 @@
 	if !ok {
 		return journey.judge(ctx, place, upstream.ErrNotSent)
 	}
+	if err := journey.take(ctx, generator); err != nil {
+		return journey.judge(ctx, place, err)
+	}
 	var old upstream.Stream
 	for resumes := 0; ; resumes++ {
 		stream, err := generator.Generate(ctx, journey.generation(place, resumes))
 		closeStream(old)
 		if err == nil {
 			dispatcher.heard(name, stream)
-			err = journey.relay(ctx, stream, begun)
+			err = journey.relay(ctx, stream, place, begun)
 			dispatcher.heard(name, stream)
 		}
 		if err == nil {
 			closeStream(stream)
 			return journey.answered(place)
 		}
+		if errors.Is(err, errMove) {
+			closeStream(stream)
+			return result{moved: true}
+		}
 		if !errors.Is(err, upstream.ErrSilent) || !journey.resumable(ctx, place, resumes) {
 			closeStream(stream)
 			return journey.judge(ctx, place, err)
 		}
+		journey.silent(err)
+		event.StreamResumed.Log("Request", journey.req.ID, "Upstream", name, "After", journey.last)
 		old = stream
 	}
 }
 
+// silent notes that the upstream may have run a part of the request before its connection went silent.
+func (journey *journey) silent(err error) {
+	journey.mayHaveRun = true
+	journey.doubt = outcome.New(outcome.UpstreamLost, "the connection to the upstream went silent").WithCause(err)
+}
+
 // heard notes the load that came with the answer of the upstream.
 func (dispatcher *Dispatcher) heard(name string, stream upstream.Stream) {
 	if load, known := stream.Load(); known {
@@ -121,9 +140,9 @@
 }
 
 // relay passes the answer on. It returns nil after a complete answer.
-func (journey *journey) relay(ctx context.Context, stream upstream.Stream, begun func()) error {
+func (journey *journey) relay(ctx context.Context, stream upstream.Stream, place *place, begun func()) error {
 	if journey.req.Stream && stream.Status() < firstErrorStatus {
-		return journey.relayPieces(ctx, stream, begun)
+		return journey.relayPieces(ctx, stream, place, begun)
 	}
 	body, err := journey.collect(ctx, stream, begun)
 	if err != nil {
