--- a/note/note_test.go
+++ b/note/note_test.go
@@ -110,7 +110,7 @@
 		{"withdrawn model with adapters", "Models:\n  Withdrawn: [standing-orders]\nAdapters:\n  Withdrawn: [{Model: standing-orders, Name: cafes}]", "line 5: Models.Withdrawn[0]: Model standing-orders still has the adapter schools"},
 		{"too large", "Models:\n  Added: [{Name: x, Version: v, Weights: 79GiB, Reserve: 2GiB}]", "line 5: Models.Added[0].Weights: Model x needs 81GiB with reserve and adapter slots; the largest engine has 80GiB"},
 		{"too large by its slots", "Models:\n  Added: [{Name: x, Version: v, Weights: 79GiB, AdapterSlots: 5, AdapterBytes: 256MiB}]", "needs 80.25GiB"},
-		{"size that overflows", "Models:\n  Added: [{Name: x, Version: v, Weights: 1GiB, AdapterSlots: 10000, AdapterBytes: 1000000TiB}]", "Models.Added[0].AdapterBytes: 1000000TiB is out of range"},
+		{"size that overflows", "Models:\n  Added: [{Name: x, Version: v, Weights: 1GiB, AdapterSlots: 2, AdapterBytes: 4194304TiB}]", "Models.Added[0].AdapterBytes: 4194304TiB is out of range"},
 		{"no weights", "Models:\n  Added: [{Name: x, Version: v}]", "Models.Added[0].Weights: must be above 0B"},
 		{"name with a colon", "Models:\n  Added: [{Name: \"x:y\", Version: v, Weights: 1GiB}]", "Models.Added[0].Name: \"x:y\" is not a name"},
 		{"no version", "Models:\n  Added: [{Name: x, Weights: 1GiB}]", "Models.Added[0].Version: \"\" is not a name"},
