--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,9 @@
 
 measure-keepwarm:
 	$(GO) run ./internal/cmd/measure keepwarm
+
+SEED ?= 1
+HOURS ?= 0.5
+
+soak:
+	$(GO) test ./internal/soak -run TestSoak -v -timeout 0 -seed $(SEED) -hours $(HOURS)
--- a/event/daemon.go
+++ b/event/daemon.go
@@ -11,3 +11,15 @@
 
 // HandlerPanicked is the event of a panic in an HTTP handler.
 var HandlerPanicked = define(105, "HandlerPanicked", Error, "An HTTP handler panicked; the request ended as Internal.")
+
+// The events of the VM list.
+var (
+	VMListAway = define(110, "VMListAway", Warning, "The VM list cannot be read; the last one stays in force.")
+	VMListBack = define(111, "VMListBack", Info, "The VM list can be read again.")
+)
+
+// The events of reporting demand.
+var (
+	DeciderLost  = define(130, "DeciderLost", Warning, "No decider of the data centre answers; cold requests wait for a successor within their deadlines.")
+	DeciderFound = define(131, "DeciderFound", Info, "A decider of the data centre answers again.")
+)
--- /dev/null
+++ b/intent/budget.go
@@ -0,0 +1,77 @@
+package intent
+
+import "github.com/cespare/xxhash/v2"
+
+// Budget is what one holder may decide without the table service: again the replicas of its own
+// rows, and replicas without a row within the shares. A model that has rows of the holder may
+// have a replica without a row only up to its largest number of replicas.
+type Budget struct {
+	// Fence is the fencing number of the holder.
+	Fence uint64 `json:"Fence"`
+	// Sender is the process of the holder.
+	Sender Sender `json:"Sender"`
+	// Loads is the largest number of loads from the weight store at once that have no row.
+	Loads int `json:"Loads"`
+	// Shares are the shares in order of upstreams, at most one for each.
+	Shares []Share `json:"Shares"`
+}
+
+// Share is the part of a budget on one upstream.
+type Share struct {
+	// Upstream is the name of the engine's VM.
+	Upstream string `json:"Upstream"`
+	// BootID is the boot of the engine for which the share holds, if the engine checks boots.
+	BootID string `json:"BootId,omitempty"`
+	// Memory is the largest sum in bytes of replicas without a row.
+	Memory int64 `json:"Memory"`
+}
+
+// Share returns the share on an upstream.
+func (budget Budget) Share(name string) (Share, bool) {
+	for _, share := range budget.Shares {
+		if share.Upstream == name {
+			return share, true
+		}
+	}
+	return Share{}, false
+}
+
+// Memory returns the memory in bytes of the budget on an upstream.
+func (budget Budget) Memory(name string) int64 {
+	share, _ := budget.Share(name)
+	return share.Memory
+}
+
+// Upstream returns the only upstream on which the budget permits a replica of the model, by
+// rendezvous hashing over the shares that hold it. Its cost is one hash for each share.
+func (budget Budget) Upstream(model string, memory int64) (string, bool) {
+	best, found := "", false
+	var top uint64
+	for _, share := range budget.Shares {
+		if share.Memory < memory {
+			continue
+		}
+		var digest xxhash.Digest
+		digest.Reset()
+		_, _ = digest.WriteString(model)
+		_, _ = digest.WriteString("\x00")
+		_, _ = digest.WriteString(share.Upstream)
+		if sum := digest.Sum64(); !found || sum > top {
+			best, top, found = share.Upstream, sum, true
+		}
+	}
+	return best, found
+}
+
+// Equal reports whether both budgets permit the same.
+func (budget Budget) Equal(other Budget) bool {
+	if budget.Fence != other.Fence || budget.Loads != other.Loads || budget.Sender != other.Sender || len(budget.Shares) != len(other.Shares) {
+		return false
+	}
+	for i, share := range budget.Shares {
+		if share != other.Shares[i] {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/soak/main_test.go
@@ -0,0 +1,95 @@
+package soak
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/zeromicro/go-zero/core/logx"
+	"k8s.io/klog/v2"
+)
+
+// traceLines is the number of log lines that a failing run prints.
+const traceLines = 400
+
+// stillFor is the time without progress of the program clock after which a run counts as stuck.
+const stillFor = 2 * time.Minute
+
+// trace keeps the newest log lines of a run.
+type trace struct {
+	lock  sync.Mutex
+	lines []string
+}
+
+var events = &trace{}
+
+func (trace *trace) Write(part []byte) (int, error) {
+	trace.lock.Lock()
+	defer trace.lock.Unlock()
+	trace.lines = append(trace.lines, strings.TrimSpace(string(part)))
+	if excess := len(trace.lines) - traceLines; excess > 0 {
+		trace.lines = trace.lines[excess:]
+	}
+	return len(part), nil
+}
+
+// programTime returns the date and time of the newest line.
+func (trace *trace) programTime() string {
+	trace.lock.Lock()
+	defer trace.lock.Unlock()
+	if len(trace.lines) == 0 {
+		return ""
+	}
+	newest := trace.lines[len(trace.lines)-1]
+	return newest[:min(len(newest), len("I0101 00:00:00.000000"))]
+}
+
+func (trace *trace) print(out io.Writer) {
+	trace.lock.Lock()
+	defer trace.lock.Unlock()
+	for _, line := range trace.lines {
+		fmt.Fprintln(out, line)
+	}
+}
+
+func TestMain(m *testing.M) {
+	logx.Disable()
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	_ = flags.Set("logtostderr", "false")
+	_ = flags.Set("alsologtostderr", "false")
+	_ = flags.Set("stderrthreshold", "FATAL")
+	klog.SetOutput(events)
+	stopped := make(chan struct{})
+	go watch(stopped)
+	code := m.Run()
+	close(stopped)
+	klog.Flush()
+	if code != 0 {
+		events.print(os.Stdout)
+	}
+	os.Exit(code)
+}
+
+// watch prints the trace of a run that spins, since the clock of its bubble then stands still.
+func watch(stopped <-chan struct{}) {
+	last := ""
+	for {
+		select {
+		case <-stopped:
+			return
+		case <-time.After(stillFor):
+		}
+		now := events.programTime()
+		if now == last {
+			events.print(os.Stdout)
+			panic("soak: the clock of the run stands still")
+		}
+		last = now
+	}
+}
--- a/internal/transport/settings.go
+++ b/internal/transport/settings.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"time"
@@ -11,7 +12,7 @@
 	defaultDialTimeout   = time.Second
 	defaultIdleTimeout   = 15 * time.Second
 	defaultConnectionAge = 5 * time.Minute
-	defaultConnections   = 512
+	defaultConnections   = 4096
 )
 
 // Settings bounds the connections of a Client. The zero value of a field means its default.
@@ -22,25 +23,19 @@
 	IdleTimeout time.Duration
 	// ConnectionAge is the age from which a connection takes no further request; zero means 5 min.
 	ConnectionAge time.Duration
-	// Connections is the largest number of connections to the address; zero means 512.
+	// Connections is the largest number of connections to the address; zero means 4096.
 	Connections int
+	// Fresh opens a connection for each exchange and closes it afterwards.
+	Fresh bool
 	// Dial opens a connection; nil means TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 func (settings Settings) withDefaults() Settings {
-	if settings.DialTimeout == 0 {
-		settings.DialTimeout = defaultDialTimeout
-	}
-	if settings.IdleTimeout == 0 {
-		settings.IdleTimeout = defaultIdleTimeout
-	}
-	if settings.ConnectionAge == 0 {
-		settings.ConnectionAge = defaultConnectionAge
-	}
-	if settings.Connections == 0 {
-		settings.Connections = defaultConnections
-	}
+	settings.DialTimeout = cmp.Or(settings.DialTimeout, defaultDialTimeout)
+	settings.IdleTimeout = cmp.Or(settings.IdleTimeout, defaultIdleTimeout)
+	settings.ConnectionAge = cmp.Or(settings.ConnectionAge, defaultConnectionAge)
+	settings.Connections = cmp.Or(settings.Connections, defaultConnections)
 	if settings.Dial == nil {
 		settings.Dial = (&net.Dialer{}).DialContext
 	}
--- /dev/null
+++ b/release/commit.go
@@ -0,0 +1,79 @@
+package release
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"github.com/gravitational/trace"
+
+	"github.com/bronzestall/bronzestall/platform"
+)
+
+// commit moves the number in force. The transaction can take effect once only,
+// since it needs the version of the row in force and an unused identifier, so
+// it is repeated after an unclear answer.
+func (acceptance *acceptance) commit(ctx context.Context, entry Entry, version uint64) (Entry, bool, error) {
+	writes, err := commitWrites(entry, version)
+	if err != nil {
+		return Entry{}, false, acceptance.failure(err)
+	}
+	err = acceptance.retry(ctx, func() error {
+		_, err := acceptance.tables.Commit(ctx, writes)
+		acceptance.unclear = acceptance.unclear || errors.Is(err, platform.ErrUnclear)
+		return trace.Wrap(err)
+	})
+	switch {
+	case err == nil:
+		return entry, false, nil
+	case errors.Is(err, platform.ErrConflict):
+		return acceptance.settle(ctx)
+	case acceptance.unclear:
+		return acceptance.readBack(ctx, err)
+	default:
+		return Entry{}, false, acceptance.failure(err)
+	}
+}
+
+// readBack settles a transaction whose answers stayed unclear, as far as reading can. As long as the
+// base is in force and the identifier is unused, the transaction may still take effect.
+func (acceptance *acceptance) readBack(ctx context.Context, unclear error) (Entry, bool, error) {
+	entry, found, err := acceptance.earlier(ctx)
+	if err != nil || found {
+		return entry, false, err
+	}
+	head, _, err := acceptance.readHead(ctx)
+	if err != nil || head.Number == acceptance.note.Base {
+		return Entry{}, false, acceptance.failure(unclear)
+	}
+	return acceptance.settle(ctx)
+}
+
+// settle tells, once the base is not in force any more, whether this note or
+// another one was accepted. It reads the identifier after the number, since the
+// same note may be accepted through another ledger between the two readings. No
+// transaction of this acceptance can take effect any more.
+func (acceptance *acceptance) settle(ctx context.Context) (Entry, bool, error) {
+	entry, found, err := acceptance.earlier(ctx)
+	if err != nil || found {
+		return entry, found && !acceptance.unclear, err
+	}
+	acceptance.unclear = false
+	head, _, err := acceptance.readHead(ctx)
+	if err != nil {
+		return Entry{}, false, conflictFailure(&ConflictError{Base: acceptance.note.Base, InForce: acceptance.note.Base + 1})
+	}
+	return Entry{}, false, acceptance.conflict(ctx, acceptance.note.Base, head)
+}
+
+func commitWrites(entry Entry, version uint64) ([]platform.Write, error) {
+	value, err := json.Marshal(entry)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return []platform.Write{
+		{Key: inForceKey, Check: true, IfVersion: version, Value: value},
+		{Key: historyKey(entry.Number), Check: true, Value: value},
+		{Key: idKey(entry.Note), Check: true, Value: value},
+	}, nil
+}
--- /dev/null
+++ b/route/ask.go
@@ -0,0 +1,21 @@
+package route
+
+// Ask tells what a request needs of its replica.
+type Ask struct {
+	// Affinity is the hash by which equal prompts prefer the same replica; zero means none.
+	Affinity uint64
+	// Adapter is the adapter that the replica must hold or load; empty means none.
+	Adapter string
+	// Exclude is an upstream that must not be chosen; empty means none.
+	Exclude string
+	// Only is the one upstream that may be chosen; empty means any.
+	Only string
+	// Suspect states that the request may crash its upstream: it runs alone among suspects
+	// and on the first upstream of its affinity only, whatever the load.
+	Suspect bool
+	// Below states that the tenant runs less than its share. Others leave an eighth of the slots free.
+	Below bool
+	// Daemons is the number of daemons that choose among the same candidates; zero means one. Between two
+	// reports of a replica, each of them uses its part of the free slots only.
+	Daemons int
+}
