--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/fleet"
 	"github.com/bronzestall/bronzestall/gateway"
+	"github.com/bronzestall/bronzestall/keepwarm"
 	"github.com/bronzestall/bronzestall/meter"
 	"github.com/bronzestall/bronzestall/observer"
 	"github.com/bronzestall/bronzestall/peer"
@@ -127,7 +128,15 @@
 		made := &seat{
 			dataCentre: dataCentre.Name,
 			clock:      daemon.clock,
-			warmth:     newWarmth(daemon.settings.KeepWarm, store, daemon.process, daemon.clock, daemon.catalogue),
+			warmth: &warmth{
+				clock: daemon.clock,
+				state: daemon.catalogue,
+				store: store,
+				settings: bookstore.Settings{
+					Saver:   daemon.process,
+					Weights: keepwarm.Weights{ColdStart: daemon.settings.KeepWarm.ColdStartWeight, IdleHour: daemon.settings.KeepWarm.IdleHourWeight},
+				},
+			},
 		}
 		made.warmth.decides = func() bool {
 			_, owned := made.decides()
