Wait for a successor of a lost decider as long as it can come in time

Cause: with the deciding daemon killed in a burst, the other daemon refused its 50 callers at once: it expected a successor after two lease terms (20 s), while one comes after 13 to 17 s. Ruled out: waiting until the deadline whatever is known, which holds back a final answer. Change: a successor is expected a term and a renewal after the loss; while it is late nothing is known, and when it is twice as late requests are refused; a lost decider is looked for also when nothing waits.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -158,7 +158,7 @@
 		dataCentres: daemon.dataCentreNames(),
 		named:       map[string]string{},
 	}
-	daemon.demand = newDemand(asker, daemon.arrivals, daemon.clock, successorTerms*daemon.settings.Lease.Term)
+	daemon.demand = newDemand(asker, daemon.arrivals, daemon.clock, daemon.settings.Lease.Term+daemon.settings.Lease.RenewEvery)
 	daemon.claims = claim.New(claim.Settings{Incarnation: daemon.process, Timeout: daemon.settings.Platform.Timeout}, daemon.platform, daemon.clock)
 	directory := &directory{dataCentre: daemon.settings.DataCentre, fleet: daemon.fleet, state: daemon.catalogue}
 	daemon.backlogs = newBacklogs()
@@ -187,9 +187,6 @@
 	return max(1, daemon.settings.WeightStore.AdaptersInFlight/daemon.daemonCount())
 }
 
-// successorTerms is the number of lease terms after which a lost decider is replaced.
-const successorTerms = 2
-
 func (daemon *Daemon) dispatchSettings() dispatch.Settings {
 	shares := map[string]int{}
 	for _, tenant := range daemon.settings.Tenants {
--- a/daemon/demand.go
+++ b/daemon/demand.go
@@ -37,7 +37,7 @@
 	asker    asker
 	arrivals *arrivals
 	clock    clock.Clock
-	// successor is the time after which a lost decider is replaced.
+	// successor is the time after which a lost decider is expected to be replaced.
 	successor time.Duration
 	lock      sync.Mutex
 	// needs has an entry for each target with a request, and for one without until that is reported.
@@ -80,8 +80,12 @@
 	}
 }
 
+// lateSuccessor is the number of expected times after which no successor is waited for any more.
+const lateSuccessor = 2
+
 // Forecast returns the estimate for the model. While the decider is lost, the estimate is the time
-// until a successor can decide.
+// until a successor is expected; nothing is known while that is late, and requests are refused once
+// it is twice as late.
 func (demand *demand) Forecast(model string) (dispatch.Forecast, error) {
 	demand.lock.Lock()
 	defer demand.lock.Unlock()
@@ -89,11 +93,15 @@
 	if demand.lostSince.IsZero() {
 		return demand.forecasts[model].told(now)
 	}
-	left := demand.successor - now.Sub(demand.lostSince)
-	if left < 0 {
+	lost := now.Sub(demand.lostSince)
+	switch {
+	case lost < demand.successor:
+		return dispatch.Forecast{Known: true, Ready: demand.successor - lost}, nil
+	case lost < lateSuccessor*demand.successor:
+		return dispatch.Forecast{}, nil
+	default:
 		return dispatch.Forecast{}, outcome.New(outcome.NoDecider, "no daemon decides for this data centre").WithRetryAfter(demand.successor)
 	}
-	return dispatch.Forecast{Known: true, Ready: left}, nil
 }
 
 // run reports until ctx ends.
@@ -121,11 +129,11 @@
 	return demandRest
 }
 
-// report sends all needs, if there are any.
+// report sends all needs, if there are any or the decider is to be found again.
 func (demand *demand) report(ctx context.Context) {
 	arrived := demand.arrivals.take()
 	wants := demand.wants(arrived)
-	if len(wants) == 0 {
+	if len(wants) == 0 && !demand.isLost() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, demandTimeout)
@@ -137,6 +145,12 @@
 	demand.learn(wants, answer, err)
 }
 
+func (demand *demand) isLost() bool {
+	demand.lock.Lock()
+	defer demand.lock.Unlock()
+	return !demand.lostSince.IsZero()
+}
+
 func (demand *demand) wants(arrived map[catalogue.Target]int) []peer.Want {
 	demand.lock.Lock()
 	defer demand.lock.Unlock()
--- a/internal/soak/operator_test.go
+++ b/internal/soak/operator_test.go
@@ -23,16 +23,20 @@
 
 // numberAt returns the number in force at a daemon.
 func (world *world) numberAt(entry *entry) uint64 {
+	report, _ := world.report(entry)
+	return report.InForce.Number
+}
+
+// report returns what a daemon tells operators, or false if it does not answer.
+func (world *world) report(entry *entry) (status.Report, bool) {
 	transport := &http.Transport{DialContext: world.wires.dialler("operator"), DisableKeepAlives: true}
 	client := http.Client{Transport: transport}
 	answer, err := client.Get("http://" + entry.operators() + "/status")
 	if err != nil {
-		return 0
+		return status.Report{}, false
 	}
 	defer answer.Body.Close()
 	var report status.Report
-	if json.NewDecoder(answer.Body).Decode(&report) != nil {
-		return 0
-	}
-	return report.InForce.Number
+	err = json.NewDecoder(answer.Body).Decode(&report)
+	return report, err == nil
 }
