--- a/cmd/bronzestall/commands_test.go
+++ b/cmd/bronzestall/commands_test.go
@@ -130,6 +130,8 @@
 		session.want("note apply SETTINGS "+reused, exitRefused, "belongs to another note")
 		session.want("note apply SETTINGS missing.yaml", exitFailure, "missing.yaml")
 		session.fake.SetDown(true)
+		session.want("note check --offline SETTINGS NOTE", exitDone, "fits number 0")
+		session.want("note check --offline SETTINGS "+second, exitUsage, "a first note only")
 		session.want("note apply SETTINGS "+second, exitUnavailable, "PlatformUnavailable")
 		session.want("note show SETTINGS", exitUnavailable, "PlatformUnavailable")
 		session.fake.SetDown(false)
--- a/cmd/bronzestall/note.go
+++ b/cmd/bronzestall/note.go
@@ -12,10 +12,18 @@
 // noteCheckCommand checks a note.
 type noteCheckCommand struct {
 	noteFlags
+	Offline bool `help:"Check a first note without the platform."`
 }
 
 // Run checks the note against what is in force.
 func (command *noteCheckCommand) Run(ctx context.Context, environment *environment, printer *printer) error {
+	if command.Offline {
+		candidate, err := command.readOffline(printer)
+		if err != nil {
+			return err
+		}
+		return candidate.confirm(printer)
+	}
 	candidate, err := command.read(ctx, environment, printer)
 	if err != nil {
 		return err
@@ -31,6 +39,11 @@
 	if candidate.stale() {
 		return candidate.conflict(ctx, printer)
 	}
+	return candidate.confirm(printer)
+}
+
+// confirm checks the note and tells that it is in order.
+func (candidate *candidate) confirm(printer *printer) error {
 	if err := candidate.check(printer); err != nil {
 		return err
 	}
@@ -39,7 +52,7 @@
 		Base uint64
 	}{candidate.note.Note, candidate.note.Base}
 	printer.print(result, func(page *page) {
-		page.line("%s is in order and fits number %d, which is in force.", command.File, candidate.inForce.Number)
+		page.line("%s is in order and fits number %d.", candidate.file, candidate.inForce.Number)
 		if candidate.capacity.LargestEngine == 0 {
 			page.line("The memory of the engines is not checked: the settings do not state it for each engine.")
 		}
--- a/cmd/bronzestall/notefile.go
+++ b/cmd/bronzestall/notefile.go
@@ -44,18 +44,24 @@
 	inForce  release.InForce
 }
 
-// read reads the note and what is in force.
-func (flags *noteFlags) read(ctx context.Context, environment *environment, printer *printer) (*candidate, error) {
+// parse reads the note. Problems of form are printed and refused.
+func (flags *noteFlags) parse(printer *printer) (note.Note, error) {
 	content, err := os.ReadFile(flags.File)
 	if err != nil {
-		return nil, trace.ConvertSystemError(err)
+		return note.Note{}, trace.ConvertSystemError(err)
 	}
 	parsed, err := note.Parse(flags.File, content)
 	var malformed *strictyaml.Error
 	if errors.As(err, &malformed) {
 		printProblems(printer, flags.File, malformed.Problems)
-		return nil, &refusedError{file: flags.File}
+		return note.Note{}, &refusedError{file: flags.File}
 	}
+	return parsed, err
+}
+
+// read reads the note and what is in force.
+func (flags *noteFlags) read(ctx context.Context, environment *environment, printer *printer) (*candidate, error) {
+	parsed, err := flags.parse(printer)
 	if err != nil {
 		return nil, err
 	}
@@ -74,6 +80,22 @@
 	return &candidate{file: flags.File, note: parsed, ledger: ledger, capacity: note.CapacityOf(daemon, vms), inForce: inForce}, nil
 }
 
+// readOffline reads a first note, against which nothing is in force.
+func (flags *noteFlags) readOffline(printer *printer) (*candidate, error) {
+	parsed, err := flags.parse(printer)
+	if err != nil {
+		return nil, err
+	}
+	if parsed.Base != 0 {
+		return nil, &usageError{message: "--offline can check a first note only, with Base: 0"}
+	}
+	daemon, err := settings.Load(flags.Settings)
+	if err != nil {
+		return nil, err
+	}
+	return &candidate{file: flags.File, note: parsed, capacity: note.CapacityOf(daemon, nil)}, nil
+}
+
 // check prints what is wrong with the note and returns an error if anything is.
 func (candidate *candidate) check(printer *printer) error {
 	problems := candidate.note.Check(candidate.inForce.Catalogue, candidate.capacity)
