--- a/settings/check.go
+++ b/settings/check.go
@@ -107,6 +107,9 @@
 		if upstream.ChecksFencing {
 			checker.refuse(key+".ChecksFencing", "is for engines only")
 		}
+		if upstream.ChecksBoot {
+			checker.refuse(key+".ChecksBoot", "is for engines only")
+		}
 		if upstream.Memory != 0 {
 			checker.refuse(key+".Memory", "is for engines only")
 		}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -58,6 +58,7 @@
 		{"name twice", "Name: engine-2", "Name: engine-1", "Upstreams[1].Name: \"engine-1\" stands already on line"},
 		{"kind", "Kind: Service", "Kind: Database", "is not a kind; allowed are Engine and Service"},
 		{"fencing of a service", "Kind: Service", "Kind: Service\n    ChecksFencing: true", "ChecksFencing: is for engines only"},
+		{"boot of a service", "Kind: Service", "Kind: Service\n    ChecksBoot: true", "ChecksBoot: is for engines only"},
 		{"rate of zero", "LoadsPerSecond: 2.6", "LoadsPerSecond: 0", "allowed is above 0"},
 		{"negative weight", "IdleHourWeight: 4", "IdleHourWeight: -4", "KeepWarm.IdleHourWeight: -4 is out of range; allowed is 0 to"},
 		{"deadline above total", "Deadline: 20s", "Deadline: 6m", "Classes[0].Deadline: 6m0s is above Total"},
