Show the slowest request of a shaken run, and refuse ports in use

Cause: a run took 14.5 s for its slowest chat and did not tell why; another ran against the processes of a trial beside it. Change: the report lists the sendings of the slowest request; the scripts fail at once if a port is taken or a process they started has ended; connections to order desks and platform go silent too.

--- a/internal/standin/callers/callers.go
+++ b/internal/standin/callers/callers.go
@@ -88,13 +88,16 @@
 func (c *Callers) untilEnd(ctx context.Context, send func(ctx context.Context, daemon string) sending) (last sending, allNotRun bool) {
 	start := c.clock.Now()
 	allNotRun = true
+	var trail []string
 	for {
+		daemon := c.balancer.pick()
 		once, cancel := context.WithTimeout(ctx, c.settings.Sending)
-		last = send(once, c.balancer.pick())
+		last = send(once, daemon)
 		cancel()
 		allNotRun = allNotRun && last.ending == notRun
 		taken := c.clock.Since(start)
-		c.note(last, taken)
+		trail = append(trail, fmt.Sprintf("%s %s %s after %s", daemon, last.ending, last.kind, taken.Round(time.Millisecond)))
+		c.note(last, taken, trail)
 		if last.final || taken > c.settings.Patience || ctx.Err() != nil {
 			return last, allNotRun
 		}
@@ -102,12 +105,15 @@
 	}
 }
 
-func (c *Callers) note(last sending, taken time.Duration) {
+func (c *Callers) note(last sending, taken time.Duration, trail []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.report.Sendings[last.ending]++
 	if last.kind != "" {
 		c.report.Refusals[last.kind]++
 	}
-	c.report.LongestSeconds = max(c.report.LongestSeconds, taken.Seconds())
+	if taken.Seconds() > c.report.LongestSeconds {
+		c.report.LongestSeconds = taken.Seconds()
+		c.report.Slowest = trail
+	}
 }
--- a/internal/standin/callers/report.go
+++ b/internal/standin/callers/report.go
@@ -10,6 +10,8 @@
 	Refusals map[string]int
 	// LongestSeconds is the longest time from the first sending to the end of a request.
 	LongestSeconds float64
+	// Slowest lists the sendings of the request that took longest.
+	Slowest []string
 	// Judgement compares the calls with what the service counted.
 	Judgement Judgement
 }
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -72,9 +72,26 @@
   wait "$pid" || fail "entry-$1 ended with status $?"
 }
 
+# require_free_ports fails at once if something else listens where this script will.
+require_free_ports() {
+  local port
+  for port in 17000 17101 17102 17103 17104 17201 17202 18101 18102 18103 18104; do
+    (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null && die "127.0.0.1:$port is in use"
+  done
+}
+
+# require_running fails at once if a process that was started has ended.
+require_running() {
+  local pid
+  for pid in "${standins[@]}" "${daemons[@]}"; do
+    kill -0 "$pid" 2>/dev/null || die "a process that was started has ended"
+  done
+}
+
 # start_all starts the stand-ins and four daemons, and applies the note.
 start_all() {
   local n
+  require_free_ports
   rm -rf "$run"
   mkdir -p "$run"
   head -c 24 /dev/urandom | base64 >"$run/operator.key"
@@ -93,6 +110,7 @@
   for n in 1 2 3 4; do
     until_true healthy "127.0.0.1:1810$n/health/live" || die "entry-$n does not live"
   done
+  require_running
   echo "== note apply"
   bin/bronzestall note apply --settings examples/try/entry-1.yaml --by try examples/try/note-1.yaml || die "the note was not accepted"
   for n in 1 2 3 4; do
--- a/scripts/shake.sh
+++ b/scripts/shake.sh
@@ -42,9 +42,9 @@
 curl -sf -m 2 -X POST "http://${engines[0]}/crash"
 curl -sf -m 2 -X POST "http://${engines[1]}/crash"
 sleep 6
-at "connections of all engines go silent"
-for engine in "${engines[@]}"; do
-  curl -sf -m 2 -X POST "http://$engine/silence"
+at "connections of all engines, order desks and the platform go silent"
+for silent in "${engines[@]}" "${desks[@]}" 127.0.0.1:17000; do
+  curl -sf -m 2 -X POST "http://$silent/silence"
 done
 sleep 3
 at "the order desks cut calls before and after they run"
