--- a/decider/decider.go
+++ b/decider/decider.go
@@ -56,6 +56,10 @@
 	registered bool
 	// reign is what is known under one fencing number, or nil while the lease is not owned.
 	reign *reign
+	// ended is the fencing number of the last reign that is over.
+	ended uint64
+	// endedAt is the time of the last attempt to record it.
+	endedAt time.Time
 	// serial numbers the intents of this process.
 	serial uint64
 
@@ -109,6 +113,7 @@
 		if err := decider.Step(ctx); err != nil && ctx.Err() == nil {
 			event.DeciderFailed.LogError(err, "DataCentre", decider.settings.DataCentre)
 		}
+		decider.rest(ctx)
 		timer := decider.deps.Clock.NewTimer(decider.settings.PassEvery)
 		select {
 		case <-ctx.Done():
@@ -122,11 +127,22 @@
 	}
 }
 
+// rest waits for the shortest time between two steps.
+func (decider *Decider) rest(ctx context.Context) {
+	timer := decider.deps.Clock.NewTimer(stepGap)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C():
+	}
+}
+
 // stop ends the orders of this process and hands the lease over.
 func (decider *Decider) stop(ctx context.Context, grace time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, grace)
 	defer cancel()
 	decider.senders.Wait()
+	decider.closeBudget(ctx)
 	if decider.registered {
 		_ = decider.registry.RecordEnd(ctx)
 	}
@@ -140,9 +156,9 @@
 	decider.takeAll()
 	fence, owned := decider.deps.Lease.Owned()
 	if !owned {
-		decider.reign = nil
+		decider.endReign()
 		decider.publish(nil)
-		return nil
+		return decider.recordEnded(ctx)
 	}
 	if !decider.registered {
 		if err := decider.registry.Register(ctx); err != nil {
@@ -155,7 +171,11 @@
 		if err != nil {
 			return err
 		}
+		decider.endReign()
 		decider.reign = began
 	}
-	return decider.reign.step(ctx)
+	if err := decider.reign.step(ctx); err != nil {
+		return err
+	}
+	return decider.recordEnded(ctx)
 }
--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -215,6 +215,68 @@
 	})
 }
 
+// TestCutUpstreamIsAbsolved checks that a request whose upstream was paused is no suspect afterwards.
+func TestCutUpstreamIsAbsolved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		world := newWorld("u1")
+		dispatcher := world.dispatcher(Settings{})
+		ctx, stop := context.WithCancel(t.Context())
+		var duty sync.WaitGroup
+		duty.Go(func() { dispatcher.Run(ctx) })
+		world.engines["u1"].freeze(2 * time.Second)
+		req := chat("b")
+		req.Idempotent = false
+		err := dispatcher.Do(ctx, req, &fakeSink{})
+		if suspects := dispatcher.book.Export(time.Now()); !outcome.Is(err, outcome.UpstreamLost) || len(suspects) != 1 {
+			t.Errorf("ended with %v and the suspects %v", err, suspects)
+		}
+		time.Sleep(5 * time.Second)
+		if suspects := dispatcher.book.Export(time.Now()); len(suspects) != 0 {
+			t.Errorf("the suspects stayed: %v", suspects)
+		}
+		stop()
+		duty.Wait()
+	})
+}
+
+// busyPeers are two other daemons that run and hold as much as there are slots.
+type busyPeers struct{}
+
+func (busyPeers) Daemons() int               { return 3 }
+func (busyPeers) Wanted(string) int          { return 8 }
+func (busyPeers) Running(string, string) int { return 8 }
+
+// TestOtherDataCentresTakeWhatDoesNotFit sends more than this data centre holds, alone and beside busy daemons.
+func TestOtherDataCentresTakeWhatDoesNotFit(t *testing.T) {
+	for name, peers := range map[string]Peers{"alone": nil, "beside busy daemons": busyPeers{}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				world := newWorld("near", "far")
+				world.away = map[string]bool{"far": true}
+				dispatcher := world.dispatcher(Settings{})
+				if peers != nil {
+					dispatcher.deps.Peers = peers
+				}
+				if err := dispatcher.Do(t.Context(), chat("first"), &fakeSink{}); err != nil || world.engines["near"].runs["first"] != 1 {
+					t.Errorf("a request that fits here ended with %v and ran at %v", err, world.engines["far"].runs)
+				}
+				var all sync.WaitGroup
+				for n := range 6 {
+					all.Go(func() {
+						if err := dispatcher.Do(t.Context(), chat(fmt.Sprint("b", n)), &fakeSink{}); err != nil {
+							t.Error(err)
+						}
+					})
+				}
+				all.Wait()
+				if far := len(world.engines["far"].runs); far == 0 || world.engines["near"].most > 4 {
+					t.Errorf("the other data centre got %d of 6 requests, this one ran %d at once", far, world.engines["near"].most)
+				}
+			})
+		})
+	}
+}
+
 func TestRetriesAreAShareOfTraffic(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		world := newWorld("u1", "u2")
--- a/dispatch/pump.go
+++ b/dispatch/pump.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"github.com/bronzestall/bronzestall/route"
 )
 
@@ -74,7 +76,7 @@
 	}
 	ask := dispatcher.ask(lane, snapshot, waiting)
 	if !ask.Below && !waiting.Item.special && dispatcher.capped(lane, snapshot) {
-		return false
+		snapshot.Own = nil
 	}
 	chosen, own, ok := dispatcher.choose(snapshot, ask)
 	if !ok {
@@ -119,6 +121,34 @@
 	return route.Candidate{}, false, false
 }
 
+// recheckAfter is the age of a place from which it is checked again before the request is sent.
+const recheckAfter = time.Second
+
+// stillServes reports whether the upstream of a place that was granted a while ago still takes work.
+func (dispatcher *Dispatcher) stillServes(place *place) bool {
+	if dispatcher.clock.Since(place.since) < recheckAfter {
+		return true
+	}
+	snapshot, err := place.lane.look()
+	if err != nil {
+		return false
+	}
+	found, ok := snapshot.find(place.candidate.Upstream)
+	return ok && !found.Leaving
+}
+
+// find returns the candidate on the upstream.
+func (snapshot Snapshot) find(name string) (route.Candidate, bool) {
+	for _, candidates := range [][]route.Candidate{snapshot.Own, snapshot.Others} {
+		for index := range candidates {
+			if candidates[index].Upstream == name {
+				return candidates[index], true
+			}
+		}
+	}
+	return route.Candidate{}, false
+}
+
 // release gives a place back and grants it to the next. answered states that the answer was complete.
 func (dispatcher *Dispatcher) release(place *place, answered bool) {
 	place.sent.Done()
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -32,10 +32,16 @@
 	need    Need
 	warm    int
 	refs    []ref
+	// decided are the positions of the upstreams on which this pass decided a load.
+	decided []int
 	// count is the number of replicas in force that serve or come; serving of those that serve.
 	count, serving int
+	// retiring is the number of replicas in force that may still serve although their unload is ordered.
+	retiring int
 	// target is the number of replicas to have; forNeed of those that requests ask for.
 	target, forNeed int
+	// waits states that the next replica cannot be loaded in this pass.
+	waits bool
 	// site is where the first replica is to be loaded; placed states that there is one.
 	site   site
 	placed bool
@@ -94,7 +100,7 @@
 		placer.room = append(placer.room, room{})
 		for r := range machine.Replicas {
 			replica := &machine.Replicas[r]
-			if replica.Phase == Going {
+			if isLeaving(replica.Phase) {
 				placer.room[u].coming += replica.Memory
 			}
 			entry := placer.model(replica.Model)
@@ -102,10 +108,7 @@
 			if machine.Leaving || replica.Phase == Going || replica.Version != entry.model.Version {
 				continue
 			}
-			entry.count++
-			if replica.Phase == Serving {
-				entry.serving++
-			}
+			entry.add(replica.Phase)
 		}
 	}
 	for _, need := range placer.input.Needs {
@@ -116,6 +119,28 @@
 	}
 }
 
+// add counts a replica in force.
+func (entry *active) add(phase Phase) {
+	if phase == Retiring {
+		entry.retiring++
+		return
+	}
+	entry.count++
+	if phase == Serving {
+		entry.serving++
+	}
+}
+
+// lacks reports whether a further replica may be loaded. A replica whose unload is ordered is in
+// the way until the engine confirms, since the order may be lost.
+func (entry *active) lacks() bool {
+	return entry.target > entry.count+entry.retiring
+}
+
+func isLeaving(phase Phase) bool {
+	return phase == Retiring || phase == Going
+}
+
 // model returns the entry of a model, which is valid until the next call.
 func (placer *Placer) model(name string) *active {
 	if at, ok := placer.index[name]; ok {
@@ -130,7 +155,7 @@
 	}
 	entry := &placer.models[at]
 	model, inForce := placer.input.Models.Model(name)
-	*entry = active{name: name, model: model, inForce: inForce, refs: entry.refs[:0]}
+	*entry = active{name: name, model: model, inForce: inForce, refs: entry.refs[:0], decided: entry.decided[:0]}
 	return entry
 }
 
@@ -144,19 +169,18 @@
 func (placer *Placer) loadMissing() {
 	placer.order = placer.order[:0]
 	for i := range placer.models {
-		if entry := &placer.models[i]; entry.target > entry.count {
+		if placer.models[i].lacks() {
 			placer.order = append(placer.order, i)
 		}
 	}
 	slices.SortFunc(placer.order, func(a, b int) int { return compareUrgency(&placer.models[a], &placer.models[b]) })
 	for _, i := range placer.order {
-		placer.loadOne(&placer.models[i])
+		entry := &placer.models[i]
+		entry.waits = !placer.loadOne(entry)
 	}
 	for _, i := range placer.order {
-		for entry := &placer.models[i]; entry.count < entry.target; {
-			if !placer.loadOne(entry) {
-				break
-			}
+		for entry := &placer.models[i]; entry.lacks() && !entry.waits; {
+			entry.waits = !placer.loadOne(entry)
 		}
 	}
 	placer.addOutlooks()
