Let claimed calls outlive their callers

Cause: a call whose caller's connection was lost was cancelled or recorded as lost, so that its resend heard "may have run" of a call that had been answered. Ruled out: cancelling a claimed call, which may have taken effect already. Change: a claimed call runs to its end when its caller is gone, at most 10 min, and its answer is recorded. A drain waits for records and counts requests apart from them.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -26,12 +26,14 @@
 
 // onPlace prepares and runs the request on the upstream of the place.
 func (journey *journey) onPlace(ctx context.Context, place *place) result {
+	if ending, done := journey.claim(ctx, place); done {
+		return ending
+	}
+	ctx, free := journey.outlive(ctx)
+	defer free()
 	start := journey.startLimit(ctx, place)
 	defer start.stop()
 	ctx = start.ctx
-	if ending, done := journey.claim(ctx); done {
-		return ending
-	}
 	journey.attempts++
 	if journey.attempts == 1 {
 		journey.dispatcher.budget.Earn()
--- a/dispatch/claiming.go
+++ b/dispatch/claiming.go
@@ -15,10 +15,13 @@
 
 // claim claims a keyed request before it is sent. done states that the request ended here, with the
 // recorded answer or a failure.
-func (journey *journey) claim(ctx context.Context) (ending result, done bool) {
+func (journey *journey) claim(ctx context.Context, place *place) (ending result, done bool) {
 	if !journey.keyed() || journey.ticket != nil {
 		return result{}, false
 	}
+	limit := journey.startLimit(ctx, place)
+	defer limit.stop()
+	ctx = limit.ctx
 	if journey.dispatcher.deps.Claims == nil {
 		failure := outcome.New(outcome.ClaimUnavailable, "calls cannot be claimed here")
 		return result{failure: failure, notRun: true, final: true}, true
@@ -31,10 +34,20 @@
 		return journey.replay(answer), true
 	}
 	journey.ticket = &ticket
-	journey.sink = &recorder{sink: journey.sink, limit: journey.dispatcher.settings.RecordBytes}
+	journey.recorder = &recorder{sink: journey.sink, limit: journey.dispatcher.settings.RecordBytes}
+	journey.sink = journey.recorder
 	return result{}, false
 }
 
+// outlive returns the context of an attempt. A claimed request goes on when its caller is gone, since it may have
+// taken effect and its answer is kept for the resend.
+func (journey *journey) outlive(ctx context.Context) (context.Context, context.CancelFunc) {
+	if journey.ticket == nil {
+		return ctx, func() {}
+	}
+	return context.WithTimeout(context.WithoutCancel(ctx), journey.dispatcher.settings.KeyedLimit)
+}
+
 // replay sends the recorded answer.
 func (journey *journey) replay(answer *claim.Answer) result {
 	if err := journey.whole(answer.Status, answer.ContentType, answer.Body); err != nil {
@@ -55,7 +68,7 @@
 	ctx = context.WithoutCancel(ctx)
 	switch {
 	case failure == nil:
-		answer := journey.sink.(*recorder).answer()
+		answer := journey.recorder.answer()
 		journey.dispatcher.behind(func() { claims.Complete(ctx, ticket, answer) })
 	case journey.mayHaveRun:
 		journey.dispatcher.behind(func() { claims.Lose(ctx, ticket) })
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -29,8 +29,9 @@
 	flying map[uint64]flight
 	// waiting is the number of requests in all queues, at most settings.Total.
 	waiting int
-	// active is the number of requests between the begin and the end of Do.
-	active int
+	// serving is the number of requests between the begin and the end of Do, and active that number with
+	// the work that goes on behind them.
+	serving, active int
 	// stopping states that no new request is taken.
 	stopping bool
 	// emptied is closed when stopping and active is zero.
--- a/dispatch/do.go
+++ b/dispatch/do.go
@@ -15,7 +15,7 @@
 	journey := &journey{dispatcher: dispatcher, req: req, sink: sink}
 	failure := dispatcher.enter()
 	if failure == nil {
-		defer dispatcher.leave()
+		defer dispatcher.leave(1)
 		failure = journey.walk(ctx)
 	}
 	if failure != nil {
@@ -31,6 +31,7 @@
 	if dispatcher.stopping {
 		return outcome.New(outcome.Stopping, "the daemon takes no new requests").WithRetryAfter(stoppingRetry)
 	}
+	dispatcher.serving++
 	dispatcher.active++
 	return nil
 }
@@ -41,15 +42,16 @@
 	dispatcher.active++
 	dispatcher.mutex.Unlock()
 	go func() {
-		defer dispatcher.leave()
+		defer dispatcher.leave(0)
 		work()
 	}()
 }
 
-// leave counts the request out.
-func (dispatcher *Dispatcher) leave() {
+// leave counts active work out, and with it one request or none.
+func (dispatcher *Dispatcher) leave(requests int) {
 	dispatcher.mutex.Lock()
 	defer dispatcher.mutex.Unlock()
+	dispatcher.serving -= requests
 	dispatcher.active--
 	if dispatcher.stopping && dispatcher.active == 0 {
 		close(dispatcher.emptied)
--- a/dispatch/drain.go
+++ b/dispatch/drain.go
@@ -16,7 +16,8 @@
 	Cut int
 }
 
-// Drain takes no new requests and waits for the active ones until they ended or the context ends.
+// Drain takes no new requests and waits for the active ones, and for the records of their answers, until they
+// ended or the context ends.
 // It may be called once.
 func (dispatcher *Dispatcher) Drain(ctx context.Context) Drained {
 	before := dispatcher.stop()
@@ -26,7 +27,7 @@
 	}
 	dispatcher.mutex.Lock()
 	defer dispatcher.mutex.Unlock()
-	return Drained{Finished: before - dispatcher.active, Cut: dispatcher.active}
+	return Drained{Finished: before - dispatcher.serving, Cut: dispatcher.serving}
 }
 
 // stop refuses requests from now on and returns the number of active ones.
@@ -39,5 +40,5 @@
 			close(dispatcher.emptied)
 		}
 	}
-	return dispatcher.active
+	return dispatcher.serving
 }
--- a/dispatch/journey.go
+++ b/dispatch/journey.go
@@ -31,6 +31,8 @@
 	// departure watches whether the upstream leaves, and moving is the generation on its way to another.
 	departure departure
 	moving    []byte
+	// recorder keeps the answer of a claimed request, or is nil.
+	recorder *recorder
 	// ended states that the request got its end.
 	ended bool
 }
@@ -43,6 +45,9 @@
 	}
 	failure = journey.try(ctx, ask)
 	journey.settle(ctx, failure)
+	if failure == nil && journey.recorder != nil && journey.recorder.gone {
+		return outcome.New(outcome.CallerGone, "the caller did not take the answer, which is kept for a resend")
+	}
 	return failure
 }
 
--- /dev/null
+++ b/dispatch/keyed_test.go
@@ -0,0 +1,113 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"k8s.io/utils/clock"
+
+	"github.com/bronzestall/bronzestall/claim"
+	"github.com/bronzestall/bronzestall/internal/platformfake"
+	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/request"
+)
+
+// slowServices answer after a while and count the calls that ran to their end.
+type slowServices struct {
+	mutex sync.Mutex
+	ended int
+}
+
+func (services *slowServices) Call(ctx context.Context, _ string, req request.Request) (Answer, error) {
+	select {
+	case <-time.After(200 * time.Millisecond):
+	case <-ctx.Done():
+		return Answer{}, ctx.Err()
+	}
+	services.mutex.Lock()
+	defer services.mutex.Unlock()
+	services.ended++
+	return Answer{Status: 200, ContentType: "text/plain", Body: req.Body}, nil
+}
+
+func keyed(body string) request.Request {
+	req := chat(body)
+	req.Form, req.Service, req.Stream, req.Idempotent, req.Key = request.ServiceCall, "tickets", false, false, "key-"+body
+	return req
+}
+
+// TestKeyedCallOutlivesItsCaller checks that a call whose caller is gone runs to its end, and that the resend through
+// another daemon gets the answer.
+func TestKeyedCallOutlivesItsCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := platformfake.New(clock.RealClock{}, rand.New(rand.NewPCG(1, 1)))
+		world, services := newWorld("u1"), &slowServices{}
+		var daemons []*Dispatcher
+		for n := range 2 {
+			daemon := world.dispatcher(Settings{})
+			daemon.deps.Services = services
+			daemon.deps.Claims = claim.New(claim.Settings{Incarnation: fmt.Sprint("run", n)}, fake.Client(), clock.RealClock{})
+			daemons = append(daemons, daemon)
+		}
+		ctx, leave := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer leave()
+		first, second := keyed("charge"), keyed("charge")
+		first.ID, second.ID = "first", "second"
+		if err := daemons[0].Do(ctx, first, &fakeSink{failing: true}); !outcome.Is(err, outcome.CallerGone) {
+			t.Errorf("the first sending ended with %v", err)
+		}
+		time.Sleep(time.Second)
+		sink := &fakeSink{}
+		if err := daemons[1].Do(t.Context(), second, sink); err != nil || string(sink.body) != "charge" || services.ended != 1 {
+			t.Errorf("the resend ended with %v and %q after %d runs", err, sink.body, services.ended)
+		}
+	})
+}
+
+// TestBoundsOfWaiting fills the queue of a model that no replica serves.
+func TestBoundsOfWaiting(t *testing.T) {
+	cases := []struct {
+		name     string
+		settings Settings
+		tenant   string
+		want     outcome.Kind
+		others   int
+	}{
+		{"same tenant, model full", Settings{PerModel: 4}, "a", outcome.QueueFull, 4},
+		{"same tenant, daemon full", Settings{Total: 4}, "a", outcome.QueueFull, 4},
+		{"other tenant, model full", Settings{PerModel: 4}, "b", outcome.DeadlineInQueue, 3},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				dispatcher := newWorld().dispatcher(c.settings)
+				kinds := map[outcome.Kind]int{}
+				var mutex sync.Mutex
+				var all sync.WaitGroup
+				for n := range 4 {
+					all.Go(func() {
+						err := dispatcher.Do(t.Context(), chat(fmt.Sprint(n)), &fakeSink{})
+						mutex.Lock()
+						defer mutex.Unlock()
+						kinds[outcome.From(err).Kind]++
+					})
+				}
+				synctest.Wait()
+				req := chat("one more")
+				req.Tenant = c.tenant
+				if err := dispatcher.Do(t.Context(), req, &fakeSink{}); !outcome.Is(err, c.want) {
+					t.Errorf("one more ended with %v", err)
+				}
+				all.Wait()
+				if kinds[outcome.DeadlineInQueue] != c.others || kinds[outcome.TenantLimit] != 4-c.others {
+					t.Errorf("the others ended as %v", kinds)
+				}
+			})
+		})
+	}
+}
--- a/dispatch/recorder.go
+++ b/dispatch/recorder.go
@@ -5,7 +5,8 @@
 	"github.com/bronzestall/bronzestall/request"
 )
 
-// recorder passes an answer on and keeps a copy of bounded size.
+// recorder passes the answer to a claimed request on and keeps a copy of bounded size. It takes the
+// answer to its end when the caller is gone, so that a resend gets it.
 type recorder struct {
 	sink request.Sink
 	// limit is the largest number of bytes that are kept.
@@ -16,15 +17,19 @@
 	body []byte
 	// cut states that the answer was larger than limit.
 	cut bool
+	// begun states that Begin was called, and gone that the caller no longer takes the answer.
+	begun, gone bool
 }
 
 // Begin passes status and content type on.
 func (recorder *recorder) Begin(status int, contentType string) error {
+	recorder.begun = true
 	recorder.status, recorder.contentType = status, contentType
-	return recorder.sink.Begin(status, contentType)
+	recorder.gone = recorder.sink.Begin(status, contentType) != nil
+	return nil
 }
 
-// Chunk passes the part on and keeps a copy.
+// Chunk keeps a copy of the part and passes it on.
 func (recorder *recorder) Chunk(part []byte) error {
 	if len(recorder.body)+len(part) > recorder.limit {
 		recorder.cut, recorder.body = true, nil
@@ -32,12 +37,15 @@
 	if !recorder.cut {
 		recorder.body = append(recorder.body, part...)
 	}
-	return recorder.sink.Chunk(part)
+	if !recorder.gone {
+		recorder.gone = recorder.sink.Chunk(part) != nil
+	}
+	return nil
 }
 
 // Begun reports whether Begin was called.
 func (recorder *recorder) Begun() bool {
-	return recorder.sink.Begun()
+	return recorder.begun
 }
 
 // answer returns the copy.
--- a/dispatch/settings.go
+++ b/dispatch/settings.go
@@ -14,6 +14,8 @@
 	AnswerBytes int
 	// RecordBytes is the largest answer that is recorded with a claim; zero means 64 KiB.
 	RecordBytes int
+	// KeyedLimit bounds a claimed request, which goes on when its caller is gone; zero means 10 min.
+	KeyedLimit time.Duration
 	// ProbeTimeout bounds one probe of an upstream; zero means 1 s.
 	ProbeTimeout time.Duration
 	// AdapterTimeout bounds the load of one adapter with the wait for its permit; zero means 10 s.
@@ -28,6 +30,7 @@
 	defaultTotal          = 4096
 	defaultAnswerBytes    = 32 << 20
 	defaultRecordBytes    = 64 << 10
+	defaultKeyedLimit     = 10 * time.Minute
 	defaultProbeTimeout   = time.Second
 	defaultAdapterTimeout = 10 * time.Second
 	defaultPublishTimeout = 500 * time.Millisecond
@@ -39,6 +42,7 @@
 	settings.Total = orDefault(settings.Total, defaultTotal)
 	settings.AnswerBytes = orDefault(settings.AnswerBytes, defaultAnswerBytes)
 	settings.RecordBytes = orDefault(settings.RecordBytes, defaultRecordBytes)
+	settings.KeyedLimit = orDefault(settings.KeyedLimit, defaultKeyedLimit)
 	settings.ProbeTimeout = orDefault(settings.ProbeTimeout, defaultProbeTimeout)
 	settings.AdapterTimeout = orDefault(settings.AdapterTimeout, defaultAdapterTimeout)
 	settings.PublishTimeout = orDefault(settings.PublishTimeout, defaultPublishTimeout)
--- a/dispatch/sink_test.go
+++ b/dispatch/sink_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"io"
 	"sync"
 	"time"
 
@@ -14,6 +15,8 @@
 	status int
 	body   []byte
 	begun  bool
+	// failing states that the caller is gone.
+	failing bool
 }
 
 func (sink *fakeSink) Begin(status int, _ string) error {
@@ -22,6 +25,9 @@
 	if sink.begun {
 		panic("begun twice")
 	}
+	if sink.failing {
+		return io.ErrClosedPipe
+	}
 	sink.status, sink.begun = status, true
 	return nil
 }
