Try ejected services again; count the failures of one batch once

Cause: an ejected plain service was probed as an engine and never came back; each failure of a batch doubled the pause before the probe, so that one crash kept an upstream out for 30 s. Change: plain services get their trial without a probe; an upstream that is out is not ejected again. Tests that failed first: TestEjectedServiceIsTriedAgain, TestEjectionAndTrial with 16 failures at once.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -25,6 +25,8 @@
 	mutex sync.Mutex
 	// lanes holds a lane for each model or service that was asked for lately.
 	lanes map[string]*lane
+	// plain names the upstreams of plain services that were used.
+	plain map[string]bool
 	// flying holds the requests that run, by fingerprint.
 	flying map[uint64]flight
 	// waiting is the number of requests in all queues, at most settings.Total.
@@ -51,6 +53,7 @@
 		budget:   retry.New(),
 		book:     quarantine.New(),
 		proven:   quarantine.NewProven(),
+		plain:    map[string]bool{},
 		flying:   map[uint64]flight{},
 		adapters: &adapters{loads: map[slot]*load{}},
 		lanes:    map[string]*lane{},
--- a/dispatch/keyed_test.go
+++ b/dispatch/keyed_test.go
@@ -15,6 +15,7 @@
 	"github.com/bronzestall/bronzestall/internal/platformfake"
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/request"
+	"github.com/bronzestall/bronzestall/upstream"
 )
 
 // slowServices answer after a while and count the calls that ran to their end.
@@ -69,6 +70,33 @@
 	})
 }
 
+// TestEjectedServiceIsTriedAgain checks that a plain service, which answers no probe of engines, comes back.
+func TestEjectedServiceIsTriedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		world, services := newWorld("u1"), &fakeServices{err: upstream.ErrNoAnswer}
+		world.engines["u1"].dead = true
+		dispatcher := world.dispatcher(Settings{})
+		dispatcher.deps.Services = services
+		ctx, stop := context.WithCancel(t.Context())
+		var duty sync.WaitGroup
+		duty.Go(func() { dispatcher.Run(ctx) })
+		for n := range 3 {
+			req := keyed(fmt.Sprint(n))
+			req.Key = ""
+			_ = dispatcher.Do(ctx, req, &fakeSink{})
+		}
+		services.err = nil
+		req := keyed("later")
+		req.Key, req.Deadline = "", time.Now().Add(10*time.Second)
+		time.Sleep(2 * time.Second)
+		if err := dispatcher.Do(ctx, req, &fakeSink{}); err != nil {
+			t.Errorf("a call after the recovery ended with %v", err)
+		}
+		stop()
+		duty.Wait()
+	})
+}
+
 // TestBoundsOfWaiting fills the queue of a model that no replica serves.
 func TestBoundsOfWaiting(t *testing.T) {
 	cases := []struct {
--- a/dispatch/pump.go
+++ b/dispatch/pump.go
@@ -84,6 +84,9 @@
 	}
 	lane.line(waiting).Take(waiting)
 	dispatcher.leaveQueue(lane)
+	if lane.target.Model == "" {
+		dispatcher.plain[chosen.Upstream] = true
+	}
 	lane.running++
 	lane.tenants[waiting.Tenant]++
 	dispatcher.fly(waiting.Item.fingerprint, chosen.Upstream)
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -16,6 +16,8 @@
 	probesAtOnce = 16
 	// probeEvery is the interval at which ejected upstreams are looked at.
 	probeEvery = 500 * time.Millisecond
+	// keepPlain is the largest number of names of plain services' upstreams, old ones included.
+	keepPlain = 1024
 	// keepLane is the time after which an idle lane is dropped.
 	keepLane = 10 * time.Minute
 )
@@ -49,11 +51,22 @@
 	_ = probes.Wait()
 }
 
+// isPlain reports whether the upstream serves plain services.
+func (dispatcher *Dispatcher) isPlain(name string) bool {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	return dispatcher.plain[name]
+}
+
 // prune drops the lanes that are idle for long.
 func (dispatcher *Dispatcher) prune() {
 	dispatcher.mutex.Lock()
 	defer dispatcher.mutex.Unlock()
 	now := dispatcher.clock.Now()
+	if len(dispatcher.plain) > keepPlain {
+		// The names in use come back with their next request.
+		clear(dispatcher.plain)
+	}
 	for name, lane := range dispatcher.lanes {
 		if lane.idle() && now.Sub(lane.used) >= keepLane {
 			delete(dispatcher.lanes, name)
@@ -65,7 +78,7 @@
 // counts as crashed if the boot is the one before. A plain service has no probe and gets its trial at once.
 func (dispatcher *Dispatcher) probeBack(ctx context.Context, name string) {
 	boot := ""
-	if _, engine := dispatcher.deps.Engines.Generator(name); engine {
+	if !dispatcher.isPlain(name) {
 		boot = dispatcher.probe(ctx, name)
 		if boot == "" {
 			dispatcher.router.Probed(name, false)
--- a/route/health.go
+++ b/route/health.go
@@ -30,6 +30,13 @@
 func (health *health) fail(now time.Time) {
 	health.failures++
 	if health.trial || health.failures >= ejectAfter {
+		health.out(now)
+	}
+}
+
+// out ejects the upstream unless it is out already: the failures of one batch count once.
+func (health *health) out(now time.Time) {
+	if !health.ejected {
 		health.eject(now)
 	}
 }
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -107,7 +107,10 @@
 func TestEjectionAndTrial(t *testing.T) {
 	router, clock := newRouter()
 	candidates := fleet(1, clock.Now())
-	router.Eject("u0")
+	for range 16 {
+		router.Eject("u0")
+		router.Failed("u0")
+	}
 	for want := time.Second; want <= 4*time.Second; want *= 2 {
 		clock.SetTime(clock.Now().Add(want - time.Millisecond))
 		if due := router.DueProbes(); len(due) != 0 {
--- a/route/router.go
+++ b/route/router.go
@@ -95,7 +95,7 @@
 	now := router.clock.Now()
 	ledger := router.ledger(name, now)
 	ledger.health.failures = max(ledger.health.failures, ejectAfter)
-	ledger.health.eject(now)
+	ledger.health.out(now)
 }
 
 // DueProbes returns the ejected upstreams whose probe is due.
