--- a/daemon/report.go
+++ b/daemon/report.go
@@ -49,6 +49,11 @@
 func (daemon *Daemon) reportDecider(now time.Time) status.Decider {
 	seat := daemon.seats.byDataCentre[daemon.settings.DataCentre]
 	report := status.Decider{Name: seat.leader(), LostFor: daemon.demand.lostFor(now)}
+	for _, dataCentre := range daemon.dataCentreNames() {
+		if _, owned := daemon.seats.byDataCentre[dataCentre].decides(); owned {
+			report.For = append(report.For, dataCentre)
+		}
+	}
 	if decides, owned := seat.decides(); owned {
 		report.Mine = true
 		report.Fence = decides.Status().Fence
--- a/status/report.go
+++ b/status/report.go
@@ -62,6 +62,8 @@
 	Name string `json:"Name"`
 	// Mine states that it is this daemon.
 	Mine bool `json:"Mine"`
+	// For names the data centres that this daemon decides for; others than its own have no live daemon.
+	For []string `json:"For,omitempty"`
 	// Fence is the fencing number, if it is this daemon.
 	Fence uint64 `json:"Fence,omitempty"`
 	// LostFor is the time for which no decider has answered, or zero.
