--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -25,12 +25,15 @@
 	mutex sync.Mutex
 	// lanes holds a lane for each model or service that was asked for lately.
 	lanes map[string]*lane
+	// plain names the upstreams of plain services that were used.
+	plain map[string]bool
 	// flying holds the requests that run, by fingerprint.
 	flying map[uint64]flight
 	// waiting is the number of requests in all queues, at most settings.Total.
 	waiting int
-	// active is the number of requests between the begin and the end of Do.
-	active int
+	// serving is the number of requests between the begin and the end of Do, and active that number with
+	// the work that goes on behind them.
+	serving, active int
 	// stopping states that no new request is taken.
 	stopping bool
 	// emptied is closed when stopping and active is zero.
@@ -50,6 +53,7 @@
 		budget:   retry.New(),
 		book:     quarantine.New(),
 		proven:   quarantine.NewProven(),
+		plain:    map[string]bool{},
 		flying:   map[uint64]flight{},
 		adapters: &adapters{loads: map[slot]*load{}},
 		lanes:    map[string]*lane{},
--- a/note/note_test.go
+++ b/note/note_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/bronzestall/bronzestall/catalogue"
+	"github.com/bronzestall/bronzestall/platform"
 	"github.com/bronzestall/bronzestall/settings"
 )
 
@@ -30,19 +31,58 @@
 			t.Fatal(err)
 		}
 		first := read(t, user+"-note-1.yaml")
-		if problems := first.Check(catalogue.Catalogue{}, CapacityOf(daemon)); len(problems) != 0 {
+		if problems := first.Check(catalogue.Catalogue{}, CapacityOf(daemon, nil)); len(problems) != 0 {
 			t.Errorf("%s: %v", user, problems)
 		}
 		inForce, err := catalogue.Catalogue{}.Apply(first.Change())
 		if err != nil {
 			t.Fatal(err)
 		}
-		if problems := first.Check(inForce, CapacityOf(daemon)); len(problems) == 0 {
+		if problems := first.Check(inForce, CapacityOf(daemon, nil)); len(problems) == 0 {
 			t.Errorf("%s: the note fits the catalogue that it made", user)
 		}
 	}
 }
 
+func TestNoteOfThePageIsANote(t *testing.T) {
+	content, err := os.ReadFile(filepath.Join("..", "docs", "NOTES.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, after, found := strings.Cut(string(content), "\n    Note: ")
+	body, _, ended := strings.Cut("    Note: "+after, "\n\n")
+	if !found || !ended {
+		t.Fatal("docs/NOTES.md shows no note")
+	}
+	if _, err := Parse("docs/NOTES.md", []byte(strings.ReplaceAll(body, "\n    ", "\n")[4:])); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestCapacityOf(t *testing.T) {
+	daemon := settings.Settings{Upstreams: []settings.Upstream{
+		{Name: "e1", Kind: settings.EngineKind, Memory: 40 << 30},
+		{Name: "e2", Kind: settings.EngineKind, Memory: 80 << 30},
+		{Name: "s1", Kind: settings.ServiceKind},
+	}}
+	for _, test := range []struct {
+		name    string
+		vms     []platform.VM
+		largest int64
+		service string
+	}{
+		{"settings only", nil, 80 << 30, "s1"},
+		{"VMs of the settings", []platform.VM{{Name: "e1", Role: platform.Engine}, {Name: "s1", Role: platform.Service}}, 80 << 30, "s1"},
+		{"another engine", []platform.VM{{Name: "e3", Role: platform.Engine}}, 0, "s1"},
+		{"another service", []platform.VM{{Name: "s2", Role: platform.Service}, {Name: "d", Role: platform.Entry}}, 80 << 30, "s1 s2"},
+	} {
+		got := CapacityOf(daemon, test.vms)
+		if got.LargestEngine != test.largest || strings.Join(got.Services, " ") != test.service {
+			t.Errorf("%s: %+v", test.name, got)
+		}
+	}
+}
+
 func inForce(t *testing.T) catalogue.Catalogue {
 	t.Helper()
 	one, err := catalogue.Catalogue{}.Apply(read(t, "yamabuki-note-1.yaml").Change())
@@ -70,6 +110,7 @@
 		{"withdrawn model with adapters", "Models:\n  Withdrawn: [standing-orders]\nAdapters:\n  Withdrawn: [{Model: standing-orders, Name: cafes}]", "line 5: Models.Withdrawn[0]: Model standing-orders still has the adapter schools"},
 		{"too large", "Models:\n  Added: [{Name: x, Version: v, Weights: 79GiB, Reserve: 2GiB}]", "line 5: Models.Added[0].Weights: Model x needs 81GiB with reserve and adapter slots; the largest engine has 80GiB"},
 		{"too large by its slots", "Models:\n  Added: [{Name: x, Version: v, Weights: 79GiB, AdapterSlots: 5, AdapterBytes: 256MiB}]", "needs 80.25GiB"},
+		{"size that overflows", "Models:\n  Added: [{Name: x, Version: v, Weights: 1GiB, AdapterSlots: 2, AdapterBytes: 4194304TiB}]", "Models.Added[0].AdapterBytes: 4194304TiB is out of range"},
 		{"no weights", "Models:\n  Added: [{Name: x, Version: v}]", "Models.Added[0].Weights: must be above 0B"},
 		{"name with a colon", "Models:\n  Added: [{Name: \"x:y\", Version: v, Weights: 1GiB}]", "Models.Added[0].Name: \"x:y\" is not a name"},
 		{"no version", "Models:\n  Added: [{Name: x, Weights: 1GiB}]", "Models.Added[0].Version: \"\" is not a name"},
