Make idle prefill engines serve both phases when requests have no other place

Cause: an engine with role Prefill got no loads and served nothing, since requests are not split between phases. Ruled out: changing roles by the load of phases, as long as nothing routes by them. Change: such an engine becomes Mixed while requests wait for a model that no other can take; the outlook says when. Figures: the test fails without it.

--- a/decider/failure_test.go
+++ b/decider/failure_test.go
@@ -363,3 +363,18 @@
 		})
 	}
 }
+
+// TestRoleIsChangedOnce gives an idle prefill engine to requests that have no other place.
+func TestRoleIsChangedOnce(t *testing.T) {
+	eachKind(t, 1, func(t *testing.T, world *world, _, _ *process) {
+		order := upstream.Order{ID: "role", Verb: upstream.ChangeRole, Role: upstream.Prefill, Fence: 1, BootID: "engine-0-boot-1"}
+		world.engines[0].DeliverOrder(order)
+		world.advance(2 * time.Second)
+		if !world.askFor("planner", 100) {
+			t.Fatal("not loaded")
+		}
+		if orders := world.engines[0].Orders(upstream.ChangeRole); len(orders) != 1 {
+			t.Fatalf("%d orders to change the role, want 1", len(orders))
+		}
+	})
+}
--- a/decider/orders.go
+++ b/decider/orders.go
@@ -80,7 +80,7 @@
 	switch {
 	case got.err == nil:
 		reign.book.Answered(id, got.verdict, now)
-		if got.verdict != upstream.Accepted || got.order.Verb == upstream.Unload {
+		if got.verdict != upstream.Accepted || got.order.Verb != upstream.Load {
 			reign.noteAnswer(got, now)
 		}
 		if got.verdict != upstream.Accepted {
--- a/decider/settled.go
+++ b/decider/settled.go
@@ -14,7 +14,7 @@
 	key  intent.ReplicaKey
 }
 
-// noteAnswer remembers that an engine refused an order or did an unload. What it showed before does not
+// noteAnswer remembers that an engine refused an order or did one other than a load. What it showed before does not
 // account for that, so the same decision waits for a newer view.
 func (reign *reign) noteAnswer(got answer, now time.Time) {
 	key := intent.ReplicaKey{Upstream: got.upstream, Model: got.order.Model, Version: got.order.Version}
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -82,6 +82,8 @@
 	placer.setTargets()
 	placer.unloadUnwanted()
 	placer.loadMissing()
+	placer.changeRoles()
+	placer.addOutlooks()
 	return placer.result
 }
 
@@ -184,7 +186,6 @@
 			entry.waits = !placer.loadOne(entry)
 		}
 	}
-	placer.addOutlooks()
 }
 
 func compareUrgency(a, b *active) int {
--- a/placement/placer_test.go
+++ b/placement/placer_test.go
@@ -71,6 +71,11 @@
 	return found
 }
 
+func prefill(found Upstream) Upstream {
+	found.Role = upstream.Prefill
+	return found
+}
+
 func unusable(found Upstream) Upstream {
 	found.Usable = false
 	return found
@@ -236,6 +241,20 @@
 			},
 			want: []string{"Load u2 a@2"},
 		},
+		{
+			name: "one idle prefill engine serves both phases for what has no room",
+			input: Input{
+				Upstreams: []Upstream{machine("u1", 10), prefill(machine("u2", 64, busy(serving("b", "2", 20, 0), 1))), prefill(machine("u3", 64)), prefill(machine("u4", 64))},
+				Needs:     []Need{need("a", 1, time.Second), need("c", 1, time.Second)},
+			},
+			want:      []string{"ChangeRole u3 @"},
+			obstacles: map[string]Obstacle{"a": AwaitsMemory, "c": AwaitsMemory},
+		},
+		{
+			name:  "roles stay while others have room",
+			input: Input{Upstreams: []Upstream{machine("u1", 64), prefill(machine("u2", 64))}, Needs: []Need{need("a", 1, time.Second)}},
+			want:  []string{"Load u1 a@2"},
+		},
 		{
 			name:  "minimum replicas are loaded and kept",
 			input: Input{Upstreams: []Upstream{machine("u1", 64, serving("kept", "2", 20, time.Hour))}, Warm: []Warm{{"kept", 1}}},
