Mix versions, withdrawals and leaving engines into the random runs

Cause: the runs had one version, one replica for each model and no leaving engine. Change: versions, withdrawals, two replicas and replaced engines; the grace of a planned stop begins after the last order; reports are dropped while another process decides.

--- a/decider/decider.go
+++ b/decider/decider.go
@@ -92,8 +92,8 @@
 }
 
 // Run takes the lease whenever it can and decides while it owns it, until the context ends.
-// Then it waits for the orders on their way, records that it sends no more, and releases the
-// lease within the grace.
+// Then it waits for the orders on their way, which takes at most OrderTimeout, and within the
+// grace records that it sends no more and releases the lease.
 func (decider *Decider) Run(ctx context.Context, grace time.Duration) error {
 	leaseCtx, stopLease := context.WithCancel(ctx)
 	leased := make(chan struct{})
@@ -139,9 +139,10 @@
 
 // stop ends the orders of this process and hands the lease over.
 func (decider *Decider) stop(ctx context.Context, grace time.Duration) {
+	// Orders end within their own timeout; the grace is for the table service.
+	decider.senders.Wait()
 	ctx, cancel := context.WithTimeout(ctx, grace)
 	defer cancel()
-	decider.senders.Wait()
 	decider.closeBudget(ctx)
 	if decider.registered {
 		_ = decider.registry.RecordEnd(ctx)
--- a/decider/estimate.go
+++ b/decider/estimate.go
@@ -67,6 +67,7 @@
 	defer decider.mutex.Unlock()
 	if reign == nil {
 		clear(decider.outlooks)
+		clear(decider.reports)
 		decider.status = Status{}
 		return
 	}
--- a/decider/random_test.go
+++ b/decider/random_test.go
@@ -25,6 +25,9 @@
 	random  *rand.Rand
 	started int
 	served  int
+	// versions counts the versions put in force, and withdrawn has the models that are not.
+	versions  int
+	withdrawn map[string]catalogue.Model
 }
 
 // TestRandomFaults mixes all faults and leaves the judgement to the engines' own account.
@@ -40,10 +43,10 @@
 
 func runChaos(t *testing.T, kind kind, seed uint64) {
 	t.Helper()
-	run := &chaos{world: newWorld(t, kind, 3, 64*gigabyte), random: rand.New(rand.NewPCG(seed, 3))}
+	run := &chaos{world: newWorld(t, kind, 3, 64*gigabyte), random: rand.New(rand.NewPCG(seed, 3)), versions: 1, withdrawn: map[string]catalogue.Model{}}
 	for i := range 8 {
 		name := fmt.Sprintf("model-%d", i)
-		run.addModel(catalogue.Model{Name: name, Version: "1", Weights: int64(10+3*i) * gigabyte})
+		run.addModel(catalogue.Model{Name: name, Version: "1", Weights: int64(10+3*i) * gigabyte, MaxReplicas: 1 + i%2, Concurrency: 3})
 		run.engines[i%3].SetCheckpoint(name, "1", upstream.Tier(i%3))
 	}
 	run.platform.SetLag(5 * time.Second)
@@ -80,11 +83,40 @@
 	if run.random.IntN(40) == 0 {
 		run.platform.ApplyLate()
 	}
+	if run.random.IntN(150) == 0 {
+		run.changeVersion(fmt.Sprintf("model-%d", run.random.IntN(8)))
+	}
 	run.served += run.countReady()
 }
 
+// changeVersion puts another version of a model in force, or withdraws it and puts it back.
+func (run *chaos) changeVersion(name string) {
+	model, inForce := run.models[name]
+	if !inForce {
+		run.addModel(run.withdrawn[name])
+		delete(run.withdrawn, name)
+		return
+	}
+	if run.random.IntN(3) == 0 {
+		run.withdrawn[name] = model
+		delete(run.models, name)
+		return
+	}
+	run.versions++
+	model.Version = fmt.Sprint(run.versions)
+	run.addModel(model)
+}
+
+// leave makes an engine leave, or replaces one that left by an empty one of the same name.
+func (run *chaos) leave(engine *enginefake.Engine) {
+	if engine.IsLeaving() {
+		engine.Restart()
+	}
+	engine.SetLeaving(!engine.IsLeaving())
+}
+
 func (run *chaos) disturbEngine(engine *enginefake.Engine) {
-	switch run.random.IntN(9) {
+	switch run.random.IntN(10) {
 	case 0:
 		engine.Restart()
 	case 1:
@@ -96,6 +128,10 @@
 		run.judge()
 	case 5:
 		engine.FailLoads(1)
+	case 7:
+		if run.random.IntN(4) == 0 {
+			run.leave(engine)
+		}
 	case 6:
 		name := fmt.Sprintf("model-%d", run.random.IntN(8))
 		engine.SetLoad(name, run.random.IntN(3))
--- a/internal/enginefake/fault.go
+++ b/internal/enginefake/fault.go
@@ -47,6 +47,13 @@
 	engine.leaving = leaving
 }
 
+// IsLeaving reports whether the engine says that it takes no new work.
+func (engine *Engine) IsLeaving() bool {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	return engine.leaving
+}
+
 // FailLoads makes the next loads end as Failed.
 func (engine *Engine) FailLoads(count int) {
 	engine.mutex.Lock()
