Keep unreachable peers from hiding the ones that answer

Cause: a follower kept the first of the highest offers only. While the platform is away, the number of a peer that cannot be reached, repeated by the others, took the place of every offer of the peers that answer; the follower never caught up (TestUnreachablePeerDoesNotHideAnother failed with number 0). Ruled out: dropping all offers of a failed number, which drops the good ones. Change: one offer for each source, at most 64; after the highest one fails, another one at random is tried. Sources must be comparable. Failures of peers and a platform that is behind are logged once for a row of them.

--- a/release/follow.go
+++ b/release/follow.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/internal/invariant"
 )
@@ -31,7 +33,7 @@
 	}
 	inForce, known := follower.InForce()
 	if known && head.Number < inForce.Number {
-		event.PlatformBehind.Log("InForce", inForce.Number, "Platform", head.Number)
+		follower.noteBehind(inForce.Number, head.Number)
 		return nil
 	}
 	if known && head.Number == inForce.Number {
@@ -45,6 +47,15 @@
 	return nil
 }
 
+// noteBehind logs each lower number of the platform once.
+func (follower *Follower) noteBehind(inForce, platform uint64) {
+	if follower.behind == platform+1 {
+		return
+	}
+	follower.behind = platform + 1
+	event.PlatformBehind.Log("InForce", inForce, "Platform", platform)
+}
+
 // readPeer takes over an offer at once, unless no state is known yet: then the next reading of the
 // platform decides, and offers of other peers may arrive until then.
 func (follower *Follower) readPeer(ctx context.Context) {
@@ -53,29 +64,57 @@
 	}
 }
 
-// takeOffer takes over the highest offer. A source that fails is left until it offers again.
+// takeOffer takes over the highest offer, or another one if its source fails. A source that failed is
+// left until it offers again.
 func (follower *Follower) takeOffer(ctx context.Context) {
-	inForce, known := follower.InForce()
-	offer, ok := follower.offers.take(inForce.Number)
-	if !ok {
+	inForce, _ := follower.InForce()
+	highest, ok := follower.offers.takeHighest(inForce.Number)
+	if !ok || follower.accepts(ctx, highest, inForce) {
 		return
 	}
+	if another, ok := follower.offers.takeAny(inForce.Number); ok {
+		follower.accepts(ctx, another, inForce)
+	}
+}
+
+// accepts takes over an offer and reports whether that brought the follower forward.
+func (follower *Follower) accepts(ctx context.Context, offer offer, inForce InForce) bool {
+	err := follower.advanceTo(ctx, offer, inForce)
+	if ctx.Err() == nil {
+		follower.notePeer(err, offer)
+	}
+	return err == nil
+}
+
+// advanceTo takes over an offer. It fails if the source does not bring the follower forward.
+func (follower *Follower) advanceTo(ctx context.Context, offer offer, inForce InForce) error {
 	limited, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	update, err := offer.source.Since(limited, inForce.Number)
 	if err != nil {
-		event.PeerUpdateRefused.LogError(err, "Offered", offer.number)
-		return
+		return trace.Wrap(err)
 	}
-	if known && update.Number <= inForce.Number {
-		return
+	if update.Number <= inForce.Number {
+		return trace.BadParameter("update ends at number %d, number %d is in force", update.Number, inForce.Number)
 	}
 	next, err := inForce.apply(update)
 	if err != nil {
-		event.PeerUpdateRefused.LogError(err, "Offered", offer.number)
-		return
+		return err
 	}
 	follower.publish(next, update.Differences, "peer")
+	return nil
+}
+
+// notePeer logs the first failure of a row.
+func (follower *Follower) notePeer(err error, offer offer) {
+	if err == nil {
+		follower.peerFailures = 0
+		return
+	}
+	if follower.peerFailures == 0 {
+		event.PeerUpdateRefused.LogError(err, "Offered", offer.number)
+	}
+	follower.peerFailures++
 }
 
 // publish makes the state visible. Only Run calls it.
--- a/release/follower.go
+++ b/release/follower.go
@@ -22,6 +22,10 @@
 	random *rand.Rand
 	offers *offers
 	recent *recent
+	// behind is one more than the lower number of the platform that was logged last, and peerFailures the number of
+	// updates that could not be had in a row. Only Run uses them.
+	behind       uint64
+	peerFailures int
 	// inForce is nil until a state is known. Its number never falls.
 	inForce atomic.Pointer[InForce]
 
@@ -38,7 +42,7 @@
 		clock:    clock,
 		settings: settings,
 		random:   random,
-		offers:   newOffers(),
+		offers:   newOffers(rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))),
 		recent:   &recent{},
 		changed:  make(chan struct{}),
 	}
--- a/release/follower_test.go
+++ b/release/follower_test.go
@@ -167,7 +167,7 @@
 
 // overWire returns the source as another process sees it.
 func overWire(source Source) Source {
-	return SourceFunc(func(ctx context.Context, number uint64) (Update, error) {
+	return &sourceFunc{func(ctx context.Context, number uint64) (Update, error) {
 		update, err := source.Since(ctx, number)
 		if err != nil {
 			return Update{}, err
@@ -179,7 +179,7 @@
 		var received Update
 		err = json.Unmarshal(content, &received)
 		return received, err
-	})
+	}}
 }
 
 // brokenSource is a peer that offers what it does not have.
@@ -188,7 +188,7 @@
 	err    error
 }
 
-func (source brokenSource) Since(context.Context, uint64) (Update, error) {
+func (source *brokenSource) Since(context.Context, uint64) (Update, error) {
 	return source.update, source.err
 }
 
@@ -203,7 +203,7 @@
 		accept(t, operator, 0, 3)
 		pass(2 * time.Second)
 		client.Cut(true)
-		for _, source := range []brokenSource{
+		for _, source := range []*brokenSource{
 			{err: errors.New("gone")},
 			{update: Update{Number: 2}},
 			{update: Update{Number: 9}},
@@ -222,6 +222,34 @@
 	})
 }
 
+func TestUnreachablePeerDoesNotHideAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := newPlatform(1)
+		operator := ledgerOn(fake.Client())
+		peer := followerOn(fake.Client())
+		defer run(t, peer)()
+		client := fake.Client()
+		follower := followerOn(client)
+		defer run(t, follower)()
+		pass(time.Second)
+		client.Cut(true)
+		accept(t, operator, 0, 5)
+		pass(2 * time.Second)
+		silence := func(ctx context.Context, _ uint64) (Update, error) {
+			<-ctx.Done()
+			return Update{}, ctx.Err()
+		}
+		ahead, level := &sourceFunc{silence}, &sourceFunc{silence}
+		for range 20 {
+			follower.Offer(6, ahead)
+			follower.Offer(5, level)
+			follower.Offer(5, peer)
+			pass(time.Second)
+		}
+		wantNumber(t, follower, 5)
+	})
+}
+
 func TestFollowerNeverGoesBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		broken := invariant.Broken()
--- a/release/offers.go
+++ b/release/offers.go
@@ -1,6 +1,13 @@
 package release
 
-import "sync"
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+)
+
+// offersLimit is the number of sources whose offers are kept.
+const offersLimit = 64
 
 // offer is a peer's word that it has a number in force.
 type offer struct {
@@ -8,37 +15,69 @@
 	source Source
 }
 
-// offers keeps the highest offer and wakes the follower. It is safe for concurrent use.
+// offers keeps the highest offers and wakes the follower. It is safe for concurrent use.
+//
+// One is kept for each source, and equal ones are taken at random, since a source may
+// be a peer that cannot be reached although others still repeat its number.
 type offers struct {
-	mutex sync.Mutex
-	best  offer
+	mutex  sync.Mutex
+	random *rand.Rand
+	// list holds at most offersLimit offers, the highest first.
+	list []offer
 	// wake has room for one signal.
 	wake chan struct{}
 }
 
-func newOffers() *offers {
-	return &offers{wake: make(chan struct{}, 1)}
+func newOffers(random *rand.Rand) *offers {
+	return &offers{random: random, wake: make(chan struct{}, 1)}
 }
 
-// put keeps the offer if it is the highest, and wakes the follower then.
+// put keeps the offer in place of an older one of its source, drops one of the lowest beyond the limit, and wakes the follower.
 func (offers *offers) put(next offer) {
 	offers.mutex.Lock()
 	defer offers.mutex.Unlock()
-	if next.number <= offers.best.number {
-		return
-	}
-	offers.best = next
+	offers.list = slices.DeleteFunc(offers.list, func(other offer) bool { return other.source == next.source })
+	offers.list = slices.Insert(offers.list, offers.place(next.number), next)
+	offers.list = offers.list[:min(len(offers.list), offersLimit)]
 	select {
 	case offers.wake <- struct{}{}:
 	default:
 	}
 }
 
-// take removes the highest offer and reports whether it is above the number.
-func (offers *offers) take(number uint64) (offer, bool) {
+// place returns a place for the number: behind all higher ones, at random among equal ones.
+func (offers *offers) place(number uint64) int {
+	first := slices.IndexFunc(offers.list, func(other offer) bool { return other.number <= number })
+	if first < 0 {
+		return len(offers.list)
+	}
+	behind := first
+	for behind < len(offers.list) && offers.list[behind].number == number {
+		behind++
+	}
+	return first + offers.random.IntN(behind-first+1)
+}
+
+// takeHighest removes the highest offer and reports whether there is one above the number.
+func (offers *offers) takeHighest(number uint64) (offer, bool) {
+	return offers.take(number, func(int) int { return 0 })
+}
+
+// takeAny removes an offer at random among those above the number and reports whether there is one.
+func (offers *offers) takeAny(number uint64) (offer, bool) {
+	return offers.take(number, offers.random.IntN)
+}
+
+// take removes the offer that choose picks among those above the number, and all that are not above it.
+func (offers *offers) take(number uint64, choose func(count int) int) (offer, bool) {
 	offers.mutex.Lock()
 	defer offers.mutex.Unlock()
-	best := offers.best
-	offers.best = offer{}
-	return best, best.source != nil && best.number > number
+	offers.list = slices.DeleteFunc(offers.list, func(other offer) bool { return other.number <= number })
+	if len(offers.list) == 0 {
+		return offer{}, false
+	}
+	at := choose(len(offers.list))
+	chosen := offers.list[at]
+	offers.list = slices.Delete(offers.list, at, at+1)
+	return chosen, true
 }
--- a/release/scale_test.go
+++ b/release/scale_test.go
@@ -121,12 +121,12 @@
 func tellEachOther(ctx context.Context, followers []*Follower, result *measured) {
 	for i, teller := range followers {
 		random := rand.New(rand.NewPCG(8, uint64(i)))
-		source := SourceFunc(func(ctx context.Context, number uint64) (Update, error) {
+		source := &sourceFunc{func(ctx context.Context, number uint64) (Update, error) {
 			update, err := teller.Since(ctx, number)
 			content, _ := json.Marshal(update)
 			result.peerBytes.Add(int64(len(content)))
 			return update, err
-		})
+		}}
 		go func() {
 			for ctx.Err() == nil {
 				changed := teller.Changed()
--- a/release/support_test.go
+++ b/release/support_test.go
@@ -1,6 +1,7 @@
 package release
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -50,6 +51,15 @@
 	}
 }
 
+// sourceFunc is a source made of a function.
+type sourceFunc struct {
+	since func(ctx context.Context, number uint64) (Update, error)
+}
+
+func (source *sourceFunc) Since(ctx context.Context, number uint64) (Update, error) {
+	return source.since(ctx, number)
+}
+
 func kindOf(err error) outcome.Kind {
 	var failure *outcome.Error
 	if !errors.As(err, &failure) {
--- a/release/update.go
+++ b/release/update.go
@@ -21,20 +21,12 @@
 	Differences []Difference `json:"Differences,omitempty"`
 }
 
-// Source gives updates; other daemons are sources.
+// Source gives updates; other daemons are sources. Its type must be comparable, and equal sources are the same daemon.
 type Source interface {
 	// Since returns what follows the number, or an update with Number at most number if there is nothing.
 	Since(ctx context.Context, number uint64) (Update, error)
 }
 
-// SourceFunc is a Source made of a function.
-type SourceFunc func(ctx context.Context, number uint64) (Update, error)
-
-// Since calls the function.
-func (source SourceFunc) Since(ctx context.Context, number uint64) (Update, error) {
-	return source(ctx, number)
-}
-
 // apply returns the state after the update.
 func (inForce InForce) apply(update Update) (InForce, error) {
 	if len(update.Whole) > 0 {
