Measure queue time, retries and cold starts by tier

Cause: three of the metrics that operators need were declared and never set, and keep-warm judged a cold start by an assumed rate. Ruled out: measuring in the gateway, which does not see attempts. Measured: tests of daemon, dispatch, decider and soak pass.

--- a/daemon/sit.go
+++ b/daemon/sit.go
@@ -129,6 +129,7 @@
 		Catalogue: cache.current,
 		Warmth:    seat.warmth,
 		Clock:     daemon.clock,
+		Loaded:    daemon.loads.loaded,
 	}, decider.Settings{
 		DataCentre:     seat.dataCentre,
 		Sender:         daemon.sender(seat.dataCentre),
--- a/daemon/warmth.go
+++ b/daemon/warmth.go
@@ -15,8 +15,6 @@
 const (
 	// warmthEvery is the interval at which the keeper follows the catalogue and the lease.
 	warmthEvery = 2 * time.Second
-	// assumedLoadRate is the rate in bytes a second by which the cost of a cold start is judged.
-	assumedLoadRate = 1 << 30
 	// acceleratorBytes is the memory of one accelerator in bytes.
 	acceleratorBytes = 80 << 30
 )
@@ -28,6 +26,7 @@
 	state    inForce
 	store    *bookstore.Store
 	settings bookstore.Settings
+	loads    *loadTimes
 	// decides reports whether this daemon decides for the data centre.
 	decides func() bool
 
@@ -112,7 +111,7 @@
 	former := warmth.described
 	warmth.described = map[string]bool{}
 	for model := range known.Models() {
-		warmth.keeper.Describe(model.Name, traits(model))
+		warmth.keeper.Describe(model.Name, warmth.traits(model))
 		warmth.described[model.Name] = true
 		delete(former, model.Name)
 	}
@@ -122,10 +121,10 @@
 	warmth.number = number
 }
 
-func traits(model catalogue.Model) keepwarm.Traits {
+func (warmth *warmth) traits(model catalogue.Model) keepwarm.Traits {
 	return keepwarm.Traits{
 		Accelerators: max(1, float64(model.Memory())/acceleratorBytes),
-		ColdStart:    time.Duration(float64(model.Weights) / assumedLoadRate * float64(time.Second)),
+		ColdStart:    warmth.loads.remote(model.Weights),
 		Concurrency:  model.Concurrency,
 		MaxReplicas:  model.MaxReplicas,
 	}
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -14,6 +14,7 @@
 	"github.com/bronzestall/bronzestall/placement"
 	"github.com/bronzestall/bronzestall/platform"
 	"github.com/bronzestall/bronzestall/ring"
+	"github.com/bronzestall/bronzestall/upstream"
 )
 
 // Deps are what a decider works with.
@@ -34,6 +35,8 @@
 	Warmth Warmth
 	// Clock is the clock.
 	Clock clock.Clock
+	// Loaded is called with the time from the order to a ready replica of a first attempt; nil is not called.
+	Loaded func(tier upstream.Tier, bytes int64, took time.Duration)
 }
 
 // Decider decides for one data centre while its lease is held. Use New. Report, Estimate and
--- a/decider/observe.go
+++ b/decider/observe.go
@@ -131,7 +131,11 @@
 	delete(reign.failures, entry.Intent.Model)
 	model, inForce := reign.catalogue.Model(entry.Intent.Model)
 	if entry.Attempts == 1 && inForce {
-		reign.decider.placer.Learn(entry.Intent.Tier, model.Weights, reign.now.Sub(entry.Sent))
+		took := reign.now.Sub(entry.Sent)
+		reign.decider.placer.Learn(entry.Intent.Tier, model.Weights, took)
+		if loaded := reign.decider.deps.Loaded; loaded != nil {
+			loaded(entry.Intent.Tier, model.Weights, took)
+		}
 	}
 }
 
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -38,6 +38,9 @@
 	if journey.attempts == 1 {
 		journey.dispatcher.budget.Earn()
 	}
+	if sent := journey.dispatcher.deps.Sent; sent != nil {
+		sent(&journey.req, journey.attempts)
+	}
 	if journey.req.Form == request.ServiceCall {
 		return journey.call(ctx, place)
 	}
--- a/dispatch/deps.go
+++ b/dispatch/deps.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "github.com/bronzestall/bronzestall/request"
+
 // Deps are what a Dispatcher needs. Fleet, Engines and Demand are required.
 type Deps struct {
 	// Fleet tells what can serve a request.
@@ -18,4 +20,6 @@
 	Peers Peers
 	// Suspects tells other daemons of requests that crash upstreams; nil tells nobody.
 	Suspects Suspects
+	// Sent is called when an attempt of a request is about to be sent, counted from one; nil is not called.
+	Sent func(req *request.Request, attempt int)
 }
