--- a/peer/encode.go
+++ b/peer/encode.go
@@ -32,7 +32,7 @@
 		Incarnation: record.Incarnation,
 		Version:     record.Version,
 		Since:       since,
-		Age:         milliseconds(now.Sub(held.heard)),
+		Age:         age(held.heard, now),
 		InForce:     record.InForce,
 		Leaving:     record.Leaving,
 		Running:     uint32(record.Running),
@@ -61,6 +61,11 @@
 	return uint64(max(duration, 0) / time.Millisecond)
 }
 
+// age returns the milliseconds since a time, rounded up, so that nothing seems newer than it is.
+func age(since, now time.Time) uint64 {
+	return milliseconds(now.Sub(since) + time.Millisecond - 1)
+}
+
 func encodeIdentity(record Record) *peerpb.Identity {
 	return &peerpb.Identity{
 		DataCentre:    record.DataCentre,
@@ -107,7 +112,7 @@
 	message := &peerpb.Observation{
 		Upstream: state.Upstream,
 		Sequence: state.Sequence,
-		Age:      milliseconds(now.Sub(seen.Seen)),
+		Age:      age(seen.Seen, now),
 		Loads:    make([]uint32, 0, 2*len(state.Replicas)),
 	}
 	for _, replica := range state.Replicas {
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		link.fail(now, node.settings.Every)
 		if link.failures == noticeFailures {
-			event.PeerUnreachable.Log("Peer", task.member.Name, "Cause", err)
+			event.PeerUnreachable.Log("Peer", task.member.Name, "Cause", err.Error())
 		}
 		return
 	}
--- /dev/null
+++ b/peer/fault_test.go
@@ -0,0 +1,178 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"k8s.io/utils/clock"
+	clocktesting "k8s.io/utils/clock/testing"
+)
+
+// setInForce changes the record of a node.
+func setInForce(node *Node, number uint64) {
+	node.Update(func(record Record) Record {
+		record.InForce = number
+		return record
+	})
+}
+
+func TestPartitions(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		way  Way
+		// forth and back are cut between the first two daemons.
+		forth, back bool
+		// heard states that changes still pass between them within the time to settle.
+		heard bool
+	}{
+		{"mesh, one way", Mesh, true, false, true},
+		{"mesh, the other way", Mesh, false, true, true},
+		{"mesh, both ways", Mesh, true, true, false},
+		{"digests, both ways, through a third", Digests, true, true, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T, ctx context.Context) {
+				cluster := newCluster(ctx, 3)
+				nodes := cluster.startAll(test.way)
+				time.Sleep(settle)
+				cluster.setCut(cluster.members[0], cluster.members[1], test.forth)
+				cluster.setCut(cluster.members[1], cluster.members[0], test.back)
+				setInForce(nodes[0], 5)
+				setInForce(nodes[1], 6)
+				time.Sleep(2 * settle)
+				first := mustKnow(t, nodes[1], "entry-0-0").Record.InForce == 5
+				second := mustKnow(t, nodes[0], "entry-0-1").Record.InForce == 6
+				if first != test.heard || second != test.heard {
+					t.Errorf("heard %v and %v, want %v", first, second, test.heard)
+				}
+				if live := slices.Contains(nodes[0].Live(), "entry-0-1"); live != test.heard {
+					t.Errorf("live: %v, want %v", live, test.heard)
+				}
+				cluster.setCut(cluster.members[0], cluster.members[1], false)
+				cluster.setCut(cluster.members[1], cluster.members[0], false)
+				time.Sleep(settle)
+				if mustKnow(t, nodes[1], "entry-0-0").Record.InForce != 5 {
+					t.Error("not heard after the cut has ended")
+				}
+			})
+		})
+	}
+}
+
+// TestSlowPeersDelayNobodyElse lets half of the daemons accept calls and never answer.
+func TestSlowPeersDelayNobodyElse(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		cluster := newCluster(ctx, 40)
+		var nodes []*Node
+		for number, member := range cluster.members {
+			if number < 20 {
+				node, _ := cluster.start(member, 1, Mesh, clock.RealClock{})
+				nodes = append(nodes, node)
+				continue
+			}
+			cluster.slow[member.Address] = true
+		}
+		time.Sleep(30 * time.Second)
+		before := cluster.calls
+		setInForce(nodes[0], 9)
+		time.Sleep(5 * time.Second)
+		for _, node := range nodes[1:] {
+			if mustKnow(t, node, "entry-0-0").Record.InForce != 9 {
+				t.Errorf("%s has not heard within 5 s", node.Self().Name)
+			}
+		}
+		if calls := cluster.calls - before; calls > 20*20*5 {
+			t.Errorf("%d calls in 5 s", calls)
+		}
+	})
+}
+
+// TestClockOfAPeerDoesNoHarm gives one daemon a clock that is years off.
+func TestClockOfAPeerDoesNoHarm(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		cluster := newCluster(ctx, 2)
+		wrong := clocktesting.NewFakeClock(time.Now().Add(9 * 365 * 24 * time.Hour))
+		lying := NewNode(Settings{
+			Name: "entry-0-0", DataCentre: "dc-0", Incarnation: 1,
+			Client:  &sender{cluster: cluster, address: cluster.members[0].Address},
+			Members: MembersFunc(func() []Member { return cluster.members }),
+		}, wrong, rand.New(rand.NewPCG(1, 1)))
+		cluster.handlers[cluster.members[0].Address] = lying.Handler()
+		node, _ := cluster.start(cluster.members[1], 1, Mesh, clock.RealClock{})
+		lying.Update(func(record Record) Record {
+			record.Observations = []Observation{{Seen: wrong.Now().Add(-3 * time.Second), State: state("gpu-1", 1, 1)}}
+			return record
+		})
+		time.Sleep(settle)
+		known := mustKnow(t, node, "entry-0-0")
+		if age := time.Since(known.Heard); age < 0 || age > 2*time.Second {
+			t.Errorf("heard %s ago", age)
+		}
+		if age := time.Since(known.Record.Observations[0].Seen); age < 3*time.Second || age > settle+3*time.Second {
+			t.Errorf("observation is %s old", age)
+		}
+		if live := node.Live(); len(live) != 2 {
+			t.Errorf("live: %v", live)
+		}
+	})
+}
+
+func TestLeavingIsToldAtOnceAndSilenceIsForgotten(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		cluster := newCluster(ctx, 2)
+		leaver, kill := cluster.start(cluster.members[0], 1, Mesh, clock.RealClock{})
+		other, _ := cluster.start(cluster.members[1], 1, Mesh, clock.RealClock{})
+		time.Sleep(settle)
+		leaver.Update(func(record Record) Record {
+			record.Leaving = true
+			return record
+		})
+		time.Sleep(10 * time.Millisecond)
+		if !mustKnow(t, other, "entry-0-0").Record.Leaving || len(other.Live()) != 1 {
+			t.Errorf("leaving is not known, live %v", other.Live())
+		}
+		kill()
+		cluster.setCut(cluster.members[1], cluster.members[0], true)
+		time.Sleep(2 * time.Minute)
+		if _, ok := recordOf(other, "entry-0-0"); ok {
+			t.Error("a silent daemon is not forgotten")
+		}
+		if len(other.links) > 1 {
+			t.Errorf("links: %d", len(other.links))
+		}
+	})
+}
+
+func TestAssignedMovesFew(t *testing.T) {
+	daemons := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+	moved, load := 0, map[string]int{}
+	const upstreams = 800
+	for number := range upstreams {
+		name := "gpu-" + string(rune('a'+number%26)) + time.Duration(number).String()
+		before := Assigned(name, daemons, 2)
+		after := Assigned(name, daemons[:7], 2)
+		if len(before) != 2 || before[0] == before[1] {
+			t.Fatalf("assigned: %v", before)
+		}
+		for _, daemon := range before {
+			load[daemon]++
+			if daemon != "h" && !slices.Contains(after, daemon) {
+				moved++
+			}
+		}
+	}
+	if moved > 0 {
+		t.Errorf("%d upstreams left daemons that stayed", moved)
+	}
+	for daemon, count := range load {
+		if count < upstreams/8 || count > upstreams/2 {
+			t.Errorf("%s polls %d upstreams", daemon, count)
+		}
+	}
+	if got := Assigned("gpu", nil, 2); len(got) != 0 {
+		t.Errorf("assigned without daemons: %v", got)
+	}
+}
--- a/peer/held.go
+++ b/peer/held.go
@@ -62,6 +62,16 @@
 	held.parts = parts
 }
 
+// reshaped reports whether the newest version changed more than load and time of an observation.
+func (held *held) reshaped() bool {
+	for _, versions := range held.parts {
+		if versions.shape == held.record.Version {
+			return true
+		}
+	}
+	return held.floor == held.record.Version
+}
+
 func indexObservations(observations []Observation) map[string]Observation {
 	index := make(map[string]Observation, len(observations))
 	for _, seen := range observations {
--- a/peer/node.go
+++ b/peer/node.go
@@ -69,9 +69,9 @@
 }
 
 // Update changes the own record. Name, incarnation, version, data centre and
-// addresses are the node's and stay. A change of Leaving, InForce or Suspects
-// is sent at once, others with the next round. The function must not block and
-// must not change slices in place.
+// addresses are the node's and stay. A change of Leaving, InForce, Suspects or of
+// more than the load of an upstream is sent at once, others with the next round.
+// The function must not block and must not change slices in place.
 func (node *Node) Update(change func(Record) Record) {
 	node.mutex.Lock()
 	defer node.mutex.Unlock()
@@ -80,7 +80,8 @@
 	next.Incarnation = last.Incarnation
 	next.Version = last.Version + 1
 	node.self.replace(next)
-	if last.Leaving != next.Leaving || last.InForce != next.InForce || !sameSuspects(last.Suspects, next.Suspects) {
+	urgent := last.Leaving != next.Leaving || last.InForce != next.InForce || node.self.suspectsAt == next.Version
+	if urgent || node.self.reshaped() {
 		node.hurry()
 	}
 }
--- a/peer/run.go
+++ b/peer/run.go
@@ -35,8 +35,11 @@
 	}
 }
 
-// plan starts a round in each interval, and sooner for urgent changes.
+// plan starts a round in each interval, and sooner for urgent changes. It
+// begins at a random part of the interval, so that daemons which started
+// together do not call each other at the same time.
 func (node *Node) plan(ctx context.Context, tasks *ring.Ring[task]) error {
+	node.pause(ctx, node.randomPart())
 	ticker := node.clock.NewTicker(node.settings.Every)
 	defer ticker.Stop()
 	for {
@@ -54,13 +57,20 @@
 			}
 		}
 		if urgent {
-			node.pause(ctx)
+			node.pause(ctx, node.settings.Every/urgentGap)
 		}
 	}
 }
 
-func (node *Node) pause(ctx context.Context) {
-	timer := node.clock.NewTimer(node.settings.Every / urgentGap)
+// randomPart returns a random part of an interval.
+func (node *Node) randomPart() time.Duration {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	return time.Duration(node.random.Int64N(int64(node.settings.Every)))
+}
+
+func (node *Node) pause(ctx context.Context, length time.Duration) {
+	timer := node.clock.NewTimer(length)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -78,14 +88,15 @@
 	node.forget(now, members)
 	near, far := node.divide(members)
 	var tasks []task
-	if urgent || node.settings.Way == Mesh {
+	way := node.settings.Way.among(len(near))
+	if urgent || way == Mesh {
 		tasks = node.meshTasks(near, urgent, now)
 	}
 	if urgent {
 		return tasks
 	}
 	node.beat()
-	if node.settings.Way == Digests {
+	if way == Digests {
 		tasks = append(tasks, node.randomTask(near, now)...)
 	}
 	return append(tasks, node.randomTask(node.remote(far), now)...)
--- a/peer/way.go
+++ b/peer/way.go
@@ -1,12 +1,29 @@
 package peer
 
-// Way is a form of exchange.
+// Way is a form of exchange. Changes that are urgent go to every peer of the
+// data centre at once in any way.
 type Way int
 
 // The ways of exchange.
 const (
+	// BySize is Mesh in small data centres and Digests in large ones.
+	BySize Way = iota
 	// Mesh exchanges with every peer of the data centre in each interval.
-	Mesh Way = iota
+	Mesh
 	// Digests exchanges with one random peer in each interval and passes on what it knows of others.
 	Digests
 )
+
+// mostMesh is the largest number of peers for which BySize is Mesh.
+const mostMesh = 16
+
+// among returns the way to go among a number of peers.
+func (way Way) among(peers int) Way {
+	if way != BySize {
+		return way
+	}
+	if peers > mostMesh {
+		return Digests
+	}
+	return Mesh
+}
