--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -9,12 +9,14 @@
 	"github.com/gravitational/trace"
 	"k8s.io/utils/clock"
 
+	"github.com/bronzestall/bronzestall/bookstore"
 	"github.com/bronzestall/bronzestall/catalogue"
 	"github.com/bronzestall/bronzestall/claim"
 	"github.com/bronzestall/bronzestall/dispatch"
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/fleet"
 	"github.com/bronzestall/bronzestall/gateway"
+	"github.com/bronzestall/bronzestall/keepwarm"
 	"github.com/bronzestall/bronzestall/meter"
 	"github.com/bronzestall/bronzestall/observer"
 	"github.com/bronzestall/bronzestall/peer"
@@ -47,7 +49,6 @@
 	claims     *claim.Store
 	suspects   *suspects
 	backlogs   *backlogs
-	warmth     *warmth
 	health     *health
 
 	callers   *server
@@ -122,25 +123,42 @@
 }
 
 func (daemon *Daemon) wireDeciding() {
-	daemon.warmth = newWarmth(daemon.settings, daemon.platform, daemon.clock, daemon.catalogue)
 	for _, dataCentre := range daemon.settings.DataCentres {
-		daemon.seats.byDataCentre[dataCentre.Name] = &seat{
+		store := bookstore.New(daemon.platform, dataCentre.Name)
+		made := &seat{
 			dataCentre: dataCentre.Name,
 			clock:      daemon.clock,
-			learner:    daemon.warmth,
+			warmth: &warmth{
+				clock: daemon.clock,
+				state: daemon.catalogue,
+				store: store,
+				settings: bookstore.Settings{
+					Saver:   daemon.process,
+					Weights: keepwarm.Weights{ColdStart: daemon.settings.KeepWarm.ColdStartWeight, IdleHour: daemon.settings.KeepWarm.IdleHourWeight},
+				},
+			},
 		}
+		made.warmth.decides = func() bool {
+			_, owned := made.decides()
+			return owned
+		}
+		daemon.seats.byDataCentre[dataCentre.Name] = made
 	}
 }
 
 func (daemon *Daemon) wireRequests() {
 	daemon.arrivals = newArrivals(nil, daemon.meter)
 	asker := &deciderAsker{
-		name:    daemon.settings.Name,
-		seat:    daemon.seats.byDataCentre[daemon.settings.DataCentre],
-		node:    daemon.node,
-		address: daemon.peerAddress,
+		name:        daemon.settings.Name,
+		dataCentre:  daemon.settings.DataCentre,
+		seats:       daemon.seats,
+		node:        daemon.node,
+		address:     daemon.peerAddress,
+		live:        daemon.liveIn,
+		dataCentres: daemon.dataCentreNames(),
+		named:       map[string]string{},
 	}
-	daemon.demand = newDemand(asker, daemon.arrivals, daemon.clock, successorTerms*daemon.settings.Lease.Term)
+	daemon.demand = newDemand(asker, daemon.arrivals, daemon.clock, daemon.settings.Lease.Term+daemon.settings.Lease.RenewEvery)
 	daemon.claims = claim.New(claim.Settings{Incarnation: daemon.process, Timeout: daemon.settings.Platform.Timeout}, daemon.platform, daemon.clock)
 	directory := &directory{dataCentre: daemon.settings.DataCentre, fleet: daemon.fleet, state: daemon.catalogue}
 	daemon.backlogs = newBacklogs()
@@ -169,9 +187,6 @@
 	return max(1, daemon.settings.WeightStore.AdaptersInFlight/daemon.daemonCount())
 }
 
-// successorTerms is the number of lease terms after which a lost decider is replaced.
-const successorTerms = 2
-
 func (daemon *Daemon) dispatchSettings() dispatch.Settings {
 	shares := map[string]int{}
 	for _, tenant := range daemon.settings.Tenants {
--- a/daemon/warmth.go
+++ b/daemon/warmth.go
@@ -7,29 +7,126 @@
 
 	"k8s.io/utils/clock"
 
+	"github.com/bronzestall/bronzestall/bookstore"
 	"github.com/bronzestall/bronzestall/catalogue"
-	"github.com/bronzestall/bronzestall/platform"
-	"github.com/bronzestall/bronzestall/settings"
+	"github.com/bronzestall/bronzestall/keepwarm"
 )
 
-// warmth joins the keep-warm policy with the catalogue in force.
+const (
+	// warmthEvery is the interval at which the keeper follows the catalogue and the lease.
+	warmthEvery = 2 * time.Second
+	// assumedLoadRate is the rate in bytes a second by which the cost of a cold start is judged.
+	assumedLoadRate = 1 << 30
+	// acceleratorBytes is the memory of one accelerator in bytes.
+	acceleratorBytes = 80 << 30
+)
+
+// warmth holds the keep-warm policy of one data centre. Only the daemon that decides there learns;
+// a new one begins with what its predecessors saved.
 type warmth struct {
-	clock clock.Clock
-	state inForce
-	mutex sync.Mutex
-}
+	clock    clock.WithTicker
+	state    inForce
+	store    *bookstore.Store
+	settings bookstore.Settings
+	// decides reports whether this daemon decides for the data centre.
+	decides func() bool
 
-func newWarmth(_ settings.Settings, _ platform.Objects, clock clock.Clock, state inForce) *warmth {
-	return &warmth{clock: clock, state: state}
+	mutex sync.Mutex
+	// keeper is nil while this daemon does not decide.
+	keeper *bookstore.Keeper
+	// described are the models that the keeper knows the traits of, for the number in force.
+	described map[string]bool
+	number    uint64
 }
 
 // Observe adds arrivals of a model.
-func (warmth *warmth) Observe(catalogue.Target, int) {}
+func (warmth *warmth) Observe(target catalogue.Target, arrived int) {
+	keeper, known := warmth.keeperOf(target.Model)
+	if known && arrived > 0 {
+		keeper.Observe(target.Model, arrived)
+	}
+}
 
 // Wanted returns the number of replicas of the model to keep loaded now.
-func (warmth *warmth) Wanted(string, time.Time) int { return 0 }
+func (warmth *warmth) Wanted(model string, now time.Time) int {
+	keeper, known := warmth.keeperOf(model)
+	if !known {
+		return 0
+	}
+	return keeper.Wanted(model, now)
+}
+
+// keeperOf returns the keeper if it knows the model.
+func (warmth *warmth) keeperOf(model string) (*bookstore.Keeper, bool) {
+	warmth.mutex.Lock()
+	defer warmth.mutex.Unlock()
+	return warmth.keeper, warmth.keeper != nil && warmth.described[model]
+}
 
+// run keeps a keeper while this daemon decides.
 func (warmth *warmth) run(ctx context.Context) error {
-	<-ctx.Done()
-	return ctx.Err()
+	return every(ctx, warmth.clock, warmthEvery, func(ctx context.Context) {
+		if warmth.decides() {
+			warmth.reign(ctx)
+		}
+	})
+}
+
+// reign runs one keeper until this daemon no longer decides.
+func (warmth *warmth) reign(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	keeper := bookstore.NewKeeper(warmth.settings, warmth.store, warmth.clock)
+	warmth.set(keeper)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = keeper.Run(ctx)
+	}()
+	_ = every(ctx, warmth.clock, warmthEvery, func(context.Context) {
+		warmth.describe()
+		if !warmth.decides() {
+			cancel()
+		}
+	})
+	warmth.set(nil)
+	cancel()
+	<-ended
+}
+
+func (warmth *warmth) set(keeper *bookstore.Keeper) {
+	warmth.mutex.Lock()
+	defer warmth.mutex.Unlock()
+	warmth.keeper = keeper
+	warmth.described = map[string]bool{}
+	warmth.number = 0
+}
+
+// describe gives the keeper the traits of the models in force.
+func (warmth *warmth) describe() {
+	known, number, ok := warmth.state()
+	warmth.mutex.Lock()
+	defer warmth.mutex.Unlock()
+	if !ok || number == warmth.number && len(warmth.described) > 0 {
+		return
+	}
+	former := warmth.described
+	warmth.described = map[string]bool{}
+	for model := range known.Models() {
+		warmth.keeper.Describe(model.Name, traits(model))
+		warmth.described[model.Name] = true
+		delete(former, model.Name)
+	}
+	for model := range former {
+		warmth.keeper.Forget(model)
+	}
+	warmth.number = number
+}
+
+func traits(model catalogue.Model) keepwarm.Traits {
+	return keepwarm.Traits{
+		Accelerators: max(1, float64(model.Memory())/acceleratorBytes),
+		ColdStart:    time.Duration(float64(model.Weights) / assumedLoadRate * float64(time.Second)),
+		Concurrency:  model.Concurrency,
+		MaxReplicas:  model.MaxReplicas,
+	}
 }
