Leave small answers between daemons uncompressed; tell reigns of one process apart

Cause: answers of a few hundred bytes were compressed, each with an encoder of its own; two keepers of one process counted their changes under one name, and the platform took those of the second for repeats. Change: answers are compressed from 16 KiB; a keeper adds its start to its name, with a test that failed first.

--- a/bookstore/keeper.go
+++ b/bookstore/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -17,7 +18,7 @@
 
 // Settings configures a Keeper. The zero value of a field means its default.
 type Settings struct {
-	// Saver names this process; it must differ from that of any other process, former ones included.
+	// Saver names this process.
 	Saver string
 	// Weights are the costs that decisions weigh.
 	Weights keepwarm.Weights
@@ -51,6 +52,8 @@
 	if settings.SaveEvery == 0 {
 		settings.SaveEvery = defaultSaveEvery
 	}
+	// Each keeper counts its changes from one, so two of one process must not have one name.
+	settings.Saver = fmt.Sprintf("%s/%d", settings.Saver, clock.Now().UnixNano())
 	book := keepwarm.NewBook(settings.Location)
 	return &Keeper{
 		settings: settings,
--- a/bookstore/keeper_test.go
+++ b/bookstore/keeper_test.go
@@ -53,3 +53,26 @@
 		}
 	})
 }
+
+// TestSecondReignOfOneProcessSaves lets one process decide twice, with a pause between.
+func TestSecondReignOfOneProcessSaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		setup := newStore()
+		reign := func() {
+			keeper := NewKeeper(Settings{Saver: "entry-1"}, setup.store, clock.RealClock{})
+			ctx, cancel := context.WithCancel(context.Background())
+			go func() { _ = keeper.Run(ctx) }()
+			synctest.Wait()
+			keeper.Observe("planner", 1)
+			time.Sleep(time.Hour)
+			cancel()
+			synctest.Wait()
+		}
+		reign()
+		first := content(t, setup.store)
+		reign()
+		if content(t, setup.store) == first {
+			t.Error("what the second reign learnt is not saved")
+		}
+	})
+}
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -25,6 +25,10 @@
 // messageLimit is the largest message in bytes.
 const messageLimit = 16 << 20
 
+// compressFrom is the size in bytes from which answers are compressed. Most
+// exchanges are smaller, and compressing them costs more than sending them.
+const compressFrom = 16 << 10
+
 // ErrNotOffered means that the called daemon has no part that answers the call.
 var ErrNotOffered = errors.New("call is not offered")
 
@@ -77,5 +81,5 @@
 		}
 		return connect.NewResponse(response), nil
 	}
-	mux.Handle(procedure, connect.NewUnaryHandler(procedure, unary, connect.WithReadMaxBytes(messageLimit)))
+	mux.Handle(procedure, connect.NewUnaryHandler(procedure, unary, connect.WithReadMaxBytes(messageLimit), connect.WithCompressMinBytes(compressFrom)))
 }
