--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -11,7 +11,6 @@
 	"github.com/bronzestall/bronzestall/quarantine"
 	"github.com/bronzestall/bronzestall/release"
 	"github.com/bronzestall/bronzestall/request"
-	"github.com/bronzestall/bronzestall/settings"
 )
 
 // wireKnowledge makes what the daemon knows of notes, VMs, upstreams and peers.
