--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -120,10 +120,11 @@
 // tellPeers keeps the own record up to date.
 func (daemon *Daemon) tellPeers(ctx context.Context) error {
 	for {
+		upstreams, notes := daemon.fleet.Changed(), daemon.follower.Changed()
 		daemon.node.Update(daemon.record)
 		select {
-		case <-daemon.fleet.Changed():
-		case <-daemon.follower.Changed():
+		case <-upstreams:
+		case <-notes:
 		case <-daemon.clock.After(tellEvery):
 		case <-ctx.Done():
 			return ctx.Err()
--- a/daemon/views.go
+++ b/daemon/views.go
@@ -35,13 +35,18 @@
 	return found
 }
 
-// engineView takes an engine that checks fencing numbers as one that checks boots, too.
+// engineView returns what the decider may conclude from. An engine that was not heard of is shown
+// without a state, so that its rows stay counted.
 func engineView(known fleet.Known) intent.View {
 	if known.State.BootID == "" {
 		return intent.View{State: upstream.State{Upstream: known.Member.Name}}
 	}
-	checks := known.Member.ChecksFencing
-	view := intent.View{State: known.State, AsOf: known.AsOf, ChecksFencing: checks, ChecksBoot: checks}
+	view := intent.View{
+		State:         known.State,
+		AsOf:          known.AsOf,
+		ChecksFencing: known.Member.ChecksFencing,
+		ChecksBoot:    known.Member.ChecksBoot,
+	}
 	view.State.Upstream = known.Member.Name
 	view.State.Leaving = known.Leaving()
 	if !known.Direct {
--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -32,7 +32,7 @@
 	lost bool
 	// entry is the daemon, and generation its VM.
 	entry      *entry
-	generation int
+	generation int32
 	took       time.Duration
 }
 
@@ -92,7 +92,7 @@
 	if entry == nil {
 		return result{lost: true}
 	}
-	got := result{entry: entry, generation: entry.generation}
+	got := result{entry: entry, generation: entry.generation.Load()}
 	begun := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
 	defer cancel()
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,12 +42,12 @@
 	dataCentre string
 	address    string
 	// generation counts the VMs that had the name.
-	generation int
+	generation atomic.Int32
 	// stop ends the daemon as planned; ended is closed once it has ended.
 	stop  context.CancelFunc
 	ended chan struct{}
 	// killed holds the generations that were killed.
-	killed map[int]bool
+	killed map[int32]bool
 	// inService states that the balancer sends requests to it.
 	inService bool
 }
@@ -95,7 +96,7 @@
 			name:       fmt.Sprintf("entry-%d", number+1),
 			dataCentre: dataCentre,
 			address:    fmt.Sprintf("10.3.0.%d", number+1),
-			killed:     map[int]bool{},
+			killed:     map[int32]bool{},
 		})
 	}
 	for _, entry := range world.entries {
@@ -147,7 +148,7 @@
 	list := append([]platform.VM(nil), world.vms...)
 	for _, entry := range world.entries {
 		list = append(list, platform.VM{
-			Name: entry.name, Incarnation: fmt.Sprint(entry.generation), DataCentre: entry.dataCentre,
+			Name: entry.name, Incarnation: fmt.Sprint(entry.generation.Load()), DataCentre: entry.dataCentre,
 			Role: platform.Entry, Address: entry.peers(),
 		})
 	}
@@ -158,8 +159,8 @@
 func (world *world) start(entry *entry) {
 	world.lock.Lock()
 	defer world.lock.Unlock()
-	entry.generation++
-	host := fmt.Sprintf("%s#%d", entry.name, entry.generation)
+	entry.generation.Add(1)
+	host := hostOf(entry)
 	world.publish()
 	transport := &http.Transport{DialContext: world.wires.dialler(host), IdleConnTimeout: time.Minute}
 	made, err := daemon.New(world.settings(entry).WithDefaults(), daemon.Outside{
@@ -167,7 +168,7 @@
 		Dial:       world.wires.dialler(host),
 		Listen:     func(_, address string) (net.Listener, error) { return world.wires.listen(host, address), nil },
 		PeerClient: &http.Client{Transport: transport},
-		Seed:       uint64(entry.generation),
+		Seed:       uint64(entry.generation.Load()),
 	})
 	if err != nil {
 		world.t.Fatal(err)
@@ -211,7 +212,7 @@
 
 // hostOf returns the host name of the current VM of an entry.
 func hostOf(entry *entry) string {
-	return fmt.Sprintf("%s#%d", entry.name, entry.generation)
+	return fmt.Sprintf("%s#%d", entry.name, entry.generation.Load())
 }
 
 // replace stops a daemon as planned and starts another.
@@ -245,11 +246,11 @@
 func (world *world) markKilled(entry *entry) {
 	world.lock.Lock()
 	defer world.lock.Unlock()
-	entry.killed[entry.generation] = true
+	entry.killed[entry.generation.Load()] = true
 }
 
 // wasKilled reports whether a VM of the entry was killed.
-func (world *world) wasKilled(entry *entry, generation int) bool {
+func (world *world) wasKilled(entry *entry, generation int32) bool {
 	world.lock.Lock()
 	defer world.lock.Unlock()
 	return entry.killed[generation]
