Give requests never answered before two hashed candidates

Ruled out: keeping such requests on one upstream whatever its load, which every new prompt would pay for; waiting for the pair when both are full. Change: the two candidates of a request that was never answered come from hashes of its prefix and fingerprint, the same in all daemons; a retry after a refused connection goes to the home of suspects. Upstreams that are gone are forgotten by the router.

--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -118,6 +118,8 @@
 	// breakAt cuts a stream that was not resumed with breakErr before the piece.
 	breakAt  int
 	breakErr error
+	// reports states that the load is reported, without a lag.
+	reports bool
 	// final states that the engine cannot resume.
 	final bool
 	// shift is added to the piece at which a resumed stream goes on.
@@ -137,7 +139,11 @@
 func (engine *fakeEngine) candidate() route.Candidate {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
-	return route.Candidate{Upstream: engine.name, BootID: engine.boot, Slots: engine.slots, Leaving: engine.leaving, Version: "v1"}
+	candidate := route.Candidate{Upstream: engine.name, BootID: engine.boot, Slots: engine.slots, Leaving: engine.leaving, Version: "v1"}
+	if engine.reports {
+		candidate.Running, candidate.Reported = engine.active, time.Now()
+	}
+	return candidate
 }
 
 func (engine *fakeEngine) Generate(_ context.Context, generation upstream.Generation) (upstream.Stream, error) {
--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -49,16 +49,19 @@
 // through three daemons, beside innocent requests.
 func TestCrashRequestLosesAtMostTwoUpstreams(t *testing.T) {
 	for _, atOnce := range []bool{false, true} {
-		t.Run(fmt.Sprint("at once ", atOnce), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { crashRequest(t, atOnce) })
-		})
+		for _, innocents := range []int{12, 20} {
+			t.Run(fmt.Sprint("at once ", atOnce, " beside ", innocents), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { crashRequest(t, atOnce, innocents) })
+			})
+		}
 	}
 }
 
-func crashRequest(t *testing.T, atOnce bool) {
-	world := newWorld("u1", "u2", "u3", "u4", "u5")
+func crashRequest(t *testing.T, atOnce bool, beside int) {
+	world := newWorld("u1", "u2", "u3", "u4", "u5", "u6", "u7", "u8")
 	for _, engine := range world.engines {
 		engine.poison = "poison"
+		engine.pieces, engine.reports = 20, true
 	}
 	peers := &fakePeers{arbiter: quarantine.NewArbiter()}
 	var daemons []*Dispatcher
@@ -69,7 +72,7 @@
 		daemons = append(daemons, daemon)
 	}
 	var innocents, poison sync.WaitGroup
-	for n := range 12 {
+	for n := range beside {
 		innocents.Go(func() {
 			sink := &fakeSink{}
 			if err := daemons[n%3].Do(t.Context(), chat(fmt.Sprint("innocent", n)), sink); err != nil {
--- a/dispatch/journey.go
+++ b/dispatch/journey.go
@@ -80,10 +80,10 @@
 		}
 		ask.Exclude = place.candidate.Upstream
 		ask.Affinity = journey.req.Fingerprint
-		if journey.suspect() || (last.unreachable && !journey.dispatcher.proven.Has(journey.req.Fingerprint)) {
+		ask.Suspect = journey.suspect() || (last.unreachable && !journey.dispatcher.proven.Has(journey.req.Fingerprint))
+		if ask.Suspect {
 			journey.pause(ctx, suspectPause)
 		}
-		ask.Suspect = journey.suspect()
 	}
 }
 
@@ -115,6 +115,9 @@
 		return route.Ask{}, failure
 	}
 	ask := route.Ask{Affinity: cmp.Or(req.Prefix, req.Fingerprint), Adapter: req.Target.Adapter}
+	if !journey.dispatcher.proven.Has(req.Fingerprint) {
+		ask.Spread = req.Fingerprint
+	}
 	if journey.suspect() {
 		ask = suspected(ask, req)
 	}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -78,6 +78,10 @@
 // counts as crashed if the boot is the one before. A plain service has no probe and gets its trial at once.
 func (dispatcher *Dispatcher) probeBack(ctx context.Context, name string) {
 	boot := ""
+	if _, known := dispatcher.deps.Engines.Generator(name); !known && !dispatcher.isPlain(name) {
+		dispatcher.router.Forget(name)
+		return
+	}
 	if !dispatcher.isPlain(name) {
 		boot = dispatcher.probe(ctx, name)
 		if boot == "" {
--- a/route/ask.go
+++ b/route/ask.go
@@ -4,6 +4,9 @@
 type Ask struct {
 	// Affinity is the hash by which equal prompts prefer the same replica; zero means none.
 	Affinity uint64
+	// Spread is a hash by which equal requests have the same second candidate beside that of the affinity, so
+	// that they go to two upstreams at most while one of them has room; zero means none.
+	Spread uint64
 	// Adapter is the adapter that the replica must hold or load; empty means none.
 	Adapter string
 	// Exclude is an upstream that must not be chosen; empty means none.
--- a/route/choose.go
+++ b/route/choose.go
@@ -35,9 +35,34 @@
 		}
 		return router.scan(candidates, ask, false)
 	}
+	if index, ok := router.pair(candidates, ask); ok {
+		return index, true
+	}
 	return router.random2(candidates, ask)
 }
 
+// pair returns the less loaded, with room, of the candidate of the affinity and the first other one of the spread.
+func (router *Router) pair(candidates []Candidate, ask Ask) (int, bool) {
+	if ask.Spread == 0 {
+		return 0, false
+	}
+	first, ok := router.top(candidates, ask)
+	if !ok {
+		return 0, false
+	}
+	ask.Affinity = ask.Spread
+	second, ok := router.topBut(candidates, ask, first)
+	firstLoad, firstRoom := router.room(&candidates[first], ask)
+	if !ok {
+		return first, firstRoom
+	}
+	secondLoad, secondRoom := router.room(&candidates[second], ask)
+	if firstRoom && (!secondRoom || firstLoad <= secondLoad) {
+		return first, true
+	}
+	return second, secondRoom
+}
+
 // Serves reports whether a candidate may get requests, whatever its load.
 func (router *Router) Serves(candidates []Candidate) bool {
 	router.mutex.Lock()
@@ -133,9 +158,17 @@
 
 // top returns the candidate with the highest rendezvous weight among those that serve and are not ejected.
 func (router *Router) top(candidates []Candidate, ask Ask) (int, bool) {
+	return router.topBut(candidates, ask, -1)
+}
+
+// topBut is top without the candidate at the index.
+func (router *Router) topBut(candidates []Candidate, ask Ask, but int) (int, bool) {
 	best, found := 0, false
 	var bestWeight uint64
 	for index := range candidates {
+		if index == but {
+			continue
+		}
 		weight := mix(ask.Affinity ^ xxhash.Sum64String(candidates[index].Upstream))
 		if found && weight <= bestWeight {
 			continue
--- a/route/herd_test.go
+++ b/route/herd_test.go
@@ -46,6 +46,12 @@
 // chooser picks a replica for one router.
 type chooser func(router *Router, candidates []Candidate) (int, bool)
 
+// hashedTwo chooses as for requests that were never answered before.
+func hashedTwo(router *Router, candidates []Candidate) (int, bool) {
+	fingerprint := router.random.Uint64()
+	return router.Choose(candidates, Ask{Daemons: herdRouters, Affinity: fingerprint, Spread: fingerprint})
+}
+
 func randomTwo(router *Router, candidates []Candidate) (int, bool) {
 	return router.Choose(candidates, Ask{Daemons: herdRouters})
 }
@@ -116,7 +122,7 @@
 // TestManyRoutersDoNotHerd compares the load that requests find with that of the least loaded choice.
 func TestManyRoutersDoNotHerd(t *testing.T) {
 	over := map[string]float64{}
-	for name, choose := range map[string]chooser{"random two": randomTwo, "least loaded": leastLoaded} {
+	for name, choose := range map[string]chooser{"random two": randomTwo, "hashed two": hashedTwo, "least loaded": leastLoaded} {
 		found, refused := herd(choose)
 		at, _ := slices.BinarySearch(found, herdSlots)
 		over[name] = float64(len(found)-at) / float64(len(found))
@@ -126,7 +132,7 @@
 			t.Errorf("%s: %d requests found no replica", name, refused)
 		}
 	}
-	if over["random two"]*10 > over["least loaded"] {
+	if max(over["random two"], over["hashed two"])*10 > over["least loaded"] {
 		t.Errorf("shares of requests that found a full replica: %v", over)
 	}
 }
--- a/route/ledger.go
+++ b/route/ledger.go
@@ -63,5 +63,5 @@
 
 // idle reports whether nothing would be lost with the ledger.
 func (ledger *ledger) idle() bool {
-	return len(ledger.sent) == 0 && ledger.health.failures == 0
+	return len(ledger.sent) == 0 && !ledger.health.ejected
 }
--- a/route/router.go
+++ b/route/router.go
@@ -113,6 +113,15 @@
 	return due
 }
 
+// Forget drops what is known of an upstream that is gone.
+func (router *Router) Forget(name string) {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	if found, ok := router.ledgers[name]; ok && len(found.sent) == 0 {
+		delete(router.ledgers, name)
+	}
+}
+
 // Probed notes the end of a probe of an ejected upstream.
 func (router *Router) Probed(name string, works bool) {
 	router.mutex.Lock()
