--- a/decider/observe.go
+++ b/decider/observe.go
@@ -58,7 +58,7 @@
 	if model, ok := reign.catalogue.Model(key.Model); ok {
 		memory = model.Memory()
 	}
-	budget := reign.book.Permitted(key.Model, memory, key.Upstream)
+	budget := reign.book.Permitted(key.Model, memory, key.Upstream, reign.now)
 	invariant.Check(budget > 0 || reign.away || !reign.met[key.Upstream], invariant.ReplicasDecided,
 		"Upstream", key.Upstream, "Model", key.Model, "Version", key.Version, "Order", replica.Order)
 	row := reign.newIntent(upstream.Load, key.Upstream, key.Model, key.Version)
@@ -131,7 +131,11 @@
 	delete(reign.failures, entry.Intent.Model)
 	model, inForce := reign.catalogue.Model(entry.Intent.Model)
 	if entry.Attempts == 1 && inForce {
-		reign.decider.placer.Learn(entry.Intent.Tier, model.Weights, reign.now.Sub(entry.Sent))
+		took := reign.now.Sub(entry.Sent)
+		reign.decider.placer.Learn(entry.Intent.Tier, model.Weights, took)
+		if loaded := reign.decider.deps.Loaded; loaded != nil {
+			loaded(entry.Intent.Tier, model.Weights, took)
+		}
 	}
 }
 
