Believe no report of an adapter that was refused; hold equal requests briefly

Cause: an adapter that another daemon had removed was taken for loaded while reports still named it, and each request for it was refused; more equal requests than one upstream holds waited for the first to end, up to their deadline. A refused keyed call costs two reads instead of three. Tests that failed first: TestAdapterThatReportsStillName, TestEqualRequestsWaitBriefly.

--- a/claim/bucket.go
+++ b/claim/bucket.go
@@ -43,6 +43,18 @@
 	return platform.Key{Table: table, Row: bucketPrefix(number) + name}
 }
 
+// maxSkew is the largest difference between the clocks of two daemons for which a claim of the next day is found.
+const maxSkew = time.Hour
+
+// readable returns the keys under which the claim can stand if clocks differ by at most maxSkew, likeliest first.
+func readable(at time.Time, name string) []platform.Key {
+	keys := neighbours(at, name)
+	if bucket(at.Add(maxSkew)) == bucket(at) {
+		return keys[:2]
+	}
+	return keys[:]
+}
+
 // neighbours returns the keys under which a claim that still counts may stand, today's first. Those of
 // the day before are kept for retention; those of the day after are made by daemons whose clock is ahead.
 func neighbours(at time.Time, name string) [3]platform.Key {
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -98,7 +98,7 @@
 }
 
 // Find returns the recorded answer of an earlier sending, or the *outcome.Error that it came to, or
-// nothing if there is no claim or it cannot be read. It costs up to three reads.
+// nothing if there is no claim or it cannot be read. It costs two reads, or three near midnight.
 func (store *Store) Find(ctx context.Context, req request.Request) (*Answer, error) {
 	_, held, err := store.find(ctx, &req)
 	if err != nil || held == nil {
@@ -111,7 +111,7 @@
 func (store *Store) find(ctx context.Context, req *request.Request) (platform.Row, *record, error) {
 	ctx, cancel := context.WithTimeout(ctx, store.settings.Timeout)
 	defer cancel()
-	for _, key := range neighbours(store.clock.Now(), keyName(req.Tenant, req.Key)) {
+	for _, key := range readable(store.clock.Now(), keyName(req.Tenant, req.Key)) {
 		row, err := store.tables.Read(ctx, key)
 		if errors.Is(err, platform.ErrNotFound) {
 			continue
--- a/dispatch/adapter.go
+++ b/dispatch/adapter.go
@@ -33,6 +33,9 @@
 	mutex sync.Mutex
 	// loads holds the loads that run or were used within keepAdapter.
 	loads map[slot]*load
+	// missed holds the time of a refusal of requests for a slot, within keepAdapter: reports that still name
+	// the adapter are not believed.
+	missed map[slot]time.Time
 }
 
 // slotOf returns the slot of the request on the place.
@@ -73,6 +76,9 @@
 	adapters.mutex.Lock()
 	defer adapters.mutex.Unlock()
 	adapters.prune(now)
+	if _, missed := adapters.missed[slot]; missed {
+		held = false
+	}
 	found, ok := adapters.loads[slot]
 	if !ok {
 		found = &load{ended: make(chan struct{})}
@@ -107,8 +113,21 @@
 	}
 }
 
+// refused forgets a slot whose engine refused a request, since the adapter may be gone.
+func (adapters *adapters) refused(slot slot, now time.Time) {
+	adapters.mutex.Lock()
+	defer adapters.mutex.Unlock()
+	delete(adapters.loads, slot)
+	adapters.missed[slot] = now
+}
+
 // prune forgets what nobody uses. The mutex is held.
 func (adapters *adapters) prune(now time.Time) {
+	for slot, at := range adapters.missed {
+		if now.Sub(at) >= keepAdapter {
+			delete(adapters.missed, slot)
+		}
+	}
 	for slot, load := range adapters.loads {
 		if load.users == 0 && now.Sub(load.used) >= keepAdapter {
 			delete(adapters.loads, slot)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"k8s.io/utils/clock"
 
@@ -55,7 +56,7 @@
 		proven:   quarantine.NewProven(),
 		plain:    map[string]bool{},
 		flying:   map[uint64]flight{},
-		adapters: &adapters{loads: map[slot]*load{}},
+		adapters: &adapters{loads: map[slot]*load{}, missed: map[slot]time.Time{}},
 		lanes:    map[string]*lane{},
 		emptied:  make(chan struct{}),
 	}
--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -111,6 +112,9 @@
 	gap    time.Duration
 	// leaving states that the candidate leaves.
 	leaving bool
+	// listed are the adapters that the reports name; needs states that others than adapters are refused.
+	listed []string
+	needs  bool
 	// adapters are the adapters that were loaded, in order.
 	adapters []string
 	// generate is the error of the next generations, by request body.
@@ -139,7 +143,7 @@
 func (engine *fakeEngine) candidate() route.Candidate {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
-	candidate := route.Candidate{Upstream: engine.name, BootID: engine.boot, Slots: engine.slots, Leaving: engine.leaving, Version: "v1"}
+	candidate := route.Candidate{Adapters: engine.listed, Upstream: engine.name, BootID: engine.boot, Slots: engine.slots, Leaving: engine.leaving, Version: "v1"}
 	if engine.reports {
 		candidate.Running, candidate.Reported = engine.active, time.Now()
 	}
@@ -159,6 +163,9 @@
 	if err := engine.generate[body]; err != nil {
 		return nil, err
 	}
+	if engine.needs && !slices.Contains(engine.adapters, generation.Request.Target.Adapter) {
+		return nil, &upstream.RefusedError{Status: 409, Reason: "adapter not loaded"}
+	}
 	ran, fault := engine.lose()
 	if engine.final && generation.ResumeAfter > 0 {
 		return nil, &upstream.RefusedError{Status: 410, Reason: "cannot resume"}
--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -165,6 +165,57 @@
 	})
 }
 
+// TestAdapterThatReportsStillName loads an adapter that another daemon removed since the report.
+func TestAdapterThatReportsStillName(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		world := newWorld("u1")
+		world.engines["u1"].needs, world.engines["u1"].listed = true, []string{"style"}
+		dispatcher := world.dispatcher(Settings{})
+		for n := range 3 {
+			req := chat(fmt.Sprint("b", n))
+			req.Target.Adapter = "style"
+			if err := dispatcher.Do(t.Context(), req, &fakeSink{}); err != nil {
+				t.Error(err)
+			}
+		}
+		if loaded := world.engines["u1"].adapters; !slices.Equal(loaded, []string{"style"}) {
+			t.Errorf("the loads were %v", loaded)
+		}
+	})
+}
+
+// TestEqualRequestsWaitBriefly sends more equal requests at once than one upstream holds.
+func TestEqualRequestsWaitBriefly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		world := newWorld("u1", "u2")
+		for _, engine := range world.engines {
+			engine.pieces, engine.gap = 100, 100*time.Millisecond
+		}
+		dispatcher := world.dispatcher(Settings{})
+		var all sync.WaitGroup
+		for range 8 {
+			all.Go(func() {
+				if err := dispatcher.Do(t.Context(), chat("equal"), &fakeSink{}); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		for _, want := range []int{1, 2} {
+			time.Sleep(1500 * time.Millisecond)
+			used := 0
+			for _, engine := range world.engines {
+				engine.mutex.Lock()
+				used += min(engine.active, 1)
+				engine.mutex.Unlock()
+			}
+			if used != want {
+				t.Errorf("%d upstreams run the requests, want %d", used, want)
+			}
+		}
+		all.Wait()
+	})
+}
+
 func TestCallerThatLeavesCancelsUpstream(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		world := newWorld("u1")
--- a/dispatch/judge.go
+++ b/dispatch/judge.go
@@ -33,6 +33,9 @@
 func (journey *journey) unsent(ctx context.Context, place *place, err error) (result, bool) {
 	var refusal *upstream.RefusedError
 	if errors.As(err, &refusal) {
+		if journey.req.Target.Adapter != "" {
+			journey.dispatcher.adapters.refused(journey.slotOf(place), journey.dispatcher.clock.Now())
+		}
 		failure := outcome.New(outcome.UpstreamRefused, "the upstream refused the request").WithCause(err).WithRetryAfter(minRetry)
 		return result{failure: failure, notRun: true}, true
 	}
--- a/dispatch/pump.go
+++ b/dispatch/pump.go
@@ -53,8 +53,11 @@
 
 // bound reports whether the request must go to the upstream where an equal one runs. The mutex is held.
 func (dispatcher *Dispatcher) bound(waiting *entry) bool {
-	_, flying := dispatcher.flying[waiting.Item.fingerprint]
-	return flying && !dispatcher.proven.Has(waiting.Item.fingerprint)
+	flight, flying := dispatcher.flying[waiting.Item.fingerprint]
+	if !flying || dispatcher.proven.Has(waiting.Item.fingerprint) {
+		return false
+	}
+	return dispatcher.clock.Since(flight.since) < holdFor
 }
 
 // pumpSpecial grants places to the suspects and second attempts that fit. The mutex is held.
