Send no more orders of former holders than replicas are wanted

A former holder had left several open rows for one model, since rows on leaving engines are decided again elsewhere, and its successor sent the orders of two. Change: the order of a foreign row is sent only while the model lacks a replica.

--- a/decider/orders.go
+++ b/decider/orders.go
@@ -131,7 +131,7 @@
 	}
 	wanted := reign.isWanted(entry.Intent.Model)
 	if entry.Intent.Sender != reign.sender {
-		return wanted && reign.isInForce(entry.Intent) && reign.mayTakeOver(entry.Intent.Upstream)
+		return wanted && reign.isInForce(entry.Intent) && reign.mayTakeOver(entry.Intent.Upstream) && reign.lacksReplica(entry)
 	}
 	if entry.Attempts >= attemptsWithout && !wanted || !reign.isInForce(entry.Intent) {
 		reign.book.Abandon(entry.Intent.ID)
@@ -149,6 +149,32 @@
 	return known && !view.Closes() && view.AsOf.After(reign.began)
 }
 
+// lacksReplica reports whether the model may have one more replica than those that are shown or
+// may be on their way by orders of this process. Former holders can have left more rows than
+// that, since rows of engines that were leaving were decided again elsewhere.
+func (reign *reign) lacksReplica(entry *intent.Entry) bool {
+	model, inForce := reign.catalogue.Model(entry.Intent.Model)
+	if !inForce {
+		return false
+	}
+	count := 0
+	for _, other := range reign.book.Entries() {
+		row := other.Intent
+		if row.Verb != upstream.Load || row.Model != model.Name || row.Version != model.Version || other == entry {
+			continue
+		}
+		if view, _ := reign.book.View(row.Upstream); view.State.Leaving {
+			continue
+		}
+		status := reign.book.Status(other, reign.now)
+		mine := row.Sender == reign.sender || other.HasReached()
+		if status == intent.Shown || status == intent.Open && mine {
+			count++
+		}
+	}
+	return count < max(1, model.MaxReplicas)
+}
+
 // isInForce reports whether the subject of a load is in force; other orders always are.
 func (reign *reign) isInForce(row intent.Intent) bool {
 	if row.Verb != upstream.Load {
--- a/intent/book.go
+++ b/intent/book.go
@@ -188,6 +188,11 @@
 	return entry.open > 0
 }
 
+// HasReached reports whether a byte of an attempt of this process may have reached the engine.
+func (entry *Entry) HasReached() bool {
+	return entry.reached || entry.open > 0
+}
+
 // IsAbandoned reports whether this process sends no further attempt.
 func (entry *Entry) IsAbandoned() bool {
 	return entry.abandoned
