Exchange with two random peers in each interval in large data centres

Cause: with one peer an interval a change takes 5.2 s to reach 64 daemons, and the decider takes states older than 5 s for stale. Ruled out: three peers, 2.3 s, for one exchange more in each interval.

--- a/Makefile
+++ b/Makefile
@@ -31,8 +31,9 @@
 	$(GO) run ./internal/cmd/measure keepwarm
 
 measure-peers:
-	$(GO) run ./internal/cmd/measure peers
-	$(GO) run ./internal/cmd/measure peers -datacentres 5 -daemons 8,16,32 -ways digests
+	$(GO) run ./internal/cmd/measure peers -for 6s
+	$(GO) run ./internal/cmd/measure peers -for 6s -daemons 64 -ways digests -fanout 1
+	$(GO) run ./internal/cmd/measure peers -for 6s -datacentres 5 -daemons 8,16,32 -ways digests
 	$(GO) test ./peer -run Convergence -v -daemons 4,8,16,32,64
 
 SEED ?= 1
--- a/internal/cmd/measure/peers.go
+++ b/internal/cmd/measure/peers.go
@@ -92,6 +92,7 @@
 	flags := flag.NewFlagSet("peers", flag.ContinueOnError)
 	sizes := flags.String("daemons", "4,8,16,32,64", "numbers of daemons")
 	centres := flags.Int("datacentres", 1, "number of data centres")
+	fanout := flags.Int("fanout", 0, "peers in each interval by digests; zero is the default")
 	names := flags.String("ways", "mesh,digests,none", "ways to run")
 	length := flags.Duration("for", 10*time.Second, "length of each run")
 	if err := flags.Parse(args); err != nil {
@@ -110,7 +111,7 @@
 				return err
 			}
 			upstreams := max(daemons*upstreamsPerDataCentre/daemonsPerDataCentre, 1)
-			used, err := run(scale{*centres, daemons, upstreams}, *length)
+			used, err := run(scale{*centres, daemons, upstreams, *fanout}, *length)
 			if err != nil {
 				return err
 			}
@@ -126,6 +127,8 @@
 type scale struct {
 	// centres is the number of data centres; daemons and upstreams are in each.
 	centres, daemons, upstreams int
+	// fanout is the setting of the nodes.
+	fanout int
 }
 
 // ways holds the ways of learning the states of upstreams.
@@ -154,7 +157,7 @@
 		}
 		for number, member := range members {
 			node := peer.NewNode(peer.Settings{
-				Name: member.Name, DataCentre: member.DataCentre, PeerAddress: member.Address, Incarnation: 1, Way: way,
+				Name: member.Name, DataCentre: member.DataCentre, PeerAddress: member.Address, Incarnation: 1, Way: way, Fanout: scale.fanout,
 				Client:  count(peer.NewClient(), traffic),
 				Members: peer.MembersFunc(func() []peer.Member { return members }),
 			}, clock.RealClock{}, rand.New(rand.NewPCG(1, uint64(number))))
--- a/peer/cluster_test.go
+++ b/peer/cluster_test.go
@@ -55,6 +55,7 @@
 		PeerAddress: member.Address,
 		Incarnation: incarnation,
 		Way:         way,
+		Fanout:      *fanout,
 		Client:      &sender{cluster: cluster, address: member.Address},
 		Members:     MembersFunc(func() []Member { return cluster.members }),
 	}, clock, rand.New(rand.NewPCG(incarnation, xxhash.Sum64String(member.Name))))
--- a/peer/convergence_test.go
+++ b/peer/convergence_test.go
@@ -10,7 +10,11 @@
 	"time"
 )
 
-var sizes = flag.String("daemons", "4,24", "numbers of daemons of the test of convergence")
+// Flags of TestConvergence.
+var (
+	fanout = flag.Int("fanout", 0, "peers in each interval by digests; zero is the default")
+	sizes  = flag.String("daemons", "4,24", "numbers of daemons")
+)
 
 // reach returns how long it takes until all nodes know the change.
 func reach(t *testing.T, nodes []*Node, knows func(Record) bool) time.Duration {
--- a/peer/run.go
+++ b/peer/run.go
@@ -97,7 +97,9 @@
 	}
 	node.beat()
 	if way == Digests {
-		tasks = append(tasks, node.randomTask(near, now)...)
+		for range node.settings.Fanout {
+			tasks = append(tasks, node.randomTask(near, now)...)
+		}
 	}
 	return append(tasks, node.randomTask(node.remote(far), now)...)
 }
--- a/peer/settings.go
+++ b/peer/settings.go
@@ -13,6 +13,7 @@
 	defaultTimeout = time.Second
 	defaultForget  = time.Minute
 	defaultCalls   = 16
+	defaultFanout  = 2
 )
 
 // Settings configures a Node. The zero value of a field means its default.
@@ -30,6 +31,8 @@
 	CallerAddress string
 	// Way chooses the form of exchange.
 	Way Way
+	// Fanout is the number of peers in each interval by Digests; zero means 2.
+	Fanout int
 	// Every is the interval of exchange with each peer of the own data centre; zero means 1 s.
 	Every time.Duration
 	// Timeout bounds one call; zero means 1 s.
@@ -63,6 +66,9 @@
 	if settings.Calls == 0 {
 		settings.Calls = defaultCalls
 	}
+	if settings.Fanout == 0 {
+		settings.Fanout = defaultFanout
+	}
 	if settings.Client == nil {
 		settings.Client = NewClient()
 	}
--- a/peer/way.go
+++ b/peer/way.go
@@ -10,7 +10,7 @@
 	BySize Way = iota
 	// Mesh exchanges with every peer of the data centre in each interval.
 	Mesh
-	// Digests exchanges with one random peer in each interval and passes on what it knows of others.
+	// Digests exchanges with a few random peers in each interval and passes on what it knows of others.
 	Digests
 )
 
