Grant adapter transfers by the decider; count calls of test daemons under their lock

Cause: each daemon had a fixed part of the 32 transfers in flight, at least one: from 33 daemons on the parts exceed the limit. The race detector found a test of peers reading a counter without its lock. Ruled out: rows in the table service for transfers of milliseconds. Change: a daemon reports what is in flight and waits, and gets grants of 3 s out of the part of its data centre; without a decider it uses its fixed part. The search for a decider serves demand and grants. Measured: TestTransfersKeepTheGrant: 3 of 4 transfers at once beside another daemon with one, and a transfer without a decider. Conclusion: a new decider does not know the grants of its predecessor for 3 s; transfers are then slower, nothing breaks.

--- a/daemon/asker.go
+++ b/daemon/asker.go
@@ -10,7 +10,7 @@
 )
 
 // deciderAsker asks the decider of the own data centre, and those of others for what it refuses.
-// It belongs to the goroutine of demand.
+// Each duty that asks has one of its own.
 type deciderAsker struct {
 	name       string
 	dataCentre string
@@ -23,7 +23,7 @@
 	live func(dataCentre string) []string
 	// dataCentres names all data centres.
 	dataCentres []string
-	// named holds by data centre the daemon that last decided there.
+	// named holds by data centre the daemon that last decided there. It belongs to the duty.
 	named map[string]string
 }
 
@@ -78,38 +78,53 @@
 	return estimates
 }
 
-// askDataCentre finds the decider of a data centre: this daemon, the holder of the lease as last
-// read, the one that last decided, or any daemon there that decides or names one.
+// askDataCentre delivers the wants to the decider of a data centre.
 func (asker *deciderAsker) askDataCentre(ctx context.Context, dataCentre string, wants []peer.Want) (peer.DemandAnswer, error) {
-	seat := asker.seats.byDataCentre[dataCentre]
-	if answer := seat.demand(asker.name, wants); answer.Decides {
+	answer := asker.seats.byDataCentre[dataCentre].demand(asker.name, wants)
+	if answer.Decides {
 		return answer, nil
 	}
-	queue := append([]string{seat.leader(), asker.named[dataCentre]}, asker.live(dataCentre)...)
+	err := asker.search(dataCentre, func(address string) (decides bool, named string, err error) {
+		answer, err = asker.node.Demand(ctx, address, dataCentre, wants)
+		return answer.Decides, answer.Decider, err
+	})
+	return answer, err
+}
+
+// askGrant asks the decider of the own data centre for transfers of adapters.
+func (asker *deciderAsker) askGrant(ctx context.Context, request peer.GrantRequest) (peer.Grant, error) {
+	grant := asker.seats.byDataCentre[asker.dataCentre].grant(asker.name, request)
+	if grant.Decides {
+		return grant, nil
+	}
+	err := asker.search(asker.dataCentre, func(address string) (decides bool, named string, err error) {
+		grant, err = asker.node.Grant(ctx, address, request)
+		return grant.Decides, grant.Decider, err
+	})
+	return grant, err
+}
+
+// search calls ask with addresses until one decides for the data centre: the holder of the lease as
+// last read, the one that last decided, any daemon there, and whom these name.
+func (asker *deciderAsker) search(dataCentre string, ask func(address string) (decides bool, named string, err error)) error {
+	queue := append([]string{asker.seats.byDataCentre[dataCentre].leader(), asker.named[dataCentre]}, asker.live(dataCentre)...)
 	asked := map[string]bool{"": true, asker.name: true}
 	var last error
 	for len(queue) > 0 {
 		daemon := queue[0]
 		queue = queue[1:]
-		if asked[daemon] {
+		address := asker.address(daemon)
+		if asked[daemon] || address == "" {
 			continue
 		}
 		asked[daemon] = true
-		answer, err := asker.askOne(ctx, daemon, dataCentre, wants)
-		if err == nil && answer.Decides {
+		decides, named, err := ask(address)
+		if err == nil && decides {
 			asker.named[dataCentre] = daemon
-			return answer, nil
+			return nil
 		}
-		queue = append([]string{answer.Decider}, queue...)
+		queue = append([]string{named}, queue...)
 		last = err
 	}
-	return peer.DemandAnswer{}, trace.ConnectionProblem(last, "no daemon decides for %s", dataCentre)
-}
-
-func (asker *deciderAsker) askOne(ctx context.Context, daemon, dataCentre string, wants []peer.Want) (peer.DemandAnswer, error) {
-	address := asker.address(daemon)
-	if address == "" {
-		return peer.DemandAnswer{}, trace.NotFound("the address of %s is not known", daemon)
-	}
-	return asker.node.Demand(ctx, address, dataCentre, wants)
+	return trace.ConnectionProblem(last, "no daemon decides for %s", dataCentre)
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -46,6 +46,7 @@
 	claims     *claim.Store
 	suspects   *suspects
 	backlogs   *backlogs
+	transfers  *transfers
 	loads      *loadTimes
 	health     *health
 
--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -21,6 +21,7 @@
 		{"tell peers", daemon.tellPeers},
 		{"hear peers", daemon.hearPeers},
 		{"report demand", daemon.demand.run},
+		{"ask for transfers", daemon.transfers.run},
 		{"look after requests", daemon.lookAfterRequests},
 		{"keep claims", daemon.keepClaims},
 		{"set gauges", daemon.setGauges},
--- a/daemon/seat.go
+++ b/daemon/seat.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"k8s.io/utils/clock"
 
@@ -9,6 +10,7 @@
 	"github.com/bronzestall/bronzestall/decider"
 	"github.com/bronzestall/bronzestall/lease"
 	"github.com/bronzestall/bronzestall/peer"
+	"github.com/bronzestall/bronzestall/permit"
 	"github.com/bronzestall/bronzestall/placement"
 )
 
@@ -17,7 +19,11 @@
 	dataCentre string
 	clock      clock.Clock
 	warmth     *warmth
-	mutex      sync.Mutex
+	// transfers is the number of adapter transfers in flight that belong to the data centre.
+	transfers int
+	mutex     sync.Mutex
+	// grants divides them among daemons. It is new with each candidacy.
+	grants *permit.Grants
 	// lease and decider are nil while this daemon is no candidate.
 	lease   *lease.Lease
 	decider *decider.Decider
@@ -29,6 +35,7 @@
 	defer seat.mutex.Unlock()
 	seat.lease = lease
 	seat.decider = decider
+	seat.grants = permit.NewGrants(grantLasts)
 }
 
 // leave ends the candidacy.
@@ -77,6 +84,23 @@
 	return answer
 }
 
+// grantLasts is how long a grant of transfers lasts without a new one.
+const grantLasts = 3 * time.Second
+
+// grant divides the transfers of the data centre if this daemon decides, and else names the one that
+// does. A new decider does not know the grants of its predecessor, which lapse within seconds; until
+// then transfers can exceed the limit, which makes them slower and breaks nothing.
+func (seat *seat) grant(from string, request peer.GrantRequest) peer.Grant {
+	if _, owned := seat.decides(); !owned {
+		return peer.Grant{Decider: seat.leader()}
+	}
+	report := permit.Report{Sequence: request.Sequence, InFlight: request.InFlight, Waiting: request.Waiting}
+	seat.mutex.Lock()
+	defer seat.mutex.Unlock()
+	made := seat.grants.Update(from, report, seat.transfers, seat.clock.Now())
+	return peer.Grant{Decides: true, Sequence: made.Sequence, Transfers: made.Transfers, Lasts: made.Lasts}
+}
+
 func demands(wants []peer.Want) []placement.Demand {
 	demands := make([]placement.Demand, 0, len(wants))
 	for _, want := range wants {
--- a/daemon/seats.go
+++ b/daemon/seats.go
@@ -26,7 +26,11 @@
 	return seat.demand(from, wants), nil
 }
 
-// Grant is not decided here: transfers of adapters are divided by the share of the daemon.
-func (seats *seats) Grant(context.Context, string, peer.GrantRequest) (peer.Grant, error) {
-	return peer.Grant{}, nil
+// Grant gives a daemon transfers of adapters out of the part of its data centre.
+func (seats *seats) Grant(_ context.Context, from string, request peer.GrantRequest) (peer.Grant, error) {
+	seat, ok := seats.byDataCentre[seats.dataCentreOf(from)]
+	if !ok {
+		return peer.Grant{}, nil
+	}
+	return seat.grant(from, request), nil
 }
--- a/daemon/transfers_test.go
+++ b/daemon/transfers_test.go
@@ -8,12 +8,37 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"k8s.io/utils/clock"
+
+	"github.com/bronzestall/bronzestall/peer"
+	"github.com/bronzestall/bronzestall/permit"
 )
 
-func TestTransfersKeepTheShare(t *testing.T) {
+// fakeGranter is a decider that another daemon takes one transfer from, and that can be away.
+type fakeGranter struct {
+	grants *permit.Grants
+	total  int
+	away   atomic.Bool
+}
+
+func (granter *fakeGranter) askGrant(_ context.Context, request peer.GrantRequest) (peer.Grant, error) {
+	if granter.away.Load() {
+		return peer.Grant{}, errors.New("away")
+	}
+	granter.grants.Update("other", permit.Report{Waiting: 1}, granter.total+1, time.Now())
+	made := granter.grants.Update("this", permit.Report(request), granter.total+1, time.Now())
+	return peer.Grant{Decides: true, Sequence: made.Sequence, Transfers: made.Transfers, Lasts: made.Lasts}, nil
+}
+
+func TestTransfersKeepTheGrant(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const share, users = 3, 40
-		transfers := &transfers{share: func() int { return share }}
+		decider := &fakeGranter{grants: permit.NewGrants(time.Second), total: share}
+		transfers := newTransfers(decider, clock.RealClock{}, func() int { return 1 })
+		ctx, stop := context.WithCancel(t.Context())
+		duty := make(chan error)
+		go func() { duty <- transfers.run(ctx) }()
 		var inFlight, peak, gaveUp atomic.Int64
 		var done sync.WaitGroup
 		for user := range users {
@@ -45,5 +70,14 @@
 		if gaveUp.Load() == 0 || gaveUp.Load() > users/2 {
 			t.Errorf("%d of %d gave up", gaveUp.Load(), users)
 		}
+		decider.away.Store(true)
+		time.Sleep(5 * time.Second)
+		release, err := transfers.Acquire(t.Context())
+		if err != nil {
+			t.Errorf("no transfer without a decider: %v", err)
+		}
+		release()
+		stop()
+		<-duty
 	})
 }
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -49,11 +49,12 @@
 
 func (daemon *Daemon) wireDeciding() {
 	daemon.loads = &loadTimes{meter: daemon.meter}
-	for _, dataCentre := range daemon.settings.DataCentres {
+	for place, dataCentre := range daemon.settings.DataCentres {
 		store := bookstore.New(daemon.platform, dataCentre.Name)
 		made := &seat{
 			dataCentre: dataCentre.Name,
 			clock:      daemon.clock,
+			transfers:  daemon.transfersOf(place),
 			warmth: &warmth{
 				clock: daemon.clock,
 				state: daemon.catalogue,
@@ -75,27 +76,18 @@
 
 func (daemon *Daemon) wireRequests() {
 	daemon.arrivals = newArrivals(nil, daemon.meter)
-	asker := &deciderAsker{
-		name:        daemon.settings.Name,
-		dataCentre:  daemon.settings.DataCentre,
-		seats:       daemon.seats,
-		node:        daemon.node,
-		address:     daemon.peerAddress,
-		live:        daemon.liveIn,
-		dataCentres: daemon.dataCentreNames(),
-		named:       map[string]string{},
-	}
-	daemon.demand = newDemand(asker, daemon.arrivals, daemon.clock, daemon.settings.Lease.Term+daemon.settings.Lease.RenewEvery)
+	daemon.demand = newDemand(daemon.newAsker(), daemon.arrivals, daemon.clock, daemon.settings.Lease.Term+daemon.settings.Lease.RenewEvery)
 	daemon.claims = claim.New(claim.Settings{Incarnation: daemon.process, Timeout: daemon.settings.Platform.Timeout}, daemon.platform, daemon.clock)
 	directory := &directory{dataCentre: daemon.settings.DataCentre, fleet: daemon.fleet, state: daemon.catalogue}
 	daemon.backlogs = newBacklogs()
+	daemon.transfers = newTransfers(daemon.newAsker(), daemon.clock, daemon.transferShare)
 	daemon.dispatcher = dispatch.New(daemon.dispatchSettings(), dispatch.Deps{
 		Fleet:     directory,
 		Engines:   requestEngines{daemon.pool},
 		Demand:    daemon.demand,
 		Services:  daemon.pool,
 		Claims:    daemon.claims,
-		Transfers: &transfers{share: daemon.transferShare},
+		Transfers: daemon.transfers,
 		Peers:     daemon.backlogs,
 		Suspects:  daemon.suspects,
 	}, daemon.clock, daemon.outside.random(dispatchSeed))
@@ -118,12 +110,36 @@
 	daemon.meter.Observe(meter.QueueTime, labels, daemon.clock.Since(req.Arrived))
 }
 
-// transferShare returns the part of the adapter transfers in flight that is this daemon's. Beyond
-// one daemon for each transfer the parts add up to more than the limit, which makes transfers slower.
+// newAsker returns a search for deciders for the use of one duty.
+func (daemon *Daemon) newAsker() *deciderAsker {
+	return &deciderAsker{
+		name:        daemon.settings.Name,
+		dataCentre:  daemon.settings.DataCentre,
+		seats:       daemon.seats,
+		node:        daemon.node,
+		address:     daemon.peerAddress,
+		live:        daemon.liveIn,
+		dataCentres: daemon.dataCentreNames(),
+		named:       map[string]string{},
+	}
+}
+
+// transferShare returns the part of the adapter transfers in flight that this daemon uses without a decider.
 func (daemon *Daemon) transferShare() int {
 	return max(1, daemon.settings.WeightStore.AdaptersInFlight/daemon.daemonCount())
 }
 
+// transfersOf returns the part of the adapter transfers in flight that belongs to the data centre in
+// the given place of the list. The first ones get the remainder.
+func (daemon *Daemon) transfersOf(place int) int {
+	total, parts := daemon.settings.WeightStore.AdaptersInFlight, len(daemon.settings.DataCentres)
+	part := total / parts
+	if place < total%parts {
+		part++
+	}
+	return max(1, part)
+}
+
 func (daemon *Daemon) dispatchSettings() dispatch.Settings {
 	shares := map[string]int{}
 	for _, tenant := range daemon.settings.Tenants {
--- a/peer/cluster_test.go
+++ b/peer/cluster_test.go
@@ -104,6 +104,20 @@
 	return response, nil
 }
 
+// countCalls returns the number of calls of all processes.
+func (cluster *cluster) countCalls() int {
+	cluster.mutex.Lock()
+	defer cluster.mutex.Unlock()
+	return cluster.calls
+}
+
+// setSlow makes a daemon accept calls and never answer.
+func (cluster *cluster) setSlow(member Member) {
+	cluster.mutex.Lock()
+	defer cluster.mutex.Unlock()
+	cluster.slow[member.Address] = true
+}
+
 func (cluster *cluster) setCut(from, to Member, cut bool) {
 	cluster.mutex.Lock()
 	defer cluster.mutex.Unlock()
--- a/peer/duties.go
+++ b/peer/duties.go
@@ -56,12 +56,12 @@
 	Estimates []Estimate
 }
 
-// GrantRequest asks for transfers of adapters.
+// GrantRequest tells of the transfers of adapters of one daemon and asks for a new grant.
 type GrantRequest struct {
-	// ID identifies the request, so that a repeated call grants once.
-	ID string
-	// Transfers is the number of transfers asked for.
-	Transfers int
+	// Sequence is the newest grant that the daemon has taken up, or zero.
+	Sequence uint64
+	// InFlight and Waiting count its transfers.
+	InFlight, Waiting int
 }
 
 // Grant is the answer to a GrantRequest.
@@ -70,7 +70,9 @@
 	Decides bool
 	// Decider is the name of the daemon that decides, if known.
 	Decider string
-	// Transfers is the number granted, at most what was asked.
+	// Sequence rises with every grant to one daemon.
+	Sequence uint64
+	// Transfers is the number of transfers that the daemon may have in flight.
 	Transfers int
 	// Lasts is how long the grant lasts from its receipt.
 	Lasts time.Duration
--- a/peer/fault_test.go
+++ b/peer/fault_test.go
@@ -73,10 +73,10 @@
 				nodes = append(nodes, node)
 				continue
 			}
-			cluster.slow[member.Address] = true
+			cluster.setSlow(member)
 		}
 		time.Sleep(30 * time.Second)
-		before := cluster.calls
+		before := cluster.countCalls()
 		setInForce(nodes[0], 9)
 		time.Sleep(5 * time.Second)
 		for _, node := range nodes[1:] {
@@ -84,7 +84,7 @@
 				t.Errorf("%s has not heard within 5 s", node.Self().Name)
 			}
 		}
-		if calls := cluster.calls - before; calls > 20*20*5 {
+		if calls := cluster.countCalls() - before; calls > 20*20*5 {
 			t.Errorf("%d calls in 5 s", calls)
 		}
 	})
--- a/peer/grant.go
+++ b/peer/grant.go
@@ -6,10 +6,14 @@
 	"github.com/bronzestall/bronzestall/peer/peerpb"
 )
 
-// Grant asks the decider at the address for transfers of adapters. Repeating
-// it with the same ID is harmless.
+// Grant asks the decider at the address for transfers of adapters. Each call replaces the grant before.
 func (node *Node) Grant(ctx context.Context, address string, request GrantRequest) (Grant, error) {
-	message := &peerpb.GrantRequest{Sender: node.Self().digest(), Id: request.ID, Transfers: uint32(request.Transfers)}
+	message := &peerpb.GrantRequest{
+		Sender:   node.Self().digest(),
+		Sequence: request.Sequence,
+		InFlight: uint32(request.InFlight),
+		Waiting:  uint32(request.Waiting),
+	}
 	ctx, cancel := node.bound(ctx)
 	defer cancel()
 	response, err := call[peerpb.GrantRequest, peerpb.GrantResponse](ctx, node.wire, address, grantProcedure, message)
@@ -19,7 +23,8 @@
 	return Grant{
 		Decides:   response.GetDecides(),
 		Decider:   response.GetDecider(),
-		Transfers: min(int(response.GetTransfers()), request.Transfers),
+		Sequence:  response.GetSequence(),
+		Transfers: int(response.GetTransfers()),
 		Lasts:     duration(response.GetRemaining()),
 	}, nil
 }
@@ -28,7 +33,7 @@
 	if node.settings.Decider == nil {
 		return nil, ErrNotOffered
 	}
-	asked := GrantRequest{ID: request.GetId(), Transfers: int(request.GetTransfers())}
+	asked := GrantRequest{Sequence: request.GetSequence(), InFlight: int(request.GetInFlight()), Waiting: int(request.GetWaiting())}
 	grant, err := node.settings.Decider.Grant(ctx, request.GetSender().GetName(), asked)
 	if err != nil {
 		return nil, err
@@ -36,6 +41,7 @@
 	return &peerpb.GrantResponse{
 		Decides:   grant.Decides,
 		Decider:   grant.Decider,
+		Sequence:  grant.Sequence,
 		Transfers: uint32(grant.Transfers),
 		Remaining: milliseconds(grant.Lasts),
 	}, nil
