Make room in a full daemon for small tenants; assert no work to leaving upstreams

Cause: one tenant that filled the daemon's bound over several models kept others out; a request that waited for an adapter or a claim was sent to an upstream that had begun to leave, and plain services were not checked again. Change: a full daemon displaces the tenant with the most waiting requests for its share; places a second old are checked again for services too; the invariant is asserted at the send from the first sign that a choice saw.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -71,7 +71,7 @@
 	if left <= 0 {
 		return outcome.New(outcome.DeadlineInQueue, "the deadline passed before the request was queued")
 	}
-	if dispatcher.waiting >= dispatcher.settings.Total {
+	if dispatcher.waiting >= dispatcher.settings.Total && !dispatcher.displace(waiting) {
 		return outcome.New(outcome.QueueFull, "the daemon holds as many requests as it may").WithRetryAfter(dispatcher.clears(lane))
 	}
 	if !dispatcher.served(snapshot) {
@@ -108,10 +108,9 @@
 	if !ok {
 		return outcome.New(outcome.QueueFull, "the queue of the model is full").WithRetryAfter(dispatcher.clears(lane))
 	}
-	dispatcher.waiting++
+	dispatcher.enterQueue(waiting)
 	if displaced != nil {
-		dispatcher.leaveQueue(lane)
-		displaced.Item.granted <- grant{failure: outcome.New(outcome.TenantLimit, "the tenant has the most requests in a full queue").WithRetryAfter(dispatcher.clears(lane))}
+		dispatcher.displaced(lane, displaced)
 	}
 	return nil
 }
@@ -131,7 +130,7 @@
 	left := waiting.Waiting()
 	if left {
 		lane.line(waiting).Remove(waiting)
-		dispatcher.leaveQueue(lane)
+		dispatcher.leaveQueue(lane, waiting)
 		dispatcher.report(lane)
 	}
 	dispatcher.mutex.Unlock()
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -41,9 +41,6 @@
 	if sent := journey.dispatcher.deps.Sent; sent != nil {
 		sent(&journey.req, journey.attempts)
 	}
-	if journey.req.Form == request.ServiceCall {
-		return journey.call(ctx, place)
-	}
 	release, err := journey.loadAdapter(ctx, place)
 	if err != nil {
 		return journey.judge(ctx, place, err)
@@ -52,6 +49,10 @@
 	if !journey.dispatcher.stillServes(place) {
 		return journey.judge(ctx, place, &upstream.RefusedError{Reason: "leaving"})
 	}
+	journey.dispatcher.assertServes(place)
+	if journey.req.Form == request.ServiceCall {
+		return journey.call(ctx, place)
+	}
 	return journey.generate(ctx, place, start.begun)
 }
 
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -32,6 +32,8 @@
 	flying map[uint64]flight
 	// waiting is the number of requests in all queues, at most settings.Total.
 	waiting int
+	// waitingOf is that number by tenant, without zeros.
+	waitingOf map[string]int
 	// serving is the number of requests between the begin and the end of Do, and active that number with
 	// the work that goes on behind them.
 	serving, active int
@@ -47,18 +49,19 @@
 		deps.Peers = alone{}
 	}
 	return &Dispatcher{
-		settings: settings.withDefaults(),
-		deps:     deps,
-		clock:    clock,
-		router:   route.New(clock, random),
-		budget:   retry.New(),
-		book:     quarantine.New(),
-		proven:   quarantine.NewProven(),
-		plain:    map[string]bool{},
-		flying:   map[uint64]flight{},
-		adapters: &adapters{loads: map[slot]*load{}, missed: map[slot]time.Time{}},
-		lanes:    map[string]*lane{},
-		emptied:  make(chan struct{}),
+		settings:  settings.withDefaults(),
+		deps:      deps,
+		clock:     clock,
+		router:    route.New(clock, random),
+		budget:    retry.New(),
+		book:      quarantine.New(),
+		proven:    quarantine.NewProven(),
+		plain:     map[string]bool{},
+		flying:    map[uint64]flight{},
+		waitingOf: map[string]int{},
+		adapters:  &adapters{loads: map[slot]*load{}, missed: map[slot]time.Time{}},
+		lanes:     map[string]*lane{},
+		emptied:   make(chan struct{}),
 	}
 }
 
--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -41,6 +41,7 @@
 	world.mutex.Lock()
 	defer world.mutex.Unlock()
 	engine := &fakeEngine{name: name, boot: name + "/1", slots: 4, pieces: 3, gap: 10 * time.Millisecond, runs: map[string]int{}}
+	engine.loadTime = 5 * time.Millisecond
 	engine.chaosFields = chaosFields{ids: map[string]int{}, once: map[string]int{}, recovers: time.Hour}
 	world.engines[name] = engine
 	world.order = append(world.order, name)
@@ -124,6 +125,8 @@
 	breakErr error
 	// reports states that the load is reported, without a lag.
 	reports bool
+	// loadTime is how long an order takes.
+	loadTime time.Duration
 	// final states that the engine cannot resume.
 	final bool
 	// shift is added to the piece at which a resumed stream goes on.
@@ -206,7 +209,7 @@
 }
 
 func (engine *fakeEngine) Send(_ context.Context, order upstream.Order) (upstream.Verdict, error) {
-	time.Sleep(5 * time.Millisecond)
+	time.Sleep(engine.loadTime)
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
 	engine.adapters = append(engine.adapters, order.Adapter)
--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/bronzestall/bronzestall/internal/invariant"
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/quarantine"
 	"github.com/bronzestall/bronzestall/request"
@@ -247,6 +248,41 @@
 	})
 }
 
+// TestPlaceOnUpstreamThatBeginsToLeave holds a granted request in the load of its adapter until its upstream leaves.
+func TestPlaceOnUpstreamThatBeginsToLeave(t *testing.T) {
+	broken := invariant.Broken()
+	synctest.Test(t, func(t *testing.T) {
+		world := newWorld("u1", "u2")
+		world.engines["u1"].loadTime, world.engines["u2"].loadTime = 5*time.Second, 5*time.Second
+		dispatcher := world.dispatcher(Settings{})
+		req := chat("b")
+		req.Target.Adapter, req.Deadline = "style", time.Now().Add(time.Minute)
+		ended := make(chan error, 1)
+		go func() { ended <- dispatcher.Do(t.Context(), req, &fakeSink{}) }()
+		synctest.Wait()
+		for _, engine := range world.engines {
+			if dispatcher.router.Running(engine.name) > 0 {
+				engine.leave(time.Hour)
+			}
+		}
+		time.Sleep(time.Second)
+		if err := dispatcher.Do(t.Context(), chat("other"), &fakeSink{}); err != nil {
+			t.Error(err)
+		}
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+		for _, engine := range world.engines {
+			if engine.leaving && len(engine.runs) > 0 {
+				t.Errorf("the leaving upstream ran %v", engine.runs)
+			}
+		}
+	})
+	if invariant.Broken() != broken {
+		t.Error("an invariant was broken")
+	}
+}
+
 func TestEjectedUpstreamIsProbedBackIn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		world := newWorld("u1")
--- a/dispatch/keyed_test.go
+++ b/dispatch/keyed_test.go
@@ -109,6 +109,7 @@
 		{"same tenant, model full", Settings{PerModel: 4}, "a", outcome.QueueFull, 4},
 		{"same tenant, daemon full", Settings{Total: 4}, "a", outcome.QueueFull, 4},
 		{"other tenant, model full", Settings{PerModel: 4}, "b", outcome.DeadlineInQueue, 3},
+		{"other tenant, daemon full", Settings{Total: 4}, "b", outcome.DeadlineInQueue, 3},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -119,7 +120,11 @@
 				var all sync.WaitGroup
 				for n := range 4 {
 					all.Go(func() {
-						err := dispatcher.Do(t.Context(), chat(fmt.Sprint(n)), &fakeSink{})
+						req := chat(fmt.Sprint(n))
+						if c.settings.Total > 0 {
+							req.Target.Model = fmt.Sprint("m", n)
+						}
+						err := dispatcher.Do(t.Context(), req, &fakeSink{})
 						mutex.Lock()
 						defer mutex.Unlock()
 						kinds[outcome.From(err).Kind]++
--- a/dispatch/lane.go
+++ b/dispatch/lane.go
@@ -81,9 +81,19 @@
 	return lane.queue.Len() + lane.special.Len()
 }
 
+// enterQueue counts a request into the queues. The mutex is held.
+func (dispatcher *Dispatcher) enterQueue(waiting *entry) {
+	dispatcher.waiting++
+	dispatcher.waitingOf[waiting.Tenant]++
+}
+
 // leaveQueue counts a request out of the queues after it was removed from its lane. The mutex is held.
-func (dispatcher *Dispatcher) leaveQueue(lane *lane) {
+func (dispatcher *Dispatcher) leaveQueue(lane *lane, left *entry) {
 	dispatcher.waiting--
+	dispatcher.waitingOf[left.Tenant]--
+	if dispatcher.waitingOf[left.Tenant] == 0 {
+		delete(dispatcher.waitingOf, left.Tenant)
+	}
 	if lane.minded && lane.waiting() == 0 {
 		lane.minded = false
 		close(lane.emptied)
--- a/dispatch/mind.go
+++ b/dispatch/mind.go
@@ -77,7 +77,7 @@
 	failure := unmeetable(dispatcher.clears(lane))
 	for _, waiting := range lane.queue.Hopeless(late) {
 		lane.queue.Remove(waiting)
-		dispatcher.leaveQueue(lane)
+		dispatcher.leaveQueue(lane, waiting)
 		waiting.Item.granted <- grant{failure: failure}
 	}
 }
@@ -95,7 +95,7 @@
 	lane.special.Each(collect)
 	for waiting, failure := range failures {
 		lane.line(waiting).Remove(waiting)
-		dispatcher.leaveQueue(lane)
+		dispatcher.leaveQueue(lane, waiting)
 		waiting.Item.granted <- grant{failure: failure}
 	}
 }
--- a/dispatch/pump.go
+++ b/dispatch/pump.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bronzestall/bronzestall/internal/invariant"
 	"github.com/bronzestall/bronzestall/route"
 )
 
@@ -86,7 +87,7 @@
 		return false
 	}
 	lane.line(waiting).Take(waiting)
-	dispatcher.leaveQueue(lane)
+	dispatcher.leaveQueue(lane, waiting)
 	if lane.target.Model == "" {
 		dispatcher.plain[chosen.Upstream] = true
 	}
@@ -143,6 +144,16 @@
 	return ok && !found.Leaving
 }
 
+// leavingBound is the time after the first sign from which a leaving upstream gets no work.
+const leavingBound = 3 * time.Second
+
+// assertServes asserts that the upstream of a place gets no work after its bound.
+func (dispatcher *Dispatcher) assertServes(place *place) {
+	since := dispatcher.router.LeavingSince(place.candidate.Upstream)
+	bound := since.Add(leavingBound)
+	invariant.Check(since.IsZero() || dispatcher.clock.Now().Before(bound), invariant.NoWorkToLeaving, "Upstream", place.candidate.Upstream)
+}
+
 // find returns the candidate on the upstream.
 func (snapshot Snapshot) find(name string) (route.Candidate, bool) {
 	for _, candidates := range [][]route.Candidate{snapshot.Own, snapshot.Others} {
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -10,7 +10,7 @@
 	active := share + 1
 	for tenant := range lane.tenants {
 		if tenant != waiting.Tenant {
-			active += max(dispatcher.settings.Shares[tenant], 1)
+			active += dispatcher.share(tenant)
 		}
 	}
 	running := lane.tenants[waiting.Tenant]
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -36,6 +36,16 @@
 	return len(flow.entries)
 }
 
+// DropLast removes and returns the entry of the tenant that would leave last, or nil.
+func (queue *Queue[T]) DropLast(tenant string) *Entry[T] {
+	if queue.Of(tenant) == 0 {
+		return nil
+	}
+	last := queue.flows[tenant].last()
+	queue.Remove(last)
+	return last
+}
+
 // Push adds an entry. In a full queue it displaces the last entry of the tenant with the most
 // entries for its share, if the tenant of the new entry has fewer; the displaced entry is returned
 // and no longer waits. It reports whether the entry was added.
--- a/route/choose.go
+++ b/route/choose.go
@@ -183,6 +183,7 @@
 
 // usable reports whether the candidate may get requests at all.
 func (router *Router) usable(candidate *Candidate, ask Ask) bool {
+	router.sign(candidate)
 	if !candidate.serves() || candidate.Upstream == ask.Exclude {
 		return false
 	}
--- a/route/ledger.go
+++ b/route/ledger.go
@@ -17,6 +17,8 @@
 	suspects int
 	// health is the state of ejection.
 	health health
+	// leaving is the time of the first sign that the upstream leaves, or zero.
+	leaving time.Time
 	// touched is the time of the last change, for pruning.
 	touched time.Time
 }
--- a/route/router.go
+++ b/route/router.go
@@ -113,6 +113,41 @@
 	return due
 }
 
+// Running returns the number of requests of this daemon on the upstream.
+func (router *Router) Running(name string) int {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	if found, ok := router.ledgers[name]; ok {
+		return len(found.sent)
+	}
+	return 0
+}
+
+// LeavingSince returns when a choice first saw that the upstream leaves, or zero.
+func (router *Router) LeavingSince(name string) time.Time {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	if found, ok := router.ledgers[name]; ok {
+		return found.leaving
+	}
+	return time.Time{}
+}
+
+// sign notes whether the candidate leaves. The mutex is held.
+func (router *Router) sign(candidate *Candidate) {
+	if candidate.Leaving {
+		now := router.clock.Now()
+		found := router.ledger(candidate.Upstream, now)
+		if found.leaving.IsZero() {
+			found.leaving = now
+		}
+		return
+	}
+	if found, ok := router.ledgers[candidate.Upstream]; ok {
+		found.leaving = time.Time{}
+	}
+}
+
 // Forget drops what is known of an upstream that is gone.
 func (router *Router) Forget(name string) {
 	router.mutex.Lock()
