Count one request's failures once against an upstream

Cause: one request that an upstream fails on, sent three times in a row, ejected healthy upstreams. Ruled out: not counting failures after the send at all, which keeps a sick upstream in. Change: failures that may be the fault of the request count once for the same request in a row; refused connections always count. Test that fails without it: TestOneRequestDoesNotEject.

--- a/dispatch/judge.go
+++ b/dispatch/judge.go
@@ -43,7 +43,7 @@
 		return result{failure: endedBefore(ctx), notRun: true, final: true}, true
 	}
 	if errors.Is(err, upstream.ErrNotSent) {
-		journey.failed(place)
+		journey.unreached(place)
 		failure := outcome.New(outcome.UpstreamRefused, "the upstream cannot be reached").WithCause(err).WithRetryAfter(minRetry)
 		return result{failure: failure, notRun: true, unreachable: true}, true
 	}
@@ -115,6 +115,13 @@
 
 // failed counts a failure of the upstream.
 func (journey *journey) failed(place *place) {
+	if journey.dispatcher.router.FailedBy(place.candidate.Upstream, journey.req.Fingerprint) {
+		event.UpstreamEjected.Log("Upstream", place.candidate.Upstream)
+	}
+}
+
+// unreached counts a refused connection, which is no request's fault.
+func (journey *journey) unreached(place *place) {
 	if journey.dispatcher.router.Failed(place.candidate.Upstream) {
 		event.UpstreamEjected.Log("Upstream", place.candidate.Upstream)
 	}
--- a/route/health.go
+++ b/route/health.go
@@ -16,6 +16,8 @@
 type health struct {
 	// failures counts the failures in a row.
 	failures int
+	// blamed is the fingerprint of the request of the last failure that may be its fault.
+	blamed uint64
 	// ejected states that the upstream gets no requests until a probe succeeds.
 	ejected bool
 	// trial states that a probe succeeded and one request at a time may follow.
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -143,6 +143,21 @@
 	}
 }
 
+func TestOneRequestDoesNotEject(t *testing.T) {
+	router, clock := newRouter()
+	candidates := fleet(1, clock.Now())
+	for range 10 {
+		router.FailedBy("u0", 7)
+	}
+	if _, ok := router.Choose(candidates, Ask{}); !ok {
+		t.Error("one request that fails again and again ejected the upstream")
+	}
+	router.FailedBy("u0", 8)
+	if !router.FailedBy("u0", 9) {
+		t.Error("three requests that failed did not eject the upstream")
+	}
+}
+
 func TestIdleUpstreamsAreForgotten(t *testing.T) {
 	router, clock := newRouter()
 	for n := range 1000 {
--- a/route/router.go
+++ b/route/router.go
@@ -88,6 +88,20 @@
 	return ledger.health.ejected && !before
 }
 
+// FailedBy is Failed for a failure that may be the fault of the request: the same request in a row counts once.
+func (router *Router) FailedBy(name string, fingerprint uint64) bool {
+	router.mutex.Lock()
+	now := router.clock.Now()
+	found := router.ledger(name, now)
+	again := found.health.failures > 0 && found.health.blamed == fingerprint
+	found.health.blamed = fingerprint
+	router.mutex.Unlock()
+	if again {
+		return false
+	}
+	return router.Failed(name)
+}
+
 // Eject takes an upstream out at once, as after a crash.
 func (router *Router) Eject(name string) {
 	router.mutex.Lock()
