--- a/route/router.go
+++ b/route/router.go
@@ -88,6 +88,20 @@
 	return ledger.health.ejected && !before
 }
 
+// FailedBy is Failed for a failure that may be the fault of the request: the same request in a row counts once.
+func (router *Router) FailedBy(name string, fingerprint uint64) bool {
+	router.mutex.Lock()
+	now := router.clock.Now()
+	found := router.ledger(name, now)
+	again := found.health.failures > 0 && found.health.blamed == fingerprint
+	found.health.blamed = fingerprint
+	router.mutex.Unlock()
+	if again {
+		return false
+	}
+	return router.Failed(name)
+}
+
 // Eject takes an upstream out at once, as after a crash.
 func (router *Router) Eject(name string) {
 	router.mutex.Lock()
@@ -113,6 +127,41 @@
 	return due
 }
 
+// Running returns the number of requests of this daemon on the upstream.
+func (router *Router) Running(name string) int {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	if found, ok := router.ledgers[name]; ok {
+		return len(found.sent)
+	}
+	return 0
+}
+
+// LeavingSince returns when a choice first saw that the upstream leaves, or zero.
+func (router *Router) LeavingSince(name string) time.Time {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	if found, ok := router.ledgers[name]; ok {
+		return found.leaving
+	}
+	return time.Time{}
+}
+
+// sign notes whether the candidate leaves. The mutex is held.
+func (router *Router) sign(candidate *Candidate) {
+	if candidate.Leaving {
+		now := router.clock.Now()
+		found := router.ledger(candidate.Upstream, now)
+		if found.leaving.IsZero() {
+			found.leaving = now
+		}
+		return
+	}
+	if found, ok := router.ledgers[candidate.Upstream]; ok {
+		found.leaving = time.Time{}
+	}
+}
+
 // Forget drops what is known of an upstream that is gone.
 func (router *Router) Forget(name string) {
 	router.mutex.Lock()
