Take replicas without a row only from states newer than the rows

A new holder took an old state of an engine, found replicas whose rows had been closed since, and wrote rows for them; they outlived it and were charged above the capacity. Change: a reign takes states only from after it read the rows.

--- a/decider/observe.go
+++ b/decider/observe.go
@@ -15,7 +15,8 @@
 	present := map[string]bool{}
 	for _, view := range reign.decider.deps.Fleet.Views() {
 		present[view.State.Upstream] = true
-		if !view.AsOf.IsZero() && reign.book.Observe(view) {
+		// A state from before the rows were read may show replicas whose rows are closed by now.
+		if view.AsOf.After(reign.began) && reign.book.Observe(view) {
 			reign.observeView(view)
 		}
 	}
--- a/decider/random_test.go
+++ b/decider/random_test.go
@@ -124,6 +124,8 @@
 	case 2, 3:
 		engine.SetUnreachable(false)
 	case 4:
+		// An order of a sender that is gone takes no effect after the linger.
+		engine.DropLate(defaultLinger)
 		engine.Deliver()
 		run.judge()
 	case 5:
--- a/internal/enginefake/engine.go
+++ b/internal/enginefake/engine.go
@@ -28,13 +28,19 @@
 	replicas    []*replica
 	checkpoints map[string]upstream.Tier
 	faults      []Fault
-	late        []upstream.Order
+	late        []lateOrder
 	sent        []upstream.Order
 	unreachable bool
 	failing     int
 	overcommits int
 }
 
+// lateOrder is an order on its way since a time.
+type lateOrder struct {
+	order upstream.Order
+	since time.Time
+}
+
 // replica is one replica with the time of its next change.
 type replica struct {
 	upstream.Replica
@@ -105,7 +111,7 @@
 		engine.do(order)
 		return "", upstream.ErrNoAnswer
 	case Late:
-		engine.late = append(engine.late, order)
+		engine.late = append(engine.late, lateOrder{order, engine.clock.Now()})
 		return "", upstream.ErrNoAnswer
 	default:
 		return engine.do(order), nil
