--- a/decider/orders.go
+++ b/decider/orders.go
@@ -80,7 +80,7 @@
 	switch {
 	case got.err == nil:
 		reign.book.Answered(id, got.verdict, now)
-		if got.verdict != upstream.Accepted || got.order.Verb == upstream.Unload {
+		if got.verdict != upstream.Accepted || got.order.Verb != upstream.Load {
 			reign.noteAnswer(got, now)
 		}
 		if got.verdict != upstream.Accepted {
@@ -131,7 +131,7 @@
 	}
 	wanted := reign.isWanted(entry.Intent.Model)
 	if entry.Intent.Sender != reign.sender {
-		return wanted && reign.isInForce(entry.Intent) && reign.isSeen(entry.Intent.Upstream)
+		return wanted && reign.isInForce(entry.Intent) && reign.mayTakeOver(entry.Intent.Upstream) && reign.lacksReplica(entry)
 	}
 	if entry.Attempts >= attemptsWithout && !wanted || !reign.isInForce(entry.Intent) {
 		reign.book.Abandon(entry.Intent.ID)
@@ -140,11 +140,39 @@
 	return true
 }
 
-// isSeen reports whether the engine was seen since the rows were read. Before that, the order of
-// a row may be sent that a former holder knew to be closed, and whose memory it used again.
-func (reign *reign) isSeen(name string) bool {
+// mayTakeOver reports whether the orders of former holders may be sent to the engine. They may
+// not where the former holder may have used the memory of its rows again: there the engine
+// closes the rows instead. Nor may they before the engine was seen since the rows were read,
+// since a row may have been closed and its memory used again in the meantime.
+func (reign *reign) mayTakeOver(name string) bool {
 	view, known := reign.book.View(name)
-	return known && view.AsOf.After(reign.began)
+	return known && !view.Closes() && view.AsOf.After(reign.began)
+}
+
+// lacksReplica reports whether the model may have one more replica than those that are shown or
+// may be on their way by orders of this process. Former holders can have left more rows than
+// that, since rows of engines that were leaving were decided again elsewhere.
+func (reign *reign) lacksReplica(entry *intent.Entry) bool {
+	model, inForce := reign.catalogue.Model(entry.Intent.Model)
+	if !inForce {
+		return false
+	}
+	count := 0
+	for _, other := range reign.book.Entries() {
+		row := other.Intent
+		if row.Verb != upstream.Load || row.Model != model.Name || row.Version != model.Version || other == entry {
+			continue
+		}
+		if view, _ := reign.book.View(row.Upstream); view.State.Leaving {
+			continue
+		}
+		status := reign.book.Status(other, reign.now)
+		mine := row.Sender == reign.sender || other.HasReached()
+		if status == intent.Shown || status == intent.Open && mine {
+			count++
+		}
+	}
+	return count < max(1, model.MaxReplicas)
 }
 
 // isInForce reports whether the subject of a load is in force; other orders always are.
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -26,16 +26,21 @@
 
 // onPlace prepares and runs the request on the upstream of the place.
 func (journey *journey) onPlace(ctx context.Context, place *place) result {
+	if ending, done := journey.claim(ctx, place); done {
+		return ending
+	}
+	ctx, free := journey.outlive(ctx)
+	defer free()
 	start := journey.startLimit(ctx, place)
 	defer start.stop()
 	ctx = start.ctx
-	if ending, done := journey.claim(ctx); done {
-		return ending
-	}
 	journey.attempts++
 	if journey.attempts == 1 {
 		journey.dispatcher.budget.Earn()
 	}
+	if sent := journey.dispatcher.deps.Sent; sent != nil {
+		sent(&journey.req, journey.attempts)
+	}
 	if journey.req.Form == request.ServiceCall {
 		return journey.call(ctx, place)
 	}
--- a/dispatch/journey.go
+++ b/dispatch/journey.go
@@ -31,6 +31,8 @@
 	// departure watches whether the upstream leaves, and moving is the generation on its way to another.
 	departure departure
 	moving    []byte
+	// recorder keeps the answer of a claimed request, or is nil.
+	recorder *recorder
 	// ended states that the request got its end.
 	ended bool
 }
@@ -43,6 +45,9 @@
 	}
 	failure = journey.try(ctx, ask)
 	journey.settle(ctx, failure)
+	if failure == nil && journey.recorder != nil && journey.recorder.gone {
+		return outcome.New(outcome.CallerGone, "the caller did not take the answer, which is kept for a resend")
+	}
 	return failure
 }
 
@@ -75,10 +80,10 @@
 		}
 		ask.Exclude = place.candidate.Upstream
 		ask.Affinity = journey.req.Fingerprint
-		if journey.suspect() || (last.unreachable && !journey.dispatcher.proven.Has(journey.req.Fingerprint)) {
+		ask.Suspect = journey.suspect() || (last.unreachable && !journey.dispatcher.proven.Has(journey.req.Fingerprint))
+		if ask.Suspect {
 			journey.pause(ctx, suspectPause)
 		}
-		ask.Suspect = journey.suspect()
 	}
 }
 
@@ -110,6 +115,9 @@
 		return route.Ask{}, failure
 	}
 	ask := route.Ask{Affinity: cmp.Or(req.Prefix, req.Fingerprint), Adapter: req.Target.Adapter}
+	if !journey.dispatcher.proven.Has(req.Fingerprint) {
+		ask.Spread = req.Fingerprint
+	}
 	if journey.suspect() {
 		ask = suspected(ask, req)
 	}
--- a/intent/book.go
+++ b/intent/book.go
@@ -188,16 +188,16 @@
 	return entry.open > 0
 }
 
+// HasReached reports whether a byte of an attempt of this process may have reached the engine.
+func (entry *Entry) HasReached() bool {
+	return entry.reached || entry.open > 0
+}
+
 // IsAbandoned reports whether this process sends no further attempt.
 func (entry *Entry) IsAbandoned() bool {
 	return entry.abandoned
 }
 
-// IsAdopted reports whether the intent stands for a replica that was found without a row.
-func (entry *Entry) IsAdopted() bool {
-	return entry.abandoned && entry.Attempts == 0
-}
-
 // ForeignSenders returns each process other than this one that may still send an order.
 func (book *Book) ForeignSenders() []Sender {
 	var senders []Sender
