Delete old claims, know ended runs, give adapter orders their version

Cause: a review of the dispatcher's wiring found three gaps: old claims were never deleted, a resend of a dead daemon's call was told for 10 min that the first still runs, and adapter orders went out without a version. Ruled out: every daemon sweeping, which multiplies reads.

--- a/daemon/directory.go
+++ b/daemon/directory.go
@@ -23,13 +23,15 @@
 	if err != nil {
 		return dispatch.Snapshot{}, err
 	}
-	model, _, failure := known.Resolve(target)
+	model, adapter, failure := known.Resolve(target)
 	if failure != nil {
 		return dispatch.Snapshot{}, failure
 	}
 	changed := directory.fleet.Changed()
 	places := directory.fleet.Places(model.Name)
-	return directory.snapshot(places, model, changed), nil
+	snapshot := directory.snapshot(places, model, changed)
+	snapshot.AdapterVersion = adapter.Version
+	return snapshot, nil
 }
 
 func (directory *directory) snapshot(places []fleet.Place, model catalogue.Model, changed <-chan struct{}) dispatch.Snapshot {
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -27,6 +27,7 @@
 		daemon.callers.shutdown(ctx)
 	}()
 	drained := daemon.dispatcher.Drain(ctx)
+	daemon.claims.Flush(ctx)
 	<-closed
 	return drained
 }
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -77,7 +77,12 @@
 func (daemon *Daemon) wireRequests() {
 	daemon.arrivals = newArrivals(nil, daemon.meter)
 	daemon.demand = newDemand(daemon.newAsker(), daemon.arrivals, daemon.clock, daemon.settings.Lease.Term+daemon.settings.Lease.RenewEvery)
-	daemon.claims = claim.New(claim.Settings{Incarnation: daemon.process, Timeout: daemon.settings.Platform.Timeout}, daemon.platform, daemon.clock)
+	daemon.claims = claim.New(claim.Settings{
+		Incarnation: claimant{daemon.settings.Name, uint64(daemon.started.UnixNano())}.String(),
+		Ended:       daemon.hasEnded,
+		Sweeps:      daemon.sweepsClaims,
+		Timeout:     daemon.settings.Platform.Timeout,
+	}, daemon.platform, daemon.clock)
 	directory := &directory{dataCentre: daemon.settings.DataCentre, fleet: daemon.fleet, state: daemon.catalogue}
 	daemon.backlogs = newBacklogs()
 	daemon.transfers = newTransfers(daemon.newAsker(), daemon.clock, daemon.transferShare)
