--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,16 @@
 try: build
 	bash scripts/try.sh
 
+# shake kills, freezes and cuts real processes while callers send. About a minute.
+shake: build
+	bash scripts/shake.sh
+
+measure-relay: build
+	bash scripts/measure-relay.sh
+
+measure-overload: build
+	bash scripts/measure-overload.sh
+
 generate:
 	$(call protobuf,peer/peerpb,peer.proto)
 	$(call protobuf,keepwarm/bookpb,book.proto)
--- a/lease/renew.go
+++ b/lease/renew.go
@@ -116,7 +116,7 @@
 	}
 }
 
-// lose notes that another process holds the lease.
+// lose notes that another process holds the lease, or nobody after a release.
 func (lease *Lease) lose(found record) {
 	lease.mutex.Lock()
 	defer lease.mutex.Unlock()
@@ -125,6 +125,10 @@
 	lease.leader = found.Holder
 	lease.seen = platform.Row{}
 	lease.unclearSince = time.Time{}
+	if found.Holder == (Holder{}) {
+		event.LeaseReleased.Log("DataCentre", lease.settings.DataCentre, "Fence", lease.current.Fence)
+		return
+	}
 	event.LeaseLost.Log("DataCentre", lease.settings.DataCentre, "Fence", lease.current.Fence, "Holder", found.Holder.Name)
 }
 
