Show open loads and permits as gauges

Cause: the gauge of decided replicas was declared and never set. Change: loads that are open, permits and busy permits of each data centre that the daemon decides for. Measured: tests of daemon and meter pass.

--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -31,7 +31,11 @@
 		if !owned {
 			continue
 		}
-		for upstreamName, charged := range decides.Status().Charged {
+		status := decides.Status()
+		daemon.meter.Set(meter.LoadsOpen, subject, int64(status.Open))
+		daemon.meter.Set(meter.LoadPermits, subject, int64(status.Slots))
+		daemon.meter.Set(meter.LoadPermitsBusy, subject, int64(status.Busy))
+		for upstreamName, charged := range status.Charged {
 			daemon.meter.Set(meter.MemoryCharged, meter.Labels{Subject: upstreamName}, charged)
 		}
 	}
--- a/meter/name.go
+++ b/meter/name.go
@@ -27,8 +27,12 @@
 	InForce Name = "bronzestall_release_note_in_force"
 	// MemoryCharged is the charged accelerator memory of an upstream in bytes.
 	MemoryCharged Name = "bronzestall_memory_charged_bytes"
-	// ReplicasDecided is the number of replicas decided in the data centre.
-	ReplicasDecided Name = "bronzestall_replicas_decided"
+	// LoadsOpen is the number of loads that are decided and that no engine shows yet, in a data centre.
+	LoadsOpen Name = "bronzestall_loads_open"
+	// LoadPermits is the number of loads from the weight store that a data centre may have at once.
+	LoadPermits Name = "bronzestall_load_permits"
+	// LoadPermitsBusy is the number of them in use.
+	LoadPermitsBusy Name = "bronzestall_load_permits_busy"
 	// ReplicasLoaded is the number of replicas that are ready.
 	ReplicasLoaded Name = "bronzestall_replicas_loaded"
 	// LeaseHeld is one while the daemon holds the lease of the data centre.
