--- a/daemon/directory.go
+++ b/daemon/directory.go
@@ -23,13 +23,15 @@
 	if err != nil {
 		return dispatch.Snapshot{}, err
 	}
-	model, _, failure := known.Resolve(target)
+	model, adapter, failure := known.Resolve(target)
 	if failure != nil {
 		return dispatch.Snapshot{}, failure
 	}
 	changed := directory.fleet.Changed()
-	places := directory.fleet.View().Places(model.Name)
-	return directory.snapshot(places, model, changed), nil
+	places := directory.fleet.Places(model.Name)
+	snapshot := directory.snapshot(places, model, changed)
+	snapshot.AdapterVersion = adapter.Version
+	return snapshot, nil
 }
 
 func (directory *directory) snapshot(places []fleet.Place, model catalogue.Model, changed <-chan struct{}) dispatch.Snapshot {
@@ -89,15 +91,14 @@
 		return dispatch.Snapshot{}, failure
 	}
 	snapshot := dispatch.Snapshot{Changed: directory.fleet.Changed()}
-	view := directory.fleet.View()
 	for _, upstreamName := range service.Upstreams {
-		directory.addService(&snapshot, view, upstreamName)
+		directory.addService(&snapshot, upstreamName)
 	}
 	return snapshot, nil
 }
 
-func (directory *directory) addService(snapshot *dispatch.Snapshot, view *fleet.View, name string) {
-	known, ok := view.Upstream(name)
+func (directory *directory) addService(snapshot *dispatch.Snapshot, name string) {
+	known, ok := directory.fleet.Upstream(name)
 	if !ok || known.Member.Kind != settings.ServiceKind {
 		return
 	}
--- a/peer/cluster_test.go
+++ b/peer/cluster_test.go
@@ -59,7 +59,9 @@
 		Client:      &sender{cluster: cluster, address: member.Address},
 		Members:     MembersFunc(func() []Member { return cluster.members }),
 	}, clock, rand.New(rand.NewPCG(incarnation, xxhash.Sum64String(member.Name))))
-	cluster.setHandler(member, node)
+	cluster.mutex.Lock()
+	cluster.handlers[member.Address] = node.Handler()
+	cluster.mutex.Unlock()
 	ctx, cancel := context.WithCancel(cluster.ctx)
 	go func() { _ = node.Run(ctx) }()
 	return node, cancel
@@ -102,25 +104,20 @@
 	return response, nil
 }
 
-func (cluster *cluster) setHandler(member Member, node *Node) {
+// countCalls returns the number of calls of all processes.
+func (cluster *cluster) countCalls() int {
 	cluster.mutex.Lock()
 	defer cluster.mutex.Unlock()
-	cluster.handlers[member.Address] = node.Handler()
+	return cluster.calls
 }
 
+// setSlow makes a daemon accept calls and never answer.
 func (cluster *cluster) setSlow(member Member) {
 	cluster.mutex.Lock()
 	defer cluster.mutex.Unlock()
 	cluster.slow[member.Address] = true
 }
 
-// sent returns the number of calls so far.
-func (cluster *cluster) sent() int {
-	cluster.mutex.Lock()
-	defer cluster.mutex.Unlock()
-	return cluster.calls
-}
-
 func (cluster *cluster) setCut(from, to Member, cut bool) {
 	cluster.mutex.Lock()
 	defer cluster.mutex.Unlock()
