Report demand less often in large data centres

Cause: 72 daemons with waiting requests make 720 reports a second, worked out as 0.22 of a core at the decider (docs/CAPACITY.md). Ruled out: a longer interval for all, which delays a small deployment for nothing; the first report of a target goes at once anyway. Change: 5 ms of interval for each live daemon of the data centre, 100 ms at least and 1 s at most.

--- a/daemon/demand.go
+++ b/daemon/demand.go
@@ -15,8 +15,11 @@
 )
 
 const (
-	// demandBusy is the interval of reports while a request waits.
+	// demandBusy is the shortest interval of reports while a request waits.
 	demandBusy = 100 * time.Millisecond
+	// demandPerDaemon is the part of the interval for each live daemon of the data centre, so that all
+	// of them together make at most 200 reports a second.
+	demandPerDaemon = 5 * time.Millisecond
 	// demandRest is the interval of reports while requests only run.
 	demandRest = time.Second
 	// demandGap is the shortest time between two reports.
@@ -39,7 +42,9 @@
 	clock    clock.Clock
 	// successor is the time after which a lost decider is expected to be replaced.
 	successor time.Duration
-	lock      sync.Mutex
+	// daemons returns the number of live daemons of the data centre.
+	daemons func() int
+	lock    sync.Mutex
 	// needs has an entry for each target with a request, and for one without until that is reported.
 	needs map[catalogue.Target]dispatch.Need
 	// forecasts has an entry for each model in needs.
@@ -50,12 +55,13 @@
 	hurry chan struct{}
 }
 
-func newDemand(asker asker, arrivals *arrivals, clock clock.Clock, successor time.Duration) *demand {
+func newDemand(asker asker, arrivals *arrivals, clock clock.Clock, successor time.Duration, daemons func() int) *demand {
 	return &demand{
 		asker:     asker,
 		arrivals:  arrivals,
 		clock:     clock,
 		successor: successor,
+		daemons:   daemons,
 		needs:     map[catalogue.Target]dispatch.Need{},
 		forecasts: map[string]forecast{},
 		hurry:     make(chan struct{}, 1),
@@ -123,7 +129,7 @@
 	defer demand.lock.Unlock()
 	for _, need := range demand.needs {
 		if need.Waiting > 0 {
-			return demandBusy
+			return min(demandRest, max(demandBusy, time.Duration(demand.daemons())*demandPerDaemon))
 		}
 	}
 	return demandRest
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -76,7 +76,9 @@
 
 func (daemon *Daemon) wireRequests() {
 	daemon.arrivals = newArrivals(nil, daemon.meter)
-	daemon.demand = newDemand(daemon.newAsker(), daemon.arrivals, daemon.clock, daemon.settings.Lease.Term+daemon.settings.Lease.RenewEvery)
+	successor := daemon.settings.Lease.Term + daemon.settings.Lease.RenewEvery
+	live := func() int { return len(daemon.node.Live()) }
+	daemon.demand = newDemand(daemon.newAsker(), daemon.arrivals, daemon.clock, successor, live)
 	daemon.claims = claim.New(claim.Settings{
 		Incarnation: claimant{daemon.settings.Name, uint64(daemon.started.UnixNano())}.String(),
 		Ended:       daemon.hasEnded,
