Count what a drain finishes from its announcement

Cause: Drain counted from its own begin, which is after the balancer's notice time, so that requests that ended within that time were in DaemonDraining's Running and not in DaemonStopped's Finished (3 and 0 were logged). Change: Announce begins the count, before DaemonDraining is logged; a request counts when it ends. The count of requests that were running when Drain began is dropped. Shown: TestDrainCountsFromItsAnnouncement said Finished 1 instead of 3 before.

--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -11,6 +11,7 @@
 // drain fails the health check, waits until the balancer has noticed, closes the callers' listener
 // and lets running requests finish within the limit.
 func (daemon *Daemon) drain() dispatch.Drained {
+	daemon.dispatcher.Announce()
 	event.DaemonDraining.Log("Running", daemon.arrivals.running())
 	daemon.health.stopping.Store(true)
 	daemon.node.Update(func(record peer.Record) peer.Record {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -37,6 +37,9 @@
 	// serving is the number of requests between the begin and the end of Do, and active that number with
 	// the work that goes on behind them.
 	serving, active int
+	// announced states that the requests that end are counted in finished.
+	announced bool
+	finished  int
 	// stopping states that no new request is taken.
 	stopping bool
 	// emptied is closed when stopping and active is zero.
--- a/dispatch/do.go
+++ b/dispatch/do.go
@@ -52,6 +52,9 @@
 	dispatcher.mutex.Lock()
 	defer dispatcher.mutex.Unlock()
 	dispatcher.serving -= requests
+	if dispatcher.announced {
+		dispatcher.finished += requests
+	}
 	dispatcher.active--
 	if dispatcher.stopping && dispatcher.active == 0 {
 		close(dispatcher.emptied)
--- a/dispatch/drain.go
+++ b/dispatch/drain.go
@@ -16,22 +16,31 @@
 	Cut int
 }
 
+// Announce begins the count of Drained.Finished at requests that end from now on. Requests are still taken.
+// Without it the count begins with Drain.
+func (dispatcher *Dispatcher) Announce() {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	dispatcher.announced = true
+	dispatcher.finished = 0
+}
+
 // Drain takes no new requests and waits for the active ones, and for the records of their answers, until they
 // ended or the context ends.
 // It may be called once.
 func (dispatcher *Dispatcher) Drain(ctx context.Context) Drained {
-	before := dispatcher.stop()
+	dispatcher.stop()
 	select {
 	case <-dispatcher.emptied:
 	case <-ctx.Done():
 	}
 	dispatcher.mutex.Lock()
 	defer dispatcher.mutex.Unlock()
-	return Drained{Finished: before - dispatcher.serving, Cut: dispatcher.serving}
+	return Drained{Finished: dispatcher.finished, Cut: dispatcher.serving}
 }
 
-// stop refuses requests from now on and returns the number of active ones.
-func (dispatcher *Dispatcher) stop() int {
+// stop refuses requests from now on.
+func (dispatcher *Dispatcher) stop() {
 	dispatcher.mutex.Lock()
 	defer dispatcher.mutex.Unlock()
 	if !dispatcher.stopping {
@@ -40,5 +49,5 @@
 			close(dispatcher.emptied)
 		}
 	}
-	return dispatcher.serving
+	dispatcher.announced = true
 }
--- /dev/null
+++ b/dispatch/drain_test.go
@@ -0,0 +1,31 @@
+package dispatch
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+)
+
+// TestDrainCountsFromItsAnnouncement ends two requests between the announcement and the drain, and one after.
+func TestDrainCountsFromItsAnnouncement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dispatcher := newWorld("u1").dispatcher(Settings{})
+		var all sync.WaitGroup
+		send := func(body string) {
+			all.Go(func() { _ = dispatcher.Do(t.Context(), chat(body), &fakeSink{}) })
+		}
+		send("before")
+		all.Wait()
+		send("running")
+		synctest.Wait()
+		dispatcher.Announce()
+		send("late")
+		all.Wait()
+		send("last")
+		synctest.Wait()
+		if got := dispatcher.Drain(t.Context()); got != (Drained{Finished: 3}) {
+			t.Errorf("the drain says %+v", got)
+		}
+		all.Wait()
+	})
+}
