Refuse suspects whose turn comes after their deadline at once

Cause: a request that was on a crashed upstream runs alone, one on each upstream at a time. After both upstreams of a data centre crashed, more of them waited than can run in time; the estimate of waits looked at first attempts only, and a stream that had begun got 10 s anew each time it went back to the queue because another suspect held its upstream. Ruled out: the deadline check in the queue itself, which ended the waits at their deadline. Change: the turn of each waiting suspect is estimated from the suspects before it, the upstreams of the data centre and the measured hold, doubled as for other waits. A suspect that cannot begin in time is answered with the time of its turn as the delay. The time to resume a stream runs from its loss and no longer begins anew. A failure that may have run keeps its word and takes the delay of the refusal over. Left: suspects that wait at other daemons are not in the estimate; one that finds its upstream held goes on while twice the hold fits before its deadline.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"time"
 
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/outcome"
@@ -72,6 +73,7 @@
 		stream, err := generator.Generate(ctx, journey.generation(place, resumes))
 		closeStream(old)
 		if err == nil {
+			journey.resumeBy = time.Time{}
 			dispatcher.heard(name, stream)
 			err = journey.relay(ctx, stream, place, begun)
 			dispatcher.heard(name, stream)
--- a/dispatch/journey.go
+++ b/dispatch/journey.go
@@ -28,6 +28,8 @@
 	last int
 	// ticket is the claim that the request holds, or nil.
 	ticket *claim.Ticket
+	// resumeBy is when a stream that began must have found its next upstream, or zero while it has one.
+	resumeBy time.Time
 	// departure watches whether the upstream leaves, and moving is the generation on its way to another.
 	departure departure
 	moving    []byte
@@ -68,6 +70,9 @@
 			return nil
 		}
 		if last.busy {
+			if failure := journey.dispatcher.crowded(place.lane, &req); failure != nil {
+				return journey.truthful(failure)
+			}
 			ask = suspected(ask, &journey.req)
 			journey.pause(ctx, reserveAgain)
 			continue
@@ -90,7 +95,7 @@
 // truthful returns the failure, or that of an attempt before which may have run.
 func (journey *journey) truthful(failure *outcome.Error) *outcome.Error {
 	if journey.mayHaveRun && failure.Kind.Entry().Word == outcome.NotRun {
-		return journey.doubt
+		return journey.doubt.WithRetryAfter(max(failure.RetryAfter, journey.doubt.RetryAfter))
 	}
 	return failure
 }
@@ -170,9 +175,13 @@
 // due returns the request with the deadline of its next attempt: a stream that began has its own.
 func (journey *journey) due() request.Request {
 	req := journey.req
-	if journey.sink.Begun() {
-		req.Deadline = journey.dispatcher.clock.Now().Add(resumeWithin)
+	if !journey.sink.Begun() {
+		return req
 	}
+	if journey.resumeBy.IsZero() {
+		journey.resumeBy = journey.dispatcher.clock.Now().Add(resumeWithin)
+	}
+	req.Deadline = journey.resumeBy
 	return req
 }
 
--- a/dispatch/lane.go
+++ b/dispatch/lane.go
@@ -23,6 +23,8 @@
 	// running is the number of granted places, and tenants their number by tenant, without zeros.
 	running int
 	tenants map[string]int
+	// suspects is the number of granted places of suspects.
+	suspects int
 	// minded states that a goroutine looks after the waiting requests.
 	minded bool
 	// emptied is closed when minded turns false.
--- a/dispatch/mind.go
+++ b/dispatch/mind.go
@@ -47,6 +47,7 @@
 		dispatcher.pump(lane, snapshot)
 		dispatcher.giveUp(lane, dispatcher.hopeless(lane, snapshot))
 		dispatcher.giveUpLate(lane)
+		dispatcher.giveUpSuspects(lane, snapshot)
 	}
 	dispatcher.report(lane)
 	return snapshot.Changed
--- a/dispatch/pump.go
+++ b/dispatch/pump.go
@@ -92,6 +92,9 @@
 		dispatcher.plain[chosen.Upstream] = true
 	}
 	lane.running++
+	if waiting.Item.ask.Suspect {
+		lane.suspects++
+	}
 	lane.tenants[waiting.Tenant]++
 	dispatcher.fly(waiting.Item.fingerprint, chosen.Upstream)
 	now := dispatcher.clock.Now()
@@ -103,6 +106,7 @@
 		since:     now,
 		begun:     now,
 		cost:      waiting.Cost,
+		suspect:   waiting.Item.ask.Suspect,
 		tenant:    waiting.Tenant,
 
 		fingerprint:    waiting.Item.fingerprint,
@@ -174,6 +178,9 @@
 	lane := place.lane
 	now := dispatcher.clock.Now()
 	lane.running--
+	if place.suspect {
+		lane.suspects--
+	}
 	lane.leave(place.tenant)
 	dispatcher.land(place.fingerprint)
 	lane.used = now
--- a/dispatch/waiter.go
+++ b/dispatch/waiter.go
@@ -46,6 +46,8 @@
 	// fingerprint is the fingerprint of the request.
 	fingerprint uint64
 	cost        int
+	// suspect states that the request runs alone among suspects.
+	suspect bool
 	// tenant is the tenant that pays.
 	tenant string
 }
--- a/queue/rate.go
+++ b/queue/rate.go
@@ -31,6 +31,11 @@
 	return time.Duration(rate.begin * float64(time.Second))
 }
 
+// Hold returns the mean time that a request holds its place, or zero if nothing was measured yet.
+func (rate *Rate) Hold() time.Duration {
+	return time.Duration(rate.hold * float64(time.Second))
+}
+
 // Wait returns the time in which places free up for that many tokens while running requests hold
 // places, and false if nothing was measured yet or nothing runs.
 func (rate *Rate) Wait(tokens float64, running int) (time.Duration, bool) {
