--- a/internal/soak/cable_test.go
+++ b/internal/soak/cable_test.go
@@ -46,6 +46,9 @@
 			return 0, err
 		}
 	}
+	if err := cable.hold(); err != nil {
+		return 0, err
+	}
 	n := copy(part, cable.rest)
 	cable.rest = cable.rest[n:]
 	return n, nil
@@ -62,6 +65,9 @@
 		return nil
 	case <-cable.finished:
 	}
+	if err := cable.hold(); err != nil {
+		return err
+	}
 	select {
 	case cable.rest = <-cable.in:
 		return nil
--- a/internal/soak/network_test.go
+++ b/internal/soak/network_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"time"
 )
 
 // wires joins hosts by pipes in memory that can be cut in one or both directions.
@@ -15,7 +16,11 @@
 	host map[string]string
 	// cuts holds the pairs of hosts whose traffic is lost.
 	cuts map[pair]bool
-	open map[*cable]struct{}
+	// mended holds the time at which traffic between two hosts was last let through again.
+	mended map[pair]time.Time
+	// frozen holds for each host whose traffic is held back the channel that is closed when it goes on.
+	frozen map[string]chan struct{}
+	open   map[*cable]struct{}
 }
 
 type pair struct{ from, to string }
@@ -25,6 +30,8 @@
 		listeners: map[string]*socket{},
 		host:      map[string]string{},
 		cuts:      map[pair]bool{},
+		mended:    map[pair]time.Time{},
+		frozen:    map[string]chan struct{}{},
 		open:      map[*cable]struct{}{},
 	}
 }
@@ -81,6 +88,9 @@
 	to := wires.host[address]
 	cut := wires.cuts[pair{from, to}] || wires.cuts[pair{to, from}]
 	wires.lock.Unlock()
+	if wires.hold(ctx, from, to) != nil {
+		cut = true
+	}
 	if cut {
 		<-ctx.Done()
 		return nil, &net.OpError{Op: "dial", Net: "pipe", Err: ctx.Err()}
@@ -130,6 +140,19 @@
 	wires.lock.Lock()
 	defer wires.lock.Unlock()
 	delete(wires.cuts, pair{from, to})
+	wires.mended[pair{from, to}] = time.Now()
+}
+
+// joined reports whether two hosts reached each other in both directions since the time.
+func (wires *wires) joined(one, other string, since time.Time) bool {
+	wires.lock.Lock()
+	defer wires.lock.Unlock()
+	for _, way := range []pair{{one, other}, {other, one}} {
+		if wires.cuts[way] || wires.mended[way].After(since) {
+			return false
+		}
+	}
+	return true
 }
 
 // silence makes some open connections of a host silent for good, in one direction or both, while new ones work.
