Keep slots for tenants below their share by what they need at peaks

Cause: two slots of 16 were kept for tenants that run less than their share now, the share counted one tenant too many, and a tenant whose arrivals cluster runs more than that for a while: at a third of the capacity 5.3 on average and 13 at its p99. It then waited for the flood's requests to end. Change: a tenant that asks for less than its share on average (10 s) may take any slot, and what it needed at its peaks is kept from tenants that ask for more. Shares count the tenants that were active lately, not those that run at the moment; the tenant too many stays where other daemons grant too, as room for their lag.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -109,6 +109,7 @@
 		return outcome.New(outcome.QueueFull, "the queue of the model is full").WithRetryAfter(dispatcher.clears(lane))
 	}
 	dispatcher.enterQueue(waiting)
+	dispatcher.notice(lane, waiting.Tenant)
 	if displaced != nil {
 		dispatcher.displaced(lane, displaced)
 	}
--- a/dispatch/lane.go
+++ b/dispatch/lane.go
@@ -23,6 +23,10 @@
 	// running is the number of granted places, and tenants their number by tenant, without zeros.
 	running int
 	tenants map[string]int
+	// peaks holds the peaks of the tenants that were active lately.
+	peaks map[string]peak
+	// shares is the sum of the shares of the tenants in peaks.
+	shares int
 	// suspects is the number of granted places of suspects.
 	suspects int
 	// minded states that a goroutine looks after the waiting requests.
@@ -57,6 +61,7 @@
 func (dispatcher *Dispatcher) newLane(req *request.Request) *lane {
 	made := &lane{
 		tenants: map[string]int{},
+		peaks:   map[string]peak{},
 		queue:   queue.New[*waiter](dispatcher.settings.PerModel),
 		special: queue.New[*waiter](dispatcher.settings.PerModel),
 	}
@@ -96,6 +101,7 @@
 	if dispatcher.waitingOf[left.Tenant] == 0 {
 		delete(dispatcher.waitingOf, left.Tenant)
 	}
+	dispatcher.notice(lane, left.Tenant)
 	if lane.minded && lane.waiting() == 0 {
 		lane.minded = false
 		close(lane.emptied)
--- a/dispatch/pump.go
+++ b/dispatch/pump.go
@@ -36,7 +36,7 @@
 func (dispatcher *Dispatcher) pumpOne(lane *lane, snapshot Snapshot) bool {
 	full := false
 	for _, next := range lane.queue.Heads() {
-		if full && !dispatcher.below(lane, snapshot, next) {
+		if full && !dispatcher.below(lane, snapshot, next) && !dispatcher.modest(lane, snapshot, next.Tenant) {
 			continue
 		}
 		if dispatcher.grant(lane, snapshot, next) {
@@ -79,7 +79,7 @@
 		return false
 	}
 	ask := dispatcher.ask(lane, snapshot, waiting)
-	if !ask.Below && !waiting.Item.special && dispatcher.capped(lane, snapshot) {
+	if !ask.Below && !ask.Modest && !waiting.Item.special && dispatcher.capped(lane, snapshot, ask.Kept) {
 		snapshot.Own = nil
 	}
 	chosen, own, ok := dispatcher.choose(snapshot, ask)
@@ -96,6 +96,7 @@
 		lane.suspects++
 	}
 	lane.tenants[waiting.Tenant]++
+	dispatcher.notice(lane, waiting.Tenant)
 	dispatcher.fly(waiting.Item.fingerprint, chosen.Upstream)
 	now := dispatcher.clock.Now()
 	waiting.Item.granted <- grant{place: &place{
@@ -182,6 +183,7 @@
 		lane.suspects--
 	}
 	lane.leave(place.tenant)
+	dispatcher.notice(lane, place.tenant)
 	dispatcher.land(place.fingerprint)
 	lane.used = now
 	if answered {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -68,6 +68,7 @@
 		clear(dispatcher.plain)
 	}
 	for name, lane := range dispatcher.lanes {
+		dispatcher.forget(lane, now)
 		if lane.idle() && now.Sub(lane.used) >= keepLane {
 			delete(dispatcher.lanes, name)
 		}
--- a/route/ask.go
+++ b/route/ask.go
@@ -18,7 +18,19 @@
 	Suspect bool
 	// Below states that the tenant runs less than its share. Others leave an eighth of the slots free.
 	Below bool
+	// Modest states that the tenant runs less than its share on average, so that no slots are kept from it.
+	Modest bool
+	// Kept is the number of slots, of Of slots in all, that are kept free for other tenants.
+	Kept, Of int
 	// Daemons is the number of daemons that choose among the same candidates; zero means one. Between two
 	// reports of a replica, each of them uses its part of the free slots only.
 	Daemons int
 }
+
+// kept returns the part of the slots of one candidate that is kept free for other tenants, rounded up.
+func (ask *Ask) kept(slots int) int {
+	if ask.Of <= 0 {
+		return 0
+	}
+	return min((slots*ask.Kept+ask.Of-1)/ask.Of, slots)
+}
--- a/route/choose.go
+++ b/route/choose.go
@@ -203,10 +203,13 @@
 	report, since := ledger.known(candidate, router.clock.Now())
 	load := report + since
 	limit := candidate.Capacity()
+	kept := ask.kept(limit)
 	if ask.Below {
-		return load, load < limit
+		return load, load < limit-kept
+	}
+	if !ask.Modest {
+		limit -= max(kept, limit/ReservePart)
 	}
-	limit -= limit / ReservePart
 	return load, since < part(limit-report, ask.Daemons)
 }
 
