--- /dev/null
+++ b/gateway/sink_bench_test.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"k8s.io/utils/clock"
+
+	"github.com/bronzestall/bronzestall/meter"
+)
+
+// BenchmarkChunk sends one piece of a stream to a caller over a connection: write, flush and measurement.
+func BenchmarkChunk(b *testing.B) {
+	frame := []byte("id: 100\ndata: " + string(bytes.Repeat([]byte("x"), 200)) + "\n\n")
+	b.ReportAllocs()
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		sink := &sink{
+			writer: writer, flusher: writer.(http.Flusher), clock: clock.RealClock{}, meter: meter.New(),
+			labels: meter.Labels{Tenant: "tenant", Class: "class"}, stream: true, arrived: time.Now(),
+		}
+		_ = sink.Begin(http.StatusOK, "text/event-stream")
+		for b.Loop() {
+			if err := sink.Chunk(frame); err != nil {
+				b.Error(err)
+			}
+		}
+	}))
+	defer server.Close()
+	answer, err := http.Get(server.URL)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if _, err := io.Copy(io.Discard, answer.Body); err != nil {
+		b.Error(err)
+	}
+}
+
+// BenchmarkObserve measures the time between two pieces without sending them.
+func BenchmarkObserve(b *testing.B) {
+	sink := &sink{clock: clock.RealClock{}, meter: meter.New(), labels: meter.Labels{Tenant: "tenant", Class: "class"}}
+	b.ReportAllocs()
+	for b.Loop() {
+		sink.observe()
+	}
+}
