Tell suspects to the daemons of all data centres, and judge random runs more sharply

Cause: marks of requests that crash upstreams went only to daemons of the own data centre, while requests of all data centres may overflow to one. Each data centre then allowed its own two crashes there. The stand-in engine counted a crash of a boot that had ended; a request now ends only the boot that it runs in. Change: marks go to every known daemon, and are taken from any record. The platform may be away for 10 minutes.

--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -190,10 +190,7 @@
 }
 
 func (daemon *Daemon) hear(record peer.Record) {
-	if record.DataCentre == daemon.settings.DataCentre {
-		daemon.suspects.Import(record.Suspects)
-	}
-
+	daemon.suspects.Import(record.Suspects)
 	for _, seen := range record.Observations {
 		daemon.fleet.Put(seen.State, seen.Seen, false)
 	}
--- a/daemon/suspects.go
+++ b/daemon/suspects.go
@@ -57,16 +57,17 @@
 	return told
 }
 
-// Publish tells every live daemon of the data centre at once. It returns when each took the
-// suspects or failed, or when ctx ends. A daemon that failed learns them with the next exchange.
+// Publish tells every known daemon at once, also those of other data centres, since their requests
+// may overflow to the same upstreams. It returns when each took the suspects or failed, or when ctx
+// ends. A daemon that failed learns them with the next exchange. It costs one call for each daemon.
 func (suspects *suspects) Publish(ctx context.Context, known []quarantine.Suspect) {
 	told := toPeers(known)
 	var calls sync.WaitGroup
-	for _, daemon := range suspects.node.Live() {
-		if daemon == suspects.name {
+	for _, known := range suspects.node.Records() {
+		if known.Record.Name == suspects.name {
 			continue
 		}
-		calls.Go(func() { _ = suspects.node.TellSuspects(ctx, suspects.address(daemon), told) })
+		calls.Go(func() { _ = suspects.node.TellSuspects(ctx, known.Record.PeerAddress, told) })
 	}
 	calls.Wait()
 }
--- a/internal/soak/fault_more_test.go
+++ b/internal/soak/fault_more_test.go
@@ -1,9 +1,6 @@
 package soak
 
 import (
-	"fmt"
-	"math/rand/v2"
-	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -73,34 +70,6 @@
 	disturber.later(60, func() { disturber.world.wires.mend(platformHost, host) })
 }
 
-// crashRequests sends one request that crashes engines again and again through all daemons of a data centre.
-func (disturber *disturber) crashRequests() {
-	content := fmt.Sprint("CRASH-THE-ENGINE ", disturber.random.Uint64())
-	seed := disturber.random.Uint64()
-	klog.Info("soak: crash requests")
-	disturber.replacing.Go(func() {
-		var senders sync.WaitGroup
-		for number := range crashSenders {
-			senders.Go(func() { disturber.world.sendCrashes(seed+uint64(number), content) })
-		}
-		senders.Wait()
-	})
-}
-
-const (
-	crashSenders  = 3
-	crashSendings = 4
-)
-
-func (world *world) sendCrashes(seed uint64, content string) {
-	caller := newCaller(world, seed)
-	defer caller.close()
-	for range crashSendings {
-		caller.prompt("round", true, 20, content)
-		time.Sleep(time.Duration(rand.New(rand.NewPCG(seed, 3)).IntN(3000)) * time.Millisecond)
-	}
-}
-
 // replaceAll replaces every daemon as planned, one shortly after the other.
 func (disturber *disturber) replaceAll() {
 	if disturber.random.IntN(3) > 0 {
--- a/internal/soak/fault_test.go
+++ b/internal/soak/fault_test.go
@@ -173,9 +173,13 @@
 }
 
 func (disturber *disturber) losePlatform() {
-	klog.Info("soak: platform away")
+	seconds := 90
+	if disturber.random.IntN(8) == 0 {
+		seconds = 600
+	}
+	klog.Info("soak: platform away for at most ", seconds, " s")
 	disturber.world.disturbPlatform(standinplatform.Faults{Unavailable: true})
-	disturber.later(90, func() { disturber.world.disturbPlatform(standinplatform.Faults{}) })
+	disturber.later(seconds, func() { disturber.world.disturbPlatform(standinplatform.Faults{}) })
 }
 
 func (disturber *disturber) slowWeights() {
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -14,6 +14,10 @@
 // the time in which an unresponsive part is given up.
 const answerBound = time.Minute + 5*time.Second
 
+// refusalBound is the longest time from a request to its refusal as not run: the class's deadline and
+// the time in which an unresponsive part is given up.
+const refusalBound = classDeadline + 5*time.Second
+
 // judge collects results and breaches of promises.
 type judge struct {
 	world    *world
@@ -24,12 +28,14 @@
 	unrun map[string]result
 	// calls holds for each key what its callers were told.
 	calls map[string][]result
+	// leaving holds for each engine that leaves what was seen of it.
+	leaving map[string]leaving
 	// broken is the number of broken invariants at the begin.
 	broken int64
 }
 
 func newJudge(world *world) *judge {
-	return &judge{world: world, counts: map[string]int{}, unrun: map[string]result{}, calls: map[string][]result{}, broken: invariant.Broken()}
+	return &judge{world: world, counts: map[string]int{}, unrun: map[string]result{}, calls: map[string][]result{}, leaving: map[string]leaving{}, broken: invariant.Broken()}
 }
 
 func (judge *judge) breach(format string, args ...any) {
@@ -43,6 +49,9 @@
 	if got.wrong != "" {
 		judge.breach("wrong answer: %s", got.wrong)
 	}
+	if got.word == outcome.NotRun && got.took > refusalBound && !judge.wasFrozen(got) {
+		judge.breach("request %s was refused as not run after %s: %+v", got.id, got.took, got)
+	}
 	if got.took > answerBound && !judge.wasFrozen(got) {
 		judge.breach("request %s ended after %s: %+v", got.id, got.took, got)
 	}
@@ -90,6 +99,7 @@
 	for time.Now().Before(end) {
 		time.Sleep(250 * time.Millisecond)
 		judge.lookAtEngines()
+		judge.lookAtLeaving()
 	}
 }
 
@@ -133,6 +143,7 @@
 			judge.breach("%s refused %d orders that did not fit", made.State().Upstream, counts.OvercommitAttempts)
 		}
 	}
+	judge.finishCrashes()
 	if peak := judge.world.weights.Counts().LoadsPeak; peak > loadsAtOnce {
 		judge.breach("%d loads from the weight store at once, at most %d are allowed", peak, loadsAtOnce)
 	}
--- a/internal/soak/network_test.go
+++ b/internal/soak/network_test.go
@@ -162,6 +162,7 @@
 	for cable := range wires.open {
 		if cable.to == host && random.IntN(2) == 0 || cable.from == host && random.IntN(4) == 0 {
 			cable.deaf.Store(true)
+			wires.mended[pair{cable.from, cable.to}] = time.Now()
 		}
 	}
 }
--- a/internal/soak/operator_test.go
+++ b/internal/soak/operator_test.go
@@ -12,15 +12,20 @@
 
 // inForce returns the number in force at the platform, or zero if that cannot be read.
 func (world *world) inForce() uint64 {
-	client := platform.NewClient(platform.ClientSettings{Address: platformAddress, Dial: world.wires.dialler("operator")}, world.clock)
-	defer client.Close()
-	state, err := release.NewLedger(client, client, world.clock).InForce(context.Background())
+	state, err := world.state()
 	if err != nil {
 		return 0
 	}
 	return state.Number
 }
 
+// state returns the state in force at the platform.
+func (world *world) state() (release.InForce, error) {
+	client := platform.NewClient(platform.ClientSettings{Address: platformAddress, Dial: world.wires.dialler("operator")}, world.clock)
+	defer client.Close()
+	return release.NewLedger(client, client, world.clock).InForce(context.Background())
+}
+
 // numberAt returns the number in force at a daemon.
 func (world *world) numberAt(entry *entry) uint64 {
 	report, _ := world.report(entry)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -59,6 +59,9 @@
 	var duties sync.WaitGroup
 	duties.Go(func() { disturber.run(end) })
 	duties.Go(func() { judge.watch(end.Add(settle)) })
+	for _, entry := range world.entries {
+		duties.Go(func() { judge.watchNumber(entry, end.Add(settle)) })
+	}
 	duties.Go(func() { world.operate(judge, seed, end) })
 	for number := range callersCount {
 		caller := newCaller(world, seed<<8+uint64(number))
@@ -89,7 +92,7 @@
 
 // run sends mixed requests until the end.
 func (caller *caller) run(judge *judge, number int, end time.Time) {
-	targets := []string{"round", "plan", "gate", "round:shop", "round:maker"}
+	targets := []string{"round", "plan", "gate", "round:shop", "round:maker", "extra", "round:late"}
 	for call := 0; time.Now().Before(end); call++ {
 		time.Sleep(time.Duration(caller.random.IntN(3000)) * time.Millisecond)
 		switch caller.random.IntN(5) {
@@ -124,20 +127,6 @@
 	}
 }
 
-// operate applies notes that change versions until the end.
-func (world *world) operate(judge *judge, seed uint64, end time.Time) {
-	for version := 2; time.Now().Before(end); version++ {
-		time.Sleep(45 * time.Second)
-		content := fmt.Sprintf("Note: change-%d-%d\nBase: %d\nSummary: change of plan\nModels:\n  Changed:\n    - {Name: plan, Version: \"%d\", Weights: 10GiB}\n",
-			seed, version, world.inForce(), version)
-		if err := world.apply(content); err != nil {
-			judge.count("note failed")
-		} else {
-			judge.count("note accepted")
-		}
-	}
-}
-
 func (judge *judge) count(name string) {
 	judge.lock.Lock()
 	defer judge.lock.Unlock()
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,34 +29,13 @@
 	tenantKey       = "key"
 	loadsPerSecond  = 2.6
 	loadsAtOnce     = 4
+	classDeadline   = 20 * time.Second
 	drainNotice     = 2 * time.Second
 	drainLimit      = 30 * time.Second
 )
 
 var dataCentres = []string{"north", "south", "west"}
 
-// entry is one entry VM, whose daemon may be replaced.
-type entry struct {
-	name       string
-	dataCentre string
-	address    string
-	// generation counts the VMs that had the name.
-	generation atomic.Int32
-	// stop ends the daemon as planned; ended is closed once it has ended.
-	stop  context.CancelFunc
-	ended chan struct{}
-	// killed holds the generations that were killed.
-	killed map[int32]bool
-	// inService states that the balancer sends requests to it.
-	inService bool
-	// frozenUntil is the end of the last time that the traffic of its VM was held back.
-	frozenUntil time.Time
-}
-
-func (entry *entry) callers() string   { return entry.address + ":80" }
-func (entry *entry) operators() string { return entry.address + ":81" }
-func (entry *entry) peers() string     { return entry.address + ":82" }
-
 // world is a deployment of stand-ins and daemons in one bubble.
 type world struct {
 	t        *testing.T
@@ -80,6 +58,8 @@
 	retired []*engine.Server
 	// incarnations counts the VMs that were made.
 	incarnations int
+	// excused holds by data centre and body the crash requests that were sent while daemons were cut off.
+	excused map[[2]string]bool
 	// platformHealthy is the time from which the platform has had no fault; zero while it has one.
 	platformHealthy time.Time
 }
@@ -90,9 +70,11 @@
 		wires:       newWires(),
 		engines:     map[string]*engine.Server{},
 		engineHosts: map[string]*http.Server{},
+		excused:     map[[2]string]bool{},
 		services:    map[string]*standinservice.Server{},
 	}
 	world.platform = standinplatform.New(world.clock)
+	world.platformHealthy = time.Now()
 	world.weights = weights.New(weights.Settings{LoadsPerSecond: loadsPerSecond, LoadsAtOnce: loadsAtOnce}, world.clock)
 	world.serve(platformHost, platformAddress, world.platform)
 	for place, dataCentre := range dataCentres {
@@ -213,7 +195,7 @@
 		Platform:        settings.Platform{Address: platformAddress},
 		WeightStore:     settings.WeightStore{LoadsPerSecond: loadsPerSecond, LoadsAtOnce: loadsAtOnce},
 		Tenants:         []settings.Tenant{{Name: "tenant", KeySHA256: hex.EncodeToString(sum[:])}},
-		Classes:         []settings.Class{{Name: "chat", Deadline: 20 * time.Second, Total: time.Minute}},
+		Classes:         []settings.Class{{Name: "chat", Deadline: classDeadline, Total: time.Minute}},
 		KeepWarm:        settings.KeepWarm{ColdStartWeight: 1, IdleHourWeight: 1},
 		Drain:           settings.Drain{Notice: drainNotice, Limit: drainLimit},
 	}
@@ -233,68 +215,6 @@
 	return fmt.Sprintf("%s#%d", entry.name, entry.generation.Load())
 }
 
-// replace stops a daemon as planned and starts another.
-func (world *world) replace(entry *entry) {
-	world.withdraw(entry)
-	entry.stop()
-	<-entry.ended
-	world.start(entry)
-}
-
-// kill loses all traffic of a VM for good, and starts another VM of the name after a pause.
-func (world *world) kill(entry *entry, pause time.Duration) {
-	host := hostOf(entry)
-	world.withdraw(entry)
-	world.markKilled(entry)
-	world.isolate(host)
-	world.wires.sever(host)
-	entry.stop()
-	<-entry.ended
-	time.Sleep(pause)
-	world.start(entry)
-}
-
-// withdraw makes the balancer send no more requests to the entry.
-func (world *world) withdraw(entry *entry) {
-	world.lock.Lock()
-	defer world.lock.Unlock()
-	entry.inService = false
-}
-
-func (world *world) markKilled(entry *entry) {
-	world.lock.Lock()
-	defer world.lock.Unlock()
-	entry.killed[entry.generation.Load()] = true
-}
-
-// wasKilled reports whether a VM of the entry was killed.
-func (world *world) wasKilled(entry *entry, generation int32) bool {
-	world.lock.Lock()
-	defer world.lock.Unlock()
-	return entry.killed[generation]
-}
-
-func (world *world) isolate(host string) {
-	for _, other := range world.hosts() {
-		world.wires.cut(host, other)
-		world.wires.cut(other, host)
-	}
-}
-
-// hosts returns every host but the callers.
-func (world *world) hosts() []string {
-	world.lock.Lock()
-	defer world.lock.Unlock()
-	hosts := []string{platformHost}
-	for _, vm := range world.vms {
-		hosts = append(hosts, vm.Name)
-	}
-	for _, entry := range world.entries {
-		hosts = append(hosts, hostOf(entry))
-	}
-	return hosts
-}
-
 // inService returns an entry that the balancer would choose, or nil.
 func (world *world) inService(random *rand.Rand) *entry {
 	world.lock.Lock()
--- a/internal/standin/engine/counts.go
+++ b/internal/standin/engine/counts.go
@@ -24,6 +24,8 @@
 	Adapters int
 	// Crashes counts crashes.
 	Crashes int
+	// CrashedBy counts by the mark of a body the crashes that a request with this body caused.
+	CrashedBy map[string]int
 	// AfterLeaving counts requests and loads that came while the engine was leaving.
 	AfterLeaving int
 }
--- a/internal/standin/engine/run.go
+++ b/internal/standin/engine/run.go
@@ -92,7 +92,7 @@
 			return
 		}
 		if j.crashes {
-			server.Crash()
+			server.crashBy(life, j)
 			return
 		}
 		j.advance()
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -35,7 +35,7 @@
 		mux:      http.NewServeMux(),
 		disk:     tier{capacity: settings.DiskTier},
 	}
-	server.Done = Counts{Executions: map[string]int{}, Refused: map[string]int{}, Loads: map[string]int{}}
+	server.Done = Counts{Executions: map[string]int{}, Refused: map[string]int{}, Loads: map[string]int{}, CrashedBy: map[string]int{}}
 	server.boot = server.newBoot(clk.Now())
 	server.mux.HandleFunc("GET /engine/state", server.showState)
 	server.mux.HandleFunc("POST /engine/orders", server.takeOrder)
@@ -78,11 +78,27 @@
 func (server *Server) Crash() {
 	server.Lock()
 	defer server.Unlock()
+	server.crash()
+}
+
+// crash begins the next boot. The lock is held.
+func (server *Server) crash() {
 	server.boot.cancel()
 	server.boot = server.newBoot(server.clock.Now().Add(server.settings.RestartAfter))
 	server.Done.Crashes++
 }
 
+// crashBy ends the boot of the request unless it has ended, and records the request.
+func (server *Server) crashBy(life *boot, j *job) {
+	server.Lock()
+	defer server.Unlock()
+	if life != server.boot {
+		return
+	}
+	server.Done.CrashedBy[j.mark]++
+	server.crash()
+}
+
 // Preload puts a checkpoint in a cache before the first load.
 func (server *Server) Preload(model, version string, bytes int64, where upstream.Tier) {
 	server.Lock()
@@ -114,6 +130,7 @@
 	counts.Executions = maps.Clone(counts.Executions)
 	counts.Refused = maps.Clone(counts.Refused)
 	counts.Loads = maps.Clone(counts.Loads)
+	counts.CrashedBy = maps.Clone(counts.CrashedBy)
 	return counts
 }
 
