--- a/internal/soak/main_test.go
+++ b/internal/soak/main_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -24,6 +25,8 @@
 type trace struct {
 	lock  sync.Mutex
 	lines []string
+	// broken holds the lines of broken invariants, which are always kept.
+	broken []string
 }
 
 var events = &trace{}
@@ -31,7 +34,11 @@
 func (trace *trace) Write(part []byte) (int, error) {
 	trace.lock.Lock()
 	defer trace.lock.Unlock()
-	trace.lines = append(trace.lines, strings.TrimSpace(string(part)))
+	line := strings.TrimSpace(string(part))
+	trace.lines = append(trace.lines, line)
+	if strings.Contains(line, "InvariantBroken") {
+		trace.broken = append(trace.broken, line)
+	}
 	if excess := len(trace.lines) - traceLines; excess > 0 {
 		trace.lines = trace.lines[excess:]
 	}
@@ -52,7 +59,7 @@
 func (trace *trace) print(out io.Writer) {
 	trace.lock.Lock()
 	defer trace.lock.Unlock()
-	for _, line := range trace.lines {
+	for _, line := range slices.Concat(trace.broken, trace.lines) {
 		fmt.Fprintln(out, line)
 	}
 }
