Wait for transactions on their way at the end of claim histories and soaks

Cause: the whole check failed once in TestHistoriesOfClaims: "main bubble goroutine has exited but blocked goroutines remain". The store's goroutine for a transaction of a call that had given up was still waiting for the fake's delay. Ruled out: a leak in the store: the goroutine ends with the timeout of its call. Change: the test flushes its stores before it judges; a soak lets a minute pass after its end.

--- a/claim/history_test.go
+++ b/claim/history_test.go
@@ -143,8 +143,10 @@
 	var log history
 	var runs sync.Map
 	var all, duties sync.WaitGroup
+	var stores []*Store
 	for daemon := range 4 {
 		store := newStore(fake.Client(), fmt.Sprint("daemon", daemon))
+		stores = append(stores, store)
 		duties.Go(func() { store.Run(ctx) })
 		for caller := range 3 {
 			random := rand.New(rand.NewPCG(seed, uint64(daemon*10+caller)))
@@ -161,6 +163,9 @@
 	all.Wait()
 	stop()
 	duties.Wait()
+	for _, store := range stores {
+		store.Flush(t.Context())
+	}
 	if result := porcupine.CheckOperationsTimeout(model, log.ops, time.Minute); result != porcupine.Ok {
 		t.Errorf("the history of %d operations is %s", len(log.ops), result)
 	}
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -244,4 +244,6 @@
 		_ = server.Close()
 	}
 	world.servers.Wait()
+	// What still waits for a timeout ends while the clock of the bubble goes on.
+	time.Sleep(time.Minute)
 }
