Ask for the number of daemons without the lock of demand

Cause: a soak stood still. The dump shows three locks in a ring: demand held its own while it asked the node for live daemons, the node held its own while it asked the dispatcher for loads, and the dispatcher held its own while it asked demand for a forecast. The first link came with the longer interval of reports in large data centres; a daemon could freeze for good. Ruled out: the batch of suspects written at the same time, which takes none of these locks. Change: demand asks before it locks; what a record tells is gathered before the node's lock. Conclusion: callbacks under a lock are to be looked for in the other parts.

--- a/daemon/demand.go
+++ b/daemon/demand.go
@@ -124,15 +124,25 @@
 	}
 }
 
+// interval returns the time to the next report. It asks for the number of daemons without its lock,
+// since others hold theirs while they ask for a forecast.
 func (demand *demand) interval() time.Duration {
+	if !demand.isWaiting() {
+		return demandRest
+	}
+	shared := time.Duration(demand.daemons()) * demandPerDaemon
+	return min(demandRest, max(demandBusy, shared))
+}
+
+func (demand *demand) isWaiting() bool {
 	demand.lock.Lock()
 	defer demand.lock.Unlock()
 	for _, need := range demand.needs {
 		if need.Waiting > 0 {
-			return min(demandRest, max(demandBusy, time.Duration(demand.daemons())*demandPerDaemon))
+			return true
 		}
 	}
-	return demandRest
+	return false
 }
 
 // report sends all needs, if there are any or the decider is to be found again.
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -123,7 +123,7 @@
 func (daemon *Daemon) tellPeers(ctx context.Context) error {
 	for {
 		upstreams, notes := daemon.fleet.Changed(), daemon.follower.Changed()
-		daemon.node.Update(daemon.record)
+		daemon.node.Update(daemon.record())
 		select {
 		case <-upstreams:
 		case <-notes:
@@ -134,19 +134,26 @@
 	}
 }
 
-func (daemon *Daemon) record(last peer.Record) peer.Record {
-	next := last
+// record returns the change of the own record. What it tells is gathered before, without the lock of the node.
+func (daemon *Daemon) record() func(last peer.Record) peer.Record {
 	_, number, _ := daemon.catalogue()
-	next.InForce = number
-	next.Running = int(daemon.arrivals.running())
-	next.Observations = daemon.observations()
-	next.Suspects = daemon.suspects.export()
-	next.Backlogs = toBacklogs(daemon.dispatcher.Loads())
-	next.Waiting = 0
-	for _, backlog := range next.Backlogs {
-		next.Waiting += backlog.Waiting
-	}
-	return next
+	running := int(daemon.arrivals.running())
+	observations := daemon.observations()
+	suspects := daemon.suspects.export()
+	backlogs := toBacklogs(daemon.dispatcher.Loads())
+	waiting := 0
+	for _, backlog := range backlogs {
+		waiting += backlog.Waiting
+	}
+	return func(last peer.Record) peer.Record {
+		last.InForce = number
+		last.Running = running
+		last.Waiting = waiting
+		last.Observations = observations
+		last.Suspects = suspects
+		last.Backlogs = backlogs
+		return last
+	}
 }
 
 func (daemon *Daemon) observations() []peer.Observation {
--- a/daemon/suspects.go
+++ b/daemon/suspects.go
@@ -21,6 +21,10 @@
 	name    string
 	// address returns the address of a daemon for other daemons.
 	address func(daemon string) string
+	// mutex guards round.
+	mutex sync.Mutex
+	// round is the round of telling that still takes suspects, or nil.
+	round *suspectRound
 }
 
 // Import merges suspects of another daemon.
@@ -57,21 +61,6 @@
 	return told
 }
 
-// Publish tells every known daemon at once, also those of other data centres, since their requests
-// may overflow to the same upstreams. It returns when each took the suspects or failed, or when ctx
-// ends. A daemon that failed learns them with the next exchange. It costs one call for each daemon.
-func (suspects *suspects) Publish(ctx context.Context, known []quarantine.Suspect) {
-	told := toPeers(known)
-	var calls sync.WaitGroup
-	for _, known := range suspects.node.Records() {
-		if known.Record.Name == suspects.name {
-			continue
-		}
-		calls.Go(func() { _ = suspects.node.TellSuspects(ctx, known.Record.PeerAddress, told) })
-	}
-	calls.Wait()
-}
-
 // arbiterOf returns the daemon that arbitrates the upstream.
 func (suspects *suspects) arbiterOf(upstream string) string {
 	chosen := peer.Assigned("arbiter/"+upstream, suspects.node.Live(), 1)
