Bound the opening of connections to other daemons

In memory it waited for ever; with TCP it is some two minutes, in which each call to a silent peer adds another. Ruled out: a leak of the daemon's own goroutines; the dump shows only attempts of the transport. Change: peers are dialled for 2 s at most; in memory an attempt fails after 20 s, as TCP does.

--- a/internal/soak/network_test.go
+++ b/internal/soak/network_test.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// dialTimeout is the time after which an attempt to open a connection fails, as TCP does.
+const dialTimeout = 20 * time.Second
+
 // wires joins hosts by pipes in memory that can be cut in one or both directions.
 type wires struct {
 	lock      sync.Mutex
@@ -92,6 +95,8 @@
 		cut = true
 	}
 	if cut {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
 		<-ctx.Done()
 		return nil, &net.OpError{Op: "dial", Net: "pipe", Err: ctx.Err()}
 	}
--- a/peer/settings.go
+++ b/peer/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"net"
 	"net/http"
 	"time"
 
@@ -86,6 +87,7 @@
 	idleConnection = 90 * time.Second
 	pingAfter      = 5 * time.Second
 	pingTimeout    = 2 * time.Second
+	dialTimeout    = 2 * time.Second
 )
 
 // NewClient returns a client that speaks HTTP/2 and finds silent connections by pings. Without a TLS
@@ -96,6 +98,7 @@
 	protocols.SetHTTP2(secure != nil)
 	transport := &http.Transport{
 		Protocols:       protocols,
+		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		TLSClientConfig: secure,
 		IdleConnTimeout: idleConnection,
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
