Call candidacies by the field's word

Cause: the daemon's candidacy for deciding was called a seat, a metaphor that a newcomer must learn. Change: candidate, candidates and campaign, the usual words of leader election; the data centre of a sender is called so. The stored key of senders changes; nothing was released.

--- a/daemon/asker.go
+++ b/daemon/asker.go
@@ -14,9 +14,9 @@
 type deciderAsker struct {
 	name       string
 	dataCentre string
-	// seats are the candidacies of this daemon.
-	seats *seats
-	node  *peer.Node
+	// candidates are the candidacies of this daemon.
+	candidates *candidates
+	node       *peer.Node
 	// address returns the address of a daemon for other daemons, or an empty one if it is not known.
 	address func(daemon string) string
 	// live returns the live daemons of a data centre.
@@ -80,7 +80,7 @@
 
 // askDataCentre delivers the wants to the decider of a data centre.
 func (asker *deciderAsker) askDataCentre(ctx context.Context, dataCentre string, wants []peer.Want) (peer.DemandAnswer, error) {
-	answer := asker.seats.byDataCentre[dataCentre].demand(asker.name, wants)
+	answer := asker.candidates.byDataCentre[dataCentre].demand(asker.name, wants)
 	if answer.Decides {
 		return answer, nil
 	}
@@ -93,7 +93,7 @@
 
 // askGrant asks the decider of the own data centre for transfers of adapters.
 func (asker *deciderAsker) askGrant(ctx context.Context, request peer.GrantRequest) (peer.Grant, error) {
-	grant := asker.seats.byDataCentre[asker.dataCentre].grant(asker.name, request)
+	grant := asker.candidates.byDataCentre[asker.dataCentre].grant(asker.name, request)
 	if grant.Decides {
 		return grant, nil
 	}
@@ -107,7 +107,7 @@
 // search calls ask with addresses until one decides for the data centre: the holder of the lease as
 // last read, the one that last decided, any daemon there, and whom these name.
 func (asker *deciderAsker) search(dataCentre string, ask func(address string) (decides bool, named string, err error)) error {
-	queue := append([]string{asker.seats.byDataCentre[dataCentre].leader(), asker.named[dataCentre]}, asker.live(dataCentre)...)
+	queue := append([]string{asker.candidates.byDataCentre[dataCentre].leader(), asker.named[dataCentre]}, asker.live(dataCentre)...)
 	asked := map[string]bool{"": true, asker.name: true}
 	var last error
 	for len(queue) > 0 {
--- a/daemon/sit.go
+++ b/daemon/campaign.go
@@ -12,32 +12,32 @@
 )
 
 const (
-	// sitEvery is the interval at which a candidacy is looked at.
-	sitEvery = time.Second
+	// campaignEvery is the interval at which a candidacy is looked at.
+	campaignEvery = time.Second
 	// foreignCandidates is the number of daemons that stand in for a data centre without a live daemon.
 	foreignCandidates = 2
 	// demandLasts is how long a report of demand counts at the decider.
 	demandLasts = 3 * time.Second
 )
 
-// sit keeps this daemon a candidate for the data centre while it should be one: always for its own,
+// campaign keeps this daemon a candidate for the data centre while it should be one: always for its own,
 // and for another while that has no live daemon.
-func (daemon *Daemon) sit(ctx context.Context, seat *seat) error {
+func (daemon *Daemon) campaign(ctx context.Context, candidate *candidate) error {
 	for ctx.Err() == nil {
-		if daemon.shouldSit(seat.dataCentre) {
-			daemon.candidacy(ctx, seat)
+		if daemon.shouldCampaign(candidate.dataCentre) {
+			daemon.candidacy(ctx, candidate)
 		}
 		select {
-		case <-daemon.clock.After(sitEvery):
+		case <-daemon.clock.After(campaignEvery):
 		case <-ctx.Done():
 		}
 	}
 	return ctx.Err()
 }
 
-// shouldSit reports whether this daemon is to be a candidate. It is none before it knows the state
+// shouldCampaign reports whether this daemon is to be a candidate. It is none before it knows the state
 // in force, since it would take every replica for withdrawn, and before it is listed or the list is late.
-func (daemon *Daemon) shouldSit(dataCentre string) bool {
+func (daemon *Daemon) shouldCampaign(dataCentre string) bool {
 	if _, _, known := daemon.catalogue(); !known {
 		return false
 	}
@@ -68,22 +68,22 @@
 }
 
 // candidacy runs a decider until ctx ends or the data centre has a daemon of its own that took the lease back.
-func (daemon *Daemon) candidacy(ctx context.Context, seat *seat) {
+func (daemon *Daemon) candidacy(ctx context.Context, candidate *candidate) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	held := daemon.newLease(seat.dataCentre)
-	seat.take(held, daemon.newDecider(seat, held))
-	defer seat.leave()
-	if seat.dataCentre != daemon.settings.DataCentre {
-		go daemon.handBack(ctx, cancel, seat.dataCentre, held)
+	held := daemon.newLease(candidate.dataCentre)
+	candidate.take(held, daemon.newDecider(candidate, held))
+	defer candidate.leave()
+	if candidate.dataCentre != daemon.settings.DataCentre {
+		go daemon.handBack(ctx, cancel, candidate.dataCentre, held)
 	}
-	_, decides := seat.parts()
+	_, decides := candidate.parts()
 	_ = decides.Run(ctx, releaseGrace)
 }
 
 // handBack ends a foreign candidacy once the data centre has a live daemon and the lease is not owned here.
 func (daemon *Daemon) handBack(ctx context.Context, cancel context.CancelFunc, dataCentre string, held *lease.Lease) {
-	_ = every(ctx, daemon.clock, sitEvery, func(context.Context) {
+	_ = every(ctx, daemon.clock, campaignEvery, func(context.Context) {
 		_, owned := held.Owned()
 		if !owned && len(daemon.liveIn(dataCentre)) > 0 {
 			cancel()
@@ -118,21 +118,21 @@
 	return 0
 }
 
-func (daemon *Daemon) newDecider(seat *seat, held *lease.Lease) *decider.Decider {
+func (daemon *Daemon) newDecider(candidate *candidate, held *lease.Lease) *decider.Decider {
 	cache := &modelCache{state: daemon.catalogue}
 	return decider.New(decider.Deps{
 		Tables:    daemon.platform,
 		VMs:       daemon.platform,
 		Lease:     held,
-		Fleet:     engineViews{daemon.fleet, seat.dataCentre},
+		Fleet:     engineViews{daemon.fleet, candidate.dataCentre},
 		Engines:   daemon.pool,
 		Catalogue: cache.current,
-		Warmth:    seat.warmth,
+		Warmth:    candidate.warmth,
 		Clock:     daemon.clock,
 		Loaded:    daemon.loads.loaded,
 	}, decider.Settings{
-		DataCentre:     seat.dataCentre,
-		Sender:         daemon.sender(seat.dataCentre),
+		DataCentre:     candidate.dataCentre,
+		Sender:         daemon.sender(candidate.dataCentre),
 		DataCentres:    daemon.dataCentreNames(),
 		LoadsPerSecond: daemon.settings.WeightStore.LoadsPerSecond,
 		LoadsAtOnce:    daemon.settings.WeightStore.LoadsAtOnce,
@@ -145,7 +145,7 @@
 func (daemon *Daemon) sender(dataCentre string) intent.Sender {
 	sender := intent.Sender{VM: daemon.settings.Name, VMIncarnation: daemon.incarnation(), Process: daemon.process}
 	if dataCentre != daemon.settings.DataCentre {
-		sender.Seat = dataCentre
+		sender.DataCentre = dataCentre
 		sender.Process = daemon.process + "-" + strconv.FormatInt(daemon.clock.Now().UnixNano(), 10)
 	}
 	return sender
--- a/daemon/seat.go
+++ b/daemon/candidate.go
@@ -14,8 +14,8 @@
 	"github.com/bronzestall/bronzestall/placement"
 )
 
-// seat is the candidacy of this daemon for deciding in one data centre.
-type seat struct {
+// candidate is the candidacy of this daemon for deciding in one data centre.
+type candidate struct {
 	dataCentre string
 	clock      clock.Clock
 	warmth     *warmth
@@ -30,28 +30,28 @@
 }
 
 // take makes the daemon a candidate.
-func (seat *seat) take(lease *lease.Lease, decider *decider.Decider) {
-	seat.mutex.Lock()
-	defer seat.mutex.Unlock()
-	seat.lease = lease
-	seat.decider = decider
-	seat.grants = permit.NewGrants(grantLasts)
+func (candidate *candidate) take(lease *lease.Lease, decider *decider.Decider) {
+	candidate.mutex.Lock()
+	defer candidate.mutex.Unlock()
+	candidate.lease = lease
+	candidate.decider = decider
+	candidate.grants = permit.NewGrants(grantLasts)
 }
 
 // leave ends the candidacy.
-func (seat *seat) leave() {
-	seat.take(nil, nil)
+func (candidate *candidate) leave() {
+	candidate.take(nil, nil)
 }
 
-func (seat *seat) parts() (*lease.Lease, *decider.Decider) {
-	seat.mutex.Lock()
-	defer seat.mutex.Unlock()
-	return seat.lease, seat.decider
+func (candidate *candidate) parts() (*lease.Lease, *decider.Decider) {
+	candidate.mutex.Lock()
+	defer candidate.mutex.Unlock()
+	return candidate.lease, candidate.decider
 }
 
 // decides returns the decider if this daemon owns the lease.
-func (seat *seat) decides() (*decider.Decider, bool) {
-	held, decides := seat.parts()
+func (candidate *candidate) decides() (*decider.Decider, bool) {
+	held, decides := candidate.parts()
 	if held == nil {
 		return nil, false
 	}
@@ -60,8 +60,8 @@
 }
 
 // leader returns the name of the daemon that holds the lease, or an empty name.
-func (seat *seat) leader() string {
-	held, _ := seat.parts()
+func (candidate *candidate) leader() string {
+	held, _ := candidate.parts()
 	if held == nil {
 		return ""
 	}
@@ -70,15 +70,15 @@
 }
 
 // demand takes what a daemon wants if this daemon decides, and else names the one that does.
-func (seat *seat) demand(from string, wants []peer.Want) peer.DemandAnswer {
-	decides, owned := seat.decides()
+func (candidate *candidate) demand(from string, wants []peer.Want) peer.DemandAnswer {
+	decides, owned := candidate.decides()
 	if !owned {
-		return peer.DemandAnswer{Decider: seat.leader()}
+		return peer.DemandAnswer{Decider: candidate.leader()}
 	}
 	decides.Report(from, demands(wants))
-	answer := peer.DemandAnswer{Decides: true, Decider: seat.leader()}
+	answer := peer.DemandAnswer{Decides: true, Decider: candidate.leader()}
 	for _, want := range wants {
-		seat.warmth.Observe(catalogue.Target{Model: want.Model, Adapter: want.Adapter}, want.Arrived)
+		candidate.warmth.Observe(catalogue.Target{Model: want.Model, Adapter: want.Adapter}, want.Arrived)
 		answer.Estimates = append(answer.Estimates, estimate(want, decides.Estimate(want.Model)))
 	}
 	return answer
@@ -90,14 +90,14 @@
 // grant divides the transfers of the data centre if this daemon decides, and else names the one that
 // does. A new decider does not know the grants of its predecessor, which lapse within seconds; until
 // then transfers can exceed the limit, which makes them slower and breaks nothing.
-func (seat *seat) grant(from string, request peer.GrantRequest) peer.Grant {
-	if _, owned := seat.decides(); !owned {
-		return peer.Grant{Decider: seat.leader()}
+func (candidate *candidate) grant(from string, request peer.GrantRequest) peer.Grant {
+	if _, owned := candidate.decides(); !owned {
+		return peer.Grant{Decider: candidate.leader()}
 	}
 	report := permit.Report{Sequence: request.Sequence, InFlight: request.InFlight, Waiting: request.Waiting}
-	seat.mutex.Lock()
-	defer seat.mutex.Unlock()
-	made := seat.grants.Update(from, report, seat.transfers, seat.clock.Now())
+	candidate.mutex.Lock()
+	defer candidate.mutex.Unlock()
+	made := candidate.grants.Update(from, report, candidate.transfers, candidate.clock.Now())
 	return peer.Grant{Decides: true, Sequence: made.Sequence, Transfers: made.Transfers, Lasts: made.Lasts}
 }
 
--- a/daemon/claimant.go
+++ b/daemon/claimant.go
@@ -50,6 +50,6 @@
 // sweepsClaims reports whether this daemon deletes old claims: the one that decides for the first data centre.
 func (daemon *Daemon) sweepsClaims() bool {
 	first := daemon.settings.DataCentres[0].Name
-	_, owned := daemon.seats.byDataCentre[first].decides()
+	_, owned := daemon.candidates.byDataCentre[first].decides()
 	return owned
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -40,7 +40,7 @@
 	follower   *release.Follower
 	node       *peer.Node
 	observer   *observer.Observer
-	seats      *seats
+	candidates *candidates
 	demand     *demand
 	arrivals   *arrivals
 	dispatcher *dispatch.Dispatcher
--- a/daemon/directory.go
+++ b/daemon/directory.go
@@ -46,9 +46,9 @@
 			continue
 		}
 		if dataCentre == directory.dataCentre {
-			snapshot.Own = append(snapshot.Own, candidate(place, model))
+			snapshot.Own = append(snapshot.Own, routeCandidate(place, model))
 		} else {
-			snapshot.Others = append(snapshot.Others, candidate(place, model))
+			snapshot.Others = append(snapshot.Others, routeCandidate(place, model))
 		}
 	}
 	return snapshot
@@ -65,7 +65,7 @@
 	return current
 }
 
-func candidate(place fleet.Place, model catalogue.Model) route.Candidate {
+func routeCandidate(place fleet.Place, model catalogue.Model) route.Candidate {
 	return route.Candidate{
 		Upstream: place.Known.Member.Name,
 		BootID:   place.Known.State.BootID,
--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -26,10 +26,10 @@
 		{"keep claims", daemon.keepClaims},
 		{"set gauges", daemon.setGauges},
 	}
-	for _, seat := range daemon.seats.byDataCentre {
-		duties = append(duties, duty{"decide for " + seat.dataCentre, func(ctx context.Context) error {
-			return daemon.sit(ctx, seat)
-		}}, duty{"learn arrivals of " + seat.dataCentre, seat.warmth.run})
+	for _, candidate := range daemon.candidates.byDataCentre {
+		duties = append(duties, duty{"decide for " + candidate.dataCentre, func(ctx context.Context) error {
+			return daemon.campaign(ctx, candidate)
+		}}, duty{"learn arrivals of " + candidate.dataCentre, candidate.warmth.run})
 	}
 	return duties
 }
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -18,14 +18,14 @@
 		daemon.meter.Set(meter.InForce, meter.Labels{}, int64(number))
 		daemon.meter.Set(meter.PeersHeard, meter.Labels{}, int64(len(daemon.node.Records())))
 		daemon.meter.Set(meter.InvariantsBroken, meter.Labels{}, invariant.Broken())
-		daemon.setSeatGauges()
+		daemon.setCandidateGauges()
 		daemon.meter.Set(meter.ReplicasLoaded, meter.Labels{Subject: daemon.settings.DataCentre}, daemon.readyReplicas())
 	})
 }
 
-func (daemon *Daemon) setSeatGauges() {
-	for dataCentre, seat := range daemon.seats.byDataCentre {
-		decides, owned := seat.decides()
+func (daemon *Daemon) setCandidateGauges() {
+	for dataCentre, candidate := range daemon.candidates.byDataCentre {
+		decides, owned := candidate.decides()
 		subject := meter.Labels{Subject: dataCentre}
 		daemon.meter.Set(meter.LeaseHeld, subject, asGauge(owned))
 		if !owned {
--- a/daemon/report.go
+++ b/daemon/report.go
@@ -47,14 +47,14 @@
 }
 
 func (daemon *Daemon) reportDecider(now time.Time) status.Decider {
-	seat := daemon.seats.byDataCentre[daemon.settings.DataCentre]
-	report := status.Decider{Name: seat.leader(), LostFor: daemon.demand.lostFor(now)}
+	candidate := daemon.candidates.byDataCentre[daemon.settings.DataCentre]
+	report := status.Decider{Name: candidate.leader(), LostFor: daemon.demand.lostFor(now)}
 	for _, dataCentre := range daemon.dataCentreNames() {
-		if _, owned := daemon.seats.byDataCentre[dataCentre].decides(); owned {
+		if _, owned := daemon.candidates.byDataCentre[dataCentre].decides(); owned {
 			report.For = append(report.For, dataCentre)
 		}
 	}
-	if decides, owned := seat.decides(); owned {
+	if decides, owned := candidate.decides(); owned {
 		report.Mine = true
 		report.Fence = decides.Status().Fence
 	}
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -26,7 +26,7 @@
 		Daemons: daemon.daemonCount,
 	})
 	daemon.observer = observer.New(observer.Settings{}, daemon.pool, daemon.fleet, daemon.clock)
-	daemon.seats = &seats{byDataCentre: map[string]*seat{}, dataCentreOf: daemon.dataCentreOf}
+	daemon.candidates = &candidates{byDataCentre: map[string]*candidate{}, dataCentreOf: daemon.dataCentreOf}
 	daemon.suspects = &suspects{
 		clock:   daemon.clock,
 		arbiter: quarantine.NewArbiter(),
@@ -42,7 +42,7 @@
 		Client:        daemon.outside.PeerClient,
 		Secure:        daemon.credentials != nil,
 		Members:       peer.MembersFunc(daemon.peerMembers),
-		Decider:       daemon.seats,
+		Decider:       daemon.candidates,
 		Quarantine:    quarantineCalls{daemon.suspects},
 		Notes:         noteSource{daemon.follower},
 	}, daemon.clock, daemon.outside.random(peerSeed))
@@ -52,7 +52,7 @@
 	daemon.loads = &loadTimes{meter: daemon.meter}
 	for place, dataCentre := range daemon.settings.DataCentres {
 		store := bookstore.New(daemon.platform, dataCentre.Name)
-		made := &seat{
+		made := &candidate{
 			dataCentre: dataCentre.Name,
 			clock:      daemon.clock,
 			transfers:  daemon.transfersOf(place),
@@ -71,7 +71,7 @@
 			_, owned := made.decides()
 			return owned
 		}
-		daemon.seats.byDataCentre[dataCentre.Name] = made
+		daemon.candidates.byDataCentre[dataCentre.Name] = made
 	}
 }
 
@@ -123,7 +123,7 @@
 	return &deciderAsker{
 		name:        daemon.settings.Name,
 		dataCentre:  daemon.settings.DataCentre,
-		seats:       daemon.seats,
+		candidates:  daemon.candidates,
 		node:        daemon.node,
 		address:     daemon.peerAddress,
 		live:        daemon.liveIn,
--- a/intent/registry.go
+++ b/intent/registry.go
@@ -174,8 +174,8 @@
 
 func senderKey(sender Sender) platform.Key {
 	row := sender.VM
-	if sender.Seat != "" {
-		row += "/" + sender.Seat
+	if sender.DataCentre != "" {
+		row += "/" + sender.DataCentre
 	}
 	return platform.Key{Table: SenderTable, Row: row}
 }
--- a/intent/sender.go
+++ b/intent/sender.go
@@ -6,10 +6,10 @@
 	VM string `json:"VM"`
 	// VMIncarnation is the incarnation of the VM in the VM list; empty if unknown.
 	VMIncarnation string `json:"VMIncarnation,omitempty"`
-	// Seat is the data centre that it decides for, or empty for the one of its VM. The seats of one VM
+	// DataCentre is the data centre that it decides for, or empty for the one of its VM. The candidacies of one VM
 	// are recorded apart, since they begin and end by themselves.
-	Seat string `json:"Seat,omitempty"`
-	// Process differs for every start of a process, and of a seat in another data centre.
+	DataCentre string `json:"DataCentre,omitempty"`
+	// Process differs for every start of a process, and of a candidacy for another data centre.
 	Process string `json:"Process"`
 	// Reign is the fencing number under which the process decided. A process that lost its lease
 	// and got it again counts as another sender.
