--- a/bookstore/store.go
+++ b/bookstore/store.go
@@ -7,8 +7,8 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/keepwarm"
-	"github.com/bronzestall/bronzestall/platform"
 )
 
 // Table is the name of the table.
@@ -19,12 +19,12 @@
 
 // Store keeps the book of one data centre. Use New.
 type Store struct {
-	tables     platform.Tables
+	tables     datastore.Tables
 	dataCentre string
 }
 
 // New returns the store of the data centre.
-func New(tables platform.Tables, dataCentre string) *Store {
+func New(tables datastore.Tables, dataCentre string) *Store {
 	return &Store{tables: tables, dataCentre: dataCentre}
 }
 
@@ -52,7 +52,7 @@
 		if err == nil {
 			return nil
 		}
-		if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnclear) {
+		if !errors.Is(err, datastore.ErrConflict) && !errors.Is(err, datastore.ErrUnclear) {
 			return err
 		}
 	}
@@ -60,16 +60,16 @@
 }
 
 func (store *Store) attempt(ctx context.Context, change keepwarm.Change) error {
-	key := platform.Key{Table: Table, Row: fmt.Sprintf("%s/%03d", store.dataCentre, change.Part)}
+	key := datastore.Key{Table: Table, Row: fmt.Sprintf("%s/%03d", store.dataCentre, change.Part)}
 	row, err := store.tables.Read(ctx, key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, datastore.ErrNotFound) {
 		return trace.Wrap(err)
 	}
 	content, changed, err := keepwarm.Merge(row.Value, change)
 	if err != nil || !changed {
 		return err
 	}
-	write := platform.Write{Key: key, Check: true, IfVersion: row.Version, Value: content}
-	_, err = store.tables.Commit(ctx, []platform.Write{write})
+	write := datastore.Write{Key: key, Check: true, IfVersion: row.Version, Value: content}
+	_, err = store.tables.Commit(ctx, []datastore.Write{write})
 	return trace.Wrap(err)
 }
--- a/claim/bucket.go
+++ b/claim/bucket.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/datastore"
 )
 
 // table holds the claims. The name of a row is its day and the hash of tenant and key, so that the
@@ -39,15 +39,15 @@
 }
 
 // rowKey returns the key of the claim in the bucket.
-func rowKey(number int64, name string) platform.Key {
-	return platform.Key{Table: table, Row: bucketPrefix(number) + name}
+func rowKey(number int64, name string) datastore.Key {
+	return datastore.Key{Table: table, Row: bucketPrefix(number) + name}
 }
 
 // maxSkew is the largest difference between the clocks of two daemons for which a claim of the next day is found.
 const maxSkew = time.Hour
 
 // readable returns the keys under which the claim can stand if clocks differ by at most maxSkew, likeliest first.
-func readable(at time.Time, name string) []platform.Key {
+func readable(at time.Time, name string) []datastore.Key {
 	keys := neighbours(at, name)
 	if bucket(at.Add(maxSkew)) == bucket(at) {
 		return keys[:2]
@@ -57,7 +57,7 @@
 
 // neighbours returns the keys under which a claim that still counts may stand, today's first. Those of
 // the day before are kept for retention; those of the day after are made by daemons whose clock is ahead.
-func neighbours(at time.Time, name string) [3]platform.Key {
+func neighbours(at time.Time, name string) [3]datastore.Key {
 	today := bucket(at)
-	return [3]platform.Key{rowKey(today, name), rowKey(today-1, name), rowKey(today+1, name)}
+	return [3]datastore.Key{rowKey(today, name), rowKey(today-1, name), rowKey(today+1, name)}
 }
--- a/claim/change.go
+++ b/claim/change.go
@@ -1,15 +1,15 @@
 package claim
 
-import "github.com/bronzestall/bronzestall/platform"
+import "github.com/bronzestall/bronzestall/datastore"
 
 // change is one wish to write that may share its transaction with others.
 type change struct {
 	// writes are the parts; the first one names the row that the change is about.
-	writes []platform.Write
+	writes []datastore.Write
 	// attempt is the attempt whose record stands in the row after the change.
 	attempt string
 	// applied reports whether the row shows that the change took effect.
-	applied func(row platform.Row, found bool) bool
+	applied func(row datastore.Row, found bool) bool
 	// done gets exactly one end.
 	done chan end
 }
@@ -18,7 +18,7 @@
 type end struct {
 	// version is the version of the row, or zero if it has to be read.
 	version uint64
-	// err is nil, platform.ErrConflict, platform.ErrUnavailable or platform.ErrUnclear.
+	// err is nil, datastore.ErrConflict, datastore.ErrUnavailable or datastore.ErrUnclear.
 	err error
 }
 
@@ -32,6 +32,6 @@
 }
 
 // row returns the key of the row that the change is about.
-func (change *change) row() platform.Key {
+func (change *change) row() datastore.Key {
 	return change.writes[0].Key
 }
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -5,8 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/outcome"
-	"github.com/bronzestall/bronzestall/platform"
 	"github.com/bronzestall/bronzestall/request"
 )
 
@@ -27,7 +27,7 @@
 	case ending.err == nil:
 		ticket.version = ending.version
 		return ticket, nil, nil
-	case errors.Is(ending.err, platform.ErrConflict):
+	case errors.Is(ending.err, datastore.ErrConflict):
 		return store.contested(ctx, &req, ticket)
 	default:
 		store.unclaim(ticket, nil)
@@ -49,21 +49,21 @@
 }
 
 // insert returns the change that inserts the row where no neighbour stands.
-func (store *Store) insert(ticket Ticket, keys [3]platform.Key) *change {
+func (store *Store) insert(ticket Ticket, keys [3]datastore.Key) *change {
 	return &change{
 		attempt: ticket.record.Attempt,
-		writes: []platform.Write{
+		writes: []datastore.Write{
 			{Key: keys[0], Check: true, Value: ticket.record.encode()},
 			{Key: keys[1], Check: true, Only: true},
 			{Key: keys[2], Check: true, Only: true},
 		},
-		applied: func(row platform.Row, found bool) bool { return found && isOf(row, ticket.record.Attempt) },
+		applied: func(row datastore.Row, found bool) bool { return found && isOf(row, ticket.record.Attempt) },
 		done:    make(chan end, 1),
 	}
 }
 
 // isOf reports whether the row is the claim of the attempt.
-func isOf(row platform.Row, attempt string) bool {
+func isOf(row datastore.Row, attempt string) bool {
 	held, err := decode(row.Value)
 	return err == nil && held.Attempt == attempt
 }
@@ -108,24 +108,24 @@
 }
 
 // find returns the row of the claim of the key, or nothing.
-func (store *Store) find(ctx context.Context, req *request.Request) (platform.Row, *record, error) {
+func (store *Store) find(ctx context.Context, req *request.Request) (datastore.Row, *record, error) {
 	ctx, cancel := context.WithTimeout(ctx, store.settings.Timeout)
 	defer cancel()
 	for _, key := range readable(store.clock.Now(), keyName(req.Tenant, req.Key)) {
 		row, err := store.tables.Read(ctx, key)
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, datastore.ErrNotFound) {
 			continue
 		}
 		if err != nil {
-			return platform.Row{}, nil, err
+			return datastore.Row{}, nil, err
 		}
 		held, err := decode(row.Value)
 		if err != nil {
-			return platform.Row{}, nil, err
+			return datastore.Row{}, nil, err
 		}
 		return row, &held, nil
 	}
-	return platform.Row{}, nil, nil
+	return datastore.Row{}, nil, nil
 }
 
 // told returns what a resend of the call is told.
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -11,10 +11,10 @@
 
 	"k8s.io/utils/clock"
 
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/internal/invariant"
 	"github.com/bronzestall/bronzestall/internal/platformfake"
 	"github.com/bronzestall/bronzestall/outcome"
-	"github.com/bronzestall/bronzestall/platform"
 	"github.com/bronzestall/bronzestall/request"
 )
 
@@ -22,7 +22,7 @@
 	return platformfake.New(clock.RealClock{}, rand.New(rand.NewPCG(seed, 7)))
 }
 
-func newStore(tables platform.Tables, name string) *Store {
+func newStore(tables datastore.Tables, name string) *Store {
 	return New(Settings{Incarnation: name, Ended: func(other string) bool { return other == "dead" }}, tables, clock.RealClock{})
 }
 
--- a/claim/finish.go
+++ b/claim/finish.go
@@ -5,9 +5,9 @@
 	"errors"
 	"time"
 
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/internal/invariant"
-	"github.com/bronzestall/bronzestall/platform"
 )
 
 // Complete records the whole answer. While the table service is away the record is kept for later, and
@@ -82,7 +82,7 @@
 	if err == nil {
 		return true
 	}
-	if !errors.Is(err, platform.ErrConflict) {
+	if !errors.Is(err, datastore.ErrConflict) {
 		return false
 	}
 	version, mine, err := store.version(ctx, ticket)
@@ -106,7 +106,7 @@
 	ctx, cancel := context.WithTimeout(ctx, store.settings.Timeout)
 	defer cancel()
 	row, err := store.tables.Read(ctx, ticket.key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, datastore.ErrNotFound) {
 		return 0, false, nil
 	}
 	if err != nil {
@@ -124,8 +124,8 @@
 	value := ticket.record.encode()
 	return &change{
 		attempt: ticket.record.Attempt,
-		writes:  []platform.Write{{Key: ticket.key, Check: true, IfVersion: ticket.version, Value: value}},
-		applied: func(row platform.Row, found bool) bool { return found && string(row.Value) == string(value) },
+		writes:  []datastore.Write{{Key: ticket.key, Check: true, IfVersion: ticket.version, Value: value}},
+		applied: func(row datastore.Row, found bool) bool { return found && string(row.Value) == string(value) },
 		done:    make(chan end, 1),
 	}
 }
@@ -134,8 +134,8 @@
 func (store *Store) remove(ticket Ticket) *change {
 	return &change{
 		attempt: ticket.record.Attempt,
-		writes:  []platform.Write{{Key: ticket.key, Check: true, IfVersion: ticket.version, Delete: true}},
-		applied: func(row platform.Row, found bool) bool { return !found || !isOf(row, ticket.record.Attempt) },
+		writes:  []datastore.Write{{Key: ticket.key, Check: true, IfVersion: ticket.version, Delete: true}},
+		applied: func(row datastore.Row, found bool) bool { return !found || !isOf(row, ticket.record.Attempt) },
 		done:    make(chan end, 1),
 	}
 }
--- a/claim/group.go
+++ b/claim/group.go
@@ -6,13 +6,13 @@
 	"sync"
 	"time"
 
-	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/datastore"
 )
 
 // group commits changes together: those that come while one transaction runs share the next.
 // It is safe for concurrent use.
 type group struct {
-	tables  platform.Tables
+	tables  datastore.Tables
 	timeout time.Duration
 
 	mutex sync.Mutex
@@ -25,7 +25,7 @@
 }
 
 // newGroup returns a group without changes.
-func newGroup(tables platform.Tables, timeout time.Duration) *group {
+func newGroup(tables datastore.Tables, timeout time.Duration) *group {
 	idle := make(chan struct{})
 	close(idle)
 	return &group{tables: tables, timeout: timeout, idle: idle}
@@ -36,7 +36,7 @@
 	group.mutex.Lock()
 	defer group.mutex.Unlock()
 	if len(group.pending) >= pendingMost {
-		change.done <- end{err: platform.ErrUnavailable}
+		change.done <- end{err: datastore.ErrUnavailable}
 		return
 	}
 	group.pending = append(group.pending, change)
@@ -73,7 +73,7 @@
 func (group *group) next() []*change {
 	group.mutex.Lock()
 	defer group.mutex.Unlock()
-	taken := map[platform.Key]bool{}
+	taken := map[datastore.Key]bool{}
 	size := 0
 	var next, rest []*change
 	for _, change := range group.pending {
@@ -96,7 +96,7 @@
 // commit commits the changes together, or in halves if one of them is in conflict.
 func (group *group) commit(changes []*change) {
 	versions, err := group.settled(changes)
-	if errors.Is(err, platform.ErrConflict) && len(changes) > 1 {
+	if errors.Is(err, datastore.ErrConflict) && len(changes) > 1 {
 		half := len(changes) / 2
 		group.commit(changes[:half])
 		group.commit(changes[half:])
@@ -118,25 +118,25 @@
 func (group *group) settled(changes []*change) ([]uint64, error) {
 	for try := 1; ; try++ {
 		versions, err := group.send(changes)
-		if !errors.Is(err, platform.ErrUnclear) {
+		if !errors.Is(err, datastore.ErrUnclear) {
 			return versions, err
 		}
 		applied, err := group.applied(changes[0])
 		if err != nil {
-			return nil, platform.ErrUnclear
+			return nil, datastore.ErrUnclear
 		}
 		if applied {
 			return nil, nil
 		}
 		if try == tries {
-			return nil, platform.ErrUnclear
+			return nil, datastore.ErrUnclear
 		}
 	}
 }
 
 // send commits once.
 func (group *group) send(changes []*change) ([]uint64, error) {
-	var writes []platform.Write
+	var writes []datastore.Write
 	for _, change := range changes {
 		writes = append(writes, change.writes...)
 	}
@@ -150,7 +150,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), group.timeout)
 	defer cancel()
 	row, err := group.tables.Read(ctx, change.row())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, datastore.ErrNotFound) {
 		return change.applied(row, false), nil
 	}
 	if err != nil {
--- a/claim/store.go
+++ b/claim/store.go
@@ -6,14 +6,14 @@
 
 	"k8s.io/utils/clock"
 
-	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/ring"
 )
 
 // Store claims calls in the table service of the platform. It is safe for concurrent use. Use New.
 type Store struct {
 	settings Settings
-	tables   platform.Tables
+	tables   datastore.Tables
 	clock    clock.Clock
 	group    *group
 	// later holds what could not be written while the table service was away.
@@ -25,7 +25,7 @@
 }
 
 // New returns a store over the tables. Run must run beside it.
-func New(settings Settings, tables platform.Tables, clock clock.Clock) *Store {
+func New(settings Settings, tables datastore.Tables, clock clock.Clock) *Store {
 	settings = settings.withDefaults()
 	return &Store{
 		settings: settings,
--- a/claim/sweep.go
+++ b/claim/sweep.go
@@ -4,7 +4,7 @@
 	"context"
 	"strings"
 
-	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/datastore"
 )
 
 // sweepRows is the largest number of rows that one Sweep deletes.
@@ -20,12 +20,12 @@
 		return false, err
 	}
 	keep := bucketPrefix(bucket(store.clock.Now()) - keptDays)
-	var old []platform.Write
+	var old []datastore.Write
 	for _, row := range rows {
 		if strings.Compare(row.Row, keep) >= 0 {
 			break
 		}
-		old = append(old, platform.Write{Key: row.Key, Delete: true})
+		old = append(old, datastore.Write{Key: row.Key, Delete: true})
 	}
 	if len(old) == 0 {
 		return false, nil
--- a/cmd/bronzestall/main.go
+++ b/cmd/bronzestall/main.go
@@ -11,7 +11,7 @@
 	"k8s.io/utils/clock"
 
 	"github.com/bronzestall/bronzestall/daemon"
-	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/settings"
 )
 
@@ -41,11 +41,11 @@
 
 // store is what the commands on notes need of the platform.
 type store interface {
-	platform.Tables
-	platform.Objects
-	platform.VMs
+	datastore.Tables
+	datastore.Objects
+	datastore.VMs
 }
 
 func connect(at settings.Platform, clock clock.Clock) store {
-	return platform.NewClient(platform.ClientSettings{Address: at.Address, Timeout: at.Timeout}, clock)
+	return datastore.NewClient(datastore.ClientSettings{Address: at.Address, Timeout: at.Timeout}, clock)
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/bronzestall/bronzestall/catalogue"
 	"github.com/bronzestall/bronzestall/claim"
 	"github.com/bronzestall/bronzestall/credential"
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/dispatch"
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/fleet"
@@ -19,7 +20,6 @@
 	"github.com/bronzestall/bronzestall/meter"
 	"github.com/bronzestall/bronzestall/observer"
 	"github.com/bronzestall/bronzestall/peer"
-	"github.com/bronzestall/bronzestall/platform"
 	"github.com/bronzestall/bronzestall/release"
 	"github.com/bronzestall/bronzestall/settings"
 )
@@ -35,7 +35,7 @@
 	meter      *meter.Meter
 	fleet      *fleet.Fleet
 	pool       *pool
-	platform   *platform.Client
+	platform   *datastore.Client
 	members    *members
 	follower   *release.Follower
 	node       *peer.Node
@@ -77,7 +77,7 @@
 		started:  clock.Now(),
 		meter:    meter.New(),
 		fleet:    fleet.New(clock),
-		platform: platform.NewClient(platform.ClientSettings{
+		platform: datastore.NewClient(datastore.ClientSettings{
 			Address: settings.Platform.Address,
 			Timeout: settings.Platform.Timeout,
 			Dial:    outside.Dial,
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -8,22 +8,22 @@
 
 	"k8s.io/utils/clock"
 
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/fleet"
-	"github.com/bronzestall/bronzestall/platform"
 	"github.com/bronzestall/bronzestall/settings"
 )
 
 // members follows the VM list. While the list is away the last one stays in force.
 type members struct {
 	settings settings.Settings
-	list     platform.VMs
+	list     datastore.VMs
 	fleet    *fleet.Fleet
 	clock    clock.Clock
 	// lock guards the fields below.
 	lock sync.Mutex
 	// vms is the last list that was read, or nil.
-	vms  []platform.VM
+	vms  []datastore.VM
 	away bool
 }
 
@@ -64,7 +64,7 @@
 	return members.away
 }
 
-func (members *members) apply(vms []platform.VM) {
+func (members *members) apply(vms []datastore.VM) {
 	members.lock.Lock()
 	members.vms = vms
 	members.lock.Unlock()
@@ -72,7 +72,7 @@
 }
 
 // all returns the last list that was read.
-func (members *members) all() []platform.VM {
+func (members *members) all() []datastore.VM {
 	members.lock.Lock()
 	defer members.lock.Unlock()
 	return members.vms
@@ -80,7 +80,7 @@
 
 // upstreams joins the settings and the VM list. The settings say which engines check fencing numbers;
 // the list says which VMs exist beside those of the settings and which leave.
-func (members *members) upstreams(vms []platform.VM) []fleet.Member {
+func (members *members) upstreams(vms []datastore.VM) []fleet.Member {
 	byName := map[string]fleet.Member{}
 	for _, known := range members.settings.Upstreams {
 		byName[known.Name] = fleet.Member{
@@ -93,7 +93,7 @@
 		}
 	}
 	for _, vm := range vms {
-		if vm.Role == platform.Entry {
+		if vm.Role == datastore.Entry {
 			continue
 		}
 		byName[vm.Name] = withVM(byName[vm.Name], vm)
@@ -101,14 +101,14 @@
 	return sortedMembers(byName)
 }
 
-func withVM(member fleet.Member, vm platform.VM) fleet.Member {
+func withVM(member fleet.Member, vm datastore.VM) fleet.Member {
 	member.Name = vm.Name
 	member.Incarnation = vm.Incarnation
 	member.Address = vm.Address
 	member.DataCentre = vm.DataCentre
 	member.Leaving = vm.Leaving
 	member.Kind = settings.EngineKind
-	if vm.Role == platform.Service {
+	if vm.Role == datastore.Service {
 		member.Kind = settings.ServiceKind
 	}
 	return member
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/peer"
-	"github.com/bronzestall/bronzestall/platform"
 	"github.com/bronzestall/bronzestall/settings"
 )
 
@@ -26,7 +26,7 @@
 		byName[known.Name] = peer.Member{Name: known.Name, Address: known.Address}
 	}
 	for _, vm := range daemon.members.all() {
-		if vm.Role == platform.Entry {
+		if vm.Role == datastore.Entry {
 			byName[vm.Name] = peer.Member{Name: vm.Name, Address: vm.Address, DataCentre: vm.DataCentre}
 		}
 	}
--- a/platform/callerror.go
+++ b/datastore/callerror.go
@@ -1,4 +1,4 @@
-package platform
+package datastore
 
 import (
 	"errors"
--- a/decider/commit.go
+++ b/decider/commit.go
@@ -4,10 +4,10 @@
 	"context"
 	"errors"
 
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/intent"
 	"github.com/bronzestall/bronzestall/placement"
-	"github.com/bronzestall/bronzestall/platform"
 	"github.com/bronzestall/bronzestall/upstream"
 )
 
@@ -33,12 +33,12 @@
 	case err == nil:
 		reign.apply(change)
 		return nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, datastore.ErrConflict):
 		_, until, _ := reign.decider.deps.Lease.Held()
 		reign.deposed = true
 		reign.awayTerm = until
 		return err
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, datastore.ErrUnavailable):
 		return reign.failed(err)
 	default:
 		reign.pending = &change
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -7,12 +7,12 @@
 
 	"k8s.io/utils/clock"
 
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/intent"
 	"github.com/bronzestall/bronzestall/lease"
 	"github.com/bronzestall/bronzestall/permit"
 	"github.com/bronzestall/bronzestall/placement"
-	"github.com/bronzestall/bronzestall/platform"
 	"github.com/bronzestall/bronzestall/ring"
 	"github.com/bronzestall/bronzestall/upstream"
 )
@@ -20,9 +20,9 @@
 // Deps are what a decider works with.
 type Deps struct {
 	// Tables is the table service and VMs the VM list.
-	Tables platform.Tables
+	Tables datastore.Tables
 	// VMs is the VM list.
-	VMs platform.VMs
+	VMs datastore.VMs
 	// Lease is the candidate for the lease of the data centre. The decider runs it.
 	Lease *lease.Lease
 	// Fleet and Engines give states of engines and take orders.
--- a/decider/store.go
+++ b/decider/store.go
@@ -6,9 +6,9 @@
 	"slices"
 	"time"
 
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/intent"
-	"github.com/bronzestall/bronzestall/platform"
 )
 
 // askStore does what needs the table service before a pass: settles a change without a known
@@ -66,7 +66,7 @@
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, datastore.ErrConflict):
 		return err
 	default:
 		if !reign.away {
@@ -171,7 +171,7 @@
 		return nil
 	}
 	err := reign.decider.division.Sync(ctx, guard, reign.permitUse())
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, datastore.ErrConflict) {
 		return nil
 	}
 	return err
--- a/decider/successor_test.go
+++ b/decider/successor_test.go
@@ -5,13 +5,13 @@
 	"testing"
 	"time"
 
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/intent"
-	"github.com/bronzestall/bronzestall/platform"
 	"github.com/bronzestall/bronzestall/upstream"
 )
 
 // guardOfNobody always holds.
-var guardOfNobody = platform.Write{Key: platform.Key{Table: "None", Row: "none"}, Check: true, Only: true}
+var guardOfNobody = datastore.Write{Key: datastore.Key{Table: "None", Row: "none"}, Check: true, Only: true}
 
 // leave writes a row as a former holder would have left it.
 func (world *world) leave(model, upstreamName string, fence uint64) {
--- a/decider/world_test.go
+++ b/decider/world_test.go
@@ -15,13 +15,13 @@
 	testingclock "k8s.io/utils/clock/testing"
 
 	"github.com/bronzestall/bronzestall/catalogue"
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/intent"
 	"github.com/bronzestall/bronzestall/internal/enginefake"
 	"github.com/bronzestall/bronzestall/internal/invariant"
 	"github.com/bronzestall/bronzestall/internal/platformfake"
 	"github.com/bronzestall/bronzestall/lease"
 	"github.com/bronzestall/bronzestall/placement"
-	"github.com/bronzestall/bronzestall/platform"
 	"github.com/bronzestall/bronzestall/upstream"
 )
 
@@ -67,7 +67,7 @@
 	names     []string
 	wanted    map[string]int
 	processes []*process
-	vms       []platform.VM
+	vms       []datastore.VM
 	broken    int64
 	// budgetShare is the setting of the deciders.
 	budgetShare float64
@@ -147,7 +147,7 @@
 // startProcess starts a process on a VM that may have run an older one.
 func (world *world) startProcess(name, incarnation string) *process {
 	started := &process{world: world, name: name, client: world.platform.Client(), views: map[string]intent.View{}}
-	vm := platform.VM{Name: name, Incarnation: name + "-vm", DataCentre: "fukuoka", Role: platform.Entry}
+	vm := datastore.VM{Name: name, Incarnation: name + "-vm", DataCentre: "fukuoka", Role: datastore.Entry}
 	if incarnation == "1" {
 		world.vms = append(world.vms, vm)
 	}
--- a/intent/log.go
+++ b/intent/log.go
@@ -8,7 +8,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/datastore"
 )
 
 // The tables of this package. Rows are named after data centre and identifier.
@@ -23,12 +23,12 @@
 
 // Log reads and writes the intents and budgets of one data centre.
 type Log struct {
-	tables     platform.Tables
+	tables     datastore.Tables
 	dataCentre string
 }
 
 // NewLog returns the log of the data centre.
-func NewLog(tables platform.Tables, dataCentre string) *Log {
+func NewLog(tables datastore.Tables, dataCentre string) *Log {
 	return &Log{tables: tables, dataCentre: dataCentre}
 }
 
@@ -50,21 +50,21 @@
 }
 
 // Commit writes the change in one transaction under the guard of the lease. Its errors are
-// those of platform.Tables; ErrUnclear is settled by Took.
-func (log *Log) Commit(ctx context.Context, guard platform.Write, change Change) error {
-	writes := make([]platform.Write, 0, 2+len(change.Open)+len(change.Close)+len(change.Trim))
+// those of datastore.Tables; ErrUnclear is settled by Took.
+func (log *Log) Commit(ctx context.Context, guard datastore.Write, change Change) error {
+	writes := make([]datastore.Write, 0, 2+len(change.Open)+len(change.Close)+len(change.Trim))
 	writes = append(writes, guard)
 	for _, intent := range change.Open {
-		writes = append(writes, platform.Write{Key: log.key(intent.ID), Check: true, Value: encode(intent)})
+		writes = append(writes, datastore.Write{Key: log.key(intent.ID), Check: true, Value: encode(intent)})
 	}
 	for _, id := range change.Close {
-		writes = append(writes, platform.Write{Key: log.key(id), Delete: true})
+		writes = append(writes, datastore.Write{Key: log.key(id), Delete: true})
 	}
 	if change.Budget != nil {
-		writes = append(writes, platform.Write{Key: log.budgetKey(change.Budget.Fence), Value: encode(change.Budget)})
+		writes = append(writes, datastore.Write{Key: log.budgetKey(change.Budget.Fence), Value: encode(change.Budget)})
 	}
 	for _, budget := range change.Trim {
-		write := platform.Write{Key: log.budgetKey(budget.Fence), Value: encode(budget)}
+		write := datastore.Write{Key: log.budgetKey(budget.Fence), Value: encode(budget)}
 		if len(budget.Shares) == 0 {
 			write.Delete, write.Value = true, nil
 		}
@@ -77,7 +77,7 @@
 // Exists reports whether the row of the intent is there.
 func (log *Log) Exists(ctx context.Context, id string) (bool, error) {
 	_, err := log.tables.Read(ctx, log.key(id))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, datastore.ErrNotFound) {
 		return false, nil
 	}
 	return err == nil, trace.Wrap(err)
@@ -93,7 +93,7 @@
 	return scan[Budget](ctx, log.tables, BudgetTable, log.dataCentre+"/")
 }
 
-func scan[T any](ctx context.Context, tables platform.Tables, table, prefix string) ([]T, error) {
+func scan[T any](ctx context.Context, tables datastore.Tables, table, prefix string) ([]T, error) {
 	var all []T
 	after := ""
 	for {
@@ -115,12 +115,12 @@
 	}
 }
 
-func (log *Log) key(id string) platform.Key {
-	return platform.Key{Table: Table, Row: log.dataCentre + "/" + id}
+func (log *Log) key(id string) datastore.Key {
+	return datastore.Key{Table: Table, Row: log.dataCentre + "/" + id}
 }
 
-func (log *Log) budgetKey(fence uint64) platform.Key {
-	return platform.Key{Table: BudgetTable, Row: fmt.Sprintf("%s/%020d", log.dataCentre, fence)}
+func (log *Log) budgetKey(fence uint64) datastore.Key {
+	return datastore.Key{Table: BudgetTable, Row: fmt.Sprintf("%s/%020d", log.dataCentre, fence)}
 }
 
 func encode(value any) []byte {
--- a/intent/registry.go
+++ b/intent/registry.go
@@ -9,7 +9,7 @@
 	"github.com/gravitational/trace"
 	"k8s.io/utils/clock"
 
-	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/datastore"
 )
 
 // SenderTable holds for each VM the newest process, in rows named after VMs.
@@ -31,8 +31,8 @@
 // A sender registers before it writes its first intent, after it has bound the address of its
 // VM, so that another process in the row is proof of a newer one.
 type Registry struct {
-	tables platform.Tables
-	vms    platform.VMs
+	tables datastore.Tables
+	vms    datastore.VMs
 	clock  clock.Clock
 	me     Sender
 	// lag bounds how late the VM list is.
@@ -45,7 +45,7 @@
 }
 
 // NewRegistry returns a registry for the sender. The lag bounds how late the VM list is.
-func NewRegistry(tables platform.Tables, vms platform.VMs, clock clock.Clock, me Sender, lag time.Duration) *Registry {
+func NewRegistry(tables datastore.Tables, vms datastore.VMs, clock clock.Clock, me Sender, lag time.Duration) *Registry {
 	return &Registry{tables: tables, vms: vms, clock: clock, me: me, lag: lag, absent: map[string]time.Time{}}
 }
 
@@ -60,7 +60,7 @@
 		registry.version = row.Version
 		return nil
 	}
-	versions, err := registry.tables.Commit(ctx, []platform.Write{{
+	versions, err := registry.tables.Commit(ctx, []datastore.Write{{
 		Key: senderKey(registry.me), Check: true, IfVersion: row.Version, Value: encode(senderRecord{Sender: registry.me}),
 	}})
 	if err != nil {
@@ -92,7 +92,7 @@
 	if registry.version == 0 {
 		return nil
 	}
-	versions, err := registry.tables.Commit(ctx, []platform.Write{{
+	versions, err := registry.tables.Commit(ctx, []datastore.Write{{
 		Key: senderKey(registry.me), Check: true, IfVersion: registry.version, Value: encode(record),
 	}})
 	if err == nil {
@@ -159,25 +159,25 @@
 	return registry.clock.Since(since) > registry.lag
 }
 
-func (registry *Registry) read(ctx context.Context, sender Sender) (platform.Row, senderRecord, error) {
+func (registry *Registry) read(ctx context.Context, sender Sender) (datastore.Row, senderRecord, error) {
 	row, err := registry.tables.Read(ctx, senderKey(sender))
-	if errors.Is(err, platform.ErrNotFound) {
-		return platform.Row{}, senderRecord{}, nil
+	if errors.Is(err, datastore.ErrNotFound) {
+		return datastore.Row{}, senderRecord{}, nil
 	}
 	if err != nil {
-		return platform.Row{}, senderRecord{}, trace.Wrap(err)
+		return datastore.Row{}, senderRecord{}, trace.Wrap(err)
 	}
 	var found senderRecord
 	err = json.Unmarshal(row.Value, &found)
 	return row, found, trace.Wrap(err)
 }
 
-func senderKey(sender Sender) platform.Key {
+func senderKey(sender Sender) datastore.Key {
 	row := sender.VM
 	if sender.DataCentre != "" {
 		row += "/" + sender.DataCentre
 	}
-	return platform.Key{Table: SenderTable, Row: row}
+	return datastore.Key{Table: SenderTable, Row: row}
 }
 
 func vmKey(name, incarnation string) string {
--- a/internal/platformfake/call.go
+++ b/internal/platformfake/call.go
@@ -3,19 +3,19 @@
 import (
 	"context"
 
-	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/datastore"
 )
 
 // read runs a reading call with delays and faults.
 func (client *Client) read(ctx context.Context, effect func(fake *Platform) error) error {
 	if client.wait(ctx) != nil {
-		return platform.ErrUnavailable
+		return datastore.ErrUnavailable
 	}
 	if err := client.lockedRead(effect); err != nil {
 		return err
 	}
 	if client.wait(ctx) != nil {
-		return platform.ErrUnavailable
+		return datastore.ErrUnavailable
 	}
 	return nil
 }
@@ -25,7 +25,7 @@
 	fake.mutex.Lock()
 	defer fake.mutex.Unlock()
 	if fake.down || client.cut || client.refusesRead() {
-		return platform.ErrUnavailable
+		return datastore.ErrUnavailable
 	}
 	return effect(fake)
 }
@@ -41,13 +41,13 @@
 // write runs a writing call with delays and faults. A context that ends after the effect makes it unclear.
 func (client *Client) write(ctx context.Context, effect func(fake *Platform) error) error {
 	if client.wait(ctx) != nil {
-		return platform.ErrUnavailable
+		return datastore.ErrUnavailable
 	}
 	if err := client.lockedWrite(effect); err != nil {
 		return err
 	}
 	if client.wait(ctx) != nil {
-		return platform.ErrUnclear
+		return datastore.ErrUnclear
 	}
 	return nil
 }
@@ -57,19 +57,19 @@
 	fake.mutex.Lock()
 	defer fake.mutex.Unlock()
 	if fake.down || client.cut {
-		return platform.ErrUnavailable
+		return datastore.ErrUnavailable
 	}
 	switch client.nextWrite() {
 	case Unavailable:
-		return platform.ErrUnavailable
+		return datastore.ErrUnavailable
 	case UnclearWithoutEffect:
-		return platform.ErrUnclear
+		return datastore.ErrUnclear
 	case UnclearLate:
 		fake.late = append(fake.late, func() { _ = effect(fake) })
-		return platform.ErrUnclear
+		return datastore.ErrUnclear
 	case UnclearWithEffect:
 		_ = effect(fake)
-		return platform.ErrUnclear
+		return datastore.ErrUnclear
 	default:
 		return effect(fake)
 	}
--- a/internal/platformfake/client.go
+++ b/internal/platformfake/client.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 
-	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/datastore"
 )
 
 // Client is the platform as one process reaches it. It implements
-// platform.Tables, platform.Objects and platform.VMs. The fields that inject
+// datastore.Tables, datastore.Objects and datastore.VMs. The fields that inject
 // faults are guarded by the mutex of the platform.
 type Client struct {
 	fake *Platform
@@ -61,8 +61,8 @@
 }
 
 // Read returns one row.
-func (client *Client) Read(ctx context.Context, key platform.Key) (platform.Row, error) {
-	var row platform.Row
+func (client *Client) Read(ctx context.Context, key datastore.Key) (datastore.Row, error) {
+	var row datastore.Row
 	err := client.read(ctx, func(fake *Platform) error {
 		var err error
 		client.count(Counts{Reads: 1})
@@ -73,8 +73,8 @@
 }
 
 // Scan returns rows of a table in order.
-func (client *Client) Scan(ctx context.Context, table, prefix, after string, limit int) ([]platform.Row, error) {
-	var rows []platform.Row
+func (client *Client) Scan(ctx context.Context, table, prefix, after string, limit int) ([]datastore.Row, error) {
+	var rows []datastore.Row
 	err := client.read(ctx, func(fake *Platform) error {
 		rows = fake.store.scan(table, prefix, after, limit)
 		client.count(Counts{Reads: int64(max(1, (len(rows)+rowsPerRead-1)/rowsPerRead))})
@@ -96,8 +96,8 @@
 }
 
 // List returns the VMs as they were before the lag.
-func (client *Client) List(ctx context.Context) ([]platform.VM, error) {
-	var vms []platform.VM
+func (client *Client) List(ctx context.Context) ([]datastore.VM, error) {
+	var vms []datastore.VM
 	err := client.read(ctx, func(fake *Platform) error {
 		client.count(Counts{Lists: 1})
 		vms = fake.list()
@@ -107,7 +107,7 @@
 }
 
 // Commit applies all writes or none.
-func (client *Client) Commit(ctx context.Context, writes []platform.Write) ([]uint64, error) {
+func (client *Client) Commit(ctx context.Context, writes []datastore.Write) ([]uint64, error) {
 	client.fake.mutex.Lock()
 	before := client.before
 	client.fake.mutex.Unlock()
--- a/internal/platformfake/platform.go
+++ b/internal/platformfake/platform.go
@@ -7,7 +7,7 @@
 
 	"k8s.io/utils/clock"
 
-	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/datastore"
 )
 
 // Platform is one platform that several clients share. Use New.
@@ -33,7 +33,7 @@
 // timedList is a VM list and the time from which it was true.
 type timedList struct {
 	since time.Time
-	vms   []platform.VM
+	vms   []datastore.VM
 }
 
 // New returns an empty platform without faults. The random numbers decide faults and delays only.
@@ -41,7 +41,7 @@
 	return &Platform{clock: clock, random: random, store: newStore()}
 }
 
-// SetDown makes every call of every client fail with platform.ErrUnavailable.
+// SetDown makes every call of every client fail with datastore.ErrUnavailable.
 func (fake *Platform) SetDown(down bool) {
 	fake.mutex.Lock()
 	defer fake.mutex.Unlock()
--- a/internal/platformfake/platformfake_test.go
+++ b/internal/platformfake/platformfake_test.go
@@ -8,13 +8,13 @@
 
 	clocktesting "k8s.io/utils/clock/testing"
 
-	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/datastore"
 )
 
 var (
-	_ platform.Tables  = (*Client)(nil)
-	_ platform.Objects = (*Client)(nil)
-	_ platform.VMs     = (*Client)(nil)
+	_ datastore.Tables  = (*Client)(nil)
+	_ datastore.Objects = (*Client)(nil)
+	_ datastore.VMs     = (*Client)(nil)
 )
 
 func newFake() (*Platform, *clocktesting.FakeClock) {
@@ -22,8 +22,8 @@
 	return New(clock, rand.New(rand.NewPCG(1, 1))), clock
 }
 
-func set(row, value string, check bool, version uint64) []platform.Write {
-	return []platform.Write{{Key: platform.Key{Table: "T", Row: row}, Check: check, IfVersion: version, Value: []byte(value)}}
+func set(row, value string, check bool, version uint64) []datastore.Write {
+	return []datastore.Write{{Key: datastore.Key{Table: "T", Row: row}, Check: check, IfVersion: version, Value: []byte(value)}}
 }
 
 func TestFaultsOfWrites(t *testing.T) {
@@ -34,10 +34,10 @@
 		found bool
 	}{
 		{"none", None, nil, true},
-		{"unavailable", Unavailable, platform.ErrUnavailable, false},
-		{"unclear with effect", UnclearWithEffect, platform.ErrUnclear, true},
-		{"unclear without effect", UnclearWithoutEffect, platform.ErrUnclear, false},
-		{"unclear late", UnclearLate, platform.ErrUnclear, false},
+		{"unavailable", Unavailable, datastore.ErrUnavailable, false},
+		{"unclear with effect", UnclearWithEffect, datastore.ErrUnclear, true},
+		{"unclear without effect", UnclearWithoutEffect, datastore.ErrUnclear, false},
+		{"unclear late", UnclearLate, datastore.ErrUnclear, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			fake, _ := newFake()
@@ -46,12 +46,12 @@
 			if _, err := client.Commit(t.Context(), set("a", "1", true, 0)); !errors.Is(err, test.want) {
 				t.Fatalf("Commit gave %v, want %v", err, test.want)
 			}
-			_, err := fake.Client().Read(t.Context(), platform.Key{Table: "T", Row: "a"})
+			_, err := fake.Client().Read(t.Context(), datastore.Key{Table: "T", Row: "a"})
 			if (err == nil) != test.found {
 				t.Errorf("Read gave %v, want found %t", err, test.found)
 			}
 			if late := fake.ApplyLate(); late == 1 {
-				_, err = client.Read(t.Context(), platform.Key{Table: "T", Row: "a"})
+				_, err = client.Read(t.Context(), datastore.Key{Table: "T", Row: "a"})
 			}
 			if test.fault == UnclearLate && err != nil {
 				t.Errorf("a late write did nothing: %v", err)
@@ -68,14 +68,14 @@
 		t.Fatal(err)
 	}
 	both := append(set("b", "1", true, 0), set("a", "2", true, first[0]+1)...)
-	if _, err := client.Commit(t.Context(), both); !errors.Is(err, platform.ErrConflict) {
+	if _, err := client.Commit(t.Context(), both); !errors.Is(err, datastore.ErrConflict) {
 		t.Fatalf("Commit gave %v", err)
 	}
 	rows, err := client.Scan(t.Context(), "T", "", "", 10)
 	if err != nil || len(rows) != 1 || string(rows[0].Value) != "1" {
 		t.Errorf("rows after a conflict: %v, %v", rows, err)
 	}
-	deletion := []platform.Write{{Key: platform.Key{Table: "T", Row: "a"}, Delete: true}}
+	deletion := []datastore.Write{{Key: datastore.Key{Table: "T", Row: "a"}, Delete: true}}
 	if _, err := client.Commit(t.Context(), deletion); err != nil {
 		t.Fatal(err)
 	}
@@ -89,7 +89,7 @@
 	fake, clock := newFake()
 	fake.SetLag(time.Minute)
 	client := fake.Client()
-	fake.SetVMs(platform.VM{Name: "a"})
+	fake.SetVMs(datastore.VM{Name: "a"})
 	if vms, err := client.List(t.Context()); err != nil || len(vms) != 0 {
 		t.Errorf("the list does not lag: %v, %v", vms, err)
 	}
@@ -98,7 +98,7 @@
 		t.Errorf("the list stays behind: %v, %v", vms, err)
 	}
 	client.Cut(true)
-	if _, err := client.List(t.Context()); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := client.List(t.Context()); !errors.Is(err, datastore.ErrUnavailable) {
 		t.Errorf("a cut client got %v", err)
 	}
 }
--- a/internal/platformfake/store.go
+++ b/internal/platformfake/store.go
@@ -5,13 +5,13 @@
 	"slices"
 	"strings"
 
-	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/datastore"
 )
 
 // store is the content of the tables and the object store. It is not safe for concurrent use.
 type store struct {
 	// rows maps table and row name to the row.
-	rows map[string]map[string]platform.Row
+	rows map[string]map[string]datastore.Row
 	// objects maps names to contents.
 	objects map[string][]byte
 	// revision rises with each row written, so that no version is used twice.
@@ -19,19 +19,19 @@
 }
 
 func newStore() *store {
-	return &store{rows: map[string]map[string]platform.Row{}, objects: map[string][]byte{}}
+	return &store{rows: map[string]map[string]datastore.Row{}, objects: map[string][]byte{}}
 }
 
-func (store *store) read(key platform.Key) (platform.Row, error) {
+func (store *store) read(key datastore.Key) (datastore.Row, error) {
 	row, ok := store.rows[key.Table][key.Row]
 	if !ok {
-		return platform.Row{}, platform.ErrNotFound
+		return datastore.Row{}, datastore.ErrNotFound
 	}
 	row.Value = bytes.Clone(row.Value)
 	return row, nil
 }
 
-func (store *store) scan(table, prefix, after string, limit int) []platform.Row {
+func (store *store) scan(table, prefix, after string, limit int) []datastore.Row {
 	var names []string
 	for name := range store.rows[table] {
 		if strings.HasPrefix(name, prefix) && name > after {
@@ -40,19 +40,19 @@
 	}
 	slices.Sort(names)
 	names = names[:min(limit, len(names))]
-	rows := make([]platform.Row, 0, len(names))
+	rows := make([]datastore.Row, 0, len(names))
 	for _, name := range names {
-		row, _ := store.read(platform.Key{Table: table, Row: name})
+		row, _ := store.read(datastore.Key{Table: table, Row: name})
 		rows = append(rows, row)
 	}
 	return rows
 }
 
-func (store *store) commit(writes []platform.Write) ([]uint64, error) {
+func (store *store) commit(writes []datastore.Write) ([]uint64, error) {
 	for _, write := range writes {
 		version := store.rows[write.Table][write.Row].Version
 		if write.Check && version != write.IfVersion {
-			return nil, platform.ErrConflict
+			return nil, datastore.ErrConflict
 		}
 	}
 	versions := make([]uint64, len(writes))
@@ -62,7 +62,7 @@
 	return versions, nil
 }
 
-func (store *store) apply(write platform.Write) uint64 {
+func (store *store) apply(write datastore.Write) uint64 {
 	if write.Only {
 		return store.rows[write.Table][write.Row].Version
 	}
@@ -72,9 +72,9 @@
 		return store.revision
 	}
 	if store.rows[write.Table] == nil {
-		store.rows[write.Table] = map[string]platform.Row{}
+		store.rows[write.Table] = map[string]datastore.Row{}
 	}
-	row := platform.Row{Key: write.Key, Version: store.revision, Value: bytes.Clone(write.Value)}
+	row := datastore.Row{Key: write.Key, Version: store.revision, Value: bytes.Clone(write.Value)}
 	store.rows[write.Table][write.Row] = row
 	return store.revision
 }
@@ -82,7 +82,7 @@
 func (store *store) get(name string) ([]byte, error) {
 	content, ok := store.objects[name]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, datastore.ErrNotFound
 	}
 	return bytes.Clone(content), nil
 }
@@ -90,7 +90,7 @@
 func (store *store) put(name string, content []byte) error {
 	old, ok := store.objects[name]
 	if ok && !bytes.Equal(old, content) {
-		return platform.ErrConflict
+		return datastore.ErrConflict
 	}
 	store.objects[name] = bytes.Clone(content)
 	return nil
--- a/internal/platformfake/vms.go
+++ b/internal/platformfake/vms.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/datastore"
 )
 
 // SetLag sets by how much the VM list lags behind SetVMs.
@@ -15,7 +15,7 @@
 }
 
 // SetVMs sets the VMs that live from now on.
-func (fake *Platform) SetVMs(vms ...platform.VM) {
+func (fake *Platform) SetVMs(vms ...datastore.VM) {
 	fake.mutex.Lock()
 	defer fake.mutex.Unlock()
 	list := timedList{since: fake.clock.Now(), vms: slices.Clone(vms)}
@@ -23,7 +23,7 @@
 }
 
 // list returns the VMs as they were before the lag. It is called with the mutex held.
-func (fake *Platform) list() []platform.VM {
+func (fake *Platform) list() []datastore.VM {
 	seen := fake.clock.Now().Add(-fake.lag)
 	for _, list := range slices.Backward(fake.lists) {
 		if !list.since.After(seen) {
--- a/internal/soak/operator_test.go
+++ b/internal/soak/operator_test.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"net/http"
 
-	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/release"
 	"github.com/bronzestall/bronzestall/status"
 )
@@ -21,7 +21,7 @@
 
 // state returns the state in force at the platform.
 func (world *world) state() (release.InForce, error) {
-	client := platform.NewClient(platform.ClientSettings{Address: platformAddress, Dial: world.wires.dialler("operator")}, world.clock)
+	client := datastore.NewClient(datastore.ClientSettings{Address: platformAddress, Dial: world.wires.dialler("operator")}, world.clock)
 	defer client.Close()
 	return release.NewLedger(client, client, world.clock).InForce(context.Background())
 }
--- a/internal/soak/rivals_test.go
+++ b/internal/soak/rivals_test.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/note"
-	"github.com/bronzestall/bronzestall/platform"
 	"github.com/bronzestall/bronzestall/release"
 )
 
@@ -75,7 +75,7 @@
 	if err != nil {
 		panic(err)
 	}
-	client := platform.NewClient(platform.ClientSettings{Address: platformAddress, Dial: world.wires.dialler("operator")}, world.clock)
+	client := datastore.NewClient(datastore.ClientSettings{Address: platformAddress, Dial: world.wires.dialler("operator")}, world.clock)
 	defer client.Close()
 	return release.NewLedger(client, client, world.clock).Accept(context.Background(), parsed, "operator")
 }
--- a/internal/soak/smoke_test.go
+++ b/internal/soak/smoke_test.go
@@ -6,8 +6,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/note"
-	"github.com/bronzestall/bronzestall/platform"
 	"github.com/bronzestall/bronzestall/release"
 )
 
@@ -38,7 +38,7 @@
 	if err != nil {
 		return err
 	}
-	client := platform.NewClient(platform.ClientSettings{Address: platformAddress, Dial: world.wires.dialler("operator")}, world.clock)
+	client := datastore.NewClient(datastore.ClientSettings{Address: platformAddress, Dial: world.wires.dialler("operator")}, world.clock)
 	defer client.Close()
 	_, err = release.NewLedger(client, client, world.clock).Accept(context.Background(), parsed, "operator")
 	return err
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -15,11 +15,11 @@
 	"k8s.io/utils/clock"
 
 	"github.com/bronzestall/bronzestall/daemon"
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/internal/standin/engine"
 	standinplatform "github.com/bronzestall/bronzestall/internal/standin/platform"
 	standinservice "github.com/bronzestall/bronzestall/internal/standin/service"
 	"github.com/bronzestall/bronzestall/internal/standin/weights"
-	"github.com/bronzestall/bronzestall/platform"
 	"github.com/bronzestall/bronzestall/settings"
 )
 
@@ -52,7 +52,7 @@
 
 	lock    sync.Mutex
 	entries []*entry
-	vms     []platform.VM
+	vms     []datastore.VM
 	members []settings.Upstream
 	// retired holds the engines whose VMs were reclaimed.
 	retired []*engine.Server
@@ -116,7 +116,7 @@
 	made := world.newEngine(name, checksFencing)
 	world.engines[name] = made
 	world.engineHosts[name] = world.serve(name, address, made)
-	world.member(platform.VM{Name: name, Incarnation: "1", DataCentre: dataCentre, Role: platform.Engine, Address: address}, checksFencing)
+	world.member(datastore.VM{Name: name, Incarnation: "1", DataCentre: dataCentre, Role: datastore.Engine, Address: address}, checksFencing)
 }
 
 func (world *world) newEngine(name string, checksFencing bool) *engine.Server {
@@ -132,10 +132,10 @@
 	made := standinservice.New(name, world.clock)
 	world.services[name] = made
 	world.serve(name, address, made)
-	world.member(platform.VM{Name: name, Incarnation: "1", DataCentre: dataCentre, Role: platform.Service, Address: address}, false)
+	world.member(datastore.VM{Name: name, Incarnation: "1", DataCentre: dataCentre, Role: datastore.Service, Address: address}, false)
 }
 
-func (world *world) member(vm platform.VM, checksFencing bool) {
+func (world *world) member(vm datastore.VM, checksFencing bool) {
 	world.vms = append(world.vms, vm)
 	world.members = append(world.members, settings.Upstream{
 		Name: vm.Name, Address: vm.Address, DataCentre: vm.DataCentre,
@@ -145,11 +145,11 @@
 
 // publish gives the platform the VM list as it is.
 func (world *world) publish() {
-	list := append([]platform.VM(nil), world.vms...)
+	list := append([]datastore.VM(nil), world.vms...)
 	for _, entry := range world.entries {
-		list = append(list, platform.VM{
+		list = append(list, datastore.VM{
 			Name: entry.name, Incarnation: fmt.Sprint(entry.generation.Load()), DataCentre: entry.dataCentre,
-			Role: platform.Entry, Address: entry.peers(),
+			Role: datastore.Entry, Address: entry.peers(),
 		})
 	}
 	world.platform.SetVMs(list)
--- a/internal/standin/cmd/standin/platform.go
+++ b/internal/standin/cmd/standin/platform.go
@@ -9,9 +9,9 @@
 
 	"k8s.io/utils/clock"
 
+	outside "github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/internal/standin/platform"
 	"github.com/bronzestall/bronzestall/internal/standin/weights"
-	outside "github.com/bronzestall/bronzestall/platform"
 )
 
 // platformCommand serves the platform and the weight store on one address.
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -9,8 +9,8 @@
 
 	"k8s.io/utils/clock"
 
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/internal/standin/answer"
-	"github.com/bronzestall/bronzestall/platform"
 )
 
 // rowsPerRead is the number of scanned rows that count as one read.
@@ -25,9 +25,9 @@
 
 	tables  tables
 	objects map[string][]byte
-	vms     []platform.VM
+	vms     []datastore.VM
 	// shown is the VM list as callers see it.
-	shown []platform.VM
+	shown []datastore.VM
 }
 
 // New returns an empty platform.
@@ -35,7 +35,7 @@
 	server := &Server{
 		clock:   clk,
 		mux:     http.NewServeMux(),
-		tables:  tables{rows: map[platform.Key]platform.Row{}},
+		tables:  tables{rows: map[datastore.Key]datastore.Row{}},
 		objects: map[string][]byte{},
 	}
 	server.mux.HandleFunc("POST /tables/read", server.read)
@@ -55,7 +55,7 @@
 }
 
 // SetVMs changes the VM list.
-func (server *Server) SetVMs(vms []platform.VM) {
+func (server *Server) SetVMs(vms []datastore.VM) {
 	server.Lock()
 	defer server.Unlock()
 	server.vms = slices.Clone(vms)
@@ -112,7 +112,7 @@
 }
 
 func (server *Server) read(writer http.ResponseWriter, request *http.Request) {
-	var key platform.Key
+	var key datastore.Key
 	if !server.admit(writer, request) || !answer.Decode(writer, request, &key) {
 		return
 	}
@@ -139,11 +139,11 @@
 	rows := server.tables.scan(question.Table, question.Prefix, question.After, question.Limit)
 	server.Done.Reads += 1 + len(rows)/rowsPerRead
 	server.Unlock()
-	answer.JSON(writer, http.StatusOK, struct{ Rows []platform.Row }{rows})
+	answer.JSON(writer, http.StatusOK, struct{ Rows []datastore.Row }{rows})
 }
 
 func (server *Server) commit(writer http.ResponseWriter, request *http.Request) {
-	var question struct{ Writes []platform.Write }
+	var question struct{ Writes []datastore.Write }
 	if !answer.Decode(writer, request, &question) || !server.admitWrite(writer, request) {
 		return
 	}
@@ -158,7 +158,7 @@
 	}
 }
 
-func (server *Server) apply(writes []platform.Write) (versions []uint64, ok, lost bool) {
+func (server *Server) apply(writes []datastore.Write) (versions []uint64, ok, lost bool) {
 	server.Lock()
 	defer server.Unlock()
 	versions, ok = server.tables.commit(writes)
@@ -220,11 +220,11 @@
 	server.Done.Lists++
 	vms := slices.Clone(server.shown)
 	server.Unlock()
-	answer.JSON(writer, http.StatusOK, struct{ VMs []platform.VM }{vms})
+	answer.JSON(writer, http.StatusOK, struct{ VMs []datastore.VM }{vms})
 }
 
 func (server *Server) changeVMs(writer http.ResponseWriter, request *http.Request) {
-	var question struct{ VMs []platform.VM }
+	var question struct{ VMs []datastore.VM }
 	if answer.Decode(writer, request, &question) {
 		server.SetVMs(question.VMs)
 	}
--- a/internal/standin/platform/server_test.go
+++ b/internal/standin/platform/server_test.go
@@ -11,16 +11,16 @@
 
 	"k8s.io/utils/clock"
 
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/internal/standin/network"
-	"github.com/bronzestall/bronzestall/platform"
 )
 
-func start(t *testing.T) (*Server, *platform.Client) {
+func start(t *testing.T) (*Server, *datastore.Client) {
 	t.Helper()
 	server := New(clock.RealClock{})
 	listener := httptest.NewServer(server)
 	t.Cleanup(listener.Close)
-	client := platform.NewClient(platform.ClientSettings{Address: listener.Listener.Addr().String()}, clock.RealClock{})
+	client := datastore.NewClient(datastore.ClientSettings{Address: listener.Listener.Addr().String()}, clock.RealClock{})
 	t.Cleanup(client.Close)
 	return server, client
 }
@@ -28,20 +28,20 @@
 func TestTransactionsOverTheClient(t *testing.T) {
 	_, client := start(t)
 	ctx := context.Background()
-	key := platform.Key{Table: "t", Row: "a"}
-	if _, err := client.Read(ctx, key); !errors.Is(err, platform.ErrNotFound) {
+	key := datastore.Key{Table: "t", Row: "a"}
+	if _, err := client.Read(ctx, key); !errors.Is(err, datastore.ErrNotFound) {
 		t.Fatalf("reading no row: %v", err)
 	}
-	versions, err := client.Commit(ctx, []platform.Write{{Key: key, Check: true, Value: []byte("1")}})
+	versions, err := client.Commit(ctx, []datastore.Write{{Key: key, Check: true, Value: []byte("1")}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := client.Commit(ctx, []platform.Write{{Key: key, Check: true, Value: []byte("2")}}); !errors.Is(err, platform.ErrConflict) {
+	if _, err := client.Commit(ctx, []datastore.Write{{Key: key, Check: true, Value: []byte("2")}}); !errors.Is(err, datastore.ErrConflict) {
 		t.Fatalf("inserting twice: %v", err)
 	}
-	update := []platform.Write{
+	update := []datastore.Write{
 		{Key: key, Check: true, IfVersion: versions[0], Only: true},
-		{Key: platform.Key{Table: "t", Row: "b"}, Value: []byte("3")},
+		{Key: datastore.Key{Table: "t", Row: "b"}, Value: []byte("3")},
 	}
 	if _, err := client.Commit(ctx, update); err != nil {
 		t.Fatal(err)
@@ -60,17 +60,17 @@
 		read   error
 		stored bool
 	}{
-		{"unavailable", Faults{Unavailable: true}, platform.ErrUnavailable, platform.ErrUnavailable, false},
-		{"cut before", Faults{CutBefore: true}, platform.ErrUnclear, platform.ErrNotFound, false},
-		{"answer lost", Faults{LoseAnswers: 1}, platform.ErrUnclear, nil, true},
+		{"unavailable", Faults{Unavailable: true}, datastore.ErrUnavailable, datastore.ErrUnavailable, false},
+		{"cut before", Faults{CutBefore: true}, datastore.ErrUnclear, datastore.ErrNotFound, false},
+		{"answer lost", Faults{LoseAnswers: 1}, datastore.ErrUnclear, nil, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			server, client := start(t)
 			ctx := context.Background()
 			server.SetFaults(c.faults)
-			key := platform.Key{Table: "t", Row: "a"}
-			if _, err := client.Commit(ctx, []platform.Write{{Key: key}}); !errors.Is(err, c.write) {
+			key := datastore.Key{Table: "t", Row: "a"}
+			if _, err := client.Commit(ctx, []datastore.Write{{Key: key}}); !errors.Is(err, c.write) {
 				t.Errorf("write gave %v, not %v", err, c.write)
 			}
 			if _, err := client.Read(ctx, key); !errors.Is(err, c.read) {
@@ -89,7 +89,7 @@
 		outer := &http.Server{Handler: New(clock.RealClock{})}
 		go func() { _ = outer.Serve(listener) }()
 		defer outer.Close()
-		client := platform.NewClient(platform.ClientSettings{Address: "platform", Dial: listener.Dial}, clock.RealClock{})
+		client := datastore.NewClient(datastore.ClientSettings{Address: "platform", Dial: listener.Dial}, clock.RealClock{})
 		defer client.Close()
 		var all sync.WaitGroup
 		for range 5 {
@@ -104,7 +104,7 @@
 		if silent := listener.Silence(); silent < 2 {
 			t.Fatalf("only %d connections", silent)
 		}
-		if _, err := client.List(t.Context()); !errors.Is(err, platform.ErrUnavailable) {
+		if _, err := client.List(t.Context()); !errors.Is(err, datastore.ErrUnavailable) {
 			t.Errorf("list over a silent connection: %v", err)
 		}
 		if _, err := client.List(t.Context()); err != nil {
@@ -122,7 +122,7 @@
 	if err := client.Put(ctx, "a/b", []byte("1")); err != nil {
 		t.Fatal(err)
 	}
-	if err := client.Put(ctx, "a/b", []byte("2")); !errors.Is(err, platform.ErrConflict) {
+	if err := client.Put(ctx, "a/b", []byte("2")); !errors.Is(err, datastore.ErrConflict) {
 		t.Fatalf("changing an object: %v", err)
 	}
 	content, err := client.Get(ctx, "a/b")
--- a/internal/standin/platform/tables.go
+++ b/internal/standin/platform/tables.go
@@ -5,23 +5,23 @@
 	"slices"
 	"strings"
 
-	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/datastore"
 )
 
 // tables holds rows under one lock of the server.
 type tables struct {
-	rows map[platform.Key]platform.Row
+	rows map[datastore.Key]datastore.Row
 	// version is the highest version ever given; it only rises.
 	version uint64
 }
 
 // holds reports whether the condition of the write is met.
-func (t *tables) holds(write platform.Write) bool {
+func (t *tables) holds(write datastore.Write) bool {
 	return !write.Check || t.rows[write.Key].Version == write.IfVersion
 }
 
 // commit applies all writes and returns their versions, or false if a condition is not met.
-func (t *tables) commit(writes []platform.Write) ([]uint64, bool) {
+func (t *tables) commit(writes []datastore.Write) ([]uint64, bool) {
 	for _, write := range writes {
 		if !t.holds(write) {
 			return nil, false
@@ -35,25 +35,25 @@
 	return versions, true
 }
 
-func (t *tables) apply(write platform.Write) uint64 {
+func (t *tables) apply(write datastore.Write) uint64 {
 	switch {
 	case write.Only:
 		return t.rows[write.Key].Version
 	case write.Delete:
 		delete(t.rows, write.Key)
 	default:
-		t.rows[write.Key] = platform.Row{Key: write.Key, Version: t.version, Value: write.Value}
+		t.rows[write.Key] = datastore.Row{Key: write.Key, Version: t.version, Value: write.Value}
 	}
 	return t.version
 }
 
-func (t *tables) scan(table, prefix, after string, limit int) []platform.Row {
-	found := []platform.Row{}
+func (t *tables) scan(table, prefix, after string, limit int) []datastore.Row {
+	found := []datastore.Row{}
 	for key, row := range t.rows {
 		if key.Table == table && strings.HasPrefix(key.Row, prefix) && key.Row > after {
 			found = append(found, row)
 		}
 	}
-	slices.SortFunc(found, func(a, b platform.Row) int { return cmp.Compare(a.Row, b.Row) })
+	slices.SortFunc(found, func(a, b datastore.Row) int { return cmp.Compare(a.Row, b.Row) })
 	return found[:min(limit, len(found))]
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -7,18 +7,18 @@
 
 	"k8s.io/utils/clock"
 
-	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/datastore"
 )
 
 // Lease is one candidate for the lease of one data centre. Use New.
 // Step, Run and Release belong to one goroutine; the other methods are safe for all.
 type Lease struct {
-	tables   platform.Tables
+	tables   datastore.Tables
 	settings Settings
 	clock    clock.Clock
 	holder   Holder
 	// seen is the lease row as last read by a candidate and seenAt the time after that version was first read.
-	seen   platform.Row
+	seen   datastore.Row
 	seenAt time.Time
 	// wishVersion and wishAt tell the version of the wish row and when a foreign holder first read it.
 	wishVersion uint64
@@ -42,7 +42,7 @@
 }
 
 // New returns a candidate that holds nothing yet.
-func New(tables platform.Tables, settings Settings, clock clock.Clock, holder Holder) *Lease {
+func New(tables datastore.Tables, settings Settings, clock clock.Clock, holder Holder) *Lease {
 	return &Lease{tables: tables, settings: settings.withDefaults(), clock: clock, holder: holder}
 }
 
@@ -64,10 +64,10 @@
 
 // Guard returns the condition that makes a transaction fail once another process became the
 // holder, and whether this process owns the lease.
-func (lease *Lease) Guard() (platform.Write, bool) {
+func (lease *Lease) Guard() (datastore.Write, bool) {
 	lease.mutex.Lock()
 	defer lease.mutex.Unlock()
-	guard := platform.Write{Key: lease.fenceKey(), Check: true, Only: true, IfVersion: lease.fenceVersion}
+	guard := datastore.Write{Key: lease.fenceKey(), Check: true, Only: true, IfVersion: lease.fenceVersion}
 	return guard, lease.owned
 }
 
@@ -127,14 +127,14 @@
 	return holder.DataCentre != lease.settings.DataCentre
 }
 
-func (lease *Lease) key() platform.Key {
-	return platform.Key{Table: Table, Row: lease.settings.DataCentre}
+func (lease *Lease) key() datastore.Key {
+	return datastore.Key{Table: Table, Row: lease.settings.DataCentre}
 }
 
-func (lease *Lease) fenceKey() platform.Key {
-	return platform.Key{Table: FenceTable, Row: lease.settings.DataCentre}
+func (lease *Lease) fenceKey() datastore.Key {
+	return datastore.Key{Table: FenceTable, Row: lease.settings.DataCentre}
 }
 
-func (lease *Lease) wishKey() platform.Key {
-	return platform.Key{Table: WishTable, Row: lease.settings.DataCentre}
+func (lease *Lease) wishKey() datastore.Key {
+	return datastore.Key{Table: WishTable, Row: lease.settings.DataCentre}
 }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -13,8 +13,8 @@
 	"k8s.io/klog/v2"
 	testingclock "k8s.io/utils/clock/testing"
 
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/internal/platformfake"
-	"github.com/bronzestall/bronzestall/platform"
 )
 
 func TestMain(m *testing.M) {
@@ -84,7 +84,7 @@
 	mustStep(t, second)
 	site.clock.Step(11 * time.Second)
 	mustStep(t, second)
-	if _, err := client.Commit(context.Background(), []platform.Write{guard}); err == nil {
+	if _, err := client.Commit(context.Background(), []datastore.Write{guard}); err == nil {
 		t.Fatal("a transaction under the guard of a former holder was accepted")
 	}
 	mustStep(t, first)
--- a/lease/record.go
+++ b/lease/record.go
@@ -5,7 +5,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/datastore"
 )
 
 // The tables of leases. Rows are named after data centres.
@@ -46,6 +46,6 @@
 	return content
 }
 
-func decode(row platform.Row, value any) error {
+func decode(row datastore.Row, value any) error {
 	return trace.Wrap(json.Unmarshal(row.Value, value), "row %s of table %s", row.Row, row.Table)
 }
--- a/lease/renew.go
+++ b/lease/renew.go
@@ -7,8 +7,8 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/event"
-	"github.com/bronzestall/bronzestall/platform"
 )
 
 // renew writes the lease row again. A foreign holder first looks whether a daemon of the
@@ -23,16 +23,16 @@
 	next := lease.current
 	next.Renewal++
 	sent := lease.clock.Now()
-	versions, err := lease.tables.Commit(ctx, []platform.Write{
+	versions, err := lease.tables.Commit(ctx, []datastore.Write{
 		{Key: lease.key(), Check: true, IfVersion: lease.version, Value: encode(next)},
 	})
 	switch {
 	case err == nil:
 		lease.renewed(next, versions[0], sent)
 		return nil
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, datastore.ErrUnavailable):
 		return trace.Wrap(err)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, datastore.ErrConflict):
 		return lease.readBack(ctx)
 	default:
 		lease.noteUnclear(sent)
@@ -59,7 +59,7 @@
 // renewal, since any of them may be the one that took effect.
 func (lease *Lease) readBack(ctx context.Context) error {
 	row, err := lease.tables.Read(ctx, lease.key())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, datastore.ErrNotFound) {
 		lease.lose(record{})
 		return nil
 	}
@@ -87,14 +87,14 @@
 	lease.mutex.Lock()
 	version, fence := lease.fenceVersion, lease.current.Fence
 	lease.mutex.Unlock()
-	versions, err := lease.tables.Commit(ctx, []platform.Write{
+	versions, err := lease.tables.Commit(ctx, []datastore.Write{
 		{Key: lease.fenceKey(), Check: true, IfVersion: version, Value: encode(fenceRecord{Fence: fence, Holder: lease.holder})},
 	})
 	if err == nil {
 		lease.refreshed(fence, version, versions[0])
 		return nil
 	}
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, datastore.ErrUnavailable) {
 		return trace.Wrap(err)
 	}
 	row, readErr := lease.readFence(ctx)
@@ -123,7 +123,7 @@
 	lease.owned = false
 	lease.until = time.Time{}
 	lease.leader = found.Holder
-	lease.seen = platform.Row{}
+	lease.seen = datastore.Row{}
 	lease.unclearSince = time.Time{}
 	if found.Holder == (Holder{}) {
 		event.LeaseReleased.Log("DataCentre", lease.settings.DataCentre, "Fence", lease.current.Fence)
@@ -142,7 +142,7 @@
 	last.Released = true
 	version := lease.version
 	lease.lose(record{})
-	_, err := lease.tables.Commit(ctx, []platform.Write{
+	_, err := lease.tables.Commit(ctx, []datastore.Write{
 		{Key: lease.key(), Check: true, IfVersion: version, Value: encode(last)},
 	})
 	return trace.Wrap(err)
--- a/lease/watch.go
+++ b/lease/watch.go
@@ -7,15 +7,15 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/event"
-	"github.com/bronzestall/bronzestall/platform"
 )
 
 // watch reads the lease row and takes the lease if its holder gave it up or let it lapse.
 func (lease *Lease) watch(ctx context.Context) error {
 	row, err := lease.tables.Read(ctx, lease.key())
-	if errors.Is(err, platform.ErrNotFound) {
-		return lease.take(ctx, platform.Row{}, record{})
+	if errors.Is(err, datastore.ErrNotFound) {
+		return lease.take(ctx, datastore.Row{}, record{})
 	}
 	if err != nil {
 		return trace.Wrap(err)
@@ -66,18 +66,18 @@
 
 // take writes this process into the lease row and raises the fencing number. An unclear
 // result is settled by the next step, which then finds its own name in the row.
-func (lease *Lease) take(ctx context.Context, row platform.Row, found record) error {
+func (lease *Lease) take(ctx context.Context, row datastore.Row, found record) error {
 	fence, err := lease.readFence(ctx)
 	if err != nil {
 		return err
 	}
 	next := record{Holder: lease.holder, Fence: max(found.Fence, fence.value.Fence) + 1}
 	sent := lease.clock.Now()
-	versions, err := lease.tables.Commit(ctx, []platform.Write{
+	versions, err := lease.tables.Commit(ctx, []datastore.Write{
 		{Key: lease.key(), Check: true, IfVersion: row.Version, Value: encode(next)},
 		{Key: lease.fenceKey(), Check: true, IfVersion: fence.version, Value: encode(fenceRecord{Fence: next.Fence, Holder: lease.holder})},
 	})
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, datastore.ErrConflict) {
 		return nil
 	}
 	if err != nil {
@@ -88,7 +88,7 @@
 }
 
 // resume renews a lease whose row names this process although it did not know.
-func (lease *Lease) resume(ctx context.Context, row platform.Row, found record) error {
+func (lease *Lease) resume(ctx context.Context, row datastore.Row, found record) error {
 	fence, err := lease.readFence(ctx)
 	if err != nil {
 		return err
@@ -99,10 +99,10 @@
 	next := found
 	next.Renewal++
 	sent := lease.clock.Now()
-	versions, err := lease.tables.Commit(ctx, []platform.Write{
+	versions, err := lease.tables.Commit(ctx, []datastore.Write{
 		{Key: lease.key(), Check: true, IfVersion: row.Version, Value: encode(next)},
 	})
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, datastore.ErrConflict) {
 		return nil
 	}
 	if err != nil {
@@ -139,7 +139,7 @@
 
 func (lease *Lease) readFence(ctx context.Context) (fenceRow, error) {
 	row, err := lease.tables.Read(ctx, lease.fenceKey())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, datastore.ErrNotFound) {
 		return fenceRow{}, nil
 	}
 	if err != nil {
--- a/lease/wish.go
+++ b/lease/wish.go
@@ -6,7 +6,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/datastore"
 )
 
 // wish asks a foreign holder to hand the lease back to this daemon. The wish is repeated each
@@ -17,7 +17,7 @@
 		return nil
 	}
 	lease.wished = now
-	_, err := lease.tables.Commit(ctx, []platform.Write{{Key: lease.wishKey(), Value: encode(lease.holder)}})
+	_, err := lease.tables.Commit(ctx, []datastore.Write{{Key: lease.wishKey(), Value: encode(lease.holder)}})
 	return trace.Wrap(err)
 }
 
@@ -48,11 +48,11 @@
 	version, fenceVersion := lease.version, lease.fenceVersion
 	next := record{Holder: to, Fence: lease.current.Fence + 1}
 	lease.lose(next)
-	_, err := lease.tables.Commit(ctx, []platform.Write{
+	_, err := lease.tables.Commit(ctx, []datastore.Write{
 		{Key: lease.key(), Check: true, IfVersion: version, Value: encode(next)},
 		{Key: lease.fenceKey(), Check: true, IfVersion: fenceVersion, Value: encode(fenceRecord{Fence: next.Fence, Holder: to})},
 	})
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, datastore.ErrConflict) {
 		return nil
 	}
 	return trace.Wrap(err)
--- a/note/capacityof.go
+++ b/note/capacityof.go
@@ -3,13 +3,13 @@
 import (
 	"slices"
 
-	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/settings"
 )
 
 // CapacityOf returns what the upstreams of the settings and of the VM list offer. An engine whose
 // memory the settings do not state makes the largest memory unknown.
-func CapacityOf(daemon settings.Settings, vms []platform.VM) Capacity {
+func CapacityOf(daemon settings.Settings, vms []datastore.VM) Capacity {
 	capacity := Capacity{Services: []string{}}
 	unknown := false
 	stated := map[string]bool{}
@@ -24,8 +24,8 @@
 		}
 	}
 	for _, vm := range vms {
-		unknown = unknown || (vm.Role == platform.Engine && !stated[vm.Name])
-		if vm.Role == platform.Service && !slices.Contains(capacity.Services, vm.Name) {
+		unknown = unknown || (vm.Role == datastore.Engine && !stated[vm.Name])
+		if vm.Role == datastore.Service && !slices.Contains(capacity.Services, vm.Name) {
 			capacity.Services = append(capacity.Services, vm.Name)
 		}
 	}
--- a/note/note_test.go
+++ b/note/note_test.go
@@ -7,7 +7,7 @@
 	"testing"
 
 	"github.com/bronzestall/bronzestall/catalogue"
-	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/settings"
 )
 
@@ -67,14 +67,14 @@
 	}}
 	for _, test := range []struct {
 		name    string
-		vms     []platform.VM
+		vms     []datastore.VM
 		largest int64
 		service string
 	}{
 		{"settings only", nil, 80 << 30, "s1"},
-		{"VMs of the settings", []platform.VM{{Name: "e1", Role: platform.Engine}, {Name: "s1", Role: platform.Service}}, 80 << 30, "s1"},
-		{"another engine", []platform.VM{{Name: "e3", Role: platform.Engine}}, 0, "s1"},
-		{"another service", []platform.VM{{Name: "s2", Role: platform.Service}, {Name: "d", Role: platform.Entry}}, 80 << 30, "s1 s2"},
+		{"VMs of the settings", []datastore.VM{{Name: "e1", Role: datastore.Engine}, {Name: "s1", Role: datastore.Service}}, 80 << 30, "s1"},
+		{"another engine", []datastore.VM{{Name: "e3", Role: datastore.Engine}}, 0, "s1"},
+		{"another service", []datastore.VM{{Name: "s2", Role: datastore.Service}, {Name: "d", Role: datastore.Entry}}, 80 << 30, "s1 s2"},
 	} {
 		got := CapacityOf(daemon, test.vms)
 		if got.LargestEngine != test.largest || strings.Join(got.Services, " ") != test.service {
--- a/permit/division.go
+++ b/permit/division.go
@@ -8,7 +8,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/datastore"
 )
 
 // Table holds one row for each limit.
@@ -46,7 +46,7 @@
 
 // Division is the share of one data centre in one limit. It belongs to one goroutine.
 type Division struct {
-	tables   platform.Tables
+	tables   datastore.Tables
 	settings Settings
 	// slots is the share as last read or written; known tells whether it was.
 	slots int
@@ -59,7 +59,7 @@
 }
 
 // NewDivision returns a division whose share is unknown until Sync. It panics without data centres.
-func NewDivision(tables platform.Tables, settings Settings) *Division {
+func NewDivision(tables datastore.Tables, settings Settings) *Division {
 	if len(settings.DataCentres) == 0 {
 		panic("permit: no data centres")
 	}
@@ -92,10 +92,10 @@
 // Sync reads the row, gives slots that are to spare to data centres that want them, and writes
 // the own want. The guard makes the write fail once another process decides for the data
 // centre. It costs one read, and one write if something changes.
-func (division *Division) Sync(ctx context.Context, guard platform.Write, use Use) error {
-	key := platform.Key{Table: Table, Row: division.settings.Name}
+func (division *Division) Sync(ctx context.Context, guard datastore.Write, use Use) error {
+	key := datastore.Key{Table: Table, Row: division.settings.Name}
 	row, err := division.tables.Read(ctx, key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, datastore.ErrNotFound) {
 		return trace.Wrap(err)
 	}
 	shares, err := division.decode(row)
@@ -116,14 +116,14 @@
 	if err != nil {
 		panic(err)
 	}
-	_, err = division.tables.Commit(ctx, []platform.Write{
+	_, err = division.tables.Commit(ctx, []datastore.Write{
 		guard,
 		{Key: key, Check: true, IfVersion: row.Version, Value: content},
 	})
 	switch {
 	case err == nil:
 		division.learn(next)
-	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, datastore.ErrConflict), errors.Is(err, datastore.ErrUnavailable):
 		if !pending {
 			division.learn(shares)
 		}
@@ -155,7 +155,7 @@
 }
 
 // decode returns the shares of the row, or the even division if there is no row or another total.
-func (division *Division) decode(row platform.Row) ([]share, error) {
+func (division *Division) decode(row datastore.Row) ([]share, error) {
 	var shares []share
 	if row.Version != 0 {
 		if err := json.Unmarshal(row.Value, &shares); err != nil {
--- a/permit/permit_test.go
+++ b/permit/permit_test.go
@@ -10,14 +10,14 @@
 	"github.com/anishathalye/porcupine"
 	testingclock "k8s.io/utils/clock/testing"
 
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/internal/platformfake"
-	"github.com/bronzestall/bronzestall/platform"
 )
 
 var centres = []string{"fukuoka", "kumamoto", "kagoshima", "oita", "saga"}
 
 // free is a guard that always holds.
-var free = platform.Write{Key: platform.Key{Table: "Fences", Row: "none"}, Check: true, Only: true}
+var free = datastore.Write{Key: datastore.Key{Table: "Fences", Row: "none"}, Check: true, Only: true}
 
 // shop is one weight store shared by data centres.
 type shop struct {
--- a/release/accept.go
+++ b/release/accept.go
@@ -7,10 +7,10 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/note"
 	"github.com/bronzestall/bronzestall/outcome"
-	"github.com/bronzestall/bronzestall/platform"
 )
 
 // Accept puts the note in force and returns its entry. A note that was
@@ -104,7 +104,7 @@
 		entry, err = acceptance.entryAt(ctx, idKey(acceptance.note.Note))
 		return err
 	})
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, datastore.ErrNotFound) {
 		return Entry{}, false, nil
 	}
 	if err != nil {
@@ -172,7 +172,7 @@
 		return known
 	case acceptance.unclear:
 		return outcome.New(outcome.NoteUnclear, "the platform does not tell whether the note was accepted; apply it again").WithCause(err)
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrUnclear):
+	case errors.Is(err, datastore.ErrUnavailable), errors.Is(err, datastore.ErrUnclear):
 		return outcome.New(outcome.PlatformUnavailable, "this call accepted nothing").WithCause(err)
 	default:
 		return outcome.New(outcome.Internal, "this call accepted nothing").WithCause(err)
--- a/release/accept_test.go
+++ b/release/accept_test.go
@@ -6,9 +6,9 @@
 	"testing"
 	"testing/synctest"
 
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/internal/platformfake"
 	"github.com/bronzestall/bronzestall/outcome"
-	"github.com/bronzestall/bronzestall/platform"
 )
 
 const (
@@ -125,11 +125,11 @@
 
 // beforeRead calls a function before each reading of a row.
 type beforeRead struct {
-	platform.Tables
-	call func(platform.Key)
+	datastore.Tables
+	call func(datastore.Key)
 }
 
-func (tables beforeRead) Read(ctx context.Context, key platform.Key) (platform.Row, error) {
+func (tables beforeRead) Read(ctx context.Context, key datastore.Key) (datastore.Row, error) {
 	tables.call(key)
 	return tables.Tables.Read(ctx, key)
 }
@@ -141,7 +141,7 @@
 		client := fake.Client()
 		first := ledgerOn(client)
 		raced := false
-		first.tables = beforeRead{client, func(key platform.Key) {
+		first.tables = beforeRead{client, func(key datastore.Key) {
 			if key == inForceKey && !raced {
 				raced = true
 				accept(t, ledgerOn(fake.Client()), 0, 1)
--- a/release/commit.go
+++ b/release/commit.go
@@ -7,7 +7,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/datastore"
 )
 
 // commit moves the number in force. The transaction can take effect once only,
@@ -20,13 +20,13 @@
 	}
 	err = acceptance.retry(ctx, func() error {
 		_, err := acceptance.tables.Commit(ctx, writes)
-		acceptance.unclear = acceptance.unclear || errors.Is(err, platform.ErrUnclear)
+		acceptance.unclear = acceptance.unclear || errors.Is(err, datastore.ErrUnclear)
 		return trace.Wrap(err)
 	})
 	switch {
 	case err == nil:
 		return entry, false, nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, datastore.ErrConflict):
 		return acceptance.settle(ctx)
 	case acceptance.unclear:
 		return acceptance.readBack(ctx, err)
@@ -66,12 +66,12 @@
 	return Entry{}, false, acceptance.conflict(ctx, acceptance.note.Base, head)
 }
 
-func commitWrites(entry Entry, version uint64) ([]platform.Write, error) {
+func commitWrites(entry Entry, version uint64) ([]datastore.Write, error) {
 	value, err := json.Marshal(entry)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return []platform.Write{
+	return []datastore.Write{
 		{Key: inForceKey, Check: true, IfVersion: version, Value: value},
 		{Key: historyKey(entry.Number), Check: true, Value: value},
 		{Key: idKey(entry.Note), Check: true, Value: value},
--- a/release/follower.go
+++ b/release/follower.go
@@ -9,7 +9,7 @@
 
 	"k8s.io/utils/clock"
 
-	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/datastore"
 )
 
 // Follower keeps the state in force of one daemon. InForce, Changed, Since,
@@ -36,7 +36,7 @@
 }
 
 // NewFollower returns a follower that knows nothing yet.
-func NewFollower(tables platform.Tables, objects platform.Objects, clock clock.Clock, random *rand.Rand, settings FollowerSettings) *Follower {
+func NewFollower(tables datastore.Tables, objects datastore.Objects, clock clock.Clock, random *rand.Rand, settings FollowerSettings) *Follower {
 	return &Follower{
 		reader:   reader{tables: tables, objects: objects},
 		clock:    clock,
--- a/release/follower_test.go
+++ b/release/follower_test.go
@@ -9,9 +9,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/internal/invariant"
 	"github.com/bronzestall/bronzestall/internal/platformfake"
-	"github.com/bronzestall/bronzestall/platform"
 )
 
 // run starts the follower and returns a function that stops it.
@@ -57,7 +57,7 @@
 		accept(t, operator, 2, 3)
 		pass(time.Hour)
 		wantNumber(t, follower, 2)
-		if status := follower.Status(); status.Failures == 0 || !strings.Contains(status.LastError, platform.ErrUnavailable.Error()) {
+		if status := follower.Status(); status.Failures == 0 || !strings.Contains(status.LastError, datastore.ErrUnavailable.Error()) {
 			t.Errorf("the status hides the cut: %+v", status)
 		}
 		client.Cut(false)
@@ -271,10 +271,10 @@
 
 // behind is a table service that was restored to an earlier note.
 type behind struct {
-	platform.Tables
+	datastore.Tables
 	number uint64
 }
 
-func (tables behind) Read(ctx context.Context, _ platform.Key) (platform.Row, error) {
+func (tables behind) Read(ctx context.Context, _ datastore.Key) (datastore.Row, error) {
 	return tables.Tables.Read(ctx, historyKey(tables.number))
 }
--- a/release/ledger.go
+++ b/release/ledger.go
@@ -8,8 +8,8 @@
 	"github.com/gravitational/trace"
 	"k8s.io/utils/clock"
 
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/outcome"
-	"github.com/bronzestall/bronzestall/platform"
 )
 
 // SnapshotEvery is the number of notes between two snapshots of the whole catalogue.
@@ -22,7 +22,7 @@
 }
 
 // NewLedger returns a ledger over the platform.
-func NewLedger(tables platform.Tables, objects platform.Objects, clock clock.Clock) *Ledger {
+func NewLedger(tables datastore.Tables, objects datastore.Objects, clock clock.Clock) *Ledger {
 	return &Ledger{reader: reader{tables: tables, objects: objects}, clock: clock}
 }
 
@@ -85,7 +85,7 @@
 
 // readFailure returns the error of a call that only reads.
 func readFailure(err error) error {
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, datastore.ErrUnavailable) {
 		return outcome.New(outcome.PlatformUnavailable, "the notes cannot be read").WithCause(err)
 	}
 	return outcome.New(outcome.Internal, "the notes cannot be read").WithCause(trace.Wrap(err))
--- a/release/reader.go
+++ b/release/reader.go
@@ -8,7 +8,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/bronzestall/bronzestall/catalogue"
-	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/datastore"
 )
 
 // scanLimit is the number of history rows in one scan, which counts as one read.
@@ -19,14 +19,14 @@
 
 // reader reads notes from the platform.
 type reader struct {
-	tables  platform.Tables
-	objects platform.Objects
+	tables  datastore.Tables
+	objects datastore.Objects
 }
 
 // head returns the entry in force and the version of its row. Before the first note both are zero.
 func (reader reader) head(ctx context.Context) (Entry, uint64, error) {
 	row, err := reader.tables.Read(ctx, inForceKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, datastore.ErrNotFound) {
 		return Entry{}, 0, nil
 	}
 	if err != nil {
@@ -37,7 +37,7 @@
 }
 
 // entryAt returns an entry of the history.
-func (reader reader) entryAt(ctx context.Context, key platform.Key) (Entry, error) {
+func (reader reader) entryAt(ctx context.Context, key datastore.Key) (Entry, error) {
 	row, err := reader.tables.Read(ctx, key)
 	if err != nil {
 		return Entry{}, trace.Wrap(err)
@@ -135,7 +135,7 @@
 // object returns the content of an object after checking its hash.
 func (reader reader) object(ctx context.Context, name, prefix string, number uint64) ([]byte, error) {
 	content, err := reader.objects.Get(ctx, name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, datastore.ErrNotFound) {
 		return nil, &DamageError{Object: name, Number: number, Reason: "is missing"}
 	}
 	if err != nil {
--- a/release/retry.go
+++ b/release/retry.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/datastore"
 )
 
 // The repetition of calls to the platform within one acceptance: 100 ms, 200 ms and so on, 3.1 s in all.
@@ -19,7 +19,7 @@
 	delay := firstDelay
 	for attempt := 1; ; attempt++ {
 		err := call()
-		again := errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUnclear)
+		again := errors.Is(err, datastore.ErrUnavailable) || errors.Is(err, datastore.ErrUnclear)
 		if !again || attempt == attempts {
 			return err
 		}
--- a/release/rows.go
+++ b/release/rows.go
@@ -6,7 +6,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/datastore"
 )
 
 // The rows of notes.
@@ -18,19 +18,19 @@
 )
 
 // inForceKey names the row that holds the Entry in force.
-var inForceKey = platform.Key{Table: table, Row: rowInForce}
+var inForceKey = datastore.Key{Table: table, Row: rowInForce}
 
 // historyKey names the row that holds the Entry of a number. Rows are in order of numbers.
-func historyKey(number uint64) platform.Key {
-	return platform.Key{Table: table, Row: fmt.Sprintf("%s%012d", prefixHistory, number)}
+func historyKey(number uint64) datastore.Key {
+	return datastore.Key{Table: table, Row: fmt.Sprintf("%s%012d", prefixHistory, number)}
 }
 
 // idKey names the row that holds the Entry of a note's identifier.
-func idKey(note string) platform.Key {
-	return platform.Key{Table: table, Row: prefixID + note}
+func idKey(note string) datastore.Key {
+	return datastore.Key{Table: table, Row: prefixID + note}
 }
 
-func decodeEntry(row platform.Row) (Entry, error) {
+func decodeEntry(row datastore.Row) (Entry, error) {
 	var entry Entry
 	if err := json.Unmarshal(row.Value, &entry); err != nil {
 		return Entry{}, trace.Wrap(err, "row %s/%s", row.Table, row.Row)
