--- a/directory/directory.go
+++ b/directory/directory.go
@@ -14,6 +14,9 @@
 // absentFor is how long a replica that lacked a model is not asked for it, unless it accepts an order.
 const absentFor = 800 * time.Millisecond
 
+// descriptionLag is the age that a replica's description may have when it is received.
+const descriptionLag = 2500 * time.Millisecond
+
 // Directory is what a daemon knows of replicas. It is safe for concurrent use. Use New.
 type Directory struct {
 	clock clock.PassiveClock
@@ -24,6 +27,8 @@
 	// announced is the newest announcement, and placements its engines.
 	announced  Announcement
 	placements map[topology.Incarnation]topology.Holding
+	// heard is when the holder of the lease last confirmed the announcement.
+	heard time.Time
 	// absent tells when a place was found to lack its model or adapter.
 	absent map[demand.Place]time.Time
 	// plain maps services to replicas, and engines does so for models with the engines' holdings.
@@ -61,9 +66,13 @@
 func (directory *Directory) Announce(announcement Announcement) bool {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
+	if announcement.Fence == directory.announced.Fence {
+		directory.heard = directory.clock.Now()
+	}
 	if !announcement.Newer(directory.announced.Fence, directory.announced.Revision) {
 		return false
 	}
+	directory.heard = directory.clock.Now()
 	directory.announced = announcement
 	directory.placements = make(map[topology.Incarnation]topology.Holding, len(announcement.Placements))
 	for _, placement := range announcement.Placements {
@@ -103,10 +112,11 @@
 	directory.changed = make(chan struct{})
 }
 
-// holding returns the newer one of what the replica says and what was announced. The mutex is held.
+// holding returns what was announced, unless the replica described itself after the holder of the lease
+// fell silent. The mutex is held.
 func (directory *Directory) holding(replica *topology.Replica) topology.Holding {
 	announced, ok := directory.placements[replica.Incarnation]
-	if ok && announced.Orders >= replica.Holding.Orders {
+	if ok && replica.Described.Sub(directory.heard) < descriptionLag {
 		return announced
 	}
 	return replica.Holding
--- a/event/front.go
+++ b/event/front.go
@@ -22,5 +22,6 @@
 	PeerAnswered       = define(832, "PeerAnswered", Info, "Another daemon gave what the store does not: configuration or replicas.")
 	OrderSent          = define(840, "OrderSent", Info, "An order was sent to an engine; the fields tell why, and how it ended.")
 	OrderSettled       = define(841, "OrderSettled", Info, "An order was carried out, or its outcome became known.")
+	EngineUnanswered   = define(843, "EngineUnanswered", Warning, "An engine did not tell what it holds, or another run of it did; it is asked again.")
 	OrdersHeld         = define(842, "OrdersHeld", Info, "The holder of the lease sends no order yet, since a former holder's may still arrive.")
 )
--- a/front/follow.go
+++ b/front/follow.go
@@ -175,7 +175,8 @@
 		event.RowSkipped.LogError(err, "Table", row.Table, "Row", row.Row, "Version", row.Version)
 		return roster.Entry{}, false
 	}
-	return roster.Entry{Replica: replica, Version: row.Version, Raw: row.Value, Since: daemon.clock.Now()}, true
+	replica.Described = daemon.clock.Now()
+	return roster.Entry{Replica: replica, Version: row.Version, Raw: row.Value}, true
 }
 
 // applySoon asks to apply the replica table.
--- a/front/sync.go
+++ b/front/sync.go
@@ -74,13 +74,11 @@
 	if !known {
 		return false
 	}
-	announcement, newer, err := daemon.mesh.Sync(ctx, holder.Address, report)
+	announcement, err := daemon.mesh.Sync(ctx, holder.Address, report)
 	if err != nil {
 		return false
 	}
-	if newer {
-		daemon.take(announcement)
-	}
+	daemon.take(announcement)
 	return true
 }
 
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -242,15 +242,15 @@
 	return running
 }
 
-// Sync sends a report to the holder of the lease and returns its announcement, and whether that is newer
-// than the one named in the report.
-func (node *Node) Sync(ctx context.Context, address string, report Report) (directory.Announcement, bool, error) {
+// Sync sends a report to the holder of the lease and returns its announcement. Its lists are empty unless it
+// is newer than the one named in the report.
+func (node *Node) Sync(ctx context.Context, address string, report Report) (directory.Announcement, error) {
 	encoded := report.encode(node.clock.Now())
 	answer, err := call[meshpb.Report, meshpb.Announcement](ctx, node, address, syncProcedure, encoded, node.settings.CallTimeout+report.Wait)
 	if err != nil {
-		return directory.Announcement{}, false, err
+		return directory.Announcement{}, err
 	}
-	return decodeAnnouncement(answer, node.clock.Now()), answer.GetNewer(), nil
+	return decodeAnnouncement(answer, node.clock.Now()), nil
 }
 
 // Ask asks the daemon at the address for what is newer.
--- a/roster/entry.go
+++ b/roster/entry.go
@@ -14,8 +14,6 @@
 	Version uint64
 	// Raw is the row as read, for daemons that cannot read the table.
 	Raw []byte
-	// Since is when the description was received.
-	Since time.Time
 	// Missing is when the row was first found gone after an outage; zero while it is there.
 	Missing time.Time
 }
--- a/scheduler/ask.go
+++ b/scheduler/ask.go
@@ -34,8 +34,10 @@
 	}
 	target.calling = false
 	now := scheduler.deps.Clock.Now()
+	target.changed = now
 	if err != nil || (born != 0 && incarnation.Born != 0 && born != incarnation.Born) {
-		target.askAt = now.Add(askAgain * 2)
+		event.EngineUnanswered.LogError(err, "Engine", incarnation.ID, "Born", incarnation.Born, "Answered", born)
+		target.askAt = now.Add(askFailed)
 		return
 	}
 	target.learn(holding, now)
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -17,6 +17,8 @@
 	holding topology.Holding
 	// order is the order being carried out, or nil.
 	order *pending
+	// changed is when an order or a report last changed the holding.
+	changed time.Time
 	// calling states that an order or a question is on its way.
 	calling bool
 	// doubt states that the outcome of an order is unknown since doubtSince.
@@ -40,6 +42,9 @@
 	sent, expected time.Time
 }
 
+// descriptionLag is the age that an engine's row may have when it is received.
+const descriptionLag = 2500 * time.Millisecond
+
 func newEngine(replica *topology.Replica) *engine {
 	return &engine{
 		Incarnation: replica.Incarnation,
@@ -68,13 +73,20 @@
 	return engine.order == nil && !engine.calling && !engine.doubt
 }
 
-// describe takes the engine's own row unless more is known.
-func (engine *engine) describe(replica *topology.Replica) {
+// describe takes the engine's own row, which is older than what is known of its orders. If it differs
+// long after the last order, the engine is asked.
+func (engine *engine) describe(replica *topology.Replica, now time.Time) {
 	engine.address = replica.Address
-	if !engine.settled() || len(engine.arriving) > 0 || replica.Holding.Orders < engine.holding.Orders {
+	if !engine.settled() || replica.Described.Sub(engine.changed) < descriptionLag {
+		return
+	}
+	if !engine.holding.Same(&replica.Holding) {
+		engine.changed = now
+		engine.question(now)
 		return
 	}
-	engine.holding = clone(replica.Holding)
+	engine.holding.InHost = slices.Clone(replica.Holding.InHost)
+	engine.holding.OnDisk = slices.Clone(replica.Holding.OnDisk)
 }
 
 // carriedOut applies the order that was being carried out.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -153,7 +153,7 @@
 			known.doubtSince = now.Add(-doubtFor)
 			scheduler.engines[replica.Incarnation] = known
 		}
-		known.describe(replica)
+		known.describe(replica, now)
 		known.arrived(now)
 	}
 	for incarnation := range scheduler.engines {
--- a/scheduler/send.go
+++ b/scheduler/send.go
@@ -19,6 +19,8 @@
 	reportLag = 120 * time.Millisecond
 	// askAgain is the interval of questions until an engine shows what is expected.
 	askAgain = 60 * time.Millisecond
+	// askFailed is the pause after a question without an answer.
+	askFailed = 250 * time.Millisecond
 	// doubtFor is the time after which an unanswered order that no report shows counts as not accepted.
 	// The number of orders that every order names keeps it harmless if it arrives later.
 	doubtFor = 300 * time.Millisecond
@@ -86,6 +88,7 @@
 		return
 	}
 	target.calling = false
+	target.changed = now
 	if err != nil {
 		target.question(now)
 		return
--- a/topology/replica.go
+++ b/topology/replica.go
@@ -28,8 +28,10 @@
 	Remaining time.Duration
 	// Slots is the number of requests that it runs at once.
 	Slots int
-	// Holding is what it has loaded.
+	// Holding is what it has loaded; Orders and Busy are not known from a description.
 	Holding Holding
+	// Described is when the description was received.
+	Described time.Time
 }
 
 // Holding is what an engine has loaded, as of one moment.
@@ -64,6 +66,25 @@
 	return Loaded{}, false
 }
 
+// Same reports whether both hold the same models and adapters.
+func (holding *Holding) Same(other *Holding) bool {
+	if len(holding.Models) != len(other.Models) {
+		return false
+	}
+	for _, loaded := range holding.Models {
+		found, ok := other.Find(loaded.Model)
+		if !ok || len(found.Adapters) != len(loaded.Adapters) {
+			return false
+		}
+		for _, adapter := range loaded.Adapters {
+			if !slices.Contains(found.Adapters, adapter) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // Has reports whether the model is loaded, and the adapter too unless that is empty.
 func (holding *Holding) Has(model, adapter string) bool {
 	loaded, ok := holding.Find(model)
