Answer what still waits before a stopping daemon ends

After the balancer's notice new requests are refused as not run; before the end all others get their final answer.

--- a/front/servers.go
+++ b/front/servers.go
@@ -90,12 +90,20 @@
 const (
 	// noticeTime is how long the balancer needs to notice that the daemon is not ready.
 	noticeTime = 2500 * time.Millisecond
-	// cutReserve is the part of the grace time that is kept for ending.
-	cutReserve = 400 * time.Millisecond
+	// cutReserve is the part of the grace time that is kept for final answers, and endReserve that for ending.
+	cutReserve = 800 * time.Millisecond
+	endReserve = 250 * time.Millisecond
 	// drainStep is the interval of looking whether requests are left.
 	drainStep = 50 * time.Millisecond
 )
 
+// drain waits until the time, or until no request is left if early is set.
+func (daemon *Daemon) drain(until time.Time, early bool) {
+	for daemon.clock.Now().Before(until) && (!early || daemon.ingress.Running() > 0) {
+		daemon.clock.Sleep(drainStep)
+	}
+}
+
 // stop fails the readiness check, gives up the lease, lets requests finish within the grace time and
 // closes the listeners.
 func (daemon *Daemon) stop(servers *servers) {
@@ -109,12 +117,12 @@
 		event.StoreLost.LogError(err, "Call", "ReleaseLease")
 	}
 	daemon.mesh.GreetAll(ctx)
-	last := begun.Add(daemon.settings.Grace - cutReserve)
-	notice := begun.Add(noticeTime)
-	for daemon.clock.Now().Before(notice) || (daemon.ingress.Running() > 0 && daemon.clock.Now().Before(last)) {
-		daemon.clock.Sleep(drainStep)
-	}
+	daemon.drain(begun.Add(noticeTime), false)
+	daemon.relay.Refuse()
+	daemon.drain(begun.Add(daemon.settings.Grace-cutReserve), true)
 	cut := daemon.ingress.Running()
+	daemon.relay.End()
+	daemon.drain(begun.Add(daemon.settings.Grace-endReserve), true)
 	servers.close()
 	event.FrontStopped.Log("Daemon", daemon.settings.Name, "Cut", cut, "Took", daemon.clock.Since(begun))
 }
--- a/relay/journey.go
+++ b/relay/journey.go
@@ -13,8 +13,13 @@
 	"github.com/bronzestall/bronzestall/topology"
 )
 
-// errDeadline is the cause of a context that ended at the deadline of the request.
-var errDeadline = errors.New("deadline of the request")
+// The causes of a context that ended though the client still waits.
+var (
+	// errDeadline is the deadline of the request.
+	errDeadline = errors.New("deadline of the request")
+	// errStopped is the end of the daemon.
+	errStopped = errors.New("end of the daemon")
+)
 
 const (
 	// maxSends bounds how often a request is sent in all, also if it was proved not to have run.
@@ -129,6 +134,12 @@
 
 // ended returns the failure of a request whose context ended. ran states that a replica may have run it.
 func ended(ctx context.Context, ran bool) *outcome.Error {
+	if errors.Is(context.Cause(ctx), errStopped) && !ran {
+		return outcome.New(outcome.Stopping, "the daemon is shutting down").WithRetryAfter(retryAfterStop)
+	}
+	if errors.Is(context.Cause(ctx), errStopped) {
+		return outcome.New(outcome.DeadlineRunning, "the daemon ended while a replica had the request")
+	}
 	if !errors.Is(context.Cause(ctx), errDeadline) {
 		return outcome.New(outcome.CallerGone, "the client closed the connection")
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -43,6 +43,10 @@
 	mutex sync.Mutex
 	// configuration is the newest configuration, or nil before the first.
 	configuration *topology.Configuration
+	// stopping states that new requests are refused, and stopped is closed when waiting and running ones
+	// must end.
+	stopping bool
+	stopped  chan struct{}
 	// budgets maps services to their retry budgets, and most is the limit of each.
 	budgets map[string]*retry.Budget
 	most    float64
@@ -50,7 +54,31 @@
 
 // New returns a relay without a configuration.
 func New(settings Settings, deps Deps) *Relay {
-	return &Relay{deps: deps, settings: settings.withDefaults(), budgets: map[string]*retry.Budget{}, most: settings.RetryMost}
+	return &Relay{
+		deps:     deps,
+		settings: settings.withDefaults(),
+		stopped:  make(chan struct{}),
+		budgets:  map[string]*retry.Budget{},
+		most:     settings.RetryMost,
+	}
+}
+
+// Refuse ends the service for new requests.
+func (relay *Relay) Refuse() {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	relay.stopping = true
+}
+
+// End gives all requests that wait or run their final answer. It must be called once.
+func (relay *Relay) End() {
+	close(relay.stopped)
+}
+
+func (relay *Relay) isStopping() bool {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	return relay.stopping
 }
 
 // Configure takes a configuration unless a newer one is in force, and reports whether it did.
@@ -95,6 +123,9 @@
 // Serve answers the request through the sink, or returns why it did not. If the sink has begun then,
 // its answer must be broken off.
 func (relay *Relay) Serve(ctx context.Context, request *exchange.Request, sink Sink) *outcome.Error {
+	if relay.isStopping() {
+		return outcome.New(outcome.Stopping, "the daemon is shutting down").WithRetryAfter(retryAfterStop)
+	}
 	configuration := relay.Configuration()
 	if configuration == nil {
 		return outcome.New(outcome.NotReady, "no configuration is known yet").WithRetryAfter(time.Second)
@@ -107,10 +138,32 @@
 	deadline := relay.deadline(request, route)
 	ctx, cancel := context.WithTimeoutCause(ctx, deadline.Sub(relay.deps.Clock.Now()), errDeadline)
 	defer cancel()
+	ctx, stop := relay.untilEnd(ctx)
+	defer stop()
 	journey := &journey{relay: relay, request: request, route: route, service: service, sink: sink, deadline: deadline}
 	return journey.walk(ctx)
 }
 
+// retryAfterStop is the advice to the client of a daemon that is shutting down; others serve.
+const retryAfterStop = 50 * time.Millisecond
+
+// untilEnd returns a context that ends with errStopped when End is called.
+func (relay *Relay) untilEnd(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	done := make(chan struct{})
+	go func() {
+		select {
+		case <-relay.stopped:
+			cancel(errStopped)
+		case <-done:
+		}
+	}()
+	return ctx, func() {
+		close(done)
+		cancel(nil)
+	}
+}
+
 // deadline returns when the request must have its final answer.
 func (relay *Relay) deadline(request *exchange.Request, route *topology.Route) time.Time {
 	allowed := route.Timeout
