Load from copies, keep room for its model, reset what is given up

(2) a model with a copy on a busy engine's disk was loaded from the weight store elsewhere, 6 s instead of 1.2 s. (3) room that an unload made went to another model. Ruled out: overlapping terms of the lease; the terms in the log are apart.

--- a/connection/body.go
+++ b/connection/body.go
@@ -41,6 +41,10 @@
 			body.pool.put(body.conn, body.idle)
 			return
 		}
+		if !complete {
+			body.conn.abort()
+			return
+		}
 		_ = body.conn.Close()
 	})
 }
--- a/connection/conn.go
+++ b/connection/conn.go
@@ -25,6 +25,15 @@
 	return &conn{Conn: inner, key: key, reader: bufio.NewReaderSize(inner, readBuffer)}
 }
 
+// abort closes the connection so that bytes which have not arrived yet never will.
+func (c *conn) abort() {
+	if inner, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		// A connection that cannot be set so is closed all the same.
+		_ = inner.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // quiet reports whether the connection is open and nothing came since its last answer.
 func (c *conn) quiet() bool {
 	if c.reader.Buffered() > 0 {
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -44,17 +44,17 @@
 	if err != nil {
 		return nil, &transport.Error{NotSent: true, Cause: trace.Wrap(err)}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	stop := context.AfterFunc(ctx, c.abort)
 	written, err := send(c, call)
 	if err != nil {
 		stop()
-		_ = c.Close()
+		c.abort()
 		return nil, &transport.Error{NotSent: written == 0, Cause: trace.Wrap(err)}
 	}
 	response, err := receive(c, call)
 	if err != nil {
 		stop()
-		_ = c.Close()
+		c.abort()
 		return nil, &transport.Error{Cause: trace.Wrap(err)}
 	}
 	response.Body = &body{pool: pool, conn: c, inner: response.Body, stop: stop, reuse: reusable(response, call), idle: pool.idleTime(response)}
@@ -181,7 +181,7 @@
 	}
 	go func() {
 		if _, err := c.Write(call.Body); err != nil {
-			_ = c.Close()
+			c.abort()
 		}
 	}()
 	return written, nil
--- a/residency/order.go
+++ b/residency/order.go
@@ -36,6 +36,8 @@
 	After uint64
 	// Tier is where the weights of a load come from.
 	Tier Tier
+	// For is the model that an unload makes room for.
+	For string
 	// Reason tells why, for logs.
 	Reason string
 }
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -27,6 +27,10 @@
 	evictionCost = 0.15
 	// lossWeight is what the expected wait of later requests for an unloaded model weighs.
 	lossWeight = 2.0
+	// busyCost is the time that an order on its way adds, and reservedCost what it adds that room was made
+	// for another model.
+	busyCost     = 0.05
+	reservedCost = 2.0
 	// keepFresh is how long a loaded model is kept for the requests that waited for it.
 	keepFresh = 1500 * time.Millisecond
 )
@@ -183,45 +187,72 @@
 	return float64(recent+1) <= allowed
 }
 
-// load orders a load of the model at the engine where it costs least, or the unload that makes room for it.
-// It leaves out the data centres in avoid.
+// load orders a load of the model at the engine where it is ready first, or the unload that makes room
+// for it. If that engine is busy, the load waits for it. It leaves out the data centres in avoid.
 func (plan *plan) load(name, reason string, avoid map[string]bool) {
 	model := plan.state.Service.Models[name]
-	var best *Engine
-	var bestVictims []string
-	bestCost := math.Inf(1)
+	best := plan.cheapest(&model, avoid)
+	if best.engine == nil || !plan.free(best.engine) {
+		return
+	}
+	if len(best.victims) > 0 {
+		plan.add(best.engine, Order{Operation: Unload, Model: best.victims[0], For: name, Reason: reason + "MakeRoom"})
+		return
+	}
+	if best.tier == Store {
+		plan.storeLoads++
+	}
+	plan.add(best.engine, Order{Operation: Load, Model: name, Tier: best.tier, Reason: reason})
+}
+
+// option is a way to load a model.
+type option struct {
+	engine  *Engine
+	tier    Tier
+	victims []string
+	cost    float64
+}
+
+// cheapest returns the engine where a load of the model costs least, busy ones included. The weight store
+// is used only for a model of which no engine has a copy.
+func (plan *plan) cheapest(model *topology.Model, avoid map[string]bool) option {
+	best := option{cost: math.Inf(1)}
+	copied := plan.state.copied(model.Name)
 	for _, engine := range plan.state.Engines {
-		if !plan.free(engine) || avoid[engine.Zone] || engine.Holding.Has(name, "") {
+		if avoid[engine.Zone] || engine.Holding.Has(model.Name, "") || engine.Loading == model.Name {
 			continue
 		}
-		victims, loss, ok := plan.room(engine, &model)
-		if !ok {
+		tier := tierOf(&engine.Holding, model.Name)
+		if tier == Store && (copied || !plan.free(engine) || !plan.mayUseStore()) {
 			continue
 		}
-		tier := tierOf(&engine.Holding, name)
-		if tier == Store && !plan.mayUseStore() {
-			continue
-		}
-		cost := loadTime(&model, tier).Seconds() + evictionCost*float64(len(victims)) + lossWeight*loss
-		if tier == Store {
-			cost += plan.blocked(engine)
-		}
-		if cost < bestCost {
-			best, bestVictims, bestCost = engine, victims, cost
+		if next, ok := plan.option(engine, model, tier); ok && next.cost < best.cost {
+			best = next
 		}
 	}
-	if best == nil {
-		return
+	return best
+}
+
+// option returns what a load of the model at the engine would cost, and whether it is possible.
+func (plan *plan) option(engine *Engine, model *topology.Model, tier Tier) (option, bool) {
+	victims, loss, ok := plan.room(engine, model)
+	if !ok {
+		return option{}, false
 	}
-	if len(bestVictims) > 0 {
-		plan.add(best, Order{Operation: Unload, Model: bestVictims[0], Reason: reason + "MakeRoom"})
-		return
+	cost := loadTime(model, tier).Seconds() + evictionCost*float64(len(victims)) + lossWeight*loss
+	if wait := engine.ReadyAt.Sub(plan.state.Now); wait > 0 {
+		cost += wait.Seconds()
+	}
+	if !plan.free(engine) {
+		cost += busyCost
+	}
+	if engine.Reserved != "" && engine.Reserved != model.Name {
+		cost += reservedCost
 	}
-	tier := tierOf(&best.Holding, name)
 	if tier == Store {
-		plan.storeLoads++
+		cost += plan.blocked(engine)
 	}
-	plan.add(best, Order{Operation: Load, Model: name, Tier: tier, Reason: reason})
+	return option{engine, tier, victims, cost}, true
 }
 
 // blocked returns the cost of keeping the engine from quick loads of what only it has copies of.
--- /dev/null
+++ b/residency/planner_test.go
@@ -0,0 +1,270 @@
+package residency
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/bronzestall/bronzestall/topology"
+)
+
+// start is the time of all plans.
+var start = time.Unix(1000, 0)
+
+// fleet returns a state with engines e0, e1, ... of 200 GB in three data centres and models of 70 GB named m0, m1, ...
+func fleet(engines, models int) *State {
+	state := &State{
+		Service: topology.Engine{
+			Slots:          64,
+			Memory:         200e9,
+			MaxAdapters:    2,
+			LoadsPerSecond: 2.6,
+			Models:         map[string]topology.Model{},
+		},
+		Models:   map[string]Demand{},
+		Adapters: map[string]Demand{},
+		Now:      start,
+	}
+	for i := range models {
+		name := fmt.Sprintf("m%d", i)
+		state.Service.Models[name] = topology.Model{
+			Name: name, Weights: 70e9, AdapterBytes: 1e8, Adapters: 8,
+			StoreLoad: 6 * time.Second, DiskLoad: 1200 * time.Millisecond, HostLoad: 600 * time.Millisecond,
+		}
+	}
+	for i := range engines {
+		state.Engines = append(state.Engines, &Engine{
+			Incarnation: topology.Incarnation{ID: fmt.Sprintf("e%d", i)},
+			Zone:        fmt.Sprintf("z%d", i%3),
+		})
+	}
+	return state
+}
+
+// hold loads models on an engine and gives it copies of them on disk.
+func (state *State) hold(engine int, models ...string) {
+	holding := &state.Engines[engine].Holding
+	for _, model := range models {
+		holding.Models = append(holding.Models, topology.Loaded{Model: model})
+		holding.OnDisk = append(holding.OnDisk, model)
+	}
+}
+
+// orders returns the orders of a plan as text.
+func orders(state *State) []string {
+	var text []string
+	for _, order := range New(Settings{}).Plan(state) {
+		name := order.Model
+		if order.Adapter != "" {
+			name += "/" + order.Adapter
+		}
+		text = append(text, fmt.Sprintf("%s %s %s", order.Operation, name, order.Engine.ID))
+	}
+	slices.Sort(text)
+	return text
+}
+
+func want(t *testing.T, state *State, expected ...string) {
+	t.Helper()
+	slices.Sort(expected)
+	if got := orders(state); !slices.Equal(got, expected) {
+		t.Errorf("planned %q, want %q", got, expected)
+	}
+}
+
+// Rare models: each is asked for seldom, and most are on some disk but not loaded.
+
+func TestRareModelLoadsWhereItIsOnDisk(t *testing.T) {
+	state := fleet(3, 1)
+	state.Engines[1].Holding.OnDisk = []string{"m0"}
+	state.Models["m0"] = Demand{Waiting: 1, Oldest: start}
+	want(t, state, "Load m0 e1")
+}
+
+func TestRareModelPrefersACopyInMemory(t *testing.T) {
+	state := fleet(3, 1)
+	state.Engines[1].Holding.OnDisk = []string{"m0"}
+	state.Engines[2].Holding.InHost = []string{"m0"}
+	state.Models["m0"] = Demand{Waiting: 1, Oldest: start}
+	want(t, state, "Load m0 e2")
+}
+
+func TestRareModelWaitsForTheEngineWithACopy(t *testing.T) {
+	state := fleet(3, 1)
+	state.Engines[1].Holding.OnDisk = []string{"m0"}
+	state.Engines[1].Busy = true
+	state.Engines[1].ReadyAt = start.Add(time.Second)
+	state.Models["m0"] = Demand{Waiting: 1, Oldest: start}
+	want(t, state)
+}
+
+func TestManyRequestsForOneRareModelLoadItOnce(t *testing.T) {
+	state := fleet(3, 1)
+	for _, engine := range state.Engines {
+		engine.Holding.OnDisk = []string{"m0"}
+	}
+	state.Models["m0"] = Demand{Waiting: 9, Oldest: start}
+	want(t, state, "Load m0 e0")
+}
+
+func TestFullEngineMakesRoomByTheLeastWantedModel(t *testing.T) {
+	state := fleet(1, 3)
+	state.hold(0, "m0", "m1")
+	state.Engines[0].Holding.OnDisk = append(state.Engines[0].Holding.OnDisk, "m2")
+	state.Models["m0"] = Demand{Rate: 0.5}
+	state.Models["m1"] = Demand{Rate: 0.01}
+	state.Models["m2"] = Demand{Waiting: 1, Oldest: start}
+	want(t, state, "Unload m1 e0")
+}
+
+func TestModelWithRequestsInFlightStays(t *testing.T) {
+	state := fleet(1, 3)
+	state.hold(0, "m0", "m1")
+	state.Engines[0].Holding.OnDisk = append(state.Engines[0].Holding.OnDisk, "m2")
+	state.Engines[0].Running = map[string]int{"m0": 1, "m1": 1}
+	state.Models["m2"] = Demand{Waiting: 1, Oldest: start}
+	want(t, state)
+}
+
+func TestRoomIsKeptForItsModel(t *testing.T) {
+	state := fleet(2, 3)
+	for _, engine := range state.Engines {
+		engine.Holding.OnDisk = []string{"m0", "m1"}
+	}
+	state.Engines[0].Reserved = "m1"
+	state.Models["m0"] = Demand{Waiting: 2, Oldest: start}
+	state.Models["m1"] = Demand{Waiting: 1, Oldest: start}
+	want(t, state, "Load m0 e1", "Load m1 e0")
+}
+
+// Models without any copy: their first load is slow, so it comes early and few run at once.
+
+func TestModelsWithoutACopyAreLoadedAheadAtMostFourAtOnce(t *testing.T) {
+	state := fleet(9, 8)
+	state.Service.LoadsPerSecond = 10
+	got := orders(state)
+	if len(got) != 4 {
+		t.Errorf("planned %q, want four loads", got)
+	}
+}
+
+func TestLoadsFromTheWeightStoreKeepTheirRate(t *testing.T) {
+	state := fleet(9, 8)
+	for range 12 {
+		state.StoreStarts = append(state.StoreStarts, start.Add(-time.Second))
+	}
+	if got := orders(state); len(got) != 1 {
+		t.Errorf("planned %q after 12 starts in 5 s at 2.6 a second, want one", got)
+	}
+}
+
+// Busy models: demand moves from one to another within seconds.
+
+func TestBusyModelIsKeptInEachDataCentre(t *testing.T) {
+	state := fleet(3, 1)
+	state.hold(0, "m0")
+	state.Engines[1].Holding.OnDisk = []string{"m0"}
+	state.Engines[2].Holding.OnDisk = []string{"m0"}
+	state.Models["m0"] = Demand{Rate: 5, Running: 4}
+	want(t, state, "Load m0 e1")
+}
+
+func TestModelThatFellSilentMakesRoom(t *testing.T) {
+	state := fleet(2, 4)
+	state.hold(0, "m0", "m1")
+	state.hold(1, "m0", "m2")
+	state.Engines[0].Holding.OnDisk = append(state.Engines[0].Holding.OnDisk, "m3")
+	state.Models["m0"] = Demand{Rate: 0.2}
+	state.Models["m1"] = Demand{Rate: 0.2}
+	state.Models["m3"] = Demand{Waiting: 1, Oldest: start}
+	want(t, state, "Unload m0 e0")
+}
+
+// Adapters: thousands exist, a few fit beside their model.
+
+func TestAdapterLoadsBesideItsModel(t *testing.T) {
+	state := fleet(3, 1)
+	state.hold(1, "m0")
+	state.Adapters["m0/a1"] = Demand{Waiting: 1, Oldest: start}
+	want(t, state, "Load m0/a1 e1")
+}
+
+func TestIdleAdapterMakesRoomForAnother(t *testing.T) {
+	state := fleet(1, 1)
+	state.hold(0, "m0")
+	state.Engines[0].Holding.Models[0].Adapters = []string{"a1", "a2"}
+	state.Adapters["m0/a1"] = Demand{Used: start.Add(-time.Second)}
+	state.Adapters["m0/a2"] = Demand{Used: start.Add(-time.Minute)}
+	state.Adapters["m0/a3"] = Demand{Waiting: 1, Oldest: start}
+	want(t, state, "Unload m0/a2 e0")
+}
+
+func TestAdapterInUseStays(t *testing.T) {
+	state := fleet(1, 1)
+	state.hold(0, "m0")
+	state.Engines[0].Holding.Models[0].Adapters = []string{"a1", "a2"}
+	state.Engines[0].AdaptersRunning = map[string]int{"m0/a1": 1, "m0/a2": 1}
+	state.Adapters["m0/a3"] = Demand{Waiting: 1, Oldest: start}
+	want(t, state)
+}
+
+// TestPlansNeverOvercommit plans random demand step by step and checks memory and adapters of each engine.
+func TestPlansNeverOvercommit(t *testing.T) {
+	state := fleet(5, 12)
+	for step := range 300 {
+		state.Now = state.Now.Add(100 * time.Millisecond)
+		for i := range 12 {
+			name := fmt.Sprintf("m%d", i)
+			state.Models[name] = Demand{Waiting: (step*7 + i*3) % 5 / 4, Oldest: state.Now, Rate: float64((step/50 + i) % 12)}
+			state.Adapters[name+"/a1"] = Demand{Waiting: (step + i) % 2, Oldest: state.Now}
+		}
+		for _, order := range New(Settings{}).Plan(state) {
+			state.apply(order)
+		}
+		for _, engine := range state.Engines {
+			if used := engine.used(state.Service.Models); used > state.Service.Memory {
+				t.Fatalf("step %d: %s uses %d of %d bytes", step, engine.ID, used, state.Service.Memory)
+			}
+			if count := engine.Holding.AdapterCount(); count > state.Service.MaxAdapters {
+				t.Fatalf("step %d: %s holds %d adapters", step, engine.ID, count)
+			}
+		}
+	}
+}
+
+// apply carries out an order at once.
+func (state *State) apply(order Order) {
+	for _, engine := range state.Engines {
+		if engine.ID != order.Engine.ID {
+			continue
+		}
+		models := &engine.Holding.Models
+		at := slices.IndexFunc(*models, func(loaded topology.Loaded) bool { return loaded.Model == order.Model })
+		switch {
+		case order.Adapter != "" && order.Operation == Load:
+			(*models)[at].Adapters = append((*models)[at].Adapters, order.Adapter)
+		case order.Adapter != "":
+			adapters := (*models)[at].Adapters
+			(*models)[at].Adapters = slices.DeleteFunc(adapters, func(name string) bool { return name == order.Adapter })
+		case order.Operation == Load:
+			*models = append(*models, topology.Loaded{Model: order.Model})
+			engine.Holding.OnDisk = append(engine.Holding.OnDisk, order.Model)
+		default:
+			*models = slices.Delete(*models, at, at+1)
+		}
+	}
+}
+
+func BenchmarkPlan(b *testing.B) {
+	state := fleet(600, 1900)
+	for i := range 1900 {
+		state.hold(i%600, fmt.Sprintf("m%d", i))
+	}
+	for i := range 100 {
+		state.Models[fmt.Sprintf("m%d", i)] = Demand{Waiting: 1, Oldest: start, Rate: 1}
+	}
+	for b.Loop() {
+		New(Settings{}).Plan(state)
+	}
+}
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -29,6 +29,9 @@
 	conflicts int
 	// askAt is when the engine is asked what it holds; zero if it is not to be asked.
 	askAt time.Time
+	// reserved is the model for which room was made, until reservedUntil.
+	reserved      string
+	reservedUntil time.Time
 	// arriving maps adapters, as model/adapter, to when they are expected.
 	arriving map[string]time.Time
 	// loadedAt maps models to when they were loaded.
@@ -178,6 +181,9 @@
 		AdaptersRunning: demand.adaptersRunning[engine.Incarnation],
 		LoadedAt:        engine.loadedAt,
 	}
+	if now.Before(engine.reservedUntil) {
+		view.Reserved = engine.reserved
+	}
 	if engine.order != nil && engine.order.Operation == residency.Load {
 		view.Loading = engine.order.Model
 		view.LoadingTier = engine.order.Tier
--- a/scheduler/send.go
+++ b/scheduler/send.go
@@ -25,12 +25,14 @@
 	// The number of orders that every order names keeps it harmless if it arrives later.
 	doubtFor = 300 * time.Millisecond
 	// conflictRest is the pause after an engine refused an order since another one was being carried out.
-	conflictRest = 40 * time.Millisecond
+	conflictRest = 25 * time.Millisecond
 	// maxConflicts is the number of such refusals in a row after which the engine is asked.
-	maxConflicts = 3
+	maxConflicts = 8
 	// unloadTime is the expected time of an unload, and adapterTime that of the load of an adapter.
-	unloadTime  = 15 * time.Millisecond
+	unloadTime  = 45 * time.Millisecond
 	adapterTime = 20 * time.Millisecond
+	// reservedFor is how long the room that an unload made is kept for its model.
+	reservedFor = 500 * time.Millisecond
 )
 
 // send sends an order unless the term is about to end. The mutex is held.
@@ -140,6 +142,7 @@
 		engine.dropAdapter(order.Model, order.Adapter)
 	case order.Operation == residency.Unload:
 		engine.drop(order.Model)
+		engine.reserved, engine.reservedUntil = order.For, now.Add(reservedFor)
 		engine.restUntil = now.Add(unloadTime)
 	default:
 		engine.order = &pending{Order: order, sent: sent, expected: expected}
