Index plans, announce changes only, call the store less

Cause: on the grown deployment the holder of the lease used its whole processor (0.44 of 0.464 cores): each plan searched all engines for each model, each announcement went whole to 29 daemons, each report named every model. 29 daemons read the replica table 4 times a second each. Change: plans look up by model (1,900 models on 600 engines: 8.6 ms before, 0.44 ms after), announcements and urgent reports hold what changed, the holder tells requests in flight, replicas are read once in 0.8 s.

--- a/connection/pool_test.go
+++ b/connection/pool_test.go
@@ -73,12 +73,12 @@
 		texts []string
 		want  []string
 	}{
-		"kept connection":               {[]string{first, second}, []string{"one", "two"}},
-		"late answer before the next":   {[]string{first, first + second}, []string{"one", "two"}},
-		"extra answer closes":           {[]string{first + first}, []string{"one"}},
-		"closed without an answer":      {[]string{""}, []string{"error"}},
-		"garbage":                       {[]string{"garbage\r\n\r\n"}, []string{"error"}},
-		"truncated":                     {[]string{"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\none", ""}, []string{"error"}},
+		"kept connection":             {[]string{first, second}, []string{"one", "two"}},
+		"late answer before the next": {[]string{first, first + second}, []string{"one", "two"}},
+		"extra answer closes":         {[]string{first + first}, []string{"one"}},
+		"closed without an answer":    {[]string{""}, []string{"error"}},
+		"garbage":                     {[]string{"garbage\r\n\r\n"}, []string{"error"}},
+		"truncated":                   {[]string{"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\none", ""}, []string{"error"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			pool := New(Settings{}, clock.RealClock{})
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -72,9 +72,14 @@
 	if !announcement.Newer(directory.announced.Fence, directory.announced.Revision) {
 		return false
 	}
+	if announcement.Since > 0 && (announcement.Fence != directory.announced.Fence || announcement.Since > directory.announced.Revision) {
+		return false
+	}
 	directory.heard = directory.clock.Now()
 	directory.announced = announcement
-	directory.placements = make(map[topology.Incarnation]topology.Holding, len(announcement.Placements))
+	if announcement.Since == 0 {
+		directory.placements = make(map[topology.Incarnation]topology.Holding, len(announcement.Placements))
+	}
 	for _, placement := range announcement.Placements {
 		directory.placements[placement.Incarnation] = placement.Holding
 	}
@@ -89,6 +94,13 @@
 	return directory.announced.Fence, directory.announced.Revision
 }
 
+// Heard returns when the holder of the lease last confirmed its announcement.
+func (directory *Directory) Heard() time.Time {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	return directory.heard
+}
+
 // rebuild makes the lists of candidates anew and wakes who waits. The mutex is held.
 func (directory *Directory) rebuild() {
 	directory.plain = map[string][]balance.Candidate{}
--- a/directory/placement.go
+++ b/directory/placement.go
@@ -12,6 +12,8 @@
 	topology.Incarnation
 	// Holding is what the engine has loaded, without what is about to be unloaded.
 	Holding topology.Holding
+	// Revision is that of the announcement in which the placement changed last.
+	Revision uint64
 }
 
 // Forecast is when a model, or an adapter, is expected to be loaded.
@@ -25,10 +27,30 @@
 type Announcement struct {
 	// Fence is its fencing token and Revision rises with each of its announcements.
 	Fence, Revision uint64
-	// Placements lists all engines.
+	// Placements lists all engines, or those that changed after Since.
 	Placements []Placement
+	// Since is the revision that the lists follow; zero if they are whole.
+	Since uint64
 	// Forecasts lists what is on its way.
 	Forecasts []Forecast
+	// Running maps engines to the requests in flight from all daemons; nil if it is not told.
+	Running map[topology.Incarnation]int
+}
+
+// After returns what follows the announcement of the fence and revision.
+func (announcement Announcement) After(fence, revision uint64) Announcement {
+	if fence != announcement.Fence || revision == 0 {
+		return announcement
+	}
+	changed := announcement
+	changed.Since = revision
+	changed.Placements = nil
+	for _, placement := range announcement.Placements {
+		if placement.Revision > revision {
+			changed.Placements = append(changed.Placements, placement)
+		}
+	}
+	return changed
 }
 
 // Newer reports whether the announcement follows the other one.
--- a/front/daemon.go
+++ b/front/daemon.go
@@ -250,6 +250,9 @@
 	}
 }
 
+// manyDaemons is the number of other daemons from which greetings are too rare to tell of requests in flight.
+const manyDaemons = 8
+
 // isReady reports whether the daemon takes requests.
 func (daemon *Daemon) isReady() bool {
 	return !daemon.stopping.Load() && daemon.relay.Configuration() != nil && daemon.directory.Known()
@@ -265,8 +268,9 @@
 	if fence, _, held := daemon.lease.Held(); held {
 		state.Fence = fence
 	}
-	_, running := daemon.demand.Report(daemon.clock.Now())
-	state.Loads = running
+	if len(daemon.mesh.Live()) <= manyDaemons {
+		_, state.Loads = daemon.demand.Report(daemon.clock.Now())
+	}
 	return state
 }
 
--- a/front/duties.go
+++ b/front/duties.go
@@ -18,6 +18,10 @@
 			daemon.sleep(ctx, leaseRenewal)
 			continue
 		}
+		if daemon.holderAnswers() {
+			daemon.sleep(ctx, leaseRenewal)
+			continue
+		}
 		// A failed step changes nothing; the follower of a table logs that the store is away.
 		_ = daemon.lease.Step(ctx)
 		_, _, now := daemon.lease.Held()
@@ -31,6 +35,22 @@
 	return ctx.Err()
 }
 
+const (
+	// holderSilence is the time without an answer of the holder of the lease from which all daemons look
+	// whether it lapsed.
+	holderSilence = 1500 * time.Millisecond
+	// watchers is the number of daemons that always look.
+	watchers = 2
+)
+
+// holderAnswers reports whether another daemon holds the lease and answers, so that this one need not look.
+func (daemon *Daemon) holderAnswers() bool {
+	if _, owned := daemon.lease.Owned(); owned || daemon.rank() < watchers {
+		return false
+	}
+	return daemon.clock.Since(daemon.directory.Heard()) < holderSilence
+}
+
 // houseEvery is the interval of housekeeping.
 const houseEvery = 500 * time.Millisecond
 
@@ -38,6 +58,7 @@
 func (daemon *Daemon) keepHouse(ctx context.Context) error {
 	ticker := daemon.clock.NewTicker(houseEvery)
 	defer ticker.Stop()
+	var most peak
 	for {
 		select {
 		case <-ctx.Done():
@@ -51,8 +72,11 @@
 			live[entry.Replica.Incarnation] = true
 		}
 		daemon.balancer.Forget(live)
-		daemon.balancer.SetOthers(daemon.mesh.Running())
-		daemon.relay.LimitRetries(retryMost(daemon.settings, len(daemon.mesh.Live())+1))
+		if daemon.clock.Since(daemon.directory.Heard()) > holderSilence {
+			daemon.balancer.SetOthers(daemon.mesh.Running())
+		}
+		most.observe(len(daemon.mesh.Live())+1, daemon.clock.Now())
+		daemon.relay.LimitRetries(retryMost(daemon.settings, most.value))
 	}
 }
 
@@ -106,3 +130,21 @@
 		event.LogLinesDropped.Log("Lines", count)
 	}
 }
+
+// peakLife is how long the largest number of daemons counts.
+const peakLife = 30 * time.Second
+
+// peak is the largest number of daemons of the last time, so that daemons which are cut off from each
+// other do not each use the whole of what all share.
+type peak struct {
+	value int
+	at    time.Time
+}
+
+// observe takes the number of daemons at the time.
+func (peak *peak) observe(value int, now time.Time) {
+	if value >= peak.value || now.Sub(peak.at) > peakLife {
+		peak.value = value
+		peak.at = now
+	}
+}
--- a/front/follow.go
+++ b/front/follow.go
@@ -13,10 +13,11 @@
 
 const (
 	// configurationWait is how long the store may wait with an answer if the configuration does not change.
-	configurationWait = time.Second
-	// replicaWait is the same for the replica table, and replicaGap the pause between two calls.
+	configurationWait = 4 * time.Second
+	// replicaWait is the same for the replica table. replicaGap is the pause between two calls; a replica
+	// that leaves is known within it, in less than the time for which it still serves.
 	replicaWait = time.Second
-	replicaGap  = 250 * time.Millisecond
+	replicaGap  = 800 * time.Millisecond
 	// lostPause is the pause before the store is called again after a failure, at first and at most.
 	lostPause    = 50 * time.Millisecond
 	longestPause = 400 * time.Millisecond
--- a/front/sync.go
+++ b/front/sync.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/bronzestall/bronzestall/demand"
 	"github.com/bronzestall/bronzestall/directory"
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/mesh"
@@ -30,10 +31,15 @@
 	}
 }
 
-// report tells the holder of the lease what requests want.
+// report tells the holder of the lease what requests want: everything at times, and at once what changed
+// when a request begins to wait.
 func (daemon *Daemon) report(ctx context.Context) error {
+	var last time.Time
+	waiting := map[demand.Key]int{}
 	for {
-		timer := daemon.clock.NewTimer(reportEvery + reportStep*time.Duration(len(daemon.mesh.Live())))
+		every := reportEvery + reportStep*time.Duration(len(daemon.mesh.Live()))
+		due := last.Add(every).Sub(daemon.clock.Now())
+		timer := daemon.clock.NewTimer(max(due, 0))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -42,13 +48,35 @@
 		case <-daemon.poked:
 			timer.Stop()
 		}
-		wants, loads := daemon.demand.Report(daemon.clock.Now())
-		fence, revision := daemon.directory.Announced()
-		daemon.sync(ctx, mesh.Report{Name: daemon.settings.Name, Wants: wants, Loads: loads, Fence: fence, Revision: revision})
+		now := daemon.clock.Now()
+		report := mesh.Report{Name: daemon.settings.Name, Partial: now.Sub(last) < every}
+		report.Wants, report.Loads = daemon.demand.Report(now)
+		if report.Partial {
+			report.Wants, report.Loads = changedWants(report.Wants, waiting), nil
+		} else {
+			last = now
+		}
+		report.Fence, report.Revision = daemon.directory.Announced()
+		if daemon.sync(ctx, report) {
+			for _, want := range report.Wants {
+				waiting[want.Key] = want.Waiting
+			}
+		}
 		daemon.sleep(ctx, reportGap)
 	}
 }
 
+// changedWants returns the wants for which another number of requests waits than was reported.
+func changedWants(wants []demand.Want, reported map[demand.Key]int) []demand.Want {
+	var changed []demand.Want
+	for _, want := range wants {
+		if want.Waiting != reported[want.Key] {
+			changed = append(changed, want)
+		}
+	}
+	return changed
+}
+
 // hearAnnouncements waits for announcements of the holder of the lease.
 func (daemon *Daemon) hearAnnouncements(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -83,6 +111,9 @@
 }
 
 func (daemon *Daemon) take(announcement directory.Announcement) {
+	if announcement.Running != nil {
+		daemon.balancer.SetOthers(announcement.Running)
+	}
 	if announcement.Revision > 0 {
 		daemon.directory.Announce(announcement)
 	}
--- a/mesh/announcement.go
+++ b/mesh/announcement.go
@@ -11,7 +11,13 @@
 
 // encodeAnnouncement encodes the announcement. Its lists are left out unless it is newer than what is known.
 func encodeAnnouncement(announcement *directory.Announcement, newer bool, now time.Time) *meshpb.Announcement {
-	encoded := &meshpb.Announcement{Fence: announcement.Fence, Revision: announcement.Revision, Newer: newer}
+	encoded := &meshpb.Announcement{Fence: announcement.Fence, Revision: announcement.Revision, Newer: newer, Since: announcement.Since}
+	for replica, running := range announcement.Running {
+		encoded.Running = append(encoded.Running, &meshpb.Load{
+			Place:   &meshpb.Place{Replica: replica.ID, Born: replica.Born},
+			Running: uint32(running),
+		})
+	}
 	if !newer {
 		return encoded
 	}
@@ -38,7 +44,13 @@
 }
 
 func decodeAnnouncement(encoded *meshpb.Announcement, now time.Time) directory.Announcement {
-	announcement := directory.Announcement{Fence: encoded.GetFence(), Revision: encoded.GetRevision()}
+	announcement := directory.Announcement{Fence: encoded.GetFence(), Revision: encoded.GetRevision(), Since: encoded.GetSince()}
+	if running := encoded.GetRunning(); len(running) > 0 {
+		announcement.Running = make(map[topology.Incarnation]int, len(running))
+		for _, load := range running {
+			announcement.Running[topology.Incarnation{ID: load.GetPlace().GetReplica(), Born: load.GetPlace().GetBorn()}] = int(load.GetRunning())
+		}
+	}
 	for _, placement := range encoded.GetPlacements() {
 		next := directory.Placement{
 			Incarnation: topology.Incarnation{ID: placement.GetReplica(), Born: placement.GetBorn()},
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -35,6 +35,8 @@
 	lostGrace = 700 * time.Millisecond
 	// forgetAfter is the time after which an unheard daemon is forgotten.
 	forgetAfter = 20 * time.Second
+	// peersEvery is the number of greetings of which one names the other daemons.
+	peersEvery = 8
 	// slowEvery is the interval of greetings to seeds and lost daemons.
 	slowEvery = time.Second
 )
@@ -46,6 +48,8 @@
 	clock    clock.WithTicker
 
 	mutex sync.Mutex
+	// greetings counts the greetings that were made.
+	greetings uint64
 	// known maps addresses to daemons. A seed that has not answered has no name.
 	known map[string]*contact
 }
@@ -158,6 +162,13 @@
 		Leaving:       state.Leaving,
 		Loads:         state.Loads.encode(),
 	}
+	node.mutex.Lock()
+	node.greetings++
+	namesPeers := node.greetings%peersEvery == 1
+	node.mutex.Unlock()
+	if !namesPeers {
+		return greeting
+	}
 	for _, live := range node.Live() {
 		greeting.Peers = append(greeting.Peers, &meshpb.Peer{Name: live.Name, Address: live.Address})
 	}
@@ -284,7 +295,8 @@
 		return nil, err
 	}
 	newer := announcement.Newer(encoded.GetFence(), encoded.GetRevision())
-	return encodeAnnouncement(&announcement, newer, node.clock.Now()), nil
+	changed := announcement.After(encoded.GetFence(), encoded.GetRevision())
+	return encodeAnnouncement(&changed, newer, node.clock.Now()), nil
 }
 
 // call sends one message to the procedure at the address.
--- a/mesh/report.go
+++ b/mesh/report.go
@@ -20,6 +20,8 @@
 	Wait time.Duration
 	// OnlyAsk states that the report has no demand.
 	OnlyAsk bool
+	// Partial states that the report has only the wants that changed, and no loads.
+	Partial bool
 }
 
 // perMille is the unit of rates on the wire.
@@ -33,6 +35,7 @@
 		Revision: report.Revision,
 		Wait:     uint64(report.Wait.Milliseconds()),
 		OnlyAsk:  report.OnlyAsk,
+		Partial:  report.Partial,
 	}
 	for _, want := range report.Wants {
 		encoded.Wants = append(encoded.Wants, &meshpb.Want{
@@ -57,6 +60,7 @@
 		Revision: encoded.GetRevision(),
 		Wait:     milliseconds(encoded.GetWait()),
 		OnlyAsk:  encoded.GetOnlyAsk(),
+		Partial:  encoded.GetPartial(),
 	}
 	for _, want := range encoded.GetWants() {
 		decoded := demand.Want{
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -114,7 +114,7 @@
 	defer relay.mutex.Unlock()
 	budget, ok := relay.budgets[service]
 	if !ok {
-		budget = retry.Limited(retry.Settings{Share: relay.settings.RetryShare, Most: relay.most})
+		budget = retry.Limited(retry.Settings{Share: relay.settings.RetryShare, Most: relay.most, Saved: firstRetries})
 		relay.budgets[service] = budget
 	}
 	return budget
@@ -144,6 +144,10 @@
 	return journey.walk(ctx)
 }
 
+// firstRetries is the number of second sendings that a daemon may spend right after its start, when many
+// may start together.
+const firstRetries = 2
+
 // retryAfterStop is the advice to the client of a daemon that is shutting down; others serve.
 const retryAfterStop = 50 * time.Millisecond
 
--- a/residency/forecast.go
+++ b/residency/forecast.go
@@ -22,12 +22,11 @@
 // Forecasts returns when the models on their way, and those that requests wait for, will be loaded.
 func (planner Planner) Forecasts(state *State) []Forecast {
 	var forecasts []Forecast
-	plan := &plan{planner: planner, state: state}
-	queued := state.storeLoads()
+	plan := &plan{planner: planner, state: state, index: state.index()}
+	queued := plan.index.storeLoads
 	for _, name := range plan.names(func(demand Demand) bool { return demand.Waiting > 0 }) {
-		loaded, loading := state.holders(name)
-		switch {
-		case len(loaded) > 0:
+		switch loading := plan.index.loading[name]; {
+		case len(plan.index.loaded[name]) > 0:
 		case len(loading) > 0:
 			forecasts = append(forecasts, Forecast{name, loading[0].ReadyAt})
 		default:
@@ -47,11 +46,8 @@
 	model := plan.state.Service.Models[name]
 	now := plan.state.Now
 	best := time.Time{}
-	for _, engine := range plan.state.Engines {
+	for _, engine := range plan.index.copies[name] {
 		tier := tierOf(&engine.Holding, name)
-		if tier == Store {
-			continue
-		}
 		begin := now
 		if engine.ReadyAt.After(now) {
 			begin = engine.ReadyAt
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -47,7 +47,7 @@
 
 // Plan returns the orders to send now, at most one for each engine that is not busy.
 func (planner Planner) Plan(state *State) []Order {
-	plan := &plan{planner: planner, state: state, taken: map[string]bool{}}
+	plan := &plan{planner: planner, state: state, index: state.index(), taken: map[string]bool{}}
 	plan.adapters()
 	plan.awaited()
 	plan.replicate()
@@ -59,6 +59,7 @@
 type plan struct {
 	planner Planner
 	state   *State
+	index   *index
 	// taken names the engines that got an order in this plan.
 	taken  map[string]bool
 	orders []Order
@@ -81,11 +82,9 @@
 // awaited loads the models that requests wait for, the quickest to help first.
 func (plan *plan) awaited() {
 	for _, name := range plan.names(func(demand Demand) bool { return demand.Waiting > 0 }) {
-		loaded, loading := plan.state.holders(name)
-		if len(loaded)+len(loading) > 0 {
-			continue
+		if plan.index.holders(name) == 0 {
+			plan.load(name, "Awaited", nil)
 		}
-		plan.load(name, "Awaited", nil)
 	}
 }
 
@@ -114,33 +113,25 @@
 	perReplica := max(runningPerReplica*float64(plan.state.Service.Slots), 1)
 	wanted := int(math.Ceil(float64(demand.Running+demand.Waiting) / perReplica))
 	if demand.Rate >= busyRate {
-		wanted = max(wanted, plan.zones())
+		wanted = max(wanted, plan.index.zones)
 	}
 	return min(wanted, len(plan.state.Engines))
 }
 
-// zones returns the number of data centres with engines.
-func (plan *plan) zones() int {
-	seen := map[string]bool{}
-	for _, engine := range plan.state.Engines {
-		seen[engine.Zone] = true
-	}
-	return len(seen)
-}
-
 // replicate adds a replica to busy models that have too few, first in data centres without one.
 func (plan *plan) replicate() {
 	for _, name := range plan.names(func(demand Demand) bool { return demand.Rate >= busyRate || demand.Running > 1 }) {
-		loaded, loading := plan.state.holders(name)
-		wanted := plan.wanted(plan.state.Models[name])
-		if len(loaded)+len(loading) >= wanted {
+		if plan.index.holders(name) >= plan.wanted(plan.state.Models[name]) {
 			continue
 		}
 		served := map[string]bool{}
-		for _, engine := range append(loaded, loading...) {
+		for _, engine := range plan.index.loaded[name] {
+			served[engine.Zone] = true
+		}
+		for _, engine := range plan.index.loading[name] {
 			served[engine.Zone] = true
 		}
-		if len(served) == plan.zones() {
+		if len(served) == plan.index.zones {
 			served = nil
 		}
 		plan.load(name, "Busy", served)
@@ -161,7 +152,7 @@
 func (plan *plan) uncopied() []string {
 	var names []string
 	for name := range plan.state.Service.Models {
-		if !plan.state.copied(name) {
+		if !plan.index.copied(name) {
 			names = append(names, name)
 		}
 	}
@@ -174,7 +165,7 @@
 
 // mayUseStore reports whether one more load from the weight store keeps its limits.
 func (plan *plan) mayUseStore() bool {
-	if plan.state.storeLoads()+plan.storeLoads >= plan.planner.settings.StoreLoadsAtOnce {
+	if plan.index.storeLoads+plan.storeLoads >= plan.planner.settings.StoreLoadsAtOnce {
 		return false
 	}
 	recent := plan.storeLoads
@@ -217,13 +208,13 @@
 // is used only for a model of which no engine has a copy.
 func (plan *plan) cheapest(model *topology.Model, avoid map[string]bool) option {
 	best := option{cost: math.Inf(1)}
-	copied := plan.state.copied(model.Name)
-	for _, engine := range plan.state.Engines {
-		if avoid[engine.Zone] || engine.Holding.Has(model.Name, "") || engine.Loading == model.Name {
-			continue
-		}
+	engines := plan.index.copies[model.Name]
+	if !plan.index.copied(model.Name) && plan.mayUseStore() {
+		engines = plan.state.Engines
+	}
+	for _, engine := range engines {
 		tier := tierOf(&engine.Holding, model.Name)
-		if tier == Store && (copied || !plan.free(engine) || !plan.mayUseStore()) {
+		if avoid[engine.Zone] || (tier == Store && !plan.free(engine)) {
 			continue
 		}
 		if next, ok := plan.option(engine, model, tier); ok && next.cost < best.cost {
@@ -306,7 +297,7 @@
 	if at, ok := engine.LoadedAt[name]; ok && plan.state.Now.Sub(at) < keepFresh {
 		return 0, false
 	}
-	loaded, _ := plan.state.holders(name)
+	loaded := plan.index.loaded[name]
 	if demand.Waiting > 0 && len(loaded) == 1 {
 		return 0, false
 	}
@@ -351,10 +342,7 @@
 func (plan *plan) adapter(model, adapter string) {
 	var best *Engine
 	bestWeight := uint64(0)
-	for _, engine := range plan.state.Engines {
-		if !engine.Holding.Has(model, "") {
-			continue
-		}
+	for _, engine := range plan.index.loaded[model] {
 		if engine.Holding.Has(model, adapter) {
 			return
 		}
--- a/residency/state.go
+++ b/residency/state.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bronzestall/bronzestall/topology"
@@ -20,37 +21,61 @@
 	Now time.Time
 }
 
-// holders returns the engines that have the model, and those on which it is on its way.
-func (state *State) holders(model string) (loaded, loading []*Engine) {
+// index is what a plan looks up by model.
+type index struct {
+	loaded, loading map[string][]*Engine
+	// copies maps models to the engines that have a copy of the weights and do not have them loaded.
+	copies map[string][]*Engine
+	// storeLoads is the number of loads from the weight store on their way.
+	storeLoads int
+	// zones is the number of data centres with engines.
+	zones int
+}
+
+// index makes the look-ups. Its cost grows with the number of engines and of their copies.
+func (state *State) index() *index {
+	made := &index{loaded: map[string][]*Engine{}, loading: map[string][]*Engine{}, copies: map[string][]*Engine{}}
+	zones := map[string]bool{}
 	for _, engine := range state.Engines {
-		if _, ok := engine.Holding.Find(model); ok {
-			loaded = append(loaded, engine)
-			continue
+		zones[engine.Zone] = true
+		for _, loaded := range engine.Holding.Models {
+			made.loaded[loaded.Model] = append(made.loaded[loaded.Model], engine)
 		}
-		if engine.Loading == model {
-			loading = append(loading, engine)
+		if engine.Loading != "" && !engine.Holding.Has(engine.Loading, "") {
+			made.loading[engine.Loading] = append(made.loading[engine.Loading], engine)
+			if engine.LoadingTier == Store {
+				made.storeLoads++
+			}
 		}
+		made.addCopies(engine)
 	}
-	return loaded, loading
+	made.zones = len(zones)
+	return made
 }
 
-// copied reports whether an engine has the weights of the model in any tier but the store, or soon will.
-func (state *State) copied(model string) bool {
-	for _, engine := range state.Engines {
-		if _, ok := engine.Holding.Find(model); ok || engine.Loading == model || tierOf(&engine.Holding, model) != Store {
-			return true
+// addCopies notes the copies of the engine.
+func (index *index) addCopies(engine *Engine) {
+	add := func(model string) {
+		if !engine.Holding.Has(model, "") && engine.Loading != model {
+			index.copies[model] = append(index.copies[model], engine)
 		}
 	}
-	return false
-}
-
-// storeLoads returns the number of loads from the weight store on their way.
-func (state *State) storeLoads() int {
-	count := 0
-	for _, engine := range state.Engines {
-		if engine.Loading != "" && engine.LoadingTier == Store {
-			count++
+	for _, model := range engine.Holding.OnDisk {
+		add(model)
+	}
+	for _, model := range engine.Holding.InHost {
+		if !slices.Contains(engine.Holding.OnDisk, model) {
+			add(model)
 		}
 	}
-	return count
+}
+
+// holders returns the number of engines that have the model or on which it is on its way.
+func (index *index) holders(model string) int {
+	return len(index.loaded[model]) + len(index.loading[model])
+}
+
+// copied reports whether an engine has the weights of the model in any tier but the store, or soon will.
+func (index *index) copied(model string) bool {
+	return index.holders(model) > 0 || len(index.copies[model]) > 0
 }
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -19,6 +19,8 @@
 	Share float64
 	// Most is the largest number of retries that can be saved up; zero means 32.
 	Most float64
+	// Saved is the number of retries at the start, at most Most; zero means Most.
+	Saved float64
 }
 
 // Budget is a bounded number of retries that grows with traffic. It is safe for concurrent use.
@@ -34,11 +36,11 @@
 	return Limited(Settings{})
 }
 
-// Limited returns a full budget with the limits.
+// Limited returns a budget with the limits.
 func Limited(settings Settings) *Budget {
 	settings.Share = cmp.Or(settings.Share, defaultShare)
 	settings.Most = cmp.Or(settings.Most, defaultMost)
-	return &Budget{settings: settings, saved: settings.Most}
+	return &Budget{settings: settings, saved: min(cmp.Or(settings.Saved, settings.Most), settings.Most)}
 }
 
 // Cap lowers or raises the largest number of retries that can be saved up.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -20,6 +20,8 @@
 const (
 	// stepEvery is the interval of steps without a reason.
 	stepEvery = 100 * time.Millisecond
+	// stepGap is the pause after a step, in which further reasons are joined.
+	stepGap = 8 * time.Millisecond
 	// startsKept is how long starts of loads from the weight store are remembered.
 	startsKept = 10 * time.Second
 	// forecastStep rounds forecasts, so that small shifts are not announced.
@@ -92,6 +94,7 @@
 	defer ticker.Stop()
 	for {
 		scheduler.Step(ctx)
+		scheduler.deps.Clock.Sleep(stepGap)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -115,10 +118,17 @@
 	}
 	scheduler.follow(now)
 	scheduler.askDue(ctx, now)
-	if !now.Before(scheduler.quietUntil) {
-		scheduler.configuration.Engines(func(service *topology.Service) { scheduler.plan(ctx, service, now) })
-	}
-	scheduler.announce(now)
+	var forecasts []directory.Forecast
+	scheduler.configuration.Engines(func(service *topology.Service) {
+		state := scheduler.state(service, now)
+		if !now.Before(scheduler.quietUntil) {
+			scheduler.plan(ctx, service, state)
+		}
+		for _, forecast := range scheduler.planner.Forecasts(state) {
+			forecasts = append(forecasts, directory.Forecast{Key: forecast.Key(service.Name), Ready: forecast.Ready.Round(forecastStep)})
+		}
+	})
+	scheduler.announce(forecasts)
 }
 
 // begin starts a tenure. The mutex is held.
@@ -165,8 +175,7 @@
 }
 
 // plan sends the orders of one service. The mutex is held.
-func (scheduler *Scheduler) plan(ctx context.Context, service *topology.Service, now time.Time) {
-	state := scheduler.state(service, now)
+func (scheduler *Scheduler) plan(ctx context.Context, service *topology.Service, state *residency.State) {
 	for _, order := range scheduler.planner.Plan(state) {
 		scheduler.send(ctx, order, service)
 	}
@@ -192,25 +201,27 @@
 }
 
 // announce makes a new announcement if something changed. The mutex is held.
-func (scheduler *Scheduler) announce(now time.Time) {
-	next := directory.Announcement{Fence: scheduler.fence, Revision: scheduler.announced.Revision}
-	for _, engine := range scheduler.engines {
-		next.Placements = append(next.Placements, directory.Placement{Incarnation: engine.Incarnation, Holding: engine.usable()})
+func (scheduler *Scheduler) announce(forecasts []directory.Forecast) {
+	next := directory.Announcement{Fence: scheduler.fence, Revision: scheduler.announced.Revision + 1, Forecasts: forecasts}
+	changed := len(scheduler.engines) != len(scheduler.announced.Placements) || !slices.Equal(forecasts, scheduler.announced.Forecasts)
+	before := make(map[topology.Incarnation]*directory.Placement, len(scheduler.announced.Placements))
+	for index := range scheduler.announced.Placements {
+		placement := &scheduler.announced.Placements[index]
+		before[placement.Incarnation] = placement
 	}
-	slices.SortFunc(next.Placements, func(a, b directory.Placement) int { return strings.Compare(a.ID, b.ID) })
-	scheduler.configuration.Engines(func(service *topology.Service) {
-		state := scheduler.state(service, now)
-		for _, forecast := range scheduler.planner.Forecasts(state) {
-			next.Forecasts = append(next.Forecasts, directory.Forecast{
-				Key:   forecast.Key(service.Name),
-				Ready: forecast.Ready.Round(forecastStep),
-			})
+	for _, engine := range scheduler.engines {
+		placement := directory.Placement{Incarnation: engine.Incarnation, Holding: engine.usable(), Revision: next.Revision}
+		if known, ok := before[engine.Incarnation]; ok && reflect.DeepEqual(known.Holding, placement.Holding) {
+			placement.Revision = known.Revision
+		} else {
+			changed = true
 		}
-	})
-	if reflect.DeepEqual(next, scheduler.announced) {
+		next.Placements = append(next.Placements, placement)
+	}
+	if !changed {
 		return
 	}
-	next.Revision++
+	slices.SortFunc(next.Placements, func(a, b directory.Placement) int { return strings.Compare(a.ID, b.ID) })
 	scheduler.announced = next
 	close(scheduler.changed)
 	scheduler.changed = make(chan struct{})
@@ -224,7 +235,8 @@
 	}
 	if !report.OnlyAsk {
 		scheduler.mutex.Lock()
-		scheduler.reports[report.Name] = heard{report, scheduler.deps.Clock.Now()}
+		now := scheduler.deps.Clock.Now()
+		scheduler.reports[report.Name] = scheduler.reports[report.Name].with(report, now)
 		scheduler.mutex.Unlock()
 		scheduler.Wake()
 	}
@@ -233,6 +245,9 @@
 	for {
 		scheduler.mutex.Lock()
 		announced, changed := scheduler.announced, scheduler.changed
+		if !report.OnlyAsk && !report.Partial {
+			announced.Running = scheduler.running(report.Name)
+		}
 		scheduler.mutex.Unlock()
 		if announced.Revision > 0 && announced.Newer(report.Fence, report.Revision) {
 			return announced, nil
@@ -246,3 +261,18 @@
 		}
 	}
 }
+
+// running returns the requests in flight from all daemons but the named one, by engine. The mutex is held.
+func (scheduler *Scheduler) running(except string) map[topology.Incarnation]int {
+	sum := map[topology.Incarnation]int{}
+	now := scheduler.deps.Clock.Now()
+	for name, heard := range scheduler.reports {
+		if name == except || now.Sub(heard.at) > reportLife {
+			continue
+		}
+		for place, count := range heard.loads {
+			sum[place.Incarnation] += count
+		}
+	}
+	return sum
+}
--- a/scheduler/totals.go
+++ b/scheduler/totals.go
@@ -12,10 +12,31 @@
 // reportLife is how long a report counts if its daemon sends no other.
 const reportLife = 3 * time.Second
 
-// heard is the last report of one daemon.
+// heard is what one daemon reported.
 type heard struct {
-	report mesh.Report
-	at     time.Time
+	// wants are the newest ones by key and loads those of the last whole report.
+	wants map[demand.Key]demand.Want
+	loads mesh.Loads
+	at    time.Time
+}
+
+// with returns what is known after a further report.
+func (heard heard) with(report mesh.Report, now time.Time) heard {
+	heard.at = now
+	if report.Partial && heard.wants != nil {
+		for _, want := range report.Wants {
+			heard.wants[want.Key] = want
+		}
+		return heard
+	}
+	heard.wants = make(map[demand.Key]demand.Want, len(report.Wants))
+	for _, want := range report.Wants {
+		heard.wants[want.Key] = want
+	}
+	if !report.Partial {
+		heard.loads = report.Loads
+	}
+	return heard
 }
 
 // totals is the demand of all daemons for the engines of one service.
@@ -37,12 +58,12 @@
 		if now.Sub(heard.at) > reportLife {
 			continue
 		}
-		for _, want := range heard.report.Wants {
+		for _, want := range heard.wants {
 			if want.Service == service {
 				sum.want(want)
 			}
 		}
-		for place, count := range heard.report.Loads {
+		for place, count := range heard.loads {
 			if place.Service == service && place.Model != "" {
 				sum.run(place, count)
 			}
