Replicate busy models by their prompt tokens, load their adapters ahead

While nobody held the lease, requests for adapters waited until their clients left. Change: replicas by prompt tokens a second; the weight store where prompts outrun the replicas; impatient callers count as busy at once; adapters of busy models are loaded ahead, copies in each data centre.

--- a/demand/book.go
+++ b/demand/book.go
@@ -9,7 +9,7 @@
 )
 
 // halfLife is the time in which the weight of an arrival in a rate halves.
-const halfLife = 4 * time.Second
+const halfLife = 3 * time.Second
 
 // Key names a model of a service, or one of its adapters.
 type Key struct {
@@ -31,8 +31,8 @@
 	// Waiting is the number of requests that wait, and Oldest when the first of them arrived.
 	Waiting int
 	Oldest  time.Time
-	// Rate is the number of arrivals a second.
-	Rate float64
+	// Rate is the number of arrivals a second, and Tokens that of the prompt tokens that they bring.
+	Rate, Tokens float64
 	// Target is the shortest time to the first event that callers expect.
 	Target time.Duration
 	// Used is when the last request arrived.
@@ -50,10 +50,10 @@
 type want struct {
 	// arrivals holds when waiting requests arrived, the first first.
 	arrivals []time.Time
-	// rate is the decayed count of arrivals as of used.
-	rate   float64
-	used   time.Time
-	target time.Duration
+	// rate is the decayed count of arrivals as of used, and tokens that of their prompt tokens.
+	rate, tokens float64
+	used         time.Time
+	target       time.Duration
 }
 
 // New returns an empty book.
@@ -61,12 +61,13 @@
 	return &Book{wants: map[Key]*want{}, running: map[Place]int{}}
 }
 
-// Arrive notes a request for the key.
-func (book *Book) Arrive(key Key, target time.Duration, now time.Time) {
+// Arrive notes a request for the key with a prompt of the number of tokens.
+func (book *Book) Arrive(key Key, tokens int, target time.Duration, now time.Time) {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
 	known := book.want(key)
 	known.rate = decayed(known.rate, now.Sub(known.used)) + 1
+	known.tokens = decayed(known.tokens, now.Sub(known.used)) + float64(tokens)
 	known.used = now
 	if known.target == 0 || target < known.target {
 		known.target = target
@@ -135,6 +136,7 @@
 		}
 		next := Want{Key: key, Waiting: len(known.arrivals), Target: known.target, Used: known.used}
 		next.Rate = decayed(known.rate, now.Sub(known.used)) * math.Ln2 / halfLife.Seconds()
+		next.Tokens = decayed(known.tokens, now.Sub(known.used)) * math.Ln2 / halfLife.Seconds()
 		if len(known.arrivals) > 0 {
 			next.Oldest = known.arrivals[0]
 		}
--- a/mesh/report.go
+++ b/mesh/report.go
@@ -45,6 +45,7 @@
 			Waiting:   uint32(want.Waiting),
 			OldestAge: age(want.Oldest, now),
 			Rate:      uint64(want.Rate * perMille),
+			Tokens:    uint64(want.Tokens),
 			Target:    uint64(want.Target.Milliseconds()),
 			UsedAge:   age(want.Used, now),
 		})
@@ -67,6 +68,7 @@
 			Key:     demand.Key{Service: want.GetService(), Model: want.GetModel(), Adapter: want.GetAdapter()},
 			Waiting: int(want.GetWaiting()),
 			Rate:    float64(want.GetRate()) / perMille,
+			Tokens:  float64(want.GetTokens()),
 			Target:  milliseconds(want.GetTarget()),
 			Used:    now.Add(-milliseconds(want.GetUsedAge())),
 		}
--- a/relay/journey.go
+++ b/relay/journey.go
@@ -56,7 +56,7 @@
 	if wait, refused := relay.deps.Suspects.Refused(journey.request.Fingerprint(), relay.deps.Clock.Now()); refused {
 		return outcome.New(outcome.Quarantined, "earlier sendings broke replicas").WithRetryAfter(wait)
 	}
-	relay.deps.Demand.Arrive(journey.key(), journey.route.LatencyTarget, journey.request.Arrived)
+	relay.deps.Demand.Arrive(journey.key(), journey.request.Traits.PromptTokens, journey.route.LatencyTarget, journey.request.Arrived)
 	relay.budget(journey.service.Name).Earn()
 	for {
 		candidate, failure := journey.place(ctx)
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -10,6 +10,8 @@
 	Oldest time.Time
 	// Rate is the number of requests a second, averaged over some seconds.
 	Rate float64
+	// Tokens is the number of prompt tokens a second.
+	Tokens float64
 	// Running is the number of requests in flight.
 	Running int
 	// Target is the time to the first event that callers expect; zero if unknown.
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 	"strings"
@@ -16,9 +17,19 @@
 const (
 	// runningPerReplica is the number of requests in flight of a model, as a part of an engine's slots,
 	// from which it gets a further replica.
-	runningPerReplica = 0.15
+	runningPerReplica = 0.25
 	// busyRate is the number of requests a second from which a model is kept in several data centres.
 	busyRate = 1.0
+	// impatientRate is the same for callers who expect the first event sooner than a load takes. Such
+	// models are few, and a rise of their demand goes on.
+	impatientRate = 0.3
+	// prefillShare is the part of an engine's time that prompts of one model may take before it gets a
+	// further replica; the rest is for tokens, other models and bursts.
+	prefillShare = 0.3
+	// shortShare is the same part from which it gets one even by a load from the weight store.
+	shortShare = 0.5
+	// adapterCopies bounds the replicas that are given the same adapter ahead of demand.
+	adapterCopies = 3
 )
 
 // The costs of a load, as seconds.
@@ -108,20 +119,31 @@
 	return names
 }
 
-// wanted returns the number of replicas that the demand asks for.
-func (plan *plan) wanted(demand Demand) int {
+// wanted returns the number of replicas that the demand for the model asks for.
+func (plan *plan) wanted(name string) int {
+	demand := plan.state.Models[name]
 	perReplica := max(runningPerReplica*float64(plan.state.Service.Slots), 1)
-	wanted := int(math.Ceil(float64(demand.Running+demand.Waiting) / perReplica))
-	if demand.Rate >= busyRate {
+	byRunning := float64(demand.Running+demand.Waiting) / perReplica
+	byTokens := demand.Tokens / (prefillShare * plan.planner.settings.PrefillRate)
+	wanted := int(math.Ceil(max(byRunning, byTokens)))
+	if plan.busy(name) {
 		wanted = max(wanted, plan.index.zones)
 	}
 	return min(wanted, len(plan.state.Engines))
 }
 
+// busy reports whether the model is asked for so often, or by callers so impatient, that each data centre keeps it.
+func (plan *plan) busy(name string) bool {
+	demand := plan.state.Models[name]
+	model := plan.state.Service.Models[name]
+	impatient := demand.Target > 0 && demand.Target < model.DiskLoad
+	return demand.Rate >= busyRate || (impatient && demand.Rate >= impatientRate)
+}
+
 // replicate adds a replica to busy models that have too few, first in data centres without one.
 func (plan *plan) replicate() {
-	for _, name := range plan.names(func(demand Demand) bool { return demand.Rate >= busyRate || demand.Running > 1 }) {
-		if plan.index.holders(name) >= plan.wanted(plan.state.Models[name]) {
+	for _, name := range plan.names(func(demand Demand) bool { return demand.Rate >= impatientRate || demand.Running > 1 }) {
+		if plan.index.holders(name) >= plan.wanted(name) {
 			continue
 		}
 		served := map[string]bool{}
@@ -138,6 +160,27 @@
 	}
 }
 
+// spare returns the engines that could take a further replica of the model: those with a copy of it, or
+// else all if the weight store has room.
+func (plan *plan) spare(name string, avoid map[string]bool) []*Engine {
+	for _, engine := range plan.index.copies[name] {
+		if plan.free(engine) && !avoid[engine.Zone] {
+			return plan.index.copies[name]
+		}
+	}
+	if plan.mayUseStore() && (!plan.index.copied(name) || plan.short(name)) {
+		return plan.state.Engines
+	}
+	return plan.index.copies[name]
+}
+
+// short reports whether the replicas of the model cannot keep up with its prompts, so that a slow load of
+// a further one is worth keeping an engine from quick loads.
+func (plan *plan) short(name string) bool {
+	needed := plan.state.Models[name].Tokens / (shortShare * plan.planner.settings.PrefillRate)
+	return plan.index.holders(name) > 0 && float64(plan.index.holders(name)) < needed
+}
+
 // copyWeights loads models of which no engine has a copy, so that a later load is quick.
 func (plan *plan) copyWeights() {
 	for _, name := range plan.uncopied() {
@@ -205,18 +248,17 @@
 }
 
 // cheapest returns the engine where a load of the model costs least, busy ones included. The weight store
-// is used only for a model of which no engine has a copy.
+// is used only for a model of which no engine has a copy, or for further replicas of a busy one.
 func (plan *plan) cheapest(model *topology.Model, avoid map[string]bool) option {
 	best := option{cost: math.Inf(1)}
-	engines := plan.index.copies[model.Name]
-	if !plan.index.copied(model.Name) && plan.mayUseStore() {
-		engines = plan.state.Engines
-	}
-	for _, engine := range engines {
+	for _, engine := range plan.spare(model.Name, avoid) {
 		tier := tierOf(&engine.Holding, model.Name)
 		if avoid[engine.Zone] || (tier == Store && !plan.free(engine)) {
 			continue
 		}
+		if engine.Holding.Has(model.Name, "") || engine.Loading == model.Name {
+			continue
+		}
 		if next, ok := plan.option(engine, model, tier); ok && next.cost < best.cost {
 			best = next
 		}
@@ -301,9 +343,7 @@
 	if demand.Waiting > 0 && len(loaded) == 1 {
 		return 0, false
 	}
-	if wanted := plan.wanted(demand); len(loaded) > max(wanted, 1) {
-		return 0, true
-	} else if len(loaded) > 1 && demand.Rate < busyRate && demand.Running == 0 {
+	if len(loaded) > max(plan.wanted(name), 1) {
 		return 0, true
 	}
 	model := plan.state.Service.Models[name]
@@ -336,6 +376,68 @@
 		model, adapter, _ := strings.Cut(name, "/")
 		plan.adapter(model, adapter)
 	}
+	plan.adaptersAhead()
+}
+
+// adaptersAhead fills free places with adapters of busy models, so that they serve also while nobody may
+// send orders. Each data centre gets its own copies, the rarest adapters first.
+func (plan *plan) adaptersAhead() {
+	asked := map[string]bool{}
+	for name := range plan.state.Adapters {
+		model, _, _ := strings.Cut(name, "/")
+		asked[model] = true
+	}
+	for _, name := range plan.names(func(demand Demand) bool { return demand.Rate >= busyRate }) {
+		if !asked[name] {
+			continue
+		}
+		for _, engine := range plan.index.loaded[name] {
+			if plan.free(engine) && plan.adapterRoom(engine, name) {
+				plan.adapterAhead(engine, name)
+			}
+		}
+	}
+}
+
+// adapterAhead loads the adapter of the model on the engine that has the fewest copies elsewhere.
+func (plan *plan) adapterAhead(engine *Engine, model string) {
+	loaded, _ := engine.Holding.Find(model)
+	best, fewest := "", adapterCopies
+	for number := range plan.state.Service.Models[model].Adapters {
+		adapter := fmt.Sprintf("a%d", number+1)
+		if slices.Contains(loaded.Adapters, adapter) {
+			continue
+		}
+		if count, own := plan.adapterCopies(model, adapter, engine.Zone); !own && count < fewest {
+			best, fewest = adapter, count
+		}
+	}
+	if best != "" {
+		plan.add(engine, Order{Operation: Load, Model: model, Adapter: best, Reason: "AdapterAhead"})
+	}
+}
+
+// adapterCopies returns the number of engines that have the adapter, and whether one of the data centre has it.
+func (plan *plan) adapterCopies(model, adapter, zone string) (count int, own bool) {
+	for _, engine := range plan.index.loaded[model] {
+		if engine.Holding.Has(model, adapter) {
+			count++
+			own = own || engine.Zone == zone
+		}
+	}
+	for _, order := range plan.orders {
+		if order.Operation == Load && order.Model == model && order.Adapter == adapter {
+			count++
+		}
+	}
+	return count, own
+}
+
+// adapterRoom reports whether one more adapter of the model fits on the engine.
+func (plan *plan) adapterRoom(engine *Engine, model string) bool {
+	size := plan.state.Service.Models[model].AdapterBytes
+	return engine.Holding.AdapterCount() < plan.state.Service.MaxAdapters &&
+		engine.used(plan.state.Service.Models)+size <= plan.state.Service.Memory
 }
 
 // adapter loads one adapter on the engine that its name prefers among those free, or makes room for it.
@@ -346,17 +448,23 @@
 		if engine.Holding.Has(model, adapter) {
 			return
 		}
+		if !plan.free(engine) {
+			continue
+		}
 		weight := xxhash.Sum64String(model + "/" + adapter + "/" + engine.ID)
-		if plan.free(engine) && (best == nil || weight > bestWeight) {
+		if plan.adapterRoom(engine, model) {
+			weight |= 1 << 63
+		} else {
+			weight &^= 1 << 63
+		}
+		if best == nil || weight > bestWeight {
 			best, bestWeight = engine, weight
 		}
 	}
 	if best == nil {
 		return
 	}
-	full := best.Holding.AdapterCount() >= plan.state.Service.MaxAdapters
-	size := plan.state.Service.Models[model].AdapterBytes
-	if full || best.used(plan.state.Service.Models)+size > plan.state.Service.Memory {
+	if !plan.adapterRoom(best, model) {
 		if old, other, ok := plan.idleAdapter(best); ok {
 			plan.add(best, Order{Operation: Unload, Model: old, Adapter: other, Reason: "AdapterMakeRoom"})
 		}
--- a/scheduler/totals.go
+++ b/scheduler/totals.go
@@ -84,6 +84,7 @@
 func joined(sum residency.Demand, want demand.Want) residency.Demand {
 	sum.Waiting += want.Waiting
 	sum.Rate += want.Rate
+	sum.Tokens += want.Tokens
 	if want.Waiting > 0 && (sum.Oldest.IsZero() || want.Oldest.Before(sum.Oldest)) {
 		sum.Oldest = want.Oldest
 	}
