Spread prompts that are not read yet, by seat of the daemon

Balancing counted requests, and all daemons preferred the same replica for the same shared part. Ruled out: orders (none near the pauses), the network, this process. Change: balancing counts the prompt tokens that a replica was sent and has not answered; each daemon prefers other replicas. Requests log what decided them.

--- a/balance/ask.go
+++ b/balance/ask.go
@@ -4,8 +4,10 @@
 
 // Ask is what a request needs.
 type Ask struct {
-	// Affinity names the shared part of the prompt; requests with the same one prefer the same replica.
-	Affinity string
+	// Tokens is the length of the prompt; zero for a plain service.
+	Tokens int
+	// Seat is the place of the daemon among all; daemons with different seats prefer different replicas.
+	Seat int
 	// Zone is the data centre of the daemon.
 	Zone string
 	// Exclude lists replicas that were tried.
@@ -21,4 +23,6 @@
 	Zone string
 	// Slots is the number of requests that it runs at once; it is at least one.
 	Slots int
+	// InFlight is the number of requests at it, as far as known; it is set by Choose.
+	InFlight int
 }
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -19,8 +20,13 @@
 	failureCost = 12.0
 	// foreignCost multiplies the score of a replica in another data centre.
 	foreignCost = 1.15
-	// affinityGain multiplies the score of the replica that has probably kept the prompt's shared part.
-	affinityGain = 0.7
+	// seatGain multiplies the score of the replica that this daemon prefers, so that prompts of different
+	// daemons seldom meet at one replica.
+	seatGain = 0.8
+	// prefillCost is what prefillUnit tokens of prompts add that a replica has not read yet: they hold up
+	// the events of all its streams.
+	prefillCost = 1.5
+	prefillUnit = 1000.0
 	// jitter is the random part of a score, which keeps daemons with the same view apart.
 	jitter = 0.06
 	// slowest bounds the factor of a slow replica.
@@ -60,7 +66,9 @@
 	}
 	rank := balancer.rank(candidates, ask, now)
 	load := balancer.load(rank.Incarnation)
+	rank.InFlight = load.own + load.others
 	load.own++
+	load.prefill += ask.Tokens
 	load.used = now
 	if load.streak >= barStreak {
 		load.barredUntil = now.Add(barFor)
@@ -71,15 +79,15 @@
 // rank returns the candidate with the lowest score in the best class. The mutex is held.
 func (balancer *Balancer) rank(candidates []Candidate, ask Ask, now time.Time) Candidate {
 	fastest := balancer.fastest(candidates, now)
-	kept := preferred(candidates, ask.Affinity)
+	seat := seated(candidates, ask.Seat)
 	best := -1
 	bestScore, bestClass := 0.0, 0
 	for index := range candidates {
 		candidate := &candidates[index]
 		class := balancer.class(candidate, ask, now)
 		score := balancer.score(candidate, ask, fastest, now)
-		if index == kept {
-			score *= affinityGain
+		if index == seat {
+			score *= seatGain
 		}
 		if best < 0 || class < bestClass || (class == bestClass && score < bestScore) {
 			best, bestScore, bestClass = index, score, class
@@ -105,7 +113,7 @@
 	if fastest > 0 && load.latency > 0 && now.Sub(load.used) < forgetAfter {
 		score *= min(float64(load.latency)/float64(fastest), slowest)
 	}
-	score += failureCost * load.failures
+	score += failureCost*load.failures + prefillCost*float64(load.prefill)/prefillUnit
 	if candidate.Zone != ask.Zone {
 		score *= foreignCost
 	}
@@ -124,24 +132,17 @@
 	return lowest
 }
 
-// preferred returns the index of the candidate that all daemons prefer for the affinity, or -1.
-func preferred(candidates []Candidate, affinity string) int {
-	if affinity == "" {
-		return -1
-	}
-	best, highest := -1, uint64(0)
+// seated returns the index of the candidate that the daemon of the seat prefers. Candidates are ordered by
+// a hash, so that the preferences for different models are independent.
+func seated(candidates []Candidate, seat int) int {
+	order := make([]int, len(candidates))
+	weights := make([]uint64, len(candidates))
 	for index := range candidates {
-		weight := xxhash.Sum64String(affinity + "/" + candidates[index].ID)
-		if best < 0 || weight > highest {
-			best, highest = index, weight
-		}
+		order[index] = index
+		weights[index] = xxhash.Sum64String(candidates[index].ID)
 	}
-	return best
-}
-
-// Preferred returns the candidate that all daemons prefer for the affinity. It panics without candidates.
-func Preferred(candidates []Candidate, affinity string) Candidate {
-	return candidates[max(preferred(candidates, affinity), 0)]
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(weights[a], weights[b]) })
+	return order[seat%len(order)]
 }
 
 // load returns the load of the incarnation. The mutex is held.
@@ -161,6 +162,13 @@
 	balancer.load(incarnation).observe(latency)
 }
 
+// Prefilled notes that the replica has read a prompt, or that the request for it ended.
+func (balancer *Balancer) Prefilled(incarnation topology.Incarnation, tokens int) {
+	balancer.mutex.Lock()
+	defer balancer.mutex.Unlock()
+	balancer.load(incarnation).prefill -= tokens
+}
+
 // Done ends a request in flight. failed states that the replica failed it.
 func (balancer *Balancer) Done(incarnation topology.Incarnation, failed bool, now time.Time) {
 	balancer.mutex.Lock()
--- a/balance/load.go
+++ b/balance/load.go
@@ -8,6 +8,8 @@
 	own int
 	// others is the number of requests in flight from other daemons, as they told.
 	others int
+	// prefill is the number of prompt tokens sent by this daemon for which no event came yet.
+	prefill int
 	// latency is the moving average of the time to the first byte of an answer; zero if unknown.
 	latency time.Duration
 	// failures is the moving average of failed attempts, from zero to one.
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -56,12 +56,3 @@
 	_, _ = digest.Write(request.Body)
 	return digest.Sum64()
 }
-
-// SharedPart returns the name of the last part of the prompt that other requests share too, or an
-// empty string. The last part of all belongs to the request or its session.
-func (traits *Traits) SharedPart() string {
-	if len(traits.Prefix) < 2 {
-		return ""
-	}
-	return traits.Prefix[len(traits.Prefix)-2].ID
-}
--- a/front/daemon.go
+++ b/front/daemon.go
@@ -74,6 +74,8 @@
 
 	// stopping states that the daemon fails its readiness check.
 	stopping atomic.Bool
+	// seat is the place of the daemon among those that live.
+	seat atomic.Int64
 	// poked asks for a report of demand at once.
 	poked chan struct{}
 	// replicasChanged asks to apply the replica table.
@@ -121,6 +123,7 @@
 		Demand:    daemon.demand,
 		Suspects:  relay.NewSuspects(),
 		Poke:      daemon.poke,
+		Seat:      func() int { return int(daemon.seat.Load()) },
 		Clock:     clk,
 	})
 	daemon.ingress = ingress.New(ingress.Deps{
--- a/front/duties.go
+++ b/front/duties.go
@@ -66,6 +66,7 @@
 		case <-ticker.C():
 		}
 		daemon.pool.Sweep()
+		daemon.seat.Store(int64(daemon.rank()))
 		daemon.reportDropped()
 		live := map[topology.Incarnation]bool{}
 		for _, entry := range daemon.roster.Entries() {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"time"
 
 	"k8s.io/utils/clock"
 
@@ -26,7 +27,7 @@
 	// Configuration returns the configuration in force, or nil.
 	Configuration() *topology.Configuration
 	// Serve answers the request through the sink, or returns why it did not.
-	Serve(ctx context.Context, request *exchange.Request, sink relay.Sink) *outcome.Error
+	Serve(ctx context.Context, request *exchange.Request, sink relay.Sink) (relay.Summary, *outcome.Error)
 }
 
 // Deps is what an ingress works with. All fields must be set.
@@ -73,11 +74,12 @@
 		writer.Header().Set("Connection", "close")
 	}
 	request, failure := ingress.read(writer, incoming)
-	sink := &sink{writer: writer, controller: http.NewResponseController(writer)}
+	sink := &sink{begun: time.Now(), writer: writer, controller: http.NewResponseController(writer)}
+	var summary relay.Summary
 	if failure == nil {
-		failure = ingress.deps.Relay.Serve(incoming.Context(), request, sink)
+		summary, failure = ingress.deps.Relay.Serve(incoming.Context(), request, sink)
 	}
-	ingress.record(request, sink, failure)
+	ingress.record(request, sink, summary, failure)
 	if failure == nil {
 		return
 	}
@@ -114,20 +116,26 @@
 }
 
 // record logs and counts how the request ended.
-func (ingress *Ingress) record(request *exchange.Request, sink *sink, failure *outcome.Error) {
+func (ingress *Ingress) record(request *exchange.Request, sink *sink, summary relay.Summary, failure *outcome.Error) {
 	took := ingress.deps.Clock.Since(request.Arrived)
-	labels := meter.Labels{Class: request.Method}
+	labels := meter.Labels{Class: summary.Route}
+	fields := []any{
+		"Request", request.Traits.ID, "Path", request.Path, "Route", summary.Route, "Configuration", summary.Configuration,
+		"Model", request.Traits.Model, "Adapter", request.Traits.Adapter, "PromptTokens", request.Traits.PromptTokens,
+		"Replica", summary.Replica.ID, "InFlight", summary.InFlight, "Sends", summary.Sends, "Waited", summary.Waited,
+		"Took", took, "First", sink.first, "LongestGap", sink.gap, "Bytes", sink.bytes,
+	}
 	if failure == nil {
 		ingress.deps.Meter.Count(meter.Answered, labels, 1)
 		ingress.deps.Meter.Observe(meter.TotalTime, labels, took)
-		event.RequestAnswered.Log("Request", request.Traits.ID, "Path", request.Path, "Model", request.Traits.Model,
-			"Status", sink.status, "Bytes", sink.bytes, "Took", took)
+		ingress.deps.Meter.Observe(meter.FirstToken, labels, sink.first)
+		ingress.deps.Meter.Observe(meter.BetweenTokens, labels, sink.gap)
+		event.RequestAnswered.Log(append(fields, "Status", sink.status)...)
 		return
 	}
 	labels.Kind = failure.Kind.String()
 	ingress.deps.Meter.Count(meter.Refused, labels, 1)
-	event.Refusal(failure.Kind).Log("Request", request.Traits.ID, "Path", request.Path, "Model", request.Traits.Model,
-		"Begun", sink.Begun(), "Took", took, "RetryAfter", failure.RetryAfter, "Cause", failure.Error())
+	event.Refusal(failure.Kind).Log(append(fields, "Begun", sink.Begun(), "RetryAfter", failure.RetryAfter, "Cause", failure.Error())...)
 }
 
 // refuse answers a request that got no answer. What has not run is refused with 503, unless the client erred.
@@ -154,6 +162,10 @@
 	// streaming states that each part is passed on at once.
 	streaming bool
 	bytes     int64
+	// begun is when the request was read, and last when the last part was passed on.
+	begun, last time.Time
+	// first is the time to the first part, and gap the longest time between two parts.
+	first, gap time.Duration
 }
 
 // Head begins the answer.
@@ -175,6 +187,7 @@
 
 // Write passes on a part of the body.
 func (sink *sink) Write(part []byte) error {
+	sink.observe(time.Now())
 	n, err := sink.writer.Write(part)
 	sink.bytes += int64(n)
 	if err != nil || !sink.streaming {
@@ -183,6 +196,16 @@
 	return sink.controller.Flush()
 }
 
+// observe notes that a part is passed on.
+func (sink *sink) observe(now time.Time) {
+	if sink.last.IsZero() {
+		sink.first = now.Sub(sink.begun)
+	} else {
+		sink.gap = max(sink.gap, now.Sub(sink.last))
+	}
+	sink.last = now
+}
+
 // Begun reports whether the answer began.
 func (sink *sink) Begun() bool {
 	return sink.status != 0
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/bronzestall/bronzestall/balance"
@@ -41,6 +42,8 @@
 	defer cancel(nil)
 	watch := journey.watch(cancel)
 	defer watch.stop()
+	prefill := sync.OnceFunc(func() { journey.prefilled(candidate) })
+	defer prefill()
 	journey.sends++
 	journey.runs++
 	begun := journey.relay.deps.Clock.Now()
@@ -60,11 +63,18 @@
 		return journey.rejected(candidate, reply)
 	}
 	if journey.route.Kind == topology.Streaming && reply.Success() {
-		return journey.stream(ctx, candidate, reply, begun, watch)
+		return journey.stream(ctx, candidate, reply, begun, watch, prefill)
 	}
 	return journey.whole(ctx, candidate, reply, begun)
 }
 
+// prefilled notes that the candidate has read the prompt or will not read it.
+func (journey *journey) prefilled(candidate balance.Candidate) {
+	if journey.service.Engine != nil {
+		journey.relay.deps.Balancer.Prefilled(candidate.Incarnation, journey.request.Traits.PromptTokens)
+	}
+}
+
 // urgency returns the rank that engines are given: the priority of the route, within what they take.
 func urgency(route *topology.Route) int {
 	const lowest = 9
--- a/relay/journey.go
+++ b/relay/journey.go
@@ -44,8 +44,8 @@
 	tried []topology.Incarnation
 	// last is the number of the last event that the client got.
 	last uint64
-	// waited states that the request waited for its model.
-	waited bool
+	// summary is what is logged of the request.
+	summary Summary
 	// failed is the whole answer of a replica that failed, kept in case no other answers.
 	failed *whole
 }
--- a/relay/place.go
+++ b/relay/place.go
@@ -24,10 +24,15 @@
 // place returns the replica for the next sending. It waits for a model or adapter that no replica has,
 // as long as an answer in time can be hoped for.
 func (journey *journey) place(ctx context.Context) (balance.Candidate, *outcome.Error) {
-	ask := balance.Ask{Affinity: journey.request.Traits.SharedPart(), Zone: journey.relay.settings.Zone, Exclude: journey.tried}
+	ask := balance.Ask{Zone: journey.relay.settings.Zone, Seat: journey.relay.seat(), Exclude: journey.tried}
+	if journey.service.Engine != nil {
+		ask.Tokens = journey.request.Traits.PromptTokens
+	}
 	waiting := false
+	begun := journey.relay.deps.Clock.Now()
 	defer func() {
 		if waiting {
+			journey.summary.Waited += journey.relay.deps.Clock.Since(begun)
 			journey.relay.deps.Demand.Leave(journey.key(), journey.request.Arrived)
 		}
 	}()
@@ -38,6 +43,8 @@
 			return balance.Candidate{}, ended(ctx, false)
 		}
 		if chosen, ok := journey.relay.deps.Balancer.Choose(journey.candidates(), ask, now); ok {
+			journey.summary.Replica = chosen.Incarnation
+			journey.summary.InFlight = chosen.InFlight
 			return chosen, nil
 		}
 		until, failure := journey.patience(now)
@@ -62,7 +69,6 @@
 
 // wait tells that the request waits for its model.
 func (journey *journey) wait() {
-	journey.waited = true
 	journey.relay.deps.Demand.Wait(journey.key(), journey.request.Arrived)
 	event.RequestWaits.Log("Request", journey.request.Traits.ID, "Service", journey.service.Name,
 		"Model", journey.request.Traits.Model, "Adapter", journey.request.Traits.Adapter)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -17,7 +17,7 @@
 	"github.com/bronzestall/bronzestall/topology"
 )
 
-// Deps is what a relay works with. All fields but Poke must be set.
+// Deps is what a relay works with. All fields but Poke and Seat must be set.
 type Deps struct {
 	// Upstream sends requests.
 	Upstream Upstream
@@ -31,6 +31,8 @@
 	Suspects *Suspects
 	// Poke is called when a request begins to wait for a model.
 	Poke func()
+	// Seat returns the place of the daemon among all; nil means zero.
+	Seat func() int
 	// Clock tells the time.
 	Clock clock.WithTicker
 }
@@ -109,6 +111,14 @@
 	}
 }
 
+// seat returns the place of the daemon among all.
+func (relay *Relay) seat() int {
+	if relay.deps.Seat == nil {
+		return 0
+	}
+	return relay.deps.Seat()
+}
+
 func (relay *Relay) budget(service string) *retry.Budget {
 	relay.mutex.Lock()
 	defer relay.mutex.Unlock()
@@ -122,17 +132,17 @@
 
 // Serve answers the request through the sink, or returns why it did not. If the sink has begun then,
 // its answer must be broken off.
-func (relay *Relay) Serve(ctx context.Context, request *exchange.Request, sink Sink) *outcome.Error {
+func (relay *Relay) Serve(ctx context.Context, request *exchange.Request, sink Sink) (Summary, *outcome.Error) {
 	if relay.isStopping() {
-		return outcome.New(outcome.Stopping, "the daemon is shutting down").WithRetryAfter(retryAfterStop)
+		return Summary{}, outcome.New(outcome.Stopping, "the daemon is shutting down").WithRetryAfter(retryAfterStop)
 	}
 	configuration := relay.Configuration()
 	if configuration == nil {
-		return outcome.New(outcome.NotReady, "no configuration is known yet").WithRetryAfter(time.Second)
+		return Summary{}, outcome.New(outcome.NotReady, "no configuration is known yet").WithRetryAfter(time.Second)
 	}
 	route := configuration.Match(request.Host, request.Path)
 	if route == nil {
-		return outcome.New(outcome.UnknownPath, "no route has this host and path")
+		return Summary{Configuration: configuration.Version}, outcome.New(outcome.UnknownPath, "no route has this host and path")
 	}
 	service := configuration.Services[pickTarget(route.Targets, request.Traits.ID)]
 	deadline := relay.deadline(request, route)
@@ -141,7 +151,10 @@
 	ctx, stop := relay.untilEnd(ctx)
 	defer stop()
 	journey := &journey{relay: relay, request: request, route: route, service: service, sink: sink, deadline: deadline}
-	return journey.walk(ctx)
+	journey.summary = Summary{Route: route.Name, Configuration: configuration.Version}
+	failure := journey.walk(ctx)
+	journey.summary.Sends = journey.sends
+	return journey.summary, failure
 }
 
 // firstRetries is the number of second sendings that a daemon may spend right after its start, when many
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -157,7 +157,8 @@
 		Method: http.MethodPost, Target: path, Path: path, Host: "h", Header: http.Header{},
 		Traits: exchange.Traits{ID: "1", Model: "m"}, Arrived: time.Now(),
 	}
-	return site.relay.Serve(ctx, request, &site.client)
+	_, failure := site.relay.Serve(ctx, request, &site.client)
+	return failure
 }
 
 func events(from, to int) string {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -12,7 +12,7 @@
 )
 
 // stream passes whole events on as they arrive.
-func (journey *journey) stream(ctx context.Context, candidate balance.Candidate, reply *exchange.Reply, begun time.Time, watch *watch) result {
+func (journey *journey) stream(ctx context.Context, candidate balance.Candidate, reply *exchange.Reply, begun time.Time, watch *watch, prefilled func()) result {
 	if !reply.Signed {
 		return journey.broken(ctx, candidate, exchange.ErrForeign)
 	}
@@ -24,6 +24,7 @@
 			watch.hear()
 			if first {
 				first = false
+				prefilled()
 				journey.relay.deps.Balancer.Answered(candidate.Incarnation, journey.relay.deps.Clock.Since(begun))
 			}
 			if failure := journey.forward(reply, events); failure != nil {
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -94,7 +94,7 @@
 func (plan *plan) awaited() {
 	for _, name := range plan.names(func(demand Demand) bool { return demand.Waiting > 0 }) {
 		if plan.index.holders(name) == 0 {
-			plan.load(name, "Awaited", nil)
+			plan.load(name, "Awaited", awaited, nil)
 		}
 	}
 }
@@ -156,7 +156,7 @@
 		if len(served) == plan.index.zones {
 			served = nil
 		}
-		plan.load(name, "Busy", served)
+		plan.load(name, "Busy", ahead, served)
 	}
 }
 
@@ -187,7 +187,7 @@
 		if !plan.mayUseStore() {
 			return
 		}
-		plan.load(name, "Copy", nil)
+		plan.load(name, "Copy", ahead, nil)
 	}
 }
 
@@ -223,9 +223,9 @@
 
 // load orders a load of the model at the engine where it is ready first, or the unload that makes room
 // for it. If that engine is busy, the load waits for it. It leaves out the data centres in avoid.
-func (plan *plan) load(name, reason string, avoid map[string]bool) {
+func (plan *plan) load(name, reason string, purpose purpose, avoid map[string]bool) {
 	model := plan.state.Service.Models[name]
-	best := plan.cheapest(&model, avoid)
+	best := plan.cheapest(&model, purpose, avoid)
 	if best.engine == nil || !plan.free(best.engine) {
 		return
 	}
@@ -247,9 +247,19 @@
 	cost    float64
 }
 
+// purpose tells why a model is loaded, and so what may make room for it.
+type purpose int
+
+const (
+	// awaited loads serve requests that wait.
+	awaited purpose = iota
+	// ahead loads serve later requests, and take nothing from busy models.
+	ahead
+)
+
 // cheapest returns the engine where a load of the model costs least, busy ones included. The weight store
 // is used only for a model of which no engine has a copy, or for further replicas of a busy one.
-func (plan *plan) cheapest(model *topology.Model, avoid map[string]bool) option {
+func (plan *plan) cheapest(model *topology.Model, purpose purpose, avoid map[string]bool) option {
 	best := option{cost: math.Inf(1)}
 	for _, engine := range plan.spare(model.Name, avoid) {
 		tier := tierOf(&engine.Holding, model.Name)
@@ -259,7 +269,7 @@
 		if engine.Holding.Has(model.Name, "") || engine.Loading == model.Name {
 			continue
 		}
-		if next, ok := plan.option(engine, model, tier); ok && next.cost < best.cost {
+		if next, ok := plan.option(engine, model, tier, purpose); ok && next.cost < best.cost {
 			best = next
 		}
 	}
@@ -267,8 +277,8 @@
 }
 
 // option returns what a load of the model at the engine would cost, and whether it is possible.
-func (plan *plan) option(engine *Engine, model *topology.Model, tier Tier) (option, bool) {
-	victims, loss, ok := plan.room(engine, model)
+func (plan *plan) option(engine *Engine, model *topology.Model, tier Tier, purpose purpose) (option, bool) {
+	victims, loss, ok := plan.room(engine, model, purpose)
 	if !ok {
 		return option{}, false
 	}
@@ -301,7 +311,7 @@
 
 // room returns the models to unload so that the model fits, the least valuable first, and the value that
 // is lost, in seconds of expected wait a second.
-func (plan *plan) room(engine *Engine, model *topology.Model) (victims []string, loss float64, ok bool) {
+func (plan *plan) room(engine *Engine, model *topology.Model, purpose purpose) (victims []string, loss float64, ok bool) {
 	need := engine.used(plan.state.Service.Models) + model.Weights - plan.state.Service.Memory
 	if need <= 0 {
 		return nil, 0, true
@@ -312,7 +322,7 @@
 	}
 	var all []victim
 	for _, loaded := range engine.Holding.Models {
-		if value, may := plan.mayUnload(engine, loaded.Model); may {
+		if value, may := plan.mayUnload(engine, loaded.Model); may && (purpose == awaited || value == 0 || !plan.busy(loaded.Model)) {
 			all = append(all, victim{loaded.Model, value})
 		}
 	}
