Keep the lease through a peer, and over a restart of its VM

Change: calls about the lease go through another daemon while the store turns the holder away; they are conditional, so it does not matter who sends them. A process on the VM of the former holder takes the lease at once: an earlier one is gone, and engines see one holder.

--- a/front/daemon.go
+++ b/front/daemon.go
@@ -43,6 +43,8 @@
 	// leaseTerm and leaseRenewal are the times of the lease for sending orders.
 	leaseTerm    = 2 * time.Second
 	leaseRenewal = 500 * time.Millisecond
+	// leaseCall bounds one call about the lease.
+	leaseCall = 500 * time.Millisecond
 	// retryPart is the part of the allowed second sendings that is used, for what daemons do not know of each other.
 	retryPart = 0.6
 	// fewestDaemons is the number of daemons among which second sendings are divided at least.
@@ -139,7 +141,15 @@
 // wireOrders makes the parts that agree on who sends orders.
 func (daemon *Daemon) wireOrders() {
 	holder := lease.Holder{Name: daemon.settings.Name, Incarnation: incarnation(), DataCentre: leaseName}
-	daemon.lease = lease.New(daemon.store, lease.Settings{
+	quick := platform.NewRowStore(daemon.pool, daemon.settings.StoreAddress, leaseCall)
+	daemon.mesh = mesh.New(mesh.Settings{
+		Self:   mesh.Member{Name: daemon.settings.Name, Address: daemon.settings.PeerAddress},
+		Seeds:  daemon.settings.Seeds,
+		Client: &http.Client{Transport: peerTransport()},
+	}, mesh.Parts{State: daemon.state, Sync: daemon.serveSync, Answer: daemon.answer, Tables: quick}, daemon.clock)
+	tables := &detour{direct: quick, through: daemon.mesh.Through(daemon.storePeer), lost: daemon.isStoreLost}
+	daemon.lease = lease.New(tables, lease.Settings{
+		OneProcess: true,
 		DataCentre: leaseName,
 		Term:       leaseTerm,
 		RenewEvery: leaseRenewal,
@@ -153,11 +163,11 @@
 			CeilingWindow:    daemon.settings.LoadWindow,
 		},
 	}, scheduler.Deps{Tenure: daemon.lease, Engines: daemon.upstream, Clock: daemon.clock})
-	daemon.mesh = mesh.New(mesh.Settings{
-		Self:   mesh.Member{Name: daemon.settings.Name, Address: daemon.settings.PeerAddress},
-		Seeds:  daemon.settings.Seeds,
-		Client: &http.Client{Transport: peerTransport()},
-	}, mesh.Parts{State: daemon.state, Sync: daemon.scheduler.Sync, Answer: daemon.answer}, daemon.clock)
+}
+
+// serveSync takes the report of another daemon.
+func (daemon *Daemon) serveSync(ctx context.Context, report mesh.Report) (directory.Announcement, error) {
+	return daemon.scheduler.Sync(ctx, report)
 }
 
 // leaseName names the one lease for orders to all engines.
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -13,7 +13,7 @@
 // Lease is one candidate for the lease of one data centre. Use New.
 // Step, Run and Release belong to one goroutine; the other methods are safe for all.
 type Lease struct {
-	tables   datastore.Tables
+	tables   Tables
 	settings Settings
 	clock    clock.Clock
 	holder   Holder
@@ -44,7 +44,7 @@
 }
 
 // New returns a candidate that holds nothing yet.
-func New(tables datastore.Tables, settings Settings, clock clock.Clock, holder Holder) *Lease {
+func New(tables Tables, settings Settings, clock clock.Clock, holder Holder) *Lease {
 	return &Lease{tables: tables, settings: settings.withDefaults(), clock: clock, holder: holder}
 }
 
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -266,3 +266,24 @@
 		t.Fatalf("seed %d: fencing numbers of holders are not in order", seed)
 	}
 }
+
+// TestRestartedProcessTakesItsLeaseAtOnce covers power lost everywhere: the VM of the holder comes back
+// and need not wait for a term, since nothing else runs there.
+func TestRestartedProcessTakesItsLeaseAtOnce(t *testing.T) {
+	site := newSite(1)
+	first, _ := site.candidate("entry-1", "fukuoka")
+	mustStep(t, first)
+	site.clock.Step(time.Second)
+	settings := Settings{DataCentre: "fukuoka", OneProcess: true}
+	restarted := New(site.platform.Client(), settings, site.clock, Holder{Name: "entry-1", Incarnation: "entry-1-2"})
+	mustStep(t, restarted)
+	fence, _, ok := restarted.Held()
+	if !ok || fence != 2 || restarted.Former().Name != "entry-1" {
+		t.Errorf("fence %d, held %t, former holder %q", fence, ok, restarted.Former().Name)
+	}
+	other := New(site.platform.Client(), settings, site.clock, Holder{Name: "entry-2", Incarnation: "entry-2-1"})
+	mustStep(t, other)
+	if held(other) {
+		t.Error("another VM took the lease within its term")
+	}
+}
--- a/lease/watch.go
+++ b/lease/watch.go
@@ -32,7 +32,7 @@
 	if found.Holder == lease.holder && !found.Released {
 		return lease.resume(ctx, row, found)
 	}
-	if lease.lapsed(found) {
+	if lease.lapsed(found) || lease.predecessor(found.Holder) {
 		return lease.take(ctx, row, found)
 	}
 	if lease.wantsBack() {
@@ -50,6 +50,11 @@
 	}
 }
 
+// predecessor reports whether the holder was an earlier process on the VM of this daemon.
+func (lease *Lease) predecessor(holder Holder) bool {
+	return lease.settings.OneProcess && holder.Name == lease.holder.Name && holder.Incarnation != lease.holder.Incarnation
+}
+
 func (lease *Lease) setFormer(former Holder) {
 	lease.mutex.Lock()
 	defer lease.mutex.Unlock()
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -23,6 +23,8 @@
 	greetProcedure = "/bronzestall.mesh.Mesh/Greet"
 	syncProcedure  = "/bronzestall.mesh.Mesh/Sync"
 	askProcedure   = "/bronzestall.mesh.Mesh/Ask"
+	// tablesProcedure makes a call to the platform's store.
+	tablesProcedure = "/bronzestall.mesh.Mesh/Tables"
 )
 
 const (
@@ -282,6 +284,7 @@
 		return node.greeting(), nil
 	})
 	handle(mux, syncProcedure, node.serveSync)
+	handle(mux, tablesProcedure, node.serveTables)
 	handle(mux, askProcedure, func(_ context.Context, question *meshpb.Question) (*meshpb.Answer, error) {
 		answer := node.parts.Answer(Question{Configuration: question.GetConfiguration(), Roster: question.GetRoster()})
 		return answer.encode(), nil
--- a/mesh/parts.go
+++ b/mesh/parts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/directory"
 )
 
@@ -15,4 +16,12 @@
 	Sync func(ctx context.Context, report Report) (directory.Announcement, error)
 	// Answer returns what is newer than in the question.
 	Answer func(question Question) Answer
+	// Tables makes calls to the platform's store for daemons that it turns away.
+	Tables RowTables
+}
+
+// RowTables is what a lease needs of the platform's store.
+type RowTables interface {
+	Read(ctx context.Context, key datastore.Key) (datastore.Row, error)
+	Commit(ctx context.Context, writes []datastore.Write) ([]uint64, error)
 }
