Test the parts of the front daemon, and name peers to a daemon that is new

Cause of the change to greetings: a daemon that met a seed learnt the others only with each eighth greeting; the test of finding each other failed first.

--- /dev/null
+++ b/front/settings_test.go
@@ -0,0 +1,58 @@
+package front
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+)
+
+// rendered is the template of the settings file as the platform fills it in.
+func rendered(t *testing.T) string {
+	t.Helper()
+	content, err := os.ReadFile("../deploy/front.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.NewReplacer(
+		`{{#seeds}}"{{.}}"{{,}}{{/seeds}}`, `"10.1.0.38:8144","10.2.0.40:8144"`,
+		"{{node}}", "front-1", "{{zone}}", "fukuoka", "{{ip}}", "10.1.0.38", "{{internalPorts.0}}", "7380",
+		"{{listen.front}}", "10.1.0.38:8149", "{{listen.ready}}", "10.1.0.38:8141", "{{listen.control}}", "10.1.0.38:8144",
+		"{{platform.address}}", "10.200.1.7:8142", "{{limits.memoryMb}}", "414", "{{limits.cores}}", "1",
+		"{{bounds.graceS}}", "8", "{{bounds.leaseMs}}", "3000", "{{bounds.retryBudgetRatio}}", "0.2",
+		"{{bounds.budgetSlack}}", "54", "{{bounds.budgetWindowS}}", "10", "{{bounds.ceilingWindowS}}", "5",
+	).Replace(string(content))
+	if left := regexp.MustCompile(`{{.*?}}`).FindString(text); left != "" {
+		t.Fatalf("the template has the unknown field %s", left)
+	}
+	return text
+}
+
+func TestTemplateGivesValidSettings(t *testing.T) {
+	settings, err := Parse("front.yaml", []byte(rendered(t)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if settings.Turnover != 3*time.Second || settings.MemoryLimit != 414<<20 || len(settings.Seeds) != 2 || settings.MetricsAddress != "10.1.0.38:7380" {
+		t.Errorf("settings are %+v", settings)
+	}
+}
+
+func TestWrongSettingsAreRefused(t *testing.T) {
+	for _, change := range [][2]string{
+		{"10.1.0.38:8149", "somewhere:8149"},
+		{"414MiB", "414"},
+		{"414MiB", "1MiB"},
+		{"Cores: 1", "Cores: 0"},
+		{"Grace: 8s", "Grace: 0s"},
+		{"RetryShare: 0.2", "RetryShare: 2"},
+		{"Seeds:", "Seed:"},
+		{`Name: "front-1"`, `Name: ""`},
+	} {
+		text := strings.Replace(rendered(t), change[0], change[1], 1)
+		if _, err := Parse("front.yaml", []byte(text)); err == nil {
+			t.Errorf("%q instead of %q is accepted", change[1], change[0])
+		}
+	}
+}
--- /dev/null
+++ b/ingress/ingress_test.go
@@ -0,0 +1,158 @@
+package ingress
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"k8s.io/klog/v2"
+	"k8s.io/utils/clock"
+
+	"github.com/bronzestall/bronzestall/exchange"
+	"github.com/bronzestall/bronzestall/meter"
+	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/relay"
+	"github.com/bronzestall/bronzestall/topology"
+)
+
+func TestMain(m *testing.M) {
+	klog.LogToStderr(false)
+	klog.SetOutput(io.Discard)
+	os.Exit(m.Run())
+}
+
+// relayFunc is a Relay of one function.
+type relayFunc func(ctx context.Context, request *exchange.Request, sink relay.Sink) *outcome.Error
+
+func (relayFunc) Configuration() *topology.Configuration {
+	return &topology.Configuration{Limits: topology.Limits{BodyBytes: 10}}
+}
+
+func (serve relayFunc) Serve(ctx context.Context, request *exchange.Request, sink relay.Sink) (relay.Summary, *outcome.Error) {
+	return relay.Summary{}, serve(ctx, request, sink)
+}
+
+func newServer(t *testing.T, serve relayFunc) *httptest.Server {
+	server := httptest.NewServer(New(Deps{
+		Relay:  serve,
+		Decode: func(sent http.Header) (http.Header, exchange.Traits) { return sent, exchange.Traits{} },
+		Meter:  meter.New(),
+		Clock:  clock.RealClock{},
+	}))
+	t.Cleanup(server.Close)
+	return server
+}
+
+func TestRefusals(t *testing.T) {
+	for kind, test := range map[outcome.Kind]struct {
+		status int
+		after  string
+	}{
+		outcome.DeadlineUnmeetable: {503, "1.50"},
+		outcome.DeadlineInQueue:    {503, "1.50"},
+		outcome.UpstreamRefused:    {503, "1.50"},
+		outcome.Quarantined:        {503, "1.50"},
+		outcome.Stopping:           {503, "1.50"},
+		outcome.UnknownPath:        {404, ""},
+		outcome.UpstreamLost:       {502, ""},
+		outcome.DeadlineRunning:    {504, ""},
+	} {
+		server := newServer(t, func(context.Context, *exchange.Request, relay.Sink) *outcome.Error {
+			return outcome.New(kind, "no").WithRetryAfter(1500 * time.Millisecond)
+		})
+		response, err := http.Get(server.URL)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != test.status || response.Header.Get("Retry-After") != test.after {
+			t.Errorf("%v is answered with %d and Retry-After %q", kind, response.StatusCode, response.Header.Get("Retry-After"))
+		}
+	}
+}
+
+func TestAnswerPassesUnchanged(t *testing.T) {
+	server := newServer(t, func(_ context.Context, request *exchange.Request, sink relay.Sink) *outcome.Error {
+		sink.Head(http.StatusTeapot, http.Header{"X-Mark": {"1"}}, int64(len(request.Body)))
+		_ = sink.Write(request.Body)
+		return nil
+	})
+	response, err := http.Post(server.URL+"/a/b?c=%20d", "", strings.NewReader("<html>"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	content, _ := io.ReadAll(response.Body)
+	if string(content) != "<html>" || response.StatusCode != http.StatusTeapot || response.Header.Get("X-Mark") != "1" || response.Header.Get("Content-Type") != "" {
+		t.Errorf("got %d %v %q", response.StatusCode, response.Header, content)
+	}
+}
+
+func TestStreamThatBreaksDoesNotLookComplete(t *testing.T) {
+	server := newServer(t, func(_ context.Context, _ *exchange.Request, sink relay.Sink) *outcome.Error {
+		sink.Head(http.StatusOK, http.Header{}, -1)
+		_ = sink.Write([]byte("id: 1\n\n"))
+		return outcome.New(outcome.UpstreamLost, "lost")
+	})
+	response, err := http.Get(server.URL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if content, err := io.ReadAll(response.Body); err == nil || string(content) != "id: 1\n\n" {
+		t.Errorf("read %q, %v; want a broken connection", content, err)
+	}
+}
+
+func TestBodyOverTheLimit(t *testing.T) {
+	server := newServer(t, func(context.Context, *exchange.Request, relay.Sink) *outcome.Error {
+		t.Error("the request reached the relay")
+		return nil
+	})
+	response, err := http.Post(server.URL, "", strings.NewReader("more than ten bytes"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusRequestEntityTooLarge {
+		t.Errorf("got %d", response.StatusCode)
+	}
+}
+
+func TestClientThatLeavesEndsTheContext(t *testing.T) {
+	ended := make(chan struct{})
+	begun := make(chan struct{})
+	server := newServer(t, func(ctx context.Context, _ *exchange.Request, _ relay.Sink) *outcome.Error {
+		close(begun)
+		<-ctx.Done()
+		close(ended)
+		return outcome.New(outcome.CallerGone, "gone")
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-begun
+		cancel()
+	}()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL, strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if response, err := http.DefaultClient.Do(request); err == nil {
+		_ = response.Body.Close()
+		t.Error("got an answer")
+	}
+	<-ended
+}
+
+func TestReady(t *testing.T) {
+	for ready, want := range map[bool]int{true: 200, false: 503} {
+		recorder := httptest.NewRecorder()
+		Ready(func() bool { return ready }).ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/ready", nil))
+		if recorder.Code != want {
+			t.Errorf("ready %t is answered with %d", ready, recorder.Code)
+		}
+	}
+}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -140,7 +140,7 @@
 
 // greet exchanges greetings with one daemon.
 func (node *Node) greet(ctx context.Context, address string) {
-	greeting := node.greeting()
+	greeting := node.greeting(!node.met(address))
 	answer, err := call[meshpb.Greeting, meshpb.Greeting](ctx, node, address, greetProcedure, greeting, node.settings.CallTimeout)
 	node.mutex.Lock()
 	if contact, ok := node.known[address]; ok {
@@ -152,8 +152,16 @@
 	}
 }
 
-// greeting returns what this daemon tells of itself.
-func (node *Node) greeting() *meshpb.Greeting {
+// met reports whether the daemon at the address was heard.
+func (node *Node) met(address string) bool {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	known, ok := node.known[address]
+	return ok && known.Name != ""
+}
+
+// greeting returns what this daemon tells of itself. It names the other daemons if asked to, and at times.
+func (node *Node) greeting(namesPeers bool) *meshpb.Greeting {
 	state := node.parts.State()
 	greeting := &meshpb.Greeting{
 		Self:          &meshpb.Peer{Name: node.settings.Self.Name, Address: node.settings.Self.Address},
@@ -166,7 +174,7 @@
 	}
 	node.mutex.Lock()
 	node.greetings++
-	namesPeers := node.greetings%peersEvery == 1
+	namesPeers = namesPeers || node.greetings%peersEvery == 0
 	node.mutex.Unlock()
 	if !namesPeers {
 		return greeting
@@ -280,8 +288,9 @@
 func (node *Node) Handler() http.Handler {
 	mux := http.NewServeMux()
 	handle(mux, greetProcedure, func(_ context.Context, greeting *meshpb.Greeting) (*meshpb.Greeting, error) {
+		met := node.met(greeting.GetSelf().GetAddress())
 		node.hear(greeting)
-		return node.greeting(), nil
+		return node.greeting(!met), nil
 	})
 	handle(mux, syncProcedure, node.serveSync)
 	handle(mux, tablesProcedure, node.serveTables)
--- /dev/null
+++ b/mesh/node_test.go
@@ -0,0 +1,147 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"k8s.io/klog/v2"
+	"k8s.io/utils/clock"
+
+	"github.com/bronzestall/bronzestall/datastore"
+	"github.com/bronzestall/bronzestall/demand"
+	"github.com/bronzestall/bronzestall/directory"
+	"github.com/bronzestall/bronzestall/topology"
+)
+
+func TestMain(m *testing.M) {
+	klog.LogToStderr(false)
+	klog.SetOutput(io.Discard)
+	os.Exit(m.Run())
+}
+
+// rows is a store of one answer.
+type rows struct{ failure error }
+
+func (rows rows) Read(_ context.Context, key datastore.Key) (datastore.Row, error) {
+	return datastore.Row{Key: key, Version: 3, Value: []byte("v")}, rows.failure
+}
+
+func (rows rows) Commit(_ context.Context, writes []datastore.Write) ([]uint64, error) {
+	return make([]uint64, len(writes)), rows.failure
+}
+
+// daemon is a node behind a server.
+type daemon struct {
+	*Node
+	address string
+	report  Report
+}
+
+func newDaemon(t *testing.T, name string, state State, failure error, seeds ...string) *daemon {
+	made := &daemon{}
+	mux := http.NewServeMux()
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	made.address = strings.TrimPrefix(server.URL, "http://")
+	made.Node = New(Settings{Self: Member{Name: name, Address: made.address}, Seeds: seeds, Client: http.DefaultClient}, Parts{
+		State: func() State { return state },
+		Sync: func(_ context.Context, report Report) (directory.Announcement, error) {
+			made.report = report
+			return announcement, nil
+		},
+		Answer: func(question Question) Answer {
+			return Answer{Configuration: []byte("c"), Roster: question.Roster + 1, Rows: []Row{{Key: "k", Version: 2, Value: []byte("v")}}}
+		},
+		Tables: rows{failure},
+	}, clock.RealClock{})
+	mux.Handle("/", made.Handler())
+	return made
+}
+
+var announcement = directory.Announcement{
+	Fence: 4, Revision: 9,
+	Placements: []directory.Placement{
+		{Incarnation: topology.Incarnation{ID: "e", Born: 1}, Revision: 2, Holding: topology.Holding{Orders: 3, Models: []topology.Loaded{{Model: "m", Version: 1, Adapters: []string{"a1"}}}}},
+		{Incarnation: topology.Incarnation{ID: "f", Born: 1}, Revision: 9, Holding: topology.Holding{Orders: 1}},
+	},
+	Running: map[topology.Incarnation]int{{ID: "e", Born: 1}: 5},
+}
+
+func TestDaemonsFindEachOtherThroughASeed(t *testing.T) {
+	place := demand.Place{Incarnation: topology.Incarnation{ID: "e", Born: 1}, Key: demand.Key{Service: "s", Model: "m"}}
+	seed := newDaemon(t, "a", State{Fence: 7, Configuration: 3, StoreAge: time.Second, Loads: Loads{place: 2}}, nil)
+	second := newDaemon(t, "b", State{}, nil, seed.address)
+	third := newDaemon(t, "c", State{}, nil, seed.address)
+	for _, node := range []*daemon{second, third, third, second} {
+		for address := range node.known {
+			node.greet(t.Context(), address)
+		}
+	}
+	if live := second.Live(); len(live) != 2 || live[0].Name != "a" || live[1].Name != "c" {
+		t.Errorf("b knows %+v", live)
+	}
+	holder, ok := third.Holder()
+	if !ok || holder.Name != "a" || holder.Configuration != 3 || third.Running()[place.Incarnation] != 2 {
+		t.Errorf("c takes %+v for the holder", holder)
+	}
+}
+
+func TestSyncCarriesDemandAndChanges(t *testing.T) {
+	holder := newDaemon(t, "a", State{}, nil)
+	other := newDaemon(t, "b", State{}, nil)
+	now := time.Now()
+	want := demand.Want{
+		Key:     demand.Key{Service: "s", Model: "m", Adapter: "a1"},
+		Waiting: 2, Oldest: now.Add(-time.Second), Rate: 1.5, Tokens: 800, Target: time.Second, Used: now,
+	}
+	got, err := other.Sync(t.Context(), holder.address, Report{Name: "b", Wants: []demand.Want{want}, Fence: 4, Revision: 5})
+	if err != nil || got.Since != 5 || len(got.Placements) != 1 || got.Placements[0].ID != "f" || got.Running[topology.Incarnation{ID: "e", Born: 1}] != 5 {
+		t.Errorf("announced %+v, %v", got, err)
+	}
+	heard := holder.report.Wants[0]
+	if heard.Key != want.Key || heard.Waiting != 2 || heard.Rate != 1.5 || heard.Tokens != 800 || heard.Target != time.Second ||
+		heard.Oldest.Sub(want.Oldest).Abs() > 500*time.Millisecond {
+		t.Errorf("heard %+v", heard)
+	}
+	whole, err := other.Sync(t.Context(), holder.address, Report{Name: "b"})
+	if err != nil || whole.Since != 0 || !reflect.DeepEqual(whole.Placements[0].Holding, announcement.Placements[0].Holding) {
+		t.Errorf("announced %+v, %v", whole, err)
+	}
+}
+
+func TestAskGivesWhatIsNewer(t *testing.T) {
+	informed := newDaemon(t, "a", State{}, nil)
+	answer, err := newDaemon(t, "b", State{}, nil).Ask(t.Context(), informed.address, Question{Roster: 4})
+	if err != nil || answer.Roster != 5 || string(answer.Configuration) != "c" || len(answer.Rows) != 1 || answer.Rows[0].Version != 2 {
+		t.Errorf("answer %+v, %v", answer, err)
+	}
+}
+
+func TestTablesKeepTheKindOfFailure(t *testing.T) {
+	for _, failure := range append([]error{nil}, tableFailures...) {
+		reached := newDaemon(t, "a", State{}, failure)
+		tables := newDaemon(t, "b", State{}, nil).Through(func() (string, bool) { return reached.address, true })
+		if _, err := tables.Commit(t.Context(), []datastore.Write{{}}); !errors.Is(err, failure) {
+			t.Errorf("%v arrives as %v", failure, err)
+		}
+		if _, err := tables.Read(t.Context(), datastore.Key{Table: "t", Row: "r"}); !errors.Is(err, failure) {
+			t.Errorf("%v arrives as %v", failure, err)
+		}
+	}
+	nobody := newDaemon(t, "b", State{}, nil).Through(func() (string, bool) { return "", false })
+	if _, err := nobody.Commit(t.Context(), nil); !errors.Is(err, datastore.ErrUnavailable) {
+		t.Errorf("without another daemon a transaction gives %v", err)
+	}
+	gone := newDaemon(t, "b", State{}, nil).Through(func() (string, bool) { return "127.0.0.1:1", true })
+	if _, err := gone.Commit(t.Context(), []datastore.Write{{}}); !errors.Is(err, datastore.ErrUnclear) {
+		t.Errorf("a daemon that is gone gives %v", err)
+	}
+}
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,79 @@
+package roster
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/bronzestall/bronzestall/topology"
+)
+
+var start = time.Unix(1000, 0)
+
+func entry(id string, version uint64) Entry {
+	return Entry{Replica: topology.Replica{Incarnation: topology.Incarnation{ID: id}, Service: "s"}, Version: version}
+}
+
+func usable(roster *Roster) []string {
+	var ids []string
+	for _, replica := range roster.Usable() {
+		ids = append(ids, replica.ID)
+	}
+	return ids
+}
+
+func want(t *testing.T, roster *Roster, ids ...string) {
+	t.Helper()
+	if got := usable(roster); !slices.Equal(got, ids) {
+		t.Errorf("usable are %v, want %v", got, ids)
+	}
+}
+
+func TestDroppedReplicaIsGoneAtOnce(t *testing.T) {
+	roster := New()
+	roster.Replace([]Entry{entry("a", 1), entry("b", 2)}, 2, start)
+	roster.Drop("a", start)
+	want(t, roster, "b")
+}
+
+func TestDrainingReplicaIsNotUsable(t *testing.T) {
+	roster := New()
+	roster.Replace([]Entry{entry("a", 1), entry("b", 2)}, 2, start)
+	draining := entry("a", 3)
+	draining.Replica.Draining = true
+	roster.Put(draining)
+	want(t, roster, "b")
+	roster.Put(entry("a", 1))
+	want(t, roster, "b")
+}
+
+// TestRowsThatLapsedInAnOutage covers rows that are gone when the table answers again, and come back if
+// their replicas live.
+func TestRowsThatLapsedInAnOutage(t *testing.T) {
+	roster := New()
+	roster.Replace([]Entry{entry("a", 1), entry("b", 2)}, 2, start)
+	roster.Regain(start)
+	roster.Drop("a", start)
+	roster.Replace([]Entry{entry("c", 5)}, 5, start.Add(time.Millisecond))
+	want(t, roster, "a", "b", "c")
+	roster.Put(entry("a", 7))
+	if roster.Settle(start.Add(Grace / 2)) {
+		t.Error("ended a replica within the grace time")
+	}
+	if !roster.Settle(start.Add(2 * Grace)) {
+		t.Error("ended no replica after the grace time")
+	}
+	want(t, roster, "a", "c")
+	roster.Drop("a", start.Add(3*Grace))
+	want(t, roster, "c")
+}
+
+func TestOldSnapshotChangesNothing(t *testing.T) {
+	roster := New()
+	roster.Replace([]Entry{entry("a", 9)}, 9, start)
+	roster.Replace([]Entry{entry("b", 2)}, 2, start)
+	want(t, roster, "a")
+	if version, known := roster.Version(); version != 9 || !known {
+		t.Errorf("version %d, known %t", version, known)
+	}
+}
