--- a/relay/place.go
+++ b/relay/place.go
@@ -8,6 +8,7 @@
 	"github.com/bronzestall/bronzestall/demand"
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/topology"
 )
 
 const (
@@ -15,6 +16,13 @@
 	serveReserve = 0.1
 	// blindPart is the part of a deadline for which a request waits for a model without a forecast.
 	blindPart = 0.5
+	// shortestPatience, patientTargets and patientGaps tell when a client leaves a stream without an event:
+	// after the longest of a time, a multiple of the latency target and one of the gap target.
+	shortestPatience = 2 * time.Second
+	patientTargets   = 4
+	patientGaps      = 8
+	// firstEventReserve is what is kept of that for reading the prompt and the way to the client.
+	firstEventReserve = 120 * time.Millisecond
 	// plainWait is how long a request waits for a first replica of a plain service.
 	plainWait = 100 * time.Millisecond
 	// retryAfterCold is the advice to the client if it is not known when the model is loaded.
@@ -101,7 +109,7 @@
 	if _, known := journey.service.Engine.Models[journey.request.Traits.Model]; !known {
 		return now, outcome.New(outcome.NoReplica, "the service has no such model").WithRetryAfter(retryAfterCold)
 	}
-	latest := journey.deadline.Add(-time.Duration(serveReserve * float64(total)))
+	latest := journey.latest(total)
 	ready, known := journey.forecast()
 	if known && ready.After(latest) {
 		return latest, outcome.New(outcome.DeadlineUnmeetable, "the model will be loaded too late").WithRetryAfter(ready.Sub(now))
@@ -110,9 +118,26 @@
 		return latest, expired(now, latest)
 	}
 	blind := journey.request.Arrived.Add(time.Duration(blindPart * float64(total)))
+	if latest.Before(blind) {
+		blind = latest
+	}
 	return blind, expired(now, blind)
 }
 
+// latest returns the last moment at which sending the request makes sense: before the client leaves a
+// stream that has not begun, and early enough for the generation.
+func (journey *journey) latest(total time.Duration) time.Time {
+	latest := journey.deadline.Add(-time.Duration(serveReserve * float64(total)))
+	if journey.route.Kind != topology.Streaming {
+		return latest
+	}
+	leaves := max(shortestPatience, patientTargets*journey.route.LatencyTarget, patientGaps*journey.route.GapTarget)
+	if begin := journey.request.Arrived.Add(leaves - firstEventReserve); begin.Before(latest) {
+		return begin
+	}
+	return latest
+}
+
 // expired returns the failure of a request that waited until the time, or nil before it.
 func expired(now, until time.Time) *outcome.Error {
 	if now.Before(until) {
