Hold and refuse what full replicas cannot begin before its client leaves

The weight store was used by prompts a second only, and four loads at once run at half speed there. Change: a request waits a part of its target for a replica below twice its slots and is then refused; replicas count as short by requests in flight too; the number of loads at full speed is learnt from their times.

--- a/balance/ask.go
+++ b/balance/ask.go
@@ -10,6 +10,9 @@
 	Seat int
 	// Zone is the data centre of the daemon.
 	Zone string
+	// Fullest is the number of requests in flight, as a multiple of its slots, from which a replica is not
+	// chosen; zero means no limit.
+	Fullest float64
 	// Exclude lists replicas that were tried.
 	Exclude []topology.Incarnation
 }
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -57,13 +57,20 @@
 }
 
 // Choose returns the best candidate and counts a request in flight at it, to be ended by Done.
-// Barred and excluded candidates are chosen only if there is no other. It reports false if there is none.
+// Barred and excluded candidates are chosen only if there is no other. It reports false if there is none, or
+// if all are fuller than the request accepts.
 func (balancer *Balancer) Choose(candidates []Candidate, ask Ask, now time.Time) (Candidate, bool) {
 	balancer.mutex.Lock()
 	defer balancer.mutex.Unlock()
 	if len(candidates) == 0 {
 		return Candidate{}, false
 	}
+	if ask.Fullest > 0 {
+		candidates = balancer.roomy(candidates, ask.Fullest)
+	}
+	if len(candidates) == 0 {
+		return Candidate{}, false
+	}
 	rank := balancer.rank(candidates, ask, now)
 	load := balancer.load(rank.Incarnation)
 	rank.InFlight = load.own + load.others
@@ -76,6 +83,18 @@
 	return rank, true
 }
 
+// roomy returns the candidates that are not fuller than the limit. The mutex is held.
+func (balancer *Balancer) roomy(candidates []Candidate, fullest float64) []Candidate {
+	roomy := make([]Candidate, 0, len(candidates))
+	for index := range candidates {
+		load := balancer.load(candidates[index].Incarnation)
+		if float64(load.own+load.others) < fullest*float64(max(candidates[index].Slots, 1)) {
+			roomy = append(roomy, candidates[index])
+		}
+	}
+	return roomy
+}
+
 // rank returns the candidate with the lowest score in the best class. The mutex is held.
 func (balancer *Balancer) rank(candidates []Candidate, ask Ask, now time.Time) Candidate {
 	fastest := balancer.fastest(candidates, now)
--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -138,3 +138,22 @@
 		balancer.Done(chosen.Incarnation, false, start)
 	}
 }
+
+// TestFullReplicasAreNotChosen covers a rise of demand that the replicas of a model cannot serve in time.
+func TestFullReplicasAreNotChosen(t *testing.T) {
+	balancer := newBalancer()
+	ask := Ask{Zone: "near", Fullest: 1.25}
+	for range 2 * 20 {
+		if _, ok := balancer.Choose(replicas(2), ask, start); !ok {
+			t.Fatal("refused below the limit")
+		}
+	}
+	if chosen, ok := balancer.Choose(replicas(2), ask, start); ok {
+		t.Errorf("chose %s with %d requests in flight on 16 slots", chosen.ID, chosen.InFlight)
+	}
+	balancer.SetOthers(map[topology.Incarnation]int{})
+	balancer.Done(topology.Incarnation{ID: "r0"}, false, start)
+	if chosen, ok := balancer.Choose(replicas(2), ask, start); !ok || chosen.ID != "r0" {
+		t.Errorf("chose %s after it had room", chosen.ID)
+	}
+}
--- a/relay/place.go
+++ b/relay/place.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/bronzestall/bronzestall/balance"
 	"github.com/bronzestall/bronzestall/demand"
 	"github.com/bronzestall/bronzestall/event"
@@ -23,6 +25,18 @@
 	patientGaps      = 8
 	// firstEventReserve is what is kept of that for reading the prompt and the way to the client.
 	firstEventReserve = 120 * time.Millisecond
+	// fullestPrompt is the number of requests in flight, as a multiple of its slots, up to which a replica
+	// begins to answer in time, and fullestPatient that for callers who expect the first event late.
+	fullestPrompt  = 2.0
+	fullestPatient = 3.0
+	// patientTarget is the latency target from which a caller counts as patient.
+	patientTarget = time.Second
+	// crowdedPart is the part of the latency target for which a request waits for a replica with room, and
+	// crowdedStep the interval of looking.
+	crowdedPart = 0.4
+	crowdedStep = 25 * time.Millisecond
+	// retryAfterFull is the mean advice to the client if all replicas are full.
+	retryAfterFull = 1200 * time.Millisecond
 	// plainWait is how long a request waits for a first replica of a plain service.
 	plainWait = 100 * time.Millisecond
 	// retryAfterCold is the advice to the client if it is not known when the model is loaded.
@@ -50,11 +64,20 @@
 		if ctx.Err() != nil {
 			return balance.Candidate{}, ended(ctx, false)
 		}
-		if chosen, ok := journey.relay.deps.Balancer.Choose(journey.candidates(), ask, now); ok {
+		candidates := journey.candidates()
+		ask.Fullest = journey.fullest(now)
+		if chosen, ok := journey.relay.deps.Balancer.Choose(candidates, ask, now); ok {
 			journey.summary.Replica = chosen.Incarnation
 			journey.summary.InFlight = chosen.InFlight
 			return chosen, nil
 		}
+		if len(candidates) > 0 {
+			if failure := journey.crowded(now); failure != nil {
+				return balance.Candidate{}, failure
+			}
+			journey.await(ctx, changed, crowdedStep)
+			continue
+		}
 		until, failure := journey.patience(now)
 		if failure != nil {
 			return balance.Candidate{}, failure
@@ -67,6 +90,36 @@
 	}
 }
 
+// fullest returns how full a replica may be for the request, as a multiple of its slots. A replica that
+// is fuller answers later than callers expect; callers who expect the answer late accept more after a wait.
+func (journey *journey) fullest(now time.Time) float64 {
+	if journey.service.Engine == nil {
+		return 0
+	}
+	if journey.route.LatencyTarget >= patientTarget && now.Sub(journey.request.Arrived) >= journey.crowdedWait() {
+		return fullestPatient
+	}
+	return fullestPrompt
+}
+
+// crowdedWait returns how long the request waits for a replica with room.
+func (journey *journey) crowdedWait() time.Duration {
+	return time.Duration(crowdedPart * float64(journey.route.LatencyTarget))
+}
+
+// crowded returns the refusal of a request that all replicas are too full for, or nil while it may wait.
+func (journey *journey) crowded(now time.Time) *outcome.Error {
+	wait := journey.crowdedWait()
+	if journey.route.LatencyTarget >= patientTarget {
+		wait *= 2
+	}
+	if now.Sub(journey.request.Arrived) < wait {
+		return nil
+	}
+	spread := time.Duration(xxhash.Sum64String(journey.request.Traits.ID) % uint64(retryAfterFull))
+	return outcome.New(outcome.QueueFull, "all replicas of the model are full").WithRetryAfter(retryAfterFull/2 + spread)
+}
+
 // candidates returns the replicas that can serve the request now.
 func (journey *journey) candidates() []balance.Candidate {
 	if journey.service.Engine == nil {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -466,3 +466,23 @@
 		}
 	}
 }
+
+// TestCrowdedReplicas covers more requests for a model than its replicas can begin before clients leave.
+func TestCrowdedReplicas(t *testing.T) {
+	for path, want := range map[string]outcome.Kind{"/stream/x": outcome.QueueFull} {
+		synctest.Test(t, func(t *testing.T) {
+			site := newSite(ok(events(1, 1)))
+			for _, id := range []string{"enginea", "engineb"} {
+				site.relay.deps.Balancer.SetOthers(nil)
+				for range 4 * int(fullestPatient) {
+					_, _ = site.relay.deps.Balancer.Choose([]balance.Candidate{{Incarnation: topology.Incarnation{ID: id}, Slots: 4}}, balance.Ask{}, time.Now())
+				}
+			}
+			begun := time.Now()
+			failure := site.serve(t.Context(), path)
+			if failure == nil || failure.Kind != want || failure.RetryAfter == 0 || time.Since(begun) > time.Second {
+				t.Errorf("%s ended as %v after %v", path, failure, time.Since(begun))
+			}
+		})
+	}
+}
--- a/residency/forecast.go
+++ b/residency/forecast.go
@@ -59,6 +59,6 @@
 	if !best.IsZero() {
 		return best, false
 	}
-	rounds := queued/plan.planner.settings.StoreLoadsAtOnce + 1
+	rounds := queued/plan.atOnce() + 1
 	return now.Add(time.Duration(rounds) * model.StoreLoad), true
 }
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -26,7 +26,7 @@
 	// prefillShare is the part of an engine's time that prompts of one model may take before it gets a
 	// further replica; the rest is for tokens, other models and bursts.
 	prefillShare = 0.3
-	// shortShare is the same part from which it gets one even by a load from the weight store.
+	// shortShare is the same part, and that of its slots, from which it gets one even by a load from the weight store.
 	shortShare = 0.5
 	// adapterCopies bounds the replicas that are given the same adapter ahead of demand.
 	adapterCopies = 3
@@ -177,7 +177,11 @@
 // short reports whether the replicas of the model cannot keep up with its prompts, so that a slow load of
 // a further one is worth keeping an engine from quick loads.
 func (plan *plan) short(name string) bool {
-	needed := plan.state.Models[name].Tokens / (shortShare * plan.planner.settings.PrefillRate)
+	demand := plan.state.Models[name]
+	needed := max(
+		demand.Tokens/(shortShare*plan.planner.settings.PrefillRate),
+		float64(demand.Running+demand.Waiting)/(shortShare*float64(max(plan.state.Service.Slots, 1))),
+	)
 	return plan.index.holders(name) > 0 && float64(plan.index.holders(name)) < needed
 }
 
@@ -208,7 +212,7 @@
 
 // mayUseStore reports whether one more load from the weight store keeps its limits.
 func (plan *plan) mayUseStore() bool {
-	if plan.index.storeLoads+plan.storeLoads >= plan.planner.settings.StoreLoadsAtOnce {
+	if plan.index.storeLoads+plan.storeLoads >= plan.atOnce() {
 		return false
 	}
 	recent := plan.storeLoads
@@ -221,6 +225,14 @@
 	return float64(recent+1) <= allowed
 }
 
+// atOnce returns the number of loads from the weight store at full speed, as far as known.
+func (plan *plan) atOnce() int {
+	if plan.state.StoreAtOnce > 0 {
+		return plan.state.StoreAtOnce
+	}
+	return plan.planner.settings.StoreLoadsAtOnce
+}
+
 // load orders a load of the model at the engine where it is ready first, or the unload that makes room
 // for it. If that engine is busy, the load waits for it. It leaves out the data centres in avoid.
 func (plan *plan) load(name, reason string, purpose purpose, avoid map[string]bool) {
--- a/residency/state.go
+++ b/residency/state.go
@@ -17,6 +17,8 @@
 	Models, Adapters map[string]Demand
 	// StoreStarts lists the starts of loads from the weight store of the last seconds.
 	StoreStarts []time.Time
+	// StoreAtOnce is the number of loads from the weight store that were seen at full speed; zero if unknown.
+	StoreAtOnce int
 	// Now is the time of the plan.
 	Now time.Time
 }
--- a/scheduler/ask.go
+++ b/scheduler/ask.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bronzestall/bronzestall/event"
+	"github.com/bronzestall/bronzestall/residency"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
@@ -40,7 +41,22 @@
 		target.askAt = now.Add(askFailed)
 		return
 	}
+	before := target.order
 	target.learn(holding, now)
+	if before != nil && target.order == nil && before.Operation == residency.Load && before.Tier == residency.Store {
+		scheduler.storeLimit = scheduler.storeLimit.Observe(now.Sub(before.sent), before.expected.Sub(before.sent), scheduler.storeLoads()+1)
+	}
+}
+
+// storeLoads returns the number of loads from the weight store on their way. The mutex is held.
+func (scheduler *Scheduler) storeLoads() int {
+	count := 0
+	for _, engine := range scheduler.engines {
+		if engine.order != nil && engine.order.Operation == residency.Load && engine.order.Tier == residency.Store {
+			count++
+		}
+	}
+	return count
 }
 
 // learn takes a report.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -53,6 +53,8 @@
 	reports map[string]heard
 	// storeStarts lists the starts of loads from the weight store.
 	storeStarts []time.Time
+	// storeLimit is what was learnt of the weight store.
+	storeLimit residency.StoreLimit
 	// announced is the newest announcement and changed is closed at the next one.
 	announced directory.Announcement
 	changed   chan struct{}
@@ -189,6 +191,7 @@
 		Models:      sum.models,
 		Adapters:    sum.adapters,
 		StoreStarts: scheduler.storeStarts,
+		StoreAtOnce: scheduler.storeLimit.Value(),
 		Now:         now,
 	}
 	for _, engine := range scheduler.engines {
