Send once-only requests on fresh connections, call an absent store less

Cause: an upstream may drop an unused connection without notice, and what is sent next is lost for a request that must not be sent again; daemons that the store turned away called it five times a second.

--- a/connection/call.go
+++ b/connection/call.go
@@ -1,6 +1,9 @@
 package connection
 
-import "net/http"
+import (
+	"net/http"
+	"time"
+)
 
 // Call is one request to an upstream.
 type Call struct {
@@ -16,6 +19,9 @@
 	Body []byte
 	// Mine reports whether a head answers this call. Other answers are skipped; nil accepts all.
 	Mine func(header http.Header) bool
+	// MaxUnused is how long a connection may have been unused before the call; zero means no limit. An
+	// upstream may have dropped a connection that was unused for longer, and resets it upon the next byte.
+	MaxUnused time.Duration
 	// Fresh opens a connection even if an unused one is kept.
 	Fresh bool
 }
--- a/connection/conn.go
+++ b/connection/conn.go
@@ -17,6 +17,8 @@
 	reader *bufio.Reader
 	// reused states that an exchange was completed on it.
 	reused bool
+	// since is when it was last used.
+	since time.Time
 	// expires is when it takes no further request; it is set while the connection is unused.
 	expires time.Time
 }
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -96,7 +96,7 @@
 // obtain returns an unused connection or opens one.
 func (pool *Pool) obtain(ctx context.Context, call Call) (*conn, error) {
 	for !call.Fresh {
-		c := pool.take(call.Key)
+		c := pool.take(call.Key, call.MaxUnused)
 		if c == nil {
 			break
 		}
@@ -114,13 +114,17 @@
 	return newConn(inner, call.Key), nil
 }
 
-func (pool *Pool) take(key string) *conn {
+// take returns the unused connection that was used last, if that is not too long ago; zero means no limit.
+func (pool *Pool) take(key string, maxUnused time.Duration) *conn {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	list := pool.idle[key]
 	now := pool.clock.Now()
 	for len(list) > 0 {
 		c := list[len(list)-1]
+		if maxUnused > 0 && now.Sub(c.since) > maxUnused {
+			return nil
+		}
 		list = list[:len(list)-1]
 		pool.idle[key] = list
 		if c.expires.After(now) {
@@ -134,7 +138,8 @@
 // put keeps a connection on which an exchange was completed.
 func (pool *Pool) put(c *conn, idle time.Duration) {
 	c.reused = true
-	c.expires = pool.clock.Now().Add(idle)
+	c.since = pool.clock.Now()
+	c.expires = c.since.Add(idle)
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	if idle <= 0 || len(pool.idle[c.key]) >= pool.settings.MaxIdle {
--- a/connection/pool_test.go
+++ b/connection/pool_test.go
@@ -186,3 +186,19 @@
 		t.Error("the connection is kept, though the upstream may read on")
 	}
 }
+
+// TestConnectionUnusedForTooLongIsNotTaken covers upstreams that drop unused connections without notice.
+func TestConnectionUnusedForTooLongIsNotTaken(t *testing.T) {
+	address := script(t, first, first)
+	pool := New(Settings{}, clock.RealClock{})
+	if _, err := get(pool, address, "1"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(20 * time.Millisecond)
+	if c := pool.take("k", 10*time.Millisecond); c != nil {
+		t.Error("took a connection that was unused for longer")
+	}
+	if c := pool.take("k", time.Second); c == nil {
+		t.Error("the connection is gone")
+	}
+}
--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -18,6 +18,8 @@
 	Urgency int
 	// Ranked states that Urgency is sent.
 	Ranked bool
+	// Once states that the request must not be sent again if this attempt fails.
+	Once bool
 	// ResumeAfter is the number of the last event that the client has; zero starts at the beginning.
 	ResumeAfter uint64
 }
--- a/front/follow.go
+++ b/front/follow.go
@@ -20,7 +20,7 @@
 	replicaGap  = 800 * time.Millisecond
 	// lostPause is the pause before the store is called again after a failure, at first and at most.
 	lostPause    = 50 * time.Millisecond
-	longestPause = 400 * time.Millisecond
+	longestPause = 800 * time.Millisecond
 )
 
 // follower reads one table whole and then its changes.
@@ -40,14 +40,10 @@
 func (follower *follower) run(ctx context.Context) error {
 	version, known := uint64(0), false
 	pause := lostPause
-	failed := false
 	for ctx.Err() == nil {
 		err := follower.step(ctx, &version, &known)
 		switch {
 		case err == nil:
-			if failed {
-				failed = false
-			}
 			pause = lostPause
 			follower.daemon.hearStore()
 			follower.daemon.sleep(ctx, follower.gap)
@@ -55,7 +51,6 @@
 			event.HistoryForgotten.Log("Table", follower.table, "After", version)
 			known = false
 		default:
-			failed = true
 			follower.daemon.missStore(err, follower.table)
 			follower.daemon.sleep(ctx, pause)
 			pause = min(2*pause, longestPause)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -53,6 +53,7 @@
 		Budget:      journey.left(),
 		Urgency:     urgency(journey.route),
 		Ranked:      journey.service.Engine != nil,
+		Once:        !journey.route.Repeatable(),
 		ResumeAfter: journey.last,
 	})
 	if err != nil {
