Keep the former VM as the last sender over a restart within the turnover

The lease row now keeps the VM before, and how often it was renewed since. The test of the lease failed first.

--- a/front/daemon.go
+++ b/front/daemon.go
@@ -150,6 +150,7 @@
 	tables := &detour{direct: quick, through: daemon.mesh.Through(daemon.storePeer), lost: daemon.isStoreLost}
 	daemon.lease = lease.New(tables, lease.Settings{
 		OneProcess: true,
+		Settle:     daemon.settings.Turnover,
 		DataCentre: leaseName,
 		Term:       leaseTerm,
 		RenewEvery: leaseRenewal,
--- a/internal/frontsoak/proxy_test.go
+++ b/internal/frontsoak/proxy_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -74,9 +75,15 @@
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
+		held := false
 		for proxy.holds() {
+			held = true
 			time.Sleep(5 * time.Millisecond)
 		}
+		if held && gone(from) {
+			// A partition drops what its sender gave up meanwhile.
+			return false
+		}
 		if n > 0 {
 			if _, failure := to.Write(buffer[:n]); failure != nil {
 				return false
@@ -113,6 +120,25 @@
 	}
 }
 
+// gone reports whether the other end closed or reset the connection.
+func gone(c net.Conn) bool {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return true
+	}
+	ended := false
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, failure := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		ended = failure != syscall.EAGAIN && n <= 0
+	})
+	return err != nil || ended
+}
+
 func reset(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -287,3 +287,33 @@
 		t.Error("another VM took the lease within its term")
 	}
 }
+
+// TestRestartWithinTheSettleTimeKeepsTheFormerVM covers a holder that took the lease from another VM and is killed
+// right after: what the other VM sent may still arrive when its next process holds the lease.
+func TestRestartWithinTheSettleTimeKeepsTheFormerVM(t *testing.T) {
+	for renewals, want := range map[int]string{0: "entry-1", 1: "entry-1", 2: "entry-2"} {
+		site := newSite(1)
+		settings := Settings{DataCentre: "fukuoka", OneProcess: true, RenewEvery: 2 * time.Second, Settle: 3 * time.Second}
+		start := func(name string, run int) *Lease {
+			return New(site.platform.Client(), settings, site.clock, Holder{Name: name, Incarnation: fmt.Sprint(run), DataCentre: "fukuoka"})
+		}
+		first := start("entry-1", 1)
+		mustStep(t, first)
+		if err := first.Release(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		second := start("entry-2", 1)
+		mustStep(t, second)
+		for range renewals {
+			site.clock.Step(settings.RenewEvery)
+			mustStep(t, second)
+		}
+		for run := 2; run < 4; run++ {
+			restarted := start("entry-2", run)
+			mustStep(t, restarted)
+			if got := restarted.Former().Name; got != want {
+				t.Errorf("after %d renewals the former holder of run %d is %q, want %q", renewals, run, got, want)
+			}
+		}
+	}
+}
--- a/lease/record.go
+++ b/lease/record.go
@@ -26,6 +26,10 @@
 	Fence uint64 `json:"Fence"`
 	// Renewal counts the renewals of one holder.
 	Renewal uint64 `json:"Renewal"`
+	// Former is the name of the last VM that held the lease before that of Holder; empty if there was none.
+	Former string `json:"Former,omitempty"`
+	// Steps counts the renewals since the VM of the holder changed, over restarts of its process.
+	Steps uint64 `json:"Steps,omitempty"`
 	// Released states that the holder gave the lease up.
 	Released bool `json:"Released,omitempty"`
 }
--- a/lease/renew.go
+++ b/lease/renew.go
@@ -22,6 +22,7 @@
 	}
 	next := lease.current
 	next.Renewal++
+	next.Steps++
 	sent := lease.clock.Now()
 	versions, err := lease.tables.Commit(ctx, []datastore.Write{
 		{Key: lease.key(), Check: true, IfVersion: lease.version, Value: encode(next)},
--- a/lease/settings.go
+++ b/lease/settings.go
@@ -26,6 +26,9 @@
 	// Rank returns the place of this daemon among the candidates, from zero. A higher rank
 	// watches less often and waits longer. Nil means zero.
 	Rank func() int
+	// Settle is the time after a change of the VM in which what the former holder sent may still arrive. A
+	// process that is started again within it has that VM as its former holder. It counts whole RenewEvery.
+	Settle time.Duration
 	// OneProcess states that a VM runs one process at a time, so that an earlier incarnation on the VM of
 	// this daemon is gone and its lease can be taken at once.
 	OneProcess bool
--- a/lease/watch.go
+++ b/lease/watch.go
@@ -55,6 +55,16 @@
 	return lease.settings.OneProcess && holder.Name == lease.holder.Name && holder.Incarnation != lease.holder.Incarnation
 }
 
+// settled returns the holder that counts as the former one for a process on the VM of the found holder: that
+// holder, or the VM before it if that lost the lease so lately that what it sent may still arrive.
+func (lease *Lease) settled(found record) Holder {
+	since := time.Duration(found.Steps) * lease.settings.RenewEvery
+	if found.Former == "" || since >= lease.settings.Settle {
+		return found.Holder
+	}
+	return Holder{Name: found.Former}
+}
+
 func (lease *Lease) setFormer(former Holder) {
 	lease.mutex.Lock()
 	defer lease.mutex.Unlock()
@@ -82,8 +92,13 @@
 	if err != nil {
 		return err
 	}
-	next := record{Holder: lease.holder, Fence: max(found.Fence, fence.value.Fence) + 1}
-	lease.setFormer(found.Holder)
+	next := record{Holder: lease.holder, Fence: max(found.Fence, fence.value.Fence) + 1, Former: found.Holder.Name}
+	former := found.Holder
+	if lease.predecessor(found.Holder) {
+		next.Former, next.Steps = found.Former, found.Steps
+		former = lease.settled(found)
+	}
+	lease.setFormer(former)
 	sent := lease.clock.Now()
 	versions, err := lease.tables.Commit(ctx, []datastore.Write{
 		{Key: lease.key(), Check: true, IfVersion: row.Version, Value: encode(next)},
@@ -110,6 +125,7 @@
 	}
 	next := found
 	next.Renewal++
+	next.Steps++
 	sent := lease.clock.Now()
 	versions, err := lease.tables.Commit(ctx, []datastore.Write{
 		{Key: lease.key(), Check: true, IfVersion: row.Version, Value: encode(next)},
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -160,20 +160,6 @@
 	}
 }
 
-// spare returns the engines that could take a further replica of the model: those with a copy of it, or
-// else all if the weight store has room.
-func (plan *plan) spare(name string, avoid map[string]bool) []*Engine {
-	for _, engine := range plan.index.copies[name] {
-		if plan.free(engine) && !avoid[engine.Zone] {
-			return plan.index.copies[name]
-		}
-	}
-	if plan.mayUseStore() && (!plan.index.copied(name) || plan.short(name)) {
-		return plan.state.Engines
-	}
-	return plan.index.copies[name]
-}
-
 // short reports whether the replicas of the model cannot keep up with its prompts, so that a slow load of
 // a further one is worth keeping an engine from quick loads.
 func (plan *plan) short(name string) bool {
@@ -270,10 +256,23 @@
 )
 
 // cheapest returns the engine where a load of the model costs least, busy ones included. The weight store
-// is used only for a model of which no engine has a copy, or for further replicas of a busy one.
+// is used only for a model of which no engine has a copy, or for further replicas of one that has too few
+// if no engine with a copy can take it.
 func (plan *plan) cheapest(model *topology.Model, purpose purpose, avoid map[string]bool) option {
+	best := plan.cheapestOf(plan.index.copies[model.Name], model, purpose, avoid)
+	if best.engine != nil || !plan.mayUseStore() {
+		return best
+	}
+	if !plan.index.copied(model.Name) || plan.short(model.Name) {
+		return plan.cheapestOf(plan.state.Engines, model, purpose, avoid)
+	}
+	return best
+}
+
+// cheapestOf returns the one of the engines where a load of the model costs least.
+func (plan *plan) cheapestOf(engines []*Engine, model *topology.Model, purpose purpose, avoid map[string]bool) option {
 	best := option{cost: math.Inf(1)}
-	for _, engine := range plan.spare(model.Name, avoid) {
+	for _, engine := range engines {
 		tier := tierOf(&engine.Holding, model.Name)
 		if avoid[engine.Zone] || (tier == Store && !plan.free(engine)) {
 			continue
--- a/residency/planner_test.go
+++ b/residency/planner_test.go
@@ -268,3 +268,29 @@
 		New(Settings{}).Plan(state)
 	}
 }
+
+// TestShortModelUsesTheWeightStore covers a model that rose far above its replicas while the other engines
+// with a copy of it are full of other busy models.
+func TestShortModelUsesTheWeightStore(t *testing.T) {
+	state := fleet(3, 5)
+	state.hold(0, "m0")
+	state.hold(1, "m1", "m2")
+	state.Engines[1].Holding.OnDisk = append(state.Engines[1].Holding.OnDisk, "m0")
+	state.hold(2, "m3")
+	for _, busy := range []string{"m1", "m2"} {
+		state.Models[busy] = Demand{Rate: 5, Running: 2}
+	}
+	state.Models["m4"] = Demand{}
+	state.Engines[1].Running = map[string]int{"m1": 1, "m2": 1}
+	state.Models["m0"] = Demand{Rate: 40, Running: 120, Tokens: 50_000}
+	for _, name := range []string{"m3", "m4"} {
+		state.Engines[0].Holding.OnDisk = append(state.Engines[0].Holding.OnDisk, name)
+	}
+	found := false
+	for _, order := range orders(state) {
+		found = found || order == "Load m0 e2"
+	}
+	if !found {
+		t.Errorf("planned %q, want a load of m0 on e2", orders(state))
+	}
+}
