--- a/front/daemon.go
+++ b/front/daemon.go
@@ -2,12 +2,7 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
-	"math"
 	mathrand "math/rand/v2"
-	"net"
-	"net/http"
 	"runtime"
 	"runtime/debug"
 	"sync"
@@ -29,7 +24,6 @@
 	"github.com/bronzestall/bronzestall/meter"
 	"github.com/bronzestall/bronzestall/platform"
 	"github.com/bronzestall/bronzestall/relay"
-	"github.com/bronzestall/bronzestall/residency"
 	"github.com/bronzestall/bronzestall/roster"
 	"github.com/bronzestall/bronzestall/scheduler"
 	"github.com/bronzestall/bronzestall/topology"
@@ -138,54 +132,6 @@
 	return daemon
 }
 
-// wireOrders makes the parts that agree on who sends orders.
-func (daemon *Daemon) wireOrders() {
-	holder := lease.Holder{Name: daemon.settings.Name, Incarnation: incarnation(), DataCentre: leaseName}
-	quick := platform.NewRowStore(daemon.pool, daemon.settings.StoreAddress, leaseCall)
-	daemon.mesh = mesh.New(mesh.Settings{
-		Self:   mesh.Member{Name: daemon.settings.Name, Address: daemon.settings.PeerAddress},
-		Seeds:  daemon.settings.Seeds,
-		Client: &http.Client{Transport: peerTransport()},
-	}, mesh.Parts{State: daemon.state, Sync: daemon.serveSync, Answer: daemon.answer, Tables: quick}, daemon.clock)
-	tables := &detour{direct: quick, through: daemon.mesh.Through(daemon.storePeer), lost: daemon.isStoreLost}
-	daemon.lease = lease.New(tables, lease.Settings{
-		OneProcess: true,
-		Settle:     daemon.settings.Turnover,
-		DataCentre: leaseName,
-		Term:       leaseTerm,
-		RenewEvery: leaseRenewal,
-		Rank:       daemon.rank,
-	}, daemon.clock, holder)
-	daemon.scheduler = scheduler.New(scheduler.Settings{
-		Name:     daemon.settings.Name,
-		Turnover: daemon.settings.Turnover,
-		Planner: residency.Settings{
-			StoreLoadsAtOnce: daemon.settings.LoadsAtOnce,
-			CeilingWindow:    daemon.settings.LoadWindow,
-		},
-	}, scheduler.Deps{Tenure: daemon.lease, Engines: daemon.upstream, Clock: daemon.clock})
-}
-
-// serveSync takes the report of another daemon.
-func (daemon *Daemon) serveSync(ctx context.Context, report mesh.Report) (directory.Announcement, error) {
-	return daemon.scheduler.Sync(ctx, report)
-}
-
-// leaseName names the one lease for orders to all engines.
-const leaseName = "engines"
-
-// incarnation returns a random name of this run.
-func incarnation() string {
-	var raw [8]byte
-	_, _ = rand.Read(raw[:])
-	return hex.EncodeToString(raw[:])
-}
-
-// retryMost returns how many second sendings one of the daemons may have saved up.
-func retryMost(settings Settings, daemons int) float64 {
-	return math.Max(settings.RetrySlack*retryPart/float64(max(daemons, fewestDaemons)), 1)
-}
-
 // The bounds of connections to other daemons.
 const (
 	peerDialTimeout = 400 * time.Millisecond
@@ -193,26 +139,6 @@
 	peerIdleConns   = 8
 )
 
-func peerTransport() *http.Transport {
-	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: peerDialTimeout, KeepAlive: -1}).DialContext,
-		MaxIdleConnsPerHost: peerIdleConns,
-		IdleConnTimeout:     peerIdle,
-		DisableCompression:  true,
-	}
-}
-
-// rank returns the place of this daemon among those that may take the lease.
-func (daemon *Daemon) rank() int {
-	before := 0
-	for _, live := range daemon.mesh.Live() {
-		if live.Name < daemon.settings.Name && !live.Leaving {
-			before++
-		}
-	}
-	return before
-}
-
 // Run serves until the context ends, and then stops gracefully.
 func (daemon *Daemon) Run(ctx context.Context, reload <-chan struct{}) error {
 	runtime.GOMAXPROCS(daemon.settings.Cores)
--- /dev/null
+++ b/mesh/calls.go
@@ -0,0 +1,76 @@
+package mesh
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/bronzestall/bronzestall/directory"
+	"github.com/bronzestall/bronzestall/internal/rpc"
+	"github.com/bronzestall/bronzestall/mesh/meshpb"
+)
+
+// Sync sends a report to the holder of the lease and returns its announcement. Its lists are empty unless it
+// is newer than the one named in the report.
+func (node *Node) Sync(ctx context.Context, address string, report Report) (directory.Announcement, error) {
+	encoded := report.encode(node.clock.Now())
+	answer, err := call[meshpb.Report, meshpb.Announcement](ctx, node, address, syncProcedure, encoded, node.settings.CallTimeout+report.Wait)
+	if err != nil {
+		return directory.Announcement{}, err
+	}
+	return decodeAnnouncement(answer, node.clock.Now()), nil
+}
+
+// Ask asks the daemon at the address for what is newer.
+func (node *Node) Ask(ctx context.Context, address string, question Question) (Answer, error) {
+	encoded := &meshpb.Question{Configuration: question.Configuration, Roster: question.Roster}
+	answer, err := call[meshpb.Question, meshpb.Answer](ctx, node, address, askProcedure, encoded, node.settings.CallTimeout)
+	if err != nil {
+		return Answer{}, err
+	}
+	return decodeAnswer(answer), nil
+}
+
+// Handler serves the calls of other daemons.
+func (node *Node) Handler() http.Handler {
+	mux := http.NewServeMux()
+	handle(mux, greetProcedure, func(_ context.Context, greeting *meshpb.Greeting) (*meshpb.Greeting, error) {
+		met := node.met(greeting.GetSelf().GetAddress())
+		node.hear(greeting)
+		return node.greeting(!met), nil
+	})
+	handle(mux, syncProcedure, node.serveSync)
+	handle(mux, tablesProcedure, node.serveTables)
+	handle(mux, askProcedure, func(_ context.Context, question *meshpb.Question) (*meshpb.Answer, error) {
+		answer := node.parts.Answer(Question{Configuration: question.GetConfiguration(), Roster: question.GetRoster()})
+		return answer.encode(), nil
+	})
+	return mux
+}
+
+func (node *Node) serveSync(ctx context.Context, encoded *meshpb.Report) (*meshpb.Announcement, error) {
+	announcement, err := node.parts.Sync(ctx, decodeReport(encoded, node.clock.Now()))
+	if err != nil {
+		return nil, err
+	}
+	newer := announcement.Newer(encoded.GetFence(), encoded.GetRevision())
+	changed := announcement.After(encoded.GetFence(), encoded.GetRevision())
+	return encodeAnnouncement(&changed, newer, node.clock.Now()), nil
+}
+
+// limits bounds the messages between daemons.
+var limits = rpc.Limits{Message: messageLimit, CompressFrom: compressFrom}
+
+// call sends one message to the procedure at the address.
+func call[Request, Response any](ctx context.Context, node *Node, address, procedure string, request *Request, timeout time.Duration) (*Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return rpc.Call[Request, Response](ctx, node.settings.Client, "http://"+address+procedure, request, limits)
+}
+
+// handle mounts one procedure.
+func handle[Request, Response any](mux *http.ServeMux, procedure string, serve func(context.Context, *Request) (*Response, error)) {
+	rpc.Handle(mux, procedure, serve, func(error) connect.Code { return connect.CodeUnavailable }, limits)
+}
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -6,8 +6,8 @@
 	"net/http"
 
 	"connectrpc.com/connect"
-	"github.com/gravitational/trace"
 
+	"github.com/bronzestall/bronzestall/internal/rpc"
 	"github.com/bronzestall/bronzestall/peer/peerpb"
 )
 
@@ -47,14 +47,12 @@
 	return &wire{client: settings.Client, scheme: scheme}
 }
 
+// limits bounds the messages between daemons.
+var limits = rpc.Limits{Message: messageLimit, CompressFrom: compressFrom}
+
 // call sends one message to the procedure at the address.
 func call[Request, Response any](ctx context.Context, wire *wire, address, procedure string, request *Request) (*Response, error) {
-	client := connect.NewClient[Request, Response](wire.client, wire.scheme+address+procedure, connect.WithReadMaxBytes(messageLimit))
-	response, err := client.CallUnary(ctx, connect.NewRequest(request))
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	return response.Msg, nil
+	return rpc.Call[Request, Response](ctx, wire.client, wire.scheme+address+procedure, request, limits)
 }
 
 func (wire *wire) exchange(ctx context.Context, address string, request *peerpb.ExchangeRequest) (*peerpb.ExchangeResponse, error) {
@@ -77,15 +75,13 @@
 
 // handle mounts one procedure.
 func handle[Request, Response any](mux *http.ServeMux, procedure string, serve func(context.Context, *Request) (*Response, error)) {
-	unary := func(ctx context.Context, request *connect.Request[Request]) (*connect.Response[Response], error) {
-		response, err := serve(ctx, request.Msg)
-		if errors.Is(err, ErrNotOffered) {
-			return nil, connect.NewError(connect.CodeUnimplemented, err)
-		}
-		if err != nil {
-			return nil, connect.NewError(connect.CodeUnavailable, err)
-		}
-		return connect.NewResponse(response), nil
+	rpc.Handle(mux, procedure, serve, codeOf, limits)
+}
+
+// codeOf returns the code of a failure.
+func codeOf(err error) connect.Code {
+	if errors.Is(err, ErrNotOffered) {
+		return connect.CodeUnimplemented
 	}
-	mux.Handle(procedure, connect.NewUnaryHandler(procedure, unary, connect.WithReadMaxBytes(messageLimit), connect.WithCompressMinBytes(compressFrom)))
+	return connect.CodeUnavailable
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -65,24 +65,6 @@
 	}
 }
 
-// Refuse ends the service for new requests.
-func (relay *Relay) Refuse() {
-	relay.mutex.Lock()
-	defer relay.mutex.Unlock()
-	relay.stopping = true
-}
-
-// End gives all requests that wait or run their final answer. It must be called once.
-func (relay *Relay) End() {
-	close(relay.stopped)
-}
-
-func (relay *Relay) isStopping() bool {
-	relay.mutex.Lock()
-	defer relay.mutex.Unlock()
-	return relay.stopping
-}
-
 // Configure takes a configuration unless a newer one is in force, and reports whether it did.
 func (relay *Relay) Configure(configuration *topology.Configuration) bool {
 	relay.mutex.Lock()
@@ -161,26 +143,6 @@
 // may start together.
 const firstRetries = 2
 
-// retryAfterStop is the advice to the client of a daemon that is shutting down; others serve.
-const retryAfterStop = 50 * time.Millisecond
-
-// untilEnd returns a context that ends with errStopped when End is called.
-func (relay *Relay) untilEnd(ctx context.Context) (context.Context, func()) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	done := make(chan struct{})
-	go func() {
-		select {
-		case <-relay.stopped:
-			cancel(errStopped)
-		case <-done:
-		}
-	}()
-	return ctx, func() {
-		close(done)
-		cancel(nil)
-	}
-}
-
 // deadline returns when the request must have its final answer.
 func (relay *Relay) deadline(request *exchange.Request, route *topology.Route) time.Time {
 	allowed := route.Timeout
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -78,7 +78,7 @@
 	}
 }
 
-func (sim *engineSim) Order(ctx context.Context, order residency.Order, holder string, fence uint64) (residency.Verdict, error) {
+func (sim *engineSim) Order(_ context.Context, order residency.Order, holder string, fence uint64) (residency.Verdict, error) {
 	sim.mutex.Lock()
 	defer sim.mutex.Unlock()
 	sim.log = append(sim.log, received{order, holder, fence, time.Now()})
