--- a/demand/book.go
+++ b/demand/book.go
@@ -9,7 +9,7 @@
 )
 
 // halfLife is the time in which the weight of an arrival in a rate halves.
-const halfLife = 3 * time.Second
+const halfLife = 1500 * time.Millisecond
 
 // Key names a model of a service, or one of its adapters.
 type Key struct {
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -21,7 +21,7 @@
 	// further replica; the rest is for tokens, other models and bursts.
 	prefillShare = 0.3
 	// shortShare is the same part, and that of its slots, from which it gets one even by a load from the weight store.
-	shortShare = 0.5
+	shortShare = 0.35
 	// adapterCopies bounds the replicas that are given the same adapter ahead of demand.
 	adapterCopies = 3
 )
