--- a/cmd/bronzestall/commands_test.go
+++ b/cmd/bronzestall/commands_test.go
@@ -182,6 +182,8 @@
 	broken := write(t, "Name: x\nLease: {Term: 1}\n")
 	session.want("settings check "+broken, exitRefused, "line 2: Lease.Term: must be a duration")
 	session.want("serve --settings "+broken, exitRefused, "line 2: Lease.Term")
+	session.want("settings check --front "+example("front.yaml"), exitDone, "daemon entry-1 in fukuoka")
+	session.want("settings check --front "+write(t, "Name: x\nCores: none\n"), exitRefused, "line 2: Cores")
 	session.want("serve SETTINGS", exitDone, "")
 	if len(session.served) != 1 || session.served[0].Name != "entry-1" {
 		t.Errorf("served %+v", session.served)
--- a/cmd/bronzestall/settings.go
+++ b/cmd/bronzestall/settings.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 
+	"github.com/bronzestall/bronzestall/front"
 	"github.com/bronzestall/bronzestall/internal/strictyaml"
 	"github.com/bronzestall/bronzestall/settings"
 )
@@ -14,12 +15,13 @@
 
 // settingsCheckCommand checks one settings file.
 type settingsCheckCommand struct {
-	File string `arg:"" help:"Settings file." type:"path"`
+	File  string `arg:"" help:"Settings file." type:"path"`
+	Front bool   `help:"The file is for a front daemon, which serves the users' platform."`
 }
 
 // Run checks the file.
 func (command *settingsCheckCommand) Run(printer *printer) error {
-	daemon, err := settings.Load(command.File)
+	name, dataCentre, err := command.load()
 	var malformed *strictyaml.Error
 	if errors.As(err, &malformed) {
 		printProblems(printer, command.File, malformed.Problems)
@@ -28,13 +30,23 @@
 	if err != nil {
 		return err
 	}
-	result := struct{ Name, DataCentre string }{daemon.Name, daemon.DataCentre}
+	result := struct{ Name, DataCentre string }{name, dataCentre}
 	printer.print(result, func(page *page) {
-		page.line("%s is in order: daemon %s in %s.", command.File, daemon.Name, daemon.DataCentre)
+		page.line("%s is in order: daemon %s in %s.", command.File, name, dataCentre)
 	})
 	return nil
 }
 
+// load reads and checks the file, and returns the names of the daemon and its data centre.
+func (command *settingsCheckCommand) load() (name, dataCentre string, err error) {
+	if command.Front {
+		daemon, err := front.Load(command.File)
+		return daemon.Name, daemon.DataCentre, err
+	}
+	daemon, err := settings.Load(command.File)
+	return daemon.Name, daemon.DataCentre, err
+}
+
 // printProblems writes what is wrong with a file.
 func printProblems(printer *printer, file string, problems []strictyaml.Problem) {
 	result := struct {
