Give the lease up in the goroutine that holds it

Cause, found by reading: a stopping daemon released its lease while the duty that renews it could be in a call; a take that ended after the release would have been kept, and two goroutines wrote the same fields. Also: a settings file that cannot be read again is logged; functions that nothing calls are gone.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -222,19 +222,6 @@
 	}
 }
 
-// Own returns the requests in flight from this daemon by incarnation.
-func (balancer *Balancer) Own() map[topology.Incarnation]int {
-	balancer.mutex.Lock()
-	defer balancer.mutex.Unlock()
-	own := map[topology.Incarnation]int{}
-	for incarnation, load := range balancer.loads {
-		if load.own > 0 {
-			own[incarnation] = load.own
-		}
-	}
-	return own
-}
-
 // Forget drops what is known of incarnations that are gone and have no request in flight.
 func (balancer *Balancer) Forget(live map[topology.Incarnation]bool) {
 	balancer.mutex.Lock()
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -61,17 +61,6 @@
 	return response, nil
 }
 
-// Drop closes the unused connections of the key.
-func (pool *Pool) Drop(key string) {
-	pool.mutex.Lock()
-	dropped := pool.idle[key]
-	delete(pool.idle, key)
-	pool.mutex.Unlock()
-	for _, c := range dropped {
-		_ = c.Close()
-	}
-}
-
 // Sweep closes the unused connections that have expired.
 func (pool *Pool) Sweep() {
 	now := pool.clock.Now()
--- a/front/daemon.go
+++ b/front/daemon.go
@@ -70,6 +70,8 @@
 
 	// stopping states that the daemon fails its readiness check.
 	stopping atomic.Bool
+	// stopBegun is closed when the daemon begins to stop.
+	stopBegun chan struct{}
 	// seat is the place of the daemon among those that live.
 	seat atomic.Int64
 	// poked asks for a report of demand at once.
@@ -103,6 +105,7 @@
 		balancer:        balance.New(random),
 		demand:          demand.New(),
 		poked:           make(chan struct{}, 1),
+		stopBegun:       make(chan struct{}),
 		replicasChanged: make(chan struct{}, 1),
 		heard:           clk.Now(),
 	}
--- a/front/duties.go
+++ b/front/duties.go
@@ -10,16 +10,18 @@
 	"github.com/bronzestall/bronzestall/topology"
 )
 
-// holdLease takes the lease whenever it can, and tells other daemons at once.
+// holdLease takes the lease whenever it can, and tells other daemons at once. It gives the lease up when the
+// daemon stops, and then does no more.
 func (daemon *Daemon) holdLease(ctx context.Context) error {
 	held := false
 	for ctx.Err() == nil {
 		if daemon.stopping.Load() {
-			daemon.sleep(ctx, leaseRenewal)
-			continue
+			daemon.releaseLease(ctx)
+			<-ctx.Done()
+			return ctx.Err()
 		}
 		if daemon.holderAnswers() {
-			daemon.sleep(ctx, leaseRenewal)
+			daemon.sleepUnlessStopping(ctx, leaseRenewal)
 			continue
 		}
 		// A failed step changes nothing; the follower of a table logs that the store is away.
@@ -30,11 +32,30 @@
 			daemon.scheduler.Wake()
 			daemon.mesh.GreetAll(ctx)
 		}
-		daemon.sleep(ctx, daemon.lease.Pause())
+		daemon.sleepUnlessStopping(ctx, daemon.lease.Pause())
 	}
 	return ctx.Err()
 }
 
+// releaseLease gives the lease up and tells other daemons.
+func (daemon *Daemon) releaseLease(ctx context.Context) {
+	if err := daemon.lease.Release(ctx); err != nil {
+		event.StoreLost.LogError(err, "Call", "ReleaseLease")
+	}
+	daemon.mesh.GreetAll(ctx)
+}
+
+// sleepUnlessStopping waits for the time, the end of the context or the beginning of the stop.
+func (daemon *Daemon) sleepUnlessStopping(ctx context.Context, pause time.Duration) {
+	timer := daemon.clock.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C():
+	case <-daemon.stopBegun:
+	case <-ctx.Done():
+	}
+}
+
 const (
 	// holderSilence is the time without an answer of the holder of the lease from which all daemons look
 	// whether it lapsed.
@@ -103,7 +124,11 @@
 			asked = true
 		}
 		content, err := os.ReadFile(daemon.settingsFile)
-		if err != nil || (!asked && bytes.Equal(content, last)) {
+		if err != nil {
+			event.SettingsRefused.LogError(err, "File", daemon.settingsFile)
+			continue
+		}
+		if !asked && bytes.Equal(content, last) {
 			continue
 		}
 		last = content
--- a/front/servers.go
+++ b/front/servers.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -109,14 +108,9 @@
 func (daemon *Daemon) stop(servers *servers) {
 	begun := daemon.clock.Now()
 	daemon.stopping.Store(true)
+	close(daemon.stopBegun)
 	daemon.ingress.Stop()
 	event.FrontStopping.Log("Daemon", daemon.settings.Name, "Running", daemon.ingress.Running())
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
-	defer cancel()
-	if err := daemon.lease.Release(ctx); err != nil {
-		event.StoreLost.LogError(err, "Call", "ReleaseLease")
-	}
-	daemon.mesh.GreetAll(ctx)
 	daemon.drain(begun.Add(noticeTime), false)
 	daemon.relay.Refuse()
 	daemon.drain(begun.Add(daemon.settings.Grace-cutReserve), true)
