End the grace of replicas with the outage's end, not with their removal

Ruled out: a missed change; the removal was read 0.5 s after it. Change: the grace ends 1.8 s after the end of the outage. The test failed first.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -10,7 +10,8 @@
 	"github.com/bronzestall/bronzestall/topology"
 )
 
-// Grace is how long a replica stays in use after its row was found gone at the end of an outage.
+// Grace is how long after the end of an outage a replica stays in use whose row is gone. It counts from the end, not
+// from when the row was found gone, since the row may have been removed right after the end.
 const Grace = 1800 * time.Millisecond
 
 // Roster is the set of replicas. It is safe for concurrent use. Use New.
@@ -121,7 +122,7 @@
 	defer roster.mutex.Unlock()
 	before := len(roster.entries)
 	maps.DeleteFunc(roster.entries, func(_ string, entry Entry) bool {
-		return !entry.Missing.IsZero() && now.Sub(entry.Missing) >= Grace
+		return !entry.Missing.IsZero() && now.Sub(roster.outageEnded) >= Grace
 	})
 	return len(roster.entries) != before
 }
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -77,3 +77,14 @@
 		t.Errorf("version %d, known %t", version, known)
 	}
 }
+
+// TestReplicaThatLeavesRightAfterAnOutage covers a row that is removed after the table answered again: its replica must
+// be out of use soon after the removal, however late this daemon read it.
+func TestReplicaThatLeavesRightAfterAnOutage(t *testing.T) {
+	roster := New()
+	roster.Replace([]Entry{entry("a", 1), entry("b", 2)}, 2, start)
+	roster.Regain(start)
+	roster.Drop("a", start.Add(Grace-time.Millisecond))
+	roster.Settle(start.Add(Grace))
+	want(t, roster, "b")
+}
