Bound the batches of the log pipe

The pipe emptied its ring without a bound before it wrote, so a daemon that logs quickly grew the batch as long as it logged, and the test depended on which goroutine was quicker. A test of the size of batches failed before (413,696 bytes at once).

--- a/logpipe/pipe.go
+++ b/logpipe/pipe.go
@@ -53,7 +53,7 @@
 	for {
 		line, err := pipe.lines.Take(ctx)
 		if err != nil {
-			pipe.flush(nil)
+			pipe.drain()
 			return err
 		}
 		pipe.collect(ctx, line)
@@ -75,14 +75,23 @@
 		}
 		break
 	}
-	pipe.flush(batch)
+	pipe.write(batch)
 }
 
-// flush writes the batch and what waits.
-func (pipe *Pipe) flush(batch []byte) {
-	for pipe.lines.Len() > 0 {
+// drain writes what waits, at most as many lines as can wait.
+func (pipe *Pipe) drain() {
+	var batch []byte
+	for range capacity {
+		if pipe.lines.Len() == 0 {
+			break
+		}
 		batch = append(batch, <-pipe.lines.Items()...)
 	}
+	pipe.write(batch)
+}
+
+// write writes a batch unless it is empty.
+func (pipe *Pipe) write(batch []byte) {
 	if len(batch) > 0 {
 		// There is nowhere to report a failure of the log itself.
 		_, _ = pipe.out.Write(batch)
