Remove doubled and repeated work found by reading the change

Behaviour stays. The time of a load stood in two functions; the body of each request was hashed up to three times; each request had a goroutine that only waited for the end of the daemon; greetings made the whole report of demand for the requests in flight alone; a search for a string in a list was our own; a field of the listeners had no reader. It now checks its settings by package front, which makes it depend on that code.

--- a/demand/book.go
+++ b/demand/book.go
@@ -1,6 +1,7 @@
 package demand
 
 import (
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -142,11 +143,14 @@
 		}
 		wants = append(wants, next)
 	}
-	running := make(map[Place]int, len(book.running))
-	for place, count := range book.running {
-		running[place] = count
-	}
-	return wants, running
+	return wants, maps.Clone(book.running)
+}
+
+// Running returns where requests are in flight.
+func (book *Book) Running() map[Place]int {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	return maps.Clone(book.running)
 }
 
 // decayed returns what is left of a decaying count after the time.
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -155,7 +156,7 @@
 	now := directory.clock.Now()
 	var holders []balance.Candidate
 	for _, member := range directory.engines[demand.Key{Service: key.Service, Model: key.Model}] {
-		if key.Adapter != "" && !contains(member.adapters, key.Adapter) {
+		if key.Adapter != "" && !slices.Contains(member.adapters, key.Adapter) {
 			continue
 		}
 		if at, ok := directory.absent[demand.Place{Incarnation: member.Incarnation, Key: key}]; ok && now.Sub(at) < absentFor {
@@ -166,15 +167,6 @@
 	return holders
 }
 
-func contains(list []string, wanted string) bool {
-	for _, item := range list {
-		if item == wanted {
-			return true
-		}
-	}
-	return false
-}
-
 // Absent notes that the replica lacks the model or adapter at the moment.
 func (directory *Directory) Absent(place demand.Place) {
 	directory.mutex.Lock()
--- a/front/daemon.go
+++ b/front/daemon.go
@@ -212,7 +212,7 @@
 		state.Fence = fence
 	}
 	if len(daemon.mesh.Live()) <= manyDaemons {
-		_, state.Loads = daemon.demand.Report(daemon.clock.Now())
+		state.Loads = daemon.demand.Running()
 	}
 	return state
 }
--- a/front/servers.go
+++ b/front/servers.go
@@ -23,7 +23,6 @@
 
 // servers are the listeners of a daemon.
 type servers struct {
-	clients *http.Server
 	all     []*http.Server
 	listens []net.Listener
 }
@@ -31,12 +30,11 @@
 // listen opens all listeners, or none.
 func (daemon *Daemon) listen() (*servers, error) {
 	opened := &servers{}
-	opened.clients = &http.Server{
+	clients := &http.Server{
 		Handler:           daemon.ingress,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       clientIdle,
 		MaxHeaderBytes:    headerBytes,
-		ErrorLog:          nil,
 	}
 	metrics := http.NewServeMux()
 	metrics.Handle("/metrics", daemon.meter.Handler())
@@ -44,7 +42,7 @@
 		address string
 		server  *http.Server
 	}{
-		{daemon.settings.ClientAddress, opened.clients},
+		{daemon.settings.ClientAddress, clients},
 		{daemon.settings.ReadyAddress, &http.Server{Handler: ingress.Ready(daemon.isReady), ReadHeaderTimeout: headerTimeout}},
 		{daemon.settings.PeerAddress, &http.Server{Handler: daemon.mesh.Handler(), ReadHeaderTimeout: headerTimeout}},
 		{daemon.settings.MetricsAddress, &http.Server{Handler: metrics, ReadHeaderTimeout: headerTimeout}},
--- a/internal/frontsoak/process_test.go
+++ b/internal/frontsoak/process_test.go
@@ -10,6 +10,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/bronzestall/bronzestall/front"
 )
 
 // process is one daemon, which is started again whenever it ends.
@@ -76,6 +78,11 @@
 RetryWindow: 10s
 LoadWindow: 5s
 `, made.name, index%2, made.client, addresses[2*count+index], addresses[index], seeds, made.store.address())
+		// Checking the settings here also makes the test depend on the code of the daemon, which it runs as a
+		// process only, so that a result is not taken from the cache after a change of that code.
+		if _, err := front.Parse(made.settings, []byte(content)); err != nil {
+			return nil, err
+		}
 		if err := os.WriteFile(made.settings, []byte(content), 0o600); err != nil {
 			return nil, err
 		}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -106,7 +106,7 @@
 	}
 	journey.relay.deps.Balancer.Done(candidate.Incarnation, true, now)
 	if ctx.Err() == nil {
-		journey.relay.deps.Suspects.Note(journey.request.Fingerprint(), now)
+		journey.relay.deps.Suspects.Note(journey.fingerprint, now)
 	}
 	if errors.Is(err, exchange.ErrForeign) {
 		return result{failure: outcome.New(outcome.AnswerInvalid, "%s", err.Error())}
@@ -159,7 +159,7 @@
 	if journey.sink.Begun() {
 		return result{failure: outcome.New(outcome.UpstreamLost, "the replica did not resume the stream")}
 	}
-	journey.relay.deps.Suspects.Clear(journey.request.Fingerprint())
+	journey.relay.deps.Suspects.Clear(journey.fingerprint)
 	answer.deliver(journey.sink)
 	return result{done: true}
 }
--- a/relay/journey.go
+++ b/relay/journey.go
@@ -32,12 +32,14 @@
 
 // journey is one request on its way.
 type journey struct {
-	relay    *Relay
-	request  *exchange.Request
-	route    *topology.Route
-	service  topology.Service
-	sink     Sink
-	deadline time.Time
+	relay   *Relay
+	request *exchange.Request
+	// fingerprint is that of the request.
+	fingerprint uint64
+	route       *topology.Route
+	service     topology.Service
+	sink        Sink
+	deadline    time.Time
 	// sends is the number of sendings, and runs that of those that may have run.
 	sends, runs int
 	// tried lists the replicas that failed the request.
@@ -53,7 +55,7 @@
 // walk sends the request until it is answered or may not be sent again.
 func (journey *journey) walk(ctx context.Context) *outcome.Error {
 	relay := journey.relay
-	if wait, refused := relay.deps.Suspects.Refused(journey.request.Fingerprint(), relay.deps.Clock.Now()); refused {
+	if wait, refused := relay.deps.Suspects.Refused(journey.fingerprint, relay.deps.Clock.Now()); refused {
 		return outcome.New(outcome.Quarantined, "earlier sendings broke replicas").WithRetryAfter(wait)
 	}
 	relay.deps.Demand.Arrive(journey.key(), journey.request.Traits.PromptTokens, journey.route.LatencyTarget, journey.request.Arrived)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -41,14 +41,15 @@
 type Relay struct {
 	deps     Deps
 	settings Settings
+	// ended is over when waiting and running requests must end; end ends it.
+	ended context.Context
+	end   context.CancelFunc
 
 	mutex sync.Mutex
 	// configuration is the newest configuration, or nil before the first.
 	configuration *topology.Configuration
-	// stopping states that new requests are refused, and stopped is closed when waiting and running ones
-	// must end.
+	// stopping states that new requests are refused.
 	stopping bool
-	stopped  chan struct{}
 	// budgets maps services to their retry budgets, and most is the limit of each.
 	budgets map[string]*retry.Budget
 	most    float64
@@ -56,10 +57,12 @@
 
 // New returns a relay without a configuration.
 func New(settings Settings, deps Deps) *Relay {
+	ended, end := context.WithCancel(context.Background())
 	return &Relay{
 		deps:     deps,
 		settings: settings.withDefaults(),
-		stopped:  make(chan struct{}),
+		ended:    ended,
+		end:      end,
 		budgets:  map[string]*retry.Budget{},
 		most:     settings.RetryMost,
 	}
@@ -132,7 +135,7 @@
 	defer cancel()
 	ctx, stop := relay.untilEnd(ctx)
 	defer stop()
-	journey := &journey{relay: relay, request: request, route: route, service: service, sink: sink, deadline: deadline}
+	journey := &journey{relay: relay, request: request, fingerprint: request.Fingerprint(), route: route, service: service, sink: sink, deadline: deadline}
 	journey.summary = Summary{Route: route.Name, Configuration: configuration.Version}
 	failure := journey.walk(ctx)
 	journey.summary.Sends = journey.sends
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -12,9 +12,9 @@
 	relay.stopping = true
 }
 
-// End gives all requests that wait or run their final answer. It must be called once.
+// End gives all requests that wait or run their final answer.
 func (relay *Relay) End() {
-	close(relay.stopped)
+	relay.end()
 }
 
 func (relay *Relay) isStopping() bool {
@@ -26,16 +26,9 @@
 // untilEnd returns a context that ends with errStopped when End is called.
 func (relay *Relay) untilEnd(ctx context.Context) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	done := make(chan struct{})
-	go func() {
-		select {
-		case <-relay.stopped:
-			cancel(errStopped)
-		case <-done:
-		}
-	}()
+	unwatch := context.AfterFunc(relay.ended, func() { cancel(errStopped) })
 	return ctx, func() {
-		close(done)
+		unwatch()
 		cancel(nil)
 	}
 }
--- a/residency/forecast.go
+++ b/residency/forecast.go
@@ -52,7 +52,7 @@
 		if engine.ReadyAt.After(now) {
 			begin = engine.ReadyAt
 		}
-		if ready := begin.Add(loadTime(&model, tier)); best.IsZero() || ready.Before(best) {
+		if ready := begin.Add(tier.Duration(&model)); best.IsZero() || ready.Before(best) {
 			best = ready
 		}
 	}
--- a/residency/load.go
+++ b/residency/load.go
@@ -38,7 +38,7 @@
 	if !ok {
 		return option{}, false
 	}
-	cost := loadTime(model, tier).Seconds() + evictionCost*float64(len(victims)) + lossWeight*loss
+	cost := tier.Duration(model).Seconds() + evictionCost*float64(len(victims)) + lossWeight*loss
 	if wait := engine.ReadyAt.Sub(plan.state.Now); wait > 0 {
 		cost += wait.Seconds()
 	}
@@ -57,15 +57,6 @@
 // purpose tells why a model is loaded, and so what may make room for it.
 type purpose int
 
-// awaited loads the models that requests wait for, the quickest to help first.
-func (plan *plan) awaited() {
-	for _, name := range plan.names(func(demand Demand) bool { return demand.Waiting > 0 }) {
-		if plan.index.holders(name) == 0 {
-			plan.load(name, "Awaited", awaited, nil)
-		}
-	}
-}
-
 const (
 	// awaited loads serve requests that wait.
 	awaited purpose = iota
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -84,6 +84,15 @@
 	plan.orders = append(plan.orders, order)
 }
 
+// awaited loads the models that requests wait for, the quickest to help first.
+func (plan *plan) awaited() {
+	for _, name := range plan.names(func(demand Demand) bool { return demand.Waiting > 0 }) {
+		if plan.index.holders(name) == 0 {
+			plan.load(name, "Awaited", awaited, nil)
+		}
+	}
+}
+
 // names returns the models whose demand passes the test, those with most waiting first.
 func (plan *plan) names(test func(Demand) bool) []string {
 	var names []string
--- a/residency/room.go
+++ b/residency/room.go
@@ -78,5 +78,5 @@
 	if tier == Store {
 		tier = Disk
 	}
-	return loadTime(model, tier)
+	return tier.Duration(model)
 }
--- a/residency/tier.go
+++ b/residency/tier.go
@@ -37,8 +37,8 @@
 	}
 }
 
-// loadTime returns the time of a load from the tier.
-func loadTime(model *topology.Model, tier Tier) time.Duration {
+// Duration returns the time of a load of the model from the tier.
+func (tier Tier) Duration(model *topology.Model) time.Duration {
 	switch tier {
 	case Host:
 		return model.HostLoad
@@ -48,8 +48,3 @@
 		return model.StoreLoad
 	}
 }
-
-// Duration returns the time of a load of the model from the tier.
-func (tier Tier) Duration(model *topology.Model) time.Duration {
-	return loadTime(model, tier)
-}
