Refuse lengths that no engine can serve at the door

Cause: a chat with max_tokens of -5 passed the door with an assumed length, the engine broke the connection off, and the caller was told that the request may have run. Ruled out: a length of 0 means none given only where the field is absent or null. Change: max_tokens, max_completion_tokens and n are checked where the body is read; their product is the cost of the request.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -14,6 +14,9 @@
 	defaultBodyBytes = 8 << 20
 	// defaultAnswerTokens is the assumed length of an answer if the caller names none.
 	defaultAnswerTokens = 256
+	// mostAnswerTokens and mostChoices bound what one request may ask for.
+	mostAnswerTokens = 1 << 20
+	mostChoices      = 128
 	// bytesPerToken is the assumed length of a token of a prompt.
 	bytesPerToken = 4
 	// prefixBytes is the length of the first block of a prompt that engines are expected to cache.
@@ -22,11 +25,16 @@
 
 // prompt is the part of a chat or completion body that the daemon reads.
 type prompt struct {
-	Model     string          `json:"model"`
-	Messages  json.RawMessage `json:"messages"`
-	Prompt    json.RawMessage `json:"prompt"`
-	Stream    bool            `json:"stream"`
-	MaxTokens int             `json:"max_tokens"`
+	Model    string          `json:"model"`
+	Messages json.RawMessage `json:"messages"`
+	Prompt   json.RawMessage `json:"prompt"`
+	Stream   bool            `json:"stream"`
+	// MaxTokens is the largest length of an answer, and MaxCompletionTokens its newer name, which
+	// goes before it. Either is nil if the caller names none.
+	MaxTokens           *int `json:"max_tokens"`
+	MaxCompletionTokens *int `json:"max_completion_tokens"`
+	// Choices is the number of answers to generate, or nil for one.
+	Choices *int `json:"n"`
 }
 
 // content returns the prompt in the form of its interface.
@@ -39,11 +47,33 @@
 
 // tokens estimates the cost of the request in tokens.
 func (prompt *prompt) tokens() int {
-	answer := prompt.MaxTokens
-	if answer <= 0 {
-		answer = defaultAnswerTokens
+	answer := valueOr(prompt.MaxCompletionTokens, valueOr(prompt.MaxTokens, defaultAnswerTokens))
+	return answer*valueOr(prompt.Choices, 1) + len(prompt.content())/bytesPerToken
+}
+
+// check returns an error if a number of the body is one that no engine can serve.
+func (prompt *prompt) check() error {
+	for _, field := range []struct {
+		name  string
+		value *int
+		most  int
+	}{
+		{"max_tokens", prompt.MaxTokens, mostAnswerTokens},
+		{"max_completion_tokens", prompt.MaxCompletionTokens, mostAnswerTokens},
+		{"n", prompt.Choices, mostChoices},
+	} {
+		if field.value != nil && (*field.value < 1 || *field.value > field.most) {
+			return outcome.New(outcome.InvalidBody, "the field %s must be from 1 to %d", field.name, field.most)
+		}
+	}
+	return nil
+}
+
+func valueOr(value *int, other int) int {
+	if value == nil {
+		return other
 	}
-	return answer + len(prompt.content())/bytesPerToken
+	return *value
 }
 
 // prefix returns the first block of the prompt.
@@ -80,5 +110,8 @@
 	if len(parsed.content()) == 0 {
 		return nil, outcome.New(outcome.MissingField, "the field messages or prompt is missing")
 	}
+	if err := parsed.check(); err != nil {
+		return nil, err
+	}
 	return parsed, nil
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -83,6 +83,12 @@
 		{"malformed body", "POST", chatPath, `{"model":`, nil, outcome.InvalidBody},
 		{"wrong type", "POST", chatPath, `{"model":1}`, nil, outcome.InvalidBody},
 		{"no model", "POST", chatPath, `{"messages":[]}`, nil, outcome.MissingField},
+		{"negative length", "POST", chatPath, withField(good, `"max_tokens":-5`), nil, outcome.InvalidBody},
+		{"no length at all", "POST", chatPath, withField(good, `"max_tokens":0`), nil, outcome.InvalidBody},
+		{"length over the largest", "POST", chatPath, withField(good, `"max_tokens":9223372036854775807`), nil, outcome.InvalidBody},
+		{"negative length by its newer name", "POST", chatPath, withField(good, `"max_completion_tokens":-1`), nil, outcome.InvalidBody},
+		{"no choice", "POST", chatPath, withField(good, `"n":0`), nil, outcome.InvalidBody},
+		{"broken length", "POST", chatPath, withField(good, `"max_tokens":1.5`), nil, outcome.InvalidBody},
 		{"no prompt", "POST", completionPath, `{"model":"m"}`, nil, outcome.MissingField},
 		{"unknown model", "POST", chatPath, strings.Replace(good, `"m"`, `"x"`, 1), nil, outcome.UnknownModel},
 		{"withdrawn model", "POST", chatPath, strings.Replace(good, `"m"`, `"old"`, 1), nil, outcome.Withdrawn},
@@ -121,6 +127,32 @@
 	}
 }
 
+// withField returns a JSON object with one more field.
+func withField(object, field string) string {
+	return strings.TrimSuffix(object, "}") + "," + field + "}"
+}
+
+func TestCostFollowsTheLargestAnswer(t *testing.T) {
+	for _, test := range []struct {
+		body string
+		want int
+	}{
+		{`{"model":"m","prompt":"12345678"}`, 258},
+		{`{"model":"m","prompt":"12345678","max_tokens":null}`, 258},
+		{`{"model":"m","prompt":"12345678","max_tokens":10}`, 12},
+		{`{"model":"m","prompt":"12345678","max_completion_tokens":10,"n":3}`, 32},
+		{`{"model":"m","prompt":"12345678","max_tokens":10,"max_completion_tokens":20}`, 22},
+	} {
+		parsed, err := parsePrompt([]byte(test.body))
+		if err != nil {
+			t.Fatalf("%s: %v", test.body, err)
+		}
+		if got := parsed.tokens(); got != test.want {
+			t.Errorf("%s: cost of %d tokens, want %d", test.body, got, test.want)
+		}
+	}
+}
+
 func send(gateway http.Handler, method, path, body string, headers map[string]string) *httptest.ResponseRecorder {
 	req := httptest.NewRequest(method, path, strings.NewReader(body))
 	req.Header.Set("Authorization", "Bearer "+key)
