Take states from other daemons as old as they can be

Ruled out: orders of the frozen holder (its engine checks boots and refuses them; the order named is the one from before the restart), the transaction of the rows, the budgets. Change: an answer carries the time of its maker as a mark, the next request shows the newest mark and its age, and the receiver takes the request as made after the mark. An answer counts from the time at which it was asked for. Without a mark (first contact, former release) states have no time and prove nothing to a decider. TestHeldBackExchangeIsNotFresh failed before (a state of 49 s ago seen 0 s ago), as did TestSlowAnswerIsNotFresh (900 ms); both pass. The soak's trace keeps the lines of deciders and faults up to the first broken invariant, which found the cause.

--- a/daemon/views.go
+++ b/daemon/views.go
@@ -11,8 +11,8 @@
 	"github.com/bronzestall/bronzestall/upstream"
 )
 
-// relayMargin is taken from the time of a state that another daemon relayed: the time that the
-// exchange may have taken counts as age.
+// relayMargin is taken from the time of a state that another daemon relayed, whose age was
+// measured by clocks of other VMs, too.
 const relayMargin = 2 * time.Second
 
 // engineViews gives the decider of one data centre the states of its engines.
--- a/internal/soak/main_test.go
+++ b/internal/soak/main_test.go
@@ -27,6 +27,9 @@
 	lines []string
 	// broken holds the lines of broken invariants, which are always kept.
 	broken []string
+	// decisions holds the newest lines of deciders and faults up to the first broken invariant,
+	// which a long run would otherwise push out.
+	decisions []string
 }
 
 var events = &trace{}
@@ -39,12 +42,23 @@
 	if strings.Contains(line, "InvariantBroken") {
 		trace.broken = append(trace.broken, line)
 	}
-	if excess := len(trace.lines) - traceLines; excess > 0 {
-		trace.lines = trace.lines[excess:]
+	if len(trace.broken) == 0 && isDecision(line) {
+		trace.decisions = newest(append(trace.decisions, line))
 	}
+	trace.lines = newest(trace.lines)
 	return len(part), nil
 }
 
+// isDecision reports whether the line tells of a decider, its orders or a fault.
+func isDecision(line string) bool {
+	return strings.Contains(line, "soak: ") || strings.Contains(line, "Fence=") || strings.Contains(line, "Order=")
+}
+
+// newest returns the last lines of a list, as many as a trace keeps.
+func newest(lines []string) []string {
+	return lines[max(0, len(lines)-traceLines):]
+}
+
 // programTime returns the date and time of the newest line.
 func (trace *trace) programTime() string {
 	trace.lock.Lock()
@@ -52,14 +66,14 @@
 	if len(trace.lines) == 0 {
 		return ""
 	}
-	newest := trace.lines[len(trace.lines)-1]
-	return newest[:min(len(newest), len("I0101 00:00:00.000000"))]
+	last := trace.lines[len(trace.lines)-1]
+	return last[:min(len(last), len("I0101 00:00:00.000000"))]
 }
 
 func (trace *trace) print(out io.Writer) {
 	trace.lock.Lock()
 	defer trace.lock.Unlock()
-	for _, line := range slices.Concat(trace.broken, trace.lines) {
+	for _, line := range slices.Concat(trace.decisions, trace.broken, trace.lines) {
 		fmt.Fprintln(out, line)
 	}
 }
--- a/peer/cluster_test.go
+++ b/peer/cluster_test.go
@@ -28,12 +28,14 @@
 	cut map[string]bool
 	// slow holds the addresses that never answer.
 	slow map[string]bool
+	// late has the time for which an address's answers are on their way.
+	late map[string]time.Duration
 	// calls counts the calls sent.
 	calls int
 }
 
 func newCluster(ctx context.Context, dataCentres ...int) *cluster {
-	cluster := &cluster{ctx: ctx, handlers: map[string]http.Handler{}, cut: map[string]bool{}, slow: map[string]bool{}}
+	cluster := &cluster{ctx: ctx, handlers: map[string]http.Handler{}, cut: map[string]bool{}, slow: map[string]bool{}, late: map[string]time.Duration{}}
 	for dataCentre, daemons := range dataCentres {
 		for number := range daemons {
 			name := fmt.Sprintf("entry-%d-%d", dataCentre, number)
@@ -89,6 +91,7 @@
 	handler := cluster.handlers[request.URL.Host]
 	lost := cluster.cut[sender.address+">"+request.URL.Host] || handler == nil
 	slow := cluster.slow[request.URL.Host]
+	late := cluster.late[request.URL.Host]
 	cluster.mutex.Unlock()
 	if lost {
 		return nil, errCut
@@ -99,6 +102,11 @@
 	}
 	recorder := httptest.NewRecorder()
 	handler.ServeHTTP(recorder, request)
+	select {
+	case <-time.After(late):
+	case <-request.Context().Done():
+		return nil, request.Context().Err()
+	}
 	response := recorder.Result()
 	response.Request = request
 	return response, nil
@@ -118,6 +126,12 @@
 	cluster.slow[member.Address] = true
 }
 
+func (cluster *cluster) setLate(member Member, late time.Duration) {
+	cluster.mutex.Lock()
+	defer cluster.mutex.Unlock()
+	cluster.late[member.Address] = late
+}
+
 func (cluster *cluster) setCut(from, to Member, cut bool) {
 	cluster.mutex.Lock()
 	defer cluster.mutex.Unlock()
--- a/peer/decode.go
+++ b/peer/decode.go
@@ -39,9 +39,11 @@
 	return next, true
 }
 
+// longestAge is the largest age that a message can tell of.
+const longestAge = 365 * 24 * time.Hour
+
 func duration(milliseconds uint64) time.Duration {
-	const longest = uint64(365*24*time.Hour) / uint64(time.Millisecond)
-	return time.Duration(min(milliseconds, longest)) * time.Millisecond
+	return time.Duration(min(milliseconds, uint64(longestAge/time.Millisecond))) * time.Millisecond
 }
 
 func decodeSuspects(message *peerpb.Suspects, now time.Time) []Suspect {
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -20,6 +20,7 @@
 
 // exchange calls the member and takes its answer.
 func (node *Node) exchange(ctx context.Context, task task) {
+	asked := node.clock.Now()
 	request := node.ask(task)
 	ctx, cancel := node.bound(ctx)
 	response, err := node.wire.exchange(ctx, task.member.Address, request)
@@ -40,7 +41,8 @@
 		event.PeerReachable.Log("Peer", task.member.Name)
 	}
 	link.succeed(now)
-	node.receive(link, response, now)
+	link.newest = ticket{mark: response.GetMark(), came: now}
+	node.receive(link, response, asked, now)
 }
 
 // ask makes the request of an exchange.
@@ -51,7 +53,9 @@
 	node.self.heard = now
 	self := node.self.record
 	request := &peerpb.ExchangeRequest{Sender: self.digest(), All: task.all}
-	if told := node.link(task.member.Name).told; told < self.Version {
+	link := node.link(task.member.Name)
+	link.newest.show(request, now)
+	if told := link.told; told < self.Version {
 		request.Record = node.self.difference(told, now)
 	}
 	for name, held := range node.others {
@@ -62,12 +66,13 @@
 	return request
 }
 
-// receive takes the answer to an exchange. The caller holds the mutex.
-func (node *Node) receive(link *link, response *peerpb.ExchangeResponse, now time.Time) {
+// receive takes the answer to an exchange, which was made after it was asked for. The caller holds
+// the mutex.
+func (node *Node) receive(link *link, response *peerpb.ExchangeResponse, asked, now time.Time) {
 	link.learn(response.GetKnown(), node.self.record)
 	node.outlive(response.GetKnown())
 	for _, record := range response.GetRecords() {
-		node.take(record, now)
+		node.take(record, asked)
 	}
 	node.hear(response.GetSender(), now)
 }
@@ -80,7 +85,7 @@
 	node.self.heard = now
 	sender := request.GetSender()
 	if record := request.GetRecord(); record.GetName() == sender.GetName() {
-		node.take(record, now)
+		node.take(record, node.madeAfter(request, now))
 	}
 	node.hear(sender, now)
 	known := indexDigests(request.GetKnown())
@@ -89,7 +94,7 @@
 	if link, ok := node.links[sender.GetName()]; ok && link.learn(known[self.Name], self) {
 		link.succeed(now)
 	}
-	response := &peerpb.ExchangeResponse{Sender: self.digest()}
+	response := &peerpb.ExchangeResponse{Sender: self.digest(), Mark: node.mark(now)}
 	if held, ok := node.others[sender.GetName()]; ok {
 		response.Known = held.record.digest()
 	}
--- a/peer/fault_test.go
+++ b/peer/fault_test.go
@@ -120,6 +120,54 @@
 	})
 }
 
+// TestHeldBackExchangeIsNotFresh delivers a request long after it was made, as a network does for a
+// daemon that was cut off for a while: what it tells is as old as the request at least.
+func TestHeldBackExchangeIsNotFresh(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		const heldBack = 49 * time.Second
+		cluster := newCluster(ctx, 2)
+		nodes := cluster.startAll(Mesh)
+		time.Sleep(settle)
+		made := time.Now()
+		nodes[0].Update(func(record Record) Record {
+			record.Observations = []Observation{{Seen: made, State: state("gpu-1", 1, 1)}}
+			return record
+		})
+		late := nodes[0].ask(task{member: cluster.members[1]})
+		cluster.setCut(cluster.members[0], cluster.members[1], true)
+		cluster.setCut(cluster.members[1], cluster.members[0], true)
+		time.Sleep(heldBack)
+		nodes[1].answer(late)
+		for _, seen := range mustKnow(t, nodes[1], "entry-0-0").Record.Observations {
+			if seen.Seen.After(made) {
+				t.Errorf("a state of %s ago counts as seen %s ago", time.Since(made), time.Since(seen.Seen))
+			}
+		}
+	})
+}
+
+// TestSlowAnswerIsNotFresh takes an answer that was on its way for long.
+func TestSlowAnswerIsNotFresh(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		const onTheWay = 900 * time.Millisecond
+		cluster := newCluster(ctx, 2)
+		nodes := cluster.startAll(Mesh)
+		time.Sleep(settle)
+		cluster.setCut(cluster.members[1], cluster.members[0], true)
+		made := time.Now()
+		nodes[1].Update(func(record Record) Record {
+			record.Observations = []Observation{{Seen: made, State: state("gpu-1", 1, 1)}}
+			return record
+		})
+		cluster.setLate(cluster.members[1], onTheWay)
+		nodes[0].exchange(ctx, task{member: cluster.members[1]})
+		seen := mustKnow(t, nodes[0], "entry-0-1").Record.Observations
+		if len(seen) != 1 || seen[0].Seen.After(made) {
+			t.Errorf("states seen after %s: %+v", made, seen)
+		}
+	})
+}
+
 func TestLeavingIsToldAtOnceAndSilenceIsForgotten(t *testing.T) {
 	bubble(t, func(t *testing.T, ctx context.Context) {
 		cluster := newCluster(ctx, 2)
--- a/peer/link.go
+++ b/peer/link.go
@@ -17,6 +17,8 @@
 	busy bool
 	// exchanged is when records last went both ways.
 	exchanged time.Time
+	// newest is the peer's newest mark.
+	newest ticket
 	// failures counts the calls in a row that failed.
 	failures int
 	// resting is the time before which the peer is not called.
--- a/peer/node.go
+++ b/peer/node.go
@@ -27,6 +27,9 @@
 	mutex sync.Mutex
 	// random is guarded by mutex.
 	random *rand.Rand
+	// began and process are those of the marks of this process.
+	began   time.Time
+	process uint64
 	// self is the own record; its version rises only.
 	self *held
 	// others holds the records of other daemons by name.
@@ -56,6 +59,8 @@
 		changed:  make(chan struct{}),
 		urgent:   make(chan struct{}, 1),
 	}
+	node.began = clock.Now()
+	node.process = random.Uint64()
 	node.self = &held{record: node.identify(Record{Version: 1})}
 	return node
 }
@@ -163,11 +168,11 @@
 	return highest
 }
 
-// take merges a record from a message. The caller holds the mutex.
-func (node *Node) take(message *peerpb.Record, now time.Time) {
+// take merges a record from a message that was made after the time. The caller holds the mutex.
+func (node *Node) take(message *peerpb.Record, made time.Time) {
 	name := message.GetName()
-	heard := now.Add(-duration(message.GetAge()))
-	if name == "" || name == node.settings.Name || now.Sub(heard) > node.settings.Forget {
+	heard := made.Add(-duration(message.GetAge()))
+	if name == "" || name == node.settings.Name || made.Sub(heard) > node.settings.Forget {
 		return
 	}
 	known, ok := node.others[name]
@@ -179,7 +184,7 @@
 		known = &held{}
 	}
 	if message.GetVersion() > known.record.Version {
-		next, complete := apply(known.record, message, now)
+		next, complete := apply(known.record, message, made)
 		if !complete {
 			return
 		}
