Keep an inherited replica in the budget that permitted it

The next holder replaces the row and took the replica out of that budget, while the budget itself closes only with a view from after the linger. Until then the replica counted twice, and the charge passed the capacity. Ruled out: a load beyond the capacity (engine-south-1 showed 30 of 40 GiB). Change: the row that takes the place keeps the number of the budget. TestInheritedReplicaStaysInItsBudget failed before (20 GiB charged for 10), passes now.

--- a/decider/commit.go
+++ b/decider/commit.go
@@ -76,12 +76,12 @@
 	return change
 }
 
-// inherit returns a row of this reign for a replica whose row a former holder wrote.
+// inherit returns a row of this reign for a replica whose row a former holder wrote. It stays in the
+// budget that permitted it, which may still be open.
 func (reign *reign) inherit(row intent.Intent) intent.Intent {
 	row.ID = reign.nextID()
 	row.Fence = reign.fence
 	row.Sender = reign.sender
-	row.Budget = 0
 	view, _ := reign.book.View(row.Upstream)
 	row.BootID = view.State.BootID
 	return row
