Refuse keyed calls as soon as the tables are known to hang

Cause: a claim waited for its transaction (2 s), then for reading it back (2 s), and behind the transaction of others; each call took the same way again although the tables had answered nothing before. Change: one timeout bounds a transaction with the settling of its answer. After one without a usable answer new claims are refused at once, but for one at a time, half a second after the last failure at the soonest, that tries again.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -14,6 +14,9 @@
 // answer of an earlier sending; or an *outcome.Error of the kinds ClaimUnavailable, ClaimRunning,
 // ClaimUnresolved and ClaimMismatch. It costs one write, shared with other changes of the same moment.
 func (store *Store) Claim(ctx context.Context, req request.Request) (Ticket, *Answer, error) {
+	if store.group.isAway() {
+		return Ticket{}, nil, unavailable(datastore.ErrUnavailable)
+	}
 	now := store.clock.Now()
 	ticket := store.ticket(&req, now)
 	insert := store.insert(ticket, neighbours(now, keyName(req.Tenant, req.Key)))
--- a/claim/finish.go
+++ b/claim/finish.go
@@ -92,12 +92,14 @@
 	if !mine || version == ticket.version {
 		return true
 	}
-	return store.settledBefore(ticket, last)
+	return store.settledBefore(ctx, ticket, last)
 }
 
 // settledBefore reports whether the row shows that the change took effect under another version.
-func (store *Store) settledBefore(ticket Ticket, last func(Ticket) *change) bool {
-	applied, err := store.group.applied(last(ticket))
+func (store *Store) settledBefore(ctx context.Context, ticket Ticket, last func(Ticket) *change) bool {
+	ctx, cancel := context.WithTimeout(ctx, store.settings.Timeout)
+	defer cancel()
+	applied, err := store.group.applied(ctx, last(ticket))
 	return err == nil && applied
 }
 
--- a/claim/group.go
+++ b/claim/group.go
@@ -6,13 +6,17 @@
 	"sync"
 	"time"
 
+	"k8s.io/utils/clock"
+
 	"github.com/bronzestall/bronzestall/datastore"
 )
 
 // group commits changes together: those that come while one transaction runs share the next.
 // It is safe for concurrent use.
 type group struct {
-	tables  datastore.Tables
+	tables datastore.Tables
+	clock  clock.PassiveClock
+	// timeout bounds a transaction with the settling of its answer.
 	timeout time.Duration
 
 	mutex sync.Mutex
@@ -20,15 +24,41 @@
 	pending []*change
 	// running states that a goroutine commits.
 	running bool
+	// failed is when a transaction last ended without a usable answer, or zero after one that had it.
+	failed time.Time
 	// idle is closed when nothing is pending or running.
 	idle chan struct{}
 }
 
 // newGroup returns a group without changes.
-func newGroup(tables datastore.Tables, timeout time.Duration) *group {
+func newGroup(tables datastore.Tables, clock clock.PassiveClock, timeout time.Duration) *group {
 	idle := make(chan struct{})
 	close(idle)
-	return &group{tables: tables, timeout: timeout, idle: idle}
+	return &group{tables: tables, clock: clock, timeout: timeout, idle: idle}
+}
+
+// probeGap is the time after a failed transaction before a new claim tries the table service again.
+const probeGap = 500 * time.Millisecond
+
+// isAway reports whether a new claim would only wait for a table service that is known to give no
+// answer: the last transaction had none, and another one runs or that was a moment ago.
+func (group *group) isAway() bool {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	if group.failed.IsZero() {
+		return false
+	}
+	return group.running || group.clock.Since(group.failed) < probeGap
+}
+
+// note keeps whether the last transaction had a usable answer.
+func (group *group) note(err error) {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	group.failed = time.Time{}
+	if err != nil && !errors.Is(err, datastore.ErrConflict) {
+		group.failed = group.clock.Now()
+	}
 }
 
 // add queues the change. Its end comes over change.done, at once if too many are pending.
@@ -96,6 +126,7 @@
 // commit commits the changes together, or in halves if one of them is in conflict.
 func (group *group) commit(changes []*change) {
 	versions, err := group.settled(changes)
+	group.note(err)
 	if errors.Is(err, datastore.ErrConflict) && len(changes) > 1 {
 		half := len(changes) / 2
 		group.commit(changes[:half])
@@ -116,12 +147,14 @@
 // settled commits and settles an unclear answer by reading the first row back: a transaction takes
 // effect as a whole. Without versions they have to be read.
 func (group *group) settled(changes []*change) ([]uint64, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), group.timeout)
+	defer cancel()
 	for try := 1; ; try++ {
-		versions, err := group.send(changes)
+		versions, err := group.send(ctx, changes)
 		if !errors.Is(err, datastore.ErrUnclear) {
 			return versions, err
 		}
-		applied, err := group.applied(changes[0])
+		applied, err := group.applied(ctx, changes[0])
 		if err != nil {
 			return nil, datastore.ErrUnclear
 		}
@@ -135,20 +168,16 @@
 }
 
 // send commits once.
-func (group *group) send(changes []*change) ([]uint64, error) {
+func (group *group) send(ctx context.Context, changes []*change) ([]uint64, error) {
 	var writes []datastore.Write
 	for _, change := range changes {
 		writes = append(writes, change.writes...)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), group.timeout)
-	defer cancel()
 	return group.tables.Commit(ctx, writes)
 }
 
 // applied reads the row of the change back.
-func (group *group) applied(change *change) (bool, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), group.timeout)
-	defer cancel()
+func (group *group) applied(ctx context.Context, change *change) (bool, error) {
 	row, err := group.tables.Read(ctx, change.row())
 	if errors.Is(err, datastore.ErrNotFound) {
 		return change.applied(row, false), nil
--- a/claim/store.go
+++ b/claim/store.go
@@ -31,7 +31,7 @@
 		settings: settings,
 		tables:   tables,
 		clock:    clock,
-		group:    newGroup(tables, settings.Timeout),
+		group:    newGroup(tables, clock, settings.Timeout),
 		later:    ring.New[func(ctx context.Context) bool](laterMost),
 		held:     map[string]bool{},
 	}
