Look only briefly for an earlier answer while the tables hang

A refused call looked for the answer of an earlier sending for 2 s more. It is 250 ms now while transactions are known to have no answer; TestEarlierAnswerIsLookedForBriefly failed before (2 s).

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -103,6 +103,11 @@
 // Find returns the recorded answer of an earlier sending, or the *outcome.Error that it came to, or
 // nothing if there is no claim or it cannot be read. It costs two reads, or three near midnight.
 func (store *Store) Find(ctx context.Context, req request.Request) (*Answer, error) {
+	if store.group.isAway() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, awayReadTimeout)
+		defer cancel()
+	}
 	_, held, err := store.find(ctx, &req)
 	if err != nil || held == nil {
 		return nil, nil
--- a/claim/group.go
+++ b/claim/group.go
@@ -40,6 +40,10 @@
 // probeGap is the time after a failed transaction before a new claim tries the table service again.
 const probeGap = 500 * time.Millisecond
 
+// awayReadTimeout bounds the look for an earlier answer while transactions have no answer. Reads that
+// work take a small part of it.
+const awayReadTimeout = 250 * time.Millisecond
+
 // isAway reports whether a new claim would only wait for a table service that is known to give no
 // answer: the last transaction had none, and another one runs or that was a moment ago.
 func (group *group) isAway() bool {
--- a/claim/hang_test.go
+++ b/claim/hang_test.go
@@ -66,6 +66,32 @@
 	})
 }
 
+// TestEarlierAnswerIsLookedForBriefly asks for the answer of an earlier sending after a refusal.
+func TestEarlierAnswerIsLookedForBriefly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tables := &hangingTables{Tables: newFake(1).Client()}
+		store := newStore(tables, "a")
+		ticket, _, err := store.Claim(t.Context(), call("first", "key"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		store.Complete(t.Context(), ticket, answerOf("first"))
+		tables.hangs = true
+		_, _, _ = store.Claim(t.Context(), call("other", "other"))
+		began := time.Now()
+		if answer, err := store.Find(t.Context(), call("again", "key")); answer != nil || err != nil {
+			t.Errorf("found %v, %v", answer, err)
+		}
+		if took := time.Since(began); took > awayReadTimeout {
+			t.Errorf("looked for %s", took)
+		}
+		tables.hangs = false
+		if answer, err := store.Find(t.Context(), call("again", "key")); answer == nil || err != nil {
+			t.Errorf("found %v, %v once the tables answer", answer, err)
+		}
+	})
+}
+
 // TestCallsThatComeTogetherAreRefusedTogether sends calls while one waits for tables known to hang.
 func TestCallsThatComeTogetherAreRefusedTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
