--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -41,6 +41,7 @@
 func (judge *judge) breach(format string, args ...any) {
 	judge.lock.Lock()
 	defer judge.lock.Unlock()
+	events.breach()
 	judge.breaches = append(judge.breaches, time.Now().Format(time.TimeOnly)+" "+fmt.Sprintf(format, args...))
 }
 
@@ -59,7 +60,7 @@
 		judge.breach("request %s ended as Internal: %s", got.id, got.message)
 	}
 	if got.lost && got.entry != nil && judge.stands(got) {
-		judge.breach("a daemon that was not killed dropped a request: %+v", got)
+		judge.breach("%s, which was not killed, dropped a request (frozen meanwhile: %t): %+v", got.entry.name, judge.wasFrozen(got), got)
 	}
 	judge.lock.Lock()
 	defer judge.lock.Unlock()
--- a/internal/soak/main_test.go
+++ b/internal/soak/main_test.go
@@ -27,9 +27,11 @@
 	lines []string
 	// broken holds the lines of broken invariants, which are always kept.
 	broken []string
-	// decisions holds the newest lines of deciders and faults up to the first broken invariant,
-	// which a long run would otherwise push out.
+	// decisions holds the newest lines of deciders and faults up to the first breach, which a long run
+	// would otherwise push out.
 	decisions []string
+	// breached states that there was one.
+	breached bool
 }
 
 var events = &trace{}
@@ -41,14 +43,22 @@
 	trace.lines = append(trace.lines, line)
 	if strings.Contains(line, "InvariantBroken") {
 		trace.broken = append(trace.broken, line)
+		trace.breached = true
 	}
-	if len(trace.broken) == 0 && isDecision(line) {
+	if !trace.breached && isDecision(line) {
 		trace.decisions = newest(append(trace.decisions, line))
 	}
 	trace.lines = newest(trace.lines)
 	return len(part), nil
 }
 
+// breach keeps the decisions up to now.
+func (trace *trace) breach() {
+	trace.lock.Lock()
+	defer trace.lock.Unlock()
+	trace.breached = true
+}
+
 // isDecision reports whether the line tells of a decider, its orders or a fault.
 func isDecision(line string) bool {
 	return strings.Contains(line, "soak: ") || strings.Contains(line, "Fence=") || strings.Contains(line, "Order=")
