Send no more to a replica than it is expected to begin in time

Load pattern: the demand for a model rises beyond its replicas. Cause: a replica took requests up to a number in flight, whatever it begins in a second. With 28 daemons its queue grew until clients left, and all that it began was late. Ruled out: silent replicas (they answered others meanwhile), replicas that were lost. Change: daemons tell the requests without a first event by rank, beside those in flight. A daemon learns from its own requests how many a replica begins in a second; a new one is sent if the expected wait is within what its caller accepts, with a random part that grows with the wait, so that daemons that see the same do not all stop at once. Less urgent requests do not count for more urgent ones. A quarter of the slots may always wait.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -9,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/bronzestall/bronzestall/demand"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
@@ -33,6 +35,16 @@
 	slowest = 6.0
 )
 
+// The parts of the time within which a caller expects the first event, as expected waits: up to the first
+// every request is sent, up to both together the luckiest.
+const (
+	surelyPart = 0.6
+	luckyPart  = 2.0
+	// queueSlots is the number of slots for each request that may wait for its first event at a replica
+	// whatever the expected wait.
+	queueSlots = 4
+)
+
 // The rules of barring a replica that fails.
 const (
 	// barStreak is the number of failures in a row after which a replica is barred.
@@ -66,15 +78,17 @@
 		return Candidate{}, false
 	}
 	if ask.Fullest > 0 {
-		candidates = balancer.roomy(candidates, ask.Fullest)
+		candidates = balancer.roomy(candidates, ask)
 	}
 	if len(candidates) == 0 {
 		return Candidate{}, false
 	}
 	rank := balancer.rank(candidates, ask, now)
 	load := balancer.load(rank.Incarnation)
-	rank.InFlight = load.own + load.others
-	load.own++
+	rank.InFlight = load.inFlight()
+	rank.Sent = now
+	rank.Ahead = load.ahead(ask.Rank)
+	load.own = load.own.Plus(demand.One(ask.Rank))
 	load.prefill += ask.Tokens
 	load.used = now
 	if load.streak >= barStreak {
@@ -83,12 +97,18 @@
 	return rank, true
 }
 
-// roomy returns the candidates that are not fuller than the limit. The mutex is held.
-func (balancer *Balancer) roomy(candidates []Candidate, fullest float64) []Candidate {
+// roomy returns the candidates that are not fuller than the limit and are expected to begin in time.
+// The longer the wait, the fewer requests are lucky enough for it. The mutex is held.
+func (balancer *Balancer) roomy(candidates []Candidate, ask Ask) []Candidate {
 	roomy := make([]Candidate, 0, len(candidates))
+	longest := time.Duration((surelyPart + luckyPart*math.Pow(ask.Luck, 3)) * float64(ask.Aim))
 	for index := range candidates {
 		load := balancer.load(candidates[index].Incarnation)
-		if float64(load.own+load.others) < fullest*float64(max(candidates[index].Slots, 1)) {
+		slots := max(candidates[index].Slots, 1)
+		if float64(load.inFlight()) >= ask.Fullest*float64(slots) {
+			continue
+		}
+		if load.ahead(ask.Rank) < slots/queueSlots || load.wait(ask.Rank) <= longest {
 			roomy = append(roomy, candidates[index])
 		}
 	}
@@ -128,7 +148,7 @@
 
 func (balancer *Balancer) score(candidate *Candidate, ask Ask, fastest time.Duration, now time.Time) float64 {
 	load := balancer.load(candidate.Incarnation)
-	score := 1 + crowding*float64(load.own+load.others)/float64(max(candidate.Slots, 1))
+	score := 1 + crowding*float64(load.inFlight())/float64(max(candidate.Slots, 1))
 	if fastest > 0 && load.latency > 0 && now.Sub(load.used) < forgetAfter {
 		score *= min(float64(load.latency)/float64(fastest), slowest)
 	}
@@ -181,11 +201,15 @@
 	balancer.load(incarnation).observe(latency)
 }
 
-// Prefilled notes that the replica has read a prompt, or that the request for it ended.
-func (balancer *Balancer) Prefilled(incarnation topology.Incarnation, tokens int) {
+// Begun notes that the chosen replica has read the prompt and sent the first event after the wait, or
+// that the request ended without it.
+func (balancer *Balancer) Begun(chosen Candidate, ask Ask, wait time.Duration, begun bool) {
 	balancer.mutex.Lock()
 	defer balancer.mutex.Unlock()
-	balancer.load(incarnation).prefill -= tokens
+	load := balancer.load(chosen.Incarnation)
+	load.prefill -= ask.Tokens
+	load.own = load.own.Begun(ask.Rank)
+	load.start(ask.Rank, chosen.Ahead, wait, begun)
 }
 
 // Done ends a request in flight. failed states that the replica failed it.
@@ -193,7 +217,7 @@
 	balancer.mutex.Lock()
 	defer balancer.mutex.Unlock()
 	load := balancer.load(incarnation)
-	load.own--
+	load.own.Running--
 	load.fail(failed)
 	if !failed {
 		load.streak = 0
@@ -210,11 +234,11 @@
 func (balancer *Balancer) Withdraw(incarnation topology.Incarnation) {
 	balancer.mutex.Lock()
 	defer balancer.mutex.Unlock()
-	balancer.load(incarnation).own--
+	balancer.load(incarnation).own.Running--
 }
 
 // SetOthers takes the requests in flight from other daemons by incarnation.
-func (balancer *Balancer) SetOthers(running map[topology.Incarnation]int) {
+func (balancer *Balancer) SetOthers(running map[topology.Incarnation]demand.Flight) {
 	balancer.mutex.Lock()
 	defer balancer.mutex.Unlock()
 	for incarnation, load := range balancer.loads {
@@ -227,7 +251,7 @@
 	balancer.mutex.Lock()
 	defer balancer.mutex.Unlock()
 	for incarnation, load := range balancer.loads {
-		if load.own == 0 && !live[incarnation] {
+		if load.own.Running == 0 && !live[incarnation] {
 			delete(balancer.loads, incarnation)
 		}
 	}
--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/bronzestall/bronzestall/demand"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
@@ -64,9 +65,9 @@
 	if next, _ := balancer.Choose(replicas(2), Ask{Zone: "near", Tokens: 10}, start); next.ID == first.ID {
 		t.Error("chose the replica that reads a long prompt")
 	}
-	balancer.Prefilled(first.Incarnation, 9000)
+	balancer.Begun(first, Ask{Tokens: 9000}, time.Second, true)
 	balancer.Done(first.Incarnation, false, start)
-	if load := balancer.load(first.Incarnation); load.prefill != 0 || load.own != 0 {
+	if load := balancer.load(first.Incarnation); load.prefill != 0 || load.own.Running != 0 {
 		t.Errorf("load is %+v afterwards", load)
 	}
 }
@@ -75,7 +76,7 @@
 	balancer := newBalancer()
 	bad := replicas(2)[0].Incarnation
 	for range barStreak {
-		balancer.load(bad).own++
+		balancer.load(bad).own.Running++
 		balancer.Done(bad, true, start)
 	}
 	for range 20 {
@@ -134,7 +135,7 @@
 	all := replicas(100)
 	for b.Loop() {
 		chosen, _ := balancer.Choose(all, Ask{Zone: "near", Tokens: 1000}, start)
-		balancer.Prefilled(chosen.Incarnation, 1000)
+		balancer.Begun(chosen, Ask{Tokens: 1000}, time.Second, true)
 		balancer.Done(chosen.Incarnation, false, start)
 	}
 }
@@ -151,7 +152,7 @@
 	if chosen, ok := balancer.Choose(replicas(2), ask, start); ok {
 		t.Errorf("chose %s with %d requests in flight on 16 slots", chosen.ID, chosen.InFlight)
 	}
-	balancer.SetOthers(map[topology.Incarnation]int{})
+	balancer.SetOthers(map[topology.Incarnation]demand.Flight{})
 	balancer.Done(topology.Incarnation{ID: "r0"}, false, start)
 	if chosen, ok := balancer.Choose(replicas(2), ask, start); !ok || chosen.ID != "r0" {
 		t.Errorf("chose %s after it had room", chosen.ID)
--- a/demand/book.go
+++ b/demand/book.go
@@ -45,7 +45,7 @@
 	mutex sync.Mutex
 	wants map[Key]*want
 	// running maps places to requests in flight; an entry is never zero.
-	running map[Place]int
+	running map[Place]Flight
 }
 
 type want struct {
@@ -59,7 +59,7 @@
 
 // New returns an empty book.
 func New() *Book {
-	return &Book{wants: map[Key]*want{}, running: map[Place]int{}}
+	return &Book{wants: map[Key]*want{}, running: map[Place]Flight{}}
 }
 
 // Arrive notes a request for the key with a prompt of the number of tokens.
@@ -105,19 +105,28 @@
 	return known
 }
 
-// Begin notes a request in flight at the place.
-func (book *Book) Begin(place Place) {
+// Begin notes a request of the rank in flight at the place.
+func (book *Book) Begin(place Place, rank int) {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
-	book.running[place]++
+	book.running[place] = book.running[place].Plus(One(rank))
 }
 
-// End notes that the request is no longer in flight.
+// Begun notes that the request has got its first event, or waits for none.
+func (book *Book) Begun(place Place, rank int) {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	book.running[place] = book.running[place].Begun(rank)
+}
+
+// End notes that the request, which has begun, is no longer in flight.
 func (book *Book) End(place Place) {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
-	book.running[place]--
-	if book.running[place] == 0 {
+	flight := book.running[place]
+	flight.Running--
+	book.running[place] = flight
+	if flight.Running == 0 {
 		delete(book.running, place)
 	}
 }
@@ -126,7 +135,7 @@
 const forgetAfter = time.Minute
 
 // Report returns what the requests want and where they are in flight.
-func (book *Book) Report(now time.Time) ([]Want, map[Place]int) {
+func (book *Book) Report(now time.Time) ([]Want, map[Place]Flight) {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
 	wants := make([]Want, 0, len(book.wants))
@@ -147,7 +156,7 @@
 }
 
 // Running returns where requests are in flight.
-func (book *Book) Running() map[Place]int {
+func (book *Book) Running() map[Place]Flight {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
 	return maps.Clone(book.running)
--- a/demand/book_test.go
+++ b/demand/book_test.go
@@ -35,11 +35,12 @@
 	book.Wait(key, start.Add(time.Second))
 	book.Leave(key, start)
 	place := Place{Key: key}
-	book.Begin(place)
-	book.Begin(place)
+	book.Begin(place, 0)
+	book.Begin(place, 2)
+	book.Begun(place, 0)
 	book.End(place)
 	wants, running := book.Report(start.Add(time.Second))
-	if wants[0].Waiting != 1 || !wants[0].Oldest.Equal(start.Add(time.Second)) || running[place] != 1 {
+	if wants[0].Waiting != 1 || !wants[0].Oldest.Equal(start.Add(time.Second)) || running[place] != One(2) {
 		t.Errorf("wants %+v, running %+v", wants, running)
 	}
 }
--- a/directory/placement.go
+++ b/directory/placement.go
@@ -34,7 +34,7 @@
 	// Forecasts lists what is on its way.
 	Forecasts []Forecast
 	// Running maps engines to the requests in flight from all daemons; nil if it is not told.
-	Running map[topology.Incarnation]int
+	Running map[topology.Incarnation]demand.Flight
 }
 
 // After returns what follows the announcement of the fence and revision.
--- a/mesh/loads.go
+++ b/mesh/loads.go
@@ -7,11 +7,11 @@
 )
 
 // Loads maps places to requests in flight.
-type Loads map[demand.Place]int
+type Loads map[demand.Place]demand.Flight
 
 func (loads Loads) encode() []*meshpb.Load {
 	encoded := make([]*meshpb.Load, 0, len(loads))
-	for place, running := range loads {
+	for place, flight := range loads {
 		encoded = append(encoded, &meshpb.Load{
 			Place: &meshpb.Place{
 				Replica: place.ID,
@@ -20,7 +20,8 @@
 				Model:   place.Model,
 				Adapter: place.Adapter,
 			},
-			Running: uint32(running),
+			Running: uint32(flight.Running),
+			Waiting: encodeWaiting(flight),
 		})
 	}
 	return encoded
@@ -33,7 +34,29 @@
 		loads[demand.Place{
 			Incarnation: topology.Incarnation{ID: place.GetReplica(), Born: place.GetBorn()},
 			Key:         demand.Key{Service: place.GetService(), Model: place.GetModel(), Adapter: place.GetAdapter()},
-		}] = int(load.GetRunning())
+		}] = decodeFlight(load)
 	}
 	return loads
 }
+
+// encodeWaiting returns the counts by rank without the zeros at the end.
+func encodeWaiting(flight demand.Flight) []uint32 {
+	var waiting []uint32
+	for rank, count := range flight.Waiting {
+		if count > 0 {
+			waiting = append(waiting, make([]uint32, rank-len(waiting))...)
+			waiting = append(waiting, uint32(count))
+		}
+	}
+	return waiting
+}
+
+func decodeFlight(load *meshpb.Load) demand.Flight {
+	flight := demand.Flight{Running: int(load.GetRunning())}
+	for rank, count := range load.GetWaiting() {
+		if rank < demand.Ranks {
+			flight.Waiting[rank] = int(count)
+		}
+	}
+	return flight
+}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -9,6 +9,7 @@
 
 	"k8s.io/utils/clock"
 
+	"github.com/bronzestall/bronzestall/demand"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
@@ -127,11 +128,11 @@
 }
 
 // Running returns the requests in flight from other daemons by replica.
-func (node *Node) Running() map[topology.Incarnation]int {
-	running := map[topology.Incarnation]int{}
+func (node *Node) Running() map[topology.Incarnation]demand.Flight {
+	running := map[topology.Incarnation]demand.Flight{}
 	for _, live := range node.Live() {
-		for place, count := range live.Loads {
-			running[place.Incarnation] += count
+		for place, flight := range live.Loads {
+			running[place.Incarnation] = running[place.Incarnation].Plus(flight)
 		}
 	}
 	return running
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -66,18 +66,20 @@
 	return made
 }
 
+var flight = demand.Flight{Running: 5, Waiting: [demand.Ranks]int{0, 2, 0, 1}}
+
 var announcement = directory.Announcement{
 	Fence: 4, Revision: 9,
 	Placements: []directory.Placement{
 		{Incarnation: topology.Incarnation{ID: "e", Born: 1}, Revision: 2, Holding: topology.Holding{Orders: 3, Models: []topology.Loaded{{Model: "m", Version: 1, Adapters: []string{"a1"}}}}},
 		{Incarnation: topology.Incarnation{ID: "f", Born: 1}, Revision: 9, Holding: topology.Holding{Orders: 1}},
 	},
-	Running: map[topology.Incarnation]int{{ID: "e", Born: 1}: 5},
+	Running: map[topology.Incarnation]demand.Flight{{ID: "e", Born: 1}: flight},
 }
 
 func TestDaemonsFindEachOtherThroughASeed(t *testing.T) {
 	place := demand.Place{Incarnation: topology.Incarnation{ID: "e", Born: 1}, Key: demand.Key{Service: "s", Model: "m"}}
-	seed := newDaemon(t, "a", State{Fence: 7, Configuration: 3, StoreAge: time.Second, Loads: Loads{place: 2}}, nil)
+	seed := newDaemon(t, "a", State{Fence: 7, Configuration: 3, StoreAge: time.Second, Loads: Loads{place: flight}}, nil)
 	second := newDaemon(t, "b", State{}, nil, seed.address)
 	third := newDaemon(t, "c", State{}, nil, seed.address)
 	for _, node := range []*daemon{second, third, third, second} {
@@ -89,7 +91,7 @@
 		t.Errorf("b knows %+v", live)
 	}
 	holder, ok := third.Holder()
-	if !ok || holder.Name != "a" || holder.Configuration != 3 || third.Running()[place.Incarnation] != 2 {
+	if !ok || holder.Name != "a" || holder.Configuration != 3 || third.Running()[place.Incarnation] != flight {
 		t.Errorf("c takes %+v for the holder", holder)
 	}
 }
@@ -103,7 +105,7 @@
 		Waiting: 2, Oldest: now.Add(-time.Second), Rate: 1.5, Tokens: 800, Target: time.Second, Used: now,
 	}
 	got, err := other.Sync(t.Context(), holder.address, Report{Name: "b", Wants: []demand.Want{want}, Fence: 4, Revision: 5})
-	if err != nil || got.Since != 5 || len(got.Placements) != 1 || got.Placements[0].ID != "f" || got.Running[topology.Incarnation{ID: "e", Born: 1}] != 5 {
+	if err != nil || got.Since != 5 || len(got.Placements) != 1 || got.Placements[0].ID != "f" || got.Running[topology.Incarnation{ID: "e", Born: 1}] != flight {
 		t.Errorf("announced %+v, %v", got, err)
 	}
 	heard := holder.report.Wants[0]
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -5,11 +5,8 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync"
-	"time"
 
 	"github.com/bronzestall/bronzestall/balance"
-	"github.com/bronzestall/bronzestall/demand"
 	"github.com/bronzestall/bronzestall/exchange"
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/topology"
@@ -35,18 +32,14 @@
 
 // attempt sends the request to the candidate and passes the answer on.
 func (journey *journey) attempt(ctx context.Context, candidate balance.Candidate) result {
-	place := demand.Place{Incarnation: candidate.Incarnation, Key: journey.key()}
-	journey.relay.deps.Demand.Begin(place)
-	defer journey.relay.deps.Demand.End(place)
+	opening := journey.open(candidate)
+	defer opening.end()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watch := journey.watch(cancel)
 	defer watch.stop()
-	prefill := sync.OnceFunc(func() { journey.prefilled(candidate) })
-	defer prefill()
 	journey.sends++
 	journey.runs++
-	begun := journey.relay.deps.Clock.Now()
 	reply, err := journey.relay.deps.Upstream.Send(ctx, journey.request, exchange.Attempt{
 		Replica:     candidate.Incarnation,
 		Address:     candidate.Address,
@@ -64,16 +57,9 @@
 		return journey.rejected(candidate, reply)
 	}
 	if journey.route.Kind == topology.Streaming && reply.Success() {
-		return journey.stream(ctx, candidate, reply, begun, watch, prefill)
-	}
-	return journey.whole(ctx, candidate, reply, begun)
-}
-
-// prefilled notes that the candidate has read the prompt or will not read it.
-func (journey *journey) prefilled(candidate balance.Candidate) {
-	if journey.service.Engine != nil {
-		journey.relay.deps.Balancer.Prefilled(candidate.Incarnation, journey.request.Traits.PromptTokens)
+		return journey.stream(ctx, candidate, reply, watch, opening)
 	}
+	return journey.whole(ctx, candidate, reply, opening)
 }
 
 // urgency returns the rank that engines are given: the priority of the route, within what they take.
@@ -139,7 +125,7 @@
 }
 
 // whole reads the answer to its end and passes it on, unless it is a failure that another replica may mend.
-func (journey *journey) whole(ctx context.Context, candidate balance.Candidate, reply *exchange.Reply, begun time.Time) result {
+func (journey *journey) whole(ctx context.Context, candidate balance.Candidate, reply *exchange.Reply, opening *opening) result {
 	content, err := io.ReadAll(io.LimitReader(reply.Body, maxWhole+1))
 	if err != nil || len(content) > maxWhole {
 		return journey.broken(ctx, candidate, errors.Join(exchange.ErrLost, err))
@@ -147,8 +133,8 @@
 	if !reply.Signed && reply.Success() {
 		return journey.broken(ctx, candidate, exchange.ErrForeign)
 	}
+	opening.begin()
 	now := journey.relay.deps.Clock.Now()
-	journey.relay.deps.Balancer.Answered(candidate.Incarnation, now.Sub(begun))
 	failed := reply.Status >= http.StatusInternalServerError
 	journey.relay.deps.Balancer.Done(candidate.Incarnation, failed, now)
 	answer := &whole{reply, content}
--- a/relay/place.go
+++ b/relay/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -46,7 +47,14 @@
 // place returns the replica for the next sending. It waits for a model or adapter that no replica has,
 // as long as an answer in time can be hoped for.
 func (journey *journey) place(ctx context.Context) (balance.Candidate, *outcome.Error) {
-	ask := balance.Ask{Zone: journey.relay.settings.Zone, Seat: journey.relay.seat(), Exclude: journey.tried}
+	ask := balance.Ask{
+		Zone:    journey.relay.settings.Zone,
+		Seat:    journey.relay.seat(),
+		Exclude: journey.tried,
+		Rank:    urgency(journey.route),
+		Aim:     journey.route.LatencyTarget,
+		Luck:    float64(xxhash.Sum64String(journey.request.Traits.ID)) / math.MaxUint64,
+	}
 	if journey.service.Engine != nil {
 		ask.Tokens = journey.request.Traits.PromptTokens
 	}
@@ -67,6 +75,7 @@
 		candidates := journey.candidates()
 		ask.Fullest = journey.fullest(now)
 		if chosen, ok := journey.relay.deps.Balancer.Choose(candidates, ask, now); ok {
+			journey.ask = ask
 			journey.summary.Replica = chosen.Incarnation
 			journey.summary.InFlight = chosen.InFlight
 			return chosen, nil
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"time"
 
 	"github.com/bronzestall/bronzestall/balance"
 	"github.com/bronzestall/bronzestall/exchange"
@@ -12,21 +11,16 @@
 )
 
 // stream passes whole events on as they arrive.
-func (journey *journey) stream(ctx context.Context, candidate balance.Candidate, reply *exchange.Reply, begun time.Time, watch *watch, prefilled func()) result {
+func (journey *journey) stream(ctx context.Context, candidate balance.Candidate, reply *exchange.Reply, watch *watch, opening *opening) result {
 	if !reply.Signed {
 		return journey.broken(ctx, candidate, exchange.ErrForeign)
 	}
 	splitter := &splitter{}
-	first := true
 	for {
 		events, err := splitter.next(reply.Body)
 		if len(events) > 0 {
 			watch.hear()
-			if first {
-				first = false
-				prefilled()
-				journey.relay.deps.Balancer.Answered(candidate.Incarnation, journey.relay.deps.Clock.Since(begun))
-			}
+			opening.begin()
 			if failure := journey.forward(reply, events); failure != nil {
 				journey.relay.deps.Balancer.Withdraw(candidate.Incarnation)
 				return result{failure: failure}
--- a/scheduler/announce.go
+++ b/scheduler/announce.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 
+	"github.com/bronzestall/bronzestall/demand"
 	"github.com/bronzestall/bronzestall/directory"
 	"github.com/bronzestall/bronzestall/mesh"
 	"github.com/bronzestall/bronzestall/topology"
@@ -74,15 +75,15 @@
 }
 
 // running returns the requests in flight from all daemons but the named one, by engine. The mutex is held.
-func (scheduler *Scheduler) running(except string) map[topology.Incarnation]int {
-	sum := map[topology.Incarnation]int{}
+func (scheduler *Scheduler) running(except string) map[topology.Incarnation]demand.Flight {
+	sum := map[topology.Incarnation]demand.Flight{}
 	now := scheduler.deps.Clock.Now()
 	for name, heard := range scheduler.reports {
 		if name == except || now.Sub(heard.at) > reportLife {
 			continue
 		}
-		for place, count := range heard.loads {
-			sum[place.Incarnation] += count
+		for place, flight := range heard.loads {
+			sum[place.Incarnation] = sum[place.Incarnation].Plus(flight)
 		}
 	}
 	return sum
--- a/scheduler/totals.go
+++ b/scheduler/totals.go
@@ -63,9 +63,9 @@
 				sum.want(want)
 			}
 		}
-		for place, count := range heard.loads {
+		for place, flight := range heard.loads {
 			if place.Service == service && place.Model != "" {
-				sum.run(place, count)
+				sum.run(place, flight.Running)
 			}
 		}
 	}
