Let a new holder know the loads that are on their way

Load pattern: daemons are replaced one after the other while models rise; each holder of the lease passes it on. Cause: the heir knew only that an engine was busy. It took the model as not on its way, forecast a new load from the store, so that waiting requests were refused that would have been served, and could load it a second time. Ruled out: loads that failed (the engines finished them), forecasts of the former holder (they held). Change: announcements tell the model on its way to each engine, where it comes from and when it is expected; the heir takes that up when its tenure begins, and forgets it once a report shows that nothing goes on, or when it is overdue. TestHeirKnowsTheLoadOnItsWay failed before (a forecast half a second later than the former holder's), passes now.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -27,7 +27,7 @@
 	replicas []topology.Replica
 	// announced is the newest announcement, and placements its engines.
 	announced  Announcement
-	placements map[topology.Incarnation]topology.Holding
+	placements map[topology.Incarnation]Placement
 	// heard is when the holder of the lease last confirmed the announcement.
 	heard time.Time
 	// absent tells when a place was found to lack its model or adapter.
@@ -49,7 +49,7 @@
 func New(clk clock.PassiveClock) *Directory {
 	return &Directory{
 		clock:      clk,
-		placements: map[topology.Incarnation]topology.Holding{},
+		placements: map[topology.Incarnation]Placement{},
 		absent:     map[demand.Place]time.Time{},
 		changed:    make(chan struct{}),
 	}
@@ -79,10 +79,10 @@
 	directory.heard = directory.clock.Now()
 	directory.announced = announcement
 	if announcement.Since == 0 {
-		directory.placements = make(map[topology.Incarnation]topology.Holding, len(announcement.Placements))
+		directory.placements = make(map[topology.Incarnation]Placement, len(announcement.Placements))
 	}
 	for _, placement := range announcement.Placements {
-		directory.placements[placement.Incarnation] = placement.Holding
+		directory.placements[placement.Incarnation] = placement
 	}
 	directory.rebuild()
 	return true
@@ -95,6 +95,19 @@
 	return directory.announced.Fence, directory.announced.Revision
 }
 
+// Loadings returns the models that were on their way by the newest announcement.
+func (directory *Directory) Loadings() map[topology.Incarnation]Loading {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	loadings := map[topology.Incarnation]Loading{}
+	for incarnation, placement := range directory.placements {
+		if placement.Loading.Model != "" {
+			loadings[incarnation] = placement.Loading
+		}
+	}
+	return loadings
+}
+
 // Heard returns when the holder of the lease last confirmed its announcement.
 func (directory *Directory) Heard() time.Time {
 	directory.mutex.Lock()
@@ -130,7 +143,7 @@
 func (directory *Directory) holding(replica *topology.Replica) topology.Holding {
 	announced, ok := directory.placements[replica.Incarnation]
 	if ok && replica.Described.Sub(directory.heard) < descriptionLag {
-		return announced
+		return announced.Holding
 	}
 	return replica.Holding
 }
--- a/directory/placement.go
+++ b/directory/placement.go
@@ -12,10 +12,22 @@
 	topology.Incarnation
 	// Holding is what the engine has loaded, without what is about to be unloaded.
 	Holding topology.Holding
+	// Loading is the model on its way to the engine, if there is one.
+	Loading Loading
 	// Revision is that of the announcement in which the placement changed last.
 	Revision uint64
 }
 
+// Loading is a model on its way to an engine. The zero value is none.
+type Loading struct {
+	// Model is the model.
+	Model string
+	// FromStore states that its weights come from the weight store.
+	FromStore bool
+	// Ready is when it is expected to be loaded.
+	Ready time.Time
+}
+
 // Forecast is when a model, or an adapter, is expected to be loaded.
 type Forecast struct {
 	demand.Key
--- a/front/wire.go
+++ b/front/wire.go
@@ -41,7 +41,7 @@
 			StoreLoadsAtOnce: daemon.settings.LoadsAtOnce,
 			CeilingWindow:    daemon.settings.LoadWindow,
 		},
-	}, scheduler.Deps{Tenure: daemon.lease, Engines: daemon.upstream, Clock: daemon.clock})
+	}, scheduler.Deps{Tenure: daemon.lease, Engines: daemon.upstream, Loadings: daemon.directory.Loadings, Clock: daemon.clock})
 }
 
 // serveSync takes the report of another daemon.
--- a/mesh/announcement.go
+++ b/mesh/announcement.go
@@ -24,6 +24,11 @@
 	}
 	for _, placement := range announcement.Placements {
 		next := &meshpb.Placement{Replica: placement.ID, Born: placement.Born, Orders: placement.Holding.Orders}
+		if loading := placement.Loading; loading.Model != "" {
+			next.Loading = loading.Model
+			next.FromStore = loading.FromStore
+			next.ReadyIn = uint64(max(loading.Ready.Sub(now), 0).Milliseconds())
+		}
 		for _, loaded := range placement.Holding.Models {
 			next.Models = append(next.Models, &meshpb.Loaded{
 				Model:    loaded.Model,
@@ -57,6 +62,10 @@
 			Incarnation: topology.Incarnation{ID: placement.GetReplica(), Born: placement.GetBorn()},
 			Holding:     topology.Holding{Orders: placement.GetOrders()},
 		}
+		if model := placement.GetLoading(); model != "" {
+			ready := now.Add(milliseconds(placement.GetReadyIn()))
+			next.Loading = directory.Loading{Model: model, FromStore: placement.GetFromStore(), Ready: ready}
+		}
 		for _, loaded := range placement.GetModels() {
 			next.Holding.Models = append(next.Holding.Models, topology.Loaded{
 				Model:    loaded.GetModel(),
--- a/scheduler/announce.go
+++ b/scheduler/announce.go
@@ -22,8 +22,8 @@
 		before[placement.Incarnation] = placement
 	}
 	for _, engine := range scheduler.engines {
-		placement := directory.Placement{Incarnation: engine.Incarnation, Holding: engine.usable(), Revision: next.Revision}
-		if known, ok := before[engine.Incarnation]; ok && reflect.DeepEqual(known.Holding, placement.Holding) {
+		placement := directory.Placement{Incarnation: engine.Incarnation, Holding: engine.usable(), Loading: engine.loading(), Revision: next.Revision}
+		if known, ok := before[engine.Incarnation]; ok && known.Loading == placement.Loading && reflect.DeepEqual(known.Holding, placement.Holding) {
 			placement.Revision = known.Revision
 		} else {
 			changed = true
--- a/scheduler/ask.go
+++ b/scheduler/ask.go
@@ -43,7 +43,7 @@
 	}
 	before := target.order
 	target.learn(holding, now)
-	if before != nil && target.order == nil && before.Operation == residency.Load && before.Tier == residency.Store {
+	if before != nil && !before.heard && target.order == nil && before.Operation == residency.Load && before.Tier == residency.Store {
 		scheduler.storeLimit = scheduler.storeLimit.Observe(now.Sub(before.sent), before.expected.Sub(before.sent), scheduler.storeLoads()+1)
 	}
 }
@@ -65,10 +65,14 @@
 		engine.askAt = now.Add(askAgain)
 		return
 	}
-	if engine.order != nil {
+	if engine.order != nil && !engine.order.heard {
 		engine.progress(holding, now)
 		return
 	}
+	if engine.order != nil && engine.goesOn(holding, now) {
+		engine.askAt = now.Add(askAgain)
+		return
+	}
 	if !engine.doubt {
 		return
 	}
@@ -85,6 +89,21 @@
 		"Models", len(holding.Models))
 }
 
+// goesOn reports whether the report shows that the load of a former holder still goes on, and forgets the
+// load otherwise.
+func (engine *engine) goesOn(holding topology.Holding, now time.Time) bool {
+	if holding.Busy && !holding.Has(engine.order.Model, "") && !engine.overdue(now) {
+		return true
+	}
+	engine.order = nil
+	return false
+}
+
+// overdue reports whether the load of a former holder should have ended long ago.
+func (engine *engine) overdue(now time.Time) bool {
+	return engine.order != nil && engine.order.heard && now.Sub(engine.order.expected) > doubtFor
+}
+
 // progress ends the order being carried out if the report shows its effect.
 func (engine *engine) progress(holding topology.Holding, now time.Time) {
 	order := engine.order
--- a/scheduler/deps.go
+++ b/scheduler/deps.go
@@ -6,6 +6,7 @@
 
 	"k8s.io/utils/clock"
 
+	"github.com/bronzestall/bronzestall/directory"
 	"github.com/bronzestall/bronzestall/lease"
 	"github.com/bronzestall/bronzestall/residency"
 	"github.com/bronzestall/bronzestall/topology"
@@ -33,6 +34,8 @@
 	Tenure Tenure
 	// Engines takes orders.
 	Engines Engines
+	// Loadings returns the models on their way that the former holder announced.
+	Loadings func() map[topology.Incarnation]directory.Loading
 	// Clock goes on while the VM is suspended.
 	Clock clock.WithTicker
 }
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/bronzestall/bronzestall/directory"
 	"github.com/bronzestall/bronzestall/residency"
 	"github.com/bronzestall/bronzestall/topology"
 )
@@ -43,6 +44,8 @@
 	residency.Order
 	// sent is when it was sent and expected when it should be carried out.
 	sent, expected time.Time
+	// heard states that the order is a former holder's, known only from its announcement.
+	heard bool
 }
 
 // descriptionLag is the age that an engine's row may have when it is received.
@@ -71,6 +74,30 @@
 	return holding
 }
 
+// inherit takes up the load that a former holder announced. A report tells whether it goes on.
+func (engine *engine) inherit(loading directory.Loading, now time.Time) {
+	if loading.Model == "" {
+		return
+	}
+	order := residency.Order{Engine: engine.Incarnation, Operation: residency.Load, Model: loading.Model}
+	if loading.FromStore {
+		order.Tier = residency.Store
+	}
+	engine.order = &pending{Order: order, sent: now, expected: loading.Ready, heard: true}
+}
+
+// loading returns the model on its way.
+func (engine *engine) loading() directory.Loading {
+	if engine.order == nil || engine.order.Operation != residency.Load {
+		return directory.Loading{}
+	}
+	return directory.Loading{
+		Model:     engine.order.Model,
+		FromStore: engine.order.Tier == residency.Store,
+		Ready:     engine.order.expected.Round(forecastStep),
+	}
+}
+
 // settled reports whether nothing is on its way or in doubt.
 func (engine *engine) settled() bool {
 	return engine.order == nil && !engine.calling && !engine.doubt
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -49,6 +49,8 @@
 	engines map[topology.Incarnation]*engine
 	// reports maps daemons to their last reports.
 	reports map[string]heard
+	// loadings maps engines to what was on its way to them when the tenure began.
+	loadings map[topology.Incarnation]directory.Loading
 	// storeStarts lists the starts of loads from the weight store.
 	storeStarts []time.Time
 	// storeLimit is what was learnt of the weight store.
@@ -136,6 +138,7 @@
 	scheduler.fence = fence
 	scheduler.engines = map[topology.Incarnation]*engine{}
 	scheduler.storeStarts = nil
+	scheduler.loadings = scheduler.deps.Loadings()
 	scheduler.announced = directory.Announcement{Fence: fence}
 	scheduler.quietUntil = now
 	former := scheduler.deps.Tenure.Former()
@@ -161,8 +164,12 @@
 			known.askAt = now
 			known.doubt = true
 			known.doubtSince = now.Add(-doubtFor)
+			known.inherit(scheduler.loadings[replica.Incarnation], now)
 			scheduler.engines[replica.Incarnation] = known
 		}
+		if known.overdue(now) {
+			known.order = nil
+		}
 		known.describe(replica, now)
 		known.arrived(now)
 	}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -15,6 +15,7 @@
 	"k8s.io/utils/clock"
 
 	"github.com/bronzestall/bronzestall/demand"
+	"github.com/bronzestall/bronzestall/directory"
 	"github.com/bronzestall/bronzestall/lease"
 	"github.com/bronzestall/bronzestall/mesh"
 	"github.com/bronzestall/bronzestall/residency"
@@ -140,11 +141,16 @@
 	*Scheduler
 	tenure *tenure
 	sim    *engineSim
+	// loadings is what a former holder announced.
+	loadings map[topology.Incarnation]directory.Loading
 }
 
 func newPlace(name string, tenure *tenure, sim *engineSim) *place {
 	made := &place{tenure: tenure, sim: sim}
-	made.Scheduler = New(Settings{Name: name, Turnover: 3 * time.Second}, Deps{Tenure: tenure, Engines: sim, Clock: clock.RealClock{}})
+	made.Scheduler = New(Settings{Name: name, Turnover: 3 * time.Second}, Deps{
+		Tenure: tenure, Engines: sim, Clock: clock.RealClock{},
+		Loadings: func() map[topology.Incarnation]directory.Loading { return made.loadings },
+	})
 	models := map[string]topology.Model{}
 	var onDisk []string
 	for i := range 6 {
@@ -194,6 +200,53 @@
 	})
 }
 
+// TestHeirKnowsTheLoadOnItsWay hands the lease over in the middle of a load that requests wait for.
+func TestHeirKnowsTheLoadOnItsWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := &engineSim{}
+		former := newPlace("a", &tenure{}, sim)
+		former.tenure.grant(1, 5*time.Second)
+		former.want("m3", 1)
+		former.run(t, 200*time.Millisecond)
+		announced, _ := former.Sync(t.Context(), mesh.Report{Name: "b", OnlyAsk: true})
+		if len(announced.Placements) != 1 || announced.Placements[0].Loading.Model != "m3" {
+			t.Fatalf("announced %+v", announced.Placements)
+		}
+		ready := announced.Placements[0].Loading.Ready
+		heir := newPlace("b", &tenure{former: lease.Holder{Name: "a"}}, sim)
+		heir.loadings = map[topology.Incarnation]directory.Loading{announced.Placements[0].Incarnation: announced.Placements[0].Loading}
+		heir.tenure.grant(2, time.Minute)
+		heir.want("m3", 1)
+		heir.run(t, 300*time.Millisecond)
+		announced, _ = heir.Sync(t.Context(), mesh.Report{Name: "d", OnlyAsk: true})
+		if len(announced.Forecasts) != 1 || !announced.Forecasts[0].Ready.Equal(ready) {
+			t.Errorf("forecasts %+v, want the former holder's %s", announced.Forecasts, ready)
+		}
+		heir.want("m3", 1)
+		heir.run(t, 5*time.Second)
+		announced, _ = heir.Sync(t.Context(), mesh.Report{Name: "d", OnlyAsk: true})
+		if len(announced.Placements) != 1 || !announced.Placements[0].Holding.Has("m3", "") || sim.loads("m3") != 1 {
+			t.Errorf("announced %+v after %d loads", announced.Placements, sim.loads("m3"))
+		}
+	})
+}
+
+// TestHeirForgetsALoadThatIsNotThere takes over from a holder whose load never reached the engine.
+func TestHeirForgetsALoadThatIsNotThere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		heir := newPlace("b", &tenure{former: lease.Holder{Name: "a"}}, &engineSim{})
+		heir.loadings = map[topology.Incarnation]directory.Loading{
+			{ID: "e", Born: 1}: {Model: "m3", FromStore: true, Ready: time.Now().Add(time.Minute)},
+		}
+		heir.tenure.grant(2, time.Minute)
+		heir.want("m3", 1)
+		heir.run(t, 6*time.Second)
+		if heir.sim.loads("m3") != 1 {
+			t.Errorf("%d loads, want one of the heir's own", heir.sim.loads("m3"))
+		}
+	})
+}
+
 func TestLostAnswerIsSettledByAReport(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		place := newPlace("a", &tenure{}, &engineSim{lose: 1})
