Let a stream that began go on at any replica

If all others are too full, it went back to the replica where it broke off, or was broken off for good. Change: the limits hold only before the first event. TestStreamThatBeganGoesOnAtAFullReplica failed before (resumed where it broke off), passes now.

--- a/relay/place.go
+++ b/relay/place.go
@@ -101,8 +101,9 @@
 
 // fullest returns how full a replica may be for the request, as a multiple of its slots. A replica that
 // is fuller answers later than callers expect; callers who expect the answer late accept more after a wait.
+// A stream that began goes on at any replica.
 func (journey *journey) fullest(now time.Time) float64 {
-	if journey.service.Engine == nil {
+	if journey.service.Engine == nil || journey.sink.Begun() {
 		return 0
 	}
 	if journey.route.LatencyTarget >= patientTarget && now.Sub(journey.request.Arrived) >= journey.crowdedWait() {
--- a/relay/place_test.go
+++ b/relay/place_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -99,3 +100,20 @@
 		})
 	}
 }
+
+// TestStreamThatBeganGoesOnAtAFullReplica breaks a stream off while the only other replica is full.
+func TestStreamThatBeganGoesOnAtAFullReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := newSite(answered(200, events(1, 2), errors.New("reset")), ok(events(3, 3)))
+		other := balance.Candidate{Incarnation: topology.Incarnation{ID: "engineb"}, Slots: 4}
+		for range 4 * int(fullestPatient) {
+			_, _ = site.relay.deps.Balancer.Choose([]balance.Candidate{other}, balance.Ask{}, time.Now())
+		}
+		if failure := site.serve(t.Context(), "/resume/x"); failure != nil {
+			t.Fatal(failure)
+		}
+		if got := site.upstream.attempts[1].Replica.ID; got != "engineb" {
+			t.Errorf("resumed at %s, where it broke off", got)
+		}
+	})
+}
