--- a/front/duties.go
+++ b/front/duties.go
@@ -21,7 +21,7 @@
 			return ctx.Err()
 		}
 		if daemon.holderAnswers() {
-			daemon.sleepUnlessStopping(ctx, leaseRenewal)
+			daemon.await(ctx, daemon.stopBegun, leaseRenewal)
 			continue
 		}
 		// A failed step changes nothing; the follower of a table logs that the store is away.
@@ -32,7 +32,7 @@
 			daemon.scheduler.Wake()
 			daemon.mesh.GreetAll(ctx)
 		}
-		daemon.sleepUnlessStopping(ctx, daemon.lease.Pause())
+		daemon.await(ctx, daemon.stopBegun, daemon.lease.Pause())
 	}
 	return ctx.Err()
 }
@@ -45,17 +45,6 @@
 	daemon.mesh.GreetAll(ctx)
 }
 
-// sleepUnlessStopping waits for the time, the end of the context or the beginning of the stop.
-func (daemon *Daemon) sleepUnlessStopping(ctx context.Context, pause time.Duration) {
-	timer := daemon.clock.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C():
-	case <-daemon.stopBegun:
-	case <-ctx.Done():
-	}
-}
-
 const (
 	// holderSilence is the time without an answer of the holder of the lease from which all daemons look
 	// whether it lapsed.
--- a/front/store.go
+++ b/front/store.go
@@ -46,10 +46,16 @@
 	if pause <= 0 {
 		return
 	}
+	daemon.await(ctx, nil, pause)
+}
+
+// await waits for the signal, unless that is nil, the end of the pause or that of the context.
+func (daemon *Daemon) await(ctx context.Context, signal <-chan struct{}, pause time.Duration) {
 	timer := daemon.clock.NewTimer(pause)
 	defer timer.Stop()
 	select {
 	case <-timer.C():
+	case <-signal:
 	case <-ctx.Done():
 	}
 }
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 
+	"k8s.io/utils/ptr"
+
 	"github.com/bronzestall/bronzestall/outcome"
 )
 
@@ -47,8 +49,8 @@
 
 // tokens estimates the cost of the request in tokens.
 func (prompt *prompt) tokens() int {
-	answer := valueOr(prompt.MaxCompletionTokens, valueOr(prompt.MaxTokens, defaultAnswerTokens))
-	return answer*valueOr(prompt.Choices, 1) + len(prompt.content())/bytesPerToken
+	answer := ptr.Deref(prompt.MaxCompletionTokens, ptr.Deref(prompt.MaxTokens, defaultAnswerTokens))
+	return answer*ptr.Deref(prompt.Choices, 1) + len(prompt.content())/bytesPerToken
 }
 
 // check returns an error if a number of the body is one that no engine can serve.
@@ -69,13 +71,6 @@
 	return nil
 }
 
-func valueOr(value *int, other int) int {
-	if value == nil {
-		return other
-	}
-	return *value
-}
-
 // prefix returns the first block of the prompt.
 func (prompt *prompt) prefix() []byte {
 	content := prompt.content()
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -74,7 +74,7 @@
 		writer.Header().Set("Connection", "close")
 	}
 	request, failure := ingress.read(writer, incoming)
-	sink := &sink{begun: time.Now(), writer: writer, controller: http.NewResponseController(writer)}
+	sink := &sink{clock: ingress.deps.Clock, begun: ingress.deps.Clock.Now(), writer: writer, controller: http.NewResponseController(writer)}
 	var summary relay.Summary
 	if failure == nil {
 		summary, failure = ingress.deps.Relay.Serve(incoming.Context(), request, sink)
@@ -156,6 +156,7 @@
 
 // sink passes an answer to the client.
 type sink struct {
+	clock      clock.PassiveClock
 	writer     http.ResponseWriter
 	controller *http.ResponseController
 	status     int
@@ -187,7 +188,7 @@
 
 // Write passes on a part of the body.
 func (sink *sink) Write(part []byte) error {
-	sink.observe(time.Now())
+	sink.observe(sink.clock.Now())
 	n, err := sink.writer.Write(part)
 	sink.bytes += int64(n)
 	if err != nil || !sink.streaming {
--- a/peer/decode.go
+++ b/peer/decode.go
@@ -43,7 +43,12 @@
 const longestAge = 365 * 24 * time.Hour
 
 func duration(milliseconds uint64) time.Duration {
-	return time.Duration(min(milliseconds, uint64(longestAge/time.Millisecond))) * time.Millisecond
+	return units(milliseconds, time.Millisecond)
+}
+
+// units returns that many units, at most the longest age.
+func units(count uint64, unit time.Duration) time.Duration {
+	return time.Duration(min(count, uint64(longestAge/unit))) * unit
 }
 
 func decodeSuspects(message *peerpb.Suspects, now time.Time) []Suspect {
--- a/peer/mark.go
+++ b/peer/mark.go
@@ -26,7 +26,7 @@
 	if mark.GetTime() == 0 || mark.GetProcess() != node.process {
 		return time.Time{}
 	}
-	made := node.began.Add(microseconds(mark.GetTime() - 1)).Add(microseconds(request.GetMarkAge()))
+	made := node.began.Add(units(mark.GetTime()-1, time.Microsecond)).Add(units(request.GetMarkAge(), time.Microsecond))
 	if made.After(now) {
 		return now
 	}
@@ -41,7 +41,3 @@
 	request.Mark = ticket.mark
 	request.MarkAge = uint64(max(0, now.Sub(ticket.came)) / time.Microsecond)
 }
-
-func microseconds(count uint64) time.Duration {
-	return time.Duration(min(count, uint64(longestAge/time.Microsecond))) * time.Microsecond
-}
--- a/relay/journey.go
+++ b/relay/journey.go
@@ -117,20 +117,11 @@
 		journey.tried = append(journey.tried, candidate.Incarnation)
 	}
 	if result.notRun && !result.unsent {
-		journey.pause(ctx, busyPause)
+		journey.await(ctx, nil, busyPause)
 	}
 	return true
 }
 
-func (journey *journey) pause(ctx context.Context, pause time.Duration) {
-	timer := journey.relay.deps.Clock.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C():
-	case <-ctx.Done():
-	}
-}
-
 // left returns the time until the deadline.
 func (journey *journey) left() time.Duration {
 	return journey.deadline.Sub(journey.relay.deps.Clock.Now())
--- a/relay/place.go
+++ b/relay/place.go
@@ -148,7 +148,7 @@
 	}
 }
 
-// await waits for a change of the directory, the end of the patience or that of the context.
+// await waits for a change of the directory, unless that is nil, the end of the patience or that of the context.
 func (journey *journey) await(ctx context.Context, changed <-chan struct{}, patience time.Duration) {
 	timer := journey.relay.deps.Clock.NewTimer(patience)
 	defer timer.Stop()
