Bound the head of an answer and the bodies that are skipped

Change: a connection reads through an allowance that is renewed for each head (HeadBytes, 32 KiB) and each foreign body (StrayBytes, 1 MiB) and lifted for the body of the answer itself, which its reader bounds. What is over ends the exchange as a lost answer; the cause names the limit.

--- a/connection/conn.go
+++ b/connection/conn.go
@@ -15,6 +15,8 @@
 	net.Conn
 	key    string
 	reader *bufio.Reader
+	// allowed bounds what the reader takes from the connection.
+	allowed *allowance
 	// reused states that an exchange was completed on it.
 	reused bool
 	// since is when it was last used.
@@ -24,7 +26,8 @@
 }
 
 func newConn(inner net.Conn, key string) *conn {
-	return &conn{Conn: inner, key: key, reader: bufio.NewReaderSize(inner, readBuffer)}
+	allowed := &allowance{inner: inner}
+	return &conn{Conn: inner, key: key, allowed: allowed, reader: bufio.NewReaderSize(allowed, readBuffer)}
 }
 
 // abort closes the connection so that bytes which have not arrived yet never will.
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -16,8 +16,11 @@
 	"github.com/bronzestall/bronzestall/internal/transport"
 )
 
-// maxStray bounds how many answers to earlier requests are skipped.
-const maxStray = 4
+const (
+	// maxStray bounds how many answers to earlier requests are skipped, and strayBytes the body of each.
+	maxStray   = 4
+	strayBytes = 1 << 20
+)
 
 // largeBody is the size in bytes from which a body is written while the answer is awaited.
 const largeBody = 16 << 10
@@ -51,7 +54,7 @@
 		c.abort()
 		return nil, &transport.Error{NotSent: written == 0, Cause: trace.Wrap(err)}
 	}
-	response, err := receive(c, call)
+	response, err := pool.receive(c, call)
 	if err != nil {
 		stop()
 		c.abort()
@@ -182,9 +185,10 @@
 }
 
 // receive reads heads until one answers the call.
-func receive(c *conn, call Call) (*http.Response, error) {
+func (pool *Pool) receive(c *conn, call Call) (*http.Response, error) {
 	request := &http.Request{Method: call.Method}
 	for range maxStray {
+		c.allowed.renew("HeadBytes", pool.settings.HeadBytes)
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			return nil, err
@@ -193,8 +197,10 @@
 			continue
 		}
 		if call.Mine == nil || call.Mine(response.Header) {
+			c.allowed.lift()
 			return response, nil
 		}
+		c.allowed.renew("StrayBytes", strayBytes)
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return nil, err
 		}
--- a/connection/settings.go
+++ b/connection/settings.go
@@ -13,6 +13,7 @@
 	defaultIdleTimeout = time.Second
 	defaultUserTimeout = 3 * time.Second
 	defaultMaxIdle     = 64
+	defaultHeadBytes   = 32 << 10
 )
 
 // Settings bounds the connections of a Pool. The zero value of a field means its default.
@@ -26,6 +27,8 @@
 	UserTimeout time.Duration
 	// MaxIdle is the number of unused connections that are kept for one key; zero means 64.
 	MaxIdle int
+	// HeadBytes bounds the status line and headers of an answer; zero means 32 KiB.
+	HeadBytes int64
 	// Dial opens a connection; nil means TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -35,6 +38,7 @@
 	settings.IdleTimeout = cmp.Or(settings.IdleTimeout, defaultIdleTimeout)
 	settings.UserTimeout = cmp.Or(settings.UserTimeout, defaultUserTimeout)
 	settings.MaxIdle = cmp.Or(settings.MaxIdle, defaultMaxIdle)
+	settings.HeadBytes = cmp.Or(settings.HeadBytes, defaultHeadBytes)
 	if settings.Dial == nil {
 		settings.Dial = dialer(settings.UserTimeout)
 	}
