Bound one event of a stream, and take comments for silence

Cause: the splitter doubled its buffer until the deadline for an event without an end, and a comment counted as a sign of life, so that a stalled replica that sends one now and then was never given up while another could go on. Change: EventBytes (128 KiB); only events that tell something end the silence.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -29,6 +29,8 @@
 	err    error
 	reply  *exchange.Reply
 	silent bool
+	// drips is what the body sends each dripEvery after the reply's text, until the attempt is given up.
+	drips string
 }
 
 // replicas is an Upstream that plays steps in turn.
@@ -51,6 +53,9 @@
 		<-ctx.Done()
 		return nil, errors.Join(exchange.ErrLost, ctx.Err())
 	}
+	if next.drips != "" {
+		next.reply.Body = &dripping{ctx: ctx, first: next.reply.Body, text: next.drips}
+	}
 	return next.reply, next.err
 }
 
--- a/relay/splitter.go
+++ b/relay/splitter.go
@@ -2,12 +2,20 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"strconv"
 )
 
-// chunk is the number of bytes that are read at once.
-const chunk = 4096
+const (
+	// chunk is the number of bytes that are read at once.
+	chunk = 4096
+	// eventBytes bounds one event.
+	eventBytes = 128 << 10
+)
+
+// errLongEvent is the failure of a stream with an event that is over eventBytes.
+var errLongEvent = errors.New("an event of the stream is over the limit EventBytes of 131072 bytes")
 
 // eventEnd ends an event.
 var eventEnd = []byte("\n\n")
@@ -19,11 +27,15 @@
 	taken  int
 }
 
-// next reads once and returns the whole events that are there, which stay valid until the next call.
+// next reads once and returns the whole events that are there, which stay valid until the next call. It fails if an
+// event is over eventBytes.
 func (splitter *splitter) next(reader io.Reader) ([]byte, error) {
 	rest := copy(splitter.buffer, splitter.buffer[splitter.taken:])
 	splitter.buffer = splitter.buffer[:rest]
 	splitter.taken = 0
+	if rest >= eventBytes {
+		return nil, errLongEvent
+	}
 	if cap(splitter.buffer)-rest < chunk {
 		grown := make([]byte, rest, 2*cap(splitter.buffer)+chunk)
 		copy(grown, splitter.buffer)
@@ -37,6 +49,18 @@
 	return splitter.buffer[:splitter.taken], err
 }
 
+// tells reports whether the events say anything beyond comments, which only keep a connection open.
+func tells(events []byte) bool {
+	for len(events) > 0 {
+		line, rest, _ := bytes.Cut(events, []byte("\n"))
+		if len(line) > 0 && line[0] != ':' {
+			return true
+		}
+		events = rest
+	}
+	return false
+}
+
 // partial reports whether bytes of an incomplete event are left.
 func (splitter *splitter) partial() bool {
 	return splitter.taken < len(splitter.buffer)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -19,8 +19,10 @@
 	for {
 		events, err := splitter.next(reply.Body)
 		if len(events) > 0 {
-			watch.hear()
-			opening.begin()
+			if tells(events) {
+				watch.hear()
+				opening.begin()
+			}
 			if failure := journey.forward(reply, events); failure != nil {
 				journey.relay.deps.Balancer.Withdraw(candidate.Incarnation)
 				return result{failure: failure}
