List only the changed replicas anew after an announcement

Change: an announcement of changes lists the named engines anew. Test: lists that follow 200 changes equal those of a whole announcement.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -35,6 +35,8 @@
 	// plain maps services to replicas, and engines does so for models with the engines' holdings.
 	plain   map[string][]balance.Candidate
 	engines map[demand.Key][]member
+	// listed maps the replicas in use to what they are listed for.
+	listed map[topology.Incarnation]listing
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 }
@@ -84,7 +86,14 @@
 	for _, placement := range announcement.Placements {
 		directory.placements[placement.Incarnation] = placement
 	}
-	directory.rebuild()
+	if announcement.Since == 0 {
+		directory.rebuild()
+		return true
+	}
+	for _, placement := range announcement.Placements {
+		directory.revise(placement.Incarnation)
+	}
+	directory.tell()
 	return true
 }
 
@@ -119,21 +128,61 @@
 func (directory *Directory) rebuild() {
 	directory.plain = map[string][]balance.Candidate{}
 	directory.engines = map[demand.Key][]member{}
+	directory.listed = make(map[topology.Incarnation]listing, len(directory.replicas))
 	for index := range directory.replicas {
 		replica := &directory.replicas[index]
-		candidate := balance.Candidate{
-			Incarnation: replica.Incarnation,
-			Address:     replica.Address,
-			Zone:        replica.Zone,
-			Slots:       replica.Slots,
-		}
-		directory.plain[replica.Service] = append(directory.plain[replica.Service], candidate)
-		holding := directory.holding(replica)
-		for _, loaded := range holding.Models {
-			key := demand.Key{Service: replica.Service, Model: loaded.Model}
-			directory.engines[key] = append(directory.engines[key], member{candidate, loaded.Adapters})
+		directory.plain[replica.Service] = append(directory.plain[replica.Service], candidate(replica))
+		directory.list(replica)
+	}
+	directory.tell()
+}
+
+// listing is what a replica is listed for.
+type listing struct {
+	replica *topology.Replica
+	models  []demand.Key
+}
+
+// candidate returns the replica as a candidate.
+func candidate(replica *topology.Replica) balance.Candidate {
+	return balance.Candidate{
+		Incarnation: replica.Incarnation,
+		Address:     replica.Address,
+		Zone:        replica.Zone,
+		Slots:       replica.Slots,
+	}
+}
+
+// list adds the replica to the lists of the models that it has. The mutex is held.
+func (directory *Directory) list(replica *topology.Replica) {
+	listed := listing{replica: replica}
+	holding := directory.holding(replica)
+	for _, loaded := range holding.Models {
+		key := demand.Key{Service: replica.Service, Model: loaded.Model}
+		directory.engines[key] = append(directory.engines[key], member{candidate(replica), loaded.Adapters})
+		listed.models = append(listed.models, key)
+	}
+	directory.listed[replica.Incarnation] = listed
+}
+
+// revise lists one replica anew, if it is in use. The mutex is held.
+func (directory *Directory) revise(incarnation topology.Incarnation) {
+	listed, ok := directory.listed[incarnation]
+	if !ok {
+		return
+	}
+	for _, key := range listed.models {
+		members := slices.DeleteFunc(directory.engines[key], func(member member) bool { return member.Incarnation == incarnation })
+		directory.engines[key] = members
+		if len(members) == 0 {
+			delete(directory.engines, key)
 		}
 	}
+	directory.list(listed.replica)
+}
+
+// tell wakes who waits for a change. The mutex is held.
+func (directory *Directory) tell() {
 	close(directory.changed)
 	directory.changed = make(chan struct{})
 }
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -1,6 +1,9 @@
 package directory
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -99,3 +102,54 @@
 		}
 	}
 }
+
+// TestChangedPlacementsAreListedAsWholeOnes covers the changes of a busy hour: lists that follow changes one by one
+// are those of a whole announcement.
+func TestChangedPlacementsAreListedAsWholeOnes(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	const engines = 5
+	var replicas []topology.Replica
+	for index := range engines {
+		replicas = append(replicas, topology.Replica{Incarnation: topology.Incarnation{ID: fmt.Sprintf("e%d", index)}, Service: "s"})
+	}
+	followed, _ := newDirectory()
+	followed.SetReplicas(replicas)
+	whole := Announcement{Fence: 1, Revision: 1, Placements: make([]Placement, engines)}
+	for index := range engines {
+		whole.Placements[index] = Placement{Incarnation: replicas[index].Incarnation, Holding: holding("m0")}
+	}
+	followed.Announce(whole)
+	for range 200 {
+		whole.Revision++
+		at := random.IntN(engines)
+		whole.Placements[at] = Placement{Incarnation: replicas[at].Incarnation, Revision: whole.Revision}
+		for model := range 4 {
+			if random.IntN(2) == 0 {
+				loaded := &whole.Placements[at].Holding.Models
+				*loaded = append(*loaded, topology.Loaded{Model: fmt.Sprintf("m%d", model), Adapters: []string{fmt.Sprintf("a%d", random.IntN(2))}})
+			}
+		}
+		followed.Announce(whole.After(1, whole.Revision-1))
+		fresh, _ := newDirectory()
+		fresh.SetReplicas(replicas)
+		fresh.Announce(whole)
+		for model := range 4 {
+			for _, adapter := range []string{"", "a0", "a1"} {
+				key := demand.Key{Service: "s", Model: fmt.Sprintf("m%d", model), Adapter: adapter}
+				if got, want := holderNames(followed, key), holderNames(fresh, key); !slices.Equal(got, want) {
+					t.Fatalf("revision %d: %+v is at %v, want %v", whole.Revision, key, got, want)
+				}
+			}
+		}
+	}
+}
+
+// holderNames returns the identifiers of the holders in order.
+func holderNames(directory *Directory, key demand.Key) []string {
+	var names []string
+	for _, holder := range directory.Holders(key) {
+		names = append(names, holder.ID)
+	}
+	slices.Sort(names)
+	return names
+}
