Keep running sums of reports and spare announcements

Each step summed all wants and loads, each report's answer all other loads, and each change was announced to all 118 daemons at once, 42 times a second. Change: a ledger counts what a report changes; reports without a change of waiting requests wake no step; a daemon whose requests wait for nothing is told after a pause of 2 ms for each daemon, at most 500 ms, one that waits at once; a step's pause grows with the engines it looks at; models are ranked once a plan; reports live as long as their interval asks for.

--- a/demand/flight.go
+++ b/demand/flight.go
@@ -20,6 +20,15 @@
 	return flight
 }
 
+// Minus returns what is left without the other one.
+func (flight Flight) Minus(other Flight) Flight {
+	flight.Running -= other.Running
+	for rank, count := range other.Waiting {
+		flight.Waiting[rank] -= count
+	}
+	return flight
+}
+
 // Begun returns the flight after a request of the rank has got its first event.
 func (flight Flight) Begun(rank int) Flight {
 	flight.Waiting[rank]--
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -19,3 +19,8 @@
 	// Used is when the last request arrived.
 	Used time.Time
 }
+
+// active reports whether the planner may load the model for the demand.
+func (demand *Demand) active() bool {
+	return demand.Waiting > 0 || demand.Rate >= impatientRate || demand.Running > 1
+}
--- a/residency/forecast.go
+++ b/residency/forecast.go
@@ -21,6 +21,9 @@
 
 // Forecasts returns when the models on their way, and those that requests wait for, will be loaded.
 func (planner Planner) Forecasts(state *State) []Forecast {
+	if !state.awaited() {
+		return nil
+	}
 	var forecasts []Forecast
 	plan := &plan{planner: planner, state: state, index: state.index()}
 	queued := plan.index.storeLoads
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -65,6 +65,8 @@
 	planner Planner
 	state   *State
 	index   *index
+	// asked lists the models that are asked for, those with most waiting first; nil until it is needed.
+	asked []asked
 	// taken names the engines that got an order in this plan.
 	taken  map[string]bool
 	orders []Order
@@ -93,22 +95,41 @@
 	}
 }
 
+// asked is a model with the demand for it.
+type asked struct {
+	name string
+	Demand
+}
+
 // names returns the models whose demand passes the test, those with most waiting first.
 func (plan *plan) names(test func(Demand) bool) []string {
+	if plan.asked == nil {
+		plan.asked = plan.rankDemand()
+	}
 	var names []string
+	for index := range plan.asked {
+		if test(plan.asked[index].Demand) {
+			names = append(names, plan.asked[index].name)
+		}
+	}
+	return names
+}
+
+// rankDemand returns the models that are asked for, those with most waiting first.
+func (plan *plan) rankDemand() []asked {
+	ranked := make([]asked, 0, len(plan.state.Models))
 	for name, demand := range plan.state.Models {
-		if _, known := plan.state.Service.Models[name]; known && test(demand) {
-			names = append(names, name)
+		if _, known := plan.state.Service.Models[name]; known && demand.active() {
+			ranked = append(ranked, asked{name, demand})
 		}
 	}
-	slices.SortFunc(names, func(a, b string) int {
-		first, second := plan.state.Models[a], plan.state.Models[b]
+	slices.SortFunc(ranked, func(a, b asked) int {
 		return cmp.Or(
-			cmp.Compare(second.Waiting, first.Waiting),
-			first.Oldest.Compare(second.Oldest),
-			cmp.Compare(second.Rate, first.Rate),
-			strings.Compare(a, b),
+			cmp.Compare(b.Waiting, a.Waiting),
+			a.Oldest.Compare(b.Oldest),
+			cmp.Compare(b.Rate, a.Rate),
+			strings.Compare(a.name, b.name),
 		)
 	})
-	return names
+	return ranked
 }
--- a/residency/replicate.go
+++ b/residency/replicate.go
@@ -61,6 +61,9 @@
 
 // copyWeights loads models of which no engine has a copy, so that a later load is quick.
 func (plan *plan) copyWeights() {
+	if !plan.mayUseStore() {
+		return
+	}
 	for _, name := range plan.uncopied() {
 		if !plan.mayUseStore() {
 			return
--- a/residency/state.go
+++ b/residency/state.go
@@ -23,6 +23,16 @@
 	Now time.Time
 }
 
+// awaited reports whether requests wait for a model.
+func (state *State) awaited() bool {
+	for _, demand := range state.Models {
+		if demand.Waiting > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // index is what a plan looks up by model.
 type index struct {
 	loaded, loading map[string][]*Engine
--- a/scheduler/announce.go
+++ b/scheduler/announce.go
@@ -6,7 +6,6 @@
 	"slices"
 	"strings"
 
-	"github.com/bronzestall/bronzestall/demand"
 	"github.com/bronzestall/bronzestall/directory"
 	"github.com/bronzestall/bronzestall/mesh"
 	"github.com/bronzestall/bronzestall/topology"
@@ -46,45 +45,31 @@
 		return directory.Announcement{}, ErrNotHolder
 	}
 	if !report.OnlyAsk {
-		scheduler.mutex.Lock()
-		now := scheduler.deps.Clock.Now()
-		scheduler.reports[report.Name] = scheduler.reports[report.Name].with(report, now)
-		scheduler.mutex.Unlock()
-		scheduler.Wake()
+		scheduler.take(report)
 	}
-	timer := scheduler.deps.Clock.NewTimer(report.Wait)
-	defer timer.Stop()
+	poll := scheduler.poll(report)
+	defer poll.timer.Stop()
 	for {
-		scheduler.mutex.Lock()
-		announced, changed := scheduler.announced, scheduler.changed
-		if !report.OnlyAsk && !report.Partial {
-			announced.Running = scheduler.running(report.Name)
-		}
-		scheduler.mutex.Unlock()
-		if announced.Revision > 0 && announced.Newer(report.Fence, report.Revision) {
+		announced, changed, news := scheduler.news(&poll)
+		if news || poll.over {
 			return announced, nil
 		}
 		select {
 		case <-changed:
-		case <-timer.C():
-			return announced, nil
+		case <-poll.timer.C():
+			poll.pass()
 		case <-ctx.Done():
 			return announced, nil
 		}
 	}
 }
 
-// running returns the requests in flight from all daemons but the named one, by engine. The mutex is held.
-func (scheduler *Scheduler) running(except string) map[topology.Incarnation]demand.Flight {
-	sum := map[topology.Incarnation]demand.Flight{}
-	now := scheduler.deps.Clock.Now()
-	for name, heard := range scheduler.reports {
-		if name == except || now.Sub(heard.at) > reportLife {
-			continue
-		}
-		for place, flight := range heard.loads {
-			sum[place.Incarnation] = sum[place.Incarnation].Plus(flight)
-		}
+// take counts the report and plans at once if requests began or ended to wait.
+func (scheduler *Scheduler) take(report mesh.Report) {
+	scheduler.mutex.Lock()
+	changed := scheduler.ledger.take(report, scheduler.deps.Clock.Now())
+	scheduler.mutex.Unlock()
+	if changed {
+		scheduler.Wake()
 	}
-	return sum
 }
--- /dev/null
+++ b/scheduler/bench_test.go
@@ -0,0 +1,120 @@
+package scheduler
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"k8s.io/utils/clock"
+
+	"github.com/bronzestall/bronzestall/demand"
+	"github.com/bronzestall/bronzestall/directory"
+	"github.com/bronzestall/bronzestall/mesh"
+	"github.com/bronzestall/bronzestall/residency"
+	"github.com/bronzestall/bronzestall/topology"
+)
+
+// size is that of a deployment.
+type size struct{ daemons, engines, models int }
+
+// sizes are those of the benchmarks.
+var sizes = []size{{30, 90, 274}, {118, 160, 572}, {363, 600, 1900}}
+
+// String names the size.
+func (size size) String() string {
+	return fmt.Sprintf("Daemons=%d/Engines=%d/Models=%d", size.daemons, size.engines, size.models)
+}
+
+// The demand of one daemon in the benchmarks.
+const (
+	benchWants  = 60
+	benchPlaces = 15
+)
+
+// report returns the whole report of a daemon.
+func (size size) report(daemon int, now time.Time) mesh.Report {
+	report := mesh.Report{Name: fmt.Sprintf("d%d", daemon), Loads: mesh.Loads{}}
+	for index := range benchWants {
+		key := demand.Key{Service: "s", Model: fmt.Sprintf("m%d", (daemon+index*7)%size.models)}
+		report.Wants = append(report.Wants, demand.Want{Key: key, Rate: 0.1, Tokens: 100, Target: time.Second, Used: now})
+	}
+	for index := range benchPlaces {
+		engine := (daemon*5 + index*11) % size.engines
+		key := demand.Key{Service: "s", Model: fmt.Sprintf("m%d", engine*3%size.models)}
+		place := demand.Place{Incarnation: topology.Incarnation{ID: fmt.Sprintf("e%d", engine), Born: 1}, Key: key}
+		report.Loads[place] = demand.Flight{Running: 1}
+	}
+	return report
+}
+
+// holder returns a scheduler that holds the lease and has heard all daemons and engines.
+func (size size) holder(b *testing.B) *Scheduler {
+	right := &tenure{}
+	right.grant(1, time.Hour)
+	holder := New(Settings{Name: "a"}, Deps{
+		Tenure: right, Engines: &engineSim{}, Clock: clock.RealClock{},
+		Loadings: func() map[topology.Incarnation]directory.Loading { return nil },
+	})
+	models := map[string]topology.Model{}
+	for index := range size.models {
+		name := fmt.Sprintf("m%d", index)
+		models[name] = topology.Model{Name: name, Weights: 50, StoreLoad: 10 * time.Second, DiskLoad: time.Second, HostLoad: time.Second}
+	}
+	var replicas []topology.Replica
+	for index := range size.engines {
+		var holding topology.Holding
+		for slot := range 4 {
+			name := fmt.Sprintf("m%d", (index*3+slot)%size.models)
+			holding.OnDisk = append(holding.OnDisk, name)
+			if slot < 3 {
+				holding.Models = append(holding.Models, topology.Loaded{Model: name})
+			}
+		}
+		replicas = append(replicas, topology.Replica{
+			Incarnation: topology.Incarnation{ID: fmt.Sprintf("e%d", index), Born: 1}, Service: "s",
+			Zone: fmt.Sprintf("z%d", index%5), Holding: holding, Described: time.Now(),
+		})
+	}
+	holder.Learn(&topology.Configuration{Version: 1, Services: map[string]topology.Service{
+		"s": {Name: "s", Engine: &topology.Engine{Slots: 24, Memory: 200, LoadsPerSecond: 4, Models: models}},
+	}}, replicas)
+	for daemon := range size.daemons {
+		if _, err := holder.Sync(context.Background(), size.report(daemon, time.Now())); err != nil {
+			b.Fatal(err)
+		}
+	}
+	holder.Step(context.Background())
+	for _, engine := range holder.engines {
+		engine.calling, engine.doubt, engine.askAt = false, false, time.Time{}
+	}
+	return holder
+}
+
+// BenchmarkReport takes the whole report of one daemon.
+func BenchmarkReport(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(size.String(), func(b *testing.B) {
+			holder := size.holder(b)
+			report := size.report(1, time.Now())
+			for b.Loop() {
+				if _, err := holder.Sync(context.Background(), report); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkStep makes one step in which nothing is to be ordered.
+func BenchmarkStep(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(size.String(), func(b *testing.B) {
+			holder := size.holder(b)
+			holder.planner = residency.New(residency.Settings{StoreLoadsAtOnce: -1})
+			for b.Loop() {
+				holder.Step(context.Background())
+			}
+		})
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -18,8 +18,10 @@
 const (
 	// stepEvery is the interval of steps without a reason.
 	stepEvery = 100 * time.Millisecond
-	// stepGap is the pause after a step, in which further reasons are joined.
-	stepGap = 8 * time.Millisecond
+	// stepGap is the pause after a step, in which further reasons are joined, and engineGap what each engine adds,
+	// since a step looks at all of them.
+	stepGap   = 8 * time.Millisecond
+	engineGap = 100 * time.Microsecond
 	// startsKept is how long starts of loads from the weight store are remembered.
 	startsKept = 10 * time.Second
 	// forecastStep rounds forecasts, so that small shifts are not announced.
@@ -47,8 +49,8 @@
 	quietUntil time.Time
 	// engines maps incarnations to engines.
 	engines map[topology.Incarnation]*engine
-	// reports maps daemons to their last reports.
-	reports map[string]heard
+	// ledger keeps the reports of daemons.
+	ledger *ledger
 	// loadings maps engines to what was on its way to them when the tenure began.
 	loadings map[topology.Incarnation]directory.Loading
 	// storeStarts lists the starts of loads from the weight store.
@@ -68,7 +70,7 @@
 		planner:  residency.New(settings.Planner),
 		wake:     make(chan struct{}, 1),
 		engines:  map[topology.Incarnation]*engine{},
-		reports:  map[string]heard{},
+		ledger:   newLedger(),
 		changed:  make(chan struct{}),
 	}
 }
@@ -96,7 +98,7 @@
 	defer ticker.Stop()
 	for {
 		scheduler.Step(ctx)
-		scheduler.deps.Clock.Sleep(stepGap)
+		scheduler.deps.Clock.Sleep(scheduler.gap())
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -106,6 +108,13 @@
 	}
 }
 
+// gap returns the pause after a step.
+func (scheduler *Scheduler) gap() time.Duration {
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	return min(stepGap+time.Duration(len(scheduler.engines))*engineGap, stepEvery)
+}
+
 // Step sends the orders that are due and announces what changed. Calls to engines go on after it returns.
 func (scheduler *Scheduler) Step(ctx context.Context) {
 	scheduler.mutex.Lock()
@@ -118,6 +127,7 @@
 	if fence != scheduler.fence {
 		scheduler.begin(fence, now)
 	}
+	scheduler.ledger.expire(now)
 	scheduler.follow(now)
 	scheduler.askDue(ctx, now)
 	var forecasts []directory.Forecast
@@ -190,7 +200,7 @@
 
 // state returns what the planner sees of the service. The mutex is held.
 func (scheduler *Scheduler) state(service *topology.Service, now time.Time) *residency.State {
-	sum := total(scheduler.reports, service.Name, now)
+	sum := scheduler.ledger.totals(service.Name)
 	state := &residency.State{
 		Service:     *service.Engine,
 		Models:      sum.models,
--- a/scheduler/totals.go
+++ b/scheduler/totals.go
@@ -4,118 +4,150 @@
 	"time"
 
 	"github.com/bronzestall/bronzestall/demand"
-	"github.com/bronzestall/bronzestall/mesh"
 	"github.com/bronzestall/bronzestall/residency"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
-// reportLife is how long a report counts if its daemon sends no other.
-const reportLife = 3 * time.Second
-
-// heard is what one daemon reported.
-type heard struct {
-	// wants are the newest ones by key and loads those of the last whole report.
-	wants map[demand.Key]demand.Want
-	loads mesh.Loads
-	at    time.Time
-}
-
-// with returns what is known after a further report.
-func (heard heard) with(report mesh.Report, now time.Time) heard {
-	heard.at = now
-	if report.Partial && heard.wants != nil {
-		for _, want := range report.Wants {
-			heard.wants[want.Key] = want
-		}
-		return heard
-	}
-	heard.wants = make(map[demand.Key]demand.Want, len(report.Wants))
-	for _, want := range report.Wants {
-		heard.wants[want.Key] = want
-	}
-	if !report.Partial {
-		heard.loads = report.Loads
-	}
-	return heard
-}
-
-// totals is the demand of all daemons for the engines of one service.
+// totals is the demand of all daemons for the engines of one service. A report changes only what it names.
 type totals struct {
 	models, adapters map[string]residency.Demand
+	// shares maps models, and adapters as model/adapter, to what the demand is made of.
+	shares map[string]*share
 	// running and adaptersRunning map engines to requests in flight by model, or by model/adapter.
 	running, adaptersRunning map[topology.Incarnation]map[string]int
 }
 
-// total joins the reports for one service.
-func total(reports map[string]heard, service string, now time.Time) *totals {
-	sum := &totals{
+// share is who asks for a model or adapter.
+type share struct {
+	// parts is the number of wants and places that are counted; the demand is forgotten with the last.
+	parts int
+	// oldest maps keys of daemons whose requests wait to when the first of them arrived.
+	oldest map[waiter]time.Time
+}
+
+// waiter is the requests of one daemon for one key that wait.
+type waiter struct {
+	daemon string
+	demand.Key
+}
+
+func newTotals() *totals {
+	return &totals{
 		models:          map[string]residency.Demand{},
 		adapters:        map[string]residency.Demand{},
+		shares:          map[string]*share{},
 		running:         map[topology.Incarnation]map[string]int{},
 		adaptersRunning: map[topology.Incarnation]map[string]int{},
 	}
-	for _, heard := range reports {
-		if now.Sub(heard.at) > reportLife {
-			continue
-		}
-		for _, want := range heard.wants {
-			if want.Service == service {
-				sum.want(want)
-			}
-		}
-		for place, flight := range heard.loads {
-			if place.Service == service && place.Model != "" {
-				sum.run(place, flight.Running)
-			}
-		}
-	}
-	return sum
 }
 
-// want adds what one daemon wants. Requests for an adapter want its model too.
-func (sum *totals) want(want demand.Want) {
-	sum.models[want.Model] = joined(sum.models[want.Model], want)
+// The directions in which a report changes the totals.
+const (
+	counted = 1
+	dropped = -1
+)
+
+// want counts or drops what one daemon wants. Requests for an adapter want its model too.
+func (sum *totals) want(daemon string, want demand.Want, sign int) {
+	sum.demand(sum.models, want.Model, daemon, want, sign)
 	if want.Adapter != "" {
-		key := want.Model + "/" + want.Adapter
-		sum.adapters[key] = joined(sum.adapters[key], want)
+		sum.demand(sum.adapters, want.Model+"/"+want.Adapter, daemon, want, sign)
 	}
 }
 
-func joined(sum residency.Demand, want demand.Want) residency.Demand {
-	sum.Waiting += want.Waiting
-	sum.Rate += want.Rate
-	sum.Tokens += want.Tokens
-	if want.Waiting > 0 && (sum.Oldest.IsZero() || want.Oldest.Before(sum.Oldest)) {
-		sum.Oldest = want.Oldest
+func (sum *totals) demand(of map[string]residency.Demand, name, daemon string, want demand.Want, sign int) {
+	known := of[name]
+	share := sum.share(name)
+	share.parts += sign
+	known.Waiting += sign * want.Waiting
+	known.Rate += float64(sign) * want.Rate
+	known.Tokens += float64(sign) * want.Tokens
+	if want.Target > 0 && (known.Target == 0 || want.Target < known.Target) {
+		known.Target = want.Target
 	}
-	if want.Target > 0 && (sum.Target == 0 || want.Target < sum.Target) {
-		sum.Target = want.Target
+	if want.Used.After(known.Used) {
+		known.Used = want.Used
 	}
-	if want.Used.After(sum.Used) {
-		sum.Used = want.Used
+	if want.Waiting > 0 {
+		share.wait(waiter{daemon, want.Key}, want.Oldest, sign)
+		known.Oldest = share.first()
 	}
-	return sum
+	sum.keep(of, name, known, share)
 }
 
-// run adds requests in flight at one place.
-func (sum *totals) run(place demand.Place, count int) {
-	model := sum.models[place.Model]
-	model.Running += count
-	sum.models[place.Model] = model
-	add(sum.running, place.Incarnation, place.Model, count)
+// share returns who asks for the name.
+func (sum *totals) share(name string) *share {
+	known, ok := sum.shares[name]
+	if !ok {
+		known = &share{oldest: map[waiter]time.Time{}}
+		sum.shares[name] = known
+	}
+	return known
+}
+
+// keep stores the demand, or forgets it if nobody asks for it any more.
+func (sum *totals) keep(of map[string]residency.Demand, name string, known residency.Demand, share *share) {
+	if share.parts <= 0 {
+		delete(of, name)
+		delete(sum.shares, name)
+		return
+	}
+	of[name] = known
+}
+
+// wait notes or forgets when the first waiting request of a daemon arrived.
+func (share *share) wait(who waiter, oldest time.Time, sign int) {
+	if sign == dropped {
+		delete(share.oldest, who)
+		return
+	}
+	share.oldest[who] = oldest
+}
+
+// first returns when the first waiting request of all daemons arrived; zero if none waits.
+func (share *share) first() time.Time {
+	var first time.Time
+	for _, oldest := range share.oldest {
+		if first.IsZero() || oldest.Before(first) {
+			first = oldest
+		}
+	}
+	return first
+}
+
+// run counts or drops requests in flight at one place.
+func (sum *totals) run(place demand.Place, count, sign int) {
+	sum.flight(sum.models, place.Model, count, sign)
+	add(sum.running, place.Incarnation, place.Model, sign*count)
 	if place.Adapter == "" {
 		return
 	}
 	key := place.Model + "/" + place.Adapter
-	adapter := sum.adapters[key]
-	adapter.Running += count
-	sum.adapters[key] = adapter
-	add(sum.adaptersRunning, place.Incarnation, key, count)
+	sum.flight(sum.adapters, key, count, sign)
+	add(sum.adaptersRunning, place.Incarnation, key, sign*count)
 }
 
+func (sum *totals) flight(of map[string]residency.Demand, name string, count, sign int) {
+	known := of[name]
+	share := sum.share(name)
+	share.parts += sign
+	known.Running += sign * count
+	sum.keep(of, name, known, share)
+}
+
+// add changes a count and forgets it when it is zero.
 func add(to map[topology.Incarnation]map[string]int, engine topology.Incarnation, key string, count int) {
-	if to[engine] == nil {
-		to[engine] = map[string]int{}
+	counts := to[engine]
+	if counts == nil {
+		counts = map[string]int{}
+		to[engine] = counts
+	}
+	counts[key] += count
+	if counts[key] != 0 {
+		return
+	}
+	delete(counts, key)
+	if len(counts) == 0 {
+		delete(to, engine)
 	}
-	to[engine][key] += count
 }
