Answer what is accepted until the end, bound heads and pieces of the product's own clients, look at the term once more

Before the first holder of the lease nobody reads the store itself for want of one: nothing changes then what engines hold.

--- a/front/servers.go
+++ b/front/servers.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -23,19 +24,21 @@
 
 // servers are the listeners of a daemon.
 type servers struct {
+	// clients is the one of all that takes the requests of clients.
+	clients *http.Server
 	all     []*http.Server
 	listens []net.Listener
 }
 
 // listen opens all listeners, or none.
 func (daemon *Daemon) listen() (*servers, error) {
-	opened := &servers{}
 	clients := &http.Server{
 		Handler:           daemon.ingress,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       clientIdle,
 		MaxHeaderBytes:    headerBytes,
 	}
+	opened := &servers{clients: clients}
 	metrics := http.NewServeMux()
 	metrics.Handle("/metrics", daemon.meter.Handler())
 	for _, next := range []struct {
@@ -75,6 +78,16 @@
 	}
 }
 
+// finish takes no more connections, waits for the answers to requests that were accepted meanwhile, at most for the time,
+// and closes everything.
+func (servers *servers) finish(within time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	// What is not answered by then is cut.
+	_ = servers.clients.Shutdown(ctx)
+	servers.close()
+}
+
 func (servers *servers) close() {
 	for _, server := range servers.all {
 		_ = server.Close()
@@ -102,7 +115,7 @@
 }
 
 // stop fails the readiness check, gives up the lease, lets requests finish within the grace time and
-// closes the listeners.
+// closes the listeners. Requests that are accepted until the listeners close are answered too.
 func (daemon *Daemon) stop(servers *servers) {
 	begun := daemon.clock.Now()
 	daemon.stopping.Store(true)
@@ -115,6 +128,6 @@
 	cut := daemon.ingress.Running()
 	daemon.relay.End()
 	daemon.drain(begun.Add(daemon.settings.Grace-endReserve), true)
-	servers.close()
+	servers.finish(max(begun.Add(daemon.settings.Grace-endReserve).Sub(daemon.clock.Now()), 0))
 	event.FrontStopped.Log("Daemon", daemon.settings.Name, "Cut", cut, "Took", daemon.clock.Since(begun))
 }
--- /dev/null
+++ b/front/servers_test.go
@@ -0,0 +1,46 @@
+package front
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// TestRequestAcceptedBeforeTheEndIsAnswered covers a planned stop under load: a request that was accepted a moment before
+// the listeners close gets its answer.
+func TestRequestAcceptedBeforeTheEndIsAnswered(t *testing.T) {
+	accepted := make(chan struct{})
+	clients := &http.Server{ReadHeaderTimeout: headerTimeout, Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		close(accepted)
+		time.Sleep(50 * time.Millisecond)
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	})}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	opened := &servers{clients: clients, all: []*http.Server{clients}, listens: []net.Listener{listener}}
+	var group errgroup.Group
+	opened.serve(&group)
+	group.Go(func() error {
+		<-accepted
+		opened.finish(10 * time.Second)
+		return nil
+	})
+	response, err := http.Get("http://" + listener.Addr().String() + "/")
+	if err != nil {
+		t.Fatalf("the request ended without an answer: %v", err)
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("answered with status %d", response.StatusCode)
+	}
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+}
--- a/front/source.go
+++ b/front/source.go
@@ -27,10 +27,10 @@
 	sourceStep = 200 * time.Millisecond
 )
 
-// readsStore reports whether this daemon reads the tables itself: if it is a reader, sends orders or hears of nobody
-// who does, and if the readers do not tell it what is new.
+// readsStore reports whether this daemon reads the tables itself: if it is a reader or sends orders, if who sent them fell
+// silent, and if the readers do not tell it what is new.
 func (daemon *Daemon) readsStore() bool {
-	if !daemon.isReady() || daemon.toldAge() > staleStore || daemon.clock.Since(daemon.directory.Heard()) > holderSilence {
+	if !daemon.isReady() || daemon.toldAge() > staleStore || daemon.holderFell() {
 		return true
 	}
 	if _, owned := daemon.lease.Owned(); owned {
@@ -39,6 +39,13 @@
 	return daemon.reads.Load()
 }
 
+// holderFell reports whether the holder of the lease fell silent, so that rows tell what engines hold. Before the first
+// holder nothing changes what they hold.
+func (daemon *Daemon) holderFell() bool {
+	heard := daemon.directory.Heard()
+	return !heard.IsZero() && daemon.clock.Since(heard) > holderSilence
+}
+
 // chooseReaders notes whether this daemon is one of the readers of its data centre.
 func (daemon *Daemon) chooseReaders() {
 	before := 0
--- a/front/wire.go
+++ b/front/wire.go
@@ -78,6 +78,8 @@
 		MaxIdleConnsPerHost: peerIdleConns,
 		IdleConnTimeout:     peerIdle,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: headerBytes,
 	}
 }
 
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -19,6 +19,9 @@
 // it would refuse by a rule of its own.
 const serviceName = "bronzestall"
 
+// headBytes bounds the status line and headers of an answer.
+const headBytes = 64 << 10
+
 // maxAttempts bounds how often an exchange is begun on a connection that turns out dead or too old.
 const maxAttempts = 4
 
@@ -50,6 +53,8 @@
 		IdleConnTimeout:     client.settings.IdleTimeout,
 		DisableCompression:  true,
 		DisableKeepAlives:   client.settings.Fresh,
+
+		MaxResponseHeaderBytes: headBytes,
 	}
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -347,3 +347,30 @@
 		t.Errorf("shares are %v, want 90 to 10", counts)
 	}
 }
+
+// TestSilentRowEndsNoRunningWork covers a replica whose row lapses while it works on: what it runs is neither given up nor
+// started again elsewhere.
+func TestSilentRowEndsNoRunningWork(t *testing.T) {
+	for _, path := range []string{"/stream/x", "/resume/x"} {
+		synctest.Test(t, func(t *testing.T) {
+			reader, writer := io.Pipe()
+			running := ok("")
+			running.reply.Body = reader
+			site := newSite(running, ok(events(1, 9)))
+			go func() {
+				for id := range 6 {
+					time.Sleep(500 * time.Millisecond)
+					if id == 2 {
+						site.directory.SetReplicas(nil)
+					}
+					_, _ = io.WriteString(writer, events(id+1, id+1))
+				}
+				_ = writer.Close()
+			}()
+			failure := site.serve(t.Context(), path)
+			if failure != nil || len(site.upstream.attempts) != 1 || site.client.body.String() != events(1, 6) {
+				t.Errorf("%s ended as %v after %d sendings with %q", path, failure, len(site.upstream.attempts), site.client.body.String())
+			}
+		})
+	}
+}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -350,3 +351,21 @@
 		}
 	})
 }
+
+// TestPausedHolderSendsNothingAfterItsTerm covers a process that is paused between its decision and the sending.
+func TestPausedHolderSendsNothingAfterItsTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := &engineSim{}
+		place := newPlace("a", &tenure{}, sim)
+		place.tenure.grant(1, 2*time.Second)
+		decided := residency.Order{Engine: topology.Incarnation{ID: "e", Born: 1}, Model: "m1"}
+		time.Sleep(10 * time.Second)
+		if _, err := place.order(t.Context(), decided, 1); !errors.Is(err, errTermEnded) || len(sim.log) != 0 {
+			t.Errorf("after the pause %d orders were sent, %v", len(sim.log), err)
+		}
+		place.tenure.grant(2, 2*time.Second)
+		if _, err := place.order(t.Context(), decided, 1); !errors.Is(err, errTermEnded) || len(sim.log) != 0 {
+			t.Errorf("in a later term %d orders of the former were sent, %v", len(sim.log), err)
+		}
+	})
+}
--- a/scheduler/send.go
+++ b/scheduler/send.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/residency"
 	"github.com/bronzestall/bronzestall/topology"
@@ -52,11 +54,22 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
-		verdict, err := scheduler.deps.Engines.Order(ctx, order, scheduler.settings.Name, fence)
+		verdict, err := scheduler.order(ctx, order, fence)
 		scheduler.answered(order, fence, verdict, err, now, expected)
 	}()
 }
 
+// errTermEnded means that the term ended between the decision and the sending of an order.
+var errTermEnded = trace.LimitExceeded("the term ended before the order was sent")
+
+// order sends the order, unless the process was held up until the term had ended.
+func (scheduler *Scheduler) order(ctx context.Context, order residency.Order, fence uint64) (residency.Verdict, error) {
+	if held, until, ok := scheduler.deps.Tenure.Held(); !ok || held != fence || until.Sub(scheduler.deps.Clock.Now()) < termReserve {
+		return residency.Refused, errTermEnded
+	}
+	return scheduler.deps.Engines.Order(ctx, order, scheduler.settings.Name, fence)
+}
+
 // duration returns the expected time of the order. The mutex is held.
 func (scheduler *Scheduler) duration(order *residency.Order, service *topology.Service) time.Duration {
 	if order.Adapter != "" {
--- a/upstream/eventstream.go
+++ b/upstream/eventstream.go
@@ -78,6 +78,9 @@
 		case len(line) == 0 && len(stream.data) > 0:
 			return stream.piece(index)
 		case bytes.HasPrefix(line, dataField):
+			if len(stream.data)+len(line) > maxPiece {
+				return Piece{}, fmt.Errorf("%w: piece is longer than %d bytes", ErrTruncated, maxPiece)
+			}
 			stream.addData(line[len(dataField):])
 		case bytes.HasPrefix(line, idField):
 			index = parseIndex(line[len(idField):])
--- a/upstream/eventstream_test.go
+++ b/upstream/eventstream_test.go
@@ -40,6 +40,7 @@
 		{"payload of two lines", "id: 1\ndata: {\"id\":\ndata: \"r1\"}\n\ndata: [DONE]\n\n", []string{"{\"id\":\n\"r1\"}"}, io.EOF},
 		{"long piece", "id: 1\ndata: " + long + "\n\ndata: [DONE]\n\n", []string{long}, io.EOF},
 		{"piece without end", "id: 1\ndata: " + strings.Repeat("x", 2*maxPiece), nil, ErrTruncated},
+		{"lines without end", "id: 1\n" + strings.Repeat("data: "+strings.Repeat("x", 1000)+"\n", 2*maxPiece/1000), nil, ErrTruncated},
 		{"no end marker", "id: 1\ndata: " + own + "\n\n", []string{own}, ErrTruncated},
 		{"cut in a piece", "id: 1\ndata: " + own[:5], nil, ErrTruncated},
 		{"lost piece", "id: 1\ndata: " + own + "\n\nid: 3\ndata: " + own + "\n\n", []string{own}, ErrTruncated},
