Greet the members of a fleet in random order

Cause: one of two runs of the membership test at 118 daemons found a pair mistaken; all daemons greeted new ones in the order in which they had heard of them, so that news mixed slowly.

--- a/mesh/members.go
+++ b/mesh/members.go
@@ -49,7 +49,8 @@
 // contact is another daemon and the calls to it.
 type contact struct {
 	Known
-	// next is when it is greeted next, and busy that a call is under way.
+	// next is when it is greeted next, and busy that a call is under way. The order is random, since news spreads slowly
+	// if many greet the same daemons.
 	next time.Time
 	busy bool
 	// lost states that it was heard before and is not any more.
@@ -276,7 +277,7 @@
 	}
 	if contact.lost || contact.Name == "" {
 		contact.lost = false
-		contact.next = now
+		contact.next = now.Add(-time.Duration(members.random.Int64N(int64(members.interval()))))
 		event.PeerFound.Log("Daemon", news.Name, "Address", news.Address)
 	}
 	contact.Known = Known{News: news, Loads: contact.Loads, Heard: now.Add(-news.Age)}
