Count a daemon as lost only after what news needs in the worst case

Cause: one of three race runs of the membership test at 118 daemons found a pair mistaken at rest. The age of news has an exponential tail: at 118 daemons each is heard of some 1.9 times a second, and 14,000 pairs are looked at ten times.

--- a/mesh/members.go
+++ b/mesh/members.go
@@ -21,7 +21,7 @@
 	// newsGrace and newsStep for each daemon make up the time after which an unheard one counts as lost if news of it
 	// passes through others: several times that in which news reaches all of them.
 	newsGrace = 3700 * time.Millisecond
-	newsStep  = 60 * time.Millisecond
+	newsStep  = 100 * time.Millisecond
 	// forgetAfter is the shortest time after which an unheard daemon is forgotten, and forgetTimes the same as a
 	// multiple of the time after which it counts as lost.
 	forgetAfter = 20 * time.Second
