Count adapters on their way when a report settles what an engine holds

Cause: a report lists adapters on their way apart ('coming'), and they take places; it was not decoded. A holder that settled an engine by a report while adapters were on their way (a lost answer, a new tenure, slow fetches of many at once) counted free places that were not there, and the next load is one too many: the rule on overload. Change: coming adapters are held, and usable once expected.

--- a/scheduler/ask.go
+++ b/scheduler/ask.go
@@ -84,7 +84,7 @@
 	engine.doubt = false
 	engine.askAt = time.Time{}
 	before := engine.holding.Orders
-	engine.holding = clone(holding)
+	engine.adopt(holding, now)
 	event.OrderSettled.Log("Engine", engine.ID, "Born", engine.Born, "OrdersBefore", before, "Orders", holding.Orders,
 		"Models", len(holding.Models))
 }
@@ -111,7 +111,7 @@
 		engine.askAt = now.Add(askAgain)
 		if !holding.Busy && now.Sub(order.expected) > doubtFor {
 			engine.order = nil
-			engine.holding = clone(holding)
+			engine.adopt(holding, now)
 			engine.askAt = time.Time{}
 		}
 		return
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -74,6 +74,15 @@
 	return holding
 }
 
+// adopt takes what a report tells of an engine about which nothing is in doubt any more. Adapters on their way take
+// places as if they were loaded.
+func (engine *engine) adopt(holding topology.Holding, now time.Time) {
+	engine.holding = clone(holding)
+	for _, adapter := range holding.Coming {
+		engine.addAdapter(adapter.Model, adapter.Name, now.Add(adapterTime))
+	}
+}
+
 // inherit takes up the load that a former holder announced. A report tells whether it goes on.
 func (engine *engine) inherit(loading directory.Loading, now time.Time) {
 	if loading.Model == "" {
--- a/topology/replica.go
+++ b/topology/replica.go
@@ -42,10 +42,18 @@
 	Busy bool
 	// Models lists the loaded models.
 	Models []Loaded
+	// Coming lists adapters of loaded models that are on their way; they take places already.
+	Coming []Adapter
 	// InHost and OnDisk list the models of which it has copies of the weights.
 	InHost, OnDisk []string
 }
 
+// Adapter names an adapter of a model.
+type Adapter struct {
+	// Model is the model, and Name the adapter.
+	Model, Name string
+}
+
 // Loaded is one loaded model.
 type Loaded struct {
 	// Model is its name.
