--- a/connection/endless_test.go
+++ b/connection/endless_test.go
@@ -10,43 +10,25 @@
 	"runtime"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"k8s.io/utils/clock"
 )
 
-// endless answers each request with the beginning and then repeats the rest until the caller closes. It
-// counts the bytes that it could send.
-func endless(t *testing.T, begin, rest string, sent *atomic.Int64) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go pour(c, begin, rest, sent)
-		}
-	}()
-	return listener.Addr().String()
+// endless answers each request with the beginning and then repeats the rest until the caller closes.
+func endless(t *testing.T, begin, rest string) string {
+	return listen(t, func(c net.Conn) { pour(c, begin, rest) })
 }
 
-func pour(c net.Conn, begin, rest string, sent *atomic.Int64) {
+func pour(c net.Conn, begin, rest string) {
 	defer func() { _ = c.Close() }()
 	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 		return
 	}
 	text := begin
 	for {
-		n, err := io.WriteString(c, text)
-		sent.Add(int64(n))
-		if err != nil {
+		if _, err := io.WriteString(c, text); err != nil {
 			return
 		}
 		text = rest
@@ -79,9 +61,8 @@
 		"trailer of another answer": {"HTTP/1.1 200 OK\r\nId: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: ", filler, "", 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var sent atomic.Int64
 			pool := New(Settings{HeadBytes: test.headBytes, DialTimeout: time.Minute}, clock.RealClock{})
-			address := endless(t, test.begin, test.rest, &sent)
+			address := endless(t, test.begin, test.rest)
 			before := heap()
 			peak := watchHeap(t)
 			var group sync.WaitGroup
--- a/connection/pool_test.go
+++ b/connection/pool_test.go
@@ -18,6 +18,11 @@
 
 // script answers the requests of each connection with the texts in turn; an empty text closes it.
 func script(t *testing.T, texts ...string) string {
+	return listen(t, func(c net.Conn) { answer(c, texts) })
+}
+
+// listen serves each connection until the end of the test, and returns the address.
+func listen(t *testing.T, serve func(c net.Conn)) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -29,7 +34,7 @@
 			if err != nil {
 				return
 			}
-			go answer(c, texts)
+			go serve(c)
 		}
 	}()
 	return listener.Addr().String()
