One check of the term, one place among daemons, one way to replace the replica table

Cause: read again, the change had written some logic twice. The term was checked in the same words where an order is decided and where it is sent; two loops counted the daemons before this one; a whole replica table was taken in two places; the demand for a further replica was tested in two; the daemon that holds the lease was kept in a field and found by a scan. A report that waits for nothing summed the loads of all others twice before its answer. Change: termLeft, placeAmong, replaceReplicas with entries, Demand.repeated, and holder as the one scan; a report without a wait is answered at the first look. No bound or assertion changed; one test reads the holder by its new signature.

--- a/front/answer.go
+++ b/front/answer.go
@@ -7,7 +7,6 @@
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/mesh"
 	"github.com/bronzestall/bronzestall/platform"
-	"github.com/bronzestall/bronzestall/roster"
 )
 
 // answer returns what this daemon has that is newer than in the question. It waits for that as long as the question
@@ -70,12 +69,9 @@
 	if answer.Roster == 0 {
 		return
 	}
-	entries := daemon.entries(answer.Rows)
+	entries := daemon.entries(replicaRows(answer.Rows))
 	if answer.Whole {
-		if daemon.roster.Replace(entries, answer.Roster, daemon.clock.Now()) {
-			daemon.news.tell()
-		}
-		daemon.applySoon()
+		daemon.replaceReplicas(entries, answer.Roster)
 		return
 	}
 	for _, id := range answer.Removed {
@@ -91,14 +87,12 @@
 	}
 }
 
-// entries decodes the rows of another daemon.
-func (daemon *Daemon) entries(rows []mesh.Row) []roster.Entry {
-	var entries []roster.Entry
-	for _, row := range rows {
+// replicaRows returns the rows of another daemon as they stand in the replica table.
+func replicaRows(told []mesh.Row) []datastore.Row {
+	rows := make([]datastore.Row, 0, len(told))
+	for _, row := range told {
 		key := datastore.Key{Table: platform.ReplicaTable, Row: row.Key}
-		if entry, ok := daemon.entry(datastore.Row{Key: key, Version: row.Version, Value: row.Value}); ok {
-			entries = append(entries, entry)
-		}
+		rows = append(rows, datastore.Row{Key: key, Version: row.Version, Value: row.Value})
 	}
-	return entries
+	return rows
 }
--- a/front/follow.go
+++ b/front/follow.go
@@ -136,16 +136,7 @@
 		gap:      replicaGap,
 		regained: func() { daemon.roster.Regain(daemon.clock.Now()) },
 		whole: func(rows []datastore.Row, version uint64) {
-			var entries []roster.Entry
-			for _, row := range rows {
-				if entry, ok := daemon.entry(row); ok {
-					entries = append(entries, entry)
-				}
-			}
-			if daemon.roster.Replace(entries, version, daemon.clock.Now()) {
-				daemon.news.tell()
-			}
-			daemon.applySoon()
+			daemon.replaceReplicas(daemon.entries(rows), version)
 		},
 		changed: func(changes []platform.Change, version uint64) {
 			told := false
@@ -181,6 +172,25 @@
 	daemon.roster.Drop(id, version, daemon.clock.Now())
 }
 
+// replaceReplicas takes the whole replica table as of the version.
+func (daemon *Daemon) replaceReplicas(entries []roster.Entry, version uint64) {
+	if daemon.roster.Replace(entries, version, daemon.clock.Now()) {
+		daemon.news.tell()
+	}
+	daemon.applySoon()
+}
+
+// entries decodes rows of the replica table.
+func (daemon *Daemon) entries(rows []datastore.Row) []roster.Entry {
+	var entries []roster.Entry
+	for _, row := range rows {
+		if entry, ok := daemon.entry(row); ok {
+			entries = append(entries, entry)
+		}
+	}
+	return entries
+}
+
 // entry decodes a row of the replica table. A row that cannot be decoded is logged and skipped.
 func (daemon *Daemon) entry(row datastore.Row) (roster.Entry, bool) {
 	replica, err := platform.Replica(row.Row, row.Value)
--- a/front/source.go
+++ b/front/source.go
@@ -48,13 +48,7 @@
 
 // chooseReaders notes whether this daemon is one of the readers of its data centre.
 func (daemon *Daemon) chooseReaders() {
-	before := 0
-	for _, live := range daemon.neighbours() {
-		if live.Name < daemon.settings.Name {
-			before++
-		}
-	}
-	daemon.reads.Store(before < readers)
+	daemon.reads.Store(daemon.placeAmong(daemon.neighbours()) < readers)
 }
 
 // neighbours returns the other daemons of the data centre that are not about to stop, ordered by name.
@@ -99,11 +93,8 @@
 
 // askReader takes what the reader knows more, and reports whether the store spoke to it lately.
 func (daemon *Daemon) askReader(ctx context.Context, reader mesh.Known) bool {
-	roster, _ := daemon.roster.Version()
-	question := mesh.Question{Roster: roster, Wait: readerWait}
-	if configuration := daemon.relay.Configuration(); configuration != nil {
-		question.Configuration = configuration.Version
-	}
+	own := daemon.state()
+	question := mesh.Question{Configuration: own.Configuration, Roster: own.Roster, Wait: readerWait}
 	answer, err := daemon.mesh.Ask(ctx, reader.Address, question)
 	if err == nil && !answer.StoreLost && answer.StoreAge <= staleStore {
 		daemon.takeAnswer(answer, reader.Name)
--- a/front/wire.go
+++ b/front/wire.go
@@ -85,9 +85,14 @@
 
 // rank returns the place of this daemon among those that may take the lease.
 func (daemon *Daemon) rank() int {
+	return daemon.placeAmong(daemon.mesh.Live())
+}
+
+// placeAmong returns the place of this daemon by name among others, of which those that are about to stop do not count.
+func (daemon *Daemon) placeAmong(others []mesh.Known) int {
 	before := 0
-	for _, live := range daemon.mesh.Live() {
-		if live.Name < daemon.settings.Name && !live.Leaving {
+	for _, other := range others {
+		if other.Name < daemon.settings.Name && !other.Leaving {
 			before++
 		}
 	}
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -39,9 +39,8 @@
 	paced time.Time
 	// known maps addresses to daemons. A seed that has not answered has no name.
 	known map[string]*contact
-	// order lists the same daemons in any order, and holding is the one that told the highest fencing token, or nil.
-	order   []*contact
-	holding *contact
+	// order lists the same daemons in any order.
+	order []*contact
 	// seeds are the addresses that are never forgotten.
 	seeds []string
 }
@@ -140,15 +139,15 @@
 	return count
 }
 
-// holder returns the daemon that told the highest fencing token lately.
-func (members *members) holder(now time.Time) (Known, bool) {
-	best := Known{}
-	for _, contact := range members.known {
-		if contact.Fence > best.Fence && members.lives(contact, now) {
-			best = contact.Known
+// holder returns the daemon that told the highest fencing token lately, or nil.
+func (members *members) holder(now time.Time) *contact {
+	var best *contact
+	for _, contact := range members.order {
+		if contact.Fence > 0 && (best == nil || contact.Fence > best.Fence) && members.lives(contact, now) {
+			best = contact
 		}
 	}
-	return best, best.Fence > 0
+	return best
 }
 
 // due returns the address of the daemon that is to be greeted now, if any. The caller clears busy at the end of the call.
@@ -205,9 +204,6 @@
 func (members *members) forget(gone *contact) {
 	delete(members.known, gone.Address)
 	members.order = slices.DeleteFunc(members.order, func(contact *contact) bool { return contact == gone })
-	if members.holding == gone {
-		members.holding = nil
-	}
 }
 
 // check notes that a daemon is lost.
@@ -246,13 +242,14 @@
 		return slices.DeleteFunc(slices.Clone(members.order), func(contact *contact) bool { return !members.lives(contact, now) })
 	}
 	chosen := make([]*contact, 0, newsNamed)
-	if members.holding != nil && members.lives(members.holding, now) {
-		chosen = append(chosen, members.holding)
+	holder := members.holder(now)
+	if holder != nil {
+		chosen = append(chosen, holder)
 	}
 	for index := 0; len(chosen) < newsNamed && index < len(members.order); index++ {
 		other := index + members.random.IntN(len(members.order)-index)
 		members.order[index], members.order[other] = members.order[other], members.order[index]
-		if contact := members.order[index]; contact != members.holding && members.lives(contact, now) {
+		if contact := members.order[index]; contact != holder && members.lives(contact, now) {
 			chosen = append(chosen, contact)
 		}
 	}
@@ -281,7 +278,4 @@
 		event.PeerFound.Log("Daemon", news.Name, "Address", news.Address)
 	}
 	contact.Known = Known{News: news, Loads: contact.Loads, Heard: now.Add(-news.Age)}
-	if news.Fence > 0 && (members.holding == nil || news.Fence >= members.holding.Fence) {
-		members.holding = contact
-	}
 }
--- a/mesh/members_test.go
+++ b/mesh/members_test.go
@@ -232,7 +232,7 @@
 			fleet.step()
 			ignorant := 0
 			for _, node := range fleet.nodes[:size-1] {
-				if holder, ok := node.holder(fleet.now); !ok || holder.Fence != 9 {
+				if holder := node.holder(fleet.now); holder == nil || holder.Fence != 9 {
 					ignorant++
 				}
 			}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -80,7 +80,11 @@
 func (node *Node) Holder() (Known, bool) {
 	node.mutex.Lock()
 	defer node.mutex.Unlock()
-	return node.members.holder(node.clock.Now())
+	holder := node.members.holder(node.clock.Now())
+	if holder == nil {
+		return Known{}, false
+	}
+	return holder.Known, true
 }
 
 // Running returns the requests in flight from other daemons by replica.
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -20,7 +20,12 @@
 	Used time.Time
 }
 
+// repeated reports whether the model is asked for so often that it may need a further replica.
+func (demand *Demand) repeated() bool {
+	return demand.Rate >= impatientRate || demand.Running > 1
+}
+
 // active reports whether the planner may load the model for the demand.
 func (demand *Demand) active() bool {
-	return demand.Waiting > 0 || demand.Rate >= impatientRate || demand.Running > 1
+	return demand.Waiting > 0 || demand.repeated()
 }
--- a/residency/replicate.go
+++ b/residency/replicate.go
@@ -30,7 +30,7 @@
 
 // replicate adds a replica to busy models that have too few, first in data centres without one.
 func (plan *plan) replicate() {
-	for _, name := range plan.names(func(demand Demand) bool { return demand.Rate >= impatientRate || demand.Running > 1 }) {
+	for _, name := range plan.names(func(demand Demand) bool { return demand.repeated() }) {
 		if plan.index.holders(name) >= plan.wanted(name) {
 			continue
 		}
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -32,7 +32,7 @@
 	pause := min(time.Duration(len(scheduler.ledger.reports))*announceStep, longestPause, report.Wait)
 	scheduler.mutex.Unlock()
 	if !report.OnlyAsk {
-		return poll{report: report, timer: scheduler.deps.Clock.NewTimer(report.Wait), rested: true}
+		return poll{report: report, timer: scheduler.deps.Clock.NewTimer(report.Wait), rested: true, over: report.Wait <= 0}
 	}
 	return poll{report: report, timer: scheduler.deps.Clock.NewTimer(pause), rest: report.Wait - pause}
 }
--- a/scheduler/send.go
+++ b/scheduler/send.go
@@ -40,9 +40,10 @@
 // send sends an order unless the term is about to end. The mutex is held.
 func (scheduler *Scheduler) send(ctx context.Context, order residency.Order, service *topology.Service) {
 	target, ok := scheduler.engines[order.Engine]
-	fence, until, held := scheduler.deps.Tenure.Held()
+	fence := scheduler.fence
 	now := scheduler.deps.Clock.Now()
-	if !ok || !held || fence != scheduler.fence || until.Sub(now) < termReserve {
+	left, may := scheduler.termLeft(fence, now)
+	if !ok || !may {
 		return
 	}
 	target.calling = true
@@ -50,7 +51,7 @@
 		scheduler.storeStarts = append(scheduler.storeStarts, now)
 	}
 	expected := now.Add(scheduler.duration(&order, service))
-	timeout := min(orderTimeout, until.Sub(now))
+	timeout := min(orderTimeout, left)
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
@@ -59,12 +60,19 @@
 	}()
 }
 
+// termLeft returns what is left of the term of the fence, and whether an order may still be sent in it.
+func (scheduler *Scheduler) termLeft(fence uint64, now time.Time) (time.Duration, bool) {
+	current, until, held := scheduler.deps.Tenure.Held()
+	left := until.Sub(now)
+	return left, held && current == fence && left >= termReserve
+}
+
 // errTermEnded means that the term ended between the decision and the sending of an order.
 var errTermEnded = trace.LimitExceeded("the term ended before the order was sent")
 
 // order sends the order, unless the process was held up until the term had ended.
 func (scheduler *Scheduler) order(ctx context.Context, order residency.Order, fence uint64) (residency.Verdict, error) {
-	if held, until, ok := scheduler.deps.Tenure.Held(); !ok || held != fence || until.Sub(scheduler.deps.Clock.Now()) < termReserve {
+	if _, may := scheduler.termLeft(fence, scheduler.deps.Clock.Now()); !may {
 		return residency.Refused, errTermEnded
 	}
 	return scheduler.deps.Engines.Order(ctx, order, scheduler.settings.Name, fence)
