--- a/event/front.go
+++ b/event/front.go
@@ -10,6 +10,7 @@
 	LogLinesDropped    = define(805, "LogLinesDropped", Warning, "Log lines were dropped because they could not be written in time.")
 	RequestWaits       = define(810, "RequestWaits", Info, "A request waits for its model or adapter to be loaded.")
 	AttemptFailed      = define(811, "AttemptFailed", Info, "A sending of a request to a replica failed; NotRun tells whether that is proved.")
+	BreakCounted       = define(815, "BreakCounted", Info, "A replica broke off while it ran a request; Crashes counts the ends that are held against the request.")
 	StoreLost          = define(820, "StoreLost", Warning, "The platform's store does not answer; what was read stays in force.")
 	StoreRegained      = define(821, "StoreRegained", Info, "The platform's store answers again.")
 	HistoryForgotten   = define(822, "HistoryForgotten", Info, "The store dropped the changes of a table; the table is read whole.")
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -135,7 +135,7 @@
 	}
 	labels.Kind = failure.Kind.String()
 	ingress.deps.Meter.Count(meter.Refused, labels, 1)
-	event.Refusal(failure.Kind).Log(append(fields, "Begun", sink.Begun(), "RetryAfter", failure.RetryAfter, "Cause", failure.Error())...)
+	event.Refusal(failure.Kind).Log(append(fields, "Fingerprint", summary.Fingerprint, "Begun", sink.Begun(), "RetryAfter", failure.RetryAfter, "Cause", failure.Error())...)
 }
 
 // refuse answers a request that got no answer. What has not run is refused with 503, unless the client erred.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/bronzestall/bronzestall/balance"
+	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/exchange"
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/topology"
@@ -92,7 +93,9 @@
 	}
 	journey.relay.deps.Balancer.Done(candidate.Incarnation, true, now)
 	if ctx.Err() == nil {
-		journey.relay.deps.Suspects.Note(journey.fingerprint, now)
+		crashes := journey.relay.deps.Suspects.Note(journey.fingerprint, now)
+		event.BreakCounted.Log("Request", journey.request.Traits.ID, "Fingerprint", journey.fingerprint,
+			"Replica", candidate.ID, "Born", candidate.Born, "Crashes", crashes)
 	}
 	if errors.Is(err, exchange.ErrForeign) {
 		return result{failure: outcome.New(outcome.AnswerInvalid, "%s", err.Error())}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -136,7 +136,7 @@
 	ctx, stop := relay.untilEnd(ctx)
 	defer stop()
 	journey := &journey{relay: relay, request: request, fingerprint: request.Fingerprint(), route: route, service: service, sink: sink, deadline: deadline}
-	journey.summary = Summary{Route: route.Name, Configuration: configuration.Version}
+	journey.summary = Summary{Route: route.Name, Configuration: configuration.Version, Fingerprint: journey.fingerprint}
 	failure := journey.walk(ctx)
 	journey.summary.Sends = journey.sends
 	return journey.summary, failure
--- a/relay/suspects.go
+++ b/relay/suspects.go
@@ -27,17 +27,18 @@
 	return &Suspects{breaks: map[uint64][]time.Time{}}
 }
 
-// Note counts a replica that broke off.
-func (suspects *Suspects) Note(fingerprint uint64, now time.Time) {
+// Note counts a replica that broke off, and returns how many of the window are counted.
+func (suspects *Suspects) Note(fingerprint uint64, now time.Time) int {
 	suspects.mutex.Lock()
 	defer suspects.mutex.Unlock()
 	if len(suspects.breaks) >= suspectCapacity {
 		suspects.forget(now)
 	}
 	if len(suspects.breaks) >= suspectCapacity {
-		return
+		return 0
 	}
 	suspects.breaks[fingerprint] = append(recent(suspects.breaks[fingerprint], now), now)
+	return len(suspects.breaks[fingerprint])
 }
 
 // Clear forgets a request that was answered.
