Reproduce the crash request that goes on after three replicas ended

A request that ends each replica that begins to run it comes again at another daemon under another identifier. With front daemons as processes it reached replicas 5 to 7 times more than 3 s after the third end, and 12 ended in all (three for each of the four daemons; 13 where all daemons are killed meanwhile).

--- a/internal/frontsoak/judge_test.go
+++ b/internal/frontsoak/judge_test.go
@@ -30,6 +30,8 @@
 	// woken maps daemons to when they were last thawed.
 	woken    map[string]time.Time
 	outcomes map[string]int
+	// crashes maps the bodies of crash requests to what they did.
+	crashes map[string]crashRun
 }
 
 // seenOrder is an order as an engine got it.
@@ -42,6 +44,7 @@
 	return &judge{
 		runs: map[string]int{}, refused: map[string]string{}, leaves: map[string]time.Time{}, last: map[string]seenOrder{},
 		calm: time.Now(), woken: map[string]time.Time{}, outcomes: map[string]int{},
+		crashes: map[string]crashRun{},
 	}
 }
 
@@ -148,5 +151,6 @@
 			judge.note("%s was answered %s and ran", id, answer)
 		}
 	}
+	judge.crashVerdict()
 	return judge.breaches
 }
--- a/internal/frontsoak/replica_test.go
+++ b/internal/frontsoak/replica_test.go
@@ -243,6 +243,9 @@
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if replica.crashes(body) {
+		panic(http.ErrAbortHandler)
+	}
 	replica.judge.ran(id, replica.id, time.Now())
 	replica.mutex.Lock()
 	broken, lost := replica.breakNext > 0, replica.loseNext > 0
