Let all daemons know which requests crash replicas

What callers saw: a request under which three replicas had ended was sent to replicas again, through other daemons and after restarts, and took more of them down; all requests that ran beside it there were broken off.

Cause: relay.Suspects counted in the memory of one daemon, for 30 s. The request comes again at any daemon, so each of D daemons let three replicas end, and a daemon that started again let three more. The promise was proved by tests of package dispatch only, which no front daemon runs. It is the class of faults in which what one daemon believes stands in for what all must know.

Evidence: frontsoak.TestCrashRequestIsRefusedByAllDaemons failed in all four cases before (5 to 7 sendings more than 3 s after the third end, 12 to 13 ends in all; BreakCounted shows each daemon counting 1, 2, 3 by itself).

Change: quarantine.Tracker counts crashes by request for a front daemon on the book that the product's own door uses. Daemons tell each other with their greetings: refused requests again and again, others eight times after each change. A request that crashed two replicas is recorded in the store under its fingerprint; each daemon reads the records when it starts, the readers of the store follow them. A full answer excuses one break, so that a request which many clients send alike is not refused when several replicas crash at once.

After: 2 to 3 ends in all in the four cases. In virtual time, a tenth of the exchanges lost and five other requests marked at each daemon: 3 crashes at 4, 30 and 118 daemons, 4 at 363 (quarantine.TestCrashRequestAmongManyDaemons, -daemons 363), none later than 3 s after the third.

--- a/daemon/suspects.go
+++ b/daemon/suspects.go
@@ -36,7 +36,7 @@
 	for _, suspect := range heard {
 		crashes := make([]quarantine.Crash, 0, len(suspect.Crashes))
 		for _, crash := range suspect.Crashes {
-			crashes = append(crashes, quarantine.Crash(crash))
+			crashes = append(crashes, quarantine.Crash{Upstream: crash.Upstream, BootID: crash.BootID})
 		}
 		imported = append(imported, quarantine.Suspect{Fingerprint: suspect.Fingerprint, Crashes: crashes, Until: suspect.Until})
 	}
@@ -53,7 +53,7 @@
 	for _, suspect := range known {
 		crashes := make([]peer.Crash, 0, len(suspect.Crashes))
 		for _, crash := range suspect.Crashes {
-			crashes = append(crashes, peer.Crash(crash))
+			crashes = append(crashes, peer.Crash{Upstream: crash.Upstream, BootID: crash.BootID})
 		}
 		told = append(told, peer.Suspect{Fingerprint: suspect.Fingerprint, Crashes: crashes, Until: suspect.Until})
 	}
--- a/front/daemon.go
+++ b/front/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/bronzestall/bronzestall/mesh"
 	"github.com/bronzestall/bronzestall/meter"
 	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/quarantine"
 	"github.com/bronzestall/bronzestall/relay"
 	"github.com/bronzestall/bronzestall/roster"
 	"github.com/bronzestall/bronzestall/scheduler"
@@ -62,10 +63,13 @@
 	directory *directory.Directory
 	balancer  *balance.Balancer
 	demand    *demand.Book
+	suspects  *quarantine.Tracker
 	relay     *relay.Relay
 	ingress   *ingress.Ingress
 	mesh      *mesh.Node
 	lease     *lease.Lease
+	// rows reaches single rows of the store, through another daemon if it must.
+	rows      mesh.RowTables
 	scheduler *scheduler.Scheduler
 
 	// stopping states that the daemon fails its readiness check.
@@ -93,6 +97,8 @@
 	// told is when the store said what a reader told last, and reader the name of that one.
 	told   time.Time
 	reader string
+	// records holds the rows of the table of suspects that this daemon has seen.
+	records map[string]record
 }
 
 // New returns a daemon that has not started. It reads the settings file again when that changes, unless
@@ -111,6 +117,8 @@
 		directory:       directory.New(clk),
 		balancer:        balance.New(random),
 		demand:          demand.New(),
+		suspects:        quarantine.NewTracker(crashLimit),
+		records:         map[string]record{},
 		poked:           make(chan struct{}, 1),
 		stopBegun:       make(chan struct{}),
 		replicasChanged: make(chan struct{}, 1),
@@ -127,7 +135,7 @@
 		Directory: daemon.directory,
 		Balancer:  daemon.balancer,
 		Demand:    daemon.demand,
-		Suspects:  relay.NewSuspects(),
+		Suspects:  daemon.suspects,
 		Poke:      daemon.poke,
 		Seat:      func() int { return int(daemon.seat.Load()) },
 		Clock:     clk,
@@ -181,6 +189,8 @@
 		"FollowConfiguration": daemon.followConfiguration,
 		"FollowReplicas":      daemon.followReplicas,
 		"FollowReaders":       daemon.followReaders,
+		"FollowSuspects":      daemon.followSuspects,
+		"RecordSuspects":      daemon.recordSuspects,
 		"ApplyReplicas":       daemon.applyReplicas,
 		"Mesh":                daemon.mesh.Run,
 		"Lease":               daemon.holdLease,
--- a/front/follow.go
+++ b/front/follow.go
@@ -33,6 +33,8 @@
 	// whole takes all rows and changed takes changes, as of the version.
 	whole   func(rows []datastore.Row, version uint64)
 	changed func(changes []platform.Change, version uint64)
+	// reads reports whether this daemon reads the table now; nil means whether it reads the store.
+	reads func() bool
 	// regained is called when the store answers again after a failure.
 	regained func()
 }
@@ -42,7 +44,7 @@
 	version, known := uint64(0), false
 	pause := lostPause
 	for ctx.Err() == nil {
-		if !follower.daemon.readsStore() {
+		if !follower.isRead() {
 			known = false
 			follower.daemon.sleep(ctx, sourceStep)
 			continue
@@ -65,6 +67,14 @@
 	return ctx.Err()
 }
 
+// isRead reports whether this daemon reads the table now.
+func (follower *follower) isRead() bool {
+	if follower.reads == nil {
+		return follower.daemon.readsStore()
+	}
+	return follower.reads()
+}
+
 // step makes one call.
 func (follower *follower) step(ctx context.Context, version *uint64, known *bool) error {
 	if !*known {
--- a/front/wire.go
+++ b/front/wire.go
@@ -30,14 +30,16 @@
 		Seeds:  daemon.settings.Seeds,
 		Client: &http.Client{Transport: peerTransport()},
 	}, mesh.Parts{
-		State:  daemon.state,
-		Loads:  daemon.loads,
-		Sync:   daemon.serveSync,
-		Answer: daemon.answer,
-		Tables: quick,
+		State:        daemon.state,
+		Loads:        daemon.loads,
+		Suspects:     daemon.shareSuspects,
+		HearSuspects: daemon.hearSuspects,
+		Sync:         daemon.serveSync,
+		Answer:       daemon.answer,
+		Tables:       quick,
 	}, daemon.clock, random)
-	tables := &detour{direct: quick, through: daemon.mesh.Through(daemon.storePeer), lost: daemon.isStoreLost}
-	daemon.lease = lease.New(tables, lease.Settings{
+	daemon.rows = &detour{direct: quick, through: daemon.mesh.Through(daemon.storePeer), lost: daemon.isStoreLost}
+	daemon.lease = lease.New(daemon.rows, lease.Settings{
 		OneProcess: true,
 		Settle:     daemon.settings.Turnover,
 		DataCentre: leaseName,
--- a/mesh/greet.go
+++ b/mesh/greet.go
@@ -54,7 +54,10 @@
 // greeting returns what this daemon tells of itself and of some others, or of all.
 func (node *Node) greeting(all bool) *meshpb.Greeting {
 	state := node.parts.State()
-	greeting := &meshpb.Greeting{Loads: node.parts.Loads().encode()}
+	greeting := &meshpb.Greeting{
+		Loads:    node.parts.Loads().encode(),
+		Suspects: encodeSuspects(node.parts.Suspects(), node.clock.Now()),
+	}
 	node.mutex.Lock()
 	told := node.members.tell(state, node.clock.Now(), all)
 	node.mutex.Unlock()
@@ -67,6 +70,9 @@
 // hear takes a greeting.
 func (node *Node) hear(greeting *meshpb.Greeting) {
 	now := node.clock.Now()
+	if suspects := decodeSuspects(greeting.GetSuspects(), now); len(suspects) > 0 {
+		node.parts.HearSuspects(suspects)
+	}
 	node.mutex.Lock()
 	defer node.mutex.Unlock()
 	for index, encoded := range greeting.GetNews() {
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -19,6 +19,7 @@
 	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/demand"
 	"github.com/bronzestall/bronzestall/directory"
+	"github.com/bronzestall/bronzestall/quarantine"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
@@ -46,10 +47,12 @@
 	report  Report
 	// loads are the requests in flight.
 	loads Loads
+	// tracker holds the requests that crashed replicas.
+	tracker *quarantine.Tracker
 }
 
 func newDaemon(t *testing.T, name string, state State, failure error, seeds ...string) *daemon {
-	made := &daemon{}
+	made := &daemon{tracker: quarantine.NewTracker(2)}
 	mux := http.NewServeMux()
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
@@ -57,6 +60,10 @@
 	made.Node = New(Settings{Self: Member{Name: name, Address: made.address}, Seeds: seeds, Client: http.DefaultClient}, Parts{
 		State: func() State { return state },
 		Loads: func() Loads { return made.loads },
+		Suspects: func() []quarantine.Suspect {
+			return made.tracker.Share(8, time.Now())
+		},
+		HearSuspects: func(suspects []quarantine.Suspect) { made.tracker.Import(suspects, time.Now()) },
 		Sync: func(_ context.Context, report Report) (directory.Announcement, error) {
 			made.report = report
 			return announcement, nil
--- a/mesh/parts.go
+++ b/mesh/parts.go
@@ -5,6 +5,7 @@
 
 	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/directory"
+	"github.com/bronzestall/bronzestall/quarantine"
 )
 
 // Parts is what a node asks of its daemon. All fields must be set.
@@ -13,6 +14,10 @@
 	State func() State
 	// Loads returns its requests in flight, or nil if others need not know them.
 	Loads func() Loads
+	// Suspects returns the requests that crashed replicas and that another daemon is to hear of next, and HearSuspects
+	// takes those that it told.
+	Suspects     func() []quarantine.Suspect
+	HearSuspects func(suspects []quarantine.Suspect)
 	// Sync takes a report and returns the newest announcement, after waiting for a newer one as the
 	// report allows. It fails if the daemon does not hold the lease.
 	Sync func(ctx context.Context, report Report) (directory.Announcement, error)
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -8,7 +8,7 @@
 
 // The bounds of a Book.
 const (
-	// limit is the number of crashes after which a suspect is refused.
+	// limit is the number of crashes after which a suspect is refused, unless the book has another one.
 	limit = 2
 	// Retention is how long a suspect is remembered after its last crash.
 	Retention = 10 * time.Minute
@@ -16,16 +16,25 @@
 	capacity = 4096
 )
 
-// Book holds the suspects of one data centre. It is safe for concurrent use.
+// Book holds the suspects that a daemon knows. It is safe for concurrent use.
 type Book struct {
+	// limit is the number of crashes after which a suspect is refused; of each suspect no more are kept.
+	limit int
 	mutex sync.Mutex
 	// suspects has at most capacity entries.
 	suspects map[uint64]Suspect
+	// turns tells which suspects to share next.
+	turns turns
 }
 
-// New returns an empty book.
+// New returns an empty book that refuses a suspect of two crashes.
 func New() *Book {
-	return &Book{suspects: map[uint64]Suspect{}}
+	return NewLimited(limit)
+}
+
+// NewLimited returns an empty book that refuses a suspect of the given number of crashes, at least one.
+func NewLimited(limit int) *Book {
+	return &Book{limit: max(limit, 1), suspects: map[uint64]Suspect{}, turns: turns{told: map[uint64]int{}}}
 }
 
 // Mark notes that the fingerprint was in flight during the crash and returns the suspect.
@@ -35,14 +44,20 @@
 	return book.merge(Suspect{Fingerprint: fingerprint, Crashes: []Crash{crash}, Until: now.Add(Retention)}, now)
 }
 
-// Import merges what another daemon exported.
-func (book *Book) Import(suspects []Suspect, now time.Time) {
+// Import merges what another daemon exported, and returns the suspects of which it told a new crash.
+func (book *Book) Import(suspects []Suspect, now time.Time) []Suspect {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
+	var grown []Suspect
 	for _, suspect := range suspects {
 		suspect.Until = earlier(suspect.Until, now.Add(Retention))
-		book.merge(suspect, now)
+		known := len(book.suspects[suspect.Fingerprint].Crashes)
+		merged := book.merge(suspect, now)
+		if len(merged.Crashes) > known {
+			grown = append(grown, merged)
+		}
 	}
+	return grown
 }
 
 // Export returns the suspects that are not forgotten yet.
@@ -60,26 +75,51 @@
 
 // Crashes returns the number of crashes of the fingerprint and when it is forgotten.
 func (book *Book) Crashes(fingerprint uint64, now time.Time) (int, time.Time) {
+	suspect, _ := book.Suspect(fingerprint, now)
+	return len(suspect.Crashes), suspect.Until
+}
+
+// Suspect returns what is held against the fingerprint, and false if that is nothing.
+func (book *Book) Suspect(fingerprint uint64, now time.Time) (Suspect, bool) {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
 	suspect, ok := book.suspects[fingerprint]
 	if !ok || !suspect.Until.After(now) {
-		return 0, time.Time{}
+		return Suspect{}, false
 	}
-	return len(suspect.Crashes), suspect.Until
+	return suspect, true
 }
 
-// Refused reports whether a suspect with that many crashes may not run.
+// CountRefused returns the number of suspects that are refused.
+func (book *Book) CountRefused(now time.Time) int {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	count := 0
+	for _, suspect := range book.suspects {
+		if book.refused(suspect) && suspect.Until.After(now) {
+			count++
+		}
+	}
+	return count
+}
+
+// Refuses reports until when the fingerprint may not run, and false if it may.
+func (book *Book) Refuses(fingerprint uint64, now time.Time) (time.Time, bool) {
+	crashes, until := book.Crashes(fingerprint, now)
+	return until, crashes >= book.limit
+}
+
+// Refused reports whether a suspect with that many crashes may not run, in a book made by New.
 func Refused(crashes int) bool {
 	return crashes >= limit
 }
 
-// Clear forgets a suspect of one crash that was answered in full since.
+// Clear forgets a suspect that was answered in full since, unless it is refused.
 func (book *Book) Clear(fingerprint uint64) {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
-	if suspect, ok := book.suspects[fingerprint]; ok && !Refused(len(suspect.Crashes)) {
-		delete(book.suspects, fingerprint)
+	if suspect, ok := book.suspects[fingerprint]; ok && len(suspect.Crashes) < book.limit {
+		book.drop(fingerprint)
 	}
 }
 
@@ -93,7 +133,7 @@
 			continue
 		}
 		if len(suspect.Crashes) == 1 {
-			delete(book.suspects, fingerprint)
+			book.drop(fingerprint)
 			continue
 		}
 		suspect.Crashes = slices.Delete(slices.Clone(suspect.Crashes), at, at+1)
@@ -108,9 +148,12 @@
 	}
 	known := book.suspects[suspect.Fingerprint]
 	if known.Until.After(now) {
-		suspect = union(known, suspect)
+		suspect = book.union(known, suspect)
 	} else {
-		suspect.Crashes = distinct(nil, suspect.Crashes)
+		suspect.Crashes = book.distinct(nil, suspect.Crashes)
+	}
+	if len(suspect.Crashes) != len(known.Crashes) {
+		book.turns.note(suspect.Fingerprint, book.refused(suspect))
 	}
 	if _, ok := book.suspects[suspect.Fingerprint]; !ok {
 		book.makeRoom(now)
@@ -120,19 +163,19 @@
 }
 
 // union returns the suspect with the crashes of both and the later end.
-func union(a, b Suspect) Suspect {
-	a.Crashes = distinct(a.Crashes, b.Crashes)
+func (book *Book) union(a, b Suspect) Suspect {
+	a.Crashes = book.distinct(a.Crashes, b.Crashes)
 	if b.Until.After(a.Until) {
 		a.Until = b.Until
 	}
 	return a
 }
 
-// distinct returns a new slice with the distinct crashes of both, at most limit.
-func distinct(a, b []Crash) []Crash {
+// distinct returns a new slice with the distinct crashes of both, at most the limit.
+func (book *Book) distinct(a, b []Crash) []Crash {
 	all := slices.Clone(a)
 	for _, crash := range b {
-		if len(all) < limit && !slices.Contains(all, crash) {
+		if len(all) < book.limit && !slices.Contains(all, crash) {
 			all = append(all, crash)
 		}
 	}
@@ -155,7 +198,13 @@
 			weakest, found = suspect, true
 		}
 	}
-	delete(book.suspects, weakest.Fingerprint)
+	book.drop(weakest.Fingerprint)
+}
+
+// drop forgets a suspect. The mutex is held.
+func (book *Book) drop(fingerprint uint64) {
+	delete(book.suspects, fingerprint)
+	book.turns.always = slices.DeleteFunc(book.turns.always, func(known uint64) bool { return known == fingerprint })
 }
 
 // weaker reports whether a is dropped before b.
@@ -170,7 +219,7 @@
 func (book *Book) forget(now time.Time) {
 	for fingerprint, suspect := range book.suspects {
 		if !suspect.Until.After(now) {
-			delete(book.suspects, fingerprint)
+			book.drop(fingerprint)
 		}
 	}
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -7,7 +7,6 @@
 	"net/http"
 
 	"github.com/bronzestall/bronzestall/balance"
-	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/exchange"
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/topology"
@@ -93,9 +92,7 @@
 	}
 	journey.relay.deps.Balancer.Done(candidate.Incarnation, true, now)
 	if ctx.Err() == nil {
-		crashes := journey.relay.deps.Suspects.Note(journey.fingerprint, now)
-		event.BreakCounted.Log("Request", journey.request.Traits.ID, "Fingerprint", journey.fingerprint,
-			"Replica", candidate.ID, "Born", candidate.Born, "Crashes", crashes)
+		journey.countBreak(candidate, now)
 	}
 	if errors.Is(err, exchange.ErrForeign) {
 		return result{failure: outcome.New(outcome.AnswerInvalid, "%s", err.Error())}
@@ -148,7 +145,7 @@
 	if journey.sink.Begun() {
 		return result{failure: outcome.New(outcome.UpstreamLost, "the replica did not resume the stream")}
 	}
-	journey.relay.deps.Suspects.Clear(journey.fingerprint)
+	journey.relay.deps.Suspects.Answered(journey.fingerprint)
 	answer.deliver(journey.sink)
 	return result{done: true}
 }
--- a/relay/journey.go
+++ b/relay/journey.go
@@ -57,8 +57,8 @@
 // walk sends the request until it is answered or may not be sent again.
 func (journey *journey) walk(ctx context.Context) *outcome.Error {
 	relay := journey.relay
-	if wait, refused := relay.deps.Suspects.Refused(journey.fingerprint, relay.deps.Clock.Now()); refused {
-		return outcome.New(outcome.Quarantined, "earlier sendings broke replicas").WithRetryAfter(wait)
+	if failure := journey.quarantined(relay.deps.Clock.Now()); failure != nil {
+		return failure
 	}
 	relay.deps.Demand.Arrive(journey.key(), journey.request.Traits.PromptTokens, journey.route.LatencyTarget, journey.request.Arrived)
 	relay.budget(journey.service.Name).Earn()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/bronzestall/bronzestall/directory"
 	"github.com/bronzestall/bronzestall/exchange"
 	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/quarantine"
 	"github.com/bronzestall/bronzestall/retry"
 	"github.com/bronzestall/bronzestall/topology"
 )
@@ -27,8 +28,8 @@
 	Balancer *balance.Balancer
 	// Demand counts what requests want.
 	Demand *demand.Book
-	// Suspects counts requests that broke replicas.
-	Suspects *Suspects
+	// Suspects counts the crashes of replicas against requests.
+	Suspects *quarantine.Tracker
 	// Poke is called when a request begins to wait for a model.
 	Poke func()
 	// Seat returns the place of the daemon among all; nil means zero.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -21,9 +21,13 @@
 	"github.com/bronzestall/bronzestall/directory"
 	"github.com/bronzestall/bronzestall/exchange"
 	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/quarantine"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
+// suspectLimit is the number of crashes from which a request is refused.
+const suspectLimit = 3
+
 // step is how a replica treats one sending.
 type step struct {
 	err    error
@@ -117,7 +121,7 @@
 	made := &site{upstream: &replicas{steps: steps}, directory: directory.New(clk), demand: demand.New()}
 	made.relay = New(Settings{Zone: "z", RetryMost: 8, RetryShare: 0.1}, Deps{
 		Upstream: made.upstream, Directory: made.directory, Balancer: balance.New(rand.New(rand.NewPCG(1, 2))),
-		Demand: made.demand, Suspects: NewSuspects(), Clock: clk,
+		Demand: made.demand, Suspects: quarantine.NewTracker(suspectLimit), Clock: clk,
 	})
 	made.relay.Configure((&topology.Configuration{
 		Version: 1,
@@ -157,12 +161,16 @@
 }
 
 func (site *site) serve(ctx context.Context, path string) *outcome.Error {
-	request := &exchange.Request{
+	_, failure := site.relay.Serve(ctx, site.request(path), &site.client)
+	return failure
+}
+
+// request returns a request that arrives now.
+func (site *site) request(path string) *exchange.Request {
+	return &exchange.Request{
 		Method: http.MethodPost, Target: path, Path: path, Host: "h", Header: http.Header{},
 		Traits: exchange.Traits{ID: "1", Model: "m"}, Arrived: time.Now(),
 	}
-	_, failure := site.relay.Serve(ctx, request, &site.client)
-	return failure
 }
 
 func events(from, to int) string {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -59,6 +59,6 @@
 		journey.sink.Head(reply.Status, reply.Header, -1)
 	}
 	journey.relay.deps.Balancer.Done(candidate.Incarnation, false, journey.relay.deps.Clock.Now())
-	journey.relay.deps.Suspects.Clear(journey.fingerprint)
+	journey.relay.deps.Suspects.Answered(journey.fingerprint)
 	return result{done: true}
 }
