Look whether a request may run where it leaves for a replica

What callers saw: a request that waited for its model, or was sent again after a break, went to one more replica although others had told meanwhile that it crashes them; one that waits was not refused before its wait was over.

Change: the check stands where a replica is chosen, right before each sending, and requests that wait are woken when another one is refused.

--- a/internal/frontsoak/crash_test.go
+++ b/internal/frontsoak/crash_test.go
@@ -25,7 +25,7 @@
 
 // crashRun is what a crash request did.
 type crashRun struct {
-	// ended is when it ended its last replica, of ends so far, and third when it ended the third one.
+	// ends is the number of replicas that it ended, and third when it ended the third one.
 	ends  int
 	third time.Time
 	// late counts the sendings that reached replicas later than crashNotice after the third end.
@@ -105,7 +105,7 @@
 				time.AfterFunc(c.killAt, func() { world.signalAll(syscall.SIGKILL) })
 			}
 			world.repeatCrash(ctx, c.kind, strings.Fields(c.name)[0])
-			t.Logf("outcomes %v", world.judge.outcomes)
+			t.Logf("outcomes %v, %+v", world.judge.outcomes, world.judge.crashes)
 			for _, breach := range world.judge.verdict() {
 				t.Error(breach)
 			}
--- a/relay/journey.go
+++ b/relay/journey.go
@@ -117,7 +117,7 @@
 		journey.tried = append(journey.tried, candidate.Incarnation)
 	}
 	if result.notRun && !result.unsent {
-		journey.await(ctx, nil, busyPause)
+		journey.await(ctx, busyPause, nil, nil)
 	}
 	return true
 }
--- a/relay/place.go
+++ b/relay/place.go
@@ -68,10 +68,14 @@
 	}()
 	for {
 		changed := journey.relay.deps.Directory.Changed()
+		refusals := journey.relay.deps.Suspects.Refusals()
 		now := journey.relay.deps.Clock.Now()
 		if ctx.Err() != nil {
 			return balance.Candidate{}, ended(ctx, false)
 		}
+		if failure := journey.quarantined(now); failure != nil {
+			return balance.Candidate{}, failure
+		}
 		candidates := journey.candidates()
 		ask.Fullest = journey.fullest(now)
 		if chosen, ok := journey.relay.deps.Balancer.Choose(candidates, ask, now); ok {
@@ -84,7 +88,7 @@
 			if failure := journey.crowded(now); failure != nil {
 				return balance.Candidate{}, failure
 			}
-			journey.await(ctx, changed, crowdedStep)
+			journey.await(ctx, crowdedStep, changed, refusals)
 			continue
 		}
 		until, failure := journey.patience(now)
@@ -95,7 +99,7 @@
 			waiting = true
 			journey.wait()
 		}
-		journey.await(ctx, changed, until.Sub(now))
+		journey.await(ctx, until.Sub(now), changed, refusals)
 	}
 }
 
@@ -148,12 +152,14 @@
 	}
 }
 
-// await waits for a change of the directory, unless that is nil, the end of the patience or that of the context.
-func (journey *journey) await(ctx context.Context, changed <-chan struct{}, patience time.Duration) {
+// await waits for a change of the directory, for a request that is refused from now on, each unless it is nil, the end of
+// the patience or that of the context.
+func (journey *journey) await(ctx context.Context, patience time.Duration, changed, refusals <-chan struct{}) {
 	timer := journey.relay.deps.Clock.NewTimer(patience)
 	defer timer.Stop()
 	select {
 	case <-changed:
+	case <-refusals:
 	case <-timer.C():
 	case <-ctx.Done():
 	}
