Count replicas that fall dark under a request

What callers saw: a request under which replicas ended without breaking its connection was sent on without end: the attempt ended as a silence, a deadline or a client that left, and none of these counts.

When that run of the replica is gone from the table without having drained, its end is held against the request, as a broken connection is. EndCounted (816) logs it.

Before: relay.TestReplicaThatFallsDarkCounts failed with both ends of an attempt ('with the patience 300ms the request ended as <nil>').

--- a/event/front.go
+++ b/event/front.go
@@ -11,6 +11,7 @@
 	RequestWaits       = define(810, "RequestWaits", Info, "A request waits for its model or adapter to be loaded.")
 	AttemptFailed      = define(811, "AttemptFailed", Info, "A sending of a request to a replica failed; NotRun tells whether that is proved.")
 	BreakCounted       = define(815, "BreakCounted", Info, "A replica broke off while it ran a request; Crashes counts the ends that are held against the request.")
+	EndCounted         = define(816, "EndCounted", Info, "A replica ended without notice after a request there got no word of it; the end is held against the request.")
 	SuspectLearnt      = define(817, "SuspectLearnt", Warning, "A request is refused from now on, since other daemons or the store tell that it crashed replicas.")
 	SuspectRecorded    = define(818, "SuspectRecorded", Info, "A request that crashed several replicas is recorded in the store.")
 	SuspectUnrecorded  = define(819, "SuspectUnrecorded", Warning, "A request that crashed several replicas cannot be recorded in the store; it is tried again.")
--- a/front/follow.go
+++ b/front/follow.go
@@ -228,6 +228,7 @@
 	ticker := daemon.clock.NewTicker(settleEvery)
 	defer ticker.Stop()
 	var known map[string]string
+	var before []roster.Entry
 	for {
 		select {
 		case <-ctx.Done():
@@ -248,6 +249,9 @@
 			event.FrontReady.Log("Daemon", daemon.settings.Name, "Replicas", len(usable))
 		}
 		known = daemon.logReplicas(known)
+		entries := daemon.roster.Entries()
+		daemon.noteEnds(before, entries)
+		before = entries
 	}
 }
 
--- a/front/suspects.go
+++ b/front/suspects.go
@@ -14,6 +14,9 @@
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/platform"
 	"github.com/bronzestall/bronzestall/quarantine"
+	"github.com/bronzestall/bronzestall/relay"
+	"github.com/bronzestall/bronzestall/roster"
+	"github.com/bronzestall/bronzestall/topology"
 )
 
 // A request that crashes replicas comes again at any daemon. Daemons tell each other of each crash with their greetings; a
@@ -59,6 +62,23 @@
 	}
 }
 
+// noteEnds counts the replicas that are gone without notice against the requests that got no word of them.
+func (daemon *Daemon) noteEnds(before, after []roster.Entry) {
+	now := daemon.clock.Now()
+	live := map[topology.Incarnation]bool{}
+	for _, entry := range after {
+		live[entry.Replica.Incarnation] = true
+	}
+	for _, entry := range before {
+		if live[entry.Replica.Incarnation] || entry.Replica.Draining {
+			continue
+		}
+		for _, fingerprint := range daemon.suspects.Ended(relay.CrashOf(entry.Replica.Incarnation), now) {
+			event.EndCounted.Log("Fingerprint", fingerprint, "Replica", entry.Replica.ID, "Born", entry.Replica.Born)
+		}
+	}
+}
+
 // followSuspects keeps the requests that are recorded in the store. Each daemon reads them once, and those that read the
 // store's tables follow them.
 func (daemon *Daemon) followSuspects(ctx context.Context) error {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -81,6 +81,9 @@
 		failure := outcome.New(outcome.UpstreamRefused, "%s", err.Error()).WithRetryAfter(retryAfterBusy)
 		return result{failure: failure, notRun: true, unsent: true}
 	}
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStopped) {
+		journey.relay.deps.Suspects.Silent(journey.fingerprint, CrashOf(candidate.Incarnation), now)
+	}
 	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent) {
 		late := errors.Is(context.Cause(ctx), errDeadline)
 		if late {
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -8,6 +9,7 @@
 
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/quarantine"
+	"github.com/bronzestall/bronzestall/topology"
 )
 
 // TestWaitingRequestIsRefusedWhenOthersTell guards against issue 22: a request that waits for its model passed the check
@@ -35,3 +37,24 @@
 		}
 	})
 }
+
+// TestReplicaThatFallsDarkCounts guards against issue 22: a replica that ends without a word breaks no connection; the
+// attempt ends as its client leaves or at its deadline, and the end of the replica is known later.
+func TestReplicaThatFallsDarkCounts(t *testing.T) {
+	for _, patience := range []time.Duration{300 * time.Millisecond, time.Minute} {
+		synctest.Test(t, func(t *testing.T) {
+			site := newSite(step{silent: true}, step{silent: true}, step{silent: true}, ok("yes"))
+			for range suspectLimit {
+				ctx, cancel := context.WithTimeout(t.Context(), patience)
+				_ = site.serve(ctx, "/once/x")
+				cancel()
+				for _, id := range []string{"plaina", "plainb"} {
+					site.relay.deps.Suspects.Ended(CrashOf(topology.Incarnation{ID: id}), time.Now())
+				}
+			}
+			if failure := site.serve(t.Context(), "/once/x"); failure == nil || failure.Kind != outcome.Quarantined {
+				t.Errorf("with the patience %v the request ended as %v", patience, failure)
+			}
+		})
+	}
+}
