Take replicas at their word that they leave or want no request for a while

Cause: only the replica table told that a replica leaves, and a rejection told nothing of the time after it.

Change: package notice keeps both words by run of a replica. Every answer is looked at: to requests, orders and questions, whatever its status; answers to other requests on a connection in use again are not. A replica that leaves gets no new work whatever its row or other daemons say, until another run of it; other daemons hear of it with greetings, and the planner counts it as one that goes. A replica at rest gets nothing from this daemon until its time, neither requests nor orders nor questions. Where all replicas of a service rest, a request waits no longer than for a replica with room; otherwise it is refused at once with the time of the first that comes back, spread by its identifier. Both are looked at where a replica is chosen and once more when the connection is there, right before the first byte. Values that are no number of seconds say nothing and are logged once for each run; the longest rest is an hour. Events 827 to 829; metrics of replicas that leave and rest, and of requests in quarantine.

--- a/connection/call.go
+++ b/connection/call.go
@@ -22,6 +22,8 @@
 	// MaxUnused is how long a connection may have been unused before the call; zero means no limit. An
 	// upstream may have dropped a connection that was unused for longer, and resets it upon the next byte.
 	MaxUnused time.Duration
+	// Allowed reports, once there is a connection, whether the call may still be sent; nil means that it may.
+	Allowed func() bool
 	// Fresh opens a connection even if an unused one is kept.
 	Fresh bool
 }
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -47,6 +47,10 @@
 	if err != nil {
 		return nil, &transport.Error{NotSent: true, Cause: trace.Wrap(err)}
 	}
+	if call.Allowed != nil && !call.Allowed() {
+		c.abort()
+		return nil, &transport.Error{NotSent: true, Cause: trace.LimitExceeded("the upstream takes no requests any more")}
+	}
 	stop := context.AfterFunc(ctx, c.abort)
 	written, err := send(c, call)
 	if err != nil {
--- a/front/daemon.go
+++ b/front/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/bronzestall/bronzestall/lease"
 	"github.com/bronzestall/bronzestall/mesh"
 	"github.com/bronzestall/bronzestall/meter"
+	"github.com/bronzestall/bronzestall/notice"
 	"github.com/bronzestall/bronzestall/platform"
 	"github.com/bronzestall/bronzestall/quarantine"
 	"github.com/bronzestall/bronzestall/relay"
@@ -64,6 +65,7 @@
 	balancer  *balance.Balancer
 	demand    *demand.Book
 	suspects  *quarantine.Tracker
+	notices   *notice.Book
 	relay     *relay.Relay
 	ingress   *ingress.Ingress
 	mesh      *mesh.Node
@@ -83,7 +85,7 @@
 	// poked asks for a report of demand at once.
 	poked chan struct{}
 	// news tells that other daemons need to know something new.
-	news notice
+	news signal
 	// replicasChanged asks to apply the replica table.
 	replicasChanged chan struct{}
 
@@ -118,6 +120,7 @@
 		balancer:        balance.New(random),
 		demand:          demand.New(),
 		suspects:        quarantine.NewTracker(crashLimit),
+		notices:         notice.New(),
 		records:         map[string]record{},
 		poked:           make(chan struct{}, 1),
 		stopBegun:       make(chan struct{}),
@@ -125,7 +128,7 @@
 		heard:           clk.Now(),
 	}
 	daemon.store = platform.NewRowStore(daemon.pool, settings.StoreAddress, storeTimeout)
-	daemon.upstream = platform.NewUpstream(daemon.pool)
+	daemon.upstream = platform.NewUpstream(daemon.pool, notices{daemon})
 	daemon.relay = relay.New(relay.Settings{
 		Zone:       settings.DataCentre,
 		RetryShare: settings.RetryShare * retryPart,
@@ -136,6 +139,7 @@
 		Balancer:  daemon.balancer,
 		Demand:    daemon.demand,
 		Suspects:  daemon.suspects,
+		Notices:   daemon.notices,
 		Poke:      daemon.poke,
 		Seat:      func() int { return int(daemon.seat.Load()) },
 		Clock:     clk,
@@ -251,5 +255,5 @@
 	daemon.news.tell()
 	event.ConfigurationTaken.Log("Version", configuration.Version, "Routes", len(configuration.Routes),
 		"Services", len(configuration.Services), "Source", source)
-	daemon.scheduler.Learn(configuration, daemon.roster.Usable())
+	daemon.scheduler.Learn(configuration, daemon.usable())
 }
--- a/front/duties.go
+++ b/front/duties.go
@@ -84,6 +84,9 @@
 			live[entry.Replica.Incarnation] = true
 		}
 		daemon.balancer.Forget(live)
+		now := daemon.clock.Now()
+		daemon.notices.Forget(live, now.Add(-noticeLife), now)
+		daemon.measureReplicas(now)
 		if daemon.clock.Since(daemon.directory.Heard()) > holderSilence {
 			daemon.balancer.SetOthers(daemon.mesh.Running())
 		}
--- a/front/follow.go
+++ b/front/follow.go
@@ -239,7 +239,7 @@
 			}
 		case <-daemon.replicasChanged:
 		}
-		usable := daemon.roster.Usable()
+		usable := daemon.usable()
 		wasReady := daemon.isReady()
 		daemon.directory.SetReplicas(usable)
 		if configuration := daemon.relay.Configuration(); configuration != nil {
--- /dev/null
+++ b/front/signal.go
@@ -0,0 +1,30 @@
+package front
+
+import "sync"
+
+// signal tells any number of goroutines of the next change. The zero value is ready to use.
+type signal struct {
+	mutex sync.Mutex
+	// changed is closed at the next change; nil if nobody waits.
+	changed chan struct{}
+}
+
+// next returns a channel that is closed at the next change.
+func (signal *signal) next() <-chan struct{} {
+	signal.mutex.Lock()
+	defer signal.mutex.Unlock()
+	if signal.changed == nil {
+		signal.changed = make(chan struct{})
+	}
+	return signal.changed
+}
+
+// tell wakes all who wait.
+func (signal *signal) tell() {
+	signal.mutex.Lock()
+	defer signal.mutex.Unlock()
+	if signal.changed != nil {
+		close(signal.changed)
+		signal.changed = nil
+	}
+}
--- a/front/suspects.go
+++ b/front/suspects.go
@@ -70,7 +70,7 @@
 		live[entry.Replica.Incarnation] = true
 	}
 	for _, entry := range before {
-		if live[entry.Replica.Incarnation] || entry.Replica.Draining {
+		if live[entry.Replica.Incarnation] || entry.Replica.Draining || daemon.notices.Leaving(entry.Replica.Incarnation) {
 			continue
 		}
 		for _, fingerprint := range daemon.suspects.Ended(relay.CrashOf(entry.Replica.Incarnation), now) {
--- a/front/wire.go
+++ b/front/wire.go
@@ -34,6 +34,8 @@
 		Loads:        daemon.loads,
 		Suspects:     daemon.shareSuspects,
 		HearSuspects: daemon.hearSuspects,
+		Leaving:      daemon.leaving,
+		HearLeaving:  daemon.hearLeaving,
 		Sync:         daemon.serveSync,
 		Answer:       daemon.answer,
 		Tables:       quick,
@@ -54,7 +56,13 @@
 			StoreLoadsAtOnce: daemon.settings.LoadsAtOnce,
 			CeilingWindow:    daemon.settings.LoadWindow,
 		},
-	}, scheduler.Deps{Tenure: daemon.lease, Engines: daemon.upstream, Loadings: daemon.directory.Loadings, Clock: daemon.clock})
+	}, scheduler.Deps{
+		Tenure:   daemon.lease,
+		Engines:  daemon.upstream,
+		Loadings: daemon.directory.Loadings,
+		Resting:  daemon.notices.Resting,
+		Clock:    daemon.clock,
+	})
 }
 
 // serveSync takes the report of another daemon.
--- a/mesh/greet.go
+++ b/mesh/greet.go
@@ -57,6 +57,7 @@
 	greeting := &meshpb.Greeting{
 		Loads:    node.parts.Loads().encode(),
 		Suspects: encodeSuspects(node.parts.Suspects(), node.clock.Now()),
+		Leaving:  encodeRuns(node.parts.Leaving()),
 	}
 	node.mutex.Lock()
 	told := node.members.tell(state, node.clock.Now(), all)
@@ -73,6 +74,9 @@
 	if suspects := decodeSuspects(greeting.GetSuspects(), now); len(suspects) > 0 {
 		node.parts.HearSuspects(suspects)
 	}
+	if runs := decodeRuns(greeting.GetLeaving()); len(runs) > 0 {
+		node.parts.HearLeaving(runs)
+	}
 	node.mutex.Lock()
 	defer node.mutex.Unlock()
 	for index, encoded := range greeting.GetNews() {
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -19,6 +19,7 @@
 	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/demand"
 	"github.com/bronzestall/bronzestall/directory"
+	"github.com/bronzestall/bronzestall/notice"
 	"github.com/bronzestall/bronzestall/quarantine"
 	"github.com/bronzestall/bronzestall/topology"
 )
@@ -49,10 +50,12 @@
 	loads Loads
 	// tracker holds the requests that crashed replicas.
 	tracker *quarantine.Tracker
+	// notices holds the replicas that leave.
+	notices *notice.Book
 }
 
 func newDaemon(t *testing.T, name string, state State, failure error, seeds ...string) *daemon {
-	made := &daemon{tracker: quarantine.NewTracker(2)}
+	made := &daemon{tracker: quarantine.NewTracker(2), notices: notice.New()}
 	mux := http.NewServeMux()
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
@@ -64,6 +67,8 @@
 			return made.tracker.Share(8, time.Now())
 		},
 		HearSuspects: func(suspects []quarantine.Suspect) { made.tracker.Import(suspects, time.Now()) },
+		Leaving:      func() []topology.Incarnation { return made.notices.Latest(8) },
+		HearLeaving:  func(runs []topology.Incarnation) { made.notices.Leave(runs[0], time.Now()) },
 		Sync: func(_ context.Context, report Report) (directory.Announcement, error) {
 			made.report = report
 			return announcement, nil
@@ -108,6 +113,25 @@
 	}
 }
 
+// TestGreetingsTellOfReplicas covers what a daemon learns from one greeting of another: requests that crash replicas, and
+// replicas that leave.
+func TestGreetingsTellOfReplicas(t *testing.T) {
+	run := topology.Incarnation{ID: "r", Born: 3}
+	told := newDaemon(t, "a", State{}, nil)
+	told.notices.Leave(run, time.Now())
+	for _, boot := range []string{"1", "2"} {
+		told.tracker.Broke(7, quarantine.Crash{Upstream: "r", BootID: boot, Sequence: 1}, time.Now())
+	}
+	heard := newDaemon(t, "b", State{}, nil, told.address)
+	heard.greet(t.Context(), told.address)
+	if _, refused := heard.tracker.Refused(7, time.Now()); !refused || !heard.notices.Leaving(run) {
+		t.Errorf("refused %v, leaving %v", refused, heard.notices.Leaving(run))
+	}
+	if suspect, _ := heard.tracker.Suspect(7, time.Now()); len(suspect.Crashes) != 2 || suspect.Crashes[0].Sequence != 1 {
+		t.Errorf("heard %+v", suspect)
+	}
+}
+
 func TestSyncCarriesDemandAndChanges(t *testing.T) {
 	holder := newDaemon(t, "a", State{}, nil)
 	other := newDaemon(t, "b", State{}, nil)
--- a/mesh/parts.go
+++ b/mesh/parts.go
@@ -6,6 +6,7 @@
 	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/directory"
 	"github.com/bronzestall/bronzestall/quarantine"
+	"github.com/bronzestall/bronzestall/topology"
 )
 
 // Parts is what a node asks of its daemon. All fields must be set.
@@ -18,6 +19,9 @@
 	// takes those that it told.
 	Suspects     func() []quarantine.Suspect
 	HearSuspects func(suspects []quarantine.Suspect)
+	// Leaving returns the runs of replicas that said that they leave, and HearLeaving takes those that another daemon told.
+	Leaving     func() []topology.Incarnation
+	HearLeaving func(runs []topology.Incarnation)
 	// Sync takes a report and returns the newest announcement, after waiting for a newer one as the
 	// report allows. It fails if the daemon does not hold the lease.
 	Sync func(ctx context.Context, report Report) (directory.Announcement, error)
--- a/meter/name.go
+++ b/meter/name.go
@@ -39,6 +39,12 @@
 	LeaseHeld Name = "bronzestall_lease_held"
 	// InvariantsBroken counts broken invariants.
 	InvariantsBroken Name = "bronzestall_invariants_broken"
+	// RequestsQuarantined is the number of requests that are refused because they crashed upstreams.
+	RequestsQuarantined Name = "bronzestall_requests_quarantined"
+	// ReplicasLeaving is the number of upstreams that said that they leave.
+	ReplicasLeaving Name = "bronzestall_replicas_leaving"
+	// ReplicasResting is the number of upstreams that want no request for a while.
+	ReplicasResting Name = "bronzestall_replicas_resting"
 	// PeersHeard is the number of daemons heard of lately.
 	PeersHeard Name = "bronzestall_peers_heard"
 )
--- a/relay/place.go
+++ b/relay/place.go
@@ -76,7 +76,7 @@
 		if failure := journey.quarantined(now); failure != nil {
 			return balance.Candidate{}, failure
 		}
-		candidates := journey.candidates()
+		candidates, back := journey.willing(journey.candidates(), now)
 		ask.Fullest = journey.fullest(now)
 		if chosen, ok := journey.relay.deps.Balancer.Choose(candidates, ask, now); ok {
 			journey.ask = ask
@@ -91,6 +91,13 @@
 			journey.await(ctx, crowdedStep, changed, refusals)
 			continue
 		}
+		if !back.IsZero() {
+			if failure := journey.resting(now, back); failure != nil {
+				return balance.Candidate{}, failure
+			}
+			journey.await(ctx, back.Sub(now), changed, refusals)
+			continue
+		}
 		until, failure := journey.patience(now)
 		if failure != nil {
 			return balance.Candidate{}, failure
@@ -123,15 +130,24 @@
 
 // crowded returns the refusal of a request that all replicas are too full for, or nil while it may wait.
 func (journey *journey) crowded(now time.Time) *outcome.Error {
+	if now.Before(journey.crowdedUntil()) {
+		return nil
+	}
+	return outcome.New(outcome.QueueFull, "all replicas of the model are full").WithRetryAfter(retryAfterFull/2 + journey.spread())
+}
+
+// crowdedUntil returns until when the request waits for a replica that takes it.
+func (journey *journey) crowdedUntil() time.Time {
 	wait := journey.crowdedWait()
 	if journey.route.LatencyTarget >= patientTarget {
 		wait *= 2
 	}
-	if now.Sub(journey.request.Arrived) < wait {
-		return nil
-	}
-	spread := time.Duration(xxhash.Sum64String(journey.request.Traits.ID) % uint64(retryAfterFull))
-	return outcome.New(outcome.QueueFull, "all replicas of the model are full").WithRetryAfter(retryAfterFull/2 + spread)
+	return journey.request.Arrived.Add(wait)
+}
+
+// spread returns the part of an advice to return that keeps clients apart.
+func (journey *journey) spread() time.Duration {
+	return time.Duration(xxhash.Sum64String(journey.request.Traits.ID) % uint64(retryAfterFull))
 }
 
 // candidates returns the replicas that can serve the request now.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -12,6 +12,7 @@
 	"github.com/bronzestall/bronzestall/demand"
 	"github.com/bronzestall/bronzestall/directory"
 	"github.com/bronzestall/bronzestall/exchange"
+	"github.com/bronzestall/bronzestall/notice"
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/quarantine"
 	"github.com/bronzestall/bronzestall/retry"
@@ -30,6 +31,8 @@
 	Demand *demand.Book
 	// Suspects counts the crashes of replicas against requests.
 	Suspects *quarantine.Tracker
+	// Notices tells what replicas said of themselves.
+	Notices *notice.Book
 	// Poke is called when a request begins to wait for a model.
 	Poke func()
 	// Seat returns the place of the daemon among all; nil means zero.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -20,6 +20,7 @@
 	"github.com/bronzestall/bronzestall/demand"
 	"github.com/bronzestall/bronzestall/directory"
 	"github.com/bronzestall/bronzestall/exchange"
+	"github.com/bronzestall/bronzestall/notice"
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/quarantine"
 	"github.com/bronzestall/bronzestall/topology"
@@ -121,7 +122,7 @@
 	made := &site{upstream: &replicas{steps: steps}, directory: directory.New(clk), demand: demand.New()}
 	made.relay = New(Settings{Zone: "z", RetryMost: 8, RetryShare: 0.1}, Deps{
 		Upstream: made.upstream, Directory: made.directory, Balancer: balance.New(rand.New(rand.NewPCG(1, 2))),
-		Demand: made.demand, Suspects: quarantine.NewTracker(suspectLimit), Clock: clk,
+		Demand: made.demand, Suspects: quarantine.NewTracker(suspectLimit), Notices: notice.New(), Clock: clk,
 	})
 	made.relay.Configure((&topology.Configuration{
 		Version: 1,
--- a/scheduler/ask.go
+++ b/scheduler/ask.go
@@ -12,7 +12,7 @@
 // askDue asks the engines whose time has come. The mutex is held.
 func (scheduler *Scheduler) askDue(ctx context.Context, now time.Time) {
 	for _, engine := range scheduler.engines {
-		if engine.askAt.IsZero() || now.Before(engine.askAt) || engine.calling {
+		if engine.askAt.IsZero() || now.Before(engine.askAt) || engine.calling || scheduler.resting(engine.Incarnation, now) {
 			continue
 		}
 		engine.calling = true
@@ -21,6 +21,15 @@
 	}
 }
 
+// resting reports whether the engine wants nothing for now.
+func (scheduler *Scheduler) resting(engine topology.Incarnation, now time.Time) bool {
+	if scheduler.deps.Resting == nil {
+		return false
+	}
+	_, resting := scheduler.deps.Resting(engine, now)
+	return resting
+}
+
 // ask asks one engine what it holds.
 func (scheduler *Scheduler) ask(ctx context.Context, incarnation topology.Incarnation, address string, fence uint64) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
--- a/scheduler/deps.go
+++ b/scheduler/deps.go
@@ -28,7 +28,7 @@
 	Report(ctx context.Context, engine topology.Incarnation, address string) (topology.Holding, int64, error)
 }
 
-// Deps is what a scheduler works with. All fields must be set.
+// Deps is what a scheduler works with. All fields but Resting must be set.
 type Deps struct {
 	// Tenure is the right to send orders.
 	Tenure Tenure
@@ -36,6 +36,8 @@
 	Engines Engines
 	// Loadings returns the models on their way that the former holder announced.
 	Loadings func() map[topology.Incarnation]directory.Loading
+	// Resting returns until when an engine wants nothing, and false if it does; nil means that all want orders.
+	Resting func(engine topology.Incarnation, now time.Time) (time.Time, bool)
 	// Clock goes on while the VM is suspended.
 	Clock clock.WithTicker
 }
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -205,14 +205,14 @@
 	return holding
 }
 
-// view returns what the planner sees of the engine.
-func (engine *engine) view(now time.Time, demand *totals) *residency.Engine {
+// view returns what the planner sees of the engine. An engine at rest gets no order, as if it were busy.
+func (engine *engine) view(now time.Time, demand *totals, resting bool) *residency.Engine {
 	view := &residency.Engine{
 		Incarnation:     engine.Incarnation,
 		Address:         engine.address,
 		Zone:            engine.zone,
 		Holding:         engine.holding,
-		Busy:            !engine.settled() || now.Before(engine.restUntil),
+		Busy:            !engine.settled() || now.Before(engine.restUntil) || resting,
 		Running:         demand.running[engine.Incarnation],
 		AdaptersRunning: demand.adaptersRunning[engine.Incarnation],
 		LoadedAt:        engine.loadedAt,
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -211,7 +211,7 @@
 	}
 	for _, engine := range scheduler.engines {
 		if engine.service == service.Name {
-			state.Engines = append(state.Engines, engine.view(now, sum))
+			state.Engines = append(state.Engines, engine.view(now, sum, scheduler.resting(engine.Incarnation, now)))
 		}
 	}
 	slices.SortFunc(state.Engines, func(a, b *residency.Engine) int { return strings.Compare(a.ID, b.ID) })
