Note the end of an outage for each table by itself

What callers saw: none was seen; found by reading while a third follower of the store was added. After an outage of the store, replicas whose rows had lapsed could lose their grace time, so that requests were refused though they live.

Cause: whoever reached the store first, say the follower of the configuration, ended the state 'store lost' for the daemon; the follower of replicas then took the rows without noting the end of the outage.

Change: each follower remembers that its own last call failed.

Before: front.TestOutageIsNotedByEachTable failed, 'noted 0 times'. After: noted once.

--- a/front/follow.go
+++ b/front/follow.go
@@ -37,6 +37,9 @@
 	reads func() bool
 	// regained is called when the store answers again after a failure.
 	regained func()
+	// failed states that the last call failed. Whether the store is lost for the daemon does not tell, since the follower
+	// of another table may have reached it again before.
+	failed bool
 }
 
 // run follows the table until the context ends.
@@ -59,6 +62,7 @@
 			event.HistoryForgotten.Log("Table", follower.table, "After", version)
 			known = false
 		default:
+			follower.failed = true
 			follower.daemon.missStore(err, follower.table)
 			follower.daemon.sleep(ctx, pause)
 			pause = min(2*pause, longestPause)
@@ -99,9 +103,10 @@
 
 // noteRegained tells that the store answers again, before what it answered is applied.
 func (follower *follower) noteRegained() {
-	if follower.daemon.isStoreLost() && follower.regained != nil {
+	if (follower.failed || follower.daemon.isStoreLost()) && follower.regained != nil {
 		follower.regained()
 	}
+	follower.failed = false
 }
 
 // followConfiguration keeps the operator's configuration in force.
