Say that no engine can hold a model only after the engines were heard

What callers saw: right after the start of all daemons the first request for a cold model was refused after 0.16 s, 'no usable upstream can hold the model', and the same model was served 4 s later on the same engines (once in three plays of make try beside load).

Cause: a new decider plans before the engines answered it once; none is usable then, and the planner's word 'no usable upstream' was passed on as knowledge.

Change: while no engine is listed, or a listed one did not answer since the reign began, and for at most StaleAfter (5 s), nothing is said of such a model: the request waits within its deadline. UpstreamsUnseen (412) names the engines that are missing, and how old the reign is. A model that no engine can hold is refused at once when all were heard.

--- a/decider/check.go
+++ b/decider/check.go
@@ -1,8 +1,10 @@
 package decider
 
 import (
+	"slices"
 	"time"
 
+	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/intent"
 	"github.com/bronzestall/bronzestall/internal/invariant"
 	"github.com/bronzestall/bronzestall/placement"
@@ -38,6 +40,9 @@
 // noteOutlooks keeps for each model that requests wait for when it is expected to serve.
 func (reign *reign) noteOutlooks(outlooks []placement.Outlook) {
 	for _, outlook := range outlooks {
+		if outlook.Obstacle == placement.NoUpstream && reign.isBlind() {
+			continue
+		}
 		estimate := Estimate{Known: true, Obstacle: outlook.Obstacle, ReadyIn: outlook.ReadyIn}
 		if remaining, coming := reign.remaining(outlook.Model); coming {
 			estimate.ReadyIn = remaining
@@ -52,6 +57,36 @@
 	}
 }
 
+// isBlind reports whether engines may be there of which nothing is known yet, so that nothing can be said of what none of
+// them can hold: none is listed, or one did not answer since this reign began. It ends after StaleAfter, by when an engine
+// that lives has answered.
+func (reign *reign) isBlind() bool {
+	age := reign.now.Sub(reign.began)
+	if age >= reign.decider.settings.StaleAfter {
+		return false
+	}
+	unseen := reign.unseen()
+	blind := len(unseen) > 0 || len(reign.met) == 0
+	if blind && !reign.blindLogged {
+		reign.blindLogged = true
+		event.UpstreamsUnseen.Log("DataCentre", reign.decider.settings.DataCentre, "Fence", reign.fence,
+			"Unseen", unseen, "Met", len(reign.met), "Age", age)
+	}
+	return blind
+}
+
+// unseen returns the listed engines that did not answer since this reign began, in order of names.
+func (reign *reign) unseen() []string {
+	var unseen []string
+	for _, view := range reign.decider.deps.Fleet.Views() {
+		if !reign.met[view.State.Upstream] {
+			unseen = append(unseen, view.State.Upstream)
+		}
+	}
+	slices.Sort(unseen)
+	return unseen
+}
+
 // remaining returns the expected time until the first replica on its way serves.
 func (reign *reign) remaining(name string) (time.Duration, bool) {
 	model, inForce := reign.catalogue.Model(name)
--- a/decider/reign.go
+++ b/decider/reign.go
@@ -34,6 +34,8 @@
 	deposed bool
 	// met has the upstreams whose replicas were compared with the rows once.
 	met map[string]bool
+	// blindLogged states that the engines that did not answer yet were logged.
+	blindLogged bool
 	// uses has the last use of each replica that is shown.
 	uses map[intent.ReplicaKey]time.Time
 	// missing tells since when upstreams with entries have been left out of the views.
--- a/event/placement.go
+++ b/event/placement.go
@@ -12,6 +12,7 @@
 	ReplicaAdopted   = define(407, "ReplicaAdopted", Info, "A replica without a row was found on an engine and counts as decided.")
 	OutageBegan      = define(408, "OutageBegan", Warning, "The table service is away; loads go on within the budget.")
 	OutageEnded      = define(409, "OutageEnded", Info, "The table service is back; what was loaded within the budget is recorded.")
+	UpstreamsUnseen  = define(412, "UpstreamsUnseen", Info, "Requests wait for a model that no known engine can hold, since engines did not answer the new decider yet or none is listed.")
 	LoadFailed       = define(410, "LoadFailed", Warning, "A load was accepted and the replica is not there.")
 	BudgetLeft       = define(411, "BudgetLeft", Warning, "The last rows of a planned stop could not be written; the successor closes the budget.")
 )
