Let the soak's replicas speak of themselves and crash under a request

The judge knows: nothing reaches a replica from a daemon later than 2 s after a client got its word through that daemon; no more than two requests reach one at rest, half a second after it said so; no more than three retries of a crash request 3 s after its third end. Starts, freezes and faults on the way excuse what the users' rules excuse.

--- a/internal/frontsoak/client_test.go
+++ b/internal/frontsoak/client_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
@@ -61,7 +62,8 @@
 // sendBody sends one request with the body, or one of its own if that is empty.
 func (client *client) sendBody(ctx context.Context, kind, address, body string) bool {
 	client.count++
-	id := fmt.Sprintf("%s-%s-%d", strings.Trim(kind, "/"), client.name, client.count)
+	daemon := fmt.Sprint("front-", slices.Index(client.addresses, address))
+	id := fmt.Sprintf("%s-%s-%d@%s", strings.Trim(kind, "/"), client.name, client.count, daemon)
 	if body == "" {
 		body = "body of " + id
 	}
@@ -86,6 +88,9 @@
 		return false
 	}
 	defer response.Body.Close()
+	if response.Header.Get(leavingHeader) != "" {
+		client.judge.passOn(response.Header.Get(replicaHeader), daemon)
+	}
 	content, err := io.ReadAll(response.Body)
 	client.judge.count(fmt.Sprint(response.StatusCode, " ", err == nil))
 	return client.check(id, kind, response, string(content), err)
--- a/internal/frontsoak/crash_test.go
+++ b/internal/frontsoak/crash_test.go
@@ -33,14 +33,14 @@
 }
 
 // arrived notes that a request reached a replica and reports whether it is a crash request.
-func (judge *judge) arrived(body string, now time.Time) bool {
+func (judge *judge) arrived(id, body string, now time.Time) bool {
 	if !strings.HasPrefix(body, crashMark) {
 		return false
 	}
 	judge.mutex.Lock()
 	defer judge.mutex.Unlock()
 	run := judge.crashes[body]
-	if run.ends >= crashLimit && now.Sub(run.third) > crashNotice && !judge.disturbed(now) {
+	if run.ends >= crashLimit && now.Sub(run.third) > crashNotice && judge.inTouch(daemonOf(id), now) {
 		run.late++
 	}
 	judge.crashes[body] = run
@@ -124,8 +124,8 @@
 }
 
 // crashes reports whether the run of the body ends the replica, and ends it then.
-func (replica *replica) crashes(body string) bool {
-	if !replica.judge.arrived(body, time.Now()) {
+func (replica *replica) crashes(id, body string) bool {
+	if !replica.judge.arrived(id, body, time.Now()) {
 		return false
 	}
 	replica.judge.crashed(body, time.Now())
--- a/internal/frontsoak/judge_test.go
+++ b/internal/frontsoak/judge_test.go
@@ -32,6 +32,8 @@
 	outcomes map[string]int
 	// crashes maps the bodies of crash requests to what they did.
 	crashes map[string]crashRun
+	// words is what replicas said of themselves.
+	words words
 }
 
 // seenOrder is an order as an engine got it.
@@ -44,7 +46,7 @@
 	return &judge{
 		runs: map[string]int{}, refused: map[string]string{}, leaves: map[string]time.Time{}, last: map[string]seenOrder{},
 		calm: time.Now(), woken: map[string]time.Time{}, outcomes: map[string]int{},
-		crashes: map[string]crashRun{},
+		crashes: map[string]crashRun{}, words: newWords(),
 	}
 }
 
--- a/internal/frontsoak/process_test.go
+++ b/internal/frontsoak/process_test.go
@@ -25,6 +25,8 @@
 	command *exec.Cmd
 	stopped bool
 	done    chan struct{}
+	// began is called at each start.
+	began func(daemon string)
 }
 
 // ownIP returns a loopback address for the daemons of one run, so that runs side by side never get the port of
@@ -105,6 +107,7 @@
 		}
 		command := exec.Command(process.binary, "front", "--settings", process.settings)
 		command.Stdout, command.Stderr = process.log, process.log
+		process.began(process.name)
 		err := command.Start()
 		process.command = command
 		process.mutex.Unlock()
--- a/internal/frontsoak/replica_test.go
+++ b/internal/frontsoak/replica_test.go
@@ -44,6 +44,10 @@
 	writes   int
 	// breakNext resets the connections of that many runs in the middle, and loseNext after their end.
 	breakNext, loseNext int
+	// parting states that the replica says in its answers, and nowhere else, that it leaves.
+	parting bool
+	// restUntil is when the replica wants requests again.
+	restUntil time.Time
 	// lateNext leaves that many orders without an answer and carries them out later.
 	lateNext int
 }
@@ -114,6 +118,7 @@
 	replica.down = true
 	replica.models, replica.orders, replica.loading = nil, 0, ""
 	replica.mutex.Unlock()
+	replica.judge.disturbReplica(replica.id)
 	replica.proxy.set(false, true, 0)
 	replica.proxy.resetAll()
 	time.AfterFunc(length, func() {
@@ -239,14 +244,18 @@
 
 // run works on a request and answers it.
 func (replica *replica) run(writer http.ResponseWriter, request *http.Request, id, body string) {
+	replica.judge.reached(id, replica.id, replica.runName())
+	if replica.speak(writer, id) {
+		return
+	}
 	if !replica.admits(request.Header.Get("Bronzestall-Model")) {
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if replica.crashes(body) {
+	replica.judge.ran(id, replica.id, time.Now())
+	if replica.crashes(id, body) {
 		panic(http.ErrAbortHandler)
 	}
-	replica.judge.ran(id, replica.id, time.Now())
 	replica.mutex.Lock()
 	broken, lost := replica.breakNext > 0, replica.loseNext > 0
 	if broken {
--- a/internal/frontsoak/soak_test.go
+++ b/internal/frontsoak/soak_test.go
@@ -85,6 +85,9 @@
 		clients.Go(func() { client.run(ctx) })
 	}
 	time.Sleep(2 * time.Second)
+	spoken, quiet := context.WithTimeout(ctx, *lengthFlag+settleTime/2)
+	defer quiet()
+	go world.speakUp(spoken, seed)
 	world.disturb(t, *lengthFlag)
 	time.Sleep(settleTime)
 	cancel()
@@ -112,6 +115,7 @@
 		go replica.beat(stop)
 	}
 	for _, front := range world.fronts {
+		front.began = world.judge.start
 		go front.keep()
 	}
 	return world, func() {
@@ -280,10 +284,17 @@
 			return nil
 		}},
 		{"drain " + replica.id, change(replica.drain)},
-		{"reset connections of " + replica.id, change(replica.proxy.resetAll)},
+		{"reset connections of " + replica.id, change(func() {
+			world.judge.disturbReplica(replica.id)
+			replica.proxy.resetAll()
+		})},
 		{"silence " + replica.id, func(time.Duration) func() {
+			world.judge.disturbReplica(replica.id)
 			replica.proxy.set(true, false, 0)
-			return func() { replica.proxy.set(false, false, 0) }
+			return func() {
+				world.judge.disturbReplica(replica.id)
+				replica.proxy.set(false, false, 0)
+			}
 		}},
 		{"break answers of " + replica.id, change(func() { replica.with(func() { replica.breakNext = count }) })},
 		{"lose answers of " + replica.id, change(func() { replica.with(func() { replica.loseNext = count }) })},
