Split four files that had grown large

front/follow.go keeps the follower of a table, front/replicas.go what is done with the table of replicas; the stand-ins of the tests of relay, scheduler and platform move to files of their own.

--- a/front/follow.go
+++ b/front/follow.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -9,16 +8,11 @@
 	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/platform"
-	"github.com/bronzestall/bronzestall/roster"
 )
 
 const (
 	// configurationWait is how long the store may wait with an answer if the configuration does not change.
 	configurationWait = 4 * time.Second
-	// replicaWait is the same for the replica table. replicaGap is the pause between two calls; a replica
-	// that leaves is known within it, in less than the time for which it still serves.
-	replicaWait = time.Second
-	replicaGap  = 800 * time.Millisecond
 	// lostPause is the pause before the store is called again after a failure, at first and at most.
 	lostPause    = 50 * time.Millisecond
 	longestPause = 800 * time.Millisecond
@@ -141,139 +135,3 @@
 	}
 	return table.run(ctx)
 }
-
-// followReplicas keeps the table of replicas.
-func (daemon *Daemon) followReplicas(ctx context.Context) error {
-	table := &follower{
-		daemon:   daemon,
-		table:    platform.ReplicaTable,
-		wait:     replicaWait,
-		gap:      replicaGap,
-		regained: func() { daemon.roster.Regain(daemon.clock.Now()) },
-		whole: func(rows []datastore.Row, version uint64) {
-			daemon.replaceReplicas(daemon.entries(rows), version)
-		},
-		changed: func(changes []platform.Change, version uint64) {
-			told := false
-			for _, change := range changes {
-				told = daemon.takeReplica(change, version) || told
-			}
-			daemon.roster.Advance(version)
-			if told {
-				daemon.news.tell()
-			}
-			if len(changes) > 0 {
-				daemon.applySoon()
-			}
-		},
-	}
-	return table.run(ctx)
-}
-
-// takeReplica applies one change of the replica table, of those up to the version. It reports whether other daemons
-// need to know it.
-func (daemon *Daemon) takeReplica(change platform.Change, version uint64) bool {
-	if change.Dropped {
-		daemon.dropReplica(change.Row.Row, cmp.Or(change.Version, version))
-		return true
-	}
-	entry, ok := daemon.entry(change.Row)
-	return ok && daemon.roster.Put(entry)
-}
-
-// dropReplica applies the removal of a row by the change of the version.
-func (daemon *Daemon) dropReplica(id string, version uint64) {
-	event.ReplicaGone.Log("Replica", id, "Version", version, "Grace", daemon.roster.Lenient(daemon.clock.Now()))
-	daemon.roster.Drop(id, version, daemon.clock.Now())
-}
-
-// replaceReplicas takes the whole replica table as of the version.
-func (daemon *Daemon) replaceReplicas(entries []roster.Entry, version uint64) {
-	if daemon.roster.Replace(entries, version, daemon.clock.Now()) {
-		daemon.news.tell()
-	}
-	daemon.applySoon()
-}
-
-// entries decodes rows of the replica table.
-func (daemon *Daemon) entries(rows []datastore.Row) []roster.Entry {
-	var entries []roster.Entry
-	for _, row := range rows {
-		if entry, ok := daemon.entry(row); ok {
-			entries = append(entries, entry)
-		}
-	}
-	return entries
-}
-
-// entry decodes a row of the replica table. A row that cannot be decoded is logged and skipped.
-func (daemon *Daemon) entry(row datastore.Row) (roster.Entry, bool) {
-	replica, err := platform.Replica(row.Row, row.Value)
-	if err != nil {
-		event.RowSkipped.LogError(err, "Table", row.Table, "Row", row.Row, "Version", row.Version)
-		return roster.Entry{}, false
-	}
-	replica.Described = daemon.clock.Now()
-	return roster.Entry{Replica: replica, Version: row.Version, Raw: row.Value}, true
-}
-
-// applySoon asks to apply the replica table.
-func (daemon *Daemon) applySoon() {
-	select {
-	case daemon.replicasChanged <- struct{}{}:
-	default:
-	}
-}
-
-// settleEvery is the interval of looking for replicas whose grace time is over.
-const settleEvery = 200 * time.Millisecond
-
-// applyReplicas passes the usable replicas on whenever the table changed.
-func (daemon *Daemon) applyReplicas(ctx context.Context) error {
-	ticker := daemon.clock.NewTicker(settleEvery)
-	defer ticker.Stop()
-	var known map[string]string
-	var before []roster.Entry
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C():
-			if !daemon.roster.Settle(daemon.clock.Now()) {
-				continue
-			}
-		case <-daemon.replicasChanged:
-		}
-		usable := daemon.usable()
-		wasReady := daemon.isReady()
-		daemon.directory.SetReplicas(usable)
-		if configuration := daemon.relay.Configuration(); configuration != nil {
-			daemon.scheduler.Learn(configuration, usable)
-		}
-		if !wasReady && daemon.isReady() {
-			event.FrontReady.Log("Daemon", daemon.settings.Name, "Replicas", len(usable))
-		}
-		known = daemon.logReplicas(known)
-		entries := daemon.roster.Entries()
-		daemon.noteEnds(before, entries)
-		before = entries
-	}
-}
-
-// logReplicas logs the replicas that are new or changed their state, and returns the states.
-func (daemon *Daemon) logReplicas(known map[string]string) map[string]string {
-	states := map[string]string{}
-	for _, entry := range daemon.roster.Entries() {
-		replica := &entry.Replica
-		state := replica.Address
-		if replica.Draining {
-			state += " draining"
-		}
-		states[replica.ID] = state
-		if known[replica.ID] != state {
-			event.ReplicaTaken.Log("Replica", replica.ID, "Born", replica.Born, "Service", replica.Service, "Address", replica.Address,
-				"Zone", replica.Zone, "Draining", replica.Draining, "Version", entry.Version)
-		}
-	}
-	return states
-}
--- /dev/null
+++ b/relay/site_test.go
@@ -0,0 +1,183 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"k8s.io/utils/clock"
+
+	"github.com/bronzestall/bronzestall/balance"
+	"github.com/bronzestall/bronzestall/demand"
+	"github.com/bronzestall/bronzestall/directory"
+	"github.com/bronzestall/bronzestall/exchange"
+	"github.com/bronzestall/bronzestall/notice"
+	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/quarantine"
+	"github.com/bronzestall/bronzestall/topology"
+)
+
+// suspectLimit is the number of crashes from which a request is refused.
+const suspectLimit = 3
+
+// step is how a replica treats one sending.
+type step struct {
+	err    error
+	reply  *exchange.Reply
+	silent bool
+	// drips is what the body sends each dripEvery after the reply's text, until the attempt is given up.
+	drips string
+}
+
+// replicas is an Upstream that plays steps in turn.
+type replicas struct {
+	mutex    sync.Mutex
+	steps    []step
+	attempts []exchange.Attempt
+}
+
+func (replicas *replicas) Send(ctx context.Context, _ *exchange.Request, attempt exchange.Attempt) (*exchange.Reply, error) {
+	replicas.mutex.Lock()
+	at := len(replicas.attempts)
+	replicas.attempts = append(replicas.attempts, attempt)
+	replicas.mutex.Unlock()
+	if at >= len(replicas.steps) {
+		return nil, exchange.ErrNotSent
+	}
+	next := replicas.steps[at]
+	if next.silent {
+		<-ctx.Done()
+		return nil, errors.Join(exchange.ErrLost, ctx.Err())
+	}
+	if next.drips != "" {
+		next.reply.Body = &dripping{ctx: ctx, first: next.reply.Body, text: next.drips}
+	}
+	return next.reply, next.err
+}
+
+// reading is a body that ends with an error, io.EOF if it is complete.
+type reading struct {
+	io.Reader
+	end error
+}
+
+func (body *reading) Read(into []byte) (int, error) {
+	n, err := body.Reader.Read(into)
+	if err == io.EOF {
+		err = body.end
+	}
+	return n, err
+}
+
+func (body *reading) Close() error { return nil }
+
+func ok(text string) step { return answered(http.StatusOK, text, io.EOF) }
+
+func answered(status int, text string, end error) step {
+	return step{reply: &exchange.Reply{
+		Status: status, Header: http.Header{}, Signed: true, Length: -1,
+		Body: &reading{strings.NewReader(text), end},
+	}}
+}
+
+func rejected(absent bool) step {
+	next := answered(http.StatusServiceUnavailable, "", io.EOF)
+	next.reply.NotRun, next.reply.Absent = true, absent
+	return next
+}
+
+// client is a Sink that keeps what it got.
+type client struct {
+	status int
+	body   bytes.Buffer
+}
+
+func (client *client) Head(status int, _ http.Header, _ int64) { client.status = status }
+func (client *client) Begun() bool                             { return client.status != 0 }
+func (client *client) Write(part []byte) error {
+	client.body.Write(part)
+	return nil
+}
+
+// site is a relay before replicas a and b.
+type site struct {
+	relay     *Relay
+	upstream  *replicas
+	directory *directory.Directory
+	demand    *demand.Book
+	client    client
+}
+
+func newSite(steps ...step) *site {
+	clk := clock.RealClock{}
+	made := &site{upstream: &replicas{steps: steps}, directory: directory.New(clk), demand: demand.New()}
+	made.relay = New(Settings{Zone: "z", RetryMost: 8, RetryShare: 0.1}, Deps{
+		Upstream: made.upstream, Directory: made.directory, Balancer: balance.New(rand.New(rand.NewPCG(1, 2))),
+		Demand: made.demand, Suspects: quarantine.NewTracker(suspectLimit), Notices: notice.New(), Clock: clk,
+	})
+	made.relay.Configure((&topology.Configuration{
+		Version: 1,
+		Routes: []topology.Route{
+			{Host: "h", PathPrefix: "/once/", Kind: topology.NonIdempotent, Timeout: 2 * time.Second, LatencyTarget: 200 * time.Millisecond, Targets: plainTarget, MaxAttempts: 1},
+			{Host: "h", PathPrefix: "/again/", Kind: topology.Idempotent, Timeout: 2 * time.Second, LatencyTarget: 200 * time.Millisecond, Targets: plainTarget, MaxAttempts: 2},
+			{Host: "h", PathPrefix: "/stream/", Kind: topology.Streaming, Timeout: 10 * time.Second, LatencyTarget: time.Second, GapTarget: 250 * time.Millisecond, Targets: engineTarget, MaxAttempts: 1},
+			{Host: "h", PathPrefix: "/resume/", Kind: topology.Streaming, Timeout: 10 * time.Second, LatencyTarget: time.Second, GapTarget: 250 * time.Millisecond, Targets: engineTarget, MaxAttempts: 2, Resumable: true},
+		},
+		Services: map[string]topology.Service{
+			"plain":  {Name: "plain"},
+			"engine": {Name: "engine", Engine: &topology.Engine{Slots: 8, Models: map[string]topology.Model{"m": {Name: "m"}}}},
+		},
+	}).Index())
+	made.show("m")
+	return made
+}
+
+var (
+	plainTarget  = []topology.Target{{Service: "plain", Weight: 1}}
+	engineTarget = []topology.Target{{Service: "engine", Weight: 1}}
+)
+
+// show makes the replicas known, the engines with the models loaded.
+func (site *site) show(models ...string) {
+	var all []topology.Replica
+	for _, service := range []string{"plain", "engine"} {
+		for _, id := range []string{"a", "b"} {
+			replica := topology.Replica{Incarnation: topology.Incarnation{ID: service + id}, Service: service, Zone: "z", Slots: 4}
+			for _, model := range models {
+				replica.Holding.Models = append(replica.Holding.Models, topology.Loaded{Model: model})
+			}
+			all = append(all, replica)
+		}
+	}
+	site.directory.SetReplicas(all)
+}
+
+func (site *site) serve(ctx context.Context, path string) *outcome.Error {
+	_, failure := site.relay.Serve(ctx, site.request(path), &site.client)
+	return failure
+}
+
+// request returns a request that arrives now.
+func (site *site) request(path string) *exchange.Request {
+	return &exchange.Request{
+		Method: http.MethodPost, Target: path, Path: path, Host: "h", Header: http.Header{},
+		Traits: exchange.Traits{ID: "1", Model: "m"}, Arrived: time.Now(),
+	}
+}
+
+func events(from, to int) string {
+	var text strings.Builder
+	for id := from; id <= to; id++ {
+		_, _ = fmt.Fprintf(&text, "id: %d\ndata: x\n\n", id)
+	}
+	return text.String()
+}
+
+var lost = step{err: exchange.ErrLost}
