Refuse a model at once that is larger than any engine

What callers saw: a request for a model that the configuration names and no engine can hold waited for half of its time, 'the model was not loaded in time', though that is known from the configuration alone.

Before: relay.TestModelThatNoEngineCanHoldIsRefusedAtOnce failed, refused after 3.88 s. After: at once, by name.

--- a/relay/place.go
+++ b/relay/place.go
@@ -191,9 +191,13 @@
 		}
 		return until, nil
 	}
-	if _, known := journey.service.Engine.Models[journey.request.Traits.Model]; !known {
+	model, known := journey.service.Engine.Models[journey.request.Traits.Model]
+	if !known {
 		return now, outcome.New(outcome.NoReplica, "the service has no such model").WithRetryAfter(retryAfterCold)
 	}
+	if memory := journey.service.Engine.Memory; memory > 0 && model.Weights > memory {
+		return now, outcome.New(outcome.NoReplica, "the model %s is larger than the memory of an engine", model.Name).WithRetryAfter(retryAfterCold)
+	}
 	latest := journey.latest(total)
 	ready, known := journey.forecast()
 	if known && ready.After(latest) {
--- a/relay/place_test.go
+++ b/relay/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,6 +45,25 @@
 	})
 }
 
+// TestModelThatNoEngineCanHoldIsRefusedAtOnce covers a model that the configuration names and that is larger than any engine.
+func TestModelThatNoEngineCanHoldIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := newSite()
+		site.show()
+		changed := *site.relay.Configuration()
+		changed.Version++
+		changed.Services = map[string]topology.Service{"engine": {Name: "engine", Engine: &topology.Engine{
+			Slots: 8, Memory: 100, Models: map[string]topology.Model{"m": {Name: "m", Weights: 101}},
+		}}}
+		site.relay.Configure(changed.Index())
+		begun := time.Now()
+		failure := site.serve(t.Context(), "/resume/x")
+		if failure == nil || failure.Kind != outcome.NoReplica || time.Since(begun) != 0 || !strings.Contains(failure.Error(), "model m is larger") {
+			t.Errorf("ended as %v after %v", failure, time.Since(begun))
+		}
+	})
+}
+
 func TestColdRequestWithoutAHolderIsRefusedBeforeItsDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		site := newSite()
