--- a/front/suspects.go
+++ b/front/suspects.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"slices"
 	"strconv"
 	"time"
 
@@ -194,11 +193,9 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	versions, err := daemon.rows.Commit(ctx, []datastore.Write{{Key: key, Check: true, IfVersion: row.Version, Value: value}})
-	if err != nil {
+	if _, err := daemon.rows.Commit(ctx, []datastore.Write{{Key: key, Check: true, IfVersion: row.Version, Value: value}}); err != nil {
 		return err
 	}
-	daemon.noteRecord(key.Row, slices.Max(versions))
 	event.SuspectRecorded.Log("Fingerprint", fingerprint, "Crashes", len(suspect.Crashes))
 	return nil
 }
