Bound the time in which a client sends its body

What callers saw: a client that sends its body byte by byte held a goroutine and a connection of a daemon for as long as it liked, past its own deadline.

Cause: headers had a limit in time, bodies only one in bytes.

The limit ends with the body, so that a long answer is not cut.

Before: ingress.TestBodyThatNeverEndsIsRefused read on to the limit in bytes ('status 413'). After: 503 at the client's deadline; a slow body in time and an answer that lasts longer than the limit pass.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -19,9 +18,6 @@
 	"github.com/bronzestall/bronzestall/topology"
 )
 
-// defaultBodyBytes bounds a body before a configuration is known.
-const defaultBodyBytes = 4 << 20
-
 // Relay serves requests.
 type Relay interface {
 	// Configuration returns the configuration in force, or nil.
@@ -39,7 +35,7 @@
 	// Meter counts requests.
 	Meter *meter.Meter
 	// Clock tells the time.
-	Clock clock.PassiveClock
+	Clock clock.WithTicker
 }
 
 // Ingress is the handler of clients' requests. Use New.
@@ -99,20 +95,9 @@
 		Arrived: ingress.deps.Clock.Now(),
 	}
 	request.Header, request.Traits = ingress.deps.Decode(incoming.Header)
-	limit := int64(defaultBodyBytes)
-	if configuration := ingress.deps.Relay.Configuration(); configuration != nil && configuration.Limits.BodyBytes > 0 {
-		limit = configuration.Limits.BodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(writer, incoming.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return request, outcome.New(outcome.BodyTooLarge, "the body is larger than %d bytes", limit)
-	}
-	if err != nil {
-		return request, outcome.New(outcome.CallerGone, "the body ended early").WithCause(err)
-	}
+	body, failure := ingress.readBody(writer, incoming, &request.Traits)
 	request.Body = body
-	return request, nil
+	return request, failure
 }
 
 // record logs and counts how the request ended.
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -156,3 +156,56 @@
 		}
 	}
 }
+
+// TestBodyThatNeverEndsIsRefused covers a client that sends its body byte by byte, for longer than it says that it waits;
+// one that is slow and in time is served.
+func TestBodyThatNeverEndsIsRefused(t *testing.T) {
+	for name, test := range map[string]struct {
+		pieces int
+		status int
+	}{
+		"in time":   {4, http.StatusOK},
+		"too late":  {1000, http.StatusServiceUnavailable},
+		"all in it": {0, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			served := relayFunc(func(ctx context.Context, _ *exchange.Request, sink relay.Sink) *outcome.Error {
+				// The limit of the body does not bound the answer.
+				time.Sleep(400 * time.Millisecond)
+				if ctx.Err() != nil {
+					return outcome.New(outcome.CallerGone, "the context ended")
+				}
+				sink.Head(http.StatusOK, http.Header{}, 0)
+				return nil
+			})
+			server := httptest.NewServer(New(Deps{
+				Relay: served,
+				Decode: func(sent http.Header) (http.Header, exchange.Traits) {
+					return sent, exchange.Traits{Patience: 300 * time.Millisecond}
+				},
+				Meter: meter.New(),
+				Clock: clock.RealClock{},
+			}))
+			defer server.Close()
+			reader, writer := io.Pipe()
+			go func() {
+				for range test.pieces {
+					if _, err := writer.Write([]byte("x")); err != nil {
+						return
+					}
+					time.Sleep(40 * time.Millisecond)
+				}
+				_ = writer.Close()
+			}()
+			answer, err := http.Post(server.URL, "text/plain", reader)
+			_ = reader.Close()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = answer.Body.Close() }()
+			if answer.StatusCode != test.status {
+				t.Errorf("status %d", answer.StatusCode)
+			}
+		})
+	}
+}
