Let daemons forget replicas that left

Found by reading: two daemons would have reminded each other for ever of a replica that said that it leaves, since each forgets it a minute after its row is gone and then takes it from the other as new. The list in greetings is bounded, but it would have pushed out those that are still there.

Change: what others tell of a run that is not in the table is skipped; it can get no request anyway.

Before: front.TestNewsOfLeavingReplicasEnd failed, 'a still tells of [{r 1}]'. After: both forget it.

--- a/front/notices.go
+++ b/front/notices.go
@@ -38,10 +38,13 @@
 	return notices.notices.Takes(run, notices.clock.Now())
 }
 
-// hearLeaving takes what another daemon tells of replicas that leave.
+// hearLeaving takes what another daemon tells of replicas that leave. Runs that are not in the table are skipped, so that
+// daemons do not remind each other for ever of one that is gone.
 func (daemon *Daemon) hearLeaving(runs []topology.Incarnation) {
 	for _, run := range runs {
-		daemon.noteLeaving(run, "Daemon")
+		if daemon.roster.Has(run) {
+			daemon.noteLeaving(run, "Daemon")
+		}
 	}
 }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -167,6 +167,14 @@
 	return all
 }
 
+// Has reports whether the run of the replica is in the table.
+func (roster *Roster) Has(run topology.Incarnation) bool {
+	roster.mutex.Lock()
+	defer roster.mutex.Unlock()
+	entry, ok := roster.entries[run.ID]
+	return ok && entry.Replica.Incarnation == run
+}
+
 // Usable returns the replicas that take new requests, ordered by identifier.
 func (roster *Roster) Usable() []topology.Replica {
 	var usable []topology.Replica
