Bound what is remembered of silent attempts and untold suspects

Found by reading: a replica that lived long kept its first 256 attempts without a word and took no new ones, so that its end was held against nobody; and the book of the product's own door, which shares suspects in another way, listed each fingerprint for telling without end.

Change: the oldest attempt makes room for the newest, and the list of suspects to tell is bounded like the book. A record that is dropped is logged.

Test: quarantine.TestMemoryOfTrackersIsBounded.

--- a/event/front.go
+++ b/event/front.go
@@ -14,7 +14,7 @@
 	EndCounted         = define(816, "EndCounted", Info, "A replica ended without notice after a request there got no word of it; the end is held against the request.")
 	SuspectLearnt      = define(817, "SuspectLearnt", Warning, "A request is refused from now on, since other daemons or the store tell that it crashed replicas.")
 	SuspectRecorded    = define(818, "SuspectRecorded", Info, "A request that crashed several replicas is recorded in the store.")
-	SuspectUnrecorded  = define(819, "SuspectUnrecorded", Warning, "A request that crashed several replicas cannot be recorded in the store; it is tried again.")
+	SuspectUnrecorded  = define(819, "SuspectUnrecorded", Warning, "A request that crashed several replicas cannot be recorded in the store; it is tried again unless Dropped is set.")
 	StoreLost          = define(820, "StoreLost", Warning, "The platform's store does not answer; what was read stays in force.")
 	StoreRegained      = define(821, "StoreRegained", Info, "The platform's store answers again.")
 	HistoryForgotten   = define(822, "HistoryForgotten", Info, "The store dropped the changes of a table; the table is read whole.")
--- a/front/suspects.go
+++ b/front/suspects.go
@@ -33,7 +33,7 @@
 	// recordPause is the pause between two records, and recordRetry that after a failed one.
 	recordPause = 50 * time.Millisecond
 	recordRetry = 400 * time.Millisecond
-	// mostUnrecorded is the number of suspects that wait to be recorded at most.
+	// mostUnrecorded is the largest number of suspects that wait to be recorded; others are dropped.
 	mostUnrecorded = 64
 	// sweepEvery is the interval of looking for records that nobody needs any more.
 	sweepEvery = time.Minute
@@ -150,9 +150,11 @@
 		case <-retry:
 		}
 		for _, suspect := range daemon.suspects.Unrecorded() {
-			if len(waiting) < mostUnrecorded {
-				waiting[suspect.Fingerprint] = true
+			if len(waiting) >= mostUnrecorded {
+				event.SuspectUnrecorded.Log("Fingerprint", suspect.Fingerprint, "Waiting", len(waiting), "Dropped", true)
+				continue
 			}
+			waiting[suspect.Fingerprint] = true
 		}
 		daemon.recordAll(ctx, waiting)
 	}
--- a/quarantine/share.go
+++ b/quarantine/share.go
@@ -11,10 +11,10 @@
 
 // turns orders what a daemon tells others of: refused suspects again and again, and others a few times after each change.
 type turns struct {
-	// always holds the fingerprints of refused suspects, and fresh those of others, each in the order of their turn. Of
-	// those that are forgotten since, some may still be there.
+	// always holds the fingerprints of refused suspects, and fresh those of others, at most capacity, each in the order of
+	// their turn. Of those that are forgotten since, some may still be there.
 	always, fresh []uint64
-	// told counts how often each of fresh was told since it last changed.
+	// told counts how often each of fresh was told since it last changed; it has the same fingerprints.
 	told map[uint64]int
 }
 
@@ -25,6 +25,7 @@
 	case refused && !slices.Contains(turns.always, fingerprint):
 		turns.always = append(turns.always, fingerprint)
 	case !refused && !waits:
+		turns.makeRoom()
 		turns.fresh = append(turns.fresh, fingerprint)
 	}
 	if !refused {
@@ -32,6 +33,14 @@
 	}
 }
 
+// makeRoom drops the one whose turn is next if there are too many.
+func (turns *turns) makeRoom() {
+	if len(turns.fresh) >= capacity {
+		delete(turns.told, turns.fresh[0])
+		turns.fresh = turns.fresh[1:]
+	}
+}
+
 // nextAlways returns the refused suspect whose turn it is and moves it to the end.
 func (turns *turns) nextAlways() uint64 {
 	fingerprint := turns.always[0]
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -11,8 +11,9 @@
 	// doubtTime is how long after an attempt without a word of its replica the end of that replica counts against
 	// the request.
 	doubtTime = 10 * time.Second
-	// mostDoubts is the largest number of replicas with such attempts, and of such attempts at each.
-	mostDoubts = 256
+	// mostDoubtful is the largest number of replicas with such attempts, and mostDoubts that of such attempts at each.
+	mostDoubtful = 1024
+	mostDoubts   = 256
 	// mostBreaks is the largest number of replicas with breaks that are told apart for one request.
 	mostBreaks = 64
 )
@@ -94,12 +95,17 @@
 func (tracker *Tracker) Silent(fingerprint uint64, crash Crash, now time.Time) {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	if _, known := tracker.doubts[crash]; !known && len(tracker.doubts) >= mostDoubts {
+	doubts, known := tracker.doubts[crash]
+	if !known && len(tracker.doubts) >= mostDoubtful {
 		tracker.forgetDoubts(now)
 	}
-	if len(tracker.doubts) < mostDoubts && len(tracker.doubts[crash]) < mostDoubts {
-		tracker.doubts[crash] = append(tracker.doubts[crash], doubt{fingerprint, now})
+	if !known && len(tracker.doubts) >= mostDoubtful {
+		return
+	}
+	if len(doubts) >= mostDoubts {
+		doubts = doubts[1:]
 	}
+	tracker.doubts[crash] = append(doubts, doubt{fingerprint, now})
 }
 
 // Ended notes that a run of a replica ended without notice, and returns the requests that this is counted against.
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -186,3 +186,28 @@
 		t.Error("a daemon that only heard of a suspect records it too")
 	}
 }
+
+// TestMemoryOfTrackersIsBounded covers replicas that leave many attempts without a word, and books that nobody shares.
+func TestMemoryOfTrackersIsBounded(t *testing.T) {
+	tracker, now := NewTracker(3), time.Unix(1000, 0)
+	for n := range 3 * mostDoubts {
+		tracker.Silent(uint64(100+n), crash(1), now)
+	}
+	tracker.Silent(1, crash(1), now)
+	if counted := tracker.Ended(crash(1), now); len(counted) != mostDoubts || counted[mostDoubts-1] != 1 {
+		t.Errorf("%d attempts count, the last is not among them", len(counted))
+	}
+	for n := range 2 * mostDoubtful {
+		tracker.Silent(1, crash(n), now)
+	}
+	tracker.Silent(1, crash(-1), now.Add(doubtTime))
+	if len(tracker.doubts) != 1 {
+		t.Errorf("%d replicas are in doubt", len(tracker.doubts))
+	}
+	for n := range uint64(3 * capacity) {
+		tracker.Broke(1000+n, crash(1), now)
+	}
+	if turns := &tracker.book.turns; len(turns.fresh) > capacity || len(turns.told) != len(turns.fresh) || len(tracker.breaks) > capacity {
+		t.Errorf("%d wait to be told, %d are counted, %d breaks", len(turns.fresh), len(turns.told), len(tracker.breaks))
+	}
+}
