--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -29,6 +29,27 @@
 	})
 }
 
+// TestRestingEngineGetsNothing covers an engine that wants nothing for a while: neither an order nor a question goes there,
+// and what is wanted is loaded right after. The end of the wait is nobody's word but its own.
+func TestRestingEngineGetsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		place := newPlace("a", &tenure{}, &engineSim{})
+		place.tenure.grant(1, time.Minute)
+		back := time.Now().Add(2 * time.Second)
+		place.deps.Resting = func(_ topology.Incarnation, now time.Time) (time.Time, bool) { return back, now.Before(back) }
+		place.want("m3", 1)
+		place.run(t, 1900*time.Millisecond)
+		if len(place.sim.log) != 0 {
+			t.Errorf("%d orders arrived during the rest", len(place.sim.log))
+		}
+		place.want("m3", 1)
+		place.run(t, 2*time.Second)
+		if place.sim.loads("m3") != 1 || place.sim.log[0].at.Before(back) {
+			t.Errorf("%d loads, the first order at %v", place.sim.loads("m3"), place.sim.log)
+		}
+	})
+}
+
 // TestHeirKnowsTheLoadOnItsWay hands the lease over in the middle of a load that requests wait for.
 func TestHeirKnowsTheLoadOnItsWay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
