Apply a changed replica row at the cost of that row

Cause: each change of the replica table sorted all entries three times, made all lists of candidates and a map of states anew; housekeeping did the first twice a second.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -23,8 +23,10 @@
 	clock clock.PassiveClock
 
 	mutex sync.Mutex
-	// replicas lists the replicas that take new requests.
-	replicas []topology.Replica
+	// held maps identifiers to the replicas that take new requests.
+	held map[string]*topology.Replica
+	// rebuilt is when all lists were last made anew.
+	rebuilt time.Time
 	// announced is the newest announcement, and placements its engines.
 	announced  Announcement
 	placements map[topology.Incarnation]Placement
@@ -51,20 +53,13 @@
 func New(clk clock.PassiveClock) *Directory {
 	return &Directory{
 		clock:      clk,
+		held:       map[string]*topology.Replica{},
 		placements: map[topology.Incarnation]Placement{},
 		absent:     map[demand.Place]time.Time{},
 		changed:    make(chan struct{}),
 	}
 }
 
-// SetReplicas takes the replicas that take new requests.
-func (directory *Directory) SetReplicas(replicas []topology.Replica) {
-	directory.mutex.Lock()
-	defer directory.mutex.Unlock()
-	directory.replicas = replicas
-	directory.rebuild()
-}
-
 // Announce takes the announcement if it is newer than the last one, and reports whether it is.
 func (directory *Directory) Announce(announcement Announcement) bool {
 	directory.mutex.Lock()
@@ -124,63 +119,6 @@
 	return directory.heard
 }
 
-// rebuild makes the lists of candidates anew and wakes who waits. The mutex is held.
-func (directory *Directory) rebuild() {
-	directory.plain = map[string][]balance.Candidate{}
-	directory.engines = map[demand.Key][]member{}
-	directory.listed = make(map[topology.Incarnation]listing, len(directory.replicas))
-	for index := range directory.replicas {
-		replica := &directory.replicas[index]
-		directory.plain[replica.Service] = append(directory.plain[replica.Service], candidate(replica))
-		directory.list(replica)
-	}
-	directory.tell()
-}
-
-// listing is what a replica is listed for.
-type listing struct {
-	replica *topology.Replica
-	models  []demand.Key
-}
-
-// candidate returns the replica as a candidate.
-func candidate(replica *topology.Replica) balance.Candidate {
-	return balance.Candidate{
-		Incarnation: replica.Incarnation,
-		Address:     replica.Address,
-		Zone:        replica.Zone,
-		Slots:       replica.Slots,
-	}
-}
-
-// list adds the replica to the lists of the models that it has. The mutex is held.
-func (directory *Directory) list(replica *topology.Replica) {
-	listed := listing{replica: replica}
-	holding := directory.holding(replica)
-	for _, loaded := range holding.Models {
-		key := demand.Key{Service: replica.Service, Model: loaded.Model}
-		directory.engines[key] = append(directory.engines[key], member{candidate(replica), loaded.Adapters})
-		listed.models = append(listed.models, key)
-	}
-	directory.listed[replica.Incarnation] = listed
-}
-
-// revise lists one replica anew, if it is in use. The mutex is held.
-func (directory *Directory) revise(incarnation topology.Incarnation) {
-	listed, ok := directory.listed[incarnation]
-	if !ok {
-		return
-	}
-	for _, key := range listed.models {
-		members := slices.DeleteFunc(directory.engines[key], func(member member) bool { return member.Incarnation == incarnation })
-		directory.engines[key] = members
-		if len(members) == 0 {
-			delete(directory.engines, key)
-		}
-	}
-	directory.list(listed.replica)
-}
-
 // tell wakes who waits for a change. The mutex is held.
 func (directory *Directory) tell() {
 	close(directory.changed)
@@ -258,5 +196,5 @@
 func (directory *Directory) Known() bool {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
-	return len(directory.replicas) > 0
+	return len(directory.held) > 0
 }
--- a/front/duties.go
+++ b/front/duties.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bronzestall/bronzestall/event"
+	"github.com/bronzestall/bronzestall/roster"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
@@ -61,14 +62,19 @@
 	return daemon.clock.Since(daemon.directory.Heard()) < holderSilence
 }
 
-// houseEvery is the interval of housekeeping.
-const houseEvery = 500 * time.Millisecond
+const (
+	// houseEvery is the interval of housekeeping.
+	houseEvery = 500 * time.Millisecond
+	// forgetSteps is the number of its steps between two looks for replicas that are gone.
+	forgetSteps = 10
+)
 
 // keepHouse closes expired connections, forgets replicas that are gone and shares out second sendings.
 func (daemon *Daemon) keepHouse(ctx context.Context) error {
 	ticker := daemon.clock.NewTicker(houseEvery)
 	defer ticker.Stop()
 	var most peak
+	step := 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -79,14 +85,10 @@
 		daemon.seat.Store(int64(daemon.rank()))
 		daemon.chooseReaders()
 		daemon.reportDropped()
-		live := map[topology.Incarnation]bool{}
-		for _, entry := range daemon.roster.Entries() {
-			live[entry.Replica.Incarnation] = true
+		if step++; step%forgetSteps == 0 {
+			daemon.forgetReplicas(daemon.roster.Entries())
 		}
-		daemon.balancer.Forget(live)
-		now := daemon.clock.Now()
-		daemon.notices.Forget(live, now.Add(-noticeLife), now)
-		daemon.measureReplicas(now)
+		daemon.measureReplicas(daemon.clock.Now())
 		if daemon.clock.Since(daemon.directory.Heard()) > holderSilence {
 			daemon.balancer.SetOthers(daemon.mesh.Running())
 		}
@@ -95,6 +97,17 @@
 	}
 }
 
+// forgetReplicas drops what is known of replicas that are not among the entries.
+func (daemon *Daemon) forgetReplicas(entries []roster.Entry) {
+	live := make(map[topology.Incarnation]bool, len(entries))
+	for index := range entries {
+		live[entries[index].Replica.Incarnation] = true
+	}
+	daemon.balancer.Forget(live)
+	now := daemon.clock.Now()
+	daemon.notices.Forget(live, now.Add(-noticeLife), now)
+}
+
 // settingsEvery is the interval of looking whether the settings file changed.
 const settingsEvery = 2 * time.Second
 
--- a/front/notices.go
+++ b/front/notices.go
@@ -6,6 +6,7 @@
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/meter"
 	"github.com/bronzestall/bronzestall/notice"
+	"github.com/bronzestall/bronzestall/roster"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
@@ -57,12 +58,13 @@
 	daemon.applySoon()
 }
 
-// usable returns the replicas that take new requests: those of the table that did not say that they leave.
-func (daemon *Daemon) usable() []topology.Replica {
-	var usable []topology.Replica
-	for _, replica := range daemon.roster.Usable() {
-		if !daemon.notices.Leaving(replica.Incarnation) {
-			usable = append(usable, replica)
+// usable returns the replicas of the entries that take new requests, also by their own word.
+func (daemon *Daemon) usable(entries []roster.Entry) []topology.Replica {
+	usable := make([]topology.Replica, 0, len(entries))
+	for index := range entries {
+		replica := &entries[index].Replica
+		if !replica.Draining && !daemon.notices.Leaving(replica.Incarnation) {
+			usable = append(usable, *replica)
 		}
 	}
 	return usable
--- a/front/notices_test.go
+++ b/front/notices_test.go
@@ -24,8 +24,8 @@
 	notices{daemons[0]}.Hear(run, notice.Notice{Leaving: true})
 	exchange()
 	for _, daemon := range daemons {
-		if len(daemon.usable()) != 0 || len(daemon.roster.Usable()) != 1 {
-			t.Errorf("%s uses %v", daemon.settings.Name, daemon.usable())
+		if usable := daemon.usable(daemon.roster.Entries()); len(usable) != 0 || len(daemon.roster.Usable()) != 1 {
+			t.Errorf("%s uses %v", daemon.settings.Name, usable)
 		}
 		daemon.roster.Drop("r", 2, daemon.clock.Now())
 	}
--- a/front/replicas.go
+++ b/front/replicas.go
@@ -107,8 +107,7 @@
 func (daemon *Daemon) applyReplicas(ctx context.Context) error {
 	ticker := daemon.clock.NewTicker(settleEvery)
 	defer ticker.Stop()
-	var known map[string]string
-	var before []roster.Entry
+	var last []roster.Entry
 	for {
 		select {
 		case <-ctx.Done():
@@ -119,36 +118,61 @@
 			}
 		case <-daemon.replicasChanged:
 		}
-		usable := daemon.usable()
-		wasReady := daemon.isReady()
-		daemon.directory.SetReplicas(usable)
-		if configuration := daemon.relay.Configuration(); configuration != nil {
-			daemon.scheduler.Learn(configuration, usable)
-		}
-		if !wasReady && daemon.isReady() {
-			event.FrontReady.Log("Daemon", daemon.settings.Name, "Replicas", len(usable))
-		}
-		known = daemon.logReplicas(known)
-		entries := daemon.roster.Entries()
-		daemon.noteEnds(before, entries)
-		before = entries
+		last = daemon.apply(last)
 	}
 }
 
-// logReplicas logs the replicas that are new or changed their state, and returns the states.
-func (daemon *Daemon) logReplicas(known map[string]string) map[string]string {
-	states := map[string]string{}
-	for _, entry := range daemon.roster.Entries() {
-		replica := &entry.Replica
-		state := replica.Address
-		if replica.Draining {
-			state += " draining"
-		}
-		states[replica.ID] = state
-		if known[replica.ID] != state {
-			event.ReplicaTaken.Log("Replica", replica.ID, "Born", replica.Born, "Service", replica.Service, "Address", replica.Address,
-				"Zone", replica.Zone, "Draining", replica.Draining, "Version", entry.Version)
+// apply passes the usable replicas on, notes what changed since the entries of the last time, and returns those of now.
+func (daemon *Daemon) apply(last []roster.Entry) []roster.Entry {
+	entries := daemon.roster.Entries()
+	usable := daemon.usable(entries)
+	wasReady := daemon.isReady()
+	daemon.directory.SetReplicas(usable)
+	if configuration := daemon.relay.Configuration(); configuration != nil {
+		daemon.scheduler.Learn(configuration, usable)
+	}
+	if !wasReady && daemon.isReady() {
+		event.FrontReady.Log("Daemon", daemon.settings.Name, "Replicas", len(usable))
+	}
+	daemon.noteChanges(last, entries)
+	return entries
+}
+
+// noteChanges logs the replicas that are new or changed their state, and counts the runs that ended. Both lists are ordered
+// by identifier.
+func (daemon *Daemon) noteChanges(before, after []roster.Entry) {
+	for len(before) > 0 || len(after) > 0 {
+		switch {
+		case len(after) == 0 || (len(before) > 0 && before[0].Replica.ID < after[0].Replica.ID):
+			daemon.noteEnd(&before[0].Replica)
+			before = before[1:]
+		case len(before) == 0 || before[0].Replica.ID > after[0].Replica.ID:
+			logReplica(&after[0])
+			after = after[1:]
+		default:
+			daemon.noteChange(&before[0], &after[0])
+			before, after = before[1:], after[1:]
 		}
 	}
-	return states
+}
+
+// noteChange notes what changed of one replica.
+func (daemon *Daemon) noteChange(before, after *roster.Entry) {
+	if before.Version == after.Version {
+		return
+	}
+	old, now := &before.Replica, &after.Replica
+	if old.Incarnation != now.Incarnation {
+		daemon.noteEnd(old)
+	}
+	if old.Incarnation != now.Incarnation || old.Address != now.Address || old.Draining != now.Draining {
+		logReplica(after)
+	}
+}
+
+// logReplica logs the state of a replica.
+func logReplica(entry *roster.Entry) {
+	replica := &entry.Replica
+	event.ReplicaTaken.Log("Replica", replica.ID, "Born", replica.Born, "Service", replica.Service, "Address", replica.Address,
+		"Zone", replica.Zone, "Draining", replica.Draining, "Version", entry.Version)
 }
--- a/front/suspects.go
+++ b/front/suspects.go
@@ -14,7 +14,6 @@
 	"github.com/bronzestall/bronzestall/platform"
 	"github.com/bronzestall/bronzestall/quarantine"
 	"github.com/bronzestall/bronzestall/relay"
-	"github.com/bronzestall/bronzestall/roster"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
@@ -61,20 +60,13 @@
 	}
 }
 
-// noteEnds counts the replicas that are gone without notice against the requests that got no word of them.
-func (daemon *Daemon) noteEnds(before, after []roster.Entry) {
-	now := daemon.clock.Now()
-	live := map[topology.Incarnation]bool{}
-	for _, entry := range after {
-		live[entry.Replica.Incarnation] = true
+// noteEnd counts the end of a run of a replica, unless it was announced, against the requests that got no word of it.
+func (daemon *Daemon) noteEnd(replica *topology.Replica) {
+	if replica.Draining || daemon.notices.Leaving(replica.Incarnation) {
+		return
 	}
-	for _, entry := range before {
-		if live[entry.Replica.Incarnation] || entry.Replica.Draining || daemon.notices.Leaving(entry.Replica.Incarnation) {
-			continue
-		}
-		for _, fingerprint := range daemon.suspects.Ended(relay.CrashOf(entry.Replica.Incarnation), now) {
-			event.EndCounted.Log("Fingerprint", fingerprint, "Replica", entry.Replica.ID, "Born", entry.Replica.Born)
-		}
+	for _, fingerprint := range daemon.suspects.Ended(relay.CrashOf(replica.Incarnation), daemon.clock.Now()) {
+		event.EndCounted.Log("Fingerprint", fingerprint, "Replica", replica.ID, "Born", replica.Born)
 	}
 }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -19,6 +18,10 @@
 	mutex sync.Mutex
 	// entries maps identifiers to replicas.
 	entries map[string]Entry
+	// sorted lists the entries by identifier, or is nil after a change until it is asked for; order lists the identifiers,
+	// or is nil after a replica came or went.
+	sorted []Entry
+	order  []string
 	// version is the version of the table up to which changes were applied.
 	version uint64
 	// removed lists the rows that were removed lately, the first first, and forgotten is the version up to which
@@ -91,18 +94,36 @@
 func (roster *Roster) put(entry Entry) bool {
 	known, ok := roster.entries[entry.Replica.ID]
 	if ok && known.Version >= entry.Version {
-		known.Missing = time.Time{}
-		roster.entries[entry.Replica.ID] = known
+		if !known.Missing.IsZero() {
+			known.Missing = time.Time{}
+			roster.set(known)
+		}
 		return false
 	}
 	entry.Changed = entry.Version
 	if ok && known.Missing.IsZero() && entry.sameRoute(&known) {
 		entry.Changed = known.Changed
 	}
-	roster.entries[entry.Replica.ID] = entry
+	roster.set(entry)
 	return entry.Changed == entry.Version
 }
 
+// set keeps the entry under its identifier. The mutex is held.
+func (roster *Roster) set(entry Entry) {
+	id := entry.Replica.ID
+	if _, known := roster.entries[id]; !known {
+		roster.order = nil
+	}
+	roster.entries[id] = entry
+	roster.sorted = nil
+}
+
+// remove drops the entry of the identifier. The mutex is held.
+func (roster *Roster) remove(id string) {
+	delete(roster.entries, id)
+	roster.order, roster.sorted = nil, nil
+}
+
 // Drop takes the removal of a row, which was the change of the version.
 func (roster *Roster) Drop(id string, version uint64, now time.Time) {
 	roster.mutex.Lock()
@@ -121,12 +142,12 @@
 		roster.noteRemoval(id, version)
 	}
 	if roster.outageEnded.IsZero() || now.Sub(roster.outageEnded) >= Grace {
-		delete(roster.entries, id)
+		roster.remove(id)
 		return
 	}
 	if entry.Missing.IsZero() {
 		entry.Missing = now
-		roster.entries[id] = entry
+		roster.set(entry)
 	}
 }
 
@@ -149,22 +170,30 @@
 	roster.mutex.Lock()
 	defer roster.mutex.Unlock()
 	before := len(roster.entries)
-	maps.DeleteFunc(roster.entries, func(_ string, entry Entry) bool {
-		return !entry.Missing.IsZero() && now.Sub(roster.outageEnded) >= Grace
-	})
+	for id, entry := range roster.entries {
+		if !entry.Missing.IsZero() && now.Sub(roster.outageEnded) >= Grace {
+			roster.remove(id)
+		}
+	}
 	return len(roster.entries) != before
 }
 
-// Entries returns all entries, ordered by identifier.
+// Entries returns all entries, ordered by identifier. The list is the same until something changes, and must not be
+// changed by the caller.
 func (roster *Roster) Entries() []Entry {
 	roster.mutex.Lock()
 	defer roster.mutex.Unlock()
-	all := make([]Entry, 0, len(roster.entries))
-	for _, entry := range roster.entries {
-		all = append(all, entry)
+	if roster.sorted != nil {
+		return roster.sorted
+	}
+	if roster.order == nil {
+		roster.order = slices.Sorted(maps.Keys(roster.entries))
+	}
+	roster.sorted = make([]Entry, 0, len(roster.order))
+	for _, id := range roster.order {
+		roster.sorted = append(roster.sorted, roster.entries[id])
 	}
-	slices.SortFunc(all, func(a, b Entry) int { return strings.Compare(a.Replica.ID, b.Replica.ID) })
-	return all
+	return roster.sorted
 }
 
 // Has reports whether the run of the replica is in the table.
