--- a/front/daemon.go
+++ b/front/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/bronzestall/bronzestall/notice"
 	"github.com/bronzestall/bronzestall/platform"
 	"github.com/bronzestall/bronzestall/quarantine"
+	"github.com/bronzestall/bronzestall/ratelimit"
 	"github.com/bronzestall/bronzestall/relay"
 	"github.com/bronzestall/bronzestall/roster"
 	"github.com/bronzestall/bronzestall/scheduler"
@@ -69,6 +70,7 @@
 	demand    *demand.Counter
 	suspects  *quarantine.Tracker
 	notices   *notice.Registry
+	limits    *ratelimit.Table
 	relay     *relay.Relay
 	ingress   *ingress.Ingress
 	mesh      *mesh.Node
@@ -129,6 +131,7 @@
 		demand:          demand.New(),
 		suspects:        quarantine.NewTracker(crashLimit),
 		notices:         notice.New(),
+		limits:          ratelimit.NewTable(),
 		suspectRows:     map[string]suspectRow{},
 		reportRequested: make(chan struct{}, 1),
 		stopStarted:     make(chan struct{}),
@@ -149,6 +152,7 @@
 		Suspects:    daemon.suspects,
 		Notices:     daemon.notices,
 		OnModelWait: daemon.requestReport,
+		OnSend:      daemon.countSent,
 		DaemonIndex: func() int { return int(daemon.daemonIndex.Load()) },
 		Clock:       clk,
 	})
--- a/front/notices.go
+++ b/front/notices.go
@@ -29,7 +29,10 @@
 	if received.Backoff > 0 && listener.notices.SetBackoff(incarnation, now.Add(received.Backoff), now) {
 		event.ReplicaRests.Log("Replica", incarnation.ID, "Born", incarnation.Started, "For", received.Backoff)
 	}
-	if received.Malformed != "" && listener.notices.MarkMalformed(incarnation) {
+	if received.Malformed != "" {
+		listener.meter.Count(meter.NoticesMalformed, meter.Labels{Kind: received.Malformed}, 1)
+	}
+	if received.Malformed != "" && listener.notices.MarkMalformed(incarnation, received.Malformed) {
 		event.NoticeSkipped.Log("Replica", incarnation.ID, "Born", incarnation.Started, "Header", received.Malformed, "LongestRest", notice.MaxBackoff)
 	}
 }
--- a/meter/name.go
+++ b/meter/name.go
@@ -45,6 +45,14 @@
 	ReplicasLeaving Name = "bronzestall_replicas_leaving"
 	// ReplicasResting is the number of upstreams in backoff, which asked for no requests for a period.
 	ReplicasResting Name = "bronzestall_replicas_resting"
+	// ReplicaLimit is the limit that a replica named, in thousandths of a request per second; zero after it ended.
+	ReplicaLimit Name = "bronzestall_replica_limit_milli"
+	// ReplicaLimitAge is the time since a response last confirmed the limit of a replica, in milliseconds.
+	ReplicaLimitAge Name = "bronzestall_replica_limit_age_milliseconds"
+	// LimitedSent counts requests sent to a replica while its limit was known.
+	LimitedSent Name = "bronzestall_limited_requests_sent"
+	// NoticesMalformed counts responses with a notice of the replica that could not be decoded, by header.
+	NoticesMalformed Name = "bronzestall_notices_malformed"
 	// PeersHeard is the number of daemons that were seen recently.
 	PeersHeard Name = "bronzestall_peers_heard"
 )
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -8,6 +8,10 @@
 	Leaving bool
 	// Backoff is how long the replica asks to receive no requests; zero if it does not ask.
 	Backoff time.Duration
+	// Limit is the number of requests per second that the replica accepts from all daemons together, and LimitNamed is
+	// set if the response names one.
+	Limit      float64
+	LimitNamed bool
 	// Malformed is the name of a header that could not be decoded as a notice; it is empty if there was none.
 	Malformed string
 }
--- a/notice/registry.go
+++ b/notice/registry.go
@@ -20,8 +20,14 @@
 	leaving map[topology.Incarnation]time.Time
 	// backoffs maps incarnations to the end of their backoff.
 	backoffs map[topology.Incarnation]time.Time
-	// malformed holds the incarnations that sent a notice which could not be decoded.
-	malformed map[topology.Incarnation]bool
+	// malformed holds the headers, by incarnation, that could not be decoded as a notice.
+	malformed map[malformedHeader]bool
+}
+
+// malformedHeader identifies a header of the responses of one incarnation.
+type malformedHeader struct {
+	topology.Incarnation
+	name string
 }
 
 // New returns an empty registry.
@@ -29,7 +35,7 @@
 	return &Registry{
 		leaving:   map[topology.Incarnation]time.Time{},
 		backoffs:  map[topology.Incarnation]time.Time{},
-		malformed: map[topology.Incarnation]bool{},
+		malformed: map[malformedHeader]bool{},
 	}
 }
 
@@ -70,17 +76,19 @@
 	return true
 }
 
-// MarkMalformed records that a notice of the incarnation could not be decoded, and reports whether it is the first.
-func (registry *Registry) MarkMalformed(incarnation topology.Incarnation) bool {
+// MarkMalformed records that a header of the incarnation could not be decoded as a notice, and reports whether it is the
+// first time for this header.
+func (registry *Registry) MarkMalformed(incarnation topology.Incarnation, header string) bool {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
-	if registry.malformed[incarnation] {
+	key := malformedHeader{incarnation, header}
+	if registry.malformed[key] {
 		return false
 	}
 	if len(registry.malformed) >= maxIncarnations {
 		clear(registry.malformed)
 	}
-	registry.malformed[incarnation] = true
+	registry.malformed[key] = true
 	return true
 }
 
@@ -137,7 +145,7 @@
 	defer registry.mutex.Unlock()
 	maps.DeleteFunc(registry.leaving, func(key topology.Incarnation, marked time.Time) bool { return !live[key] && marked.Before(before) })
 	maps.DeleteFunc(registry.backoffs, func(_ topology.Incarnation, until time.Time) bool { return !until.After(now) })
-	maps.DeleteFunc(registry.malformed, func(key topology.Incarnation, _ bool) bool { return !live[key] })
+	maps.DeleteFunc(registry.malformed, func(key malformedHeader, _ bool) bool { return !live[key.Incarnation] })
 }
 
 // earliest returns the incarnation with the earliest time.
--- a/notice/registry_test.go
+++ b/notice/registry_test.go
@@ -80,7 +80,7 @@
 		other := topology.Incarnation{ID: "b", Started: born}
 		registry.MarkLeaving(other, start.Add(time.Duration(born)))
 		registry.SetBackoff(other, start.Add(time.Hour-time.Duration(maxIncarnations+10-born)), start)
-		registry.MarkMalformed(other)
+		registry.MarkMalformed(other, "Retry-After")
 	}
 	if leaving, inBackoff := registry.Counts(start); leaving != maxIncarnations || inBackoff != maxIncarnations || len(registry.malformed) > maxIncarnations {
 		t.Errorf("%d leaving, %d in backoff, %d malformed", leaving, inBackoff, len(registry.malformed))
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -38,6 +38,9 @@
 	defer cancel(nil)
 	watchdog := transaction.watchdog(cancel)
 	defer watchdog.stop()
+	if transaction.relay.deps.OnSend != nil {
+		transaction.relay.deps.OnSend(candidate.Incarnation)
+	}
 	transaction.sends++
 	transaction.runs++
 	reply, err := transaction.relay.deps.Upstream.Send(ctx, transaction.request, exchange.Attempt{
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -19,7 +19,7 @@
 	"github.com/bronzestall/bronzestall/topology"
 )
 
-// Deps holds the dependencies of a Relay. All fields but OnModelWait and DaemonIndex must be set.
+// Deps holds the dependencies of a Relay. All fields but OnModelWait, OnSend and DaemonIndex must be set.
 type Deps struct {
 	// Upstream sends requests to replicas.
 	Upstream Upstream
@@ -35,6 +35,8 @@
 	Notices *notice.Registry
 	// OnModelWait is called when a request begins to wait for a model.
 	OnModelWait func()
+	// OnSend is called before each attempt; nil does nothing.
+	OnSend func(replica topology.Incarnation)
 	// DaemonIndex returns the index of the daemon among all daemons; nil means zero.
 	DaemonIndex func() int
 	// Clock provides the time and timers.
