Add a failing test of the limit that a replica names

frontsoak.TestLimitHoldsForAllDaemonsTogether runs four daemons as processes at 40 requests a second beside replicas that name Server-Limit, and judges as the users' rule LIMIT does: from 3 s after the first naming, at most 1.5 times the limit and 5 requests in any 4 s from daemons that it had told. All daemons log the limit within the first second and go on to send as before, each request once.

Failing test: go test ./internal/frontsoak -run TestLimitHoldsForAllDaemonsTogether

--- a/internal/frontsoak/checker_test.go
+++ b/internal/frontsoak/checker_test.go
@@ -34,6 +34,8 @@
 	crashes map[string]crashRecord
 	// notices holds what replicas reported about themselves.
 	notices notices
+	// limits lists the periods in which replicas name limits.
+	limits []*limitPeriod
 }
 
 // receivedOrder is an order with the time at which an engine received it.
@@ -158,5 +160,6 @@
 		}
 	}
 	checker.checkCrashes()
+	checker.checkLimits()
 	return checker.violations
 }
--- a/internal/frontsoak/client_test.go
+++ b/internal/frontsoak/client_test.go
@@ -92,6 +92,9 @@
 	if response.Header.Get(leavingHeader) != "" {
 		client.checker.recordForwardedLeaving(response.Header.Get(replicaHeader), daemon)
 	}
+	if response.Header.Get(limitHeader) != "" {
+		client.checker.recordForwardedLimit(response.Header.Get(replicaHeader), daemon)
+	}
 	content, err := io.ReadAll(response.Body)
 	client.checker.count(fmt.Sprint(response.StatusCode, " ", err == nil))
 	return client.check(id, kind, response, string(content), err)
--- a/internal/frontsoak/notices_test.go
+++ b/internal/frontsoak/notices_test.go
@@ -108,6 +108,7 @@
 	if reportedAt, leaving := checker.notices.forwardedLeaving[key]; leaving && now.Sub(reportedAt) > leavingBound && !checker.restartedSince(daemon, reportedAt) {
 		checker.recordViolationLocked("%s reached %s from %s %v after the replica had reported that it is leaving", id, replica, daemon, now.Sub(reportedAt))
 	}
+	checker.recordLimitedArrival(replica, daemon, now)
 	period, known := checker.notices.backoffs[key]
 	if !known || now.Before(period.from) || now.After(period.until) {
 		return
@@ -145,6 +146,7 @@
 	leaving, remaining := replica.draining || replica.announcesLeaving, time.Until(replica.backoffUntil)
 	replica.mutex.Unlock()
 	writer.Header().Set(replicaHeader, incarnation)
+	replica.writeLimit(writer)
 	if leaving {
 		writer.Header().Set(leavingHeader, "1")
 	}
--- a/internal/frontsoak/replica_test.go
+++ b/internal/frontsoak/replica_test.go
@@ -51,6 +51,8 @@
 	announcesLeaving bool
 	// backoffUntil is the time until which the replica asks for no requests.
 	backoffUntil time.Time
+	// limit is the requests per second that responses name as the limit of the replica; zero names none.
+	limit float64
 	// delayedOrders is the number of coming orders that get no response and are executed later.
 	delayedOrders int
 }
