Keep to the limits that replicas name, all daemons together

Cause: the header was passed on to clients and read by nobody.

Change: a request is sent to a replica with a limit only with a token for it. Each daemon asks one daemon per replica, which divides the limit by demand (package ratelimit), in messages of their own that no choice waits for. Repeats and resumed streams need a token as first sendings do; a request chosen before the limit was known is chosen anew. Requests whose replicas are all used up wait for a token by priority within their targets, or are refused with the time of the next one; a begun stream waits until its deadline. Limits spread with greetings; a daemon that starts is told all before it is ready.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -25,6 +25,8 @@
 	// preferredFactor multiplies the score of the replica that this daemon prefers, so that prompts of different
 	// daemons are seldom sent to the same replica.
 	preferredFactor = 0.8
+	// reservedFactor multiplies the score of a replica with a limit for which a token is at hand.
+	reservedFactor = 0.5
 	// prefillCost is added for each prefillUnitTokens tokens of prompts that a replica has not read yet: reading them
 	// delays the events of all its streams.
 	prefillCost       = 1.5
@@ -158,6 +160,9 @@
 	if candidate.Zone != criteria.Zone {
 		score *= remoteZoneFactor
 	}
+	if candidate.Reserved {
+		score *= reservedFactor
+	}
 	return score * (1 + jitter*balancer.random.Float64())
 }
 
@@ -239,6 +244,12 @@
 	balancer.load(incarnation).local.Running--
 }
 
+// Withdraw undoes a choice for which no request was sent.
+func (balancer *Balancer) Withdraw(chosen Candidate, criteria Criteria) {
+	balancer.EndWait(chosen, criteria, 0, false)
+	balancer.Cancel(chosen.Incarnation)
+}
+
 // SetRemoteInFlight replaces the requests in flight from other daemons, by incarnation. Incarnations that were never
 // a candidate are ignored.
 func (balancer *Balancer) SetRemoteInFlight(running map[topology.Incarnation]demand.InFlight) {
--- a/balance/criteria.go
+++ b/balance/criteria.go
@@ -38,6 +38,8 @@
 	Zone string
 	// Slots is the number of requests that the replica runs at once; it is at least one.
 	Slots int
+	// Reserved is set if a token for the limit of the replica is at hand, so that another replica need not be loaded.
+	Reserved bool
 	// ChosenAt is when the replica was chosen; it is set by Choose.
 	ChosenAt time.Time
 	// QueuedAhead is the number of requests at the replica that were expected to get their first event earlier; it is
--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -20,6 +20,9 @@
 	HasPriority bool
 	// AtMostOnce states that the request must not be retried after an attempt that may have run it.
 	AtMostOnce bool
+	// Counted states that the attempt counts against the limit that the replica named. Others are not sent to a replica
+	// with a limit.
+	Counted bool
 	// ResumeAfter is the ID of the last event that the client has received; zero requests the whole stream.
 	ResumeAfter uint64
 }
--- a/front/daemon.go
+++ b/front/daemon.go
@@ -59,7 +59,9 @@
 	// droppedLines returns the number of log lines dropped since its last call; may be nil.
 	droppedLines func() int64
 	clock        clock.WithTicker
-	meter        *meter.Meter
+	// started is when the daemon was created.
+	started time.Time
+	meter   *meter.Meter
 
 	pool      *connection.Pool
 	store     *platform.RowStore
@@ -71,6 +73,8 @@
 	suspects  *quarantine.Tracker
 	notices   *notice.Registry
 	limits    *ratelimit.Table
+	limiter   *ratelimit.Limiter
+	allocator *ratelimit.Allocator
 	relay     *relay.Relay
 	ingress   *ingress.Ingress
 	mesh      *mesh.Node
@@ -108,6 +112,9 @@
 	// last received an update.
 	relayedStoreSeen time.Time
 	currentReader    string
+	// membership is what this daemon knows of all daemons that may divide limits, and grantorRoute chooses among them.
+	membership   *ratelimit.Membership
+	grantorRoute *ratelimit.Route
 	// suspectRows holds the known rows of the suspect table by row key.
 	suspectRows map[string]suspectRow
 }
@@ -132,12 +139,17 @@
 		suspects:        quarantine.NewTracker(crashLimit),
 		notices:         notice.New(),
 		limits:          ratelimit.NewTable(),
+		allocator:       ratelimit.NewAllocator(),
+		membership:      ratelimit.NewMembership(settings.Name, clk.Now()),
+		grantorRoute:    ratelimit.NewRoute(),
+		started:         clk.Now(),
 		suspectRows:     map[string]suspectRow{},
 		reportRequested: make(chan struct{}, 1),
 		stopStarted:     make(chan struct{}),
 		replicasChanged: make(chan struct{}, 1),
 		storeSeen:       clk.Now(),
 	}
+	daemon.limiter = ratelimit.NewLimiter(daemon.limits)
 	daemon.store = platform.NewRowStore(daemon.pool, settings.StoreAddress, storeTimeout)
 	daemon.upstream = platform.NewUpstream(daemon.pool, replicaListener{daemon})
 	daemon.relay = relay.New(relay.Settings{
@@ -152,7 +164,7 @@
 		Suspects:    daemon.suspects,
 		Notices:     daemon.notices,
 		OnModelWait: daemon.requestReport,
-		OnSend:      daemon.countSent,
+		Limiter:     daemon.limiter,
 		DaemonIndex: func() int { return int(daemon.daemonIndex.Load()) },
 		Clock:       clk,
 	})
@@ -212,6 +224,7 @@
 		"Lease":               daemon.holdLease,
 		"Scheduler":           daemon.scheduler.Run,
 		"Report":              daemon.sendReports,
+		"Tokens":              daemon.requestTokens,
 		"Listen":              daemon.pollAnnouncements,
 		"AskPeers":            daemon.fetchPeerUpdates,
 		"Housekeeping":        daemon.runHousekeeping,
@@ -231,10 +244,10 @@
 // With more, greetings to each daemon are too rare for the counts to be useful.
 const maxPeersForInFlight = 8
 
-// isReady reports whether the daemon accepts requests: it has a configuration and knows a replica, and it is
-// not shutting down.
+// isReady reports whether the daemon accepts requests: it has a configuration, knows a replica and the limits that
+// other daemons know, and is not shutting down.
 func (daemon *Daemon) isReady() bool {
-	return !daemon.stopping.Load() && daemon.relay.Configuration() != nil && daemon.directory.HasReplicas()
+	return !daemon.stopping.Load() && daemon.relay.Configuration() != nil && daemon.directory.HasReplicas() && daemon.knowsLimits()
 }
 
 // state returns the state that this daemon announces to others.
--- a/front/notices.go
+++ b/front/notices.go
@@ -37,9 +37,11 @@
 	}
 }
 
-// Accepts reports whether a request may be sent to the incarnation now.
-func (listener replicaListener) Accepts(incarnation topology.Incarnation) bool {
-	return listener.notices.Accepts(incarnation, listener.clock.Now())
+// Accepts reports whether a request may be sent to the incarnation now. One that was chosen before the replica named a
+// limit may not, since it was not counted.
+func (listener replicaListener) Accepts(incarnation topology.Incarnation, counted bool) bool {
+	_, limited := listener.limits.Limit(incarnation)
+	return listener.notices.Accepts(incarnation, listener.clock.Now()) && (counted || !limited)
 }
 
 // receiveLeaving processes the leaving replicas in a greeting of another daemon. Incarnations that are not in
--- a/front/tasks.go
+++ b/front/tasks.go
@@ -91,6 +91,7 @@
 			daemon.pruneReplicas(daemon.roster.Entries())
 		}
 		daemon.updateMetrics(daemon.clock.Now())
+		daemon.observeMembers()
 		daemon.updateLimitMetrics(daemon.clock.Now())
 		if daemon.clock.Since(daemon.directory.HolderLastSeen()) > holderTimeout {
 			daemon.balancer.SetRemoteInFlight(daemon.mesh.InFlightByReplica())
@@ -110,6 +111,7 @@
 	now := daemon.clock.Now()
 	daemon.notices.Prune(live, now.Add(-noticeRetention), now)
 	daemon.limits.Prune(live, now.Add(-noticeRetention), now)
+	daemon.allocator.Prune(now.Add(-noticeRetention))
 }
 
 // settingsInterval is the interval of checking whether the settings file changed.
--- a/mesh/calls.go
+++ b/mesh/calls.go
@@ -46,6 +46,7 @@
 		return node.newGreeting(greeting.GetAskAll()), nil
 	})
 	handle(mux, syncProcedure, node.serveSync)
+	handle(mux, tokensProcedure, node.serveTokens)
 	handle(mux, tablesProcedure, node.serveStoreCall)
 	handle(mux, askProcedure, func(ctx context.Context, request *meshpb.Question) (*meshpb.Answer, error) {
 		response := node.deps.Update(ctx, UpdateRequest{
--- a/mesh/deps.go
+++ b/mesh/deps.go
@@ -6,6 +6,7 @@
 	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/directory"
 	"github.com/bronzestall/bronzestall/quarantine"
+	"github.com/bronzestall/bronzestall/ratelimit"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
@@ -23,6 +24,12 @@
 	// processes those that another daemon sent.
 	Leaving        func() []topology.Incarnation
 	ReceiveLeaving func(incarnations []topology.Incarnation)
+	// Limits returns the limits of replicas for the next greeting, or all of them. ReceiveLimits processes those that
+	// another daemon sent.
+	Limits        func(all bool) []ratelimit.Entry
+	ReceiveLimits func(entries []ratelimit.Entry)
+	// Grant responds to the questions of another daemon for tokens, in their order.
+	Grant func(daemon string, asks []ratelimit.Ask) []ratelimit.Grant
 	// Sync processes a report and returns the newest announcement. It waits for a newer one for at most
 	// report.Wait, and fails if the daemon does not hold the lease.
 	Sync func(ctx context.Context, report Report) (directory.Announcement, error)
--- a/mesh/greet.go
+++ b/mesh/greet.go
@@ -41,8 +41,14 @@
 		peer.greeting = false
 	}
 	node.mutex.Unlock()
-	if err == nil {
-		node.receive(response)
+	if err != nil {
+		return
+	}
+	node.receive(response)
+	if askAll {
+		node.mutex.Lock()
+		node.joined = true
+		node.mutex.Unlock()
 	}
 }
 
@@ -60,6 +66,7 @@
 		Loads:    node.deps.InFlight().encode(),
 		Suspects: encodeSuspects(node.deps.Suspects(), node.clock.Now()),
 		Leaving:  encodeIncarnations(node.deps.Leaving()),
+		Limits:   encodeLimits(node.deps.Limits(all), node.clock.Now()),
 	}
 	node.mutex.Lock()
 	heartbeats := node.members.heartbeats(state, node.clock.Now(), all)
@@ -79,6 +86,9 @@
 	if incarnations := decodeIncarnations(greeting.GetLeaving()); len(incarnations) > 0 {
 		node.deps.ReceiveLeaving(incarnations)
 	}
+	if limits := decodeLimits(greeting.GetLimits(), now); len(limits) > 0 {
+		node.deps.ReceiveLimits(limits)
+	}
 	node.mutex.Lock()
 	defer node.mutex.Unlock()
 	for index, encoded := range greeting.GetNews() {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -17,6 +17,8 @@
 	greetProcedure = "/bronzestall.mesh.Mesh/Greet"
 	syncProcedure  = "/bronzestall.mesh.Mesh/Sync"
 	askProcedure   = "/bronzestall.mesh.Mesh/Ask"
+	// tokensProcedure asks for tokens for replicas with limits.
+	tokensProcedure = "/bronzestall.mesh.Mesh/Tokens"
 	// tablesProcedure forwards a call to the platform's store.
 	tablesProcedure = "/bronzestall.mesh.Mesh/Tables"
 )
@@ -41,6 +43,8 @@
 
 	mutex   sync.Mutex
 	members *members
+	// joined is set once another daemon has told this one all that it knows.
+	joined bool
 }
 
 // New returns a node that knows only its seeds.
@@ -77,6 +81,13 @@
 	return node.members.count(node.clock.Now())
 }
 
+// Joined reports whether another daemon has told this one all that it knows, such as the limits of replicas.
+func (node *Node) Joined() bool {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	return node.joined
+}
+
 // LeaseHolder returns the live daemon with the highest fencing token, and whether there is one.
 func (node *Node) LeaseHolder() (Peer, bool) {
 	node.mutex.Lock()
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -21,6 +21,7 @@
 	"github.com/bronzestall/bronzestall/directory"
 	"github.com/bronzestall/bronzestall/notice"
 	"github.com/bronzestall/bronzestall/quarantine"
+	"github.com/bronzestall/bronzestall/ratelimit"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
@@ -52,10 +53,16 @@
 	tracker *quarantine.Tracker
 	// notices holds the leaving replicas.
 	notices *notice.Registry
+	// limits holds the limits of replicas.
+	limits *ratelimit.Table
+	// asker and asks are the last questions for tokens, and grants the response to them.
+	asker  string
+	asks   []ratelimit.Ask
+	grants []ratelimit.Grant
 }
 
 func newTestDaemon(t *testing.T, name string, state State, failure error, seeds ...string) *testDaemon {
-	daemon := &testDaemon{tracker: quarantine.NewTracker(2), notices: notice.New()}
+	daemon := &testDaemon{tracker: quarantine.NewTracker(2), notices: notice.New(), limits: ratelimit.NewTable()}
 	mux := http.NewServeMux()
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
@@ -69,6 +76,22 @@
 		ReceiveSuspects: func(suspects []quarantine.Suspect) { daemon.tracker.Import(suspects, time.Now()) },
 		Leaving:         func() []topology.Incarnation { return daemon.notices.LatestLeaving(8) },
 		ReceiveLeaving:  func(incarnations []topology.Incarnation) { daemon.notices.MarkLeaving(incarnations[0], time.Now()) },
+		Limits: func(all bool) []ratelimit.Entry {
+			if all {
+				return daemon.limits.All()
+			}
+			return daemon.limits.Share(8, time.Now())
+		},
+		ReceiveLimits: func(entries []ratelimit.Entry) {
+			for _, entry := range entries {
+				daemon.limits.Merge(entry, time.Now())
+			}
+		},
+		Grant: func(asker string, asks []ratelimit.Ask) []ratelimit.Grant {
+			daemon.asker = asker
+			daemon.asks = asks
+			return daemon.grants
+		},
 		Sync: func(_ context.Context, report Report) (directory.Announcement, error) {
 			daemon.report = report
 			return testAnnouncement, nil
--- a/meter/name.go
+++ b/meter/name.go
@@ -49,8 +49,14 @@
 	ReplicaLimit Name = "bronzestall_replica_limit_milli"
 	// ReplicaLimitAge is the time since a response last confirmed the limit of a replica, in milliseconds.
 	ReplicaLimitAge Name = "bronzestall_replica_limit_age_milliseconds"
-	// LimitedSent counts requests sent to a replica while its limit was known.
-	LimitedSent Name = "bronzestall_limited_requests_sent"
+	// LimitTokens is the number of requests that the daemon may send to a replica with a limit now, and LimitWaiting that of
+	// the requests that wait to be sent to it.
+	LimitTokens  Name = "bronzestall_limit_tokens"
+	LimitWaiting Name = "bronzestall_limit_waiting"
+	// LimitSent is the number of requests that were sent to a replica under its limit, and LimitRefused that of those
+	// refused for it.
+	LimitSent    Name = "bronzestall_limit_requests_sent"
+	LimitRefused Name = "bronzestall_limit_requests_refused"
 	// NoticesMalformed counts responses with a notice of the replica that could not be decoded, by header.
 	NoticesMalformed Name = "bronzestall_notices_malformed"
 	// PeersHeard is the number of daemons that were seen recently.
--- a/ratelimit/limit.go
+++ b/ratelimit/limit.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"math"
 	"time"
 
 	"github.com/bronzestall/bronzestall/topology"
@@ -9,9 +10,11 @@
 const (
 	// minPerSecond is the lowest limit in force. A replica that names less still gets a request from time to time,
 	// since only its response can show that the limit was raised or ended.
-	minPerSecond = 0.1
+	minPerSecond = 0.125
 	// maxPerSecond is the highest limit in force. No replica serves as many requests.
 	maxPerSecond = 1e6
+	// resolution is the precision of limits in force, which is that of the messages between daemons.
+	resolution = 1.0 / 1024
 )
 
 // Limit is what is known of the limit of one incarnation.
@@ -53,7 +56,12 @@
 	if !observation.Named {
 		return 0
 	}
-	return min(max(observation.PerSecond, minPerSecond), maxPerSecond)
+	return clamp(observation.PerSecond)
+}
+
+// clamp returns the limit in force for a positive limit that was named, in whole multiples of resolution.
+func clamp(named float64) float64 {
+	return math.Floor(min(max(named, minPerSecond), maxPerSecond)/resolution) * resolution
 }
 
 // Change is how the limit of an incarnation changed since the last change that was reported.
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -16,6 +16,8 @@
 	aheadTime = 500 * time.Millisecond
 	// wishRetention is the time after the last wish for which a daemon wants a token.
 	wishRetention = 2 * time.Second
+	// minShortTime is how long the daemon must have been granted too little before the time to a token is estimated.
+	minShortTime = time.Second
 	// askAgainInterval is the shortest time from a response to the next question about the replica, and
 	// failedAskInterval that between two questions if the first got no response.
 	askAgainInterval  = 50 * time.Millisecond
@@ -61,9 +63,13 @@
 	asking           bool
 	// sequence is the number of the last question, and answered that of the last one that got a response.
 	sequence, answered uint64
-	// rate is the moving average of tokens per second that were granted, as of ratedAt.
-	rate    float64
-	ratedAt time.Time
+	// shortSince is the time since which the daemon was granted less than it wants; zero if it was granted all. shortTokens
+	// is the number of tokens granted since then, and grantedAt the time of the last response.
+	shortSince  time.Time
+	shortTokens int
+	grantedAt   time.Time
+	// sent is the number of tokens used, and refused that of the requests that were refused for want of one.
+	sent, refused int
 }
 
 // NewLimiter returns a limiter for the limits in the table, without tokens.
@@ -114,6 +120,7 @@
 	}
 	permit := Permit{Replica: replica, Counted: true, until: share.tokens[0]}
 	share.tokens = share.tokens[1:]
+	share.sent++
 	if len(share.tokens) == 0 && !share.asking {
 		share.nextAsk = earliest(share.nextAsk, now.Add(askAgainInterval))
 		limiter.requestAsk()
@@ -129,6 +136,7 @@
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
 	share := limiter.share(permit.Replica)
+	share.sent--
 	share.add(permit.until)
 	share.expire(now)
 	limiter.serveWaiters(permit.Replica, now)
@@ -139,13 +147,23 @@
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
 	share := limiter.share(replica)
-	rate := share.grantRate(now)
-	if rate <= 0 {
+	short := now.Sub(share.shortSince)
+	if share.shortSince.IsZero() || short < minShortTime || now.Sub(share.grantedAt) > maxAskInterval {
 		return 0
 	}
+	rate := (float64(share.shortTokens) + 0.5) / short.Seconds()
 	return time.Duration(float64(limiter.waitingFor(replica)+1) / rate * float64(time.Second))
 }
 
+// Refuse counts a request that is refused for want of a token of any of the replicas.
+func (limiter *Limiter) Refuse(replicas []topology.Incarnation) {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	for _, replica := range replicas {
+		limiter.share(replica).refused++
+	}
+}
+
 // Due returns the questions to ask now. Granted or Failed must be called for each of them.
 func (limiter *Limiter) Due(now time.Time) []Ask {
 	limiter.mutex.Lock()
@@ -205,17 +223,16 @@
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
 	share := limiter.share(ask.Replica)
-	asked := share.askedAt
 	share.asking = false
 	share.answered = ask.Sequence
 	share.nextAsk = now.Add(grant.Next)
+	share.observeGrant(ask, grant, now)
 	if grant.Tokens == 0 {
 		return
 	}
 	for range grant.Tokens {
-		share.add(asked.Add(tokenLifetime))
+		share.add(share.askedAt.Add(tokenLifetime))
 	}
-	share.observeGrant(grant.Tokens, now)
 	limiter.serveWaiters(ask.Replica, now)
 	if limiter.wanted(ask.Replica, share, now) > 0 {
 		share.nextAsk = earliest(share.nextAsk, now.Add(max(askAgainInterval, grant.Next/2)))
@@ -232,7 +249,7 @@
 }
 
 // Prune drops replicas without a limit. Requests that wait for them are woken.
-func (limiter *Limiter) Prune(now time.Time) {
+func (limiter *Limiter) Prune() {
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
 	for replica, share := range limiter.shares {
@@ -250,8 +267,8 @@
 	Replica topology.Incarnation
 	// Tokens is the number of tokens at hand, and Waiting that of the requests that wait for one.
 	Tokens, Waiting int
-	// GrantRate is the moving average of granted tokens per second.
-	GrantRate float64
+	// Sent is the number of requests that used a token so far, and Refused that of those refused for want of one.
+	Sent, Refused int
 }
 
 // States returns the states of all replicas with a limit that this daemon wanted to send requests to.
@@ -261,7 +278,7 @@
 	states := make([]State, 0, len(limiter.shares))
 	for replica, share := range limiter.shares {
 		share.expire(now)
-		states = append(states, State{replica, len(share.tokens), limiter.waitingFor(replica), share.grantRate(now)})
+		states = append(states, State{replica, len(share.tokens), limiter.waitingFor(replica), share.sent, share.refused})
 	}
 	return states
 }
@@ -311,35 +328,32 @@
 
 // wish counts a request that could be sent to the replica.
 func (share *share) wish(now time.Time) {
-	share.wishes = decayed(share.wishes, now.Sub(share.wishedAt), wishHalfLife) + 1
+	share.wishes = share.decayedWishes(now) + 1
 	share.wishedAt = now
 }
 
 // wishRate returns the number of wishes per second.
 func (share *share) wishRate(now time.Time) float64 {
-	return decayed(share.wishes, now.Sub(share.wishedAt), wishHalfLife) * math.Ln2 / wishHalfLife.Seconds()
+	return share.decayedWishes(now) * math.Ln2 / wishHalfLife.Seconds()
 }
 
-// rateHalfLife is the time in which the weight of an earlier grant halves.
-const rateHalfLife = 3 * time.Second
-
-// observeGrant counts granted tokens.
-func (share *share) observeGrant(tokens int, now time.Time) {
-	share.rate = decayed(share.rate, now.Sub(share.ratedAt), rateHalfLife) + float64(tokens)
-	share.ratedAt = now
-}
-
-// grantRate returns the number of granted tokens per second.
-func (share *share) grantRate(now time.Time) float64 {
-	return decayed(share.rate, now.Sub(share.ratedAt), rateHalfLife) * math.Ln2 / rateHalfLife.Seconds()
+// observeGrant counts the granted tokens while they are fewer than those wanted.
+func (share *share) observeGrant(ask Ask, grant Grant, now time.Time) {
+	share.grantedAt = now
+	switch {
+	case grant.Tokens >= ask.Wanted:
+		share.shortSince = time.Time{}
+	case share.shortSince.IsZero():
+		share.shortSince, share.shortTokens = now, 0
+	default:
+		share.shortTokens += grant.Tokens
+	}
 }
 
-// decayed returns the rest of a count after the given time.
-func decayed(count float64, passed, halfLife time.Duration) float64 {
-	if passed <= 0 {
-		return count
-	}
-	return count * math.Exp2(-passed.Seconds()/halfLife.Seconds())
+// decayedWishes returns the rest of the wishes.
+func (share *share) decayedWishes(now time.Time) float64 {
+	passed := max(now.Sub(share.wishedAt), 0)
+	return share.wishes * math.Exp2(-passed.Seconds()/wishHalfLife.Seconds())
 }
 
 func earliest(a, b time.Time) time.Time {
--- a/ratelimit/table.go
+++ b/ratelimit/table.go
@@ -104,6 +104,9 @@
 // Merge records what another daemon told, and returns a change and true if one is to be reported. The later
 // observation counts. One that raises or ends the limit counts only if it is later for certain.
 func (table *Table) Merge(told Entry, now time.Time) (Change, bool) {
+	if told.Named() {
+		told.PerSecond = clamp(told.PerSecond)
+	}
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
 	entry, known := table.entries[told.Incarnation]
--- a/ratelimit/table_test.go
+++ b/ratelimit/table_test.go
@@ -42,6 +42,7 @@
 		{"older response names none", []Observation{named(2, 0, 10), none(1, 11)}, 2},
 		{"raised while requests overlap", []Observation{named(2, 0, 10), named(2, 9, 30), named(5, 11, 40)}, 5},
 		{"inconclusive", []Observation{named(2, 0, 10), {Sent: at(20), Received: at(30)}}, 2},
+		{"finer than daemons tell", []Observation{named(1.00001, 0, 10)}, 1},
 		{"zero", []Observation{named(0, 0, 10)}, minPerSecond},
 		{"huge", []Observation{named(1e308, 0, 10)}, maxPerSecond},
 	}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -38,9 +38,6 @@
 	defer cancel(nil)
 	watchdog := transaction.watchdog(cancel)
 	defer watchdog.stop()
-	if transaction.relay.deps.OnSend != nil {
-		transaction.relay.deps.OnSend(candidate.Incarnation)
-	}
 	transaction.sends++
 	transaction.runs++
 	reply, err := transaction.relay.deps.Upstream.Send(ctx, transaction.request, exchange.Attempt{
@@ -50,6 +47,7 @@
 		Priority:    priority(transaction.route),
 		HasPriority: transaction.service.Engine != nil,
 		AtMostOnce:  !transaction.route.Repeatable(),
+		Counted:     transaction.permit.Counted,
 		ResumeAfter: transaction.lastEvent,
 	})
 	if err != nil {
@@ -77,6 +75,7 @@
 	now := transaction.relay.deps.Clock.Now()
 	if errors.Is(err, exchange.ErrNotSent) {
 		transaction.runs--
+		transaction.relay.deps.Limiter.Return(transaction.permit, now)
 		if ctx.Err() != nil {
 			transaction.relay.deps.Balancer.Cancel(candidate.Incarnation)
 			return result{failure: contextFailure(ctx, transaction.runs > 0), notRun: true, unsent: true}
--- a/relay/availability.go
+++ b/relay/availability.go
@@ -1,29 +1,63 @@
 package relay
 
 import (
+	"context"
 	"time"
 
 	"github.com/bronzestall/bronzestall/balance"
 	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/topology"
 )
 
-// acceptingReplicas returns the candidates that accept requests according to their notices. It also returns the
-// earliest end of a backoff among the other candidates that are not leaving; zero if there is none.
-func (transaction *transaction) acceptingReplicas(candidates []balance.Candidate, now time.Time) ([]balance.Candidate, time.Time) {
-	notices := transaction.relay.deps.Notices
-	var resumeAt time.Time
-	accepting := make([]balance.Candidate, 0, len(candidates))
+// availability divides the candidates of a request by whether they may be sent it now.
+type availability struct {
+	// accepting lists those that may.
+	accepting []balance.Candidate
+	// limited lists those for whose limit there is no token at hand.
+	limited []balance.Candidate
+	// resumeAt is the earliest end of a backoff among the others that are not leaving; zero if there is none.
+	resumeAt time.Time
+}
+
+// availability returns the availability of the candidates according to their notices and limits. wish states that the
+// request was not counted yet as one that the replicas with limits could serve.
+func (transaction *transaction) availability(candidates []balance.Candidate, wish bool, now time.Time) availability {
+	notices, limiter := transaction.relay.deps.Notices, transaction.relay.deps.Limiter
+	anyLimited := limiter.Limited()
+	result := availability{accepting: make([]balance.Candidate, 0, len(candidates))}
 	for _, candidate := range candidates {
-		if notices.Accepts(candidate.Incarnation, now) {
-			accepting = append(accepting, candidate)
+		if !notices.Accepts(candidate.Incarnation, now) {
+			result.addBackoff(transaction.backoffEnd(candidate, now))
 			continue
 		}
-		until, inBackoff := notices.BackoffUntil(candidate.Incarnation, now)
-		if inBackoff && !notices.Leaving(candidate.Incarnation) && (resumeAt.IsZero() || until.Before(resumeAt)) {
-			resumeAt = until
+		if anyLimited {
+			available, limited := limiter.Available(candidate.Incarnation, wish, now)
+			candidate.Reserved = limited
+			if !available {
+				result.limited = append(result.limited, candidate)
+				continue
+			}
 		}
+		result.accepting = append(result.accepting, candidate)
+	}
+	return result
+}
+
+// addBackoff records the end of a backoff; zero means that there is none.
+func (availability *availability) addBackoff(until time.Time) {
+	if !until.IsZero() && (availability.resumeAt.IsZero() || until.Before(availability.resumeAt)) {
+		availability.resumeAt = until
 	}
-	return accepting, resumeAt
+}
+
+// backoffEnd returns the end of the backoff of the candidate; zero if it leaves or is not in backoff.
+func (transaction *transaction) backoffEnd(candidate balance.Candidate, now time.Time) time.Time {
+	notices := transaction.relay.deps.Notices
+	until, inBackoff := notices.BackoffUntil(candidate.Incarnation, now)
+	if !inBackoff || notices.Leaving(candidate.Incarnation) {
+		return time.Time{}
+	}
+	return until
 }
 
 // backoffFailure returns the refusal of a request if all replicas are in backoff until the given time, or nil if the
@@ -39,3 +73,66 @@
 	}
 	return outcome.New(outcome.QueueFull, "all replicas want no request for a while").WithRetryAfter(retryAfter)
 }
+
+// waitForToken waits until there is a token for the limit of one of the candidates, and returns that candidate, which
+// holds the permit of the transaction. It returns false if the request must be decided anew, because something else has
+// changed, and a failure if no token comes in time.
+func (transaction *transaction) waitForToken(ctx context.Context, limited []balance.Candidate, now time.Time, changed, refusals <-chan struct{}) (balance.Candidate, bool, *outcome.Error) {
+	limiter := transaction.relay.deps.Limiter
+	replicas := incarnations(limited)
+	until := transaction.tokenDeadline()
+	if failure := transaction.limitFailure(replicas, now, until); failure != nil {
+		limiter.Refuse(replicas)
+		return balance.Candidate{}, false, failure
+	}
+	waiter := limiter.Wait(replicas, priority(transaction.route), transaction.request.Arrived, now)
+	transaction.waitForChange(ctx, until.Sub(now), changed, refusals, waiter.Ready())
+	permit, ok := limiter.Leave(waiter)
+	if !ok {
+		return balance.Candidate{}, false, nil
+	}
+	transaction.permit = permit
+	for _, candidate := range limited {
+		if candidate.Incarnation == permit.Replica {
+			return candidate, true, nil
+		}
+	}
+	return balance.Candidate{}, false, nil
+}
+
+// tokenDeadline returns until when the request waits for a token: as long as for a replica with capacity, or until its
+// deadline if its stream has begun, since refusing it would cut the stream.
+func (transaction *transaction) tokenDeadline() time.Time {
+	if transaction.sink.Begun() {
+		return transaction.deadline
+	}
+	return transaction.capacityDeadline()
+}
+
+// limitFailure returns the refusal of a request for which no token of the replicas comes until the given time, or nil
+// while it may wait.
+func (transaction *transaction) limitFailure(replicas []topology.Incarnation, now, until time.Time) *outcome.Error {
+	room := transaction.room(replicas, now)
+	if now.Before(until) && now.Add(room).Before(until) {
+		return nil
+	}
+	retryAfter := max(room, retryAfterOverload/2) + transaction.retryJitter()
+	return outcome.New(outcome.QueueFull, "the limit that replica %s named is used up", replicas[0].ID).WithRetryAfter(retryAfter)
+}
+
+// room returns the shortest expected time until one of the replicas has a token; zero if it is unknown.
+func (transaction *transaction) room(replicas []topology.Incarnation, now time.Time) time.Duration {
+	shortest := transaction.relay.deps.Limiter.Room(replicas[0], now)
+	for _, replica := range replicas[1:] {
+		shortest = min(shortest, transaction.relay.deps.Limiter.Room(replica, now))
+	}
+	return shortest
+}
+
+func incarnations(candidates []balance.Candidate) []topology.Incarnation {
+	list := make([]topology.Incarnation, 0, len(candidates))
+	for _, candidate := range candidates {
+		list = append(list, candidate.Incarnation)
+	}
+	return list
+}
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -21,6 +21,7 @@
 	"github.com/bronzestall/bronzestall/notice"
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/quarantine"
+	"github.com/bronzestall/bronzestall/ratelimit"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
@@ -114,14 +115,16 @@
 	directory *directory.Directory
 	demand    *demand.Counter
 	client    client
+	// limits holds the limits that replicas named.
+	limits *ratelimit.Table
 }
 
 func newFixture(steps ...step) *fixture {
 	clk := clock.RealClock{}
-	built := &fixture{upstream: &replicas{steps: steps}, directory: directory.New(clk), demand: demand.New()}
+	built := &fixture{upstream: &replicas{steps: steps}, directory: directory.New(clk), demand: demand.New(), limits: ratelimit.NewTable()}
 	built.relay = New(Settings{Zone: "z", MaxSavedRetries: 8, RetryShare: 0.1}, Deps{
 		Upstream: built.upstream, Directory: built.directory, Balancer: balance.New(rand.New(rand.NewPCG(1, 2))),
-		Demand: built.demand, Suspects: quarantine.NewTracker(crashLimit), Notices: notice.New(), Clock: clk,
+		Demand: built.demand, Suspects: quarantine.NewTracker(crashLimit), Notices: notice.New(), Limiter: ratelimit.NewLimiter(built.limits), Clock: clk,
 	})
 	built.relay.Configure((&topology.Configuration{
 		Version: 1,
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -15,11 +15,12 @@
 	"github.com/bronzestall/bronzestall/notice"
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/quarantine"
+	"github.com/bronzestall/bronzestall/ratelimit"
 	"github.com/bronzestall/bronzestall/retry"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
-// Deps holds the dependencies of a Relay. All fields but OnModelWait, OnSend and DaemonIndex must be set.
+// Deps holds the dependencies of a Relay. All fields but OnModelWait and DaemonIndex must be set.
 type Deps struct {
 	// Upstream sends requests to replicas.
 	Upstream Upstream
@@ -35,8 +36,8 @@
 	Notices *notice.Registry
 	// OnModelWait is called when a request begins to wait for a model.
 	OnModelWait func()
-	// OnSend is called before each attempt; nil does nothing.
-	OnSend func(replica topology.Incarnation)
+	// Limiter holds the tokens for replicas that named limits.
+	Limiter *ratelimit.Limiter
 	// DaemonIndex returns the index of the daemon among all daemons; nil means zero.
 	DaemonIndex func() int
 	// Clock provides the time and timers.
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -58,7 +58,7 @@
 	if transaction.service.Engine != nil {
 		criteria.Tokens = transaction.request.Metadata.PromptTokens
 	}
-	waiting := false
+	waiting, wished := false, false
 	begun := transaction.relay.deps.Clock.Now()
 	defer func() {
 		if waiting {
@@ -76,26 +76,37 @@
 		if failure := transaction.quarantineFailure(now); failure != nil {
 			return balance.Candidate{}, failure
 		}
-		candidates, resumeAt := transaction.acceptingReplicas(transaction.candidates(), now)
+		available := transaction.availability(transaction.candidates(), !wished, now)
+		wished = true
 		criteria.MaxLoad = transaction.maxLoad(now)
-		if chosen, ok := transaction.relay.deps.Balancer.Choose(candidates, criteria, now); ok {
-			transaction.criteria = criteria
-			transaction.summary.Replica = chosen.Incarnation
-			transaction.summary.InFlight = chosen.InFlight
+		if chosen, ok := transaction.choose(available.accepting, criteria, now); ok {
 			return chosen, nil
 		}
-		if len(candidates) > 0 {
+		if len(available.accepting) > 0 {
 			if failure := transaction.overloadFailure(now); failure != nil {
 				return balance.Candidate{}, failure
 			}
-			transaction.waitForChange(ctx, capacityPollInterval, changed, refusals)
+			transaction.waitForChange(ctx, capacityPollInterval, changed, refusals, nil)
 			continue
 		}
-		if !resumeAt.IsZero() {
+		if len(available.limited) > 0 {
+			permitted, ok, failure := transaction.waitForToken(ctx, available.limited, now, changed, refusals)
+			if failure != nil {
+				return balance.Candidate{}, failure
+			}
+			if !ok {
+				continue
+			}
+			if chosen, ok := transaction.choosePermitted(permitted, criteria); ok {
+				return chosen, nil
+			}
+			continue
+		}
+		if resumeAt := available.resumeAt; !resumeAt.IsZero() {
 			if failure := transaction.backoffFailure(now, resumeAt); failure != nil {
 				return balance.Candidate{}, failure
 			}
-			transaction.waitForChange(ctx, resumeAt.Sub(now), changed, refusals)
+			transaction.waitForChange(ctx, resumeAt.Sub(now), changed, refusals, nil)
 			continue
 		}
 		until, failure := transaction.waitLimit(now)
@@ -106,10 +117,46 @@
 			waiting = true
 			transaction.startModelWait()
 		}
-		transaction.waitForChange(ctx, until.Sub(now), changed, refusals)
+		transaction.waitForChange(ctx, until.Sub(now), changed, refusals, nil)
 	}
 }
 
+// choose returns the best of the candidates, with a permit if it has a limit.
+func (transaction *transaction) choose(candidates []balance.Candidate, criteria balance.Criteria, now time.Time) (balance.Candidate, bool) {
+	chosen, ok := transaction.relay.deps.Balancer.Choose(candidates, criteria, now)
+	if !ok {
+		return balance.Candidate{}, false
+	}
+	permit, ok := transaction.relay.deps.Limiter.Take(chosen.Incarnation, now)
+	if !ok {
+		transaction.relay.deps.Balancer.Withdraw(chosen, criteria)
+		return balance.Candidate{}, false
+	}
+	transaction.permit = permit
+	transaction.recordChoice(chosen, criteria)
+	return chosen, true
+}
+
+// choosePermitted returns the candidate for which the transaction holds a permit, or gives the permit back if the
+// candidate is overloaded.
+func (transaction *transaction) choosePermitted(candidate balance.Candidate, criteria balance.Criteria) (balance.Candidate, bool) {
+	now := transaction.relay.deps.Clock.Now()
+	chosen, ok := transaction.relay.deps.Balancer.Choose([]balance.Candidate{candidate}, criteria, now)
+	if !ok {
+		transaction.relay.deps.Limiter.Return(transaction.permit, now)
+		return balance.Candidate{}, false
+	}
+	transaction.recordChoice(chosen, criteria)
+	return chosen, true
+}
+
+// recordChoice keeps what the next attempt and the log need of the choice.
+func (transaction *transaction) recordChoice(chosen balance.Candidate, criteria balance.Criteria) {
+	transaction.criteria = criteria
+	transaction.summary.Replica = chosen.Incarnation
+	transaction.summary.InFlight = chosen.InFlight
+}
+
 // maxLoad returns the most requests in flight that a replica may have to be chosen, as a multiple of its slots; zero
 // means no limit. Above it the first event arrives later than clients expect. Routes with a long latency target
 // accept more after a wait. A stream that has begun may continue at any replica.
@@ -169,14 +216,15 @@
 	}
 }
 
-// waitForChange waits until the directory changes, the set of refused requests changes, the timeout passes or the
-// context ends. Nil channels are ignored.
-func (transaction *transaction) waitForChange(ctx context.Context, timeout time.Duration, changed, refusals <-chan struct{}) {
+// waitForChange waits until the directory changes, the set of refused requests changes, a token is ready, the timeout
+// passes or the context ends. Nil channels are ignored.
+func (transaction *transaction) waitForChange(ctx context.Context, timeout time.Duration, changed, refusals, token <-chan struct{}) {
 	timer := transaction.relay.deps.Clock.NewTimer(timeout)
 	defer timer.Stop()
 	select {
 	case <-changed:
 	case <-refusals:
+	case <-token:
 	case <-timer.C():
 	case <-ctx.Done():
 	}
--- a/relay/transaction.go
+++ b/relay/transaction.go
@@ -10,6 +10,7 @@
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/exchange"
 	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/ratelimit"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
@@ -46,6 +47,8 @@
 	tried []topology.Incarnation
 	// lastEvent is the ID of the last event that was passed to the client; zero if there is none.
 	lastEvent uint64
+	// permit is that of the last attempt for the limit of its replica.
+	permit ratelimit.Permit
 	// criteria is what the balancer was given for the last attempt.
 	criteria balance.Criteria
 	// summary is what is logged about the request.
@@ -120,7 +123,7 @@
 		transaction.tried = append(transaction.tried, candidate.Incarnation)
 	}
 	if result.notRun && !result.unsent {
-		transaction.waitForChange(ctx, busyRetryDelay, nil, nil)
+		transaction.waitForChange(ctx, busyRetryDelay, nil, nil, nil)
 	}
 	return true
 }
