Load a model elsewhere when the limit of its engine is used up

Cause: the planner counts an engine with a limit as a replica like any other, and requests that wait for its token are not reported as waiting. Change: an engine whose models are demanded at more than 0.8 of its limit does not count as a replica and gets no loads; waiting requests are reported and wait for the load where it comes in time. The loads obey the same limits on memory and the weight store.

--- a/event/front.go
+++ b/event/front.go
@@ -8,7 +8,7 @@
 	FrontStopped       = define(803, "FrontStopped", Info, "The front daemon stopped; Cut is the number of requests that did not complete.")
 	FrontReloaded      = define(804, "FrontReloaded", Info, "The settings file was read again.")
 	LogLinesDropped    = define(805, "LogLinesDropped", Warning, "Log lines were dropped because they could not be written in time.")
-	RequestWaits       = define(810, "RequestWaits", Info, "A request waits for its model or adapter to be loaded.")
+	RequestWaits       = define(810, "RequestWaits", Info, "A request waits for its model or adapter to be loaded, or for replicas to accept it within their limits.")
 	AttemptFailed      = define(811, "AttemptFailed", Info, "An attempt to send a request to a replica failed; NotRun states whether it is proven that the request was not run.")
 	BreakCounted       = define(815, "BreakCounted", Info, "A replica closed the connection while it ran a request; Crashes is the number of crashes counted against the request.")
 	EndCounted         = define(816, "EndCounted", Info, "A replica ended without notice after a request sent to it got no response; the crash is counted against the request.")
--- a/front/wiring.go
+++ b/front/wiring.go
@@ -65,6 +65,7 @@
 		Engines:  daemon.upstream,
 		Loadings: daemon.directory.Loadings,
 		Backoff:  daemon.notices.BackoffUntil,
+		Limit:    daemon.limits.Limit,
 		Clock:    daemon.clock,
 	})
 }
--- a/internal/frontsoak/limits_test.go
+++ b/internal/frontsoak/limits_test.go
@@ -188,3 +188,57 @@
 		})
 	}
 }
+
+// TestModelsAreServedBesideALimitedEngine guards against refusals of models whose only engine has used up its limit: the
+// other engines have room for all models and must load them.
+func TestModelsAreServedBesideALimitedEngine(t *testing.T) {
+	t.Parallel()
+	const perSecond, seed = 30, 6100
+	folder := t.TempDir()
+	testbed, stop := startTestbed(t, folder, build(t), seed)
+	defer stop()
+	time.Sleep(4 * time.Second)
+	ctx, cancel := context.WithTimeout(t.Context(), 25*time.Second)
+	defer cancel()
+	time.AfterFunc(5*time.Second, func() {
+		testbed.soleHolder().nameLimit(1)
+		testbed.checker.resetOutcomes()
+	})
+	testbed.sendSteadily(ctx, pathResume, perSecond, testbed.addresses())
+	for _, violation := range testbed.checker.finish() {
+		t.Error(violation)
+	}
+	outcomes := testbed.checker.outcomes
+	t.Logf("outcomes from the limit on: %v, %d requests at the limited engine", outcomes, testbed.checker.limits[0].arrivedAll)
+	if served := outcomes["200 true"]; served < 9*(served+outcomes["429 true"]+outcomes["503 true"])/10 {
+		t.Error("more than one request in ten is refused")
+	}
+	if t.Failed() {
+		saveLogs(t, folder, seed)
+	}
+}
+
+// soleHolder returns an engine that holds a model which no other engine holds, or the first engine if there is none.
+func (testbed *testbed) soleHolder() *replica {
+	holders := map[string][]*replica{}
+	for _, engine := range testbed.replicas[:engineCount] {
+		engine.withLock(func() {
+			for _, model := range engine.models {
+				holders[model] = append(holders[model], engine)
+			}
+		})
+	}
+	for _, model := range modelNames() {
+		if len(holders[model]) == 1 {
+			return holders[model][0]
+		}
+	}
+	return testbed.replicas[0]
+}
+
+// resetOutcomes forgets the outcomes so far.
+func (checker *checker) resetOutcomes() {
+	checker.mutex.Lock()
+	defer checker.mutex.Unlock()
+	clear(checker.outcomes)
+}
--- a/relay/availability.go
+++ b/relay/availability.go
@@ -80,7 +80,7 @@
 func (transaction *transaction) waitForToken(ctx context.Context, limited []balance.Candidate, now time.Time, changed, refusals <-chan struct{}) (balance.Candidate, bool, *outcome.Error) {
 	limiter := transaction.relay.deps.Limiter
 	replicas := incarnations(limited)
-	until := transaction.tokenDeadline()
+	until := transaction.tokenDeadline(now)
 	if failure := transaction.limitFailure(replicas, now, until); failure != nil {
 		limiter.Refuse(replicas)
 		return balance.Candidate{}, false, failure
@@ -100,12 +100,20 @@
 	return balance.Candidate{}, false, nil
 }
 
-// tokenDeadline returns until when the request waits for a token: as long as for a replica with capacity, or until its
-// deadline if its stream has begun, since refusing it would cut the stream.
-func (transaction *transaction) tokenDeadline() time.Time {
+// tokenDeadline returns until when the request waits for a token: as long as for a replica with capacity, longer if its
+// model is being loaded elsewhere in time, and until its deadline if its stream has begun, since refusing it would cut
+// the stream.
+func (transaction *transaction) tokenDeadline(now time.Time) time.Time {
 	if transaction.sink.Begun() {
 		return transaction.deadline
 	}
+	if transaction.service.Engine == nil {
+		return transaction.capacityDeadline()
+	}
+	latestSend := transaction.latestSend(transaction.deadline.Sub(transaction.request.Arrived))
+	if ready, known := transaction.forecast(); known && ready.After(now) && ready.Before(latestSend) {
+		return latestSend
+	}
 	return transaction.capacityDeadline()
 }
 
@@ -113,7 +121,7 @@
 // while it may wait.
 func (transaction *transaction) limitFailure(replicas []topology.Incarnation, now, until time.Time) *outcome.Error {
 	room := transaction.room(replicas, now)
-	if now.Before(until) && now.Add(room).Before(until) {
+	if now.Before(until) && (now.Add(room).Before(until) || until.After(transaction.capacityDeadline())) {
 		return nil
 	}
 	retryAfter := max(room, retryAfterOverload/2) + transaction.retryJitter()
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -90,6 +90,10 @@
 			continue
 		}
 		if len(available.limited) > 0 {
+			if !waiting && transaction.service.Engine != nil {
+				waiting = true
+				transaction.startModelWait()
+			}
 			permitted, ok, failure := transaction.waitForToken(ctx, available.limited, now, changed, refusals)
 			if failure != nil {
 				return balance.Candidate{}, failure
--- a/residency/engine.go
+++ b/residency/engine.go
@@ -24,6 +24,8 @@
 	ReadyAt time.Time
 	// ReservedFor is the model for which memory was freed, or empty.
 	ReservedFor string
+	// Limit is the number of requests per second that the engine accepts from all daemons together; zero if it named none.
+	Limit float64
 	// Running maps models to their requests in flight on the engine, from all daemons.
 	Running map[string]int
 	// AdaptersRunning maps adapters, as model/adapter, to their requests in flight.
--- a/residency/load.go
+++ b/residency/load.go
@@ -82,7 +82,7 @@
 	best := option{cost: math.Inf(1)}
 	for _, engine := range engines {
 		tier := tierOf(&engine.Holding, model.Name)
-		if avoid[engine.Zone] || (tier == Store && !plan.available(engine)) {
+		if avoid[engine.Zone] || (tier == Store && !plan.available(engine)) || plan.state.exhausted(engine) {
 			continue
 		}
 		if engine.Holding.Has(model.Name, "") || engine.Loading == model.Name {
--- a/residency/state.go
+++ b/residency/state.go
@@ -33,10 +33,28 @@
 	return false
 }
 
+// limitShare is the share of the limit of an engine that its models may demand.
+const limitShare = 0.8
+
+// exhausted reports whether the models that the engine holds are demanded more often than its limit allows. Such an
+// engine serves what it can, but does not count as a replica of a model, and gets no loads.
+func (state *State) exhausted(engine *Engine) bool {
+	if engine.Limit == 0 {
+		return false
+	}
+	rate := 0.0
+	for _, loaded := range engine.Holding.Models {
+		rate += state.Models[loaded.Model].Rate
+	}
+	return rate > limitShare*engine.Limit
+}
+
 // index holds the look-ups of a plan by model.
 type index struct {
+	// loaded and loading list the engines that hold and load a model, without exhausted ones.
 	loaded, loading map[string][]*Engine
-	// copies maps models to the engines that have a copy of the weights and neither hold nor load the model.
+	// copies maps models to the engines that have a copy of the weights and neither hold nor load the model, without
+	// exhausted ones.
 	copies map[string][]*Engine
 	// storeLoads is the number of loads from the weight store in progress.
 	storeLoads int
@@ -50,6 +68,9 @@
 	zones := map[string]bool{}
 	for _, engine := range state.Engines {
 		zones[engine.Zone] = true
+		if state.exhausted(engine) {
+			continue
+		}
 		for _, loaded := range engine.Holding.Models {
 			made.loaded[loaded.Model] = append(made.loaded[loaded.Model], engine)
 		}
--- a/scheduler/deps.go
+++ b/scheduler/deps.go
@@ -28,7 +28,7 @@
 	Report(ctx context.Context, engine topology.Incarnation, address string) (topology.Holding, int64, error)
 }
 
-// Deps holds the dependencies of a scheduler. All fields except Backoff must be set.
+// Deps holds the dependencies of a scheduler. All fields except Backoff and Limit must be set.
 type Deps struct {
 	// Lease grants the right to send orders.
 	Lease Lease
@@ -39,6 +39,9 @@
 	// Backoff returns the end of the pause that an engine has asked for, and false if there is none. A nil Backoff
 	// means that engines never ask for a pause.
 	Backoff func(engine topology.Incarnation, now time.Time) (time.Time, bool)
+	// Limit returns the requests per second that an engine accepts from all daemons together, and false if it named no
+	// limit. A nil Limit means that engines never name one.
+	Limit func(engine topology.Incarnation) (float64, bool)
 	// Clock must keep running while the VM is suspended.
 	Clock clock.WithTicker
 }
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -207,7 +207,7 @@
 
 // view returns the engine as input of the planner. An engine in backoff is shown as busy, so that it gets no
 // order.
-func (engine *engine) view(now time.Time, demand *totals, inBackoff bool) *residency.Engine {
+func (engine *engine) view(now time.Time, demand *totals, inBackoff bool, limit float64) *residency.Engine {
 	view := &residency.Engine{
 		Incarnation:     engine.Incarnation,
 		Address:         engine.address,
@@ -217,6 +217,7 @@
 		Running:         demand.running[engine.Incarnation],
 		AdaptersRunning: demand.adaptersRunning[engine.Incarnation],
 		LoadedAt:        engine.loadedAt,
+		Limit:           limit,
 	}
 	if now.Before(engine.reservedUntil) {
 		view.ReservedFor = engine.reservedFor
--- a/scheduler/query.go
+++ b/scheduler/query.go
@@ -21,6 +21,15 @@
 	}
 }
 
+// limitOf returns the requests per second that the engine accepts from all daemons together; zero if it named no limit.
+func (scheduler *Scheduler) limitOf(engine topology.Incarnation) float64 {
+	if scheduler.deps.Limit == nil {
+		return 0
+	}
+	limit, _ := scheduler.deps.Limit(engine)
+	return limit
+}
+
 // inBackoff reports whether the engine has asked for a pause that has not yet ended.
 func (scheduler *Scheduler) inBackoff(engine topology.Incarnation, now time.Time) bool {
 	if scheduler.deps.Backoff == nil {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -213,7 +213,7 @@
 	}
 	for _, engine := range scheduler.engines {
 		if engine.service == service.Name {
-			state.Engines = append(state.Engines, engine.view(now, sum, scheduler.inBackoff(engine.Incarnation, now)))
+			state.Engines = append(state.Engines, engine.view(now, sum, scheduler.inBackoff(engine.Incarnation, now), scheduler.limitOf(engine.Incarnation)))
 		}
 	}
 	slices.SortFunc(state.Engines, func(a, b *residency.Engine) int { return strings.Compare(a.ID, b.ID) })
