Name, change and end limits in the soak of front daemons

The soak's replicas name limits at random, and its judge counts as the users' rule LIMIT does, without daemons that have just started or been resumed and without replicas whose connections were at fault.

--- a/internal/frontsoak/replica_test.go
+++ b/internal/frontsoak/replica_test.go
@@ -125,7 +125,9 @@
 	replica.mutex.Lock()
 	replica.down = true
 	replica.models, replica.revision, replica.loading = nil, 0, ""
+	replica.limit = 0
 	replica.mutex.Unlock()
+	replica.checker.startLimit(replica.incarnationName(), 0)
 	replica.checker.recordReplicaFault(replica.id)
 	replica.proxy.set(false, true, 0)
 	replica.proxy.resetAll()
--- a/internal/frontsoak/soak_test.go
+++ b/internal/frontsoak/soak_test.go
@@ -90,6 +90,7 @@
 	noticeContext, stopNotices := context.WithTimeout(ctx, *lengthFlag+settleTime/2)
 	defer stopNotices()
 	go testbed.injectNotices(noticeContext, seed)
+	go testbed.injectLimits(noticeContext, seed)
 	testbed.injectFaults(t, *lengthFlag)
 	time.Sleep(settleTime)
 	cancel()
