Bound what comes back to a limit, and ask for all limits until told

A daemon that others greeted first never asked one of them for all limits, and was ready only after 1.5 s; it asks now until it has been told. The number of tokens that come back is bounded by what the daemon held, whatever its message says. The metrics of a replica that is gone are zero.

--- a/front/limits.go
+++ b/front/limits.go
@@ -63,8 +63,14 @@
 }
 
 // updateLimitMetrics sets the metrics of the limits that replicas named, and of what this daemon has and wants of them.
-func (daemon *Daemon) updateLimitMetrics(now time.Time) {
-	for _, entry := range daemon.limits.All() {
+// A replica that is gone has no limit. last lists the replicas of the former call; the current ones are returned.
+func (daemon *Daemon) updateLimitMetrics(now time.Time, last []ratelimit.Entry) []ratelimit.Entry {
+	for _, entry := range last {
+		daemon.meter.Set(meter.ReplicaLimit, meter.Labels{Subject: entry.ID}, 0)
+		daemon.meter.Set(meter.ReplicaLimitAge, meter.Labels{Subject: entry.ID}, 0)
+	}
+	entries := daemon.limits.All()
+	for _, entry := range entries {
 		labels := meter.Labels{Subject: entry.ID}
 		daemon.meter.Set(meter.ReplicaLimit, labels, int64(entry.PerSecond*limitMilli))
 		daemon.meter.Set(meter.ReplicaLimitAge, labels, now.Sub(entry.Confirmed).Milliseconds())
@@ -76,4 +82,5 @@
 		daemon.meter.Set(meter.LimitSent, labels, int64(state.Sent))
 		daemon.meter.Set(meter.LimitRefused, labels, int64(state.Refused))
 	}
+	return entries
 }
--- a/front/tasks.go
+++ b/front/tasks.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bronzestall/bronzestall/event"
+	"github.com/bronzestall/bronzestall/ratelimit"
 	"github.com/bronzestall/bronzestall/roster"
 	"github.com/bronzestall/bronzestall/topology"
 )
@@ -76,6 +77,7 @@
 	ticker := daemon.clock.NewTicker(housekeepingInterval)
 	defer ticker.Stop()
 	var daemons recentPeak
+	var limits []ratelimit.Entry
 	step := 0
 	for {
 		select {
@@ -92,7 +94,7 @@
 		}
 		daemon.updateMetrics(daemon.clock.Now())
 		daemon.observeMembers()
-		daemon.updateLimitMetrics(daemon.clock.Now())
+		limits = daemon.updateLimitMetrics(daemon.clock.Now(), limits)
 		if daemon.clock.Since(daemon.directory.HolderLastSeen()) > holderTimeout {
 			daemon.balancer.SetRemoteInFlight(daemon.mesh.InFlightByReplica())
 		}
--- a/mesh/greet.go
+++ b/mesh/greet.go
@@ -30,9 +30,9 @@
 }
 
 // greet exchanges greetings with the daemon at the address. It requests the state of all daemons on first
-// contact.
+// contact, and until a daemon has told it.
 func (node *Node) greet(ctx context.Context, address string) {
-	askAll := !node.isKnown(address)
+	askAll := !node.isKnown(address) || !node.Joined()
 	greeting := node.newGreeting(askAll)
 	greeting.AskAll = askAll
 	response, err := call[meshpb.Greeting, meshpb.Greeting](ctx, node, address, greetProcedure, greeting, node.settings.CallTimeout)
--- a/ratelimit/allocator.go
+++ b/ratelimit/allocator.go
@@ -96,7 +96,7 @@
 		allocator.buckets[ask.Replica] = bucket
 	}
 	bucket.refill(perSecond, now)
-	bucket.tokens += float64(max(ask.Unused, 0) + bucket.lost(daemon, ask))
+	bucket.tokens += float64(bucket.returned(daemon, ask))
 	bucket.forget(now)
 	free := heldTokens + perSecond*heldTime.Seconds() - float64(bucket.heldByOthers(daemon, now)+ask.Held)
 	granted := max(min(ask.Wanted, int(bucket.tokens), int(free)), 0)
@@ -130,13 +130,15 @@
 	}
 }
 
-// lost returns the number of tokens in the last response to the daemon if that did not arrive.
-func (bucket *bucket) lost(daemon string, ask Ask) int {
+// returned returns the number of tokens that come back from the daemon: those that expired unused, and those of the last
+// response if that did not arrive. It is at most the number that the daemon held.
+func (bucket *bucket) returned(daemon string, ask Ask) int {
 	last := bucket.askers[daemon]
-	if ask.Answered >= last.sequence {
-		return 0
+	returned := max(ask.Unused, 0)
+	if ask.Answered < last.sequence {
+		returned += last.granted
 	}
-	return last.granted
+	return min(returned, last.held)
 }
 
 // forget drops daemons that asked long ago and hold no tokens.
