Name each response header of replicas that is not known

Server-Limit was passed on and read by nobody, and no log told of it. Each unknown header whose name begins like those in which replicas report on themselves is logged once (853, NoticeUnknown), at most 64 of them.

--- a/event/front.go
+++ b/event/front.go
@@ -25,6 +25,7 @@
 	ReplicaLeaves      = define(827, "ReplicaLeaves", Info, "A replica announced in a response that it shuts down; it gets no new requests, whatever its row contains.")
 	ReplicaRests       = define(828, "ReplicaRests", Info, "A replica rejected a request and asked for a backoff; For is its duration.")
 	NoticeSkipped      = define(829, "NoticeSkipped", Warning, "A notice in a replica's response headers could not be decoded and is ignored; logged once for each incarnation.")
+	NoticeUnknown      = define(853, "NoticeUnknown", Warning, "A replica reports something under a header that is not known and is ignored; logged once for each header.")
 	LimitNamed         = define(850, "LimitNamed", Info, "A replica named a limit of requests per second for all daemons together; Source states whether a response or another daemon told it.")
 	LimitChanged       = define(851, "LimitChanged", Info, "A replica named another limit; logged at most every five seconds for each replica.")
 	LimitEnded         = define(852, "LimitEnded", Info, "A replica names no limit any more.")
--- a/front/notices.go
+++ b/front/notices.go
@@ -29,6 +29,9 @@
 	if received.Backoff > 0 && listener.notices.SetBackoff(incarnation, now.Add(received.Backoff), now) {
 		event.ReplicaRests.Log("Replica", incarnation.ID, "Born", incarnation.Started, "For", received.Backoff)
 	}
+	if received.Unknown != "" && listener.notices.MarkUnknown(received.Unknown) {
+		event.NoticeUnknown.Log("Replica", incarnation.ID, "Born", incarnation.Started, "Header", received.Unknown)
+	}
 	if received.Malformed != "" {
 		listener.meter.Count(meter.NoticesMalformed, meter.Labels{Kind: received.Malformed}, 1)
 	}
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -12,6 +12,8 @@
 	// set if the response names one.
 	Limit      float64
 	LimitNamed bool
+	// Unknown is the name of a header that is meant for daemons and has no known meaning; it is empty if there was none.
+	Unknown string
 	// Malformed is the name of a header that could not be decoded as a notice; it is empty if there was none.
 	Malformed string
 }
--- a/notice/registry.go
+++ b/notice/registry.go
@@ -13,6 +13,9 @@
 // maxIncarnations bounds the number of incarnations in each table of a Registry.
 const maxIncarnations = 4096
 
+// maxUnknown bounds the number of unknown headers that are kept: faulty replicas may send any name.
+const maxUnknown = 64
+
 // Registry holds the notices of replicas by incarnation. It is safe for concurrent use. Use New.
 type Registry struct {
 	mutex sync.Mutex
@@ -22,6 +25,8 @@
 	backoffs map[topology.Incarnation]time.Time
 	// malformed holds the headers, by incarnation, that could not be decoded as a notice.
 	malformed map[malformedHeader]bool
+	// unknown holds the headers without a known meaning; at most maxUnknown.
+	unknown map[string]bool
 }
 
 // malformedHeader identifies a header of the responses of one incarnation.
@@ -36,6 +41,7 @@
 		leaving:   map[topology.Incarnation]time.Time{},
 		backoffs:  map[topology.Incarnation]time.Time{},
 		malformed: map[malformedHeader]bool{},
+		unknown:   map[string]bool{},
 	}
 }
 
@@ -92,6 +98,18 @@
 	return true
 }
 
+// MarkUnknown records a header without a known meaning, and reports whether it is the first time. Beyond maxUnknown
+// headers it reports false.
+func (registry *Registry) MarkUnknown(header string) bool {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	if registry.unknown[header] || len(registry.unknown) >= maxUnknown {
+		return false
+	}
+	registry.unknown[header] = true
+	return true
+}
+
 // Leaving reports whether the incarnation leaves.
 func (registry *Registry) Leaving(incarnation topology.Incarnation) bool {
 	registry.mutex.Lock()
--- a/notice/registry_test.go
+++ b/notice/registry_test.go
@@ -1,6 +1,7 @@
 package notice
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -74,6 +75,21 @@
 	}
 }
 
+func TestUnknownHeadersAreBounded(t *testing.T) {
+	registry := New()
+	marked := 0
+	for index := range 2 * maxUnknown {
+		for range 2 {
+			if registry.MarkUnknown(strings.Repeat("x", index)) {
+				marked++
+			}
+		}
+	}
+	if marked != maxUnknown {
+		t.Errorf("%d unknown headers are marked as first", marked)
+	}
+}
+
 func TestRegistryIsBounded(t *testing.T) {
 	registry := New()
 	for born := range int64(maxIncarnations + 10) {
