Tell clients when to return with every refusal that says not run

What callers saw: a request refused because all replicas are full or have used up their limits gets 429 without Retry-After, though the time was computed; clients came back by their own clock.

Cause: the header was written with status 503 only. Change: with 429 too.

Test that failed before: ingress.TestRefusals (QueueFull).

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -131,7 +131,8 @@
 	if entry.Execution == outcome.NotRun && (status >= http.StatusInternalServerError || failure.Kind == outcome.Quarantined) {
 		status = http.StatusServiceUnavailable
 	}
-	if status == http.StatusServiceUnavailable && failure.RetryAfter > 0 {
+	mayReturn := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+	if mayReturn && failure.RetryAfter > 0 {
 		writer.Header().Set("Retry-After", strconv.FormatFloat(failure.RetryAfter.Seconds(), 'f', 2, 64))
 	}
 	writer.Header().Set("Content-Type", "text/plain; charset=utf-8")
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -57,6 +57,7 @@
 		outcome.DeadlineInQueue:    {503, "1.50"},
 		outcome.UpstreamRefused:    {503, "1.50"},
 		outcome.Quarantined:        {503, "1.50"},
+		outcome.QueueFull:          {429, "1.50"},
 		outcome.Stopping:           {503, "1.50"},
 		outcome.UnknownPath:        {404, ""},
 		outcome.UpstreamLost:       {502, ""},
