--- a/relay/availability.go
+++ b/relay/availability.go
@@ -77,7 +77,7 @@
 // waitForToken waits until there is a token for the limit of one of the candidates, and returns that candidate, which
 // holds the permit of the transaction. It returns false if the request must be decided anew, because something else has
 // changed, and a failure if no token comes in time.
-func (transaction *transaction) waitForToken(ctx context.Context, limited []balance.Candidate, now time.Time, changed, refusals <-chan struct{}) (balance.Candidate, bool, *outcome.Error) {
+func (transaction *transaction) waitForToken(ctx context.Context, limited []balance.Candidate, now time.Time, changes changes) (balance.Candidate, bool, *outcome.Error) {
 	limiter := transaction.relay.deps.Limiter
 	replicas := incarnations(limited)
 	until := transaction.tokenDeadline(now)
@@ -86,7 +86,8 @@
 		return balance.Candidate{}, false, failure
 	}
 	waiter := limiter.Wait(replicas, priority(transaction.route), transaction.request.Arrived, now)
-	transaction.waitForChange(ctx, until.Sub(now), changed, refusals, waiter.Ready())
+	changes.token = waiter.Ready()
+	transaction.waitForChange(ctx, until.Sub(now), changes)
 	permit, ok := limiter.Leave(waiter)
 	if !ok {
 		return balance.Candidate{}, false, nil
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -8,10 +8,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/bronzestall/bronzestall/balance"
-	"github.com/bronzestall/bronzestall/demand"
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/outcome"
-	"github.com/bronzestall/bronzestall/topology"
 )
 
 const (
@@ -44,10 +42,34 @@
 	retryAfterCold = 2 * time.Second
 )
 
-// selectReplica returns the replica for the next attempt. It waits for capacity, or for a model or adapter that no
-// replica has loaded, as long as a response within the deadline is possible.
+// selectReplica returns the replica for the next attempt. It waits for capacity, for tokens of replicas with limits, or
+// for a model or adapter that no replica has loaded, as long as a response within the deadline is possible.
 func (transaction *transaction) selectReplica(ctx context.Context) (balance.Candidate, *outcome.Error) {
-	criteria := balance.Criteria{
+	selection := transaction.newSelection()
+	defer selection.finish()
+	for {
+		chosen, ok, failure := selection.step(ctx)
+		if ok || failure != nil {
+			return chosen, failure
+		}
+	}
+}
+
+// selection is the state of the choice of one replica.
+type selection struct {
+	*transaction
+	criteria balance.Criteria
+	// begun is when the choice began.
+	begun time.Time
+	// waiting is set once the request is counted as one that waits for its model.
+	waiting bool
+	// wished is set once the request is counted as one that replicas with limits could serve.
+	wished bool
+}
+
+func (transaction *transaction) newSelection() *selection {
+	created := &selection{transaction: transaction, begun: transaction.relay.deps.Clock.Now()}
+	created.criteria = balance.Criteria{
 		Zone:              transaction.relay.settings.Zone,
 		DaemonIndex:       transaction.relay.daemonIndex(),
 		Exclude:           transaction.tried,
@@ -56,75 +78,97 @@
 		AdmissionQuantile: float64(xxhash.Sum64String(transaction.request.Metadata.ID)) / math.MaxUint64,
 	}
 	if transaction.service.Engine != nil {
-		criteria.Tokens = transaction.request.Metadata.PromptTokens
+		created.criteria.Tokens = transaction.request.Metadata.PromptTokens
 	}
-	waiting, wished := false, false
-	begun := transaction.relay.deps.Clock.Now()
-	defer func() {
-		if waiting {
-			transaction.summary.Waited += transaction.relay.deps.Clock.Since(begun)
-			transaction.relay.deps.Demand.RemoveWaiting(transaction.key(), transaction.request.Arrived)
-		}
-	}()
-	for {
-		changed := transaction.relay.deps.Directory.Changed()
-		refusals := transaction.relay.deps.Suspects.Refusals()
-		now := transaction.relay.deps.Clock.Now()
-		if ctx.Err() != nil {
-			return balance.Candidate{}, contextFailure(ctx, false)
-		}
-		if failure := transaction.quarantineFailure(now); failure != nil {
-			return balance.Candidate{}, failure
-		}
-		available := transaction.availability(transaction.candidates(), !wished, now)
-		wished = true
-		criteria.MaxLoad = transaction.maxLoad(now)
-		if chosen, ok := transaction.choose(available.accepting, criteria, now); ok {
-			return chosen, nil
-		}
-		if len(available.accepting) > 0 {
-			if failure := transaction.overloadFailure(now); failure != nil {
-				return balance.Candidate{}, failure
-			}
-			transaction.waitForChange(ctx, capacityPollInterval, changed, refusals, nil)
-			continue
-		}
-		if len(available.limited) > 0 {
-			if !waiting && transaction.service.Engine != nil {
-				waiting = true
-				transaction.startModelWait()
-			}
-			permitted, ok, failure := transaction.waitForToken(ctx, available.limited, now, changed, refusals)
-			if failure != nil {
-				return balance.Candidate{}, failure
-			}
-			if !ok {
-				continue
-			}
-			if chosen, ok := transaction.choosePermitted(permitted, criteria); ok {
-				return chosen, nil
-			}
-			continue
-		}
-		if resumeAt := available.resumeAt; !resumeAt.IsZero() {
-			if failure := transaction.backoffFailure(now, resumeAt); failure != nil {
-				return balance.Candidate{}, failure
-			}
-			transaction.waitForChange(ctx, resumeAt.Sub(now), changed, refusals, nil)
-			continue
-		}
-		until, failure := transaction.waitLimit(now)
-		if failure != nil {
-			return balance.Candidate{}, failure
-		}
-		if !waiting {
-			waiting = true
-			transaction.startModelWait()
-		}
-		transaction.waitForChange(ctx, until.Sub(now), changed, refusals, nil)
+	return created
+}
+
+// finish ends the wait for the model, if there was one.
+func (selection *selection) finish() {
+	if selection.waiting {
+		selection.summary.Waited += selection.relay.deps.Clock.Since(selection.begun)
+		selection.relay.deps.Demand.RemoveWaiting(selection.key(), selection.request.Arrived)
+	}
+}
+
+// startWait counts the request as one that waits for its model.
+func (selection *selection) startWait() {
+	if !selection.waiting {
+		selection.waiting = true
+		selection.startModelWait()
 	}
 }
 
+// step returns the replica, or why there will be none. If it returns neither, it has waited for a change.
+func (selection *selection) step(ctx context.Context) (balance.Candidate, bool, *outcome.Error) {
+	changes := selection.changes()
+	now := selection.relay.deps.Clock.Now()
+	if ctx.Err() != nil {
+		return balance.Candidate{}, false, contextFailure(ctx, false)
+	}
+	if failure := selection.quarantineFailure(now); failure != nil {
+		return balance.Candidate{}, false, failure
+	}
+	available := selection.availability(selection.candidates(), !selection.wished, now)
+	selection.wished = true
+	selection.criteria.MaxLoad = selection.maxLoad(now)
+	if chosen, ok := selection.choose(available.accepting, selection.criteria, now); ok {
+		return chosen, true, nil
+	}
+	switch {
+	case len(available.accepting) > 0:
+		return balance.Candidate{}, false, selection.waitForCapacity(ctx, now, changes)
+	case len(available.limited) > 0:
+		return selection.chooseLimited(ctx, available.limited, now, changes)
+	case !available.resumeAt.IsZero():
+		return balance.Candidate{}, false, selection.waitForBackoff(ctx, available.resumeAt, now, changes)
+	default:
+		return balance.Candidate{}, false, selection.waitForModel(ctx, now, changes)
+	}
+}
+
+// waitForCapacity waits for a moment, or returns why the request must not wait any longer.
+func (selection *selection) waitForCapacity(ctx context.Context, now time.Time, changes changes) *outcome.Error {
+	if failure := selection.overloadFailure(now); failure != nil {
+		return failure
+	}
+	selection.waitForChange(ctx, capacityPollInterval, changes)
+	return nil
+}
+
+// chooseLimited waits until one of the candidates has a token and returns it, or returns why none has one in time.
+func (selection *selection) chooseLimited(ctx context.Context, limited []balance.Candidate, now time.Time, changes changes) (balance.Candidate, bool, *outcome.Error) {
+	if selection.service.Engine != nil {
+		selection.startWait()
+	}
+	permitted, ok, failure := selection.waitForToken(ctx, limited, now, changes)
+	if !ok {
+		return balance.Candidate{}, false, failure
+	}
+	chosen, ok := selection.choosePermitted(permitted, selection.criteria)
+	return chosen, ok, nil
+}
+
+// waitForBackoff waits until the backoff of a replica ends, or returns why the request must not wait for that.
+func (selection *selection) waitForBackoff(ctx context.Context, resumeAt, now time.Time, changes changes) *outcome.Error {
+	if failure := selection.backoffFailure(now, resumeAt); failure != nil {
+		return failure
+	}
+	selection.waitForChange(ctx, resumeAt.Sub(now), changes)
+	return nil
+}
+
+// waitForModel waits until a replica may have loaded the model, or returns why the request must not wait any longer.
+func (selection *selection) waitForModel(ctx context.Context, now time.Time, changes changes) *outcome.Error {
+	until, failure := selection.waitLimit(now)
+	if failure != nil {
+		return failure
+	}
+	selection.startWait()
+	selection.waitForChange(ctx, until.Sub(now), changes)
+	return nil
+}
+
 // choose returns the best of the candidates, with a permit if it has a limit.
 func (transaction *transaction) choose(candidates []balance.Candidate, criteria balance.Criteria, now time.Time) (balance.Candidate, bool) {
 	chosen, ok := transaction.relay.deps.Balancer.Choose(candidates, criteria, now)
@@ -220,79 +264,28 @@
 	}
 }
 
-// waitForChange waits until the directory changes, the set of refused requests changes, a token is ready, the timeout
-// passes or the context ends. Nil channels are ignored.
-func (transaction *transaction) waitForChange(ctx context.Context, timeout time.Duration, changed, refusals, token <-chan struct{}) {
+// changes holds what ends a wait before its timeout. Nil channels are ignored.
+type changes struct {
+	// directory is closed when the directory changes, and refusals when the set of refused requests does.
+	directory, refusals <-chan struct{}
+	// token is closed when there is a token for the request.
+	token <-chan struct{}
+}
+
+// changes returns the channels of the next changes of the directory and of the refused requests.
+func (transaction *transaction) changes() changes {
+	return changes{directory: transaction.relay.deps.Directory.Changed(), refusals: transaction.relay.deps.Suspects.Refusals()}
+}
+
+// waitForChange waits until one of the changes, the timeout or the end of the context.
+func (transaction *transaction) waitForChange(ctx context.Context, timeout time.Duration, changes changes) {
 	timer := transaction.relay.deps.Clock.NewTimer(timeout)
 	defer timer.Stop()
 	select {
-	case <-changed:
-	case <-refusals:
-	case <-token:
+	case <-changes.directory:
+	case <-changes.refusals:
+	case <-changes.token:
 	case <-timer.C():
 	case <-ctx.Done():
 	}
 }
-
-// waitLimit returns until when the request may wait for a replica, or the failure if it must not wait any longer.
-func (transaction *transaction) waitLimit(now time.Time) (time.Time, *outcome.Error) {
-	total := transaction.deadline.Sub(transaction.request.Arrived)
-	if transaction.service.Engine == nil {
-		until := transaction.request.Arrived.Add(plainWait)
-		if !now.Before(until) {
-			return until, outcome.New(outcome.NoReplica, "no replica of the service is known").WithRetryAfter(retryAfterBusy)
-		}
-		return until, nil
-	}
-	model, known := transaction.service.Engine.Models[transaction.request.Metadata.Model]
-	if !known {
-		return now, outcome.New(outcome.NoReplica, "the service has no such model").WithRetryAfter(retryAfterCold)
-	}
-	if memory := transaction.service.Engine.Memory; memory > 0 && model.Weights > memory {
-		return now, outcome.New(outcome.NoReplica, "the model %s is larger than the memory of an engine", model.Name).WithRetryAfter(retryAfterCold)
-	}
-	latestSend := transaction.latestSend(total)
-	ready, known := transaction.forecast()
-	if known && ready.After(latestSend) {
-		return latestSend, outcome.New(outcome.DeadlineUnmeetable, "the model will be loaded too late").WithRetryAfter(ready.Sub(now))
-	}
-	if known {
-		return latestSend, waitFailure(now, latestSend)
-	}
-	noForecastLimit := transaction.request.Arrived.Add(time.Duration(noForecastPart * float64(total)))
-	if latestSend.Before(noForecastLimit) {
-		noForecastLimit = latestSend
-	}
-	return noForecastLimit, waitFailure(now, noForecastLimit)
-}
-
-// latestSend returns the latest useful time to send the request: before the client abandons a stream without an
-// event, and early enough for the generation to finish before the deadline.
-func (transaction *transaction) latestSend(total time.Duration) time.Time {
-	latestSend := transaction.deadline.Add(-time.Duration(generationReserve * float64(total)))
-	if transaction.route.Kind != topology.Streaming {
-		return latestSend
-	}
-	abandonedAfter := max(minFirstEventTimeout, timeoutTargets*transaction.route.LatencyTarget, timeoutGaps*transaction.route.GapTarget)
-	if begin := transaction.request.Arrived.Add(abandonedAfter - firstEventReserve); begin.Before(latestSend) {
-		return begin
-	}
-	return latestSend
-}
-
-// waitFailure returns the failure of a request that has waited until the given time, or nil before it.
-func waitFailure(now, until time.Time) *outcome.Error {
-	if now.Before(until) {
-		return nil
-	}
-	return outcome.New(outcome.NoReplica, "the model was not loaded in time").WithRetryAfter(retryAfterCold)
-}
-
-// forecast returns when the model, and the adapter if any, is expected to be loaded, and whether that is known.
-func (transaction *transaction) forecast() (time.Time, bool) {
-	key := transaction.key()
-	if ready, known := transaction.relay.deps.Directory.Forecast(key); known {
-		return ready, true
-	}
-	return transaction.relay.deps.Directory.Forecast(demand.Key{Service: key.Service, Model: key.Model})
-}
--- a/relay/transaction.go
+++ b/relay/transaction.go
@@ -123,7 +123,7 @@
 		transaction.tried = append(transaction.tried, candidate.Incarnation)
 	}
 	if result.notRun && !result.unsent {
-		transaction.waitForChange(ctx, busyRetryDelay, nil, nil, nil)
+		transaction.waitForChange(ctx, busyRetryDelay, changes{})
 	}
 	return true
 }
