Load awaited adapters on an engine that has used up its limit

What callers would see: a request whose adapter is loaded nowhere waits in vain if only engines with a used-up limit hold its model and no other has room, though they would take it in turn. Found by reading the planner's use of the engines that no longer count as replicas. Change: adapters that requests wait for go to such an engine if no other holds the model.

Test that failed before: residency.TestAdapterLoadsOnExhaustedEngine (planned nothing).

--- a/residency/adapters.go
+++ b/residency/adapters.go
@@ -98,7 +98,7 @@
 func (plan *plan) loadAdapter(model, adapter string) {
 	var best *Engine
 	bestWeight := uint64(0)
-	for _, engine := range plan.index.loaded[model] {
+	for _, engine := range plan.index.holders(model) {
 		if engine.Holding.Has(model, adapter) {
 			return
 		}
--- a/residency/limit_test.go
+++ b/residency/limit_test.go
@@ -40,3 +40,14 @@
 	state.Models["m1"] = Demand{Rate: 2, Waiting: 3}
 	wantOrders(t, state, "Load m1 e1")
 }
+
+// TestAdapterLoadsOnExhaustedEngine guards against requests whose adapter is loaded nowhere, because only an exhausted
+// engine holds its model and no other has room for it.
+func TestAdapterLoadsOnExhaustedEngine(t *testing.T) {
+	state := fleet(1, 1)
+	state.hold(0, "m0")
+	state.Engines[0].Limit = 1
+	state.Models["m0"] = Demand{Rate: 2, Waiting: 1}
+	state.Adapters["m0/a1"] = Demand{Waiting: 1}
+	wantOrders(t, state, "Load m0/a1 e0")
+}
--- a/residency/state.go
+++ b/residency/state.go
@@ -53,6 +53,8 @@
 type index struct {
 	// loaded and loading list the engines that hold and load a model, without exhausted ones.
 	loaded, loading map[string][]*Engine
+	// exhausted lists the exhausted engines that hold a model.
+	exhausted map[string][]*Engine
 	// copies maps models to the engines that have a copy of the weights and neither hold nor load the model, without
 	// exhausted ones.
 	copies map[string][]*Engine
@@ -64,11 +66,12 @@
 
 // index builds the look-ups. The cost is linear in the number of engines and their copies.
 func (state *State) index() *index {
-	made := &index{loaded: map[string][]*Engine{}, loading: map[string][]*Engine{}, copies: map[string][]*Engine{}}
+	made := &index{loaded: map[string][]*Engine{}, loading: map[string][]*Engine{}, copies: map[string][]*Engine{}, exhausted: map[string][]*Engine{}}
 	zones := map[string]bool{}
 	for _, engine := range state.Engines {
 		zones[engine.Zone] = true
 		if state.exhausted(engine) {
+			made.addExhausted(engine)
 			continue
 		}
 		for _, loaded := range engine.Holding.Models {
@@ -86,6 +89,21 @@
 	return made
 }
 
+// addExhausted adds the exhausted engine to the holders of its models.
+func (index *index) addExhausted(engine *Engine) {
+	for _, loaded := range engine.Holding.Models {
+		index.exhausted[loaded.Model] = append(index.exhausted[loaded.Model], engine)
+	}
+}
+
+// holders returns the engines that hold the model: exhausted ones only if there are no others.
+func (index *index) holders(model string) []*Engine {
+	if loaded := index.loaded[model]; len(loaded) > 0 {
+		return loaded
+	}
+	return index.exhausted[model]
+}
+
 // addCopies adds the engine to the copies of its models.
 func (index *index) addCopies(engine *Engine) {
 	add := func(model string) {
