Tell a client refused for a limit when its model is loaded elsewhere

What callers saw: a request whose model only an engine with a used-up limit holds is refused and asked to come back within 0.6 to 1.8 s, while the load of another copy takes 6 s; with one retry of its own the client is refused again and gone.

Cause: Retry-After knew only the time to a token. Change: the expected end of the load, where that is later.

--- a/relay/availability.go
+++ b/relay/availability.go
@@ -112,7 +112,7 @@
 		return transaction.capacityDeadline()
 	}
 	latestSend := transaction.latestSend(transaction.deadline.Sub(transaction.request.Arrived))
-	if ready, known := transaction.forecast(); known && ready.After(now) && ready.Before(latestSend) {
+	if loaded := transaction.untilLoaded(now); loaded > 0 && now.Add(loaded).Before(latestSend) {
 		return latestSend
 	}
 	return transaction.capacityDeadline()
@@ -125,8 +125,23 @@
 	if now.Before(until) && (now.Add(room).Before(until) || until.After(transaction.capacityDeadline())) {
 		return nil
 	}
-	retryAfter := max(room, retryAfterOverload/2) + transaction.retryJitter()
-	return outcome.New(outcome.QueueFull, "the limit that replica %s named is used up", replicas[0].ID).WithRetryAfter(retryAfter)
+	failure := outcome.New(outcome.QueueFull, "the limit that replica %s named is used up", replicas[0].ID)
+	if loaded := transaction.untilLoaded(now); loaded > room {
+		return failure.WithRetryAfter(loaded)
+	}
+	return failure.WithRetryAfter(max(room, retryAfterOverload/2) + transaction.retryJitter())
+}
+
+// untilLoaded returns the time until the model is expected to be loaded on another engine; zero if that is unknown.
+func (transaction *transaction) untilLoaded(now time.Time) time.Duration {
+	if transaction.service.Engine == nil {
+		return 0
+	}
+	ready, known := transaction.forecast()
+	if !known {
+		return 0
+	}
+	return max(ready.Sub(now), 0)
 }
 
 // room returns the shortest expected time until one of the replicas has a token; zero if it is unknown.
--- a/relay/limits_test.go
+++ b/relay/limits_test.go
@@ -6,6 +6,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/bronzestall/bronzestall/demand"
+	"github.com/bronzestall/bronzestall/directory"
 	"github.com/bronzestall/bronzestall/exchange"
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/ratelimit"
@@ -215,3 +217,36 @@
 		})
 	}
 }
+
+// TestRefusalNamesTheEndOfTheLoad guards against clients that come back before their model, which only an engine with a
+// used-up limit holds, is loaded elsewhere; a client whose model is loaded in time waits for it.
+func TestRefusalNamesTheEndOfTheLoad(t *testing.T) {
+	cases := []struct {
+		name    string
+		ready   time.Duration
+		refused bool
+	}{
+		{"in time", 500 * time.Millisecond, false},
+		{"too late", 6 * time.Second, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fixture := newFixture(ok(events(1, 2)))
+				fixture.nameLimit(1, "enginea", "engineb")
+				fixture.directory.Apply(directory.Announcement{Fence: 1, Revision: 1, Forecasts: []directory.Forecast{
+					{Key: demand.Key{Service: "engine", Model: "m"}, Ready: time.Now().Add(c.ready)},
+				}})
+				time.AfterFunc(c.ready, func() { fixture.endLimit("enginea") })
+				begun := time.Now()
+				failure := fixture.serve(t.Context(), "/stream/x")
+				if (failure != nil) != c.refused {
+					t.Fatalf("%v after %v", failure, time.Since(begun))
+				}
+				if c.refused && failure.RetryAfter != c.ready-time.Since(begun) {
+					t.Errorf("retry after %v, want %v", failure.RetryAfter, c.ready-time.Since(begun))
+				}
+			})
+		})
+	}
+}
