--- a/ratelimit/allocator_test.go
+++ b/ratelimit/allocator_test.go
@@ -16,7 +16,7 @@
 		{"a new bucket is empty", []Ask{{Wanted: 5}}, 0, []int{0}},
 		{"unclaimed tokens are bounded", []Ask{{}, {Wanted: 100}}, time.Hour, []int{0, 5}},
 		{"held tokens are bounded", []Ask{{}, {Wanted: 100, Held: 16}}, time.Second, []int{0, 2}},
-		{"no token for a negative wish", []Ask{{}, {Wanted: -1}}, time.Second, []int{0, 0}},
+		{"no token for a negative number", []Ask{{}, {Wanted: -1}}, time.Second, []int{0, 0}},
 		{"unused tokens come back", []Ask{{}, {Wanted: 5}, {Sequence: 3, Answered: 2, Unused: 5, Wanted: 10}}, 500 * time.Millisecond, []int{0, 5, 10}},
 		{"no more come back than were granted", []Ask{{}, {Wanted: 5}, {Unused: 1 << 30, Wanted: 100}}, 500 * time.Millisecond, []int{0, 5, 10}},
 		{"tokens of a lost response come back", []Ask{{Sequence: 1}, {Sequence: 2, Answered: 1, Wanted: 5}, {Sequence: 3, Answered: 1, Wanted: 10}}, 500 * time.Millisecond, []int{0, 5, 10}},
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"sync"
 	"time"
 
@@ -10,12 +9,12 @@
 )
 
 const (
-	// wishHalfLife is the time in which the weight of an earlier wish halves.
-	wishHalfLife = time.Second
+	// demandHalfLife is the time in which the weight of an earlier request in the demand halves.
+	demandHalfLife = time.Second
 	// aheadTime is the time of arrivals for which a daemon wants to have tokens at hand.
 	aheadTime = 500 * time.Millisecond
-	// wishRetention is the time after the last wish for which a daemon wants a token.
-	wishRetention = 2 * time.Second
+	// demandRetention is the time after the last request that could use one for which a daemon wants a token.
+	demandRetention = 2 * time.Second
 	// minShortTime is how long the daemon must have been granted too little before the time to a token is estimated.
 	minShortTime = time.Second
 	// askAgainInterval is the shortest time from a response to the next question about the replica, and
@@ -48,30 +47,6 @@
 	waiters []*Waiter
 }
 
-// share is what the daemon has of one limit, and what it wants.
-type share struct {
-	// tokens lists the ends of the tokens at hand, the earliest first.
-	tokens []time.Time
-	// unused is the number of tokens that expired since the last question.
-	unused int
-	// wishes is the decayed number of requests that could have been sent to the replica, as of wishedAt.
-	wishes   float64
-	wishedAt time.Time
-	// nextAsk is the earliest time of the next question, and asking is set while one is under way, which was asked at
-	// askedAt.
-	nextAsk, askedAt time.Time
-	asking           bool
-	// sequence is the number of the last question, and answered that of the last one that got a response.
-	sequence, answered uint64
-	// shortSince is the time since which the daemon was granted less than it wants; zero if it was granted all. shortTokens
-	// is the number of tokens granted since then, and grantedAt the time of the last response.
-	shortSince  time.Time
-	shortTokens int
-	grantedAt   time.Time
-	// sent is the number of tokens used, and refused that of the requests that were refused for want of one.
-	sent, refused int
-}
-
 // NewLimiter returns a limiter for the limits in the table, without tokens.
 func NewLimiter(table *Table) *Limiter {
 	return &Limiter{table: table, asks: make(chan struct{}, 1), shares: map[topology.Incarnation]*share{}}
@@ -82,9 +57,9 @@
 	return limiter.table.count.Load() > 0
 }
 
-// Available records that a request could be sent to the replica if wish is set, and reports whether it may be sent now
+// Available counts a request that could be sent to the replica if isNew is set, and reports whether it may be sent now
 // and whether the replica has a limit.
-func (limiter *Limiter) Available(replica topology.Incarnation, wish bool, now time.Time) (available, limited bool) {
+func (limiter *Limiter) Available(replica topology.Incarnation, isNew bool, now time.Time) (available, limited bool) {
 	if _, limited := limiter.table.Limit(replica); !limited {
 		return true, false
 	}
@@ -92,8 +67,8 @@
 	defer limiter.mutex.Unlock()
 	share := limiter.share(replica)
 	share.expire(now)
-	if wish {
-		share.wish(now)
+	if isNew {
+		share.addDemand(now)
 	}
 	if limiter.wanted(replica, share, now) > 0 && !share.asking && !now.Before(share.nextAsk) {
 		limiter.requestAsk()
@@ -294,11 +269,11 @@
 }
 
 // wanted returns how many tokens the daemon wants beyond those at hand: one for each waiting request and those for the
-// arrivals of aheadTime, but at least one while there are wishes. The mutex must be held.
+// arrivals of aheadTime, but at least one while there is demand. The mutex must be held.
 func (limiter *Limiter) wanted(replica topology.Incarnation, share *share, now time.Time) int {
 	wanted := limiter.waitingFor(replica)
-	if !share.wishedAt.IsZero() && now.Sub(share.wishedAt) < wishRetention {
-		wanted = max(wanted+int(math.Round(share.wishRate(now)*aheadTime.Seconds())), 1)
+	if !share.demandAt.IsZero() && now.Sub(share.demandAt) < demandRetention {
+		wanted = max(wanted+int(math.Round(share.demandRate(now)*aheadTime.Seconds())), 1)
 	}
 	return wanted - len(share.tokens)
 }
@@ -311,51 +286,6 @@
 	}
 }
 
-// add keeps a token until the given time.
-func (share *share) add(until time.Time) {
-	at, _ := slices.BinarySearchFunc(share.tokens, until, func(token, until time.Time) int { return token.Compare(until) })
-	share.tokens = slices.Insert(share.tokens, at, until)
-}
-
-// expire drops the tokens that have ended.
-func (share *share) expire(now time.Time) {
-	for len(share.tokens) > 0 && !now.Before(share.tokens[0]) {
-		share.tokens = share.tokens[1:]
-		share.unused++
-		share.nextAsk = earliest(share.nextAsk, now)
-	}
-}
-
-// wish counts a request that could be sent to the replica.
-func (share *share) wish(now time.Time) {
-	share.wishes = share.decayedWishes(now) + 1
-	share.wishedAt = now
-}
-
-// wishRate returns the number of wishes per second.
-func (share *share) wishRate(now time.Time) float64 {
-	return share.decayedWishes(now) * math.Ln2 / wishHalfLife.Seconds()
-}
-
-// observeGrant counts the granted tokens while they are fewer than those wanted.
-func (share *share) observeGrant(ask Ask, grant Grant, now time.Time) {
-	share.grantedAt = now
-	switch {
-	case grant.Tokens >= ask.Wanted:
-		share.shortSince = time.Time{}
-	case share.shortSince.IsZero():
-		share.shortSince, share.shortTokens = now, 0
-	default:
-		share.shortTokens += grant.Tokens
-	}
-}
-
-// decayedWishes returns the rest of the wishes.
-func (share *share) decayedWishes(now time.Time) float64 {
-	passed := max(now.Sub(share.wishedAt), 0)
-	return share.wishes * math.Exp2(-passed.Seconds()/wishHalfLife.Seconds())
-}
-
 func earliest(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
--- a/relay/availability.go
+++ b/relay/availability.go
@@ -19,9 +19,9 @@
 	resumeAt time.Time
 }
 
-// availability returns the availability of the candidates according to their notices and limits. wish states that the
+// availability returns the availability of the candidates according to their notices and limits. isNew states that the
 // request was not counted yet as one that the replicas with limits could serve.
-func (transaction *transaction) availability(candidates []balance.Candidate, wish bool, now time.Time) availability {
+func (transaction *transaction) availability(candidates []balance.Candidate, isNew bool, now time.Time) availability {
 	notices, limiter := transaction.relay.deps.Notices, transaction.relay.deps.Limiter
 	anyLimited := limiter.Limited()
 	result := availability{accepting: make([]balance.Candidate, 0, len(candidates))}
@@ -31,7 +31,7 @@
 			continue
 		}
 		if anyLimited {
-			available, limited := limiter.Available(candidate.Incarnation, wish, now)
+			available, limited := limiter.Available(candidate.Incarnation, isNew, now)
 			candidate.Reserved = limited
 			if !available {
 				result.limited = append(result.limited, candidate)
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -63,8 +63,8 @@
 	begun time.Time
 	// waiting is set once the request is counted as one that waits for its model.
 	waiting bool
-	// wished is set once the request is counted as one that replicas with limits could serve.
-	wished bool
+	// counted is set once the request is counted as one that replicas with limits could serve.
+	counted bool
 }
 
 func (transaction *transaction) newSelection() *selection {
@@ -109,8 +109,8 @@
 	if failure := selection.quarantineFailure(now); failure != nil {
 		return balance.Candidate{}, false, failure
 	}
-	available := selection.availability(selection.candidates(), !selection.wished, now)
-	selection.wished = true
+	available := selection.availability(selection.candidates(), !selection.counted, now)
+	selection.counted = true
 	selection.criteria.MaxLoad = selection.maxLoad(now)
 	if chosen, ok := selection.choose(available.accepting, selection.criteria, now); ok {
 		return chosen, true, nil
