Choose grantors by the rendezvous hashing that the project already had

ratelimit.Grantors was peer.Assigned written again, with the same hash, separator and order of ties. The function has a small pure package of its own now, rendezvous, which both use; peer, with its transport, would be too much to import there. The same members are chosen as before.

--- a/daemon/campaign.go
+++ b/daemon/campaign.go
@@ -8,7 +8,7 @@
 	"github.com/bronzestall/bronzestall/decider"
 	"github.com/bronzestall/bronzestall/intent"
 	"github.com/bronzestall/bronzestall/lease"
-	"github.com/bronzestall/bronzestall/peer"
+	"github.com/bronzestall/bronzestall/rendezvous"
 )
 
 const (
@@ -51,7 +51,7 @@
 	if daemon.clock.Since(daemon.started) < remoteLiveAge || len(daemon.liveIn(dataCentre)) > 0 {
 		return false
 	}
-	for _, name := range peer.Assigned(dataCentre, daemon.allLive(), remoteCandidates) {
+	for _, name := range rendezvous.Choose(dataCentre, daemon.allLive(), remoteCandidates) {
 		if name == daemon.settings.Name {
 			return true
 		}
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -7,6 +7,7 @@
 
 	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/peer"
+	"github.com/bronzestall/bronzestall/rendezvous"
 	"github.com/bronzestall/bronzestall/settings"
 )
 
@@ -104,7 +105,7 @@
 		if _, ok := observers[member.DataCentre]; !ok {
 			observers[member.DataCentre] = daemon.observersOf(member.DataCentre)
 		}
-		if slices.Contains(peer.Assigned(member.Name, observers[member.DataCentre], observersPerEngine), daemon.settings.Name) {
+		if slices.Contains(rendezvous.Choose(member.Name, observers[member.DataCentre], observersPerEngine), daemon.settings.Name) {
 			names = append(names, member.Name)
 		}
 	}
--- a/daemon/suspects.go
+++ b/daemon/suspects.go
@@ -10,6 +10,7 @@
 
 	"github.com/bronzestall/bronzestall/peer"
 	"github.com/bronzestall/bronzestall/quarantine"
+	"github.com/bronzestall/bronzestall/rendezvous"
 )
 
 // suspects exchanges suspects, requests that may crash upstreams, with the other daemons, and reserves the
@@ -66,7 +67,7 @@
 // arbiterOf returns the daemon that grants reservations of the upstream, chosen among the live daemons of
 // the data centre, or this daemon if none is live.
 func (suspects *suspects) arbiterOf(upstream string) string {
-	chosen := peer.Assigned("arbiter/"+upstream, suspects.node.Live(), 1)
+	chosen := rendezvous.Choose("arbiter/"+upstream, suspects.node.Live(), 1)
 	if len(chosen) == 0 {
 		return suspects.name
 	}
--- a/ratelimit/grantor.go
+++ b/ratelimit/grantor.go
@@ -1,13 +1,10 @@
 package ratelimit
 
 import (
-	"cmp"
 	"slices"
-	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/bronzestall/bronzestall/rendezvous"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
@@ -18,25 +15,13 @@
 	secondShare = 0.25
 )
 
-// Grantors returns up to two daemons that divide the limit of the replica among all, the first being the one to ask.
-// All daemons that see the same others choose the same ones.
+// maxGrantors is the number of daemons that may be asked for tokens of one replica.
+const maxGrantors = 2
+
+// Grantors returns up to maxGrantors daemons that divide the limit of the replica among all, the first being the one to
+// ask. All daemons that see the same others choose the same ones.
 func Grantors(daemons []string, replica topology.Incarnation) []string {
-	type ranked struct {
-		name   string
-		weight uint64
-	}
-	order := make([]ranked, 0, len(daemons))
-	for _, name := range daemons {
-		order = append(order, ranked{name, xxhash.Sum64String(replica.ID + "\x00" + name)})
-	}
-	slices.SortFunc(order, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.weight, a.weight), strings.Compare(a.name, b.name))
-	})
-	var grantors []string
-	for _, next := range order[:min(len(order), 2)] {
-		grantors = append(grantors, next.name)
-	}
-	return grantors
+	return rendezvous.Choose(replica.ID, daemons, maxGrantors)
 }
 
 // shareOf returns the share of the limit of the replica that the daemon may grant while it sees the live daemons.
