Guard the choice of grantors in its own package, and list the live daemons once a step

Each step of housekeeping copied and sorted all live daemons three times, and each question for tokens once more to find one address: they are listed once, and mesh looks the address up. What is chosen and counted is as before. Test added: mesh.TestAddressOf.

--- a/front/daemon.go
+++ b/front/daemon.go
@@ -75,10 +75,14 @@
 	limits    *ratelimit.Table
 	limiter   *ratelimit.Limiter
 	allocator *ratelimit.Allocator
-	relay     *relay.Relay
-	ingress   *ingress.Ingress
-	mesh      *mesh.Node
-	lease     *lease.Lease
+	// membership is what this daemon knows of all daemons that may divide limits, and grantorRoute chooses among them.
+	membership   *ratelimit.Membership
+	grantorRoute *ratelimit.Route
+
+	relay   *relay.Relay
+	ingress *ingress.Ingress
+	mesh    *mesh.Node
+	lease   *lease.Lease
 	// rowStore reads and writes single rows of the store, through another daemon if the store does not answer
 	// this one.
 	rowStore  mesh.RowStore
@@ -112,9 +116,6 @@
 	// last received an update.
 	relayedStoreSeen time.Time
 	currentReader    string
-	// membership is what this daemon knows of all daemons that may divide limits, and grantorRoute chooses among them.
-	membership   *ratelimit.Membership
-	grantorRoute *ratelimit.Route
 	// suspectRows holds the known rows of the suspect table by row key.
 	suspectRows map[string]suspectRow
 }
--- a/front/tasks.go
+++ b/front/tasks.go
@@ -86,19 +86,20 @@
 		case <-ticker.C():
 		}
 		daemon.pool.CloseExpired()
-		daemon.daemonIndex.Store(int64(daemon.rank()))
+		live := daemon.mesh.Live()
+		daemon.daemonIndex.Store(int64(daemon.rankAmong(live)))
 		daemon.updateReaderRole()
 		daemon.logDroppedLines()
 		if step++; step%pruneEvery == 0 {
 			daemon.pruneReplicas(daemon.roster.Entries())
 		}
 		daemon.updateMetrics(daemon.clock.Now())
-		daemon.observeMembers()
+		daemon.observeMembers(live)
 		limits = daemon.updateLimitMetrics(daemon.clock.Now(), limits)
 		if daemon.clock.Since(daemon.directory.HolderLastSeen()) > holderTimeout {
 			daemon.balancer.SetRemoteInFlight(daemon.mesh.InFlightByReplica())
 		}
-		daemons.observe(daemon.mesh.LiveCount()+1, daemon.clock.Now())
+		daemons.observe(len(live)+1, daemon.clock.Now())
 		daemon.relay.LimitRetries(retryBudgetLimit(daemon.settings, daemons.value))
 	}
 }
--- a/front/tokens.go
+++ b/front/tokens.go
@@ -6,6 +6,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/bronzestall/bronzestall/mesh"
 	"github.com/bronzestall/bronzestall/ratelimit"
 )
 
@@ -48,8 +49,6 @@
 	if len(asks) == 0 {
 		return nil
 	}
-	daemon.mutex.Lock()
-	defer daemon.mutex.Unlock()
 	live := daemon.membership.Live()
 	byGrantor := map[string][]ratelimit.Ask{}
 	for _, ask := range asks {
@@ -69,16 +68,16 @@
 	grants, err := daemon.grantsOf(ctx, grantor, asks)
 	now := daemon.clock.Now()
 	if err != nil {
-		daemon.withRoute(func(route *ratelimit.Route) { route.Failed(grantor, now) })
+		daemon.grantorRoute.Failed(grantor, now)
 		for _, ask := range asks {
 			daemon.limiter.Failed(ask, now)
 		}
 		return
 	}
-	daemon.withRoute(func(route *ratelimit.Route) { route.Answered(grantor) })
+	daemon.grantorRoute.Answered(grantor)
 	for index, ask := range asks {
 		if grants[index].Refused {
-			daemon.withRoute(func(route *ratelimit.Route) { route.Refused(grantor, now) })
+			daemon.grantorRoute.Refused(grantor, now)
 			daemon.limiter.Failed(ask, now)
 			continue
 		}
@@ -91,9 +90,9 @@
 	if grantor == daemon.settings.Name {
 		return daemon.grantTokens(grantor, asks), nil
 	}
-	address, err := daemon.addressOf(grantor)
-	if err != nil {
-		return nil, err
+	address, seen := daemon.mesh.AddressOf(grantor)
+	if !seen {
+		return nil, trace.NotFound("the daemon %s is not seen", grantor)
 	}
 	var limits []ratelimit.Entry
 	for _, ask := range asks {
@@ -104,31 +103,12 @@
 	return daemon.mesh.AskTokens(ctx, address, asks, limits)
 }
 
-// addressOf returns the address of the live daemon of the name.
-func (daemon *Daemon) addressOf(name string) (string, error) {
-	for _, peer := range daemon.mesh.Live() {
-		if peer.Name == name {
-			return peer.Address, nil
-		}
-	}
-	return "", trace.NotFound("the daemon %s is not seen", name)
-}
-
-// withRoute calls the function with the route to grantors while it is not in use otherwise.
-func (daemon *Daemon) withRoute(use func(route *ratelimit.Route)) {
-	daemon.mutex.Lock()
-	defer daemon.mutex.Unlock()
-	use(daemon.grantorRoute)
-}
-
 // grantTokens responds to the questions of a daemon for tokens, in their order.
 func (daemon *Daemon) grantTokens(asker string, asks []ratelimit.Ask) []ratelimit.Grant {
 	now := daemon.clock.Now()
 	grants := make([]ratelimit.Grant, 0, len(asks))
 	for _, ask := range asks {
-		daemon.mutex.Lock()
 		share := daemon.membership.Share(ask.Replica, now)
-		daemon.mutex.Unlock()
 		perSecond, limited := daemon.limits.Limit(ask.Replica)
 		if share == 0 || !limited {
 			grants = append(grants, ratelimit.Grant{Refused: true})
@@ -139,13 +119,11 @@
 	return grants
 }
 
-// observeMembers updates the daemons that may divide limits.
-func (daemon *Daemon) observeMembers() {
-	var others []ratelimit.Member
-	for _, peer := range daemon.mesh.Live() {
+// observeMembers updates the daemons that may divide limits. live lists the other daemons.
+func (daemon *Daemon) observeMembers(live []mesh.Peer) {
+	others := make([]ratelimit.Member, 0, len(live))
+	for _, peer := range live {
 		others = append(others, ratelimit.Member{Name: peer.Name, Leaving: peer.Leaving})
 	}
-	daemon.mutex.Lock()
-	defer daemon.mutex.Unlock()
 	daemon.membership.Observe(others, daemon.stopping.Load(), daemon.clock.Now())
 }
--- a/mesh/limits_test.go
+++ b/mesh/limits_test.go
@@ -55,3 +55,15 @@
 		t.Error("a response with too few grants is accepted")
 	}
 }
+
+func TestAddressOf(t *testing.T) {
+	seed := newTestDaemon(t, "a", State{}, nil)
+	joining := newTestDaemon(t, "b", State{}, nil, seed.address)
+	if _, seen := joining.AddressOf("a"); seen {
+		t.Error("a daemon is seen before its first heartbeat")
+	}
+	joining.greet(t.Context(), seed.address)
+	if address, seen := joining.AddressOf("a"); !seen || address != seed.address {
+		t.Errorf("the address is %q", address)
+	}
+}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -81,6 +81,19 @@
 	return node.members.count(node.clock.Now())
 }
 
+// AddressOf returns the address of the daemon with the name, and whether a recent heartbeat of it was received.
+func (node *Node) AddressOf(name string) (string, bool) {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	now := node.clock.Now()
+	for address, peer := range node.members.peers {
+		if peer.Name == name && node.members.isLive(peer, now) {
+			return address, true
+		}
+	}
+	return "", false
+}
+
 // Joined reports whether another daemon has told this one all that it knows, such as the limits of replicas.
 func (node *Node) Joined() bool {
 	node.mutex.Lock()
--- a/ratelimit/grantor.go
+++ b/ratelimit/grantor.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/bronzestall/bronzestall/rendezvous"
@@ -42,8 +43,9 @@
 	avoidTime  = 2 * time.Second
 )
 
-// Route chooses which of the grantors of a replica a daemon asks. It is not safe for concurrent use. Use NewRoute.
+// Route chooses which of the grantors of a replica a daemon asks. It is safe for concurrent use. Use NewRoute.
 type Route struct {
+	mutex sync.Mutex
 	// failures maps grantors to their consecutive failures.
 	failures map[string]grantorFailures
 }
@@ -61,6 +63,8 @@
 
 // Choose returns the first grantor, or the second while the first one fails.
 func (route *Route) Choose(grantors []string, now time.Time) string {
+	route.mutex.Lock()
+	defer route.mutex.Unlock()
 	failed := route.failures[grantors[0]]
 	if len(grantors) > 1 && failed.count >= avoidAfter && now.Sub(failed.last) < avoidTime {
 		return grantors[1]
@@ -70,15 +74,21 @@
 
 // Failed records that the grantor did not respond.
 func (route *Route) Failed(grantor string, now time.Time) {
+	route.mutex.Lock()
+	defer route.mutex.Unlock()
 	route.failures[grantor] = grantorFailures{route.failures[grantor].count + 1, now}
 }
 
 // Refused records that the grantor does not divide the limit.
 func (route *Route) Refused(grantor string, now time.Time) {
+	route.mutex.Lock()
+	defer route.mutex.Unlock()
 	route.failures[grantor] = grantorFailures{avoidAfter, now}
 }
 
 // Answered records that the grantor responded.
 func (route *Route) Answered(grantor string) {
+	route.mutex.Lock()
+	defer route.mutex.Unlock()
 	delete(route.failures, grantor)
 }
--- a/ratelimit/membership.go
+++ b/ratelimit/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/bronzestall/bronzestall/topology"
@@ -22,11 +23,13 @@
 	Leaving bool
 }
 
-// Membership is what one daemon knows of all daemons, itself included. It is not safe for concurrent use. Use
+// Membership is what one daemon knows of all daemons, itself included. It is safe for concurrent use. Use
 // NewMembership.
 type Membership struct {
 	name    string
 	started time.Time
+
+	mutex sync.Mutex
 	// live lists the daemons that are seen and not leaving, ordered by name.
 	live []string
 	// seen maps daemons that are not known to leave to when they were last seen.
@@ -40,6 +43,8 @@
 
 // Observe replaces the daemons that are seen. others does not list this daemon; leaving states that this one shuts down.
 func (membership *Membership) Observe(others []Member, leaving bool, now time.Time) {
+	membership.mutex.Lock()
+	defer membership.mutex.Unlock()
 	membership.live = membership.live[:0]
 	for _, member := range append([]Member{{Name: membership.name, Leaving: leaving}}, others...) {
 		if member.Leaving {
@@ -59,6 +64,8 @@
 
 // Live returns the daemons that are seen and not leaving, ordered by name.
 func (membership *Membership) Live() []string {
+	membership.mutex.Lock()
+	defer membership.mutex.Unlock()
 	return slices.Clone(membership.live)
 }
 
@@ -68,6 +75,8 @@
 	if now.Sub(membership.started) < settleTime {
 		return 0
 	}
+	membership.mutex.Lock()
+	defer membership.mutex.Unlock()
 	reachable := float64(len(membership.live)) / float64(max(len(membership.seen), 1))
 	return shareOf(membership.name, membership.live, replica) * min(reachable, 1)
 }
