Decide once for a plan which engines may get loads, and count all loads from the weight store

Each load tested every engine anew for a used-up limit, although the plan's index had done so and left them out of all its lists but one. The index lists the engines that may get loads; the loop over them has no special case any more.

Found there: the index left such an engine before it counted its load from the weight store, so that one more could begin than the store serves at full speed. It is counted first. Test that failed before: residency.TestStoreLoadOfExhaustedEngineCounts (planned a load of m2, none wanted).

--- a/residency/limit_test.go
+++ b/residency/limit_test.go
@@ -51,3 +51,16 @@
 	state.Adapters["m0/a1"] = Demand{Waiting: 1}
 	wantOrders(t, state, "Load m0/a1 e0")
 }
+
+// TestStoreLoadOfExhaustedEngineCounts guards against more loads at once from the weight store than it serves at full speed,
+// because one of them is on an engine that has used up its limit.
+func TestStoreLoadOfExhaustedEngineCounts(t *testing.T) {
+	state := fleet(2, 3)
+	state.hold(0, "m0")
+	state.Engines[0].Limit = 1
+	state.Engines[0].Loading, state.Engines[0].LoadingTier, state.Engines[0].Busy = "m1", Store, true
+	state.Models["m0"] = Demand{Rate: 2}
+	state.Models["m2"] = Demand{Rate: 2, Waiting: 1}
+	state.StoreLimit = 1
+	wantOrders(t, state)
+}
--- a/residency/load.go
+++ b/residency/load.go
@@ -64,7 +64,7 @@
 	prefetch
 )
 
-// cheapest returns the cheapest option over all engines, including busy ones. The weight store is used only if no
+// cheapest returns the cheapest option over all engines that may get loads, including busy ones. The weight store is used only if no
 // engine has a copy of the model, or if its replicas are overloaded and no engine with a copy can load it.
 func (plan *plan) cheapest(model *topology.Model, purpose purpose, avoid map[string]bool) option {
 	best := plan.cheapestOf(plan.index.copies[model.Name], model, purpose, avoid)
@@ -72,7 +72,7 @@
 		return best
 	}
 	if !plan.index.hasCopy(model.Name) || plan.overloaded(model.Name) {
-		return plan.cheapestOf(plan.state.Engines, model, purpose, avoid)
+		return plan.cheapestOf(plan.index.targets, model, purpose, avoid)
 	}
 	return best
 }
@@ -82,7 +82,7 @@
 	best := option{cost: math.Inf(1)}
 	for _, engine := range engines {
 		tier := tierOf(&engine.Holding, model.Name)
-		if avoid[engine.Zone] || (tier == Store && !plan.available(engine)) || plan.state.exhausted(engine) {
+		if avoid[engine.Zone] || (tier == Store && !plan.available(engine)) {
 			continue
 		}
 		if engine.Holding.Has(model.Name, "") || engine.Loading == model.Name {
--- a/residency/state.go
+++ b/residency/state.go
@@ -53,6 +53,8 @@
 type index struct {
 	// loaded and loading list the engines that hold and load a model, without exhausted ones.
 	loaded, loading map[string][]*Engine
+	// targets lists the engines that may get loads: all but exhausted ones.
+	targets []*Engine
 	// exhausted lists the exhausted engines that hold a model.
 	exhausted map[string][]*Engine
 	// copies maps models to the engines that have a copy of the weights and neither hold nor load the model, without
@@ -70,18 +72,20 @@
 	zones := map[string]bool{}
 	for _, engine := range state.Engines {
 		zones[engine.Zone] = true
+		loads := engine.Loading != "" && !engine.Holding.Has(engine.Loading, "")
+		if loads && engine.LoadingTier == Store {
+			made.storeLoads++
+		}
 		if state.exhausted(engine) {
 			made.addExhausted(engine)
 			continue
 		}
+		made.targets = append(made.targets, engine)
 		for _, loaded := range engine.Holding.Models {
 			made.loaded[loaded.Model] = append(made.loaded[loaded.Model], engine)
 		}
-		if engine.Loading != "" && !engine.Holding.Has(engine.Loading, "") {
+		if loads {
 			made.loading[engine.Loading] = append(made.loading[engine.Loading], engine)
-			if engine.LoadingTier == Store {
-				made.storeLoads++
-			}
 		}
 		made.addCopies(engine)
 	}
