Leave an ended limit alone once its end is recorded

Each response of a replica whose limit had ended took the write lock of the table and confirmed the end anew, so that the entry, meant to be kept for a minute, stayed as long as the replica responded and was told to other daemons all the while. A response without a limit is looked at only while a limit is in force. Test that failed before: ratelimit.TestEndedLimitIsForgotten.

--- a/ratelimit/table.go
+++ b/ratelimit/table.go
@@ -93,12 +93,12 @@
 	return entry.report(observed.Received)
 }
 
-// mayEnd reports whether an observation without a limit may end the known limit of the incarnation.
+// mayEnd reports whether an observation without a limit may end the limit in force of the incarnation.
 func (table *Table) mayEnd(incarnation topology.Incarnation, observed Observation) bool {
 	table.mutex.RLock()
 	defer table.mutex.RUnlock()
 	entry, known := table.entries[incarnation]
-	return known && observed.Conclusive && !observed.Sent.Before(entry.Since)
+	return known && entry.Named() && observed.Conclusive && !observed.Sent.Before(entry.Since)
 }
 
 // Merge records what another daemon told, and returns a change and true if one is to be reported. The later
