Pass the clock to the client of replicas

The times of an observation of a limit came from a method that the change had added to the pool of connections only to lend its clock. The clock is passed to platform.NewUpstream as everywhere else, and the method is gone. No behaviour changes.

--- a/connection/pool.go
+++ b/connection/pool.go
@@ -41,11 +41,6 @@
 	return &Pool{settings: settings.withDefaults(), clock: clk, idle: map[string][]*conn{}}
 }
 
-// Now returns the time by the clock of the pool.
-func (pool *Pool) Now() time.Time {
-	return pool.clock.Now()
-}
-
 // Do sends the call once and returns the response once its head was read. The context also bounds the reading of the
 // body. A failure is a *transport.Error, which states whether any byte was sent.
 func (pool *Pool) Do(ctx context.Context, call Call) (*http.Response, error) {
--- a/front/daemon.go
+++ b/front/daemon.go
@@ -152,7 +152,7 @@
 	}
 	daemon.limiter = ratelimit.NewLimiter(daemon.limits)
 	daemon.store = platform.NewRowStore(daemon.pool, settings.StoreAddress, storeTimeout)
-	daemon.upstream = platform.NewUpstream(daemon.pool, replicaListener{daemon})
+	daemon.upstream = platform.NewUpstream(daemon.pool, replicaListener{daemon}, clk)
 	daemon.relay = relay.New(relay.Settings{
 		Zone:            settings.DataCentre,
 		RetryShare:      settings.RetryShare * retryFraction,
