Keep the criteria of a choice in one place

The new type selection had a field criteria beside the one of the transaction that it embeds, under the same name, and the choice copied one to the other. There is one now; an attempt has ended before the next choice sets it. No behaviour changes.

--- a/relay/selection.go
+++ b/relay/selection.go
@@ -58,7 +58,6 @@
 // selection is the state of the choice of one replica.
 type selection struct {
 	*transaction
-	criteria balance.Criteria
 	// begun is when the choice began.
 	begun time.Time
 	// waiting is set once the request is counted as one that waits for its model.
@@ -68,8 +67,7 @@
 }
 
 func (transaction *transaction) newSelection() *selection {
-	created := &selection{transaction: transaction, begun: transaction.relay.deps.Clock.Now()}
-	created.criteria = balance.Criteria{
+	transaction.criteria = balance.Criteria{
 		Zone:              transaction.relay.settings.Zone,
 		DaemonIndex:       transaction.relay.daemonIndex(),
 		Exclude:           transaction.tried,
@@ -78,9 +76,9 @@
 		AdmissionQuantile: float64(xxhash.Sum64String(transaction.request.Metadata.ID)) / math.MaxUint64,
 	}
 	if transaction.service.Engine != nil {
-		created.criteria.Tokens = transaction.request.Metadata.PromptTokens
+		transaction.criteria.Tokens = transaction.request.Metadata.PromptTokens
 	}
-	return created
+	return &selection{transaction: transaction, begun: transaction.relay.deps.Clock.Now()}
 }
 
 // finish ends the wait for the model, if there was one.
@@ -112,7 +110,7 @@
 	available := selection.availability(selection.candidates(), !selection.counted, now)
 	selection.counted = true
 	selection.criteria.MaxLoad = selection.maxLoad(now)
-	if chosen, ok := selection.choose(available.accepting, selection.criteria, now); ok {
+	if chosen, ok := selection.choose(available.accepting, now); ok {
 		return chosen, true, nil
 	}
 	switch {
@@ -145,7 +143,7 @@
 	if !ok {
 		return balance.Candidate{}, false, failure
 	}
-	chosen, ok := selection.choosePermitted(permitted, selection.criteria)
+	chosen, ok := selection.choosePermitted(permitted)
 	return chosen, ok, nil
 }
 
@@ -170,37 +168,36 @@
 }
 
 // choose returns the best of the candidates, with a permit if it has a limit.
-func (transaction *transaction) choose(candidates []balance.Candidate, criteria balance.Criteria, now time.Time) (balance.Candidate, bool) {
-	chosen, ok := transaction.relay.deps.Balancer.Choose(candidates, criteria, now)
+func (transaction *transaction) choose(candidates []balance.Candidate, now time.Time) (balance.Candidate, bool) {
+	chosen, ok := transaction.relay.deps.Balancer.Choose(candidates, transaction.criteria, now)
 	if !ok {
 		return balance.Candidate{}, false
 	}
 	permit, ok := transaction.relay.deps.Limiter.Take(chosen.Incarnation, now)
 	if !ok {
-		transaction.relay.deps.Balancer.Withdraw(chosen, criteria)
+		transaction.relay.deps.Balancer.Withdraw(chosen, transaction.criteria)
 		return balance.Candidate{}, false
 	}
 	transaction.permit = permit
-	transaction.recordChoice(chosen, criteria)
+	transaction.recordChoice(chosen)
 	return chosen, true
 }
 
 // choosePermitted returns the candidate for which the transaction holds a permit, or gives the permit back if the
 // candidate is overloaded.
-func (transaction *transaction) choosePermitted(candidate balance.Candidate, criteria balance.Criteria) (balance.Candidate, bool) {
+func (transaction *transaction) choosePermitted(candidate balance.Candidate) (balance.Candidate, bool) {
 	now := transaction.relay.deps.Clock.Now()
-	chosen, ok := transaction.relay.deps.Balancer.Choose([]balance.Candidate{candidate}, criteria, now)
+	chosen, ok := transaction.relay.deps.Balancer.Choose([]balance.Candidate{candidate}, transaction.criteria, now)
 	if !ok {
 		transaction.relay.deps.Limiter.Return(transaction.permit, now)
 		return balance.Candidate{}, false
 	}
-	transaction.recordChoice(chosen, criteria)
+	transaction.recordChoice(chosen)
 	return chosen, true
 }
 
-// recordChoice keeps what the next attempt and the log need of the choice.
-func (transaction *transaction) recordChoice(chosen balance.Candidate, criteria balance.Criteria) {
-	transaction.criteria = criteria
+// recordChoice keeps what the log needs of the choice.
+func (transaction *transaction) recordChoice(chosen balance.Candidate) {
 	transaction.summary.Replica = chosen.Incarnation
 	transaction.summary.InFlight = chosen.InFlight
 }
--- a/relay/transaction.go
+++ b/relay/transaction.go
@@ -49,7 +49,7 @@
 	lastEvent uint64
 	// permit is that of the last attempt for the limit of its replica.
 	permit ratelimit.Permit
-	// criteria is what the balancer was given for the last attempt.
+	// criteria is what the balancer is given for the next attempt, or was given for the current one.
 	criteria balance.Criteria
 	// summary is what is logged about the request.
 	summary Summary
