Log the shared parts of the prompts that broke, and whether their streams had begun

The lines of a break did not tell the hypotheses of the incident of the deadly part apart: none named what the requests that ran at a replica's end had in common. No change of logic.

--- a/event/front.go
+++ b/event/front.go
@@ -10,7 +10,7 @@
 	LogLinesDropped    = define(805, "LogLinesDropped", Warning, "Log lines were dropped because they could not be written in time.")
 	RequestWaits       = define(810, "RequestWaits", Info, "A request waits for its model or adapter to be loaded, or for replicas to accept it within their limits.")
 	AttemptFailed      = define(811, "AttemptFailed", Info, "An attempt to send a request to a replica failed; NotRun states whether it is proven that the request was not run.")
-	BreakCounted       = define(815, "BreakCounted", Info, "A replica closed the connection while it ran a request; Crashes is the number of crashes counted against the request.")
+	BreakCounted       = define(815, "BreakCounted", Info, "A replica closed the connection while it ran a request; Crashes is the number of crashes counted against the request, Parts lists the parts of its prompt but the last, and Begun states whether its client had received an event.")
 	EndCounted         = define(816, "EndCounted", Info, "A replica ended without notice after a request sent to it got no response; the crash is counted against the request.")
 	SuspectLearnt      = define(817, "SuspectLearnt", Warning, "A request is refused from now on, because other daemons or the store report that it crashed replicas.")
 	SuspectRecorded    = define(818, "SuspectRecorded", Info, "A request that crashed several replicas was recorded in the store.")
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -2,10 +2,12 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/bronzestall/bronzestall/balance"
 	"github.com/bronzestall/bronzestall/event"
+	"github.com/bronzestall/bronzestall/exchange"
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/quarantine"
 	"github.com/bronzestall/bronzestall/topology"
@@ -30,5 +32,19 @@
 func (transaction *transaction) countCrash(candidate balance.Candidate, now time.Time) {
 	crashes := transaction.relay.deps.Suspects.ConnectionLost(transaction.fingerprint, CrashOf(candidate.Incarnation), now)
 	event.BreakCounted.Log("Request", transaction.request.Metadata.ID, "Fingerprint", transaction.fingerprint,
-		"Replica", candidate.ID, "Born", candidate.Started, "Crashes", crashes)
+		"Replica", candidate.ID, "Born", candidate.Started, "Crashes", crashes,
+		"Parts", sharedParts(transaction.request), "Begun", transaction.sink.Begun())
+}
+
+// maxLoggedParts bounds the parts of a prompt that one log line names.
+const maxLoggedParts = 8
+
+// sharedParts returns the IDs of the parts of the prompt that other requests may share, for logs.
+func sharedParts(request *exchange.Request) string {
+	var names []string
+	prefix := request.Metadata.Prefix
+	for index := range min(len(prefix)-1, maxLoggedParts) {
+		names = append(names, prefix[index].ID)
+	}
+	return strings.Join(names, ",")
 }
