Add a failing test of a part of prompts that ends replicas

Four daemons as processes, a part that ends each engine that begins to respond to it, no two requests alike, sound requests beside them.

--- a/internal/frontsoak/checker_test.go
+++ b/internal/frontsoak/checker_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -36,6 +37,8 @@
 	notices notices
 	// limits lists the periods in which replicas name limits.
 	limits []*limitPeriod
+	// deadly is the part of prompts that ends replicas; nil means that there is none.
+	deadly atomic.Pointer[deadlyPart]
 }
 
 // receivedOrder is an order with the time at which an engine received it.
--- a/internal/frontsoak/client_test.go
+++ b/internal/frontsoak/client_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -34,6 +35,9 @@
 	random  *rand.Rand
 	// addresses lists the client addresses of all daemons.
 	addresses []string
+
+	// mutex guards random and count.
+	mutex sync.Mutex
 	// count is the number of requests sent.
 	count int
 }
@@ -62,9 +66,17 @@
 
 // sendBody is send with the given body; an empty body stands for a unique one.
 func (client *client) sendBody(ctx context.Context, kind, address, body string) bool {
+	return client.sendPrompt(ctx, kind, address, body, "")
+}
+
+// sendPrompt is sendBody with the given parts of the prompt; an empty text sends none.
+func (client *client) sendPrompt(ctx context.Context, kind, address, body, prefix string) bool {
+	client.mutex.Lock()
 	client.count++
 	daemon := fmt.Sprint("front-", slices.Index(client.addresses, address))
 	id := fmt.Sprintf("%s-%s-%d@%s", strings.Trim(kind, "/"), client.name, client.count, daemon)
+	model := fmt.Sprintf("m%d", client.random.IntN(modelCount))
+	client.mutex.Unlock()
 	if body == "" {
 		body = "body of " + id
 	}
@@ -79,8 +91,11 @@
 	request.Host = "h.example"
 	request.Header.Set("Bronzestall-Request-Id", id)
 	request.Header.Set("Bronzestall-Deadline-Ms", "4000")
+	if prefix != "" {
+		request.Header.Set("Bronzestall-Prompt-Prefix", prefix)
+	}
 	if kind == pathStream || kind == pathResume {
-		request.Header.Set("Bronzestall-Model", fmt.Sprintf("m%d", client.random.IntN(modelCount)))
+		request.Header.Set("Bronzestall-Model", model)
 		request.Header.Set("Bronzestall-Token-Usage", "100,36")
 	}
 	response, err := client.http.Do(request)
