--- a/exchange/request.go
+++ b/exchange/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -62,3 +63,30 @@
 	_, _ = digest.Write(request.Body)
 	return digest.Sum64()
 }
+
+// partSalt distinguishes the fingerprint of a part from that of a request.
+const partSalt = 0x9e3779b97f4a7c15
+
+// Fingerprint returns the same value for parts with the same content. It is never zero.
+func (part Part) Fingerprint() uint64 {
+	return max(xxhash.Sum64String(part.ID)^partSalt, 1)
+}
+
+// SharedParts returns the fingerprints of the parts of the prompt that other requests may share: all but the last, at most
+// the given number, without duplicates.
+func (request *Request) SharedParts(maximum int) []uint64 {
+	prefix := request.Metadata.Prefix
+	if len(prefix) < 2 {
+		return nil
+	}
+	shared := make([]uint64, 0, min(len(prefix)-1, maximum))
+	for _, part := range prefix[:len(prefix)-1] {
+		if len(shared) == maximum {
+			break
+		}
+		if fingerprint := part.Fingerprint(); !slices.Contains(shared, fingerprint) {
+			shared = append(shared, fingerprint)
+		}
+	}
+	return shared
+}
--- a/front/daemon.go
+++ b/front/daemon.go
@@ -94,6 +94,8 @@
 	stopStarted chan struct{}
 	// daemonIndex is the ordinal of this daemon among the live ones, by name.
 	daemonIndex atomic.Int64
+	// daemonCount is the number of live daemons.
+	daemonCount atomic.Int64
 	// readerRole is set if this daemon is one of the readers of its data centre, which read the store's
 	// tables for the others.
 	readerRole atomic.Bool
@@ -150,6 +152,7 @@
 		replicasChanged: make(chan struct{}, 1),
 		storeSeen:       clk.Now(),
 	}
+	daemon.suspects.SetTurns(daemon.partTurn)
 	daemon.limiter = ratelimit.NewLimiter(daemon.limits)
 	daemon.store = platform.NewRowStore(daemon.pool, settings.StoreAddress, storeTimeout)
 	daemon.upstream = platform.NewUpstream(daemon.pool, replicaListener{daemon}, clk)
--- a/front/suspects.go
+++ b/front/suspects.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -23,9 +24,10 @@
 const (
 	// crashLimit is the number of crashed replicas from which a request is rejected.
 	crashLimit = 3
-	// suspectTable holds one row for each request that crashed several replicas. The key is the fingerprint
-	// of the request in hexadecimal.
-	suspectTable = "Suspects"
+	// suspectTable holds one row for each request, or part of prompts, that crashed several replicas. The key is its
+	// fingerprint in hexadecimal, after partRowPrefix for a part.
+	suspectTable  = "Suspects"
+	partRowPrefix = "part-"
 	// suspectsPerGreeting is the largest number of suspects in one greeting.
 	suspectsPerGreeting = 32
 	// suspectWait is the longest time that the store delays its response if the suspect table does not
@@ -59,10 +61,17 @@
 
 func (daemon *Daemon) importSuspects(suspects []quarantine.Suspect, source string) {
 	for _, suspect := range daemon.suspects.Import(suspects, daemon.clock.Now()) {
-		event.SuspectLearnt.Log("Fingerprint", suspect.Fingerprint, "Crashes", len(suspect.Crashes), "Source", source)
+		event.SuspectLearnt.Log("Kind", suspect.Kind, "Fingerprint", suspect.Fingerprint, "Crashes", len(suspect.Crashes), "Source", source)
 	}
 }
 
+// partTurn returns how many daemons may try a refused part of prompts before this one.
+func (daemon *Daemon) partTurn(part uint64) int {
+	count := int64(max(daemon.daemonCount.Load(), 1))
+	first := int64(part % uint64(count))
+	return int((daemon.daemonIndex.Load() - first + count) % count)
+}
+
 // countReplicaEnd counts the unannounced end of an incarnation against the requests that it had not responded
 // to.
 func (daemon *Daemon) countReplicaEnd(replica *topology.Replica) {
@@ -114,17 +123,41 @@
 // decodeSuspect decodes a row of the suspect table. The row has no time of writing, since the clocks of
 // daemons differ; the suspect is therefore kept for the whole retention time from now on.
 func decodeSuspect(row datastore.Row, now time.Time) (quarantine.Suspect, error) {
-	fingerprint, err := strconv.ParseUint(row.Row, 16, 64)
+	kind := quarantine.WholeRequest
+	digits, isPart := strings.CutPrefix(row.Row, partRowPrefix)
+	if isPart {
+		kind = quarantine.PromptPart
+	}
+	fingerprint, err := strconv.ParseUint(digits, 16, 64)
 	if err != nil {
 		return quarantine.Suspect{}, trace.BadParameter("row key is not a hexadecimal fingerprint")
 	}
-	var content struct {
-		Crashes []quarantine.Crash
-	}
+	var content suspectContent
 	if err := json.Unmarshal(row.Value, &content); err != nil {
 		return quarantine.Suspect{}, trace.Wrap(err)
 	}
-	return quarantine.Suspect{Fingerprint: fingerprint, Crashes: content.Crashes, Until: now.Add(quarantine.Retention)}, nil
+	return quarantine.Suspect{
+		Kind:        kind,
+		Fingerprint: fingerprint,
+		Crashes:     content.Crashes,
+		Cleared:     content.Cleared,
+		Until:       now.Add(quarantine.Retention),
+	}, nil
+}
+
+// suspectContent is the value of a row of the suspect table.
+type suspectContent struct {
+	Crashes []quarantine.Crash
+	Cleared []quarantine.Crash `json:",omitempty"`
+}
+
+// suspectKey returns the key of the row of a suspect.
+func suspectKey(suspect quarantine.Suspect) datastore.Key {
+	row := strconv.FormatUint(suspect.Fingerprint, 16)
+	if suspect.Kind == quarantine.PromptPart {
+		row = partRowPrefix + row
+	}
+	return datastore.Key{Table: suspectTable, Row: row}
 }
 
 // runSuspectRecorder records requests that crashed several replicas whenever this daemon counts another
@@ -152,6 +185,7 @@
 				continue
 			}
 			pending[suspect.Fingerprint] = true
+			daemon.logVerdict(suspect)
 		}
 		daemon.recordPending(ctx, pending)
 	}
@@ -169,34 +203,59 @@
 	}
 }
 
+// logVerdict logs whether a suspect that changed is refused.
+func (daemon *Daemon) logVerdict(suspect quarantine.Suspect) {
+	_, refused := daemon.suspects.Refused(suspect.Fingerprint, daemon.clock.Now())
+	switch {
+	case refused:
+		event.SuspectRefused.Log("Kind", suspect.Kind, "Fingerprint", suspect.Fingerprint, "Crashes", len(suspect.Crashes),
+			"Replicas", crashedReplicas(suspect), "Cleared", len(suspect.Cleared))
+	case suspect.Kind == quarantine.PromptPart && len(suspect.Crashes) < crashLimit:
+		event.SuspectReleased.Log("Kind", suspect.Kind, "Fingerprint", suspect.Fingerprint, "Cleared", len(suspect.Cleared))
+	}
+}
+
+// crashedReplicas lists the replicas that ended under a suspect, for logs.
+func crashedReplicas(suspect quarantine.Suspect) string {
+	names := make([]string, 0, len(suspect.Crashes))
+	for _, crash := range suspect.Crashes {
+		names = append(names, crash.Upstream)
+	}
+	return strings.Join(names, ",")
+}
+
 // recordSuspect merges the crashes that this daemon knows into the row of the suspect. It writes only if it
-// knows more crashes than the row holds.
+// knows other crashes than the row holds.
 func (daemon *Daemon) recordSuspect(ctx context.Context, fingerprint uint64) error {
-	key := datastore.Key{Table: suspectTable, Row: strconv.FormatUint(fingerprint, 16)}
+	suspect, known := daemon.suspects.Suspect(fingerprint, daemon.clock.Now())
+	if !known {
+		return nil
+	}
+	key := suspectKey(suspect)
 	row, err := daemon.rowStore.Read(ctx, key)
 	if err != nil && !errors.Is(err, datastore.ErrNotFound) {
 		return err
 	}
-	recorded := 0
+	var recorded quarantine.Suspect
 	if err == nil {
 		// A row that cannot be decoded is replaced.
-		if suspect, failure := decodeSuspect(row, daemon.clock.Now()); failure == nil {
-			daemon.importSuspects([]quarantine.Suspect{suspect}, "Store")
-			recorded = len(suspect.Crashes)
+		if decoded, failure := decodeSuspect(row, daemon.clock.Now()); failure == nil {
+			daemon.importSuspects([]quarantine.Suspect{decoded}, "Store")
+			recorded = decoded
 		}
 	}
-	suspect, known := daemon.suspects.Suspect(fingerprint, daemon.clock.Now())
-	if !known || len(suspect.Crashes) <= recorded {
+	suspect, known = daemon.suspects.Suspect(fingerprint, daemon.clock.Now())
+	if !known || (len(suspect.Crashes) == len(recorded.Crashes) && len(suspect.Cleared) == len(recorded.Cleared)) {
 		return nil
 	}
-	value, err := json.Marshal(struct{ Crashes []quarantine.Crash }{suspect.Crashes})
+	value, err := json.Marshal(suspectContent{suspect.Crashes, suspect.Cleared})
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	if _, err := daemon.rowStore.Commit(ctx, []datastore.Write{{Key: key, Check: true, IfVersion: row.Version, Value: value}}); err != nil {
 		return err
 	}
-	event.SuspectRecorded.Log("Fingerprint", fingerprint, "Crashes", len(suspect.Crashes))
+	event.SuspectRecorded.Log("Kind", suspect.Kind, "Fingerprint", fingerprint, "Crashes", len(suspect.Crashes))
 	return nil
 }
 
--- a/front/suspects_test.go
+++ b/front/suspects_test.go
@@ -63,7 +63,7 @@
 	daemon := New(Settings{Name: "a", StoreAddress: "127.0.0.1:1"}, "", nil)
 	daemon.rowStore = store
 	for _, replica := range replicas {
-		daemon.suspects.ConnectionLost(1, quarantine.Crash{Upstream: fmt.Sprint(replica), BootID: "1"}, daemon.clock.Now())
+		daemon.suspects.ConnectionLost(quarantine.Causes{Request: 1}, quarantine.Crash{Upstream: fmt.Sprint(replica), BootID: "1"}, daemon.clock.Now())
 	}
 	return daemon
 }
--- a/front/tasks.go
+++ b/front/tasks.go
@@ -88,6 +88,7 @@
 		daemon.pool.CloseExpired()
 		live := daemon.mesh.Live()
 		daemon.daemonIndex.Store(int64(daemon.rankAmong(live)))
+		daemon.daemonCount.Store(int64(len(live) + 1))
 		daemon.updateReaderRole()
 		daemon.logDroppedLines()
 		if step++; step%pruneEvery == 0 {
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -143,7 +143,7 @@
 	sender := newTestDaemon(t, "a", State{}, nil)
 	sender.notices.MarkLeaving(incarnation, time.Now())
 	for _, boot := range []string{"1", "2"} {
-		sender.tracker.ConnectionLost(7, quarantine.Crash{Upstream: "r", BootID: boot, Sequence: 1}, time.Now())
+		sender.tracker.ConnectionLost(quarantine.Causes{Request: 7}, quarantine.Crash{Upstream: "r", BootID: boot, Sequence: 1}, time.Now())
 	}
 	receiver := newTestDaemon(t, "b", State{}, nil, sender.address)
 	receiver.greet(t.Context(), sender.address)
--- a/mesh/suspects.go
+++ b/mesh/suspects.go
@@ -10,40 +10,56 @@
 // maxSuspects bounds the suspects that are accepted from one greeting.
 const maxSuspects = 256
 
+// maxSuspectCrashes bounds the crashes, and the offset ones, that are passed on for one suspect.
+const maxSuspectCrashes = 8
+
 // encodeSuspects encodes suspects with the time until they expire rather than an absolute time, since the
 // clocks of daemons differ.
 func encodeSuspects(suspects []quarantine.Suspect, now time.Time) []*meshpb.Suspect {
 	encoded := make([]*meshpb.Suspect, 0, len(suspects))
 	for _, suspect := range suspects {
-		next := &meshpb.Suspect{
+		encoded = append(encoded, &meshpb.Suspect{
 			Fingerprint: suspect.Fingerprint,
+			Kind:        uint32(suspect.Kind),
 			Remaining:   uint64(max(suspect.Until.Sub(now), 0).Milliseconds()),
-		}
-		for _, crash := range suspect.Crashes {
-			next.Crashes = append(next.Crashes, &meshpb.Crash{
-				Replica:  crash.Upstream,
-				Boot:     crash.BootID,
-				Sequence: uint32(crash.Sequence),
-			})
-		}
-		encoded = append(encoded, next)
+			Crashes:     encodeCrashes(suspect.Crashes),
+			Cleared:     encodeCrashes(suspect.Cleared),
+		})
+	}
+	return encoded
+}
+
+// encodeCrashes encodes the latest crashes.
+func encodeCrashes(crashes []quarantine.Crash) []*meshpb.Crash {
+	var encoded []*meshpb.Crash
+	for _, crash := range crashes[max(len(crashes)-maxSuspectCrashes, 0):] {
+		encoded = append(encoded, &meshpb.Crash{Replica: crash.Upstream, Boot: crash.BootID, Sequence: uint32(crash.Sequence)})
 	}
 	return encoded
 }
 
+// decodeSuspects decodes suspects. Those of unknown kinds are skipped.
 func decodeSuspects(encoded []*meshpb.Suspect, now time.Time) []quarantine.Suspect {
 	suspects := make([]quarantine.Suspect, 0, len(encoded))
 	for _, next := range encoded[:min(len(encoded), maxSuspects)] {
-		remaining := min(milliseconds(next.GetRemaining()), quarantine.Retention)
-		suspect := quarantine.Suspect{Fingerprint: next.GetFingerprint(), Until: now.Add(remaining)}
-		for _, crash := range next.GetCrashes() {
-			suspect.Crashes = append(suspect.Crashes, quarantine.Crash{
-				Upstream: crash.GetReplica(),
-				BootID:   crash.GetBoot(),
-				Sequence: int(crash.GetSequence()),
-			})
+		if next.GetKind() > uint32(quarantine.PromptPart) {
+			continue
 		}
-		suspects = append(suspects, suspect)
+		suspects = append(suspects, quarantine.Suspect{
+			Kind:        quarantine.Kind(next.GetKind()),
+			Fingerprint: next.GetFingerprint(),
+			Crashes:     decodeCrashes(next.GetCrashes()),
+			Cleared:     decodeCrashes(next.GetCleared()),
+			Until:       now.Add(min(milliseconds(next.GetRemaining()), quarantine.Retention)),
+		})
 	}
 	return suspects
 }
+
+func decodeCrashes(encoded []*meshpb.Crash) []quarantine.Crash {
+	var crashes []quarantine.Crash
+	for _, crash := range encoded {
+		crashes = append(crashes, quarantine.Crash{Upstream: crash.GetReplica(), BootID: crash.GetBoot(), Sequence: int(crash.GetSequence())})
+	}
+	return crashes
+}
--- a/quarantine/counts.go
+++ b/quarantine/counts.go
@@ -1,14 +1,33 @@
 package quarantine
 
+import "time"
+
 // maxCount bounds the count of one fingerprint.
 const maxCount = 64
 
 // recentCounts counts recent fingerprints. It keeps two generations and drops the older one when the newer is
-// full, which bounds its memory.
+// full, which bounds its memory, or old.
 type recentCounts struct {
 	// size is the maximum number of fingerprints in the current generation.
 	size              int
 	current, previous map[uint64]int
+	// rotated is when the current generation began.
+	rotated time.Time
+}
+
+// expire drops the generation before the current one if the current one is older than the period, and both if it is older
+// than two.
+func (counts *recentCounts) expire(period time.Duration, now time.Time) {
+	age := now.Sub(counts.rotated)
+	if age < period {
+		return
+	}
+	counts.previous = counts.current
+	if age >= 2*period {
+		counts.previous = map[uint64]int{}
+	}
+	counts.current = map[uint64]int{}
+	counts.rotated = now
 }
 
 func newRecentCounts(size int) recentCounts {
--- /dev/null
+++ b/quarantine/parts_test.go
@@ -0,0 +1,272 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// TestCrashesOfParts checks what counts against the parts of prompts. In the steps, "b1" is a broken connection to replica 1
+// of a request with the parts 10 and 20, "c1" the same of one with the parts 10 and 30, "a" a full response to one with the
+// part 10 and "d" to one with 10 and 20, "w" a wait of two seconds.
+func TestCrashesOfParts(t *testing.T) {
+	cases := []struct {
+		name, trace string
+		refused     map[uint64]bool
+	}{
+		{"two crashes", "b1 w b2", map[uint64]bool{}},
+		{"three crashes", "b1 w b2 w b3", map[uint64]bool{10: true, 20: true}},
+		{"one crash of many requests in flight", "b1 b1 b1 b1", map[uint64]bool{}},
+		{"a replica that restarts and crashes again", "b1 w b1 w b1", map[uint64]bool{10: true, 20: true}},
+		{"a response to the company", "b1 w a b2 w b3", map[uint64]bool{20: true}},
+		{"a response just before the crashes", "a b1 w b2 w b3", map[uint64]bool{20: true}},
+		{"a response long before the crashes", "a w w b1 w b2 w b3", map[uint64]bool{10: true, 20: true}},
+		{"crashes that another part explains", "b1 w b2 w b3 w c4", map[uint64]bool{10: true}},
+		{"a response after the refusal", "b1 w b2 w b3 w d", map[uint64]bool{}},
+		{"crashes that two parts without a response explain", "c1 w c2 w c3 a b4 w b5 w b6", map[uint64]bool{20: true, 30: true}},
+		{"a crash of another cause", "c1 w a w b2 w b3 w b4", map[uint64]bool{20: true}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			tracker, now := NewTracker(3), time.Unix(1000, 0)
+			unique := uint64(1000)
+			for _, step := range parseTrace(c.trace) {
+				unique++
+				switch step.event {
+				case 'b':
+					tracker.ConnectionLost(Causes{unique, []uint64{10, 20}}, crash(step.replica), now)
+				case 'c':
+					tracker.ConnectionLost(Causes{unique, []uint64{10, 30}}, crash(step.replica), now)
+				case 'a':
+					tracker.Answered(Causes{unique, []uint64{10}}, 0, now)
+				case 'd':
+					tracker.Answered(Causes{unique, []uint64{10, 20}}, 0, now)
+				case 'w':
+					now = now.Add(2 * time.Second)
+				}
+			}
+			for _, part := range []uint64{10, 20, 30} {
+				if _, refused := tracker.Refused(part, now); refused != c.refused[part] {
+					suspect, _ := tracker.Suspect(part, now)
+					t.Errorf("part %d is refused: %v, crashes %v", part, refused, suspect.Crashes)
+				}
+			}
+		})
+	}
+}
+
+// deadlyTracker returns a tracker that refuses the parts 10 and 20 after the same crashes.
+func deadlyTracker(now time.Time) *Tracker {
+	tracker := NewTracker(3)
+	for n := range 3 {
+		tracker.ConnectionLost(Causes{uint64(100 + n), []uint64{10, 20}}, crash(n), now)
+	}
+	return tracker
+}
+
+// TestTrialsTellPartsApart checks that of two parts with the same crashes the sound one is released by one trial, and the
+// other stays refused: a request with both is never a trial.
+func TestTrialsTellPartsApart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	sound, both := Causes{1, []uint64{10}}, Causes{2, []uint64{10, 20}}
+	tracker := deadlyTracker(now)
+	if admission := tracker.Admit(sound, 0, now); !admission.Refused || admission.RetryAfter != trialTurn {
+		t.Errorf("admitted at once: %+v", admission)
+	}
+	now = now.Add(ambiguousTrialDelay)
+	if !tracker.Admit(both, 0, now).Refused {
+		t.Error("a request with two refused parts is tried")
+	}
+	first := tracker.Admit(sound, 0, now)
+	if first.Refused || first.Trial != 10 {
+		t.Fatalf("no trial: %+v", first)
+	}
+	if !tracker.Admit(sound, 0, now).Refused {
+		t.Error("two requests are tried at once")
+	}
+	if tracker.Admit(sound, first.Trial, now).Refused {
+		t.Error("the trial is refused when it is checked again")
+	}
+	tracker.Answered(sound, first.Trial, now)
+	tracker.EndTrial(first.Trial, now)
+	if tracker.Admit(sound, 0, now).Refused || !tracker.Admit(both, 0, now).Refused {
+		t.Error("the trial did not tell the parts apart")
+	}
+}
+
+// TestFailedTrialsBecomeRare checks that a part that crashes replicas in trials too is tried at most three times before it
+// expires, and that whole requests are never tried.
+func TestFailedTrialsBecomeRare(t *testing.T) {
+	begin := time.Unix(1000, 0)
+	tracker, crashes, trials := NewTracker(3), 3, 0
+	for n := range 3 {
+		tracker.ConnectionLost(Causes{uint64(100 + n), []uint64{20}}, crash(n), begin)
+		tracker.ConnectionLost(Causes{Request: 7}, crash(n), begin)
+	}
+	for now := begin; now.Sub(begin) < Retention; now = now.Add(time.Second) {
+		if !tracker.Admit(Causes{Request: 7}, 0, now).Refused {
+			t.Fatal("a whole request is tried")
+		}
+		admission := tracker.Admit(Causes{uint64(now.Unix()), []uint64{20}}, 0, now)
+		if admission.Refused {
+			continue
+		}
+		trials++
+		tracker.ConnectionLost(Causes{uint64(now.Unix()), []uint64{20}}, crash(crashes), now)
+		tracker.EndTrial(admission.Trial, now)
+		crashes++
+	}
+	if trials == 0 || trials > 3 {
+		t.Errorf("%d trials, want 1 to 3", trials)
+	}
+}
+
+// partSite simulates daemons with engines: requests with a deadly part, and sound ones that share their other parts.
+type partSite struct {
+	site
+	engines []simulatedEngine
+	// ends lists when engines ended.
+	ends []time.Time
+	// late counts the requests with the deadly part that were sent later than the grace after the fifth end.
+	late int
+	// sound and soundRefused count the sound requests, and those refused.
+	sound, soundRefused int
+	unique              uint64
+	grace               time.Duration
+}
+
+// simulatedEngine holds the requests in flight at an engine, until it ends.
+type simulatedEngine struct {
+	boot     int
+	downTill time.Time
+	inFlight []flight
+}
+
+// flight is a sound request in flight.
+type flight struct {
+	daemon int
+	causes Causes
+	ends   time.Time
+}
+
+const (
+	deadly     = uint64(66)
+	companion  = uint64(55)
+	systemPart = uint64(11)
+)
+
+// send sends a sound request through a random daemon to a random engine.
+func (site *partSite) send(parts []uint64) {
+	site.unique++
+	daemon := site.random.IntN(len(site.trackers))
+	causes := Causes{site.unique, parts}
+	site.sound++
+	admission := site.trackers[daemon].Admit(causes, 0, site.now)
+	if admission.Refused {
+		site.soundRefused++
+		return
+	}
+	engine := &site.engines[site.random.IntN(len(site.engines))]
+	if site.now.Before(engine.downTill) {
+		site.trackers[daemon].EndTrial(admission.Trial, site.now)
+		return
+	}
+	engine.inFlight = append(engine.inFlight, flight{daemon, causes, site.now.Add(1500 * time.Millisecond)})
+}
+
+// sendDeadly sends a request with the deadly part, which ends its engine.
+func (site *partSite) sendDeadly() {
+	site.unique++
+	daemon := site.random.IntN(len(site.trackers))
+	causes := Causes{site.unique, []uint64{systemPart, companion, deadly}}
+	admission := site.trackers[daemon].Admit(causes, 0, site.now)
+	if admission.Refused {
+		return
+	}
+	index := site.random.IntN(len(site.engines))
+	engine := &site.engines[index]
+	if site.now.Before(engine.downTill) {
+		site.trackers[daemon].EndTrial(admission.Trial, site.now)
+		return
+	}
+	if len(site.ends) >= 5 && site.now.Sub(site.ends[4]) > site.grace {
+		site.late++
+	}
+	site.ends = append(site.ends, site.now)
+	ended := Crash{Upstream: fmt.Sprint("e", index), BootID: fmt.Sprint(engine.boot)}
+	site.trackers[daemon].ConnectionLost(causes, ended, site.now)
+	site.trackers[daemon].EndTrial(admission.Trial, site.now)
+	for _, flight := range engine.inFlight {
+		site.trackers[flight.daemon].ConnectionLost(flight.causes, ended, site.now)
+	}
+	*engine = simulatedEngine{boot: engine.boot + 1, downTill: site.now.Add(3 * time.Second)}
+}
+
+// finishRequests responds to the requests that have ended.
+func (site *partSite) finishRequests() {
+	for index := range site.engines {
+		engine := &site.engines[index]
+		kept := engine.inFlight[:0]
+		for _, flight := range engine.inFlight {
+			if site.now.Before(flight.ends) {
+				kept = append(kept, flight)
+				continue
+			}
+			site.trackers[flight.daemon].Answered(flight.causes, 0, site.now)
+		}
+		engine.inFlight = kept
+	}
+}
+
+// TestDeadlyPartAmongManyDaemons guards against issue 37 at sizes that processes cannot reach: requests with a part that
+// ends each engine come through any daemon. After the fifth end no more than three of them may be sent later than the grace,
+// and sound requests with the same other parts are served.
+func TestDeadlyPartAmongManyDaemons(t *testing.T) {
+	const minServed = 0.95
+	for _, c := range []struct {
+		daemons, engines int
+		grace            time.Duration
+		// deadlyPerSecond and soundPerSecond are the requests of either kind.
+		deadlyPerSecond, soundPerSecond int
+	}{
+		{4, 18, 3 * time.Second, 2, 30},
+		{30, 60, 4 * time.Second, 5, 90},
+		{*daemonsFlag, 160, 5 * time.Second, 13, 250},
+	} {
+		t.Run(fmt.Sprint(c.daemons, " daemons"), func(t *testing.T) {
+			site := &partSite{grace: c.grace, engines: make([]simulatedEngine, c.engines)}
+			site.random, site.now = rand.New(rand.NewPCG(uint64(c.daemons), 5)), time.Unix(1000, 0)
+			for index := range c.daemons {
+				tracker := NewTracker(3)
+				tracker.SetTurns(func(part uint64) int { return (index + c.daemons - int(part)%c.daemons) % c.daemons })
+				site.trackers = append(site.trackers, tracker)
+			}
+			for step := range 300 {
+				site.pass()
+				site.finishRequests()
+				for number := range c.soundPerSecond / 10 {
+					middle := 1000 + uint64(site.random.IntN(200))
+					if number == 0 && step%4 == 0 {
+						middle = companion
+					}
+					site.send([]uint64{systemPart, middle})
+				}
+				if step >= 50 && site.random.IntN(10) < c.deadlyPerSecond%10 {
+					site.sendDeadly()
+				}
+				for range c.deadlyPerSecond / 10 * min(step/50, 1) {
+					site.sendDeadly()
+				}
+			}
+			served := 1 - float64(site.soundRefused)/float64(site.sound)
+			t.Logf("%d engines ended, %d requests sent late, %.4f of %d sound requests served", len(site.ends), site.late, served, site.sound)
+			if site.late > 3 {
+				t.Errorf("%d requests with the deadly part were sent later than %v after the fifth end", site.late, site.grace)
+			}
+			if served < minServed {
+				t.Errorf("%d of %d sound requests were refused", site.soundRefused, site.sound)
+			}
+		})
+	}
+}
--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -14,17 +14,26 @@
 	Retention = 10 * time.Minute
 	// capacity is the maximum number of suspects.
 	capacity = 4096
+	// maxPartCrashes is the maximum number of crashes kept for a part of prompts. More than the limit are kept, since
+	// the parts with the most crashes explain those of the others.
+	maxPartCrashes = 16
+	// maxCleared is the maximum number of crashes kept for a suspect that no longer count against it.
+	maxCleared = 32
+	// evictionSample is the number of suspects of which the weakest is evicted from a full registry.
+	evictionSample = 64
 )
 
 // Registry holds the suspects known to a daemon. It is safe for concurrent use. Use New.
 type Registry struct {
-	// limit is the number of crashes from which a suspect is refused. No more crashes are kept for a suspect.
+	// limit is the number of crashes from which a suspect is refused. No more crashes are kept for a whole request.
 	limit int
 	mutex sync.Mutex
 	// suspects maps fingerprints to suspects; it has at most capacity entries.
 	suspects map[uint64]Suspect
 	// shareQueue decides which suspects are shared next.
 	shareQueue shareQueue
+	// evicted counts the suspects that were dropped because the registry was full.
+	evicted int
 }
 
 // New returns an empty registry that refuses suspects with two crashes.
@@ -40,9 +49,14 @@
 // AddCrash records that a request with the fingerprint was in flight during the crash. It returns the updated
 // suspect.
 func (registry *Registry) AddCrash(fingerprint uint64, crash Crash, now time.Time) Suspect {
+	return registry.Add(Cause{WholeRequest, fingerprint}, crash, now)
+}
+
+// Add records that a request with the cause was in flight during the crash. It returns the updated suspect.
+func (registry *Registry) Add(cause Cause, crash Crash, now time.Time) Suspect {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
-	return registry.merge(Suspect{Fingerprint: fingerprint, Crashes: []Crash{crash}, Until: now.Add(Retention)}, now)
+	return registry.merge(Suspect{Kind: cause.Kind, Fingerprint: cause.Fingerprint, Crashes: []Crash{crash}, Until: now.Add(Retention)}, now)
 }
 
 // Import merges suspects exported by another daemon. It returns those with a new crash.
@@ -106,8 +120,13 @@
 
 // RefusedUntil returns the end of the refusal of the fingerprint, and false if it is not refused.
 func (registry *Registry) RefusedUntil(fingerprint uint64, now time.Time) (time.Time, bool) {
-	crashes, until := registry.CrashCount(fingerprint, now)
-	return until, crashes >= registry.limit
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	suspect, ok := registry.suspects[fingerprint]
+	if !ok || !suspect.Until.After(now) {
+		return time.Time{}, false
+	}
+	return suspect.Until, registry.refused(suspect)
 }
 
 // Refused reports whether a suspect with that many crashes is refused by a registry made by New.
@@ -149,65 +168,81 @@
 		return suspect
 	}
 	known := registry.suspects[suspect.Fingerprint]
-	if known.Until.After(now) {
-		suspect = registry.union(known, suspect)
-	} else {
-		suspect.Crashes = registry.distinct(nil, suspect.Crashes)
+	if !known.Until.After(now) {
+		known = Suspect{Kind: suspect.Kind, Fingerprint: suspect.Fingerprint, grown: now}
+	}
+	merged := registry.union(known, suspect)
+	if len(merged.Crashes) > len(known.Crashes) {
+		merged.grown = now
 	}
-	if len(suspect.Crashes) != len(known.Crashes) {
-		registry.shareQueue.enqueue(suspect.Fingerprint, registry.refused(suspect))
+	if len(merged.Crashes) != len(known.Crashes) || len(merged.Cleared) != len(known.Cleared) {
+		registry.shareQueue.enqueue(merged.Fingerprint, len(merged.Crashes), registry.limit)
 	}
-	if _, ok := registry.suspects[suspect.Fingerprint]; !ok {
+	if _, ok := registry.suspects[merged.Fingerprint]; !ok {
 		registry.makeRoom(now)
 	}
-	registry.suspects[suspect.Fingerprint] = suspect
-	return suspect
+	registry.suspects[merged.Fingerprint] = merged
+	return merged
 }
 
-// union returns the suspect with the crashes of both and the later expiry.
+// union returns the first suspect with the crashes of both and the later expiry.
 func (registry *Registry) union(a, b Suspect) Suspect {
-	a.Crashes = registry.distinct(a.Crashes, b.Crashes)
+	a.Cleared = appendDistinct(slices.Clone(a.Cleared), b.Cleared, nil, maxCleared)
+	kept := appendDistinct(nil, a.Crashes, a.Cleared, registry.maxCrashes(a.Kind))
+	a.Crashes = appendDistinct(kept, b.Crashes, a.Cleared, registry.maxCrashes(a.Kind))
 	if b.Until.After(a.Until) {
 		a.Until = b.Until
 	}
 	return a
 }
 
-// distinct returns a new slice with the distinct crashes of both, at most the limit.
-func (registry *Registry) distinct(a, b []Crash) []Crash {
-	all := slices.Clone(a)
-	for _, crash := range b {
-		if len(all) < registry.limit && !slices.Contains(all, crash) {
-			all = append(all, crash)
+// maxCrashes returns the maximum number of crashes kept for a suspect of the kind.
+func (registry *Registry) maxCrashes(kind Kind) int {
+	if kind == PromptPart {
+		return max(maxPartCrashes, registry.limit)
+	}
+	return registry.limit
+}
+
+// appendDistinct appends the crashes that are neither in the list nor in the excluded ones, while the list has fewer than
+// the maximum.
+func appendDistinct(list, crashes, excluded []Crash, maximum int) []Crash {
+	for _, crash := range crashes {
+		if len(list) < maximum && !slices.Contains(list, crash) && !slices.Contains(excluded, crash) {
+			list = append(list, crash)
 		}
 	}
-	return all
+	return list
 }
 
-// makeRoom evicts one suspect if the registry is full: one of those with the fewest crashes, the first to expire.
-// The mutex is held.
+// makeRoom evicts one suspect if the registry is full: among some of them, one of those with the fewest crashes, the first
+// to expire. The mutex is held.
 func (registry *Registry) makeRoom(now time.Time) {
-	if len(registry.suspects) < capacity {
-		return
-	}
-	registry.removeExpired(now)
 	if len(registry.suspects) < capacity {
 		return
 	}
 	var weakest Suspect
-	found := false
-	for _, suspect := range registry.suspects {
-		if !found || weaker(suspect, weakest) {
-			weakest, found = suspect, true
+	sampled := 0
+	for fingerprint, suspect := range registry.suspects {
+		if !suspect.Until.After(now) {
+			registry.drop(fingerprint)
+			return
+		}
+		if sampled == 0 || weaker(suspect, weakest) {
+			weakest = suspect
+		}
+		if sampled++; sampled == evictionSample {
+			break
 		}
 	}
 	registry.drop(weakest.Fingerprint)
+	registry.evicted++
 }
 
 // drop removes a suspect. The mutex is held.
 func (registry *Registry) drop(fingerprint uint64) {
 	delete(registry.suspects, fingerprint)
-	registry.shareQueue.refused = slices.DeleteFunc(registry.shareQueue.refused, func(known uint64) bool { return known == fingerprint })
+	registry.shareQueue.removeRefused(fingerprint)
 }
 
 // weaker reports whether a is evicted before b.
--- a/quarantine/share.go
+++ b/quarantine/share.go
@@ -15,25 +15,47 @@
 	// refused holds the fingerprints of refused suspects, and changed those of others, at most capacity. Both are
 	// queues; they may contain suspects that have been removed since.
 	refused, changed []uint64
+	// urgent holds those of the fingerprints in changed, at most capacity, that had several crashes when they were
+	// queued. They are shared first.
+	urgent []uint64
 	// shareCounts maps the fingerprints in changed to the number of times each was shared since its last change.
 	shareCounts map[uint64]int
 }
 
-// enqueue adds a suspect that changed.
-func (queue *shareQueue) enqueue(fingerprint uint64, refused bool) {
-	_, queued := queue.shareCounts[fingerprint]
-	switch {
-	case refused && !slices.Contains(queue.refused, fingerprint):
-		queue.refused = append(queue.refused, fingerprint)
-	case !refused && !queued:
+// enqueue adds a suspect that changed, with its number of crashes and the number from which suspects are refused.
+func (queue *shareQueue) enqueue(fingerprint uint64, crashes, limit int) {
+	isRefused := slices.Contains(queue.refused, fingerprint)
+	if crashes >= limit {
+		if !isRefused {
+			queue.refused = append(queue.refused, fingerprint)
+		}
+		return
+	}
+	if isRefused {
+		queue.removeRefused(fingerprint)
+	}
+	if _, queued := queue.shareCounts[fingerprint]; !queued {
 		queue.makeRoom()
 		queue.changed = append(queue.changed, fingerprint)
 	}
-	if !refused {
-		queue.shareCounts[fingerprint] = 0
+	queue.shareCounts[fingerprint] = 0
+	if crashes > 1 && len(queue.urgent) < capacity {
+		queue.urgent = append(queue.urgent, fingerprint)
 	}
 }
 
+// removeRefused removes a suspect from those that are shared repeatedly.
+func (queue *shareQueue) removeRefused(fingerprint uint64) {
+	queue.refused = slices.DeleteFunc(queue.refused, func(known uint64) bool { return known == fingerprint })
+}
+
+// nextUrgent returns the first urgent suspect and removes it from the queue of these.
+func (queue *shareQueue) nextUrgent() uint64 {
+	fingerprint := queue.urgent[0]
+	queue.urgent = queue.urgent[1:]
+	return fingerprint
+}
+
 // makeRoom removes the oldest entry of changed if it is full.
 func (queue *shareQueue) makeRoom() {
 	if len(queue.changed) >= capacity {
@@ -64,7 +86,8 @@
 
 // Share returns suspects to send to another daemon, at most maximum, which must be at least one. Refused suspects
 // are shared in turn, so that a daemon that was disconnected or has just started learns of them. At least a
-// quarter of the number is left for suspects that changed. The cost does not grow with the number of suspects.
+// quarter of the number is left for suspects that changed, those with several crashes first. The cost does not grow with
+// the number of suspects.
 func (registry *Registry) Share(maximum int, now time.Time) []Suspect {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
@@ -72,6 +95,9 @@
 	for range min(len(registry.shareQueue.refused), maximum-maximum/4) {
 		shared = registry.appendKnown(shared, registry.shareQueue.nextRefused(), now)
 	}
+	for range min(len(registry.shareQueue.urgent), max(maximum-len(shared), 0)) {
+		shared = registry.appendKnown(shared, registry.shareQueue.nextUrgent(), now)
+	}
 	for range min(len(registry.shareQueue.changed), max(maximum-len(shared), 0)) {
 		shared = registry.appendKnown(shared, registry.shareQueue.nextChanged(), now)
 	}
@@ -87,7 +113,3 @@
 	}
 	return append(shared, suspect)
 }
-
-func (registry *Registry) refused(suspect Suspect) bool {
-	return len(suspect.Crashes) >= registry.limit
-}
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -1,13 +1,42 @@
 package quarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Suspect is a fingerprint with the crashes during which its requests were in flight.
 type Suspect struct {
-	// Fingerprint identifies requests with the same content.
+	// Kind is what the fingerprint identifies.
+	Kind Kind `json:"Kind,omitempty"`
+	// Fingerprint identifies requests with the same content, or with the same part of a prompt.
 	Fingerprint uint64 `json:"Fingerprint"`
-	// Crashes lists distinct crashes, at most the limit of the registry.
+	// Crashes lists the distinct crashes that count against it, at most the limit of the registry for its kind.
 	Crashes []Crash `json:"Crashes"`
+	// Cleared lists the crashes that full responses have offset, at most maxCleared. None of them is in Crashes.
+	Cleared []Crash `json:"Cleared,omitempty"`
 	// Until is when the suspect expires.
 	Until time.Time `json:"Until"`
+	// grown is when this daemon learned of the last crash.
+	grown time.Time
+}
+
+// stronger reports whether there is more evidence against this part than against the other: no response at all before more
+// crashes. It is a strict order, so that two parts never explain each other's crashes.
+func (suspect *Suspect) stronger(other *Suspect) bool {
+	answered, otherAnswered := len(suspect.Cleared) > 0, len(other.Cleared) > 0
+	if answered != otherAnswered {
+		return otherAnswered
+	}
+	return len(suspect.Crashes) > len(other.Crashes)
+}
+
+// covered reports whether the other suspect has all crashes of this one.
+func (suspect *Suspect) covered(other *Suspect) bool {
+	for _, crash := range suspect.Crashes {
+		if !slices.Contains(other.Crashes, crash) {
+			return false
+		}
+	}
+	return true
 }
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// minRecordedCrashes is the number of crashes from which a suspect is recorded in the store, which outlives
-	// all daemons.
+	// minRecordedCrashes is the number of crashes from which a whole request is recorded in the store, which outlives
+	// all daemons. Parts of prompts are recorded once they are refused, since each crash makes suspects of many.
 	minRecordedCrashes = 2
 	// unansweredWindow is how long after an attempt without a response the end of the replica still counts against
 	// the request.
@@ -18,18 +18,37 @@
 	maxUnansweredPerReplica = 256
 	// maxOwnCrashes bounds the replicas whose crashes are numbered for one request.
 	maxOwnCrashes = 64
+	// sameCrashSpan is the time in which all connections that one incarnation breaks count as one crash against a part of
+	// prompts, which many requests in flight may share.
+	sameCrashSpan = time.Second
+	// partAnswerPeriod is the time for which a full response at least offsets a later crash of the same part. The part may
+	// become harmful at any time, so that old responses say little.
+	partAnswerPeriod = 1500 * time.Millisecond
 )
 
 // unansweredAttempt is an attempt that ended without a response from its replica.
 type unansweredAttempt struct {
-	fingerprint uint64
-	at          time.Time
+	causes Causes
+	at     time.Time
+}
+
+// partBreak identifies what an incarnation of a replica broke: requests with one part of prompts.
+type partBreak struct {
+	part  uint64
+	crash Crash
+}
+
+// lastBreak is the last break of an incarnation.
+type lastBreak struct {
+	at time.Time
+	// sequence numbers the crashes of the incarnation.
+	sequence int
 }
 
 // Tracker counts, for one daemon, the crashes of replicas against the requests that ran there. It detects a crash
 // by a lost connection, or by the end of a replica that had stopped responding. Each recent full response to a
 // request offsets one crash, so that crashes are not counted against a common request that many clients send and
-// that usually succeeds. It is safe for concurrent use. Use NewTracker.
+// that usually succeeds; the same holds for each part of a prompt. It is safe for concurrent use. Use NewTracker.
 type Tracker struct {
 	registry *Registry
 
@@ -38,6 +57,14 @@
 	responses recentCounts
 	// ownCrashes maps fingerprints to the latest crashes that this daemon counted, one for each incarnation.
 	ownCrashes map[uint64][]Crash
+	// partAnswers counts the recent full responses for each part that have not offset a crash yet.
+	partAnswers recentCounts
+	// partBreaks holds the last break of each part by each incarnation; it has at most capacity entries.
+	partBreaks map[partBreak]lastBreak
+	// trials maps parts to the time until which no other request with the part is tried.
+	trials map[uint64]time.Time
+	// turn returns how many daemons may try a part before this one.
+	turn func(part uint64) int
 	// unanswered maps incarnations to the attempts that ended there without a response.
 	unanswered map[Crash][]unansweredAttempt
 	// refused is closed and replaced when another fingerprint is refused.
@@ -57,6 +84,11 @@
 		refused:    make(chan struct{}),
 		unrecorded: map[uint64]Suspect{},
 		pending:    make(chan struct{}, 1),
+
+		partAnswers: newRecentCounts(completedCapacity),
+		partBreaks:  map[partBreak]lastBreak{},
+		trials:      map[uint64]time.Time{},
+		turn:        func(uint64) int { return 0 },
 	}
 }
 
@@ -76,25 +108,36 @@
 	return tracker.refused
 }
 
-// Answered records a full response.
-func (tracker *Tracker) Answered(fingerprint uint64) {
-	tracker.registry.Clear(fingerprint)
+// Answered records a full response to a request. trial is the part that the request was admitted to try, or zero: the
+// response offsets all its crashes.
+func (tracker *Tracker) Answered(causes Causes, trial uint64, now time.Time) {
+	tracker.registry.Clear(causes.Request)
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	tracker.responses.increment(fingerprint)
-	delete(tracker.ownCrashes, fingerprint)
+	tracker.responses.increment(causes.Request)
+	delete(tracker.ownCrashes, causes.Request)
+	tracker.partAnswers.expire(partAnswerPeriod, now)
+	for _, part := range causes.Parts {
+		suspect, released := tracker.registry.Offset(part, part == trial, now)
+		if len(suspect.Cleared) == 0 {
+			tracker.partAnswers.increment(part)
+		}
+		if released {
+			tracker.addUnrecorded(suspect)
+		}
+	}
 }
 
 // ConnectionLost counts a crash after the connection to the replica was lost during the request. It returns the
 // number of crashes of the request, or zero if a response offset this one.
-func (tracker *Tracker) ConnectionLost(fingerprint uint64, crash Crash, now time.Time) int {
+func (tracker *Tracker) ConnectionLost(causes Causes, crash Crash, now time.Time) int {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	return tracker.count(fingerprint, crash, now)
+	return tracker.count(causes, crash, now)
 }
 
 // NoResponse records an attempt without a response: the replica may have crashed, be disconnected or be slow.
-func (tracker *Tracker) NoResponse(fingerprint uint64, crash Crash, now time.Time) {
+func (tracker *Tracker) NoResponse(causes Causes, crash Crash, now time.Time) {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	attempts, known := tracker.unanswered[crash]
@@ -107,7 +150,7 @@
 	if len(attempts) >= maxUnansweredPerReplica {
 		attempts = attempts[1:]
 	}
-	tracker.unanswered[crash] = append(attempts, unansweredAttempt{fingerprint, now})
+	tracker.unanswered[crash] = append(attempts, unansweredAttempt{causes, now})
 }
 
 // ReplicaEnded records that an incarnation ended without notice, and returns the requests that the crash is
@@ -117,16 +160,22 @@
 	defer tracker.mutex.Unlock()
 	var counted []uint64
 	for _, attempt := range tracker.unanswered[crash] {
-		if now.Sub(attempt.at) < unansweredWindow && tracker.count(attempt.fingerprint, crash, now) > 0 {
-			counted = append(counted, attempt.fingerprint)
+		if now.Sub(attempt.at) < unansweredWindow && tracker.count(attempt.causes, crash, now) > 0 {
+			counted = append(counted, attempt.causes.Request)
 		}
 	}
 	delete(tracker.unanswered, crash)
 	return counted
 }
 
-// count adds the crash unless a response offsets it. The mutex is held.
-func (tracker *Tracker) count(fingerprint uint64, crash Crash, now time.Time) int {
+// count adds the crash to the parts of the request and, unless a response offsets it, to the request. It returns the number
+// of crashes of the request, or zero if a response offset this one. The mutex is held.
+func (tracker *Tracker) count(causes Causes, crash Crash, now time.Time) int {
+	tracker.partAnswers.expire(partAnswerPeriod, now)
+	for _, part := range causes.Parts {
+		tracker.countPart(part, crash, now)
+	}
+	fingerprint := causes.Request
 	if tracker.responses.decrement(fingerprint) {
 		return 0
 	}
@@ -135,6 +184,42 @@
 	return len(marked.Crashes)
 }
 
+// countPart adds the crash to the part, unless a response offsets it or another request with the part was in flight during
+// the same crash. The mutex is held.
+func (tracker *Tracker) countPart(part uint64, crash Crash, now time.Time) {
+	key := partBreak{part, crash}
+	last, known := tracker.partBreaks[key]
+	if known && now.Sub(last.at) < sameCrashSpan {
+		return
+	}
+	if known {
+		last.sequence++
+	}
+	tracker.removeOldBreaks(now)
+	tracker.partBreaks[key] = lastBreak{now, last.sequence}
+	if tracker.partAnswers.decrement(part) {
+		return
+	}
+	crash.Sequence = last.sequence
+	tracker.crashAdded(tracker.registry.Add(Cause{PromptPart, part}, crash, now))
+}
+
+// removeOldBreaks makes room in partBreaks: it removes the breaks that have no effect on later ones, or all. The mutex is
+// held.
+func (tracker *Tracker) removeOldBreaks(now time.Time) {
+	if len(tracker.partBreaks) < capacity {
+		return
+	}
+	for key, last := range tracker.partBreaks {
+		if now.Sub(last.at) >= unansweredWindow {
+			delete(tracker.partBreaks, key)
+		}
+	}
+	if len(tracker.partBreaks) >= capacity {
+		clear(tracker.partBreaks)
+	}
+}
+
 // withSequence returns the crash with its sequence number among those that this daemon counted for the same
 // incarnation. A restarted replica counts as its former incarnation until its new row arrives. The mutex is held.
 func (tracker *Tracker) withSequence(fingerprint uint64, crash Crash) Crash {
@@ -161,26 +246,47 @@
 	defer tracker.mutex.Unlock()
 	var refused []Suspect
 	for _, suspect := range changed {
-		if _, own := tracker.ownCrashes[suspect.Fingerprint]; own {
+		_, isRefused := tracker.registry.RefusedUntil(suspect.Fingerprint, now)
+		if tracker.countedHere(suspect, now) {
 			tracker.crashAdded(suspect)
-		} else if tracker.registry.refused(suspect) {
+		} else if isRefused {
 			tracker.notifyRefused()
 		}
-		if tracker.registry.refused(suspect) {
+		if isRefused {
 			refused = append(refused, suspect)
 		}
 	}
 	return refused
 }
 
+// countedHere reports whether this daemon counted a crash of the suspect itself. The mutex is held.
+func (tracker *Tracker) countedHere(suspect Suspect, now time.Time) bool {
+	if suspect.Kind == WholeRequest {
+		_, own := tracker.ownCrashes[suspect.Fingerprint]
+		return own
+	}
+	for _, crash := range suspect.Crashes {
+		crash.Sequence = 0
+		if last, known := tracker.partBreaks[partBreak{suspect.Fingerprint, crash}]; known && now.Sub(last.at) < unansweredWindow {
+			return true
+		}
+	}
+	return false
+}
+
 // crashAdded handles another crash of a suspect that this daemon counted itself. The mutex is held.
 func (tracker *Tracker) crashAdded(suspect Suspect) {
-	if tracker.registry.refused(suspect) {
+	refused := len(suspect.Crashes) >= tracker.registry.limit
+	if refused {
 		tracker.notifyRefused()
 	}
-	if len(suspect.Crashes) < minRecordedCrashes {
-		return
+	if refused || (suspect.Kind == WholeRequest && len(suspect.Crashes) >= minRecordedCrashes) {
+		tracker.addUnrecorded(suspect)
 	}
+}
+
+// addUnrecorded lists the suspect to be recorded in the store. The mutex is held.
+func (tracker *Tracker) addUnrecorded(suspect Suspect) {
 	tracker.unrecorded[suspect.Fingerprint] = suspect
 	select {
 	case tracker.pending <- struct{}{}:
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -36,11 +36,11 @@
 			for _, step := range parseTrace(c.trace) {
 				switch step.event {
 				case 'b':
-					tracker.ConnectionLost(1, crash(step.replica), now)
+					tracker.ConnectionLost(Causes{Request: 1}, crash(step.replica), now)
 				case 'a':
-					tracker.Answered(1)
+					tracker.Answered(Causes{Request: 1}, 0, now)
 				case 's':
-					tracker.NoResponse(1, crash(step.replica), now)
+					tracker.NoResponse(Causes{Request: 1}, crash(step.replica), now)
 				case 'e':
 					tracker.ReplicaEnded(crash(step.replica), now)
 				case 'w':
@@ -129,7 +129,7 @@
 				if crashes == 3 {
 					thirdCrash = site.now
 				}
-				tracker.ConnectionLost(1, crash(crashes), site.now)
+				tracker.ConnectionLost(Causes{Request: 1}, crash(crashes), site.now)
 			}
 			t.Logf("%d crashes", crashes)
 		})
@@ -140,7 +140,7 @@
 func (site *site) crashMany() {
 	for index, tracker := range site.trackers {
 		for request := range uint64(5) {
-			tracker.ConnectionLost(1000+uint64(index)*5+request, crash(100+int(request)), site.now)
+			tracker.ConnectionLost(Causes{Request: 1000 + uint64(index)*5 + request}, crash(100+int(request)), site.now)
 		}
 	}
 }
@@ -150,7 +150,7 @@
 	now := time.Unix(1000, 0)
 	old, fresh := NewTracker(3), NewTracker(3)
 	for n := range 3 {
-		old.ConnectionLost(1, crash(n), now)
+		old.ConnectionLost(Causes{Request: 1}, crash(n), now)
 	}
 	for range 100 {
 		old.Share(32, now)
@@ -170,11 +170,11 @@
 func TestSuspectsAreRecordedOnce(t *testing.T) {
 	now := time.Unix(1000, 0)
 	own, other := NewTracker(3), NewTracker(3)
-	own.ConnectionLost(1, crash(1), now)
+	own.ConnectionLost(Causes{Request: 1}, crash(1), now)
 	if len(own.Unrecorded()) != 0 {
 		t.Error("a suspect with one crash is recorded")
 	}
-	other.ConnectionLost(1, crash(2), now)
+	other.ConnectionLost(Causes{Request: 1}, crash(2), now)
 	own.Import(other.Share(8, now), now)
 	if got := own.Unrecorded(); len(got) != 1 || len(got[0].Crashes) != 2 {
 		t.Errorf("the suspects to record are %+v", got)
@@ -193,21 +193,21 @@
 func TestMemoryOfTrackersIsBounded(t *testing.T) {
 	tracker, now := NewTracker(3), time.Unix(1000, 0)
 	for n := range 3 * maxUnansweredPerReplica {
-		tracker.NoResponse(uint64(100+n), crash(1), now)
+		tracker.NoResponse(Causes{Request: uint64(100 + n)}, crash(1), now)
 	}
-	tracker.NoResponse(1, crash(1), now)
+	tracker.NoResponse(Causes{Request: 1}, crash(1), now)
 	if counted := tracker.ReplicaEnded(crash(1), now); len(counted) != maxUnansweredPerReplica || counted[maxUnansweredPerReplica-1] != 1 {
 		t.Errorf("%d attempts are counted, or the last is not among them", len(counted))
 	}
 	for n := range 2 * maxUnansweredReplicas {
-		tracker.NoResponse(1, crash(n), now)
+		tracker.NoResponse(Causes{Request: 1}, crash(n), now)
 	}
-	tracker.NoResponse(1, crash(-1), now.Add(unansweredWindow))
+	tracker.NoResponse(Causes{Request: 1}, crash(-1), now.Add(unansweredWindow))
 	if len(tracker.unanswered) != 1 {
 		t.Errorf("%d replicas have unanswered attempts, want 1", len(tracker.unanswered))
 	}
 	for n := range uint64(3 * capacity) {
-		tracker.ConnectionLost(1000+n, crash(1), now)
+		tracker.ConnectionLost(Causes{Request: 1000 + n}, crash(1), now)
 	}
 	if queue := &tracker.registry.shareQueue; len(queue.changed) > capacity || len(queue.shareCounts) != len(queue.changed) || len(tracker.ownCrashes) > capacity {
 		t.Errorf("%d changed suspects, %d share counts, %d requests with own crashes", len(queue.changed), len(queue.shareCounts), len(tracker.ownCrashes))
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -85,7 +85,7 @@
 		return result{failure: failure, notRun: true, unsent: true}
 	}
 	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStopped) {
-		transaction.relay.deps.Suspects.NoResponse(transaction.fingerprint, CrashOf(candidate.Incarnation), now)
+		transaction.relay.deps.Suspects.NoResponse(transaction.causes, CrashOf(candidate.Incarnation), now)
 	}
 	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled) {
 		deadlinePassed := errors.Is(context.Cause(ctx), errDeadline)
@@ -152,7 +152,7 @@
 	if transaction.sink.Begun() {
 		return result{failure: outcome.New(outcome.UpstreamLost, "the replica did not resume the stream")}
 	}
-	transaction.relay.deps.Suspects.Answered(transaction.fingerprint)
+	transaction.countAnswer(reply.Success())
 	response.deliver(transaction.sink)
 	return result{done: true}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -143,8 +143,8 @@
 	defer cancel()
 	ctx, stop := relay.withShutdown(ctx)
 	defer stop()
-	transaction := &transaction{relay: relay, request: request, fingerprint: request.Fingerprint(), route: route, service: service, sink: sink, deadline: deadline}
-	transaction.summary = Summary{Route: route.Name, Configuration: configuration.Version, Fingerprint: transaction.fingerprint}
+	transaction := &transaction{relay: relay, request: request, causes: causes(request), route: route, service: service, sink: sink, deadline: deadline}
+	transaction.summary = Summary{Route: route.Name, Configuration: configuration.Version, Fingerprint: transaction.causes.Request}
 	failure := transaction.run(ctx)
 	transaction.summary.Sends = transaction.sends
 	return transaction.summary, failure
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -59,6 +59,6 @@
 		transaction.sink.Head(reply.Status, reply.Header, -1)
 	}
 	transaction.relay.deps.Balancer.Done(candidate.Incarnation, false, transaction.relay.deps.Clock.Now())
-	transaction.relay.deps.Suspects.Answered(transaction.fingerprint)
+	transaction.countAnswer(true)
 	return result{done: true}
 }
--- a/relay/transaction.go
+++ b/relay/transaction.go
@@ -10,6 +10,7 @@
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/exchange"
 	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/quarantine"
 	"github.com/bronzestall/bronzestall/ratelimit"
 	"github.com/bronzestall/bronzestall/topology"
 )
@@ -35,12 +36,14 @@
 type transaction struct {
 	relay   *Relay
 	request *exchange.Request
-	// fingerprint is that of the request, see exchange.Request.Fingerprint.
-	fingerprint uint64
-	route       *topology.Route
-	service     topology.Service
-	sink        Sink
-	deadline    time.Time
+	// causes lists what the request has that may crash replicas.
+	causes quarantine.Causes
+	// trial is the refused part of the prompt that the request was admitted to try, or zero.
+	trial    uint64
+	route    *topology.Route
+	service  topology.Service
+	sink     Sink
+	deadline time.Time
 	// sends counts the attempts, and runs those of them that may have run the request.
 	sends, runs int
 	// tried lists the replicas whose attempts failed; the balancer chooses them last.
@@ -60,6 +63,7 @@
 // run makes attempts until the request is answered or must not be retried.
 func (transaction *transaction) run(ctx context.Context) *outcome.Error {
 	relay := transaction.relay
+	defer transaction.endTrial()
 	if failure := transaction.quarantineFailure(relay.deps.Clock.Now()); failure != nil {
 		return failure
 	}
@@ -74,7 +78,7 @@
 		if result.done {
 			return nil
 		}
-		event.AttemptFailed.Log("Request", transaction.request.Metadata.ID, "Fingerprint", transaction.fingerprint, "Replica", candidate.ID, "Born", candidate.Started,
+		event.AttemptFailed.Log("Request", transaction.request.Metadata.ID, "Fingerprint", transaction.causes.Request, "Replica", candidate.ID, "Born", candidate.Started,
 			"Sends", transaction.sends, "Runs", transaction.runs, "NotRun", result.notRun, "Cause", result.failure.Error())
 		if !transaction.prepareRetry(ctx, candidate, result) {
 			return transaction.finalFailure(ctx, result.failure)
