Take a stream that ends with its connection before its first event for lost

What callers saw: an empty 200, framed as whole, when a replica ended after the head of a stream that had neither a length nor chunks. Cause: such a body ends with its connection, and no event was missing from an empty one. A resumed stream may still end without a further event.

front.TestEndingsOfResponses lists the ways in which responses end, for each framing; of its 21 cases this one failed.

--- a/exchange/reply.go
+++ b/exchange/reply.go
@@ -22,6 +22,8 @@
 	EventStream bool
 	// Length is the length of the body in bytes, or -1 if it is unknown.
 	Length int64
+	// Unframed states that the body has neither a length nor chunks, so that it ends with its connection.
+	Unframed bool
 	// Body returns io.EOF only after the complete body. Closing it earlier closes the connection.
 	Body io.ReadCloser
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -28,7 +28,7 @@
 				return result{failure: failure}
 			}
 		}
-		if errors.Is(err, io.EOF) && !splitter.partial() {
+		if errors.Is(err, io.EOF) && !splitter.partial() && !transaction.endsBeforeItsBegin(reply) {
 			return transaction.finishStream(candidate, reply)
 		}
 		if err != nil {
@@ -37,6 +37,12 @@
 	}
 }
 
+// endsBeforeItsBegin reports whether a stream that ended with its connection had no event: its replica may have ended before
+// it sent one. A resumed stream may have no further event.
+func (transaction *transaction) endsBeforeItsBegin(reply *exchange.Reply) bool {
+	return reply.Unframed && !transaction.sink.Begun() && transaction.request.Metadata.LastEventID == 0
+}
+
 // forward passes on the events that the client has not received yet.
 func (transaction *transaction) forward(reply *exchange.Reply, events []byte) *outcome.Error {
 	fresh, lastEvent := eventsAfter(events, transaction.lastEvent)
