--- a/front/daemon.go
+++ b/front/daemon.go
@@ -155,6 +155,7 @@
 	daemon.suspects.SetTurns(daemon.partTurn)
 	daemon.limiter = ratelimit.NewLimiter(daemon.limits)
 	daemon.store = platform.NewRowStore(daemon.pool, settings.StoreAddress, storeTimeout)
+	daemon.store.ObserveEra(&eraLog{daemon: daemon})
 	daemon.upstream = platform.NewUpstream(daemon.pool, replicaListener{daemon}, clk)
 	daemon.relay = relay.New(relay.Settings{
 		Zone:            settings.DataCentre,
--- a/front/replicas.go
+++ b/front/replicas.go
@@ -57,7 +57,13 @@
 		return true
 	}
 	entry, ok := daemon.decodeEntry(change.Row)
-	return ok && daemon.roster.Put(entry)
+	if !ok {
+		return false
+	}
+	if known, differs := daemon.roster.Outdated(entry); differs {
+		event.RowIgnored.Log("Replica", entry.Replica.ID, "Version", entry.Version, "Known", known, "Draining", entry.Replica.Draining)
+	}
+	return daemon.roster.Put(entry)
 }
 
 // removeReplica applies the deletion of a row, which happened at the version.
--- a/front/store.go
+++ b/front/store.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/bronzestall/bronzestall/event"
+	"github.com/bronzestall/bronzestall/platform"
 )
 
 // storeResponded records that the store answered.
@@ -18,6 +20,37 @@
 	}
 }
 
+// eraLogInterval is the shortest time between two log lines about unusable eras.
+const eraLogInterval = 5 * time.Second
+
+// eraLog logs what the responses of the store state about its era.
+type eraLog struct {
+	daemon *Daemon
+	mutex  sync.Mutex
+	// loggedAt is when the last line about an unusable era was logged, and unusable counts them.
+	loggedAt time.Time
+	unusable int
+}
+
+// EraRose logs that the store came back from an older copy.
+func (log *eraLog) EraRose(before, era uint64) {
+	version, _ := log.daemon.roster.Version()
+	event.StoreRestored.Log("Era", era, "Before", before, "Roster", version, "StoreAge", log.daemon.storeAge())
+}
+
+// EraProblem counts and logs a response without a usable era.
+func (log *eraLog) EraProblem(problem platform.EraProblem, known uint64) {
+	log.mutex.Lock()
+	defer log.mutex.Unlock()
+	log.unusable++
+	now := log.daemon.clock.Now()
+	if !log.loggedAt.IsZero() && now.Sub(log.loggedAt) < eraLogInterval {
+		return
+	}
+	log.loggedAt = now
+	event.EraUnusable.Log("Problem", string(problem), "Era", known, "Count", log.unusable)
+}
+
 // storeFailed records that a call to the store failed.
 func (daemon *Daemon) storeFailed(err error, table string) {
 	daemon.mutex.Lock()
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -91,6 +91,15 @@
 	return roster.put(entry)
 }
 
+// Outdated reports whether Put would ignore the entry as older although requests would be routed to it differently, and
+// returns the version of the known row.
+func (roster *Roster) Outdated(entry Entry) (uint64, bool) {
+	roster.mutex.Lock()
+	defer roster.mutex.Unlock()
+	known, ok := roster.entries[entry.Replica.ID]
+	return known.Version, ok && known.Version > entry.Version && !entry.sameRoute(&known)
+}
+
 // put keeps the newer description of a replica, and reports whether it has to be propagated. The caller holds the
 // mutex.
 func (roster *Roster) put(entry Entry) bool {
