Add a failing test of a store that comes back from an older copy

The store of the soak can be restored. Replicas that drain afterwards, as only their rows say, get requests until their end.

--- a/internal/frontsoak/notices_test.go
+++ b/internal/frontsoak/notices_test.go
@@ -143,7 +143,7 @@
 func (replica *replica) writeNotice(writer http.ResponseWriter, id string) bool {
 	incarnation := replica.incarnationName()
 	replica.mutex.Lock()
-	leaving, remaining := replica.draining || replica.announcesLeaving, time.Until(replica.backoffUntil)
+	leaving, remaining := (replica.draining && !replica.drainsSilently) || replica.announcesLeaving, time.Until(replica.backoffUntil)
 	replica.mutex.Unlock()
 	writer.Header().Set(replicaHeader, incarnation)
 	replica.writeLimit(writer)
--- a/internal/frontsoak/replica_test.go
+++ b/internal/frontsoak/replica_test.go
@@ -37,7 +37,9 @@
 	startedAt int64
 	down      bool
 	draining  bool
-	models    []string
+	// drainsSilently states that only the row in the store, not the responses, report that the replica is draining.
+	drainsSilently bool
+	models         []string
 	// revision counts the orders that were executed.
 	revision uint64
 	// loading is the model that is being loaded until loadedAt, or empty.
--- a/internal/frontsoak/soak_test.go
+++ b/internal/frontsoak/soak_test.go
@@ -181,6 +181,7 @@
 		"routes": []any{
 			route(pathCall, "non_idempotent", plainService, 1, false), route(pathLookup, "idempotent", plainService, 2, false),
 			route(pathStream, "streaming", engineService, 1, false), route(pathResume, "streaming", engineService, 2, true),
+			route(addedRoute(testbed.version), "idempotent", plainService, 2, false),
 		},
 		"services": []any{
 			map[string]any{"name": plainService, "healthPath": "/health", "maxConnections": 100},
--- a/internal/frontsoak/store_test.go
+++ b/internal/frontsoak/store_test.go
@@ -27,6 +27,10 @@
 	rows    map[[2]string]row
 	history []row
 	version uint64
+	// journal lists all changes that the state in force came from, also those that dropHistory dropped, and era counts
+	// how often the store came back from a copy.
+	journal []timedRow
+	era     uint64
 	// oldest is the version after which the history is complete.
 	oldest uint64
 	// unavailable states that all calls are refused, and dropResponses is the number of coming transactions that are
@@ -35,8 +39,14 @@
 	dropResponses int
 }
 
+// timedRow is a change with the time at which it was made.
+type timedRow struct {
+	row
+	at time.Time
+}
+
 func newStore() *store {
-	created := &store{rows: map[[2]string]row{}}
+	created := &store{rows: map[[2]string]row{}, era: 1}
 	created.changed = sync.NewCond(&created.mutex)
 	return created
 }
@@ -59,6 +69,33 @@
 		store.rows[id] = next
 	}
 	store.history = append(store.history, next)
+	store.journal = append(store.journal, timedRow{next, time.Now()})
+	store.changed.Broadcast()
+}
+
+// restore makes the store go on from a copy of the given age: all changes since are gone, and their versions are given out
+// again.
+func (store *store) restore(age time.Duration) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	copied := time.Now().Add(-age)
+	kept := 0
+	for kept < len(store.journal) && store.journal[kept].at.Before(copied) {
+		kept++
+	}
+	store.journal = store.journal[:kept]
+	store.rows, store.version = map[[2]string]row{}, 0
+	for _, change := range store.journal {
+		store.version = change.Version
+		id := [2]string{change.Table, change.Key}
+		if change.Deleted {
+			delete(store.rows, id)
+		} else {
+			store.rows[id] = change.row
+		}
+	}
+	store.era++
+	store.history, store.oldest = nil, store.version
 	store.changed.Broadcast()
 }
 
@@ -80,6 +117,7 @@
 func (store *store) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	store.mutex.Lock()
 	unavailable := store.unavailable
+	writer.Header().Set("Store-Era", strconv.FormatUint(store.era, 10))
 	store.mutex.Unlock()
 	if unavailable {
 		writer.WriteHeader(http.StatusServiceUnavailable)
@@ -130,8 +168,9 @@
 	defer timer.Stop()
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
+	era := store.era
 	for {
-		if after < store.oldest {
+		if after < store.oldest || after > store.version || era != store.era {
 			writer.WriteHeader(http.StatusGone)
 			return
 		}
