Let versions of the store carry its era

A new replica would not have been used either.

The class of the fault: a number is compared as if its source had one history only.

Change: a version is the era of the store and the number within it, so that the order of versions is that of time also across a return. The platform's adapter makes and takes apart versions; responses of an earlier era and conditions on one change nothing. Daemons tell the era to each other with the version of the replica table. A replica that drained or was removed does not return with an old row. Lease records name their era: nobody goes on with one from an older copy but the holder within its term, others wait for a term and settle, and fencing numbers rise with the era. Refused suspects are recorded again by the first daemon.

--- a/datastore/tables.go
+++ b/datastore/tables.go
@@ -14,7 +14,8 @@
 type Row struct {
 	Key
 	// Version increases with every write to the row and is never zero for a row that exists.
-	// It is never reused for the same key, not even after a deletion.
+	// It is never reused for the same key, not even after a deletion or after the store came
+	// back from an older copy; see NewVersion.
 	Version uint64 `json:"Version"`
 	// Value is the content of the row.
 	Value []byte `json:"Value"`
--- /dev/null
+++ b/datastore/version.go
@@ -0,0 +1,39 @@
+package datastore
+
+import "fmt"
+
+// A version of a row is a position in the history of the store: the era of the store and, within it, a number that increases
+// with every write. The store may come back from an older copy of itself; it then gives out numbers again, in the next
+// era. Versions of a later era are above all earlier ones, so that they order positions also across such a return.
+//
+// A store without eras has the era zero, in which versions and numbers are equal.
+
+// The layout of a version.
+const (
+	// eraShift is the position of the era in a version.
+	eraShift = 40
+	// MaxEra is the highest era that a version can hold.
+	MaxEra = 1<<(64-eraShift) - 1
+	// MaxNumber is the highest number that a version can hold.
+	MaxNumber = 1<<eraShift - 1
+)
+
+// NewVersion returns the version of the number in the era. Both must be within their limits.
+func NewVersion(era, number uint64) uint64 {
+	return era<<eraShift | number
+}
+
+// Era returns the era of the version.
+func Era(version uint64) uint64 {
+	return version >> eraShift
+}
+
+// Number returns the number of the version within its era.
+func Number(version uint64) uint64 {
+	return version & MaxNumber
+}
+
+// FormatVersion returns the era and the number of the version, for logs.
+func FormatVersion(version uint64) string {
+	return fmt.Sprintf("%d.%d", Era(version), Number(version))
+}
--- a/front/daemon.go
+++ b/front/daemon.go
@@ -83,6 +83,8 @@
 	ingress *ingress.Ingress
 	mesh    *mesh.Node
 	lease   *lease.Lease
+	// eras is the era of the store, from its responses and from other daemons.
+	eras *platform.EraTracker
 	// rowStore reads and writes single rows of the store, through another daemon if the store does not answer
 	// this one.
 	rowStore  mesh.RowStore
@@ -154,8 +156,8 @@
 	}
 	daemon.suspects.SetTurns(daemon.partTurn)
 	daemon.limiter = ratelimit.NewLimiter(daemon.limits)
-	daemon.store = platform.NewRowStore(daemon.pool, settings.StoreAddress, storeTimeout)
-	daemon.store.ObserveEra(&eraLog{daemon: daemon})
+	daemon.eras = platform.NewEraTracker(&eraLog{daemon: daemon})
+	daemon.store = platform.NewRowStore(daemon.pool, settings.StoreAddress, storeTimeout, daemon.eras)
 	daemon.upstream = platform.NewUpstream(daemon.pool, replicaListener{daemon}, clk)
 	daemon.relay = relay.New(relay.Settings{
 		Zone:            settings.DataCentre,
--- a/front/fallbackstore.go
+++ b/front/fallbackstore.go
@@ -7,6 +7,7 @@
 
 	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/mesh"
+	"github.com/bronzestall/bronzestall/platform"
 )
 
 // fallbackStore accesses the platform's store directly, or through another daemon while the store does not
@@ -15,6 +16,16 @@
 	direct, viaPeer mesh.RowStore
 	// lost reports whether the store does not answer this daemon.
 	lost func() bool
+	// eras is the era of the store; nil means that it has none.
+	eras *platform.EraTracker
+}
+
+// Era returns the era of the store.
+func (fallback *fallbackStore) Era() uint64 {
+	if fallback.eras == nil {
+		return 0
+	}
+	return fallback.eras.Era()
 }
 
 // Read returns one row. It tries the second path if the first is unavailable.
--- a/front/replicas.go
+++ b/front/replicas.go
@@ -61,14 +61,14 @@
 		return false
 	}
 	if known, differs := daemon.roster.Outdated(entry); differs {
-		event.RowIgnored.Log("Replica", entry.Replica.ID, "Version", entry.Version, "Known", known, "Draining", entry.Replica.Draining)
+		event.RowIgnored.Log("Replica", entry.Replica.ID, "Version", datastore.FormatVersion(entry.Version), "Known", datastore.FormatVersion(known), "Draining", entry.Replica.Draining)
 	}
 	return daemon.roster.Put(entry)
 }
 
 // removeReplica applies the deletion of a row, which happened at the version.
 func (daemon *Daemon) removeReplica(id string, version uint64) {
-	event.ReplicaGone.Log("Replica", id, "Version", version, "Grace", daemon.roster.InGracePeriod(daemon.clock.Now()))
+	event.ReplicaGone.Log("Replica", id, "Version", datastore.FormatVersion(version), "Grace", daemon.roster.InGracePeriod(daemon.clock.Now()))
 	daemon.roster.Remove(id, version, daemon.clock.Now())
 }
 
@@ -95,7 +95,7 @@
 func (daemon *Daemon) decodeEntry(row datastore.Row) (roster.Entry, bool) {
 	replica, err := platform.DecodeReplica(row.Row, row.Value)
 	if err != nil {
-		event.RowSkipped.LogError(err, "Table", row.Table, "Row", row.Row, "Version", row.Version)
+		event.RowSkipped.LogError(err, "Table", row.Table, "Row", row.Row, "Version", datastore.FormatVersion(row.Version))
 		return roster.Entry{}, false
 	}
 	replica.ReceivedAt = daemon.clock.Now()
@@ -182,5 +182,5 @@
 func logReplica(entry *roster.Entry) {
 	replica := &entry.Replica
 	event.ReplicaTaken.Log("Replica", replica.ID, "Born", replica.Started, "Service", replica.Service, "Address", replica.Address,
-		"Zone", replica.Zone, "Draining", replica.Draining, "Version", entry.Version)
+		"Zone", replica.Zone, "Draining", replica.Draining, "Version", datastore.FormatVersion(entry.Version))
 }
--- a/front/suspects.go
+++ b/front/suspects.go
@@ -90,7 +90,7 @@
 	apply := func(row datastore.Row) {
 		suspect, err := decodeSuspect(row, daemon.clock.Now())
 		if err != nil {
-			event.RowSkipped.LogError(err, "Table", row.Table, "Row", row.Row, "Version", row.Version)
+			event.RowSkipped.LogError(err, "Table", row.Table, "Row", row.Row, "Version", datastore.FormatVersion(row.Version))
 			return
 		}
 		daemon.trackRow(row.Row, row.Version)
@@ -107,6 +107,7 @@
 				apply(row)
 			}
 		},
+		onRestored: daemon.recordSuspectsAgain,
 		onChanges: func(changes []platform.Change, _ uint64) {
 			for _, change := range changes {
 				if change.Deleted {
@@ -120,6 +121,14 @@
 	return watcher.run(ctx)
 }
 
+// recordSuspectsAgain records all refused suspects in a store that came back from an older copy, in which some may be gone.
+// Only the first daemon by name does so.
+func (daemon *Daemon) recordSuspectsAgain() {
+	if daemon.daemonIndex.Load() == 0 {
+		daemon.suspects.RecordRefused(daemon.clock.Now())
+	}
+}
+
 // decodeSuspect decodes a row of the suspect table. The row has no time of writing, since the clocks of
 // daemons differ; the suspect is therefore kept for the whole retention time from now on.
 func decodeSuspect(row datastore.Row, now time.Time) (quarantine.Suspect, error) {
--- a/front/sync.go
+++ b/front/sync.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/demand"
 	"github.com/bronzestall/bronzestall/directory"
 	"github.com/bronzestall/bronzestall/event"
@@ -133,12 +134,20 @@
 			return ctx.Err()
 		case <-ticker.C():
 		}
+		daemon.learnEra()
 		if peer, ok := daemon.mostInformedPeer(); ok {
 			daemon.fetchUpdate(ctx, peer)
 		}
 	}
 }
 
+// learnEra takes over the era of the store from the daemons that have read its tables in a higher one.
+func (daemon *Daemon) learnEra() {
+	for _, peer := range daemon.mesh.Live() {
+		daemon.eras.Learn(datastore.Era(peer.RosterVersion))
+	}
+}
+
 // mostInformedPeer returns the daemon with the newest replica table among those that have newer data than
 // this one.
 func (daemon *Daemon) mostInformedPeer() (mesh.Peer, bool) {
--- a/front/watch.go
+++ b/front/watch.go
@@ -34,8 +34,10 @@
 	// active reports whether this daemon watches the table now; nil means whether it reads the store's
 	// tables.
 	active func() bool
-	// onRecovery is called when the store answers again after a failure; may be nil.
+	// onRecovery is called when the store answers again after a failure, or came back from an older copy; may be nil.
 	onRecovery func()
+	// onRestored is called after onSnapshot if the store came back from an older copy since the last one; may be nil.
+	onRestored func()
 	// failed is set if the last call failed. Daemon.storeLost cannot replace it, since the watcher of another
 	// table may have reset it already.
 	failed bool
@@ -58,7 +60,7 @@
 			watcher.daemon.storeResponded()
 			watcher.daemon.sleep(ctx, watcher.pause)
 		case errors.Is(err, platform.ErrHistoryUnavailable):
-			event.HistoryForgotten.Log("Table", watcher.table, "After", version)
+			event.HistoryForgotten.Log("Table", watcher.table, "After", datastore.FormatVersion(version))
 			known = false
 		default:
 			watcher.failed = true
@@ -86,8 +88,13 @@
 		if err != nil {
 			return err
 		}
+		restored := *version > 0 && datastore.Era(current) > datastore.Era(*version)
+		watcher.failed = watcher.failed || restored
 		watcher.reportRecovery()
 		watcher.onSnapshot(rows, current)
+		if restored && watcher.onRestored != nil {
+			watcher.onRestored()
+		}
 		*version, *known = current, true
 		return nil
 	}
@@ -118,7 +125,7 @@
 		}
 		configuration, err := platform.DecodeConfiguration(row.Value)
 		if err != nil {
-			event.RowSkipped.LogError(err, "Table", row.Table, "Row", row.Row, "Version", row.Version)
+			event.RowSkipped.LogError(err, "Table", row.Table, "Row", row.Row, "Version", datastore.FormatVersion(row.Version))
 			return
 		}
 		daemon.applyConfiguration(configuration, row.Value, "Store")
--- a/front/wiring.go
+++ b/front/wiring.go
@@ -21,7 +21,7 @@
 // sends orders.
 func (daemon *Daemon) wireScheduling(random *mathrand.Rand) {
 	holder := lease.Holder{Name: daemon.settings.Name, Incarnation: incarnation(), DataCentre: leaseName}
-	leaseStore := platform.NewRowStore(daemon.pool, daemon.settings.StoreAddress, leaseTimeout)
+	leaseStore := platform.NewRowStore(daemon.pool, daemon.settings.StoreAddress, leaseTimeout, daemon.eras)
 	daemon.mesh = mesh.New(mesh.Settings{
 		Self: mesh.Member{
 			Name:       daemon.settings.Name,
@@ -44,7 +44,7 @@
 		Update:          daemon.waitForUpdate,
 		Store:           leaseStore,
 	}, daemon.clock, random)
-	daemon.rowStore = &fallbackStore{direct: leaseStore, viaPeer: daemon.mesh.StoreProxy(daemon.storePeer), lost: daemon.isStoreLost}
+	daemon.rowStore = &fallbackStore{direct: leaseStore, viaPeer: daemon.mesh.StoreProxy(daemon.storePeer), lost: daemon.isStoreLost, eras: daemon.eras}
 	daemon.lease = lease.New(daemon.rowStore, lease.Settings{
 		OneProcess: true,
 		SettleTime: daemon.settings.Turnover,
--- a/internal/platformfake/client.go
+++ b/internal/platformfake/client.go
@@ -134,3 +134,10 @@
 		return fake.store.put(name, content)
 	})
 }
+
+// Era returns the era of the tables.
+func (client *Client) Era() uint64 {
+	client.fake.mutex.Lock()
+	defer client.fake.mutex.Unlock()
+	return datastore.Era(client.fake.store.revision)
+}
--- a/internal/platformfake/platform.go
+++ b/internal/platformfake/platform.go
@@ -110,3 +110,46 @@
 	}
 	return fake.shortest + time.Duration(fake.random.Int64N(int64(span)))
 }
+
+// Copy is a copy of the tables at one time.
+type Copy struct {
+	rows     map[string]map[string]datastore.Row
+	revision uint64
+}
+
+// StartEra makes the tables, which must be empty, begin in the given era.
+func (fake *Platform) StartEra(era uint64) {
+	fake.mutex.Lock()
+	defer fake.mutex.Unlock()
+	fake.store.revision = datastore.NewVersion(era, 0)
+}
+
+// Save returns a copy of the tables.
+func (fake *Platform) Save() Copy {
+	fake.mutex.Lock()
+	defer fake.mutex.Unlock()
+	return Copy{rows: copyRows(fake.store.rows, datastore.Era(fake.store.revision)), revision: fake.store.revision}
+}
+
+// Restore makes the tables go on from a copy in the next era: what was written since is gone, and its numbers are given out
+// again. Delayed writes take effect if their conditions still hold.
+func (fake *Platform) Restore(saved Copy) {
+	fake.mutex.Lock()
+	defer fake.mutex.Unlock()
+	era := datastore.Era(fake.store.revision) + 1
+	fake.store.rows = copyRows(saved.rows, era)
+	fake.store.revision = datastore.NewVersion(era, datastore.Number(saved.revision))
+}
+
+// copyRows returns a copy of the rows with versions of the era.
+func copyRows(rows map[string]map[string]datastore.Row, era uint64) map[string]map[string]datastore.Row {
+	copied := map[string]map[string]datastore.Row{}
+	for table, named := range rows {
+		copied[table] = map[string]datastore.Row{}
+		for name, row := range named {
+			row.Version = datastore.NewVersion(era, datastore.Number(row.Version))
+			copied[table][name] = row
+		}
+	}
+	return copied
+}
--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -15,7 +15,7 @@
 func (lease *Lease) tryAcquire(ctx context.Context) error {
 	row, err := lease.tables.Read(ctx, lease.key())
 	if errors.Is(err, datastore.ErrNotFound) {
-		return lease.acquire(ctx, datastore.Row{}, record{})
+		return lease.acquireAbsent(ctx)
 	}
 	if err != nil {
 		return trace.Wrap(err)
@@ -28,11 +28,17 @@
 		lease.seen = row
 		lease.seenAt = lease.clock.Now()
 	}
+	lease.absentSince = time.Time{}
+	restored := found.restored(row.Version)
+	if restored {
+		found.Released = false
+	}
+	lease.observeFence(found.Fence)
 	lease.setLeader(found)
-	if found.Holder == lease.holder && !found.Released {
+	if found.Holder == lease.holder && !found.Released && !restored {
 		return lease.resume(ctx, row, found)
 	}
-	if lease.mayAcquire(found) || lease.heldByEarlierProcess(found.Holder) {
+	if lease.mayAcquire(found) || (lease.heldByEarlierProcess(found.Holder) && !restored) {
 		return lease.acquire(ctx, row, found)
 	}
 	if lease.heldByRemote() {
@@ -41,6 +47,39 @@
 	return nil
 }
 
+// firstEra is the era of a table service that never came back from an older copy.
+const firstEra = 1
+
+// acquireAbsent acquires a lease without a row. If the table service came back from an older copy, the row may be lost, and its
+// holder may act until the end of its term.
+func (lease *Lease) acquireAbsent(ctx context.Context) error {
+	era := lease.era()
+	if lease.highestFence == 0 && era <= firstEra {
+		return lease.acquire(ctx, datastore.Row{}, record{})
+	}
+	now := lease.clock.Now()
+	if lease.absentSince.IsZero() || lease.absentEra != era {
+		lease.absentSince, lease.absentEra = now, era
+	}
+	if now.Sub(lease.absentSince) < lease.settings.Term {
+		return nil
+	}
+	return lease.acquire(ctx, datastore.Row{}, record{Holder: Holder{Name: unknownFormer}, Fence: era << fenceEraShift})
+}
+
+// eraOf returns the era in which rows with the versions were read; absent ones have the version zero.
+func (lease *Lease) eraOf(version, fenceVersion uint64) uint64 {
+	if version == 0 && fenceVersion == 0 {
+		return lease.era()
+	}
+	return max(datastore.Era(version), datastore.Era(fenceVersion))
+}
+
+// observeFence keeps the highest fencing number seen.
+func (lease *Lease) observeFence(fence uint64) {
+	lease.highestFence = max(lease.highestFence, fence)
+}
+
 // setLeader records the holder as read; a released lease has none.
 func (lease *Lease) setLeader(found record) {
 	lease.mutex.Lock()
@@ -93,9 +132,14 @@
 	if err != nil {
 		return err
 	}
-	next := record{Holder: lease.holder, Fence: max(found.Fence, fence.value.Fence) + 1, Former: found.Holder.Name}
-	former := found.Holder
-	if lease.heldByEarlierProcess(found.Holder) {
+	former := found.former(row.Version)
+	next := record{
+		Holder: lease.holder,
+		Fence:  max(found.Fence, found.minFence(row.Version), fence.value.Fence, lease.highestFence) + 1,
+		Former: former.Name,
+		Era:    lease.eraOf(row.Version, fence.version),
+	}
+	if lease.heldByEarlierProcess(former) {
 		next.Former, next.Steps = found.Former, found.Steps
 		former = lease.effectiveFormer(found)
 	}
@@ -127,6 +171,7 @@
 	next := found
 	next.Renewal++
 	next.Steps++
+	next.Era = datastore.Era(row.Version)
 	sent := lease.clock.Now()
 	versions, err := lease.tables.Commit(ctx, []datastore.Write{
 		{Key: lease.key(), Check: true, IfVersion: row.Version, Value: encode(next)},
@@ -152,6 +197,7 @@
 	lease.until = lease.termEnd(sent)
 	lease.unclearSince = time.Time{}
 	lease.requestVersion = 0
+	lease.observeFence(current.Fence)
 	event.LeaseTaken.Log("DataCentre", lease.settings.DataCentre, "Fence", current.Fence)
 }
 
--- a/lease/history_test.go
+++ b/lease/history_test.go
@@ -31,13 +31,24 @@
 // TestRandomHistoriesAreLinearizable runs candidates of two data centres with random pauses and faults.
 func TestRandomHistoriesAreLinearizable(t *testing.T) {
 	for seed := range uint64(15) {
-		runHistory(t, seed)
+		runHistory(t, seed, false)
 	}
 }
 
-func runHistory(t *testing.T, seed uint64) {
+// TestRandomHistoriesWithRestores guards against issue 37: the table service comes back from an older copy again and again, so
+// that the record of the holder, and the fencing numbers given out, are lost.
+func TestRandomHistoriesWithRestores(t *testing.T) {
+	for seed := range uint64(60) {
+		runHistory(t, seed, true)
+	}
+}
+
+// runHistory runs one history, in which the table service comes back from older copies if restores is set.
+func runHistory(t *testing.T, seed uint64, restores bool) {
 	t.Helper()
 	fixture := newFixture(seed)
+	fixture.platform.StartEra(1)
+	copies := []platformfake.Copy{fixture.platform.Save()}
 	random := rand.New(rand.NewPCG(seed, 2))
 	var candidates []*Lease
 	var clients []*platformfake.Client
@@ -61,6 +72,13 @@
 		if random.IntN(100) == 0 {
 			fixture.platform.ApplyLate()
 		}
+		if restores && random.IntN(20) == 0 {
+			copies = append(copies, fixture.platform.Save())
+		}
+		if restores && random.IntN(120) == 0 {
+			oldest := max(len(copies)-4, 0)
+			fixture.platform.Restore(copies[oldest+random.IntN(len(copies)-oldest)])
+		}
 		if random.IntN(3) > 0 {
 			_ = candidates[chosen].Step(context.Background())
 		}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -20,6 +20,11 @@
 	// seen is the lease row as last read by a candidate, and seenAt the time after that version was first read.
 	seen   datastore.Row
 	seenAt time.Time
+	// highestFence is the highest fencing number seen.
+	highestFence uint64
+	// absentSince is the time since which the row does not exist in the era absentEra; zero while it does.
+	absentSince time.Time
+	absentEra   uint64
 	// requestVersion is the version of the transfer request row, and requestReadAt the time at which a holder in
 	// another data centre first read that version.
 	requestVersion uint64
--- a/lease/tables.go
+++ b/lease/tables.go
@@ -13,3 +13,18 @@
 	// Commit applies all writes or none, and returns the new versions.
 	Commit(ctx context.Context, writes []datastore.Write) ([]uint64, error)
 }
+
+// eraSource is implemented by table services that can come back from an older copy. Era returns the era of the last response;
+// see datastore.NewVersion.
+type eraSource interface {
+	Era() uint64
+}
+
+// era returns the era of the table service; zero if it has none.
+func (lease *Lease) era() uint64 {
+	source, ok := lease.tables.(eraSource)
+	if !ok {
+		return 0
+	}
+	return source.Era()
+}
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -285,6 +285,17 @@
 	}
 }
 
+// RecordRefused lists all refused suspects to be recorded in the store again.
+func (tracker *Tracker) RecordRefused(now time.Time) {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	for _, suspect := range tracker.registry.Export(now) {
+		if len(suspect.Crashes) >= tracker.registry.limit {
+			tracker.addUnrecorded(suspect)
+		}
+	}
+}
+
 // addUnrecorded lists the suspect to be recorded in the store. The mutex is held.
 func (tracker *Tracker) addUnrecorded(suspect Suspect) {
 	tracker.unrecorded[suspect.Fingerprint] = suspect
--- a/roster/delta.go
+++ b/roster/delta.go
@@ -3,6 +3,9 @@
 import (
 	"slices"
 	"strings"
+
+	"github.com/bronzestall/bronzestall/datastore"
+	"github.com/bronzestall/bronzestall/topology"
 )
 
 // maxRemovals is the number of removals that a roster keeps.
@@ -10,19 +13,31 @@
 
 // removal is a row that was removed, with the version of the table after the removal.
 type removal struct {
-	id      string
-	version uint64
+	incarnation topology.Incarnation
+	version     uint64
 }
 
 // recordRemoval adds a removal and discards the oldest above maxRemovals. The caller holds the mutex.
-func (roster *Roster) recordRemoval(id string, version uint64) {
-	roster.removed = append(roster.removed, removal{id, version})
+func (roster *Roster) recordRemoval(incarnation topology.Incarnation, version uint64) {
+	roster.removed = append(roster.removed, removal{incarnation, version})
 	if len(roster.removed) > maxRemovals {
 		roster.compacted = max(roster.compacted, roster.removed[0].version)
 		roster.removed = roster.removed[1:]
 	}
 }
 
+// removedInEarlierEras returns the incarnations whose rows were removed in an era of the store before that of the version. The
+// caller holds the mutex.
+func (roster *Roster) removedInEarlierEras(version uint64) map[topology.Incarnation]bool {
+	removed := map[topology.Incarnation]bool{}
+	for _, removal := range roster.removed {
+		if datastore.Era(removal.version) < datastore.Era(version) {
+			removed[removal.incarnation] = true
+		}
+	}
+	return removed
+}
+
 // isPresent reports whether the row is in the table. The caller holds the mutex.
 func (roster *Roster) isPresent(id string) bool {
 	entry, ok := roster.entries[id]
@@ -59,8 +74,8 @@
 		return delta, true
 	}
 	for _, removal := range roster.removed {
-		if removal.version > version && !roster.isPresent(removal.id) {
-			delta.Removed = append(delta.Removed, removal.id)
+		if removal.version > version && !roster.isPresent(removal.incarnation.ID) {
+			delta.Removed = append(delta.Removed, removal.incarnation.ID)
 		}
 	}
 	return delta, true
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
@@ -56,7 +57,8 @@
 }
 
 // Replace replaces all rows by a snapshot of the table at the version; an older snapshot than the current version is
-// ignored. A replica without a row is kept for the grace period after an outage. It reports whether anything changed
+// ignored. A replica without a row is kept for the grace period after an outage. A row that was removed is not added again by
+// a snapshot of a store that came back from an older copy: its replica writes it again if it is alive. It reports whether anything changed
 // that has to be propagated to other daemons.
 func (roster *Roster) Replace(entries []Entry, version uint64, now time.Time) bool {
 	roster.mutex.Lock()
@@ -69,7 +71,11 @@
 		roster.compacted = version
 	}
 	present := make(map[string]bool, len(entries))
+	removed := roster.removedInEarlierEras(version)
 	for _, entry := range entries {
+		if removed[entry.Replica.Incarnation] && !roster.isPresent(entry.Replica.ID) {
+			continue
+		}
 		present[entry.Replica.ID] = true
 		changed = roster.put(entry) || changed
 	}
@@ -111,6 +117,10 @@
 		}
 		return false
 	}
+	if ok && known.Replica.Incarnation == entry.Replica.Incarnation && datastore.Era(known.Version) < datastore.Era(entry.Version) {
+		// The row may be from an older copy of the store, from before the replica began to drain.
+		entry.Replica.Draining = entry.Replica.Draining || known.Replica.Draining
+	}
 	entry.Changed = entry.Version
 	if ok && known.Missing.IsZero() && entry.sameRoute(&known) {
 		entry.Changed = known.Changed
@@ -150,7 +160,7 @@
 		return
 	}
 	if entry.Missing.IsZero() {
-		roster.recordRemoval(id, version)
+		roster.recordRemoval(entry.Replica.Incarnation, version)
 	}
 	if roster.outageEnded.IsZero() || now.Sub(roster.outageEnded) >= GracePeriod {
 		roster.deleteEntry(id)
