Never read a repeated refusal as the response to a request

Two ways were open. A request that is sent to the same replica again shared the connection, and the identifier, with its first attempt. A refusal without an identifier passed for the response on any connection. Clients would be told that a request has not run which the replica was running.

--- a/connection/call.go
+++ b/connection/call.go
@@ -17,9 +17,9 @@
 	Header http.Header
 	// Body is the complete body.
 	Body []byte
-	// Matches reports whether the head of a response belongs to this call. Other responses are skipped; nil accepts
-	// all.
-	Matches func(header http.Header) bool
+	// Matches reports whether the head of a response belongs to this call. reused states that other calls were made on the
+	// connection before, so that the response may be a late one to them. Other responses are skipped; nil accepts all.
+	Matches func(header http.Header, reused bool) bool
 	// MaxUnused is how long a connection may have been unused before the call; zero means no limit. An upstream may
 	// have dropped a connection that was unused for longer, and resets it upon the next byte.
 	MaxUnused time.Duration
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -204,7 +204,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if call.Matches == nil || call.Matches(response.Header) {
+		if call.Matches == nil || call.Matches(response.Header, c.reused) {
 			c.limited.removeLimit()
 			return response, nil
 		}
--- a/connection/pool_test.go
+++ b/connection/pool_test.go
@@ -61,7 +61,7 @@
 func get(pool *Pool, address, id string) (string, error) {
 	response, err := pool.Do(context.Background(), Call{
 		Key: "k", Address: address, Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{},
-		Matches: func(header http.Header) bool { return header.Get("Id") == id },
+		Matches: func(header http.Header, _ bool) bool { return header.Get("Id") == id },
 	})
 	if err != nil {
 		return "", err
--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -20,6 +20,9 @@
 	HasPriority bool
 	// AtMostOnce states that the request must not be retried after an attempt that may have run it.
 	AtMostOnce bool
+	// SentBefore states that the request was sent to the replica before. A late copy of the response to that attempt would
+	// pass for the response to this one.
+	SentBefore bool
 	// Counted states that the attempt counts against the limit that the replica named. Others are not sent to a replica
 	// with a limit.
 	Counted bool
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 
 	"github.com/bronzestall/bronzestall/balance"
 	"github.com/bronzestall/bronzestall/exchange"
@@ -49,6 +50,7 @@
 		AtMostOnce:  !transaction.route.Repeatable(),
 		Counted:     transaction.permit.Counted,
 		ResumeAfter: transaction.lastEvent,
+		SentBefore:  transaction.markSent(candidate.Incarnation),
 	})
 	if err != nil {
 		return transaction.failAttempt(ctx, candidate, err)
@@ -63,6 +65,15 @@
 	return transaction.completeResponse(ctx, candidate, reply, attemptRecord)
 }
 
+// markSent records that the request is sent to the replica, and reports whether it was before.
+func (transaction *transaction) markSent(replica topology.Incarnation) bool {
+	if slices.Contains(transaction.sentTo, replica) {
+		return true
+	}
+	transaction.sentTo = append(transaction.sentTo, replica)
+	return false
+}
+
 // priority returns the priority that is sent to engines: that of the route, limited to the range 0 to 9 that they
 // accept.
 func priority(route *topology.Route) int {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -211,3 +211,24 @@
 		})
 	}
 }
+
+// TestSentBeforeNamesRepeatedReplicas covers a request that is sent to one replica twice: it must not share a connection with
+// the first attempt, whose response may come again.
+func TestSentBeforeNamesRepeatedReplicas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fixture := newFixture(rejected(false), rejected(false), ok("yes"))
+		if failure := fixture.serve(t.Context(), "/once/x"); failure != nil {
+			t.Fatal(failure)
+		}
+		seen := map[topology.Incarnation]bool{}
+		for _, attempt := range fixture.upstream.attempts {
+			if attempt.SentBefore != seen[attempt.Replica] {
+				t.Errorf("attempt at %s has SentBefore %v", attempt.Replica.ID, attempt.SentBefore)
+			}
+			seen[attempt.Replica] = true
+		}
+		if len(seen) == len(fixture.upstream.attempts) {
+			t.Error("no replica was repeated")
+		}
+	})
+}
--- a/relay/transaction.go
+++ b/relay/transaction.go
@@ -48,6 +48,8 @@
 	sends, runs int
 	// tried lists the replicas whose attempts failed; the balancer chooses them last.
 	tried []topology.Incarnation
+	// sentTo lists the replicas to which the request was sent.
+	sentTo []topology.Incarnation
 	// lastEvent is the ID of the last event that was passed to the client; zero if there is none.
 	lastEvent uint64
 	// permit is that of the last attempt for the limit of its replica.
