Let only numbered events follow the beginning of a stream

Two ways were open: a success that is no stream of events, whose text was passed on or whose empty body ended the stream, and events without a number, as which a whole head passed.

A response to the rest of a stream must be a stream of events, each with a number; otherwise the attempt has failed. The fixture now gives the content type of streams that replicas send.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -59,6 +59,9 @@
 	if reply.NotRun {
 		return transaction.rejectAttempt(candidate, reply)
 	}
+	if transaction.sink.Begun() && !(reply.Success() && reply.EventStream) {
+		return transaction.endResumption(candidate, outcome.UpstreamLost, "the replica did not resume the stream: "+http.StatusText(reply.Status))
+	}
 	if transaction.route.Kind == topology.Streaming && reply.Success() {
 		return transaction.stream(ctx, candidate, reply, watchdog, attemptRecord)
 	}
@@ -126,6 +129,12 @@
 	return result{failure: failure.WithRetryAfter(retryAfterBusy), notRun: true, misdirected: reply.Misdirected}
 }
 
+// endResumption ends an attempt to resume a stream whose response has nothing that may follow what the client has.
+func (transaction *transaction) endResumption(candidate balance.Candidate, kind outcome.Kind, reason string) result {
+	transaction.relay.deps.Balancer.Done(candidate.Incarnation, true, transaction.relay.deps.Clock.Now())
+	return result{failure: outcome.New(kind, "%s", reason)}
+}
+
 // completeResponse is a response whose body was read to its end.
 type completeResponse struct {
 	reply *exchange.Reply
@@ -156,13 +165,10 @@
 	failed := reply.Status >= http.StatusInternalServerError
 	transaction.relay.deps.Balancer.Done(candidate.Incarnation, failed, now)
 	response := &completeResponse{reply, content}
-	if failed && transaction.route.Repeatable() && !transaction.sink.Begun() && transaction.runs < transaction.route.MaxAttempts {
+	if failed && transaction.route.Repeatable() && transaction.runs < transaction.route.MaxAttempts {
 		transaction.failedResponse = response
 		return result{failure: outcome.New(outcome.UpstreamLost, "%s", "the replica failed: "+http.StatusText(reply.Status))}
 	}
-	if transaction.sink.Begun() {
-		return result{failure: outcome.New(outcome.UpstreamLost, "the replica did not resume the stream")}
-	}
 	transaction.countAnswer(reply.Success())
 	response.deliver(transaction.sink)
 	return result{done: true}
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -82,9 +82,10 @@
 
 func ok(text string) step { return answered(http.StatusOK, text, io.EOF) }
 
+// answered returns a step with a response, which has the content type of a stream if its text begins with an event.
 func answered(status int, text string, end error) step {
 	return step{reply: &exchange.Reply{
-		Status: status, Header: http.Header{}, Signed: true, Length: -1,
+		Status: status, Header: http.Header{}, Signed: true, Length: -1, EventStream: strings.HasPrefix(text, "id: "),
 		Body: &endingBody{strings.NewReader(text), end},
 	}}
 }
--- a/relay/splitter.go
+++ b/relay/splitter.go
@@ -94,6 +94,18 @@
 	return fresh, last
 }
 
+// hasUnnumbered reports whether one of the events has content but no numeric ID.
+func hasUnnumbered(events []byte) bool {
+	for len(events) > 0 {
+		one, rest, _ := bytes.Cut(events, eventEnd)
+		if _, numbered := eventID(one); !numbered && hasContent(one) {
+			return true
+		}
+		events = rest
+	}
+	return false
+}
+
 // lastEventID returns the ID of the last event, or last if that is higher or the event has none.
 func lastEventID(events []byte, last uint64) uint64 {
 	begin := bytes.LastIndex(bytes.TrimSuffix(events, eventEnd), eventEnd)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -16,8 +16,12 @@
 		return transaction.failAttempt(ctx, candidate, exchange.ErrInvalidResponse)
 	}
 	splitter := &splitter{}
+	resumed := transaction.sink.Begun() && transaction.lastEvent > 0
 	for {
 		events, err := splitter.next(reply.Body)
+		if resumed && hasUnnumbered(events) {
+			return transaction.endResumption(candidate, outcome.AnswerInvalid, "the resumed stream has an event without a number")
+		}
 		if len(events) > 0 {
 			if hasContent(events) {
 				watchdog.reset()
