Restore the store and send deadly parts in the soak of front daemons

Both come beside all other faults, from random sources of their own. The store comes back older without being away, so that only its era tells.

--- a/internal/frontsoak/deadly_test.go
+++ b/internal/frontsoak/deadly_test.go
@@ -23,6 +23,8 @@
 	// deadlyDuration is how long requests with the part come, and deadlyInterval the pause between two of them.
 	deadlyDuration = 14 * time.Second
 	deadlyInterval = 300 * time.Millisecond
+	// deadlySoakDuration is the same in a run with other faults.
+	deadlySoakDuration = 7 * time.Second
 	// minSoundServed is the share of sound requests with the same first part that must be served at the first attempt
 	// from deadlySettle after the end numbered deadlyLimit, or after the last one if there are fewer.
 	minSoundServed = 0.5
@@ -70,11 +72,12 @@
 	return false
 }
 
-// arrive records that a request with the part reached a replica.
-func (part *deadlyPart) arrive(now time.Time) {
+// arrive records that a request with the part reached a replica. upToDate states that the daemon that sent it must know what
+// the others know.
+func (part *deadlyPart) arrive(now time.Time, upToDate bool) {
 	part.mutex.Lock()
 	defer part.mutex.Unlock()
-	if part.ends >= deadlyLimit && now.Sub(part.lateFrom) > deadlyGrace {
+	if upToDate && part.ends >= deadlyLimit && now.Sub(part.lateFrom) > deadlyGrace {
 		part.late++
 	}
 	part.ends++
@@ -130,7 +133,7 @@
 	if !part.in(request.Header.Get("Bronzestall-Prompt-Prefix")) {
 		return false
 	}
-	part.arrive(time.Now())
+	part.arrive(time.Now(), replica.checker.isUpToDate(daemonOf(id), time.Now()))
 	if part.afterEvent {
 		writer.Header().Set("Bronzestall-Response-Signature", "signed."+id)
 		writer.Header().Set("Content-Type", "text/event-stream")
@@ -146,6 +149,26 @@
 	return true
 }
 
+// isUpToDate is mustBeUpToDate for callers without the mutex.
+func (checker *checker) isUpToDate(daemon string, now time.Time) bool {
+	checker.mutex.Lock()
+	defer checker.mutex.Unlock()
+	return checker.mustBeUpToDate(daemon, now)
+}
+
+// injectDeadlyPart sends requests with a deadly part for some seconds. It has its own random source, so that the other faults of
+// a seed do not depend on it.
+func (testbed *testbed) injectDeadlyPart(ctx context.Context, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 10))
+	testbed.checker.deadly.Store(&deadlyPart{id: "dead", afterEvent: random.IntN(2) == 0, silent: random.IntN(3) == 0})
+	kind := []string{pathStream, pathResume}[random.IntN(2)]
+	place := []string{"first", "second", "third"}[random.IntN(3)]
+	time.Sleep(time.Duration(random.IntN(4000)) * time.Millisecond)
+	ctx, cancel := context.WithTimeout(ctx, deadlySoakDuration)
+	defer cancel()
+	testbed.sendDeadly(ctx, kind, place)
+}
+
 // crashSilently ends the replica without closing its connections, which get no more bytes.
 func (replica *replica) crashSilently(downtime time.Duration) {
 	replica.proxy.set(true, false, 0)
--- a/internal/frontsoak/restore_test.go
+++ b/internal/frontsoak/restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
@@ -35,6 +36,27 @@
 	testbed.configure()
 }
 
+// injectRestores makes the store come back from an older copy at random moments, without being away, until the context ends. It
+// has its own random source, so that the other faults of a seed do not depend on it.
+func (testbed *testbed) injectRestores(ctx context.Context, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 11))
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(1500+random.IntN(5000)) * time.Millisecond)
+		testbed.checker.recordRestore()
+		testbed.store.restore(time.Duration(200+random.IntN(6000)) * time.Millisecond)
+		testbed.configure()
+	}
+}
+
+// recordRestore records that the store comes back from an older copy, which is a fault that ends at once.
+func (checker *checker) recordRestore() {
+	checker.mutex.Lock()
+	defer checker.mutex.Unlock()
+	if !checker.storeStable.IsZero() {
+		checker.storeStable = time.Now()
+	}
+}
+
 // TestStoreComesBackOlder guards against issue 37: after the store came back from an older copy, daemons ignored its rows,
 // since their versions were below those known. A replica that drained got requests on and on.
 func TestStoreComesBackOlder(t *testing.T) {
--- a/internal/frontsoak/soak_test.go
+++ b/internal/frontsoak/soak_test.go
@@ -72,8 +72,11 @@
 	store    *store
 	replicas []*replica
 	fronts   []*process
-	version  uint64
-	random   *rand.Rand
+
+	// configureMutex guards version.
+	configureMutex sync.Mutex
+	version        uint64
+	random         *rand.Rand
 }
 
 // soak runs one seed: it sends requests, injects faults, waits for recovery and reports all violations.
@@ -91,14 +94,17 @@
 	defer stopNotices()
 	go testbed.injectNotices(noticeContext, seed)
 	go testbed.injectLimits(noticeContext, seed)
+	go testbed.injectDeadlyPart(noticeContext, seed)
+	go testbed.injectRestores(noticeContext, seed)
 	testbed.injectFaults(t, *lengthFlag)
 	time.Sleep(settleTime)
 	cancel()
 	clients.Wait()
 	testbed.checkRecovery(seed)
 	stop()
-	violations := testbed.checker.finish()
-	t.Logf("outcomes %v", testbed.checker.outcomes)
+	deadly := testbed.checker.deadly.Load()
+	violations := append(testbed.checker.finish(), deadly.check()...)
+	t.Logf("outcomes %v, %d ends by a deadly part", testbed.checker.outcomes, deadly.ends)
 	for _, violation := range violations {
 		t.Error(violation)
 	}
@@ -165,6 +171,8 @@
 
 // configure writes the configuration under a higher version number. Some numbers are skipped.
 func (testbed *testbed) configure() {
+	testbed.configureMutex.Lock()
+	defer testbed.configureMutex.Unlock()
 	testbed.version += 1 + testbed.version%3
 	route := func(path, kind, service string, attempts int, resumable bool) map[string]any {
 		return map[string]any{
