--- a/front/suspects_test.go
+++ b/front/suspects_test.go
@@ -136,3 +136,29 @@
 		t.Errorf("%d rows are in the store and %d tracked, want none", len(store.rows), len(daemon.suspectRows))
 	}
 }
+
+// TestSuspectsAreRecordedAgainAfterARestore guards against issue 37: refused requests and parts that a store lost when it came
+// back from an older copy were recorded by nobody again. Only the first daemon by name does so.
+func TestSuspectsAreRecordedAgainAfterARestore(t *testing.T) {
+	// Requests 1 and 2 and part 9 have three crashes, the others one.
+	for index, want := range map[int64]int{0: 3, 1: 0} {
+		store := &fakeStore{rows: map[datastore.Key]datastore.Row{}}
+		daemon := newDaemonWithCrashes(store, 1, 2, 3)
+		daemon.daemonIndex.Store(index)
+		for _, replica := range []string{"1", "2", "3"} {
+			causes := quarantine.Causes{Request: 2, Parts: []uint64{9}}
+			daemon.suspects.ConnectionLost(causes, quarantine.Crash{Upstream: replica, BootID: replica}, daemon.clock.Now())
+		}
+		daemon.suspects.ConnectionLost(quarantine.Causes{Request: 3, Parts: []uint64{10}}, quarantine.Crash{Upstream: "4"}, daemon.clock.Now())
+		_ = daemon.suspects.Unrecorded()
+		daemon.recordSuspectsAgain()
+		pending := map[uint64]bool{}
+		for _, suspect := range daemon.suspects.Unrecorded() {
+			pending[suspect.Fingerprint] = true
+		}
+		daemon.recordPending(t.Context(), pending)
+		if len(store.rows) != want {
+			t.Errorf("daemon %d recorded %d suspects, want %d", index, len(store.rows), want)
+		}
+	}
+}
