Count crashes that come at once as one occasion against parts of prompts

Cause: three crashes were evidence however they came; crashes of one moment have one cause. Change: a part is refused after three occasions. A response offsets an occasion.

--- a/front/suspects.go
+++ b/front/suspects.go
@@ -149,6 +149,7 @@
 		Kind:        kind,
 		Fingerprint: fingerprint,
 		Crashes:     content.Crashes,
+		Times:       content.times(now),
 		Cleared:     content.Cleared,
 		Until:       now.Add(quarantine.Retention),
 	}, nil
@@ -157,9 +158,38 @@
 // suspectContent is the value of a row of the suspect table.
 type suspectContent struct {
 	Crashes []quarantine.Crash
+	// Ages lists the ages of the crashes in ms when the row was written, in their order; -1 stands for an unknown one. The
+	// differences tell which crashes were one occasion.
+	Ages    []int64            `json:",omitempty"`
 	Cleared []quarantine.Crash `json:",omitempty"`
 }
 
+// newSuspectContent returns the value of the row of the suspect.
+func newSuspectContent(suspect quarantine.Suspect, now time.Time) suspectContent {
+	content := suspectContent{Crashes: suspect.Crashes, Cleared: suspect.Cleared}
+	for _, seen := range suspect.Times {
+		age := int64(-1)
+		if !seen.At.IsZero() {
+			age = max(now.Sub(seen.At), 0).Milliseconds()
+		}
+		content.Ages = append(content.Ages, age)
+	}
+	return content
+}
+
+// times returns when the crashes were seen, as if the row had been written now.
+func (content *suspectContent) times(now time.Time) []quarantine.CrashTime {
+	var times []quarantine.CrashTime
+	for _, age := range content.Ages[:min(len(content.Ages), len(content.Crashes))] {
+		seen := quarantine.CrashTime{}
+		if age >= 0 && age <= quarantine.Retention.Milliseconds() {
+			seen.At = now.Add(-time.Duration(age) * time.Millisecond)
+		}
+		times = append(times, seen)
+	}
+	return times
+}
+
 // suspectKey returns the key of the row of a suspect.
 func suspectKey(suspect quarantine.Suspect) datastore.Key {
 	row := strconv.FormatUint(suspect.Fingerprint, 16)
@@ -219,7 +249,7 @@
 	case refused:
 		event.SuspectRefused.Log("Kind", suspect.Kind, "Fingerprint", suspect.Fingerprint, "Crashes", len(suspect.Crashes),
 			"Replicas", crashedReplicas(suspect), "Cleared", len(suspect.Cleared))
-	case suspect.Kind == quarantine.PromptPart && len(suspect.Crashes) < crashLimit:
+	case len(suspect.Cleared) > 0:
 		event.SuspectReleased.Log("Kind", suspect.Kind, "Fingerprint", suspect.Fingerprint, "Cleared", len(suspect.Cleared))
 	}
 }
@@ -257,7 +287,7 @@
 	if !known || (len(suspect.Crashes) == len(recorded.Crashes) && len(suspect.Cleared) == len(recorded.Cleared)) {
 		return nil
 	}
-	value, err := json.Marshal(suspectContent{suspect.Crashes, suspect.Cleared})
+	value, err := json.Marshal(newSuspectContent(suspect, daemon.clock.Now()))
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/mesh/suspects.go
+++ b/mesh/suspects.go
@@ -22,18 +22,24 @@
 			Fingerprint: suspect.Fingerprint,
 			Kind:        uint32(suspect.Kind),
 			Remaining:   uint64(max(suspect.Until.Sub(now), 0).Milliseconds()),
-			Crashes:     encodeCrashes(suspect.Crashes),
-			Cleared:     encodeCrashes(suspect.Cleared),
+			Crashes:     encodeCrashes(suspect.Crashes, suspect.Times, now),
+			Cleared:     encodeCrashes(suspect.Cleared, nil, now),
 		})
 	}
 	return encoded
 }
 
-// encodeCrashes encodes the latest crashes.
-func encodeCrashes(crashes []quarantine.Crash) []*meshpb.Crash {
+// encodeCrashes encodes the latest crashes with the times at which they were seen, as far as these are given.
+func encodeCrashes(crashes []quarantine.Crash, times []quarantine.CrashTime, now time.Time) []*meshpb.Crash {
 	var encoded []*meshpb.Crash
-	for _, crash := range crashes[max(len(crashes)-maxSuspectCrashes, 0):] {
-		encoded = append(encoded, &meshpb.Crash{Replica: crash.Upstream, Boot: crash.BootID, Sequence: uint32(crash.Sequence)})
+	for index := max(len(crashes)-maxSuspectCrashes, 0); index < len(crashes); index++ {
+		crash := crashes[index]
+		next := &meshpb.Crash{Replica: crash.Upstream, Boot: crash.BootID, Sequence: uint32(crash.Sequence)}
+		if index < len(times) && !times[index].At.IsZero() {
+			next.Age = uint64(max(now.Sub(times[index].At), 0).Milliseconds()) + 1
+			next.Silent = times[index].Silent
+		}
+		encoded = append(encoded, next)
 	}
 	return encoded
 }
@@ -49,6 +55,7 @@
 			Kind:        quarantine.Kind(next.GetKind()),
 			Fingerprint: next.GetFingerprint(),
 			Crashes:     decodeCrashes(next.GetCrashes()),
+			Times:       decodeCrashTimes(next.GetCrashes(), now),
 			Cleared:     decodeCrashes(next.GetCleared()),
 			Until:       now.Add(min(milliseconds(next.GetRemaining()), quarantine.Retention)),
 		})
@@ -63,3 +70,15 @@
 	}
 	return crashes
 }
+
+func decodeCrashTimes(encoded []*meshpb.Crash, now time.Time) []quarantine.CrashTime {
+	var times []quarantine.CrashTime
+	for _, crash := range encoded {
+		seen := quarantine.CrashTime{Silent: crash.GetSilent()}
+		if crash.GetAge() > 0 {
+			seen.At = now.Add(-milliseconds(crash.GetAge() - 1))
+		}
+		times = append(times, seen)
+	}
+	return times
+}
--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -17,6 +17,8 @@
 	// maxPartCrashes is the maximum number of crashes kept for a part of prompts. More than the limit are kept, since
 	// the parts with the most crashes explain those of the others.
 	maxPartCrashes = 16
+	// maxOccasionCrashes is the number of them that are kept of one occasion if there are more.
+	maxOccasionCrashes = 4
 	// maxCleared is the maximum number of crashes kept for a suspect that no longer count against it.
 	maxCleared = 32
 	// evictionSample is the number of suspects of which the weakest is evicted from a full registry.
@@ -32,6 +34,8 @@
 	suspects map[uint64]Suspect
 	// shareQueue decides which suspects are shared next.
 	shareQueue shareQueue
+	// times holds when the crashes were seen.
+	times crashTimes
 	// evicted counts the suspects that were dropped because the registry was full.
 	evicted int
 }
@@ -43,20 +47,27 @@
 
 // NewWithLimit returns an empty registry that refuses suspects with the given number of crashes, at least one.
 func NewWithLimit(limit int) *Registry {
-	return &Registry{limit: max(limit, 1), suspects: map[uint64]Suspect{}, shareQueue: shareQueue{shareCounts: map[uint64]int{}}}
+	return &Registry{limit: max(limit, 1), suspects: map[uint64]Suspect{}, times: crashTimes{}, shareQueue: shareQueue{shareCounts: map[uint64]int{}}}
 }
 
 // AddCrash records that a request with the fingerprint was in flight during the crash. It returns the updated
 // suspect.
 func (registry *Registry) AddCrash(fingerprint uint64, crash Crash, now time.Time) Suspect {
-	return registry.Add(Cause{WholeRequest, fingerprint}, crash, now)
+	return registry.Add(Cause{WholeRequest, fingerprint}, crash, CrashTime{At: now}, now)
 }
 
-// Add records that a request with the cause was in flight during the crash. It returns the updated suspect.
-func (registry *Registry) Add(cause Cause, crash Crash, now time.Time) Suspect {
+// Add records that a request with the cause was in flight during the crash, which was seen as stated. It returns the updated
+// suspect.
+func (registry *Registry) Add(cause Cause, crash Crash, seen CrashTime, now time.Time) Suspect {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
-	return registry.merge(Suspect{Kind: cause.Kind, Fingerprint: cause.Fingerprint, Crashes: []Crash{crash}, Until: now.Add(Retention)}, now)
+	return registry.merge(Suspect{
+		Kind:        cause.Kind,
+		Fingerprint: cause.Fingerprint,
+		Crashes:     []Crash{crash},
+		Times:       []CrashTime{seen},
+		Until:       now.Add(Retention),
+	}, now)
 }
 
 // Import merges suspects exported by another daemon. It returns those with a new crash.
@@ -102,7 +113,16 @@
 	if !ok || !suspect.Until.After(now) {
 		return Suspect{}, false
 	}
-	return suspect, true
+	return registry.withTimes(suspect), true
+}
+
+// withTimes returns the suspect with the times of its crashes. The mutex is held.
+func (registry *Registry) withTimes(suspect Suspect) Suspect {
+	suspect.Times = make([]CrashTime, 0, len(suspect.Crashes))
+	for _, crash := range suspect.Crashes {
+		suspect.Times = append(suspect.Times, registry.times[crash])
+	}
+	return suspect
 }
 
 // CountRefused returns the number of refused suspects.
@@ -171,12 +191,15 @@
 	if !known.Until.After(now) {
 		known = Suspect{Kind: suspect.Kind, Fingerprint: suspect.Fingerprint, grown: now}
 	}
+	for index, seen := range suspect.Times {
+		registry.times.observe(suspect.Crashes[index], seen, now)
+	}
 	merged := registry.union(known, suspect)
 	if len(merged.Crashes) > len(known.Crashes) {
 		merged.grown = now
 	}
 	if len(merged.Crashes) != len(known.Crashes) || len(merged.Cleared) != len(known.Cleared) {
-		registry.shareQueue.enqueue(merged.Fingerprint, len(merged.Crashes), registry.limit)
+		registry.shareQueue.enqueue(merged.Fingerprint, registry.weight(merged.Kind, merged.Crashes), registry.limit)
 	}
 	if _, ok := registry.suspects[merged.Fingerprint]; !ok {
 		registry.makeRoom(now)
@@ -188,20 +211,28 @@
 // union returns the first suspect with the crashes of both and the later expiry.
 func (registry *Registry) union(a, b Suspect) Suspect {
 	a.Cleared = appendDistinct(slices.Clone(a.Cleared), b.Cleared, nil, maxCleared)
-	kept := appendDistinct(nil, a.Crashes, a.Cleared, registry.maxCrashes(a.Kind))
-	a.Crashes = appendDistinct(kept, b.Crashes, a.Cleared, registry.maxCrashes(a.Kind))
+	all := len(a.Crashes) + len(b.Crashes)
+	crashes := appendDistinct(nil, a.Crashes, a.Cleared, all)
+	crashes = appendDistinct(crashes, b.Crashes, a.Cleared, all)
+	a.Crashes = registry.selectCrashes(a.Kind, crashes)
 	if b.Until.After(a.Until) {
 		a.Until = b.Until
 	}
 	return a
 }
 
-// maxCrashes returns the maximum number of crashes kept for a suspect of the kind.
-func (registry *Registry) maxCrashes(kind Kind) int {
-	if kind == PromptPart {
-		return max(maxPartCrashes, registry.limit)
+// selectCrashes returns the crashes that are kept for a suspect of the kind: the first ones of a whole request, at most the
+// limit, and for a part of prompts some of each occasion.
+func (registry *Registry) selectCrashes(kind Kind, crashes []Crash) []Crash {
+	if kind != PromptPart {
+		return crashes[:min(len(crashes), registry.limit)]
+	}
+	maximum := max(maxPartCrashes, registry.limit)
+	if len(crashes) <= maximum {
+		return crashes
 	}
-	return registry.limit
+	kept := registry.times.thin(crashes, maxOccasionCrashes)
+	return kept[max(len(kept)-maximum, 0):]
 }
 
 // appendDistinct appends the crashes that are neither in the list nor in the excluded ones, while the list has fewer than
--- a/quarantine/share.go
+++ b/quarantine/share.go
@@ -15,17 +15,17 @@
 	// refused holds the fingerprints of refused suspects, and changed those of others, at most capacity. Both are
 	// queues; they may contain suspects that have been removed since.
 	refused, changed []uint64
-	// urgent holds those of the fingerprints in changed, at most capacity, that had several crashes when they were
+	// urgent holds those of the fingerprints in changed, at most capacity, whose weight was above one when they were
 	// queued. They are shared first.
 	urgent []uint64
 	// shareCounts maps the fingerprints in changed to the number of times each was shared since its last change.
 	shareCounts map[uint64]int
 }
 
-// enqueue adds a suspect that changed, with its number of crashes and the number from which suspects are refused.
-func (queue *shareQueue) enqueue(fingerprint uint64, crashes, limit int) {
+// enqueue adds a suspect that changed, with its weight and the weight from which suspects are refused.
+func (queue *shareQueue) enqueue(fingerprint uint64, weight, limit int) {
 	isRefused := slices.Contains(queue.refused, fingerprint)
-	if crashes >= limit {
+	if weight >= limit {
 		if !isRefused {
 			queue.refused = append(queue.refused, fingerprint)
 		}
@@ -39,7 +39,7 @@
 		queue.changed = append(queue.changed, fingerprint)
 	}
 	queue.shareCounts[fingerprint] = 0
-	if crashes > 1 && len(queue.urgent) < capacity {
+	if weight > 1 && len(queue.urgent) < capacity {
 		queue.urgent = append(queue.urgent, fingerprint)
 	}
 }
@@ -111,5 +111,5 @@
 		registry.drop(fingerprint)
 		return shared
 	}
-	return append(shared, suspect)
+	return append(shared, registry.withTimes(suspect))
 }
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -15,6 +15,9 @@
 	Crashes []Crash `json:"Crashes"`
 	// Cleared lists the crashes that full responses have offset, at most maxCleared. None of them is in Crashes.
 	Cleared []Crash `json:"Cleared,omitempty"`
+	// Times lists when the crashes were seen, in their order; it may be shorter. Registries keep it apart, and fill it in for
+	// other daemons and the store.
+	Times []CrashTime `json:"-"`
 	// Until is when the suspect expires.
 	Until time.Time `json:"Until"`
 	// grown is when this daemon learned of the last crash.
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -133,7 +133,7 @@
 func (tracker *Tracker) ConnectionLost(causes Causes, crash Crash, now time.Time) int {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	return tracker.count(causes, crash, now)
+	return tracker.count(causes, crash, CrashTime{At: now}, now)
 }
 
 // NoResponse records an attempt without a response: the replica may have crashed, be disconnected or be slow.
@@ -160,7 +160,7 @@
 	defer tracker.mutex.Unlock()
 	var counted []uint64
 	for _, attempt := range tracker.unanswered[crash] {
-		if now.Sub(attempt.at) < unansweredWindow && tracker.count(attempt.causes, crash, now) > 0 {
+		if now.Sub(attempt.at) < unansweredWindow && tracker.count(attempt.causes, crash, CrashTime{At: now, Silent: true}, now) > 0 {
 			counted = append(counted, attempt.causes.Request)
 		}
 	}
@@ -170,10 +170,10 @@
 
 // count adds the crash to the parts of the request and, unless a response offsets it, to the request. It returns the number
 // of crashes of the request, or zero if a response offset this one. The mutex is held.
-func (tracker *Tracker) count(causes Causes, crash Crash, now time.Time) int {
+func (tracker *Tracker) count(causes Causes, crash Crash, seen CrashTime, now time.Time) int {
 	tracker.partAnswers.expire(partAnswerPeriod, now)
 	for _, part := range causes.Parts {
-		tracker.countPart(part, crash, now)
+		tracker.countPart(part, crash, seen, now)
 	}
 	fingerprint := causes.Request
 	if tracker.responses.decrement(fingerprint) {
@@ -186,7 +186,7 @@
 
 // countPart adds the crash to the part, unless a response offsets it or another request with the part was in flight during
 // the same crash. The mutex is held.
-func (tracker *Tracker) countPart(part uint64, crash Crash, now time.Time) {
+func (tracker *Tracker) countPart(part uint64, crash Crash, seen CrashTime, now time.Time) {
 	key := partBreak{part, crash}
 	last, known := tracker.partBreaks[key]
 	if known && now.Sub(last.at) < sameCrashSpan {
@@ -201,7 +201,7 @@
 		return
 	}
 	crash.Sequence = last.sequence
-	tracker.crashAdded(tracker.registry.Add(Cause{PromptPart, part}, crash, now))
+	tracker.crashAdded(tracker.registry.Add(Cause{PromptPart, part}, crash, seen, now))
 }
 
 // removeOldBreaks makes room in partBreaks: it removes the breaks that have no effect on later ones, or all. The mutex is
@@ -276,7 +276,7 @@
 
 // crashAdded handles another crash of a suspect that this daemon counted itself. The mutex is held.
 func (tracker *Tracker) crashAdded(suspect Suspect) {
-	refused := len(suspect.Crashes) >= tracker.registry.limit
+	refused := tracker.registry.heavy(suspect)
 	if refused {
 		tracker.notifyRefused()
 	}
@@ -290,7 +290,7 @@
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	for _, suspect := range tracker.registry.Export(now) {
-		if len(suspect.Crashes) >= tracker.registry.limit {
+		if tracker.registry.heavy(suspect) {
 			tracker.addUnrecorded(suspect)
 		}
 	}
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -5,18 +5,33 @@
 	"time"
 )
 
-// refused reports whether requests with the suspect are refused: at least as many of its crashes as the limit have no other
-// explanation. The mutex is held.
+// weight returns how much the crashes say against a suspect of the kind: their number, or for parts of prompts that of their
+// occasions. The mutex is held.
+func (registry *Registry) weight(kind Kind, crashes []Crash) int {
+	if kind != PromptPart {
+		return len(crashes)
+	}
+	return registry.times.occasions(crashes)
+}
+
+// heavy reports whether the crashes of the suspect weigh as much as the limit, whatever else explains them.
+func (registry *Registry) heavy(suspect Suspect) bool {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	return registry.weight(suspect.Kind, suspect.Crashes) >= registry.limit
+}
+
+// refused reports whether requests with the suspect are refused: those of its crashes that have no other explanation weigh
+// as much as the limit. The mutex is held.
 func (registry *Registry) refused(suspect Suspect) bool {
-	return len(suspect.Crashes) >= registry.limit && registry.unexplained(&suspect) >= registry.limit
+	return len(suspect.Crashes) >= registry.limit && registry.weight(suspect.Kind, registry.unexplained(&suspect)) >= registry.limit
 }
 
-// unexplained returns the number of crashes of the suspect during which no stronger part of prompts was in flight. The
-// mutex is held.
-func (registry *Registry) unexplained(suspect *Suspect) int {
+// unexplained returns the crashes of the suspect during which no stronger part of prompts was in flight. The mutex is held.
+func (registry *Registry) unexplained(suspect *Suspect) []Crash {
 	crashes := suspect.Crashes
 	if suspect.Kind != PromptPart {
-		return len(crashes)
+		return crashes
 	}
 	for _, fingerprint := range registry.shareQueue.refused {
 		other := registry.suspects[fingerprint]
@@ -24,7 +39,7 @@
 			crashes = appendDistinct(nil, crashes, other.Crashes, len(crashes))
 		}
 	}
-	return len(crashes)
+	return crashes
 }
 
 // ambiguous reports whether another suspect was in flight during the same crashes, so that counting cannot tell which of
@@ -36,8 +51,8 @@
 	})
 }
 
-// Offset records a full response to a request with the part: it offsets the first crash that counts against the part, or
-// all of them. It returns the suspect, and whether it was refused before and no longer is.
+// Offset records a full response to a request with the part: it offsets the crashes of the first occasion that count against
+// the part, or all of them. It returns the suspect, and whether it was refused before and no longer is.
 func (registry *Registry) Offset(part uint64, all bool, now time.Time) (Suspect, bool) {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
@@ -46,16 +61,16 @@
 		return Suspect{}, false
 	}
 	before := registry.refused(suspect)
-	count := 1
+	offset, kept := registry.times.oldestOccasion(suspect.Crashes)
 	if all {
-		count = len(suspect.Crashes)
+		offset, kept = suspect.Crashes, nil
 	}
 	cleared := suspect
-	cleared.Cleared = append(slices.Clone(suspect.Cleared), suspect.Crashes[:count]...)
+	cleared.Cleared = append(slices.Clone(suspect.Cleared), offset...)
 	cleared.Cleared = cleared.Cleared[max(len(cleared.Cleared)-maxCleared, 0):]
-	cleared.Crashes = slices.Clone(suspect.Crashes[count:])
+	cleared.Crashes = kept
 	registry.suspects[part] = cleared
-	registry.shareQueue.enqueue(part, len(cleared.Crashes), registry.limit)
+	registry.shareQueue.enqueue(part, registry.weight(PromptPart, kept), registry.limit)
 	return cleared, before && !registry.refused(cleared)
 }
 
