Send the trial of a part once only

A resumable stream that was admitted as a trial went on to a second replica after it had crashed the first, with the same admission. relay.TestTrialIsOneSending failed before: two attempts.

--- a/relay/crash.go
+++ b/relay/crash.go
@@ -30,7 +30,12 @@
 // quarantineFailure returns the refusal of a request that crashed replicas, or that has a part in common with others that
 // did, or nil if it may run.
 func (transaction *transaction) quarantineFailure(now time.Time) *outcome.Error {
-	admission := transaction.relay.deps.Suspects.Admit(transaction.causes, transaction.trial, now)
+	trial := transaction.trial
+	if transaction.runs > 0 {
+		// A trial is one sending.
+		trial = 0
+	}
+	admission := transaction.relay.deps.Suspects.Admit(transaction.causes, trial, now)
 	if transaction.trial == 0 && admission.Trial != 0 {
 		transaction.trial = admission.Trial
 		event.TrialStarted.Log("Request", transaction.request.Metadata.ID, "Fingerprint", admission.Trial)
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/bronzestall/bronzestall/exchange"
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/quarantine"
 	"github.com/bronzestall/bronzestall/topology"
@@ -59,3 +60,27 @@
 		})
 	}
 }
+
+// TestTrialIsOneSending covers a resumable stream that is admitted to try a refused part of its prompt: after its replica has
+// crashed it must not be sent to another one.
+func TestTrialIsOneSending(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fixture := newFixture(lost, ok(events(1, 2)))
+		request := fixture.request("/resume/x")
+		request.Metadata.Prefix = []exchange.Part{{ID: "dead"}, {ID: "own"}}
+		for n := range crashLimit {
+			time.Sleep(time.Second)
+			shared := quarantine.Causes{Request: uint64(n), Parts: request.SharedParts(1)}
+			fixture.relay.deps.Suspects.ConnectionLost(shared, quarantine.Crash{Upstream: fmt.Sprint(n)}, time.Now())
+		}
+		if _, failure := fixture.relay.Serve(t.Context(), request, &fixture.client); failure == nil || failure.Kind != outcome.Quarantined {
+			t.Fatalf("ended as %v before the trial is due", failure)
+		}
+		time.Sleep(time.Minute)
+		request.Arrived = time.Now()
+		_, failure := fixture.relay.Serve(t.Context(), request, &fixture.client)
+		if failure == nil || len(fixture.upstream.attempts) != 1 {
+			t.Errorf("ended as %v after %d attempts", failure, len(fixture.upstream.attempts))
+		}
+	})
+}
