--- /dev/null
+++ b/front/suspectrow.go
@@ -0,0 +1,134 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/bronzestall/bronzestall/datastore"
+	"github.com/bronzestall/bronzestall/quarantine"
+)
+
+// suspectRow is the last known version of a row of the suspect table, and when this daemon received it.
+type suspectRow struct {
+	version uint64
+	changed time.Time
+}
+
+// decodeSuspect decodes a row of the suspect table. The row has no time of writing, since the clocks of
+// daemons differ; the suspect is therefore kept for the whole retention time from now on.
+func decodeSuspect(row datastore.Row, now time.Time) (quarantine.Suspect, error) {
+	kind := quarantine.WholeRequest
+	digits, isPart := strings.CutPrefix(row.Row, partRowPrefix)
+	if isPart {
+		kind = quarantine.PromptPart
+	}
+	fingerprint, err := strconv.ParseUint(digits, 16, 64)
+	if err != nil {
+		return quarantine.Suspect{}, trace.BadParameter("row key is not a hexadecimal fingerprint")
+	}
+	var content suspectContent
+	if err := json.Unmarshal(row.Value, &content); err != nil {
+		return quarantine.Suspect{}, trace.Wrap(err)
+	}
+	return quarantine.Suspect{
+		Kind:        kind,
+		Fingerprint: fingerprint,
+		Crashes:     content.Crashes,
+		Times:       content.times(now),
+		Cleared:     content.Cleared,
+		Until:       now.Add(quarantine.Retention),
+	}, nil
+}
+
+// suspectContent is the value of a row of the suspect table.
+type suspectContent struct {
+	Crashes []quarantine.Crash
+	// Ages lists the ages of the crashes in ms when the row was written, in their order; -1 stands for an unknown one. The
+	// differences tell which crashes were one occasion.
+	Ages    []int64            `json:",omitempty"`
+	Cleared []quarantine.Crash `json:",omitempty"`
+}
+
+// newSuspectContent returns the value of the row of the suspect.
+func newSuspectContent(suspect quarantine.Suspect, now time.Time) suspectContent {
+	content := suspectContent{Crashes: suspect.Crashes, Cleared: suspect.Cleared}
+	for _, seen := range suspect.Times {
+		age := int64(-1)
+		if !seen.At.IsZero() {
+			age = max(now.Sub(seen.At), 0).Milliseconds()
+		}
+		content.Ages = append(content.Ages, age)
+	}
+	return content
+}
+
+// times returns when the crashes were seen, as if the row had been written now.
+func (content *suspectContent) times(now time.Time) []quarantine.CrashTime {
+	var times []quarantine.CrashTime
+	for _, age := range content.Ages[:min(len(content.Ages), len(content.Crashes))] {
+		seen := quarantine.CrashTime{}
+		if age >= 0 && age <= quarantine.Retention.Milliseconds() {
+			seen.At = now.Add(-time.Duration(age) * time.Millisecond)
+		}
+		times = append(times, seen)
+	}
+	return times
+}
+
+// suspectKey returns the key of the row of a suspect.
+func suspectKey(suspect quarantine.Suspect) datastore.Key {
+	row := strconv.FormatUint(suspect.Fingerprint, 16)
+	if suspect.Kind == quarantine.PromptPart {
+		row = partRowPrefix + row
+	}
+	return datastore.Key{Table: suspectTable, Row: row}
+}
+
+// trackRow records the version of a row of the suspect table.
+func (daemon *Daemon) trackRow(row string, version uint64) {
+	daemon.mutex.Lock()
+	defer daemon.mutex.Unlock()
+	if daemon.suspectRows[row].version < version {
+		daemon.suspectRows[row] = suspectRow{version, daemon.clock.Now()}
+	}
+}
+
+func (daemon *Daemon) untrackRow(row string) {
+	daemon.mutex.Lock()
+	defer daemon.mutex.Unlock()
+	delete(daemon.suspectRows, row)
+}
+
+// removeExpiredRows deletes the rows that have not changed for the retention time, after which every daemon
+// has dropped the suspect. Only the first daemon by name does so.
+func (daemon *Daemon) removeExpiredRows(ctx context.Context) {
+	if daemon.daemonIndex.Load() != 0 {
+		return
+	}
+	for row, version := range daemon.expiredRows() {
+		key := datastore.Key{Table: suspectTable, Row: row}
+		_, err := daemon.rowStore.Commit(ctx, []datastore.Write{{Key: key, Check: true, IfVersion: version, Delete: true}})
+		if err == nil || errors.Is(err, datastore.ErrConflict) {
+			daemon.untrackRow(row)
+		}
+	}
+}
+
+// expiredRows returns the keys of the rows to delete with their versions.
+func (daemon *Daemon) expiredRows() map[string]uint64 {
+	daemon.mutex.Lock()
+	defer daemon.mutex.Unlock()
+	expired := map[string]uint64{}
+	for row, tracked := range daemon.suspectRows {
+		if daemon.clock.Since(tracked.changed) >= quarantine.Retention {
+			expired[row] = tracked.version
+		}
+	}
+	return expired
+}
--- a/internal/frontsoak/restore_test.go
+++ b/internal/frontsoak/restore_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"sync"
 	"testing"
 	"time"
 )
@@ -68,11 +67,7 @@
 			folder := t.TempDir()
 			testbed, stop := startTestbed(t, folder, binary, seed)
 			ctx, cancel := context.WithCancel(context.Background())
-			var clients sync.WaitGroup
-			for number := range clientCount {
-				client := newClient(fmt.Sprint("c", number), testbed.checker, seed*100+uint64(number), testbed.addresses())
-				clients.Go(func() { client.run(ctx) })
-			}
+			clients := testbed.startClients(ctx, seed)
 			time.Sleep(8 * time.Second)
 			for range restores {
 				testbed.restoreStore(copyAge)
--- a/internal/frontsoak/soak_test.go
+++ b/internal/frontsoak/soak_test.go
@@ -84,11 +84,7 @@
 	folder := t.TempDir()
 	testbed, stop := startTestbed(t, folder, binary, seed)
 	ctx, cancel := context.WithCancel(context.Background())
-	var clients sync.WaitGroup
-	for number := range clientCount {
-		client := newClient(fmt.Sprint("c", number), testbed.checker, seed*100+uint64(number), testbed.addresses())
-		clients.Go(func() { client.run(ctx) })
-	}
+	clients := testbed.startClients(ctx, seed)
 	time.Sleep(2 * time.Second)
 	noticeContext, stopNotices := context.WithTimeout(ctx, *lengthFlag+settleTime/2)
 	defer stopNotices()
@@ -113,6 +109,16 @@
 	}
 }
 
+// startClients starts clients that send requests until the context ends, and returns what waits for them.
+func (testbed *testbed) startClients(ctx context.Context, seed uint64) *sync.WaitGroup {
+	clients := &sync.WaitGroup{}
+	for number := range clientCount {
+		client := newClient(fmt.Sprint("c", number), testbed.checker, seed*100+uint64(number), testbed.addresses())
+		clients.Go(func() { client.run(ctx) })
+	}
+	return clients
+}
+
 // startTestbed starts the daemons, replicas and store of one run, and returns a function that stops the daemons.
 func startTestbed(t *testing.T, folder, binary string, seed uint64) (*testbed, func()) {
 	testbed, err := newTestbed(folder, binary, seed)
--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -47,34 +47,6 @@
 	return nil
 }
 
-// firstEra is the era of a table service that never came back from an older copy.
-const firstEra = 1
-
-// acquireAbsent acquires a lease without a row. If the table service came back from an older copy, the row may be lost, and its
-// holder may act until the end of its term.
-func (lease *Lease) acquireAbsent(ctx context.Context) error {
-	era := lease.era()
-	if lease.highestFence == 0 && era <= firstEra {
-		return lease.acquire(ctx, datastore.Row{}, record{})
-	}
-	now := lease.clock.Now()
-	if lease.absentSince.IsZero() || lease.absentEra != era {
-		lease.absentSince, lease.absentEra = now, era
-	}
-	if now.Sub(lease.absentSince) < lease.settings.Term {
-		return nil
-	}
-	return lease.acquire(ctx, datastore.Row{}, record{Holder: Holder{Name: unknownFormer}, Fence: era << fenceEraShift})
-}
-
-// eraOf returns the era in which rows with the versions were read; absent ones have the version zero.
-func (lease *Lease) eraOf(version, fenceVersion uint64) uint64 {
-	if version == 0 && fenceVersion == 0 {
-		return lease.era()
-	}
-	return max(datastore.Era(version), datastore.Era(fenceVersion))
-}
-
 // observeFence keeps the highest fencing number seen.
 func (lease *Lease) observeFence(fence uint64) {
 	lease.highestFence = max(lease.highestFence, fence)
--- a/lease/record.go
+++ b/lease/record.go
@@ -37,43 +37,6 @@
 	Era uint64 `json:"Era,omitempty"`
 }
 
-// unknownFormer stands for the former holder if the record of it is lost.
-const unknownFormer = "unknown"
-
-// restored reports whether the record was read, in a row of the version, from an older copy of the store.
-func (found *record) restored(version uint64) bool {
-	return found.Era < datastore.Era(version)
-}
-
-// former returns the name of the VM that held the lease last, as far as the record, in a row of the version, tells.
-func (found *record) former(version uint64) Holder {
-	if found.restored(version) {
-		return Holder{Name: unknownFormer}
-	}
-	return found.Holder
-}
-
-// minFence returns the lowest fencing number of a lease that is acquired after the record, in a row of the version, was read.
-// The fences given out after an older copy of the store are unknown, but lower than those of the next era.
-func (found *record) minFence(version uint64) uint64 {
-	if found.restored(version) {
-		return datastore.Era(version) << fenceEraShift
-	}
-	return found.Fence
-}
-
-// fenceEraShift is the position of the era in fencing numbers after the store came back from an older copy. It leaves room
-// for eras in the 53 bits that are exact in any JSON decoder.
-const fenceEraShift = 32
-
-// fenceRecord is the value of a fence row.
-type fenceRecord struct {
-	// Fence is the current fencing number.
-	Fence uint64 `json:"Fence"`
-	// Holder is the process that holds the lease.
-	Holder Holder `json:"Holder"`
-}
-
 func encode(value any) []byte {
 	content, err := json.Marshal(value)
 	if err != nil {
--- a/lease/renew.go
+++ b/lease/renew.go
@@ -87,31 +87,6 @@
 	return nil
 }
 
-// continueRestored goes on with a lease whose row, which names this process, is from an older copy of the store. Within its
-// term no other process can have acquired the lease in the lost time. After it, one may have: the lease is lost.
-func (lease *Lease) continueRestored(ctx context.Context, row datastore.Row, found record) error {
-	fence, err := lease.readFence(ctx)
-	if err != nil {
-		return err
-	}
-	if _, _, held := lease.Held(); !held || fence.value.Holder != lease.holder || fence.value.Fence != found.Fence {
-		lease.setLost(found)
-		return nil
-	}
-	lease.setVersions(row.Version, fence.version)
-	return nil
-}
-
-// setVersions records the versions of the rows of a lease that this process holds. The term stays as it is.
-func (lease *Lease) setVersions(version, fenceVersion uint64) {
-	lease.mutex.Lock()
-	defer lease.mutex.Unlock()
-	lease.version = version
-	lease.fenceVersion = fenceVersion
-	lease.unclearSince = time.Time{}
-	event.LeaseContinued.Log("DataCentre", lease.settings.DataCentre, "Fence", lease.current.Fence, "Version", datastore.FormatVersion(version))
-}
-
 // RefreshFence writes the fence row again with the same number. After it, no transaction that used an older guard and
 // whose result is unknown can take effect. It fails with ErrConflict if another process is the holder.
 func (lease *Lease) RefreshFence(ctx context.Context) error {
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -1,8 +1,11 @@
 // Package quarantine stops requests that crash upstreams from crashing more of
 // them.
 //
-// Every request that was in flight on a crashed upstream is a suspect, identified
-// by its fingerprint. A suspect with two crashes, or another configured number, is
-// refused until it expires. The package does no I/O and takes the time as an
-// argument.
+// What was in flight on a crashed upstream is suspected: each request by its
+// fingerprint, and each part of its prompt that other requests may share. A
+// suspect with two crashes, or another configured number, is refused until it
+// expires. Responses speak for the parts of their requests, and a part that
+// explains crashes clears the others. Crashes that come at once are one occasion.
+// A refused part may be tried by one request at a time. The package does no I/O
+// and takes the time as an argument.
 package quarantine
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -18,12 +18,6 @@
 	maxUnansweredPerReplica = 256
 	// maxOwnCrashes bounds the replicas whose crashes are numbered for one request.
 	maxOwnCrashes = 64
-	// sameCrashSpan is the time in which all connections that one incarnation breaks count as one crash against a part of
-	// prompts, which many requests in flight may share.
-	sameCrashSpan = time.Second
-	// partAnswerPeriod is the time for which a full response at least offsets a later crash of the same part. The part may
-	// become harmful at any time, so that old responses say little.
-	partAnswerPeriod = 1500 * time.Millisecond
 )
 
 // unansweredAttempt is an attempt that ended without a response from its replica.
@@ -32,19 +26,6 @@
 	at     time.Time
 }
 
-// partBreak identifies what an incarnation of a replica broke: requests with one part of prompts.
-type partBreak struct {
-	part  uint64
-	crash Crash
-}
-
-// lastBreak is the last break of an incarnation.
-type lastBreak struct {
-	at time.Time
-	// sequence numbers the crashes of the incarnation.
-	sequence int
-}
-
 // Tracker counts, for one daemon, the crashes of replicas against the requests that ran there. It detects a crash
 // by a lost connection, or by the end of a replica that had stopped responding. Each recent full response to a
 // request offsets one crash, so that crashes are not counted against a common request that many clients send and
@@ -184,42 +165,6 @@
 	return len(marked.Crashes)
 }
 
-// countPart adds the crash to the part, unless a response offsets it or another request with the part was in flight during
-// the same crash. The mutex is held.
-func (tracker *Tracker) countPart(part uint64, crash Crash, seen CrashTime, now time.Time) {
-	key := partBreak{part, crash}
-	last, known := tracker.partBreaks[key]
-	if known && now.Sub(last.at) < sameCrashSpan {
-		return
-	}
-	if known {
-		last.sequence++
-	}
-	tracker.removeOldBreaks(now)
-	tracker.partBreaks[key] = lastBreak{now, last.sequence}
-	if tracker.partAnswers.decrement(part) {
-		return
-	}
-	crash.Sequence = last.sequence
-	tracker.crashAdded(tracker.registry.Add(Cause{PromptPart, part}, crash, seen, now))
-}
-
-// removeOldBreaks makes room in partBreaks: it removes the breaks that have no effect on later ones, or all. The mutex is
-// held.
-func (tracker *Tracker) removeOldBreaks(now time.Time) {
-	if len(tracker.partBreaks) < capacity {
-		return
-	}
-	for key, last := range tracker.partBreaks {
-		if now.Sub(last.at) >= unansweredWindow {
-			delete(tracker.partBreaks, key)
-		}
-	}
-	if len(tracker.partBreaks) >= capacity {
-		clear(tracker.partBreaks)
-	}
-}
-
 // withSequence returns the crash with its sequence number among those that this daemon counted for the same
 // incarnation. A restarted replica counts as its former incarnation until its new row arrives. The mutex is held.
 func (tracker *Tracker) withSequence(fingerprint uint64, crash Crash) Crash {
