Look nothing up of parts while nothing is suspected

Each request looked up each part of its prompt in the registry under its mutex. Most of the time the registry is empty.

--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -34,12 +35,25 @@
 	suspects map[uint64]Suspect
 	// shareQueue decides which suspects are shared next.
 	shareQueue shareQueue
+	// counts are len(suspects) and len(shareQueue.refused), to be read without the mutex.
+	counts registryCounts
 	// times holds when the crashes were seen.
 	times crashTimes
 	// evicted counts the suspects that were dropped because the registry was full.
 	evicted int
 }
 
+// registryCounts are the sizes of a registry, which are mostly zero.
+type registryCounts struct {
+	suspects, refused atomic.Int64
+}
+
+// updateCounts updates the counts after a change. The mutex is held.
+func (registry *Registry) updateCounts() {
+	registry.counts.suspects.Store(int64(len(registry.suspects)))
+	registry.counts.refused.Store(int64(len(registry.shareQueue.refused)))
+}
+
 // New returns an empty registry that refuses suspects with two crashes.
 func New() *Registry {
 	return NewWithLimit(limit)
@@ -140,6 +154,9 @@
 
 // RefusedUntil returns the end of the refusal of the fingerprint, and false if it is not refused.
 func (registry *Registry) RefusedUntil(fingerprint uint64, now time.Time) (time.Time, bool) {
+	if registry.counts.refused.Load() == 0 {
+		return time.Time{}, false
+	}
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
 	suspect, ok := registry.suspects[fingerprint]
@@ -156,6 +173,9 @@
 
 // Clear removes a suspect whose request was answered in full, unless it is refused.
 func (registry *Registry) Clear(fingerprint uint64) {
+	if registry.counts.suspects.Load() == 0 {
+		return
+	}
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
 	if suspect, ok := registry.suspects[fingerprint]; ok && len(suspect.Crashes) < registry.limit {
@@ -205,6 +225,7 @@
 		registry.makeRoom(now)
 	}
 	registry.suspects[merged.Fingerprint] = merged
+	registry.updateCounts()
 	return merged
 }
 
@@ -274,6 +295,7 @@
 func (registry *Registry) drop(fingerprint uint64) {
 	delete(registry.suspects, fingerprint)
 	registry.shareQueue.removeRefused(fingerprint)
+	registry.updateCounts()
 }
 
 // weaker reports whether a is evicted before b.
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -59,6 +59,9 @@
 // Admit decides whether a request may be sent. trial is the Trial of an earlier admission of the same request, or zero. A
 // request with one refused part may be admitted as a trial: at one daemon at a time, and only one request there.
 func (tracker *Tracker) Admit(causes Causes, trial uint64, now time.Time) Admission {
+	if tracker.registry.counts.refused.Load() == 0 {
+		return Admission{Trial: trial}
+	}
 	var refusals []Cause
 	causes.each(func(cause Cause) {
 		if _, refused := tracker.registry.RefusedUntil(cause.Fingerprint, now); refused && cause.Fingerprint != trial {
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -54,6 +54,9 @@
 // Offset records a full response to a request with the part: it offsets the crashes of the first occasion that count against
 // the part, or all of them. It returns the suspect, and whether it was refused before and no longer is.
 func (registry *Registry) Offset(part uint64, all bool, now time.Time) (Suspect, bool) {
+	if registry.counts.suspects.Load() == 0 {
+		return Suspect{}, false
+	}
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
 	suspect, ok := registry.suspects[part]
@@ -71,6 +74,7 @@
 	cleared.Crashes = kept
 	registry.suspects[part] = cleared
 	registry.shareQueue.enqueue(part, registry.weight(PromptPart, kept), registry.limit)
+	registry.updateCounts()
 	return cleared, before && !registry.refused(cleared)
 }
 
