--- a/front/notices.go
+++ b/front/notices.go
@@ -83,10 +83,12 @@
 	return daemon.notices.LatestLeaving(leavingPerGreeting)
 }
 
-// updateMetrics sets the metrics of leaving replicas, replicas in backoff and quarantined requests.
+// updateMetrics sets the metrics of leaving replicas, replicas in backoff, quarantined requests and the era of the store.
 func (daemon *Daemon) updateMetrics(now time.Time) {
 	leaving, inBackoff := daemon.notices.Counts(now)
 	daemon.meter.Set(meter.ReplicasLeaving, meter.Labels{}, int64(leaving))
 	daemon.meter.Set(meter.ReplicasResting, meter.Labels{}, int64(inBackoff))
 	daemon.meter.Set(meter.RequestsQuarantined, meter.Labels{}, int64(daemon.suspects.CountRefused(now)))
+	daemon.meter.Set(meter.SuspectsEvicted, meter.Labels{}, int64(daemon.suspects.Evicted()))
+	daemon.meter.Set(meter.StoreEra, meter.Labels{}, int64(daemon.eras.Era()))
 }
--- a/lease/record.go
+++ b/lease/record.go
@@ -37,6 +37,14 @@
 	Era uint64 `json:"Era,omitempty"`
 }
 
+// fenceRecord is the value of a fence row.
+type fenceRecord struct {
+	// Fence is the current fencing number.
+	Fence uint64 `json:"Fence"`
+	// Holder is the process that holds the lease.
+	Holder Holder `json:"Holder"`
+}
+
 func encode(value any) []byte {
 	content, err := json.Marshal(value)
 	if err != nil {
--- a/lease/restored.go
+++ b/lease/restored.go
@@ -37,14 +37,6 @@
 // for eras in the 53 bits that are exact in any JSON decoder.
 const fenceEraShift = 32
 
-// fenceRecord is the value of a fence row.
-type fenceRecord struct {
-	// Fence is the current fencing number.
-	Fence uint64 `json:"Fence"`
-	// Holder is the process that holds the lease.
-	Holder Holder `json:"Holder"`
-}
-
 // firstEra is the era of a table service that never came back from an older copy.
 const firstEra = 1
 
--- a/meter/name.go
+++ b/meter/name.go
@@ -39,8 +39,12 @@
 	LeaseHeld Name = "bronzestall_lease_held"
 	// InvariantsBroken counts violations of invariants.
 	InvariantsBroken Name = "bronzestall_invariants_broken"
-	// RequestsQuarantined is the number of requests that are refused because they crashed upstreams.
+	// RequestsQuarantined is the number of requests, and of parts of prompts, that are refused because they crashed upstreams.
 	RequestsQuarantined Name = "bronzestall_requests_quarantined"
+	// SuspectsEvicted is the number of suspects that were dropped because there were too many.
+	SuspectsEvicted Name = "bronzestall_suspects_evicted"
+	// StoreEra is the era of the platform's store; it rises when the store comes back from an older copy.
+	StoreEra Name = "bronzestall_store_era"
 	// ReplicasLeaving is the number of upstreams that announced that they shut down.
 	ReplicasLeaving Name = "bronzestall_replicas_leaving"
 	// ReplicasResting is the number of upstreams in backoff, which asked for no requests for a period.
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -271,6 +271,11 @@
 	return tracker.registry.CountRefused(now)
 }
 
+// Evicted returns the number of suspects that were dropped because there were too many.
+func (tracker *Tracker) Evicted() int {
+	return tracker.registry.Evicted()
+}
+
 // Pending returns a channel that receives a value when there are suspects to record.
 func (tracker *Tracker) Pending() <-chan struct{} {
 	return tracker.pending
