--- a/quarantine/occasion.go
+++ b/quarantine/occasion.go
@@ -62,33 +62,14 @@
 // occasions returns the number of occasions of the crashes. A crash at an unknown time is one of its own.
 func (times crashTimes) occasions(crashes []Crash) int {
 	count := 0
-	seen := make([]CrashTime, 0, len(crashes))
-	for _, crash := range crashes {
-		if next := times[crash]; next.At.IsZero() {
-			count++
-		} else {
-			seen = append(seen, next)
-		}
-	}
-	slices.SortFunc(seen, func(a, b CrashTime) int { return a.At.Compare(b.At) })
-	for len(seen) > 0 {
-		count++
-		seen = seen[times.firstOccasion(seen):]
-	}
-	return count
-}
-
-// firstOccasion returns how many of the sorted times belong to the first occasion.
-func (crashTimes) firstOccasion(seen []CrashTime) int {
-	end := seen[0].At.Add(seen[0].span())
-	count := 1
-	for count < len(seen) && seen[count].At.Before(end) {
+	for len(crashes) > 0 {
+		_, crashes = times.oldestOccasion(crashes)
 		count++
 	}
 	return count
 }
 
-// oldestOccasion returns the crashes of the first occasion, and the others.
+// oldestOccasion returns the crashes of the first occasion, and the others. There must be a crash.
 func (times crashTimes) oldestOccasion(crashes []Crash) (oldest, others []Crash) {
 	first := slices.MinFunc(crashes, func(a, b Crash) int { return times[a].At.Compare(times[b].At) })
 	seen := times[first]
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -57,9 +57,9 @@
 }
 
 // Replace replaces all rows by a snapshot of the table at the version; an older snapshot than the current version is
-// ignored. A replica without a row is kept for the grace period after an outage. A row that was removed is not added again by
-// a snapshot of a store that came back from an older copy: its replica writes it again if it is alive. It reports whether anything changed
-// that has to be propagated to other daemons.
+// ignored. A replica without a row is kept for the grace period after an outage. A row that was removed is not added
+// again by a snapshot of a store that came back from an older copy: its replica writes it again if it is alive. It
+// reports whether anything changed that has to be propagated to other daemons.
 func (roster *Roster) Replace(entries []Entry, version uint64, now time.Time) bool {
 	roster.mutex.Lock()
 	defer roster.mutex.Unlock()
