Log the release of replicas and each attempt that goes on with a stream

The logs could not tell whether a stream had events of two software versions: a row's version was not decoded, and no line named the attempt that a client takes up. No change of what requests do.

--- a/balance/criteria.go
+++ b/balance/criteria.go
@@ -36,6 +36,8 @@
 	Address string
 	// Zone is the data centre of the replica.
 	Zone string
+	// Release is the version of the replica's software.
+	Release string
 	// Slots is the number of requests that the replica runs at once; it is at least one.
 	Slots int
 	// Reserved is set if a token for the limit of the replica is at hand, so that another replica need not be loaded.
--- a/directory/lists.go
+++ b/directory/lists.go
@@ -59,7 +59,7 @@
 
 // sameCandidate reports whether both replicas are the same candidate of their service.
 func sameCandidate(a, b *topology.Replica) bool {
-	return a.Incarnation == b.Incarnation && a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone && a.Slots == b.Slots
+	return a.Incarnation == b.Incarnation && a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone && a.Release == b.Release && a.Slots == b.Slots
 }
 
 // setReplicas sets the replicas without updating the lists. The caller holds the mutex.
@@ -127,6 +127,7 @@
 		Incarnation: replica.Incarnation,
 		Address:     replica.Address,
 		Zone:        replica.Zone,
+		Release:     replica.Release,
 		Slots:       replica.Slots,
 	}
 }
--- a/event/front.go
+++ b/event/front.go
@@ -35,6 +35,7 @@
 	LimitNamed         = define(850, "LimitNamed", Info, "A replica named a limit of requests per second for all daemons together; Source states whether a response or another daemon told it.")
 	LimitChanged       = define(851, "LimitChanged", Info, "A replica named another limit; logged at most every five seconds for each replica.")
 	LimitEnded         = define(852, "LimitEnded", Info, "A replica names no limit any more.")
+	StreamContinued    = define(854, "StreamContinued", Info, "A stream that a replica began is sent on to a replica: Resumes is the attempt with which its client takes it up, or empty within one answer, LastEvent the last event that the client has, and Begun the release that began it, if that is known.")
 	PeerFound          = define(830, "PeerFound", Info, "Another daemon was seen for the first time, or again after it was lost.")
 	PeerLost           = define(831, "PeerLost", Warning, "Another daemon was not seen for too long.")
 	ReaderFound        = define(833, "ReaderFound", Info, "This daemon gets the contents of the store from another daemon of its data centre.")
--- a/front/replicas.go
+++ b/front/replicas.go
@@ -182,5 +182,5 @@
 func logReplica(entry *roster.Entry) {
 	replica := &entry.Replica
 	event.ReplicaTaken.Log("Replica", replica.ID, "Born", replica.Started, "Service", replica.Service, "Address", replica.Address,
-		"Zone", replica.Zone, "Draining", replica.Draining, "Version", datastore.FormatVersion(entry.Version))
+		"Zone", replica.Zone, "Release", replica.Release, "Draining", replica.Draining, "Version", datastore.FormatVersion(entry.Version))
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -39,6 +39,7 @@
 	defer cancel(nil)
 	watchdog := transaction.watchdog(cancel)
 	defer watchdog.stop()
+	transaction.logContinuation(candidate)
 	transaction.sends++
 	transaction.runs++
 	reply, err := transaction.relay.deps.Upstream.Send(ctx, transaction.request, exchange.Attempt{
--- a/relay/transaction.go
+++ b/relay/transaction.go
@@ -52,6 +52,8 @@
 	sentTo []topology.Incarnation
 	// lastEvent is the ID of the last event that was passed to the client; zero if there is none.
 	lastEvent uint64
+	// release is that of the replica that began the stream; empty if that is unknown or the stream has not begun.
+	release string
 	// permit is that of the last attempt for the limit of its replica.
 	permit ratelimit.Permit
 	// criteria is what the balancer is given for the next attempt, or was given for the current one.
@@ -80,7 +82,7 @@
 		if result.done {
 			return nil
 		}
-		event.AttemptFailed.Log("Request", transaction.request.Metadata.ID, "Fingerprint", transaction.causes.Request, "Replica", candidate.ID, "Born", candidate.Started,
+		event.AttemptFailed.Log("Request", transaction.request.Metadata.ID, "Fingerprint", transaction.causes.Request, "Replica", candidate.ID, "Born", candidate.Started, "Release", candidate.Release, "LastEvent", transaction.lastEvent,
 			"Sends", transaction.sends, "Runs", transaction.runs, "NotRun", result.notRun, "Cause", result.failure.Error())
 		if !transaction.prepareRetry(ctx, candidate, result) {
 			return transaction.finalFailure(ctx, result.failure)
--- a/roster/entry.go
+++ b/roster/entry.go
@@ -24,6 +24,6 @@
 // engine holds are not compared, since the holder of the lease announces them.
 func (entry *Entry) sameRoute(other *Entry) bool {
 	a, b := &entry.Replica, &other.Replica
-	return a.Incarnation == b.Incarnation && a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone &&
+	return a.Incarnation == b.Incarnation && a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone && a.Release == b.Release &&
 		a.Draining == b.Draining && a.Remaining == b.Remaining && a.Slots == b.Slots
 }
--- a/topology/replica.go
+++ b/topology/replica.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -22,6 +24,8 @@
 	Address string
 	// Zone is the data centre.
 	Zone string
+	// Release is the version of the replica's software; it is never empty. Streams of two releases cannot be joined.
+	Release string
 	// Draining is set if the replica accepts no new requests.
 	Draining bool
 	// Remaining is the time until the replica stops, from when the row was written; zero if unknown.
@@ -34,6 +38,22 @@
 	ReceivedAt time.Time
 }
 
+// unnamedRelease begins the releases of replicas that name none. No release that a row names begins with it.
+const unnamedRelease = "?"
+
+// UnnamedRelease returns the release of an incarnation whose row names none. It equals that of no other incarnation.
+func UnnamedRelease(incarnation Incarnation) string {
+	return unnamedRelease + incarnation.ID + "@" + strconv.FormatInt(incarnation.Started, 10)
+}
+
+// IsReleaseName reports whether a row may name the text as the release of its replica.
+func IsReleaseName(text string) bool {
+	return text != "" && len(text) <= maxReleaseBytes && !strings.HasPrefix(text, unnamedRelease)
+}
+
+// maxReleaseBytes is the longest name of a release.
+const maxReleaseBytes = 200
+
 // maxRowAge is the largest age that the row of a replica may have when it is received.
 const maxRowAge = 2500 * time.Millisecond
 
