Reproduce streams with events of two software versions, in a test that fails

Four daemons as processes, four engines of an older and three of a newer release that hold the same model; clients take broken streams up at other daemons.

--- a/internal/frontsoak/replica_test.go
+++ b/internal/frontsoak/replica_test.go
@@ -32,11 +32,20 @@
 	proxy             *proxy
 	server            *http.Server
 
+	// release is the version of the software.
+	release string
+	// gap is the time before each event of a stream.
+	gap time.Duration
+	// tagsEvents states that events carry the release in place of the identifier of their request.
+	tagsEvents bool
+
 	mutex sync.Mutex
 	// startedAt is the start of the current incarnation, in Unix ms.
 	startedAt int64
 	down      bool
 	draining  bool
+	// unlisted states that the replica has no row.
+	unlisted bool
 	// drainsSilently states that only the row in the store, not the responses, report that the replica is draining.
 	drainsSilently bool
 	models         []string
@@ -60,7 +69,7 @@
 }
 
 func newReplica(id, service, zone string, checker *checker, store *store) (*replica, error) {
-	created := &replica{id: id, service: service, zone: zone, checker: checker, store: store, startedAt: time.Now().UnixMilli()}
+	created := &replica{id: id, service: service, zone: zone, checker: checker, store: store, startedAt: time.Now().UnixMilli(), release: "v1", gap: eventGap}
 	if service == engineService {
 		created.models = []string{"m0"}
 	}
@@ -90,7 +99,7 @@
 func (replica *replica) writeRow() {
 	replica.mutex.Lock()
 	defer replica.mutex.Unlock()
-	if replica.down {
+	if replica.down || replica.unlisted {
 		return
 	}
 	replica.sequence++
@@ -99,7 +108,7 @@
 		state = "draining"
 	}
 	content, _ := json.Marshal(map[string]any{
-		"service": replica.service, "address": replica.proxy.address(), "zone": replica.zone, "version": "v1", "slots": 8,
+		"service": replica.service, "address": replica.proxy.address(), "zone": replica.zone, "version": replica.release, "slots": 8,
 		"state": state, "born": replica.startedAt, "sequence": replica.sequence, "models": replica.loadedModels(), "atHand": replica.localArtifacts(),
 	})
 	replica.store.put("servers", replica.id, content)
@@ -247,19 +256,27 @@
 	_, _ = fmt.Sscan(request.Header.Get("Last-Event-Id"), &lastEventID)
 	controller := http.NewResponseController(writer)
 	for number := lastEventID + 1; number <= streamEvents; number++ {
-		time.Sleep(eventGap)
+		time.Sleep(replica.gap)
 		if broken && number > lastEventID+streamEvents/3 {
 			_, _ = fmt.Fprintf(writer, "id: %d\nda", number)
 			_ = controller.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", number, id); err != nil {
+		if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", number, replica.eventText(id)); err != nil {
 			return
 		}
 		_ = controller.Flush()
 	}
 }
 
+// eventText returns the data of the events of a request.
+func (replica *replica) eventText(id string) string {
+	if replica.tagsEvents {
+		return replica.release
+	}
+	return id
+}
+
 // expectedBody returns the body of the response of a plain service.
 func expectedBody(id, body string) string { return "answer to " + id + ": " + body }
 
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -164,6 +164,18 @@
 	fixture.directory.SetReplicas(all)
 }
 
+// setReleases publishes engines with the releases, by identifier.
+func (fixture *fixture) setReleases(releases map[string]string) {
+	var all []topology.Replica
+	for id, release := range releases {
+		all = append(all, topology.Replica{
+			Incarnation: topology.Incarnation{ID: id}, Service: "engine", Zone: "z", Slots: 4, Release: release,
+			Holding: topology.Holding{Models: []topology.LoadedModel{{Model: "m"}}},
+		})
+	}
+	fixture.directory.SetReplicas(all)
+}
+
 func (fixture *fixture) serve(ctx context.Context, path string) *outcome.Error {
 	_, failure := fixture.relay.Serve(ctx, fixture.request(path), &fixture.client)
 	return failure
