Go on with a stream within an answer only at the release that began it

What callers saw: streams with text of two software versions after their replica broke off. Cause: after a failed attempt the relay looked for any other replica that holds the model. Change: the release of the replica that sends the first event stays with the stream; later attempts go to it only. Where only other releases have the model, or no replica of the release serves, the answer ends at once, cut. Where none has the model, it waits as before.

--- a/relay/selection.go
+++ b/relay/selection.go
@@ -107,7 +107,13 @@
 	if failure := selection.quarantineFailure(now); failure != nil {
 		return balance.Candidate{}, false, failure
 	}
-	available := selection.availability(selection.candidates(), !selection.counted, now)
+	candidates := selection.candidates()
+	if len(candidates) == 0 {
+		if failure := selection.releaseFailure(); failure != nil {
+			return balance.Candidate{}, false, failure
+		}
+	}
+	available := selection.availability(candidates, !selection.counted, now)
 	selection.counted = true
 	selection.criteria.MaxLoad = selection.maxLoad(now)
 	if chosen, ok := selection.choose(available.accepting, now); ok {
@@ -243,8 +249,13 @@
 	return time.Duration(xxhash.Sum64String(transaction.request.Metadata.ID) % uint64(retryAfterOverload))
 }
 
-// candidates returns the replicas that can serve the request now.
+// candidates returns the replicas that can serve the request now. A stream that has begun is served by its release only.
 func (transaction *transaction) candidates() []balance.Candidate {
+	return transaction.ofRelease(transaction.holders())
+}
+
+// holders returns the replicas that have what the request needs.
+func (transaction *transaction) holders() []balance.Candidate {
 	if transaction.service.Engine == nil {
 		return transaction.relay.deps.Directory.Replicas(transaction.service.Name)
 	}
