Take streams up only at the release that began them, at any daemon and after restarts

What callers saw: streams that were taken up after a break went on at a replica of another software version, and ran to their end as if whole. Cause: Resumes was read by nobody, and nothing remembered which release began a stream. Change: package origin. While one release serves, and no other did within 90 s, nothing is asked or written. What is unknown is refused as not run, never joined by guess.

--- a/front/daemon.go
+++ b/front/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/bronzestall/bronzestall/mesh"
 	"github.com/bronzestall/bronzestall/meter"
 	"github.com/bronzestall/bronzestall/notice"
+	"github.com/bronzestall/bronzestall/origin"
 	"github.com/bronzestall/bronzestall/platform"
 	"github.com/bronzestall/bronzestall/quarantine"
 	"github.com/bronzestall/bronzestall/ratelimit"
@@ -75,6 +76,9 @@
 	limits    *ratelimit.Table
 	limiter   *ratelimit.Limiter
 	allocator *ratelimit.Allocator
+	// origins is what this daemon knows of the origins of streams, and originFinder asks others.
+	origins      *origin.Registry
+	originFinder *originFinder
 	// membership is what this daemon knows of all daemons that may divide limits, and grantorRoute chooses among them.
 	membership   *ratelimit.Membership
 	grantorRoute *ratelimit.Route
@@ -121,7 +125,9 @@
 	relayedStoreSeen time.Time
 	currentReader    string
 	// suspectRows holds the known rows of the suspect table by row key.
-	suspectRows map[string]suspectRow
+	suspectRows map[string]trackedRow
+	// originRows holds the known rows of the table of origins by row key.
+	originRows map[string]trackedRow
 }
 
 // New returns a daemon that has not started. The daemon reads the settings file again when it changes, unless
@@ -148,12 +154,15 @@
 		membership:      ratelimit.NewMembership(settings.Name, clk.Now()),
 		grantorRoute:    ratelimit.NewRoute(),
 		started:         clk.Now(),
-		suspectRows:     map[string]suspectRow{},
+		suspectRows:     map[string]trackedRow{},
+		originRows:      map[string]trackedRow{},
+		origins:         origin.New(),
 		reportRequested: make(chan struct{}, 1),
 		stopStarted:     make(chan struct{}),
 		replicasChanged: make(chan struct{}, 1),
 		storeSeen:       clk.Now(),
 	}
+	daemon.originFinder = newOriginFinder(daemon)
 	daemon.suspects.SetTurns(daemon.partTurn)
 	daemon.limiter = ratelimit.NewLimiter(daemon.limits)
 	daemon.eras = platform.NewEraTracker(&eraLog{daemon: daemon})
@@ -172,6 +181,7 @@
 		Notices:     daemon.notices,
 		OnModelWait: daemon.requestReport,
 		Limiter:     daemon.limiter,
+		Origins:     streamOrigins{daemon},
 		DaemonIndex: func() int { return int(daemon.daemonIndex.Load()) },
 		Clock:       clk,
 	})
@@ -226,6 +236,9 @@
 		"FollowReaders":       daemon.pollReaders,
 		"FollowSuspects":      daemon.watchSuspects,
 		"RecordSuspects":      daemon.runSuspectRecorder,
+		"LoadOrigins":         daemon.loadOrigins,
+		"RecordOrigins":       daemon.recordOrigins,
+		"ExpireOrigins":       daemon.expireOrigins,
 		"ApplyReplicas":       daemon.applyReplicas,
 		"Mesh":                daemon.mesh.Run,
 		"Lease":               daemon.holdLease,
--- a/front/notices.go
+++ b/front/notices.go
@@ -90,5 +90,7 @@
 	daemon.meter.Set(meter.ReplicasResting, meter.Labels{}, int64(inBackoff))
 	daemon.meter.Set(meter.RequestsQuarantined, meter.Labels{}, int64(daemon.suspects.CountRefused(now)))
 	daemon.meter.Set(meter.SuspectsEvicted, meter.Labels{}, int64(daemon.suspects.Evicted()))
+	daemon.meter.Set(meter.OriginsHeld, meter.Labels{}, int64(daemon.origins.Held()))
+	daemon.meter.Set(meter.OriginsEvicted, meter.Labels{}, int64(daemon.origins.Evicted()))
 	daemon.meter.Set(meter.StoreEra, meter.Labels{}, int64(daemon.eras.Era()))
 }
--- /dev/null
+++ b/front/originfinder.go
@@ -0,0 +1,229 @@
+package front
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bronzestall/bronzestall/datastore"
+	"github.com/bronzestall/bronzestall/event"
+	"github.com/bronzestall/bronzestall/mesh"
+	"github.com/bronzestall/bronzestall/origin"
+)
+
+const (
+	// originGatherTime is how long a lookup waits for further streams to look up with it.
+	originGatherTime = 5 * time.Millisecond
+	// originLookupTimeout bounds one lookup, and originWait the time for which a request waits for lookups.
+	originLookupTimeout = 300 * time.Millisecond
+	originWait          = 2 * originLookupTimeout
+	// maxOriginPeers is the largest number of daemons that one lookup asks, and originCallsAtOnce how many of them at once.
+	maxOriginPeers    = 64
+	originCallsAtOnce = 16
+)
+
+// originFinder looks up the origins of streams at other daemons and in the store. Streams that are looked up at about the
+// same time share one lookup, and there is one at a time, so that requests with invented IDs cost no more calls than others.
+type originFinder struct {
+	daemon *Daemon
+	// turn has room for one lookup.
+	turn chan struct{}
+
+	mutex sync.Mutex
+	// gathering is the next lookup; nil if there is none yet.
+	gathering *originLookup
+}
+
+func newOriginFinder(daemon *Daemon) *originFinder {
+	return &originFinder{daemon: daemon, turn: make(chan struct{}, 1)}
+}
+
+// originLookup is the lookup of some streams. Its results are read after done is closed.
+type originLookup struct {
+	attempts map[string]bool
+	done     chan struct{}
+
+	mutex sync.Mutex
+	// sources maps the attempts that were found to the first source.
+	sources map[string]origin.Source
+	// confirmed states that a source that knows all releases answered.
+	confirmed bool
+}
+
+// find looks up the origin of the stream that the attempt began at the service.
+func (finder *originFinder) find(ctx context.Context, id, service string) (origin.Origin, origin.Source) {
+	lookup, ok := finder.join(id)
+	if !ok {
+		return origin.Origin{}, origin.Unknown
+	}
+	timer := finder.daemon.clock.NewTimer(originWait)
+	defer timer.Stop()
+	select {
+	case <-lookup.done:
+		return finder.result(lookup, id, service)
+	case <-timer.C():
+	case <-ctx.Done():
+	}
+	return origin.Origin{}, origin.Unknown
+}
+
+// join adds the attempt to the next lookup, and reports whether there was room.
+func (finder *originFinder) join(id string) (*originLookup, bool) {
+	finder.mutex.Lock()
+	defer finder.mutex.Unlock()
+	if finder.gathering == nil {
+		finder.gathering = &originLookup{attempts: map[string]bool{}, done: make(chan struct{}), sources: map[string]origin.Source{}}
+		go finder.run(finder.gathering)
+	}
+	lookup := finder.gathering
+	if len(lookup.attempts) >= mesh.MaxOriginQuery && !lookup.attempts[id] {
+		return nil, false
+	}
+	lookup.attempts[id] = true
+	return lookup, true
+}
+
+// result returns what the lookup found. A stream that nobody knows has the only release that serves, if it is confirmed that
+// there was no other lately.
+func (finder *originFinder) result(lookup *originLookup, id, service string) (origin.Origin, origin.Source) {
+	now := finder.daemon.clock.Now()
+	if found, ok := finder.daemon.origins.Find(id, now); ok {
+		lookup.mutex.Lock()
+		defer lookup.mutex.Unlock()
+		return found, lookup.sources[id]
+	}
+	if release, ok := finder.daemon.onlyRelease(service); ok {
+		return origin.Origin{Service: service, Release: release}, origin.Only
+	}
+	if releases := finder.daemon.origins.Lately(now)[service]; lookup.confirmed && len(releases) == 1 {
+		return origin.Origin{Service: service, Release: releases[0]}, origin.Only
+	}
+	return origin.Origin{}, origin.Unknown
+}
+
+// run makes the lookup in its turn.
+func (finder *originFinder) run(lookup *originLookup) {
+	defer close(lookup.done)
+	finder.turn <- struct{}{}
+	defer func() { <-finder.turn }()
+	finder.daemon.clock.Sleep(originGatherTime)
+	finder.mutex.Lock()
+	finder.gathering = nil
+	finder.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), originLookupTimeout)
+	defer cancel()
+	var both sync.WaitGroup
+	both.Go(func() { finder.askPeers(ctx, lookup) })
+	both.Go(func() { finder.readStore(ctx, lookup) })
+	both.Wait()
+}
+
+// askPeers asks other daemons at random.
+func (finder *originFinder) askPeers(ctx context.Context, lookup *originLookup) {
+	attempts := make([]string, 0, len(lookup.attempts))
+	for id := range lookup.attempts {
+		attempts = append(attempts, id)
+	}
+	peers := finder.daemon.mesh.Live()
+	rand.Shuffle(len(peers), func(a, b int) { peers[a], peers[b] = peers[b], peers[a] })
+	group := errgroup.Group{}
+	group.SetLimit(originCallsAtOnce)
+	for _, peer := range peers[:min(len(peers), maxOriginPeers)] {
+		group.Go(func() error {
+			// A daemon that does not respond knows nothing of the streams.
+			if answer, err := finder.daemon.mesh.FindOrigins(ctx, peer.Address, attempts); err == nil {
+				finder.learn(lookup, answer, origin.Daemon)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+// readStore reads what is recorded in the store.
+func (finder *originFinder) readStore(ctx context.Context, lookup *originLookup) {
+	recorded, err := finder.daemon.readOrigins(ctx)
+	if err != nil {
+		return
+	}
+	var wanted []origin.Stream
+	for _, stream := range recorded.Streams {
+		if lookup.attempts[stream.ID] {
+			wanted = append(wanted, stream)
+		}
+	}
+	recorded.Streams = wanted
+	finder.learn(lookup, recorded, origin.Store)
+}
+
+// learn records what a source answered.
+func (finder *originFinder) learn(lookup *originLookup, answer mesh.OriginAnswer, source origin.Source) {
+	now := finder.daemon.clock.Now()
+	finder.daemon.origins.Learn(answer.Streams, now)
+	finder.daemon.origins.LearnReleases(answer.Lately, now)
+	lookup.mutex.Lock()
+	defer lookup.mutex.Unlock()
+	lookup.confirmed = lookup.confirmed || answer.Complete
+	for _, stream := range answer.Streams {
+		if lookup.sources[stream.ID] == "" {
+			lookup.sources[stream.ID] = source
+		}
+	}
+}
+
+// readOrigins reads all recorded origins from the store. The answer is not complete: it lacks the releases that serve.
+func (daemon *Daemon) readOrigins(ctx context.Context) (mesh.OriginAnswer, error) {
+	rows, _, err := daemon.store.Snapshot(ctx, originTable)
+	if err != nil {
+		return mesh.OriginAnswer{}, err
+	}
+	answer := mesh.OriginAnswer{Lately: origin.Releases{}}
+	for _, row := range rows {
+		daemon.trackOriginRow(row)
+		page, err := decodeOriginPage(row.Value)
+		if err != nil {
+			event.RowSkipped.LogError(err, "Table", row.Table, "Row", row.Row, "Version", datastore.FormatVersion(row.Version))
+			continue
+		}
+		answer.Streams = append(answer.Streams, page.streams()...)
+		for service, releases := range page.Releases {
+			answer.Lately[service] = append(answer.Lately[service], releases...)
+		}
+	}
+	return answer, nil
+}
+
+// loadOrigins reads the recorded origins when the daemon starts, or else asks other daemons which releases serve, until one of
+// both succeeds.
+func (daemon *Daemon) loadOrigins(ctx context.Context) error {
+	for !daemon.origins.IsComplete() {
+		if answer, err := daemon.readOrigins(ctx); err == nil {
+			daemon.completeOrigins(answer, "Store")
+			break
+		}
+		for _, peer := range daemon.mesh.Live() {
+			if answer, err := daemon.mesh.FindOrigins(ctx, peer.Address, nil); err == nil && answer.Complete {
+				daemon.completeOrigins(answer, peer.Name)
+				break
+			}
+		}
+		daemon.sleep(ctx, minRetryPause)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// completeOrigins applies the first answer that names all releases of lately.
+func (daemon *Daemon) completeOrigins(answer mesh.OriginAnswer, source string) {
+	now := daemon.clock.Now()
+	daemon.origins.Learn(answer.Streams, now)
+	daemon.origins.LearnReleases(answer.Lately, now)
+	daemon.origins.Complete()
+	event.OriginsRead.Log("Source", source, "Streams", len(answer.Streams), "Releases", answer.Lately)
+}
--- /dev/null
+++ b/front/originrecorder.go
@@ -0,0 +1,173 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/bronzestall/bronzestall/datastore"
+	"github.com/bronzestall/bronzestall/event"
+	"github.com/bronzestall/bronzestall/origin"
+)
+
+const (
+	// recordIntervalPerDaemon is the shortest time between two writes of one daemon to the table of origins, times the number of
+	// daemons: it bounds the writes of all daemons together to 250 a second, but for streams that broke off.
+	recordIntervalPerDaemon = 4 * time.Millisecond
+	// originExpiryInterval is the interval of checking for expired rows of the table.
+	originExpiryInterval = 30 * time.Second
+	// maxOriginDeletions is the largest number of rows that are deleted at once.
+	maxOriginDeletions = 50
+)
+
+// originRecorder records the origins of the streams that this process began.
+type originRecorder struct {
+	daemon *Daemon
+	// process identifies the process in the keys of its rows.
+	process string
+	log     origin.Log
+	// unwritten holds the pages whose rows lack streams, by number, and batches the batches with streams on them.
+	unwritten map[int]origin.Page
+	batches   []origin.Batch
+	// written is when the last write ended.
+	written time.Time
+}
+
+// recordOrigins records the origins of streams while a service has several releases, and all of them again when the store
+// came back from an older copy.
+func (daemon *Daemon) recordOrigins(ctx context.Context) error {
+	recorder := &originRecorder{daemon: daemon, process: incarnation(), unwritten: map[int]origin.Page{}}
+	for ctx.Err() == nil {
+		var retry <-chan time.Time
+		if len(recorder.unwritten) > 0 {
+			retry = daemon.clock.After(recordRetryPause)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-daemon.eras.Rose():
+			daemon.origins.RecordAgain(daemon.clock.Now())
+			continue
+		case <-daemon.origins.Wake():
+			daemon.waitOrSleep(ctx, daemon.origins.Hurry(), recorder.pause())
+		case <-retry:
+		}
+		recorder.take()
+		recorder.write(ctx)
+	}
+	return ctx.Err()
+}
+
+// pause returns the time until the next write.
+func (recorder *originRecorder) pause() time.Duration {
+	interval := time.Duration(recorder.daemon.daemonCount.Load()) * recordIntervalPerDaemon
+	return max(interval-recorder.daemon.clock.Since(recorder.written), 0)
+}
+
+// take adds the streams to record to the pages.
+func (recorder *originRecorder) take() {
+	batch := recorder.daemon.origins.TakeUnrecorded()
+	if len(batch.Streams) == 0 {
+		return
+	}
+	recorder.batches = append(recorder.batches, batch)
+	for _, page := range recorder.log.Add(batch.Streams, recorder.daemon.clock.Now()) {
+		recorder.unwritten[page.Number] = page
+	}
+}
+
+// write writes the pages that lack streams. It returns at the first failure.
+func (recorder *originRecorder) write(ctx context.Context) {
+	for _, number := range slices.Sorted(maps.Keys(recorder.unwritten)) {
+		page := recorder.unwritten[number]
+		if err := recorder.daemon.writeOriginPage(ctx, recorder.process, page); err != nil {
+			event.OriginsUnrecorded.LogError(err, "Streams", len(page.Streams), "Pages", len(recorder.unwritten))
+			// The streams wait for maxRecordWait only.
+			recorder.batches = nil
+			return
+		}
+		delete(recorder.unwritten, number)
+	}
+	for _, batch := range recorder.batches {
+		batch.Recorded()
+	}
+	recorder.batches = nil
+	recorder.written = recorder.daemon.clock.Now()
+}
+
+func (daemon *Daemon) writeOriginPage(ctx context.Context, process string, page origin.Page) error {
+	value, err := json.Marshal(newOriginPage(page, daemon.origins.Lately(daemon.clock.Now())))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	key := originKey(daemon.settings.Name, process, page.Number)
+	_, err = daemon.rowStore.Commit(ctx, []datastore.Write{{Key: key, Value: value}})
+	if err == nil {
+		daemon.trackOriginRow(datastore.Row{Key: key})
+	}
+	return err
+}
+
+// trackOriginRow records the version of a row of the table, and that the table has rows.
+func (daemon *Daemon) trackOriginRow(row datastore.Row) {
+	daemon.mutex.Lock()
+	defer daemon.mutex.Unlock()
+	if known, ok := daemon.originRows[row.Row]; !ok || known.version < row.Version {
+		daemon.originRows[row.Row] = trackedRow{row.Version, daemon.clock.Now()}
+	}
+}
+
+// expireOrigins deletes the rows that have not changed for twice the retention time, while there are any. Only the first
+// daemon by name does so.
+func (daemon *Daemon) expireOrigins(ctx context.Context) error {
+	for ctx.Err() == nil {
+		daemon.sleep(ctx, originExpiryInterval)
+		if daemon.daemonIndex.Load() != 0 || !daemon.hasOriginRows() {
+			continue
+		}
+		// A failed read leaves the rows for the next time.
+		if _, err := daemon.readOrigins(ctx); err == nil {
+			daemon.deleteExpiredOrigins(ctx)
+		}
+	}
+	return ctx.Err()
+}
+
+func (daemon *Daemon) hasOriginRows() bool {
+	daemon.mutex.Lock()
+	defer daemon.mutex.Unlock()
+	return len(daemon.originRows) > 0
+}
+
+// deleteExpiredOrigins deletes the expired rows.
+func (daemon *Daemon) deleteExpiredOrigins(ctx context.Context) {
+	expired := daemon.expiredOriginRows()
+	for row, version := range expired {
+		key := datastore.Key{Table: originTable, Row: row}
+		_, err := daemon.rowStore.Commit(ctx, []datastore.Write{{Key: key, Check: true, IfVersion: version, Delete: true}})
+		if err != nil && !errors.Is(err, datastore.ErrConflict) {
+			return
+		}
+		daemon.mutex.Lock()
+		delete(daemon.originRows, row)
+		daemon.mutex.Unlock()
+	}
+}
+
+// expiredOriginRows returns the keys of the rows to delete with their versions.
+func (daemon *Daemon) expiredOriginRows() map[string]uint64 {
+	daemon.mutex.Lock()
+	defer daemon.mutex.Unlock()
+	expired := map[string]uint64{}
+	for row, known := range daemon.originRows {
+		if daemon.clock.Since(known.changed) >= 2*origin.Retention && len(expired) < maxOriginDeletions {
+			expired[row] = known.version
+		}
+	}
+	return expired
+}
--- a/front/replicas.go
+++ b/front/replicas.go
@@ -135,6 +135,7 @@
 	entries := daemon.roster.Entries()
 	usable := daemon.usable(entries)
 	wasReady := daemon.isReady()
+	daemon.observeReleases(entries)
 	daemon.directory.SetReplicas(usable)
 	if configuration := daemon.relay.Configuration(); configuration != nil {
 		daemon.scheduler.Update(configuration, usable)
--- a/front/suspectrow.go
+++ b/front/suspectrow.go
@@ -14,8 +14,8 @@
 	"github.com/bronzestall/bronzestall/quarantine"
 )
 
-// suspectRow is the last known version of a row of the suspect table, and when this daemon received it.
-type suspectRow struct {
+// trackedRow is the last known version of a row that expires, and when this daemon received it.
+type trackedRow struct {
 	version uint64
 	changed time.Time
 }
@@ -95,7 +95,7 @@
 	daemon.mutex.Lock()
 	defer daemon.mutex.Unlock()
 	if daemon.suspectRows[row].version < version {
-		daemon.suspectRows[row] = suspectRow{version, daemon.clock.Now()}
+		daemon.suspectRows[row] = trackedRow{version, daemon.clock.Now()}
 	}
 }
 
--- a/front/wiring.go
+++ b/front/wiring.go
@@ -40,6 +40,7 @@
 		Limits:          daemon.limitsToShare,
 		ReceiveLimits:   daemon.receiveLimits,
 		Grant:           daemon.grantTokens,
+		Origins:         daemon.answerOrigins,
 		Sync:            daemon.serveSync,
 		Update:          daemon.waitForUpdate,
 		Store:           leaseStore,
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -19,6 +19,8 @@
 	askProcedure   = "/bronzestall.mesh.Mesh/Ask"
 	// tokensProcedure asks for tokens for replicas with limits.
 	tokensProcedure = "/bronzestall.mesh.Mesh/Tokens"
+	// originsProcedure asks which releases began streams.
+	originsProcedure = "/bronzestall.mesh.Mesh/Origins"
 	// tablesProcedure forwards a call to the platform's store.
 	tablesProcedure = "/bronzestall.mesh.Mesh/Tables"
 )
--- /dev/null
+++ b/mesh/origins.go
@@ -0,0 +1,59 @@
+package mesh
+
+import (
+	"context"
+	"time"
+
+	"github.com/bronzestall/bronzestall/mesh/meshpb"
+	"github.com/bronzestall/bronzestall/origin"
+)
+
+const (
+	// originTimeout bounds a question for origins: a client waits for it.
+	originTimeout = 250 * time.Millisecond
+	// MaxOriginQuery is the largest number of attempts in one question for origins.
+	MaxOriginQuery = 512
+)
+
+// OriginAnswer is what a daemon knows of the origins of streams.
+type OriginAnswer struct {
+	// Streams lists those of the streams asked for that it knows.
+	Streams []origin.Stream
+	// Lately lists the releases that serve or did lately.
+	Lately origin.Releases
+	// Complete states that the daemon has read what is recorded in the store.
+	Complete bool
+}
+
+// FindOrigins asks the daemon at the address which releases began the streams of the attempts, of which there are at most
+// MaxOriginQuery.
+func (node *Node) FindOrigins(ctx context.Context, address string, attempts []string) (OriginAnswer, error) {
+	query := &meshpb.OriginQuery{Attempts: attempts}
+	response, err := call[meshpb.OriginQuery, meshpb.OriginAnswer](ctx, node, address, originsProcedure, query, originTimeout)
+	if err != nil {
+		return OriginAnswer{}, err
+	}
+	answer := OriginAnswer{Lately: origin.Releases{}, Complete: response.GetComplete()}
+	for _, stream := range response.GetStreams() {
+		began := origin.Origin{Service: stream.GetService(), Release: stream.GetRelease()}
+		answer.Streams = append(answer.Streams, origin.Stream{Origin: began, ID: stream.GetAttempt()})
+	}
+	for _, service := range response.GetServices() {
+		answer.Lately[service.GetService()] = service.GetReleases()
+	}
+	return answer, nil
+}
+
+// serveOrigins responds to the question of another daemon.
+func (node *Node) serveOrigins(_ context.Context, query *meshpb.OriginQuery) (*meshpb.OriginAnswer, error) {
+	attempts := query.GetAttempts()
+	answer := node.deps.Origins(attempts[:min(len(attempts), MaxOriginQuery)])
+	encoded := &meshpb.OriginAnswer{Complete: answer.Complete}
+	for _, stream := range answer.Streams {
+		encoded.Streams = append(encoded.Streams, &meshpb.StreamOrigin{Attempt: stream.ID, Service: stream.Service, Release: stream.Release})
+	}
+	for service, releases := range answer.Lately {
+		encoded.Services = append(encoded.Services, &meshpb.ServiceReleases{Service: service, Releases: releases})
+	}
+	return encoded, nil
+}
--- a/meter/name.go
+++ b/meter/name.go
@@ -43,6 +43,14 @@
 	RequestsQuarantined Name = "bronzestall_requests_quarantined"
 	// SuspectsEvicted is the number of suspects that were dropped because there were too many.
 	SuspectsEvicted Name = "bronzestall_suspects_evicted"
+	// StreamsTakenUp counts the streams that clients took up, by how the release that began them is known.
+	StreamsTakenUp Name = "bronzestall_streams_taken_up"
+	// OriginsHeld is the number of streams whose origin the daemon holds.
+	OriginsHeld Name = "bronzestall_origins_held"
+	// OriginsLate counts the streams whose first event was passed on before their origin was recorded.
+	OriginsLate Name = "bronzestall_origins_late"
+	// OriginsEvicted is the number of origins that were dropped because there were too many.
+	OriginsEvicted Name = "bronzestall_origins_evicted"
 	// StoreEra is the era of the platform's store; it rises when the store comes back from an older copy.
 	StoreEra Name = "bronzestall_store_era"
 	// ReplicasLeaving is the number of upstreams that announced that they shut down.
--- /dev/null
+++ b/origin/origin.go
@@ -0,0 +1,43 @@
+package origin
+
+import "time"
+
+// Retention is how long an origin is remembered, and how long a release counts after its last replica has left: longer than
+// a client goes on with one stream.
+const Retention = 90 * time.Second
+
+// maxIDBytes is the longest ID of an attempt whose origin is remembered.
+const maxIDBytes = 128
+
+// Origin is what began a stream.
+type Origin struct {
+	// Service is the name of the service, and Release the version of the software of its replica.
+	Service, Release string
+}
+
+// Stream is the origin of one stream.
+type Stream struct {
+	Origin
+	// ID is the ID of the attempt that brought the first event to the client.
+	ID string
+}
+
+// Releases maps services to their releases, in ascending order.
+type Releases map[string][]string
+
+// Source is how the origin of a stream is known.
+type Source string
+
+// The sources, from the nearest one.
+const (
+	// Only means that no other release can have begun the stream.
+	Only Source = "Only"
+	// Own means that this daemon passed the first event on, or has looked the origin up before.
+	Own Source = "Own"
+	// Daemon means that another daemon told it.
+	Daemon Source = "Daemon"
+	// Store means that it was recorded in the store.
+	Store Source = "Store"
+	// Unknown means that the origin is not known, or that two were named.
+	Unknown Source = "Unknown"
+)
--- /dev/null
+++ b/origin/registry_test.go
@@ -0,0 +1,153 @@
+package origin
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+func stream(id, release string) Stream { return Stream{Origin{"s", release}, id} }
+
+func TestOnlyReleaseThatCanHaveBegunStreams(t *testing.T) {
+	cases := []struct {
+		name string
+		// change is made to a complete registry whose service has release v1 at second 0.
+		change func(registry *Registry)
+		at     float64
+		want   string
+	}{
+		{"one serves", func(*Registry) {}, 1, "v1"},
+		{"two serve", func(registry *Registry) { registry.SetServing(Releases{"s": {"v1", "v2"}}, at(1)) }, 2, ""},
+		{"the older one left just now", func(registry *Registry) { registry.SetServing(Releases{"s": {"v2"}}, at(1)) }, 2, ""},
+		{"the older one left long ago", func(registry *Registry) { registry.SetServing(Releases{"s": {"v2"}}, at(1)) }, 1 + Retention.Seconds(), "v2"},
+		{"another one was seen by others", func(registry *Registry) { registry.LearnReleases(Releases{"s": {"v0"}}, at(1)) }, 2, ""},
+		{"it was seen by others too", func(registry *Registry) { registry.LearnReleases(Releases{"s": {"v1"}}, at(1)) }, 2, "v1"},
+		{"it serves for long", func(registry *Registry) { registry.LearnReleases(Releases{"s": {"v1"}}, at(1)) }, 1e6, "v1"},
+		{"another service has two", func(registry *Registry) { registry.SetServing(Releases{"s": {"v1"}, "r": {"v1", "v2"}}, at(1)) }, 2, "v1"},
+		{"none serves any more", func(registry *Registry) { registry.SetServing(Releases{}, at(1)) }, 2, "v1"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			registry := New()
+			registry.Complete()
+			registry.SetServing(Releases{"s": {"v1"}}, at(0))
+			c.change(registry)
+			if got, ok := registry.Only("s", at(c.at)); got != c.want || ok != (c.want != "") {
+				t.Errorf("the only release is %q, %v", got, ok)
+			}
+		})
+	}
+	registry := New()
+	registry.SetServing(Releases{"s": {"v1"}}, at(0))
+	if _, ok := registry.Only("s", at(1)); ok {
+		t.Error("a registry that is not complete knows the only release")
+	}
+}
+
+func TestFind(t *testing.T) {
+	registry := New()
+	registry.Begin(stream("a", "v1"), at(0))
+	registry.Learn([]Stream{stream("b", "v2"), stream("a", "v1"), stream("c", "v1")}, at(1))
+	registry.Learn([]Stream{stream("c", "v2"), stream("", "v1"), stream(strings.Repeat("x", 10<<10), "v1")}, at(2))
+	for id, want := range map[string]string{"a": "v1", "b": "v2", "c": "", "": "", "d": "", strings.Repeat("x", 10<<10): ""} {
+		if got, ok := registry.Find(id, at(3)); got.Release != want || ok != (want != "") {
+			t.Errorf("the stream of %.8q began at %q, %v", id, got.Release, ok)
+		}
+	}
+	if _, ok := registry.Find("a", at(Retention.Seconds())); ok {
+		t.Error("an origin outlives the retention")
+	}
+}
+
+// TestStreamsToRecord covers the cost while one release serves, which is none, and the moment in which a second one comes: the
+// streams of before have to be recorded too.
+func TestStreamsToRecord(t *testing.T) {
+	registry := New()
+	registry.SetServing(Releases{"s": {"v1"}, "r": {"v1"}}, at(0))
+	if registry.Begin(stream("a", "v1"), at(1)) != nil {
+		t.Error("a stream waits to be recorded while one release serves")
+	}
+	registry.Begin(Stream{Origin{"r", "v1"}, "other"}, at(1))
+	registry.Learn([]Stream{stream("learnt", "v1")}, at(1))
+	if batch := registry.TakeUnrecorded(); len(batch.Streams) > 0 {
+		t.Errorf("%v are recorded while one release serves", batch.Streams)
+	}
+	registry.SetServing(Releases{"s": {"v1", "v2"}, "r": {"v1"}}, at(2))
+	recorded := registry.Begin(stream("b", "v2"), at(3))
+	select {
+	case <-registry.Wake():
+	default:
+		t.Error("nothing says that streams are to be recorded")
+	}
+	batch := registry.TakeUnrecorded()
+	if want := []Stream{stream("a", "v1"), stream("b", "v2")}; !slices.Equal(batch.Streams, want) {
+		t.Errorf("%v are recorded, want %v", batch.Streams, want)
+	}
+	select {
+	case <-recorded:
+		t.Error("a stream counts as recorded before it is")
+	default:
+	}
+	batch.Recorded()
+	<-recorded
+	if again := registry.TakeUnrecorded(); len(again.Streams) > 0 {
+		t.Errorf("%v are recorded twice", again.Streams)
+	}
+	registry.RecordAgain(at(4))
+	if again := registry.TakeUnrecorded(); len(again.Streams) != 2 {
+		t.Errorf("after the store lost them %v are recorded again", again.Streams)
+	}
+}
+
+// TestFullRegistry covers a flood of invented attempts: the oldest origins yield and are counted.
+func TestFullRegistry(t *testing.T) {
+	registry := New()
+	for number := range maxStreams + 10 {
+		registry.Begin(stream(fmt.Sprint(number), "v1"), at(1))
+	}
+	if registry.Held() != maxStreams || registry.Evicted() != 10 {
+		t.Errorf("%d held, %d evicted", registry.Held(), registry.Evicted())
+	}
+	registry.Begin(stream("late", "v1"), at(2+Retention.Seconds()))
+	if registry.Held() != 1 || registry.Evicted() != 10 {
+		t.Errorf("after the retention %d held, %d evicted", registry.Held(), registry.Evicted())
+	}
+}
+
+func TestLogKeepsStreamsForRetention(t *testing.T) {
+	var log Log
+	rows := map[int]Page{}
+	began := map[string]time.Time{}
+	for number := range 400 {
+		now := at(float64(number))
+		id := fmt.Sprint(number)
+		began[id] = now
+		for _, page := range log.Add([]Stream{stream(id, "v1")}, now) {
+			rows[page.Number] = page
+		}
+		held := map[string]bool{}
+		for _, page := range rows {
+			for _, next := range page.Streams {
+				held[next.ID] = true
+			}
+		}
+		for id, from := range began {
+			if !held[id] && now.Sub(from) < Retention {
+				t.Fatalf("after %v the stream is gone", now.Sub(from))
+			}
+		}
+	}
+	long := make([]Stream, 3)
+	for index := range long {
+		long[index] = stream(strings.Repeat(fmt.Sprint(index), maxPageBytes/2), "v1")
+	}
+	if pages := log.Add(long, at(500)); len(pages) != 3 {
+		t.Errorf("three streams of half a page need %d pages", len(pages))
+	}
+}
--- a/outcome/kind.go
+++ b/outcome/kind.go
@@ -73,6 +73,8 @@
 	NoteConflict
 	// NoteUnclear is a release note whose acceptance could not be confirmed.
 	NoteUnclear
+	// OriginUnknown is a request that goes on with a stream of which it is not known which release of the service began it.
+	OriginUnknown
 	// PlatformUnavailable is an operator's call that needs the platform while it is unavailable.
 	PlatformUnavailable
 
--- a/outcome/table.go
+++ b/outcome/table.go
@@ -56,6 +56,7 @@
 	NoteInvalid:         {"NoteInvalid", http.StatusUnprocessableEntity, NotRun, Never, 331, "The release note fails its checks."},
 	NoteConflict:        {"NoteConflict", http.StatusConflict, NotRun, Never, 332, "Another release note was accepted since this one was written."},
 	NoteUnclear:         {"NoteUnclear", http.StatusServiceUnavailable, MayHaveRun, SameKey, 333, "The platform did not confirm whether the release note was accepted."},
+	OriginUnknown:       {"OriginUnknown", http.StatusServiceUnavailable, NotRun, Later, 335, "It is not known which release of the service began the stream; it can be begun anew."},
 	PlatformUnavailable: {"PlatformUnavailable", http.StatusServiceUnavailable, NotRun, Later, 334, "The platform cannot be reached."},
 }
 
--- a/relay/continuation.go
+++ b/relay/continuation.go
@@ -1,28 +1,96 @@
 package relay
 
 import (
+	"cmp"
+	"context"
 	"slices"
+	"time"
 
 	"github.com/bronzestall/bronzestall/balance"
 	"github.com/bronzestall/bronzestall/event"
+	"github.com/bronzestall/bronzestall/exchange"
+	"github.com/bronzestall/bronzestall/origin"
 	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/topology"
 )
 
-// continuesStream reports whether the next attempt goes on with a stream that an earlier one, or an earlier request of the
-// client, began.
-func (transaction *transaction) continuesStream() bool {
+// retryAfterUnknown is the Retry-After value of a request that takes up a stream whose origin is not known: a daemon that has
+// just started may learn it.
+const retryAfterUnknown = 300 * time.Millisecond
+
+// Origins knows which releases began streams. It is safe for concurrent use.
+type Origins interface {
+	// Begin records the origin of the stream before its first event is passed on, which it delays for a moment at most.
+	Begin(ctx context.Context, stream origin.Stream)
+	// Broke records that the stream ended before its client had all of it. It must not block.
+	Broke(id string)
+	// Find returns the origin of the stream that the attempt began at the service, if the client names no other, and how it is
+	// known: origin.Unknown if it is not.
+	Find(ctx context.Context, id, service string) (origin.Origin, origin.Source)
+}
+
+// streamID returns the ID of the attempt that began the stream, which is that of the request unless it takes one up.
+func streamID(request *exchange.Request) string {
+	return cmp.Or(request.Metadata.Resumes, request.Metadata.ID)
+}
+
+// takesUp reports whether the client goes on with a stream that another request began.
+func (transaction *transaction) takesUp() bool {
 	metadata := &transaction.request.Metadata
-	return transaction.lastEvent > 0 || metadata.Resumes != "" || metadata.LastEventID > 0
+	return transaction.route.Kind == topology.Streaming && (metadata.Resumes != "" || metadata.LastEventID > 0)
 }
 
-// recordRelease records the release that begins the stream with its first event.
-func (transaction *transaction) recordRelease(candidate balance.Candidate) {
-	if transaction.release == "" && !transaction.continuesStream() {
-		transaction.release = candidate.Release
+// findOrigin sets the release at which a stream that the client takes up may go on. It returns the refusal of the request if
+// that is not known: what two releases write cannot be joined.
+func (transaction *transaction) findOrigin(ctx context.Context) *outcome.Error {
+	if !transaction.takesUp() {
+		return nil
 	}
+	metadata := &transaction.request.Metadata
+	found, source := transaction.relay.deps.Origins.Find(ctx, metadata.Resumes, transaction.service.Name)
+	event.StreamTakenUp.Log("Request", metadata.ID, "Resumes", metadata.Resumes[:min(len(metadata.Resumes), maxLoggedID)],
+		"LastEvent", metadata.LastEventID, "Service", found.Service, "Begun", found.Release, "Source", source)
+	service, allowed := transaction.targetOf(found.Service)
+	if source == origin.Unknown || !allowed {
+		return outcome.New(outcome.OriginUnknown, "it is not known which release began the stream").WithRetryAfter(retryAfterUnknown)
+	}
+	transaction.service, transaction.release = service, found.Release
+	return nil
 }
 
-// ofRelease returns the candidates of the release that began the stream, or all if that is unknown.
+// maxLoggedID bounds the bytes of an ID in a log line.
+const maxLoggedID = 64
+
+// targetOf returns the service with the name, and whether the route leads to it.
+func (transaction *transaction) targetOf(name string) (topology.Service, bool) {
+	for _, target := range transaction.route.Targets {
+		if target.Service == name {
+			return transaction.configuration.Services[name], true
+		}
+	}
+	return topology.Service{}, false
+}
+
+// recordOrigin records the release that begins the stream, before its first event is passed on.
+func (transaction *transaction) recordOrigin(ctx context.Context, candidate balance.Candidate) {
+	if transaction.release != "" {
+		return
+	}
+	transaction.release = candidate.Release
+	if transaction.route.Resumable {
+		began := origin.Origin{Service: transaction.service.Name, Release: candidate.Release}
+		transaction.relay.deps.Origins.Begin(ctx, origin.Stream{Origin: began, ID: transaction.request.Metadata.ID})
+	}
+}
+
+// recordEnd records that a stream that this request began ended before its client had all of it.
+func (transaction *transaction) recordEnd(failure *outcome.Error) {
+	if failure != nil && transaction.sink.Begun() && transaction.route.Resumable && !transaction.takesUp() {
+		transaction.relay.deps.Origins.Broke(transaction.request.Metadata.ID)
+	}
+}
+
+// ofRelease returns the candidates of the release that began the stream, or all if none did yet.
 func (transaction *transaction) ofRelease(candidates []balance.Candidate) []balance.Candidate {
 	if transaction.release == "" {
 		return candidates
@@ -49,11 +117,11 @@
 
 // logContinuation logs that the attempt at the candidate goes on with a stream.
 func (transaction *transaction) logContinuation(candidate balance.Candidate) {
-	if !transaction.continuesStream() {
+	metadata := &transaction.request.Metadata
+	if transaction.lastEvent == 0 && !transaction.takesUp() {
 		return
 	}
-	metadata := &transaction.request.Metadata
-	event.StreamContinued.Log("Request", metadata.ID, "Resumes", metadata.Resumes, "Service", transaction.service.Name,
+	event.StreamContinued.Log("Request", metadata.ID, "Service", transaction.service.Name,
 		"LastEvent", max(transaction.lastEvent, metadata.LastEventID), "Begun", transaction.release,
 		"Replica", candidate.ID, "Born", candidate.Started, "Release", candidate.Release)
 }
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -19,6 +19,7 @@
 	"github.com/bronzestall/bronzestall/directory"
 	"github.com/bronzestall/bronzestall/exchange"
 	"github.com/bronzestall/bronzestall/notice"
+	"github.com/bronzestall/bronzestall/origin"
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/quarantine"
 	"github.com/bronzestall/bronzestall/ratelimit"
@@ -117,15 +118,33 @@
 	demand    *demand.Counter
 	client    client
 	// limits holds the limits that replicas named.
-	limits *ratelimit.Table
+	limits  *ratelimit.Table
+	origins *origins
+}
+
+// origins is an Origins that holds what the test put in.
+type origins struct {
+	known map[string]origin.Origin
+	broke []string
+}
+
+func (origins *origins) Begin(_ context.Context, stream origin.Stream) {
+	origins.known[stream.ID] = stream.Origin
+}
+func (origins *origins) Broke(id string) { origins.broke = append(origins.broke, id) }
+func (origins *origins) Find(_ context.Context, id, _ string) (origin.Origin, origin.Source) {
+	if found, ok := origins.known[id]; ok {
+		return found, origin.Own
+	}
+	return origin.Origin{}, origin.Unknown
 }
 
 func newFixture(steps ...step) *fixture {
 	clk := clock.RealClock{}
-	built := &fixture{upstream: &replicas{steps: steps}, directory: directory.New(clk), demand: demand.New(), limits: ratelimit.NewTable()}
+	built := &fixture{upstream: &replicas{steps: steps}, directory: directory.New(clk), demand: demand.New(), limits: ratelimit.NewTable(), origins: &origins{known: map[string]origin.Origin{}}}
 	built.relay = New(Settings{Zone: "z", MaxSavedRetries: 8, RetryShare: 0.1}, Deps{
 		Upstream: built.upstream, Directory: built.directory, Balancer: balance.New(rand.New(rand.NewPCG(1, 2))),
-		Demand: built.demand, Suspects: quarantine.NewTracker(crashLimit), Notices: notice.New(), Limiter: ratelimit.NewLimiter(built.limits), Clock: clk,
+		Demand: built.demand, Suspects: quarantine.NewTracker(crashLimit), Notices: notice.New(), Limiter: ratelimit.NewLimiter(built.limits), Origins: built.origins, Clock: clk,
 	})
 	built.relay.Configure((&topology.Configuration{
 		Version: 1,
@@ -198,3 +217,6 @@
 }
 
 var lost = step{err: exchange.ErrLost}
+
+// errBroken is the error of a body that breaks off.
+var errBroken = errors.New("reset")
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -38,6 +38,8 @@
 	OnModelWait func()
 	// Limiter holds the tokens for replicas that named limits.
 	Limiter *ratelimit.Limiter
+	// Origins knows which releases began streams.
+	Origins Origins
 	// DaemonIndex returns the index of the daemon among all daemons; nil means zero.
 	DaemonIndex func() int
 	// Clock provides the time and timers.
@@ -137,15 +139,18 @@
 	if route == nil {
 		return Summary{Configuration: configuration.Version}, outcome.New(outcome.UnknownPath, "no route has this host and path")
 	}
-	service := configuration.Services[pickTarget(route.Targets, request.Metadata.ID)]
+	service := configuration.Services[pickTarget(route.Targets, streamID(request))]
 	deadline := relay.deadline(request, route)
 	ctx, cancel := context.WithTimeoutCause(ctx, deadline.Sub(relay.deps.Clock.Now()), errDeadline)
 	defer cancel()
 	ctx, stop := relay.withShutdown(ctx)
 	defer stop()
-	transaction := &transaction{relay: relay, request: request, causes: causes(request), route: route, service: service, sink: sink, deadline: deadline}
+	transaction := &transaction{
+		relay: relay, request: request, configuration: configuration, causes: causes(request), route: route, service: service, sink: sink, deadline: deadline,
+	}
 	transaction.summary = Summary{Route: route.Name, Configuration: configuration.Version, Fingerprint: transaction.causes.Request}
 	failure := transaction.run(ctx)
+	transaction.recordEnd(failure)
 	transaction.summary.Sends = transaction.sends
 	return transaction.summary, failure
 }
--- a/relay/release_test.go
+++ b/relay/release_test.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"errors"
 	"testing"
 	"testing/synctest"
 
@@ -11,7 +10,7 @@
 // TestStreamGoesOnOnlyAtTheReleaseThatBeganIt guards against issue 42: a stream that its replica broke off went on, within one
 // answer, at a replica of another software version.
 func TestStreamGoesOnOnlyAtTheReleaseThatBeganIt(t *testing.T) {
-	broken := func() step { return answered(200, events(1, 2), errors.New("reset")) }
+	broken := func() step { return answered(200, events(1, 2), errBroken) }
 	cases := []struct {
 		name     string
 		releases map[string]string
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -27,7 +27,7 @@
 				watchdog.reset()
 				attemptRecord.firstEvent()
 			}
-			transaction.recordRelease(candidate)
+			transaction.recordOrigin(ctx, candidate)
 			if failure := transaction.forward(reply, events); failure != nil {
 				transaction.relay.deps.Balancer.Cancel(candidate.Incarnation)
 				return result{failure: failure}
--- a/relay/transaction.go
+++ b/relay/transaction.go
@@ -34,8 +34,9 @@
 
 // transaction is the state of one client request until its final response.
 type transaction struct {
-	relay   *Relay
-	request *exchange.Request
+	relay         *Relay
+	request       *exchange.Request
+	configuration *topology.Configuration
 	// causes lists what the request has that may crash replicas.
 	causes quarantine.Causes
 	// trial is the refused part of the prompt that the request was admitted to try, or zero.
@@ -71,6 +72,9 @@
 	if failure := transaction.quarantineFailure(relay.deps.Clock.Now()); failure != nil {
 		return failure
 	}
+	if failure := transaction.findOrigin(ctx); failure != nil {
+		return failure
+	}
 	relay.deps.Demand.AddArrival(transaction.key(), transaction.request.Metadata.PromptTokens, transaction.route.LatencyTarget, transaction.request.Arrived)
 	relay.budget(transaction.service.Name).Deposit()
 	for {
