--- a/front/originrecorder.go
+++ b/front/originrecorder.go
@@ -36,13 +36,17 @@
 	batches   []origin.Batch
 	// written is when the last write ended.
 	written time.Time
+	// era is that of the store for which the streams were recorded.
+	era uint64
 }
 
-// recordOrigins records the origins of streams while a service has several releases, and all of them again when the store
+// recordOrigins records the origins of streams while a service has several releases, and all of them again after the store
 // came back from an older copy.
 func (daemon *Daemon) recordOrigins(ctx context.Context) error {
 	recorder := &originRecorder{daemon: daemon, process: incarnation(), unwritten: map[int]origin.Page{}}
 	for ctx.Err() == nil {
+		rose := daemon.eras.Rose()
+		recorder.observeEra()
 		var retry <-chan time.Time
 		if len(recorder.unwritten) > 0 {
 			retry = daemon.clock.After(recordRetryPause)
@@ -50,8 +54,7 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-daemon.eras.Rose():
-			daemon.origins.RecordAgain(daemon.clock.Now())
+		case <-rose:
 			continue
 		case <-daemon.origins.Wake():
 			daemon.waitOrSleep(ctx, daemon.origins.Hurry(), recorder.pause())
@@ -63,6 +66,15 @@
 	return ctx.Err()
 }
 
+// observeEra makes all streams be recorded again if the store came back from an older copy.
+func (recorder *originRecorder) observeEra() {
+	era := recorder.daemon.eras.Era()
+	if recorder.era > 0 && era > recorder.era {
+		recorder.daemon.origins.RecordAgain(recorder.daemon.clock.Now())
+	}
+	recorder.era = era
+}
+
 // pause returns the time until the next write.
 func (recorder *originRecorder) pause() time.Duration {
 	interval := time.Duration(recorder.daemon.daemonCount.Load()) * recordIntervalPerDaemon
