--- a/internal/frontsoak/release_test.go
+++ b/internal/frontsoak/release_test.go
@@ -24,6 +24,14 @@
 	releaseDuration = 9 * time.Second
 	// takeUpDeadline is how long a client tries to complete a stream.
 	takeUpDeadline = 6 * time.Second
+	// takeUpPrefix begins the identifiers of requests for streams that clients take up.
+	takeUpPrefix = "takeup-"
+	// soakTakeUpClients is the number of clients that take streams up in a run with other faults, and soakLeaving the share of
+	// streams that they leave, in percent.
+	soakTakeUpClients = 4
+	soakLeaving       = 30
+	// restartTime is how long an engine is down that starts again with another release.
+	restartTime = 300 * time.Millisecond
 	// minTakenUp is the share of the streams taken up that must go on to their end.
 	minTakenUp = 0.9
 )
@@ -45,6 +53,7 @@
 	releases map[string]bool
 	// takenUp states that the client tried to go on with it, and complete that all events arrived.
 	takenUp, complete bool
+	name, model       string
 	last              int
 }
 
@@ -53,9 +62,11 @@
 	name      string
 	addresses []string
 	leaving   int
-	http      *http.Client
-	random    *rand.Rand
-	count     int
+	// models is the number of models that the client asks for.
+	models int
+	http   *http.Client
+	random *rand.Rand
+	count  int
 }
 
 // run begins streams until the context ends, and returns them.
@@ -70,13 +81,13 @@
 
 // stream begins a stream and tries to complete it at one daemon after the other.
 func (client *streamClient) stream() *chain {
-	chain := &chain{releases: map[string]bool{}}
+	chain := &chain{releases: map[string]bool{}, name: fmt.Sprint(client.name, "-", client.count), model: fmt.Sprint("m", client.random.IntN(client.models))}
 	ctx, cancel := context.WithTimeout(context.Background(), takeUpDeadline)
 	defer cancel()
 	first := ""
 	for ctx.Err() == nil && !chain.complete {
 		client.count++
-		id := fmt.Sprintf("resume-%s-%d", client.name, client.count)
+		id := fmt.Sprintf("%s%s-%d", takeUpPrefix, client.name, client.count)
 		leaveAfter := streamEvents
 		if chain.last == 0 && client.random.IntN(100) < client.leaving {
 			leaveAfter = 2 + client.random.IntN(streamEvents/2)
@@ -86,7 +97,7 @@
 		if first == "" && chain.last > 0 {
 			first = id
 		}
-		time.Sleep(pause)
+		time.Sleep(min(pause, takeUpDeadline/3))
 	}
 	return chain
 }
@@ -97,12 +108,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	address := client.addresses[client.random.IntN(len(client.addresses))]
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+pathResume+"x", strings.NewReader("body"))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+pathResume+"x", strings.NewReader("body of "+chain.name))
 	if err != nil {
 		return pause
 	}
 	request.Host = "h.example"
-	for name, value := range map[string]string{"Bronzestall-Request-Id": id, "Bronzestall-Deadline-Ms": "4000", "Bronzestall-Model": "m0", "Bronzestall-Token-Usage": "100,36"} {
+	for name, value := range map[string]string{"Bronzestall-Request-Id": id, "Bronzestall-Deadline-Ms": "4000", "Bronzestall-Model": chain.model, "Bronzestall-Token-Usage": "100,36"} {
 		request.Header.Set(name, value)
 	}
 	if first != "" {
@@ -147,14 +158,14 @@
 // startReleases adds engines of a newer release to the testbed.
 func (testbed *testbed) startReleases(t *testing.T, stop <-chan struct{}) {
 	for _, replica := range testbed.replicas {
-		replica.gap, replica.tagsEvents = releaseGap, true
+		replica.gap = releaseGap
 	}
 	for number := range newEngineCount {
 		next, err := newReplica(fmt.Sprintf("n-%d", number), engineService, fmt.Sprintf("z%d", number%2), testbed.checker, testbed.store)
 		if err != nil {
 			t.Fatal(err)
 		}
-		next.release, next.gap, next.tagsEvents = "v2", releaseGap, true
+		next.release, next.gap = "v2", releaseGap
 		testbed.replicas = append(testbed.replicas, next)
 		go next.heartbeat(stop)
 	}
@@ -233,7 +244,7 @@
 	var clients sync.WaitGroup
 	for number := range releaseClients {
 		client := &streamClient{
-			name: fmt.Sprintf("r%d", number), addresses: testbed.addresses(), leaving: c.leaving,
+			name: fmt.Sprint("r", number), addresses: testbed.addresses(), leaving: c.leaving, models: 1,
 			http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, random: rand.New(rand.NewPCG(seed, uint64(number))),
 		}
 		clients.Go(func() {
@@ -270,3 +281,34 @@
 		t.Errorf("%.2f of %d streams that were taken up went on", share, takenUp)
 	}
 }
+
+// startTakeUps starts clients that take streams up until the context ends, and returns a function that waits for them and returns
+// their streams. Engines of two releases serve, and some have another one after a restart.
+func (testbed *testbed) startTakeUps(ctx context.Context, seed uint64) func() []*chain {
+	random := rand.New(rand.NewPCG(seed, 11))
+	var mutex sync.Mutex
+	var chains []*chain
+	var clients sync.WaitGroup
+	for number := range soakTakeUpClients {
+		client := &streamClient{
+			name: fmt.Sprint("s", number), addresses: testbed.addresses(), leaving: soakLeaving, models: modelCount,
+			http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, random: rand.New(rand.NewPCG(seed, 20+uint64(number))),
+		}
+		clients.Go(func() {
+			began := client.run(ctx)
+			mutex.Lock()
+			defer mutex.Unlock()
+			chains = append(chains, began...)
+		})
+	}
+	for _, replica := range testbed.replicas[:engineCount] {
+		next := fmt.Sprint("v", 1+random.IntN(3))
+		replica.withLock(func() { replica.nextRelease = next })
+	}
+	testbed.replicas[0].withLock(func() { testbed.replicas[0].nextRelease = "v2" })
+	testbed.replicas[0].crash(restartTime)
+	return func() []*chain {
+		clients.Wait()
+		return chains
+	}
+}
--- a/internal/frontsoak/replica_test.go
+++ b/internal/frontsoak/replica_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -32,12 +33,10 @@
 	proxy             *proxy
 	server            *http.Server
 
-	// release is the version of the software.
-	release string
+	// release is the version of the software. nextRelease is that after the next restart; empty keeps it.
+	release, nextRelease string
 	// gap is the time before each event of a stream.
 	gap time.Duration
-	// tagsEvents states that events carry the release in place of the identifier of their request.
-	tagsEvents bool
 
 	mutex sync.Mutex
 	// startedAt is the start of the current incarnation, in Unix ms.
@@ -145,6 +144,9 @@
 	time.AfterFunc(downtime, func() {
 		replica.mutex.Lock()
 		replica.down, replica.startedAt = false, time.Now().UnixMilli()
+		if replica.nextRelease != "" {
+			replica.release = replica.nextRelease
+		}
 		replica.mutex.Unlock()
 		replica.proxy.set(false, false, 0)
 	})
@@ -269,9 +271,9 @@
 	}
 }
 
-// eventText returns the data of the events of a request.
+// eventText returns the data of the events of a request: its identifier, or the release if the client may take it up.
 func (replica *replica) eventText(id string) string {
-	if replica.tagsEvents {
+	if strings.HasPrefix(id, takeUpPrefix) {
 		return replica.release
 	}
 	return id
--- a/internal/frontsoak/soak_test.go
+++ b/internal/frontsoak/soak_test.go
@@ -85,6 +85,7 @@
 	testbed, stop := startTestbed(t, folder, binary, seed)
 	ctx, cancel := context.WithCancel(context.Background())
 	clients := testbed.startClients(ctx, seed)
+	takeUps := testbed.startTakeUps(ctx, seed)
 	time.Sleep(2 * time.Second)
 	noticeContext, stopNotices := context.WithTimeout(ctx, *lengthFlag+settleTime/2)
 	defer stopNotices()
@@ -96,6 +97,7 @@
 	time.Sleep(settleTime)
 	cancel()
 	clients.Wait()
+	checkReleases(t, releaseCase{anyShare: true}, takeUps())
 	testbed.checkRecovery(seed)
 	stop()
 	deadly := testbed.checker.deadly.Load()
@@ -104,7 +106,7 @@
 	for _, violation := range violations {
 		t.Error(violation)
 	}
-	if len(violations) > 0 {
+	if t.Failed() {
 		saveLogs(t, folder, seed)
 	}
 }
