Log when a daemon reaches no replica, and when it does again

For links that hang no line named the daemon that is cut off. Package reach tells from a daemon's own connections that it is cut off: two replicas, or the only one, could not be reached, and none was since. No change of what requests do.

--- a/connection/settings.go
+++ b/connection/settings.go
@@ -16,6 +16,14 @@
 	defaultHeadBytes   = 32 << 10
 )
 
+// Observer is told which upstreams a pool reaches. Its methods must not block.
+type Observer interface {
+	// Reached is called when a connection under the key was opened, and for each response.
+	Reached(key string)
+	// Lost is called when a connection under the key could not be opened. begun is when the attempt began.
+	Lost(key string, begun time.Time)
+}
+
 // Settings bounds the connections of a Pool. The zero value of a field means its default.
 type Settings struct {
 	// DialTimeout bounds the opening of a connection; zero means 500 ms.
@@ -29,6 +37,8 @@
 	MaxIdle int
 	// HeadBytes bounds the status line and headers of a response in bytes; zero means 32 KiB.
 	HeadBytes int64
+	// Observer is told which upstreams are reached; nil means none.
+	Observer Observer
 	// Dial opens a connection; nil means TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
--- a/event/front.go
+++ b/event/front.go
@@ -40,6 +40,8 @@
 	OriginsUnrecorded  = define(856, "OriginsUnrecorded", Warning, "The origins of streams could not be recorded in the store; the write is retried. Streams counts those concerned.")
 	OriginsRead        = define(857, "OriginsRead", Info, "The recorded origins of streams were read for the first time; Releases lists the services that have, or lately had, several releases.")
 	ReleasesMixed      = define(858, "ReleasesMixed", Info, "A service has, or lately had, several releases, or no longer; while it has, the origins of its streams are recorded.")
+	PathsLost          = define(860, "PathsLost", Warning, "This daemon reaches no replica: connections to several could not be opened, and none was reached since. Replica is the last one.")
+	PathsBack          = define(861, "PathsBack", Info, "This daemon reaches a replica again; For is how long it reached none.")
 	PeerFound          = define(830, "PeerFound", Info, "Another daemon was seen for the first time, or again after it was lost.")
 	PeerLost           = define(831, "PeerLost", Warning, "Another daemon was not seen for too long.")
 	ReaderFound        = define(833, "ReaderFound", Info, "This daemon gets the contents of the store from another daemon of its data centre.")
--- a/front/daemon.go
+++ b/front/daemon.go
@@ -27,6 +27,7 @@
 	"github.com/bronzestall/bronzestall/platform"
 	"github.com/bronzestall/bronzestall/quarantine"
 	"github.com/bronzestall/bronzestall/ratelimit"
+	"github.com/bronzestall/bronzestall/reach"
 	"github.com/bronzestall/bronzestall/relay"
 	"github.com/bronzestall/bronzestall/roster"
 	"github.com/bronzestall/bronzestall/scheduler"
@@ -79,6 +80,8 @@
 	// origins is what this daemon knows of the origins of streams, and originFinder asks others.
 	origins      *origin.Registry
 	originFinder *originFinder
+	// paths holds which replicas this daemon reaches.
+	paths *reach.Paths
 	// membership is what this daemon knows of all daemons that may divide limits, and grantorRoute chooses among them.
 	membership   *ratelimit.Membership
 	grantorRoute *ratelimit.Route
@@ -142,7 +145,6 @@
 		droppedLines:    droppedLines,
 		clock:           clk,
 		meter:           meter.New(),
-		pool:            connection.New(connection.Settings{}, clk),
 		roster:          roster.New(),
 		directory:       directory.New(clk),
 		balancer:        balance.New(random),
@@ -157,11 +159,13 @@
 		suspectRows:     map[string]trackedRow{},
 		originRows:      map[string]trackedRow{},
 		origins:         origin.New(),
+		paths:           reach.New(),
 		reportRequested: make(chan struct{}, 1),
 		stopStarted:     make(chan struct{}),
 		replicasChanged: make(chan struct{}, 1),
 		storeSeen:       clk.Now(),
 	}
+	daemon.pool = connection.New(connection.Settings{Observer: pathObserver{daemon}}, clk)
 	daemon.originFinder = newOriginFinder(daemon)
 	daemon.suspects.SetTurns(daemon.partTurn)
 	daemon.limiter = ratelimit.NewLimiter(daemon.limits)
--- a/front/tasks.go
+++ b/front/tasks.go
@@ -112,6 +112,7 @@
 		live[entries[index].Replica.Incarnation] = true
 	}
 	daemon.balancer.Prune(live)
+	daemon.keepPaths(entries)
 	now := daemon.clock.Now()
 	daemon.notices.Prune(live, now.Add(-noticeRetention), now)
 	daemon.limits.Prune(live, now.Add(-noticeRetention), now)
--- a/meter/name.go
+++ b/meter/name.go
@@ -51,6 +51,8 @@
 	OriginsLate Name = "bronzestall_origins_late"
 	// OriginsEvicted is the number of origins that were dropped because there were too many.
 	OriginsEvicted Name = "bronzestall_origins_evicted"
+	// PathsLost is the number of replicas that the daemon failed to reach when it last tried.
+	PathsLost Name = "bronzestall_paths_lost"
 	// StoreEra is the era of the platform's store; it rises when the store comes back from an older copy.
 	StoreEra Name = "bronzestall_store_era"
 	// ReplicasLeaving is the number of upstreams that announced that they shut down.
