Reproduce daemons that are cut off from all replicas, in a test that fails

Four daemons as processes, each with links of its own to all replicas, which refuse or leave attempts unanswered for one daemon or for both of a data centre.

--- a/internal/frontsoak/client_test.go
+++ b/internal/frontsoak/client_test.go
@@ -36,6 +36,9 @@
 	// addresses lists the client addresses of all daemons.
 	addresses []string
 
+	// model is the model that the client asks for; empty draws one for each request.
+	model string
+
 	// mutex guards random and count.
 	mutex sync.Mutex
 	// count is the number of requests sent.
@@ -75,7 +78,10 @@
 	client.count++
 	daemon := fmt.Sprint("front-", slices.Index(client.addresses, address))
 	id := fmt.Sprintf("%s-%s-%d@%s", strings.Trim(kind, "/"), client.name, client.count, daemon)
-	model := fmt.Sprintf("m%d", client.random.IntN(modelCount))
+	model := client.model
+	if model == "" {
+		model = fmt.Sprintf("m%d", client.random.IntN(modelCount))
+	}
 	client.mutex.Unlock()
 	if body == "" {
 		body = "body of " + id
--- /dev/null
+++ b/internal/frontsoak/cut_test.go
@@ -0,0 +1,144 @@
+package frontsoak
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+)
+
+const (
+	// cutLength is how long the links are cut, and cutSettle the time from the cut on after which requests count.
+	cutLength = 9 * time.Second
+	cutSettle = 3 * time.Second
+	// cutClients is the number of clients of each daemon.
+	cutClients = 3
+	// minCutShare is the least share of first tries served at cut-off daemons, as a part of that at the others.
+	minCutShare = 0.95
+)
+
+// cutResult counts first tries by daemon.
+type cutResult struct {
+	mutex        sync.Mutex
+	sent, served map[string]int
+}
+
+func (result *cutResult) record(daemon string, served bool) {
+	result.mutex.Lock()
+	defer result.mutex.Unlock()
+	result.sent[daemon]++
+	if served {
+		result.served[daemon]++
+	}
+}
+
+// share returns the share of first tries served at the daemons, and their number.
+func (result *cutResult) share(daemons []int) (float64, int) {
+	sent, served := 0, 0
+	for _, number := range daemons {
+		name := fmt.Sprint("front-", number)
+		sent, served = sent+result.sent[name], served+result.served[name]
+	}
+	return float64(served) / float64(max(sent, 1)), sent
+}
+
+// TestCutOffDaemonsServe guards against issue 42: daemons that were cut off from all replicas refused or held what the others could
+// serve.
+func TestCutOffDaemonsServe(t *testing.T) {
+	cases := []struct {
+		name   string
+		fault  linkFault
+		cut    []int
+		others []int
+	}{
+		{"one daemon, links refuse", refused, []int{1}, []int{0, 2, 3}},
+		{"one daemon, links hang", hanging, []int{1}, []int{0, 2, 3}},
+		{"a data centre, links refuse", refused, []int{0, 2}, []int{1, 3}},
+		{"a data centre, links hang", hanging, []int{0, 2}, []int{1, 3}},
+	}
+	binary := build(t)
+	for index, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			folder := t.TempDir()
+			seed := 5300 + uint64(index)
+			testbed, err := newTestbed(folder, binary, seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			views := testbed.useLinks(t)
+			stop := testbed.start()
+			time.Sleep(3 * time.Second)
+			result := testbed.runCut(t, seed, views, c.fault, c.cut)
+			stop()
+			cutShare, cutCount := result.share(c.cut)
+			share, count := result.share(c.others)
+			t.Logf("cut off: %.2f of %d first tries served; others: %.2f of %d", cutShare, cutCount, share, count)
+			if cutCount < 20 || share < 0.9 {
+				t.Errorf("too few requests, or the others are not served")
+			}
+			if cutShare < minCutShare*share {
+				t.Errorf("%.2f of the first tries at cut-off daemons are served, %.2f at the others", cutShare, share)
+			}
+			for _, violation := range testbed.checker.finish() {
+				t.Error(violation)
+			}
+			if t.Failed() {
+				saveLogs(t, folder, seed)
+			}
+		})
+	}
+}
+
+// useLinks gives each daemon links of its own to all replicas.
+func (testbed *testbed) useLinks(t *testing.T) []*view {
+	var views []*view
+	for _, front := range testbed.fronts {
+		created, address, err := testbed.newView()
+		if err != nil {
+			t.Fatal(err)
+		}
+		front.store.target = address
+		views = append(views, created)
+	}
+	return views
+}
+
+// runCut sends requests to all daemons, cuts the links of some, and returns the first tries that count.
+func (testbed *testbed) runCut(t *testing.T, seed uint64, views []*view, fault linkFault, cut []int) *cutResult {
+	ctx, cancel := context.WithTimeout(context.Background(), cutLength)
+	defer cancel()
+	for _, number := range cut {
+		if err := views[number].each(func(link *replicaLink) error { return link.cut(fault) }); err != nil {
+			t.Fatal(err)
+		}
+	}
+	begun := time.Now()
+	result := &cutResult{sent: map[string]int{}, served: map[string]int{}}
+	var clients sync.WaitGroup
+	for number, front := range testbed.fronts {
+		for index := range cutClients {
+			client := newClient(fmt.Sprint("k", number, index), testbed.checker, seed*100+uint64(10*number+index), testbed.addresses())
+			client.model = "m0"
+			clients.Go(func() {
+				for count := 0; ctx.Err() == nil; count++ {
+					kind := []string{pathCall, pathLookup, pathStream, pathResume}[count%4]
+					sent := time.Now()
+					served := client.send(context.Background(), kind, front.client)
+					if sent.Sub(begun) > cutSettle {
+						result.record(front.name, served)
+					}
+					time.Sleep(60 * time.Millisecond)
+				}
+			})
+		}
+	}
+	clients.Wait()
+	for _, number := range cut {
+		if err := views[number].each(func(link *replicaLink) error { return link.heal() }); err != nil {
+			t.Error(err)
+		}
+	}
+	return result
+}
--- /dev/null
+++ b/internal/frontsoak/links_test.go
@@ -0,0 +1,171 @@
+package frontsoak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// linkFault is what happens on the links between a daemon and all replicas.
+type linkFault int
+
+const (
+	// refused resets open connections and refuses new ones.
+	refused linkFault = iota
+	// hanging stalls open connections, and lets attempts to open new ones go unanswered.
+	hanging
+)
+
+// replicaLink is the path from one daemon to one replica: a proxy of its own.
+type replicaLink struct {
+	address string
+	target  string
+
+	mutex sync.Mutex
+	proxy *proxy
+	// fillers are connections that fill the queue of a listener that accepts none.
+	fillers []net.Conn
+	closed  func()
+}
+
+// newLink opens a link to the address.
+func newLink(target string) (*replicaLink, error) {
+	opened, err := newProxy(target)
+	if err != nil {
+		return nil, err
+	}
+	return &replicaLink{address: opened.address(), target: target, proxy: opened}, nil
+}
+
+// cut breaks the link.
+func (link *replicaLink) cut(fault linkFault) error {
+	link.mutex.Lock()
+	defer link.mutex.Unlock()
+	_ = link.proxy.listener.Close()
+	if fault == refused {
+		link.proxy.resetAll()
+		return nil
+	}
+	link.proxy.set(true, false, 0)
+	return link.openSilent()
+}
+
+// openSilent listens at the address with a full queue, so that attempts to connect get no answer.
+func (link *replicaLink) openSilent() error {
+	address, err := net.ResolveTCPAddr("tcp4", link.address)
+	if err != nil {
+		return err
+	}
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		return err
+	}
+	link.closed = func() { _ = syscall.Close(socket) }
+	_ = syscall.SetsockoptInt(socket, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+	bound := &syscall.SockaddrInet4{Port: address.Port}
+	copy(bound.Addr[:], address.IP.To4())
+	if err := syscall.Bind(socket, bound); err != nil {
+		return err
+	}
+	if err := syscall.Listen(socket, 0); err != nil {
+		return err
+	}
+	for range 2 {
+		filler, err := net.DialTimeout("tcp", link.address, 20*time.Millisecond)
+		if err != nil {
+			break
+		}
+		link.fillers = append(link.fillers, filler)
+	}
+	return nil
+}
+
+// heal repairs the link.
+func (link *replicaLink) heal() error {
+	link.mutex.Lock()
+	defer link.mutex.Unlock()
+	if link.closed != nil {
+		link.closed()
+		link.closed = nil
+	}
+	for _, filler := range link.fillers {
+		_ = filler.Close()
+	}
+	link.fillers = nil
+	link.proxy.set(false, false, 0)
+	link.proxy.resetAll()
+	listener, err := net.Listen("tcp", link.address)
+	if err != nil {
+		return err
+	}
+	link.proxy = &proxy{listener: listener, target: link.target, connections: map[net.Conn]net.Conn{}}
+	go link.proxy.accept()
+	return nil
+}
+
+// view is the store as one daemon sees it: the addresses of replicas are those of its own links.
+type view struct {
+	store *store
+
+	mutex sync.Mutex
+	links map[string]*replicaLink
+}
+
+// newView opens the links of one daemon to all replicas and returns its view of the store with the address at which it serves.
+func (testbed *testbed) newView() (*view, string, error) {
+	created := &view{store: testbed.store, links: map[string]*replicaLink{}}
+	for _, replica := range testbed.replicas {
+		next, err := newLink(replica.proxy.address())
+		if err != nil {
+			return nil, "", err
+		}
+		created.links[replica.proxy.address()] = next
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", err
+	}
+	go func() {
+		_ = http.Serve(listener, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			created.store.ServeHTTP(&viewWriter{ResponseWriter: writer, view: created}, request)
+		}))
+	}()
+	return created, listener.Addr().String(), nil
+}
+
+// each calls the function for each link.
+func (view *view) each(apply func(link *replicaLink) error) error {
+	for address, link := range view.links {
+		if err := apply(link); err != nil {
+			return fmt.Errorf("link to %s: %w", address, err)
+		}
+	}
+	return nil
+}
+
+// rewrite returns the row with the address of the daemon's own link.
+func (view *view) rewrite(next row) row {
+	if next.Table != "servers" || next.Deleted {
+		return next
+	}
+	var content map[string]any
+	if json.Unmarshal(next.Value, &content) != nil {
+		return next
+	}
+	address, _ := content["address"].(string)
+	if link, ok := view.links[address]; ok {
+		content["address"] = link.address
+		next.Value, _ = json.Marshal(content)
+	}
+	return next
+}
+
+// viewWriter is the response to a call of one daemon.
+type viewWriter struct {
+	http.ResponseWriter
+	view *view
+}
--- a/internal/frontsoak/soak_test.go
+++ b/internal/frontsoak/soak_test.go
@@ -127,6 +127,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return testbed, testbed.start()
+}
+
+// start starts the daemons and replicas, and returns a function that stops the daemons.
+func (testbed *testbed) start() func() {
 	stop := make(chan struct{})
 	for _, replica := range testbed.replicas {
 		go replica.heartbeat(stop)
@@ -135,7 +140,7 @@
 		front.onStart = testbed.checker.recordStart
 		go front.supervise()
 	}
-	return testbed, func() {
+	return func() {
 		for _, front := range testbed.fronts {
 			front.terminate()
 		}
--- a/internal/frontsoak/store_test.go
+++ b/internal/frontsoak/store_test.go
@@ -140,6 +140,11 @@
 	if rows == nil {
 		rows = []row{}
 	}
+	if seen, ok := writer.(*viewWriter); ok {
+		for index := range rows {
+			rows[index] = seen.view.rewrite(rows[index])
+		}
+	}
 	_ = json.NewEncoder(writer).Encode(map[string]any{"rows": rows, "morePages": false, "ver": version, "nowMs": time.Now().UnixMilli()})
 }
 
