Pass requests of daemons that reach no replica on through daemons that do

Cause: a daemon served a request only over its own links; nothing told that it was cut off, and nothing could pass a request on. The holder of the lease kept it while it reached no engine. Change: package reach decides from a daemon's own connections that it is cut off. It then, and after two replicas that a request could not reach, sends the request with all that it is to another daemon (package lending): one hop, what is left of time and attempts, release and last event of a stream, refusals that say not run only if that is true. Daemons of the same data centre and with few such requests go first; those cut off say so in their heartbeat. The holder of the lease gives it up after 1 s. Two replicas are tried every 250 ms until one is reached.

--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,7 @@
 	$(call protobuf,peer/peerpb,peer.proto)
 	$(call protobuf,keepwarm/statisticspb,statistics.proto)
 	$(call protobuf,mesh/meshpb,mesh.proto)
+	$(call protobuf,lending/lendingpb,lending.proto)
 
 # protobuf generates the Go code of the proto file $(2) in the folder $(1), into the same folder.
 define protobuf
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -122,6 +122,14 @@
 	return newConn(inner, call.Key), nil
 }
 
+// Probe opens a connection to the address, closes it, and tells the observer whether that succeeded.
+func (pool *Pool) Probe(ctx context.Context, key, address string) {
+	// The observer was told of a failure.
+	if c, err := pool.open(ctx, Call{Key: key, Address: address}); err == nil {
+		_ = c.Close()
+	}
+}
+
 // observeReached tells the observer that the upstream was reached.
 func (pool *Pool) observeReached(key string) {
 	if pool.settings.Observer != nil {
--- a/front/daemon.go
+++ b/front/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/ingress"
 	"github.com/bronzestall/bronzestall/lease"
+	"github.com/bronzestall/bronzestall/lending"
 	"github.com/bronzestall/bronzestall/mesh"
 	"github.com/bronzestall/bronzestall/meter"
 	"github.com/bronzestall/bronzestall/notice"
@@ -80,6 +81,9 @@
 	// origins is what this daemon knows of the origins of streams, and originFinder asks others.
 	origins      *origin.Registry
 	originFinder *originFinder
+	// lender passes requests to other daemons, and lent serves theirs.
+	lender *lender
+	lent   *lending.Handler
 	// paths holds which replicas this daemon reaches.
 	paths *reach.Paths
 	// membership is what this daemon knows of all daemons that may divide limits, and grantorRoute chooses among them.
@@ -172,6 +176,7 @@
 	daemon.eras = platform.NewEraTracker(&eraLog{daemon: daemon})
 	daemon.store = platform.NewRowStore(daemon.pool, settings.StoreAddress, storeTimeout, daemon.eras)
 	daemon.upstream = platform.NewUpstream(daemon.pool, replicaListener{daemon}, clk)
+	daemon.lender = newLender(daemon)
 	daemon.relay = relay.New(relay.Settings{
 		Zone:            settings.DataCentre,
 		RetryShare:      settings.RetryShare * retryFraction,
@@ -186,6 +191,7 @@
 		OnModelWait: daemon.requestReport,
 		Limiter:     daemon.limiter,
 		Origins:     streamOrigins{daemon},
+		Lender:      daemon.lender,
 		DaemonIndex: func() int { return int(daemon.daemonIndex.Load()) },
 		Clock:       clk,
 	})
@@ -195,6 +201,7 @@
 		Meter:  daemon.meter,
 		Clock:  clk,
 	})
+	daemon.lent = daemon.newLendingHandler()
 	daemon.wireScheduling(mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())))
 	return daemon
 }
@@ -240,6 +247,7 @@
 		"FollowReaders":       daemon.pollReaders,
 		"FollowSuspects":      daemon.watchSuspects,
 		"RecordSuspects":      daemon.runSuspectRecorder,
+		"ProbePaths":          daemon.probePaths,
 		"LoadOrigins":         daemon.loadOrigins,
 		"RecordOrigins":       daemon.recordOrigins,
 		"ExpireOrigins":       daemon.expireOrigins,
@@ -276,7 +284,7 @@
 
 // state returns the state that this daemon announces to others.
 func (daemon *Daemon) state() mesh.State {
-	state := mesh.State{StoreAge: daemon.storeAge(), Leaving: daemon.stopping.Load()}
+	state := mesh.State{StoreAge: daemon.storeAge(), Leaving: daemon.stopping.Load(), CutOff: daemon.lender.CutOff()}
 	if configuration := daemon.relay.Configuration(); configuration != nil {
 		state.ConfigurationVersion = configuration.Version
 	}
--- /dev/null
+++ b/front/lender.go
@@ -0,0 +1,193 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/bronzestall/bronzestall/event"
+	"github.com/bronzestall/bronzestall/exchange"
+	"github.com/bronzestall/bronzestall/lending"
+	"github.com/bronzestall/bronzestall/mesh"
+	"github.com/bronzestall/bronzestall/meter"
+	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/relay"
+)
+
+const (
+	// maxLenders is the largest number of daemons that are asked to serve one request.
+	maxLenders = 3
+	// remoteLenderCost is added to the score of a daemon of another data centre, which is otherwise the number of requests
+	// that it serves for this one.
+	remoteLenderCost = 4.0
+)
+
+// lender passes requests on through daemons that reach the replicas.
+type lender struct {
+	daemon *Daemon
+	client *lending.Client
+
+	mutex sync.Mutex
+	// outstanding maps the names of daemons to the number of requests that they serve for this one.
+	outstanding map[string]int
+}
+
+func newLender(daemon *Daemon) *lender {
+	return &lender{
+		daemon:      daemon,
+		client:      lending.NewClient(daemon.settings.Name, &http.Client{Transport: peerTransport()}),
+		outstanding: map[string]int{},
+	}
+}
+
+// CutOff reports whether this daemon reaches no replica.
+func (lender *lender) CutOff() bool {
+	_, cutOff := lender.daemon.paths.IsCutOff()
+	return cutOff
+}
+
+// Lend sends the request to one daemon after the other until one takes it.
+func (lender *lender) Lend(ctx context.Context, request *exchange.Request, budget time.Duration, allowance relay.Allowance) (*relay.LentReply, error) {
+	var last error = exchange.ErrNotSent
+	for _, peer := range lender.choose() {
+		release := lender.reserve(peer.Name)
+		reply, err := lender.client.Send(ctx, peer.Address, request, budget, allowance)
+		event.RequestLent.LogError(err, "Request", request.Metadata.ID, "Daemon", peer.Name, "ResumeAfter", allowance.ResumeAfter)
+		if err == nil {
+			reply.Daemon = peer.Name
+			reply.Body = &lentBody{reply.Body, release}
+			lender.daemon.meter.Count(meter.RequestsLent, meter.Labels{}, 1)
+			return reply, nil
+		}
+		release()
+		last = err
+		if ctx.Err() != nil || !isTransient(err) {
+			return nil, err
+		}
+	}
+	if refusal := lending.IsRefusal(last); refusal != nil {
+		return nil, refusal
+	}
+	return nil, last
+}
+
+// isTransient reports whether another daemon may serve the request that one did not: it was not sent, or refused because of
+// the state of that daemon.
+func isTransient(err error) bool {
+	if errors.Is(err, exchange.ErrNotSent) {
+		return true
+	}
+	refusal := lending.IsRefusal(err)
+	if refusal == nil || !refusal.NotRun() {
+		return false
+	}
+	switch refusal.Failure.Kind {
+	case outcome.Stopping, outcome.NotReady, outcome.QueueFull, outcome.UpstreamRefused:
+		return true
+	default:
+		return false
+	}
+}
+
+// choose returns the daemons to ask, the best first: with few requests of this one, and of the same data centre.
+func (lender *lender) choose() []mesh.Peer {
+	lender.mutex.Lock()
+	defer lender.mutex.Unlock()
+	type scored struct {
+		mesh.Peer
+		score float64
+	}
+	var candidates []scored
+	for _, peer := range lender.daemon.mesh.Live() {
+		if peer.Leaving || peer.CutOff {
+			continue
+		}
+		score := float64(lender.outstanding[peer.Name]) + rand.Float64()
+		if peer.DataCentre != lender.daemon.settings.DataCentre {
+			score += remoteLenderCost
+		}
+		candidates = append(candidates, scored{peer, score})
+	}
+	slices.SortFunc(candidates, func(a, b scored) int {
+		if a.score < b.score {
+			return -1
+		}
+		return 1
+	})
+	chosen := make([]mesh.Peer, 0, maxLenders)
+	for _, candidate := range candidates[:min(len(candidates), maxLenders)] {
+		chosen = append(chosen, candidate.Peer)
+	}
+	return chosen
+}
+
+// reserve counts a request at the daemon, and returns a function that ends that once.
+func (lender *lender) reserve(name string) func() {
+	lender.mutex.Lock()
+	defer lender.mutex.Unlock()
+	lender.outstanding[name]++
+	return sync.OnceFunc(func() {
+		lender.mutex.Lock()
+		defer lender.mutex.Unlock()
+		if lender.outstanding[name]--; lender.outstanding[name] == 0 {
+			delete(lender.outstanding, name)
+		}
+	})
+}
+
+// lentBody is the body of a response of another daemon.
+type lentBody struct {
+	inner interface {
+		Read(into []byte) (int, error)
+		Close() error
+	}
+	release func()
+}
+
+func (body *lentBody) Read(into []byte) (int, error) { return body.inner.Read(into) }
+
+// Close ends the exchange with the other daemon.
+func (body *lentBody) Close() error {
+	body.release()
+	return body.inner.Close()
+}
+
+// newLendingHandler returns the handler of requests of other daemons' clients.
+func (daemon *Daemon) newLendingHandler() *lending.Handler {
+	return lending.NewHandler(daemon.relay, platform.DecodeRequestHeader, daemon.clock,
+		func(from string, request *exchange.Request, failure *outcome.Error) {
+			daemon.meter.Count(meter.LentRequestsServed, meter.Labels{}, 1)
+			if failure == nil {
+				event.LentRequestServed.Log("Request", request.Metadata.ID, "Daemon", from)
+				return
+			}
+			event.LentRequestServed.Log("Request", request.Metadata.ID, "Daemon", from, "Failure", failure.Error())
+		})
+}
+
+const (
+	// probeInterval is the interval of trying to reach replicas while this daemon reaches none, and probesAtOnce how many.
+	probeInterval = 250 * time.Millisecond
+	probesAtOnce  = 2
+)
+
+// probePaths tries to reach replicas while this daemon reaches none, since requests are passed on through other daemons then.
+func (daemon *Daemon) probePaths(ctx context.Context) error {
+	for ctx.Err() == nil {
+		daemon.sleep(ctx, probeInterval)
+		if _, cutOff := daemon.paths.IsCutOff(); !cutOff {
+			continue
+		}
+		entries := daemon.roster.Entries()
+		for range min(probesAtOnce, len(entries)) {
+			replica := &entries[rand.IntN(len(entries))].Replica
+			go daemon.pool.Probe(ctx, platform.ConnectionKey(replica.Incarnation, replica.Address), replica.Address)
+		}
+	}
+	return ctx.Err()
+}
--- a/front/originrow_test.go
+++ b/front/originrow_test.go
@@ -13,7 +13,8 @@
 
 func TestOriginPageRoundTrip(t *testing.T) {
 	streams := []origin.Stream{
-		{Origin: origin.Origin{Service: "s", Release: "v1"}, ID: "a"}, {Origin: origin.Origin{Service: "s", Release: "v1"}, ID: "c"},
+		{Origin: origin.Origin{Service: "s", Release: "v1"}, ID: "a"},
+		{Origin: origin.Origin{Service: "s", Release: "v1"}, ID: "c"},
 		{Origin: origin.Origin{Service: "s", Release: "v2"}, ID: "b"},
 	}
 	lately := origin.Releases{"s": {"v1", "v2"}, "many": make([]string, 100)}
--- a/front/servers.go
+++ b/front/servers.go
@@ -12,6 +12,7 @@
 
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/ingress"
+	"github.com/bronzestall/bronzestall/lending"
 )
 
 // The bounds of client connections. They exceed what any configuration is expected to allow clients, whose
@@ -39,6 +40,9 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	opened := &servers{clients: clients}
+	peers := http.NewServeMux()
+	peers.Handle("/", daemon.mesh.Handler())
+	peers.Handle(lending.Path, daemon.lent)
 	metrics := http.NewServeMux()
 	metrics.Handle("/metrics", daemon.meter.Handler())
 	for _, next := range []struct {
@@ -47,7 +51,7 @@
 	}{
 		{daemon.settings.ClientAddress, clients},
 		{daemon.settings.ReadyAddress, &http.Server{Handler: ingress.Ready(daemon.isReady), ReadHeaderTimeout: headerTimeout}},
-		{daemon.settings.PeerAddress, &http.Server{Handler: daemon.mesh.Handler(), ReadHeaderTimeout: headerTimeout}},
+		{daemon.settings.PeerAddress, &http.Server{Handler: peers, ReadHeaderTimeout: headerTimeout}},
 		{daemon.settings.MetricsAddress, &http.Server{Handler: metrics, ReadHeaderTimeout: headerTimeout}},
 	} {
 		if next.address == "" {
@@ -110,7 +114,7 @@
 
 // drain waits until the given time. If untilIdle is set, it returns as soon as no request is in flight.
 func (daemon *Daemon) drain(until time.Time, untilIdle bool) {
-	for daemon.clock.Now().Before(until) && (!untilIdle || daemon.ingress.InFlight() > 0) {
+	for daemon.clock.Now().Before(until) && (!untilIdle || daemon.ingress.InFlight()+daemon.lent.InFlight() > 0) {
 		daemon.clock.Sleep(drainInterval)
 	}
 }
--- a/front/tasks.go
+++ b/front/tasks.go
@@ -22,6 +22,11 @@
 			<-ctx.Done()
 			return ctx.Err()
 		}
+		if daemon.cedesLease(ctx) {
+			held = false
+			daemon.waitOrSleep(ctx, daemon.stopStarted, leaseRenewal)
+			continue
+		}
 		if daemon.holderResponds() {
 			daemon.waitOrSleep(ctx, daemon.stopStarted, leaseRenewal)
 			continue
@@ -39,6 +44,23 @@
 	return ctx.Err()
 }
 
+// cutOffBeforeCeding is how long a daemon reaches no replica before it gives up the lease.
+const cutOffBeforeCeding = time.Second
+
+// cedesLease reports whether this daemon must not hold the lease, since it reaches no engine and others do, and releases the
+// lease if it does.
+func (daemon *Daemon) cedesLease(ctx context.Context) bool {
+	since, cutOff := daemon.paths.IsCutOff()
+	if !cutOff || daemon.clock.Since(since) < cutOffBeforeCeding || len(daemon.lender.choose()) == 0 {
+		return false
+	}
+	if _, owned := daemon.lease.Owned(); owned {
+		event.LeaseCeded.Log("Daemon", daemon.settings.Name)
+		daemon.releaseLease(ctx)
+	}
+	return true
+}
+
 // releaseLease releases the lease and notifies other daemons.
 func (daemon *Daemon) releaseLease(ctx context.Context) {
 	if err := daemon.lease.Release(ctx); err != nil {
--- /dev/null
+++ b/lending/client.go
@@ -0,0 +1,140 @@
+package lending
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bronzestall/bronzestall/exchange"
+	"github.com/bronzestall/bronzestall/lending/lendingpb"
+	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/relay"
+)
+
+// Path is the path at which daemons serve lent requests.
+const Path = "/bronzestall.lending.Lending/Serve"
+
+// maxHeadBytes bounds the head of a response.
+const maxHeadBytes = 128 << 10
+
+// Client sends requests to daemons that serve them. It is safe for concurrent use. Use NewClient.
+type Client struct {
+	daemon string
+	http   *http.Client
+}
+
+// NewClient returns a client in the name of the daemon.
+func NewClient(daemon string, client *http.Client) *Client {
+	return &Client{daemon: daemon, http: client}
+}
+
+// Send sends the request to the daemon at the address and returns the response once its head was read. It fails with
+// exchange.ErrNotSent, exchange.ErrLost or a *relay.Refusal.
+func (client *Client) Send(ctx context.Context, address string, request *exchange.Request, budget time.Duration, allowance relay.Allowance) (*relay.LentReply, error) {
+	content, err := proto.Marshal(client.encode(request, budget, allowance))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", exchange.ErrNotSent, err)
+	}
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
+	outgoing, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+Path, bytes.NewReader(content))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", exchange.ErrNotSent, err)
+	}
+	response, err := client.http.Do(outgoing)
+	if err != nil && !connected.Load() {
+		return nil, fmt.Errorf("%w: %w", exchange.ErrNotSent, err)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", exchange.ErrLost, err)
+	}
+	return decodeResponse(response)
+}
+
+// encode encodes the request.
+func (client *Client) encode(request *exchange.Request, budget time.Duration, allowance relay.Allowance) *lendingpb.Request {
+	return &lendingpb.Request{
+		Method:        []byte(request.Method),
+		Target:        []byte(request.Target),
+		Host:          []byte(request.Host),
+		Path:          []byte(request.Path),
+		Header:        encodeHeader(request.Header),
+		Body:          request.Body,
+		Budget:        uint64(max(budget.Milliseconds(), 1)),
+		Attempts:      uint64(max(allowance.Attempts, 1)),
+		Service:       []byte(allowance.Service),
+		Release:       []byte(allowance.Release),
+		ResumeAfter:   allowance.ResumeAfter,
+		Configuration: allowance.Configuration,
+		Daemon:        client.daemon,
+	}
+}
+
+// decodeResponse reads the head of a response.
+func decodeResponse(response *http.Response) (*relay.LentReply, error) {
+	if response.StatusCode != http.StatusOK {
+		_ = response.Body.Close()
+		return nil, &relay.Refusal{Failure: outcome.New(outcome.NotReady, "a daemon serves no others: %s", response.Status)}
+	}
+	reader := bufio.NewReader(response.Body)
+	head := &lendingpb.Head{}
+	if err := (protodelim.UnmarshalOptions{MaxSize: maxHeadBytes}).UnmarshalFrom(reader, head); err != nil {
+		_ = response.Body.Close()
+		return nil, fmt.Errorf("%w: %w", exchange.ErrLost, err)
+	}
+	if head.GetRefusal() != "" {
+		_ = response.Body.Close()
+		return nil, decodeRefusal(head)
+	}
+	return &relay.LentReply{
+		Reply: &exchange.Reply{
+			Status:      int(head.GetStatus()),
+			Header:      decodeHeader(head.GetHeader()),
+			Signed:      true,
+			EventStream: head.GetEventStream(),
+			Length:      -1,
+			Body:        &bodyReader{reader, response.Body},
+		},
+		Release: string(head.GetRelease()),
+		Runs:    int(head.GetRuns()),
+	}, nil
+}
+
+// decodeRefusal decodes a refusal. One of an unknown kind may have run.
+func decodeRefusal(head *lendingpb.Head) error {
+	kind := outcome.Internal
+	for _, known := range outcome.Kinds() {
+		if known.String() == head.GetRefusal() {
+			kind = known
+		}
+	}
+	failure := outcome.New(kind, "%s", head.GetMessage()).WithRetryAfter(time.Duration(head.GetRetryAfter()) * time.Millisecond)
+	return &relay.Refusal{Failure: failure, Runs: int(head.GetRuns())}
+}
+
+// bodyReader reads the body after the head.
+type bodyReader struct {
+	io.Reader
+	inner io.Closer
+}
+
+func (body *bodyReader) Close() error { return body.inner.Close() }
+
+// IsRefusal returns the refusal that err is, or nil.
+func IsRefusal(err error) *relay.Refusal {
+	var refusal *relay.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return nil
+}
--- /dev/null
+++ b/lending/lending_test.go
@@ -0,0 +1,155 @@
+package lending
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"k8s.io/utils/clock"
+
+	"github.com/bronzestall/bronzestall/exchange"
+	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/relay"
+)
+
+// server is a Relay that answers as the test says.
+type server struct {
+	serve     func(ctx context.Context, sink relay.Sink) (relay.Summary, *outcome.Error)
+	request   *exchange.Request
+	allowance relay.Allowance
+}
+
+func (server *server) ServeLent(ctx context.Context, request *exchange.Request, allowance relay.Allowance, sink relay.Sink) (relay.Summary, *outcome.Error) {
+	server.request, server.allowance = request, allowance
+	return server.serve(ctx, sink)
+}
+
+// start returns the address of a daemon with the relay.
+func start(t *testing.T, server *server) string {
+	t.Helper()
+	decode := func(sent http.Header) (http.Header, exchange.Metadata) {
+		return sent, exchange.Metadata{ID: sent.Get("Id")}
+	}
+	mux := http.NewServeMux()
+	mux.Handle(Path, NewHandler(server, decode, clock.RealClock{}, func(string, *exchange.Request, *outcome.Error) {}))
+	opened := httptest.NewServer(mux)
+	t.Cleanup(opened.Close)
+	return strings.TrimPrefix(opened.URL, "http://")
+}
+
+func TestRequestAndResponsePassUnchanged(t *testing.T) {
+	served := &server{serve: func(_ context.Context, into relay.Sink) (relay.Summary, *outcome.Error) {
+		into.(*sink).NameSender("v2", 1)
+		into.Head(207, http.Header{"X-Odd": {"\xff\xfe", "b"}, "Content-Type": {"text/event-stream"}}, -1)
+		_ = into.Write([]byte("id: 1\n\n"))
+		_ = into.Write([]byte("\x00\xff"))
+		return relay.Summary{}, nil
+	}}
+	request := &exchange.Request{
+		Method: "PUT", Target: "/a%2Fb?c=\xe4", Path: "/a/b", Host: "h.example", Body: []byte("\x00body\xff"),
+		Header: http.Header{"Id": {"7"}, "X-Twice": {"1", "\xff"}},
+	}
+	allowance := relay.Allowance{Attempts: 2, Service: "s", Release: "v2", ResumeAfter: 9, Configuration: 11}
+	reply, err := NewClient("a", http.DefaultClient).Send(t.Context(), start(t, served), request, 1500*time.Millisecond, allowance)
+	if err != nil {
+		t.Fatal(err)
+	}
+	content, err := io.ReadAll(reply.Body)
+	if err != nil || string(content) != "id: 1\n\n\x00\xff" || reply.Status != 207 || !reply.EventStream || reply.Release != "v2" || reply.Runs != 1 {
+		t.Errorf("got %q, %v, %+v", content, err, reply)
+	}
+	if values := reply.Header["X-Odd"]; len(values) != 2 || values[0] != "\xff\xfe" {
+		t.Errorf("headers are %q", reply.Header)
+	}
+	got := served.request
+	if got.Method != request.Method || got.Target != request.Target || got.Path != request.Path || got.Host != request.Host || string(got.Body) != string(request.Body) {
+		t.Errorf("the request is %+v", got)
+	}
+	if !reflect.DeepEqual(got.Header, request.Header) || got.Metadata.ClientTimeout != 1500*time.Millisecond || served.allowance != allowance {
+		t.Errorf("headers %q, %+v, allowance %+v", got.Header, got.Metadata, served.allowance)
+	}
+}
+
+func TestEndsOfLentRequests(t *testing.T) {
+	cases := []struct {
+		name  string
+		serve func(ctx context.Context, sink relay.Sink) (relay.Summary, *outcome.Error)
+		// refused is the kind of the refusal, or -1; notRun states that it says so, truthfully.
+		refused outcome.Kind
+		notRun  bool
+	}{
+		{"refused before any sending", func(context.Context, relay.Sink) (relay.Summary, *outcome.Error) {
+			return relay.Summary{}, outcome.New(outcome.QueueFull, "full").WithRetryAfter(time.Second)
+		}, outcome.QueueFull, true},
+		{"refused after a sending that may have run", func(context.Context, relay.Sink) (relay.Summary, *outcome.Error) {
+			return relay.Summary{Runs: 1}, outcome.New(outcome.NoReplica, "gone")
+		}, outcome.NoReplica, false},
+		{"lost", func(context.Context, relay.Sink) (relay.Summary, *outcome.Error) {
+			return relay.Summary{Runs: 1}, outcome.New(outcome.UpstreamLost, "lost")
+		}, outcome.UpstreamLost, false},
+		{"broken off midway", func(_ context.Context, sink relay.Sink) (relay.Summary, *outcome.Error) {
+			sink.Head(200, nil, -1)
+			_ = sink.Write([]byte("id: 1\n\n"))
+			return relay.Summary{Runs: 1}, outcome.New(outcome.UpstreamLost, "lost")
+		}, -1, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			reply, err := NewClient("a", http.DefaultClient).Send(t.Context(), start(t, &server{serve: c.serve}), &exchange.Request{Method: "GET"}, time.Second, relay.Allowance{})
+			if refusal := IsRefusal(err); refusal != nil {
+				if refusal.Failure.Kind != c.refused || refusal.NotRun() != c.notRun {
+					t.Errorf("refused as %v, not run: %v", refusal, refusal.NotRun())
+				}
+				return
+			}
+			if err != nil || c.refused >= 0 {
+				t.Fatalf("not refused: %v", err)
+			}
+			if _, err := io.ReadAll(reply.Body); err == nil {
+				t.Error("a response that broke off looks complete")
+			}
+		})
+	}
+}
+
+// TestClientThatLeavesEndsTheRun checks that the daemon that serves a lent request learns that its client has left.
+func TestClientThatLeavesEndsTheRun(t *testing.T) {
+	ended := make(chan struct{})
+	address := start(t, &server{serve: func(ctx context.Context, _ relay.Sink) (relay.Summary, *outcome.Error) {
+		<-ctx.Done()
+		close(ended)
+		return relay.Summary{Runs: 1}, outcome.New(outcome.CallerGone, "gone")
+	}})
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	if _, err := NewClient("a", http.DefaultClient).Send(ctx, address, &exchange.Request{Method: "GET"}, time.Second, relay.Allowance{}); !errors.Is(err, exchange.ErrLost) {
+		t.Errorf("the request ended with %v", err)
+	}
+	<-ended
+}
+
+func TestDaemonThatDoesNotListenGotNothing(t *testing.T) {
+	_, err := NewClient("a", http.DefaultClient).Send(t.Context(), "127.0.0.1:1", &exchange.Request{Method: "GET"}, time.Second, relay.Allowance{})
+	if !errors.Is(err, exchange.ErrNotSent) {
+		t.Errorf("the request ended with %v", err)
+	}
+}
+
+// FuzzRequest checks that no message ends the daemon.
+func FuzzRequest(f *testing.F) {
+	f.Add([]byte(""))
+	f.Add([]byte("\x0a\x03GET\x12\x01/\x2a\x04\x0a\x02Id"))
+	handler := NewHandler(&server{serve: func(context.Context, relay.Sink) (relay.Summary, *outcome.Error) {
+		return relay.Summary{}, outcome.New(outcome.NotReady, "no")
+	}}, func(sent http.Header) (http.Header, exchange.Metadata) { return sent, exchange.Metadata{} }, clock.RealClock{},
+		func(string, *exchange.Request, *outcome.Error) {})
+	f.Fuzz(func(_ *testing.T, content []byte) {
+		handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, Path, strings.NewReader(string(content))))
+	})
+}
--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -44,6 +44,7 @@
 		StoreAge:      uint64(heartbeat.StoreAge.Milliseconds()),
 		Fence:         heartbeat.Fence,
 		Leaving:       heartbeat.Leaving,
+		CutOff:        heartbeat.CutOff,
 	}
 }
 
@@ -60,6 +61,7 @@
 			StoreAge:             milliseconds(encoded.GetStoreAge()),
 			Fence:                encoded.GetFence(),
 			Leaving:              encoded.GetLeaving(),
+			CutOff:               encoded.GetCutOff(),
 		},
 	}
 }
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -23,6 +23,8 @@
 	Fence uint64
 	// Leaving is set if it is shutting down.
 	Leaving bool
+	// CutOff is set if it reaches no replica.
+	CutOff bool
 }
 
 // Peer is what is known of another daemon.
--- a/meter/name.go
+++ b/meter/name.go
@@ -51,6 +51,9 @@
 	OriginsLate Name = "bronzestall_origins_late"
 	// OriginsEvicted is the number of origins that were dropped because there were too many.
 	OriginsEvicted Name = "bronzestall_origins_evicted"
+	// RequestsLent counts the requests that another daemon served, and LentRequestsServed those served for others.
+	RequestsLent       Name = "bronzestall_requests_lent"
+	LentRequestsServed Name = "bronzestall_lent_requests_served"
 	// PathsLost is the number of replicas that the daemon failed to reach when it last tried.
 	PathsLost Name = "bronzestall_paths_lost"
 	// StoreEra is the era of the platform's store; it rises when the store comes back from an older copy.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -60,6 +60,11 @@
 	if reply.NotRun {
 		return transaction.rejectAttempt(candidate, reply)
 	}
+	return transaction.passOn(ctx, candidate, reply, watchdog, attemptRecord)
+}
+
+// passOn passes a response on to the client.
+func (transaction *transaction) passOn(ctx context.Context, candidate balance.Candidate, reply *exchange.Reply, watchdog *watchdog, attemptRecord *attemptRecord) result {
 	if transaction.sink.Begun() && !(reply.Success() && reply.EventStream) {
 		return transaction.endResumption(candidate, outcome.UpstreamLost, "the replica did not resume the stream: "+http.StatusText(reply.Status))
 	}
@@ -69,6 +74,20 @@
 	return transaction.completeResponse(ctx, candidate, reply, attemptRecord)
 }
 
+// endAt records the end of an attempt at the candidate.
+func (transaction *transaction) endAt(candidate balance.Candidate, failed bool) {
+	if !transaction.lending {
+		transaction.relay.deps.Balancer.Done(candidate.Incarnation, failed, transaction.relay.deps.Clock.Now())
+	}
+}
+
+// cancelAt records the end of an attempt that says nothing about the health of the candidate.
+func (transaction *transaction) cancelAt(candidate balance.Candidate) {
+	if !transaction.lending {
+		transaction.relay.deps.Balancer.Cancel(candidate.Incarnation)
+	}
+}
+
 // markSent records that the request is sent to the replica, and reports whether it was before.
 func (transaction *transaction) markSent(replica topology.Incarnation) bool {
 	if slices.Contains(transaction.sentTo, replica) {
@@ -92,27 +111,28 @@
 		transaction.runs--
 		transaction.relay.deps.Limiter.Return(transaction.permit, now)
 		if ctx.Err() != nil {
-			transaction.relay.deps.Balancer.Cancel(candidate.Incarnation)
+			transaction.cancelAt(candidate)
 			return result{failure: contextFailure(ctx, transaction.runs > 0), notRun: true, unsent: true}
 		}
-		transaction.relay.deps.Balancer.Done(candidate.Incarnation, true, now)
+		transaction.endAt(candidate, true)
+		transaction.unreached++
 		failure := outcome.New(outcome.UpstreamRefused, "%s", err.Error()).WithRetryAfter(retryAfterBusy)
 		return result{failure: failure, notRun: true, unsent: true}
 	}
-	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStopped) {
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStopped) && !transaction.lending {
 		transaction.relay.deps.Suspects.NoResponse(transaction.causes, CrashOf(candidate.Incarnation), now)
 	}
 	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled) {
 		deadlinePassed := errors.Is(context.Cause(ctx), errDeadline)
 		if deadlinePassed {
-			transaction.relay.deps.Balancer.Done(candidate.Incarnation, true, now)
+			transaction.endAt(candidate, true)
 		} else {
-			transaction.relay.deps.Balancer.Cancel(candidate.Incarnation)
+			transaction.cancelAt(candidate)
 		}
 		return result{failure: contextFailure(ctx, true)}
 	}
-	transaction.relay.deps.Balancer.Done(candidate.Incarnation, true, now)
-	if ctx.Err() == nil {
+	transaction.endAt(candidate, true)
+	if ctx.Err() == nil && !transaction.lending {
 		transaction.countCrash(candidate, now)
 	}
 	if errors.Is(err, exchange.ErrInvalidResponse) {
@@ -125,14 +145,14 @@
 func (transaction *transaction) rejectAttempt(candidate balance.Candidate, reply *exchange.Reply) result {
 	transaction.runs--
 	_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, maxResponseBytes))
-	transaction.relay.deps.Balancer.Cancel(candidate.Incarnation)
+	transaction.cancelAt(candidate)
 	failure := outcome.New(outcome.UpstreamRefused, "%s", "the replica did not run the request: "+http.StatusText(reply.Status))
 	return result{failure: failure.WithRetryAfter(retryAfterBusy), notRun: true, misdirected: reply.Misdirected}
 }
 
 // endResumption ends an attempt to resume a stream whose response has nothing that may follow what the client has.
 func (transaction *transaction) endResumption(candidate balance.Candidate, kind outcome.Kind, reason string) result {
-	transaction.relay.deps.Balancer.Done(candidate.Incarnation, true, transaction.relay.deps.Clock.Now())
+	transaction.endAt(candidate, true)
 	return result{failure: outcome.New(kind, "%s", reason)}
 }
 
@@ -162,15 +182,15 @@
 		return transaction.failAttempt(ctx, candidate, exchange.ErrInvalidResponse)
 	}
 	attemptRecord.firstEvent()
-	now := transaction.relay.deps.Clock.Now()
 	failed := reply.Status >= http.StatusInternalServerError
-	transaction.relay.deps.Balancer.Done(candidate.Incarnation, failed, now)
+	transaction.endAt(candidate, failed)
 	response := &completeResponse{reply, content}
-	if failed && transaction.route.Repeatable() && transaction.runs < transaction.route.MaxAttempts {
+	if failed && transaction.route.Repeatable() && transaction.runs < transaction.maxRuns {
 		transaction.failedResponse = response
 		return result{failure: outcome.New(outcome.UpstreamLost, "%s", "the replica failed: "+http.StatusText(reply.Status))}
 	}
 	transaction.countAnswer(reply.Success())
+	transaction.nameSender()
 	response.deliver(transaction.sink)
 	return result{done: true}
 }
--- a/relay/continuation.go
+++ b/relay/continuation.go
@@ -43,7 +43,7 @@
 // findOrigin sets the release at which a stream that the client takes up may go on. It returns the refusal of the request if
 // that is not known: what two releases write cannot be joined.
 func (transaction *transaction) findOrigin(ctx context.Context) *outcome.Error {
-	if !transaction.takesUp() {
+	if !transaction.takesUp() || transaction.release != "" {
 		return nil
 	}
 	metadata := &transaction.request.Metadata
--- /dev/null
+++ b/relay/lender.go
@@ -0,0 +1,152 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/bronzestall/bronzestall/balance"
+	"github.com/bronzestall/bronzestall/exchange"
+	"github.com/bronzestall/bronzestall/outcome"
+)
+
+// maxUnreached is the number of replicas that a request fails to reach before it is passed on through another daemon.
+const maxUnreached = 2
+
+// Lender passes requests on through other daemons, which reach the replicas. It is safe for concurrent use.
+type Lender interface {
+	// CutOff reports whether this daemon reaches no replica.
+	CutOff() bool
+	// Lend makes one attempt through another daemon, which has the budget for it, and returns the response once its head was
+	// read. It fails with exchange.ErrNotSent if no daemon took the request, exchange.ErrLost or a *Refusal.
+	Lend(ctx context.Context, request *exchange.Request, budget time.Duration, allowance Allowance) (*LentReply, error)
+}
+
+// Allowance is what a daemon may do for a request of another daemon's client.
+type Allowance struct {
+	// Attempts is the largest number of replicas that may run the request; at least one.
+	Attempts int
+	// Service and Release name where a stream goes on; both are empty for a new one.
+	Service, Release string
+	// ResumeAfter is the ID of the last event that the client has received within this answer; zero if it has none.
+	ResumeAfter uint64
+	// Configuration is the version by which the request was routed. No older one may serve it.
+	Configuration uint64
+}
+
+// LentReply is the response to an attempt through another daemon.
+type LentReply struct {
+	*exchange.Reply
+	// Daemon is the name of that daemon.
+	Daemon string
+	// Release is that of the replica.
+	Release string
+	// Runs is the number of replicas that may have run the request.
+	Runs int
+}
+
+// Refusal is the error of an attempt that another daemon did not answer.
+type Refusal struct {
+	// Failure is the reason.
+	Failure *outcome.Error
+	// Runs is the number of replicas that may have run the request.
+	Runs int
+}
+
+// Error returns the reason.
+func (refusal *Refusal) Error() string { return refusal.Failure.Error() }
+
+// NotRun reports whether the request has certainly not run.
+func (refusal *Refusal) NotRun() bool {
+	return refusal.Runs == 0 && refusal.Failure.Kind.Entry().Execution == outcome.NotRun
+}
+
+// ServeLent answers the request of another daemon's client through the sink, or returns why it did not. It passes the request to
+// no further daemon.
+func (relay *Relay) ServeLent(ctx context.Context, request *exchange.Request, allowance Allowance, sink Sink) (Summary, *outcome.Error) {
+	configuration, route, failure := relay.match(request)
+	if failure != nil {
+		return Summary{Configuration: versionOf(configuration)}, failure
+	}
+	if configuration.Version < allowance.Configuration {
+		return Summary{}, outcome.New(outcome.NotReady, "the configuration %d is not known yet", allowance.Configuration)
+	}
+	service, known := configuration.Services[allowance.Service]
+	if !known {
+		service = configuration.Services[pickTarget(route.Targets, streamID(request))]
+	}
+	return relay.serve(ctx, &transaction{
+		request: request, configuration: configuration, route: route, service: service, sink: sink, lent: true,
+		maxRuns: min(route.MaxAttempts, allowance.Attempts), release: allowance.Release, lastEvent: allowance.ResumeAfter,
+	})
+}
+
+// lends reports whether the next attempt goes through another daemon: this one reaches no replica, or none that has what the
+// request needs.
+func (transaction *transaction) lends() bool {
+	lender := transaction.relay.deps.Lender
+	if lender == nil || transaction.lent || transaction.lendFailed {
+		return false
+	}
+	return transaction.unreached >= maxUnreached || lender.CutOff()
+}
+
+// lend makes one attempt through another daemon. It returns false if no daemon took the request.
+func (transaction *transaction) lend(ctx context.Context) (result, bool) {
+	transaction.sends++
+	reply, err := transaction.relay.deps.Lender.Lend(ctx, transaction.request, transaction.remaining(), transaction.allowance())
+	if err != nil {
+		return transaction.failLent(ctx, err)
+	}
+	defer reply.Body.Close()
+	transaction.lending = true
+	defer func() { transaction.lending = false }()
+	transaction.runs += max(reply.Runs, 1)
+	transaction.summary.Lender = reply.Daemon
+	return transaction.passOn(ctx, balance.Candidate{Release: reply.Release}, reply.Reply, nil, nil), true
+}
+
+// allowance returns what another daemon may do for the request.
+func (transaction *transaction) allowance() Allowance {
+	allowance := Allowance{
+		Attempts:      max(transaction.maxRuns-transaction.runs, 1),
+		Release:       transaction.release,
+		ResumeAfter:   transaction.lastEvent,
+		Configuration: transaction.configuration.Version,
+	}
+	if transaction.release != "" {
+		allowance.Service = transaction.service.Name
+	}
+	return allowance
+}
+
+// failLent ends an attempt through another daemon that got no response. It returns false if no daemon took the request.
+func (transaction *transaction) failLent(ctx context.Context, err error) (result, bool) {
+	if errors.Is(err, exchange.ErrNotSent) {
+		transaction.lendFailed = true
+		transaction.sends--
+		return result{}, false
+	}
+	var refusal *Refusal
+	if errors.As(err, &refusal) {
+		transaction.runs += refusal.Runs
+		return result{failure: refusal.Failure, notRun: refusal.NotRun()}, true
+	}
+	transaction.runs++
+	if ctx.Err() != nil {
+		return result{failure: contextFailure(ctx, true)}, true
+	}
+	return result{failure: outcome.New(outcome.UpstreamLost, "%s", err.Error())}, true
+}
+
+// senderNamer is a Sink that passes on which release responds. NameSender is called before Head.
+type senderNamer interface {
+	NameSender(release string, runs int)
+}
+
+// nameSender tells the sink of another daemon which release responds.
+func (transaction *transaction) nameSender() {
+	if sink, ok := transaction.sink.(senderNamer); ok {
+		sink.NameSender(transaction.release, transaction.runs)
+	}
+}
--- a/relay/record.go
+++ b/relay/record.go
@@ -31,9 +31,9 @@
 	return record
 }
 
-// firstEvent records the arrival of the first event. Further calls have no effect.
+// firstEvent records the arrival of the first event. Further calls, and those of a nil record, have no effect.
 func (attemptRecord *attemptRecord) firstEvent() {
-	if attemptRecord.waitEnded {
+	if attemptRecord == nil || attemptRecord.waitEnded {
 		return
 	}
 	attemptRecord.endWait(true)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -40,6 +40,8 @@
 	Limiter *ratelimit.Limiter
 	// Origins knows which releases began streams.
 	Origins Origins
+	// Lender passes requests on through other daemons; nil means that there is none.
+	Lender Lender
 	// DaemonIndex returns the index of the daemon among all daemons; nil means zero.
 	DaemonIndex func() int
 	// Clock provides the time and timers.
@@ -128,30 +130,51 @@
 // Serve answers the request through the sink, or returns why it did not. If it fails after the sink has begun, the
 // caller must abort the response.
 func (relay *Relay) Serve(ctx context.Context, request *exchange.Request, sink Sink) (Summary, *outcome.Error) {
+	configuration, route, failure := relay.match(request)
+	if failure != nil {
+		return Summary{Configuration: versionOf(configuration)}, failure
+	}
+	service := configuration.Services[pickTarget(route.Targets, streamID(request))]
+	return relay.serve(ctx, &transaction{request: request, configuration: configuration, route: route, service: service, sink: sink, maxRuns: route.MaxAttempts})
+}
+
+// versionOf returns the version of the configuration; zero if it is nil.
+func versionOf(configuration *topology.Configuration) uint64 {
+	if configuration == nil {
+		return 0
+	}
+	return configuration.Version
+}
+
+// match returns the configuration in force and the route of the request, or why it cannot be served now.
+func (relay *Relay) match(request *exchange.Request) (*topology.Configuration, *topology.Route, *outcome.Error) {
 	if relay.isStopping() {
-		return Summary{}, outcome.New(outcome.Stopping, "the daemon is shutting down").WithRetryAfter(retryAfterStop)
+		return nil, nil, outcome.New(outcome.Stopping, "the daemon is shutting down").WithRetryAfter(retryAfterStop)
 	}
 	configuration := relay.Configuration()
 	if configuration == nil {
-		return Summary{}, outcome.New(outcome.NotReady, "no configuration is known yet").WithRetryAfter(time.Second)
+		return nil, nil, outcome.New(outcome.NotReady, "no configuration is known yet").WithRetryAfter(time.Second)
 	}
 	route := configuration.Match(request.Host, request.Path)
 	if route == nil {
-		return Summary{Configuration: configuration.Version}, outcome.New(outcome.UnknownPath, "no route has this host and path")
+		return configuration, nil, outcome.New(outcome.UnknownPath, "no route has this host and path")
 	}
-	service := configuration.Services[pickTarget(route.Targets, streamID(request))]
-	deadline := relay.deadline(request, route)
-	ctx, cancel := context.WithTimeoutCause(ctx, deadline.Sub(relay.deps.Clock.Now()), errDeadline)
+	return configuration, route, nil
+}
+
+// serve runs the transaction.
+func (relay *Relay) serve(ctx context.Context, transaction *transaction) (Summary, *outcome.Error) {
+	transaction.relay = relay
+	transaction.causes = causes(transaction.request)
+	transaction.deadline = relay.deadline(transaction.request, transaction.route)
+	ctx, cancel := context.WithTimeoutCause(ctx, transaction.deadline.Sub(relay.deps.Clock.Now()), errDeadline)
 	defer cancel()
 	ctx, stop := relay.withShutdown(ctx)
 	defer stop()
-	transaction := &transaction{
-		relay: relay, request: request, configuration: configuration, causes: causes(request), route: route, service: service, sink: sink, deadline: deadline,
-	}
-	transaction.summary = Summary{Route: route.Name, Configuration: configuration.Version, Fingerprint: transaction.causes.Request}
+	transaction.summary = Summary{Route: transaction.route.Name, Configuration: transaction.configuration.Version, Fingerprint: transaction.causes.Request}
 	failure := transaction.run(ctx)
 	transaction.recordEnd(failure)
-	transaction.summary.Sends = transaction.sends
+	transaction.summary.Sends, transaction.summary.Runs = transaction.sends, transaction.runs
 	return transaction.summary, failure
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -29,7 +29,7 @@
 			}
 			transaction.recordOrigin(ctx, candidate)
 			if failure := transaction.forward(reply, events); failure != nil {
-				transaction.relay.deps.Balancer.Cancel(candidate.Incarnation)
+				transaction.cancelAt(candidate)
 				return result{failure: failure}
 			}
 		}
@@ -55,6 +55,7 @@
 		return nil
 	}
 	if !transaction.sink.Begun() {
+		transaction.nameSender()
 		transaction.sink.Head(reply.Status, reply.Header, -1)
 	}
 	if err := transaction.sink.Write(fresh); err != nil {
@@ -67,9 +68,10 @@
 // finishStream ends the attempt of a stream that is complete.
 func (transaction *transaction) finishStream(candidate balance.Candidate, reply *exchange.Reply) result {
 	if !transaction.sink.Begun() {
+		transaction.nameSender()
 		transaction.sink.Head(reply.Status, reply.Header, -1)
 	}
-	transaction.relay.deps.Balancer.Done(candidate.Incarnation, false, transaction.relay.deps.Clock.Now())
+	transaction.endAt(candidate, false)
 	transaction.countAnswer(true)
 	return result{done: true}
 }
--- a/relay/summary.go
+++ b/relay/summary.go
@@ -19,6 +19,10 @@
 	InFlight int
 	// Sends is the number of attempts.
 	Sends int
+	// Runs is the number of replicas that may have run the request.
+	Runs int
+	// Lender is the daemon through which the last attempt went; empty if there was none.
+	Lender string
 	// Waited is how long the request waited for its model or adapter.
 	Waited time.Duration
 }
--- a/relay/transaction.go
+++ b/relay/transaction.go
@@ -45,6 +45,14 @@
 	service  topology.Service
 	sink     Sink
 	deadline time.Time
+	// maxRuns is the largest number of replicas that may run the request.
+	maxRuns int
+	// lent is set if another daemon received the request from its client.
+	lent bool
+	// lending is set during an attempt through another daemon, and lendFailed once no daemon took the request.
+	lending, lendFailed bool
+	// unreached counts the attempts that could not be sent.
+	unreached int
 	// sends counts the attempts, and runs those of them that may have run the request.
 	sends, runs int
 	// tried lists the replicas whose attempts failed; the balancer chooses them last.
@@ -75,9 +83,21 @@
 	if failure := transaction.findOrigin(ctx); failure != nil {
 		return failure
 	}
-	relay.deps.Demand.AddArrival(transaction.key(), transaction.request.Metadata.PromptTokens, transaction.route.LatencyTarget, transaction.request.Arrived)
-	relay.budget(transaction.service.Name).Deposit()
+	if !transaction.lent {
+		relay.deps.Demand.AddArrival(transaction.key(), transaction.request.Metadata.PromptTokens, transaction.route.LatencyTarget, transaction.request.Arrived)
+		relay.budget(transaction.service.Name).Deposit()
+	}
 	for {
+		if transaction.lends() {
+			result, taken := transaction.lend(ctx)
+			if taken && result.done {
+				return nil
+			}
+			if taken && (result.notRun || !transaction.prepareRetry(ctx, balance.Candidate{}, result)) {
+				return transaction.finalFailure(ctx, result.failure)
+			}
+			continue
+		}
 		candidate, failure := transaction.selectReplica(ctx)
 		if failure != nil {
 			return transaction.finalFailure(ctx, failure)
@@ -104,6 +124,7 @@
 // instead. If an earlier attempt may have run the request, the result never claims that it has not run.
 func (transaction *transaction) finalFailure(ctx context.Context, failure *outcome.Error) *outcome.Error {
 	if transaction.failedResponse != nil && ctx.Err() == nil && !transaction.sink.Begun() {
+		transaction.nameSender()
 		transaction.failedResponse.deliver(transaction.sink)
 		return nil
 	}
@@ -123,7 +144,7 @@
 	if transaction.sink.Begun() && !transaction.route.Resumable {
 		return false
 	}
-	if !result.notRun && (!transaction.route.Repeatable() || transaction.runs >= transaction.route.MaxAttempts) {
+	if !result.notRun && (!transaction.route.Repeatable() || transaction.runs >= transaction.maxRuns) {
 		return false
 	}
 	if !result.unsent && !transaction.relay.budget(transaction.service.Name).Withdraw() {
--- a/relay/watchdog.go
+++ b/relay/watchdog.go
@@ -30,7 +30,7 @@
 // not be retried or its route has no latency target.
 func (transaction *transaction) watchdog(cancel context.CancelCauseFunc) *watchdog {
 	route := transaction.route
-	if !route.Repeatable() || transaction.runs+1 >= route.MaxAttempts || route.LatencyTarget == 0 {
+	if !route.Repeatable() || transaction.runs+1 >= transaction.maxRuns || route.LatencyTarget == 0 {
 		return nil
 	}
 	first := time.Duration(stallTargetsIdempotent * float64(route.LatencyTarget))
