Send to replicas that the daemon reaches, and pass on what only others reach

What callers saw: where a daemon had lost its links to most replicas only, each request first tried two of them, half a second each where the links hang. Cause: nothing outlived a request that had failed to reach a replica but the ejection after failures in a row. Lost replicas are tried again every 250 ms, apart from requests. Failing test: relay.TestLostReplicasAreAvoided.

--- a/front/lender.go
+++ b/front/lender.go
@@ -17,6 +17,7 @@
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/platform"
 	"github.com/bronzestall/bronzestall/relay"
+	"github.com/bronzestall/bronzestall/topology"
 )
 
 const (
@@ -51,6 +52,16 @@
 	return cutOff
 }
 
+// AnyLost reports whether this daemon failed to reach a replica lately.
+func (lender *lender) AnyLost() bool {
+	return lender.daemon.paths.LostCount() > 0
+}
+
+// Lost reports whether this daemon failed to reach the replica lately.
+func (lender *lender) Lost(replica topology.Incarnation, address string) bool {
+	return lender.daemon.paths.IsLost(platform.ConnectionKey(replica, address), lender.daemon.clock.Now())
+}
+
 // Lend sends the request to one daemon after the other until one takes it.
 func (lender *lender) Lend(ctx context.Context, request *exchange.Request, budget time.Duration, allowance relay.Allowance) (*relay.LentReply, error) {
 	var last error = exchange.ErrNotSent
@@ -171,23 +182,36 @@
 }
 
 const (
-	// probeInterval is the interval of trying to reach replicas while this daemon reaches none, and probesAtOnce how many.
+	// probeInterval is the interval of trying to reach lost replicas again: minProbes of them at once, or one in probeShare if
+	// that is more.
 	probeInterval = 250 * time.Millisecond
-	probesAtOnce  = 2
+	minProbes     = 2
+	probeShare    = 4
 )
 
-// probePaths tries to reach replicas while this daemon reaches none, since requests are passed on through other daemons then.
+// probePaths tries to reach lost replicas again, since requests avoid them.
 func (daemon *Daemon) probePaths(ctx context.Context) error {
 	for ctx.Err() == nil {
 		daemon.sleep(ctx, probeInterval)
-		if _, cutOff := daemon.paths.IsCutOff(); !cutOff {
+		if daemon.paths.LostCount() == 0 {
 			continue
 		}
-		entries := daemon.roster.Entries()
-		for range min(probesAtOnce, len(entries)) {
-			replica := &entries[rand.IntN(len(entries))].Replica
+		lost := daemon.lostReplicas()
+		for _, index := range rand.Perm(len(lost))[:min(max(minProbes, len(lost)/probeShare), len(lost))] {
+			replica := &lost[index]
 			go daemon.pool.Probe(ctx, platform.ConnectionKey(replica.Incarnation, replica.Address), replica.Address)
 		}
 	}
 	return ctx.Err()
 }
+
+// lostReplicas returns the replicas that this daemon failed to reach lately.
+func (daemon *Daemon) lostReplicas() []topology.Replica {
+	var lost []topology.Replica
+	for _, entry := range daemon.roster.Entries() {
+		if daemon.lender.Lost(entry.Replica.Incarnation, entry.Replica.Address) {
+			lost = append(lost, entry.Replica)
+		}
+	}
+	return lost
+}
--- a/reach/paths.go
+++ b/reach/paths.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -18,6 +19,8 @@
 	mutex sync.Mutex
 	// replicas maps the keys of replicas to what is known of the path.
 	replicas map[string]path
+	// lost is the number of replicas whose last attempt to be reached failed.
+	lost atomic.Int64
 	// reached is when any replica was last reached.
 	reached time.Time
 	// cutOff is set while the daemon counts as cut off, since cutSince.
@@ -52,6 +55,9 @@
 	paths.mutex.Lock()
 	defer paths.mutex.Unlock()
 	known := paths.replicas[key]
+	if !known.lost.IsZero() {
+		paths.lost.Add(-1)
+	}
 	known.reached, known.lost = now, time.Time{}
 	paths.replicas[key] = known
 	paths.reached = now
@@ -71,6 +77,9 @@
 	if known.reached.After(begun) {
 		return Unchanged
 	}
+	if known.lost.IsZero() {
+		paths.lost.Add(1)
+	}
 	known.lost = now
 	paths.replicas[key] = known
 	if paths.cutOff || paths.reached.After(begun) {
@@ -104,26 +113,22 @@
 	return paths.cutSince, paths.cutOff
 }
 
-// LostCount returns the number of replicas whose last attempt to be reached failed.
+// LostCount returns the number of replicas whose last attempt to be reached failed. It is cheap.
 func (paths *Paths) LostCount() int {
-	paths.mutex.Lock()
-	defer paths.mutex.Unlock()
-	lost := 0
-	for _, known := range paths.replicas {
-		if !known.lost.IsZero() {
-			lost++
-		}
-	}
-	return lost
+	return int(paths.lost.Load())
 }
 
 // Keep drops the paths to replicas that are not among the given ones.
 func (paths *Paths) Keep(keys map[string]bool) {
 	paths.mutex.Lock()
 	defer paths.mutex.Unlock()
-	for key := range paths.replicas {
-		if !keys[key] {
-			delete(paths.replicas, key)
+	for key, known := range paths.replicas {
+		if keys[key] {
+			continue
+		}
+		if !known.lost.IsZero() {
+			paths.lost.Add(-1)
 		}
+		delete(paths.replicas, key)
 	}
 }
--- a/relay/lender.go
+++ b/relay/lender.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/bronzestall/bronzestall/balance"
 	"github.com/bronzestall/bronzestall/exchange"
 	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/topology"
 )
 
 // maxUnreached is the number of replicas that a request fails to reach before it is passed on through another daemon.
@@ -17,6 +19,10 @@
 type Lender interface {
 	// CutOff reports whether this daemon reaches no replica.
 	CutOff() bool
+	// Lost reports whether this daemon failed to reach the replica lately, and AnyLost whether it did so with any; AnyLost is
+	// cheap.
+	Lost(replica topology.Incarnation, address string) bool
+	AnyLost() bool
 	// Lend makes one attempt through another daemon, which has the budget for it, and returns the response once its head was
 	// read. It fails with exchange.ErrNotSent if no daemon took the request, exchange.ErrLost or a *Refusal.
 	Lend(ctx context.Context, request *exchange.Request, budget time.Duration, allowance Allowance) (*LentReply, error)
@@ -88,7 +94,33 @@
 	if lender == nil || transaction.lent || transaction.lendFailed {
 		return false
 	}
-	return transaction.unreached >= maxUnreached || lender.CutOff()
+	if transaction.unreached >= maxUnreached || lender.CutOff() {
+		return true
+	}
+	if !lender.AnyLost() {
+		return false
+	}
+	candidates := transaction.ofRelease(transaction.holders())
+	return len(candidates) > 0 && len(transaction.notLost(candidates)) == 0
+}
+
+// reachable returns the candidates that this daemon did not fail to reach lately, or all if it failed to reach all of them.
+func (transaction *transaction) reachable(candidates []balance.Candidate) []balance.Candidate {
+	lender := transaction.relay.deps.Lender
+	if lender == nil || !lender.AnyLost() {
+		return candidates
+	}
+	if reached := transaction.notLost(candidates); len(reached) > 0 {
+		return reached
+	}
+	return candidates
+}
+
+// notLost returns the candidates that this daemon did not fail to reach lately.
+func (transaction *transaction) notLost(candidates []balance.Candidate) []balance.Candidate {
+	return slices.DeleteFunc(slices.Clone(candidates), func(candidate balance.Candidate) bool {
+		return transaction.relay.deps.Lender.Lost(candidate.Incarnation, candidate.Address)
+	})
 }
 
 // lend makes one attempt through another daemon. It returns false if no daemon took the request.
--- a/relay/lender_test.go
+++ b/relay/lender_test.go
@@ -2,16 +2,20 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/bronzestall/bronzestall/exchange"
 	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/topology"
 )
 
 // lenders is a Lender that returns the scripted steps in order.
 type lenders struct {
-	cutOff     bool
+	cutOff bool
+	// lost lists the replicas that the daemon failed to reach.
+	lost       []string
 	steps      []lentStep
 	allowances []Allowance
 }
@@ -23,7 +27,11 @@
 	release string
 }
 
-func (lenders *lenders) CutOff() bool { return lenders.cutOff }
+func (lenders *lenders) CutOff() bool  { return lenders.cutOff }
+func (lenders *lenders) AnyLost() bool { return len(lenders.lost) > 0 }
+func (lenders *lenders) Lost(replica topology.Incarnation, _ string) bool {
+	return slices.Contains(lenders.lost, replica.ID)
+}
 
 func (lenders *lenders) Lend(_ context.Context, _ *exchange.Request, _ time.Duration, allowance Allowance) (*LentReply, error) {
 	at := len(lenders.allowances)
@@ -89,6 +97,30 @@
 	}
 }
 
+// TestLostReplicasAreAvoided covers a daemon that reaches some replicas only: requests go to these, and to another daemon if there
+// are none.
+func TestLostReplicasAreAvoided(t *testing.T) {
+	for _, lost := range [][]string{{"plaina"}, {"plainb"}, {"plaina", "plainb"}} {
+		fixture := newFixture(ok("own"))
+		fixture.relay.deps.Lender = &lenders{lost: lost, steps: []lentStep{{step: ok("lent")}}}
+		if failure := fixture.serve(t.Context(), "/once/x"); failure != nil {
+			t.Errorf("%v lost: %v", lost, failure)
+		}
+		want := "own"
+		if len(lost) == 2 {
+			want = "lent"
+		}
+		if fixture.client.body.String() != want {
+			t.Errorf("%v lost: answered %q", lost, fixture.client.body.String())
+		}
+		for _, attempt := range fixture.upstream.attempts {
+			if slices.Contains(lost, attempt.Replica.ID) {
+				t.Errorf("%v lost: sent to %s", lost, attempt.Replica.ID)
+			}
+		}
+	}
+}
+
 // TestLentRequests checks what a daemon does for another one: one hop, no more attempts than allowed, and the stream goes on where it
 // was.
 func TestLentRequests(t *testing.T) {
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -249,9 +249,10 @@
 	return time.Duration(xxhash.Sum64String(transaction.request.Metadata.ID) % uint64(retryAfterOverload))
 }
 
-// candidates returns the replicas that can serve the request now. A stream that has begun is served by its release only.
+// candidates returns the replicas that can serve the request now. A stream that has begun is served by its release only, and
+// replicas that this daemon failed to reach lately come last.
 func (transaction *transaction) candidates() []balance.Candidate {
-	return transaction.ofRelease(transaction.holders())
+	return transaction.reachable(transaction.ofRelease(transaction.holders()))
 }
 
 // holders returns the replicas that have what the request needs.
