--- a/front/daemon.go
+++ b/front/daemon.go
@@ -81,6 +81,8 @@
 	// origins is what this daemon knows of the origins of streams, and originFinder asks others.
 	origins      *origin.Registry
 	originFinder *originFinder
+	// originRecorder records those that this daemon began.
+	originRecorder *originRecorder
 	// lender passes requests to other daemons, and lent serves theirs.
 	lender *lender
 	lent   *lending.Handler
@@ -171,6 +173,7 @@
 	}
 	daemon.pool = connection.New(connection.Settings{Observer: pathObserver{daemon}}, clk)
 	daemon.originFinder = newOriginFinder(daemon)
+	daemon.originRecorder = newOriginRecorder(daemon)
 	daemon.suspects.SetTurns(daemon.partTurn)
 	daemon.limiter = ratelimit.NewLimiter(daemon.limits)
 	daemon.eras = platform.NewEraTracker(&eraLog{daemon: daemon})
--- a/front/originrecorder.go
+++ b/front/originrecorder.go
@@ -6,6 +6,7 @@
 	"errors"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -16,9 +17,9 @@
 )
 
 const (
-	// recordIntervalPerDaemon is the shortest time between two writes of one daemon to the table of origins, times the number of
-	// daemons: it bounds the writes of all daemons together to 250 a second, but for streams that broke off.
-	recordIntervalPerDaemon = 4 * time.Millisecond
+	// recordIntervalPerDaemon, times the number of daemons, is the shortest time between two writes of one daemon to the table
+	// of origins: it bounds the writes of all daemons together to 100 a second, but for streams that broke off.
+	recordIntervalPerDaemon = 10 * time.Millisecond
 	// originExpiryInterval is the interval of checking for expired rows of the table.
 	originExpiryInterval = 30 * time.Second
 	// maxOriginDeletions is the largest number of rows that are deleted at once.
@@ -34,16 +35,20 @@
 	// unwritten holds the pages whose rows lack streams, by number, and batches the batches with streams on them.
 	unwritten map[int]origin.Page
 	batches   []origin.Batch
-	// written is when the last write ended.
-	written time.Time
+	// next is the earliest time of the next write, in Unix nanoseconds.
+	next atomic.Int64
 	// era is that of the store for which the streams were recorded.
 	era uint64
 }
 
+func newOriginRecorder(daemon *Daemon) *originRecorder {
+	return &originRecorder{daemon: daemon, process: incarnation(), unwritten: map[int]origin.Page{}}
+}
+
 // recordOrigins records the origins of streams while a service has several releases, and all of them again after the store
 // came back from an older copy.
 func (daemon *Daemon) recordOrigins(ctx context.Context) error {
-	recorder := &originRecorder{daemon: daemon, process: incarnation(), unwritten: map[int]origin.Page{}}
+	recorder := daemon.originRecorder
 	for ctx.Err() == nil {
 		rose := daemon.eras.Rose()
 		recorder.observeEra()
@@ -77,8 +82,7 @@
 
 // pause returns the time until the next write.
 func (recorder *originRecorder) pause() time.Duration {
-	interval := time.Duration(recorder.daemon.daemonCount.Load()) * recordIntervalPerDaemon
-	return max(interval-recorder.daemon.clock.Since(recorder.written), 0)
+	return max(time.Unix(0, recorder.next.Load()).Sub(recorder.daemon.clock.Now()), 0)
 }
 
 // take adds the streams to record to the pages.
@@ -109,7 +113,8 @@
 		batch.Recorded()
 	}
 	recorder.batches = nil
-	recorder.written = recorder.daemon.clock.Now()
+	interval := time.Duration(recorder.daemon.daemonCount.Load()) * recordIntervalPerDaemon
+	recorder.next.Store(recorder.daemon.clock.Now().Add(interval).UnixNano())
 }
 
 func (daemon *Daemon) writeOriginPage(ctx context.Context, process string, page origin.Page) error {
--- a/front/originrow_test.go
+++ b/front/originrow_test.go
@@ -48,7 +48,8 @@
 func TestRecorderWritesAgainAfterAFailure(t *testing.T) {
 	store := &fakeStore{rows: map[datastore.Key]datastore.Row{}, failures: []error{datastore.ErrUnavailable}}
 	daemon := newDaemonWithCrashes(store)
-	recorder := &originRecorder{daemon: daemon, process: "p", unwritten: map[int]origin.Page{}}
+	recorder := daemon.originRecorder
+	recorder.process = "p"
 	daemon.origins.SetServing(origin.Releases{"s": {"v1", "v2"}}, daemon.clock.Now())
 	daemon.origins.Begin(origin.Stream{Origin: origin.Origin{Service: "s", Release: "v1"}, ID: "a"}, daemon.clock.Now())
 	for attempt, want := range []int{0, 1, 1} {
--- a/front/origins.go
+++ b/front/origins.go
@@ -25,6 +25,10 @@
 	if recorded == nil {
 		return
 	}
+	if known.originRecorder.pause() > maxRecordWait {
+		known.meter.Count(meter.OriginsLate, meter.Labels{}, 1)
+		return
+	}
 	timer := known.clock.NewTimer(maxRecordWait)
 	defer timer.Stop()
 	select {
