--- a/internal/frontsoak/replica_test.go
+++ b/internal/frontsoak/replica_test.go
@@ -35,8 +35,8 @@
 
 	// release is the version of the software. nextRelease is that after the next restart; empty keeps it.
 	release, nextRelease string
-	// gap is the time before each event of a stream.
-	gap time.Duration
+	// gap is the time before each event of a stream, and runTime that for a call of a plain service.
+	gap, runTime time.Duration
 
 	mutex sync.Mutex
 	// startedAt is the start of the current incarnation, in Unix ms.
@@ -68,7 +68,7 @@
 }
 
 func newReplica(id, service, zone string, checker *checker, store *store) (*replica, error) {
-	created := &replica{id: id, service: service, zone: zone, checker: checker, store: store, startedAt: time.Now().UnixMilli(), release: "v1", gap: eventGap}
+	created := &replica{id: id, service: service, zone: zone, checker: checker, store: store, startedAt: time.Now().UnixMilli(), release: "v1", gap: eventGap, runTime: runTime}
 	if service == engineService {
 		created.models = []string{"m0"}
 	}
@@ -241,7 +241,7 @@
 	replica.mutex.Unlock()
 	writer.Header().Set("Bronzestall-Response-Signature", "signed."+id)
 	if replica.service != engineService {
-		time.Sleep(runTime)
+		time.Sleep(replica.runTime)
 		if broken || lost {
 			panic(http.ErrAbortHandler)
 		}
