Count a daemon as a recent reader only while it reads the replica table

Cause: the age that a reader tells others was that of any answer of the store. Daemons that the store had just answered for the configuration or the suspects took each other for recent readers, in a circle, and stopped reading the replica table; 2.6 s later all of them noticed. Change: what is told, and what the daemon goes by itself, is the age of the replica table. Failing test: front.TestReaderIsRecentOnlyWithTheReplicaTable (age 0 after an answer for another table).

--- a/front/daemon.go
+++ b/front/daemon.go
@@ -130,6 +130,8 @@
 	configurationRow []byte
 	// storeSeen is when the store last answered.
 	storeSeen time.Time
+	// replicasSeen is when the store last answered a call for the replica table.
+	replicasSeen time.Time
 	// storeLost is set while the store does not answer.
 	storeLost bool
 	// relayedStoreSeen is when the store last answered the reader named currentReader, from which this daemon
@@ -174,6 +176,7 @@
 		stopStarted:     make(chan struct{}),
 		replicasChanged: make(chan struct{}, 1),
 		storeSeen:       clk.Now(),
+		replicasSeen:    clk.Now(),
 	}
 	daemon.pool = connection.New(connection.Settings{Observer: pathObserver{daemon}}, clk)
 	daemon.originFinder = newOriginFinder(daemon)
--- a/front/readers.go
+++ b/front/readers.go
@@ -133,7 +133,7 @@
 	return daemon.clock.Since(daemon.relayedStoreSeen)
 }
 
-// dataAge returns the age of the newest data from the store, read directly or relayed.
+// dataAge returns the age of the newest replica table from the store, read directly or relayed.
 func (daemon *Daemon) dataAge() time.Duration {
-	return min(daemon.storeAge(), daemon.relayedStoreAge())
+	return min(daemon.replicasAge(), daemon.relayedStoreAge())
 }
--- a/front/replicas.go
+++ b/front/replicas.go
@@ -28,6 +28,7 @@
 		table:      platform.ReplicaTable,
 		wait:       replicaWait,
 		pause:      replicaPause,
+		onResponse: daemon.replicasResponded,
 		onRecovery: func() { daemon.roster.EndOutage(daemon.clock.Now()) },
 		onSnapshot: func(rows []datastore.Row, version uint64) {
 			daemon.replaceReplicas(daemon.decodeEntries(rows), version)
--- a/front/store.go
+++ b/front/store.go
@@ -76,6 +76,20 @@
 	return daemon.clock.Since(daemon.storeSeen)
 }
 
+// replicasResponded records that the store answered a call for the replica table.
+func (daemon *Daemon) replicasResponded() {
+	daemon.mutex.Lock()
+	defer daemon.mutex.Unlock()
+	daemon.replicasSeen = daemon.clock.Now()
+}
+
+// replicasAge returns the time since the store last answered this daemon a call for the replica table.
+func (daemon *Daemon) replicasAge() time.Duration {
+	daemon.mutex.Lock()
+	defer daemon.mutex.Unlock()
+	return daemon.clock.Since(daemon.replicasSeen)
+}
+
 // sleep waits for the pause or the end of the context.
 func (daemon *Daemon) sleep(ctx context.Context, pause time.Duration) {
 	if pause <= 0 {
--- a/front/updates.go
+++ b/front/updates.go
@@ -32,7 +32,7 @@
 
 // updateSince returns the data that this daemon has now and that is newer than the versions in the request.
 func (daemon *Daemon) updateSince(request mesh.UpdateRequest) mesh.UpdateResponse {
-	response := mesh.UpdateResponse{StoreAge: daemon.storeAge(), StoreLost: daemon.isStoreLost()}
+	response := mesh.UpdateResponse{StoreAge: daemon.replicasAge(), StoreLost: daemon.isStoreLost()}
 	if configuration := daemon.relay.Configuration(); configuration != nil && configuration.Version > request.ConfigurationVersion {
 		daemon.mutex.Lock()
 		response.Configuration = daemon.configurationRow
--- a/front/watch.go
+++ b/front/watch.go
@@ -38,6 +38,8 @@
 	onRecovery func()
 	// onRestored is called after onSnapshot if the store came back from an older copy since the last one; may be nil.
 	onRestored func()
+	// onResponse is called after each result was applied; may be nil.
+	onResponse func()
 	// failed is set if the last call failed. Daemon.storeLost cannot replace it, since the watcher of another
 	// table may have reset it already.
 	failed bool
@@ -58,6 +60,9 @@
 		case err == nil:
 			pause = minRetryPause
 			watcher.daemon.storeResponded()
+			if watcher.onResponse != nil {
+				watcher.onResponse()
+			}
 			watcher.daemon.sleep(ctx, watcher.pause)
 		case errors.Is(err, platform.ErrHistoryUnavailable):
 			event.HistoryForgotten.Log("Table", watcher.table, "After", datastore.FormatVersion(version))
