--- a/internal/frontsoak/cut_test.go
+++ b/internal/frontsoak/cut_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
@@ -142,3 +143,30 @@
 	}
 	return result
 }
+
+// injectCuts cuts the links of some daemons to all replicas again and again until the context ends, and heals them. It has its own
+// random source, so that the other faults of a seed do not depend on it.
+func (testbed *testbed) injectCuts(ctx context.Context, t *testing.T, seed uint64, views []*view) {
+	random := rand.New(rand.NewPCG(seed, 12))
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(500+random.IntN(2500)) * time.Millisecond)
+		fault := []linkFault{refused, hanging}[random.IntN(2)]
+		length := time.Duration(300+random.IntN(3500)) * time.Millisecond
+		var cut []*view
+		for _, number := range random.Perm(len(views))[:1+random.IntN(max(len(views)/2, 1))] {
+			cut = append(cut, views[number])
+		}
+		t.Logf("links of %d daemons cut for %v, fault %d", len(cut), length, fault)
+		for _, view := range cut {
+			if err := view.each(func(link *replicaLink) error { return link.cut(fault) }); err != nil {
+				t.Error(err)
+			}
+		}
+		time.Sleep(length)
+		for _, view := range cut {
+			if err := view.each(func(link *replicaLink) error { return link.heal() }); err != nil {
+				t.Error(err)
+			}
+		}
+	}
+}
--- a/internal/frontsoak/links_test.go
+++ b/internal/frontsoak/links_test.go
@@ -32,13 +32,35 @@
 	closed  func()
 }
 
-// newLink opens a link to the address.
+// newLink opens a link to the address. A socket that is bound and never listens keeps its port from being given to others
+// while the link is cut.
 func newLink(target string) (*replicaLink, error) {
-	opened, err := newProxy(target)
+	reserved, err := bind(&syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})
 	if err != nil {
 		return nil, err
 	}
-	return &replicaLink{address: opened.address(), target: target, proxy: opened}, nil
+	bound, err := syscall.Getsockname(reserved)
+	if err != nil {
+		return nil, err
+	}
+	address := fmt.Sprint("127.0.0.1:", bound.(*syscall.SockaddrInet4).Port)
+	opened, err := newProxyAt(address, target)
+	if err != nil {
+		return nil, err
+	}
+	return &replicaLink{address: address, target: target, proxy: opened}, nil
+}
+
+// bind returns a socket that is bound to the address and shares it with others that do not listen.
+func bind(address *syscall.SockaddrInet4) (int, error) {
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return 0, err
+	}
+	if err := syscall.SetsockoptInt(socket, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		return 0, err
+	}
+	return socket, syscall.Bind(socket, address)
 }
 
 // cut breaks the link.
@@ -60,17 +82,13 @@
 	if err != nil {
 		return err
 	}
-	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
-	if err != nil {
-		return err
-	}
-	link.closed = func() { _ = syscall.Close(socket) }
-	_ = syscall.SetsockoptInt(socket, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
 	bound := &syscall.SockaddrInet4{Port: address.Port}
 	copy(bound.Addr[:], address.IP.To4())
-	if err := syscall.Bind(socket, bound); err != nil {
+	socket, err := bind(bound)
+	if err != nil {
 		return err
 	}
+	link.closed = func() { _ = syscall.Close(socket) }
 	if err := syscall.Listen(socket, 0); err != nil {
 		return err
 	}
--- a/internal/frontsoak/proxy_test.go
+++ b/internal/frontsoak/proxy_test.go
@@ -23,7 +23,12 @@
 }
 
 func newProxy(target string) (*proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	return newProxyAt("127.0.0.1:0", target)
+}
+
+// newProxyAt is newProxy at the given address.
+func newProxyAt(address, target string) (*proxy, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/frontsoak/soak_test.go
+++ b/internal/frontsoak/soak_test.go
@@ -82,7 +82,12 @@
 // soak runs one seed: it sends requests, injects faults, waits for recovery and reports all violations.
 func soak(t *testing.T, binary string, seed uint64) {
 	folder := t.TempDir()
-	testbed, stop := startTestbed(t, folder, binary, seed)
+	testbed, err := newTestbed(folder, binary, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	views := testbed.useLinks(t)
+	stop := testbed.start()
 	ctx, cancel := context.WithCancel(context.Background())
 	clients := testbed.startClients(ctx, seed)
 	takeUps := testbed.startTakeUps(ctx, seed)
@@ -93,7 +98,10 @@
 	go testbed.injectLimits(noticeContext, seed)
 	go testbed.injectDeadlyPart(noticeContext, seed)
 	go testbed.injectRestores(noticeContext, seed)
+	cuts := sync.WaitGroup{}
+	cuts.Go(func() { testbed.injectCuts(noticeContext, t, seed, views) })
 	testbed.injectFaults(t, *lengthFlag)
+	cuts.Wait()
 	time.Sleep(settleTime)
 	cancel()
 	clients.Wait()
