Write rows of origins on the condition that nothing wrote them since

Read while going over the change again: the store may carry a write out seconds later, and an earlier state of a page would have replaced a newer one. The streams between would have been unknown after an end of all daemons. Also: a daemon that serves too many requests of others says so as its own state, so that the next one is asked, while a full service is reported to the client at once. Test: front.TestRecorderWritesAgainAfterAFailure, five ways in which the store fails.

--- a/front/lender.go
+++ b/front/lender.go
@@ -98,7 +98,7 @@
 		return false
 	}
 	switch refusal.Failure.Kind {
-	case outcome.Stopping, outcome.NotReady, outcome.QueueFull, outcome.UpstreamRefused:
+	case outcome.Stopping, outcome.NotReady, outcome.UpstreamRefused:
 		return true
 	default:
 		return false
--- a/front/originrecorder.go
+++ b/front/originrecorder.go
@@ -35,6 +35,8 @@
 	// unwritten holds the pages whose rows lack streams, by number, and batches the batches with streams on them.
 	unwritten map[int]origin.Page
 	batches   []origin.Batch
+	// versions holds the versions of the rows by number.
+	versions map[int]uint64
 	// next is the earliest time of the next write, in Unix nanoseconds.
 	next atomic.Int64
 	// era is that of the store for which the streams were recorded.
@@ -42,7 +44,7 @@
 }
 
 func newOriginRecorder(daemon *Daemon) *originRecorder {
-	return &originRecorder{daemon: daemon, process: incarnation(), unwritten: map[int]origin.Page{}}
+	return &originRecorder{daemon: daemon, process: incarnation(), unwritten: map[int]origin.Page{}, versions: map[int]uint64{}}
 }
 
 // recordOrigins records the origins of streams while a service has several releases, and all of them again after the store
@@ -101,7 +103,7 @@
 func (recorder *originRecorder) write(ctx context.Context) {
 	for _, number := range slices.Sorted(maps.Keys(recorder.unwritten)) {
 		page := recorder.unwritten[number]
-		if err := recorder.daemon.writeOriginPage(ctx, recorder.process, page); err != nil {
+		if err := recorder.writePage(ctx, page); err != nil {
 			event.OriginsUnrecorded.LogError(err, "Streams", len(page.Streams), "Pages", len(recorder.unwritten))
 			// The streams wait for maxRecordWait only.
 			recorder.batches = nil
@@ -117,17 +119,36 @@
 	recorder.next.Store(recorder.daemon.clock.Now().Add(interval).UnixNano())
 }
 
-func (daemon *Daemon) writeOriginPage(ctx context.Context, process string, page origin.Page) error {
+// writePage writes the row of the page on the condition that nothing wrote it since, so that an earlier write that is carried out
+// late changes nothing.
+func (recorder *originRecorder) writePage(ctx context.Context, page origin.Page) error {
+	daemon := recorder.daemon
 	value, err := json.Marshal(newOriginPage(page, daemon.origins.Lately(daemon.clock.Now())))
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	key := originKey(daemon.settings.Name, process, page.Number)
-	_, err = daemon.rowStore.Commit(ctx, []datastore.Write{{Key: key, Value: value}})
-	if err == nil {
-		daemon.trackOriginRow(datastore.Row{Key: key})
+	key := originKey(daemon.settings.Name, recorder.process, page.Number)
+	versions, err := daemon.rowStore.Commit(ctx, []datastore.Write{{Key: key, Check: true, IfVersion: recorder.versions[page.Number], Value: value}})
+	if err != nil {
+		recorder.readVersion(ctx, key, page.Number)
+		return err
+	}
+	if len(versions) > 0 {
+		recorder.versions[page.Number] = versions[0]
+	}
+	daemon.trackOriginRow(datastore.Row{Key: key, Version: recorder.versions[page.Number]})
+	return nil
+}
+
+// readVersion reads the version of the row of a page after a write that failed, which may have been carried out.
+func (recorder *originRecorder) readVersion(ctx context.Context, key datastore.Key, number int) {
+	row, err := recorder.daemon.rowStore.Read(ctx, key)
+	switch {
+	case err == nil:
+		recorder.versions[number] = row.Version
+	case errors.Is(err, datastore.ErrNotFound):
+		recorder.versions[number] = 0
 	}
-	return err
 }
 
 // trackOriginRow records the version of a row of the table, and that the table has rows.
--- a/front/originrow_test.go
+++ b/front/originrow_test.go
@@ -44,23 +44,32 @@
 	})
 }
 
-// TestRecorderWritesAgainAfterAFailure covers a store that does not answer: the streams are written once it does.
+// TestRecorderWritesAgainAfterAFailure covers a store that does not answer, or answers nothing though it wrote: the streams are in
+// the row in the end, and rows are written only as they are known.
 func TestRecorderWritesAgainAfterAFailure(t *testing.T) {
-	store := &fakeStore{rows: map[datastore.Key]datastore.Row{}, failures: []error{datastore.ErrUnavailable}}
-	daemon := newDaemonWithCrashes(store)
-	recorder := daemon.originRecorder
-	recorder.process = "p"
-	daemon.origins.SetServing(origin.Releases{"s": {"v1", "v2"}}, daemon.clock.Now())
-	daemon.origins.Begin(origin.Stream{Origin: origin.Origin{Service: "s", Release: "v1"}, ID: "a"}, daemon.clock.Now())
-	for attempt, want := range []int{0, 1, 1} {
-		recorder.take()
-		recorder.write(t.Context())
-		if len(store.rows) != want {
-			t.Errorf("after write %d there are %d rows", attempt, len(store.rows))
-		}
-	}
-	page, err := decodeOriginPage(store.rows[originKey("a", "p", 0)].Value)
-	if streams := page.streams(); err != nil || len(streams) != 1 || streams[0].ID != "a" {
-		t.Errorf("the row has %v, %v", streams, err)
+	for name, failures := range map[string][]error{
+		"no failure":        nil,
+		"store unavailable": {datastore.ErrUnavailable},
+		"response lost":     {datastore.ErrUnclear},
+		"conflict":          {datastore.ErrConflict},
+		"nothing answers":   {datastore.ErrUnavailable, datastore.ErrUnavailable, datastore.ErrUnclear, datastore.ErrUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := &fakeStore{rows: map[datastore.Key]datastore.Row{}, failures: failures}
+			daemon := newDaemonWithCrashes(store)
+			recorder := daemon.originRecorder
+			daemon.origins.SetServing(origin.Releases{"s": {"v1", "v2"}}, daemon.clock.Now())
+			for _, id := range []string{"a", "b"} {
+				daemon.origins.Begin(origin.Stream{Origin: origin.Origin{Service: "s", Release: "v1"}, ID: id}, daemon.clock.Now())
+				for range 5 {
+					recorder.take()
+					recorder.write(t.Context())
+				}
+			}
+			page, err := decodeOriginPage(store.rows[originKey("a", recorder.process, 0)].Value)
+			if streams := page.streams(); err != nil || len(streams) != 2 || len(recorder.unwritten) > 0 {
+				t.Errorf("the row has %v, %v", streams, err)
+			}
+		})
 	}
 }
--- a/lending/handler.go
+++ b/lending/handler.go
@@ -63,7 +63,7 @@
 	defer handler.inFlight.Add(-1)
 	sink := &sink{writer: writer, controller: http.NewResponseController(writer)}
 	if count > maxLent {
-		sink.refuse(outcome.New(outcome.QueueFull, "the daemon serves too many requests of others").WithRetryAfter(retryAfterFull), 0)
+		sink.refuse(outcome.New(outcome.NotReady, "the daemon serves too many requests of others").WithRetryAfter(retryAfterFull), 0)
 		return
 	}
 	content, err := io.ReadAll(http.MaxBytesReader(writer, incoming.Body, maxRequestBytes))
