--- a/internal/frontsoak/cut_test.go
+++ b/internal/frontsoak/cut_test.go
@@ -100,7 +100,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		front.store.target = address
+		front.store.setTarget(address)
 		views = append(views, created)
 	}
 	return views
--- a/internal/frontsoak/links_test.go
+++ b/internal/frontsoak/links_test.go
@@ -89,7 +89,7 @@
 		return err
 	}
 	link.closed = func() { _ = syscall.Close(socket) }
-	if err := syscall.Listen(socket, 0); err != nil {
+	if err := retry(func() error { return syscall.Listen(socket, 0) }); err != nil {
 		return err
 	}
 	for range 2 {
@@ -102,6 +102,20 @@
 	return nil
 }
 
+// retry calls the function until it succeeds, for a second at most: a listener that was closed may go on for a moment while it
+// accepts a connection.
+func retry(apply func() error) error {
+	err := apply()
+	for range 100 {
+		if err == nil {
+			return nil
+		}
+		time.Sleep(10 * time.Millisecond)
+		err = apply()
+	}
+	return err
+}
+
 // heal repairs the link.
 func (link *replicaLink) heal() error {
 	link.mutex.Lock()
@@ -116,7 +130,11 @@
 	link.fillers = nil
 	link.proxy.set(false, false, 0)
 	link.proxy.resetAll()
-	listener, err := net.Listen("tcp", link.address)
+	var listener net.Listener
+	err := retry(func() (err error) {
+		listener, err = net.Listen("tcp", link.address)
+		return err
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/frontsoak/proxy_test.go
+++ b/internal/frontsoak/proxy_test.go
@@ -11,9 +11,10 @@
 // proxy forwards connections to an address. It can delay or stall their bytes, reset them, and refuse new ones.
 type proxy struct {
 	listener net.Listener
-	target   string
 
 	mutex sync.Mutex
+	// target is the address to which new connections are forwarded.
+	target string
 	// connections maps each inbound connection to its outbound one.
 	connections map[net.Conn]net.Conn
 	// stalled states that no bytes are forwarded, and refusing that new connections are reset.
@@ -53,9 +54,9 @@
 // forward copies bytes both ways between an inbound connection and the target, until one way ends.
 func (proxy *proxy) forward(inbound net.Conn) {
 	proxy.mutex.Lock()
-	refused := proxy.refusing
+	refused, target := proxy.refusing, proxy.target
 	proxy.mutex.Unlock()
-	outbound, err := net.Dial("tcp", proxy.target)
+	outbound, err := net.Dial("tcp", target)
 	if err != nil || refused {
 		reset(inbound)
 		return
@@ -111,6 +112,13 @@
 	return stalled
 }
 
+// setTarget sets the address to which new connections are forwarded.
+func (proxy *proxy) setTarget(address string) {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	proxy.target = address
+}
+
 // set sets whether the proxy stalls bytes and refuses new connections, and its delay.
 func (proxy *proxy) set(stalled, refusing bool, delay time.Duration) {
 	proxy.mutex.Lock()
