Look up no origin for an ID that cannot be one

Read while going over the change again: an ID of 10 KB was sent to all daemons. It is refused like one that never was, without a lookup.

--- a/front/originfinder.go
+++ b/front/originfinder.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -55,6 +56,9 @@
 
 // find looks up the origin of the stream that the attempt began at the service.
 func (finder *originFinder) find(ctx context.Context, id, service string) (origin.Origin, origin.Source) {
+	if len(id) > origin.MaxIDBytes {
+		return origin.Origin{}, origin.Unknown
+	}
 	lookup, ok := finder.join(id)
 	if !ok {
 		return origin.Origin{}, origin.Unknown
@@ -93,7 +97,7 @@
 	if found, ok := finder.daemon.origins.Find(id, now); ok {
 		lookup.mutex.Lock()
 		defer lookup.mutex.Unlock()
-		return found, lookup.sources[id]
+		return found, cmp.Or(lookup.sources[id], origin.Own)
 	}
 	if release, ok := finder.daemon.onlyRelease(service); ok {
 		return origin.Origin{Service: service, Release: release}, origin.Only
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -6,8 +6,8 @@
 // a client goes on with one stream.
 const Retention = 90 * time.Second
 
-// maxIDBytes is the longest ID of an attempt whose origin is remembered.
-const maxIDBytes = 128
+// MaxIDBytes is the longest ID of an attempt whose origin is remembered.
+const MaxIDBytes = 128
 
 // Origin is what began a stream.
 type Origin struct {
--- a/origin/registry.go
+++ b/origin/registry.go
@@ -95,7 +95,7 @@
 
 // put adds the origin and returns its entry, or nil if the ID is too long. The mutex is held.
 func (registry *Registry) put(stream Stream, now time.Time) *entry {
-	if stream.ID == "" || len(stream.ID) > maxIDBytes {
+	if stream.ID == "" || len(stream.ID) > MaxIDBytes {
 		return nil
 	}
 	if known, ok := registry.streams[stream.ID]; ok && now.Sub(known.since) < Retention {
