Try all replicas again while a daemon counts as cut off

Found on reading the change again. A daemon with few requests that failed to reach two replicas in a row counted as cut off; it passed its requests on, tried only these two again, and so stayed cut off until they came back, and gave up the lease. If their rows went, nothing was tried at all. Change: while it counts as cut off, all replicas of the roster are tried in turn, two or a quarter of them each 250 ms; otherwise only the lost ones, as before. The probing moves to the file about paths. Failing test: front.TestQuietDaemonFindsThatItIsNotCutOff (cut off after 10 s with a sound replica at hand). frontsoak.TestCutOffDaemonsServe passes as before.

--- a/front/lender.go
+++ b/front/lender.go
@@ -180,38 +180,3 @@
 			event.LentRequestServed.Log("Request", request.Metadata.ID, "Daemon", from, "Failure", failure.Error())
 		})
 }
-
-const (
-	// probeInterval is the interval of trying to reach lost replicas again: minProbes of them at once, or one in probeShare if
-	// that is more.
-	probeInterval = 250 * time.Millisecond
-	minProbes     = 2
-	probeShare    = 4
-)
-
-// probePaths tries to reach lost replicas again, since requests avoid them.
-func (daemon *Daemon) probePaths(ctx context.Context) error {
-	for ctx.Err() == nil {
-		daemon.sleep(ctx, probeInterval)
-		if daemon.paths.LostCount() == 0 {
-			continue
-		}
-		lost := daemon.lostReplicas()
-		for _, index := range rand.Perm(len(lost))[:min(max(minProbes, len(lost)/probeShare), len(lost))] {
-			replica := &lost[index]
-			go daemon.pool.Probe(ctx, platform.ConnectionKey(replica.Incarnation, replica.Address), replica.Address)
-		}
-	}
-	return ctx.Err()
-}
-
-// lostReplicas returns the replicas that this daemon failed to reach lately.
-func (daemon *Daemon) lostReplicas() []topology.Replica {
-	var lost []topology.Replica
-	for _, entry := range daemon.roster.Entries() {
-		if daemon.lender.Lost(entry.Replica.Incarnation, entry.Replica.Address) {
-			lost = append(lost, entry.Replica)
-		}
-	}
-	return lost
-}
--- a/front/paths.go
+++ b/front/paths.go
@@ -1,12 +1,15 @@
 package front
 
 import (
+	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/platform"
 	"github.com/bronzestall/bronzestall/reach"
 	"github.com/bronzestall/bronzestall/roster"
+	"github.com/bronzestall/bronzestall/topology"
 )
 
 // pathObserver records which replicas this daemon reaches.
@@ -46,3 +49,39 @@
 	}
 	daemon.paths.Keep(keys)
 }
+
+const (
+	// probeInterval is the interval of trying to reach replicas: minProbes of them at once, or one in probeShare if that is more.
+	probeInterval = 250 * time.Millisecond
+	minProbes     = 2
+	probeShare    = 4
+)
+
+// probePaths tries to reach replicas, apart from requests, while this daemon does not reach some.
+func (daemon *Daemon) probePaths(ctx context.Context) error {
+	for ctx.Err() == nil {
+		daemon.sleep(ctx, probeInterval)
+		targets := daemon.probeTargets()
+		for _, index := range rand.Perm(len(targets))[:min(max(minProbes, len(targets)/probeShare), len(targets))] {
+			replica := &targets[index]
+			go daemon.pool.Probe(ctx, platform.ConnectionKey(replica.Incarnation, replica.Address), replica.Address)
+		}
+	}
+	return ctx.Err()
+}
+
+// probeTargets returns the replicas that this daemon failed to reach lately, since requests avoid them, or all while it counts as
+// cut off, since it sends no requests then.
+func (daemon *Daemon) probeTargets() []topology.Replica {
+	cutOff := daemon.lender.CutOff()
+	if !cutOff && !daemon.lender.AnyLost() {
+		return nil
+	}
+	var targets []topology.Replica
+	for _, entry := range daemon.roster.Entries() {
+		if cutOff || daemon.lender.Lost(entry.Replica.Incarnation, entry.Replica.Address) {
+			targets = append(targets, entry.Replica)
+		}
+	}
+	return targets
+}
