--- a/front/daemon.go
+++ b/front/daemon.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	mathrand "math/rand/v2"
 	"runtime"
 	"runtime/debug"
 	"sync"
@@ -13,7 +12,6 @@
 	"k8s.io/utils/clock"
 
 	"github.com/bronzestall/bronzestall/balance"
-	"github.com/bronzestall/bronzestall/boottime"
 	"github.com/bronzestall/bronzestall/brittle"
 	"github.com/bronzestall/bronzestall/connection"
 	"github.com/bronzestall/bronzestall/demand"
@@ -121,6 +119,8 @@
 	reportRequested chan struct{}
 	// updates is notified when this daemon has something new for other daemons.
 	updates broadcast
+	// suspectRows and originRows hold the known rows of the tables of suspects and of origins.
+	suspectRows, originRows *expiringRows
 	// replicasChanged requests that the replica table is applied again.
 	replicasChanged chan struct{}
 
@@ -138,83 +138,6 @@
 	// last received an update.
 	relayedStoreSeen time.Time
 	currentReader    string
-	// suspectRows holds the known rows of the suspect table by row key.
-	suspectRows map[string]trackedRow
-	// originRows holds the known rows of the table of origins by row key.
-	originRows map[string]trackedRow
-}
-
-// New returns a daemon that has not started. The daemon reads the settings file again when it changes, unless
-// settingsFile is empty. droppedLines returns the number of log lines dropped since its last call; nil means
-// that none are dropped.
-func New(settings Settings, settingsFile string, droppedLines func() int64) *Daemon {
-	var clk boottime.Clock
-	random := mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64()))
-	daemon := &Daemon{
-		settings:        settings,
-		settingsFile:    settingsFile,
-		droppedLines:    droppedLines,
-		clock:           clk,
-		meter:           meter.New(),
-		roster:          roster.New(),
-		directory:       directory.New(clk),
-		balancer:        balance.New(random),
-		demand:          demand.New(),
-		suspects:        quarantine.NewTracker(crashLimit),
-		notices:         notice.New(),
-		limits:          ratelimit.NewTable(),
-		brittle:         brittle.New(mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64()))),
-		allocator:       ratelimit.NewAllocator(),
-		membership:      ratelimit.NewMembership(settings.Name, clk.Now()),
-		grantorRoute:    ratelimit.NewRoute(),
-		started:         clk.Now(),
-		suspectRows:     map[string]trackedRow{},
-		originRows:      map[string]trackedRow{},
-		origins:         origin.New(),
-		paths:           reach.New(),
-		reportRequested: make(chan struct{}, 1),
-		stopStarted:     make(chan struct{}),
-		replicasChanged: make(chan struct{}, 1),
-		storeSeen:       clk.Now(),
-		replicasSeen:    clk.Now(),
-	}
-	daemon.pool = connection.New(connection.Settings{Observer: pathObserver{daemon}}, clk)
-	daemon.originFinder = newOriginFinder(daemon)
-	daemon.originRecorder = newOriginRecorder(daemon)
-	daemon.suspects.SetTurns(daemon.partTurn)
-	daemon.limiter = ratelimit.NewLimiter(daemon.limits)
-	daemon.eras = platform.NewEraTracker(&eraLog{daemon: daemon})
-	daemon.store = platform.NewRowStore(daemon.pool, settings.StoreAddress, storeTimeout, daemon.eras)
-	daemon.upstream = platform.NewUpstream(daemon.pool, replicaListener{daemon}, clk)
-	daemon.lender = newLender(daemon)
-	daemon.relay = relay.New(relay.Settings{
-		Zone:            settings.DataCentre,
-		RetryShare:      settings.RetryShare * retryFraction,
-		MaxSavedRetries: retryBudgetLimit(settings, minRetryDaemons),
-	}, relay.Deps{
-		Upstream:    daemon.upstream,
-		Directory:   daemon.directory,
-		Balancer:    daemon.balancer,
-		Demand:      daemon.demand,
-		Suspects:    daemon.suspects,
-		Notices:     daemon.notices,
-		OnModelWait: daemon.requestReport,
-		Limiter:     daemon.limiter,
-		Origins:     streamOrigins{daemon},
-		Lender:      daemon.lender,
-		Brittle:     daemon.brittle,
-		DaemonIndex: func() int { return int(daemon.daemonIndex.Load()) },
-		Clock:       clk,
-	})
-	daemon.ingress = ingress.New(ingress.Deps{
-		Relay:  daemon.relay,
-		Decode: platform.DecodeRequestHeader,
-		Meter:  daemon.meter,
-		Clock:  clk,
-	})
-	daemon.lent = daemon.newLendingHandler()
-	daemon.wireScheduling(mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())))
-	return daemon
 }
 
 // The bounds of connections to other daemons.
--- a/front/originfinder.go
+++ b/front/originfinder.go
@@ -186,7 +186,7 @@
 	}
 	answer := mesh.OriginAnswer{Lately: origin.Releases{}}
 	for _, row := range rows {
-		daemon.trackOriginRow(row)
+		daemon.originRows.track(row.Row, row.Version, daemon.clock.Now())
 		page, err := decodeOriginPage(row.Value)
 		if err != nil {
 			event.RowSkipped.LogError(err, "Table", row.Table, "Row", row.Row, "Version", datastore.FormatVersion(row.Version))
--- a/front/originrecorder.go
+++ b/front/originrecorder.go
@@ -136,7 +136,7 @@
 	if len(versions) > 0 {
 		recorder.versions[page.Number] = versions[0]
 	}
-	daemon.trackOriginRow(datastore.Row{Key: key, Version: recorder.versions[page.Number]})
+	daemon.originRows.track(key.Row, recorder.versions[page.Number], daemon.clock.Now())
 	return nil
 }
 
@@ -151,21 +151,12 @@
 	}
 }
 
-// trackOriginRow records the version of a row of the table, and that the table has rows.
-func (daemon *Daemon) trackOriginRow(row datastore.Row) {
-	daemon.mutex.Lock()
-	defer daemon.mutex.Unlock()
-	if known, ok := daemon.originRows[row.Row]; !ok || known.version < row.Version {
-		daemon.originRows[row.Row] = trackedRow{row.Version, daemon.clock.Now()}
-	}
-}
-
 // expireOrigins deletes the rows that have not changed for twice the retention time, while there are any. Only the first
 // daemon by name does so.
 func (daemon *Daemon) expireOrigins(ctx context.Context) error {
 	for ctx.Err() == nil {
 		daemon.sleep(ctx, originExpiryInterval)
-		if daemon.daemonIndex.Load() != 0 || !daemon.hasOriginRows() {
+		if daemon.daemonIndex.Load() != 0 || daemon.originRows.count() == 0 {
 			continue
 		}
 		// A failed read leaves the rows for the next time.
@@ -176,36 +167,12 @@
 	return ctx.Err()
 }
 
-func (daemon *Daemon) hasOriginRows() bool {
-	daemon.mutex.Lock()
-	defer daemon.mutex.Unlock()
-	return len(daemon.originRows) > 0
-}
-
-// deleteExpiredOrigins deletes the expired rows.
+// deleteExpiredOrigins deletes expired rows, until one cannot be deleted.
 func (daemon *Daemon) deleteExpiredOrigins(ctx context.Context) {
-	expired := daemon.expiredOriginRows()
-	for row, version := range expired {
-		key := datastore.Key{Table: originTable, Row: row}
-		_, err := daemon.rowStore.Commit(ctx, []datastore.Write{{Key: key, Check: true, IfVersion: version, Delete: true}})
-		if err != nil && !errors.Is(err, datastore.ErrConflict) {
+	deleted := 0
+	for row, version := range daemon.originRows.expired(2*origin.Retention, daemon.clock.Now()) {
+		if deleted++; deleted > maxOriginDeletions || daemon.deleteRow(ctx, daemon.originRows, row, version) != nil {
 			return
 		}
-		daemon.mutex.Lock()
-		delete(daemon.originRows, row)
-		daemon.mutex.Unlock()
-	}
-}
-
-// expiredOriginRows returns the keys of the rows to delete with their versions.
-func (daemon *Daemon) expiredOriginRows() map[string]uint64 {
-	daemon.mutex.Lock()
-	defer daemon.mutex.Unlock()
-	expired := map[string]uint64{}
-	for row, known := range daemon.originRows {
-		if daemon.clock.Since(known.changed) >= 2*origin.Retention && len(expired) < maxOriginDeletions {
-			expired[row] = known.version
-		}
 	}
-	return expired
 }
--- a/front/suspectrow.go
+++ b/front/suspectrow.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"strconv"
 	"strings"
 	"time"
@@ -14,12 +13,6 @@
 	"github.com/bronzestall/bronzestall/quarantine"
 )
 
-// trackedRow is the last known version of a row that expires, and when this daemon received it.
-type trackedRow struct {
-	version uint64
-	changed time.Time
-}
-
 // decodeSuspect decodes a row of the suspect table. The row has no time of writing, since the clocks of
 // daemons differ; the suspect is therefore kept for the whole retention time from now on.
 func decodeSuspect(row datastore.Row, now time.Time) (quarantine.Suspect, error) {
@@ -90,45 +83,14 @@
 	return datastore.Key{Table: suspectTable, Row: row}
 }
 
-// trackRow records the version of a row of the suspect table.
-func (daemon *Daemon) trackRow(row string, version uint64) {
-	daemon.mutex.Lock()
-	defer daemon.mutex.Unlock()
-	if daemon.suspectRows[row].version < version {
-		daemon.suspectRows[row] = trackedRow{version, daemon.clock.Now()}
-	}
-}
-
-func (daemon *Daemon) untrackRow(row string) {
-	daemon.mutex.Lock()
-	defer daemon.mutex.Unlock()
-	delete(daemon.suspectRows, row)
-}
-
 // removeExpiredRows deletes the rows that have not changed for the retention time, after which every daemon
 // has dropped the suspect. Only the first daemon by name does so.
 func (daemon *Daemon) removeExpiredRows(ctx context.Context) {
 	if daemon.daemonIndex.Load() != 0 {
 		return
 	}
-	for row, version := range daemon.expiredRows() {
-		key := datastore.Key{Table: suspectTable, Row: row}
-		_, err := daemon.rowStore.Commit(ctx, []datastore.Write{{Key: key, Check: true, IfVersion: version, Delete: true}})
-		if err == nil || errors.Is(err, datastore.ErrConflict) {
-			daemon.untrackRow(row)
-		}
-	}
-}
-
-// expiredRows returns the keys of the rows to delete with their versions.
-func (daemon *Daemon) expiredRows() map[string]uint64 {
-	daemon.mutex.Lock()
-	defer daemon.mutex.Unlock()
-	expired := map[string]uint64{}
-	for row, tracked := range daemon.suspectRows {
-		if daemon.clock.Since(tracked.changed) >= quarantine.Retention {
-			expired[row] = tracked.version
-		}
+	for row, version := range daemon.suspectRows.expired(quarantine.Retention, daemon.clock.Now()) {
+		// A row that could not be deleted stays for the next time.
+		_ = daemon.deleteRow(ctx, daemon.suspectRows, row, version)
 	}
-	return expired
 }
--- a/front/suspects.go
+++ b/front/suspects.go
@@ -86,7 +86,7 @@
 			event.RowSkipped.LogError(err, "Table", row.Table, "Row", row.Row, "Version", datastore.FormatVersion(row.Version))
 			return
 		}
-		daemon.trackRow(row.Row, row.Version)
+		daemon.suspectRows.track(row.Row, row.Version, daemon.clock.Now())
 		daemon.importSuspects([]quarantine.Suspect{suspect}, "Store")
 	}
 	watcher := &tableWatcher{
@@ -104,7 +104,7 @@
 		onChanges: func(changes []platform.Change, _ uint64) {
 			for _, change := range changes {
 				if change.Deleted {
-					daemon.untrackRow(change.Row.Row)
+					daemon.suspectRows.forget(change.Row.Row)
 				} else {
 					apply(change.Row)
 				}
--- a/front/suspects_test.go
+++ b/front/suspects_test.go
@@ -121,19 +121,19 @@
 	daemon := newDaemonWithCrashes(store, 1, 2)
 	daemon.recordPending(t.Context(), map[uint64]bool{1: true})
 	for key, row := range store.rows {
-		daemon.trackRow(key.Row, row.Version)
+		daemon.suspectRows.track(key.Row, row.Version, daemon.clock.Now())
 	}
 	daemon.removeExpiredRows(t.Context())
 	if len(store.rows) != 1 {
 		t.Fatal("a row that has not expired was removed")
 	}
-	for row, tracked := range daemon.suspectRows {
+	for row, tracked := range daemon.suspectRows.rows {
 		tracked.changed = tracked.changed.Add(-quarantine.Retention)
-		daemon.suspectRows[row] = tracked
+		daemon.suspectRows.rows[row] = tracked
 	}
 	daemon.removeExpiredRows(t.Context())
-	if len(store.rows) != 0 || len(daemon.suspectRows) != 0 {
-		t.Errorf("%d rows are in the store and %d tracked, want none", len(store.rows), len(daemon.suspectRows))
+	if len(store.rows) != 0 || daemon.suspectRows.count() != 0 {
+		t.Errorf("%d rows are in the store and %d tracked, want none", len(store.rows), daemon.suspectRows.count())
 	}
 }
 
