--- a/brittle/guard.go
+++ b/brittle/guard.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -16,6 +15,9 @@
 	usedShare = 0.5
 	// minRest is the shortest time after a rejection in which the daemon sends the replica nothing.
 	minRest = time.Second
+	// maxRest is the longest such time, and minShare the least share of the rejections that it is calculated for.
+	maxRest  = time.Minute
+	minShare = 0.001
 	// maxWaiting bounds the requests of a daemon that may wait at one replica.
 	maxWaiting = 1 << 20
 	// maxIncarnations bounds the incarnations that a guard knows.
@@ -126,7 +128,7 @@
 	if share >= 1 {
 		return minRest
 	}
-	return time.Duration(math.Min(float64(minRest)/math.Max(share, 0.001), float64(time.Minute)))
+	return time.Duration(min(float64(minRest)/max(share, minShare), float64(maxRest)))
 }
 
 // Sent records that a request is sent to the incarnation, and returns the function that records that it got its first event or ended.
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -65,7 +65,7 @@
 		c.abort()
 		return nil, &transport.Error{Cause: trace.Wrap(err)}
 	}
-	pool.observeReached(call.Key)
+	pool.settings.Observer.Reached(call.Key)
 	response.Body = &body{pool: pool, conn: c, inner: response.Body, stop: stop, reuse: reusable(response, call), idle: pool.idleTime(response)}
 	return response, nil
 }
@@ -114,11 +114,11 @@
 	inner, err := pool.settings.Dial(limited, "tcp", call.Address)
 	if err != nil {
 		if ctx.Err() == nil {
-			pool.observeLost(call.Key, begun)
+			pool.settings.Observer.Lost(call.Key, begun)
 		}
 		return nil, err
 	}
-	pool.observeReached(call.Key)
+	pool.settings.Observer.Reached(call.Key)
 	return newConn(inner, call.Key), nil
 }
 
@@ -130,20 +130,6 @@
 	}
 }
 
-// observeReached tells the observer that the upstream was reached.
-func (pool *Pool) observeReached(key string) {
-	if pool.settings.Observer != nil {
-		pool.settings.Observer.Reached(key)
-	}
-}
-
-// observeLost tells the observer that the upstream could not be reached.
-func (pool *Pool) observeLost(key string, begun time.Time) {
-	if pool.settings.Observer != nil {
-		pool.settings.Observer.Lost(key, begun)
-	}
-}
-
 // takeIdle returns the most recently used idle connection of the key, or nil if there is none or it was unused for
 // longer than maxUnused; zero means no limit.
 func (pool *Pool) takeIdle(key string, maxUnused time.Duration) *conn {
--- a/connection/settings.go
+++ b/connection/settings.go
@@ -24,6 +24,12 @@
 	Lost(key string, begun time.Time)
 }
 
+// noObserver ignores what it is told.
+type noObserver struct{}
+
+func (noObserver) Reached(string)         {}
+func (noObserver) Lost(string, time.Time) {}
+
 // Settings bounds the connections of a Pool. The zero value of a field means its default.
 type Settings struct {
 	// DialTimeout bounds the opening of a connection; zero means 500 ms.
@@ -49,6 +55,9 @@
 	settings.UserTimeout = cmp.Or(settings.UserTimeout, defaultUserTimeout)
 	settings.MaxIdle = cmp.Or(settings.MaxIdle, defaultMaxIdle)
 	settings.HeadBytes = cmp.Or(settings.HeadBytes, defaultHeadBytes)
+	if settings.Observer == nil {
+		settings.Observer = noObserver{}
+	}
 	if settings.Dial == nil {
 		settings.Dial = dialer(settings.UserTimeout)
 	}
--- a/front/lender.go
+++ b/front/lender.go
@@ -1,8 +1,10 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -66,24 +68,21 @@
 func (lender *lender) Lend(ctx context.Context, request *exchange.Request, budget time.Duration, allowance relay.Allowance) (*relay.LentReply, error) {
 	var last error = exchange.ErrNotSent
 	for _, peer := range lender.choose() {
-		release := lender.reserve(peer.Name)
+		finish := lender.reserve(peer.Name)
 		reply, err := lender.client.Send(ctx, peer.Address, request, budget, allowance)
 		event.RequestLent.LogError(err, "Request", request.Metadata.ID, "Daemon", peer.Name, "ResumeAfter", allowance.ResumeAfter)
 		if err == nil {
 			reply.Daemon = peer.Name
-			reply.Body = &lentBody{reply.Body, release}
+			reply.Body = &lentBody{reply.Body, finish}
 			lender.daemon.meter.Count(meter.RequestsLent, meter.Labels{}, 1)
 			return reply, nil
 		}
-		release()
+		finish()
 		last = err
 		if ctx.Err() != nil || !isTransient(err) {
 			return nil, err
 		}
 	}
-	if refusal := lending.IsRefusal(last); refusal != nil {
-		return nil, refusal
-	}
 	return nil, last
 }
 
@@ -93,7 +92,7 @@
 	if errors.Is(err, exchange.ErrNotSent) {
 		return true
 	}
-	refusal := lending.IsRefusal(err)
+	refusal := relay.AsRefusal(err)
 	if refusal == nil || !refusal.NotRun() {
 		return false
 	}
@@ -124,12 +123,7 @@
 		}
 		candidates = append(candidates, scored{peer, score})
 	}
-	slices.SortFunc(candidates, func(a, b scored) int {
-		if a.score < b.score {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(candidates, func(a, b scored) int { return cmp.Compare(a.score, b.score) })
 	chosen := make([]mesh.Peer, 0, maxLenders)
 	for _, candidate := range candidates[:min(len(candidates), maxLenders)] {
 		chosen = append(chosen, candidate.Peer)
@@ -153,19 +147,14 @@
 
 // lentBody is the body of a response of another daemon.
 type lentBody struct {
-	inner interface {
-		Read(into []byte) (int, error)
-		Close() error
-	}
-	release func()
+	io.ReadCloser
+	finish func()
 }
 
-func (body *lentBody) Read(into []byte) (int, error) { return body.inner.Read(into) }
-
 // Close ends the exchange with the other daemon.
 func (body *lentBody) Close() error {
-	body.release()
-	return body.inner.Close()
+	body.finish()
+	return body.ReadCloser.Close()
 }
 
 // newLendingHandler returns the handler of requests of other daemons' clients.
--- a/lending/client.go
+++ b/lending/client.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -103,7 +102,7 @@
 			Signed:      true,
 			EventStream: head.GetEventStream(),
 			Length:      -1,
-			Body:        &bodyReader{reader, response.Body},
+			Body:        headlessBody{reader, response.Body},
 		},
 		Release: string(head.GetRelease()),
 		Runs:    int(head.GetRuns()),
@@ -122,19 +121,8 @@
 	return &relay.Refusal{Failure: failure, Runs: int(head.GetRuns())}
 }
 
-// bodyReader reads the body after the head.
-type bodyReader struct {
+// headlessBody is the body of a response after its head, which was read through the reader.
+type headlessBody struct {
 	io.Reader
-	inner io.Closer
-}
-
-func (body *bodyReader) Close() error { return body.inner.Close() }
-
-// IsRefusal returns the refusal that err is, or nil.
-func IsRefusal(err error) *relay.Refusal {
-	var refusal *relay.Refusal
-	if errors.As(err, &refusal) {
-		return refusal
-	}
-	return nil
+	io.Closer
 }
--- a/lending/lending_test.go
+++ b/lending/lending_test.go
@@ -102,7 +102,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			reply, err := NewClient("a", http.DefaultClient).Send(t.Context(), start(t, &server{serve: c.serve}), &exchange.Request{Method: "GET"}, time.Second, relay.Allowance{})
-			if refusal := IsRefusal(err); refusal != nil {
+			if refusal := relay.AsRefusal(err); refusal != nil {
 				if refusal.Failure.Kind != c.refused || refusal.NotRun() != c.notRun {
 					t.Errorf("refused as %v, not run: %v", refusal, refusal.NotRun())
 				}
--- a/relay/availability.go
+++ b/relay/availability.go
@@ -24,15 +24,18 @@
 func (transaction *transaction) availability(candidates []balance.Candidate, isNew bool, now time.Time) availability {
 	notices, limiter := transaction.relay.deps.Notices, transaction.relay.deps.Limiter
 	anyLimited := limiter.Limited()
+	guarded := transaction.guardsBrittle()
 	result := availability{accepting: make([]balance.Candidate, 0, len(candidates))}
 	for _, candidate := range candidates {
 		if !notices.Accepts(candidate.Incarnation, now) {
 			result.addBackoff(transaction.backoffEnd(candidate, now))
 			continue
 		}
-		if until, ok := transaction.brittleAvailable(candidate, now); !ok {
-			result.addBackoff(until)
-			continue
+		if guarded {
+			if until, ok := transaction.brittleAvailable(candidate, now); !ok {
+				result.addBackoff(until)
+				continue
+			}
 		}
 		if anyLimited {
 			available, limited := limiter.Available(candidate.Incarnation, isNew, now)
@@ -47,14 +50,16 @@
 	return result
 }
 
+// guardsBrittle reports whether brittle replicas are known and the request may wait for them. A stream that has begun goes on.
+func (transaction *transaction) guardsBrittle() bool {
+	guard := transaction.relay.deps.Brittle
+	return guard != nil && !transaction.sink.Begun() && guard.Any()
+}
+
 // brittleAvailable reports whether the candidate may be sent the request without the risk of rejections that it does not bear,
-// and from when on it may otherwise. A stream that has begun goes on.
+// and from when on it may otherwise.
 func (transaction *transaction) brittleAvailable(candidate balance.Candidate, now time.Time) (time.Time, bool) {
-	guard := transaction.relay.deps.Brittle
-	if guard == nil || transaction.sink.Begun() || !guard.Any() {
-		return time.Time{}, true
-	}
-	until, ok := guard.Available(candidate.Incarnation, now)
+	until, ok := transaction.relay.deps.Brittle.Available(candidate.Incarnation, now)
 	if !ok && until.IsZero() {
 		until = now.Add(capacityPollInterval)
 	}
--- a/relay/lender.go
+++ b/relay/lender.go
@@ -62,6 +62,15 @@
 // Error returns the reason.
 func (refusal *Refusal) Error() string { return refusal.Failure.Error() }
 
+// AsRefusal returns the refusal that the error is, or nil.
+func AsRefusal(err error) *Refusal {
+	var refusal *Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return nil
+}
+
 // NotRun reports whether the request has certainly not run.
 func (refusal *Refusal) NotRun() bool {
 	return refusal.Runs == 0 && refusal.Failure.Kind.Entry().Execution == outcome.NotRun
@@ -159,8 +168,7 @@
 		transaction.sends--
 		return result{}, false
 	}
-	var refusal *Refusal
-	if errors.As(err, &refusal) {
+	if refusal := AsRefusal(err); refusal != nil {
 		transaction.runs += refusal.Runs
 		return result{failure: refusal.Failure, notRun: refusal.NotRun()}, true
 	}
