Name the release that began a stream in the simulated engines of the soak

Cause: the simulated engine read its release at each event of a stream, without its mutex. A restart with another release, which the seeds have since streams are taken up, writes it under the mutex; the handler of a connection that was reset may still run then. The event after the restart also named the new release, though nobody could read it.

Change: a stream takes its data and its pace once, under the mutex, when it begins; all fields that faults change are listed below the mutex and used under it. Logs of a failed run go to a directory of their own.

--- a/internal/frontsoak/release_test.go
+++ b/internal/frontsoak/release_test.go
@@ -45,7 +45,7 @@
 // startReleases adds engines of a newer release to the testbed.
 func (testbed *testbed) startReleases(t *testing.T, stop <-chan struct{}) {
 	for _, replica := range testbed.replicas {
-		replica.gap = releaseGap
+		replica.withLock(func() { replica.gap = releaseGap })
 	}
 	for number := range newEngineCount {
 		next, err := newReplica(fmt.Sprintf("n-%d", number), engineService, fmt.Sprintf("z%d", number%2), testbed.checker, testbed.store)
@@ -69,10 +69,12 @@
 // retireOldRelease removes the rows of the engines of the older release, which go on with what they run.
 func (testbed *testbed) retireOldRelease() {
 	for _, replica := range testbed.replicas {
-		if replica.service == engineService && replica.release == "v1" {
-			replica.withLock(func() { replica.unlisted = true })
-			testbed.store.put("servers", replica.id, nil)
-		}
+		replica.withLock(func() {
+			if replica.service == engineService && replica.release == "v1" {
+				replica.unlisted = true
+				testbed.store.put("servers", replica.id, nil)
+			}
+		})
 	}
 }
 
--- a/internal/frontsoak/replica_test.go
+++ b/internal/frontsoak/replica_test.go
@@ -33,12 +33,12 @@
 	proxy             *proxy
 	server            *http.Server
 
+	// mutex guards the fields below, which faults and restarts change while requests run.
+	mutex sync.Mutex
 	// release is the version of the software. nextRelease is that after the next restart; empty keeps it.
 	release, nextRelease string
 	// gap is the time before each event of a stream, and runTime that for a call of a plain service.
 	gap, runTime time.Duration
-
-	mutex sync.Mutex
 	// startedAt is the start of the current incarnation, in Unix ms.
 	startedAt int64
 	down      bool
@@ -241,7 +241,7 @@
 	replica.mutex.Unlock()
 	writer.Header().Set("Bronzestall-Response-Signature", "signed."+id)
 	if replica.service != engineService {
-		time.Sleep(replica.runTime)
+		time.Sleep(replica.callTime())
 		if broken || lost {
 			panic(http.ErrAbortHandler)
 		}
@@ -257,26 +257,37 @@
 	var lastEventID int
 	_, _ = fmt.Sscan(request.Header.Get("Last-Event-Id"), &lastEventID)
 	controller := http.NewResponseController(writer)
+	text, gap := replica.startStream(id)
 	for number := lastEventID + 1; number <= streamEvents; number++ {
-		time.Sleep(replica.gap)
+		time.Sleep(gap)
 		if broken && number > lastEventID+streamEvents/3 {
 			_, _ = fmt.Fprintf(writer, "id: %d\nda", number)
 			_ = controller.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", number, replica.eventText(id)); err != nil {
+		if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", number, text); err != nil {
 			return
 		}
 		_ = controller.Flush()
 	}
 }
 
-// eventText returns the data of the events of a request: its identifier, or the release if the client may take it up.
-func (replica *replica) eventText(id string) string {
+// startStream returns the data of the events of a stream that begins, and the time before each. The data is the identifier of the
+// request, or the release if the client may take the stream up. A restart does not change what the old process writes.
+func (replica *replica) startStream(id string) (text string, gap time.Duration) {
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
 	if strings.HasPrefix(id, takeUpPrefix) {
-		return replica.release
+		return replica.release, replica.gap
 	}
-	return id
+	return id, replica.gap
+}
+
+// callTime returns the time that the plain service takes for a call.
+func (replica *replica) callTime() time.Duration {
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	return replica.runTime
 }
 
 // expectedBody returns the body of the response of a plain service.
--- a/internal/frontsoak/soak_test.go
+++ b/internal/frontsoak/soak_test.go
@@ -156,9 +156,13 @@
 	}
 }
 
-// saveLogs copies the logs of a failed run to a directory that is not deleted after the test.
+// saveLogs copies the logs of a failed run to a directory of its own that is not deleted after the test.
 func saveLogs(t *testing.T, folder string, seed uint64) {
-	directory := filepath.Join(os.TempDir(), fmt.Sprintf("frontsoak-%d", seed))
+	directory, err := os.MkdirTemp("", fmt.Sprintf("frontsoak-%d-", seed))
+	if err != nil {
+		t.Log(err)
+		return
+	}
 	if err := os.CopyFS(directory, os.DirFS(folder)); err != nil {
 		t.Log(err)
 		return
