Wait for a replica that goes on with a begun stream until its deadline

Cause: what refuses a new request also cut a stream that had begun: an empty retry budget, five attempts within 0.1 s that full replicas rejected (25 ms apart), five refused connections without any pause, a backoff beyond the wait for capacity, and a model that is loaded elsewhere 3.9 s after the request arrived. A new request that is refused loses nothing; a begun stream is lost.

Change: a stream that the client has a part of and that may be resumed waits for the budget, for capacity, a backoff or the model until its deadline. Beyond five attempts the delay doubles, 25 to 400 ms. It still ends when its client leaves, when the daemon stops, when no replica of its release is left, when the request is refused for its crashes, and when it ran on as many replicas as its route allows. If the deadline passes meanwhile, the failure says that a replica had the request.

Calls for the same service at other routes are judged as before.

--- a/relay/availability.go
+++ b/relay/availability.go
@@ -84,9 +84,9 @@
 }
 
 // backoffFailure returns the refusal of a request if all replicas are in backoff until the given time, or nil if the
-// request waits for that. It waits no longer than for a replica with capacity.
+// request waits for that. It waits no longer than for a replica with capacity; a begun stream may until its deadline.
 func (transaction *transaction) backoffFailure(now, resumeAt time.Time) *outcome.Error {
-	if !resumeAt.After(transaction.capacityDeadline()) {
+	if transaction.goesOn() || !resumeAt.After(transaction.capacityDeadline()) {
 		return nil
 	}
 	retryAfter := resumeAt.Sub(now) + transaction.retryJitter()
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -65,15 +65,17 @@
 	return next.reply, next.err
 }
 
-// endingBody is a body that ends with the given error; io.EOF means that it is complete.
+// endingBody is a body that ends with the given error after the delay; io.EOF means that it is complete.
 type endingBody struct {
 	io.Reader
-	end error
+	end   error
+	delay time.Duration
 }
 
 func (body *endingBody) Read(into []byte) (int, error) {
 	n, err := body.Reader.Read(into)
 	if err == io.EOF {
+		time.Sleep(body.delay)
 		err = body.end
 	}
 	return n, err
@@ -87,10 +89,17 @@
 func answered(status int, text string, end error) step {
 	return step{reply: &exchange.Reply{
 		Status: status, Header: http.Header{}, Signed: true, Length: -1, EventStream: strings.HasPrefix(text, "id: "),
-		Body: &endingBody{strings.NewReader(text), end},
+		Body: &endingBody{Reader: strings.NewReader(text), end: end},
 	}}
 }
 
+// breaking returns a step that streams the text and breaks off after the delay.
+func breaking(text string, after time.Duration) step {
+	next := answered(http.StatusOK, text, errBroken)
+	next.reply.Body.(*endingBody).delay = after
+	return next
+}
+
 func rejected(misdirected bool) step {
 	next := answered(http.StatusServiceUnavailable, "", io.EOF)
 	next.reply.NotRun, next.reply.Misdirected = true, misdirected
--- a/relay/modelwait.go
+++ b/relay/modelwait.go
@@ -8,9 +8,15 @@
 	"github.com/bronzestall/bronzestall/topology"
 )
 
-// waitLimit returns until when the request may wait for a replica, or the failure if it must not wait any longer.
+// waitLimit returns until when the request may wait for a replica, or the failure if it must not wait any longer. A begun stream
+// may until its deadline, unless its model is gone.
 func (transaction *transaction) waitLimit(now time.Time) (time.Time, *outcome.Error) {
-	total := transaction.deadline.Sub(transaction.request.Arrived)
+	if failure := transaction.modelFailure(); failure != nil {
+		return now, failure
+	}
+	if transaction.goesOn() {
+		return transaction.deadline, nil
+	}
 	if transaction.service.Engine == nil {
 		until := transaction.request.Arrived.Add(plainWait)
 		if !now.Before(until) {
@@ -18,13 +24,7 @@
 		}
 		return until, nil
 	}
-	model, known := transaction.service.Engine.Models[transaction.request.Metadata.Model]
-	if !known {
-		return now, outcome.New(outcome.NoReplica, "the service has no such model").WithRetryAfter(retryAfterCold)
-	}
-	if memory := transaction.service.Engine.Memory; memory > 0 && model.Weights > memory {
-		return now, outcome.New(outcome.NoReplica, "the model %s is larger than the memory of an engine", model.Name).WithRetryAfter(retryAfterCold)
-	}
+	total := transaction.deadline.Sub(transaction.request.Arrived)
 	latestSend := transaction.latestSend(total)
 	ready, known := transaction.forecast()
 	if known && ready.After(latestSend) {
@@ -40,6 +40,22 @@
 	return noForecastLimit, waitFailure(now, noForecastLimit)
 }
 
+// modelFailure returns the refusal of a request for a model that no engine of the service can hold, or nil.
+func (transaction *transaction) modelFailure() *outcome.Error {
+	engine := transaction.service.Engine
+	if engine == nil {
+		return nil
+	}
+	model, known := engine.Models[transaction.request.Metadata.Model]
+	if !known {
+		return outcome.New(outcome.NoReplica, "the service has no such model").WithRetryAfter(retryAfterCold)
+	}
+	if engine.Memory > 0 && model.Weights > engine.Memory {
+		return outcome.New(outcome.NoReplica, "the model %s is larger than the memory of an engine", model.Name).WithRetryAfter(retryAfterCold)
+	}
+	return nil
+}
+
 // latestSend returns the latest useful time to send the request: before the client abandons a stream without an
 // event, and early enough for the generation to finish before the deadline.
 func (transaction *transaction) latestSend(total time.Duration) time.Time {
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -102,7 +102,7 @@
 	changes := selection.changes()
 	now := selection.relay.deps.Clock.Now()
 	if ctx.Err() != nil {
-		return balance.Candidate{}, false, contextFailure(ctx, false)
+		return balance.Candidate{}, false, contextFailure(ctx, selection.runs > 0)
 	}
 	if failure := selection.quarantineFailure(now); failure != nil {
 		return balance.Candidate{}, false, failure
@@ -226,9 +226,10 @@
 	return time.Duration(capacityWaitPart * float64(transaction.route.LatencyTarget))
 }
 
-// overloadFailure returns the refusal of a request for which all replicas are overloaded, or nil while it may wait.
+// overloadFailure returns the refusal of a request for which all replicas are overloaded, or nil while it may wait. A begun
+// stream may until its deadline.
 func (transaction *transaction) overloadFailure(now time.Time) *outcome.Error {
-	if now.Before(transaction.capacityDeadline()) {
+	if transaction.goesOn() || now.Before(transaction.capacityDeadline()) {
 		return nil
 	}
 	return outcome.New(outcome.QueueFull, "all replicas of the model are full").WithRetryAfter(retryAfterOverload/2 + transaction.retryJitter())
--- a/relay/transaction.go
+++ b/relay/transaction.go
@@ -24,10 +24,16 @@
 )
 
 const (
-	// maxSends bounds the attempts of a request, including those that were proved not to have run.
+	// maxSends bounds the attempts of a request, including those that were proved not to have run. Begun streams may make more.
 	maxSends = 5
-	// busyRetryDelay is the delay before the next attempt after a replica rejected the request without running it.
-	busyRetryDelay = 25 * time.Millisecond
+	// busyRetryDelay is the delay before the next attempt after a replica rejected the request without running it. Beyond
+	// maxSends attempts, which only begun streams make, the delay doubles each time, up to longestRetryDelay.
+	busyRetryDelay    = 25 * time.Millisecond
+	longestRetryDelay = 400 * time.Millisecond
+	// maxDoublings is the number of doublings that reach longestRetryDelay.
+	maxDoublings = 4
+	// budgetPollInterval is the interval at which a begun stream asks for a retry while the budget is empty.
+	budgetPollInterval = 50 * time.Millisecond
 	// retryAfterBusy is the Retry-After value of a request that no replica could accept.
 	retryAfterBusy = 400 * time.Millisecond
 )
@@ -134,11 +140,16 @@
 	return failure
 }
 
+// goesOn reports whether the client has a part of a stream that another replica may go on with. Such a stream is not given up for
+// want of a replica that takes it now: until its deadline, one may.
+func (transaction *transaction) goesOn() bool {
+	return transaction.sink.Begun() && transaction.route.Resumable
+}
+
 // prepareRetry reports whether the request may be retried after the attempt. It spends the retry budget of the
-// service, excludes the replica, or marks it as lacking the model, and waits for busyRetryDelay if the replica
-// rejected the request.
+// service, excludes the replica, or marks it as lacking the model, and waits for the delay before the next attempt.
 func (transaction *transaction) prepareRetry(ctx context.Context, candidate balance.Candidate, result result) bool {
-	if ctx.Err() != nil || transaction.sends >= maxSends {
+	if ctx.Err() != nil || (transaction.sends >= maxSends && !transaction.goesOn()) {
 		return false
 	}
 	if transaction.sink.Begun() && !transaction.route.Resumable {
@@ -147,7 +158,7 @@
 	if !result.notRun && (!transaction.route.Repeatable() || transaction.runs >= transaction.maxRuns) {
 		return false
 	}
-	if !result.unsent && !transaction.relay.budget(transaction.service.Name).Withdraw() {
+	if !result.unsent && !transaction.withdrawRetry(ctx) {
 		return false
 	}
 	if result.misdirected {
@@ -155,12 +166,38 @@
 	} else {
 		transaction.tried = append(transaction.tried, candidate.Incarnation)
 	}
-	if result.notRun && !result.unsent {
-		transaction.waitForChange(ctx, busyRetryDelay, changes{})
+	if delay := transaction.retryDelay(result); delay > 0 {
+		transaction.waitForChange(ctx, delay, changes{})
 	}
 	return true
 }
 
+// withdrawRetry takes a retry from the budget of the service and reports whether there was one. A begun stream waits for it.
+func (transaction *transaction) withdrawRetry(ctx context.Context) bool {
+	budget := transaction.relay.budget(transaction.service.Name)
+	for !budget.Withdraw() {
+		if !transaction.goesOn() || ctx.Err() != nil {
+			return false
+		}
+		transaction.waitForChange(ctx, budgetPollInterval, changes{})
+	}
+	return true
+}
+
+// retryDelay returns the delay before the next attempt.
+func (transaction *transaction) retryDelay(result result) time.Duration {
+	further := transaction.sends - maxSends
+	switch {
+	case !result.notRun:
+		return 0
+	case further < 0 && result.unsent:
+		return 0
+	case further < 0:
+		return busyRetryDelay
+	}
+	return min(busyRetryDelay<<min(further, maxDoublings), longestRetryDelay)
+}
+
 // remaining returns the time until the deadline.
 func (transaction *transaction) remaining() time.Duration {
 	return transaction.deadline.Sub(transaction.relay.deps.Clock.Now())
