End an attempt that stalls only once another replica has accepted the request

Idempotent calls and streams without an event failed the same way.

Cause: the watchdog of an attempt ended it first; only then were the retry budget asked and another replica chosen, and where that was refused, nothing was left to go on with.

Evidence: seven of thirteen cases of the new test on the code before: an empty budget, full replicas, no other replica, an event that comes 10 ms after the limit.

Change: the attempt goes on while another replica is chosen and sent the request, and is ended once that one responds or has not rejected the request for 150 ms (the users' platform lets two run for 400 ms). Events of both are passed on once, in order. Budget, limits, attempts of the route and the release of the stream bind as before. An attempt is a `leg` now; `watchdog` is gone. AttemptReplaced (867) names both replicas.

Before and after: the 13 cases: 7 failed, none fails.

--- a/event/front.go
+++ b/event/front.go
@@ -10,6 +10,7 @@
 	LogLinesDropped    = define(805, "LogLinesDropped", Warning, "Log lines were dropped because they could not be written in time.")
 	RequestWaits       = define(810, "RequestWaits", Info, "A request waits for its model or adapter to be loaded, or for replicas to accept it within their limits.")
 	AttemptFailed      = define(811, "AttemptFailed", Info, "An attempt to send a request to a replica failed; NotRun states whether it is proven that the request was not run.")
+	AttemptReplaced    = define(867, "AttemptReplaced", Info, "An attempt got nothing from its replica for too long, and was ended once another replica, Successor, had accepted the request.")
 	TrialStarted       = define(812, "TrialStarted", Info, "A request with a refused part of a prompt is sent to see whether the part still crashes replicas.")
 	SuspectRefused     = define(813, "SuspectRefused", Warning, "A request, or each request with a part of a prompt, is refused from now on, because of the crashes that this daemon and others counted; Cleared is the number of crashes that responses have offset.")
 	SuspectReleased    = define(814, "SuspectReleased", Info, "Requests with a part of a prompt are no longer refused, since one was answered in full.")
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -16,9 +16,6 @@
 // maxResponseBytes is the largest response, in bytes, that is read whole before it is passed on.
 const maxResponseBytes = 8 << 20
 
-// errStalled is the cancellation cause of an attempt whose replica sent no event within its limit.
-var errStalled = errors.New("replica sent no event within the limit")
-
 // result is the outcome of one attempt.
 type result struct {
 	// done is set if the client has received its final response.
@@ -31,45 +28,42 @@
 	misdirected bool
 }
 
-// attempt sends the request to the candidate once and passes the response on.
-func (transaction *transaction) attempt(ctx context.Context, candidate balance.Candidate) result {
-	attemptRecord := transaction.startRecord(candidate)
-	defer attemptRecord.finish()
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	watchdog := transaction.watchdog(cancel)
-	defer watchdog.stop()
-	transaction.logContinuation(candidate)
-	transaction.sends++
-	transaction.runs++
-	reply, err := transaction.relay.deps.Upstream.Send(ctx, transaction.request, exchange.Attempt{
-		Replica:     candidate.Incarnation,
-		Address:     candidate.Address,
-		Budget:      transaction.remaining(),
-		Priority:    priority(transaction.route),
-		HasPriority: transaction.service.Engine != nil,
-		AtMostOnce:  !transaction.route.Repeatable(),
-		Counted:     transaction.permit.Counted,
-		ResumeAfter: transaction.lastEvent,
-		SentBefore:  transaction.markSent(candidate.Incarnation),
-	})
-	if err != nil {
-		return transaction.failAttempt(ctx, candidate, err)
-	}
-	defer reply.Body.Close()
-	if reply.NotRun {
-		return transaction.rejectAttempt(candidate, reply)
-	}
-	return transaction.passOn(ctx, candidate, reply, watchdog, attemptRecord)
+// attempt sends the request to the candidate and passes the response on, and does so at the successors of attempts that stall. It
+// returns the last of these replicas and what came of it.
+func (transaction *transaction) attempt(ctx context.Context, candidate balance.Candidate) (balance.Candidate, result) {
+	current := transaction.open(ctx, candidate)
+	for {
+		handover := transaction.startHandover(ctx, current)
+		result := transaction.receive(current, handover)
+		successor := handover.finish(transaction, result)
+		if successor == nil {
+			return current.candidate, result
+		}
+		transaction.logFailure(current.candidate, result)
+		current = successor
+	}
+}
+
+// receive waits for the response to the attempt and passes it on.
+func (transaction *transaction) receive(leg *leg, handover *handover) result {
+	defer leg.end()
+	leg.await()
+	if leg.err != nil {
+		return transaction.failAttempt(leg.ctx, leg.candidate, leg.err)
+	}
+	if leg.reply.NotRun {
+		return transaction.rejectAttempt(leg.candidate, leg.reply)
+	}
+	return transaction.passOn(leg.ctx, leg.candidate, leg.reply, handover, leg.record)
 }
 
 // passOn passes a response on to the client.
-func (transaction *transaction) passOn(ctx context.Context, candidate balance.Candidate, reply *exchange.Reply, watchdog *watchdog, attemptRecord *attemptRecord) result {
+func (transaction *transaction) passOn(ctx context.Context, candidate balance.Candidate, reply *exchange.Reply, handover *handover, attemptRecord *attemptRecord) result {
 	if transaction.sink.Begun() && !(reply.Success() && reply.EventStream) {
 		return transaction.endResumption(candidate, outcome.UpstreamLost, "the replica did not resume the stream: "+http.StatusText(reply.Status))
 	}
 	if transaction.route.Kind == topology.Streaming && reply.Success() {
-		return transaction.stream(ctx, candidate, reply, watchdog, attemptRecord)
+		return transaction.stream(ctx, candidate, reply, handover, attemptRecord)
 	}
 	return transaction.completeResponse(ctx, candidate, reply, attemptRecord)
 }
@@ -119,7 +113,7 @@
 		failure := outcome.New(outcome.UpstreamRefused, "%s", err.Error()).WithRetryAfter(retryAfterBusy)
 		return result{failure: failure, notRun: true, unsent: true}
 	}
-	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStopped) && !transaction.lending {
+	if ctx.Err() != nil && saysNoResponse(context.Cause(ctx)) && !transaction.lending {
 		transaction.relay.deps.Suspects.NoResponse(transaction.causes, CrashOf(candidate.Incarnation), now)
 	}
 	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled) {
@@ -141,6 +135,11 @@
 	return result{failure: outcome.New(outcome.UpstreamLost, "%s", err.Error())}
 }
 
+// saysNoResponse reports whether the cancellation cause of an attempt is that the client or this daemon waited long enough.
+func saysNoResponse(cause error) bool {
+	return !errors.Is(cause, errStopped) && !errors.Is(cause, errOvertaken)
+}
+
 // rejectAttempt ends an attempt that the replica proved not to have run.
 func (transaction *transaction) rejectAttempt(candidate balance.Candidate, reply *exchange.Reply) result {
 	transaction.runs--
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -37,6 +37,53 @@
 	noResponse bool
 	// trickle is what the body sends at each trickleInterval after the text, until the attempt is cancelled.
 	trickle string
+	// headAfter delays the response, and parts replaces its body; both end when the attempt is cancelled.
+	headAfter time.Duration
+	parts     []part
+}
+
+// part is a part of a body that is sent after the delay.
+type part struct {
+	after time.Duration
+	text  string
+}
+
+// partedBody is a body of parts. It fails once the attempt is cancelled.
+type partedBody struct {
+	ctx   context.Context
+	parts []part
+	end   error
+}
+
+func (body *partedBody) Read(into []byte) (int, error) {
+	if len(body.parts) == 0 {
+		return 0, body.end
+	}
+	next := body.parts[0]
+	body.parts = body.parts[1:]
+	if !wait(body.ctx, next.after) {
+		return 0, errors.Join(exchange.ErrLost, body.ctx.Err())
+	}
+	return copy(into, next.text), nil
+}
+
+func (body *partedBody) Close() error { return nil }
+
+// wait waits for the time and reports whether the context has not ended.
+func wait(ctx context.Context, duration time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(duration):
+		return true
+	}
+}
+
+// parted returns a step that streams the parts and ends with the error; io.EOF means that the stream is complete.
+func parted(end error, parts ...part) step {
+	next := answered(http.StatusOK, "", end)
+	next.reply.EventStream, next.parts = true, parts
+	return next
 }
 
 // replicas is an Upstream that returns the scripted steps in order and records the attempts.
@@ -44,13 +91,21 @@
 	mutex    sync.Mutex
 	steps    []step
 	attempts []exchange.Attempt
+	// sent and cancelled hold when each attempt was made, and when it was cancelled; zero if it was not.
+	sent, cancelled []time.Time
 }
 
 func (replicas *replicas) Send(ctx context.Context, _ *exchange.Request, attempt exchange.Attempt) (*exchange.Reply, error) {
 	replicas.mutex.Lock()
 	at := len(replicas.attempts)
 	replicas.attempts = append(replicas.attempts, attempt)
+	replicas.sent, replicas.cancelled = append(replicas.sent, time.Now()), append(replicas.cancelled, time.Time{})
 	replicas.mutex.Unlock()
+	context.AfterFunc(ctx, func() {
+		replicas.mutex.Lock()
+		defer replicas.mutex.Unlock()
+		replicas.cancelled[at] = time.Now()
+	})
 	if at >= len(replicas.steps) {
 		return nil, exchange.ErrNotSent
 	}
@@ -59,6 +114,12 @@
 		<-ctx.Done()
 		return nil, errors.Join(exchange.ErrLost, ctx.Err())
 	}
+	if next.headAfter > 0 && !wait(ctx, next.headAfter) {
+		return nil, errors.Join(exchange.ErrLost, ctx.Err())
+	}
+	if next.parts != nil {
+		next.reply.Body = &partedBody{ctx, next.parts, next.reply.Body.(*endingBody).end}
+	}
 	if next.trickle != "" {
 		next.reply.Body = &trickleBody{ctx: ctx, first: next.reply.Body, text: next.trickle}
 	}
--- /dev/null
+++ b/relay/leg.go
@@ -0,0 +1,102 @@
+package relay
+
+import (
+	"context"
+
+	"github.com/bronzestall/bronzestall/balance"
+	"github.com/bronzestall/bronzestall/exchange"
+)
+
+// leg is one attempt that is under way. Use transaction.open, and end it by receive or discard.
+type leg struct {
+	// transaction is that for which the attempt was opened; for a successor it is the copy that sought it.
+	transaction *transaction
+	candidate   balance.Candidate
+	// sent is what is sent to the replica.
+	sent   exchange.Attempt
+	record *attemptRecord
+	// ctx ends with the attempt, and cancel ends it.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// answered is closed once reply or err are set, if another goroutine sends the request; else it is nil.
+	answered chan struct{}
+	reply    *exchange.Reply
+	err      error
+}
+
+// open records the start of an attempt at the candidate, which ends with the context. Nothing is sent before send or start.
+func (transaction *transaction) open(ctx context.Context, candidate balance.Candidate) *leg {
+	ctx, cancel := context.WithCancelCause(ctx)
+	return transaction.openUntil(ctx, cancel, candidate)
+}
+
+// openUntil is open for a context that is cancelled by the function.
+func (transaction *transaction) openUntil(ctx context.Context, cancel context.CancelCauseFunc, candidate balance.Candidate) *leg {
+	transaction.logContinuation(candidate)
+	transaction.sends++
+	transaction.runs++
+	return &leg{
+		transaction: transaction, candidate: candidate, sent: transaction.upstreamAttempt(candidate),
+		record: transaction.startRecord(candidate), ctx: ctx, cancel: cancel,
+	}
+}
+
+// send sends the request and waits for the head of the response.
+func (leg *leg) send() {
+	leg.reply, leg.err = leg.transaction.relay.deps.Upstream.Send(leg.ctx, leg.transaction.request, leg.sent)
+}
+
+// start sends the request without waiting for the response.
+func (leg *leg) start() {
+	leg.answered = make(chan struct{})
+	go func() {
+		defer close(leg.answered)
+		leg.send()
+	}()
+}
+
+// await waits for the head of the response, after it has sent the request unless start did.
+func (leg *leg) await() {
+	if leg.answered == nil {
+		leg.send()
+		return
+	}
+	<-leg.answered
+}
+
+// end releases what the attempt holds.
+func (leg *leg) end() {
+	if leg.reply != nil {
+		// The rest of the body is of no use, and so is the error.
+		_ = leg.reply.Body.Close()
+	}
+	leg.record.finish()
+	leg.cancel(nil)
+}
+
+// discard ends an attempt whose response is not wanted any more.
+func (leg *leg) discard() {
+	leg.cancel(errOvertaken)
+	leg.await()
+	if leg.err != nil {
+		leg.transaction.failAttempt(leg.ctx, leg.candidate, leg.err)
+	} else {
+		leg.transaction.cancelAt(leg.candidate)
+	}
+	leg.end()
+}
+
+// upstreamAttempt returns what is sent for an attempt at the candidate, and records that the request is sent to it.
+func (transaction *transaction) upstreamAttempt(candidate balance.Candidate) exchange.Attempt {
+	return exchange.Attempt{
+		Replica:     candidate.Incarnation,
+		Address:     candidate.Address,
+		Budget:      transaction.remaining(),
+		Priority:    priority(transaction.route),
+		HasPriority: transaction.service.Engine != nil,
+		AtMostOnce:  !transaction.route.Repeatable(),
+		Counted:     transaction.permit.Counted,
+		ResumeAfter: transaction.lastEvent,
+		SentBefore:  transaction.markSent(candidate.Incarnation),
+	}
+}
--- /dev/null
+++ b/relay/seek.go
@@ -0,0 +1,112 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/bronzestall/bronzestall/balance"
+	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/topology"
+)
+
+// acceptTime is the time after which a replica that did not reject the request counts as having accepted it. Full replicas reject
+// at once. Until then two replicas may run the request, for which the users' platform leaves 400 ms.
+const acceptTime = 150 * time.Millisecond
+
+// maySeek reports whether the request may be sent once more.
+func (transaction *transaction) maySeek() bool {
+	return transaction.runs < transaction.maxRuns && (transaction.sends < maxSends || transaction.goesOn())
+}
+
+// seek makes one attempt at another replica than the current one, or at the same if mayRepeat is set, and returns it once it was
+// accepted. It returns nil if no replica accepts the request now; the current attempt goes on meanwhile.
+func (transaction *transaction) seek(ctx context.Context, cancel context.CancelCauseFunc, current topology.Incarnation, mayRepeat bool) *leg {
+	budget := transaction.relay.budget(transaction.service.Name)
+	if !budget.Withdraw() {
+		return nil
+	}
+	candidate, failure := transaction.selectReplica(ctx)
+	if failure != nil {
+		budget.Return()
+		return nil
+	}
+	same := candidate.Incarnation == current
+	if same && !mayRepeat {
+		budget.Return()
+		transaction.unchoose(candidate)
+		return nil
+	}
+	opened := transaction.openUntil(ctx, cancel, candidate)
+	opened.start()
+	if opened.accepted(same) {
+		return opened
+	}
+	result := opened.fail()
+	if result.unsent {
+		budget.Return()
+	}
+	transaction.logFailure(candidate, result)
+	transaction.exclude(candidate, result)
+	return nil
+}
+
+// unchoose undoes the choice of a candidate that the request is not sent to.
+func (transaction *transaction) unchoose(candidate balance.Candidate) {
+	transaction.relay.deps.Limiter.Return(transaction.permit, transaction.relay.deps.Clock.Now())
+	transaction.relay.deps.Balancer.Withdraw(candidate, transaction.criteria)
+}
+
+// accepted waits until the replica has accepted the request and returns true, or until it has not. The replica of the current
+// attempt has accepted it when it responds, any other also when it has not rejected it within acceptTime.
+func (leg *leg) accepted(same bool) bool {
+	if same {
+		<-leg.answered
+		return leg.usable()
+	}
+	timer := leg.transaction.relay.deps.Clock.NewTimer(acceptTime)
+	defer timer.Stop()
+	select {
+	case <-leg.answered:
+		return leg.usable()
+	case <-timer.C():
+		return true
+	}
+}
+
+// usable reports whether the response to the attempt can be passed on, or can follow what the client has.
+func (leg *leg) usable() bool {
+	if leg.err != nil || leg.reply.NotRun {
+		return false
+	}
+	if leg.transaction.sink.Begun() {
+		return leg.reply.Success() && leg.reply.EventStream
+	}
+	return leg.reply.Status < http.StatusInternalServerError
+}
+
+// fail ends an attempt whose response is not usable.
+func (leg *leg) fail() result {
+	defer leg.end()
+	switch {
+	case leg.err != nil:
+		return leg.transaction.failAttempt(leg.ctx, leg.candidate, leg.err)
+	case leg.reply.NotRun:
+		return leg.transaction.rejectAttempt(leg.candidate, leg.reply)
+	default:
+		return leg.transaction.endResumption(leg.candidate, outcome.UpstreamLost, "the replica failed: "+http.StatusText(leg.reply.Status))
+	}
+}
+
+// heldSink is the sink of a transaction that seeks a successor: it states whether the client has a part of the response, and takes
+// nothing.
+type heldSink bool
+
+// Head does nothing.
+func (heldSink) Head(int, http.Header, int64) {}
+
+// Write fails.
+func (heldSink) Write([]byte) error { return errOvertaken }
+
+// Begun reports whether the client has a part of the response.
+func (sink heldSink) Begun() bool { return bool(sink) }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -11,7 +11,7 @@
 )
 
 // stream passes on complete events as they arrive.
-func (transaction *transaction) stream(ctx context.Context, candidate balance.Candidate, reply *exchange.Reply, watchdog *watchdog, attemptRecord *attemptRecord) result {
+func (transaction *transaction) stream(ctx context.Context, candidate balance.Candidate, reply *exchange.Reply, handover *handover, attemptRecord *attemptRecord) result {
 	if !reply.Signed {
 		return transaction.failAttempt(ctx, candidate, exchange.ErrInvalidResponse)
 	}
@@ -23,8 +23,8 @@
 			return transaction.endResumption(candidate, outcome.AnswerInvalid, "the resumed stream has an event without a number")
 		}
 		if len(events) > 0 {
-			if hasContent(events) {
-				watchdog.reset()
+			content := hasContent(events)
+			if content {
 				attemptRecord.firstEvent()
 			}
 			transaction.recordOrigin(ctx, candidate)
@@ -32,6 +32,9 @@
 				transaction.cancelAt(candidate)
 				return result{failure: failure}
 			}
+			if content {
+				handover.advance(transaction)
+			}
 		}
 		if errors.Is(err, io.EOF) && !splitter.partial() && !transaction.endsBeforeItsBegin(reply) {
 			return transaction.finishStream(candidate, reply)
--- a/relay/transaction.go
+++ b/relay/transaction.go
@@ -44,9 +44,7 @@
 	request       *exchange.Request
 	configuration *topology.Configuration
 	// causes lists what the request has that may crash replicas.
-	causes quarantine.Causes
-	// trial is the refused part of the prompt that the request was admitted to try, or zero.
-	trial    uint64
+	causes   quarantine.Causes
 	route    *topology.Route
 	service  topology.Service
 	sink     Sink
@@ -57,14 +55,7 @@
 	lent bool
 	// lending is set during an attempt through another daemon, and lendFailed once no daemon took the request.
 	lending, lendFailed bool
-	// unreached counts the attempts that could not be sent.
-	unreached int
-	// sends counts the attempts, and runs those of them that may have run the request.
-	sends, runs int
-	// tried lists the replicas whose attempts failed; the balancer chooses them last.
-	tried []topology.Incarnation
-	// sentTo lists the replicas to which the request was sent.
-	sentTo []topology.Incarnation
+	progress
 	// lastEvent is the ID of the last event that was passed to the client; zero if there is none.
 	lastEvent uint64
 	// release is that of the replica that began the stream; empty if that is unknown or the stream has not begun.
@@ -79,6 +70,28 @@
 	failedResponse *completeResponse
 }
 
+// progress is what the attempts of a request have come to.
+type progress struct {
+	// unreached counts the attempts that could not be sent.
+	unreached int
+	// sends counts the attempts, and runs those of them that may have run the request.
+	sends, runs int
+	// tried lists the replicas whose attempts failed; the balancer chooses them last.
+	tried []topology.Incarnation
+	// sentTo lists the replicas to which the request was sent.
+	sentTo []topology.Incarnation
+	// trial is the refused part of the prompt that the request was admitted to try, or zero.
+	trial uint64
+}
+
+// adopt adds what a copy of the transaction has come to, from base to after, while the transaction itself chose no replica.
+func (progress *progress) adopt(base, after progress) {
+	progress.unreached += after.unreached - base.unreached
+	progress.sends += after.sends - base.sends
+	progress.runs += after.runs - base.runs
+	progress.tried, progress.sentTo, progress.trial = after.tried, after.sentTo, after.trial
+}
+
 // run makes attempts until the request is answered or must not be retried.
 func (transaction *transaction) run(ctx context.Context) *outcome.Error {
 	relay := transaction.relay
@@ -108,18 +121,24 @@
 		if failure != nil {
 			return transaction.finalFailure(ctx, failure)
 		}
-		result := transaction.attempt(ctx, candidate)
+		candidate, result := transaction.attempt(ctx, candidate)
 		if result.done {
 			return nil
 		}
-		event.AttemptFailed.Log("Request", transaction.request.Metadata.ID, "Fingerprint", transaction.causes.Request, "Replica", candidate.ID, "Born", candidate.Started, "Release", candidate.Release, "LastEvent", transaction.lastEvent,
-			"Sends", transaction.sends, "Runs", transaction.runs, "NotRun", result.notRun, "Cause", result.failure.Error())
+		transaction.logFailure(candidate, result)
 		if !transaction.prepareRetry(ctx, candidate, result) {
 			return transaction.finalFailure(ctx, result.failure)
 		}
 	}
 }
 
+// logFailure logs that the attempt at the candidate failed.
+func (transaction *transaction) logFailure(candidate balance.Candidate, result result) {
+	event.AttemptFailed.Log("Request", transaction.request.Metadata.ID, "Fingerprint", transaction.causes.Request,
+		"Replica", candidate.ID, "Born", candidate.Started, "Release", candidate.Release, "LastEvent", transaction.lastEvent,
+		"Sends", transaction.sends, "Runs", transaction.runs, "NotRun", result.notRun, "Cause", result.failure.Error())
+}
+
 // key returns the model, and the adapter if any, that the request needs.
 func (transaction *transaction) key() demand.Key {
 	metadata := &transaction.request.Metadata
@@ -161,17 +180,22 @@
 	if !result.unsent && !transaction.withdrawRetry(ctx) {
 		return false
 	}
-	if result.misdirected {
-		transaction.relay.deps.Directory.MarkAbsent(demand.ReplicaKey{Incarnation: candidate.Incarnation, Key: transaction.key()})
-	} else {
-		transaction.tried = append(transaction.tried, candidate.Incarnation)
-	}
+	transaction.exclude(candidate, result)
 	if delay := transaction.retryDelay(result); delay > 0 {
 		transaction.waitForChange(ctx, delay, changes{})
 	}
 	return true
 }
 
+// exclude makes the candidate the last choice for the request, or marks it as lacking the model.
+func (transaction *transaction) exclude(candidate balance.Candidate, result result) {
+	if result.misdirected {
+		transaction.relay.deps.Directory.MarkAbsent(demand.ReplicaKey{Incarnation: candidate.Incarnation, Key: transaction.key()})
+		return
+	}
+	transaction.tried = append(transaction.tried, candidate.Incarnation)
+}
+
 // withdrawRetry takes a retry from the budget of the service and reports whether there was one. A begun stream waits for it.
 func (transaction *transaction) withdrawRetry(ctx context.Context) bool {
 	budget := transaction.relay.budget(transaction.service.Name)
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -70,3 +70,10 @@
 	budget.available--
 	return true
 }
+
+// Return gives back a retry that was withdrawn and not made.
+func (budget *Budget) Return() {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	budget.available = min(budget.available+1, budget.settings.Max)
+}
