Retract crashes of replicas that live on

What callers saw: three streams that replicas broke off in the middle of an event, on three occasions, refused a sound part of prompts, and all requests with it, until a trial eight seconds later.

Cause: a lost connection counts as a crash at once, which is what finds a deadly part soon; nothing took it back when the replica went on with its other responses.

Evidence: TestReplicaThatCompletesOlderResponsesDidNotCrash on the code before: the part is refused although each replica completed another stream three seconds after the break.

Change: a response that an incarnation completes over a connection that was in use before it broke another one, a second or more after that, shows that it did not crash. The crash is retracted for all its suspects; greetings and the rows of suspects carry the retracted ones, so that no daemon counts them again. Retracting says nothing for or against a part, unlike a full response to it. Restarts cannot be taken for life: their connections are new. CrashesRetracted (868) names what is released.

Before and after: the part is refused, and is not; where all streams of the replicas break off it stays refused. FuzzBlame: 16,503 histories, passed.

--- a/front/suspectrow.go
+++ b/front/suspectrow.go
@@ -35,6 +35,7 @@
 		Crashes:     content.Crashes,
 		Times:       content.times(now),
 		Cleared:     content.Cleared,
+		Retracted:   content.Retracted,
 		Until:       now.Add(quarantine.Retention),
 	}, nil
 }
@@ -44,13 +45,14 @@
 	Crashes []quarantine.Crash
 	// Ages lists the ages of the crashes in ms when the row was written, in their order; -1 stands for an unknown one. The
 	// differences tell which crashes were one occasion.
-	Ages    []int64            `json:",omitempty"`
-	Cleared []quarantine.Crash `json:",omitempty"`
+	Ages      []int64            `json:",omitempty"`
+	Cleared   []quarantine.Crash `json:",omitempty"`
+	Retracted []quarantine.Crash `json:",omitempty"`
 }
 
 // newSuspectContent returns the value of the row of the suspect.
 func newSuspectContent(suspect quarantine.Suspect, now time.Time) suspectContent {
-	content := suspectContent{Crashes: suspect.Crashes, Cleared: suspect.Cleared}
+	content := suspectContent{Crashes: suspect.Crashes, Cleared: suspect.Cleared, Retracted: suspect.Retracted}
 	for _, seen := range suspect.Times {
 		age := int64(-1)
 		if !seen.At.IsZero() {
--- a/front/suspects.go
+++ b/front/suspects.go
@@ -172,8 +172,8 @@
 	case refused:
 		event.SuspectRefused.Log("Kind", suspect.Kind, "Fingerprint", suspect.Fingerprint, "Crashes", len(suspect.Crashes),
 			"Replicas", crashedReplicas(suspect), "Cleared", len(suspect.Cleared))
-	case len(suspect.Cleared) > 0:
-		event.SuspectReleased.Log("Kind", suspect.Kind, "Fingerprint", suspect.Fingerprint, "Cleared", len(suspect.Cleared))
+	case len(suspect.Cleared) > 0 || len(suspect.Retracted) > 0:
+		event.SuspectReleased.Log("Kind", suspect.Kind, "Fingerprint", suspect.Fingerprint, "Cleared", len(suspect.Cleared), "Retracted", len(suspect.Retracted))
 	}
 }
 
@@ -207,7 +207,7 @@
 		}
 	}
 	suspect, known = daemon.suspects.Suspect(fingerprint, daemon.clock.Now())
-	if !known || (len(suspect.Crashes) == len(recorded.Crashes) && len(suspect.Cleared) == len(recorded.Cleared)) {
+	if !known || suspect.SameCounts(&recorded) {
 		return nil
 	}
 	value, err := json.Marshal(newSuspectContent(suspect, daemon.clock.Now()))
--- a/front/suspects_test.go
+++ b/front/suspects_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -106,6 +107,21 @@
 	}
 }
 
+// TestSuspectRowKeepsItsLists checks that the row of a suspect holds each list of its crashes.
+func TestSuspectRowKeepsItsLists(t *testing.T) {
+	now := time.Unix(1000, 0)
+	crash := func(boot string) []quarantine.Crash { return []quarantine.Crash{{Upstream: "r", BootID: boot}} }
+	suspect := quarantine.Suspect{Kind: quarantine.PromptPart, Fingerprint: 7, Crashes: crash("1"), Cleared: crash("2"), Retracted: crash("3")}
+	value, err := json.Marshal(newSuspectContent(suspect, now))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := decodeSuspect(datastore.Row{Key: suspectKey(suspect), Value: value}, now)
+	if err != nil || !got.SameCounts(&suspect) || got.Retracted[0] != suspect.Retracted[0] || got.Cleared[0] != suspect.Cleared[0] {
+		t.Errorf("read %+v, %v", got, err)
+	}
+}
+
 func TestInvalidSuspectRowsAreRejected(t *testing.T) {
 	for row, value := range map[string]string{"x": `{}`, "": `{}`, "1f": ``, "2f": `[]`, "3f": `{"Crashes":7}`, "10000000000000000": `{}`} {
 		key := datastore.Key{Table: suspectTable, Row: row}
--- a/mesh/suspects.go
+++ b/mesh/suspects.go
@@ -10,7 +10,7 @@
 // maxSuspects bounds the suspects that are accepted from one greeting.
 const maxSuspects = 256
 
-// maxSuspectCrashes bounds the crashes, and the offset ones, that are passed on for one suspect.
+// maxSuspectCrashes bounds the crashes, the offset and the retracted ones, that are passed on for one suspect.
 const maxSuspectCrashes = 8
 
 // encodeSuspects encodes suspects with the time until they expire rather than an absolute time, since the
@@ -24,6 +24,7 @@
 			Remaining:   uint64(max(suspect.Until.Sub(now), 0).Milliseconds()),
 			Crashes:     encodeCrashes(suspect.Crashes, suspect.Times, now),
 			Cleared:     encodeCrashes(suspect.Cleared, nil, now),
+			Retracted:   encodeCrashes(suspect.Retracted, nil, now),
 		})
 	}
 	return encoded
@@ -57,6 +58,7 @@
 			Crashes:     decodeCrashes(next.GetCrashes()),
 			Times:       decodeCrashTimes(next.GetCrashes(), now),
 			Cleared:     decodeCrashes(next.GetCleared()),
+			Retracted:   decodeCrashes(next.GetRetracted()),
 			Until:       now.Add(min(milliseconds(next.GetRemaining()), quarantine.Retention)),
 		})
 	}
--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -20,7 +20,7 @@
 	maxPartCrashes = 16
 	// maxOccasionCrashes is the number of them that are kept of one occasion if there are more.
 	maxOccasionCrashes = 4
-	// maxCleared is the maximum number of crashes kept for a suspect that no longer count against it.
+	// maxCleared is the maximum number of crashes kept for a suspect that no longer count against it for one reason.
 	maxCleared = 32
 	// evictionSample is the number of suspects of which the weakest is evicted from a full registry.
 	evictionSample = 64
@@ -218,7 +218,7 @@
 	if len(merged.Crashes) > len(known.Crashes) {
 		merged.grown = now
 	}
-	if len(merged.Crashes) != len(known.Crashes) || len(merged.Cleared) != len(known.Cleared) {
+	if !merged.SameCounts(&known) {
 		registry.shareQueue.enqueue(merged.Fingerprint, registry.weight(merged.Kind, merged.Crashes), registry.limit)
 	}
 	if _, ok := registry.suspects[merged.Fingerprint]; !ok {
@@ -232,9 +232,11 @@
 // union returns the first suspect with the crashes of both and the later expiry.
 func (registry *Registry) union(a, b Suspect) Suspect {
 	a.Cleared = appendDistinct(slices.Clone(a.Cleared), b.Cleared, nil, maxCleared)
+	a.Retracted = appendDistinct(slices.Clone(a.Retracted), b.Retracted, nil, maxCleared)
 	all := len(a.Crashes) + len(b.Crashes)
-	crashes := appendDistinct(nil, a.Crashes, a.Cleared, all)
-	crashes = appendDistinct(crashes, b.Crashes, a.Cleared, all)
+	excluded := slices.Concat(a.Cleared, a.Retracted)
+	crashes := appendDistinct(nil, a.Crashes, excluded, all)
+	crashes = appendDistinct(crashes, b.Crashes, excluded, all)
 	a.Crashes = registry.selectCrashes(a.Kind, crashes)
 	if b.Until.After(a.Until) {
 		a.Until = b.Until
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -15,6 +15,8 @@
 	Crashes []Crash `json:"Crashes"`
 	// Cleared lists the crashes that full responses have offset, at most maxCleared. None of them is in Crashes.
 	Cleared []Crash `json:"Cleared,omitempty"`
+	// Retracted lists the crashes that turned out to be none, at most maxCleared. None of them is in Crashes.
+	Retracted []Crash `json:"Retracted,omitempty"`
 	// Times lists when the crashes were seen, in their order; it may be shorter. Registries keep it apart, and fill it in for
 	// other daemons and the store.
 	Times []CrashTime `json:"-"`
@@ -24,6 +26,11 @@
 	grown time.Time
 }
 
+// SameCounts reports whether both suspects have as many crashes that count, that were offset and that were retracted.
+func (suspect *Suspect) SameCounts(other *Suspect) bool {
+	return len(suspect.Crashes) == len(other.Crashes) && len(suspect.Cleared) == len(other.Cleared) && len(suspect.Retracted) == len(other.Retracted)
+}
+
 // stronger reports whether there is more evidence against this part than against the other: no response at all before more
 // crashes. It is a strict order, so that two parts never explain each other's crashes.
 func (suspect *Suspect) stronger(other *Suspect) bool {
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -46,6 +47,9 @@
 	trials map[uint64]time.Time
 	// turn returns how many daemons may try a part before this one.
 	turn func(part uint64) int
+	// breaks maps incarnations to when they broke a connection last; breakCount is its length, to be read without the mutex.
+	breaks     map[Crash]time.Time
+	breakCount atomic.Int64
 	// unanswered maps incarnations to the attempts that ended there without a response.
 	unanswered map[Crash][]unansweredAttempt
 	// refused is closed and replaced when another fingerprint is refused.
@@ -62,6 +66,7 @@
 		responses:  newRecentCounts(completedCapacity),
 		ownCrashes: map[uint64][]Crash{},
 		unanswered: map[Crash][]unansweredAttempt{},
+		breaks:     map[Crash]time.Time{},
 		refused:    make(chan struct{}),
 		unrecorded: map[uint64]Suspect{},
 		pending:    make(chan struct{}, 1),
@@ -114,6 +119,7 @@
 func (tracker *Tracker) ConnectionLost(causes Causes, crash Crash, now time.Time) int {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
+	tracker.markBreak(crash, now)
 	return tracker.count(causes, crash, CrashTime{At: now}, now)
 }
 
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -69,12 +69,9 @@
 		offset, kept = suspect.Crashes, nil
 	}
 	cleared := suspect
-	cleared.Cleared = append(slices.Clone(suspect.Cleared), offset...)
-	cleared.Cleared = cleared.Cleared[max(len(cleared.Cleared)-maxCleared, 0):]
+	cleared.Cleared = appendCleared(suspect.Cleared, offset)
 	cleared.Crashes = kept
-	registry.suspects[part] = cleared
-	registry.shareQueue.enqueue(part, registry.weight(PromptPart, kept), registry.limit)
-	registry.updateCounts()
+	registry.update(cleared)
 	return cleared, before && !registry.refused(cleared)
 }
 
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -192,6 +192,7 @@
 		return result{failure: outcome.New(outcome.UpstreamLost, "%s", "the replica failed: "+http.StatusText(reply.Status))}
 	}
 	transaction.countAnswer(reply.Success())
+	attemptRecord.showLife()
 	transaction.nameSender()
 	response.deliver(transaction.sink)
 	return result{done: true}
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -84,3 +85,46 @@
 		}
 	})
 }
+
+// TestReplicaThatCompletesOlderResponsesDidNotCrash guards against a finding in issue 38: three streams that replicas broke off in
+// the middle of an event refused a sound part of prompts, although the replicas went on with their other streams.
+func TestReplicaThatCompletesOlderResponsesDidNotCrash(t *testing.T) {
+	for name, c := range map[string]struct {
+		// other returns the other stream of each replica.
+		other func() step
+		want  bool
+	}{
+		"the replica goes on with its other stream": {func() step { return parted(io.EOF, part{0, events(1, 1)}, part{4 * time.Second, events(2, 2)}) }, false},
+		"all streams of the replica break off":      {func() step { return breaking(events(1, 1), time.Second) }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var steps []step
+				for range crashLimit {
+					steps = append(steps, c.other(), breaking(events(1, 1)+"id: 2\nda", time.Second))
+				}
+				fixture := newFixture(steps...)
+				onlyA(fixture)
+				for number := range crashLimit {
+					sound, broken := fixture.request("/stream/x"), fixture.request("/stream/x")
+					sound.Metadata.Prefix = []exchange.Part{{ID: fmt.Sprint("other", number)}, {ID: fmt.Sprint("s", number)}}
+					broken.Metadata.Prefix = []exchange.Part{{ID: "shared"}, {ID: fmt.Sprint("b", number)}}
+					done := make(chan struct{})
+					go func() {
+						defer close(done)
+						_, _ = fixture.relay.Serve(t.Context(), sound, &client{})
+					}()
+					synctest.Wait()
+					_, _ = fixture.relay.Serve(t.Context(), broken, &client{})
+					<-done
+					time.Sleep(2 * time.Second)
+				}
+				next := fixture.request("/stream/x")
+				next.Metadata.Prefix = []exchange.Part{{ID: "shared"}, {ID: "next"}}
+				if refused := fixture.relay.deps.Suspects.Admit(causes(next), 0, time.Now()).Refused; refused != c.want {
+					t.Errorf("the part is refused: %v", refused)
+				}
+			})
+		})
+	}
+}
--- a/relay/record.go
+++ b/relay/record.go
@@ -5,6 +5,7 @@
 
 	"github.com/bronzestall/bronzestall/balance"
 	"github.com/bronzestall/bronzestall/demand"
+	"github.com/bronzestall/bronzestall/event"
 )
 
 // attemptRecord reports the progress of one attempt to the balancer and the demand counts: its start, its first event
@@ -46,6 +47,19 @@
 	relay.deps.Balancer.ObserveLatency(attemptRecord.candidate.Incarnation, relay.deps.Clock.Since(attemptRecord.sent))
 }
 
+// showLife records that the replica has completed the response, so that a connection that it broke meanwhile was no crash. A nil
+// record has no effect.
+func (attemptRecord *attemptRecord) showLife() {
+	if attemptRecord == nil {
+		return
+	}
+	relay := attemptRecord.transaction.relay
+	incarnation := CrashOf(attemptRecord.candidate.Incarnation)
+	for _, suspect := range relay.deps.Suspects.Lives(incarnation, attemptRecord.sent, relay.deps.Clock.Now()) {
+		event.CrashesRetracted.Log("Kind", suspect.Kind, "Fingerprint", suspect.Fingerprint, "Replica", incarnation.Upstream)
+	}
+}
+
 // finish records the end of the attempt.
 func (attemptRecord *attemptRecord) finish() {
 	if !attemptRecord.waitEnded {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -37,7 +37,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) && !splitter.partial() && !transaction.endsBeforeItsBegin(reply) {
-			return transaction.finishStream(candidate, reply)
+			return transaction.finishStream(candidate, reply, attemptRecord)
 		}
 		if err != nil {
 			return transaction.failAttempt(ctx, candidate, errors.Join(exchange.ErrLost, err))
@@ -69,12 +69,13 @@
 }
 
 // finishStream ends the attempt of a stream that is complete.
-func (transaction *transaction) finishStream(candidate balance.Candidate, reply *exchange.Reply) result {
+func (transaction *transaction) finishStream(candidate balance.Candidate, reply *exchange.Reply, attemptRecord *attemptRecord) result {
 	if !transaction.sink.Begun() {
 		transaction.nameSender()
 		transaction.sink.Head(reply.Status, reply.Header, -1)
 	}
 	transaction.endAt(candidate, false)
 	transaction.countAnswer(true)
+	attemptRecord.showLife()
 	return result{done: true}
 }
