Give versions of the store a type of their own

Change: datastore.Version with Era, Number and String, ordered by <. Rows, conditions, watches, leases, the roster, heartbeats and updates between daemons, claims, intents, notes and the fakes use it. Platform and the stand-ins make versions; mesh encodes them. Formats on the wire and in rows are as before, and nothing else changes.

--- a/claim/batcher.go
+++ b/claim/batcher.go
@@ -150,7 +150,7 @@
 
 // commitVerified commits the changes. If the result is unclear it reads the row of the first change back, which
 // decides for all, since a transaction is atomic; it then returns no versions.
-func (batcher *batcher) commitVerified(changes []*change) ([]uint64, error) {
+func (batcher *batcher) commitVerified(changes []*change) ([]datastore.Version, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), batcher.timeout)
 	defer cancel()
 	for attempt := 1; ; attempt++ {
@@ -172,7 +172,7 @@
 }
 
 // commitOnce sends the transaction once.
-func (batcher *batcher) commitOnce(ctx context.Context, changes []*change) ([]uint64, error) {
+func (batcher *batcher) commitOnce(ctx context.Context, changes []*change) ([]datastore.Version, error) {
 	var writes []datastore.Write
 	for _, change := range changes {
 		writes = append(writes, change.writes...)
--- a/claim/change.go
+++ b/claim/change.go
@@ -17,7 +17,7 @@
 // commitResult is the result of a change.
 type commitResult struct {
 	// version is the version of the row, or zero if it has to be read.
-	version uint64
+	version datastore.Version
 	// err is nil, datastore.ErrConflict, datastore.ErrUnavailable or datastore.ErrUnclear.
 	err error
 }
--- a/claim/finish.go
+++ b/claim/finish.go
@@ -104,7 +104,7 @@
 }
 
 // version reads the version of the row and whether the row still belongs to the attempt of the ticket.
-func (store *Store) version(ctx context.Context, ticket Ticket) (version uint64, owned bool, err error) {
+func (store *Store) version(ctx context.Context, ticket Ticket) (version datastore.Version, owned bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, store.settings.Timeout)
 	defer cancel()
 	row, err := store.tables.Read(ctx, ticket.key)
--- a/claim/hang_test.go
+++ b/claim/hang_test.go
@@ -25,7 +25,7 @@
 	return tables.Tables.Read(ctx, key)
 }
 
-func (tables *hangingTables) Commit(ctx context.Context, writes []datastore.Write) ([]uint64, error) {
+func (tables *hangingTables) Commit(ctx context.Context, writes []datastore.Write) ([]datastore.Version, error) {
 	if tables.hangs {
 		<-ctx.Done()
 		return nil, datastore.ErrUnclear
--- a/claim/ticket.go
+++ b/claim/ticket.go
@@ -7,7 +7,7 @@
 	// key is the key of the row.
 	key datastore.Key
 	// version is the version of the row as claimed, or zero if it has to be read.
-	version uint64
+	version datastore.Version
 	// record is the content of the row as claimed.
 	record record
 }
--- a/datastore/client.go
+++ b/datastore/client.go
@@ -68,7 +68,7 @@
 }
 
 // Commit applies all writes or none. It fails with ErrConflict, ErrUnavailable or ErrUnclear.
-func (client *Client) Commit(ctx context.Context, writes []Write) ([]uint64, error) {
+func (client *Client) Commit(ctx context.Context, writes []Write) ([]Version, error) {
 	body, err := json.Marshal(struct{ Writes []Write }{writes})
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -77,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var result struct{ Versions []uint64 }
+	var result struct{ Versions []Version }
 	if err := json.Unmarshal(content, &result); err != nil {
 		return nil, unclear(err)
 	}
--- a/datastore/tables.go
+++ b/datastore/tables.go
@@ -16,7 +16,7 @@
 	// Version increases with every write to the row and is never zero for a row that exists.
 	// It is never reused for the same key, not even after a deletion or after the store came
 	// back from an older copy; see NewVersion.
-	Version uint64 `json:"Version"`
+	Version Version `json:"Version"`
 	// Value is the content of the row.
 	Value []byte `json:"Value"`
 }
@@ -27,7 +27,7 @@
 	// Check makes the transaction fail unless the row has the version IfVersion.
 	Check bool `json:"Check"`
 	// IfVersion is the required version if Check is set; zero means that the row must not exist.
-	IfVersion uint64 `json:"IfVersion"`
+	IfVersion Version `json:"IfVersion"`
 	// Only makes this part a condition that writes nothing.
 	Only bool `json:"Only"`
 	// Delete removes the row instead of writing Value.
@@ -46,5 +46,5 @@
 	Scan(ctx context.Context, table, prefix, after string, limit int) ([]Row, error)
 	// Commit applies all writes or none. It returns the new version of each part in order.
 	// It fails with ErrConflict, ErrUnavailable or ErrUnclear.
-	Commit(ctx context.Context, writes []Write) ([]uint64, error)
+	Commit(ctx context.Context, writes []Write) ([]Version, error)
 }
--- a/front/expiringrows.go
+++ b/front/expiringrows.go
@@ -21,7 +21,7 @@
 
 // trackedRow is the last known version of a row, and when this daemon received it.
 type trackedRow struct {
-	version uint64
+	version datastore.Version
 	changed time.Time
 }
 
@@ -30,7 +30,7 @@
 }
 
 // track records the version of a row.
-func (rows *expiringRows) track(row string, version uint64, now time.Time) {
+func (rows *expiringRows) track(row string, version datastore.Version, now time.Time) {
 	rows.mutex.Lock()
 	defer rows.mutex.Unlock()
 	if known, ok := rows.rows[row]; !ok || known.version < version {
@@ -53,10 +53,10 @@
 }
 
 // expired returns the keys of the rows that have not changed for the age, with their versions.
-func (rows *expiringRows) expired(age time.Duration, now time.Time) map[string]uint64 {
+func (rows *expiringRows) expired(age time.Duration, now time.Time) map[string]datastore.Version {
 	rows.mutex.Lock()
 	defer rows.mutex.Unlock()
-	expired := map[string]uint64{}
+	expired := map[string]datastore.Version{}
 	for row, known := range rows.rows {
 		if now.Sub(known.changed) >= age {
 			expired[row] = known.version
@@ -66,7 +66,7 @@
 }
 
 // deleteRow deletes the row from the table if it still has the version. It forgets the row in any case, unless it fails.
-func (daemon *Daemon) deleteRow(ctx context.Context, rows *expiringRows, row string, version uint64) error {
+func (daemon *Daemon) deleteRow(ctx context.Context, rows *expiringRows, row string, version datastore.Version) error {
 	key := datastore.Key{Table: rows.table, Row: row}
 	_, err := daemon.rowStore.Commit(ctx, []datastore.Write{{Key: key, Check: true, IfVersion: version, Delete: true}})
 	if err != nil && !errors.Is(err, datastore.ErrConflict) {
--- a/front/fallbackstore.go
+++ b/front/fallbackstore.go
@@ -40,7 +40,7 @@
 
 // Commit applies all writes or none. It tries the second path only if the first failed with
 // datastore.ErrUnavailable, that is, if nothing was written.
-func (fallback *fallbackStore) Commit(ctx context.Context, writes []datastore.Write) ([]uint64, error) {
+func (fallback *fallbackStore) Commit(ctx context.Context, writes []datastore.Write) ([]datastore.Version, error) {
 	first, second := fallback.order()
 	versions, err := first.Commit(ctx, writes)
 	if errors.Is(err, datastore.ErrUnavailable) {
--- a/front/fallbackstore_test.go
+++ b/front/fallbackstore_test.go
@@ -19,7 +19,7 @@
 	return datastore.Row{}, store.failure
 }
 
-func (store *failingStore) Commit(context.Context, []datastore.Write) ([]uint64, error) {
+func (store *failingStore) Commit(context.Context, []datastore.Write) ([]datastore.Version, error) {
 	store.calls++
 	return nil, store.failure
 }
--- a/front/originfinder.go
+++ b/front/originfinder.go
@@ -9,7 +9,6 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/mesh"
 	"github.com/bronzestall/bronzestall/origin"
@@ -189,7 +188,7 @@
 		daemon.originRows.track(row.Row, row.Version, daemon.clock.Now())
 		page, err := decodeOriginPage(row.Value)
 		if err != nil {
-			event.RowSkipped.LogError(err, "Table", row.Table, "Row", row.Row, "Version", datastore.FormatVersion(row.Version))
+			event.RowSkipped.LogError(err, "Table", row.Table, "Row", row.Row, "Version", row.Version.String())
 			continue
 		}
 		answer.Streams = append(answer.Streams, page.streams()...)
--- a/front/originrecorder.go
+++ b/front/originrecorder.go
@@ -36,7 +36,7 @@
 	unwritten map[int]origin.Page
 	batches   []origin.Batch
 	// versions holds the versions of the rows by number.
-	versions map[int]uint64
+	versions map[int]datastore.Version
 	// next is the earliest time of the next write, in Unix nanoseconds.
 	next atomic.Int64
 	// era is that of the store for which the streams were recorded.
@@ -44,7 +44,7 @@
 }
 
 func newOriginRecorder(daemon *Daemon) *originRecorder {
-	return &originRecorder{daemon: daemon, process: incarnation(), unwritten: map[int]origin.Page{}, versions: map[int]uint64{}}
+	return &originRecorder{daemon: daemon, process: incarnation(), unwritten: map[int]origin.Page{}, versions: map[int]datastore.Version{}}
 }
 
 // recordOrigins records the origins of streams while a service has several releases, and all of them again after the store
--- a/front/replicas.go
+++ b/front/replicas.go
@@ -30,10 +30,10 @@
 		pause:      replicaPause,
 		onResponse: daemon.replicasResponded,
 		onRecovery: func() { daemon.roster.EndOutage(daemon.clock.Now()) },
-		onSnapshot: func(rows []datastore.Row, version uint64) {
+		onSnapshot: func(rows []datastore.Row, version datastore.Version) {
 			daemon.replaceReplicas(daemon.decodeEntries(rows), version)
 		},
-		onChanges: func(changes []platform.Change, version uint64) {
+		onChanges: func(changes []platform.Change, version datastore.Version) {
 			notify := false
 			for _, change := range changes {
 				notify = daemon.applyChange(change, version) || notify
@@ -52,7 +52,7 @@
 
 // applyChange applies one change out of those up to the version. It reports whether other daemons need to be
 // notified.
-func (daemon *Daemon) applyChange(change platform.Change, version uint64) bool {
+func (daemon *Daemon) applyChange(change platform.Change, version datastore.Version) bool {
 	if change.Deleted {
 		daemon.removeReplica(change.Row.Row, cmp.Or(change.Version, version))
 		return true
@@ -62,19 +62,19 @@
 		return false
 	}
 	if known, differs := daemon.roster.Outdated(entry); differs {
-		event.RowIgnored.Log("Replica", entry.Replica.ID, "Version", datastore.FormatVersion(entry.Version), "Known", datastore.FormatVersion(known), "Draining", entry.Replica.Draining)
+		event.RowIgnored.Log("Replica", entry.Replica.ID, "Version", entry.Version.String(), "Known", known.String(), "Draining", entry.Replica.Draining)
 	}
 	return daemon.roster.Put(entry)
 }
 
 // removeReplica applies the deletion of a row, which happened at the version.
-func (daemon *Daemon) removeReplica(id string, version uint64) {
-	event.ReplicaGone.Log("Replica", id, "Version", datastore.FormatVersion(version), "Grace", daemon.roster.InGracePeriod(daemon.clock.Now()))
+func (daemon *Daemon) removeReplica(id string, version datastore.Version) {
+	event.ReplicaGone.Log("Replica", id, "Version", version.String(), "Grace", daemon.roster.InGracePeriod(daemon.clock.Now()))
 	daemon.roster.Remove(id, version, daemon.clock.Now())
 }
 
 // replaceReplicas replaces the whole replica table with its state at the version.
-func (daemon *Daemon) replaceReplicas(entries []roster.Entry, version uint64) {
+func (daemon *Daemon) replaceReplicas(entries []roster.Entry, version datastore.Version) {
 	if daemon.roster.Replace(entries, version, daemon.clock.Now()) {
 		daemon.updates.notify()
 	}
@@ -96,7 +96,7 @@
 func (daemon *Daemon) decodeEntry(row datastore.Row) (roster.Entry, bool) {
 	replica, err := platform.DecodeReplica(row.Row, row.Value)
 	if err != nil {
-		event.RowSkipped.LogError(err, "Table", row.Table, "Row", row.Row, "Version", datastore.FormatVersion(row.Version))
+		event.RowSkipped.LogError(err, "Table", row.Table, "Row", row.Row, "Version", row.Version.String())
 		return roster.Entry{}, false
 	}
 	replica.ReceivedAt = daemon.clock.Now()
@@ -184,5 +184,5 @@
 func logReplica(entry *roster.Entry) {
 	replica := &entry.Replica
 	event.ReplicaTaken.Log("Replica", replica.ID, "Born", replica.Started, "Service", replica.Service, "Address", replica.Address,
-		"Zone", replica.Zone, "Release", replica.Release, "Draining", replica.Draining, "Version", datastore.FormatVersion(entry.Version))
+		"Zone", replica.Zone, "Release", replica.Release, "Draining", replica.Draining, "Version", entry.Version.String())
 }
--- a/front/replicas_bench_test.go
+++ b/front/replicas_bench_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/demand"
 	"github.com/bronzestall/bronzestall/roster"
 	"github.com/bronzestall/bronzestall/topology"
@@ -25,7 +26,7 @@
 			daemon.roster.Replace(entries, 1, daemon.clock.Now())
 			last := daemon.apply(nil)
 			b.ReportAllocs()
-			version := uint64(1)
+			version := datastore.Version(1)
 			for b.Loop() {
 				version++
 				next := entries[int(version)%count]
--- a/front/store.go
+++ b/front/store.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/platform"
 )
@@ -36,7 +35,7 @@
 // EraRose logs that the store came back from an older copy.
 func (log *eraLog) EraRose(before, era uint64) {
 	version, _ := log.daemon.roster.Version()
-	event.StoreRestored.Log("Era", era, "Before", before, "Roster", datastore.FormatVersion(version), "StoreAge", log.daemon.storeAge())
+	event.StoreRestored.Log("Era", era, "Before", before, "Roster", version.String(), "StoreAge", log.daemon.storeAge())
 }
 
 // EraProblem counts and logs a response without a usable era.
--- a/front/suspects.go
+++ b/front/suspects.go
@@ -83,7 +83,7 @@
 	apply := func(row datastore.Row) {
 		suspect, err := decodeSuspect(row, daemon.clock.Now())
 		if err != nil {
-			event.RowSkipped.LogError(err, "Table", row.Table, "Row", row.Row, "Version", datastore.FormatVersion(row.Version))
+			event.RowSkipped.LogError(err, "Table", row.Table, "Row", row.Row, "Version", row.Version.String())
 			return
 		}
 		daemon.suspectRows.track(row.Row, row.Version, daemon.clock.Now())
@@ -94,14 +94,14 @@
 		table:  suspectTable,
 		wait:   suspectWait,
 		active: func() bool { return !loaded || daemon.readsStore() },
-		onSnapshot: func(rows []datastore.Row, _ uint64) {
+		onSnapshot: func(rows []datastore.Row, _ datastore.Version) {
 			loaded = true
 			for _, row := range rows {
 				apply(row)
 			}
 		},
 		onRestored: daemon.recordSuspectsAgain,
-		onChanges: func(changes []platform.Change, _ uint64) {
+		onChanges: func(changes []platform.Change, _ datastore.Version) {
 			for _, change := range changes {
 				if change.Deleted {
 					daemon.suspectRows.forget(change.Row.Row)
--- a/front/suspects_test.go
+++ b/front/suspects_test.go
@@ -15,7 +15,7 @@
 // commit that fails with datastore.ErrUnclear is applied nevertheless.
 type fakeStore struct {
 	rows     map[datastore.Key]datastore.Row
-	version  uint64
+	version  datastore.Version
 	failures []error
 }
 
@@ -39,7 +39,7 @@
 	return row, nil
 }
 
-func (store *fakeStore) Commit(_ context.Context, writes []datastore.Write) ([]uint64, error) {
+func (store *fakeStore) Commit(_ context.Context, writes []datastore.Write) ([]datastore.Version, error) {
 	failure := store.nextFailure()
 	if failure != nil && failure != datastore.ErrUnclear {
 		return nil, failure
--- a/front/sync.go
+++ b/front/sync.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/demand"
 	"github.com/bronzestall/bronzestall/directory"
 	"github.com/bronzestall/bronzestall/event"
@@ -144,7 +143,7 @@
 // learnEra takes over the era of the store from the daemons that have read its tables in a higher one.
 func (daemon *Daemon) learnEra() {
 	for _, peer := range daemon.mesh.Live() {
-		daemon.eras.Learn(datastore.Era(peer.RosterVersion))
+		daemon.eras.Learn(peer.RosterVersion.Era())
 	}
 }
 
--- a/front/watch.go
+++ b/front/watch.go
@@ -29,8 +29,8 @@
 	wait  time.Duration
 	pause time.Duration
 	// onSnapshot receives all rows, and onChanges receives changes, both up to the version.
-	onSnapshot func(rows []datastore.Row, version uint64)
-	onChanges  func(changes []platform.Change, version uint64)
+	onSnapshot func(rows []datastore.Row, version datastore.Version)
+	onChanges  func(changes []platform.Change, version datastore.Version)
 	// active reports whether this daemon watches the table now; nil means whether it reads the store's
 	// tables.
 	active func() bool
@@ -47,7 +47,7 @@
 
 // run watches the table until the context ends.
 func (watcher *tableWatcher) run(ctx context.Context) error {
-	version, known := uint64(0), false
+	version, known := datastore.Version(0), false
 	pause := minRetryPause
 	for ctx.Err() == nil {
 		if !watcher.isActive() {
@@ -65,7 +65,7 @@
 			}
 			watcher.daemon.sleep(ctx, watcher.pause)
 		case errors.Is(err, platform.ErrHistoryUnavailable):
-			event.HistoryForgotten.Log("Table", watcher.table, "After", datastore.FormatVersion(version))
+			event.HistoryForgotten.Log("Table", watcher.table, "After", version.String())
 			known = false
 		default:
 			watcher.failed = true
@@ -87,13 +87,13 @@
 
 // poll makes one call and applies the result. known reports whether version is that of an earlier result; if
 // not, poll reads a snapshot.
-func (watcher *tableWatcher) poll(ctx context.Context, version *uint64, known *bool) error {
+func (watcher *tableWatcher) poll(ctx context.Context, version *datastore.Version, known *bool) error {
 	if !*known {
 		rows, current, err := watcher.daemon.store.Snapshot(ctx, watcher.table)
 		if err != nil {
 			return err
 		}
-		restored := *version > 0 && datastore.Era(current) > datastore.Era(*version)
+		restored := *version > 0 && current.Era() > version.Era()
 		watcher.failed = watcher.failed || restored
 		watcher.reportRecovery()
 		watcher.onSnapshot(rows, current)
@@ -130,7 +130,7 @@
 		}
 		configuration, err := platform.DecodeConfiguration(row.Value)
 		if err != nil {
-			event.RowSkipped.LogError(err, "Table", row.Table, "Row", row.Row, "Version", datastore.FormatVersion(row.Version))
+			event.RowSkipped.LogError(err, "Table", row.Table, "Row", row.Row, "Version", row.Version.String())
 			return
 		}
 		daemon.applyConfiguration(configuration, row.Value, "Store")
@@ -139,12 +139,12 @@
 		daemon: daemon,
 		table:  platform.OperatorTable,
 		wait:   configurationWait,
-		onSnapshot: func(rows []datastore.Row, _ uint64) {
+		onSnapshot: func(rows []datastore.Row, _ datastore.Version) {
 			for _, row := range rows {
 				apply(row)
 			}
 		},
-		onChanges: func(changes []platform.Change, _ uint64) {
+		onChanges: func(changes []platform.Change, _ datastore.Version) {
 			for _, change := range changes {
 				if !change.Deleted {
 					apply(change.Row)
--- a/front/watch_test.go
+++ b/front/watch_test.go
@@ -37,8 +37,8 @@
 	watcher := &tableWatcher{
 		daemon:     daemon,
 		table:      platform.ReplicaTable,
-		onSnapshot: func([]datastore.Row, uint64) {},
-		onChanges:  func([]platform.Change, uint64) {},
+		onSnapshot: func([]datastore.Row, datastore.Version) {},
+		onChanges:  func([]platform.Change, datastore.Version) {},
 		onRecovery: func() { recoveries++ },
 	}
 	_ = watcher.run(ctx)
--- a/intent/registry.go
+++ b/intent/registry.go
@@ -39,7 +39,7 @@
 	// lag is the longest delay with which the VM list shows a change.
 	lag time.Duration
 	// version is the version of this process's row, or zero before Register; endedFence is its EndedReign.
-	version    uint64
+	version    datastore.Version
 	endedFence uint64
 	// absentSince holds the time since which each VM incarnation has been absent from every list read.
 	absentSince map[string]time.Time
--- a/internal/platformfake/client.go
+++ b/internal/platformfake/client.go
@@ -107,14 +107,14 @@
 }
 
 // Commit applies all writes or none and returns their versions. It returns datastore.ErrConflict if a condition is not met.
-func (client *Client) Commit(ctx context.Context, writes []datastore.Write) ([]uint64, error) {
+func (client *Client) Commit(ctx context.Context, writes []datastore.Write) ([]datastore.Version, error) {
 	client.fake.mutex.Lock()
 	beforeCommit := client.beforeCommit
 	client.fake.mutex.Unlock()
 	if beforeCommit != nil {
 		beforeCommit()
 	}
-	var versions []uint64
+	var versions []datastore.Version
 	err := client.write(ctx, func(fake *Platform) error {
 		var err error
 		client.count(Counts{Writes: 1})
@@ -139,5 +139,5 @@
 func (client *Client) Era() uint64 {
 	client.fake.mutex.Lock()
 	defer client.fake.mutex.Unlock()
-	return datastore.Era(client.fake.store.revision)
+	return client.fake.store.revision.Era()
 }
--- a/internal/platformfake/platform.go
+++ b/internal/platformfake/platform.go
@@ -114,7 +114,7 @@
 // Copy is a copy of the tables at one time.
 type Copy struct {
 	rows     map[string]map[string]datastore.Row
-	revision uint64
+	revision datastore.Version
 }
 
 // StartEra makes the tables, which must be empty, begin in the given era.
@@ -128,7 +128,7 @@
 func (fake *Platform) Save() Copy {
 	fake.mutex.Lock()
 	defer fake.mutex.Unlock()
-	return Copy{rows: copyRows(fake.store.rows, datastore.Era(fake.store.revision)), revision: fake.store.revision}
+	return Copy{rows: copyRows(fake.store.rows, fake.store.revision.Era()), revision: fake.store.revision}
 }
 
 // Restore makes the tables go on from a copy in the next era: what was written since is gone, and its numbers are given out
@@ -136,9 +136,9 @@
 func (fake *Platform) Restore(saved Copy) {
 	fake.mutex.Lock()
 	defer fake.mutex.Unlock()
-	era := datastore.Era(fake.store.revision) + 1
+	era := fake.store.revision.Era() + 1
 	fake.store.rows = copyRows(saved.rows, era)
-	fake.store.revision = datastore.NewVersion(era, datastore.Number(saved.revision))
+	fake.store.revision = datastore.NewVersion(era, saved.revision.Number())
 }
 
 // copyRows returns a copy of the rows with versions of the era.
@@ -147,7 +147,7 @@
 	for table, named := range rows {
 		copied[table] = map[string]datastore.Row{}
 		for name, row := range named {
-			row.Version = datastore.NewVersion(era, datastore.Number(row.Version))
+			row.Version = datastore.NewVersion(era, row.Version.Number())
 			copied[table][name] = row
 		}
 	}
--- a/internal/platformfake/platformfake_test.go
+++ b/internal/platformfake/platformfake_test.go
@@ -22,7 +22,7 @@
 	return New(clock, rand.New(rand.NewPCG(1, 1))), clock
 }
 
-func newWrite(row, value string, check bool, version uint64) []datastore.Write {
+func newWrite(row, value string, check bool, version datastore.Version) []datastore.Write {
 	return []datastore.Write{{Key: datastore.Key{Table: "T", Row: row}, Check: check, IfVersion: version, Value: []byte(value)}}
 }
 
--- a/internal/platformfake/store.go
+++ b/internal/platformfake/store.go
@@ -15,7 +15,7 @@
 	// objects maps names to contents.
 	objects map[string][]byte
 	// revision increases with each row written, so that no version is used twice.
-	revision uint64
+	revision datastore.Version
 }
 
 func newStore() *store {
@@ -48,21 +48,21 @@
 	return rows
 }
 
-func (store *store) commit(writes []datastore.Write) ([]uint64, error) {
+func (store *store) commit(writes []datastore.Write) ([]datastore.Version, error) {
 	for _, write := range writes {
 		version := store.rows[write.Table][write.Row].Version
 		if write.Check && version != write.IfVersion {
 			return nil, datastore.ErrConflict
 		}
 	}
-	versions := make([]uint64, len(writes))
+	versions := make([]datastore.Version, len(writes))
 	for i, write := range writes {
 		versions[i] = store.apply(write)
 	}
 	return versions, nil
 }
 
-func (store *store) apply(write datastore.Write) uint64 {
+func (store *store) apply(write datastore.Write) datastore.Version {
 	if write.Only {
 		return store.rows[write.Table][write.Row].Version
 	}
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -154,11 +154,11 @@
 	case !ok:
 		answer.JSON(writer, http.StatusConflict, struct{ Reason string }{"condition does not hold"})
 	default:
-		answer.JSON(writer, http.StatusOK, struct{ Versions []uint64 }{versions})
+		answer.JSON(writer, http.StatusOK, struct{ Versions []datastore.Version }{versions})
 	}
 }
 
-func (server *Server) apply(writes []datastore.Write) (versions []uint64, ok, lost bool) {
+func (server *Server) apply(writes []datastore.Write) (versions []datastore.Version, ok, lost bool) {
 	server.Lock()
 	defer server.Unlock()
 	versions, ok = server.tables.commit(writes)
--- a/internal/standin/platform/tables.go
+++ b/internal/standin/platform/tables.go
@@ -12,7 +12,7 @@
 type tables struct {
 	rows map[datastore.Key]datastore.Row
 	// version is the highest version assigned so far; it never decreases.
-	version uint64
+	version datastore.Version
 }
 
 // conditionMet reports whether the condition of the write is met.
@@ -21,21 +21,21 @@
 }
 
 // commit applies all writes and returns their versions. It applies none and returns false if a condition is not met.
-func (t *tables) commit(writes []datastore.Write) ([]uint64, bool) {
+func (t *tables) commit(writes []datastore.Write) ([]datastore.Version, bool) {
 	for _, write := range writes {
 		if !t.conditionMet(write) {
 			return nil, false
 		}
 	}
 	t.version++
-	versions := make([]uint64, 0, len(writes))
+	versions := make([]datastore.Version, 0, len(writes))
 	for _, write := range writes {
 		versions = append(versions, t.apply(write))
 	}
 	return versions, true
 }
 
-func (t *tables) apply(write datastore.Write) uint64 {
+func (t *tables) apply(write datastore.Write) datastore.Version {
 	switch {
 	case write.Only:
 		return t.rows[write.Key].Version
--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -143,7 +143,7 @@
 	next := found
 	next.Renewal++
 	next.Steps++
-	next.Era = datastore.Era(row.Version)
+	next.Era = row.Version.Era()
 	sent := lease.clock.Now()
 	versions, err := lease.tables.Commit(ctx, []datastore.Write{
 		{Key: lease.key(), Check: true, IfVersion: row.Version, Value: encode(next)},
@@ -159,7 +159,7 @@
 }
 
 // setOwned records that the row names this process since a write that was sent at the given time.
-func (lease *Lease) setOwned(current record, version, fenceVersion uint64, sent time.Time) {
+func (lease *Lease) setOwned(current record, version, fenceVersion datastore.Version, sent time.Time) {
 	lease.mutex.Lock()
 	defer lease.mutex.Unlock()
 	lease.owned = true
@@ -181,7 +181,7 @@
 // fenceRow is the fence row as read; version is zero if the row does not exist.
 type fenceRow struct {
 	value   fenceRecord
-	version uint64
+	version datastore.Version
 }
 
 func (lease *Lease) readFence(ctx context.Context) (fenceRow, error) {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -27,7 +27,7 @@
 	absentEra   uint64
 	// requestVersion is the version of the transfer request row, and requestReadAt the time at which a holder in
 	// another data centre first read that version.
-	requestVersion uint64
+	requestVersion datastore.Version
 	requestReadAt  time.Time
 	// requestedAt is the time at which this daemon last requested a transfer.
 	requestedAt time.Time
@@ -41,8 +41,8 @@
 	until time.Time
 	// current is the record that this process last wrote and version its version; both are valid while owned is set.
 	current      record
-	version      uint64
-	fenceVersion uint64
+	version      datastore.Version
+	fenceVersion datastore.Version
 	// leader is the holder as last read.
 	leader Holder
 	// former is the holder before this process acquired the lease; empty if there was none.
--- a/lease/renew.go
+++ b/lease/renew.go
@@ -23,7 +23,7 @@
 	next := lease.current
 	next.Renewal++
 	next.Steps++
-	next.Era = datastore.Era(lease.version)
+	next.Era = lease.version.Era()
 	sent := lease.clock.Now()
 	versions, err := lease.tables.Commit(ctx, []datastore.Write{
 		{Key: lease.key(), Check: true, IfVersion: lease.version, Value: encode(next)},
@@ -43,7 +43,7 @@
 }
 
 // setRenewed records a renewal that took effect; its term counts from the given time.
-func (lease *Lease) setRenewed(next record, version uint64, sent time.Time) {
+func (lease *Lease) setRenewed(next record, version datastore.Version, sent time.Time) {
 	lease.mutex.Lock()
 	defer lease.mutex.Unlock()
 	lease.current = next
@@ -115,7 +115,7 @@
 }
 
 // setFenceVersion records a new version of the fence row unless the lease changed since the row had the version before.
-func (lease *Lease) setFenceVersion(fence, before, after uint64) {
+func (lease *Lease) setFenceVersion(fence uint64, before, after datastore.Version) {
 	lease.mutex.Lock()
 	defer lease.mutex.Unlock()
 	if lease.owned && lease.current.Fence == fence && lease.fenceVersion == before {
--- a/lease/restored.go
+++ b/lease/restored.go
@@ -12,12 +12,12 @@
 const unknownFormer = "unknown"
 
 // restored reports whether the record was read, in a row of the version, from an older copy of the store.
-func (found *record) restored(version uint64) bool {
-	return found.Era < datastore.Era(version)
+func (found *record) restored(version datastore.Version) bool {
+	return found.Era < version.Era()
 }
 
 // former returns the name of the VM that held the lease last, as far as the record, in a row of the version, tells.
-func (found *record) former(version uint64) Holder {
+func (found *record) former(version datastore.Version) Holder {
 	if found.restored(version) {
 		return Holder{Name: unknownFormer}
 	}
@@ -26,9 +26,9 @@
 
 // minFence returns the lowest fencing number of a lease that is acquired after the record, in a row of the version, was read.
 // The fences given out after an older copy of the store are unknown, but lower than those of the next era.
-func (found *record) minFence(version uint64) uint64 {
+func (found *record) minFence(version datastore.Version) uint64 {
 	if found.restored(version) {
-		return datastore.Era(version) << fenceEraShift
+		return version.Era() << fenceEraShift
 	}
 	return found.Fence
 }
@@ -58,11 +58,11 @@
 }
 
 // eraOf returns the era in which rows with the versions were read; absent ones have the version zero.
-func (lease *Lease) eraOf(version, fenceVersion uint64) uint64 {
+func (lease *Lease) eraOf(version, fenceVersion datastore.Version) uint64 {
 	if version == 0 && fenceVersion == 0 {
 		return lease.era()
 	}
-	return max(datastore.Era(version), datastore.Era(fenceVersion))
+	return max(version.Era(), fenceVersion.Era())
 }
 
 // continueRestored goes on with a lease whose row, which names this process, is from an older copy of the store. Within its
@@ -81,11 +81,11 @@
 }
 
 // setVersions records the versions of the rows of a lease that this process holds. The term stays as it is.
-func (lease *Lease) setVersions(version, fenceVersion uint64) {
+func (lease *Lease) setVersions(version, fenceVersion datastore.Version) {
 	lease.mutex.Lock()
 	defer lease.mutex.Unlock()
 	lease.version = version
 	lease.fenceVersion = fenceVersion
 	lease.unclearSince = time.Time{}
-	event.LeaseContinued.Log("DataCentre", lease.settings.DataCentre, "Fence", lease.current.Fence, "Version", datastore.FormatVersion(version))
+	event.LeaseContinued.Log("DataCentre", lease.settings.DataCentre, "Fence", lease.current.Fence, "Version", version.String())
 }
--- a/lease/tables.go
+++ b/lease/tables.go
@@ -11,7 +11,7 @@
 	// Read returns one row, or fails with datastore.ErrNotFound.
 	Read(ctx context.Context, key datastore.Key) (datastore.Row, error)
 	// Commit applies all writes or none, and returns the new versions.
-	Commit(ctx context.Context, writes []datastore.Write) ([]uint64, error)
+	Commit(ctx context.Context, writes []datastore.Write) ([]datastore.Version, error)
 }
 
 // eraSource is implemented by table services that can come back from an older copy. Era returns the era of the last response;
--- a/mesh/calls.go
+++ b/mesh/calls.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/bronzestall/bronzestall/datastore"
 
 	"github.com/bronzestall/bronzestall/directory"
 	"github.com/bronzestall/bronzestall/internal/rpc"
@@ -28,7 +29,7 @@
 func (node *Node) FetchUpdate(ctx context.Context, address string, request UpdateRequest) (UpdateResponse, error) {
 	encoded := &meshpb.Question{
 		Configuration: request.ConfigurationVersion,
-		Roster:        request.RosterVersion,
+		Roster:        uint64(request.RosterVersion),
 		Wait:          uint64(request.Wait.Milliseconds()),
 	}
 	response, err := call[meshpb.Question, meshpb.Answer](ctx, node, address, askProcedure, encoded, node.settings.CallTimeout+request.Wait)
@@ -52,7 +53,7 @@
 	handle(mux, askProcedure, func(ctx context.Context, request *meshpb.Question) (*meshpb.Answer, error) {
 		response := node.deps.Update(ctx, UpdateRequest{
 			ConfigurationVersion: request.GetConfiguration(),
-			RosterVersion:        request.GetRoster(),
+			RosterVersion:        datastore.Version(request.GetRoster()),
 			Wait:                 min(milliseconds(request.GetWait()), maxWait),
 		})
 		return response.encode(), nil
--- a/mesh/deps.go
+++ b/mesh/deps.go
@@ -45,5 +45,5 @@
 // RowStore reads and writes single rows of the platform's store, as a lease needs it.
 type RowStore interface {
 	Read(ctx context.Context, key datastore.Key) (datastore.Row, error)
-	Commit(ctx context.Context, writes []datastore.Write) ([]uint64, error)
+	Commit(ctx context.Context, writes []datastore.Write) ([]datastore.Version, error)
 }
--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/mesh/meshpb"
 )
 
@@ -40,7 +41,7 @@
 		Beat:          heartbeat.Sequence,
 		Age:           uint64(heartbeat.Age.Milliseconds()),
 		Configuration: heartbeat.ConfigurationVersion,
-		Roster:        heartbeat.RosterVersion,
+		Roster:        uint64(heartbeat.RosterVersion),
 		StoreAge:      uint64(heartbeat.StoreAge.Milliseconds()),
 		Fence:         heartbeat.Fence,
 		Leaving:       heartbeat.Leaving,
@@ -57,7 +58,7 @@
 		Age:         milliseconds(encoded.GetAge()),
 		State: State{
 			ConfigurationVersion: encoded.GetConfiguration(),
-			RosterVersion:        encoded.GetRoster(),
+			RosterVersion:        datastore.Version(encoded.GetRoster()),
 			StoreAge:             milliseconds(encoded.GetStoreAge()),
 			Fence:                encoded.GetFence(),
 			Leaving:              encoded.GetLeaving(),
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -38,8 +38,8 @@
 	return datastore.Row{Key: key, Version: 3, Value: []byte("v")}, store.failure
 }
 
-func (store fixedStore) Commit(_ context.Context, writes []datastore.Write) ([]uint64, error) {
-	return make([]uint64, len(writes)), store.failure
+func (store fixedStore) Commit(_ context.Context, writes []datastore.Write) ([]datastore.Version, error) {
+	return make([]datastore.Version, len(writes)), store.failure
 }
 
 // testDaemon is a node behind an HTTP server.
--- a/mesh/peer.go
+++ b/mesh/peer.go
@@ -1,6 +1,10 @@
 package mesh
 
-import "time"
+import (
+	"time"
+
+	"github.com/bronzestall/bronzestall/datastore"
+)
 
 // Member identifies one daemon.
 type Member struct {
@@ -16,7 +20,8 @@
 type State struct {
 	// ConfigurationVersion and RosterVersion are the versions of the configuration and of the replica table
 	// that it has.
-	ConfigurationVersion, RosterVersion uint64
+	ConfigurationVersion uint64
+	RosterVersion        datastore.Version
 	// StoreAge is the time since the platform's store last answered it.
 	StoreAge time.Duration
 	// Fence is its fencing token if it holds the lease, or zero.
--- a/mesh/storeproxy.go
+++ b/mesh/storeproxy.go
@@ -34,16 +34,16 @@
 	if err := storeError(result); err != nil {
 		return datastore.Row{}, err
 	}
-	return datastore.Row{Key: key, Version: result.GetVersion(), Value: result.GetValue()}, nil
+	return datastore.Row{Key: key, Version: datastore.Version(result.GetVersion()), Value: result.GetValue()}, nil
 }
 
 // Commit applies all writes or none. It fails with ErrUnavailable, ErrUnclear or ErrConflict of package
 // datastore.
-func (proxy *StoreProxy) Commit(ctx context.Context, writes []datastore.Write) ([]uint64, error) {
+func (proxy *StoreProxy) Commit(ctx context.Context, writes []datastore.Write) ([]datastore.Version, error) {
 	request := &meshpb.TableCall{}
 	for _, write := range writes {
 		request.Writes = append(request.Writes, &meshpb.TableWrite{
-			Table: write.Table, Row: write.Row, Check: write.Check, IfVersion: write.IfVersion,
+			Table: write.Table, Row: write.Row, Check: write.Check, IfVersion: uint64(write.IfVersion),
 			Only: write.Only, Remove: write.Delete, Value: write.Value,
 		})
 	}
@@ -51,7 +51,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", datastore.ErrUnclear, err)
 	}
-	return result.GetVersions(), storeError(result)
+	return decodeVersions(result.GetVersions()), storeError(result)
 }
 
 func (proxy *StoreProxy) call(ctx context.Context, request *meshpb.TableCall) (*meshpb.TableResult, error) {
@@ -80,9 +80,11 @@
 	if len(request.GetWrites()) == 0 {
 		var row datastore.Row
 		row, err = node.deps.Store.Read(ctx, datastore.Key{Table: request.GetTable(), Row: request.GetRow()})
-		result.Version, result.Value = row.Version, row.Value
+		result.Version, result.Value = uint64(row.Version), row.Value
 	} else {
-		result.Versions, err = node.deps.Store.Commit(ctx, decodeWrites(request.GetWrites()))
+		var versions []datastore.Version
+		versions, err = node.deps.Store.Commit(ctx, decodeWrites(request.GetWrites()))
+		result.Versions = encodeVersions(versions)
 	}
 	result.Outcome = outcomeCode(err)
 	return result, nil
@@ -102,12 +104,28 @@
 	return outcomeCode(datastore.ErrUnclear)
 }
 
+func encodeVersions(versions []datastore.Version) []uint64 {
+	var encoded []uint64
+	for _, version := range versions {
+		encoded = append(encoded, uint64(version))
+	}
+	return encoded
+}
+
+func decodeVersions(encoded []uint64) []datastore.Version {
+	var versions []datastore.Version
+	for _, version := range encoded {
+		versions = append(versions, datastore.Version(version))
+	}
+	return versions
+}
+
 func decodeWrites(encoded []*meshpb.TableWrite) []datastore.Write {
 	var writes []datastore.Write
 	for _, write := range encoded {
 		writes = append(writes, datastore.Write{
 			Key:   datastore.Key{Table: write.GetTable(), Row: write.GetRow()},
-			Check: write.GetCheck(), IfVersion: write.GetIfVersion(), Only: write.GetOnly(),
+			Check: write.GetCheck(), IfVersion: datastore.Version(write.GetIfVersion()), Only: write.GetOnly(),
 			Delete: write.GetRemove(), Value: write.GetValue(),
 		})
 	}
--- a/mesh/update.go
+++ b/mesh/update.go
@@ -3,13 +3,15 @@
 import (
 	"time"
 
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/mesh/meshpb"
 )
 
 // UpdateRequest names the versions that a daemon has. It requests newer data, which the daemon could not or
 // need not read from the platform's store itself.
 type UpdateRequest struct {
-	ConfigurationVersion, RosterVersion uint64
+	ConfigurationVersion uint64
+	RosterVersion        datastore.Version
 	// Wait is the longest time that the response is delayed until newer data is available.
 	Wait time.Duration
 }
@@ -20,7 +22,7 @@
 	Configuration []byte
 	// RosterVersion is the version of the replica table after the response is applied, or zero if it is not
 	// newer.
-	RosterVersion uint64
+	RosterVersion datastore.Version
 	// Rows lists the rows that changed, or the whole table if Full is set. Removed lists the keys of deleted
 	// rows.
 	Rows    []Row
@@ -44,14 +46,14 @@
 // Row is one row of the replica table as stored.
 type Row struct {
 	Key     string
-	Version uint64
+	Version datastore.Version
 	Value   []byte
 }
 
 func (response *UpdateResponse) encode() *meshpb.Answer {
 	encoded := &meshpb.Answer{
 		Configuration: response.Configuration,
-		Roster:        response.RosterVersion,
+		Roster:        uint64(response.RosterVersion),
 		Whole:         response.Full,
 		Removed:       response.Removed,
 		StoreAge:      uint64(response.StoreAge.Milliseconds()),
@@ -61,7 +63,7 @@
 		encoded.RegainedAge = uint64(response.OutageEndAge.Milliseconds()) + 1
 	}
 	for _, row := range response.Rows {
-		encoded.Rows = append(encoded.Rows, &meshpb.Row{Key: row.Key, Version: row.Version, Value: row.Value})
+		encoded.Rows = append(encoded.Rows, &meshpb.Row{Key: row.Key, Version: uint64(row.Version), Value: row.Value})
 	}
 	return encoded
 }
@@ -69,7 +71,7 @@
 func decodeUpdateResponse(encoded *meshpb.Answer) UpdateResponse {
 	response := UpdateResponse{
 		Configuration: encoded.GetConfiguration(),
-		RosterVersion: encoded.GetRoster(),
+		RosterVersion: datastore.Version(encoded.GetRoster()),
 		Full:          encoded.GetWhole(),
 		Removed:       encoded.GetRemoved(),
 		StoreAge:      milliseconds(encoded.GetStoreAge()),
@@ -80,7 +82,7 @@
 		response.OutageEndAge = milliseconds(encoded.GetRegainedAge() - 1)
 	}
 	for _, row := range encoded.GetRows() {
-		response.Rows = append(response.Rows, Row{Key: row.GetKey(), Version: row.GetVersion(), Value: row.GetValue()})
+		response.Rows = append(response.Rows, Row{Key: row.GetKey(), Version: datastore.Version(row.GetVersion()), Value: row.GetValue()})
 	}
 	return response
 }
--- a/permit/quota.go
+++ b/permit/quota.go
@@ -54,7 +54,7 @@
 	known bool
 	// unclearVersion is the version on which a write with an unclear result is conditional, or zero. The write
 	// may still take effect as long as the row has this version.
-	unclearVersion uint64
+	unclearVersion datastore.Version
 	// unclearCreate states that a write with an unclear result was to create the row.
 	unclearCreate bool
 }
--- a/release/commit.go
+++ b/release/commit.go
@@ -12,7 +12,7 @@
 
 // commit runs the transaction that moves the number in force. The transaction requires the version of the row in force
 // that was read and an unused identifier, so it takes effect at most once and can be retried after an unclear result.
-func (acceptance *acceptance) commit(ctx context.Context, entry Entry, version uint64) (Entry, bool, error) {
+func (acceptance *acceptance) commit(ctx context.Context, entry Entry, version datastore.Version) (Entry, bool, error) {
 	writes, err := commitWrites(entry, version)
 	if err != nil {
 		return Entry{}, false, acceptance.outcomeError(err)
@@ -67,7 +67,7 @@
 
 // commitWrites returns the writes of the transaction: the row in force at the version, and new rows for the history
 // and the identifier.
-func commitWrites(entry Entry, version uint64) ([]datastore.Write, error) {
+func commitWrites(entry Entry, version datastore.Version) ([]datastore.Write, error) {
 	value, err := json.Marshal(entry)
 	if err != nil {
 		return nil, trace.Wrap(err)
--- a/release/reader.go
+++ b/release/reader.go
@@ -25,7 +25,7 @@
 }
 
 // head returns the entry in force and the version of its row. Both are zero before the first note.
-func (reader reader) head(ctx context.Context) (Entry, uint64, error) {
+func (reader reader) head(ctx context.Context) (Entry, datastore.Version, error) {
 	row, err := reader.tables.Read(ctx, inForceKey)
 	if errors.Is(err, datastore.ErrNotFound) {
 		return Entry{}, 0, nil
--- a/release/retry.go
+++ b/release/retry.go
@@ -33,7 +33,7 @@
 }
 
 // readHead returns the entry in force and the version of its row, with retries.
-func (acceptance *acceptance) readHead(ctx context.Context) (entry Entry, version uint64, err error) {
+func (acceptance *acceptance) readHead(ctx context.Context) (entry Entry, version datastore.Version, err error) {
 	err = acceptance.retry(ctx, func() error {
 		entry, version, err = acceptance.head(ctx)
 		return err
--- a/roster/delta.go
+++ b/roster/delta.go
@@ -14,11 +14,11 @@
 // removal is a row that was removed, with the version of the table after the removal.
 type removal struct {
 	incarnation topology.Incarnation
-	version     uint64
+	version     datastore.Version
 }
 
 // recordRemoval adds a removal and discards the oldest above maxRemovals. The caller holds the mutex.
-func (roster *Roster) recordRemoval(incarnation topology.Incarnation, version uint64) {
+func (roster *Roster) recordRemoval(incarnation topology.Incarnation, version datastore.Version) {
 	roster.removed = append(roster.removed, removal{incarnation, version})
 	if len(roster.removed) > maxRemovals {
 		roster.compacted = max(roster.compacted, roster.removed[0].version)
@@ -28,10 +28,10 @@
 
 // removedInEarlierEras returns the incarnations whose rows were removed in an era of the store before that of the version. The
 // caller holds the mutex.
-func (roster *Roster) removedInEarlierEras(version uint64) map[topology.Incarnation]bool {
+func (roster *Roster) removedInEarlierEras(version datastore.Version) map[topology.Incarnation]bool {
 	removed := map[topology.Incarnation]bool{}
 	for _, removal := range roster.removed {
-		if datastore.Era(removal.version) < datastore.Era(version) {
+		if removal.version.Era() < version.Era() {
 			removed[removal.incarnation] = true
 		}
 	}
@@ -47,7 +47,7 @@
 // Delta contains the changes that lead from one version of the table to another.
 type Delta struct {
 	// Version is the version of the table after the changes.
-	Version uint64
+	Version datastore.Version
 	// Entries are the rows whose route changed, ordered by identifier, or all rows if Whole is set.
 	Entries []Entry
 	Full    bool
@@ -57,7 +57,7 @@
 
 // ChangesSince returns the changes after the version, and false if the table was never read. The delta is whole if
 // the version is zero or removals after it have been discarded.
-func (roster *Roster) ChangesSince(version uint64) (Delta, bool) {
+func (roster *Roster) ChangesSince(version datastore.Version) (Delta, bool) {
 	roster.mutex.Lock()
 	defer roster.mutex.Unlock()
 	if !roster.loaded {
--- a/roster/delta_test.go
+++ b/roster/delta_test.go
@@ -7,13 +7,14 @@
 	"testing"
 	"time"
 
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
 // table is a table of replicas with one version counter.
 type table struct {
 	rows    map[string]Entry
-	version uint64
+	version datastore.Version
 }
 
 // change makes one random change and applies it to the roster that reads the table.
@@ -30,7 +31,7 @@
 		Incarnation: topology.Incarnation{ID: id},
 		Address:     fmt.Sprintf("10.0.0.%d:80", random.IntN(2)),
 		Draining:    random.IntN(4) == 0,
-		Holding:     topology.Holding{Orders: table.version},
+		Holding:     topology.Holding{Orders: table.version.Number()},
 	}}
 	table.rows[id] = next
 	reader.Put(next)
@@ -53,7 +54,7 @@
 	source := &table{rows: map[string]Entry{}}
 	first, follower := New(), New()
 	first.Replace(nil, 0, start)
-	received := uint64(0)
+	received := datastore.Version(0)
 	for step := range 3000 {
 		source.change(random, first, start)
 		if random.IntN(3) > 0 {
@@ -128,7 +129,7 @@
 	reader.EndOutage(start)
 	reader.Remove("a", 5, start)
 	want(t, reader, "a", "b")
-	for version, whole := range map[uint64]bool{0: true, 2: false} {
+	for version, whole := range map[datastore.Version]bool{0: true, 2: false} {
 		delta, _ := reader.ChangesSince(version)
 		for _, entry := range delta.Entries {
 			if entry.Replica.ID == "a" {
@@ -145,7 +146,7 @@
 func TestCompactedRemovalsMakeTheDeltaWhole(t *testing.T) {
 	reader := New()
 	reader.Replace(nil, 1, start)
-	for index := range uint64(maxRemovals + 10) {
+	for index := range datastore.Version(maxRemovals + 10) {
 		id := fmt.Sprintf("r%d", index)
 		reader.Put(entry(id, 2*index+2))
 		reader.Remove(id, 2*index+3, start)
--- a/roster/entry.go
+++ b/roster/entry.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
@@ -11,9 +12,9 @@
 	// Replica is the latest description of the replica.
 	Replica topology.Replica
 	// Version is the version of the row.
-	Version uint64
+	Version datastore.Version
 	// Changed is the version of the last change that has to be propagated to other daemons; the roster sets it.
-	Changed uint64
+	Changed datastore.Version
 	// Raw is the row as read, for daemons that cannot read the table themselves.
 	Raw []byte
 	// Missing is when the row was first missing after an outage; zero while it is in the table.
--- a/roster/era_test.go
+++ b/roster/era_test.go
@@ -8,12 +8,12 @@
 )
 
 // at returns a version of the era.
-func at(era, number uint64) uint64 { return datastore.NewVersion(era, number) }
+func at(era, number uint64) datastore.Version { return datastore.NewVersion(era, number) }
 
 // TestRowsAfterTheStoreCameBackOlder guards against issue 37: rows of a store that came back from an older copy were ignored,
 // since their numbers were below the known ones.
 func TestRowsAfterTheStoreCameBackOlder(t *testing.T) {
-	draining := func(version uint64) Entry {
+	draining := func(version datastore.Version) Entry {
 		drains := entry("a", version)
 		drains.Replica.Draining = true
 		return drains
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -24,10 +24,10 @@
 	sorted    []Entry
 	sortedIDs []string
 	// version is the version of the table up to which changes were applied.
-	version uint64
+	version datastore.Version
 	// removed lists recent removals, the oldest first. Removals up to the version compacted are no longer listed.
 	removed   []removal
-	compacted uint64
+	compacted datastore.Version
 	// outageEnded is when the table answered again after an outage.
 	outageEnded time.Time
 	// loaded reports whether the table was read at least once.
@@ -60,7 +60,7 @@
 // ignored. A replica without a row is kept for the grace period after an outage. A row that was removed is not added
 // again by a snapshot of a store that came back from an older copy: its replica writes it again if it is alive. It
 // reports whether anything changed that has to be propagated to other daemons.
-func (roster *Roster) Replace(entries []Entry, version uint64, now time.Time) bool {
+func (roster *Roster) Replace(entries []Entry, version datastore.Version, now time.Time) bool {
 	roster.mutex.Lock()
 	defer roster.mutex.Unlock()
 	if roster.loaded && version < roster.version {
@@ -99,7 +99,7 @@
 
 // Outdated reports whether Put would ignore the entry as older although requests would be routed to it differently, and
 // returns the version of the known row.
-func (roster *Roster) Outdated(entry Entry) (uint64, bool) {
+func (roster *Roster) Outdated(entry Entry) (datastore.Version, bool) {
 	roster.mutex.Lock()
 	defer roster.mutex.Unlock()
 	known, ok := roster.entries[entry.Replica.ID]
@@ -117,7 +117,7 @@
 		}
 		return false
 	}
-	if ok && known.Replica.Incarnation == entry.Replica.Incarnation && datastore.Era(known.Version) < datastore.Era(entry.Version) {
+	if ok && known.Replica.Incarnation == entry.Replica.Incarnation && known.Version.Era() < entry.Version.Era() {
 		// The row may be from an older copy of the store, from before the replica began to drain.
 		entry.Replica.Draining = entry.Replica.Draining || known.Replica.Draining
 	}
@@ -146,7 +146,7 @@
 }
 
 // Remove applies the removal of a row, after which the table has the version.
-func (roster *Roster) Remove(id string, version uint64, now time.Time) {
+func (roster *Roster) Remove(id string, version datastore.Version, now time.Time) {
 	roster.mutex.Lock()
 	defer roster.mutex.Unlock()
 	roster.removeRow(id, version, now)
@@ -154,7 +154,7 @@
 
 // removeRow deletes a replica, or marks it as missing in the grace period after an outage. A row that was written
 // after the version stays. The caller holds the mutex.
-func (roster *Roster) removeRow(id string, version uint64, now time.Time) {
+func (roster *Roster) removeRow(id string, version datastore.Version, now time.Time) {
 	entry, ok := roster.entries[id]
 	if !ok || entry.Version > version {
 		return
@@ -173,14 +173,14 @@
 }
 
 // Advance records that all changes up to the version were applied.
-func (roster *Roster) Advance(version uint64) {
+func (roster *Roster) Advance(version datastore.Version) {
 	roster.mutex.Lock()
 	defer roster.mutex.Unlock()
 	roster.version = max(roster.version, version)
 }
 
 // Version returns the version of the table up to which changes were applied, and whether the table was ever read.
-func (roster *Roster) Version() (uint64, bool) {
+func (roster *Roster) Version() (datastore.Version, bool) {
 	roster.mutex.Lock()
 	defer roster.mutex.Unlock()
 	return roster.version, roster.loaded
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -5,12 +5,13 @@
 	"testing"
 	"time"
 
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
 var start = time.Unix(1000, 0)
 
-func entry(id string, version uint64) Entry {
+func entry(id string, version datastore.Version) Entry {
 	return Entry{Replica: topology.Replica{Incarnation: topology.Incarnation{ID: id}, Service: "s"}, Version: version}
 }
 
