Count only lost connections as crashes of replicas

Cause: every attempt that ended without a usable response, and was not cancelled, counted as a crash. Such responses came from replicas that live.

Change: they fail as before and count for nothing.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -16,6 +16,9 @@
 // maxResponseBytes is the largest response, in bytes, that is read whole before it is passed on.
 const maxResponseBytes = 8 << 20
 
+// errLongResponse is the failure of a response larger than maxResponseBytes.
+var errLongResponse = errors.New("the response is over the limit ResponseBytes of 8388608 bytes")
+
 // result is the outcome of one attempt.
 type result struct {
 	// done is set if the client has received its final response.
@@ -126,7 +129,7 @@
 		return result{failure: contextFailure(ctx, true)}
 	}
 	transaction.endAt(candidate, true)
-	if ctx.Err() == nil && !transaction.lending {
+	if ctx.Err() == nil && !transaction.lending && brokeOff(err) {
 		transaction.countCrash(candidate, now)
 	}
 	if errors.Is(err, exchange.ErrInvalidResponse) {
@@ -177,8 +180,11 @@
 // another replica.
 func (transaction *transaction) completeResponse(ctx context.Context, candidate balance.Candidate, reply *exchange.Reply, attemptRecord *attemptRecord) result {
 	content, err := io.ReadAll(io.LimitReader(reply.Body, maxResponseBytes+1))
-	if err != nil || len(content) > maxResponseBytes {
-		return transaction.failAttempt(ctx, candidate, errors.Join(exchange.ErrLost, err))
+	if len(content) > maxResponseBytes {
+		err = errLongResponse
+	}
+	if err != nil {
+		return transaction.failAttempt(ctx, candidate, lostError(err))
 	}
 	if !reply.Signed && reply.Success() {
 		return transaction.failAttempt(ctx, candidate, exchange.ErrInvalidResponse)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -40,7 +40,7 @@
 			return transaction.finishStream(candidate, reply, attemptRecord)
 		}
 		if err != nil {
-			return transaction.failAttempt(ctx, candidate, errors.Join(exchange.ErrLost, err))
+			return transaction.failAttempt(ctx, candidate, lostError(err))
 		}
 	}
 }
