Say in the logs who ended an attempt

Change: AttemptFailed and the line of a request name the ender: Replica, Client, Deadline, Stop, Successor or Predecessor, from the cause of the attempt's context.

Evidence: TestEndsOfAttempts, each end with its ender; before, nothing named it.

--- a/event/front.go
+++ b/event/front.go
@@ -9,7 +9,7 @@
 	FrontReloaded      = define(804, "FrontReloaded", Info, "The settings file was read again.")
 	LogLinesDropped    = define(805, "LogLinesDropped", Warning, "Log lines were dropped because they could not be written in time.")
 	RequestWaits       = define(810, "RequestWaits", Info, "A request waits for its model or adapter to be loaded, or for replicas to accept it within their limits.")
-	AttemptFailed      = define(811, "AttemptFailed", Info, "An attempt to send a request to a replica failed; NotRun states whether it is proven that the request was not run.")
+	AttemptFailed      = define(811, "AttemptFailed", Info, "An attempt to send a request to a replica failed; NotRun states whether it is proven that the request was not run, and EndedBy who ended it: Replica, Client, Deadline, Stop, Successor (a stalled attempt, for another one) or Predecessor (one that was to replace a stalled attempt, which went on).")
 	AttemptReplaced    = define(867, "AttemptReplaced", Info, "An attempt got nothing from its replica for too long, and was ended once another replica, Successor, had accepted the request.")
 	CrashesRetracted   = define(868, "CrashesRetracted", Info, "A request, or each request with a part of a prompt, is no longer refused: Replica, which had broken connections, completed another response over an older connection afterwards.")
 	TrialStarted       = define(812, "TrialStarted", Info, "A request with a refused part of a prompt is sent to see whether the part still crashes replicas.")
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -29,6 +29,8 @@
 	notRun, unsent bool
 	// misdirected is set if the request reached another replica, or one without the model.
 	misdirected bool
+	// endedBy tells who ended an attempt that failed.
+	endedBy Ender
 }
 
 // attempt sends the request to the candidate and passes the response on, and does so at the successors of attempts that stall. It
@@ -48,8 +50,9 @@
 }
 
 // receive waits for the response to the attempt and passes it on.
-func (transaction *transaction) receive(leg *leg, handover *handover) result {
+func (transaction *transaction) receive(leg *leg, handover *handover) (received result) {
 	defer leg.end()
+	defer func() { received.endedBy = enderOf(leg.ctx) }()
 	leg.await()
 	if leg.err != nil {
 		return transaction.failAttempt(leg.ctx, leg.candidate, leg.err)
--- a/relay/ended.go
+++ b/relay/ended.go
@@ -1,12 +1,52 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"fmt"
 
 	"github.com/bronzestall/bronzestall/exchange"
 )
 
+// Ender tells who ended an attempt, for logs.
+type Ender string
+
+// The enders of attempts.
+const (
+	// EndedByReplica means that the replica did: it broke off, rejected the request, failed or sent what is no valid response.
+	EndedByReplica Ender = "Replica"
+	// EndedByClient means that the client closed the connection.
+	EndedByClient Ender = "Client"
+	// EndedByDeadline means that the deadline of the request passed.
+	EndedByDeadline Ender = "Deadline"
+	// EndedByStop means that this daemon stops.
+	EndedByStop Ender = "Stop"
+	// EndedBySuccessor means that this daemon ended a stalled attempt, since another replica has accepted the request or another
+	// daemon is asked.
+	EndedBySuccessor Ender = "Successor"
+	// EndedByPredecessor means that this daemon ended an attempt that was to replace a stalled one, which went on.
+	EndedByPredecessor Ender = "Predecessor"
+)
+
+// enderOf returns who ended the attempt with the context.
+func enderOf(ctx context.Context) Ender {
+	cause := context.Cause(ctx)
+	switch {
+	case cause == nil:
+		return EndedByReplica
+	case errors.Is(cause, errDeadline):
+		return EndedByDeadline
+	case errors.Is(cause, errStopped):
+		return EndedByStop
+	case errors.Is(cause, errStalled):
+		return EndedBySuccessor
+	case errors.Is(cause, errOvertaken):
+		return EndedByPredecessor
+	default:
+		return EndedByClient
+	}
+}
+
 // lostError returns the error of a response that broke off, or that was given up, for the reason; nil means none.
 func lostError(reason error) error {
 	if reason == nil {
--- a/relay/ended_test.go
+++ b/relay/ended_test.go
@@ -13,7 +13,8 @@
 	"github.com/bronzestall/bronzestall/exchange"
 )
 
-// TestEndsOfAttempts covers which ends of an attempt count as a crash of its replica: only a lost connection does.
+// TestEndsOfAttempts covers who ended an attempt, as logs state it, and whether it counts as a crash of its replica: only a lost
+// connection does, which a live process may cut as well.
 func TestEndsOfAttempts(t *testing.T) {
 	unsigned := ok("x")
 	unsigned.reply.Signed = false
@@ -23,19 +24,20 @@
 		step       step
 		// end ends the request while the attempt is under way.
 		end     func(fixture *fixture, cancel context.CancelFunc)
+		want    Ender
 		crashes int
 	}{
-		{"a lost connection", "/once/x", lost, nil, 1},
-		{"a stream that breaks off", "/stream/x", breaking(events(1, 1), 0), nil, 1},
-		{"a response without a signature", "/once/x", unsigned, nil, 0},
-		{"a response that is too long", "/once/x", ok(strings.Repeat("x", maxResponseBytes+1)), nil, 0},
-		{"an event that is too long", "/stream/x", answered(200, events(1, 1)+strings.Repeat("x", 2*maxEventBytes), io.EOF), nil, 0},
-		{"a failure of the replica, which is passed on", "/stream/x", answered(500, "oops", io.EOF), nil, 0},
-		{"the deadline", "/stream/x", silent(), nil, 0},
-		{"the client", "/stream/x", silent(), func(_ *fixture, cancel context.CancelFunc) { time.AfterFunc(time.Second, cancel) }, 0},
+		{"a lost connection", "/once/x", lost, nil, EndedByReplica, 1},
+		{"a stream that breaks off", "/stream/x", breaking(events(1, 1), 0), nil, EndedByReplica, 1},
+		{"a response without a signature", "/once/x", unsigned, nil, EndedByReplica, 0},
+		{"a response that is too long", "/once/x", ok(strings.Repeat("x", maxResponseBytes+1)), nil, EndedByReplica, 0},
+		{"an event that is too long", "/stream/x", answered(200, events(1, 1)+strings.Repeat("x", 2*maxEventBytes), io.EOF), nil, EndedByReplica, 0},
+		{"a failure of the replica, which is passed on", "/stream/x", answered(500, "oops", io.EOF), nil, "", 0},
+		{"the deadline", "/stream/x", silent(), nil, EndedByDeadline, 0},
+		{"the client", "/stream/x", silent(), func(_ *fixture, cancel context.CancelFunc) { time.AfterFunc(time.Second, cancel) }, EndedByClient, 0},
 		{"the stop of the daemon", "/stream/x", silent(), func(fixture *fixture, _ context.CancelFunc) {
 			time.AfterFunc(time.Second, fixture.relay.CancelRequests)
-		}, 0},
+		}, EndedByStop, 0},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -47,7 +49,10 @@
 					c.end(fixture, cancel)
 				}
 				request := fixture.request(c.path)
-				_, _ = fixture.relay.Serve(ctx, request, &fixture.client)
+				summary, _ := fixture.relay.Serve(ctx, request, &fixture.client)
+				if summary.EndedBy != c.want {
+					t.Errorf("ended by %q, want %q", summary.EndedBy, c.want)
+				}
 				suspect, _ := fixture.relay.deps.Suspects.Suspect(request.Fingerprint(), time.Now())
 				if crashes := len(suspect.Crashes); crashes != c.crashes {
 					t.Errorf("%d crashes count against the request, want %d", crashes, c.crashes)
--- a/relay/seek.go
+++ b/relay/seek.go
@@ -86,8 +86,9 @@
 }
 
 // fail ends an attempt whose response is not usable.
-func (leg *leg) fail() result {
+func (leg *leg) fail() (failed result) {
 	defer leg.end()
+	defer func() { failed.endedBy = enderOf(leg.ctx) }()
 	switch {
 	case leg.err != nil:
 		return leg.transaction.failAttempt(leg.ctx, leg.candidate, leg.err)
--- a/relay/summary.go
+++ b/relay/summary.go
@@ -21,6 +21,8 @@
 	Sends int
 	// Runs is the number of replicas that may have run the request.
 	Runs int
+	// EndedBy tells who ended the last attempt that did not answer the request; empty if all attempts did.
+	EndedBy Ender
 	// Lender is the daemon through which the last attempt went; empty if there was none.
 	Lender string
 	// Waited is how long the request waited for its model or adapter.
--- a/relay/transaction.go
+++ b/relay/transaction.go
@@ -134,9 +134,10 @@
 
 // logFailure logs that the attempt at the candidate failed.
 func (transaction *transaction) logFailure(candidate balance.Candidate, result result) {
+	transaction.summary.EndedBy = result.endedBy
 	event.AttemptFailed.Log("Request", transaction.request.Metadata.ID, "Fingerprint", transaction.causes.Request,
 		"Replica", candidate.ID, "Born", candidate.Started, "Release", candidate.Release, "LastEvent", transaction.lastEvent,
-		"Sends", transaction.sends, "Runs", transaction.runs, "NotRun", result.notRun, "Cause", result.failure.Error())
+		"Sends", transaction.sends, "Runs", transaction.runs, "NotRun", result.notRun, "EndedBy", result.endedBy, "Cause", result.failure.Error())
 }
 
 // key returns the model, and the adapter if any, that the request needs.
