Leave brittle replicas alone while a begun stream waits for them

What callers would see: since begun streams wait for a replica until their deadline, one that a full replica rejected was sent to it again after 25 to 400 ms, whatever rejections the replica bears; a replica that falls over takes all its requests with it.

Cause: streams that have begun were exempt from the bound on rejections, which was harmless while they gave up after five attempts.

Change: the first attempt after a break is exempt; one that follows a rejection obeys the bound and waits, like a new request.

Failing test: TestWaitingStreamsLeaveBrittleReplicasAlone.

--- a/relay/availability.go
+++ b/relay/availability.go
@@ -50,10 +50,11 @@
 	return result
 }
 
-// guardsBrittle reports whether brittle replicas are known and the request may wait for them. A stream that has begun goes on.
+// guardsBrittle reports whether brittle replicas are known and the request may wait for them. A stream that broke off goes on at once,
+// and waits if it was rejected.
 func (transaction *transaction) guardsBrittle() bool {
 	guard := transaction.relay.deps.Brittle
-	return guard != nil && !transaction.sink.Begun() && guard.Any()
+	return guard != nil && (!transaction.sink.Begun() || transaction.sends > transaction.runs) && guard.Any()
 }
 
 // brittleAvailable reports whether the candidate may be sent the request without the risk of rejections that it does not bear,
--- a/relay/brittle_test.go
+++ b/relay/brittle_test.go
@@ -40,3 +40,30 @@
 		}
 	})
 }
+
+// TestWaitingStreamsLeaveBrittleReplicasAlone covers a begun stream that waits for a full replica which falls over for more than two
+// rejections in a second: only its first attempt there may go without regard to that.
+func TestWaitingStreamsLeaveBrittleReplicasAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const bears = 2
+		fixture := newFixture(append([]step{breaking(events(1, 2), 0)}, repeated(100, func() step { return rejected(false) })...)...)
+		saveRetries(fixture)
+		guard := brittle.New(rand.New(rand.NewPCG(1, 2)))
+		for _, id := range []string{"enginea", "engineb"} {
+			guard.Observe(topology.Incarnation{ID: id}, bears, time.Now())
+		}
+		fixture.relay.deps.Brittle = guard
+		_ = fixture.serve(t.Context(), "/resume/x")
+		perSecond := map[string][]time.Time{}
+		for index, attempt := range fixture.upstream.attempts[2:] {
+			perSecond[attempt.Replica.ID] = append(perSecond[attempt.Replica.ID], fixture.upstream.sent[index+2])
+		}
+		for id, sent := range perSecond {
+			for index := bears; index < len(sent); index++ {
+				if span := sent[index].Sub(sent[index-bears]); span < time.Second {
+					t.Errorf("%s rejected %d requests within %v", id, bears+1, span)
+				}
+			}
+		}
+	})
+}
