Let streams share the buffers that split them into events

Cause: of 8.2 KB that a stream allocates, 4 KB are the buffer that splits it into events.

Change: splitters whose streams have ended are reused, unless they grew over 16 KiB. Sinks keep nothing of what they are given, as net/http demands.

--- a/relay/sink.go
+++ b/relay/sink.go
@@ -6,7 +6,7 @@
 type Sink interface {
 	// Head begins the response. A length of -1 means that the length is unknown.
 	Head(status int, header http.Header, length int64)
-	// Write passes on a part of the body without delay. It fails if the client has disconnected.
+	// Write passes on a part of the body without delay, and does not keep it. It fails if the client has disconnected.
 	Write(part []byte) error
 	// Begun reports whether Head was called.
 	Begun() bool
--- a/relay/splitter.go
+++ b/relay/splitter.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"sync"
 )
 
 const (
@@ -20,6 +21,26 @@
 // eventEnd terminates an event.
 var eventEnd = []byte("\n\n")
 
+// maxPooledBytes is the largest buffer that is kept for other streams.
+const maxPooledBytes = 16 << 10
+
+// splitters holds splitters whose streams have ended.
+var splitters = sync.Pool{New: func() any { return &splitter{} }}
+
+// newSplitter returns an empty splitter, which may have the buffer of another stream. Use release when the stream has ended.
+func newSplitter() *splitter {
+	return splitters.Get().(*splitter)
+}
+
+// release keeps the buffer for another stream. What next returned must not be used any more.
+func (splitter *splitter) release() {
+	if cap(splitter.buffer) > maxPooledBytes {
+		return
+	}
+	splitter.buffer, splitter.consumed = splitter.buffer[:0], 0
+	splitters.Put(splitter)
+}
+
 // splitter splits a byte stream into complete events. The zero value is ready to use.
 type splitter struct {
 	// buffer holds the bytes read so far; the first consumed bytes were returned by the last call of next.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -15,7 +15,8 @@
 	if !reply.Signed {
 		return transaction.failAttempt(ctx, candidate, exchange.ErrInvalidResponse)
 	}
-	splitter := &splitter{}
+	splitter := newSplitter()
+	defer splitter.release()
 	resumed := transaction.sink.Begun() && transaction.lastEvent > 0
 	for {
 		events, err := splitter.next(reply.Body)
