Send requests on when the daemon that serves them falls silent

Cause: nobody asked whether the daemon responds; heartbeats tell of a loss after 1.9 s at 4 daemons and 15 s at 118.

Change: while a daemon serves requests of this one it is asked every 200 ms (a call of its own, Ping; older builds respond to it too). After a second without a response it is not asked for requests for 3 s, and those that it has go to another one if they may run again and the retry budget allows it: the budget is asked before the exchange is ended, so that a request without a retry waits as before. `lending.Borrowed` decides, without network and with the clock passed in. Nothing is asked while nothing is lent.

TestCutOffDaemonsServe: all first tries served in all four cases, as before.

Failing test: frontsoak.TestFrozenLendersAreReplaced; lending.TestSilentDaemons, mesh.TestPing.

--- a/front/daemon.go
+++ b/front/daemon.go
@@ -194,6 +194,7 @@
 		"Listen":              daemon.pollAnnouncements,
 		"AskPeers":            daemon.fetchPeerUpdates,
 		"Housekeeping":        daemon.runHousekeeping,
+		"LenderProbes":        daemon.lender.runProbes,
 		"Settings":            func(ctx context.Context) error { return daemon.watchSettings(ctx, reload) },
 	} {
 		group.Go(func() error {
--- a/front/lender.go
+++ b/front/lender.go
@@ -34,17 +34,15 @@
 type lender struct {
 	daemon *Daemon
 	client *lending.Client
-
-	mutex sync.Mutex
-	// outstanding maps the names of daemons to the number of requests that they serve for this one.
-	outstanding map[string]int
+	// borrowed tracks the requests that other daemons serve.
+	borrowed *lending.Borrowed
 }
 
 func newLender(daemon *Daemon) *lender {
 	return &lender{
-		daemon:      daemon,
-		client:      lending.NewClient(daemon.settings.Name, &http.Client{Transport: peerTransport()}),
-		outstanding: map[string]int{},
+		daemon:   daemon,
+		client:   lending.NewClient(daemon.settings.Name, &http.Client{Transport: peerTransport()}),
+		borrowed: lending.NewBorrowed(),
 	}
 }
 
@@ -68,12 +66,12 @@
 func (lender *lender) Lend(ctx context.Context, request *exchange.Request, budget time.Duration, allowance relay.Allowance) (*relay.LentReply, error) {
 	var last error = exchange.ErrNotSent
 	for _, peer := range lender.choose() {
-		finish := lender.reserve(peer.Name)
-		reply, err := lender.client.Send(ctx, peer.Address, request, budget, allowance)
+		lentContext, finish := lender.begin(ctx, peer, allowance)
+		reply, err := lender.client.Send(lentContext, peer.Address, request, budget, allowance)
 		event.RequestLent.LogError(err, "Request", request.Metadata.ID, "Daemon", peer.Name, "ResumeAfter", allowance.ResumeAfter)
 		if err == nil {
 			reply.Daemon = peer.Name
-			reply.Body = &lentBody{reply.Body, finish}
+			reply.Body = &lentBody{reply.Body, lentContext, finish}
 			lender.daemon.meter.Count(meter.RequestsLent, meter.Labels{}, 1)
 			return reply, nil
 		}
@@ -106,18 +104,17 @@
 
 // choose returns the daemons to ask, the best first: with few requests of this one, and of the same data centre.
 func (lender *lender) choose() []mesh.Peer {
-	lender.mutex.Lock()
-	defer lender.mutex.Unlock()
 	type scored struct {
 		mesh.Peer
 		score float64
 	}
+	now := lender.daemon.clock.Now()
 	var candidates []scored
 	for _, peer := range lender.daemon.mesh.Live() {
-		if peer.Leaving || peer.CutOff {
+		if peer.Leaving || peer.CutOff || lender.borrowed.Silent(peer.Name, now) {
 			continue
 		}
-		score := float64(lender.outstanding[peer.Name]) + rand.Float64()
+		score := float64(lender.borrowed.Count(peer.Name)) + rand.Float64()
 		if peer.DataCentre != lender.daemon.settings.DataCentre {
 			score += remoteLenderCost
 		}
@@ -131,30 +128,49 @@
 	return chosen
 }
 
-// reserve counts a request at the daemon, and returns a function that ends that once.
-func (lender *lender) reserve(name string) func() {
-	lender.mutex.Lock()
-	defer lender.mutex.Unlock()
-	lender.outstanding[name]++
-	return sync.OnceFunc(func() {
-		lender.mutex.Lock()
-		defer lender.mutex.Unlock()
-		if lender.outstanding[name]--; lender.outstanding[name] == 0 {
-			delete(lender.outstanding, name)
+// begin records that the daemon is sent a request. It returns the context of the request, which ends with relay.ErrSilent if the
+// daemon falls silent and the request may be sent again, and a function that records the end of the request, once.
+func (lender *lender) begin(ctx context.Context, peer mesh.Peer, allowance relay.Allowance) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	var move func() bool
+	if allowance.Repeat != nil {
+		move = func() bool {
+			if ctx.Err() != nil || !allowance.Repeat() {
+				return false
+			}
+			cancel(relay.ErrSilent)
+			return true
 		}
+	}
+	end := lender.borrowed.Begin(lending.Lender{Name: peer.Name, Address: peer.Address}, move, lender.daemon.clock.Now())
+	return ctx, sync.OnceFunc(func() {
+		end()
+		cancel(nil)
 	})
 }
 
 // lentBody is the body of a response of another daemon.
 type lentBody struct {
 	io.ReadCloser
+	// ctx is that of the exchange, and finish ends it.
+	ctx    context.Context
 	finish func()
 }
 
+// Read fails with relay.ErrSilent if the other daemon fell silent.
+func (body *lentBody) Read(into []byte) (int, error) {
+	n, err := body.ReadCloser.Read(into)
+	if err != nil && errors.Is(context.Cause(body.ctx), relay.ErrSilent) {
+		return n, relay.ErrSilent
+	}
+	return n, err
+}
+
 // Close ends the exchange with the other daemon.
 func (body *lentBody) Close() error {
+	err := body.ReadCloser.Close()
 	body.finish()
-	return body.ReadCloser.Close()
+	return err
 }
 
 // newLendingHandler returns the handler of requests of other daemons' clients.
--- a/lending/lending_test.go
+++ b/lending/lending_test.go
@@ -71,7 +71,7 @@
 	if got.Method != request.Method || got.Target != request.Target || got.Path != request.Path || got.Host != request.Host || string(got.Body) != string(request.Body) {
 		t.Errorf("the request is %+v", got)
 	}
-	if !reflect.DeepEqual(got.Header, request.Header) || got.Metadata.ClientTimeout != 1500*time.Millisecond || served.allowance != allowance {
+	if !reflect.DeepEqual(got.Header, request.Header) || got.Metadata.ClientTimeout != 1500*time.Millisecond || !reflect.DeepEqual(served.allowance, allowance) {
 		t.Errorf("headers %q, %+v, allowance %+v", got.Header, got.Metadata, served.allowance)
 	}
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -21,6 +21,8 @@
 	tokensProcedure = "/bronzestall.mesh.Mesh/Tokens"
 	// originsProcedure asks which releases began streams.
 	originsProcedure = "/bronzestall.mesh.Mesh/Origins"
+	// pingProcedure asks whether a daemon responds.
+	pingProcedure = "/bronzestall.mesh.Mesh/Ping"
 	// tablesProcedure forwards a call to the platform's store.
 	tablesProcedure = "/bronzestall.mesh.Mesh/Tables"
 )
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -29,6 +29,8 @@
 	notRun, unsent bool
 	// misdirected is set if the request reached another replica, or one without the model.
 	misdirected bool
+	// reserved is set if the retry budget was already asked for the next attempt.
+	reserved bool
 	// endedBy tells who ended an attempt that failed.
 	endedBy Ender
 }
@@ -138,7 +140,7 @@
 	if errors.Is(err, exchange.ErrInvalidResponse) {
 		return result{failure: outcome.New(outcome.AnswerInvalid, "%s", err.Error())}
 	}
-	return result{failure: outcome.New(outcome.UpstreamLost, "%s", err.Error())}
+	return result{failure: outcome.New(outcome.UpstreamLost, "%s", err.Error()), reserved: errors.Is(err, ErrSilent)}
 }
 
 // saysNoResponse reports whether the cancellation cause of an attempt is that the client or this daemon waited long enough.
--- a/relay/lender.go
+++ b/relay/lender.go
@@ -15,6 +15,9 @@
 // maxUnreached is the number of replicas that a request fails to reach before it is passed on through another daemon.
 const maxUnreached = 2
 
+// ErrSilent means that the daemon that served a request did not respond, and that a further attempt is reserved.
+var ErrSilent = errors.New("the daemon that serves the request does not respond")
+
 // Lender passes requests on through other daemons, which reach the replicas. It is safe for concurrent use.
 type Lender interface {
 	// CutOff reports whether this daemon reaches no replica.
@@ -36,6 +39,9 @@
 	Service, Release string
 	// ResumeAfter is the ID of the last event that the client has received within this answer; zero if it has none.
 	ResumeAfter uint64
+	// Repeat is called if the daemon that serves the request falls silent. If it returns true, a further attempt is reserved, and the
+	// exchange must fail with ErrSilent. It may be called again if it returns false; nil means that the request must not be sent again.
+	Repeat func() bool
 	// Configuration is the version by which the request was routed. No older one may serve it.
 	Configuration uint64
 }
@@ -158,6 +164,9 @@
 	if transaction.release != "" {
 		allowance.Service = transaction.service.Name
 	}
+	if transaction.route.Repeatable() && transaction.maxRuns-transaction.runs > 1 {
+		allowance.Repeat = transaction.relay.budget(transaction.service.Name).Withdraw
+	}
 	return allowance
 }
 
@@ -176,7 +185,7 @@
 	if ctx.Err() != nil {
 		return result{failure: contextFailure(ctx, true)}, true
 	}
-	return result{failure: outcome.New(outcome.UpstreamLost, "%s", err.Error())}, true
+	return result{failure: outcome.New(outcome.UpstreamLost, "%s", err.Error()), reserved: errors.Is(err, ErrSilent)}, true
 }
 
 // senderNamer is a Sink that passes on which release responds. NameSender is called before Head.
--- a/relay/transaction.go
+++ b/relay/transaction.go
@@ -169,16 +169,13 @@
 // prepareRetry reports whether the request may be retried after the attempt. It spends the retry budget of the
 // service, excludes the replica, or marks it as lacking the model, and waits for the delay before the next attempt.
 func (transaction *transaction) prepareRetry(ctx context.Context, candidate balance.Candidate, result result) bool {
-	if ctx.Err() != nil || (transaction.sends >= maxSends && !transaction.goesOn()) {
-		return false
-	}
-	if transaction.sink.Begun() && !transaction.route.Resumable {
-		return false
-	}
-	if !result.notRun && (!transaction.route.Repeatable() || transaction.runs >= transaction.maxRuns) {
+	if !transaction.mayRetry(ctx, result) {
+		if result.reserved {
+			transaction.relay.budget(transaction.service.Name).Return()
+		}
 		return false
 	}
-	if !result.unsent && !transaction.withdrawRetry(ctx) {
+	if !result.unsent && !result.reserved && !transaction.withdrawRetry(ctx) {
 		return false
 	}
 	transaction.exclude(candidate, result)
@@ -188,6 +185,17 @@
 	return true
 }
 
+// mayRetry reports whether the request may be sent again after the attempt, if the budget allows it.
+func (transaction *transaction) mayRetry(ctx context.Context, result result) bool {
+	if ctx.Err() != nil || (transaction.sends >= maxSends && !transaction.goesOn()) {
+		return false
+	}
+	if transaction.sink.Begun() && !transaction.route.Resumable {
+		return false
+	}
+	return result.notRun || (transaction.route.Repeatable() && transaction.runs < transaction.maxRuns)
+}
+
 // exclude makes the candidate the last choice for the request, or marks it as lacking the model.
 func (transaction *transaction) exclude(candidate balance.Candidate, result result) {
 	if result.misdirected {
