Refuse settings of the front daemon that are out of range

RetryWindow, which nothing uses, says why: saved retries and the share hold within a window of any length.

Before and after: five of the new cases of TestInvalidSettingsAreRejected were accepted; none is.

--- a/front/settings.go
+++ b/front/settings.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"math"
 	"net/netip"
 	"os"
 	"time"
@@ -34,8 +35,9 @@
 	Grace time.Duration `yaml:"Grace"`
 	// Turnover is the shortest time between orders of two daemons to one engine.
 	Turnover time.Duration `yaml:"Turnover"`
-	// RetryShare and RetrySlack limit the retries of all daemons together within RetryWindow: a fraction of
-	// the requests, plus a fixed number.
+	// RetryShare and RetrySlack limit the retries of all daemons together within each RetryWindow: a fraction of
+	// the requests, plus a fixed number. The window has no effect of its own: daemons save retries up to RetrySlack and
+	// earn RetryShare for each request, so that the limit holds within a window of any length.
 	RetryShare  float64       `yaml:"RetryShare"`
 	RetrySlack  float64       `yaml:"RetrySlack"`
 	RetryWindow time.Duration `yaml:"RetryWindow"`
@@ -75,6 +77,8 @@
 	maxGrace       = 10 * time.Minute
 	maxWindow      = 10 * time.Minute
 	maxCores       = 1024
+	maxRetrySlack  = 1_000_000
+	maxLoadsAtOnce = 1000
 )
 
 // check returns the invalid settings, ordered by line.
@@ -98,6 +102,27 @@
 			report(key, "must be an IP address and port")
 		}
 	}
+	settings.checkOptional(report)
+	settings.checkBounds(report)
+	strictyaml.Sort(problems)
+	return problems
+}
+
+// checkOptional reports invalid addresses among those that may be missing.
+func (settings *Settings) checkOptional(report func(key, reason string)) {
+	if _, err := netip.ParseAddrPort(settings.MetricsAddress); err != nil && settings.MetricsAddress != "" {
+		report("MetricsAddress", "must be an IP address and port, or empty")
+	}
+	for _, seed := range settings.Seeds {
+		if _, err := netip.ParseAddrPort(seed); err != nil {
+			report("Seeds", "must be IP addresses and ports")
+			break
+		}
+	}
+}
+
+// checkBounds reports the numbers and times that are out of their bounds.
+func (settings *Settings) checkBounds(report func(key, reason string)) {
 	if settings.MemoryLimit < minMemoryBytes {
 		report("MemoryLimit", "must be at least 32MiB")
 	}
@@ -110,12 +135,19 @@
 	if settings.Turnover < 0 || settings.Turnover > maxWindow {
 		report("Turnover", "must be 0s to 10m")
 	}
-	if settings.RetryShare < 0 || settings.RetryShare > 1 {
+	if !(settings.RetryShare >= 0 && settings.RetryShare <= 1) {
 		report("RetryShare", "must be 0 to 1")
 	}
+	if settings.RetrySlack < 0 || math.IsNaN(settings.RetrySlack) || settings.RetrySlack > maxRetrySlack {
+		report("RetrySlack", "must be 0 to 1000000")
+	}
+	if settings.LoadWindow < 0 || settings.LoadWindow > maxWindow {
+		report("LoadWindow", "must be 0s to 10m")
+	}
+	if settings.LoadsAtOnce < 0 || settings.LoadsAtOnce > maxLoadsAtOnce {
+		report("LoadsAtOnce", "must be 0 to 1000")
+	}
 	if settings.RetryWindow <= 0 || settings.RetryWindow > maxWindow {
 		report("RetryWindow", "must be above 0s and at most 10m")
 	}
-	strictyaml.Sort(problems)
-	return problems
 }
--- a/front/settings_test.go
+++ b/front/settings_test.go
@@ -48,6 +48,13 @@
 		{"Cores: 1", "Cores: 0"},
 		{"Grace: 8s", "Grace: 0s"},
 		{"RetryShare: 0.2", "RetryShare: 2"},
+		{"RetryShare: 0.2", "RetryShare: .nan"},
+		{"RetrySlack: 54", "RetrySlack: -1"},
+		{"RetrySlack: 54", "RetrySlack: .inf"},
+		{"LoadWindow: 5s", "LoadWindow: -5s"},
+		{"LoadWindow: 5s", "LoadWindow: 5s\nLoadsAtOnce: -1"},
+		{"10.1.0.38:7380", "somewhere:7380"},
+		{"10.2.0.40:8144", "10.2.0.40"},
 		{"Seeds:", "Seed:"},
 		{`Name: "front-1"`, `Name: ""`},
 	} {
