--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -204,24 +205,34 @@
 	}
 }
 
+// TestFailedResponseIsAborted covers handlers that fail after their response has begun: the caller must get nothing that looks
+// complete, and no text of another response after what it has.
 func TestFailedResponseIsAborted(t *testing.T) {
-	runner := &fakeRunner{response: func(_ context.Context, sink request.Sink) error {
-		_ = sink.Begin(http.StatusOK, contentJSON)
-		_ = sink.Chunk([]byte(`{"half":`))
-		return outcome.New(outcome.UpstreamLost, "lost")
-	}}
-	server := httptest.NewServer(newTestGateway(t, runner))
-	defer server.Close()
-	req, _ := http.NewRequest("POST", server.URL+chatPath, strings.NewReader(`{"model":"m","messages":[{}]}`))
-	req.Header.Set("Authorization", "Bearer "+key)
-	response, err := server.Client().Do(req)
-	if err != nil {
-		return
-	}
-	defer response.Body.Close()
-	var decoded any
-	if err := json.NewDecoder(response.Body).Decode(&decoded); err == nil {
-		t.Error("the caller read a complete response")
+	const half = `{"half":`
+	for name, fail := range map[string]func() error{
+		"a failure": func() error { return outcome.New(outcome.UpstreamLost, "lost") },
+		"a panic":   func() error { panic("fault") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			runner := &fakeRunner{response: func(_ context.Context, sink request.Sink) error {
+				_ = sink.Begin(http.StatusOK, contentJSON)
+				_ = sink.Chunk([]byte(half))
+				return fail()
+			}}
+			server := httptest.NewServer(newTestGateway(t, runner))
+			defer server.Close()
+			req, _ := http.NewRequest("POST", server.URL+chatPath, strings.NewReader(`{"model":"m","messages":[{}]}`))
+			req.Header.Set("Authorization", "Bearer "+key)
+			response, err := server.Client().Do(req)
+			if err != nil {
+				return
+			}
+			defer response.Body.Close()
+			content, err := io.ReadAll(response.Body)
+			if err == nil || !strings.HasPrefix(half, string(content)) {
+				t.Errorf("the caller read %q, %v", content, err)
+			}
+		})
 	}
 }
 
