Bound the wait that another daemon's report asks for

PeerAnswered logged the asking daemon's age of the store beside what the other one answered.

Change: the wait is bounded by that of other questions, 5 s; numbers of milliseconds from other daemons end at the longest duration; the line has the other daemon's age.

--- a/front/sync.go
+++ b/front/sync.go
@@ -170,6 +170,6 @@
 		return
 	}
 	event.PeerAnswered.Log("Daemon", peer.Name, "Configuration", len(response.Configuration) > 0, "Roster", response.RosterVersion,
-		"Rows", len(response.Rows), "StoreAge", own.StoreAge)
+		"Rows", len(response.Rows), "StoreAge", response.StoreAge)
 	daemon.applyUpdate(response, peer.Name)
 }
--- a/mesh/report.go
+++ b/mesh/report.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"math"
 	"time"
 
 	"github.com/bronzestall/bronzestall/demand"
@@ -59,7 +60,7 @@
 		InFlight: decodeInFlightCounts(encoded.GetLoads()),
 		Fence:    encoded.GetFence(),
 		Revision: encoded.GetRevision(),
-		Wait:     milliseconds(encoded.GetWait()),
+		Wait:     min(milliseconds(encoded.GetWait()), maxWait),
 		PollOnly: encoded.GetOnlyAsk(),
 		Partial:  encoded.GetPartial(),
 	}
@@ -88,6 +89,10 @@
 	return uint64(max(now.Sub(at), 0).Milliseconds())
 }
 
+// maxMilliseconds is the largest number of milliseconds that a duration holds.
+const maxMilliseconds = math.MaxInt64 / uint64(time.Millisecond)
+
+// milliseconds returns the duration of so many milliseconds, or the longest if they are too many.
 func milliseconds(count uint64) time.Duration {
-	return time.Duration(count) * time.Millisecond
+	return time.Duration(min(count, maxMilliseconds)) * time.Millisecond
 }
