Let requests without a latency target accept any expected wait

Change: without a target only the load limit holds.

Failing test: TestRequestsWithoutTargetAcceptAnyWait, its case without a target.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -100,7 +100,8 @@
 }
 
 // withCapacity returns the candidates that are below the load limit and are expected to send the first event in time.
-// The longer the expected wait, the higher the AdmissionQuantile that it takes. The mutex must be held.
+// The longer the expected wait, the higher the AdmissionQuantile that it takes; without a FirstEventTarget, any wait is accepted. The
+// mutex must be held.
 func (balancer *Balancer) withCapacity(candidates []Candidate, criteria Criteria) []Candidate {
 	withCapacity := make([]Candidate, 0, len(candidates))
 	longestWait := time.Duration((certainWaitFactor + quantileWaitFactor*math.Pow(criteria.AdmissionQuantile, 3)) * float64(criteria.FirstEventTarget))
@@ -110,7 +111,7 @@
 		if float64(load.inFlight()) >= criteria.MaxLoad*float64(slots) {
 			continue
 		}
-		if load.queuedAhead(criteria.Priority) < slots/slotsPerWaiting || load.expectedWait(criteria.Priority) <= longestWait {
+		if criteria.FirstEventTarget <= 0 || load.queuedAhead(criteria.Priority) < slots/slotsPerWaiting || load.expectedWait(criteria.Priority) <= longestWait {
 			withCapacity = append(withCapacity, candidates[index])
 		}
 	}
--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -158,3 +158,18 @@
 		t.Errorf("chose %s, want r0, which has capacity again", chosen.ID)
 	}
 }
+
+// TestRequestsWithoutTargetAcceptAnyWait covers routes without a latency target: only the load limit holds for them.
+func TestRequestsWithoutTargetAcceptAnyWait(t *testing.T) {
+	for target, want := range map[time.Duration]bool{0: true, time.Second: false, time.Hour: true} {
+		balancer := newBalancer()
+		load := balancer.load(topology.Incarnation{ID: "r0"})
+		load.startRates[0] = 0.1
+		for range 10 {
+			load.local = load.local.Plus(demand.OneWaiting(0))
+		}
+		if _, ok := balancer.Choose(replicas(1), Criteria{Zone: "near", MaxLoad: 3, FirstEventTarget: target}, start); ok != want {
+			t.Errorf("with the target %v a replica with a wait of 100 s is chosen: %v", target, ok)
+		}
+	}
+}
--- a/balance/criteria.go
+++ b/balance/criteria.go
@@ -16,7 +16,7 @@
 	// Zone is the data centre of the daemon.
 	Zone string
 	// Priority is that of the request; zero is the most urgent. FirstEventTarget is the time within which the client
-	// expects the first event; together with MaxLoad it limits the accepted expected wait.
+	// expects the first event; together with MaxLoad it limits the accepted expected wait. Zero means that any wait is accepted.
 	Priority         int
 	FirstEventTarget time.Duration
 	// AdmissionQuantile is a uniform value from zero to one that is fixed for the request. A higher value accepts a
