Let the latency target of a model rise again

Change: the holder counts the demands by their target and takes the lowest of those in force.

Failing test: TestIncrementalSumsMatchRecomputedSums, which compares targets now.

--- a/scheduler/aggregator_test.go
+++ b/scheduler/aggregator_test.go
@@ -33,6 +33,7 @@
 			if keyDemand.Waiting = random.IntN(3); keyDemand.Waiting > 0 {
 				keyDemand.Oldest = epoch.Add(time.Duration(random.IntN(9)) * time.Second)
 			}
+			keyDemand.Target = time.Duration(random.IntN(4)) * time.Second
 			report.Demand = append(report.Demand, keyDemand)
 			engine := topology.Incarnation{ID: fmt.Sprintf("e%d", random.IntN(2))}
 			report.InFlight[demand.ReplicaKey{Incarnation: engine, Key: key}] = demand.OneWaiting(random.IntN(demand.Priorities))
@@ -74,7 +75,7 @@
 		}
 		for key, a := range pair[0] {
 			b := pair[1][key]
-			if a.Waiting != b.Waiting || a.Running != b.Running || math.Abs(a.Rate-b.Rate) > 1e-6 || !a.Oldest.Equal(b.Oldest) || a.LastArrival.Before(b.LastArrival) {
+			if a.Waiting != b.Waiting || a.Running != b.Running || math.Abs(a.Rate-b.Rate) > 1e-6 || !a.Oldest.Equal(b.Oldest) || a.Target != b.Target || a.LastArrival.Before(b.LastArrival) {
 				t.Fatalf("step %d: %s is %+v, want %+v", step, key, a, b)
 			}
 		}
--- a/scheduler/totals.go
+++ b/scheduler/totals.go
@@ -24,6 +24,8 @@
 	count int
 	// oldest maps the keys with waiting requests, by daemon, to the arrival of the oldest request.
 	oldest map[waitingKey]time.Time
+	// targets counts the key demands by their latency target; those without one are left out.
+	targets map[time.Duration]int
 }
 
 // waitingKey identifies the waiting requests of one daemon for one key.
@@ -64,9 +66,7 @@
 	known.Waiting += sign * keyDemand.Waiting
 	known.Rate += float64(sign) * keyDemand.Rate
 	known.Tokens += float64(sign) * keyDemand.Tokens
-	if keyDemand.Target > 0 && (known.Target == 0 || keyDemand.Target < known.Target) {
-		known.Target = keyDemand.Target
-	}
+	known.Target = sources.setTarget(keyDemand.Target, sign)
 	if keyDemand.LastArrival.After(known.LastArrival) {
 		known.LastArrival = keyDemand.LastArrival
 	}
@@ -81,7 +81,7 @@
 func (sum *totals) sourcesOf(name string) *demandSources {
 	known, ok := sum.sources[name]
 	if !ok {
-		known = &demandSources{oldest: map[waitingKey]time.Time{}}
+		known = &demandSources{oldest: map[waitingKey]time.Time{}, targets: map[time.Duration]int{}}
 		sum.sources[name] = known
 	}
 	return known
@@ -106,6 +106,23 @@
 	sources.oldest[key] = oldest
 }
 
+// setTarget adds or removes the latency target of one key demand, and returns the lowest of all; zero if there is none.
+func (sources *demandSources) setTarget(target time.Duration, sign int) time.Duration {
+	if target > 0 {
+		sources.targets[target] += sign
+	}
+	if sources.targets[target] == 0 {
+		delete(sources.targets, target)
+	}
+	lowest := time.Duration(0)
+	for known := range sources.targets {
+		if lowest == 0 || known < lowest {
+			lowest = known
+		}
+	}
+	return lowest
+}
+
 // earliest returns the earliest arrival of a waiting request over all daemons; zero if none waits.
 func (sources *demandSources) earliest() time.Time {
 	var first time.Time
