--- a/demand/counter.go
+++ b/demand/counter.go
@@ -71,7 +71,7 @@
 	known.rate = decayed(known.rate, now.Sub(known.lastArrival)) + 1
 	known.tokens = decayed(known.tokens, now.Sub(known.lastArrival)) + float64(tokens)
 	known.lastArrival = now
-	if known.target == 0 || target < known.target {
+	if target > 0 && (known.target == 0 || target < known.target) {
 		known.target = target
 	}
 }
--- a/demand/counter_test.go
+++ b/demand/counter_test.go
@@ -44,3 +44,14 @@
 		t.Errorf("demand %+v, in flight %+v", demands, inFlight)
 	}
 }
+
+// TestUnknownTargetKeepsTheKnownOne covers requests of a route without a latency target beside others.
+func TestUnknownTargetKeepsTheKnownOne(t *testing.T) {
+	counter, now := New(), time.Unix(1000, 0)
+	for _, target := range []time.Duration{2 * time.Second, 0, time.Second, 0} {
+		counter.AddArrival(Key{Model: "m"}, 1, target, now)
+	}
+	if demands, _ := counter.Snapshot(now); demands[0].Target != time.Second {
+		t.Errorf("the target is %v, want 1s", demands[0].Target)
+	}
+}
