--- a/demand/counter.go
+++ b/demand/counter.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -149,7 +150,7 @@
 		next.Rate = decayed(known.rate, now.Sub(known.lastArrival)) * math.Ln2 / halfLife.Seconds()
 		next.Tokens = decayed(known.tokens, now.Sub(known.lastArrival)) * math.Ln2 / halfLife.Seconds()
 		if len(known.arrivals) > 0 {
-			next.Oldest = known.arrivals[0]
+			next.Oldest = slices.MinFunc(known.arrivals, time.Time.Compare)
 		}
 		demands = append(demands, next)
 	}
--- a/demand/counter_test.go
+++ b/demand/counter_test.go
@@ -55,3 +55,14 @@
 		t.Errorf("the target is %v, want 1s", demands[0].Target)
 	}
 }
+
+// TestOldestIsTheEarliestArrival covers a request that began to wait after one that arrived later.
+func TestOldestIsTheEarliestArrival(t *testing.T) {
+	counter, now := New(), time.Unix(1000, 0)
+	for _, arrived := range []time.Time{now.Add(time.Second), now, now.Add(2 * time.Second)} {
+		counter.AddWaiting(Key{Model: "m"}, arrived)
+	}
+	if demands, _ := counter.Snapshot(now); !demands[0].Oldest.Equal(now) {
+		t.Errorf("the oldest arrived %v after the first", demands[0].Oldest.Sub(now))
+	}
+}
