--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -171,25 +171,6 @@
 	return len(marked.Crashes)
 }
 
-// withSequence returns the crash with its sequence number among those that this daemon counted for the same
-// incarnation. A restarted replica counts as its former incarnation until its new row arrives. The mutex is held.
-func (tracker *Tracker) withSequence(fingerprint uint64, crash Crash) Crash {
-	if len(tracker.ownCrashes) >= capacity {
-		clear(tracker.ownCrashes)
-	}
-	own := tracker.ownCrashes[fingerprint]
-	for index := range own {
-		if own[index].Upstream == crash.Upstream && own[index].BootID == crash.BootID {
-			own[index].Sequence++
-			return own[index]
-		}
-	}
-	if len(own) < maxOwnCrashes {
-		tracker.ownCrashes[fingerprint] = append(own, crash)
-	}
-	return crash
-}
-
 // Import merges suspects from other daemons or from the store, and returns those that are now refused.
 func (tracker *Tracker) Import(suspects []Suspect, now time.Time) []Suspect {
 	changed := tracker.registry.Import(suspects, now)
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -213,3 +213,21 @@
 		t.Errorf("%d changed suspects, %d share counts, %d requests with own crashes", len(queue.changed), len(queue.shareCounts), len(tracker.ownCrashes))
 	}
 }
+
+// TestCrashesAreNumberedWhileManyRequestsCrash covers a request that crashes one incarnation again and again, whose new row is late,
+// while so many other requests crash that not all can be remembered.
+func TestCrashesAreNumberedWhileManyRequestsCrash(t *testing.T) {
+	tracker, now := NewTracker(3), time.Unix(1000, 0)
+	for range 2 {
+		tracker.ConnectionLost(Causes{Request: 1}, crash(1), now)
+	}
+	for number := range 2 * capacity {
+		tracker.ConnectionLost(Causes{Request: uint64(1000 + number)}, crash(number), now)
+	}
+	if counted := tracker.ConnectionLost(Causes{Request: 1}, crash(1), now); counted != 3 {
+		t.Errorf("%d crashes count, want 3", counted)
+	}
+	if kept := len(tracker.ownCrashes); kept > capacity {
+		t.Errorf("the crashes of %d requests are kept", kept)
+	}
+}
