Let overlapping faults of the front soak end one by one

Change: faults are begun and ended one by one, and add up. A replica that crashes while it is down starts after the longest downtime; one that drains or announces its leaving does not begin again; the store is stable once its last fault has ended.

Before and after: with the flags, the first end of two stalls or outages ended both, by reading; TestOverlappingFaultsDoNotEndEachOther and TestCrashWhileDownKeepsReplicaDown cover it.

--- a/internal/frontsoak/checker_test.go
+++ b/internal/frontsoak/checker_test.go
@@ -28,6 +28,8 @@
 	violations []string
 	// storeStable is the time since which the store has had no fault; zero during one.
 	storeStable time.Time
+	// storeFaults is the number of its faults that have begun and not ended.
+	storeFaults int
 	// lastResumes maps daemons to when they were last resumed.
 	lastResumes map[string]time.Time
 	outcomes    map[string]int
@@ -103,8 +105,13 @@
 func (checker *checker) recordStoreFault(begins bool) {
 	checker.mutex.Lock()
 	defer checker.mutex.Unlock()
-	checker.storeStable = time.Now()
 	if begins {
+		checker.storeFaults++
+	} else {
+		checker.storeFaults--
+	}
+	checker.storeStable = time.Now()
+	if checker.storeFaults > 0 {
 		checker.storeStable = time.Time{}
 	}
 }
--- a/internal/frontsoak/deadly_test.go
+++ b/internal/frontsoak/deadly_test.go
@@ -171,8 +171,11 @@
 
 // crashSilently ends the replica without closing its connections, which get no more bytes.
 func (replica *replica) crashSilently(downtime time.Duration) {
-	replica.proxy.set(true, false, 0)
-	time.AfterFunc(downtime, func() { replica.crash(downtime) })
+	end := replica.proxy.begin(proxyFault{stalls: true})
+	time.AfterFunc(downtime, func() {
+		replica.crash(downtime)
+		end()
+	})
 }
 
 // sendDeadly sends requests with the deadly part at the place, no two alike, until the context ends.
--- a/internal/frontsoak/faults_test.go
+++ b/internal/frontsoak/faults_test.go
@@ -54,24 +54,21 @@
 			testbed.signalAll(syscall.SIGKILL)
 		})},
 		{"suspend " + front.name, func(time.Duration) func() {
-			front.signal(syscall.SIGSTOP)
-			return func() {
-				testbed.checker.recordResume(front.name)
-				front.signal(syscall.SIGCONT)
-			}
+			front.suspend()
+			return func() { front.resume(testbed.checker) }
 		}},
 		{"store unavailable", func(time.Duration) func() {
 			testbed.checker.recordStoreFault(true)
-			testbed.store.set(true, 0)
+			end := testbed.store.beginOutage()
 			return func() {
-				testbed.store.set(false, 0)
+				end()
 				testbed.checker.recordStoreFault(false)
 			}
 		}},
-		{"store connections stalled for " + front.name, testbed.storeConnectionFault(front, true, false, 0)},
-		{"store connections reset for " + front.name, testbed.storeConnectionFault(front, false, true, 0)},
-		{"store slow for " + front.name, testbed.storeConnectionFault(front, false, false, 100*time.Millisecond)},
-		{"store loses responses", oneShot(func() { testbed.store.set(false, count) })},
+		{"store connections stalled for " + front.name, testbed.storeConnectionFault(front, proxyFault{stalls: true})},
+		{"store connections reset for " + front.name, testbed.storeConnectionFault(front, proxyFault{refuses: true})},
+		{"store slow for " + front.name, testbed.storeConnectionFault(front, proxyFault{delay: 100 * time.Millisecond})},
+		{"store loses responses", oneShot(func() { testbed.store.loseResponses(count) })},
 		{"store drops its history", oneShot(testbed.store.dropHistory)},
 		{"configuration", oneShot(testbed.configure)},
 		{"crash " + replica.id, func(duration time.Duration) func() {
@@ -85,10 +82,10 @@
 		})},
 		{"stall connections of " + replica.id, func(time.Duration) func() {
 			testbed.checker.recordReplicaFault(replica.id)
-			replica.proxy.set(true, false, 0)
+			end := replica.proxy.begin(proxyFault{stalls: true})
 			return func() {
 				testbed.checker.recordReplicaFault(replica.id)
-				replica.proxy.set(false, false, 0)
+				end()
 			}
 		}},
 		{"break off responses of " + replica.id, oneShot(func() { replica.withLock(func() { replica.brokenResponses = count }) })},
@@ -98,15 +95,15 @@
 }
 
 // storeConnectionFault returns a fault of the connections between a daemon and the store.
-func (testbed *testbed) storeConnectionFault(front *process, stalled, refusing bool, delay time.Duration) func(time.Duration) func() {
+func (testbed *testbed) storeConnectionFault(front *process, fault proxyFault) func(time.Duration) func() {
 	return func(time.Duration) func() {
 		testbed.checker.recordStoreFault(true)
-		front.store.set(stalled, refusing, delay)
-		if refusing {
+		end := front.store.begin(fault)
+		if fault.refuses {
 			front.store.resetAll()
 		}
 		return func() {
-			front.store.set(false, false, 0)
+			end()
 			testbed.checker.recordStoreFault(false)
 		}
 	}
--- a/internal/frontsoak/lenders_test.go
+++ b/internal/frontsoak/lenders_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"slices"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 )
@@ -57,10 +56,9 @@
 		})
 	}
 	time.Sleep(saving)
-	testbed.fronts[lender].signal(syscall.SIGSTOP)
+	testbed.fronts[lender].suspend()
 	clients.Wait()
-	testbed.checker.recordResume(testbed.fronts[lender].name)
-	testbed.fronts[lender].signal(syscall.SIGCONT)
+	testbed.fronts[lender].resume(testbed.checker)
 	stop()
 	share, count := result.share([]int{cut})
 	slices.Sort(longest)
--- a/internal/frontsoak/links_test.go
+++ b/internal/frontsoak/links_test.go
@@ -29,7 +29,9 @@
 	proxy *proxy
 	// fillers are connections that fill the queue of a listener that accepts none.
 	fillers []net.Conn
-	closed  func()
+	// endStall ends the stall of open connections; nil if there is none.
+	endStall func()
+	closed   func()
 }
 
 // newLink opens a link to the address. A socket that is bound and never listens keeps its port from being given to others
@@ -72,7 +74,7 @@
 		link.proxy.resetAll()
 		return nil
 	}
-	link.proxy.set(true, false, 0)
+	link.endStall = link.proxy.begin(proxyFault{stalls: true})
 	return link.openSilent()
 }
 
@@ -128,7 +130,10 @@
 		_ = filler.Close()
 	}
 	link.fillers = nil
-	link.proxy.set(false, false, 0)
+	if link.endStall != nil {
+		link.endStall()
+		link.endStall = nil
+	}
 	link.proxy.resetAll()
 	var listener net.Listener
 	err := retry(func() (err error) {
--- a/internal/frontsoak/notices_test.go
+++ b/internal/frontsoak/notices_test.go
@@ -161,9 +161,13 @@
 }
 
 // announceLeaving makes the replica report in its responses, but not in its row, that it is leaving; 4 s later it
-// crashes and starts as a new incarnation.
+// crashes and starts as a new incarnation. It does nothing if the replica does so already.
 func (replica *replica) announceLeaving() {
-	replica.withLock(func() { replica.announcesLeaving = true })
+	already := false
+	replica.withLock(func() { already, replica.announcesLeaving = replica.announcesLeaving, true })
+	if already {
+		return
+	}
 	time.AfterFunc(4*time.Second, func() {
 		replica.withLock(func() { replica.announcesLeaving = false })
 		replica.crash(300 * time.Millisecond)
--- a/internal/frontsoak/process_test.go
+++ b/internal/frontsoak/process_test.go
@@ -26,7 +26,9 @@
 	mutex   sync.Mutex
 	command *exec.Cmd
 	stopped bool
-	done    chan struct{}
+	// suspensions is the number of those that have not ended.
+	suspensions int
+	done        chan struct{}
 	// onStart is called before each start.
 	onStart func(daemon string)
 }
@@ -120,6 +122,26 @@
 	}
 }
 
+// suspend stops the daemon until resume was called as often.
+func (process *process) suspend() {
+	process.mutex.Lock()
+	process.suspensions++
+	process.mutex.Unlock()
+	process.signal(syscall.SIGSTOP)
+}
+
+// resume ends one suspension.
+func (process *process) resume(checker *checker) {
+	process.mutex.Lock()
+	process.suspensions--
+	last := process.suspensions == 0
+	process.mutex.Unlock()
+	if last {
+		checker.recordResume(process.name)
+		process.signal(syscall.SIGCONT)
+	}
+}
+
 // signal sends a signal to the daemon, if it runs.
 func (process *process) signal(signal syscall.Signal) {
 	process.mutex.Lock()
--- a/internal/frontsoak/proxy_test.go
+++ b/internal/frontsoak/proxy_test.go
@@ -17,12 +17,42 @@
 	target string
 	// connections maps each inbound connection to its outbound one.
 	connections map[net.Conn]net.Conn
-	// stalled states that no bytes are forwarded, and refusing that new connections are reset.
-	stalled, refusing bool
+	// faults holds those that have begun and not ended. They add up.
+	faults map[*proxyFault]bool
+}
+
+// proxyFault is a fault of a proxy.
+type proxyFault struct {
+	// stalls states that no bytes are forwarded, and refuses that new connections are reset.
+	stalls, refuses bool
 	// delay is added before each forwarded chunk.
 	delay time.Duration
 }
 
+// begin adds the fault, and returns the function that ends it.
+func (proxy *proxy) begin(fault proxyFault) (end func()) {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	if proxy.faults == nil {
+		proxy.faults = map[*proxyFault]bool{}
+	}
+	proxy.faults[&fault] = true
+	return func() {
+		proxy.mutex.Lock()
+		defer proxy.mutex.Unlock()
+		delete(proxy.faults, &fault)
+	}
+}
+
+// fault returns the sum of the faults. The mutex is held.
+func (proxy *proxy) fault() proxyFault {
+	var sum proxyFault
+	for fault := range proxy.faults {
+		sum.stalls, sum.refuses, sum.delay = sum.stalls || fault.stalls, sum.refuses || fault.refuses, max(sum.delay, fault.delay)
+	}
+	return sum
+}
+
 func newProxy(target string) (*proxy, error) {
 	return newProxyAt("127.0.0.1:0", target)
 }
@@ -54,10 +84,14 @@
 // forward copies bytes both ways between an inbound connection and the target, until one way ends.
 func (proxy *proxy) forward(inbound net.Conn) {
 	proxy.mutex.Lock()
-	refused, target := proxy.refusing, proxy.target
+	refused, target := proxy.fault().refuses, proxy.target
 	proxy.mutex.Unlock()
+	if refused {
+		reset(inbound)
+		return
+	}
 	outbound, err := net.Dial("tcp", target)
-	if err != nil || refused {
+	if err != nil {
 		reset(inbound)
 		return
 	}
@@ -106,10 +140,10 @@
 // stalling waits for the delay and reports whether the proxy is stalled.
 func (proxy *proxy) stalling() bool {
 	proxy.mutex.Lock()
-	stalled, delay := proxy.stalled, proxy.delay
+	fault := proxy.fault()
 	proxy.mutex.Unlock()
-	time.Sleep(delay)
-	return stalled
+	time.Sleep(fault.delay)
+	return fault.stalls
 }
 
 // setTarget sets the address to which new connections are forwarded.
@@ -119,13 +153,6 @@
 	proxy.target = address
 }
 
-// set sets whether the proxy stalls bytes and refuses new connections, and its delay.
-func (proxy *proxy) set(stalled, refusing bool, delay time.Duration) {
-	proxy.mutex.Lock()
-	defer proxy.mutex.Unlock()
-	proxy.stalled, proxy.refusing, proxy.delay = stalled, refusing, delay
-}
-
 // resetAll resets all connections.
 func (proxy *proxy) resetAll() {
 	proxy.mutex.Lock()
--- a/internal/frontsoak/replica_test.go
+++ b/internal/frontsoak/replica_test.go
@@ -41,8 +41,9 @@
 	gap, runTime time.Duration
 	// startedAt is the start of the current incarnation, in Unix ms.
 	startedAt int64
-	down      bool
-	draining  bool
+	// crashes counts the crashes whose downtime has not passed.
+	crashes  int
+	draining bool
 	// unlisted states that the replica has no row.
 	unlisted bool
 	// drainsSilently states that only the row in the store, not the responses, report that the replica is draining.
@@ -98,7 +99,7 @@
 func (replica *replica) writeRow() {
 	replica.mutex.Lock()
 	defer replica.mutex.Unlock()
-	if replica.down || replica.unlisted {
+	if replica.crashes > 0 || replica.unlisted {
 		return
 	}
 	replica.sequence++
@@ -130,33 +131,42 @@
 	return map[string]any{"inMemory": []string{}, "onDisk": modelNames()}
 }
 
-// crash resets all connections and drops all models; after the downtime the replica starts as a new incarnation.
+// crash resets all connections and drops all models; after the downtime, and that of other crashes, the replica starts as a new
+// incarnation.
 func (replica *replica) crash(downtime time.Duration) {
 	replica.mutex.Lock()
-	replica.down = true
+	replica.crashes++
 	replica.models, replica.revision, replica.loading = nil, 0, ""
 	replica.limit = 0
 	replica.mutex.Unlock()
 	replica.checker.startLimit(replica.incarnationName(), 0)
 	replica.checker.recordReplicaFault(replica.id)
-	replica.proxy.set(false, true, 0)
+	end := replica.proxy.begin(proxyFault{refuses: true})
 	replica.proxy.resetAll()
 	time.AfterFunc(downtime, func() {
+		defer end()
 		replica.mutex.Lock()
-		replica.down, replica.startedAt = false, time.Now().UnixMilli()
+		defer replica.mutex.Unlock()
+		if replica.crashes--; replica.crashes > 0 {
+			return
+		}
+		replica.startedAt = time.Now().UnixMilli()
 		if replica.nextRelease != "" {
 			replica.release = replica.nextRelease
 		}
-		replica.mutex.Unlock()
-		replica.proxy.set(false, false, 0)
 	})
 }
 
-// drain writes a row that says the replica is draining; 4 s later the replica crashes and starts as a new incarnation.
+// drain writes a row that says the replica is draining; 4 s later the replica crashes and starts as a new incarnation. It does nothing
+// if the replica drains already.
 func (replica *replica) drain() {
 	replica.mutex.Lock()
+	already := replica.draining
 	replica.draining = true
 	replica.mutex.Unlock()
+	if already {
+		return
+	}
 	replica.writeRow()
 	replica.checker.recordDrain(replica.id, time.Now())
 	time.AfterFunc(4*time.Second, func() {
--- a/internal/frontsoak/restore_test.go
+++ b/internal/frontsoak/restore_test.go
@@ -27,10 +27,10 @@
 	}
 	time.Sleep(lostWritesKnown)
 	testbed.checker.recordStoreFault(true)
-	testbed.store.set(true, 0)
+	end := testbed.store.beginOutage()
 	time.Sleep(restoreDowntime)
 	testbed.store.restore(age + restoreDowntime)
-	testbed.store.set(false, 0)
+	end()
 	testbed.checker.recordStoreFault(false)
 	testbed.configure()
 }
--- a/internal/frontsoak/standins_test.go
+++ b/internal/frontsoak/standins_test.go
@@ -57,3 +57,49 @@
 		t.Errorf("logs of %d runs are kept, want 2: %v", len(kept), err)
 	}
 }
+
+// TestOverlappingFaultsDoNotEndEachOther guards against faults of the soak that ended sooner than it said: the end of one ended
+// others of its kind.
+func TestOverlappingFaultsDoNotEndEachOther(t *testing.T) {
+	proxy, err := newProxy("127.0.0.1:1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer proxy.listener.Close()
+	endStall, endRefusal := proxy.begin(proxyFault{stalls: true}), proxy.begin(proxyFault{refuses: true, delay: time.Millisecond})
+	endSecond := proxy.begin(proxyFault{stalls: true})
+	endStall()
+	if fault := proxy.fault(); !fault.stalls || !fault.refuses || fault.delay != time.Millisecond {
+		t.Errorf("after the first of two stalls: %+v", fault)
+	}
+	endRefusal()
+	endSecond()
+	if fault := proxy.fault(); fault != (proxyFault{}) {
+		t.Errorf("after all: %+v", fault)
+	}
+	store := newStore()
+	endFirst, endOther := store.beginOutage(), store.beginOutage()
+	endFirst()
+	response := httptest.NewRecorder()
+	store.ServeHTTP(response, httptest.NewRequest(http.MethodGet, "/rows-get?table=op", nil))
+	if response.Code != http.StatusServiceUnavailable {
+		t.Errorf("in an outage the store answers %d", response.Code)
+	}
+	endOther()
+}
+
+// TestCrashWhileDownKeepsReplicaDown covers a replica that crashes again before it has started.
+func TestCrashWhileDownKeepsReplicaDown(t *testing.T) {
+	replica, err := newReplica("i-0", plainService, "z0", newChecker(), newStore())
+	if err != nil {
+		t.Fatal(err)
+	}
+	replica.crash(20 * time.Millisecond)
+	replica.crash(300 * time.Millisecond)
+	time.Sleep(100 * time.Millisecond)
+	down := false
+	replica.withLock(func() { down = replica.crashes > 0 })
+	if !down || !replica.proxy.fault().refuses {
+		t.Error("the replica is up during its second downtime")
+	}
+}
--- a/internal/frontsoak/store_test.go
+++ b/internal/frontsoak/store_test.go
@@ -33,9 +33,9 @@
 	era     uint64
 	// oldest is the version after which the history is complete.
 	oldest uint64
-	// unavailable states that all calls are refused, and dropResponses is the number of coming transactions that are
+	// outages is the number of outages, in which all calls are refused, and dropResponses is the number of coming transactions that are
 	// applied but get no response.
-	unavailable   bool
+	outages       int
 	dropResponses int
 }
 
@@ -106,17 +106,29 @@
 	store.history, store.oldest = nil, store.version
 }
 
-// set sets whether the store is unavailable, and how many transactions get no response.
-func (store *store) set(unavailable bool, dropResponses int) {
+// beginOutage makes the store refuse all calls, and returns the function that ends that. It answers again once all outages have ended.
+func (store *store) beginOutage() (end func()) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
-	store.unavailable, store.dropResponses = unavailable, dropResponses
+	store.outages++
+	return func() {
+		store.mutex.Lock()
+		defer store.mutex.Unlock()
+		store.outages--
+	}
+}
+
+// loseResponses makes the store carry out so many coming transactions without a response.
+func (store *store) loseResponses(count int) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.dropResponses = count
 }
 
 // ServeHTTP handles one call.
 func (store *store) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	store.mutex.Lock()
-	unavailable := store.unavailable
+	unavailable := store.outages > 0
 	writer.Header().Set("Store-Era", strconv.FormatUint(store.era, 10))
 	store.mutex.Unlock()
 	if unavailable {
