--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -101,6 +101,7 @@
 		Transfers: daemon.transfers,
 		Peers:     daemon.backlogs,
 		Suspects:  daemon.suspects,
+		OnAttempt: daemon.recordSent,
 	}, daemon.clock, daemon.deps.random(dispatchStream))
 	daemon.suspects.node = daemon.node
 	daemon.suspects.registry = daemon.dispatcher.Quarantine()
--- a/internal/soak/operator_test.go
+++ b/internal/soak/operator_test.go
@@ -1,9 +1,12 @@
 package soak
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"net/http"
+	"strconv"
+	"strings"
 
 	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/release"
@@ -45,3 +48,26 @@
 	err = json.NewDecoder(response.Body).Decode(&report)
 	return report, err == nil
 }
+
+// metric returns the sum of a metric over all daemons and labels.
+func (testbed *testbed) metric(name string) float64 {
+	transport := &http.Transport{DialContext: testbed.network.dialler("operator"), DisableKeepAlives: true}
+	client := http.Client{Transport: transport}
+	sum := 0.0
+	for _, entry := range testbed.entries {
+		response, err := client.Get("http://" + entry.operatorAddress() + "/metrics")
+		if err != nil {
+			continue
+		}
+		lines := bufio.NewScanner(response.Body)
+		for lines.Scan() {
+			fields := strings.Fields(lines.Text())
+			if len(fields) == 2 && strings.HasPrefix(fields[0], name) {
+				value, _ := strconv.ParseFloat(fields[1], 64)
+				sum += value
+			}
+		}
+		_ = response.Body.Close()
+	}
+	return sum
+}
--- a/internal/soak/smoke_test.go
+++ b/internal/soak/smoke_test.go
@@ -68,5 +68,8 @@
 			t.Errorf("confirm: %+v, %d executions", got, testbed.executions("key-1"))
 		}
 		caller.close()
+		if waited := testbed.metric("bronzestall_queue_microseconds_count"); waited < 6 {
+			t.Errorf("the time in the queue was measured for %v requests, want 6 or more", waited)
+		}
 	})
 }
