--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -94,8 +94,13 @@
 	return daemon, daemon.open()
 }
 
-// open opens the listeners for callers, operators and peers.
-func (daemon *Daemon) open() error {
+// open opens the listeners for callers, operators and peers. If it fails, it closes those that it opened.
+func (daemon *Daemon) open() (err error) {
+	defer func() {
+		if err != nil {
+			daemon.closeListeners()
+		}
+	}()
 	callerHandler, err := gateway.New(daemon.settings, gateway.Deps{
 		Resolver: resolver{daemon.catalogue},
 		Runner:   daemon.arrivals,
@@ -112,8 +117,7 @@
 	if daemon.operators, err = daemon.listen(daemon.settings.OperatorAddress, daemon.operatorHandler(callerHandler)); err != nil {
 		return err
 	}
-	daemon.peers, err = daemon.listen(daemon.settings.PeerAddress, daemon.node.Handler())
-	if err != nil {
+	if daemon.peers, err = daemon.listen(daemon.settings.PeerAddress, daemon.node.Handler()); err != nil {
 		return err
 	}
 	protocols := &http.Protocols{}
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -33,6 +33,16 @@
 	return result, nil
 }
 
+// closeListeners closes the listeners that are open.
+func (daemon *Daemon) closeListeners() {
+	for _, opened := range []*server{daemon.callers, daemon.operators, daemon.peers} {
+		if opened != nil && opened.listener != nil {
+			// Nothing was accepted yet, so that nothing is lost.
+			_ = opened.listener.Close()
+		}
+	}
+}
+
 // serve accepts connections until the server is shut down, and returns nil then. Without a listener it
 // returns at once.
 func (server *server) serve() error {
