--- a/cmd/bronzestall/printer.go
+++ b/cmd/bronzestall/printer.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"strings"
@@ -12,21 +13,21 @@
 type printer struct {
 	out  io.Writer
 	json bool
-	// err is the error of the last print, or nil.
+	// err holds the errors of all prints, or nil.
 	err error
 }
 
-// print writes the value as JSON, or else calls text to write it as text. An error is kept in err.
+// print writes the value as JSON, or else calls text to write it as text. Errors are kept in err.
 func (printer *printer) print(value any, text func(page *page)) {
 	if printer.json {
 		encoder := json.NewEncoder(printer.out)
 		encoder.SetIndent("", "  ")
-		printer.err = encoder.Encode(value)
+		printer.err = errors.Join(printer.err, encoder.Encode(value))
 		return
 	}
 	page := &page{tabs: tabwriter.NewWriter(printer.out, 0, 0, 2, ' ', 0)}
 	text(page)
-	printer.err = page.tabs.Flush()
+	printer.err = errors.Join(printer.err, page.tabs.Flush())
 }
 
 // page writes the text of one result and aligns the cells of adjacent rows.
