--- a/cmd/bronzestall/printer.go
+++ b/cmd/bronzestall/printer.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -27,17 +28,20 @@
 	}
 	page := &page{tabs: tabwriter.NewWriter(printer.out, 0, 0, 2, ' ', 0)}
 	text(page)
-	printer.err = errors.Join(printer.err, page.tabs.Flush())
+	printer.err = errors.Join(printer.err, page.err, page.tabs.Flush())
 }
 
 // page writes the text of one result and aligns the cells of adjacent rows.
 type page struct {
 	tabs *tabwriter.Writer
+	// err is the first error of a line, which the writer passes on at once if the line has one cell.
+	err error
 }
 
 // line writes a line that is not part of a table.
 func (page *page) line(format string, args ...any) {
-	_, _ = fmt.Fprintf(page.tabs, format+"\n", args...)
+	_, err := fmt.Fprintf(page.tabs, format+"\n", args...)
+	page.err = cmp.Or(page.err, err)
 }
 
 // row writes the cells of one row of a table.
@@ -46,5 +50,6 @@
 	for i, cell := range cells {
 		text[i] = fmt.Sprint(cell)
 	}
-	_, _ = fmt.Fprintln(page.tabs, strings.Join(text, "\t"))
+	_, err := fmt.Fprintln(page.tabs, strings.Join(text, "\t"))
+	page.err = cmp.Or(page.err, err)
 }
