Let the first choice among new replicas know what others sent them

Change: reported loads are kept for each replica; those of replicas that are gone are dropped as before.

Failing test: balance.TestFirstChoiceKnowsRemoteLoads.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -251,13 +251,15 @@
 	balancer.Cancel(chosen.Incarnation)
 }
 
-// SetRemoteInFlight replaces the requests in flight from other daemons, by incarnation. Incarnations that were never
-// a candidate are ignored.
+// SetRemoteInFlight replaces the requests in flight from other daemons, by incarnation, also of those that were no candidate yet.
 func (balancer *Balancer) SetRemoteInFlight(running map[topology.Incarnation]demand.InFlight) {
 	balancer.mutex.Lock()
 	defer balancer.mutex.Unlock()
-	for incarnation, load := range balancer.loads {
-		load.remote = running[incarnation]
+	for _, load := range balancer.loads {
+		load.remote = demand.InFlight{}
+	}
+	for incarnation, inFlight := range running {
+		balancer.load(incarnation).remote = inFlight
 	}
 }
 
--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -173,3 +173,24 @@
 		}
 	}
 }
+
+// TestFirstChoiceKnowsRemoteLoads covers replicas that this daemon has not chosen yet, and that others have filled.
+func TestFirstChoiceKnowsRemoteLoads(t *testing.T) {
+	balancer := newBalancer()
+	busy := demand.InFlight{Running: 100}
+	balancer.SetRemoteInFlight(map[topology.Incarnation]demand.InFlight{{ID: "r0"}: busy})
+	if chosen, ok := balancer.Choose(replicas(2), Criteria{Zone: "near", MaxLoad: 2}, start); !ok || chosen.ID != "r1" {
+		t.Errorf("chose %s, want r1, which is idle", chosen.ID)
+	}
+	if chosen, ok := balancer.Choose(replicas(1), Criteria{Zone: "near", MaxLoad: 2}, start); ok {
+		t.Errorf("chose %s with %d requests in flight", chosen.ID, chosen.InFlight)
+	}
+	balancer.SetRemoteInFlight(nil)
+	if _, ok := balancer.Choose(replicas(1), Criteria{Zone: "near", MaxLoad: 2}, start); !ok {
+		t.Error("r0 is not chosen although nothing is reported any more")
+	}
+	balancer.Prune(nil)
+	if len(balancer.loads) > 2 {
+		t.Errorf("%d loads are kept", len(balancer.loads))
+	}
+}
