--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -243,3 +243,13 @@
 		t.Errorf("headers are %v", recorder.Header())
 	}
 }
+
+// TestEachResponseHasItsID covers the responses that no request of a tenant is behind.
+func TestEachResponseHasItsID(t *testing.T) {
+	for _, path := range []string{modelsPath, livePath, readyPath, "/nowhere"} {
+		recorder := send(newTestGateway(t, &fakeRunner{}), "GET", path, "", nil)
+		if recorder.Header().Get(headerRequestID) == "" {
+			t.Errorf("%s responds %d without %s", path, recorder.Code, headerRequestID)
+		}
+	}
+}
--- a/gateway/health.go
+++ b/gateway/health.go
@@ -14,6 +14,7 @@
 
 // live answers the liveness check: a daemon that responds is live.
 func live(writer http.ResponseWriter, req *http.Request) {
+	writer.Header().Set(headerRequestID, newID())
 	httpx.OkJsonCtx(req.Context(), writer, struct {
 		Live bool `json:"Live"`
 	}{true})
@@ -26,6 +27,7 @@
 	if !ready {
 		status = http.StatusServiceUnavailable
 	}
+	writer.Header().Set(headerRequestID, newID())
 	httpx.WriteJsonCtx(req.Context(), writer, status, struct {
 		Ready  bool   `json:"Ready"`
 		Reason string `json:"Reason,omitempty"`
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -104,6 +104,7 @@
 	for _, target := range gateway.resolver.Targets() {
 		entries = append(entries, entry{target, "model"})
 	}
+	writer.Header().Set(headerRequestID, newID())
 	httpx.OkJsonCtx(req.Context(), writer, struct {
 		Object string  `json:"object"`
 		Data   []entry `json:"data"`
