Save what all models share of idle times, whichever models had arrivals

Change: the pool is a change of its part by itself.

Failing test: keepwarm.TestPoolIsSavedWithoutModelsOfItsPart.

--- a/keepwarm/change.go
+++ b/keepwarm/change.go
@@ -30,6 +30,9 @@
 	increments *statisticspb.Part
 }
 
+// poolPart is the number of the part that holds the pool.
+const poolPart = 0
+
 // partOf returns the number of the part that contains the model.
 func partOf(model string) int {
 	return int(xxhash.Sum64String(model) % Parts)
@@ -49,10 +52,11 @@
 		history.unsaved = newCounts(history.total.day)
 		history.dirty = false
 	}
-	if len(increments.Histories) == 0 {
+	savesPool := part == poolPart && statistics.unsavedPool != ages{}
+	if len(increments.Histories) == 0 && !savesPool {
 		return Change{}, false
 	}
-	if part == 0 {
+	if savesPool {
 		increments.Pool = statistics.unsavedPool.encode()
 		statistics.unsavedPool = ages{}
 	}
--- a/keepwarm/change_test.go
+++ b/keepwarm/change_test.go
@@ -147,3 +147,41 @@
 		t.Errorf("largest part has %d bytes", largest)
 	}
 }
+
+// TestPoolIsSavedWithoutModelsOfItsPart covers statistics all of whose models belong to other parts than the one that holds the pool.
+func TestPoolIsSavedWithoutModelsOfItsPart(t *testing.T) {
+	statistics, now := NewStatistics(time.UTC), monday
+	models := 0
+	for number := 0; models < 3; number++ {
+		name := fmt.Sprint("m", number)
+		if partOf(name) == 0 {
+			continue
+		}
+		models++
+		for range 5 {
+			now = now.Add(time.Minute)
+			statistics.recordArrivals(name, now, 1)
+		}
+	}
+	learnt := statistics.pool
+	if learnt == (ages{}) {
+		t.Fatal("nothing was learnt of idle times")
+	}
+	restored := NewStatistics(time.UTC)
+	for part := range Parts {
+		change, ok := statistics.TakeChange(part, "saver")
+		if !ok {
+			continue
+		}
+		stored, _ := mustMerge(t, nil, change)
+		if err := restored.Restore(stored); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if restored.pool == (ages{}) {
+		t.Error("the pool was not saved")
+	}
+	if _, again := statistics.TakeChange(0, "saver"); again {
+		t.Error("the pool is saved again although nothing was learnt")
+	}
+}
