--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -137,7 +137,7 @@
 	}
 	server.Lock()
 	rows := server.tables.scan(body.Table, body.Prefix, body.After, body.Limit)
-	server.Recorded.Reads += 1 + len(rows)/rowsPerRead
+	server.Recorded.Reads += max(1, (len(rows)+rowsPerRead-1)/rowsPerRead)
 	server.Unlock()
 	answer.JSON(writer, http.StatusOK, struct{ Rows []datastore.Row }{rows})
 }
--- a/internal/standin/platform/server_test.go
+++ b/internal/standin/platform/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -130,3 +131,23 @@
 		t.Fatalf("get gave %q, %v", content, err)
 	}
 }
+
+// TestScanCountsReadsLikeTheFake checks that both stand-ins of the platform count a full page as one read.
+func TestScanCountsReadsLikeTheFake(t *testing.T) {
+	for rows, want := range map[int]int{0: 1, 1: 1, rowsPerRead: 1, rowsPerRead + 1: 2} {
+		server, client := startPlatform(t)
+		for number := range rows {
+			key := datastore.Key{Table: "T", Row: fmt.Sprint(number)}
+			if _, err := client.Commit(t.Context(), []datastore.Write{{Key: key, Value: []byte("v")}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		before := server.Counts().Reads
+		if _, err := client.Scan(t.Context(), "T", "", "", 10*rowsPerRead); err != nil {
+			t.Fatal(err)
+		}
+		if got := server.Counts().Reads - before; got != want {
+			t.Errorf("a scan of %d rows counts as %d reads, want %d", rows, got, want)
+		}
+	}
+}
