--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 TOOL = $(GO) tool -modfile=tools/go.mod
 
-.PHONY: build test lint try soak measure generate measure-keepwarm measure-peers
+.PHONY: build test lint try shake soak generate measure-relay measure-overload measure-keepwarm measure-peers
 
 build:
 	$(GO) build -o bin/bronzestall ./cmd/bronzestall
--- a/daemon/transfers_test.go
+++ b/daemon/transfers_test.go
@@ -55,7 +55,7 @@
 					timedOut.Add(1)
 					return
 				}
-				peak.Store(max(peak.Load(), inFlight.Add(1)))
+				raise(&peak, inFlight.Add(1))
 				time.Sleep(20 * time.Millisecond)
 				inFlight.Add(-1)
 				release()
@@ -83,3 +83,9 @@
 		<-ended
 	})
 }
+
+// raise sets the highest value to the given one if that is higher.
+func raise(highest *atomic.Int64, value int64) {
+	for known := highest.Load(); value > known && !highest.CompareAndSwap(known, value); known = highest.Load() {
+	}
+}
