--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -157,5 +157,8 @@
   echo "$sum"
 }
 
+# post sends an empty POST request to the URL, and records a failure if it is not accepted.
+post() { curl -sf -m 2 -X POST "http://$1" || record_failure "$1 was not accepted"; }
+
 # set_faults ADDRESS JSON replaces the faults that a stand-in injects; {} ends them.
 set_faults() { curl -sf -m 2 -d "$2" "http://$1/faults" || record_failure "$1 did not accept the faults"; }
--- a/scripts/shake.sh
+++ b/scripts/shake.sh
@@ -41,12 +41,12 @@
 sleep 3
 set_faults 127.0.0.1:17000 '{}'
 log_step "engine-1 and engine-2 crash"
-curl -sf -m 2 -X POST "http://${engines[0]}/crash"
-curl -sf -m 2 -X POST "http://${engines[1]}/crash"
+post "${engines[0]}/crash"
+post "${engines[1]}/crash"
 sleep 6
 log_step "connections of all engines, services and the platform stall"
 for address in "${engines[@]}" "${services[@]}" 127.0.0.1:17000; do
-  curl -sf -m 2 -X POST "http://$address/silence"
+  post "$address/silence"
 done
 sleep 3
 log_step "the services close connections before and after running calls"
