Keep the forecast of a model while one of its targets has requests

Beside it, the comment in resolveSuperseded says why its lower bound of the number in force holds, which the list doubted.

Failing test: daemon.TestForecastOutlivesOneOfItsTargets.

--- a/daemon/demand.go
+++ b/daemon/demand.go
@@ -228,11 +228,21 @@
 		report := demand.reports[target]
 		if entry.Waiting+entry.Running == 0 && report.Waiting+report.Running == 0 {
 			delete(demand.reports, target)
-			delete(demand.forecasts, target.Model)
+			demand.removeForecast(target.Model)
 		}
 	}
 }
 
+// removeForecast removes the forecast of a model none of whose targets has requests. The caller holds the lock.
+func (demand *demand) removeForecast(model string) {
+	for target := range demand.reports {
+		if target.Model == model {
+			return
+		}
+	}
+	delete(demand.forecasts, model)
+}
+
 // lostFor returns the time for which no decider has responded, or zero.
 func (demand *demand) lostFor(now time.Time) time.Duration {
 	demand.lock.Lock()
--- a/release/commit.go
+++ b/release/commit.go
@@ -60,6 +60,7 @@
 	acceptance.unclear = false
 	head, _, err := acceptance.readHead(ctx)
 	if err != nil {
+		// The base was in force when it was read, and its row has changed since, so that the number is higher.
 		return Entry{}, false, conflictOutcome(&ConflictError{Base: acceptance.note.Base, InForce: acceptance.note.Base + 1})
 	}
 	return Entry{}, false, acceptance.conflict(ctx, acceptance.note.Base, head)
