--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -102,9 +102,9 @@
 func (fleet *Fleet) updateMember(member Member) (*Entry, bool) {
 	old, ok := fleet.entries[member.Name]
 	if !ok || old.Member.Incarnation != member.Incarnation || old.Member.Address != member.Address {
-		return &Entry{Member: fleet.withLeavingSince(member, Member{})}, false
+		return &Entry{Member: fleet.withLeavingSince(member, time.Time{}, member.Leaving)}, false
 	}
-	member = fleet.withLeavingSince(member, old.Member)
+	member = fleet.withLeavingSince(member, old.Member.LeavingSince, member.Leaving || old.State.Leaving)
 	if old.Member == member {
 		return old, true
 	}
@@ -113,12 +113,13 @@
 	return &next, false
 }
 
-// withLeavingSince returns the member with LeavingSince set to the old time, or to now if it has just begun to leave.
-func (fleet *Fleet) withLeavingSince(member, old Member) Member {
+// withLeavingSince returns the member with LeavingSince set to the known time, or to now if that is zero; zero if it is not leaving.
+func (fleet *Fleet) withLeavingSince(member Member, known time.Time, leaving bool) Member {
+	member.LeavingSince = known
 	switch {
-	case !old.LeavingSince.IsZero():
-		member.LeavingSince = old.LeavingSince
-	case member.Leaving:
+	case !leaving:
+		member.LeavingSince = time.Time{}
+	case known.IsZero():
 		member.LeavingSince = fleet.clock.Now()
 	}
 	return member
@@ -135,9 +136,7 @@
 		return false
 	}
 	next := &Entry{Member: old.Member, State: state, AsOf: asOf, Direct: direct}
-	if state.Leaving && next.Member.LeavingSince.IsZero() {
-		next.Member.LeavingSince = fleet.clock.Now()
-	}
+	next.Member = fleet.withLeavingSince(old.Member, old.Member.LeavingSince, old.Member.Leaving || state.Leaving)
 	fleet.replace(state.Upstream, next)
 	if !equalExceptLoad(old.State, state) {
 		fleet.notify()
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -75,6 +75,23 @@
 	}
 }
 
+// TestLeavingEndsWithItsReports covers an upstream that was reported to be leaving and stays.
+func TestLeavingEndsWithItsReports(t *testing.T) {
+	fleet := New(testclock.NewFakePassiveClock(start))
+	fleet.SetMembers([]Member{{Name: "u", Leaving: true}})
+	leaving, staying := newState("u", "a", 1, upstream.Ready), newState("u", "a", 2, upstream.Ready)
+	leaving.Leaving = true
+	fleet.Put(leaving, start, true)
+	fleet.SetMembers([]Member{{Name: "u"}})
+	if entry, _ := fleet.Upstream("u"); entry.Member.LeavingSince.IsZero() {
+		t.Error("it is not leaving any more although the engine reports so")
+	}
+	fleet.Put(staying, start.Add(time.Second), true)
+	if entry, _ := fleet.Upstream("u"); entry.Leaving() || !entry.Member.LeavingSince.IsZero() {
+		t.Errorf("leaving since %v, want never", entry.Member.LeavingSince)
+	}
+}
+
 func TestANewIncarnationLosesItsState(t *testing.T) {
 	fleet := New(testclock.NewFakePassiveClock(start))
 	fleet.SetMembers([]Member{{Name: "u", Incarnation: "1"}})
