--- a/decider/orders.go
+++ b/decider/orders.go
@@ -112,8 +112,9 @@
 			continue
 		}
 		order := upstream.Order{ID: term.nextID(), Verb: upstream.Touch, Fence: term.fence, BootID: view.State.BootID}
-		term.decider.send(ctx, name, order)
-		term.touchedAt[name] = term.now
+		if term.decider.send(ctx, name, order) {
+			term.touchedAt[name] = term.now
+		}
 	}
 }
 
