Refuse fewer adapter transfers than data centres

Change: an error at the start that names both numbers. Failing test: settings, case "fewer transfers than data centres".

--- a/settings/check.go
+++ b/settings/check.go
@@ -34,7 +34,7 @@
 	checker.upstreams(settings)
 	checker.platform(settings.Platform)
 	checker.lease(settings.Lease)
-	checker.weightStore(settings.WeightStore)
+	checker.weightStore(settings.WeightStore, len(settings.DataCentres))
 	checker.tenants(settings.Tenants)
 	checker.classes(settings.Classes)
 	checker.keepWarm(settings.KeepWarm)
@@ -135,12 +135,15 @@
 	}
 }
 
-func (checker *checker) weightStore(store WeightStore) {
+func (checker *checker) weightStore(store WeightStore, dataCentres int) {
 	if store.LoadsPerSecond <= 0 || store.LoadsPerSecond > maxLoadsPerSecond {
 		checker.addProblem("WeightStore.LoadsPerSecond", "%v is out of range; allowed is above 0 and up to %v", store.LoadsPerSecond, maxLoadsPerSecond)
 	}
 	checkRange(checker, "WeightStore.LoadsAtOnce", store.LoadsAtOnce, 1, maxConcurrency)
 	checkRange(checker, "WeightStore.AdaptersInFlight", store.AdaptersInFlight, 1, maxConcurrency)
+	if store.AdaptersInFlight < dataCentres {
+		checker.addProblem("WeightStore.AdaptersInFlight", "%d is below the number of data centres, %d, each of which gets one at least", store.AdaptersInFlight, dataCentres)
+	}
 }
 
 func (checker *checker) keepWarm(keepWarm KeepWarm) {
