--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -61,7 +61,7 @@
 		{"fencing on a service", "Kind: Service", "Kind: Service\n    ChecksFencing: true", "ChecksFencing: is for engines only"},
 		{"boot check on a service", "Kind: Service", "Kind: Service\n    ChecksBoot: true", "ChecksBoot: is for engines only"},
 		{"rate of zero", "LoadsPerSecond: 2.6", "LoadsPerSecond: 0", "allowed is above 0"},
-		{"fewer transfers than data centres", "LoadsAtOnce: 4", "LoadsAtOnce: 4\n  AdaptersInFlight: 1", "WeightStore.AdaptersInFlight: 1 is below the number of data centres"},
+		{"fewer transfers than data centres", "AdaptersInFlight: 32", "AdaptersInFlight: 1", "WeightStore.AdaptersInFlight: 1 is below the number of data centres"},
 		{"negative weight", "IdleHourWeight: 4", "IdleHourWeight: -4", "KeepWarm.IdleHourWeight: -4 is out of range; allowed is 0 to"},
 		{"deadline above total", "Deadline: 20s", "Deadline: 6m", "Classes[0].Deadline: 6m0s is above Total"},
 		{"queue per model above total", "Total: 4096", "Total: 100", "Queue.PerModel: 256 is above Queue.Total"},
