--- a/daemon/transfers_test.go
+++ b/daemon/transfers_test.go
@@ -86,6 +86,8 @@
 
 // raise sets the highest value to the given one if that is higher.
 func raise(highest *atomic.Int64, value int64) {
-	for known := highest.Load(); value > known && !highest.CompareAndSwap(known, value); known = highest.Load() {
+	known := highest.Load()
+	for value > known && !highest.CompareAndSwap(known, value) {
+		known = highest.Load()
 	}
 }
