Try a suspected part where the fewest other requests run

Change: a trial goes to the replica with the fewest requests in flight, whatever else speaks for others. It still shares the replica with what comes afterwards.

Failing tests: relay.TestTrialGoesToTheQuietestReplica, balance.TestQuietestReplicaIsChosen.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -150,9 +150,13 @@
 	return 0
 }
 
-// score returns the expected cost of the candidate; lower is better. The mutex must be held.
+// score returns the expected cost of the candidate, or its requests in flight if the quietest is wanted; lower is better. The mutex
+// must be held.
 func (balancer *Balancer) score(candidate *Candidate, criteria Criteria, lowestLatency time.Duration, now time.Time) float64 {
 	load := balancer.load(candidate.Incarnation)
+	if criteria.Quietest {
+		return float64(load.inFlight())
+	}
 	score := 1 + loadCost*float64(load.inFlight())/float64(max(candidate.Slots, 1))
 	if lowestLatency > 0 && load.latency > 0 && now.Sub(load.lastUsed) < latencyExpiry {
 		score *= min(float64(load.latency)/float64(lowestLatency), maxLatencyFactor)
--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -194,3 +194,18 @@
 		t.Errorf("%d loads are kept", len(balancer.loads))
 	}
 }
+
+// TestQuietestReplicaIsChosen covers requests that may end their replica: distance and preference do not count.
+func TestQuietestReplicaIsChosen(t *testing.T) {
+	balancer := newBalancer()
+	near := Candidate{Incarnation: topology.Incarnation{ID: "near"}, Zone: "near", Slots: 400}
+	far := Candidate{Incarnation: topology.Incarnation{ID: "far"}, Zone: "far", Slots: 400}
+	_, _ = balancer.Choose([]Candidate{near}, Criteria{Zone: "near"}, start)
+	for quietest, want := range map[bool]string{false: "near", true: "far"} {
+		chosen, _ := balancer.Choose([]Candidate{near, far}, Criteria{Zone: "near", DaemonIndex: 1, Quietest: quietest}, start)
+		if chosen.ID != want {
+			t.Errorf("quietest %t: chose %s, want %s", quietest, chosen.ID, want)
+		}
+		balancer.Withdraw(chosen, Criteria{})
+	}
+}
--- a/balance/criteria.go
+++ b/balance/criteria.go
@@ -25,6 +25,8 @@
 	// MaxLoad is the number of requests in flight, as a multiple of its slots, from which a replica is not chosen;
 	// zero means no limit.
 	MaxLoad float64
+	// Quietest states that the candidate with the fewest requests in flight is chosen, whatever else speaks for others.
+	Quietest bool
 	// Exclude lists replicas that were tried already; they are chosen only if there is no other.
 	Exclude []topology.Incarnation
 }
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/bronzestall/bronzestall/balance"
 	"github.com/bronzestall/bronzestall/exchange"
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/quarantine"
@@ -128,3 +129,39 @@
 		})
 	}
 }
+
+// TestTrialGoesToTheQuietestReplica covers a request with a part that may end its replica: it runs where it takes the fewest others
+// with it, even in another data centre.
+func TestTrialGoesToTheQuietestReplica(t *testing.T) {
+	for trial, want := range map[bool]string{false: "near", true: "other"} {
+		synctest.Test(t, func(t *testing.T) {
+			fixture := newFixture(ok(events(1, 2)))
+			var all []topology.Replica
+			for id, zone := range map[string]string{"near": "z", "other": "y"} {
+				all = append(all, topology.Replica{
+					Incarnation: topology.Incarnation{ID: id}, Service: "engine", Zone: zone, Slots: 400,
+					Holding: topology.Holding{Models: []topology.LoadedModel{{Model: "m"}}},
+				})
+			}
+			fixture.directory.SetReplicas(all)
+			_, _ = fixture.relay.deps.Balancer.Choose([]balance.Candidate{{Incarnation: topology.Incarnation{ID: "near"}, Slots: 400}}, balance.Criteria{}, time.Now())
+			request := fixture.request("/stream/x")
+			request.Metadata.Prefix = []exchange.Part{{ID: "part"}, {ID: "own"}}
+			for n := range crashLimit {
+				if trial {
+					shared := quarantine.Causes{Request: uint64(n), Parts: request.SharedParts(1)}
+					fixture.relay.deps.Suspects.ConnectionLost(shared, quarantine.Crash{Upstream: fmt.Sprint(n)}, time.Now())
+					time.Sleep(time.Second)
+				}
+			}
+			time.Sleep(10 * time.Second)
+			request.Arrived = time.Now()
+			if _, failure := fixture.relay.Serve(t.Context(), request, &fixture.client); failure != nil {
+				t.Fatal(failure)
+			}
+			if got := fixture.upstream.attempts[0].Replica.ID; got != want {
+				t.Errorf("trial %t: sent to %s, want %s", trial, got, want)
+			}
+		})
+	}
+}
