--- a/daemon/pool.go
+++ b/daemon/pool.go
@@ -114,7 +114,7 @@
 // Call sends a call to a plain service, without retries. It fails with ErrNotSent if the name is not a member.
 func (pool *pool) Call(ctx context.Context, name string, req request.Request) (dispatch.Response, error) {
 	client, ok := find(pool, pool.services, name, func(member fleet.Member) *service.Client {
-		return service.NewClient(service.ClientSettings{Name: name, Address: member.Address, Dial: pool.dial}, pool.clock)
+		return service.NewClient(service.ClientSettings{Address: member.Address, Dial: pool.dial}, pool.clock)
 	})
 	if !ok {
 		return dispatch.Response{}, upstream.ErrNotSent
--- a/internal/soak/reclaim_test.go
+++ b/internal/soak/reclaim_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
+	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/internal/standin/engine"
 )
 
@@ -50,24 +52,22 @@
 	_ = host.Close()
 	testbed.network.closeConnections(name)
 	time.Sleep(time.Second)
-	for index := range testbed.vms {
-		vm := &testbed.vms[index]
-		if vm.Name != name {
-			continue
-		}
-		instance := testbed.newEngine(name, testbed.members[index].ChecksFencing)
-		address := vm.Address
-		if newAddress {
-			address = fmt.Sprintf("10.9.0.%d:9100", incarnation)
-		}
-		server := testbed.serve(name, address, instance)
-		testbed.lock.Lock()
-		testbed.retired = append(testbed.retired, old)
-		testbed.engines[name], testbed.engineHosts[name] = instance, server
-		vm.Leaving = false
-		vm.Incarnation = fmt.Sprint("reclaimed-", incarnation)
-		vm.Address = address
-		testbed.publishVMs()
-		testbed.lock.Unlock()
+	testbed.lock.Lock()
+	index := slices.IndexFunc(testbed.vms, func(vm datastore.VM) bool { return vm.Name == name })
+	address := testbed.vms[index].Address
+	testbed.lock.Unlock()
+	if newAddress {
+		address = fmt.Sprintf("10.9.0.%d:9100", incarnation)
 	}
+	instance := testbed.newEngine(name, testbed.members[index].ChecksFencing)
+	server := testbed.serve(name, address, instance)
+	testbed.lock.Lock()
+	defer testbed.lock.Unlock()
+	testbed.retired = append(testbed.retired, old)
+	testbed.engines[name], testbed.engineHosts[name] = instance, server
+	vm := &testbed.vms[index]
+	vm.Leaving = false
+	vm.Incarnation = fmt.Sprint("reclaimed-", incarnation)
+	vm.Address = address
+	testbed.publishVMs()
 }
--- a/internal/soak/smoke_test.go
+++ b/internal/soak/smoke_test.go
@@ -1,14 +1,9 @@
 package soak
 
 import (
-	"context"
 	"testing"
 	"testing/synctest"
 	"time"
-
-	"github.com/bronzestall/bronzestall/datastore"
-	"github.com/bronzestall/bronzestall/note"
-	"github.com/bronzestall/bronzestall/release"
 )
 
 const firstNote = `Note: first
@@ -32,15 +27,9 @@
         - {Method: GET, Path: /list, Idempotent: true}
 `
 
-// apply applies a note through the platform.
+// apply applies a valid note through the platform.
 func (testbed *testbed) apply(content string) error {
-	parsed, err := note.Parse("note.yaml", []byte(content))
-	if err != nil {
-		return err
-	}
-	client := datastore.NewClient(datastore.ClientSettings{Address: platformAddress, Dial: testbed.network.dialler("operator")}, testbed.clock)
-	defer client.Close()
-	_, err = release.NewLedger(client, client, testbed.clock).Accept(context.Background(), parsed, "operator")
+	_, err := testbed.accept(content)
 	return err
 }
 
--- a/service/settings.go
+++ b/service/settings.go
@@ -11,8 +11,6 @@
 
 // ClientSettings describes the connections to one service. The zero value of a field means its default.
 type ClientSettings struct {
-	// Name is the name of the upstream.
-	Name string
 	// Address is the IP address and port of the service.
 	Address string
 	// DialTimeout limits the time to open a connection; zero means 1 s.
