Ask again when another daemon refuses to go on with a begun stream

Cause: refusals of other daemons ended every request; only attempts of this daemon waited.

Change: a begun stream is passed on again, within the retry budget and after 25 to 400 ms, until its deadline, unless it is refused for its crashes.

Failing test: TestRequestsOfCutOffDaemonsArePassedOn, case "a begun stream is refused by the other daemon for a moment".

--- a/relay/lender_test.go
+++ b/relay/lender_test.go
@@ -76,10 +76,16 @@
 			[]lentStep{{step: answered(200, events(1, 2), errBroken), release: "v1"}, {step: ok(events(3, 4)), release: "v1"}},
 			events(1, 4), -1, 0, 2,
 		},
+		{
+			"a begun stream is refused by the other daemon for a moment", "/resume/x", true, nil,
+			[]lentStep{{step: answered(200, events(1, 2), errBroken), release: "v1"}, {refusal: full}, {refusal: full}, {step: ok(events(3, 4)), release: "v1"}},
+			events(1, 4), -1, 0, 4,
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			fixture := newFixture(c.own...)
+			saveRetries(fixture)
 			lender := &lenders{cutOff: c.cutOff, steps: c.lent}
 			fixture.relay.deps.Lender = lender
 			failure := fixture.serve(t.Context(), c.path)
--- a/relay/transaction.go
+++ b/relay/transaction.go
@@ -112,7 +112,7 @@
 			if taken && result.done {
 				return nil
 			}
-			if taken && (result.notRun || !transaction.prepareRetry(ctx, balance.Candidate{}, result)) {
+			if taken && (transaction.refusedForGood(result) || !transaction.prepareRetry(ctx, balance.Candidate{}, result)) {
 				return transaction.finalFailure(ctx, result.failure)
 			}
 			continue
@@ -132,6 +132,12 @@
 	}
 }
 
+// refusedForGood reports whether the refusal of another daemon ends the request. A begun stream is asked for again, unless it is
+// refused for its crashes.
+func (transaction *transaction) refusedForGood(result result) bool {
+	return result.notRun && (!transaction.goesOn() || result.failure.Kind == outcome.Quarantined)
+}
+
 // logFailure logs that the attempt at the candidate failed.
 func (transaction *transaction) logFailure(candidate balance.Candidate, result result) {
 	transaction.summary.EndedBy = result.endedBy
