Name the deadline when a begun stream waited for a successor until then

Change: the failure is that of the wait: the deadline, the client that left or the stop.

Failing test: relay.TestWaitForARetryEndsWithTheDeadline.

--- a/relay/begun_test.go
+++ b/relay/begun_test.go
@@ -88,6 +88,20 @@
 	}
 }
 
+// TestWaitForARetryEndsWithTheDeadline covers a begun stream for which the retry budget has nothing until its deadline: the failure
+// names the deadline, and not the replica that broke it off long before.
+func TestWaitForARetryEndsWithTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fixture := newFixture(breaking(events(1, 2), 0), ok(events(3, 4)))
+		emptyBudget(fixture)
+		begun := time.Now()
+		failure := fixture.serve(t.Context(), "/resume/x")
+		if failure == nil || failure.Kind != outcome.DeadlineRunning || time.Since(begun) != 10*time.Second {
+			t.Errorf("ended as %v after %v", failure, time.Since(begun))
+		}
+	})
+}
+
 // TestBegunStreamEndsForAReason covers what ends a begun stream that no replica goes on with.
 func TestBegunStreamEndsForAReason(t *testing.T) {
 	full := func() step { return rejected(false) }
--- a/relay/transaction.go
+++ b/relay/transaction.go
@@ -113,7 +113,7 @@
 				return nil
 			}
 			if taken && (transaction.refusedForGood(result) || !transaction.prepareRetry(ctx, balance.Candidate{}, result)) {
-				return transaction.finalFailure(ctx, result.failure)
+				return transaction.finalFailure(ctx, transaction.lastFailure(ctx, result))
 			}
 			continue
 		}
@@ -127,7 +127,7 @@
 		}
 		transaction.logFailure(candidate, result)
 		if !transaction.prepareRetry(ctx, candidate, result) {
-			return transaction.finalFailure(ctx, result.failure)
+			return transaction.finalFailure(ctx, transaction.lastFailure(ctx, result))
 		}
 	}
 }
@@ -138,6 +138,15 @@
 	return result.notRun && (!transaction.goesOn() || result.failure.Kind == outcome.Quarantined)
 }
 
+// lastFailure returns why the request is not sent again after the attempt: for a begun stream that waited for it, the end of that
+// wait, or else the failure of the attempt.
+func (transaction *transaction) lastFailure(ctx context.Context, result result) *outcome.Error {
+	if transaction.goesOn() && ctx.Err() != nil {
+		return contextFailure(ctx, true)
+	}
+	return result.failure
+}
+
 // logFailure logs that the attempt at the candidate failed.
 func (transaction *transaction) logFailure(candidate balance.Candidate, result result) {
 	transaction.summary.EndedBy = result.endedBy
