Let the front soak look for begun streams that were given up

Each seed of the soak now reads the daemons' logs for streams that may be resumed, ran once of twice and ended as lost, unless their release, their crashes or their model say why. The line of a request has Runs.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -107,7 +107,7 @@
 	fields := []any{
 		"Request", request.Metadata.ID, "Path", request.Path, "Route", summary.Route, "Configuration", summary.Configuration,
 		"Model", request.Metadata.Model, "Adapter", request.Metadata.Adapter, "PromptTokens", request.Metadata.PromptTokens,
-		"Replica", summary.Replica.ID, "InFlight", summary.InFlight, "Sends", summary.Sends, "EndedBy", summary.EndedBy, "Lender", summary.Lender, "Waited", summary.Waited,
+		"Replica", summary.Replica.ID, "InFlight", summary.InFlight, "Sends", summary.Sends, "Runs", summary.Runs, "EndedBy", summary.EndedBy, "Lender", summary.Lender, "Waited", summary.Waited,
 		"Took", took, "First", sink.firstPart, "LongestGap", sink.longestGap, "Bytes", sink.bytes,
 	}
 	if failure == nil {
--- a/internal/frontsoak/soak_test.go
+++ b/internal/frontsoak/soak_test.go
@@ -110,6 +110,7 @@
 	stop()
 	deadly := testbed.checker.deadly.Load()
 	violations := append(testbed.checker.finish(), deadly.check()...)
+	violations = append(violations, givenUp(t, folder)...)
 	t.Logf("outcomes %v, %d ends by a deadly part", testbed.checker.outcomes, deadly.ends)
 	for _, violation := range violations {
 		t.Error(violation)
