--- a/relay/availability.go
+++ b/relay/availability.go
@@ -105,7 +105,7 @@
 	limiter := transaction.relay.deps.Limiter
 	replicas := incarnations(limited)
 	until := transaction.tokenDeadline(now)
-	if failure := transaction.limitFailure(replicas, now, until); failure != nil {
+	if failure := transaction.limitFailure(replicas, now, until); failure != nil && !transaction.goesOn() {
 		limiter.Refuse(replicas)
 		return balance.Candidate{}, false, failure
 	}
--- a/relay/limits_test.go
+++ b/relay/limits_test.go
@@ -250,3 +250,18 @@
 		})
 	}
 }
+
+// TestBegunStreamThatGetsNoTokenEndsAtItsDeadline covers a limit that leaves nothing for a begun stream until its deadline, which the
+// failure must name.
+func TestBegunStreamThatGetsNoTokenEndsAtItsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fixture := newFixture(breaking(events(1, 2), 0))
+		fixture.nameLimit(1, "enginea", "engineb")
+		fixture.grant("enginea", 1)
+		begun := time.Now()
+		failure := fixture.serve(t.Context(), "/resume/x")
+		if failure == nil || failure.Kind != outcome.DeadlineRunning || time.Since(begun) != 10*time.Second {
+			t.Errorf("ended as %v after %v", failure, time.Since(begun))
+		}
+	})
+}
