--- a/internal/frontsoak/proxy_test.go
+++ b/internal/frontsoak/proxy_test.go
@@ -44,8 +44,10 @@
 	}
 }
 
-// fault returns the sum of the faults. The mutex is held.
+// fault returns the sum of the faults.
 func (proxy *proxy) fault() proxyFault {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
 	var sum proxyFault
 	for fault := range proxy.faults {
 		sum.stalls, sum.refuses, sum.delay = sum.stalls || fault.stalls, sum.refuses || fault.refuses, max(sum.delay, fault.delay)
@@ -83,13 +85,13 @@
 
 // forward copies bytes both ways between an inbound connection and the target, until one way ends.
 func (proxy *proxy) forward(inbound net.Conn) {
-	proxy.mutex.Lock()
-	refused, target := proxy.fault().refuses, proxy.target
-	proxy.mutex.Unlock()
-	if refused {
+	if proxy.fault().refuses {
 		reset(inbound)
 		return
 	}
+	proxy.mutex.Lock()
+	target := proxy.target
+	proxy.mutex.Unlock()
 	outbound, err := net.Dial("tcp", target)
 	if err != nil {
 		reset(inbound)
@@ -139,9 +141,7 @@
 
 // stalling waits for the delay and reports whether the proxy is stalled.
 func (proxy *proxy) stalling() bool {
-	proxy.mutex.Lock()
 	fault := proxy.fault()
-	proxy.mutex.Unlock()
 	time.Sleep(fault.delay)
 	return fault.stalls
 }
