Give up a begun stream while its client may still take it up

Cause: the wait had no bound of its own. A client abandons a stream after a gap of two seconds or more, and what it sends then is a new request with a retry of its own.

While its replica is alive, a stalled stream is kept as before.

Failing test: relay.TestWaitForARetryIsBounded.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -108,7 +108,7 @@
 		"Request", request.Metadata.ID, "Path", request.Path, "Route", summary.Route, "Configuration", summary.Configuration,
 		"Model", request.Metadata.Model, "Adapter", request.Metadata.Adapter, "PromptTokens", request.Metadata.PromptTokens,
 		"Replica", summary.Replica.ID, "InFlight", summary.InFlight, "Sends", summary.Sends, "Runs", summary.Runs, "EndedBy", summary.EndedBy, "Lender", summary.Lender, "Waited", summary.Waited,
-		"Took", took, "First", sink.firstPart, "LongestGap", sink.longestGap, "Bytes", sink.bytes,
+		"Took", took, "First", sink.firstPart, "LongestGap", sink.longestGap, "Silent", sink.silence(), "Bytes", sink.bytes,
 	}
 	if failure == nil {
 		ingress.deps.Meter.Count(meter.Answered, labels, 1)
@@ -184,6 +184,14 @@
 	return sink.controller.Flush()
 }
 
+// silence returns the time since the last part, or zero if there was none.
+func (sink *sink) silence() time.Duration {
+	if sink.lastPart.IsZero() {
+		return 0
+	}
+	return sink.clock.Since(sink.lastPart)
+}
+
 // observe records the time at which a part is written.
 func (sink *sink) observe(now time.Time) {
 	if sink.lastPart.IsZero() {
--- a/relay/availability.go
+++ b/relay/availability.go
@@ -85,7 +85,7 @@
 }
 
 // backoffFailure returns the refusal of a request if all replicas are in backoff until the given time, or nil if the
-// request waits for that. It waits no longer than for a replica with capacity; a begun stream may until its deadline.
+// request waits for that. It waits no longer than for a replica with capacity; a begun stream may until resumeDeadline.
 func (transaction *transaction) backoffFailure(now, resumeAt time.Time) *outcome.Error {
 	if transaction.goesOn() || !resumeAt.After(transaction.capacityDeadline()) {
 		return nil
@@ -105,7 +105,7 @@
 	limiter := transaction.relay.deps.Limiter
 	replicas := incarnations(limited)
 	until := transaction.tokenDeadline(now)
-	if failure := transaction.limitFailure(replicas, now, until); failure != nil && !transaction.goesOn() {
+	if failure := transaction.limitFailure(replicas, now, until); failure != nil && !transaction.begunResumable() {
 		limiter.Refuse(replicas)
 		return balance.Candidate{}, false, failure
 	}
--- a/relay/handover.go
+++ b/relay/handover.go
@@ -109,7 +109,7 @@
 	}
 	unwanted := result.done || result.failure.Kind == outcome.CallerGone
 	if handover.close(unwanted) {
-		<-handover.ended
+		handover.awaitSearch(transaction)
 	}
 	handover.timer.Stop()
 	successor := handover.successor
@@ -126,6 +126,23 @@
 	return successor
 }
 
+// awaitSearch waits for the search that is under way, for no longer than a stream that broke off waits for a replica.
+func (handover *handover) awaitSearch(transaction *transaction) {
+	timer := transaction.relay.deps.Clock.NewTimer(max(minResumeWait, stallGaps*transaction.route.GapTarget))
+	defer timer.Stop()
+	select {
+	case <-handover.ended:
+		return
+	case <-timer.C():
+	}
+	handover.mutex.Lock()
+	if handover.endSeek != nil {
+		handover.endSeek(errOvertaken)
+	}
+	handover.mutex.Unlock()
+	<-handover.ended
+}
+
 // close ends the handover, and also the search that is under way if it is unwanted. It reports whether there was a search.
 func (handover *handover) close(unwanted bool) bool {
 	close(handover.stopped)
--- a/relay/modelwait.go
+++ b/relay/modelwait.go
@@ -9,13 +9,13 @@
 )
 
 // waitLimit returns until when the request may wait for a replica, or the failure if it must not wait any longer. A begun stream
-// may until its deadline, unless its model is gone.
+// may until resumeDeadline, unless its model is gone.
 func (transaction *transaction) waitLimit(now time.Time) (time.Time, *outcome.Error) {
 	if failure := transaction.modelFailure(); failure != nil {
 		return now, failure
 	}
 	if transaction.goesOn() {
-		return transaction.deadline, nil
+		return transaction.resumeDeadline(), nil
 	}
 	if transaction.service.Engine == nil {
 		until := transaction.request.Arrived.Add(plainWait)
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -160,6 +160,9 @@
 	if failure := selection.backoffFailure(now, resumeAt); failure != nil {
 		return failure
 	}
+	if until := selection.resumeDeadline(); selection.goesOn() && until.Before(resumeAt) {
+		resumeAt = until
+	}
 	selection.waitForChange(ctx, resumeAt.Sub(now), changes)
 	return nil
 }
@@ -229,7 +232,7 @@
 }
 
 // overloadFailure returns the refusal of a request for which all replicas are overloaded, or nil while it may wait. A begun
-// stream may until its deadline.
+// stream may until resumeDeadline.
 func (transaction *transaction) overloadFailure(now time.Time) *outcome.Error {
 	if transaction.goesOn() || now.Before(transaction.capacityDeadline()) {
 		return nil
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"time"
 
 	"github.com/bronzestall/bronzestall/balance"
 	"github.com/bronzestall/bronzestall/exchange"
@@ -65,7 +66,7 @@
 	if err := transaction.sink.Write(fresh); err != nil {
 		return outcome.New(outcome.CallerGone, "the client takes no more of the answer")
 	}
-	transaction.lastEvent = lastEvent
+	transaction.lastEvent, transaction.brokenAt = lastEvent, time.Time{}
 	return nil
 }
 
--- a/relay/transaction.go
+++ b/relay/transaction.go
@@ -30,6 +30,9 @@
 	// maxSends attempts, which only begun streams make, the delay doubles each time, up to longestRetryDelay.
 	busyRetryDelay    = 25 * time.Millisecond
 	longestRetryDelay = 400 * time.Millisecond
+	// minResumeWait is the shortest time after a break for which a begun stream waits for a replica that goes on with it. Clients
+	// abandon a stream after a gap of two seconds or more.
+	minResumeWait = time.Second
 	// maxDoublings is the number of doublings that reach longestRetryDelay.
 	maxDoublings = 4
 	// budgetPollInterval is the interval at which a begun stream asks for a retry while the budget is empty.
@@ -58,6 +61,8 @@
 	progress
 	// lastEvent is the ID of the last event that was passed to the client; zero if there is none.
 	lastEvent uint64
+	// brokenAt is when the replica of a begun stream broke it off, before another one sent an event; zero if none did.
+	brokenAt time.Time
 	// release is that of the replica that began the stream; empty if that is unknown or the stream has not begun.
 	release string
 	// permit is that of the last attempt for the limit of its replica.
@@ -141,7 +146,7 @@
 // lastFailure returns why the request is not sent again after the attempt: for a begun stream that waited for it, the end of that
 // wait, or else the failure of the attempt.
 func (transaction *transaction) lastFailure(ctx context.Context, result result) *outcome.Error {
-	if transaction.goesOn() && ctx.Err() != nil {
+	if transaction.begunResumable() && ctx.Err() != nil {
 		return contextFailure(ctx, true)
 	}
 	return result.failure
@@ -175,15 +180,36 @@
 	return failure
 }
 
-// goesOn reports whether the client has a part of a stream that another replica may go on with. Such a stream is not given up for
-// want of a replica that takes it now: until its deadline, one may.
-func (transaction *transaction) goesOn() bool {
+// begunResumable reports whether the client has a part of a stream that another replica may go on with.
+func (transaction *transaction) begunResumable() bool {
 	return transaction.sink.Begun() && transaction.route.Resumable
 }
 
+// goesOn reports whether the client has a part of a stream that may still go on. Such a stream is not given up for want of a replica
+// that takes it now: until resumeDeadline, one may.
+func (transaction *transaction) goesOn() bool {
+	return transaction.begunResumable() && transaction.relay.deps.Clock.Now().Before(transaction.resumeDeadline())
+}
+
+// resumeDeadline returns until when a begun stream waits for a replica that goes on with it. While its replica is alive, that is its
+// deadline; after a break it is sooner, so that its client, who may take the stream up at any daemon, still wants it.
+func (transaction *transaction) resumeDeadline() time.Time {
+	if transaction.brokenAt.IsZero() {
+		return transaction.deadline
+	}
+	until := transaction.brokenAt.Add(max(minResumeWait, stallGaps*transaction.route.GapTarget))
+	if until.After(transaction.deadline) {
+		return transaction.deadline
+	}
+	return until
+}
+
 // prepareRetry reports whether the request may be retried after the attempt. It spends the retry budget of the
 // service, excludes the replica, or marks it as lacking the model, and waits for the delay before the next attempt.
 func (transaction *transaction) prepareRetry(ctx context.Context, candidate balance.Candidate, result result) bool {
+	if transaction.brokenAt.IsZero() && transaction.sink.Begun() {
+		transaction.brokenAt = transaction.relay.deps.Clock.Now()
+	}
 	if !transaction.mayRetry(ctx, result) {
 		if result.reserved {
 			transaction.relay.budget(transaction.service.Name).Return()
