--- a/relay/handover.go
+++ b/relay/handover.go
@@ -128,7 +128,7 @@
 
 // awaitSearch waits for the search that is under way, for no longer than a stream that broke off waits for a replica.
 func (handover *handover) awaitSearch(transaction *transaction) {
-	timer := transaction.relay.deps.Clock.NewTimer(max(minResumeWait, stallGaps*transaction.route.GapTarget))
+	timer := transaction.relay.deps.Clock.NewTimer(transaction.resumeWait())
 	defer timer.Stop()
 	select {
 	case <-handover.ended:
