Derive what the handover and the guard of brittle replicas held or wrote twice

Found by reading the change again: the handover had a flag beside the channel that says the same, and ended a search in three places by the same lines; the guard divided what a replica bears in two places.

Change: the channel is closed under the mutex and tells by itself; `overtake` ends a search, `share` divides. Behaviour is as it was. The tests of relay and brittle pass twice under the race detector.

--- a/brittle/guard.go
+++ b/brittle/guard.go
@@ -119,12 +119,17 @@
 // maxWaiting returns how many requests of the daemon may wait at the replica: all of them may be rejected at once. The mutex is
 // held.
 func (guard *Guard) maxWaiting(known *state) int {
-	return int(min(max(usedShare*known.bears/float64(guard.daemons), 1), maxWaiting))
+	return int(min(max(guard.share(known), 1), maxWaiting))
+}
+
+// share returns the rejections in a second that this daemon may cause. The mutex is held.
+func (guard *Guard) share(known *state) float64 {
+	return usedShare * known.bears / float64(guard.daemons)
 }
 
 // rest returns the time after a rejection. The mutex is held.
 func (guard *Guard) rest(known *state) time.Duration {
-	share := usedShare * known.bears / float64(guard.daemons)
+	share := guard.share(known)
 	if share >= 1 {
 		return minRest
 	}
--- a/relay/handover.go
+++ b/relay/handover.go
@@ -42,7 +42,8 @@
 	limitFirst, limitGap time.Duration
 	// base is the progress of the transaction when the attempt began.
 	base progress
-	// stopped is closed when the attempt has ended, and ended when no successor is sought any more.
+	// stopped is closed, with the mutex held, when the attempt has ended: no further search begins. ended is closed when no successor
+	// is sought any more.
 	stopped, ended chan struct{}
 
 	mutex sync.Mutex
@@ -54,8 +55,6 @@
 	endSeek context.CancelCauseFunc
 	// searching is set while a successor is sought.
 	searching bool
-	// closed is set once the attempt has ended: no further search begins.
-	closed bool
 	// successor is the attempt that another replica has accepted, or nil.
 	successor *leg
 }
@@ -96,9 +95,7 @@
 	handover.progressAt = transaction.relay.deps.Clock.Now()
 	handover.template.sink = heldSink(transaction.sink.Begun())
 	handover.template.lastEvent, handover.template.release = transaction.lastEvent, transaction.release
-	if handover.endSeek != nil {
-		handover.endSeek(errOvertaken)
-	}
+	handover.overtake()
 }
 
 // finish ends the handover of an attempt with the result, and returns the successor that goes on with the request, or nil. While
@@ -136,25 +133,29 @@
 	case <-timer.C():
 	}
 	handover.mutex.Lock()
-	if handover.endSeek != nil {
-		handover.endSeek(errOvertaken)
-	}
+	handover.overtake()
 	handover.mutex.Unlock()
 	<-handover.ended
 }
 
 // close ends the handover, and also the search that is under way if it is unwanted. It reports whether there was a search.
 func (handover *handover) close(unwanted bool) bool {
-	close(handover.stopped)
 	handover.mutex.Lock()
 	defer handover.mutex.Unlock()
-	handover.closed = true
-	if handover.endSeek != nil && unwanted {
-		handover.endSeek(errOvertaken)
+	close(handover.stopped)
+	if unwanted {
+		handover.overtake()
 	}
 	return handover.searching
 }
 
+// overtake ends the search that is under way, if it can be ended. The mutex is held.
+func (handover *handover) overtake() {
+	if handover.endSeek != nil {
+		handover.endSeek(errOvertaken)
+	}
+}
+
 // mayFollow reports whether what the successor responds may follow what the client has.
 func (transaction *transaction) mayFollow(successor *leg) bool {
 	return !transaction.sink.Begun() || transaction.release == successor.candidate.Release
@@ -236,8 +237,10 @@
 func (handover *handover) startSeek(cancel context.CancelCauseFunc) (*transaction, bool) {
 	handover.mutex.Lock()
 	defer handover.mutex.Unlock()
-	if handover.closed {
+	select {
+	case <-handover.stopped:
 		return nil, false
+	default:
 	}
 	handover.endSeek, handover.searching = cancel, true
 	seeker := handover.template
