--- a/relay/continuation.go
+++ b/relay/continuation.go
@@ -85,7 +85,7 @@
 
 // recordEnd records that a stream that this request began ended before its client had all of it.
 func (transaction *transaction) recordEnd(failure *outcome.Error) {
-	if failure != nil && transaction.sink.Begun() && transaction.route.Resumable && !transaction.takesUp() {
+	if failure != nil && transaction.begunResumable() && !transaction.takesUp() {
 		transaction.relay.deps.Origins.Broke(transaction.request.Metadata.ID)
 	}
 }
