Count requests that got no whole answer, and log whether a successor had responded

Two hypotheses could not be told apart: an attempt that was ended for a replica that goes on, and one that was ended for a replica that is as silent. AttemptReplaced now has the silence of the attempt and whether the successor had responded. bronzestall_requests_unanswered counts requests that ended with neither a whole answer nor a refusal, by kind. No change of behaviour.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -79,12 +79,17 @@
 	if failure == nil {
 		return
 	}
-	if sink.Begun() || failure.Kind == outcome.CallerGone {
+	if aborts(sink, failure) {
 		panic(http.ErrAbortHandler)
 	}
 	writeRefusal(writer, failure)
 }
 
+// aborts reports whether the connection of a request that failed is closed, since its response has begun or nobody waits for it.
+func aborts(sink *sink, failure *outcome.Error) bool {
+	return sink.Begun() || failure.Kind == outcome.CallerGone
+}
+
 // read reads the whole request.
 func (ingress *Ingress) read(writer http.ResponseWriter, incoming *http.Request) (*exchange.Request, *outcome.Error) {
 	request := &exchange.Request{
@@ -120,6 +125,9 @@
 	}
 	labels.Kind = failure.Kind.String()
 	ingress.deps.Meter.Count(meter.Refused, labels, 1)
+	if aborts(sink, failure) {
+		ingress.deps.Meter.Count(meter.Unanswered, labels, 1)
+	}
 	event.Refusal(failure.Kind).Log(append(fields, "Fingerprint", summary.Fingerprint, "Begun", sink.Begun(), "RetryAfter", failure.RetryAfter, "Cause", failure.Error())...)
 }
 
--- a/meter/name.go
+++ b/meter/name.go
@@ -19,6 +19,9 @@
 	Answered Name = "bronzestall_requests_answered"
 	// Refused counts requests that ended with an error, by kind.
 	Refused Name = "bronzestall_requests_refused"
+	// Unanswered counts requests that ended with neither a whole answer nor a refusal, by kind of failure. Those of CallerGone had a
+	// client that left.
+	Unanswered Name = "bronzestall_requests_unanswered"
 	// Retried counts attempts after the first.
 	Retried Name = "bronzestall_requests_retried"
 	// InFlight is the number of requests in flight in the daemon.
--- a/relay/handover.go
+++ b/relay/handover.go
@@ -204,6 +204,13 @@
 	return handover.template.relay.deps.Clock.Since(handover.progressAt)
 }
 
+// silentFor returns the time since the attempt yielded something.
+func (handover *handover) silentFor() time.Duration {
+	handover.mutex.Lock()
+	defer handover.mutex.Unlock()
+	return handover.silence()
+}
+
 // seek seeks a successor once. It reports whether the search is over: a replica has accepted the request, which ends the attempt, or
 // none may.
 func (handover *handover) seek(ctx context.Context) bool {
@@ -227,7 +234,7 @@
 		return false
 	}
 	event.AttemptReplaced.Log("Request", seeker.request.Metadata.ID, "Replica", handover.leg.candidate.ID,
-		"Successor", successor.candidate.ID, "LastEvent", seeker.lastEvent)
+		"Successor", successor.candidate.ID, "LastEvent", seeker.lastEvent, "Silent", handover.silentFor(), "Responded", successor.responded())
 	handover.leg.cancel(errStalled)
 	return true
 }
--- a/relay/leg.go
+++ b/relay/leg.go
@@ -55,6 +55,16 @@
 	}()
 }
 
+// responded reports whether the head of the response to an attempt that start has sent has arrived.
+func (leg *leg) responded() bool {
+	select {
+	case <-leg.answered:
+		return leg.err == nil
+	default:
+		return false
+	}
+}
+
 // await waits for the head of the response, after it has sent the request unless start did.
 func (leg *leg) await() {
 	if leg.answered == nil {
