Count as cut what ends before seven tenths of its time in the test of silent replicas

TestSilentReplicasCostNoAnswer also counted requests that ended at their own deadline. On this machine beside other work (load average 32) requests were read up to 0.8 s after their clients had sent them, and some ended by their client after 4 s, whichever code was tested. The users' rule does not count a request that has used seven tenths of its time; the test now counts what ends before that, and nothing less. That streams which move between silent replicas end at their deadline is what relay.TestSilenceOfAllReplicasEndsNoStream checks without a clock of the machine.

--- a/internal/frontsoak/checker_test.go
+++ b/internal/frontsoak/checker_test.go
@@ -160,6 +160,14 @@
 	checker.outcomes[outcome]++
 }
 
+// countCut counts the end of a request that was sent at the time and got neither a whole answer nor a refusal, unless its time was
+// nearly used up.
+func (checker *checker) countCut(sent time.Time) {
+	if time.Since(sent) < cutTime {
+		checker.count(cutOutcome)
+	}
+}
+
 // finish makes the checks that need the whole run, and returns all violations.
 func (checker *checker) finish() []string {
 	checker.mutex.Lock()
