Leave a silent attempt only for a replica that is not known to be silent

Cause: silence of one attempt counted as a fault of its replica, and another replica counted as one that goes on as soon as it had not rejected the request for 150 ms, which a silent one never does. When all replicas of a model fall silent, streams change places between them, their attempts of the route are used up, and what the first replica would have sent is thrown away.

Change: the relay knows for each replica when any of this daemon's attempts there yielded an event last. A replica with attempts of which none did for two gap targets is silent: the balancer chooses it last, and no stalled attempt is left for it; the search is repeated, as when the replica is full. A replica without attempts of this daemon is judged as before.

The fake of origins in the tests gets a mutex, for two streams at once.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -194,7 +194,7 @@
 	if !reply.Signed && reply.Success() {
 		return transaction.failAttempt(ctx, candidate, exchange.ErrInvalidResponse)
 	}
-	attemptRecord.firstEvent()
+	attemptRecord.event()
 	failed := reply.Status >= http.StatusInternalServerError
 	transaction.endAt(candidate, failed)
 	response := &completeResponse{reply, content}
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -194,15 +194,26 @@
 
 // origins is an Origins that holds what the test put in.
 type origins struct {
+	mutex sync.Mutex
 	known map[string]origin.Origin
 	broke []string
 }
 
 func (origins *origins) Begin(_ context.Context, stream origin.Stream) {
+	origins.mutex.Lock()
+	defer origins.mutex.Unlock()
 	origins.known[stream.ID] = stream.Origin
 }
-func (origins *origins) Broke(id string) { origins.broke = append(origins.broke, id) }
+
+func (origins *origins) Broke(id string) {
+	origins.mutex.Lock()
+	defer origins.mutex.Unlock()
+	origins.broke = append(origins.broke, id)
+}
+
 func (origins *origins) Find(_ context.Context, id, _ string) (origin.Origin, origin.Source) {
+	origins.mutex.Lock()
+	defer origins.mutex.Unlock()
 	if found, ok := origins.known[id]; ok {
 		return found, origin.Own
 	}
--- a/relay/record.go
+++ b/relay/record.go
@@ -18,6 +18,8 @@
 	sent time.Time
 	// begun records at the guard of brittle replicas that the wait is over; nil if the replica is not brittle.
 	begun func()
+	// activity is that of the replica.
+	activity *replicaActivity
 	// waitEnded is set once the first event arrived or the attempt ended without one.
 	waitEnded bool
 }
@@ -29,6 +31,7 @@
 		candidate:   candidate,
 		replicaKey:  demand.ReplicaKey{Incarnation: candidate.Incarnation, Key: transaction.key()},
 		sent:        transaction.relay.deps.Clock.Now(),
+		activity:    transaction.relay.activity.begin(candidate.Incarnation),
 	}
 	transaction.relay.deps.Demand.AddInFlight(record.replicaKey, transaction.criteria.Priority)
 	if guard := transaction.relay.deps.Brittle; guard != nil {
@@ -37,13 +40,17 @@
 	return record
 }
 
-// firstEvent records the arrival of the first event. Further calls, and those of a nil record, have no effect.
-func (attemptRecord *attemptRecord) firstEvent() {
-	if attemptRecord == nil || attemptRecord.waitEnded {
+// event records the arrival of an event, or of a whole response. A nil record has no effect.
+func (attemptRecord *attemptRecord) event() {
+	if attemptRecord == nil {
 		return
 	}
-	attemptRecord.endWait(true)
 	relay := attemptRecord.transaction.relay
+	relay.activity.event(attemptRecord.activity)
+	if attemptRecord.waitEnded {
+		return
+	}
+	attemptRecord.endWait(true)
 	relay.deps.Balancer.ObserveLatency(attemptRecord.candidate.Incarnation, relay.deps.Clock.Since(attemptRecord.sent))
 }
 
@@ -65,6 +72,7 @@
 	if !attemptRecord.waitEnded {
 		attemptRecord.endWait(false)
 	}
+	attemptRecord.transaction.relay.activity.end(attemptRecord.candidate.Incarnation, attemptRecord.activity)
 	attemptRecord.transaction.relay.deps.Demand.RemoveInFlight(attemptRecord.replicaKey)
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -55,6 +55,8 @@
 type Relay struct {
 	deps     Deps
 	settings Settings
+	// activity knows which replicas fell silent.
+	activity *activity
 	// lifetime ends when waiting and running requests must end; cancel ends it.
 	lifetime context.Context
 	cancel   context.CancelFunc
@@ -75,6 +77,7 @@
 	return &Relay{
 		deps:     deps,
 		settings: settings.withDefaults(),
+		activity: newActivity(deps.Clock),
 		lifetime: lifetime,
 		cancel:   cancel,
 		budgets:  map[string]*retry.Budget{},
--- a/relay/seek.go
+++ b/relay/seek.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/bronzestall/bronzestall/balance"
@@ -14,25 +15,30 @@
 // at once. Until then two replicas may run the request, for which the users' platform leaves 400 ms.
 const acceptTime = 150 * time.Millisecond
 
+// silentGaps multiplies the gap target of a route: a replica is silent once none of its attempts has yielded an event for longer.
+const silentGaps = 2
+
 // maySeek reports whether the request may be sent once more.
 func (transaction *transaction) maySeek() bool {
 	return transaction.runs < transaction.maxRuns && (transaction.sends < maxSends || transaction.goesOn())
 }
 
 // seek makes one attempt at another replica than the current one, or at the same if mayRepeat is set, and returns it once it was
-// accepted. It returns nil if no replica accepts the request now; the current attempt goes on meanwhile.
+// accepted. It returns nil if no replica accepts the request now, or only silent ones could be sent it; the current attempt goes on
+// meanwhile.
 func (transaction *transaction) seek(ctx context.Context, cancel context.CancelCauseFunc, current topology.Incarnation, mayRepeat bool) *leg {
 	budget := transaction.relay.budget(transaction.service.Name)
 	if !budget.Withdraw() {
 		return nil
 	}
+	transaction.silent = transaction.silentReplicas()
 	candidate, failure := transaction.selectReplica(ctx)
 	if failure != nil {
 		budget.Return()
 		return nil
 	}
 	same := candidate.Incarnation == current
-	if same && !mayRepeat {
+	if (same && !mayRepeat) || (!same && slices.Contains(transaction.silent, candidate.Incarnation)) {
 		budget.Return()
 		transaction.unchoose(candidate)
 		return nil
@@ -51,6 +57,14 @@
 	return nil
 }
 
+// silentReplicas returns the replicas that are silent by the gap target of the route; none if it has no such target.
+func (transaction *transaction) silentReplicas() []topology.Incarnation {
+	if transaction.route.GapTarget == 0 {
+		return nil
+	}
+	return transaction.relay.activity.silent(silentGaps * transaction.route.GapTarget)
+}
+
 // unchoose undoes the choice of a candidate that the request is not sent to.
 func (transaction *transaction) unchoose(candidate balance.Candidate) {
 	transaction.relay.deps.Limiter.Return(transaction.permit, transaction.relay.deps.Clock.Now())
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -70,7 +71,7 @@
 	transaction.criteria = balance.Criteria{
 		Zone:              transaction.relay.settings.Zone,
 		DaemonIndex:       transaction.relay.daemonIndex(),
-		Exclude:           transaction.tried,
+		Exclude:           slices.Concat(transaction.tried, transaction.silent),
 		Priority:          priority(transaction.route),
 		FirstEventTarget:  transaction.route.LatencyTarget,
 		AdmissionQuantile: float64(xxhash.Sum64String(transaction.request.Metadata.ID)) / math.MaxUint64,
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -27,7 +27,7 @@
 		if len(events) > 0 {
 			content := hasContent(events)
 			if content {
-				attemptRecord.firstEvent()
+				attemptRecord.event()
 			}
 			transaction.recordOrigin(ctx, candidate)
 			if failure := transaction.forward(reply, events); failure != nil {
--- a/relay/transaction.go
+++ b/relay/transaction.go
@@ -54,6 +54,8 @@
 	brokenAt time.Time
 	// release is that of the replica that began the stream; empty if that is unknown or the stream has not begun.
 	release string
+	// silent lists the replicas that are silent while a successor is sought; the balancer chooses them last.
+	silent []topology.Incarnation
 	// permit is that of the last attempt for the limit of its replica.
 	permit ratelimit.Permit
 	// criteria is what the balancer is given for the next attempt, or was given for the current one.
