Close only unused connections when a daemon stops

Cause: http.Server.Shutdown closes a connection that counts as idle, and one counts so until the head of its next request was read and parsed. On a busy VM that takes a while.

Change: ingress.Connections tracks the connections of clients. Only the reader of a connection decides that it is unused: no byte was read since its last response, and none has arrived. Requests that were read are answered; the server is closed when no connection is left, or at the end of the grace.

TestRequestAcceptedBeforeShutdownIsAnswered opens its servers like the daemon does, with the same checks.

--- a/front/servers.go
+++ b/front/servers.go
@@ -1,10 +1,10 @@
 package front
 
 import (
-	"context"
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -25,10 +25,23 @@
 
 // servers holds the HTTP servers of a daemon and their listeners, by the same index.
 type servers struct {
-	// clients is the server in all that handles client requests.
-	clients   *http.Server
-	all       []*http.Server
-	listeners []net.Listener
+	// clients is the first server in all; it handles client requests. connections tracks its connections.
+	clients     *http.Server
+	connections *ingress.Connections
+	all         []*http.Server
+	listeners   []net.Listener
+	// stopping is set once the listener for clients is closed.
+	stopping atomic.Bool
+}
+
+// newServers returns the servers with that of the clients, which accepts from the listener.
+func newServers(clients *http.Server, listener net.Listener) *servers {
+	connections := ingress.NewConnections()
+	clients.ConnState = connections.Observe
+	return &servers{
+		clients: clients, connections: connections,
+		all: []*http.Server{clients}, listeners: []net.Listener{connections.Listen(listener)},
+	}
 }
 
 // listen opens all listeners, or none if one fails.
@@ -39,7 +52,11 @@
 		IdleTimeout:       clientIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
-	opened := &servers{clients: clients}
+	listener, err := listenAt(daemon.settings.ClientAddress)
+	if err != nil {
+		return nil, err
+	}
+	opened := newServers(clients, listener)
 	peers := http.NewServeMux()
 	peers.Handle("/", daemon.mesh.Handler())
 	peers.Handle(lending.Path, daemon.lent)
@@ -49,7 +66,6 @@
 		address string
 		server  *http.Server
 	}{
-		{daemon.settings.ClientAddress, clients},
 		{daemon.settings.ReadyAddress, &http.Server{Handler: ingress.Ready(daemon.isReady), ReadHeaderTimeout: headerTimeout}},
 		{daemon.settings.PeerAddress, &http.Server{Handler: peers, ReadHeaderTimeout: headerTimeout}},
 		{daemon.settings.MetricsAddress, &http.Server{Handler: metrics, ReadHeaderTimeout: headerTimeout}},
@@ -57,10 +73,10 @@
 		if next.address == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp", next.address)
+		listener, err := listenAt(next.address)
 		if err != nil {
 			opened.close()
-			return nil, trace.Wrap(err, "cannot listen on %s", next.address)
+			return nil, err
 		}
 		opened.all = append(opened.all, next.server)
 		opened.listeners = append(opened.listeners, listener)
@@ -68,13 +84,19 @@
 	return opened, nil
 }
 
+// listenAt listens at the TCP address.
+func listenAt(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	return listener, trace.Wrap(err, "cannot listen on %s", address)
+}
+
 // serve accepts connections on all listeners until they are closed.
 func (servers *servers) serve(group *errgroup.Group) {
 	for index, server := range servers.all {
 		listener := servers.listeners[index]
 		group.Go(func() error {
 			err := server.Serve(listener)
-			if errors.Is(err, http.ErrServerClosed) {
+			if errors.Is(err, http.ErrServerClosed) || servers.stopping.Load() {
 				return nil
 			}
 			return trace.Wrap(err)
@@ -82,16 +104,19 @@
 	}
 }
 
-// shutdown accepts no more connections, waits at most for the timeout until accepted requests are answered,
-// and closes everything.
+// shutdown accepts no more connections, closes those on which no request has arrived, waits at most for the timeout until the
+// requests that did are answered, and closes everything.
 func (servers *servers) shutdown(timeout time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	// Requests that are not answered within the timeout are aborted.
-	_ = servers.clients.Shutdown(ctx)
+	servers.stopping.Store(true)
+	_ = servers.listeners[0].Close()
+	until := time.Now().Add(timeout)
+	for servers.connections.CloseUnused() > 0 && time.Now().Before(until) {
+		time.Sleep(closeInterval)
+	}
 	servers.close()
 }
 
+// close closes all connections and listeners.
 func (servers *servers) close() {
 	for _, server := range servers.all {
 		_ = server.Close()
@@ -108,6 +133,8 @@
 	// the part reserved for closing the servers and ending the process.
 	finalAnswerReserve = 800 * time.Millisecond
 	exitReserve        = 250 * time.Millisecond
+	// closeInterval is the interval of closing client connections that have become unused.
+	closeInterval = 10 * time.Millisecond
 	// drainInterval is the interval of checking whether requests are in flight.
 	drainInterval = 50 * time.Millisecond
 )
--- a/front/servers_test.go
+++ b/front/servers_test.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	opened := &servers{clients: clients, all: []*http.Server{clients}, listeners: []net.Listener{listener}}
+	opened := newServers(clients, listener)
 	var group errgroup.Group
 	opened.serve(&group)
 	group.Go(func() error {
--- /dev/null
+++ b/ingress/connections.go
@@ -0,0 +1,166 @@
+package ingress
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Connections tracks the connections of clients, so that a daemon that stops closes those on which no request has arrived, and no
+// other. http.Server.Shutdown also closes a connection on which a request was just read. It is safe for concurrent use. Use
+// NewConnections.
+type Connections struct {
+	mutex sync.Mutex
+	open  map[*trackedConn]bool
+}
+
+// NewConnections returns a tracker without connections.
+func NewConnections() *Connections {
+	return &Connections{open: map[*trackedConn]bool{}}
+}
+
+// Listen returns a listener that accepts from the given one and tracks what it accepts.
+func (connections *Connections) Listen(inner net.Listener) net.Listener {
+	return &trackingListener{Listener: inner, connections: connections}
+}
+
+// Observe is the ConnState function of the server that accepts from the listener.
+func (connections *Connections) Observe(conn net.Conn, state http.ConnState) {
+	tracked, ok := conn.(*trackedConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
+		tracked.responded()
+	case http.StateClosed, http.StateHijacked:
+		connections.mutex.Lock()
+		defer connections.mutex.Unlock()
+		delete(connections.open, tracked)
+	}
+}
+
+// CloseUnused closes the connections on which no byte has arrived since they were opened, or since their last response. The server
+// closes each a moment later. It returns the number of open connections.
+func (connections *Connections) CloseUnused() int {
+	connections.mutex.Lock()
+	defer connections.mutex.Unlock()
+	for tracked := range connections.open {
+		tracked.interrupt()
+	}
+	return len(connections.open)
+}
+
+// trackingListener tracks the connections that it accepts.
+type trackingListener struct {
+	net.Listener
+	connections *Connections
+}
+
+// Accept waits for the next connection.
+func (listener *trackingListener) Accept() (net.Conn, error) {
+	inner, err := listener.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tracked := &trackedConn{Conn: inner, unused: true}
+	listener.connections.mutex.Lock()
+	defer listener.connections.mutex.Unlock()
+	listener.connections.open[tracked] = true
+	return tracked, nil
+}
+
+// trackedConn is a connection whose reader decides whether it is closed as unused: only the reader knows whether it has taken bytes.
+type trackedConn struct {
+	net.Conn
+
+	mutex sync.Mutex
+	// unused is set while no byte was read since the connection was opened, or since its last response.
+	unused bool
+	// interrupted is set while a read deadline in the past is in force, so that the reader looks whether the connection is unused.
+	interrupted bool
+	// deadline is the read deadline that the server has set; zero means none.
+	deadline time.Time
+}
+
+// Read reads bytes. It returns io.EOF if the connection is to be closed as unused.
+func (tracked *trackedConn) Read(into []byte) (int, error) {
+	for {
+		n, err := tracked.Conn.Read(into)
+		again, failure := tracked.observe(n, err)
+		if !again {
+			return n, failure
+		}
+	}
+}
+
+// observe takes the result of a read. It reports whether to read again, or what the read returns.
+func (tracked *trackedConn) observe(n int, err error) (again bool, failure error) {
+	tracked.mutex.Lock()
+	defer tracked.mutex.Unlock()
+	if n > 0 {
+		tracked.unused = false
+	}
+	if n > 0 || !tracked.interrupted || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false, err
+	}
+	tracked.interrupted = false
+	if tracked.unused && !tracked.hasArrived() {
+		return false, io.EOF
+	}
+	err = tracked.Conn.SetReadDeadline(tracked.deadline)
+	return err == nil, err
+}
+
+// hasArrived reports whether bytes have arrived that were not read.
+func (tracked *trackedConn) hasArrived() bool {
+	inner, ok := tracked.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := inner.SyscallConn()
+	if err != nil {
+		return false
+	}
+	arrived := false
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, failure := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		arrived = failure == nil && n > 0
+	})
+	return err == nil && arrived
+}
+
+// SetReadDeadline sets the read deadline, once no interruption is in force.
+func (tracked *trackedConn) SetReadDeadline(deadline time.Time) error {
+	tracked.mutex.Lock()
+	defer tracked.mutex.Unlock()
+	tracked.deadline = deadline
+	if tracked.interrupted {
+		return nil
+	}
+	return tracked.Conn.SetReadDeadline(deadline)
+}
+
+// responded records that a response has ended and the next request is waited for.
+func (tracked *trackedConn) responded() {
+	tracked.mutex.Lock()
+	defer tracked.mutex.Unlock()
+	tracked.unused = true
+}
+
+// interrupt makes the reader of an unused connection close it.
+func (tracked *trackedConn) interrupt() {
+	tracked.mutex.Lock()
+	defer tracked.mutex.Unlock()
+	if !tracked.unused || tracked.interrupted {
+		return
+	}
+	// A connection that takes no deadline is closed already.
+	tracked.interrupted = tracked.Conn.SetReadDeadline(pastDeadline) == nil
+}
