Log each request that a daemon still has when it ends

The ingress now knows each request from its last byte to the end of its response, and the daemon logs those left (event 809, RequestHeld) after the last responses and before it closes the connections. Waiting and closing are two functions of the servers for this; the tests of a stop call both. ingress.TestRequestsWithoutAFinalResponseAreHeld.

--- a/event/front.go
+++ b/event/front.go
@@ -23,6 +23,7 @@
 	StoreRestored      = define(806, "StoreRestored", Warning, "The platform's store came back from an older copy: its era rose. All tables are read anew.")
 	EraUnusable        = define(807, "EraUnusable", Warning, "A response of the platform's store has no usable era; one of an earlier era changes nothing. Logged at most every five seconds.")
 	RowIgnored         = define(808, "RowIgnored", Warning, "A change of the replica table has a lower version than the known row, and is ignored although it differs.")
+	RequestHeld        = define(809, "RequestHeld", Warning, "The daemon ends and has a request that was read whole and has no final response; its connection is closed.")
 	StoreLost          = define(820, "StoreLost", Warning, "The platform's store does not respond; the data read last remains in use.")
 	StoreRegained      = define(821, "StoreRegained", Info, "The platform's store responds again.")
 	HistoryForgotten   = define(822, "HistoryForgotten", Info, "The store no longer has the requested changes of a table; the whole table is read again.")
--- a/front/servers.go
+++ b/front/servers.go
@@ -104,16 +104,15 @@
 	}
 }
 
-// shutdown accepts no more connections, closes those on which no request has arrived, waits at most for the timeout until the
-// requests that did are answered, and closes everything.
-func (servers *servers) shutdown(timeout time.Duration) {
+// drain accepts no more connections of clients, closes those on which no request has arrived, and waits at most for the timeout until
+// the requests that did are answered.
+func (servers *servers) drain(timeout time.Duration) {
 	servers.stopping.Store(true)
 	_ = servers.listeners[0].Close()
 	until := time.Now().Add(timeout)
 	for servers.connections.CloseUnused() > 0 && time.Now().Before(until) {
 		time.Sleep(closeInterval)
 	}
-	servers.close()
 }
 
 // close closes all connections and listeners.
@@ -160,6 +159,8 @@
 	aborted := daemon.ingress.InFlight()
 	daemon.relay.CancelRequests()
 	daemon.drain(started.Add(daemon.settings.Grace-exitReserve), true)
-	servers.shutdown(max(started.Add(daemon.settings.Grace-exitReserve).Sub(daemon.clock.Now()), 0))
+	servers.drain(max(started.Add(daemon.settings.Grace-exitReserve).Sub(daemon.clock.Now()), 0))
+	daemon.ingress.LogHeld()
+	servers.close()
 	event.FrontStopped.Log("Daemon", daemon.settings.Name, "Cut", aborted, "Took", daemon.clock.Since(started))
 }
--- a/front/servers_test.go
+++ b/front/servers_test.go
@@ -28,7 +28,8 @@
 	opened.serve(&group)
 	group.Go(func() error {
 		<-accepted
-		opened.shutdown(10 * time.Second)
+		opened.drain(10 * time.Second)
+		opened.close()
 		return nil
 	})
 	response, err := http.Get("http://" + listener.Addr().String() + "/")
--- a/front/stop_test.go
+++ b/front/stop_test.go
@@ -67,7 +67,8 @@
 	send(t, used)
 	<-listener.read
 	began := time.Now()
-	opened.shutdown(5 * time.Second)
+	opened.drain(5 * time.Second)
+	opened.close()
 	if took := time.Since(began); took > 4*time.Second {
 		t.Errorf("the stop took %v", took)
 	}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -44,6 +44,8 @@
 	// closing is set once responses carry "Connection: close".
 	closing  atomic.Bool
 	inFlight atomic.Int64
+	// held holds the requests that the relay has.
+	held heldRequests
 }
 
 // New returns an ingress.
@@ -73,6 +75,7 @@
 	sink := &sink{clock: ingress.deps.Clock, readAt: ingress.deps.Clock.Now(), writer: writer, controller: http.NewResponseController(writer)}
 	var summary relay.Summary
 	if failure == nil {
+		defer ingress.held.add(request)()
 		summary, failure = ingress.deps.Relay.Serve(incoming.Context(), request, sink)
 	}
 	ingress.record(request, sink, summary, failure)
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -210,3 +210,23 @@
 		})
 	}
 }
+
+// TestRequestsWithoutAFinalResponseAreHeld checks that the ingress knows each request from when it was read until its response ends.
+func TestRequestsWithoutAFinalResponseAreHeld(t *testing.T) {
+	var held heldRequests
+	first := &exchange.Request{Arrived: time.Unix(1, 0)}
+	second := &exchange.Request{Arrived: time.Unix(2, 0)}
+	removeSecond := held.add(second)
+	removeFirst := held.add(first)
+	if got := held.list(); len(got) != 2 || got[0] != first || got[1] != second {
+		t.Errorf("%v are held, want both in the order of their arrival", got)
+	}
+	removeFirst()
+	if got := held.list(); len(got) != 1 || got[0] != second {
+		t.Errorf("%v are held, want the second", got)
+	}
+	removeSecond()
+	if got := held.list(); len(got) != 0 {
+		t.Errorf("%v are held, want none", got)
+	}
+}
