Take bytes of a response, not an opened connection, for the proof of a path

Callers at a daemon whose links to the replicas accept connections and then yield nothing were held until their deadline, each of them; where links accept and reset at once, each failed.

Cause: connection.Pool told its observer of each opened connection as of a proof, and probes only connected. So reach.Paths found a proof at each attempt, never counted the daemon as cut off, and nothing was lent.

Change: the observer is told when a call begins and ends to wait, of bytes of responses, and of failures by kind (not opened, refused, reset before any byte, silent). reach keeps for each replica the last proof, the last failure and since when. A path is suspected after 400 ms without a byte or a reset of a new connection. Then a probe is sent (an engine's report, which needs no slot, or the health check), at most one in 250 ms and replica, with a delay that doubles up to 2 s. If it is silent for 500 ms, four other daemons are asked each 250 ms when the replica responded to them (mesh.FindProofs; 22 bytes asked and 29 answered for each replica, 16 replicas at most); one that had no answer in the last 250 ms probes first. An answer later than 500 ms after the probe began, and 100 ms ago, makes the path dead; so do resets again and again over 100 ms. Silence for all stays a suspicion. What may run once waits while all paths to its replicas are suspected, and goes through another daemon, or is refused as not run, once they are dead. Several suspicions and no answer since put all paths under suspicion, so that such requests are not lost at one replica after the other. Nothing is sent or asked while nothing is suspected.

Tests changed: front.TestQuietDaemonFindsThatItIsNotCutOff took a socket that accepts for a sound replica; it is an HTTP server now, since an opened connection proves nothing. relay's Lender has the state of a path in place of Lost; its stand-in follows. TestCutOffDaemonsServe shares its body with the new tests.

--- a/connection/body.go
+++ b/connection/body.go
@@ -22,6 +22,9 @@
 // Read reads the body. io.EOF means that it is complete.
 func (body *body) Read(into []byte) (int, error) {
 	n, err := body.inner.Read(into)
+	if n > 0 {
+		body.pool.reportBody(body.conn)
+	}
 	if err != nil {
 		body.finish(errors.Is(err, io.EOF))
 	}
--- a/connection/conn.go
+++ b/connection/conn.go
@@ -21,6 +21,8 @@
 	reused bool
 	// lastUsed is when the last exchange was completed.
 	lastUsed time.Time
+	// reported is when the observer was told last that bytes came.
+	reported time.Time
 	// expires is when the connection must no longer be used; it is set while the connection is unused.
 	expires time.Time
 }
--- a/connection/limit.go
+++ b/connection/limit.go
@@ -24,6 +24,8 @@
 	limit LimitError
 	// remaining is the number of bytes that may still be read.
 	remaining int64
+	// received is set once any byte was read since it was cleared.
+	received bool
 }
 
 // Read fails with a *LimitError once no bytes remain.
@@ -34,6 +36,7 @@
 	}
 	n, err := limited.inner.Read(into[:min(int64(len(into)), limited.remaining)])
 	limited.remaining -= int64(n)
+	limited.received = limited.received || n > 0
 	return n, err
 }
 
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -52,20 +52,26 @@
 		c.abort()
 		return nil, &transport.Error{NotSent: true, Cause: trace.LimitExceeded("the upstream takes no requests any more")}
 	}
+	begun := pool.clock.Now()
+	pool.settings.Observer.Began(call.Key, begun)
+	defer pool.settings.Observer.Ended(call.Key, begun)
+	c.limited.received = false
 	stop := context.AfterFunc(ctx, c.abort)
 	written, err := send(c, call)
 	if err != nil {
 		stop()
 		c.abort()
+		pool.reportFailure(ctx, c, err, begun)
 		return nil, &transport.Error{NotSent: written == 0, Cause: trace.Wrap(err)}
 	}
 	response, err := pool.receive(c, call)
 	if err != nil {
 		stop()
 		c.abort()
+		pool.reportFailure(ctx, c, err, begun)
 		return nil, &transport.Error{Cause: trace.Wrap(err)}
 	}
-	pool.settings.Observer.Reached(call.Key)
+	pool.reportBytes(c)
 	response.Body = &body{pool: pool, conn: c, inner: response.Body, stop: stop, reuse: reusable(response, call), idle: pool.idleTime(response)}
 	return response, nil
 }
@@ -114,22 +120,13 @@
 	inner, err := pool.settings.Dial(limited, "tcp", call.Address)
 	if err != nil {
 		if ctx.Err() == nil {
-			pool.settings.Observer.Lost(call.Key, begun)
+			pool.settings.Observer.Failed(call.Key, dialFailure(err), begun)
 		}
 		return nil, err
 	}
-	pool.settings.Observer.Reached(call.Key)
 	return newConn(inner, call.Key), nil
 }
 
-// Probe opens a connection to the address, closes it, and tells the observer whether that succeeded.
-func (pool *Pool) Probe(ctx context.Context, key, address string) {
-	// The observer was told of a failure.
-	if c, err := pool.open(ctx, Call{Key: key, Address: address}); err == nil {
-		_ = c.Close()
-	}
-}
-
 // takeIdle returns the most recently used idle connection of the key, or nil if there is none or it was unused for
 // longer than maxUnused; zero means no limit.
 func (pool *Pool) takeIdle(key string, maxUnused time.Duration) *conn {
--- /dev/null
+++ b/connection/proof.go
@@ -0,0 +1,48 @@
+package connection
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"github.com/bronzestall/bronzestall/reach"
+)
+
+// dialFailure returns the kind of a failure to open a connection.
+func dialFailure(err error) reach.Failure {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return reach.Refused
+	case errors.Is(err, syscall.ECONNRESET):
+		return reach.Reset
+	}
+	return reach.NotOpened
+}
+
+// reportBytes tells the observer that bytes of a response came on the connection.
+func (pool *Pool) reportBytes(c *conn) {
+	c.reported = pool.clock.Now()
+	pool.settings.Observer.Reached(c.key)
+}
+
+// reportBody tells the observer that bytes of a body came, unless it was told lately.
+func (pool *Pool) reportBody(c *conn) {
+	if pool.clock.Since(c.reported) >= proofInterval {
+		pool.reportBytes(c)
+	}
+}
+
+// reportFailure tells the observer how a call failed that began at the time and was not cancelled. On a connection that was used
+// before, a reset says nothing: the upstream may close it while it is unused.
+func (pool *Pool) reportFailure(ctx context.Context, c *conn, err error, begun time.Time) {
+	switch {
+	case c.limited.received:
+		pool.reportBytes(c)
+	case ctx.Err() != nil:
+	case errors.Is(err, syscall.ETIMEDOUT):
+		pool.settings.Observer.Failed(c.key, reach.Silent, begun)
+	case !c.reused:
+		pool.settings.Observer.Failed(c.key, reach.Reset, begun)
+	}
+}
--- a/connection/settings.go
+++ b/connection/settings.go
@@ -5,6 +5,8 @@
 	"context"
 	"net"
 	"time"
+
+	"github.com/bronzestall/bronzestall/reach"
 )
 
 // The defaults of Settings.
@@ -18,17 +20,25 @@
 
 // Observer is told which upstreams a pool reaches. Its methods must not block.
 type Observer interface {
-	// Reached is called when a connection under the key was opened, and for each response.
+	// Began is called when a call under the key begins to wait for its response, and Ended when it waits no more, with the same time.
+	Began(key string, begun time.Time)
+	Ended(key string, begun time.Time)
+	// Reached is called when bytes of a response under the key came. Those of a body are reported once in proofInterval and connection.
 	Reached(key string)
-	// Lost is called when a connection under the key could not be opened. begun is when the attempt began.
-	Lost(key string, begun time.Time)
+	// Failed is called when a connection under the key could not be opened, or yielded nothing. begun is when the attempt began.
+	Failed(key string, failure reach.Failure, begun time.Time)
 }
 
+// proofInterval is the least time between two reports of bytes of one body.
+const proofInterval = 50 * time.Millisecond
+
 // noObserver ignores what it is told.
 type noObserver struct{}
 
-func (noObserver) Reached(string)         {}
-func (noObserver) Lost(string, time.Time) {}
+func (noObserver) Began(string, time.Time)                 {}
+func (noObserver) Ended(string, time.Time)                 {}
+func (noObserver) Reached(string)                          {}
+func (noObserver) Failed(string, reach.Failure, time.Time) {}
 
 // Settings bounds the connections of a Pool. The zero value of a field means its default.
 type Settings struct {
--- a/front/lender.go
+++ b/front/lender.go
@@ -18,6 +18,7 @@
 	"github.com/bronzestall/bronzestall/meter"
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/reach"
 	"github.com/bronzestall/bronzestall/relay"
 	"github.com/bronzestall/bronzestall/topology"
 )
@@ -52,14 +53,14 @@
 	return cutOff
 }
 
-// AnyLost reports whether this daemon failed to reach a replica lately.
-func (lender *lender) AnyLost() bool {
-	return lender.daemon.paths.LostCount() > 0
+// AnyDoubted reports whether this daemon doubts that it reaches some replica.
+func (lender *lender) AnyDoubted() bool {
+	return lender.daemon.paths.AnyDoubted()
 }
 
-// Lost reports whether this daemon failed to reach the replica lately.
-func (lender *lender) Lost(replica topology.Incarnation, address string) bool {
-	return lender.daemon.paths.IsLost(platform.ConnectionKey(replica, address), lender.daemon.clock.Now())
+// Path returns the state of the path to the replica.
+func (lender *lender) Path(replica topology.Incarnation, address string) reach.State {
+	return lender.daemon.paths.State(platform.ConnectionKey(replica, address), lender.daemon.clock.Now())
 }
 
 // Lend sends the request to one daemon after the other until one takes it.
--- a/front/wiring.go
+++ b/front/wiring.go
@@ -41,6 +41,7 @@
 		ReceiveLimits:   daemon.receiveLimits,
 		Grant:           daemon.grantTokens,
 		Origins:         daemon.answerOrigins,
+		Proofs:          daemon.findProofs,
 		Sync:            daemon.serveSync,
 		Update:          daemon.waitForUpdate,
 		Store:           leaseStore,
--- a/internal/frontsoak/cut_test.go
+++ b/internal/frontsoak/cut_test.go
@@ -44,54 +44,85 @@
 	return float64(served) / float64(max(sent, 1)), sent
 }
 
+// cutCase is a fault of the links of some daemons to all replicas, and the daemons that are and are not cut off.
+type cutCase struct {
+	name   string
+	fault  linkFault
+	cut    []int
+	others []int
+}
+
 // TestCutOffDaemonsServe guards against issue 42: daemons that were cut off from all replicas refused or held what the others could
 // serve.
 func TestCutOffDaemonsServe(t *testing.T) {
-	cases := []struct {
-		name   string
-		fault  linkFault
-		cut    []int
-		others []int
-	}{
+	testCuts(t, 5300, []cutCase{
 		{"one daemon, links refuse", refused, []int{1}, []int{0, 2, 3}},
 		{"one daemon, links hang", hanging, []int{1}, []int{0, 2, 3}},
 		{"a data centre, links refuse", refused, []int{0, 2}, []int{1, 3}},
 		{"a data centre, links hang", hanging, []int{0, 2}, []int{1, 3}},
-	}
+	})
+}
+
+// TestDaemonsWithMuteLinksServe guards against issue 49: a connection that was accepted and yielded nothing passed for a proof of the
+// path, so that daemons with such links lent nothing and held each request until its deadline.
+func TestDaemonsWithMuteLinksServe(t *testing.T) {
+	testCuts(t, 5310, []cutCase{
+		{"one daemon", mute, []int{1}, []int{0, 2, 3}},
+		{"a data centre", mute, []int{0, 2}, []int{1, 3}},
+		{"three quarters of the daemons", mute, []int{0, 1, 2}, []int{3}},
+	})
+}
+
+// TestDaemonsWithResettingLinksServe guards against issue 49: a connection that was accepted and reset at once passed for a proof of
+// the path, so that daemons with such links failed each request.
+func TestDaemonsWithResettingLinksServe(t *testing.T) {
+	testCuts(t, 5320, []cutCase{
+		{"one daemon", resetting, []int{1}, []int{0, 2, 3}},
+		{"a data centre", resetting, []int{0, 2}, []int{1, 3}},
+		{"three quarters of the daemons", resetting, []int{0, 1, 2}, []int{3}},
+	})
+}
+
+// testCuts runs the cases beside each other, with consecutive seeds.
+func testCuts(t *testing.T, firstSeed uint64, cases []cutCase) {
 	binary := build(t)
 	for index, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			folder := t.TempDir()
-			seed := 5300 + uint64(index)
-			testbed, err := newTestbed(folder, binary, seed)
-			if err != nil {
-				t.Fatal(err)
-			}
-			views := testbed.useLinks(t)
-			stop := testbed.start()
-			time.Sleep(3 * time.Second)
-			result := testbed.runCut(t, seed, views, c.fault, c.cut)
-			stop()
-			cutShare, cutCount := result.share(c.cut)
-			share, count := result.share(c.others)
-			t.Logf("cut off: %.2f of %d first tries served; others: %.2f of %d", cutShare, cutCount, share, count)
-			if cutCount < 20 || share < 0.9 {
-				t.Errorf("too few requests, or the others are not served")
-			}
-			if cutShare < minCutShare*share {
-				t.Errorf("%.2f of the first tries at cut-off daemons are served, %.2f at the others", cutShare, share)
-			}
-			for _, violation := range testbed.checker.finish() {
-				t.Error(violation)
-			}
-			if t.Failed() {
-				saveLogs(t, folder, seed)
-			}
+			c.run(t, binary, firstSeed+uint64(index))
 		})
 	}
 }
 
+// run cuts the daemons off and checks that they serve as much as the others.
+func (c cutCase) run(t *testing.T, binary string, seed uint64) {
+	folder := t.TempDir()
+	testbed, err := newTestbed(folder, binary, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	views := testbed.useLinks(t)
+	stop := testbed.start()
+	time.Sleep(3 * time.Second)
+	result := testbed.runCut(t, seed, views, c.fault, c.cut)
+	stop()
+	cutShare, cutCount := result.share(c.cut)
+	share, count := result.share(c.others)
+	t.Logf("cut off: %.2f of %d first tries served; others: %.2f of %d", cutShare, cutCount, share, count)
+	if cutCount < 20 || share < 0.9 {
+		t.Errorf("too few requests, or the others are not served")
+	}
+	if cutShare < minCutShare*share {
+		t.Errorf("%.2f of the first tries at cut-off daemons are served, %.2f at the others", cutShare, share)
+	}
+	for _, violation := range testbed.checker.finish() {
+		t.Error(violation)
+	}
+	if t.Failed() {
+		saveLogs(t, folder, seed)
+	}
+}
+
 // useLinks gives each daemon links of its own to all replicas.
 func (testbed *testbed) useLinks(t *testing.T) []*view {
 	var views []*view
--- a/internal/frontsoak/links_test.go
+++ b/internal/frontsoak/links_test.go
@@ -18,6 +18,10 @@
 	refused linkFault = iota
 	// hanging stalls open connections, and lets attempts to open new ones go unanswered.
 	hanging
+	// mute stalls open connections, accepts new ones and passes no byte on.
+	mute
+	// resetting resets open connections, and new ones as soon as they are accepted.
+	resetting
 )
 
 // replicaLink is the path from one daemon to one replica: a proxy of its own.
@@ -69,6 +73,15 @@
 func (link *replicaLink) cut(fault linkFault) error {
 	link.mutex.Lock()
 	defer link.mutex.Unlock()
+	switch fault {
+	case mute:
+		link.endStall = link.proxy.begin(proxyFault{stalls: true})
+		return nil
+	case resetting:
+		link.endStall = link.proxy.begin(proxyFault{refuses: true})
+		link.proxy.resetAll()
+		return nil
+	}
 	_ = link.proxy.listener.Close()
 	if fault == refused {
 		link.proxy.resetAll()
@@ -134,6 +147,8 @@
 		link.endStall()
 		link.endStall = nil
 	}
+	// The listener of a link that accepted connections is still open.
+	_ = link.proxy.listener.Close()
 	link.proxy.resetAll()
 	var listener net.Listener
 	err := retry(func() (err error) {
--- a/internal/frontsoak/replica_test.go
+++ b/internal/frontsoak/replica_test.go
@@ -148,6 +148,8 @@
 		replica.order(writer, body)
 	case "/report":
 		replica.report(writer)
+	case "/health":
+		writer.Header().Set("Bronzestall-Instance-Id", replica.id)
 	default:
 		replica.serveRequest(writer, request, id, string(body))
 	}
--- a/mesh/calls.go
+++ b/mesh/calls.go
@@ -50,6 +50,7 @@
 	handle(mux, tokensProcedure, node.serveTokens)
 	handle(mux, originsProcedure, node.serveOrigins)
 	handle(mux, pingProcedure, servePing)
+	handle(mux, proofsProcedure, node.serveProofs)
 	handle(mux, tablesProcedure, node.serveStoreCall)
 	handle(mux, askProcedure, func(ctx context.Context, request *meshpb.Question) (*meshpb.Answer, error) {
 		response := node.deps.Update(ctx, UpdateRequest{
--- a/mesh/deps.go
+++ b/mesh/deps.go
@@ -32,6 +32,8 @@
 	Grant func(daemon string, asks []ratelimit.Ask) []ratelimit.Grant
 	// Origins returns what the daemon knows of the streams that the attempts began.
 	Origins func(attempts []string) OriginAnswer
+	// Proofs returns when the daemon had bytes of responses of the replicas last, after it has probed those that did not respond lately.
+	Proofs func(ctx context.Context, replicas []topology.Incarnation) []Proof
 	// Sync processes a report and returns the newest announcement. It waits for a newer one for at most
 	// report.Wait, and fails if the daemon does not hold the lease.
 	Sync func(ctx context.Context, report Report) (directory.Announcement, error)
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -23,6 +23,8 @@
 	originsProcedure = "/bronzestall.mesh.Mesh/Origins"
 	// pingProcedure asks whether a daemon responds.
 	pingProcedure = "/bronzestall.mesh.Mesh/Ping"
+	// proofsProcedure asks when replicas responded last.
+	proofsProcedure = "/bronzestall.mesh.Mesh/Proofs"
 	// tablesProcedure forwards a call to the platform's store.
 	tablesProcedure = "/bronzestall.mesh.Mesh/Tables"
 )
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -59,6 +59,8 @@
 	asker  string
 	asks   []ratelimit.Ask
 	grants []ratelimit.Grant
+	// proofs is what it answers to questions for proofs.
+	proofs []Proof
 }
 
 func newTestDaemon(t *testing.T, name string, state State, failure error, seeds ...string) *testDaemon {
@@ -69,6 +71,7 @@
 	daemon.address = strings.TrimPrefix(server.URL, "http://")
 	daemon.Node = New(Settings{Self: Member{Name: name, Address: daemon.address}, Seeds: seeds, Client: http.DefaultClient}, Deps{
 		State:    func() State { return state },
+		Proofs:   func(context.Context, []topology.Incarnation) []Proof { return daemon.proofs },
 		InFlight: func() InFlightCounts { return daemon.inFlight },
 		Suspects: func() []quarantine.Suspect {
 			return daemon.tracker.Share(8, time.Now())
--- /dev/null
+++ b/reach/path.go
@@ -0,0 +1,134 @@
+package reach
+
+import (
+	"slices"
+	"time"
+)
+
+// path is what is known of the path to one replica. All but proved, vouched and the times of probes is about the time since the
+// last proof, and is cleared by the next one.
+type path struct {
+	// proved is when a byte of a response came last; zero if none did.
+	proved time.Time
+	// awaited lists when the attempts began that have yielded nothing yet.
+	awaited []time.Time
+	// suspected is since when the path is suspected, and suspectedBegun when the attempt began that made it so; both are zero if it
+	// is not.
+	suspected, suspectedBegun time.Time
+	// failure is the kind of the last failure, and failedSince when the first attempt began that failed; zero if none did.
+	failure     Failure
+	failedSince time.Time
+	// reset is when a new connection was reset first; zero if none was.
+	reset time.Time
+	// lost is when the path was last found lost, and lostBegun when the attempt began that showed it first; both are zero if it is not.
+	lost, lostBegun time.Time
+	// vouched is the latest time at which another daemon had an answer of the replica.
+	vouched time.Time
+	// probeBegun is when the probe began that is under way; zero if none is.
+	probeBegun time.Time
+	// nextProbe is the earliest time of the next probe, and probeDelay the time between the last two.
+	nextProbe  time.Time
+	probeDelay time.Duration
+	// nextQuestion is the earliest time at which other daemons are asked about the replica.
+	nextQuestion time.Time
+}
+
+// state returns the state of the path at the time.
+func (path *path) state(now time.Time) State {
+	switch {
+	case path.isLost(now) && path.failure.swallows():
+		return Dead
+	case path.isLost(now):
+		return Closed
+	case !path.suspected.IsZero():
+		return Suspected
+	}
+	return Sound
+}
+
+// isLost reports whether the path was found lost, lately.
+func (path *path) isLost(now time.Time) bool {
+	return !path.lost.IsZero() && now.Sub(path.lost) < lossExpiry
+}
+
+// isDoubted reports whether the path was suspected or found lost and not proved since.
+func (path *path) isDoubted() bool {
+	return !path.suspected.IsZero() || !path.lost.IsZero()
+}
+
+// prove clears what speaks against the path.
+func (path *path) prove(now time.Time) {
+	*path = path.proof(now)
+}
+
+// proof returns the path after a proof. The probe that is under way stays known.
+func (path *path) proof(now time.Time) (proved path) {
+	proved.proved, proved.vouched = now, path.vouched
+	proved.awaited = path.awaited[:0]
+	proved.probeBegun = path.probeBegun
+	proved.nextProbe = path.nextProbe
+	return proved
+}
+
+// suspect makes the path suspected by an attempt that began at the time.
+func (path *path) suspect(begun, now time.Time) {
+	if path.suspected.IsZero() {
+		path.suspected, path.suspectedBegun = now, begun
+	}
+}
+
+// lose records that an attempt that began at the time showed that the path is lost.
+func (path *path) lose(begun, now time.Time) {
+	if !path.isLost(now) {
+		path.lostBegun = begun
+	}
+	path.lost = now
+}
+
+// fail records a failure, and reports whether it shows that the path is lost.
+func (path *path) fail(failure Failure, begun, now time.Time) bool {
+	path.failure = failure
+	if path.failedSince.IsZero() {
+		path.failedSince = begun
+	}
+	switch failure {
+	case Reset:
+		path.suspect(begun, now)
+		if path.reset.IsZero() {
+			path.reset = now
+		}
+		return now.Sub(path.reset) >= resetsSpan
+	case Silent:
+		path.suspect(begun, now)
+		return !path.lost.IsZero()
+	}
+	return true
+}
+
+// endAttempt forgets one attempt that began at the time, and suspects the path if it had yielded nothing for long.
+func (path *path) endAttempt(begun, now time.Time) {
+	at := slices.Index(path.awaited, begun)
+	if at < 0 {
+		return
+	}
+	path.awaited = slices.Delete(path.awaited, at, at+1)
+	if now.Sub(begun) >= suspectAfter {
+		path.suspect(begun, now)
+	}
+}
+
+// observeSilence suspects the path if an attempt has yielded nothing for long.
+func (path *path) observeSilence(now time.Time) {
+	for _, begun := range path.awaited {
+		if now.Sub(begun) >= suspectAfter {
+			path.suspect(begun, now)
+			return
+		}
+	}
+}
+
+// isCut reports whether the probe that is under way yields nothing, although another daemon had an answer of the replica since.
+func (path *path) isCut(now time.Time) bool {
+	return !path.probeBegun.IsZero() && path.lost.IsZero() && path.probeBegun.After(path.proved) &&
+		path.vouched.Sub(path.probeBegun) >= answerTime && now.Sub(path.vouched) >= graceTime
+}
--- a/reach/paths.go
+++ b/reach/paths.go
@@ -12,98 +12,213 @@
 	minLost = 2
 	// lossExpiry is how long a failure to reach a replica counts.
 	lossExpiry = 5 * time.Second
+	// suspectAfter is the time without any byte of a replica after which an attempt makes the path suspected.
+	suspectAfter = 400 * time.Millisecond
+	// resetsSpan is the least time between the first and the last of several resets that show that a path is lost. A replica that has
+	// too many connections resets new ones and answers on others meanwhile.
+	resetsSpan = 100 * time.Millisecond
+	// answerTime is the time within which a sound path yields the answer to a probe. Another daemon must have had an answer later than
+	// that after the probe began, and graceTime ago, for the path to count as cut: at the end of a pause, all answers come at once.
+	answerTime = 500 * time.Millisecond
+	graceTime  = 100 * time.Millisecond
 )
 
-// Paths holds when one daemon last reached each replica, and last failed to. It is safe for concurrent use. Use New.
+// Paths holds what one daemon knows of its path to each replica. It is safe for concurrent use. Use New.
 type Paths struct {
 	mutex sync.Mutex
 	// replicas maps the keys of replicas to what is known of the path.
-	replicas map[string]path
-	// lost is the number of replicas whose last attempt to be reached failed.
-	lost atomic.Int64
+	replicas map[string]*path
+	// lost is the number of paths that were found lost and not proved since, and doubted that of those that were suspected or lost.
+	lost, doubted atomic.Int64
 	// reached is when any replica was last reached.
 	reached time.Time
+	// allSuspected is set while no path counts as sound, since several are suspected and no replica was reached since.
+	allSuspected bool
+	// found lists the replicas whose paths were found lost since the last step.
+	found []string
 	// cutOff is set while the daemon counts as cut off, since cutSince.
 	cutOff   bool
 	cutSince time.Time
 }
 
-// path is what is known of the path to one replica.
-type path struct {
-	reached, lost time.Time
-}
-
 // New returns paths of which nothing is known.
 func New() *Paths {
-	return &Paths{replicas: map[string]path{}}
+	return &Paths{replicas: map[string]*path{}}
 }
 
-// Change is how an observation changed what the daemon concludes about itself.
-type Change int
+// Began records that an attempt began to wait for a response of a replica.
+func (paths *Paths) Began(key string, begun time.Time) {
+	paths.mutex.Lock()
+	defer paths.mutex.Unlock()
+	known := paths.get(key)
+	known.awaited = append(known.awaited, begun)
+}
 
-// The changes.
-const (
-	Unchanged Change = iota
-	// CutOff means that the daemon reaches no replica from now on.
-	CutOff
-	// Back means that it reaches one again.
-	Back
-)
+// Ended records that an attempt that began at the time waits no more. It does nothing if a byte came meanwhile.
+func (paths *Paths) Ended(key string, begun, now time.Time) {
+	paths.mutex.Lock()
+	defer paths.mutex.Unlock()
+	paths.update(key, func(known *path) { known.endAttempt(begun, now) })
+}
 
-// Reached records a proof of the path to a replica: a connection was opened, or a response arrived.
+// Reached records a proof of the path to a replica: a byte of a response arrived.
 func (paths *Paths) Reached(key string, now time.Time) Change {
 	paths.mutex.Lock()
 	defer paths.mutex.Unlock()
-	known := paths.replicas[key]
-	if !known.lost.IsZero() {
-		paths.lost.Add(-1)
-	}
-	known.reached, known.lost = now, time.Time{}
-	paths.replicas[key] = known
+	paths.update(key, func(known *path) { known.prove(now) })
 	paths.reached = now
+	paths.allSuspected = false
 	if !paths.cutOff {
 		return Unchanged
 	}
 	paths.cutOff = false
+	paths.probeSoon(now)
 	return Back
 }
 
-// Lost records that a connection to a replica could not be opened. begun is when the attempt began: it says nothing if the replica
-// was reached since.
-func (paths *Paths) Lost(key string, begun, now time.Time) Change {
+// Failed records that an attempt to reach a replica failed. begun is when it began: it says nothing if the replica was reached
+// since.
+func (paths *Paths) Failed(key string, failure Failure, begun, now time.Time) Change {
 	paths.mutex.Lock()
 	defer paths.mutex.Unlock()
-	known := paths.replicas[key]
-	if known.reached.After(begun) {
+	return paths.fail(key, failure, begun, now)
+}
+
+// fail is Failed with the mutex held.
+func (paths *Paths) fail(key string, failure Failure, begun, now time.Time) Change {
+	if paths.get(key).proved.After(begun) {
 		return Unchanged
 	}
-	if known.lost.IsZero() {
-		paths.lost.Add(1)
+	paths.update(key, func(known *path) {
+		if known.fail(failure, begun, now) {
+			known.lose(begun, now)
+		}
+	})
+	return paths.conclude(now)
+}
+
+// Vouched records that another daemon had an answer of the replica at the time. Times after now are ignored.
+func (paths *Paths) Vouched(key string, at, now time.Time) Change {
+	paths.mutex.Lock()
+	defer paths.mutex.Unlock()
+	known, ok := paths.replicas[key]
+	if !ok || at.After(now) || !at.After(known.vouched) {
+		return Unchanged
 	}
-	known.lost = now
-	paths.replicas[key] = known
-	if paths.cutOff || paths.reached.After(begun) {
+	known.vouched = at
+	paths.observe(key, now)
+	return paths.conclude(now)
+}
+
+// observe concludes from the silence of a replica.
+func (paths *Paths) observe(key string, now time.Time) {
+	paths.update(key, func(known *path) {
+		known.observeSilence(now)
+		if known.isCut(now) {
+			known.failure = Silent
+			known.suspect(known.probeBegun, now)
+			known.lose(known.probeBegun, now)
+		}
+	})
+}
+
+// conclude concludes whether the daemon is cut off: all paths are lost, or several were lost and no replica was reached since.
+func (paths *Paths) conclude(now time.Time) Change {
+	if paths.cutOff || paths.lost.Load() == 0 {
 		return Unchanged
 	}
-	lost := 0
-	for _, other := range paths.replicas {
-		if other.lost.After(paths.reached) && now.Sub(other.lost) < lossExpiry {
-			lost++
+	lost, since := 0, 0
+	for _, known := range paths.replicas {
+		if !known.isLost(now) {
+			continue
+		}
+		lost++
+		if paths.countsAsCut(known, now) {
+			since++
 		}
 	}
-	if lost < min(minLost, len(paths.replicas)) {
+	if lost < len(paths.replicas) && since < minLost {
 		return Unchanged
 	}
 	paths.cutOff, paths.cutSince = true, now
 	return CutOff
 }
 
-// IsLost reports whether the last attempt to reach the replica failed, lately.
-func (paths *Paths) IsLost(key string, now time.Time) bool {
+// countsAsCut reports whether the path was lost since any replica was reached. Replicas that yield nothing or reset connections may be
+// few, so that the others have answerTime to answer.
+func (paths *Paths) countsAsCut(known *path, now time.Time) bool {
+	if !known.lostBegun.After(paths.reached) {
+		return false
+	}
+	return !known.failure.swallows() || now.Sub(paths.reached) >= answerTime
+}
+
+// observeSuspicion concludes whether all paths are suspected: several are, and no replica was reached since their attempts began.
+func (paths *Paths) observeSuspicion() {
+	suspected := 0
+	for _, known := range paths.replicas {
+		if known.suspectedBegun.After(paths.reached) {
+			suspected++
+		}
+	}
+	paths.allSuspected = suspected >= min(minLost, len(paths.replicas)) && suspected > 0
+}
+
+// get returns what is known of the path, which it adds if it is unknown.
+func (paths *Paths) get(key string) *path {
+	known, ok := paths.replicas[key]
+	if !ok {
+		known = &path{}
+		paths.replicas[key] = known
+	}
+	return known
+}
+
+// update applies the change to the path and keeps the counts.
+func (paths *Paths) update(key string, apply func(known *path)) {
+	known := paths.get(key)
+	wasLost := !known.lost.IsZero()
+	paths.count(known, -1)
+	apply(known)
+	paths.count(known, 1)
+	if !wasLost && !known.lost.IsZero() {
+		paths.found = append(paths.found, key)
+	}
+}
+
+// count adds the path to the counts, or takes it out.
+func (paths *Paths) count(known *path, sign int64) {
+	if !known.lost.IsZero() {
+		paths.lost.Add(sign)
+	}
+	if known.isDoubted() {
+		paths.doubted.Add(sign)
+	}
+}
+
+// State returns the state of the path to the replica.
+func (paths *Paths) State(key string, now time.Time) State {
+	paths.mutex.Lock()
+	defer paths.mutex.Unlock()
+	state := Sound
+	if known, ok := paths.replicas[key]; ok {
+		state = known.state(now)
+	}
+	if state == Sound && paths.allSuspected {
+		return Suspected
+	}
+	return state
+}
+
+// Known returns what is known of the path to the replica.
+func (paths *Paths) Known(key string, now time.Time) Knowledge {
 	paths.mutex.Lock()
 	defer paths.mutex.Unlock()
-	known := paths.replicas[key]
-	return !known.lost.IsZero() && now.Sub(known.lost) < lossExpiry
+	known, ok := paths.replicas[key]
+	if !ok {
+		return Knowledge{}
+	}
+	return Knowledge{State: known.state(now), Proved: known.proved, Failure: known.failure, FailedSince: known.failedSince}
 }
 
 // IsCutOff reports whether the daemon reaches no replica, and since when.
@@ -113,22 +228,24 @@
 	return paths.cutSince, paths.cutOff
 }
 
-// LostCount returns the number of replicas whose last attempt to be reached failed. It is cheap.
+// LostCount returns the number of replicas that were found lost and not reached since. It is cheap.
 func (paths *Paths) LostCount() int {
 	return int(paths.lost.Load())
 }
 
+// AnyDoubted reports whether any path is suspected, or was found lost and not proved since. It is cheap.
+func (paths *Paths) AnyDoubted() bool {
+	return paths.doubted.Load() > 0
+}
+
 // Keep drops the paths to replicas that are not among the given ones.
 func (paths *Paths) Keep(keys map[string]bool) {
 	paths.mutex.Lock()
 	defer paths.mutex.Unlock()
 	for key, known := range paths.replicas {
-		if keys[key] {
-			continue
-		}
-		if !known.lost.IsZero() {
-			paths.lost.Add(-1)
+		if !keys[key] {
+			paths.count(known, -1)
+			delete(paths.replicas, key)
 		}
-		delete(paths.replicas, key)
 	}
 }
--- a/relay/lender.go
+++ b/relay/lender.go
@@ -9,6 +9,7 @@
 	"github.com/bronzestall/bronzestall/balance"
 	"github.com/bronzestall/bronzestall/exchange"
 	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/reach"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
@@ -22,10 +23,10 @@
 type Lender interface {
 	// CutOff reports whether this daemon reaches no replica.
 	CutOff() bool
-	// Lost reports whether this daemon failed to reach the replica lately, and AnyLost whether it did so with any; AnyLost is
+	// Path returns the state of the path to the replica, and AnyDoubted whether the state of any is not reach.Sound; AnyDoubted is
 	// cheap.
-	Lost(replica topology.Incarnation, address string) bool
-	AnyLost() bool
+	Path(replica topology.Incarnation, address string) reach.State
+	AnyDoubted() bool
 	// Lend makes one attempt through another daemon, which has the budget for it, and returns the response once its head was
 	// read. It fails with exchange.ErrNotSent if no daemon took the request, exchange.ErrLost or a *Refusal.
 	Lend(ctx context.Context, request *exchange.Request, budget time.Duration, allowance Allowance) (*LentReply, error)
@@ -112,32 +113,40 @@
 	if transaction.unreached >= maxUnreached || lender.CutOff() {
 		return true
 	}
-	if !lender.AnyLost() {
+	if !lender.AnyDoubted() {
 		return false
 	}
 	candidates := transaction.ofRelease(transaction.holders())
-	return len(candidates) > 0 && len(transaction.notLost(candidates)) == 0
+	return len(candidates) > 0 && len(transaction.without(candidates, reach.State.Lost)) == 0
 }
 
-// reachable returns the candidates that this daemon did not fail to reach lately, or all if it failed to reach all of them.
+// reachable returns the candidates with sound paths, or else those whose paths are not lost, or all if there are none either.
 func (transaction *transaction) reachable(candidates []balance.Candidate) []balance.Candidate {
 	lender := transaction.relay.deps.Lender
-	if lender == nil || !lender.AnyLost() {
+	if lender == nil || !lender.AnyDoubted() {
 		return candidates
 	}
-	if reached := transaction.notLost(candidates); len(reached) > 0 {
+	if sound := transaction.without(candidates, isDoubted); len(sound) > 0 {
+		return sound
+	}
+	if reached := transaction.without(candidates, reach.State.Lost); len(reached) > 0 {
 		return reached
 	}
 	return candidates
 }
 
-// notLost returns the candidates that this daemon did not fail to reach lately.
-func (transaction *transaction) notLost(candidates []balance.Candidate) []balance.Candidate {
+// without returns the candidates without those whose paths are in such a state.
+func (transaction *transaction) without(candidates []balance.Candidate, excluded func(reach.State) bool) []balance.Candidate {
 	return slices.DeleteFunc(slices.Clone(candidates), func(candidate balance.Candidate) bool {
-		return transaction.relay.deps.Lender.Lost(candidate.Incarnation, candidate.Address)
+		return excluded(transaction.relay.deps.Lender.Path(candidate.Incarnation, candidate.Address))
 	})
 }
 
+// isDoubted reports whether the path may not lead to the replica.
+func isDoubted(state reach.State) bool {
+	return state != reach.Sound
+}
+
 // lend makes one attempt through another daemon. It returns false if no daemon took the request.
 func (transaction *transaction) lend(ctx context.Context) (result, bool) {
 	transaction.sends++
--- a/relay/lender_test.go
+++ b/relay/lender_test.go
@@ -8,12 +8,15 @@
 
 	"github.com/bronzestall/bronzestall/exchange"
 	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/reach"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
 // lenders is a Lender that returns the scripted steps in order.
 type lenders struct {
 	cutOff bool
+	// path returns the state of the path to a replica; nil means that it is sound, or closed if lost lists it.
+	path func(id string) reach.State
 	// lost lists the replicas that the daemon failed to reach.
 	lost       []string
 	steps      []lentStep
@@ -27,10 +30,16 @@
 	release string
 }
 
-func (lenders *lenders) CutOff() bool  { return lenders.cutOff }
-func (lenders *lenders) AnyLost() bool { return len(lenders.lost) > 0 }
-func (lenders *lenders) Lost(replica topology.Incarnation, _ string) bool {
-	return slices.Contains(lenders.lost, replica.ID)
+func (lenders *lenders) CutOff() bool     { return lenders.cutOff }
+func (lenders *lenders) AnyDoubted() bool { return len(lenders.lost) > 0 || lenders.path != nil }
+func (lenders *lenders) Path(replica topology.Incarnation, _ string) reach.State {
+	if lenders.path != nil {
+		return lenders.path(replica.ID)
+	}
+	if slices.Contains(lenders.lost, replica.ID) {
+		return reach.Closed
+	}
+	return reach.Sound
 }
 
 func (lenders *lenders) Lend(_ context.Context, _ *exchange.Request, _ time.Duration, allowance Allowance) (*LentReply, error) {
--- /dev/null
+++ b/relay/path_test.go
@@ -0,0 +1,77 @@
+package relay
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/reach"
+)
+
+// always returns a path that is in the state.
+func always(state reach.State) func(string) reach.State {
+	return func(string) reach.State { return state }
+}
+
+// TestRequestsThatRunOnceGoOnProvedPathsOnly guards against issue 49: requests that may run once were sent on connections that yield
+// nothing, one after the other, and lost.
+func TestRequestsThatRunOnceGoOnProvedPathsOnly(t *testing.T) {
+	// after returns paths that change their state after a second.
+	after := func(next reach.State) func(string) reach.State {
+		begun := time.Now()
+		return func(string) reach.State {
+			if time.Since(begun) < time.Second {
+				return reach.Suspected
+			}
+			return next
+		}
+	}
+	cases := []struct {
+		name, target string
+		path         func() func(string) reach.State
+		lent         []lentStep
+		// body is that of the answer, and failure -1 if there is one. sentAfter is when the request is sent to a replica; it is
+		// negative if it is not.
+		body      string
+		failure   outcome.Kind
+		sentAfter time.Duration
+	}{
+		{"sound", "/once/x", func() func(string) reach.State { return always(reach.Sound) }, nil, "own", -1, 0},
+		{"proved after a second", "/once/x", func() func(string) reach.State { return after(reach.Sound) }, nil, "own", -1, time.Second},
+		{"dead after a second", "/once/x", func() func(string) reach.State { return after(reach.Dead) }, []lentStep{{step: ok("lent")}}, "lent", -1, -1},
+		{"dead, and no daemon takes it", "/once/x", func() func(string) reach.State { return always(reach.Dead) }, nil, "", outcome.UpstreamRefused, -1},
+		{"suspected until the deadline", "/once/x", func() func(string) reach.State { return always(reach.Suspected) }, nil, "", outcome.DeadlineInQueue, -1},
+		{"suspected, and may run again", "/again/x", func() func(string) reach.State { return always(reach.Suspected) }, nil, "own", -1, 0},
+		{"one of two is sound", "/once/x", func() func(string) reach.State {
+			return func(id string) reach.State { return map[string]reach.State{"plaina": reach.Suspected}[id] }
+		}, nil, "own", -1, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fixture := newFixture(ok("own"))
+				begun := time.Now()
+				fixture.relay.deps.Lender = &lenders{path: c.path(), steps: c.lent}
+				failure := fixture.serve(t.Context(), c.target)
+				kind := outcome.Kind(-1)
+				if failure != nil {
+					kind = failure.Kind
+				}
+				if kind != c.failure || fixture.client.body.String() != c.body {
+					t.Errorf("ended as %v with %q", failure, fixture.client.body.String())
+				}
+				if failure != nil && failure.Kind.Entry().Execution != outcome.NotRun {
+					t.Errorf("%v does not say that the request has not run", failure)
+				}
+				sent := fixture.upstream.sent
+				if (len(sent) > 0) != (c.sentAfter >= 0) {
+					t.Fatalf("sent %d times", len(sent))
+				}
+				if len(sent) > 0 && sent[0].Sub(begun).Round(2*pathPollInterval) != c.sentAfter {
+					t.Errorf("sent after %v", sent[0].Sub(begun))
+				}
+			})
+		})
+	}
+}
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -10,6 +10,7 @@
 	"github.com/bronzestall/bronzestall/balance"
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/reach"
 )
 
 const (
@@ -113,6 +114,9 @@
 			return balance.Candidate{}, false, failure
 		}
 	}
+	if worst := selection.worstPath(candidates); worst == reach.Suspected || worst == reach.Dead {
+		return balance.Candidate{}, false, selection.waitForPath(ctx, worst, changes)
+	}
 	available := selection.availability(candidates, !selection.counted, now)
 	selection.counted = true
 	selection.criteria.MaxLoad = selection.maxLoad(now)
--- a/relay/transaction.go
+++ b/relay/transaction.go
@@ -112,6 +112,9 @@
 			continue
 		}
 		candidate, failure := transaction.selectReplica(ctx)
+		if failure == lendInstead {
+			continue
+		}
 		if failure != nil {
 			return transaction.finalFailure(ctx, failure)
 		}
