End no attempt whose replica is only silent, when the daemon reaches no other

A begun stream was ended while its replica was alive and silent for a moment, if this daemon counted as cut off or a successor could not be sent twice: the attempt went on at another daemon, or was lost if none took it.

Cause: the handover ended its attempt whenever the next one would go through another daemon.

Change: only an attempt whose own path is lost is ended for that. Otherwise the search goes on after a delay. relay.TestSilenceEndsNoAttempt failed before ("cut off, the path is only suspected": passed on once), and passes, as do the tests of relay under the race detector.

--- a/relay/handover.go
+++ b/relay/handover.go
@@ -215,9 +215,12 @@
 		return true
 	}
 	if seeker.lends() {
-		// This daemon reaches no replica, so that the attempt can't go on either.
+		// An attempt goes on unless its own path is lost: its replica may only be silent for a while.
 		cancel(nil)
 		handover.endSearch(seeker, nil)
+		if !seeker.isPathLost(handover.leg.candidate) {
+			return false
+		}
 		handover.leg.cancel(errStalled)
 		return true
 	}
--- a/relay/lender.go
+++ b/relay/lender.go
@@ -120,6 +120,12 @@
 	return len(candidates) > 0 && len(transaction.without(candidates, reach.State.Lost)) == 0
 }
 
+// isPathLost reports whether this daemon does not reach the replica of the candidate.
+func (transaction *transaction) isPathLost(candidate balance.Candidate) bool {
+	lender := transaction.relay.deps.Lender
+	return lender.Path(candidate.Incarnation, candidate.Address).Lost()
+}
+
 // reachable returns the candidates with sound paths, or else those whose paths are not lost, or all if there are none either.
 func (transaction *transaction) reachable(candidates []balance.Candidate) []balance.Candidate {
 	lender := transaction.relay.deps.Lender
--- a/relay/path_test.go
+++ b/relay/path_test.go
@@ -1,12 +1,15 @@
 package relay
 
 import (
+	"io"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/bronzestall/bronzestall/exchange"
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/reach"
+	"github.com/bronzestall/bronzestall/topology"
 )
 
 // always returns a path that is in the state.
@@ -75,3 +78,55 @@
 		})
 	}
 }
+
+// cutLenders is a Lender to which all paths are sound until a time.
+type cutLenders struct {
+	*lenders
+	from time.Time
+}
+
+func (lenders *cutLenders) CutOff() bool {
+	return lenders.lenders.CutOff() && !time.Now().Before(lenders.from)
+}
+
+func (lenders *cutLenders) Path(replica topology.Incarnation, address string) reach.State {
+	if time.Now().Before(lenders.from) {
+		return reach.Sound
+	}
+	return lenders.lenders.Path(replica, address)
+}
+
+// TestSilenceEndsNoAttempt guards against a daemon that ended an attempt whose replica was silent for a while, since two connections to
+// other replicas could not be opened or the daemon counted as cut off. An attempt whose own path is lost is ended and passed on.
+func TestSilenceEndsNoAttempt(t *testing.T) {
+	unsent := step{err: exchange.ErrNotSent}
+	pausing := func() step { return parted(io.EOF, part{0, events(1, 2)}, part{2 * time.Second, events(3, 4)}) }
+	cases := []struct {
+		name   string
+		cutOff bool
+		path   func(string) reach.State
+		lent   int
+	}{
+		{"others are not reached", false, nil, 0},
+		{"cut off, the path is only suspected", true, always(reach.Suspected), 0},
+		{"cut off, the path is dead", true, always(reach.Dead), 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fixture := newFixture(pausing(), unsent, unsent, unsent, unsent)
+				lender := &lenders{steps: []lentStep{{step: ok(events(3, 4))}}}
+				lender.cutOff, lender.path = c.cutOff, c.path
+				fixture.relay.deps.Lender = &cutLenders{lender, time.Now().Add(500 * time.Millisecond)}
+				failure := fixture.serve(t.Context(), "/resume/x")
+				synctest.Wait()
+				if failure != nil || fixture.client.body.String() != events(1, 4) {
+					t.Errorf("ended as %v with %q", failure, fixture.client.body.String())
+				}
+				if len(lender.allowances) != c.lent {
+					t.Errorf("passed on %d times", len(lender.allowances))
+				}
+			})
+		})
+	}
+}
