Let the front soak cut links that accept connections, in part, one way and on and off

Now links also accept and yield nothing, pass bytes one way, or reset; of up to three quarters of the daemons; to all replicas, one service or some replicas; and now and then three times a second long. TestDaemonsWithMuteLinksServe has a case of links that pass requests on and no answers back.

--- a/internal/frontsoak/cut_test.go
+++ b/internal/frontsoak/cut_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -70,6 +71,7 @@
 		{"one daemon", mute, []int{1}, []int{0, 2, 3}},
 		{"a data centre", mute, []int{0, 2}, []int{1, 3}},
 		{"three quarters of the daemons", mute, []int{0, 1, 2}, []int{3}},
+		{"one daemon, one way", oneWay, []int{1}, []int{0, 2, 3}},
 	})
 }
 
@@ -175,29 +177,68 @@
 	return result
 }
 
-// injectCuts cuts the links of some daemons to all replicas again and again until the context ends, and heals them. It has its own
-// random source, so that the other faults of a seed do not depend on it.
+// injectCuts cuts links of some daemons again and again until the context ends, and heals them: to all replicas, to those of one service
+// or to some, and now and then a second on and off. It has its own random source, so that the other faults of a seed do not depend on it.
 func (testbed *testbed) injectCuts(ctx context.Context, t *testing.T, seed uint64, views []*view) {
 	random := rand.New(rand.NewPCG(seed, 12))
 	for ctx.Err() == nil {
 		time.Sleep(time.Duration(500+random.IntN(2500)) * time.Millisecond)
-		fault := []linkFault{refused, hanging}[random.IntN(2)]
+		fault := []linkFault{refused, hanging, mute, oneWay, resetting}[random.IntN(5)]
 		length := time.Duration(300+random.IntN(3500)) * time.Millisecond
+		scope, selected := testbed.drawScope(random)
+		count := 1 + random.IntN(max(3*len(views)/4, 1))
 		var cut []*view
-		for _, number := range random.Perm(len(views))[:1+random.IntN(max(len(views)/2, 1))] {
-			cut = append(cut, views[number])
+		for _, number := range random.Perm(len(views))[:count] {
+			cut = append(cut, views[number].some(selected))
 		}
-		t.Logf("links of %d daemons cut for %v, fault %d", len(cut), length, fault)
-		for _, view := range cut {
-			if err := view.each(func(link *replicaLink) error { return link.cut(fault) }); err != nil {
-				t.Error(err)
-			}
+		flaps := 1
+		if random.IntN(4) == 0 {
+			flaps, length = 3, time.Second
 		}
-		time.Sleep(length)
-		for _, view := range cut {
-			if err := view.each(func(link *replicaLink) error { return link.heal() }); err != nil {
+		t.Logf("links of %d daemons to %s cut for %v, %d times, fault %d", len(cut), scope, length, flaps, fault)
+		for flap := range flaps {
+			if flap > 0 {
+				time.Sleep(length)
+			}
+			if err := cutFor(cut, fault, length); err != nil {
 				t.Error(err)
 			}
 		}
 	}
 }
+
+// drawScope draws the replicas to which links are cut, with a name for the log.
+func (testbed *testbed) drawScope(random *rand.Rand) (name string, selected func(target string) bool) {
+	all := func(string) bool { return true }
+	chosen := map[string]bool{}
+	kind := random.IntN(4)
+	drawn := random.IntN(2)
+	for number, replica := range testbed.replicas {
+		switch {
+		case kind == 1 && replica.service == []string{engineService, plainService}[drawn]:
+			chosen[replica.proxy.address()] = true
+		case kind == 2 && number%2 == drawn:
+			chosen[replica.proxy.address()] = true
+		}
+	}
+	switch kind {
+	case 1:
+		return "one service", func(target string) bool { return chosen[target] }
+	case 2:
+		return "some replicas", func(target string) bool { return chosen[target] }
+	}
+	return "all replicas", all
+}
+
+// cutFor cuts the links of the views for the length, and heals them.
+func cutFor(views []*view, fault linkFault, length time.Duration) error {
+	var failures []error
+	for _, view := range views {
+		failures = append(failures, view.each(func(link *replicaLink) error { return link.cut(fault) }))
+	}
+	time.Sleep(length)
+	for _, view := range views {
+		failures = append(failures, view.each(func(link *replicaLink) error { return link.heal() }))
+	}
+	return errors.Join(failures...)
+}
--- a/internal/frontsoak/links_test.go
+++ b/internal/frontsoak/links_test.go
@@ -20,6 +20,8 @@
 	hanging
 	// mute stalls open connections, accepts new ones and passes no byte on.
 	mute
+	// oneWay passes bytes on to replicas and none back.
+	oneWay
 	// resetting resets open connections, and new ones as soon as they are accepted.
 	resetting
 )
@@ -77,6 +79,9 @@
 	case mute:
 		link.endStall = link.proxy.begin(proxyFault{stalls: true})
 		return nil
+	case oneWay:
+		link.endStall = link.proxy.begin(proxyFault{mutes: true})
+		return nil
 	case resetting:
 		link.endStall = link.proxy.begin(proxyFault{refuses: true})
 		link.proxy.resetAll()
@@ -203,6 +208,21 @@
 	return nil
 }
 
+func newPart(store *store) *view {
+	return &view{store: store, links: map[string]*replicaLink{}}
+}
+
+// some returns a view with the links that the function selects, to cut these only.
+func (view *view) some(selected func(target string) bool) *view {
+	part := newPart(view.store)
+	for address, link := range view.links {
+		if selected(link.target) {
+			part.links[address] = link
+		}
+	}
+	return part
+}
+
 // rewrite returns the row with the address of the daemon's own link.
 func (view *view) rewrite(next row) row {
 	if next.Table != "servers" || next.Deleted {
--- a/internal/frontsoak/proxy_test.go
+++ b/internal/frontsoak/proxy_test.go
@@ -23,8 +23,9 @@
 
 // proxyFault is a fault of a proxy.
 type proxyFault struct {
-	// stalls states that no bytes are forwarded, and refuses that new connections are reset.
-	stalls, refuses bool
+	// stalls states that no bytes are forwarded, mutes that none are from the target to clients, and refuses that new connections are
+	// reset.
+	stalls, mutes, refuses bool
 	// delay is added before each forwarded chunk.
 	delay time.Duration
 }
@@ -50,7 +51,8 @@
 	defer proxy.mutex.Unlock()
 	var sum proxyFault
 	for fault := range proxy.faults {
-		sum.stalls, sum.refuses, sum.delay = sum.stalls || fault.stalls, sum.refuses || fault.refuses, max(sum.delay, fault.delay)
+		sum.stalls, sum.mutes = sum.stalls || fault.stalls, sum.mutes || fault.mutes
+		sum.refuses, sum.delay = sum.refuses || fault.refuses, max(sum.delay, fault.delay)
 	}
 	return sum
 }
@@ -101,8 +103,8 @@
 	proxy.connections[inbound] = outbound
 	proxy.mutex.Unlock()
 	done := make(chan bool, 2)
-	go func() { done <- proxy.copyOneWay(outbound, inbound) }()
-	go func() { done <- proxy.copyOneWay(inbound, outbound) }()
+	go func() { done <- proxy.copyOneWay(outbound, inbound, false) }()
+	go func() { done <- proxy.copyOneWay(inbound, outbound, true) }()
 	if clean := <-done; !clean {
 		reset(inbound)
 		reset(outbound)
@@ -114,13 +116,13 @@
 	proxy.mutex.Unlock()
 }
 
-// copyOneWay copies bytes until the source ends, and reports whether it ended without an error.
-func (proxy *proxy) copyOneWay(to, from net.Conn) bool {
+// copyOneWay copies bytes until the source ends, and reports whether it ended without an error. toClient states the direction.
+func (proxy *proxy) copyOneWay(to, from net.Conn, toClient bool) bool {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
 		wasStalled := false
-		for proxy.stalling() {
+		for proxy.stalling(toClient) {
 			wasStalled = true
 			time.Sleep(5 * time.Millisecond)
 		}
@@ -139,11 +141,11 @@
 	}
 }
 
-// stalling waits for the delay and reports whether the proxy is stalled.
-func (proxy *proxy) stalling() bool {
+// stalling waits for the delay and reports whether the proxy is stalled in the direction.
+func (proxy *proxy) stalling(toClient bool) bool {
 	fault := proxy.fault()
 	time.Sleep(fault.delay)
-	return fault.stalls
+	return fault.stalls || fault.mutes && toClient
 }
 
 // setTarget sets the address to which new connections are forwarded.
