Pass a repeatable request on after a reset, when no path of it is sound

After one, relay takes sound paths only, or another daemon. relay.TestResetRequestsArePassedOn failed before ("own" in place of "lent", two attempts of this daemon); it and the tests of connection, platform and relay pass.

--- a/connection/pool.go
+++ b/connection/pool.go
@@ -61,15 +61,15 @@
 	if err != nil {
 		stop()
 		c.abort()
-		pool.reportFailure(ctx, c, err, begun)
-		return nil, &transport.Error{NotSent: written == 0, Cause: trace.Wrap(err)}
+		reset := pool.reportFailure(ctx, c, err, begun)
+		return nil, &transport.Error{NotSent: written == 0, Reset: reset, Cause: trace.Wrap(err)}
 	}
 	response, err := pool.receive(c, call)
 	if err != nil {
 		stop()
 		c.abort()
-		pool.reportFailure(ctx, c, err, begun)
-		return nil, &transport.Error{Cause: trace.Wrap(err)}
+		reset := pool.reportFailure(ctx, c, err, begun)
+		return nil, &transport.Error{Reset: reset, Cause: trace.Wrap(err)}
 	}
 	pool.reportBytes(c)
 	response.Body = &body{pool: pool, conn: c, inner: response.Body, stop: stop, reuse: reusable(response, call), idle: pool.idleTime(response)}
--- a/connection/proof.go
+++ b/connection/proof.go
@@ -34,8 +34,8 @@
 }
 
 // reportFailure tells the observer how a call failed that began at the time and was not cancelled. On a connection that was used
-// before, a reset says nothing: the upstream may close it while it is unused.
-func (pool *Pool) reportFailure(ctx context.Context, c *conn, err error, begun time.Time) {
+// before, a reset says nothing: the upstream may close it while it is unused. It returns whether a new connection ended before any byte.
+func (pool *Pool) reportFailure(ctx context.Context, c *conn, err error, begun time.Time) bool {
 	switch {
 	case c.limited.received:
 		pool.reportBytes(c)
@@ -44,5 +44,7 @@
 		pool.settings.Observer.Failed(c.key, reach.Silent, begun)
 	case !c.reused:
 		pool.settings.Observer.Failed(c.key, reach.Reset, begun)
+		return true
 	}
+	return false
 }
--- a/internal/transport/error.go
+++ b/internal/transport/error.go
@@ -6,6 +6,8 @@
 type Error struct {
 	// NotSent states that no byte of the request was written to a connection or can still be written.
 	NotSent bool
+	// Reset states that a new connection ended before any byte of a response.
+	Reset bool
 	// Cause is the error of the connection or of the context.
 	Cause error
 }
@@ -29,3 +31,9 @@
 	var failure *Error
 	return errors.As(err, &failure) && failure.NotSent
 }
+
+// IsReset reports whether err is an Error that states that a new connection ended before any byte of a response.
+func IsReset(err error) bool {
+	var failure *Error
+	return errors.As(err, &failure) && failure.Reset
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -134,6 +134,9 @@
 		return result{failure: contextFailure(ctx, true)}
 	}
 	transaction.endAt(candidate, true)
+	if errors.Is(err, exchange.ErrReset) {
+		transaction.resets++
+	}
 	if ctx.Err() == nil && !transaction.lending && brokeOff(err) {
 		transaction.countCrash(candidate, now)
 	}
--- a/relay/lender.go
+++ b/relay/lender.go
@@ -116,8 +116,13 @@
 	if !lender.AnyDoubted() {
 		return false
 	}
+	// After a reset, another path that is not sound is not tried.
+	excluded := reach.State.Lost
+	if transaction.resets > 0 {
+		excluded = isDoubted
+	}
 	candidates := transaction.ofRelease(transaction.holders())
-	return len(candidates) > 0 && len(transaction.without(candidates, reach.State.Lost)) == 0
+	return len(candidates) > 0 && len(transaction.without(candidates, excluded)) == 0
 }
 
 // isPathLost reports whether this daemon does not reach the replica of the candidate.
--- a/relay/path_test.go
+++ b/relay/path_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"io"
 	"testing"
 	"testing/synctest"
@@ -130,3 +131,29 @@
 		})
 	}
 }
+
+// TestResetRequestsArePassedOn guards against issue 49: a request that may be repeated and whose new connection was reset was sent on the
+// next path of the same kind, although no path is sound.
+func TestResetRequestsArePassedOn(t *testing.T) {
+	reset := step{err: errors.Join(exchange.ErrLost, exchange.ErrReset)}
+	for _, c := range []struct {
+		target string
+		path   func(string) reach.State
+		body   string
+		own    int
+	}{
+		{"/again/x", always(reach.Suspected), "lent", 1},
+		{"/again/x", func(id string) reach.State { return map[string]reach.State{"plaina": reach.Suspected}[id] }, "own", 2},
+	} {
+		fixture := newFixture(reset, ok("own"))
+		saveRetries(fixture)
+		fixture.relay.deps.Lender = &lenders{path: c.path, steps: []lentStep{{step: ok("lent")}}}
+		failure := fixture.serve(t.Context(), c.target)
+		if failure != nil || fixture.client.body.String() != c.body {
+			t.Errorf("%s ended as %v with %q", c.target, failure, fixture.client.body.String())
+		}
+		if len(fixture.upstream.attempts) != c.own {
+			t.Errorf("%s was sent %d times", c.target, len(fixture.upstream.attempts))
+		}
+	}
+}
--- a/relay/transaction.go
+++ b/relay/transaction.go
@@ -68,6 +68,8 @@
 type progress struct {
 	// unreached counts the attempts that could not be sent.
 	unreached int
+	// resets counts the attempts whose new connections ended before any byte of a response.
+	resets int
 	// sends counts the attempts, and runs those of them that may have run the request.
 	sends, runs int
 	// tried lists the replicas whose attempts failed; the balancer chooses them last.
@@ -81,6 +83,7 @@
 // adopt adds what a copy of the transaction has come to, from base to after, while the transaction itself chose no replica.
 func (progress *progress) adopt(base, after progress) {
 	progress.unreached += after.unreached - base.unreached
+	progress.resets += after.resets - base.resets
 	progress.sends += after.sends - base.sends
 	progress.runs += after.runs - base.runs
 	progress.tried, progress.sentTo, progress.trial = after.tried, after.sentTo, after.trial
