Give sound replicas more time before silence counts, and refuse early at those silent for all

- Probes are priced, and a replica with long prompts would be probed for each: a path is suspected after half as long again as attempts took lately until the first byte, 0.4 to 1 s.
- A health check waits for a slot, so that a full replica could pass for one that answers others only: others must have had an answer 800 ms, not 500, after the probe began.
Probes end after 2 s, those of lost paths after 750 ms, so that the end of a cut is still found in time.
- A request that may run once waited until its deadline for a replica that is dead for all.
After 2.5 s of suspicion it is refused at once, as not run.

--- a/front/paths.go
+++ b/front/paths.go
@@ -112,8 +112,8 @@
 		return
 	}
 	replicas := daemon.replicasByPath()
-	for _, path := range work.Probes {
-		go daemon.probe(ctx, path, replicas[path])
+	for _, probe := range work.Probes {
+		go daemon.probe(ctx, probe, replicas[probe.Key])
 	}
 	var asked []topology.Incarnation
 	for _, path := range work.Questions {
@@ -151,16 +151,16 @@
 }
 
 // probe asks the replica for a response. It does nothing if the replica is not known any more, or wants nothing for a while.
-func (daemon *Daemon) probe(ctx context.Context, path string, replica topology.Replica) {
+func (daemon *Daemon) probe(ctx context.Context, probe reach.Probe, replica topology.Replica) {
 	if _, backsOff := daemon.notices.BackoffUntil(replica.Incarnation, daemon.clock.Now()); backsOff || replica.Address == "" {
-		daemon.paths.SkipProbe(path)
+		daemon.paths.SkipProbe(probe.Key)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, reach.ProbeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, probe.Timeout)
 	defer cancel()
 	// The observer is told of failures.
 	_ = daemon.upstream.Probe(ctx, replica.Incarnation, replica.Address, daemon.healthPath(replica.Service))
-	daemon.logCutOff(path, daemon.paths.ProbeEnded(path, daemon.clock.Now()))
+	daemon.logCutOff(probe.Key, daemon.paths.ProbeEnded(probe.Key, daemon.clock.Now()))
 }
 
 // healthPath returns the path of the health check of a service, or nothing if it has engines.
--- a/front/witness.go
+++ b/front/witness.go
@@ -28,10 +28,12 @@
 		}
 		replicas = append(replicas, replica)
 		path, now := replicaPath(&replica), daemon.clock.Now()
-		if now.Sub(daemon.paths.Known(path, now).Proved) < recentProof || !daemon.paths.BeginProbe(path, now) {
+		if now.Sub(daemon.paths.Known(path, now).Proved) < recentProof {
 			continue
 		}
-		probes.Go(func() { daemon.probe(context.WithoutCancel(ctx), path, replica) })
+		if probe, ok := daemon.paths.BeginProbe(path, now); ok {
+			probes.Go(func() { daemon.probe(context.WithoutCancel(ctx), probe, replica) })
+		}
 	}
 	daemon.awaitProbes(ctx, &probes)
 	var proofs []mesh.Proof
--- a/reach/histories_test.go
+++ b/reach/histories_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -130,3 +131,78 @@
 		}
 	}
 }
+
+// TestPausesAndCutsTogether covers both at once: each replica pauses for 0.1 to 5 s again and again, and a quarter of the daemons is cut
+// off from all replicas or from some, for 0.5 to 60 s. Of the cuts of 4 s or more from all replicas, 95 in 100 must be found within
+// 3 s, and fewer than one in 1,000 pauses of a replica may pass for a cut at a daemon.
+func TestPausesAndCutsTogether(t *testing.T) {
+	const length = 100 * time.Second
+	for _, size := range simSizes(t) {
+		pauses, wrong, cuts, found := 0, 0, 0, 0
+		for seed := range uint64(4) {
+			sim := newSimulation(size, seed)
+			for replica := range simReplicas {
+				sim.pauses[replica] = sim.spans(length, 4*time.Second, 100*time.Millisecond, 5*time.Second)
+				pauses += len(sim.pauses[replica]) * size
+			}
+			for number := range max(size/4, 1) {
+				spans := sim.spans(length, 10*time.Second, 500*time.Millisecond, 60*time.Second)
+				for replica := range []int{simReplicas, simReplicas / 3}[number%2] {
+					sim.cuts[number][replica] = spans
+				}
+			}
+			sim.run(length)
+			for _, daemon := range sim.daemons {
+				wrong += daemon.wrong
+				for index, cut := range sim.cuts[daemon.number][simReplicas-1] {
+					// A cut that follows another at once meets a daemon that is cut off still.
+					if cut.to-cut.from < 4*time.Second || index > 0 && cut.from-sim.cuts[daemon.number][0][index-1].to < 4*time.Second {
+						continue
+					}
+					cuts++
+					if slices.ContainsFunc(daemon.cutOffs, func(at time.Duration) bool { return cut.from <= at && at <= cut.from+3*time.Second }) {
+						found++
+					}
+				}
+			}
+		}
+		t.Logf("%d daemons: %d of %d pauses passed for cuts, %d of %d cuts found in time", size, wrong, pauses, found, cuts)
+		if float64(wrong) > 0.001*float64(pauses) || float64(found) < 0.95*float64(cuts) {
+			t.Errorf("%d daemons: wrong conclusions", size)
+		}
+	}
+}
+
+// spans returns periods between the given lengths, with the mean gap between them, within the length.
+func (sim *simulation) spans(length, gap, shortest, longest time.Duration) (spans []span) {
+	for at := 2*time.Second + sim.upTo(2*gap); at < length-10*time.Second; {
+		next := span{from: at, to: at + shortest + sim.upTo(longest-shortest), resets: sim.random.IntN(2) == 0}
+		spans = append(spans, next)
+		at = next.to + gap/2 + sim.upTo(gap)
+	}
+	return spans
+}
+
+// TestFlappingPathsCostNoMoreThanCutOnes compares paths that yield nothing in every other second with paths that never do.
+func TestFlappingPathsCostNoMoreThanCutOnes(t *testing.T) {
+	swallowed := func(spans []span) (count int) {
+		for seed := range uint64(10) {
+			sim := newSimulation(4, seed)
+			for replica := range simReplicas {
+				sim.cuts[0][replica] = spans
+			}
+			sim.run(45 * time.Second)
+			count += sim.daemons[0].swallowed
+		}
+		return count
+	}
+	var flaps []span
+	for at := 5 * time.Second; at < 35*time.Second; at += 2 * time.Second {
+		flaps = append(flaps, span{from: at, to: at + time.Second})
+	}
+	cut, flapping := swallowed([]span{{from: 5 * time.Second, to: 35 * time.Second}}), swallowed(flaps)
+	t.Logf("%d requests swallowed by cut paths, %d by flapping ones", cut, flapping)
+	if flapping > cut {
+		t.Error("paths that flap cost more than paths that are cut")
+	}
+}
--- a/reach/path.go
+++ b/reach/path.go
@@ -12,6 +12,8 @@
 	proved time.Time
 	// awaited lists when the attempts began that have yielded nothing yet.
 	awaited []time.Time
+	// usual is the longest time that attempts took until the first byte lately.
+	usual time.Duration
 	// suspected is since when the path is suspected, and suspectedBegun when the attempt began that made it so; both are zero if it
 	// is not.
 	suspected, suspectedBegun time.Time
@@ -26,6 +28,8 @@
 	vouched time.Time
 	// probeBegun is when the probe began that is under way; zero if none is.
 	probeBegun time.Time
+	// probeTimeout is the time after which the last probe ended, or ends, without an answer.
+	probeTimeout time.Duration
 	// nextProbe is the earliest time of the next probe, and probeDelay the time between the last two.
 	nextProbe  time.Time
 	probeDelay time.Duration
@@ -40,10 +44,12 @@
 		return Dead
 	case path.isLost(now):
 		return Closed
-	case !path.suspected.IsZero():
+	case path.suspected.IsZero():
+		return Sound
+	case now.Sub(path.suspected) < longestPause:
 		return Suspected
 	}
-	return Sound
+	return Absent
 }
 
 // isLost reports whether the path was found lost, lately.
@@ -64,8 +70,13 @@
 // proof returns the path after a proof. The probe that is under way stays known.
 func (path *path) proof(now time.Time) (proved path) {
 	proved.proved, proved.vouched = now, path.vouched
+	proved.usual = path.usual
+	if len(path.awaited) > 0 {
+		took := now.Sub(path.awaited[0])
+		proved.usual = max(took, path.usual-path.usual/usualDecay)
+	}
 	proved.awaited = path.awaited[:0]
-	proved.probeBegun = path.probeBegun
+	proved.probeBegun, proved.probeTimeout = path.probeBegun, path.probeTimeout
 	proved.nextProbe = path.nextProbe
 	return proved
 }
@@ -105,6 +116,11 @@
 	return true
 }
 
+// suspectAfter returns the time without any byte of the replica after which an attempt makes the path suspected.
+func (path *path) suspectAfter() time.Duration {
+	return min(max(minSuspectAfter, path.usual+path.usual/2), maxSuspectAfter)
+}
+
 // endAttempt forgets one attempt that began at the time, and suspects the path if it had yielded nothing for long.
 func (path *path) endAttempt(begun, now time.Time) {
 	at := slices.Index(path.awaited, begun)
@@ -112,7 +128,7 @@
 		return
 	}
 	path.awaited = slices.Delete(path.awaited, at, at+1)
-	if now.Sub(begun) >= suspectAfter {
+	if now.Sub(begun) >= path.suspectAfter() {
 		path.suspect(begun, now)
 	}
 }
@@ -120,7 +136,7 @@
 // observeSilence suspects the path if an attempt has yielded nothing for long.
 func (path *path) observeSilence(now time.Time) {
 	for _, begun := range path.awaited {
-		if now.Sub(begun) >= suspectAfter {
+		if now.Sub(begun) >= path.suspectAfter() {
 			path.suspect(begun, now)
 			return
 		}
--- a/reach/paths.go
+++ b/reach/paths.go
@@ -12,14 +12,21 @@
 	minLost = 2
 	// lossExpiry is how long a failure to reach a replica counts.
 	lossExpiry = 5 * time.Second
-	// suspectAfter is the time without any byte of a replica after which an attempt makes the path suspected.
-	suspectAfter = 400 * time.Millisecond
+	// minSuspectAfter is the time without any byte of a replica after which an attempt makes the path suspected. It is half as long
+	// again as attempts took lately, up to maxSuspectAfter, since probes are priced and long prompts take time.
+	minSuspectAfter = 400 * time.Millisecond
+	maxSuspectAfter = time.Second
+	// usualDecay is the number of attempts over which the longest time of one is forgotten.
+	usualDecay = 32
 	// resetsSpan is the least time between the first and the last of several resets that show that a path is lost. A replica that has
 	// too many connections resets new ones and answers on others meanwhile.
 	resetsSpan = 100 * time.Millisecond
-	// answerTime is the time within which a sound path yields the answer to a probe. Another daemon must have had an answer later than
-	// that after the probe began, and graceTime ago, for the path to count as cut: at the end of a pause, all answers come at once.
-	answerTime = 500 * time.Millisecond
+	// longestPause is the time for which a path stays suspected. Sound replicas pause for 2 s at most.
+	longestPause = 2500 * time.Millisecond
+	// answerTime is the time within which a sound path yields the answer to a probe, which waits for a slot at replicas without models.
+	// Another daemon must have had an answer later than that after the probe began, and graceTime ago, for the path to count as cut:
+	// at the end of a pause, all answers come at once.
+	answerTime = 800 * time.Millisecond
 	graceTime  = 100 * time.Millisecond
 )
 
@@ -28,6 +35,8 @@
 	mutex sync.Mutex
 	// replicas maps the keys of replicas to what is known of the path.
 	replicas map[string]*path
+	// sorted lists the keys in order; nil if they changed.
+	sorted []string
 	// lost is the number of paths that were found lost and not proved since, and doubted that of those that were suspected or lost.
 	lost, doubted atomic.Int64
 	// reached is when any replica was last reached.
@@ -170,6 +179,7 @@
 	if !ok {
 		known = &path{}
 		paths.replicas[key] = known
+		paths.sorted = nil
 	}
 	return known
 }
@@ -246,6 +256,7 @@
 		if !keys[key] {
 			paths.count(known, -1)
 			delete(paths.replicas, key)
+			paths.sorted = nil
 		}
 	}
 }
--- a/reach/state.go
+++ b/reach/state.go
@@ -37,6 +37,8 @@
 	// Suspected means that an attempt yielded nothing for a while or was reset, and that nothing was proved since: the replica may
 	// pause, or the path may be cut.
 	Suspected
+	// Absent means that the path has been suspected for longer than replicas pause: the replica is likely dead for all daemons.
+	Absent
 	// Closed means that connections cannot be opened, so that nothing is sent.
 	Closed
 	// Dead means that connections are opened and yield nothing: the replica answers other daemons meanwhile, or they are reset again
@@ -46,7 +48,7 @@
 
 // Lost reports whether the daemon does not reach the replica.
 func (state State) Lost() bool {
-	return state == Closed || state == Dead
+	return state >= Closed
 }
 
 // Change is how an observation changed what the daemon concludes about itself.
--- a/reach/work.go
+++ b/reach/work.go
@@ -1,6 +1,10 @@
 package reach
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	// minProbes is the least number of probes that begin at once, if as many are due; of more, one in probeShare begins.
@@ -16,13 +20,24 @@
 	maxQuestions = 16
 )
 
-// ProbeTimeout is the time after which a probe ends without an answer.
-const ProbeTimeout = 1500 * time.Millisecond
+const (
+	// probeTimeout is the time after which a probe ends without an answer. That of a path that is lost ends sooner, so that the next
+	// one finds soon that the path is back.
+	probeTimeout     = 2 * time.Second
+	lostProbeTimeout = 750 * time.Millisecond
+)
+
+// Probe is a probe that must be sent to a replica now. ProbeEnded must be called at its end.
+type Probe struct {
+	Key string
+	// Timeout is the time after which it ends without an answer.
+	Timeout time.Duration
+}
 
 // Work is what a daemon must do to learn more of its paths.
 type Work struct {
-	// Probes lists the replicas to which a probe must be sent now. ProbeEnded must be called at the end of each.
-	Probes []string
+	// Probes lists the probes that must be sent now.
+	Probes []Probe
 	// Questions lists the replicas of which other daemons must be asked when they had an answer.
 	Questions []string
 	// Lost lists the replicas that were found lost since the last step.
@@ -36,7 +51,8 @@
 	paths.mutex.Lock()
 	defer paths.mutex.Unlock()
 	var due []string
-	for key, known := range paths.replicas {
+	for _, key := range paths.keys() {
+		known := paths.replicas[key]
 		if len(known.awaited) > 0 || !known.probeBegun.IsZero() {
 			paths.observe(key, now)
 		}
@@ -48,16 +64,24 @@
 			work.Questions = append(work.Questions, key)
 		}
 	}
+	slices.SortStableFunc(due, func(a, b string) int { return paths.replicas[a].nextProbe.Compare(paths.replicas[b].nextProbe) })
 	paths.observeSuspicion()
 	work.Change = paths.conclude(now)
 	work.Lost, paths.found = paths.found, nil
-	work.Probes = due[:min(len(due), max(minProbes, len(due)/probeShare))]
-	for _, key := range work.Probes {
-		paths.replicas[key].beginProbe(now)
+	for _, key := range due[:min(len(due), max(minProbes, len(due)/probeShare))] {
+		work.Probes = append(work.Probes, Probe{key, paths.replicas[key].beginProbe(now)})
 	}
 	return work
 }
 
+// keys returns the keys of the paths, in order.
+func (paths *Paths) keys() []string {
+	if paths.sorted == nil {
+		paths.sorted = slices.Sorted(maps.Keys(paths.replicas))
+	}
+	return paths.sorted
+}
+
 // mayProbe reports whether the replica is due to be probed: its path is doubted, or all are.
 func (paths *Paths) mayProbe(known *path, now time.Time) bool {
 	return (paths.cutOff || paths.allSuspected || known.isDoubted()) && known.probeBegun.IsZero() && !now.Before(known.nextProbe)
@@ -69,23 +93,27 @@
 		now.Sub(path.probeBegun) >= answerTime && !now.Before(path.nextQuestion)
 }
 
-// beginProbe records that a probe begins.
-func (path *path) beginProbe(now time.Time) {
+// beginProbe records that a probe begins, and returns the time after which it ends without an answer.
+func (path *path) beginProbe(now time.Time) time.Duration {
 	path.probeBegun = now
+	path.probeTimeout = probeTimeout
+	if !path.lost.IsZero() {
+		path.probeTimeout = lostProbeTimeout
+	}
 	path.nextProbe = now.Add(minProbeDelay)
+	return path.probeTimeout
 }
 
-// BeginProbe records that the replica is probed for another daemon, and reports whether it may be: not while a probe is under
-// way, or right after one. ProbeEnded must be called at the end.
-func (paths *Paths) BeginProbe(key string, now time.Time) bool {
+// BeginProbe returns a probe of the replica for another daemon, and whether it may be sent: not while one is under way, or right
+// after one.
+func (paths *Paths) BeginProbe(key string, now time.Time) (Probe, bool) {
 	paths.mutex.Lock()
 	defer paths.mutex.Unlock()
 	known := paths.get(key)
 	if !known.probeBegun.IsZero() || now.Before(known.nextProbe) {
-		return false
+		return Probe{}, false
 	}
-	known.beginProbe(now)
-	return true
+	return Probe{key, known.beginProbe(now)}, true
 }
 
 // ProbeEnded records the end of a probe that began last. If nothing came, it counts as Silent, unless a failure of another kind was
@@ -105,7 +133,7 @@
 	}
 	known.probeDelay = min(max(2*known.probeDelay, minProbeDelay), maxProbeDelay)
 	known.nextProbe = now.Add(known.probeDelay)
-	if now.Sub(begun) < ProbeTimeout {
+	if now.Sub(begun) < known.probeTimeout {
 		return paths.conclude(now)
 	}
 	return paths.fail(key, Silent, begun, now)
--- a/relay/path.go
+++ b/relay/path.go
@@ -15,27 +15,33 @@
 // lendInstead is the failure of a choice of a replica that ends since the request is to go through another daemon.
 var lendInstead = outcome.New(outcome.UpstreamRefused, "the request goes through another daemon")
 
-// worstPath returns the worst state of the paths to the candidates, of which reachable returns only equally good ones. Requests that
-// may run again go on any path, and it returns reach.Sound for them.
-func (transaction *transaction) worstPath(candidates []balance.Candidate) reach.State {
+// pathToWaitFor returns the state of the paths to the candidates that keeps a request that may run once from being sent: reach.Suspected
+// if it may wait for one, or else reach.Absent or reach.Dead if all that is sent would be lost. It returns reach.Sound if the request
+// may be sent. The candidates are those of reachable, so that either all paths are sound or none is.
+func (transaction *transaction) pathToWaitFor(candidates []balance.Candidate) reach.State {
 	lender := transaction.relay.deps.Lender
 	if lender == nil || transaction.route.Repeatable() || !lender.AnyDoubted() {
 		return reach.Sound
 	}
-	worst := reach.Sound
+	found := reach.Sound
 	for _, candidate := range candidates {
-		worst = max(worst, lender.Path(candidate.Incarnation, candidate.Address))
+		switch state := lender.Path(candidate.Incarnation, candidate.Address); state {
+		case reach.Suspected:
+			return state
+		case reach.Absent, reach.Dead:
+			found = max(found, state)
+		}
 	}
-	return worst
+	return found
 }
 
-// waitForPath lets a request that may run once wait while all paths to its replicas are suspected: on one that yields nothing it would
-// be lost. It returns why there is nothing to wait for, or nil after it has waited for a moment.
-func (selection *selection) waitForPath(ctx context.Context, worst reach.State, changes changes) *outcome.Error {
+// waitForPath lets a request that may run once wait while paths to its replicas are suspected: on one that yields nothing it would be
+// lost. It returns why there is nothing to wait for, or nil after it has waited for a moment.
+func (selection *selection) waitForPath(ctx context.Context, state reach.State, changes changes) *outcome.Error {
 	if selection.lends() {
 		return lendInstead
 	}
-	if worst == reach.Dead {
+	if state != reach.Suspected {
 		return outcome.New(outcome.UpstreamRefused, "connections to the replicas yield nothing").WithRetryAfter(retryAfterBusy)
 	}
 	selection.waitForChange(ctx, pathPollInterval, changes)
--- a/relay/path_test.go
+++ b/relay/path_test.go
@@ -45,6 +45,7 @@
 		{"proved after a second", "/once/x", func() func(string) reach.State { return after(reach.Sound) }, nil, "own", -1, time.Second},
 		{"dead after a second", "/once/x", func() func(string) reach.State { return after(reach.Dead) }, []lentStep{{step: ok("lent")}}, "lent", -1, -1},
 		{"dead, and no daemon takes it", "/once/x", func() func(string) reach.State { return always(reach.Dead) }, nil, "", outcome.UpstreamRefused, -1},
+		{"silent for all for long", "/once/x", func() func(string) reach.State { return always(reach.Absent) }, nil, "", outcome.UpstreamRefused, -1},
 		{"suspected until the deadline", "/once/x", func() func(string) reach.State { return always(reach.Suspected) }, nil, "", outcome.DeadlineInQueue, -1},
 		{"suspected, and may run again", "/again/x", func() func(string) reach.State { return always(reach.Suspected) }, nil, "own", -1, 0},
 		{"one of two is sound", "/once/x", func() func(string) reach.State {
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -114,8 +114,8 @@
 			return balance.Candidate{}, false, failure
 		}
 	}
-	if worst := selection.worstPath(candidates); worst == reach.Suspected || worst == reach.Dead {
-		return balance.Candidate{}, false, selection.waitForPath(ctx, worst, changes)
+	if state := selection.pathToWaitFor(candidates); state != reach.Sound {
+		return balance.Candidate{}, false, selection.waitForPath(ctx, state, changes)
 	}
 	available := selection.availability(candidates, !selection.counted, now)
 	selection.counted = true
