--- a/internal/frontsoak/links_test.go
+++ b/internal/frontsoak/links_test.go
@@ -18,6 +18,12 @@
 	refused linkFault = iota
 	// hanging stalls open connections, and lets attempts to open new ones go unanswered.
 	hanging
+	// mute stalls open connections, accepts new ones and passes no byte on.
+	mute
+	// oneWay passes bytes on to replicas and none back.
+	oneWay
+	// resetting resets open connections, and new ones as soon as they are accepted.
+	resetting
 )
 
 // replicaLink is the path from one daemon to one replica: a proxy of its own.
@@ -69,6 +75,18 @@
 func (link *replicaLink) cut(fault linkFault) error {
 	link.mutex.Lock()
 	defer link.mutex.Unlock()
+	switch fault {
+	case mute:
+		link.endStall = link.proxy.begin(proxyFault{stalls: true})
+		return nil
+	case oneWay:
+		link.endStall = link.proxy.begin(proxyFault{mutes: true})
+		return nil
+	case resetting:
+		link.endStall = link.proxy.begin(proxyFault{refuses: true})
+		link.proxy.resetAll()
+		return nil
+	}
 	_ = link.proxy.listener.Close()
 	if fault == refused {
 		link.proxy.resetAll()
@@ -134,6 +152,8 @@
 		link.endStall()
 		link.endStall = nil
 	}
+	// The listener of a link that accepted connections is still open.
+	_ = link.proxy.listener.Close()
 	link.proxy.resetAll()
 	var listener net.Listener
 	err := retry(func() (err error) {
@@ -188,6 +208,21 @@
 	return nil
 }
 
+func newPart(store *store) *view {
+	return &view{store: store, links: map[string]*replicaLink{}}
+}
+
+// some returns a view with the links that the function selects, to cut these only.
+func (view *view) some(selected func(target string) bool) *view {
+	part := newPart(view.store)
+	for address, link := range view.links {
+		if selected(link.target) {
+			part.links[address] = link
+		}
+	}
+	return part
+}
+
 // rewrite returns the row with the address of the daemon's own link.
 func (view *view) rewrite(next row) row {
 	if next.Table != "servers" || next.Deleted {
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -11,6 +11,7 @@
 	"github.com/bronzestall/bronzestall/balance"
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/reach"
 )
 
 const (
@@ -114,6 +115,9 @@
 			return balance.Candidate{}, false, failure
 		}
 	}
+	if state := selection.pathToWaitFor(candidates); state != reach.Sound {
+		return balance.Candidate{}, false, selection.waitForPath(ctx, state, changes)
+	}
 	available := selection.availability(candidates, !selection.counted, now)
 	selection.counted = true
 	selection.criteria.MaxLoad = selection.maxLoad(now)
