Keep the reads of the store for streams that are taken up apart

All daemons share the rate of the store's reads.

Change: the reads of one daemon begin at least 1 ms times the number of daemons apart, 1,000 a second for all together; take-ups that come meanwhile share the next read. The first one after a pause begins at once. front.TestReadsForTakeUpsArePaced is new.

--- a/front/releasereader.go
+++ b/front/releasereader.go
@@ -4,16 +4,22 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"github.com/bronzestall/bronzestall/platform"
 )
 
+// releaseReadInterval, times the number of daemons, is the shortest time between the begins of two reads of one daemon: it bounds the
+// reads of all daemons together to 1,000 a second, also if clients take up streams that never were.
+const releaseReadInterval = time.Millisecond
+
 // releaseReader reads which releases have replicas when streams are taken up. There is one read at a time, and all requests that
 // come before it begins share it.
 type releaseReader struct {
 	daemon *Daemon
-	// turn has room for one read.
-	turn chan struct{}
+	// turn has room for one read. Who has it may use begun, which is when the last read began.
+	turn  chan struct{}
+	begun time.Time
 
 	mutex sync.Mutex
 	// next is the read that has not begun; nil if there is none.
@@ -52,10 +58,9 @@
 func (reader *releaseReader) run() {
 	reader.turn <- struct{}{}
 	defer func() { <-reader.turn }()
-	reader.mutex.Lock()
-	begun := reader.next
-	reader.next = nil
-	reader.mutex.Unlock()
+	reader.daemon.clock.Sleep(reader.pause(reader.daemon.clock.Now()))
+	reader.begun = reader.daemon.clock.Now()
+	begun := reader.begin()
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	ok := reader.read(ctx) == nil
@@ -65,6 +70,21 @@
 	}
 }
 
+// pause returns the time until the next read may begin.
+func (reader *releaseReader) pause(now time.Time) time.Duration {
+	interval := releaseReadInterval * time.Duration(reader.daemon.daemonCount.Load())
+	return max(interval-now.Sub(reader.begun), 0)
+}
+
+// begin returns the read that begins now: those that come later share the next one.
+func (reader *releaseReader) begin() *releaseRead {
+	reader.mutex.Lock()
+	defer reader.mutex.Unlock()
+	begun := reader.next
+	reader.next = nil
+	return begun
+}
+
 // read reads what changed in the table since it was last read, or the whole table if the store does not know that. Decoding a row
 // records its release.
 func (reader *releaseReader) read(ctx context.Context) error {
--- a/front/releasereader_test.go
+++ b/front/releasereader_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/origin"
@@ -94,3 +95,25 @@
 		t.Error("a read of a store that is not there succeeded")
 	}
 }
+
+// TestReadsForTakeUpsArePaced covers a flood of streams that never were, taken up at many daemons: their reads of the store stay apart.
+func TestReadsForTakeUpsArePaced(t *testing.T) {
+	daemon := New(Settings{Name: "a", StoreAddress: "127.0.0.1:1"}, "", nil)
+	reader := daemon.releaseReader
+	now := daemon.clock.Now()
+	for _, c := range []struct {
+		daemons     int64
+		since, want time.Duration
+	}{
+		{4, 0, 4 * time.Millisecond},
+		{4, 5 * time.Millisecond, 0},
+		{363, 100 * time.Millisecond, 263 * time.Millisecond},
+		{363, time.Hour, 0},
+	} {
+		daemon.daemonCount.Store(c.daemons)
+		reader.begun = now.Add(-c.since)
+		if pause := reader.pause(now); pause != c.want {
+			t.Errorf("%d daemons, %v after a read: pause of %v, want %v", c.daemons, c.since, pause, c.want)
+		}
+	}
+}
