Read the recorded releases again after a gap in the history of the table

Cause: a whole read shows no removals, so that neither the row nor its removal was seen. The same class: what is not in a state was taken for what never was.

Change: when the whole table replaces a known one, the registry is incomplete until the table of origins, whose rows name the releases, was read again. A read of it that began before the gap does not count. Meanwhile other daemons are asked, as at a start.

front.TestReleaseThatCameAndWentUnseen failed before in three places (origin Only; the registry complete; one release known).

What was never recorded, because its daemon ended within the first 50 ms or before its turn to write, is still not known then (docs/design/releases.md, "Open").

--- a/event/front.go
+++ b/event/front.go
@@ -40,7 +40,7 @@
 	StreamContinued    = define(854, "StreamContinued", Info, "A stream that a replica began is sent on to a replica: LastEvent is the last event that the client has, and Begun the release that began it.")
 	StreamTakenUp      = define(855, "StreamTakenUp", Info, "A client goes on with a stream that an earlier request of it, Resumes, began: Source states how the release that began it is known, and the stream goes on only there; if it is Unknown, the request is refused.")
 	OriginsUnrecorded  = define(856, "OriginsUnrecorded", Warning, "The origins of streams could not be recorded in the store; the write is retried. Streams counts those concerned.")
-	OriginsRead        = define(857, "OriginsRead", Info, "The recorded origins of streams were read for the first time; Releases lists the services that have, or lately had, several releases.")
+	OriginsRead        = define(857, "OriginsRead", Info, "The recorded origins of streams were read, at the start or after the whole table of replicas was read anew; Releases lists the services that have, or lately had, several releases.")
 	ReleasesMixed      = define(858, "ReleasesMixed", Info, "A service has, or lately had, several releases, or no longer; while it has, the origins of its streams are recorded.")
 	PathsLost          = define(860, "PathsLost", Warning, "This daemon reaches no replica: connections to several could not be opened, and none was reached since. Replica is the last one.")
 	PathsBack          = define(861, "PathsBack", Info, "This daemon reaches a replica again; For is how long it reached none.")
--- a/front/originfinder.go
+++ b/front/originfinder.go
@@ -202,34 +202,41 @@
 	return answer, nil
 }
 
-// loadOrigins reads the recorded origins when the daemon starts, or else asks other daemons which releases serve, until one of
-// both succeeds.
+// loadOrigins reads the recorded origins when the daemon starts, and whenever rows of replicas may have come and gone unseen.
 func (daemon *Daemon) loadOrigins(ctx context.Context) error {
-	for !daemon.origins.IsComplete() {
-		if answer, err := daemon.readOrigins(ctx); err == nil {
-			daemon.completeOrigins(answer, "Store")
-			break
-		}
-		for _, peer := range daemon.mesh.Live() {
-			if answer, err := daemon.mesh.FindOrigins(ctx, peer.Address, mesh.OriginQuery{}); err == nil && answer.Complete {
-				daemon.completeOrigins(answer, peer.Name)
-				break
-			}
+	for ctx.Err() == nil {
+		if !daemon.origins.IsComplete() && !daemon.loadOriginsOnce(ctx) {
+			daemon.sleep(ctx, minRetryPause)
+			continue
 		}
-		daemon.sleep(ctx, minRetryPause)
-		if ctx.Err() != nil {
-			return ctx.Err()
+		select {
+		case <-daemon.origins.Lacking():
+		case <-ctx.Done():
 		}
 	}
-	<-ctx.Done()
 	return ctx.Err()
 }
 
-// completeOrigins applies the first answer that names all releases of lately.
-func (daemon *Daemon) completeOrigins(answer mesh.OriginAnswer, source string) {
+// loadOriginsOnce reads the recorded origins, or else asks other daemons which releases serve, and reports whether the registry is
+// complete.
+func (daemon *Daemon) loadOriginsOnce(ctx context.Context) bool {
+	gaps := daemon.origins.Gaps()
+	if answer, err := daemon.readOrigins(ctx); err == nil {
+		return daemon.completeOrigins(answer, "Store", gaps)
+	}
+	for _, peer := range daemon.mesh.Live() {
+		if answer, err := daemon.mesh.FindOrigins(ctx, peer.Address, mesh.OriginQuery{}); err == nil && answer.Complete {
+			return daemon.completeOrigins(answer, peer.Name, gaps)
+		}
+	}
+	return false
+}
+
+// completeOrigins applies an answer that names all releases of lately, which was asked for after so many gaps.
+func (daemon *Daemon) completeOrigins(answer mesh.OriginAnswer, source string, gaps int) bool {
 	now := daemon.clock.Now()
 	daemon.origins.Learn(answer.Streams, now)
 	daemon.origins.LearnReleases(answer.Lately, now)
-	daemon.origins.Complete()
 	event.OriginsRead.Log("Source", source, "Streams", len(answer.Streams), "Releases", answer.Lately)
+	return daemon.origins.CompleteAt(gaps)
 }
--- a/front/releasereader.go
+++ b/front/releasereader.go
@@ -95,6 +95,7 @@
 	}
 	changes, _, err := daemon.store.Changes(ctx, platform.ReplicaTable, version, 0)
 	if errors.Is(err, platform.ErrHistoryUnavailable) {
+		daemon.origins.MarkIncomplete()
 		return reader.readAll(ctx)
 	}
 	added := map[string]bool{}
--- a/front/releasereader_test.go
+++ b/front/releasereader_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -78,6 +79,47 @@
 	}
 }
 
+// TestReleaseThatCameAndWentUnseen guards against issue 47: a daemon that stood still while a release joined and left, and whose store
+// had dropped the history of that time, held the other release for the only one.
+func TestReleaseThatCameAndWentUnseen(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set("Store-Era", "1")
+		rows := []changedRow{engineRow("a", "v1", 3)}
+		if request.URL.Query().Get("table") == originTable {
+			rows = []changedRow{{Table: originTable, Key: "other-1-0", Ver: 7, Value: []byte(`{"Releases":{"s":["v1","v2"]}}`)}}
+		}
+		if request.URL.Path == "/rows-feed" {
+			writer.WriteHeader(http.StatusGone)
+		}
+		_ = json.NewEncoder(writer).Encode(map[string]any{"rows": rows, "ver": 9})
+	}))
+	defer server.Close()
+	daemon := New(Settings{Name: "a", StoreAddress: strings.TrimPrefix(server.URL, "http://")}, "", nil)
+	rows, version, err := daemon.store.Snapshot(t.Context(), "servers")
+	if err != nil {
+		t.Fatal(err)
+	}
+	daemon.replaceReplicas(daemon.decodeEntries(rows), version)
+	daemon.apply(nil)
+	daemon.origins.Complete()
+	if found, source := (streamOrigins{daemon}).Find(t.Context(), "begun elsewhere", "s"); source != origin.Unknown {
+		t.Errorf("before the daemon read the whole table again, the stream began at %+v, %s", found, source)
+	}
+	daemon.replaceReplicas(daemon.decodeEntries(rows), version)
+	if daemon.origins.IsComplete() {
+		t.Error("after the whole table replaced a known one, the recorded releases count as read")
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = daemon.loadOrigins(ctx) }()
+	for !daemon.origins.IsComplete() {
+		time.Sleep(time.Millisecond)
+	}
+	if releases := daemon.origins.Lately(daemon.clock.Now())["s"]; len(releases) != 2 {
+		t.Errorf("the daemon knows the releases %v", releases)
+	}
+}
+
 // TestTakeUpsShareReads covers many streams that are taken up at once: they cost few reads of the store.
 func TestTakeUpsShareReads(t *testing.T) {
 	daemon := New(Settings{Name: "a", StoreAddress: "127.0.0.1:1"}, "", nil)
--- a/front/replicas.go
+++ b/front/replicas.go
@@ -74,8 +74,11 @@
 	daemon.roster.Remove(id, version, daemon.clock.Now())
 }
 
-// replaceReplicas replaces the whole replica table with its state at the version.
+// replaceReplicas replaces the whole replica table with its state at the version. What came and went since a known one is not seen.
 func (daemon *Daemon) replaceReplicas(entries []roster.Entry, version datastore.Version) {
+	if _, loaded := daemon.roster.Version(); loaded {
+		daemon.origins.MarkIncomplete()
+	}
 	if daemon.roster.Replace(entries, version, daemon.clock.Now()) {
 		daemon.updates.notify()
 	}
--- a/origin/registry.go
+++ b/origin/registry.go
@@ -20,12 +20,15 @@
 	services services
 	// complete is set once the recorded origins and releases were read.
 	complete bool
+	// gaps counts how often rows may have come and gone unseen.
+	gaps int
 	// doubtUntil is until when a release may have served lately that the registry does not know; zero if there is none.
 	doubtUntil time.Time
 	// unrecorded holds the streams to record.
 	unrecorded Batch
-	// wake has an entry while there are streams to record, and hurry while one of these streams broke off.
-	wake, hurry chan struct{}
+	// wake has an entry while there are streams to record, and hurry while one of these streams broke off. lacking has one after the
+	// registry became incomplete.
+	wake, hurry, lacking chan struct{}
 	// evicted counts the origins that were dropped for want of room.
 	evicted int
 }
@@ -66,7 +69,10 @@
 
 // New returns an empty registry, which is not complete.
 func New() *Registry {
-	return &Registry{streams: map[string]*entry{}, services: services{}, wake: make(chan struct{}, 1), hurry: make(chan struct{}, 1)}
+	return &Registry{
+		streams: map[string]*entry{}, services: services{},
+		wake: make(chan struct{}, 1), hurry: make(chan struct{}, 1), lacking: make(chan struct{}, 1),
+	}
 }
 
 // Begin adds the origin of a stream before its first event is passed on. A second origin of the same attempt makes it unknown.
@@ -232,6 +238,34 @@
 	registry.complete = true
 }
 
+// MarkIncomplete records that rows may have come and gone unseen, so that the recorded origins and releases must be read again.
+func (registry *Registry) MarkIncomplete() {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	registry.complete = false
+	registry.gaps++
+	notify(registry.lacking)
+}
+
+// Gaps returns how often the registry was marked as incomplete.
+func (registry *Registry) Gaps() int {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	return registry.gaps
+}
+
+// CompleteAt is Complete, unless the registry was marked as incomplete since Gaps returned the number. It reports whether the registry is
+// complete.
+func (registry *Registry) CompleteAt(gaps int) bool {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	registry.complete = registry.complete || registry.gaps == gaps
+	return registry.complete
+}
+
+// Lacking returns a channel that receives after the registry was marked as incomplete.
+func (registry *Registry) Lacking() <-chan struct{} { return registry.lacking }
+
 // IsComplete reports whether all recorded origins and releases were read.
 func (registry *Registry) IsComplete() bool {
 	registry.mutex.Lock()
--- a/origin/registry_test.go
+++ b/origin/registry_test.go
@@ -49,6 +49,14 @@
 		t.Error("a registry that is not complete knows the only release")
 	}
 	registry.Complete()
+	gaps := registry.Gaps()
+	registry.MarkIncomplete()
+	if registry.CompleteAt(gaps) {
+		t.Error("a registry is complete by a read that began before rows may have come and gone")
+	}
+	if <-registry.Lacking(); !registry.CompleteAt(registry.Gaps()) {
+		t.Error("a registry is not complete after the recorded releases were read again")
+	}
 	registry.Doubt(at(5))
 	registry.Doubt(at(3))
 	for seconds, want := range map[float64]bool{4: false, 5: true} {
