Keep what a newer build wrote when rows and statistics are merged

A daemon that adds to a row of Suspects, Permits or Budgets, or merges counts into a stored part of the statistics, decodes it into its own types, changes them and writes them back.

JSON rows go through the new internal/openjson, which returns the members without a field and writes them behind the known ones; parts of statistics copy the unknown fields of the stored message. Rows that are the statement of one process about itself are replaced as before. Inner values that are compared (a crash, a sender) keep no unknown members: what is added belongs beside them, keyed by name.

--- a/front/suspectrow.go
+++ b/front/suspectrow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"strconv"
 	"strings"
 	"time"
@@ -10,12 +9,19 @@
 	"github.com/gravitational/trace"
 
 	"github.com/bronzestall/bronzestall/datastore"
+	"github.com/bronzestall/bronzestall/internal/openjson"
 	"github.com/bronzestall/bronzestall/quarantine"
 )
 
 // decodeSuspect decodes a row of the suspect table. The row has no time of writing, since the clocks of
 // daemons differ; the suspect is therefore kept for the whole retention time from now on.
 func decodeSuspect(row datastore.Row, now time.Time) (quarantine.Suspect, error) {
+	suspect, _, err := decodeSuspectRow(row, now)
+	return suspect, err
+}
+
+// decodeSuspectRow decodes a row as decodeSuspect does, and returns what a later build wrote there too.
+func decodeSuspectRow(row datastore.Row, now time.Time) (quarantine.Suspect, openjson.Rest, error) {
 	kind := quarantine.WholeRequest
 	digits, isPart := strings.CutPrefix(row.Row, partRowPrefix)
 	if isPart {
@@ -23,11 +29,12 @@
 	}
 	fingerprint, err := strconv.ParseUint(digits, 16, 64)
 	if err != nil {
-		return quarantine.Suspect{}, trace.BadParameter("row key is not a hexadecimal fingerprint")
+		return quarantine.Suspect{}, "", trace.BadParameter("row key is not a hexadecimal fingerprint")
 	}
 	var content suspectContent
-	if err := json.Unmarshal(row.Value, &content); err != nil {
-		return quarantine.Suspect{}, trace.Wrap(err)
+	rest, err := openjson.Decode(row.Value, &content)
+	if err != nil {
+		return quarantine.Suspect{}, "", trace.Wrap(err)
 	}
 	return quarantine.Suspect{
 		Kind:        kind,
@@ -37,7 +44,7 @@
 		Cleared:     content.Cleared,
 		Retracted:   content.Retracted,
 		Until:       now.Add(quarantine.Retention),
-	}, nil
+	}, rest, nil
 }
 
 // suspectContent is the value of a row of the suspect table.
--- a/front/suspects.go
+++ b/front/suspects.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"strings"
 	"time"
@@ -11,6 +10,7 @@
 
 	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/event"
+	"github.com/bronzestall/bronzestall/internal/openjson"
 	"github.com/bronzestall/bronzestall/platform"
 	"github.com/bronzestall/bronzestall/quarantine"
 	"github.com/bronzestall/bronzestall/relay"
@@ -199,18 +199,19 @@
 		return err
 	}
 	var recorded quarantine.Suspect
+	var rest openjson.Rest
 	if err == nil {
 		// A row that cannot be decoded is replaced.
-		if decoded, failure := decodeSuspect(row, daemon.clock.Now()); failure == nil {
+		if decoded, unknown, failure := decodeSuspectRow(row, daemon.clock.Now()); failure == nil {
 			daemon.importSuspects([]quarantine.Suspect{decoded}, "Store")
-			recorded = decoded
+			recorded, rest = decoded, unknown
 		}
 	}
 	suspect, known = daemon.suspects.Suspect(fingerprint, daemon.clock.Now())
 	if !known || suspect.SameCounts(&recorded) {
 		return nil
 	}
-	value, err := json.Marshal(newSuspectContent(suspect, daemon.clock.Now()))
+	value, err := openjson.Encode(newSuspectContent(suspect, daemon.clock.Now()), rest)
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/front/suspects_test.go
+++ b/front/suspects_test.go
@@ -122,6 +122,23 @@
 	}
 }
 
+// TestSuspectRowKeepsUnknownFields guards against issue 48: a daemon that added a crash to the row of a suspect erased what a newer
+// build had written there.
+func TestSuspectRowKeepsUnknownFields(t *testing.T) {
+	store := &fakeStore{rows: map[datastore.Key]datastore.Row{}, version: 1}
+	key := suspectKey(quarantine.Suspect{Fingerprint: 1})
+	written := `{"Crashes":[{"Upstream":"9","BootId":"1","Weight":2}],"Verdict":{"By":"b"}}`
+	store.rows[key] = datastore.Row{Key: key, Version: 1, Value: []byte(written)}
+	newDaemonWithCrashes(store, 1, 2).recordPending(t.Context(), map[uint64]bool{1: true})
+	var content struct {
+		Crashes []quarantine.Crash
+		Verdict struct{ By string }
+	}
+	if err := json.Unmarshal(store.rows[key].Value, &content); err != nil || len(content.Crashes) != 3 || content.Verdict.By != "b" {
+		t.Errorf("the row is %s, %v", store.rows[key].Value, err)
+	}
+}
+
 func TestInvalidSuspectRowsAreRejected(t *testing.T) {
 	for row, value := range map[string]string{"x": `{}`, "": `{}`, "1f": ``, "2f": `[]`, "3f": `{"Crashes":7}`, "10000000000000000": `{}`} {
 		key := datastore.Key{Table: suspectTable, Row: row}
--- a/intent/budget.go
+++ b/intent/budget.go
@@ -1,6 +1,10 @@
 package intent
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bronzestall/bronzestall/internal/openjson"
+)
 
 // Budget is what one lease holder may decide without the table service: to load the replicas of its own
 // rows again, and to load replicas without a row within the shares. A model for which the holder has rows
@@ -14,6 +18,21 @@
 	Loads int `json:"Loads"`
 	// Shares are the shares in order of upstreams, at most one for each upstream.
 	Shares []Share `json:"Shares"`
+	// rest holds what a later build wrote there too.
+	rest openjson.Rest
+}
+
+// UnmarshalJSON decodes the budget and keeps the members that it does not know.
+func (budget *Budget) UnmarshalJSON(content []byte) (err error) {
+	type plain Budget
+	budget.rest, err = openjson.Decode(content, (*plain)(budget))
+	return err
+}
+
+// MarshalJSON encodes the budget with the members that were unknown when it was decoded.
+func (budget Budget) MarshalJSON() ([]byte, error) {
+	type plain Budget
+	return openjson.Encode(plain(budget), budget.rest)
 }
 
 // Share is the part of a budget on one upstream.
@@ -27,6 +46,21 @@
 	// Rows is the memory in bytes of the holder's own rows. If the engine rejects orders with older
 	// fencing numbers, the holder may use it for other replicas once those of the rows are gone.
 	Rows int64 `json:"Rows,omitempty"`
+	// rest holds what a later build wrote there too.
+	rest openjson.Rest
+}
+
+// UnmarshalJSON decodes the share and keeps the members that it does not know.
+func (share *Share) UnmarshalJSON(content []byte) (err error) {
+	type plain Share
+	share.rest, err = openjson.Decode(content, (*plain)(share))
+	return err
+}
+
+// MarshalJSON encodes the share with the members that were unknown when it was decoded.
+func (share Share) MarshalJSON() ([]byte, error) {
+	type plain Share
+	return openjson.Encode(plain(share), share.rest)
 }
 
 // Share returns the share on an upstream, or false if there is none.
--- a/keepwarm/change.go
+++ b/keepwarm/change.go
@@ -134,8 +134,10 @@
 		alignDays(&sum, &other)
 		sum.merge(&other)
 		last := max(stored.Histories[index].GetLast(), history.GetLast())
-		stored.Histories[index] = sum.encode(history.GetModel())
-		stored.Histories[index].Last = last
+		merged := sum.encode(history.GetModel())
+		merged.Last = last
+		keepUnknownHistory(merged, stored.Histories[index])
+		stored.Histories[index] = merged
 	}
 	if increments.GetPool() == nil {
 		return
@@ -144,7 +146,9 @@
 	decayWeeks(&pool, increments.GetWeek()-stored.GetWeek())
 	decayWeeks(&other, stored.GetWeek()-increments.GetWeek())
 	pool.add(&other)
-	stored.Pool = pool.encode()
+	merged := pool.encode()
+	keepUnknownAges(merged, stored.GetPool())
+	stored.Pool = merged
 	stored.Week = max(stored.GetWeek(), increments.GetWeek())
 }
 
--- a/keepwarm/change_test.go
+++ b/keepwarm/change_test.go
@@ -5,8 +5,11 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
+
+	"github.com/bronzestall/bronzestall/keepwarm/statisticspb"
 )
 
 // mustMerge merges the change and reports whether it was new.
@@ -70,6 +73,46 @@
 	return content
 }
 
+// TestMergeKeepsUnknownFields guards against issue 48: a learner that merged its counts into a stored part erased what a newer build
+// had learned about the models, and ages beyond the known classes.
+func TestMergeKeepsUnknownFields(t *testing.T) {
+	statistics := NewStatistics(time.UTC)
+	statistics.recordArrivals("planner", monday, 1)
+	change, _ := statistics.TakeChange(partOf("planner"), "entry-1")
+	stored, _ := mustMerge(t, nil, change)
+	part, err := decodePart(stored)
+	if err != nil {
+		t.Fatal(err)
+	}
+	unknown := protowire.AppendVarint(protowire.AppendTag(nil, 99, protowire.VarintType), 7)
+	history := part.message.GetHistories()[0]
+	history.Ages = &statisticspb.Ages{Classes: []uint32{ageClasses + 5}, Ends: []float32{2}, Risk: []float32{3}}
+	part.message.Pool = &statisticspb.Ages{}
+	for _, message := range []proto.Message{part.message, history, history.GetAges(), part.message.GetPool()} {
+		message.ProtoReflect().SetUnknown(unknown)
+	}
+	written, err := proto.Marshal(part.message)
+	if err != nil {
+		t.Fatal(err)
+	}
+	statistics.recordArrivals("planner", monday.Add(time.Hour), 1)
+	change, _ = statistics.TakeChange(partOf("planner"), "entry-1")
+	change.increments.Pool = &statisticspb.Ages{}
+	merged, _ := mustMerge(t, written, change)
+	if part, err = decodePart(merged); err != nil {
+		t.Fatal(err)
+	}
+	history = part.message.GetHistories()[0]
+	for _, message := range []proto.Message{part.message, history, history.GetAges(), part.message.GetPool()} {
+		if got := message.ProtoReflect().GetUnknown(); string(got) != string(unknown) {
+			t.Errorf("%T has the unknown fields %x, want %x", message, got, unknown)
+		}
+	}
+	if classes := history.GetAges().GetClasses(); len(classes) == 0 || classes[len(classes)-1] != ageClasses+5 {
+		t.Errorf("the classes are %v", classes)
+	}
+}
+
 func TestRestoredStatisticsGiveTheSameDecisions(t *testing.T) {
 	costs := Costs{ColdStart: 1, IdleHour: 20}
 	before := NewPredictive(NewStatistics(time.UTC), costs)
--- a/permit/permit_test.go
+++ b/permit/permit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -84,6 +85,22 @@
 
 // TestCutOffDataCentreKeepsItsShare checks that a partitioned data centre keeps its floor while the others need
 // every slot.
+// TestSharesKeepUnknownFields guards against issue 48: a data centre that recorded its need erased what a newer build had written
+// in the shares.
+func TestSharesKeepUnknownFields(t *testing.T) {
+	written := `[{"DataCentre":"a","Slots":2,"Floor":1},{"DataCentre":"b","Slots":2,"Want":1,"Since":"x"}]`
+	quota := NewQuota(nil, Settings{Name: Loads, Total: 4, DataCentres: []string{"a", "b"}, DataCentre: "a"})
+	shares, err := quota.decode(datastore.Row{Version: 1, Value: []byte(written)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	content, err := json.Marshal(quota.next(shares, Usage{Busy: 4}))
+	want := `[{"DataCentre":"a","Slots":2,"Want":2,"Floor":1},{"DataCentre":"b","Slots":2,"Want":1,"Since":"x"}]`
+	if err != nil || string(content) != want {
+		t.Errorf("the row becomes %s, %v, want %s", content, err, want)
+	}
+}
+
 func TestCutOffDataCentreKeepsItsShare(t *testing.T) {
 	system := newSystem(3, 4, 1)
 	system.sync(1, 0)
--- a/permit/quota.go
+++ b/permit/quota.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/bronzestall/bronzestall/datastore"
+	"github.com/bronzestall/bronzestall/internal/openjson"
 )
 
 // Table holds one row for each limit.
@@ -30,6 +31,21 @@
 	Slots int `json:"Slots"`
 	// Want is the number of further slots that the data centre could use now.
 	Want int `json:"Want,omitempty"`
+	// rest holds what a later build wrote there too.
+	rest openjson.Rest
+}
+
+// UnmarshalJSON decodes the share and keeps the members that it does not know.
+func (part *share) UnmarshalJSON(content []byte) (err error) {
+	type plain share
+	part.rest, err = openjson.Decode(content, (*plain)(part))
+	return err
+}
+
+// MarshalJSON encodes the share with the members that were unknown when it was decoded.
+func (part share) MarshalJSON() ([]byte, error) {
+	type plain share
+	return openjson.Encode(plain(part), part.rest)
 }
 
 // Settings describes one limit and the data centres that share it.
