Pass on what a newer build says in heartbeats of others

A greeting carries the heartbeats of up to 24 other daemons. A daemon decoded them into its own type and encoded that again, so that a daemon of an older build stripped those of newer ones of every field that it does not know; the copy has the sequence number of the original and so hides it from whoever gets the copy first.

The unknown fields of a heartbeat are kept as bytes, up to 256, and written again. Longer ones are dropped.

mesh.TestRelayedHeartbeatKeepsUnknownFields failed before.

--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bronzestall/bronzestall/datastore"
@@ -17,8 +18,14 @@
 	// Age is the time since the daemon sent the heartbeat. Absolute times are never transmitted, so that a
 	// wrong clock has no effect on other daemons.
 	Age time.Duration
+	// Unknown holds the encoded fields that a later build sent and this one does not know, at most maxUnknownBytes. They are passed
+	// on.
+	Unknown []byte
 }
 
+// maxUnknownBytes is the largest size of the unknown fields of a heartbeat that are kept. Longer ones are dropped.
+const maxUnknownBytes = 256
+
 // isNewerThan reports whether the heartbeat was sent after the other one.
 func (heartbeat *Heartbeat) isNewerThan(other *Heartbeat) bool {
 	if heartbeat.Incarnation != other.Incarnation {
@@ -35,7 +42,7 @@
 }
 
 func (heartbeat *Heartbeat) encode() *meshpb.News {
-	return &meshpb.News{
+	encoded := &meshpb.News{
 		Peer:          &meshpb.Peer{Name: heartbeat.Name, Address: heartbeat.Address, DataCentre: heartbeat.DataCentre},
 		Incarnation:   heartbeat.Incarnation,
 		Beat:          heartbeat.Sequence,
@@ -47,6 +54,8 @@
 		Leaving:       heartbeat.Leaving,
 		CutOff:        heartbeat.CutOff,
 	}
+	encoded.ProtoReflect().SetUnknown(heartbeat.Unknown)
+	return encoded
 }
 
 func decodeHeartbeat(encoded *meshpb.News) Heartbeat {
@@ -56,6 +65,7 @@
 		Incarnation: encoded.GetIncarnation(),
 		Sequence:    encoded.GetBeat(),
 		Age:         milliseconds(encoded.GetAge()),
+		Unknown:     unknownFields(encoded),
 		State: State{
 			ConfigurationVersion: encoded.GetConfiguration(),
 			RosterVersion:        datastore.Version(encoded.GetRoster()),
@@ -66,3 +76,12 @@
 		},
 	}
 }
+
+// unknownFields returns the unknown fields of the message, or nil if they are too long.
+func unknownFields(message *meshpb.News) []byte {
+	unknown := message.ProtoReflect().GetUnknown()
+	if len(unknown) > maxUnknownBytes {
+		return nil
+	}
+	return slices.Clone(unknown)
+}
