Read "not run" of a lent request only from what says so

A daemon that passed a request on to another one took every response that is not 200 for proof that the request had not run, also a 500 or a 503, and then sent it again or told the client so. Any other status now counts as a lost response.

A refusal crosses as the name of its kind. One that an older build does not know counts as run, which is safe but ends requests that have not run. The head of a refusal now has a field that states it whatever the kind; with it an unknown kind is taken as NotReady, so that another daemon is asked.

lending.TestResponsesOfOtherBuilds failed before in four of eight cases (500, 503, 202, an unknown kind that has not run).

--- a/lending/client.go
+++ b/lending/client.go
@@ -83,7 +83,7 @@
 func decodeResponse(response *http.Response) (*relay.LentReply, error) {
 	if response.StatusCode != http.StatusOK {
 		_ = response.Body.Close()
-		return nil, &relay.Refusal{Failure: outcome.New(outcome.NotReady, "a daemon serves no others: %s", response.Status)}
+		return nil, decodeStatus(response)
 	}
 	reader := bufio.NewReader(response.Body)
 	head := &lendingpb.Head{}
@@ -109,9 +109,23 @@
 	}, nil
 }
 
-// decodeRefusal decodes a refusal. One of an unknown kind may have run.
+// decodeStatus returns the error for a response without a head. A daemon that has no such path, or cannot decode the request, has
+// not run it; after any other status the request may have run.
+func decodeStatus(response *http.Response) error {
+	switch response.StatusCode {
+	case http.StatusNotFound, http.StatusBadRequest:
+		return &relay.Refusal{Failure: outcome.New(outcome.NotReady, "a daemon serves no others: %s", response.Status)}
+	default:
+		return fmt.Errorf("%w: status %s of a daemon", exchange.ErrLost, response.Status)
+	}
+}
+
+// decodeRefusal decodes a refusal. One of an unknown kind may have run, unless it states that it has not.
 func decodeRefusal(head *lendingpb.Head) error {
 	kind := outcome.Internal
+	if head.GetNotRun() {
+		kind = outcome.NotReady
+	}
 	for _, known := range outcome.Kinds() {
 		if known.String() == head.GetRefusal() {
 			kind = known
--- a/lending/handler.go
+++ b/lending/handler.go
@@ -154,6 +154,7 @@
 		Message:    failure.Message,
 		RetryAfter: uint64(failure.RetryAfter.Milliseconds()),
 		Runs:       uint64(runs),
+		NotRun:     (&relay.Refusal{Failure: failure, Runs: runs}).NotRun(),
 	})
 }
 
--- a/lending/lending_test.go
+++ b/lending/lending_test.go
@@ -11,9 +11,11 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/encoding/protodelim"
 	"k8s.io/utils/clock"
 
 	"github.com/bronzestall/bronzestall/exchange"
+	"github.com/bronzestall/bronzestall/lending/lendingpb"
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/relay"
 )
@@ -118,6 +120,40 @@
 	}
 }
 
+// TestResponsesOfOtherBuilds guards against issue 48: a response that this build cannot read stated that the request had not run,
+// unless it is one that a daemon sends before it serves anything. A refusal of an unknown kind has not run only if it says so.
+func TestResponsesOfOtherBuilds(t *testing.T) {
+	refusal := func(head *lendingpb.Head) func(writer http.ResponseWriter) {
+		head.Refusal = "KindOfALaterBuild"
+		return func(writer http.ResponseWriter) { _, _ = protodelim.MarshalTo(writer, head) }
+	}
+	status := func(code int) func(writer http.ResponseWriter) {
+		return func(writer http.ResponseWriter) { writer.WriteHeader(code) }
+	}
+	for name, c := range map[string]struct {
+		answer  func(writer http.ResponseWriter)
+		refused bool
+		notRun  bool
+	}{
+		"no such path":                      {status(http.StatusNotFound), true, true},
+		"a request that cannot be decoded":  {status(http.StatusBadRequest), true, true},
+		"a failure":                         {status(http.StatusInternalServerError), false, false},
+		"an unavailable service":            {status(http.StatusServiceUnavailable), false, false},
+		"an unknown success":                {status(http.StatusAccepted), false, false},
+		"an unknown kind":                   {refusal(&lendingpb.Head{}), true, false},
+		"an unknown kind that has not run":  {refusal(&lendingpb.Head{NotRun: true}), true, true},
+		"an unknown kind that may have run": {refusal(&lendingpb.Head{NotRun: true, Runs: 1}), true, false},
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { c.answer(writer) }))
+		t.Cleanup(server.Close)
+		_, err := NewClient("a", http.DefaultClient).Send(t.Context(), strings.TrimPrefix(server.URL, "http://"), &exchange.Request{Method: "GET"}, time.Second, relay.Allowance{})
+		refusal := relay.AsRefusal(err)
+		if (refusal != nil) != c.refused || refusal != nil && refusal.NotRun() != c.notRun || refusal == nil && !errors.Is(err, exchange.ErrLost) {
+			t.Errorf("%s: %v, a refusal: %v", name, err, refusal != nil)
+		}
+	}
+}
+
 // TestClientThatLeavesEndsTheRun checks that the daemon that serves a lent request learns that its client has left.
 func TestClientThatLeavesEndsTheRun(t *testing.T) {
 	ended := make(chan struct{})
