Start a front daemon with the settings file of a later build

A daemon refuses to start when its settings file has a key that it does not know.

Unknown keys are now returned apart from the problems of a file (strictyaml.DecodeOpen). A daemon that starts or reads its file again logs and ignores them; all other problems stop it as before.

--- a/cmd/bronzestall/front.go
+++ b/cmd/bronzestall/front.go
@@ -42,7 +42,7 @@
 
 // serve runs the front daemon. SIGHUP makes it read its settings file again.
 func (command *frontCommand) serve(ctx context.Context, logWriter *logwriter.Writer) error {
-	settings, err := front.Load(command.Settings)
+	settings, err := front.LoadOpen(command.Settings)
 	if err != nil {
 		event.SettingsRefused.LogError(err, "File", command.Settings)
 		return err
--- a/event/daemon.go
+++ b/event/daemon.go
@@ -12,6 +12,9 @@
 // HandlerPanicked is the event of a panic in an HTTP handler.
 var HandlerPanicked = define(105, "HandlerPanicked", Error, "An HTTP handler panicked; the request ended as Internal.")
 
+// SettingIgnored is the event of a settings file that was written for a later build.
+var SettingIgnored = define(106, "SettingIgnored", Warning, "The settings file has a key that this build does not know; it is ignored.")
+
 // Events of the VM list.
 var (
 	VMListAway = define(110, "VMListAway", Warning, "The VM list cannot be read; the last one read remains in use.")
--- a/front/settings.go
+++ b/front/settings.go
@@ -8,6 +8,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/internal/strictyaml"
 )
 
@@ -48,7 +49,7 @@
 	LoadsAtOnce int `yaml:"LoadsAtOnce"`
 }
 
-// Load reads and checks a settings file. It fails if the file cannot be read or is invalid.
+// Load reads and checks a settings file. It fails if the file cannot be read, is invalid or has unknown keys.
 func Load(path string) (Settings, error) {
 	content, err := os.ReadFile(path)
 	if err != nil {
@@ -58,19 +59,46 @@
 }
 
 // Parse decodes and checks the content of a settings file. The name is used only in errors, which list every
-// problem with its line.
+// problem with its line; unknown keys are problems.
 func Parse(name string, content []byte) (Settings, error) {
-	var parsed Settings
-	lines, problems := strictyaml.Decode(content, &parsed)
-	if len(problems) == 0 {
-		problems = parsed.check(lines)
+	parsed, unknown, problems := decodeSettings(content)
+	if err := strictyaml.NewError(name, append(problems, unknown...)); err != nil {
+		return Settings{}, err
+	}
+	return parsed, nil
+}
+
+// LoadOpen reads and checks a settings file that may be written for a later build. It logs unknown keys, which are ignored, and
+// fails if the file cannot be read or is invalid.
+func LoadOpen(path string) (Settings, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, trace.ConvertSystemError(err)
 	}
+	return parseOpen(path, content)
+}
+
+// parseOpen decodes and checks the content of a settings file as LoadOpen does.
+func parseOpen(name string, content []byte) (Settings, error) {
+	parsed, unknown, problems := decodeSettings(content)
 	if err := strictyaml.NewError(name, problems); err != nil {
 		return Settings{}, err
 	}
+	for _, key := range unknown {
+		event.SettingIgnored.Log("File", name, "Line", key.Line, "Key", key.Key)
+	}
 	return parsed, nil
 }
 
+// decodeSettings decodes and checks the content of a settings file. It returns unknown keys apart from other problems.
+func decodeSettings(content []byte) (parsed Settings, unknown, problems []strictyaml.Problem) {
+	lines, unknown, problems := strictyaml.DecodeOpen(content, &parsed)
+	if len(problems) == 0 {
+		problems = parsed.check(lines)
+	}
+	return parsed, unknown, problems
+}
+
 // The bounds of settings.
 const (
 	minMemoryBytes = 32 << 20
--- a/front/settings_test.go
+++ b/front/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -40,6 +41,41 @@
 	}
 }
 
+// TestSettingsOfALaterBuildStartADaemon guards against issue 48: a daemon that was started with the settings of a later build refused
+// to start. The check of a settings file still lists unknown keys.
+func TestSettingsOfALaterBuildStartADaemon(t *testing.T) {
+	later := renderTemplate(t) + "Later: {Size: 3, List: [a]}\n"
+	settings, err := parseOpen("front.yaml", []byte(later))
+	if err != nil || settings.Turnover != 3*time.Second || len(settings.Seeds) != 2 {
+		t.Errorf("settings %+v, %v", settings, err)
+	}
+	if _, err := Parse("front.yaml", []byte(later)); err == nil || !strings.Contains(err.Error(), "Later") {
+		t.Errorf("the check of the file ends with %v", err)
+	}
+	if _, err := parseOpen("front.yaml", []byte(strings.Replace(later, "Name:", "Names:", 1))); err == nil {
+		t.Error("settings without a name are accepted")
+	}
+}
+
+// TestTemplateHasKeysOfTheLastLanding keeps keys out of the template that the build of the last landing does not know. It is started
+// with the template of this build when VMs go back, and the builds up to f035bfb refuse unknown keys.
+func TestTemplateHasKeysOfTheLastLanding(t *testing.T) {
+	content, err := os.ReadFile("testdata/settings-f035bfb.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	keys := regexp.MustCompile(`(?m)^\w+:`)
+	known := keys.FindAllString(string(content), -1)
+	for _, key := range keys.FindAllString(renderTemplate(t), -1) {
+		if !slices.Contains(known, key) {
+			t.Errorf("the template has the key %s which the build of the last landing does not know", key)
+		}
+	}
+	if settings, err := Parse("settings-f035bfb.yaml", content); err != nil || settings.LoadWindow != 5*time.Second {
+		t.Errorf("settings of the last landing: %+v, %v", settings, err)
+	}
+}
+
 func TestInvalidSettingsAreRejected(t *testing.T) {
 	for _, change := range [][2]string{
 		{"10.1.0.38:8149", "somewhere:8149"},
--- a/front/tasks.go
+++ b/front/tasks.go
@@ -180,7 +180,7 @@
 // reload applies new settings if they are valid. Only the seeds change; other settings keep their values
 // until the next start.
 func (daemon *Daemon) reload(content []byte) {
-	settings, err := Parse(daemon.settingsFile, content)
+	settings, err := parseOpen(daemon.settingsFile, content)
 	if err != nil {
 		event.SettingsRefused.LogError(err, "File", daemon.settingsFile)
 		return
--- a/internal/strictyaml/decode.go
+++ b/internal/strictyaml/decode.go
@@ -15,16 +15,25 @@
 // Decode decodes content into a struct, to which into points. Fields that are absent from content keep their
 // value. If there are problems, the fields without one are still set. The cost is linear in the size of content.
 func Decode(content []byte, into any) (Lines, []Problem) {
+	lines, unknown, problems := DecodeOpen(content, into)
+	problems = append(problems, unknown...)
+	Sort(problems)
+	return lines, problems
+}
+
+// DecodeOpen decodes content as Decode does, and returns unknown keys apart from the problems: a file that was written for a later
+// build has some. They are ignored.
+func DecodeOpen(content []byte, into any) (lines Lines, unknown, problems []Problem) {
 	file, err := parser.ParseBytes(content, 0)
 	if err != nil {
-		return Lines{}, []Problem{syntaxProblem(err)}
+		return Lines{}, nil, []Problem{syntaxProblem(err)}
 	}
 	if len(file.Docs) != 1 || file.Docs[0].Body == nil {
-		return Lines{}, []Problem{{Line: 1, Reason: "the file must hold exactly one document"}}
+		return Lines{}, nil, []Problem{{Line: 1, Reason: "the file must hold exactly one document"}}
 	}
 	decoder := &decoder{lines: Lines{}}
 	decoder.structure(file.Docs[0].Body, reflect.ValueOf(into).Elem(), "")
-	return decoder.lines, decoder.problems
+	return decoder.lines, decoder.unknown, decoder.problems
 }
 
 func syntaxProblem(err error) Problem {
@@ -35,15 +44,18 @@
 	return Problem{Line: syntax.GetToken().Position.Line, Reason: syntax.GetMessage()}
 }
 
-// decoder walks the syntax tree and collects the problems and the line of each key.
+// decoder walks the syntax tree and collects the problems, the unknown keys and the line of each key.
 type decoder struct {
-	lines    Lines
-	problems []Problem
+	lines             Lines
+	unknown, problems []Problem
 }
 
 func (decoder *decoder) addProblem(node ast.Node, key, format string, args ...any) {
-	line := node.GetToken().Position.Line
-	decoder.problems = append(decoder.problems, Problem{Line: line, Key: key, Reason: fmt.Sprintf(format, args...)})
+	decoder.problems = append(decoder.problems, newProblem(node, key, format, args...))
+}
+
+func newProblem(node ast.Node, key, format string, args ...any) Problem {
+	return Problem{Line: node.GetToken().Position.Line, Key: key, Reason: fmt.Sprintf(format, args...)}
 }
 
 func (decoder *decoder) value(node ast.Node, into reflect.Value, key, unit string) {
@@ -77,7 +89,7 @@
 	path := join(key, name)
 	field, ok := fieldOf(into.Type(), name)
 	if !ok {
-		decoder.addProblem(entry.Key, path, "unknown key; allowed are %s", strings.Join(keysOf(into.Type()), ", "))
+		decoder.unknown = append(decoder.unknown, newProblem(entry.Key, path, "unknown key; allowed are %s", strings.Join(keysOf(into.Type()), ", ")))
 		return
 	}
 	decoder.lines[path] = entry.Key.GetToken().Position.Line
