--- a/mesh/storeproxy.go
+++ b/mesh/storeproxy.go
@@ -40,14 +40,7 @@
 // Commit applies all writes or none. It fails with ErrUnavailable, ErrUnclear or ErrConflict of package
 // datastore.
 func (proxy *StoreProxy) Commit(ctx context.Context, writes []datastore.Write) ([]datastore.Version, error) {
-	request := &meshpb.TableCall{}
-	for _, write := range writes {
-		request.Writes = append(request.Writes, &meshpb.TableWrite{
-			Table: write.Table, Row: write.Row, Check: write.Check, IfVersion: uint64(write.IfVersion),
-			Only: write.Only, Remove: write.Delete, Value: write.Value,
-		})
-	}
-	result, err := proxy.call(ctx, request)
+	result, err := proxy.call(ctx, encodeWrites(writes))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", datastore.ErrUnclear, err)
 	}
@@ -120,6 +113,17 @@
 	return versions
 }
 
+func encodeWrites(writes []datastore.Write) *meshpb.TableCall {
+	request := &meshpb.TableCall{}
+	for _, write := range writes {
+		request.Writes = append(request.Writes, &meshpb.TableWrite{
+			Table: write.Table, Row: write.Row, Check: write.Check, IfVersion: uint64(write.IfVersion),
+			Only: write.Only, Remove: write.Delete, Value: write.Value,
+		})
+	}
+	return request
+}
+
 func decodeWrites(encoded []*meshpb.TableWrite) []datastore.Write {
 	var writes []datastore.Write
 	for _, write := range encoded {
