--- a/lending/golden_test.go
+++ b/lending/golden_test.go
@@ -120,3 +120,20 @@
 			return refusalContent{failure.Kind, failure.Message, failure.RetryAfter, refusal.Runs, refusal.NotRun()}, nil
 		})
 }
+
+// FuzzHead checks that no response of another build ends the daemon, and that a request counts as not run only if the head says so.
+func FuzzHead(f *testing.F) {
+	f.Add([]byte{})
+	f.Add([]byte("\x08\x32\x05Later\x48\x01"))
+	f.Add([]byte("\x0a\x08\xc8\x01\x12\x05\x0a\x01X\x12\x00"))
+	f.Fuzz(func(t *testing.T, content []byte) {
+		reply, err := decodeResponse(&http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(content))})
+		if err == nil {
+			_, _ = io.Copy(io.Discard, reply.Body)
+			return
+		}
+		if refusal := relay.AsRefusal(err); refusal != nil && refusal.NotRun() && refusal.Runs > 0 {
+			t.Errorf("%q counts as not run after %d runs", content, refusal.Runs)
+		}
+	})
+}
--- a/mesh/golden_test.go
+++ b/mesh/golden_test.go
@@ -179,3 +179,33 @@
 		}
 	})
 }
+
+// FuzzMessages checks that no other message of another build ends the daemon.
+func FuzzMessages(f *testing.F) {
+	f.Add([]byte{})
+	f.Add([]byte("\x0a\x03\x0a\x01e\x12\x08\x0a\x01s\x20\xff\xff\xff\xff\x0f"))
+	f.Fuzz(func(t *testing.T, content []byte) {
+		report, announcement, update := &meshpb.Report{}, &meshpb.Announcement{}, &meshpb.Answer{}
+		if proto.Unmarshal(content, report) == nil && decodeReport(report, goldenTime).Wait > maxWait {
+			t.Error("a report waits for too long")
+		}
+		if proto.Unmarshal(content, announcement) == nil {
+			decoded := decodeAnnouncement(announcement, goldenTime)
+			_ = encodeAnnouncement(&decoded, true, goldenTime)
+		}
+		if proto.Unmarshal(content, update) == nil {
+			decoded := decodeUpdateResponse(update)
+			_ = decoded.encode()
+		}
+		tokens, grants, result := &meshpb.TokenRequest{}, &meshpb.TokenResponse{}, &meshpb.TableResult{}
+		if proto.Unmarshal(content, tokens) == nil && len(decodeAsks(tokens.GetAsks())) > maxAsks {
+			t.Error("too many questions are accepted")
+		}
+		if proto.Unmarshal(content, grants) == nil {
+			_ = decodeGrants(grants.GetGrants())
+		}
+		if proto.Unmarshal(content, result) == nil && result.GetOutcome() > 0 && storeError(result) == nil {
+			t.Errorf("the outcome %d counts as success", result.GetOutcome())
+		}
+	})
+}
--- a/peer/golden_test.go
+++ b/peer/golden_test.go
@@ -54,3 +54,33 @@
 		},
 	}.Check(t)
 }
+
+// FuzzExchange checks that no exchange of another build ends the daemon.
+func FuzzExchange(f *testing.F) {
+	f.Add([]byte{})
+	request, err := proto.Marshal(&peerpb.ExchangeRequest{
+		Sender: &peerpb.Digest{Name: "b", Incarnation: 1, Version: 2}, Known: []*peerpb.Digest{{Name: "a", Incarnation: 1}}, All: true,
+		Record: &peerpb.Record{
+			Name: "b", Incarnation: 1, Version: 2, Identity: &peerpb.Identity{DataCentre: "z"},
+			Observations: []*peerpb.Observation{{Upstream: "u", Shape: &peerpb.Shape{Role: 9, Replicas: []*peerpb.Replica{{Phase: 9}}}, Loads: []uint32{1}}},
+		},
+		Mark: &peerpb.Mark{Process: 1, Time: 2}, MarkAge: 3, Protocol: -4,
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(request)
+	f.Fuzz(func(t *testing.T, content []byte) {
+		node := newNodeNamed("a")
+		request, response := &peerpb.ExchangeRequest{}, &peerpb.ExchangeResponse{}
+		if proto.Unmarshal(content, request) == nil {
+			node.handleRequest(request)
+		}
+		if proto.Unmarshal(content, response) == nil {
+			node.handleResponse(node.link("b"), response, node.clock.Now(), node.clock.Now())
+		}
+		if self := node.Self(); self.Name != "a" {
+			t.Errorf("the daemon has the name %q", self.Name)
+		}
+	})
+}
