Wait for the former listener when the soak cuts a link

A cut closes the listener of the link and binds its port again; the listener goes on for a moment while it accepts a connection. Listening was tried again for a second for that reason, binding was not. The links after the one that failed stayed whole, so that mending the view failed as well ("listen tcp ...: bind: address already in use").

Binding is tried again too, for a second at most. A socket that could not be bound is closed. TestCutWaitsForTheFormerListener keeps the listener open for 100 ms and failed before with the same error.

--- a/internal/frontsoak/links_test.go
+++ b/internal/frontsoak/links_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 	"syscall"
+	"testing"
 	"time"
 )
 
@@ -62,7 +63,11 @@
 	if err := syscall.SetsockoptInt(socket, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
 		return 0, err
 	}
-	return socket, syscall.Bind(socket, address)
+	if err := syscall.Bind(socket, address); err != nil {
+		_ = syscall.Close(socket)
+		return 0, err
+	}
+	return socket, nil
 }
 
 // cut breaks the link.
@@ -86,7 +91,11 @@
 	}
 	bound := &syscall.SockaddrInet4{Port: address.Port}
 	copy(bound.Addr[:], address.IP.To4())
-	socket, err := bind(bound)
+	var socket int
+	err = retry(func() (err error) {
+		socket, err = bind(bound)
+		return err
+	})
 	if err != nil {
 		return err
 	}
@@ -210,3 +219,24 @@
 	http.ResponseWriter
 	view *view
 }
+
+// TestCutWaitsForTheFormerListener guards against a cut that failed with "address already in use": the listener of the link was closed
+// and went on for a moment, while the port was bound again at once.
+func TestCutWaitsForTheFormerListener(t *testing.T) {
+	link, err := newLink("127.0.0.1:1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	file, err := link.proxy.listener.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.AfterFunc(100*time.Millisecond, func() { _ = file.Close() })
+	if err := link.cut(hanging); err != nil {
+		t.Error(err)
+	}
+	if err := link.heal(); err != nil {
+		t.Error(err)
+	}
+	_ = link.proxy.listener.Close()
+}
