--- a/internal/frontsoak/process_test.go
+++ b/internal/frontsoak/process_test.go
@@ -17,8 +17,8 @@
 // process is one daemon, which is restarted whenever it ends.
 type process struct {
 	name, binary, settings string
-	// client is the address on which the daemon serves clients.
-	client string
+	// client is the address on which the daemon serves clients, and ready that of its readiness check.
+	client, ready string
 	// store is the proxy between the daemon and the store.
 	store *proxy
 	log   *os.File
@@ -26,6 +26,8 @@
 	mutex   sync.Mutex
 	command *exec.Cmd
 	stopped bool
+	// started lists the binaries of all starts.
+	started []string
 	// suspensions is the number of those that have not ended.
 	suspensions int
 	done        chan struct{}
@@ -63,7 +65,7 @@
 	var processes []*process
 	seeds := `"` + strings.Join(addresses[:count], `","`) + `"`
 	for index := range count {
-		created := &process{name: fmt.Sprintf("front-%d", index), binary: binary, client: addresses[count+index], done: make(chan struct{})}
+		created := &process{name: fmt.Sprintf("front-%d", index), binary: binary, client: addresses[count+index], ready: addresses[2*count+index], done: make(chan struct{})}
 		if created.store, err = newProxy(store); err != nil {
 			return nil, err
 		}
@@ -83,7 +85,7 @@
 RetrySlack: 50
 RetryWindow: 10s
 LoadWindow: 5s
-`, created.name, index%2, created.client, addresses[2*count+index], addresses[index], seeds, created.store.address())
+`, created.name, index%2, created.client, created.ready, addresses[index], seeds, created.store.address())
 		// The test runs the daemon only as a process. Parsing the settings here makes the test binary depend on the
 		// code of the daemon, so that go test does not reuse a cached result after a change of that code.
 		if _, err := front.Parse(created.settings, []byte(content)); err != nil {
@@ -111,6 +113,7 @@
 		}
 		command := exec.Command(process.binary, "front", "--settings", process.settings)
 		command.Stdout, command.Stderr = process.log, process.log
+		process.started = append(process.started, process.binary)
 		process.onStart(process.name)
 		err := command.Start()
 		process.command = command
--- a/internal/frontsoak/soak_test.go
+++ b/internal/frontsoak/soak_test.go
@@ -42,25 +42,37 @@
 
 func TestSoak(t *testing.T) {
 	binary := build(t)
-	seeds := fixedSeeds
-	if *seedFlag != 0 {
-		seeds = nil
-		for offset := range *seedsFlag {
-			seeds = append(seeds, *seedFlag+uint64(offset))
-		}
-	}
-	for _, seed := range seeds {
+	for _, seed := range seedsOr(fixedSeeds) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			soak(t, binary, seed)
+			soak(t, binary, seed, soakCase{fronts: *frontsFlag, length: *lengthFlag})
 		})
 	}
 }
 
+// seedsOr returns the seeds that the flags name, or the fixed ones.
+func seedsOr(fixed []uint64) []uint64 {
+	if *seedFlag == 0 {
+		return fixed
+	}
+	var seeds []uint64
+	for offset := range *seedsFlag {
+		seeds = append(seeds, *seedFlag+uint64(offset))
+	}
+	return seeds
+}
+
 // build builds the daemon and returns the path of the binary.
 func build(t *testing.T) string {
+	return buildIn(t, "../..")
+}
+
+// buildIn builds the daemon of the source tree and returns the path of the binary.
+func buildIn(t *testing.T, root string) string {
 	binary := filepath.Join(t.TempDir(), "bronzestall")
-	if output, err := exec.Command("go", "build", "-o", binary, "../../cmd/bronzestall").CombinedOutput(); err != nil {
+	command := exec.Command("go", "build", "-o", binary, "./cmd/bronzestall")
+	command.Dir = root
+	if output, err := command.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, output)
 	}
 	return binary
@@ -79,10 +91,19 @@
 	random         *rand.Rand
 }
 
+// soakCase is what differs between soaks.
+type soakCase struct {
+	// fronts is the number of daemons, and length the time for which faults are injected.
+	fronts int
+	length time.Duration
+	// alongside, if it is not nil, runs beside the faults. Recovery begins after it.
+	alongside func(testbed *testbed)
+}
+
 // soak runs one seed: it sends requests, injects faults, waits for recovery and reports all violations.
-func soak(t *testing.T, binary string, seed uint64) {
+func soak(t *testing.T, binary string, seed uint64, c soakCase) {
 	folder := t.TempDir()
-	testbed, err := newTestbed(folder, binary, seed)
+	testbed, err := newTestbedOf(c.fronts, folder, binary, seed)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -92,16 +113,19 @@
 	clients := testbed.startClients(ctx, seed)
 	takeUps := testbed.startTakeUps(ctx, seed)
 	time.Sleep(2 * time.Second)
-	noticeContext, stopNotices := context.WithTimeout(ctx, *lengthFlag+settleTime/2)
+	noticeContext, stopNotices := context.WithTimeout(ctx, c.length+settleTime/2)
 	defer stopNotices()
 	go testbed.injectNotices(noticeContext, seed)
 	go testbed.injectLimits(noticeContext, seed)
 	go testbed.injectDeadlyPart(noticeContext, seed)
 	go testbed.injectRestores(noticeContext, seed)
-	cuts := sync.WaitGroup{}
-	cuts.Go(func() { testbed.injectCuts(noticeContext, t, seed, views) })
-	testbed.injectFaults(t, *lengthFlag)
-	cuts.Wait()
+	others := sync.WaitGroup{}
+	others.Go(func() { testbed.injectCuts(noticeContext, t, seed, views) })
+	if c.alongside != nil {
+		others.Go(func() { c.alongside(testbed) })
+	}
+	testbed.injectFaults(t, c.length)
+	others.Wait()
 	time.Sleep(settleTime)
 	cancel()
 	clients.Wait()
@@ -173,6 +197,11 @@
 
 // newTestbed starts the store and the replicas, and prepares the daemons.
 func newTestbed(folder, binary string, seed uint64) (*testbed, error) {
+	return newTestbedOf(*frontsFlag, folder, binary, seed)
+}
+
+// newTestbedOf is newTestbed with so many daemons.
+func newTestbedOf(fronts int, folder, binary string, seed uint64) (*testbed, error) {
 	created := &testbed{checker: newChecker(), store: newStore(), random: rand.New(rand.NewPCG(seed, 7))}
 	created.configure()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -191,7 +220,7 @@
 		}
 		created.replicas = append(created.replicas, next)
 	}
-	created.fronts, err = newProcesses(*frontsFlag, loopbackIP(seed), binary, folder, listener.Addr().String())
+	created.fronts, err = newProcesses(fronts, loopbackIP(seed), binary, folder, listener.Addr().String())
 	return created, err
 }
 
