--- a/front/tasks.go
+++ b/front/tasks.go
@@ -118,6 +118,7 @@
 			daemon.pruneReplicas(daemon.roster.Entries())
 		}
 		daemon.updateMetrics(daemon.clock.Now())
+		daemon.updateProtocolMetrics(live)
 		daemon.observeMembers(live)
 		limits = daemon.updateLimitMetrics(daemon.clock.Now(), limits)
 		if daemon.clock.Since(daemon.directory.HolderLastSeen()) > holderTimeout {
@@ -180,7 +181,7 @@
 // reload applies new settings if they are valid. Only the seeds change; other settings keep their values
 // until the next start.
 func (daemon *Daemon) reload(content []byte) {
-	settings, err := Parse(daemon.settingsFile, content)
+	settings, err := parseOpen(daemon.settingsFile, content)
 	if err != nil {
 		event.SettingsRefused.LogError(err, "File", daemon.settingsFile)
 		return
--- a/lending/lending_test.go
+++ b/lending/lending_test.go
@@ -11,10 +11,13 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/encoding/protodelim"
 	"k8s.io/utils/clock"
 
 	"github.com/bronzestall/bronzestall/exchange"
+	"github.com/bronzestall/bronzestall/lending/lendingpb"
 	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/protocol"
 	"github.com/bronzestall/bronzestall/relay"
 )
 
@@ -30,6 +33,9 @@
 	return server.serve(ctx, sink)
 }
 
+// meetings keeps the versions that clients tell the daemons of start.
+var meetings = protocol.NewMeetings(clock.RealClock{})
+
 // start returns the address of a daemon with the relay.
 func start(t *testing.T, server *server) string {
 	t.Helper()
@@ -37,7 +43,7 @@
 		return sent, exchange.Metadata{ID: sent.Get("Id")}
 	}
 	mux := http.NewServeMux()
-	mux.Handle(Path, NewHandler(server, decode, clock.RealClock{}, func(string, *exchange.Request, *outcome.Error) {}))
+	mux.Handle(Path, NewHandler(server, decode, clock.RealClock{}, meetings, func(string, *exchange.Request, *outcome.Error) {}))
 	opened := httptest.NewServer(mux)
 	t.Cleanup(opened.Close)
 	return strings.TrimPrefix(opened.URL, "http://")
@@ -67,6 +73,9 @@
 	if values := reply.Header["X-Odd"]; len(values) != 2 || values[0] != "\xff\xfe" {
 		t.Errorf("headers are %q", reply.Header)
 	}
+	if version := meetings.Version("a"); version != protocol.Current {
+		t.Errorf("the request tells the version %d", version)
+	}
 	got := served.request
 	if got.Method != request.Method || got.Target != request.Target || got.Path != request.Path || got.Host != request.Host || string(got.Body) != string(request.Body) {
 		t.Errorf("the request is %+v", got)
@@ -118,6 +127,40 @@
 	}
 }
 
+// TestResponsesOfOtherBuilds guards against issue 48: a response that this build cannot read stated that the request had not run,
+// unless it is one that a daemon sends before it serves anything. A refusal of an unknown kind has not run only if it says so.
+func TestResponsesOfOtherBuilds(t *testing.T) {
+	refusal := func(head *lendingpb.Head) func(writer http.ResponseWriter) {
+		head.Refusal = "KindOfALaterBuild"
+		return func(writer http.ResponseWriter) { _, _ = protodelim.MarshalTo(writer, head) }
+	}
+	status := func(code int) func(writer http.ResponseWriter) {
+		return func(writer http.ResponseWriter) { writer.WriteHeader(code) }
+	}
+	for name, c := range map[string]struct {
+		answer  func(writer http.ResponseWriter)
+		refused bool
+		notRun  bool
+	}{
+		"no such path":                      {status(http.StatusNotFound), true, true},
+		"a request that cannot be decoded":  {status(http.StatusBadRequest), true, true},
+		"a failure":                         {status(http.StatusInternalServerError), false, false},
+		"an unavailable service":            {status(http.StatusServiceUnavailable), false, false},
+		"an unknown success":                {status(http.StatusAccepted), false, false},
+		"an unknown kind":                   {refusal(&lendingpb.Head{}), true, false},
+		"an unknown kind that has not run":  {refusal(&lendingpb.Head{NotRun: true}), true, true},
+		"an unknown kind that may have run": {refusal(&lendingpb.Head{NotRun: true, Runs: 1}), true, false},
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { c.answer(writer) }))
+		t.Cleanup(server.Close)
+		_, err := NewClient("a", http.DefaultClient).Send(t.Context(), strings.TrimPrefix(server.URL, "http://"), &exchange.Request{Method: "GET"}, time.Second, relay.Allowance{})
+		refusal := relay.AsRefusal(err)
+		if (refusal != nil) != c.refused || refusal != nil && refusal.NotRun() != c.notRun || refusal == nil && !errors.Is(err, exchange.ErrLost) {
+			t.Errorf("%s: %v, a refusal: %v", name, err, refusal != nil)
+		}
+	}
+}
+
 // TestClientThatLeavesEndsTheRun checks that the daemon that serves a lent request learns that its client has left.
 func TestClientThatLeavesEndsTheRun(t *testing.T) {
 	ended := make(chan struct{})
@@ -147,7 +190,7 @@
 	f.Add([]byte("\x0a\x03GET\x12\x01/\x2a\x04\x0a\x02Id"))
 	handler := NewHandler(&server{serve: func(context.Context, relay.Sink) (relay.Summary, *outcome.Error) {
 		return relay.Summary{}, outcome.New(outcome.NotReady, "no")
-	}}, func(sent http.Header) (http.Header, exchange.Metadata) { return sent, exchange.Metadata{} }, clock.RealClock{},
+	}}, func(sent http.Header) (http.Header, exchange.Metadata) { return sent, exchange.Metadata{} }, clock.RealClock{}, protocol.NewMeetings(clock.RealClock{}),
 		func(string, *exchange.Request, *outcome.Error) {})
 	f.Fuzz(func(_ *testing.T, content []byte) {
 		handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, Path, strings.NewReader(string(content))))
