End a silent generation at the product's own door only for one that was accepted

What callers saw: an engine that sent nothing for a second (a pause, a stalled connection) lost its answers.

Cause: the engine client cancelled the generation after a second without a piece or heartbeat (ErrStalled), and only then the dispatcher probed the engine and asked for the budget and a slot.

Change: upstream.Client reports silence (Generation.OnSilence) and ends nothing; ErrStalled is gone. A handover seeks a successor meanwhile: the same engine over another connection once it answers probes and stays silent for 0.5 s more, or, after 3 s without an answer to probes, another upstream within budget, limits and attempts. Pieces are passed on once, by their index. Requests that may not run twice are never sent again; one whose engine has answered probes for 10 s beside a silent connection ends as UpstreamLost, since engines send heartbeats. A pause of up to 3 s ejects nothing and makes no suspect. A stream goes on only with the version of the model that began it.

--- /dev/null
+++ b/dispatch/ended.go
@@ -0,0 +1,42 @@
+package dispatch
+
+import (
+	"github.com/bronzestall/bronzestall/event"
+	"github.com/bronzestall/bronzestall/outcome"
+)
+
+// ender tells who ended an attempt, for logs.
+type ender string
+
+// The enders of attempts that failed.
+const (
+	// endedByUpstream means that the upstream broke off, refused, failed or sent what is no valid response.
+	endedByUpstream ender = "Replica"
+	// endedByClient means that the caller closed the connection or does not take the response.
+	endedByClient ender = "Client"
+	// endedByDeadline means that the deadline or the total time of the request passed.
+	endedByDeadline ender = "Deadline"
+	// endedByStop means that this daemon stops.
+	endedByStop ender = "Stop"
+)
+
+// enderOf returns who ended an attempt with the failure.
+func enderOf(failure *outcome.Error) ender {
+	switch failure.Kind {
+	case outcome.CallerGone:
+		return endedByClient
+	case outcome.DeadlineInQueue, outcome.DeadlineRunning:
+		return endedByDeadline
+	case outcome.Stopping:
+		return endedByStop
+	default:
+		return endedByUpstream
+	}
+}
+
+// logFailed logs that the attempt on the leg failed, and who ended it.
+func (transaction *transaction) logFailed(leg *leg, failed result) {
+	event.AttemptFailed.Log("Request", transaction.req.ID, "Fingerprint", transaction.req.Fingerprint, "Replica", leg.name(),
+		"Boot", leg.reservation.candidate.BootID, "LastEvent", transaction.last, "Sends", transaction.attempts,
+		"Runs", transaction.ran, "NotRun", failed.notRun, "EndedBy", enderOf(failed.failure), "Cause", failed.failure.Error())
+}
--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -45,10 +45,15 @@
 
 // repeatable reports whether the request may run again after an attempt that may have run.
 func (transaction *transaction) repeatable() bool {
-	if !transaction.req.Idempotent {
+	if transaction.sink.Begun() && !transaction.req.Stream {
 		return false
 	}
-	if transaction.sink.Begun() && !transaction.req.Stream {
+	return transaction.mayRunTwice()
+}
+
+// mayRunTwice reports whether the request is idempotent and not quarantined.
+func (transaction *transaction) mayRunTwice() bool {
+	if !transaction.req.Idempotent {
 		return false
 	}
 	crashes, _ := transaction.dispatcher.registry.CrashCount(transaction.req.Fingerprint, transaction.dispatcher.clock.Now())
--- /dev/null
+++ b/dispatch/seek.go
@@ -0,0 +1,247 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/bronzestall/bronzestall/event"
+	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/route"
+	"github.com/bronzestall/bronzestall/upstream"
+)
+
+// The limits of a search for a successor.
+const (
+	// longestPause is how long a search waits for a sign of life of the upstream before it seeks another one.
+	// Sound engines pause for up to two seconds.
+	longestPause = 2 * time.Second
+	// probeRetryDelay is the delay between two probes of a silent upstream.
+	probeRetryDelay = 100 * time.Millisecond
+	// wakeTime is the time in which an engine that was paused sends what it owes, once it answers probes.
+	wakeTime = 500 * time.Millisecond
+	// lostAfter is how long a leg stays silent beside probes that its engine answers until its connection counts as
+	// lost. Engines send heartbeats while a generation runs.
+	lostAfter = 10 * time.Second
+	// searchDelay is the delay between two searches during one silence.
+	searchDelay = time.Second
+	// maxResumes is the number of further connections to the same upstream that one leg may lead to.
+	maxResumes = 3
+)
+
+// searchUntil searches again and again until an upstream accepts the request or ctx ends.
+func (handover *handover) searchUntil(ctx context.Context, seeker *transaction) *leg {
+	for ctx.Err() == nil {
+		if successor := handover.search(ctx, seeker); successor != nil {
+			return successor
+		}
+		seeker.wait(ctx, searchDelay)
+	}
+	return nil
+}
+
+// search seeks an upstream that accepts the request: that of the leg over another connection if it lives, else
+// another one. It returns nil if there is none now, or ctx ends.
+func (handover *handover) search(ctx context.Context, seeker *transaction) *leg {
+	reservation := handover.leg.reservation
+	boot := seeker.awaitBoot(ctx, reservation)
+	switch {
+	case ctx.Err() != nil:
+		return nil
+	case boot == "":
+		handover.aliveSince = time.Time{}
+		handover.recordUnresponsive(ctx, seeker)
+		return handover.seekElsewhere(ctx, seeker)
+	case mayHaveCrashed(reservation, boot):
+		handover.leg.cancel(errRestarted)
+		return nil
+	case handover.connectionLost(seeker.dispatcher.clock.Now()):
+		handover.leg.cancel(errConnectionLost)
+		return nil
+	default:
+		return handover.reconnect(ctx, seeker)
+	}
+}
+
+// connectionLost records that the engine answers now, and reports whether it has done so for lostAfter.
+func (handover *handover) connectionLost(now time.Time) bool {
+	if handover.aliveSince.IsZero() {
+		handover.aliveSince = now
+	}
+	return now.Sub(handover.aliveSince) >= lostAfter
+}
+
+// awaitBoot returns the boot of the reserved upstream once it answers a probe, or an empty string if it does not
+// within longestPause.
+func (transaction *transaction) awaitBoot(ctx context.Context, reservation *reservation) string {
+	until := transaction.dispatcher.clock.Now().Add(longestPause)
+	for {
+		boot := transaction.dispatcher.probe(ctx, reservation.candidate.Upstream)
+		if boot != "" || ctx.Err() != nil || !transaction.dispatcher.clock.Now().Before(until) {
+			return boot
+		}
+		transaction.wait(ctx, probeRetryDelay)
+	}
+}
+
+// recordUnresponsive records once that the upstream of the leg may have crashed while it ran the request.
+func (handover *handover) recordUnresponsive(ctx context.Context, seeker *transaction) {
+	if handover.unresponsive {
+		return
+	}
+	handover.unresponsive = true
+	seeker.recordCrash(ctx, handover.leg.reservation)
+}
+
+// reconnect sends the request to the upstream of the leg over another connection.
+func (handover *handover) reconnect(ctx context.Context, seeker *transaction) *leg {
+	if !seeker.req.Idempotent || handover.resumes >= maxResumes {
+		return nil
+	}
+	seeker.wait(ctx, wakeTime)
+	generator, ok := seeker.dispatcher.deps.Engines.Generator(handover.leg.name())
+	if !ok || ctx.Err() != nil {
+		return nil
+	}
+	handover.resumes++
+	successor := handover.newSuccessor(handover.leg.reservation)
+	if err := handover.send(ctx, seeker, successor, generator); err != nil {
+		if cannotResume(err) {
+			handover.resumes = maxResumes
+		}
+		successor.end(false)
+		return nil
+	}
+	event.StreamResumed.Log("Request", seeker.req.ID, "Upstream", handover.leg.name(), "After", seeker.last)
+	return successor
+}
+
+// seekElsewhere sends the request to another upstream within the limits of attempts and the retry budget.
+func (handover *handover) seekElsewhere(ctx context.Context, seeker *transaction) *leg {
+	if ctx.Err() != nil || !handover.mayRunElsewhere(seeker) {
+		return nil
+	}
+	if !seeker.dispatcher.budget.Withdraw() {
+		return nil
+	}
+	if seeker.isSuspect() {
+		seeker.wait(ctx, suspectPause)
+	}
+	successor, failure := handover.reserveElsewhere(ctx, seeker)
+	if failure != nil {
+		seeker.dispatcher.budget.Return()
+		return nil
+	}
+	if err := handover.prepareAndSend(ctx, seeker, successor); err != nil {
+		handover.recordRefusal(ctx, seeker, successor, err)
+		successor.end(false)
+		return nil
+	}
+	seeker.ran++
+	return successor
+}
+
+// mayRunElsewhere reports whether the request may run on another upstream beside the leg.
+func (handover *handover) mayRunElsewhere(seeker *transaction) bool {
+	if handover.cannotResume || !seeker.mayRunTwice() {
+		return false
+	}
+	return seeker.ran+1 < maxRun && seeker.attempts < maxAttempts
+}
+
+// reserveElsewhere returns a leg on another upstream that has a slot for the request.
+func (handover *handover) reserveElsewhere(ctx context.Context, seeker *transaction) (*leg, *outcome.Error) {
+	req := seeker.req
+	if seeker.last > 0 {
+		req.Deadline = seeker.dispatcher.clock.Now().Add(resumeTimeout)
+	}
+	reservation, failure := seeker.dispatcher.admit(ctx, &req, handover.requirements(seeker), true)
+	if failure != nil {
+		return nil, failure
+	}
+	successor := handover.newSuccessor(reservation)
+	successor.onEnd(func(answered bool) { seeker.dispatcher.release(reservation, answered) })
+	unreserve, ok := seeker.reserve(ctx, reservation)
+	if !ok || successor.name() == handover.leg.name() {
+		successor.end(false)
+		return nil, outcome.New(outcome.UpstreamRefused, "no other upstream may run the request")
+	}
+	successor.onEnd(func(bool) { unreserve() })
+	return successor, nil
+}
+
+// requirements returns the routing requirements of a successor on another upstream.
+func (handover *handover) requirements(seeker *transaction) route.Requirements {
+	requirements := route.Requirements{
+		Affinity: seeker.req.Fingerprint,
+		Adapter:  seeker.req.Target.Adapter,
+		Exclude:  handover.leg.name(),
+		Suspect:  seeker.isSuspect(),
+	}
+	if seeker.last > 0 {
+		requirements.Version = seeker.version
+	}
+	return requirements
+}
+
+// newSuccessor returns a leg on the reserved upstream that does not end with the search.
+func (handover *handover) newSuccessor(reservation *reservation) *leg {
+	successor := handover.transaction.newLeg(handover.ctx, reservation)
+	successor.handover.resumes = handover.resumes
+	return successor
+}
+
+// prepareAndSend prepares the upstream of the successor and sends it the request.
+func (handover *handover) prepareAndSend(ctx context.Context, seeker *transaction, successor *leg) error {
+	generator, ok := seeker.dispatcher.deps.Engines.Generator(successor.name())
+	if !ok {
+		return upstream.ErrNotSent
+	}
+	seeker.countAttempt()
+	if err := seeker.prepare(ctx, successor); err != nil {
+		return err
+	}
+	return handover.send(ctx, seeker, successor, generator)
+}
+
+// send sends the request to the upstream of the successor, and gives up when ctx ends. A response that is no
+// beginning of a success is an error, since the leg may do better.
+func (handover *handover) send(ctx context.Context, seeker *transaction, successor *leg, generator upstream.Generator) error {
+	handover.markSent(true)
+	defer handover.markSent(false)
+	stop := context.AfterFunc(ctx, func() { successor.cancel(errOvertaken) })
+	defer stop()
+	if err := successor.open(generator, seeker.generation(successor.reservation, handover.resumes)); err != nil {
+		return err
+	}
+	if successor.stream.Status() >= firstErrorStatus {
+		return upstream.ErrNoResponse
+	}
+	return nil
+}
+
+// recordRefusal records why the upstream of the successor did not accept the request.
+func (handover *handover) recordRefusal(ctx context.Context, seeker *transaction, successor *leg, err error) {
+	handover.cannotResume = handover.cannotResume || cannotResume(err)
+	failed := seeker.classify(ctx, successor.reservation, err)
+	if !failed.notRun {
+		seeker.uncertainFailure = failed.failure
+	}
+	seeker.logFailed(successor, failed)
+}
+
+// cannotResume reports whether the engine refused to go on with a stream because it does not know it.
+func cannotResume(err error) bool {
+	var refusal *upstream.RefusedError
+	return errors.As(err, &refusal) && refusal.CannotResume()
+}
+
+// wait waits for the time or the end of ctx.
+func (transaction *transaction) wait(ctx context.Context, length time.Duration) {
+	timer := transaction.dispatcher.clock.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C():
+	case <-ctx.Done():
+	}
+}
--- a/dispatch/transaction.go
+++ b/dispatch/transaction.go
@@ -18,14 +18,11 @@
 	dispatcher *Dispatcher
 	req        request.Request
 	sink       request.Sink
-	// attempts is the number of attempts, and ran the number of those that may have run.
-	attempts, ran int
-	// mayHaveRun states that an upstream may have run a part of the request.
-	mayHaveRun bool
-	// uncertainFailure is the failure of the latest attempt that may have run, or nil.
-	uncertainFailure *outcome.Error
-	// last is the index of the last piece that was sent to the caller.
-	last int
+	progress
+	// last is the index of the last piece that was sent to the caller, and version the version of the model that
+	// the stream to the caller began with.
+	last    int
+	version string
 	// ticket is the claim that the request holds, or nil.
 	ticket *claim.Ticket
 	// resumeDeadline is when a stream that has begun must have found its next upstream, or zero while it has
@@ -41,6 +38,16 @@
 	ended bool
 }
 
+// progress is what has been made of a request.
+type progress struct {
+	// attempts is the number of attempts, and ran the number of those that may have run.
+	attempts, ran int
+	// mayHaveRun states that an upstream may have run a part of the request.
+	mayHaveRun bool
+	// uncertainFailure is the failure of the latest attempt that may have run, or nil.
+	uncertainFailure *outcome.Error
+}
+
 // process runs the request until it ends and closes its claim.
 func (transaction *transaction) process(ctx context.Context) *outcome.Error {
 	requirements, failure := transaction.requirements()
--- a/route/choose.go
+++ b/route/choose.go
@@ -192,6 +192,9 @@
 	if requirements.Only != "" && candidate.Upstream != requirements.Only {
 		return false
 	}
+	if requirements.Version != "" && candidate.Version != requirements.Version {
+		return false
+	}
 	state := router.states[candidate.Upstream]
 	return state == nil || state.health.admits(len(state.sendTimes))
 }
--- a/route/requirements.go
+++ b/route/requirements.go
@@ -9,6 +9,8 @@
 	SecondaryAffinity uint64
 	// Adapter is the adapter that the replica must have loaded or load; empty means none.
 	Adapter string
+	// Version is the version of the model that the replica must hold; empty means any.
+	Version string
 	// Exclude is an upstream that must not be chosen; empty means none.
 	Exclude string
 	// Only is the one upstream that may be chosen; empty means any.
--- a/upstream/generator.go
+++ b/upstream/generator.go
@@ -3,14 +3,13 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 
 	"github.com/bronzestall/bronzestall/request"
 )
 
 // The errors of a generation, in addition to ErrNotSent and ErrNoResponse.
 var (
-	// ErrStalled means that neither a piece nor a heartbeat arrived within the stall timeout.
-	ErrStalled = errors.New("connection is stalled")
 	// ErrTruncated means that the response ended before its end marker or its declared length, or is malformed.
 	ErrTruncated = errors.New("response is truncated")
 	// ErrMismatched means that the response carries the identifier of another request.
@@ -30,6 +29,11 @@
 	return "upstream refused: " + refused.Reason
 }
 
+// CannotResume reports whether the engine refused to go on with a stream because it does not know the generation.
+func (refused *RefusedError) CannotResume() bool {
+	return refused.Status == http.StatusGone
+}
+
 // Generation is one attempt to run a request on one replica.
 type Generation struct {
 	// Request is the request to run.
@@ -40,6 +44,10 @@
 	Attempt int
 	// ResumeAfter is the index of the last piece sent to the caller; zero starts a new generation.
 	ResumeAfter int
+	// OnSilence is called when neither a piece nor a heartbeat arrived for ClientSettings.SilenceTimeout, by one
+	// goroutine at a time, and again that time after it returned if the silence lasts. Its context ends as soon
+	// as something arrives, or with the context of the generation. The generation goes on. It may be nil.
+	OnSilence func(ctx context.Context)
 }
 
 // Piece is one part of a response.
@@ -67,7 +75,7 @@
 	Status() int
 	// ContentType returns the content type of the response.
 	ContentType() string
-	// Next returns the next piece, io.EOF after a complete response, or ErrStalled, ErrTruncated,
+	// Next returns the next piece, io.EOF after a complete response, or ErrTruncated,
 	// ErrMismatched or ErrNoResponse. A Piece is valid until the next call.
 	Next(ctx context.Context) (Piece, error)
 	// Load returns the latest load report of the response and whether it has one.
@@ -79,7 +87,7 @@
 // Generator starts generations on one engine.
 type Generator interface {
 	// Generate sends the request. It returns once the header of the response has arrived and fails with
-	// ErrNotSent, ErrNoResponse, ErrStalled, ErrMismatched or a *RefusedError.
+	// ErrNotSent, ErrNoResponse, ErrMismatched or a *RefusedError.
 	Generate(ctx context.Context, generation Generation) (Stream, error)
 	// Probe requests the boot identifier of the engine over a new connection, to distinguish a stalled
 	// connection from an engine that does not respond.
--- a/upstream/settings.go
+++ b/upstream/settings.go
@@ -9,9 +9,9 @@
 
 // The defaults and limits of a Client.
 const (
-	defaultTimeout      = 2 * time.Second
-	defaultStallTimeout = time.Second
-	defaultMaxBody      = 16 << 20
+	defaultTimeout        = 2 * time.Second
+	defaultSilenceTimeout = time.Second
+	defaultMaxBody        = 16 << 20
 	// maxPieceBytes is the maximum length of a line or piece of a stream in bytes.
 	maxPieceBytes = 64 << 10
 	// maxStateBytes is the maximum length in bytes of an engine state or a list of cache events.
@@ -28,8 +28,8 @@
 	Address string
 	// Timeout limits each call other than a generation; zero means 2 s.
 	Timeout time.Duration
-	// StallTimeout is the time without a piece or heartbeat after which a connection counts as stalled; zero means 1 s.
-	StallTimeout time.Duration
+	// SilenceTimeout is the time without a piece or heartbeat after which silence is reported; zero means 1 s.
+	SilenceTimeout time.Duration
 	// DialTimeout limits the time to open a connection; zero means 1 s.
 	DialTimeout time.Duration
 	// IdleTimeout is how long an idle connection is kept open; zero means 15 s.
@@ -46,7 +46,7 @@
 
 func (settings ClientSettings) withDefaults() ClientSettings {
 	settings.Timeout = cmp.Or(settings.Timeout, defaultTimeout)
-	settings.StallTimeout = cmp.Or(settings.StallTimeout, defaultStallTimeout)
+	settings.SilenceTimeout = cmp.Or(settings.SilenceTimeout, defaultSilenceTimeout)
 	settings.MaxBody = cmp.Or(settings.MaxBody, defaultMaxBody)
 	return settings
 }
