Let a broken stream wait for an upstream at the product's own door

Cause: the retry budget, a refusal, and a failed admission were final for begun streams too, and the next attempt excluded the upstream whose connection broke.

It still ends at once for what is certain: quarantine, a withdrawn model, a forecast that is too late, an engine that does not know the generation. The number of attempts does not bound it; the budget, its deadline and the number of runs do.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -104,7 +104,7 @@
 
 // relayLeg relays the response of the leg, whose upstream has accepted the request.
 func (transaction *transaction) relayLeg(leg *leg, begun func()) error {
-	transaction.resumeDeadline = time.Time{}
+	transaction.resumeDeadline, transaction.nextDelay = time.Time{}, 0
 	transaction.dispatcher.recordLoad(leg.name(), leg.stream)
 	defer transaction.dispatcher.recordLoad(leg.name(), leg.stream)
 	return transaction.relay(leg, begun)
--- /dev/null
+++ b/dispatch/broken.go
@@ -0,0 +1,46 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/bronzestall/bronzestall/outcome"
+)
+
+// The waits of a stream that broke off, until another upstream takes it.
+const (
+	// resumeTimeout is the time within which a stream that has begun must find its next upstream.
+	resumeTimeout = 10 * time.Second
+	// brokenDelay is the delay before the second try to find one. It doubles each time, up to longestBrokenDelay.
+	brokenDelay        = 50 * time.Millisecond
+	longestBrokenDelay = 800 * time.Millisecond
+	// budgetPollInterval is the interval at which a stream asks for a retry while the budget is empty.
+	budgetPollInterval = 50 * time.Millisecond
+)
+
+// goesOn reports whether the caller has a part of a stream that an upstream may still go on with. Such a stream is
+// not given up for want of an upstream that takes it now.
+func (transaction *transaction) goesOn(ctx context.Context) bool {
+	return transaction.last > 0 && ctx.Err() == nil && transaction.timeLeft() > 0
+}
+
+// mayComeToRoom reports whether a stream that has begun and found no upstream for the reason may find one later.
+func (transaction *transaction) mayComeToRoom(ctx context.Context, failure *outcome.Error) bool {
+	if !transaction.goesOn(ctx) {
+		return false
+	}
+	switch failure.Kind {
+	case outcome.QueueFull, outcome.TenantLimit, outcome.NoDecider:
+		return true
+	case outcome.NoReplica:
+		return failure.RetryAfter < transaction.timeLeft()
+	default:
+		return false
+	}
+}
+
+// pauseBroken delays the next try of a stream that has begun, the longer the more there were.
+func (transaction *transaction) pauseBroken(ctx context.Context) {
+	transaction.pause(ctx, transaction.nextDelay)
+	transaction.nextDelay = min(2*max(transaction.nextDelay, brokenDelay), longestBrokenDelay)
+}
--- a/dispatch/classify.go
+++ b/dispatch/classify.go
@@ -38,7 +38,7 @@
 			transaction.dispatcher.adapters.markRefused(transaction.adapterKeyOf(reservation), transaction.dispatcher.clock.Now())
 		}
 		failure := outcome.New(outcome.UpstreamRefused, "the upstream refused the request").WithCause(err).WithRetryAfter(minRetryAfter)
-		return result{failure: failure, notRun: true}, true
+		return result{failure: failure, notRun: true, cannotResume: refusal.CannotResume()}, true
 	}
 	if errors.Is(err, upstream.ErrNotSent) && ctx.Err() != nil {
 		return result{failure: notSentFailure(ctx), notRun: true, final: true}, true
@@ -81,9 +81,9 @@
 	}
 	transaction.recordFailure(reservation)
 	if errors.Is(err, upstream.ErrTruncated) {
-		return result{failure: outcome.New(outcome.AnswerInvalid, "the answer was not complete").WithCause(err)}
+		return result{failure: outcome.New(outcome.AnswerInvalid, "the answer was not complete").WithCause(err), alive: true}
 	}
-	return result{failure: outcome.New(outcome.UpstreamLost, "the connection to the upstream failed while the request ran").WithCause(err)}
+	return result{failure: outcome.New(outcome.UpstreamLost, "the connection to the upstream failed while the request ran").WithCause(err), alive: true}
 }
 
 // crashCheckDelays are the delays before each probe of the upstream of a cancelled request.
--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -11,12 +11,13 @@
 const (
 	// maxRun is the largest number of upstreams that may have run one request.
 	maxRun = 2
-	// maxAttempts is the largest number of attempts, including those that provably did not run.
+	// maxAttempts is the largest number of attempts, including those that provably did not run. A stream that has
+	// begun is not bound by it.
 	maxAttempts = 4
 )
 
-// allowRetry reports whether another attempt is allowed, and charges it to the retry budget. If the budget is
-// spent, it replaces the failure of a request that provably did not run.
+// allowRetry reports whether another attempt is allowed, and charges it to the retry budget, for which a stream that
+// has begun waits. If the budget is spent, it replaces the failure of a request that provably did not run.
 func (transaction *transaction) allowRetry(ctx context.Context, last *result) bool {
 	if last.final || ctx.Err() != nil {
 		return false
@@ -24,17 +25,21 @@
 	if !last.notRun && !transaction.repeatable() {
 		return false
 	}
-	if last.notRun && !last.unreachable && transaction.last > 0 {
-		// The engine refused to resume the stream; other engines cannot resume it either.
+	if last.cannotResume && transaction.last > 0 {
+		// Other engines know the stream even less.
 		return false
 	}
-	if transaction.ran >= maxRun || transaction.attempts >= maxAttempts {
+	goesOn := transaction.goesOn(ctx)
+	if transaction.ran >= maxRun || (transaction.attempts >= maxAttempts && !goesOn) {
 		return false
 	}
 	if !transaction.sink.Begun() && transaction.timeLeft() <= 0 {
 		return false
 	}
-	if transaction.dispatcher.budget.Withdraw() {
+	if goesOn && last.notRun {
+		transaction.pauseBroken(ctx)
+	}
+	if transaction.withdrawRetry(ctx) {
 		return true
 	}
 	if !transaction.mayHaveRun {
@@ -43,6 +48,17 @@
 	return false
 }
 
+// withdrawRetry takes a retry from the budget and reports whether there was one. A stream that has begun waits for it.
+func (transaction *transaction) withdrawRetry(ctx context.Context) bool {
+	for !transaction.dispatcher.budget.Withdraw() {
+		if !transaction.goesOn(ctx) {
+			return false
+		}
+		transaction.pause(ctx, budgetPollInterval)
+	}
+	return true
+}
+
 // repeatable reports whether the request may run again after an attempt that may have run.
 func (transaction *transaction) repeatable() bool {
 	if transaction.sink.Begun() && !transaction.req.Stream {
--- a/dispatch/transaction.go
+++ b/dispatch/transaction.go
@@ -28,6 +28,8 @@
 	// resumeDeadline is when a stream that has begun must have found its next upstream, or zero while it has
 	// one.
 	resumeDeadline time.Time
+	// nextDelay is the delay before the next try of a stream that has begun and that no upstream takes.
+	nextDelay time.Duration
 	// leavingWatch tracks whether the upstream is leaving. exported is the generation to import on the next
 	// upstream, or nil.
 	leavingWatch leavingWatch
@@ -66,7 +68,11 @@
 func (transaction *transaction) runAttempts(ctx context.Context, requirements route.Requirements) *outcome.Error {
 	for {
 		req := transaction.withNextDeadline()
-		reservation, failure := transaction.dispatcher.admit(ctx, &req, requirements, transaction.attempts > 0 || requirements.Suspect)
+		reservation, failure := transaction.nextReservation(ctx, &req, requirements)
+		if failure != nil && transaction.mayComeToRoom(ctx, failure) {
+			transaction.pauseBroken(ctx)
+			continue
+		}
 		if failure != nil {
 			return transaction.overallFailure(failure)
 		}
@@ -92,15 +98,30 @@
 		if !transaction.allowRetry(ctx, &last) {
 			return transaction.overallFailure(last.failure)
 		}
-		requirements.Exclude = reservation.candidate.Upstream
-		requirements.Affinity = transaction.req.Fingerprint
-		requirements.Suspect = transaction.isSuspect() || (last.unreachable && !transaction.dispatcher.completed.Has(transaction.req.Fingerprint))
+		requirements = transaction.retryRequirements(requirements, reservation, last)
 		if requirements.Suspect {
 			transaction.pause(ctx, suspectPause)
 		}
 	}
 }
 
+// nextReservation reserves a slot for the next attempt.
+func (transaction *transaction) nextReservation(ctx context.Context, req *request.Request, requirements route.Requirements) (*reservation, *outcome.Error) {
+	return transaction.dispatcher.admit(ctx, req, requirements, transaction.attempts > 0 || requirements.Suspect)
+}
+
+// retryRequirements returns the routing requirements after a failed attempt. A stream that broke off is sent on to its
+// upstream while that lives and does not leave, since it may be the only one that can go on with it.
+func (transaction *transaction) retryRequirements(requirements route.Requirements, reservation *reservation, last result) route.Requirements {
+	requirements.Exclude, requirements.Only = reservation.candidate.Upstream, ""
+	if transaction.last > 0 && last.alive && !transaction.dispatcher.leaving(reservation) {
+		requirements.Exclude, requirements.Only = "", reservation.candidate.Upstream
+	}
+	requirements.Affinity = transaction.req.Fingerprint
+	requirements.Suspect = transaction.isSuspect() || (last.unreachable && !transaction.dispatcher.completed.Has(transaction.req.Fingerprint))
+	return requirements
+}
+
 // overallFailure returns the failure, or that of an earlier attempt if the request may have run.
 func (transaction *transaction) overallFailure(failure *outcome.Error) *outcome.Error {
 	if transaction.mayHaveRun && failure.Kind.Entry().Execution == outcome.NotRun {
@@ -179,9 +200,6 @@
 	return outcome.New(outcome.CallerGone, "the caller closed the connection")
 }
 
-// resumeTimeout is the time within which a stream that has begun must find its next upstream.
-const resumeTimeout = 10 * time.Second
-
 // withNextDeadline returns the request with the deadline of its next attempt. A stream that has begun uses
 // resumeDeadline instead of the deadline of the request.
 func (transaction *transaction) withNextDeadline() request.Request {
