Continue a stream only with the version of its model that began it

What callers saw: a stream whose upstream was lost while a new version of the model came into force was sent on to a replica of the new version, which goes on with what another version wrote if it can resume at all.

Cause: the candidates are the replicas of the version in force, and nothing remembered which one had begun the stream.

Change: the version of the replica that sent the first piece stays with the stream. Only replicas that hold it are chosen; if there are candidates and none holds it, the stream ends at once as UpstreamLost. A silent generation was held to this already.

Test: the case "only other versions" of dispatch.TestBrokenStreamWaitsForAnUpstream, which ended with a whole response of two versions before.

--- a/dispatch/broken.go
+++ b/dispatch/broken.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/request"
+	"github.com/bronzestall/bronzestall/route"
 )
 
 // The waits of a stream that broke off, until another upstream takes it.
@@ -44,3 +46,28 @@
 	transaction.pause(ctx, transaction.nextDelay)
 	transaction.nextDelay = min(2*max(transaction.nextDelay, brokenDelay), longestBrokenDelay)
 }
+
+// versionFailure returns the failure of a stream of the version of its model that no candidate holds any more, or
+// nil. Other versions cannot go on with it.
+func (dispatcher *Dispatcher) versionFailure(req *request.Request, version string) *outcome.Error {
+	snapshot, err := dispatcher.snapshot(req)
+	if err != nil {
+		return outcome.From(err)
+	}
+	if len(snapshot.Local)+len(snapshot.Remote) == 0 || snapshot.holdsVersion(version) {
+		return nil
+	}
+	return outcome.New(outcome.UpstreamLost, "no upstream holds the version of the model that began the stream")
+}
+
+// holdsVersion reports whether a candidate holds the version of the model.
+func (snapshot Snapshot) holdsVersion(version string) bool {
+	for _, candidates := range [][]route.Candidate{snapshot.Local, snapshot.Remote} {
+		for index := range candidates {
+			if candidates[index].Version == version {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/dispatch/transaction.go
+++ b/dispatch/transaction.go
@@ -107,6 +107,12 @@
 
 // nextReservation reserves a slot for the next attempt.
 func (transaction *transaction) nextReservation(ctx context.Context, req *request.Request, requirements route.Requirements) (*reservation, *outcome.Error) {
+	if transaction.last > 0 {
+		requirements.Version = transaction.version
+		if failure := transaction.dispatcher.versionFailure(req, requirements.Version); failure != nil {
+			return nil, failure
+		}
+	}
 	return transaction.dispatcher.admit(ctx, req, requirements, transaction.attempts > 0 || requirements.Suspect)
 }
 
