Reserve the next upstream before a stream is exported from one that leaves

Cause: the generation was exported, which ends it, as soon as any upstream was available in principle; the slot was sought afterwards, for 10 s, and a failed import was final.

Change: a slot is reserved in the background while the stream goes on, at another upstream that holds the same version and answers a probe; only then the generation is exported. What was exported is kept until an upstream has accepted it, so that an import that did not reach its upstream is tried at another one.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -104,9 +104,10 @@
 
 // relayLeg relays the response of the leg, whose upstream has accepted the request.
 func (transaction *transaction) relayLeg(leg *leg, begun func()) error {
-	transaction.resumeDeadline, transaction.nextDelay = time.Time{}, 0
+	transaction.resumeDeadline, transaction.nextDelay, transaction.exported = time.Time{}, 0, nil
 	transaction.dispatcher.recordLoad(leg.name(), leg.stream)
 	defer transaction.dispatcher.recordLoad(leg.name(), leg.stream)
+	defer transaction.endMigration()
 	return transaction.relay(leg, begun)
 }
 
--- a/dispatch/chaos_engine_test.go
+++ b/dispatch/chaos_engine_test.go
@@ -125,8 +125,9 @@
 
 // chaosFields holds the faults that the randomised test injects into a fakeEngine.
 type chaosFields struct {
-	// imports counts the imported generations.
-	imports int
+	// imports counts the imported generations. onExport is called as one is exported, unless it is nil.
+	imports  int
+	onExport func()
 	// boots counts the restarts, cuts the cut connections and crashes the crashes caused by the crash request.
 	boots, cuts, crashes int
 	// restartDelay is the time from a crash to the next boot.
--- a/dispatch/migrate.go
+++ b/dispatch/migrate.go
@@ -28,24 +28,32 @@
 	since time.Time
 	// cannotMigrate states that the stream stays on its upstream.
 	cannotMigrate bool
+	// destination is sought while the upstream leaves; it is nil before.
+	destination *destination
 }
 
-// shouldMigrate reports whether the stream should migrate now.
-func (transaction *transaction) shouldMigrate(reservation *reservation) bool {
-	state := &transaction.leavingWatch
+// migrate exports the stream from an upstream that leaves, once another one has a slot for it. It reports whether
+// it did; until then the stream stays.
+func (transaction *transaction) migrate(leg *leg) bool {
+	watch := &transaction.leavingWatch
 	now := transaction.dispatcher.clock.Now()
-	if state.cannotMigrate || now.Sub(state.lastCheck) < leavingCheckInterval {
+	if watch.cannotMigrate || now.Sub(watch.lastCheck) < leavingCheckInterval {
 		return false
 	}
-	state.lastCheck = now
-	if !transaction.dispatcher.leaving(reservation) {
-		state.since = time.Time{}
+	watch.lastCheck = now
+	if !transaction.dispatcher.leaving(leg.reservation) {
+		watch.since = time.Time{}
+		transaction.endMigration()
 		return false
 	}
-	if state.since.IsZero() {
-		state.since = now
+	if watch.since.IsZero() {
+		watch.since = now
 	}
-	return now.Sub(state.since) >= migrateAfter && transaction.dispatcher.hasAlternative(reservation)
+	if now.Sub(watch.since) < migrateAfter {
+		return false
+	}
+	reserved := transaction.seekDestination(leg)
+	return reserved != nil && transaction.export(leg, reserved)
 }
 
 // leaving reports whether the reserved upstream is leaving.
@@ -58,47 +66,46 @@
 	return ok && found.Leaving
 }
 
-// hasAlternative reports whether another upstream can serve the workload.
-func (dispatcher *Dispatcher) hasAlternative(reservation *reservation) bool {
-	snapshot, err := reservation.workload.lookup()
-	return err == nil && dispatcher.canServe(snapshot)
-}
-
-// export ends the generation on its upstream and keeps its state for the next one. If that fails, the stream
+// export ends the generation on its upstream and keeps its state for the reserved one. If that fails, the stream
 // stays.
-func (transaction *transaction) export(ctx context.Context, reservation *reservation) bool {
-	from, _ := transaction.dispatcher.deps.Engines.Generator(reservation.candidate.Upstream)
+func (transaction *transaction) export(leg *leg, reserved *reservation) bool {
+	from, _ := transaction.dispatcher.deps.Engines.Generator(leg.name())
 	mover, ok := from.(Migrator)
 	if !ok {
-		transaction.leavingWatch.cannotMigrate = true
-		return false
+		return transaction.stay(reserved)
 	}
-	blob, err := mover.Export(ctx, transaction.req.ID)
+	blob, err := mover.Export(leg.ctx, transaction.req.ID)
 	if err != nil {
-		transaction.leavingWatch.cannotMigrate = true
-		return false
+		return transaction.stay(reserved)
 	}
-	event.StreamMoved.Log("Request", transaction.req.ID, "From", reservation.candidate.Upstream, "After", transaction.last, "Bytes", len(blob))
+	event.StreamMoved.Log("Request", transaction.req.ID, "From", leg.name(), "After", transaction.last, "Bytes", len(blob))
 	transaction.mayHaveRun = true
 	transaction.uncertainFailure = outcome.New(outcome.UpstreamLost, "the stream found no upstream to go on at")
-	transaction.exported = blob
+	transaction.exported, transaction.reserved = blob, reserved
 	transaction.leavingWatch = leavingWatch{}
 	return true
 }
 
-// importExported imports the exported generation, if any, into the next upstream.
+// stay gives back the slot of a stream that cannot migrate. It returns false.
+func (transaction *transaction) stay(reserved *reservation) bool {
+	transaction.dispatcher.release(reserved, false)
+	transaction.leavingWatch.cannotMigrate = true
+	return false
+}
+
+// importExported imports the exported generation, if any, into the next upstream. The generation is kept until an
+// upstream has accepted it.
 func (transaction *transaction) importExported(ctx context.Context, to upstream.Generator) error {
 	if transaction.exported == nil {
 		return nil
 	}
-	blob := transaction.exported
-	transaction.exported = nil
 	mover, ok := to.(Migrator)
 	if !ok {
 		return outcome.New(outcome.UpstreamLost, "the stream could not go on at another upstream")
 	}
-	if err := mover.Import(ctx, transaction.req.ID, blob); err != nil {
-		return outcome.New(outcome.UpstreamLost, "the stream could not go on at another upstream").WithCause(err)
+	err := mover.Import(ctx, transaction.req.ID, transaction.exported)
+	if err == nil || errors.Is(err, upstream.ErrNotSent) {
+		return err
 	}
-	return nil
+	return outcome.New(outcome.UpstreamLost, "the stream could not go on at another upstream").WithCause(err)
 }
--- a/dispatch/migrate_test.go
+++ b/dispatch/migrate_test.go
@@ -19,6 +19,9 @@
 	if engine.cannotResume {
 		return nil, upstream.ErrNoResponse
 	}
+	if engine.onExport != nil {
+		engine.onExport()
+	}
 	return []byte(requestID), nil
 }
 
@@ -26,6 +29,9 @@
 func (engine *fakeEngine) Import(_ context.Context, requestID string, blob []byte) error {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
+	if engine.down {
+		return upstream.ErrNotSent
+	}
 	if requestID != string(blob) {
 		return upstream.ErrMismatched
 	}
@@ -86,6 +92,56 @@
 	}
 }
 
+// TestLeavingUpstreamIsLeftOnlyForASuccessor guards against issue 33: a stream was exported from an upstream that leaves
+// before another one had a slot for it, and was cut.
+func TestLeavingUpstreamIsLeftOnlyForASuccessor(t *testing.T) {
+	cases := []struct {
+		name string
+		// trouble is done at u2 as u1 begins to leave, and end 10 s later.
+		trouble, end func(other *fakeEngine)
+		migrations   int
+	}{
+		{"no trouble", func(*fakeEngine) {}, func(*fakeEngine) {}, 1},
+		{"no slot", func(other *fakeEngine) { other.slots, other.active, other.reports = 1, 1, true }, func(*fakeEngine) {}, 0},
+		{"no slot for a while", func(other *fakeEngine) { other.slots, other.active, other.reports = 1, 1, true }, func(other *fakeEngine) { other.active = 0 }, 1},
+		{"unreachable", func(other *fakeEngine) { other.down = true }, func(*fakeEngine) {}, 0},
+		{"other version", func(other *fakeEngine) { other.version = "v2" }, func(*fakeEngine) {}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cluster := newCluster("u1", "u2")
+				for _, engine := range cluster.engines {
+					engine.pieces, engine.gap = 30, time.Second
+				}
+				cluster.engines["u2"].leaving = true
+				time.AfterFunc(1500*time.Millisecond, func() {
+					cluster.engines["u1"].leave(time.Hour)
+					cluster.engines["u2"].set(func(other *fakeEngine) {
+						other.leaving = false
+						c.trouble(other)
+					})
+				})
+				time.AfterFunc(11500*time.Millisecond, func() { cluster.engines["u2"].set(c.end) })
+				req, sink := chatRequest("b"), &fakeSink{}
+				req.Idempotent = false
+				dispatcher := cluster.dispatcher(Settings{})
+				err := dispatcher.Do(t.Context(), req, sink)
+				if got := strings.Count(string(sink.body), "id: "); err != nil || got != 30 {
+					t.Errorf("ended with %v after %d pieces", err, got)
+				}
+				if got := cluster.engines["u2"].imports; got != c.migrations {
+					t.Errorf("the stream migrated %d times, want %d", got, c.migrations)
+				}
+				dispatcher.Drain(t.Context())
+				if got := dispatcher.router.Running("u1") + dispatcher.router.Running("u2"); got != 0 {
+					t.Errorf("%d slots were not given back", got)
+				}
+			})
+		})
+	}
+}
+
 // TestMigratedStreamWithoutUpstreamMayHaveRun loses the other upstream between export and import. The failure
 // must report that the request may have run.
 func TestMigratedStreamWithoutUpstreamMayHaveRun(t *testing.T) {
@@ -100,8 +156,8 @@
 			cluster.engines["u2"].mutex.Lock()
 			defer cluster.engines["u2"].mutex.Unlock()
 			cluster.engines["u2"].leaving = false
-			cluster.engines["u2"].down = true
 		})
+		cluster.engines["u1"].onExport = func() { cluster.engines["u2"].set(func(engine *fakeEngine) { engine.down = true }) }
 		err := cluster.dispatcher(Settings{}).Do(t.Context(), chatRequest("b"), &fakeSink{})
 		if !outcome.Is(err, outcome.UpstreamLost) {
 			t.Errorf("ended with %v", err)
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -52,7 +52,7 @@
 		}
 		transaction.last, transaction.version = piece.Index, leg.reservation.candidate.Version
 		leg.handover.advance(piece.Index)
-		if transaction.shouldMigrate(leg.reservation) && transaction.export(leg.ctx, leg.reservation) {
+		if transaction.migrate(leg) {
 			return errMigrate
 		}
 	}
--- a/dispatch/transaction.go
+++ b/dispatch/transaction.go
@@ -31,9 +31,10 @@
 	// nextDelay is the delay before the next try of a stream that has begun and that no upstream takes.
 	nextDelay time.Duration
 	// leavingWatch tracks whether the upstream is leaving. exported is the generation to import on the next
-	// upstream, or nil.
+	// upstream, and reserved the slot there. Both are nil for a stream that does not migrate.
 	leavingWatch leavingWatch
 	exported     []byte
+	reserved     *reservation
 	// recorder keeps the response of a claimed request, or is nil.
 	recorder *recorder
 	// ended states that the request has ended.
@@ -107,6 +108,10 @@
 
 // nextReservation reserves a slot for the next attempt.
 func (transaction *transaction) nextReservation(ctx context.Context, req *request.Request, requirements route.Requirements) (*reservation, *outcome.Error) {
+	if reserved := transaction.reserved; reserved != nil {
+		transaction.reserved = nil
+		return reserved, nil
+	}
 	if transaction.last > 0 {
 		requirements.Version = transaction.version
 		if failure := transaction.dispatcher.versionFailure(req, requirements.Version); failure != nil {
