Answer the requests that a stop cuts at the product's own door

Cause: nothing ended requests in the dispatcher; the server closed their connections at the same moment as the drain gave up.

Change: the end of the drain cancels what is left with a cause of its own.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -123,7 +123,7 @@
 func (transaction *transaction) conclude(ctx context.Context, leg *leg, err error) result {
 	attemptResult := transaction.resultOf(ctx, leg.reservation, err)
 	if attemptResult.failure != nil {
-		transaction.logFailed(leg, attemptResult)
+		transaction.logFailed(ctx, leg, attemptResult)
 	}
 	leg.end(err == nil)
 	return attemptResult
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -41,6 +42,9 @@
 	finished int
 	// stopping states that new requests are refused.
 	stopping bool
+	// lifetime is the context of all requests. cut ends it, and with it what still runs, with a final response.
+	lifetime context.Context
+	cut      context.CancelCauseFunc
 	// emptied is closed once stopping is true and active is zero.
 	emptied chan struct{}
 }
@@ -50,7 +54,10 @@
 	if deps.Peers == nil {
 		deps.Peers = noPeers{}
 	}
+	lifetime, cut := context.WithCancelCause(context.Background())
 	return &Dispatcher{
+		lifetime:        lifetime,
+		cut:             cut,
 		settings:        settings.withDefaults(),
 		deps:            deps,
 		clock:           clock,
--- a/dispatch/do.go
+++ b/dispatch/do.go
@@ -10,8 +10,10 @@
 
 // Do runs the request and writes the response to the sink. It returns nil after a complete response, else an
 // *outcome.Error, which is also sent as an event if a stream had begun. The end of ctx means that the caller
-// has disconnected or that the total time of the request has passed.
+// has disconnected or that the total time of the request has passed. What still runs at the end of a drain is ended.
 func (dispatcher *Dispatcher) Do(ctx context.Context, req request.Request, sink request.Sink) error {
+	ctx, release := dispatcher.withLifetime(ctx)
+	defer release()
 	transaction := &transaction{dispatcher: dispatcher, req: req, sink: sink}
 	failure := dispatcher.enter()
 	if failure == nil {
--- a/dispatch/drain.go
+++ b/dispatch/drain.go
@@ -2,11 +2,19 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 )
 
-// stoppingRetryAfter is the delay after which another daemon has taken over from one that stops.
-const stoppingRetryAfter = time.Second
+const (
+	// stoppingRetryAfter is the delay after which another daemon has taken over from one that stops.
+	stoppingRetryAfter = time.Second
+	// finalAnswerTime is the time in which the requests that a drain cuts get their final response.
+	finalAnswerTime = time.Second
+)
+
+// errStopped is the cancellation cause of the requests that a drain cuts.
+var errStopped = errors.New("the daemon stops")
 
 // DrainResult is the result of a drain.
 type DrainResult struct {
@@ -26,18 +34,42 @@
 }
 
 // Drain refuses new requests and waits until the active ones have ended and their responses are recorded, or
-// until the context ends. It must be called once only.
+// until the context ends. It then ends those that still run with their final responses, which takes finalAnswerTime at
+// most. It must be called once only.
 func (dispatcher *Dispatcher) Drain(ctx context.Context) DrainResult {
 	dispatcher.stop()
 	select {
 	case <-dispatcher.emptied:
 	case <-ctx.Done():
 	}
+	result := dispatcher.drainResult()
+	dispatcher.cut(errStopped)
+	timer := dispatcher.clock.NewTimer(finalAnswerTime)
+	defer timer.Stop()
+	select {
+	case <-dispatcher.emptied:
+	case <-timer.C():
+	}
+	return result
+}
+
+// drainResult returns the result of the drain up to now.
+func (dispatcher *Dispatcher) drainResult() DrainResult {
 	dispatcher.mutex.Lock()
 	defer dispatcher.mutex.Unlock()
 	return DrainResult{Finished: dispatcher.finished, Unfinished: dispatcher.serving}
 }
 
+// withLifetime returns a context that also ends when a drain cuts the request, and a function that releases it.
+func (dispatcher *Dispatcher) withLifetime(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(dispatcher.lifetime, func() { cancel(errStopped) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 // stop refuses new requests from now on.
 func (dispatcher *Dispatcher) stop() {
 	dispatcher.mutex.Lock()
--- a/dispatch/ended.go
+++ b/dispatch/ended.go
@@ -1,6 +1,9 @@
 package dispatch
 
 import (
+	"context"
+	"errors"
+
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/outcome"
 )
@@ -20,23 +23,24 @@
 	endedByStop ender = "Stop"
 )
 
-// enderOf returns who ended an attempt with the failure.
-func enderOf(failure *outcome.Error) ender {
+// enderOf returns who ended an attempt with the context and the failure.
+func enderOf(ctx context.Context, failure *outcome.Error) ender {
+	if errors.Is(context.Cause(ctx), errStopped) {
+		return endedByStop
+	}
 	switch failure.Kind {
 	case outcome.CallerGone:
 		return endedByClient
 	case outcome.DeadlineInQueue, outcome.DeadlineRunning:
 		return endedByDeadline
-	case outcome.Stopping:
-		return endedByStop
 	default:
 		return endedByUpstream
 	}
 }
 
 // logFailed logs that the attempt on the leg failed, and who ended it.
-func (transaction *transaction) logFailed(leg *leg, failed result) {
+func (transaction *transaction) logFailed(ctx context.Context, leg *leg, failed result) {
 	event.AttemptFailed.Log("Request", transaction.req.ID, "Fingerprint", transaction.req.Fingerprint, "Replica", leg.name(),
 		"Boot", leg.reservation.candidate.BootID, "LastEvent", transaction.last, "Sends", transaction.attempts,
-		"Runs", transaction.ran, "NotRun", failed.notRun, "EndedBy", enderOf(failed.failure), "Cause", failed.failure.Error())
+		"Runs", transaction.ran, "NotRun", failed.notRun, "EndedBy", enderOf(ctx, failed.failure), "Cause", failed.failure.Error())
 }
--- a/dispatch/keyed.go
+++ b/dispatch/keyed.go
@@ -40,12 +40,17 @@
 }
 
 // attemptContext returns the context of an attempt. A claimed request continues when its caller has disconnected,
-// since it may have taken effect and its response is kept for a repeated call.
+// since it may have taken effect and its response is kept for a repeated call. Only the end of a drain cuts it.
 func (transaction *transaction) attemptContext(ctx context.Context) (context.Context, context.CancelFunc) {
 	if transaction.ticket == nil {
 		return ctx, func() {}
 	}
-	return context.WithTimeout(context.WithoutCancel(ctx), transaction.dispatcher.settings.KeyedTimeout)
+	ctx, release := transaction.dispatcher.withLifetime(context.WithoutCancel(ctx))
+	ctx, cancel := context.WithTimeout(ctx, transaction.dispatcher.settings.KeyedTimeout)
+	return ctx, func() {
+		cancel()
+		release()
+	}
 }
 
 // replay sends the recorded response.
--- a/dispatch/seek.go
+++ b/dispatch/seek.go
@@ -227,7 +227,7 @@
 	if !failed.notRun {
 		seeker.uncertainFailure = failed.failure
 	}
-	seeker.logFailed(successor, failed)
+	seeker.logFailed(ctx, successor, failed)
 }
 
 // cannotResume reports whether the engine refused to go on with a stream because it does not know it.
