Refuse bodies that never end at the product's own door

What callers saw: nothing bounded the time in which the body of a request arrives. A caller that sends it byte by byte held its connection and a goroutine for as long as it liked, and its request then began after its deadline.

Cause: the server bounds the header only; the mend for the users' platform (ingress) was not made here.

Change: reads fail at the deadline of the request, which is refused as DeadlineInQueue, not run, on a connection that is closed.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -95,7 +95,7 @@
 	if err != nil {
 		return admitted, err
 	}
-	body, err := gateway.readBody(writer, req)
+	body, err := gateway.readBody(writer, req, admitted.Deadline)
 	if err != nil {
 		return admitted, err
 	}
@@ -125,7 +125,7 @@
 	if err != nil {
 		return admitted, err
 	}
-	body, err := gateway.readBody(writer, req)
+	body, err := gateway.readBody(writer, req, admitted.Deadline)
 	if err != nil {
 		return admitted, err
 	}
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -5,9 +5,12 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
+	"time"
 
 	"k8s.io/utils/ptr"
 
+	"github.com/bronzestall/bronzestall/internal/readtimeout"
 	"github.com/bronzestall/bronzestall/outcome"
 )
 
@@ -77,17 +80,26 @@
 	return content[:min(len(content), prefixBytes)]
 }
 
-// readBody reads the body. It returns BodyTooLarge if the body exceeds the limit of the settings.
-func (gateway *Gateway) readBody(writer http.ResponseWriter, req *http.Request) ([]byte, error) {
+// readBody reads the body. It returns BodyTooLarge if the body exceeds the limit of the settings, and DeadlineInQueue
+// if it has not arrived by the deadline.
+func (gateway *Gateway) readBody(writer http.ResponseWriter, req *http.Request, deadline time.Time) ([]byte, error) {
 	limit := gateway.settings.Queue.BodyBytes
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
+	if req.ContentLength != 0 {
+		stop := readtimeout.Set(writer, gateway.clock, deadline.Sub(gateway.clock.Now()))
+		defer stop()
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(writer, req.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, outcome.New(outcome.BodyTooLarge, "the body is larger than %d bytes", limit)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		writer.Header().Set("Connection", "close")
+		return nil, outcome.New(outcome.DeadlineInQueue, "the deadline passed before the whole body came")
+	}
 	if err != nil {
 		return nil, outcome.New(outcome.InvalidBody, "the body could not be read").WithCause(err)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,7 +19,7 @@
 	runner        Runner
 	health        Health
 	meter         *meter.Meter
-	clock         clock.PassiveClock
+	clock         clock.WithTicker
 	authenticator *authenticator
 	handler       http.Handler
 }
@@ -34,8 +34,8 @@
 	Health Health
 	// Meter records counts and latencies.
 	Meter *meter.Meter
-	// Clock provides the arrival times of requests.
-	Clock clock.PassiveClock
+	// Clock provides the arrival times of requests and the timeouts of their bodies.
+	Clock clock.WithTicker
 }
 
 // New returns a gateway. It returns an error if the routes cannot be registered.
