Give up a successor that is silent before it is accepted

What callers saw: a stream whose connection was lost, and whose next connection was lost as well, went on at a third one, while the third one's predecessor was left open; in the worst case the search waited for the silent second one until the deadline.

Cause: a leg that was not accepted yet sought a successor of its own when it was silent, which nobody followed.

--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -130,6 +130,8 @@
 	// means before the header.
 	quietAt int
 	quiet   time.Duration
+	// quietResumes is the number of streams that are resumed next and never send their headers.
+	quietResumes int
 	// version is the version of the model that the replica holds.
 	version string
 	// reports states that the candidate carries the current load.
@@ -167,10 +169,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if stream.quietAt != 1 {
+	length, silent := stream.headerWait()
+	if !silent {
 		return stream, nil
 	}
-	length, _ := stream.wait()
 	if err := stream.pause(ctx, length, true); err != nil {
 		_ = stream.Close()
 		return nil, fmt.Errorf("%w: %w", upstream.ErrNoResponse, err)
@@ -186,6 +188,18 @@
 	change(engine)
 }
 
+// headerWait returns how long the header takes, and whether nothing is sent meanwhile.
+func (stream *fakeStream) headerWait() (length time.Duration, silent bool) {
+	engine := stream.engine
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	if stream.next > 1 && engine.quietResumes > 0 {
+		engine.quietResumes--
+		return forever, true
+	}
+	return engine.quiet, stream.quietAt == 1
+}
+
 // accept begins a stream, or refuses the generation.
 func (engine *fakeEngine) accept(generation upstream.Generation) (*fakeStream, error) {
 	engine.mutex.Lock()
--- a/dispatch/handover.go
+++ b/dispatch/handover.go
@@ -19,6 +19,8 @@
 	errReplaced = errors.New("another generation goes on with the request")
 	// errOvertaken is the cancellation cause of a successor that is not needed.
 	errOvertaken = errors.New("the earlier generation went on or the request ended")
+	// errUnaccepted is the cancellation cause of a successor whose upstream is silent too.
+	errUnaccepted = errors.New("the upstream has not accepted the request")
 	// errConnectionLost is the cancellation cause of a leg that is silent although its engine lives and would send
 	// heartbeats.
 	errConnectionLost = errors.New("the engine lives and the connection yields nothing")
@@ -42,6 +44,8 @@
 	progress progress
 	// last is the index of the last piece that was sent to the caller.
 	last int
+	// pending states that the leg is a successor that is not accepted yet.
+	pending bool
 	// closed states that no further search begins.
 	closed bool
 	// endSearch ends the search in progress, and searched is closed when it has ended. Both are nil without one.
@@ -78,7 +82,17 @@
 	handover.last = last
 }
 
-// seek seeks a successor until silence ends, which means that the leg goes on.
+// onSilence seeks a successor until silence ends, which means that the leg goes on. A leg that is not accepted yet is
+// ended instead, so that the search for it goes on.
+func (handover *handover) onSilence(silence context.Context) {
+	if handover.isPending() {
+		handover.leg.cancel(errUnaccepted)
+		return
+	}
+	handover.seek(silence)
+}
+
+// seek seeks a successor until silence ends.
 func (handover *handover) seek(silence context.Context) {
 	ctx, cancel := context.WithCancelCause(silence)
 	defer cancel(nil)
@@ -126,10 +140,25 @@
 	accepted := successor != nil && ctx.Err() == nil && successor.ctx.Err() == nil
 	if accepted {
 		handover.successor = successor
+		successor.handover.accept()
 	}
 	return accepted
 }
 
+// isPending reports whether the leg is a successor that is not accepted yet.
+func (handover *handover) isPending() bool {
+	handover.mutex.Lock()
+	defer handover.mutex.Unlock()
+	return handover.pending
+}
+
+// accept records that the leg of a successor is accepted.
+func (handover *handover) accept() {
+	handover.mutex.Lock()
+	defer handover.mutex.Unlock()
+	handover.pending = false
+}
+
 // endedSearch lets finish go on.
 func (handover *handover) endedSearch() {
 	handover.mutex.Lock()
--- a/dispatch/handover_test.go
+++ b/dispatch/handover_test.go
@@ -85,6 +85,9 @@
 		{"other upstream goes on before the header", 1, long, true, true, nil, 0, 2},
 		{"connection lost", 2, forever, false, true, nil, 0, 2},
 		{"connection lost before the header", 1, forever, false, true, nil, 0, 2},
+		{"connection lost twice", 2, forever, false, true, func(cluster *fakeCluster, _ *Dispatcher) {
+			cluster.engines["u1"].set(func(engine *fakeEngine) { engine.quietResumes = 1 })
+		}, 0, 3},
 		{"connection lost, not idempotent", 2, forever, false, false, nil, outcome.UpstreamLost, 1},
 		{"connection lost before the header, not idempotent", 1, forever, false, false, nil, outcome.DeadlineRunning, 1},
 	}
--- a/dispatch/leg.go
+++ b/dispatch/leg.go
@@ -33,7 +33,7 @@
 
 // open sends the request. It returns once the upstream has accepted it.
 func (leg *leg) open(generator upstream.Generator, generation upstream.Generation) error {
-	generation.OnSilence = leg.handover.seek
+	generation.OnSilence = leg.handover.onSilence
 	stream, err := generator.Generate(leg.ctx, generation)
 	if err != nil {
 		return err
--- a/dispatch/seek.go
+++ b/dispatch/seek.go
@@ -187,7 +187,7 @@
 // newSuccessor returns a leg on the reserved upstream that does not end with the search.
 func (handover *handover) newSuccessor(reservation *reservation) *leg {
 	successor := handover.transaction.newLeg(handover.ctx, reservation)
-	successor.handover.resumes = handover.resumes
+	successor.handover.pending, successor.handover.resumes = true, handover.resumes
 	return successor
 }
 
@@ -204,8 +204,8 @@
 	return handover.send(ctx, seeker, successor, generator)
 }
 
-// send sends the request to the upstream of the successor, and gives up when ctx ends. A response that is no
-// beginning of a success is an error, since the leg may do better.
+// send sends the request to the upstream of the successor, and gives up when that is silent or ctx ends. A response
+// that is no beginning of a success is an error, since the leg may do better.
 func (handover *handover) send(ctx context.Context, seeker *transaction, successor *leg, generator upstream.Generator) error {
 	handover.markSent(true)
 	defer handover.markSent(false)
