--- a/dispatch/transaction.go
+++ b/dispatch/transaction.go
@@ -18,29 +18,39 @@
 	dispatcher *Dispatcher
 	req        request.Request
 	sink       request.Sink
-	// attempts is the number of attempts, and ran the number of those that may have run.
-	attempts, ran int
-	// mayHaveRun states that an upstream may have run a part of the request.
-	mayHaveRun bool
-	// uncertainFailure is the failure of the latest attempt that may have run, or nil.
-	uncertainFailure *outcome.Error
-	// last is the index of the last piece that was sent to the caller.
-	last int
+	progress
+	// last is the index of the last piece that was sent to the caller, and version the version of the model that
+	// the stream to the caller began with.
+	last    int
+	version string
 	// ticket is the claim that the request holds, or nil.
 	ticket *claim.Ticket
 	// resumeDeadline is when a stream that has begun must have found its next upstream, or zero while it has
 	// one.
 	resumeDeadline time.Time
+	// nextDelay is the delay before the next try of a stream that has begun and that no upstream takes.
+	nextDelay time.Duration
 	// leavingWatch tracks whether the upstream is leaving. exported is the generation to import on the next
-	// upstream, or nil.
+	// upstream, and reserved the slot there. Both are nil for a stream that does not migrate.
 	leavingWatch leavingWatch
 	exported     []byte
+	reserved     *reservation
 	// recorder keeps the response of a claimed request, or is nil.
 	recorder *recorder
 	// ended states that the request has ended.
 	ended bool
 }
 
+// progress is what has been made of a request.
+type progress struct {
+	// attempts is the number of attempts, and ran the number of those that may have run.
+	attempts, ran int
+	// mayHaveRun states that an upstream may have run a part of the request.
+	mayHaveRun bool
+	// uncertainFailure is the failure of the latest attempt that may have run, or nil.
+	uncertainFailure *outcome.Error
+}
+
 // process runs the request until it ends and closes its claim.
 func (transaction *transaction) process(ctx context.Context) *outcome.Error {
 	requirements, failure := transaction.requirements()
@@ -59,7 +69,11 @@
 func (transaction *transaction) runAttempts(ctx context.Context, requirements route.Requirements) *outcome.Error {
 	for {
 		req := transaction.withNextDeadline()
-		reservation, failure := transaction.dispatcher.admit(ctx, &req, requirements, transaction.attempts > 0 || requirements.Suspect)
+		reservation, failure := transaction.nextReservation(ctx, &req, requirements)
+		if failure != nil && transaction.mayComeToRoom(ctx, failure) {
+			transaction.pauseBroken(ctx)
+			continue
+		}
 		if failure != nil {
 			return transaction.overallFailure(failure)
 		}
@@ -85,15 +99,40 @@
 		if !transaction.allowRetry(ctx, &last) {
 			return transaction.overallFailure(last.failure)
 		}
-		requirements.Exclude = reservation.candidate.Upstream
-		requirements.Affinity = transaction.req.Fingerprint
-		requirements.Suspect = transaction.isSuspect() || (last.unreachable && !transaction.dispatcher.completed.Has(transaction.req.Fingerprint))
+		requirements = transaction.retryRequirements(requirements, reservation, last)
 		if requirements.Suspect {
 			transaction.pause(ctx, suspectPause)
 		}
 	}
 }
 
+// nextReservation reserves a slot for the next attempt.
+func (transaction *transaction) nextReservation(ctx context.Context, req *request.Request, requirements route.Requirements) (*reservation, *outcome.Error) {
+	if reserved := transaction.reserved; reserved != nil {
+		transaction.reserved = nil
+		return reserved, nil
+	}
+	if transaction.last > 0 {
+		requirements.Version = transaction.version
+		if failure := transaction.dispatcher.versionFailure(req, requirements.Version); failure != nil {
+			return nil, failure
+		}
+	}
+	return transaction.dispatcher.admit(ctx, req, requirements, transaction.attempts > 0 || requirements.Suspect)
+}
+
+// retryRequirements returns the routing requirements after a failed attempt. A stream that broke off is sent on to its
+// upstream while that lives and does not leave, since it may be the only one that can go on with it.
+func (transaction *transaction) retryRequirements(requirements route.Requirements, reservation *reservation, last result) route.Requirements {
+	requirements.Exclude, requirements.Only = reservation.candidate.Upstream, ""
+	if transaction.last > 0 && last.alive && !transaction.dispatcher.leaving(reservation) {
+		requirements.Exclude, requirements.Only = "", reservation.candidate.Upstream
+	}
+	requirements.Affinity = transaction.req.Fingerprint
+	requirements.Suspect = transaction.isSuspect() || (last.unreachable && !transaction.dispatcher.completed.Has(transaction.req.Fingerprint))
+	return requirements
+}
+
 // overallFailure returns the failure, or that of an earlier attempt if the request may have run.
 func (transaction *transaction) overallFailure(failure *outcome.Error) *outcome.Error {
 	if transaction.mayHaveRun && failure.Kind.Entry().Execution == outcome.NotRun {
@@ -158,6 +197,9 @@
 // notSentFailure returns the failure of a request whose context ended before it was sent.
 func notSentFailure(ctx context.Context) *outcome.Error {
 	cause := context.Cause(ctx)
+	if errors.Is(cause, errStopped) {
+		return outcome.New(outcome.Stopping, "the daemon stops").WithRetryAfter(stoppingRetryAfter)
+	}
 	if errors.Is(cause, errBeginDeadline) || errors.Is(cause, context.DeadlineExceeded) {
 		return outcome.New(outcome.DeadlineInQueue, "the deadline passed before the request was sent").WithRetryAfter(minRetryAfter)
 	}
@@ -166,15 +208,15 @@
 
 // cancelledFailure returns the failure of a request whose context ended while it ran.
 func cancelledFailure(ctx context.Context) *outcome.Error {
+	if errors.Is(context.Cause(ctx), errStopped) {
+		return outcome.New(outcome.DeadlineRunning, "the daemon stopped while an upstream had the request").WithRetryAfter(stoppingRetryAfter)
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return outcome.New(outcome.DeadlineRunning, "the total time of the request is over")
 	}
 	return outcome.New(outcome.CallerGone, "the caller closed the connection")
 }
 
-// resumeTimeout is the time within which a stream that has begun must find its next upstream.
-const resumeTimeout = 10 * time.Second
-
 // withNextDeadline returns the request with the deadline of its next attempt. A stream that has begun uses
 // resumeDeadline instead of the deadline of the request.
 func (transaction *transaction) withNextDeadline() request.Request {
