Give a response to be passed on as the attempt that it belongs to

passOn, stream, completeResponse and finishStream of relay took up to five values that a leg holds; an attempt through another daemon is now a leg without a record and a handover.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -40,9 +40,9 @@
 func (transaction *transaction) attempt(ctx context.Context, candidate balance.Candidate) (balance.Candidate, result) {
 	current := transaction.open(ctx, candidate)
 	for {
-		handover := transaction.startHandover(ctx, current)
-		result := transaction.receive(current, handover)
-		successor := handover.finish(transaction, result)
+		current.handover = transaction.startHandover(ctx, current)
+		result := transaction.receive(current)
+		successor := current.handover.finish(transaction, result)
 		if successor == nil {
 			return current.candidate, result
 		}
@@ -52,7 +52,7 @@
 }
 
 // receive waits for the response to the attempt and passes it on.
-func (transaction *transaction) receive(leg *leg, handover *handover) (received result) {
+func (transaction *transaction) receive(leg *leg) (received result) {
 	defer leg.end()
 	defer func() { received.endedBy = enderOf(leg.ctx) }()
 	leg.await()
@@ -62,18 +62,19 @@
 	if leg.reply.NotRun {
 		return transaction.rejectAttempt(leg.candidate, leg.reply)
 	}
-	return transaction.passOn(leg.ctx, leg.candidate, leg.reply, handover, leg.record)
+	return transaction.passOn(leg)
 }
 
-// passOn passes a response on to the client.
-func (transaction *transaction) passOn(ctx context.Context, candidate balance.Candidate, reply *exchange.Reply, handover *handover, attemptRecord *attemptRecord) result {
+// passOn passes the response to the attempt on to the client.
+func (transaction *transaction) passOn(leg *leg) result {
+	reply := leg.reply
 	if transaction.sink.Begun() && !(reply.Success() && reply.EventStream) {
-		return transaction.endResumption(candidate, outcome.UpstreamLost, "the replica did not resume the stream: "+http.StatusText(reply.Status))
+		return transaction.endResumption(leg.candidate, outcome.UpstreamLost, "the replica did not resume the stream: "+http.StatusText(reply.Status))
 	}
 	if transaction.route.Kind == topology.Streaming && reply.Success() {
-		return transaction.stream(ctx, candidate, reply, handover, attemptRecord)
+		return transaction.stream(leg)
 	}
-	return transaction.completeResponse(ctx, candidate, reply, attemptRecord)
+	return transaction.completeResponse(leg)
 }
 
 // endAt records the end of an attempt at the candidate.
@@ -186,27 +187,28 @@
 
 // completeResponse reads the response to its end and passes it on, unless it is a failure that may be retried at
 // another replica.
-func (transaction *transaction) completeResponse(ctx context.Context, candidate balance.Candidate, reply *exchange.Reply, attemptRecord *attemptRecord) result {
+func (transaction *transaction) completeResponse(leg *leg) result {
+	reply := leg.reply
 	content, err := io.ReadAll(io.LimitReader(reply.Body, maxResponseBytes+1))
 	if len(content) > maxResponseBytes {
 		err = errLongResponse
 	}
 	if err != nil {
-		return transaction.failAttempt(ctx, candidate, lostError(err))
+		return transaction.failAttempt(leg.ctx, leg.candidate, lostError(err))
 	}
 	if !reply.Signed && reply.Success() {
-		return transaction.failAttempt(ctx, candidate, exchange.ErrInvalidResponse)
+		return transaction.failAttempt(leg.ctx, leg.candidate, exchange.ErrInvalidResponse)
 	}
-	attemptRecord.event()
+	leg.record.event()
 	failed := reply.Status >= http.StatusInternalServerError
-	transaction.endAt(candidate, failed)
+	transaction.endAt(leg.candidate, failed)
 	response := &completeResponse{reply, content}
 	if failed && transaction.route.Repeatable() && transaction.runs < transaction.maxRuns {
 		transaction.failedResponse = response
 		return result{failure: outcome.New(outcome.UpstreamLost, "%s", "the replica failed: "+http.StatusText(reply.Status))}
 	}
 	transaction.countAnswer(reply.Success())
-	attemptRecord.showLife()
+	leg.record.showLife()
 	transaction.nameSender()
 	response.deliver(transaction.sink)
 	return result{done: true}
--- a/relay/leg.go
+++ b/relay/leg.go
@@ -7,14 +7,17 @@
 	"github.com/bronzestall/bronzestall/exchange"
 )
 
-// leg is one attempt that is under way. Use transaction.open, and end it by receive or discard.
+// leg is one attempt that is under way. Use transaction.open, and end it by receive or discard. One through another daemon has only
+// what its response needs.
 type leg struct {
 	// transaction is that for which the attempt was opened; for a successor it is the copy that sought it.
 	transaction *transaction
 	candidate   balance.Candidate
 	// sent is what is sent to the replica.
-	sent   exchange.Attempt
-	record *attemptRecord
+	sent exchange.Attempt
+	// record and handover are nil for an attempt through another daemon; handover also if no successor may be sought.
+	record   *attemptRecord
+	handover *handover
 	// ctx ends with the attempt, and cancel ends it.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
--- a/relay/lender.go
+++ b/relay/lender.go
@@ -170,7 +170,7 @@
 	defer func() { transaction.lending = false }()
 	transaction.runs += max(reply.Runs, 1)
 	transaction.summary.Lender = reply.Daemon
-	return transaction.passOn(ctx, balance.Candidate{Release: reply.Release}, reply.Reply, nil, nil), true
+	return transaction.passOn(&leg{transaction: transaction, candidate: balance.Candidate{Release: reply.Release}, ctx: ctx, reply: reply.Reply}), true
 }
 
 // allowance returns what another daemon may do for the request.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -1,20 +1,19 @@
 package relay
 
 import (
-	"context"
 	"errors"
 	"io"
 	"time"
 
-	"github.com/bronzestall/bronzestall/balance"
 	"github.com/bronzestall/bronzestall/exchange"
 	"github.com/bronzestall/bronzestall/outcome"
 )
 
 // stream passes on complete events as they arrive.
-func (transaction *transaction) stream(ctx context.Context, candidate balance.Candidate, reply *exchange.Reply, handover *handover, attemptRecord *attemptRecord) result {
+func (transaction *transaction) stream(leg *leg) result {
+	reply := leg.reply
 	if !reply.Signed {
-		return transaction.failAttempt(ctx, candidate, exchange.ErrInvalidResponse)
+		return transaction.failAttempt(leg.ctx, leg.candidate, exchange.ErrInvalidResponse)
 	}
 	splitter := newSplitter()
 	defer splitter.release()
@@ -22,27 +21,27 @@
 	for {
 		events, err := splitter.next(reply.Body)
 		if resumed && hasUnnumbered(events) {
-			return transaction.endResumption(candidate, outcome.AnswerInvalid, "the resumed stream has an event without a number")
+			return transaction.endResumption(leg.candidate, outcome.AnswerInvalid, "the resumed stream has an event without a number")
 		}
 		if len(events) > 0 {
 			content := hasContent(events)
 			if content {
-				attemptRecord.event()
+				leg.record.event()
 			}
-			transaction.recordOrigin(ctx, candidate)
+			transaction.recordOrigin(leg.ctx, leg.candidate)
 			if failure := transaction.forward(reply, events); failure != nil {
-				transaction.cancelAt(candidate)
+				transaction.cancelAt(leg.candidate)
 				return result{failure: failure}
 			}
 			if content {
-				handover.advance(transaction)
+				leg.handover.advance(transaction)
 			}
 		}
 		if errors.Is(err, io.EOF) && !splitter.partial() && !transaction.endsBeforeItsBegin(reply) {
-			return transaction.finishStream(candidate, reply, attemptRecord)
+			return transaction.finishStream(leg)
 		}
 		if err != nil {
-			return transaction.failAttempt(ctx, candidate, lostError(err))
+			return transaction.failAttempt(leg.ctx, leg.candidate, lostError(err))
 		}
 	}
 }
@@ -71,13 +70,13 @@
 }
 
 // finishStream ends the attempt of a stream that is complete.
-func (transaction *transaction) finishStream(candidate balance.Candidate, reply *exchange.Reply, attemptRecord *attemptRecord) result {
+func (transaction *transaction) finishStream(leg *leg) result {
 	if !transaction.sink.Begun() {
 		transaction.nameSender()
-		transaction.sink.Head(reply.Status, reply.Header, -1)
+		transaction.sink.Head(leg.reply.Status, leg.reply.Header, -1)
 	}
-	transaction.endAt(candidate, false)
+	transaction.endAt(leg.candidate, false)
 	transaction.countAnswer(true)
-	attemptRecord.showLife()
+	leg.record.showLife()
 	return result{done: true}
 }
