End a silent attempt for another daemon only if its replica is not reached

Cause: while a successor was sought, two other replicas refused connections. From two such attempts on, a request goes through another daemon, and the handover took that as proof that the attempt could not go on: it ended it before any daemon had taken the request. None did, and nothing was left.

Change: the attempt is ended for that only if this daemon reaches no replica, or failed to reach the replica of the attempt lately. Otherwise the search goes on.

Not changed: while a daemon counts as cut off, a stalled attempt is still ended before another daemon has taken the request.

--- a/relay/handover.go
+++ b/relay/handover.go
@@ -221,8 +221,8 @@
 		handover.endSearch(seeker, nil)
 		return true
 	}
-	if seeker.lends() {
-		// This daemon reaches no replica, so that the attempt can't go on either.
+	if seeker.lends() && seeker.cutOffFrom(handover.leg.candidate) {
+		// This daemon does not reach the replica of the attempt either.
 		cancel(nil)
 		handover.endSearch(seeker, nil)
 		handover.leg.cancel(errStalled)
--- a/relay/lender.go
+++ b/relay/lender.go
@@ -119,6 +119,12 @@
 	return len(candidates) > 0 && len(transaction.notLost(candidates)) == 0
 }
 
+// cutOffFrom reports whether this daemon reaches no replica, or failed to reach the given one lately. It must have a Lender.
+func (transaction *transaction) cutOffFrom(candidate balance.Candidate) bool {
+	lender := transaction.relay.deps.Lender
+	return lender.CutOff() || lender.Lost(candidate.Incarnation, candidate.Address)
+}
+
 // reachable returns the candidates that this daemon did not fail to reach lately, or all if it failed to reach all of them.
 func (transaction *transaction) reachable(candidates []balance.Candidate) []balance.Candidate {
 	lender := transaction.relay.deps.Lender
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/bronzestall/bronzestall/exchange"
 	"github.com/bronzestall/bronzestall/outcome"
 )
 
@@ -36,3 +37,27 @@
 		}
 	})
 }
+
+// TestRefusedConnectionsEndNoSilentStream guards against issue 47: two other replicas refused connections while a stream was silent,
+// and its attempt was ended for another daemon although its own replica was reached and went on.
+func TestRefusedConnectionsEndNoSilentStream(t *testing.T) {
+	const silence = 1600 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		steps := []step{parted(io.EOF, part{0, events(1, 2)}, part{silence, events(3, 4)})}
+		for range 20 {
+			steps = append(steps, step{err: exchange.ErrNotSent})
+		}
+		fixture := newFixture(steps...)
+		fixture.setReleases(map[string]string{"a": "", "b": "", "c": ""})
+		saveRetries(fixture)
+		lender := &lenders{}
+		fixture.relay.deps.Lender = lender
+		failure := fixture.serve(t.Context(), "/resume/x")
+		if got := fixture.client.body.String(); failure != nil || got != events(1, 4) {
+			t.Errorf("ended as %v with %q", failure, got)
+		}
+		if asked := len(lender.allowances); asked > 0 {
+			t.Errorf("%d attempts through other daemons", asked)
+		}
+	})
+}
