Choose a silent replica only if all others are silent

Cause: silent replicas were in the same class of the balancer as those that were tried, among which is the replica of the attempt. A silent one with a lower load was chosen at each search and then not used, so that neither another connection to the same replica nor one that had been full was tried.

Change: the criteria list silent replicas by themselves, and the balancer chooses them after all others. The replica of the attempt is not among them.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -70,8 +70,8 @@
 	return &Balancer{random: random, loads: map[topology.Incarnation]*load{}}
 }
 
-// Choose returns the best candidate and counts a request in flight at it, until Done or Cancel is called. Ejected and
-// excluded candidates are chosen only if there is no other. It reports false if there is no candidate, or if all are
+// Choose returns the best candidate and counts a request in flight at it, until Done or Cancel is called. Ejected,
+// excluded and silent candidates are chosen only if there is no other. It reports false if there is no candidate, or if all are
 // too loaded for the criteria.
 func (balancer *Balancer) Choose(candidates []Candidate, criteria Criteria, now time.Time) (Candidate, bool) {
 	balancer.mutex.Lock()
@@ -138,9 +138,12 @@
 	return candidates[best]
 }
 
-// class returns zero for candidates without restriction, 1 for ejected ones and 2 for excluded ones; lower classes
-// are chosen first. The mutex must be held.
+// class returns zero for candidates without restriction, 1 for ejected ones, 2 for excluded ones and 3 for silent ones; lower
+// classes are chosen first. The mutex must be held.
 func (balancer *Balancer) class(candidate *Candidate, criteria Criteria, now time.Time) int {
+	if slices.Contains(criteria.Silent, candidate.Incarnation) {
+		return 3
+	}
 	if slices.Contains(criteria.Exclude, candidate.Incarnation) {
 		return 2
 	}
--- a/balance/criteria.go
+++ b/balance/criteria.go
@@ -29,6 +29,8 @@
 	Quietest bool
 	// Exclude lists replicas that were tried already; they are chosen only if there is no other.
 	Exclude []topology.Incarnation
+	// Silent lists replicas that are chosen only if all others are among them.
+	Silent []topology.Incarnation
 }
 
 // Candidate is a replica that can serve the request.
--- a/relay/seek.go
+++ b/relay/seek.go
@@ -31,14 +31,14 @@
 	if !budget.Withdraw() {
 		return nil
 	}
-	transaction.silent = transaction.silentReplicas()
+	transaction.silent = transaction.silentReplicas(current)
 	candidate, failure := transaction.selectReplica(ctx)
 	if failure != nil {
 		budget.Return()
 		return nil
 	}
 	same := candidate.Incarnation == current
-	if (same && !mayRepeat) || (!same && slices.Contains(transaction.silent, candidate.Incarnation)) {
+	if (same && !mayRepeat) || slices.Contains(transaction.silent, candidate.Incarnation) {
 		budget.Return()
 		transaction.unchoose(candidate)
 		return nil
@@ -57,12 +57,14 @@
 	return nil
 }
 
-// silentReplicas returns the replicas that are silent by the gap target of the route; none if it has no such target.
-func (transaction *transaction) silentReplicas() []topology.Incarnation {
+// silentReplicas returns the replicas other than the current one that are silent by the gap target of the route; none if it has no
+// such target.
+func (transaction *transaction) silentReplicas(current topology.Incarnation) []topology.Incarnation {
 	if transaction.route.GapTarget == 0 {
 		return nil
 	}
-	return transaction.relay.activity.silent(silentGaps * transaction.route.GapTarget)
+	silent := transaction.relay.activity.silent(silentGaps * transaction.route.GapTarget)
+	return slices.DeleteFunc(silent, func(replica topology.Incarnation) bool { return replica == current })
 }
 
 // unchoose undoes the choice of a candidate that the request is not sent to.
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -71,7 +70,8 @@
 	transaction.criteria = balance.Criteria{
 		Zone:              transaction.relay.settings.Zone,
 		DaemonIndex:       transaction.relay.daemonIndex(),
-		Exclude:           slices.Concat(transaction.tried, transaction.silent),
+		Exclude:           transaction.tried,
+		Silent:            transaction.silent,
 		Priority:          priority(transaction.route),
 		FirstEventTarget:  transaction.route.LatencyTarget,
 		AdmissionQuantile: float64(xxhash.Sum64String(transaction.request.Metadata.ID)) / math.MaxUint64,
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/bronzestall/bronzestall/exchange"
 	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/topology"
 )
 
 // TestSilenceOfAllReplicasEndsNoStream guards against issue 47: sound replicas said nothing for a second or so, and the daemon
@@ -61,3 +62,44 @@
 		}
 	})
 }
+
+// TestSilentReplicaHidesNoOther guards against issue 47: the connection of a stream was dead, and no other one to its replica was
+// tried, since a replica that was silent as well was chosen each time and then not used.
+func TestSilentReplicaHidesNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dead := func() step { return parted(io.EOF, part{0, events(1, 2)}, part{time.Hour, ""}) }
+		fixture := newFixture(dead(), dead(), ok(events(3, 4)))
+		saveRetries(fixture)
+		setSlots := func(slots map[string]int) {
+			var engines []topology.Replica
+			for id, count := range slots {
+				engines = append(engines, topology.Replica{
+					Incarnation: topology.Incarnation{ID: id}, Service: "engine", Zone: "z", Slots: count,
+					Holding: topology.Holding{Models: []topology.LoadedModel{{Model: "m"}}},
+				})
+			}
+			fixture.directory.SetReplicas(engines)
+		}
+		begun := time.Now()
+		var other client
+		var streams sync.WaitGroup
+		streams.Go(func() {
+			setSlots(map[string]int{"a": 1})
+			failure := fixture.serve(t.Context(), "/resume/x")
+			if got := fixture.client.body.String(); failure != nil || got != events(1, 4) || time.Since(begun) > 4*time.Second {
+				t.Errorf("ended as %v after %v with %q", failure, time.Since(begun), got)
+			}
+		})
+		synctest.Wait()
+		// The other replica has the lower load, so that it is the better choice of the two.
+		setSlots(map[string]int{"a": 1, "b": 1000})
+		streams.Go(func() {
+			// It ends at its deadline.
+			_, _ = fixture.relay.Serve(t.Context(), fixture.request("/stream/x"), &other)
+		})
+		streams.Wait()
+		if made := fixture.upstream.attempts; len(made) != 3 || made[2].Replica.ID != "a" {
+			t.Errorf("the attempts were %+v", made)
+		}
+	})
+}
