Answer requests that were read together when a daemon stops

Cause: a connection counted as unused after a response until a byte was read. The second request was in the buffer of the server already, so that none was, although a handler served it.

Change: a connection is also used from the moment at which a request is served; the server names the connection in the context of the request.

Not covered: the first bytes of a head that were read together with the request before, whose rest has not arrived at the stop.

--- a/front/servers.go
+++ b/front/servers.go
@@ -37,10 +37,9 @@
 // newServers returns the servers with that of the clients, which accepts from the listener.
 func newServers(clients *http.Server, listener net.Listener) *servers {
 	connections := ingress.NewConnections()
-	clients.ConnState = connections.Observe
 	return &servers{
 		clients: clients, connections: connections,
-		all: []*http.Server{clients}, listeners: []net.Listener{connections.Listen(listener)},
+		all: []*http.Server{clients}, listeners: []net.Listener{connections.Track(clients, listener)},
 	}
 }
 
--- a/ingress/connections.go
+++ b/ingress/connections.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -24,13 +25,28 @@
 	return &Connections{open: map[*trackedConn]bool{}}
 }
 
-// Listen returns a listener that accepts from the given one and tracks what it accepts.
-func (connections *Connections) Listen(inner net.Listener) net.Listener {
+// Track makes the server track its connections. It returns the listener that the server must accept from, which accepts from the
+// given one. The server must not serve yet.
+func (connections *Connections) Track(server *http.Server, inner net.Listener) net.Listener {
+	server.ConnState = connections.observe
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, trackedKey{}, conn)
+	}
+	handler := server.Handler
+	server.Handler = http.HandlerFunc(func(writer http.ResponseWriter, incoming *http.Request) {
+		if tracked, ok := incoming.Context().Value(trackedKey{}).(*trackedConn); ok {
+			tracked.requested()
+		}
+		handler.ServeHTTP(writer, incoming)
+	})
 	return &trackingListener{Listener: inner, connections: connections}
 }
 
-// Observe is the ConnState function of the server that accepts from the listener.
-func (connections *Connections) Observe(conn net.Conn, state http.ConnState) {
+// trackedKey is the key of the connection in the contexts of its requests.
+type trackedKey struct{}
+
+// observe is the ConnState function of the server.
+func (connections *Connections) observe(conn net.Conn, state http.ConnState) {
 	tracked, ok := conn.(*trackedConn)
 	if !ok {
 		return
@@ -80,7 +96,8 @@
 	net.Conn
 
 	mutex sync.Mutex
-	// unused is set while no byte was read since the connection was opened, or since its last response.
+	// unused is set while no byte was read and no request was served since the connection was opened, or since its last response.
+	// Requests may be read together.
 	unused bool
 	// interrupted is set while a read deadline in the past is in force, so that the reader looks whether the connection is unused.
 	interrupted bool
@@ -154,6 +171,13 @@
 	tracked.unused = true
 }
 
+// requested records that a request is served.
+func (tracked *trackedConn) requested() {
+	tracked.mutex.Lock()
+	defer tracked.mutex.Unlock()
+	tracked.unused = false
+}
+
 // interrupt makes the reader of an unused connection close it.
 func (tracked *trackedConn) interrupt() {
 	tracked.mutex.Lock()
