End what is sent to a client before its connection is closed

Cause: http.Server ends what it sends, and closes half a second later, but only finds CloseWrite on the connection itself.

Change: the tracked connection passes CloseWrite on.

--- a/ingress/connections.go
+++ b/ingress/connections.go
@@ -164,6 +164,14 @@
 	return tracked.Conn.SetReadDeadline(deadline)
 }
 
+// CloseWrite ends what is sent, so that the client sees the end before the server closes the connection.
+func (tracked *trackedConn) CloseWrite() error {
+	if inner, ok := tracked.Conn.(interface{ CloseWrite() error }); ok {
+		return inner.CloseWrite()
+	}
+	return nil
+}
+
 // responded records that a response has ended and the next request is waited for.
 func (tracked *trackedConn) responded() {
 	tracked.mutex.Lock()
--- a/ingress/connections_test.go
+++ b/ingress/connections_test.go
@@ -9,8 +9,12 @@
 	"time"
 )
 
-// answerTime is the time that the second of two requests takes in a test.
-const answerTime = 200 * time.Millisecond
+const (
+	// answerTime is the time that the second of two requests takes in a test.
+	answerTime = 200 * time.Millisecond
+	// closeTime is the longest time from a response to the end of its connection; the server closes both directions after 500 ms.
+	closeTime = 250 * time.Millisecond
+)
 
 // serveTracked starts a server whose connections are tracked and returns a connection to it.
 func serveTracked(t *testing.T, handler http.HandlerFunc) (net.Conn, *Connections) {
@@ -71,3 +75,30 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// TestRefusedBodyEndsItsConnection guards against a connection that stayed open for half a second after the response to a request
+// whose body was not read.
+func TestRefusedBodyEndsItsConnection(t *testing.T) {
+	conn, _ := serveTracked(t, func(writer http.ResponseWriter, incoming *http.Request) {
+		_, _ = io.ReadAll(http.MaxBytesReader(writer, incoming.Body, 1))
+		http.Error(writer, "too large", http.StatusRequestEntityTooLarge)
+	})
+	if _, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h.example\r\nContent-Length: 10000000\r\n\r\nxx"); err != nil {
+		t.Fatal(err)
+	}
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		t.Fatal(err)
+	}
+	answered := time.Now()
+	if _, err := reader.ReadByte(); err != io.EOF {
+		t.Error(err)
+	}
+	if took := time.Since(answered); took > closeTime {
+		t.Errorf("the connection ended %v after the response", took)
+	}
+}
