Leave a stalled call only for a replica that is not known to be silent

Silence was judged by the gap target of the route, which calls do not have, so that no replica counted as silent: each call was moved to a replica that said as little, its first attempt was ended and its attempts were used up.

Change: where a route has no gap target, a replica is silent once none of its attempts has yielded a response for one latency target.

--- a/relay/seek.go
+++ b/relay/seek.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"slices"
@@ -15,7 +16,8 @@
 // at once. Until then two replicas may run the request, for which the users' platform leaves 400 ms.
 const acceptTime = 150 * time.Millisecond
 
-// silentGaps multiplies the gap target of a route: a replica is silent once none of its attempts has yielded an event for longer.
+// silentGaps multiplies the gap target of a route: a replica is silent once none of its attempts has yielded an event, or a whole
+// response, for longer.
 const silentGaps = 2
 
 // maySeek reports whether the request may be sent once more.
@@ -57,13 +59,10 @@
 	return nil
 }
 
-// silentReplicas returns the replicas other than the current one that are silent by the gap target of the route; none if it has no
-// such target.
+// silentReplicas returns the replicas other than the current one that are silent by the gap target of the route, or by its latency
+// target if it has no gap target.
 func (transaction *transaction) silentReplicas(current topology.Incarnation) []topology.Incarnation {
-	if transaction.route.GapTarget == 0 {
-		return nil
-	}
-	silent := transaction.relay.activity.silent(silentGaps * transaction.route.GapTarget)
+	silent := transaction.relay.activity.silent(cmp.Or(silentGaps*transaction.route.GapTarget, transaction.route.LatencyTarget))
 	return slices.DeleteFunc(silent, func(replica topology.Incarnation) bool { return replica == current })
 }
 
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -103,3 +103,26 @@
 		}
 	})
 }
+
+// TestSilenceOfAllReplicasEndsNoCall guards against issue 47: calls that may run again changed places between replicas that were all
+// silent for a while, and got no answer, although the first replica of each answered once the silence was over.
+func TestSilenceOfAllReplicasEndsNoCall(t *testing.T) {
+	const silence = 1600 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		fixture := newFixture(late(silence, ok("answer")), late(silence, ok("answer")), step{noResponse: true}, step{noResponse: true})
+		clients := make([]client, 2)
+		failures := make([]*outcome.Error, 2)
+		var calls sync.WaitGroup
+		for index := range clients {
+			calls.Go(func() {
+				_, failures[index] = fixture.relay.Serve(t.Context(), fixture.request("/again/x"), &clients[index])
+			})
+		}
+		calls.Wait()
+		for index := range clients {
+			if got := clients[index].body.String(); failures[index] != nil || got != "answer" {
+				t.Errorf("call %d ended as %v with %q", index, failures[index], got)
+			}
+		}
+	})
+}
