End a stalled attempt of a cut-off daemon only once another has taken it

Cause: new connections that fail for 500 ms make a daemon count as cut off. From then on each stalled attempt was ended at once, before any other daemon had taken the request. If none did (nobody to ask, or full), nothing was left of the stream.

A refusal is followed by another search, and if nobody lends, replicas are sought as before. The time until a request is passed on is the same.

Failing test: relay.TestCutOffDaemonEndsSilentStreamOnlyForAnother (three of three runs without the change, cases "nobody lends" and "the other daemon is full": UpstreamLost after 2.2 s; three of three with it, with -race). Not run: frontsoak.TestCutOffDaemonsServe and TestFrozenLendersAreReplaced.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -56,6 +56,9 @@
 	defer leg.end()
 	defer func() { received.endedBy = enderOf(leg.ctx) }()
 	leg.await()
+	if leg.lent {
+		return transaction.receiveLent(leg)
+	}
 	if leg.err != nil {
 		return transaction.failAttempt(leg.ctx, leg.candidate, leg.err)
 	}
@@ -65,6 +68,17 @@
 	return transaction.passOn(leg.ctx, leg.candidate, leg.reply, handover, leg.record)
 }
 
+// receiveLent passes on the response to an attempt through another daemon.
+func (transaction *transaction) receiveLent(leg *leg) result {
+	failed := transaction.endLent(leg)
+	if leg.err != nil {
+		return failed
+	}
+	transaction.lending, transaction.summary.Lender = true, leg.lender
+	defer func() { transaction.lending = false }()
+	return transaction.passOn(leg.ctx, balance.Candidate{Release: leg.release}, leg.reply, nil, nil)
+}
+
 // passOn passes a response on to the client.
 func (transaction *transaction) passOn(ctx context.Context, candidate balance.Candidate, reply *exchange.Reply, handover *handover, attemptRecord *attemptRecord) result {
 	if transaction.sink.Begun() && !(reply.Success() && reply.EventStream) {
--- a/relay/handover.go
+++ b/relay/handover.go
@@ -59,11 +59,11 @@
 	successor *leg
 }
 
-// startHandover returns the handover of an attempt that was opened, or nil if the request must not run once more or its route has
-// no latency target.
+// startHandover returns the handover of an attempt that was opened, or nil if the request must not run once more, its route has
+// no latency target or another daemon has it.
 func (transaction *transaction) startHandover(ctx context.Context, leg *leg) *handover {
 	route := transaction.route
-	if !route.Repeatable() || transaction.runs >= transaction.maxRuns || route.LatencyTarget == 0 {
+	if leg.lent || !route.Repeatable() || transaction.runs >= transaction.maxRuns || route.LatencyTarget == 0 {
 		return nil
 	}
 	started := &handover{
@@ -221,14 +221,7 @@
 		handover.endSearch(seeker, nil)
 		return true
 	}
-	if seeker.lends() && seeker.cutOffFrom(handover.leg.candidate) {
-		// This daemon does not reach the replica of the attempt either.
-		cancel(nil)
-		handover.endSearch(seeker, nil)
-		handover.leg.cancel(errStalled)
-		return true
-	}
-	successor := seeker.seek(ctx, cancel, handover.leg.candidate.Incarnation, mayRepeat)
+	successor := handover.find(ctx, cancel, seeker, mayRepeat)
 	if !handover.endSearch(seeker, successor) {
 		cancel(nil)
 		return false
@@ -239,6 +232,18 @@
 	return true
 }
 
+// find returns the attempt of the seeker that another replica has accepted, or another daemon if this one does not reach the replica
+// of the current attempt; nil if none has.
+func (handover *handover) find(ctx context.Context, cancel context.CancelCauseFunc, seeker *transaction, mayRepeat bool) *leg {
+	current := handover.leg.candidate
+	if seeker.lends() && seeker.cutOffFrom(current) {
+		if successor := seeker.seekLent(ctx, cancel); successor != nil || !seeker.lendFailed {
+			return successor
+		}
+	}
+	return seeker.seek(ctx, cancel, current.Incarnation, mayRepeat)
+}
+
 // startSeek returns a copy of the transaction that seeks a successor until cancel is called, and whether it may be the replica of
 // the attempt itself. It returns nil if the attempt has ended.
 func (handover *handover) startSeek(cancel context.CancelCauseFunc) (*transaction, bool) {
--- a/relay/leg.go
+++ b/relay/leg.go
@@ -12,6 +12,13 @@
 	// transaction is that for which the attempt was opened; for a successor it is the copy that sought it.
 	transaction *transaction
 	candidate   balance.Candidate
+	// lent is set if the request is sent to another daemon. The candidate then states only the release that is asked for, and there
+	// is no record.
+	lent bool
+	// lender is that daemon, release that of its replica, and runs the number of replicas that may have run the request, once it has
+	// responded.
+	lender, release string
+	runs            int
 	// sent is what is sent to the replica.
 	sent   exchange.Attempt
 	record *attemptRecord
@@ -43,9 +50,24 @@
 
 // send sends the request and waits for the head of the response.
 func (leg *leg) send() {
+	if leg.lent {
+		leg.lend()
+		return
+	}
 	leg.reply, leg.err = leg.transaction.relay.deps.Upstream.Send(leg.ctx, leg.transaction.request, leg.sent)
 }
 
+// lend is send for another daemon.
+func (leg *leg) lend() {
+	sought := leg.transaction
+	reply, err := sought.relay.deps.Lender.Lend(leg.ctx, sought.request, sought.remaining(), sought.allowance())
+	if err != nil {
+		leg.err = err
+		return
+	}
+	leg.reply, leg.lender, leg.release, leg.runs = reply.Reply, reply.Daemon, reply.Release, max(reply.Runs, 1)
+}
+
 // start sends the request without waiting for the response.
 func (leg *leg) start() {
 	leg.answered = make(chan struct{})
@@ -88,7 +110,9 @@
 func (leg *leg) discard() {
 	leg.cancel(errOvertaken)
 	leg.await()
-	if leg.err != nil {
+	if leg.lent {
+		leg.transaction.endLent(leg)
+	} else if leg.err != nil {
 		leg.transaction.failAttempt(leg.ctx, leg.candidate, leg.err)
 	} else {
 		leg.transaction.cancelAt(leg.candidate)
--- a/relay/lender.go
+++ b/relay/lender.go
@@ -194,6 +194,19 @@
 	return result{failure: outcome.New(outcome.UpstreamLost, "%s", err.Error()), reserved: errors.Is(err, ErrSilent)}, true
 }
 
+// endLent counts the runs of an attempt through another daemon that has responded or failed, and returns why it failed.
+func (transaction *transaction) endLent(leg *leg) result {
+	if leg.err == nil {
+		transaction.runs += leg.runs
+		return result{}
+	}
+	failed, taken := transaction.failLent(leg.ctx, leg.err)
+	if !taken {
+		return result{failure: outcome.New(outcome.UpstreamRefused, "%s", leg.err.Error()).WithRetryAfter(retryAfterBusy), notRun: true, unsent: true}
+	}
+	return failed
+}
+
 // senderNamer is a Sink that passes on which release responds. NameSender is called before Head.
 type senderNamer interface {
 	NameSender(release string, runs int)
--- a/relay/record.go
+++ b/relay/record.go
@@ -67,8 +67,11 @@
 	}
 }
 
-// finish records the end of the attempt.
+// finish records the end of the attempt. A nil record has no effect.
 func (attemptRecord *attemptRecord) finish() {
+	if attemptRecord == nil {
+		return
+	}
 	if !attemptRecord.waitEnded {
 		attemptRecord.endWait(false)
 	}
--- a/relay/seek.go
+++ b/relay/seek.go
@@ -59,6 +59,31 @@
 	return nil
 }
 
+// seekLent makes one attempt through another daemon, and returns it once that one has accepted the request, as a replica does. It
+// returns nil if none accepts it now; the current attempt goes on meanwhile.
+func (transaction *transaction) seekLent(ctx context.Context, cancel context.CancelCauseFunc) *leg {
+	budget := transaction.relay.budget(transaction.service.Name)
+	if !budget.Withdraw() {
+		return nil
+	}
+	transaction.sends++
+	transaction.lending = true
+	candidate := balance.Candidate{Release: transaction.release}
+	opened := &leg{transaction: transaction, candidate: candidate, lent: true, ctx: ctx, cancel: cancel}
+	opened.start()
+	if opened.accepted(false) {
+		return opened
+	}
+	if failed := transaction.endLent(opened); failed.unsent {
+		budget.Return()
+	}
+	if opened.reply != nil {
+		opened.end()
+	}
+	transaction.lending = false
+	return nil
+}
+
 // silentReplicas returns the replicas other than the current one that are silent by the gap target of the route, or by its latency
 // target if it has no gap target.
 func (transaction *transaction) silentReplicas(current topology.Incarnation) []topology.Incarnation {
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -126,3 +128,66 @@
 		}
 	})
 }
+
+// cutOffLender is a Lender of a daemon that counts as cut off from some time on.
+type cutOffLender struct {
+	lenders
+	isCutOff atomic.Bool
+	// delay is the time that Lend takes, unless the attempt is cancelled.
+	delay time.Duration
+}
+
+func (lender *cutOffLender) CutOff() bool { return lender.isCutOff.Load() }
+
+func (lender *cutOffLender) Lend(ctx context.Context, request *exchange.Request, budget time.Duration, allowance Allowance) (*LentReply, error) {
+	if !wait(ctx, lender.delay) {
+		return nil, exchange.ErrLost
+	}
+	return lender.lenders.Lend(ctx, request, budget, allowance)
+}
+
+// TestCutOffDaemonEndsSilentStreamOnlyForAnother guards against issue 47: a daemon whose new connections failed for a moment ended a
+// silent stream before another daemon had taken it.
+func TestCutOffDaemonEndsSilentStreamOnlyForAnother(t *testing.T) {
+	const silence = 1600 * time.Millisecond
+	full := lentStep{refusal: &Refusal{Failure: outcome.New(outcome.QueueFull, "full")}}
+	cases := []struct {
+		name  string
+		lent  []lentStep
+		delay time.Duration
+		// own is the text that the first attempt sends after the silence.
+		own  string
+		took time.Duration
+	}{
+		{"nobody lends", nil, 0, events(3, 4), silence},
+		{"the other daemon is full", []lentStep{full, full, full, full, full, full, full}, 0, events(3, 4), silence},
+		{"the other daemon is full after a while", []lentStep{full, full, full, full, full, full, full}, 100 * time.Millisecond, events(3, 4), silence},
+		{"the other daemon goes on", []lentStep{{step: ok(events(3, 4))}}, 0, "", time.Second},
+		{"the other daemon goes on later", []lentStep{full, {step: ok(events(3, 4))}}, 0, "", 1025 * time.Millisecond},
+		{"the other daemon responds late", []lentStep{{step: ok(events(3, 4))}}, 300 * time.Millisecond, "", 1300 * time.Millisecond},
+		{"the other daemon accepts and then refuses", []lentStep{full, {step: ok(events(3, 4))}}, 300 * time.Millisecond, "", 1625 * time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				steps := []step{parted(io.EOF, part{0, events(1, 2)}, part{silence, c.own})}
+				for range 20 {
+					steps = append(steps, step{err: exchange.ErrNotSent})
+				}
+				fixture := newFixture(steps...)
+				saveRetries(fixture)
+				lender := &cutOffLender{lenders: lenders{steps: c.lent}, delay: c.delay}
+				fixture.relay.deps.Lender = lender
+				time.AfterFunc(silence/4, func() { lender.isCutOff.Store(true) })
+				begun := time.Now()
+				failure := fixture.serve(t.Context(), "/resume/x")
+				took := time.Since(begun)
+				synctest.Wait()
+				if got := fixture.client.body.String(); failure != nil || got != events(1, 4) || took != c.took {
+					t.Errorf("ended as %v after %v with %q", failure, took, got)
+				}
+				fixture.checkNothingInFlight(t)
+			})
+		})
+	}
+}
