--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -56,6 +56,9 @@
 	defer leg.end()
 	defer func() { received.endedBy = enderOf(leg.ctx) }()
 	leg.await()
+	if leg.lent {
+		return transaction.receiveLent(leg)
+	}
 	if leg.err != nil {
 		return transaction.failAttempt(leg.ctx, leg.candidate, leg.err)
 	}
@@ -65,6 +68,23 @@
 	return transaction.passOn(leg)
 }
 
+// receiveLent passes on the response to an attempt through another daemon.
+func (transaction *transaction) receiveLent(lent *leg) result {
+	failed := transaction.endLent(lent)
+	if lent.err != nil {
+		return failed
+	}
+	lent.candidate.Release = lent.release
+	return transaction.passOnLent(lent)
+}
+
+// passOnLent passes the response of another daemon on to the client.
+func (transaction *transaction) passOnLent(lent *leg) result {
+	transaction.lending, transaction.summary.Lender = true, lent.lender
+	defer func() { transaction.lending = false }()
+	return transaction.passOn(lent)
+}
+
 // passOn passes the response to the attempt on to the client.
 func (transaction *transaction) passOn(leg *leg) result {
 	reply := leg.reply
--- a/relay/lender.go
+++ b/relay/lender.go
@@ -166,11 +166,9 @@
 		return transaction.failLent(ctx, err)
 	}
 	defer reply.Body.Close()
-	transaction.lending = true
-	defer func() { transaction.lending = false }()
 	transaction.runs += max(reply.Runs, 1)
-	transaction.summary.Lender = reply.Daemon
-	return transaction.passOn(&leg{transaction: transaction, candidate: balance.Candidate{Release: reply.Release}, ctx: ctx, reply: reply.Reply}), true
+	lent := &leg{transaction: transaction, candidate: balance.Candidate{Release: reply.Release}, lent: true, lender: reply.Daemon, ctx: ctx, reply: reply.Reply}
+	return transaction.passOnLent(lent), true
 }
 
 // allowance returns what another daemon may do for the request.
@@ -208,6 +206,19 @@
 	return result{failure: outcome.New(outcome.UpstreamLost, "%s", err.Error()), reserved: errors.Is(err, ErrSilent)}, true
 }
 
+// endLent counts the runs of an attempt through another daemon that has responded or failed, and returns why it failed.
+func (transaction *transaction) endLent(leg *leg) result {
+	if leg.err == nil {
+		transaction.runs += leg.runs
+		return result{}
+	}
+	failed, taken := transaction.failLent(leg.ctx, leg.err)
+	if !taken {
+		return result{failure: outcome.New(outcome.UpstreamRefused, "%s", leg.err.Error()).WithRetryAfter(retryAfterBusy), notRun: true, unsent: true}
+	}
+	return failed
+}
+
 // senderNamer is a Sink that passes on which release responds. NameSender is called before Head.
 type senderNamer interface {
 	NameSender(release string, runs int)
--- a/relay/seek.go
+++ b/relay/seek.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"slices"
@@ -15,7 +16,8 @@
 // at once. Until then two replicas may run the request, for which the users' platform leaves 400 ms.
 const acceptTime = 150 * time.Millisecond
 
-// silentGaps multiplies the gap target of a route: a replica is silent once none of its attempts has yielded an event for longer.
+// silentGaps multiplies the gap target of a route: a replica is silent once none of its attempts has yielded an event, or a whole
+// response, for longer.
 const silentGaps = 2
 
 // maySeek reports whether the request may be sent once more.
@@ -31,14 +33,14 @@
 	if !budget.Withdraw() {
 		return nil
 	}
-	transaction.silent = transaction.silentReplicas()
+	transaction.silent = transaction.silentReplicas(current)
 	candidate, failure := transaction.selectReplica(ctx)
 	if failure != nil {
 		budget.Return()
 		return nil
 	}
 	same := candidate.Incarnation == current
-	if (same && !mayRepeat) || (!same && slices.Contains(transaction.silent, candidate.Incarnation)) {
+	if (same && !mayRepeat) || slices.Contains(transaction.silent, candidate.Incarnation) {
 		budget.Return()
 		transaction.unchoose(candidate)
 		return nil
@@ -57,12 +59,36 @@
 	return nil
 }
 
-// silentReplicas returns the replicas that are silent by the gap target of the route; none if it has no such target.
-func (transaction *transaction) silentReplicas() []topology.Incarnation {
-	if transaction.route.GapTarget == 0 {
+// seekLent makes one attempt through another daemon, and returns it once that one has accepted the request, as a replica does. It
+// returns nil if none accepts it now; the current attempt goes on meanwhile.
+func (transaction *transaction) seekLent(ctx context.Context, cancel context.CancelCauseFunc) *leg {
+	budget := transaction.relay.budget(transaction.service.Name)
+	if !budget.Withdraw() {
 		return nil
 	}
-	return transaction.relay.activity.silent(silentGaps * transaction.route.GapTarget)
+	transaction.sends++
+	transaction.lending = true
+	candidate := balance.Candidate{Release: transaction.release}
+	opened := &leg{transaction: transaction, candidate: candidate, lent: true, ctx: ctx, cancel: cancel}
+	opened.start()
+	if opened.accepted(false) {
+		return opened
+	}
+	if failed := transaction.endLent(opened); failed.unsent {
+		budget.Return()
+	}
+	if opened.reply != nil {
+		opened.end()
+	}
+	transaction.lending = false
+	return nil
+}
+
+// silentReplicas returns the replicas other than the current one that are silent by the gap target of the route, or by its latency
+// target if it has no gap target.
+func (transaction *transaction) silentReplicas(current topology.Incarnation) []topology.Incarnation {
+	silent := transaction.relay.activity.silent(cmp.Or(silentGaps*transaction.route.GapTarget, transaction.route.LatencyTarget))
+	return slices.DeleteFunc(silent, func(replica topology.Incarnation) bool { return replica == current })
 }
 
 // unchoose undoes the choice of a candidate that the request is not sent to.
