Give pauses, failures, leaving upstreams and responses of the dispatcher files of their own

Behaviour is unchanged. Three loops over the candidates of all data centres are one iterator, the requirements of a search elsewhere stand once, and names left by an earlier rename (removed, right, queueOf, uncorrectedMean) say what they hold. The tests of the package pass with the race detector.

--- a/dispatch/broken.go
+++ b/dispatch/broken.go
@@ -6,7 +6,6 @@
 
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/request"
-	"github.com/bronzestall/bronzestall/route"
 )
 
 // The waits of a stream that broke off, until another upstream takes it.
@@ -59,15 +58,3 @@
 	}
 	return outcome.New(outcome.UpstreamLost, "no upstream holds the version of the model that began the stream")
 }
-
-// holdsVersion reports whether a candidate holds the version of the model.
-func (snapshot Snapshot) holdsVersion(version string) bool {
-	for _, candidates := range [][]route.Candidate{snapshot.Local, snapshot.Remote} {
-		for index := range candidates {
-			if candidates[index].Version == version {
-				return true
-			}
-		}
-	}
-	return false
-}
--- a/dispatch/destination.go
+++ b/dispatch/destination.go
@@ -38,13 +38,7 @@
 	started := &destination{end: cancel, found: make(chan *reservation, 1)}
 	req := transaction.req
 	req.Deadline = transaction.dispatcher.clock.Now().Add(resumeTimeout)
-	requirements := route.Requirements{
-		Affinity: req.Fingerprint,
-		Adapter:  req.Target.Adapter,
-		Exclude:  leg.name(),
-		Version:  transaction.version,
-		Suspect:  transaction.isSuspect(),
-	}
+	requirements := transaction.requirementsElsewhere(leg.name())
 	dispatcher := transaction.dispatcher
 	go func() { started.found <- dispatcher.reserveDestination(ctx, &req, requirements) }()
 	return started
--- a/dispatch/displace.go
+++ b/dispatch/displace.go
@@ -31,8 +31,8 @@
 func (dispatcher *Dispatcher) longest() string {
 	longest := ""
 	for tenant, count := range dispatcher.waitingByTenant {
-		removed, right := count*dispatcher.share(longest), dispatcher.waitingByTenant[longest]*dispatcher.share(tenant)
-		if longest == "" || removed > right || (removed == right && tenant < longest) {
+		ownLength, longestLength := count*dispatcher.share(longest), dispatcher.waitingByTenant[longest]*dispatcher.share(tenant)
+		if longest == "" || ownLength > longestLength || (ownLength == longestLength && tenant < longest) {
 			longest = tenant
 		}
 	}
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"iter"
+
 	"github.com/bronzestall/bronzestall/catalogue"
 	"github.com/bronzestall/bronzestall/route"
 	"github.com/bronzestall/bronzestall/upstream"
@@ -18,6 +20,49 @@
 	Changed <-chan struct{}
 }
 
+// all iterates over the candidates of all data centres.
+func (snapshot Snapshot) all() iter.Seq[*route.Candidate] {
+	return func(yield func(*route.Candidate) bool) {
+		for _, candidates := range [][]route.Candidate{snapshot.Local, snapshot.Remote} {
+			for index := range candidates {
+				if !yield(&candidates[index]) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// find returns the candidate with the upstream name.
+func (snapshot Snapshot) find(name string) (route.Candidate, bool) {
+	for candidate := range snapshot.all() {
+		if candidate.Upstream == name {
+			return *candidate, true
+		}
+	}
+	return route.Candidate{}, false
+}
+
+// isOnlyCandidate reports whether there is no candidate on another upstream.
+func (snapshot Snapshot) isOnlyCandidate(name string) bool {
+	for candidate := range snapshot.all() {
+		if candidate.Upstream != name {
+			return false
+		}
+	}
+	return true
+}
+
+// holdsVersion reports whether a candidate holds the version of the model.
+func (snapshot Snapshot) holdsVersion(version string) bool {
+	for candidate := range snapshot.all() {
+		if candidate.Version == version {
+			return true
+		}
+	}
+	return false
+}
+
 // Fleet returns the candidates for a request. Its methods are cheap and do not block; the slices they return
 // never change.
 type Fleet interface {
--- a/dispatch/grant.go
+++ b/dispatch/grant.go
@@ -1,9 +1,6 @@
 package dispatch
 
 import (
-	"time"
-
-	"github.com/bronzestall/bronzestall/internal/invariant"
 	"github.com/bronzestall/bronzestall/route"
 )
 
@@ -12,18 +9,6 @@
 	return dispatcher.router.AnyAvailable(snapshot.Local) || dispatcher.router.AnyAvailable(snapshot.Remote)
 }
 
-// isOnlyCandidate reports whether there is no candidate on another upstream.
-func (snapshot Snapshot) isOnlyCandidate(name string) bool {
-	for _, candidates := range [][]route.Candidate{snapshot.Local, snapshot.Remote} {
-		for index := range candidates {
-			if candidates[index].Upstream != name {
-				return false
-			}
-		}
-	}
-	return true
-}
-
 // grantWaiting grants reservations to waiting requests while there is room. The mutex must be held.
 func (dispatcher *Dispatcher) grantWaiting(workload *workload, snapshot Snapshot) {
 	dispatcher.grantUnordered(workload, snapshot)
@@ -136,44 +121,6 @@
 	return route.Candidate{}, false, false
 }
 
-// recheckAfter is the age from which a reservation is checked again before the request is sent.
-const recheckAfter = time.Second
-
-// stillServes reports whether the upstream of an older reservation still accepts work.
-func (dispatcher *Dispatcher) stillServes(reservation *reservation) bool {
-	if dispatcher.clock.Since(reservation.since) < recheckAfter {
-		return true
-	}
-	snapshot, err := reservation.workload.lookup()
-	if err != nil {
-		return false
-	}
-	found, ok := snapshot.find(reservation.candidate.Upstream)
-	return ok && !found.Leaving
-}
-
-// leavingBound is the time after an upstream was first seen leaving from which it must get no work.
-const leavingBound = 3 * time.Second
-
-// assertServes checks the invariant that a leaving upstream gets no work after leavingBound.
-func (dispatcher *Dispatcher) assertServes(reservation *reservation) {
-	since := dispatcher.router.LeavingSince(reservation.candidate.Upstream)
-	bound := since.Add(leavingBound)
-	invariant.Check(since.IsZero() || dispatcher.clock.Now().Before(bound), invariant.NoWorkToLeaving, "Upstream", reservation.candidate.Upstream)
-}
-
-// find returns the candidate with the upstream name.
-func (snapshot Snapshot) find(name string) (route.Candidate, bool) {
-	for _, candidates := range [][]route.Candidate{snapshot.Local, snapshot.Remote} {
-		for index := range candidates {
-			if candidates[index].Upstream == name {
-				return candidates[index], true
-			}
-		}
-	}
-	return route.Candidate{}, false
-}
-
 // release releases a reservation and grants its slot to the next request. answered states that the response
 // was complete.
 func (dispatcher *Dispatcher) release(reservation *reservation, answered bool) {
--- /dev/null
+++ b/dispatch/leaving.go
@@ -0,0 +1,43 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/bronzestall/bronzestall/internal/invariant"
+)
+
+// recheckAfter is the age from which a reservation is checked again before the request is sent.
+const recheckAfter = time.Second
+
+// stillServes reports whether the upstream of an older reservation still accepts work.
+func (dispatcher *Dispatcher) stillServes(reservation *reservation) bool {
+	if dispatcher.clock.Since(reservation.since) < recheckAfter {
+		return true
+	}
+	snapshot, err := reservation.workload.lookup()
+	if err != nil {
+		return false
+	}
+	found, ok := snapshot.find(reservation.candidate.Upstream)
+	return ok && !found.Leaving
+}
+
+// leavingBound is the time after an upstream was first seen leaving from which it must get no work.
+const leavingBound = 3 * time.Second
+
+// assertServes checks the invariant that a leaving upstream gets no work after leavingBound.
+func (dispatcher *Dispatcher) assertServes(reservation *reservation) {
+	since := dispatcher.router.LeavingSince(reservation.candidate.Upstream)
+	bound := since.Add(leavingBound)
+	invariant.Check(since.IsZero() || dispatcher.clock.Now().Before(bound), invariant.NoWorkToLeaving, "Upstream", reservation.candidate.Upstream)
+}
+
+// leaving reports whether the reserved upstream is leaving.
+func (dispatcher *Dispatcher) leaving(reservation *reservation) bool {
+	snapshot, err := reservation.workload.lookup()
+	if err != nil {
+		return false
+	}
+	found, ok := snapshot.find(reservation.candidate.Upstream)
+	return ok && found.Leaving
+}
--- a/dispatch/migrate.go
+++ b/dispatch/migrate.go
@@ -56,16 +56,6 @@
 	return reserved != nil && transaction.export(leg, reserved)
 }
 
-// leaving reports whether the reserved upstream is leaving.
-func (dispatcher *Dispatcher) leaving(reservation *reservation) bool {
-	snapshot, err := reservation.workload.lookup()
-	if err != nil {
-		return false
-	}
-	found, ok := snapshot.find(reservation.candidate.Upstream)
-	return ok && found.Leaving
-}
-
 // export ends the generation on its upstream and keeps its state for the reserved one. If that fails, the stream
 // stays.
 func (transaction *transaction) export(leg *leg, reserved *reservation) bool {
--- a/dispatch/seek.go
+++ b/dispatch/seek.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"github.com/bronzestall/bronzestall/event"
-	"github.com/bronzestall/bronzestall/outcome"
-	"github.com/bronzestall/bronzestall/route"
 	"github.com/bronzestall/bronzestall/upstream"
 )
 
@@ -116,74 +114,6 @@
 	return successor
 }
 
-// seekElsewhere sends the request to another upstream within the limits of attempts and the retry budget.
-func (handover *handover) seekElsewhere(ctx context.Context, seeker *transaction) *leg {
-	if ctx.Err() != nil || !handover.mayRunElsewhere(seeker) {
-		return nil
-	}
-	if !seeker.dispatcher.budget.Withdraw() {
-		return nil
-	}
-	if seeker.isSuspect() {
-		seeker.wait(ctx, suspectPause)
-	}
-	successor, failure := handover.reserveElsewhere(ctx, seeker)
-	if failure != nil {
-		seeker.dispatcher.budget.Return()
-		return nil
-	}
-	if err := handover.prepareAndSend(ctx, seeker, successor); err != nil {
-		handover.recordRefusal(ctx, seeker, successor, err)
-		successor.end(false)
-		return nil
-	}
-	seeker.ran++
-	return successor
-}
-
-// mayRunElsewhere reports whether the request may run on another upstream beside the leg.
-func (handover *handover) mayRunElsewhere(seeker *transaction) bool {
-	if handover.cannotResume || !seeker.mayRunTwice() {
-		return false
-	}
-	return seeker.ran+1 < maxRun && seeker.attempts < maxAttempts
-}
-
-// reserveElsewhere returns a leg on another upstream that has a slot for the request.
-func (handover *handover) reserveElsewhere(ctx context.Context, seeker *transaction) (*leg, *outcome.Error) {
-	req := seeker.req
-	if seeker.last > 0 {
-		req.Deadline = seeker.dispatcher.clock.Now().Add(resumeTimeout)
-	}
-	reservation, failure := seeker.dispatcher.admit(ctx, &req, handover.requirements(seeker), true)
-	if failure != nil {
-		return nil, failure
-	}
-	successor := handover.newSuccessor(reservation)
-	successor.onEnd(func(answered bool) { seeker.dispatcher.release(reservation, answered) })
-	unreserve, ok := seeker.reserve(ctx, reservation)
-	if !ok || successor.name() == handover.leg.name() {
-		successor.end(false)
-		return nil, outcome.New(outcome.UpstreamRefused, "no other upstream may run the request")
-	}
-	successor.onEnd(func(bool) { unreserve() })
-	return successor, nil
-}
-
-// requirements returns the routing requirements of a successor on another upstream.
-func (handover *handover) requirements(seeker *transaction) route.Requirements {
-	requirements := route.Requirements{
-		Affinity: seeker.req.Fingerprint,
-		Adapter:  seeker.req.Target.Adapter,
-		Exclude:  handover.leg.name(),
-		Suspect:  seeker.isSuspect(),
-	}
-	if seeker.last > 0 {
-		requirements.Version = seeker.version
-	}
-	return requirements
-}
-
 // newSuccessor returns a leg on the reserved upstream that does not end with the search.
 func (handover *handover) newSuccessor(reservation *reservation) *leg {
 	successor := handover.transaction.newLeg(handover.ctx, reservation)
@@ -191,19 +121,6 @@
 	return successor
 }
 
-// prepareAndSend prepares the upstream of the successor and sends it the request.
-func (handover *handover) prepareAndSend(ctx context.Context, seeker *transaction, successor *leg) error {
-	generator, ok := seeker.dispatcher.deps.Engines.Generator(successor.name())
-	if !ok {
-		return upstream.ErrNotSent
-	}
-	seeker.countAttempt()
-	if err := seeker.prepare(ctx, successor); err != nil {
-		return err
-	}
-	return handover.send(ctx, seeker, successor, generator)
-}
-
 // send sends the request to the upstream of the successor, and gives up when that is silent or ctx ends. A response
 // that is no beginning of a success is an error, since the leg may do better.
 func (handover *handover) send(ctx context.Context, seeker *transaction, successor *leg, generator upstream.Generator) error {
@@ -220,28 +137,8 @@
 	return nil
 }
 
-// recordRefusal records why the upstream of the successor did not accept the request.
-func (handover *handover) recordRefusal(ctx context.Context, seeker *transaction, successor *leg, err error) {
-	handover.cannotResume = handover.cannotResume || cannotResume(err)
-	failed := seeker.classify(ctx, successor.reservation, err)
-	if !failed.notRun {
-		seeker.uncertainFailure = failed.failure
-	}
-	seeker.logFailed(ctx, successor, failed)
-}
-
 // cannotResume reports whether the engine refused to go on with a stream because it does not know it.
 func cannotResume(err error) bool {
 	var refusal *upstream.RefusedError
 	return errors.As(err, &refusal) && refusal.CannotResume()
 }
-
-// wait waits for the time or the end of ctx.
-func (transaction *transaction) wait(ctx context.Context, length time.Duration) {
-	timer := transaction.dispatcher.clock.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C():
-	case <-ctx.Done():
-	}
-}
--- a/dispatch/sink_test.go
+++ b/dispatch/sink_test.go
@@ -54,9 +54,9 @@
 }
 
 func fingerprint(body string) uint64 {
-	uncorrectedMean := uint64(14695981039346656037)
+	hash := uint64(14695981039346656037)
 	for _, letter := range []byte(body) {
-		uncorrectedMean = (uncorrectedMean ^ uint64(letter)) * 1099511628211
+		hash = (hash ^ uint64(letter)) * 1099511628211
 	}
-	return uncorrectedMean
+	return hash
 }
--- a/dispatch/transaction.go
+++ b/dispatch/transaction.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"time"
 
 	"github.com/bronzestall/bronzestall/claim"
@@ -141,19 +140,6 @@
 	return failure
 }
 
-// suspectPause is how long a suspect waits for other daemons to publish their crashes.
-const suspectPause = 500 * time.Millisecond
-
-// pause delays a suspect, so that the suspects of other daemons arrive before it runs again.
-func (transaction *transaction) pause(ctx context.Context, pause time.Duration) {
-	timer := transaction.dispatcher.clock.NewTimer(min(pause, max(transaction.timeLeft(), 0)))
-	defer timer.Stop()
-	select {
-	case <-timer.C():
-	case <-ctx.Done():
-	}
-}
-
 // requirements returns the routing requirements of the request, or refuses a request that is quarantined.
 func (transaction *transaction) requirements() (route.Requirements, *outcome.Error) {
 	req := &transaction.req
@@ -194,29 +180,6 @@
 	return requirements
 }
 
-// notSentFailure returns the failure of a request whose context ended before it was sent.
-func notSentFailure(ctx context.Context) *outcome.Error {
-	cause := context.Cause(ctx)
-	if errors.Is(cause, errStopped) {
-		return outcome.New(outcome.Stopping, "the daemon stops").WithRetryAfter(stoppingRetryAfter)
-	}
-	if errors.Is(cause, errBeginDeadline) || errors.Is(cause, context.DeadlineExceeded) {
-		return outcome.New(outcome.DeadlineInQueue, "the deadline passed before the request was sent").WithRetryAfter(minRetryAfter)
-	}
-	return outcome.New(outcome.CallerGone, "the caller closed the connection")
-}
-
-// cancelledFailure returns the failure of a request whose context ended while it ran.
-func cancelledFailure(ctx context.Context) *outcome.Error {
-	if errors.Is(context.Cause(ctx), errStopped) {
-		return outcome.New(outcome.DeadlineRunning, "the daemon stopped while an upstream had the request").WithRetryAfter(stoppingRetryAfter)
-	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return outcome.New(outcome.DeadlineRunning, "the total time of the request is over")
-	}
-	return outcome.New(outcome.CallerGone, "the caller closed the connection")
-}
-
 // withNextDeadline returns the request with the deadline of its next attempt. A stream that has begun uses
 // resumeDeadline instead of the deadline of the request.
 func (transaction *transaction) withNextDeadline() request.Request {
