Continue a stream only at the release of the engine that began it

Cause: engines named no release to the product's own door.

Change: an engine names its release in its state, which daemons pass on; one that names none has a release of its own for each boot. Release and version of the model stay with a begun stream, and successors, further attempts and migrations go to upstreams with both. If candidates are left and none has them, the stream ends at once as UpstreamLost. Its own upstream is asked again without regard to the release, since a probe showed the same boot. A daemon of an earlier version drops the release from what it passes on, which stops continuations and joins nothing.

The stand-in engines of internal/soak name a release, so that streams migrate there as before; the package passes.

--- a/daemon/directory.go
+++ b/daemon/directory.go
@@ -73,6 +73,7 @@
 		Upstream: instance.Entry.Member.Name,
 		BootID:   instance.Entry.State.BootID,
 		Version:  instance.Replica.Version,
+		Release:  releaseOf(instance.Entry.State),
 		Slots:    model.Concurrency,
 		Running:  instance.Replica.Running,
 		Waiting:  instance.Replica.Waiting,
@@ -83,6 +84,14 @@
 	}
 }
 
+// releaseOf returns the release of the engine. One that names none has a release of its own for each boot.
+func releaseOf(state upstream.State) string {
+	if state.Release != "" {
+		return "named/" + state.Release
+	}
+	return "unnamed/" + state.Upstream + "/" + state.BootID
+}
+
 // Service returns the upstreams of a plain service. It fails if the catalogue is not known yet or the service
 // is not in force.
 func (directory *directory) Service(name string) (dispatch.Snapshot, error) {
--- a/dispatch/begun_test.go
+++ b/dispatch/begun_test.go
@@ -63,6 +63,7 @@
 		{"all upstreams full for longer", refuse(503), nothing, outcome.UpstreamLost, resumeTimeout + time.Second},
 		{"no upstream can resume", refuse(410), nothing, outcome.UpstreamLost, time.Second},
 		{"only other versions", all(func(engine *fakeEngine) { engine.version = "v2" }), nothing, outcome.UpstreamLost, time.Second},
+		{"only other releases", all(func(engine *fakeEngine) { engine.release, engine.boot = "r2", engine.name+"/2" }), nothing, outcome.UpstreamLost, time.Second},
 		{"loading takes too long", func(cluster *fakeCluster, dispatcher *Dispatcher) {
 			all(func(engine *fakeEngine) { engine.leaving = true })(cluster, dispatcher)
 			cluster.setForecast(Forecast{Known: true, ReadyIn: time.Minute}, nil)
--- a/dispatch/broken.go
+++ b/dispatch/broken.go
@@ -6,6 +6,7 @@
 
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/request"
+	"github.com/bronzestall/bronzestall/route"
 )
 
 // The waits of a stream that broke off, until another upstream takes it.
@@ -46,15 +47,28 @@
 	transaction.nextDelay = min(2*max(transaction.nextDelay, brokenDelay), longestBrokenDelay)
 }
 
-// versionFailure returns the failure of a stream of the version of its model that no candidate holds any more, or
-// nil. Other versions cannot go on with it.
-func (dispatcher *Dispatcher) versionFailure(req *request.Request, version string) *outcome.Error {
+// withOrigin returns the requirements with the origin of a stream that has begun: the version of its model and the
+// release of the engine. Its own upstream, which has the stream, needs no release.
+func (transaction *transaction) withOrigin(requirements route.Requirements) route.Requirements {
+	if transaction.last == 0 {
+		return requirements
+	}
+	requirements.Version = transaction.version
+	if requirements.Only == "" {
+		requirements.Release = transaction.release
+	}
+	return requirements
+}
+
+// originFailure returns the failure of a stream whose origin no candidate has any more, or nil. Others cannot go on
+// with it.
+func (dispatcher *Dispatcher) originFailure(req *request.Request, requirements route.Requirements) *outcome.Error {
 	snapshot, err := dispatcher.snapshot(req)
 	if err != nil {
 		return outcome.From(err)
 	}
-	if len(snapshot.Local)+len(snapshot.Remote) == 0 || snapshot.holdsVersion(version) {
+	if len(snapshot.Local)+len(snapshot.Remote) == 0 || snapshot.hasOrigin(requirements) {
 		return nil
 	}
-	return outcome.New(outcome.UpstreamLost, "no upstream holds the version of the model that began the stream")
+	return outcome.New(outcome.UpstreamLost, "no upstream has the version and release that began the stream")
 }
--- a/dispatch/elsewhere.go
+++ b/dispatch/elsewhere.go
@@ -65,16 +65,12 @@
 // requirementsElsewhere returns the routing requirements for another upstream than the named one, which goes on with
 // the request.
 func (transaction *transaction) requirementsElsewhere(name string) route.Requirements {
-	requirements := route.Requirements{
+	return transaction.withOrigin(route.Requirements{
 		Affinity: transaction.req.Fingerprint,
 		Adapter:  transaction.req.Target.Adapter,
 		Exclude:  name,
 		Suspect:  transaction.isSuspect(),
-	}
-	if transaction.last > 0 {
-		requirements.Version = transaction.version
-	}
-	return requirements
+	})
 }
 
 // prepareAndSend prepares the upstream of the successor and sends it the request.
--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -40,7 +40,7 @@
 func (cluster *fakeCluster) add(name string) *fakeEngine {
 	cluster.mutex.Lock()
 	defer cluster.mutex.Unlock()
-	engine := &fakeEngine{name: name, boot: name + "/1", slots: 4, pieces: 3, version: "v1", gap: 10 * time.Millisecond, runs: map[string]int{}}
+	engine := &fakeEngine{name: name, boot: name + "/1", slots: 4, pieces: 3, version: "v1", release: "r1", gap: 10 * time.Millisecond, runs: map[string]int{}}
 	engine.loadTime = 5 * time.Millisecond
 	engine.chaosFields = chaosFields{ids: map[string]int{}, nonIdempotentRuns: map[string]int{}, restartDelay: time.Hour}
 	cluster.engines[name] = engine
@@ -132,8 +132,8 @@
 	quiet   time.Duration
 	// quietResumes is the number of streams that are resumed next and never send their headers.
 	quietResumes int
-	// version is the version of the model that the replica holds.
-	version string
+	// version is the version of the model that the replica holds, and release that of the engine's software.
+	version, release string
 	// reports states that the candidate carries the current load.
 	reports bool
 	// loadTime is how long an order takes.
@@ -157,7 +157,7 @@
 func (engine *fakeEngine) candidate() route.Candidate {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
-	candidate := route.Candidate{Adapters: engine.listed, Upstream: engine.name, BootID: engine.boot, Slots: engine.slots, Leaving: engine.leaving, Version: engine.version}
+	candidate := route.Candidate{Adapters: engine.listed, Upstream: engine.name, BootID: engine.boot, Slots: engine.slots, Leaving: engine.leaving, Version: engine.version, Release: engine.release}
 	if engine.reports {
 		candidate.Running, candidate.Reported = engine.active, time.Now()
 	}
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -53,10 +53,10 @@
 	return true
 }
 
-// holdsVersion reports whether a candidate holds the version of the model.
-func (snapshot Snapshot) holdsVersion(version string) bool {
+// hasOrigin reports whether a candidate has the version and the release of the requirements.
+func (snapshot Snapshot) hasOrigin(requirements route.Requirements) bool {
 	for candidate := range snapshot.all() {
-		if candidate.Version == version {
+		if candidate.Version == requirements.Version && (requirements.Release == "" || candidate.Release == requirements.Release) {
 			return true
 		}
 	}
--- a/dispatch/handover.go
+++ b/dispatch/handover.go
@@ -128,6 +128,7 @@
 		progress:   handover.progress,
 		last:       handover.last,
 		version:    handover.leg.reservation.candidate.Version,
+		release:    handover.leg.reservation.candidate.Release,
 	}
 }
 
--- a/dispatch/handover_test.go
+++ b/dispatch/handover_test.go
@@ -77,6 +77,12 @@
 		{"other upstream holds another version", 2, long, true, true, func(cluster *fakeCluster, _ *Dispatcher) {
 			cluster.engines["u2"].set(func(engine *fakeEngine) { engine.version = "v2" })
 		}, 0, 1},
+		{"other upstream has another release", 2, long, true, true, func(cluster *fakeCluster, _ *Dispatcher) {
+			cluster.engines["u2"].set(func(engine *fakeEngine) { engine.release = "r2" })
+		}, 0, 1},
+		{"other upstream has another release before the header", 1, long, true, true, func(cluster *fakeCluster, _ *Dispatcher) {
+			cluster.engines["u2"].set(func(engine *fakeEngine) { engine.release = "r2" })
+		}, 0, 2},
 		{"model withdrawn", 2, long, true, true, func(_ *fakeCluster, dispatcher *Dispatcher) {
 			dispatcher.deps.Fleet.(*changedFleet).changed.Store(true)
 		}, 0, 1},
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -50,7 +50,8 @@
 		if err := transaction.sink.Chunk(frame); err != nil {
 			return errSink
 		}
-		transaction.last, transaction.version = piece.Index, leg.reservation.candidate.Version
+		transaction.last = piece.Index
+		transaction.version, transaction.release = leg.reservation.candidate.Version, leg.reservation.candidate.Release
 		leg.handover.advance(piece.Index)
 		if transaction.migrate(leg) {
 			return errMigrate
--- a/dispatch/transaction.go
+++ b/dispatch/transaction.go
@@ -18,10 +18,10 @@
 	req        request.Request
 	sink       request.Sink
 	progress
-	// last is the index of the last piece that was sent to the caller, and version the version of the model that
-	// the stream to the caller began with.
-	last    int
-	version string
+	// last is the index of the last piece that was sent to the caller. version and release are those of the model
+	// and of the engine's software that the stream to the caller began with.
+	last             int
+	version, release string
 	// ticket is the claim that the request holds, or nil.
 	ticket *claim.Ticket
 	// resumeDeadline is when a stream that has begun must have found its next upstream, or zero while it has
@@ -112,8 +112,8 @@
 		return reserved, nil
 	}
 	if transaction.last > 0 {
-		requirements.Version = transaction.version
-		if failure := transaction.dispatcher.versionFailure(req, requirements.Version); failure != nil {
+		requirements = transaction.withOrigin(requirements)
+		if failure := transaction.dispatcher.originFailure(req, requirements); failure != nil {
 			return nil, failure
 		}
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -201,7 +201,7 @@
 }
 
 func equalExceptLoad(a, b upstream.State) bool {
-	if a.BootID != b.BootID || a.Leaving != b.Leaving || a.Role != b.Role {
+	if a.BootID != b.BootID || a.Release != b.Release || a.Leaving != b.Leaving || a.Role != b.Role {
 		return false
 	}
 	return slices.EqualFunc(a.Replicas, b.Replicas, equalReplica)
--- a/internal/soak/testbed_test.go
+++ b/internal/soak/testbed_test.go
@@ -125,6 +125,7 @@
 func (testbed *testbed) newEngine(name string, checksFencing bool) *engine.Server {
 	return engine.New(engine.Settings{
 		Name:          name,
+		Release:       "1",
 		ChecksFencing: checksFencing,
 		Capacity:      40 << 30,
 		Fetch:         testbed.weights.Fetch,
--- a/internal/standin/cmd/standin/engine.go
+++ b/internal/standin/cmd/standin/engine.go
@@ -14,6 +14,7 @@
 type engineCommand struct {
 	Listen        string        `help:"IP address and port." default:"127.0.0.1:9100"`
 	Name          string        `help:"Name of the VM." required:""`
+	Release       string        `help:"Release that the engine names." default:"1"`
 	Capacity      size          `help:"Accelerator memory." default:"80GiB"`
 	ChecksFencing bool          `help:"Refuse orders with an old fencing number or for another boot."`
 	WeightStore   string        `help:"IP address and port of the weight store; without one, transfers take no time."`
@@ -31,6 +32,7 @@
 func (command *engineCommand) Run(ctx context.Context) error {
 	server := engine.New(engine.Settings{
 		Name:          command.Name,
+		Release:       command.Release,
 		ChecksFencing: command.ChecksFencing,
 		Capacity:      int64(command.Capacity),
 		MemorySpeed:   int64(command.MemorySpeed),
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -144,6 +144,7 @@
 	state := upstream.State{
 		Upstream:    server.settings.Name,
 		BootID:      current.id,
+		Release:     server.settings.Release,
 		Sequence:    current.sequence,
 		Taken:       server.clock.Now(),
 		Role:        current.role,
--- a/internal/standin/engine/settings.go
+++ b/internal/standin/engine/settings.go
@@ -29,6 +29,8 @@
 type Settings struct {
 	// Name is the name of the VM.
 	Name string
+	// Release is the release that the engine names; empty means that it names none.
+	Release string
 	// ChecksFencing makes the engine reject orders with an old fencing number or for another boot.
 	ChecksFencing bool
 	// Capacity is the accelerator memory in bytes; zero means 80 GiB.
--- a/peer/decode.go
+++ b/peer/decode.go
@@ -128,6 +128,7 @@
 func decodeShape(shape *peerpb.Shape) upstream.State {
 	state := upstream.State{
 		BootID:   shape.GetBoot(),
+		Release:  shape.GetRelease(),
 		Role:     entryOrFirst(roles, shape.GetRole()),
 		Capacity: shape.GetCapacity(),
 		Fence:    shape.GetFence(),
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -127,6 +127,7 @@
 func encodeShape(state upstream.State) *peerpb.Shape {
 	shape := &peerpb.Shape{
 		Boot:     state.BootID,
+		Release:  state.Release,
 		Role:     uint32(max(slices.Index(roles, state.Role), 0)),
 		Capacity: state.Capacity,
 		Fence:    state.Fence,
--- a/peer/entry.go
+++ b/peer/entry.go
@@ -90,7 +90,7 @@
 
 // sameShape reports whether two states are equal but for load, sequence and time.
 func sameShape(a, b upstream.State) bool {
-	if a.BootID != b.BootID || a.Role != b.Role || a.Capacity != b.Capacity {
+	if a.BootID != b.BootID || a.Release != b.Release || a.Role != b.Role || a.Capacity != b.Capacity {
 		return false
 	}
 	if a.Fence != b.Fence || a.Leaving != b.Leaving || len(a.Checkpoints) != len(b.Checkpoints) {
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -26,7 +26,7 @@
 // testState returns the state of an upstream with one replica.
 func testState(name string, sequence uint64, running int) upstream.State {
 	return upstream.State{
-		Upstream: name, BootID: "boot-1", Sequence: sequence, Role: upstream.Mixed, Capacity: 80 << 30,
+		Upstream: name, BootID: "boot-1", Release: "r1", Sequence: sequence, Role: upstream.Mixed, Capacity: 80 << 30,
 		Replicas: []upstream.Replica{{
 			Model: "planner", Version: "v1", Order: "order-1", Phase: upstream.Ready, Memory: 14 << 30,
 			Adapters: []string{"gate"}, Running: running, Waiting: 1,
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -17,6 +17,8 @@
 	BootID string
 	// Version is the version of the model that the replica holds.
 	Version string
+	// Release is the release of the engine's software. It equals that of another candidate only if both engines name it.
+	Release string
 	// Fence is the highest fencing number that the engine reported.
 	Fence uint64
 	// Slots is the number of requests that the replica serves well concurrently; zero means 16.
--- a/route/choose.go
+++ b/route/choose.go
@@ -195,6 +195,9 @@
 	if requirements.Version != "" && candidate.Version != requirements.Version {
 		return false
 	}
+	if requirements.Release != "" && candidate.Release != requirements.Release {
+		return false
+	}
 	state := router.states[candidate.Upstream]
 	return state == nil || state.health.admits(len(state.sendTimes))
 }
--- a/route/requirements.go
+++ b/route/requirements.go
@@ -11,6 +11,8 @@
 	Adapter string
 	// Version is the version of the model that the replica must hold; empty means any.
 	Version string
+	// Release is the release that the engine must have; empty means any.
+	Release string
 	// Exclude is an upstream that must not be chosen; empty means none.
 	Exclude string
 	// Only is the one upstream that may be chosen; empty means any.
--- a/upstream/state.go
+++ b/upstream/state.go
@@ -8,6 +8,8 @@
 	Upstream string `json:"Upstream"`
 	// BootID identifies the boot; it changes with every restart of the engine.
 	BootID string `json:"BootId"`
+	// Release is the release of the software of the engine, or empty if it names none. Text of two releases cannot be joined.
+	Release string `json:"Release,omitempty"`
 	// Sequence increases with every report of one boot.
 	Sequence uint64 `json:"Sequence"`
 	// Taken is the time of the report by the clock of the engine.
