--- a/dispatch/transaction.go
+++ b/dispatch/transaction.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"time"
 
 	"github.com/bronzestall/bronzestall/claim"
@@ -19,10 +18,10 @@
 	req        request.Request
 	sink       request.Sink
 	progress
-	// last is the index of the last piece that was sent to the caller, and version the version of the model that
-	// the stream to the caller began with.
-	last    int
-	version string
+	// last is the index of the last piece that was sent to the caller. version and release are those of the model
+	// and of the engine's software that the stream to the caller began with.
+	last             int
+	version, release string
 	// ticket is the claim that the request holds, or nil.
 	ticket *claim.Ticket
 	// resumeDeadline is when a stream that has begun must have found its next upstream, or zero while it has
@@ -113,8 +112,8 @@
 		return reserved, nil
 	}
 	if transaction.last > 0 {
-		requirements.Version = transaction.version
-		if failure := transaction.dispatcher.versionFailure(req, requirements.Version); failure != nil {
+		requirements = transaction.withOrigin(requirements)
+		if failure := transaction.dispatcher.originFailure(req, requirements); failure != nil {
 			return nil, failure
 		}
 	}
@@ -141,19 +140,6 @@
 	return failure
 }
 
-// suspectPause is how long a suspect waits for other daemons to publish their crashes.
-const suspectPause = 500 * time.Millisecond
-
-// pause delays a suspect, so that the suspects of other daemons arrive before it runs again.
-func (transaction *transaction) pause(ctx context.Context, pause time.Duration) {
-	timer := transaction.dispatcher.clock.NewTimer(min(pause, max(transaction.timeLeft(), 0)))
-	defer timer.Stop()
-	select {
-	case <-timer.C():
-	case <-ctx.Done():
-	}
-}
-
 // requirements returns the routing requirements of the request, or refuses a request that is quarantined.
 func (transaction *transaction) requirements() (route.Requirements, *outcome.Error) {
 	req := &transaction.req
@@ -194,29 +180,6 @@
 	return requirements
 }
 
-// notSentFailure returns the failure of a request whose context ended before it was sent.
-func notSentFailure(ctx context.Context) *outcome.Error {
-	cause := context.Cause(ctx)
-	if errors.Is(cause, errStopped) {
-		return outcome.New(outcome.Stopping, "the daemon stops").WithRetryAfter(stoppingRetryAfter)
-	}
-	if errors.Is(cause, errBeginDeadline) || errors.Is(cause, context.DeadlineExceeded) {
-		return outcome.New(outcome.DeadlineInQueue, "the deadline passed before the request was sent").WithRetryAfter(minRetryAfter)
-	}
-	return outcome.New(outcome.CallerGone, "the caller closed the connection")
-}
-
-// cancelledFailure returns the failure of a request whose context ended while it ran.
-func cancelledFailure(ctx context.Context) *outcome.Error {
-	if errors.Is(context.Cause(ctx), errStopped) {
-		return outcome.New(outcome.DeadlineRunning, "the daemon stopped while an upstream had the request").WithRetryAfter(stoppingRetryAfter)
-	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return outcome.New(outcome.DeadlineRunning, "the total time of the request is over")
-	}
-	return outcome.New(outcome.CallerGone, "the caller closed the connection")
-}
-
 // withNextDeadline returns the request with the deadline of its next attempt. A stream that has begun uses
 // resumeDeadline instead of the deadline of the request.
 func (transaction *transaction) withNextDeadline() request.Request {
