--- a/internal/frontsoak/soak_test.go
+++ b/internal/frontsoak/soak_test.go
@@ -5,12 +5,14 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io/fs"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -59,6 +61,7 @@
 
 // build builds the daemon and returns the path of the binary.
 func build(t *testing.T) string {
+	watchSources(t)
 	binary := filepath.Join(t.TempDir(), "bronzestall")
 	if output, err := exec.Command("go", "build", "-o", binary, "../../cmd/bronzestall").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, output)
@@ -66,6 +69,24 @@
 	return binary
 }
 
+// watchSources lists the folders of the module, so that go test does not take cached results of a daemon whose source differs: it takes
+// those only if all that the test opened is as it was.
+func watchSources(t *testing.T) {
+	const module = "../.."
+	err := filepath.WalkDir(module, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || !entry.IsDir() {
+			return err
+		}
+		if name := entry.Name(); path != module && (strings.HasPrefix(name, ".") || name == "journal" || name == "docs") {
+			return fs.SkipDir
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
 // testbed holds the daemons, replicas and store of one run.
 type testbed struct {
 	checker  *checker
