Bind the sockets of hanging links again when their address is still in use

Suspected, not shown: a process that is being started holds a copy of the listener that was closed just before; listening was tried again, binding was not. Now binding is tried again too, for a second at most, and the error says which call failed.

--- a/internal/frontsoak/links_test.go
+++ b/internal/frontsoak/links_test.go
@@ -68,7 +68,11 @@
 	if err := syscall.SetsockoptInt(socket, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
 		return 0, err
 	}
-	return socket, syscall.Bind(socket, address)
+	if err := syscall.Bind(socket, address); err != nil {
+		_ = syscall.Close(socket)
+		return 0, err
+	}
+	return socket, nil
 }
 
 // cut breaks the link.
@@ -104,13 +108,17 @@
 	}
 	bound := &syscall.SockaddrInet4{Port: address.Port}
 	copy(bound.Addr[:], address.IP.To4())
-	socket, err := bind(bound)
-	if err != nil {
+	var socket int
+	err = retry(func() (err error) {
+		socket, err = bind(bound)
 		return err
+	})
+	if err != nil {
+		return fmt.Errorf("bind: %w", err)
 	}
 	link.closed = func() { _ = syscall.Close(socket) }
 	if err := retry(func() error { return syscall.Listen(socket, 0) }); err != nil {
-		return err
+		return fmt.Errorf("listen: %w", err)
 	}
 	for range 2 {
 		filler, err := net.DialTimeout("tcp", link.address, 20*time.Millisecond)
@@ -123,7 +131,7 @@
 }
 
 // retry calls the function until it succeeds, for a second at most: a listener that was closed may go on for a moment while it
-// accepts a connection.
+// accepts a connection, or while a process that is being started has a copy of it.
 func retry(apply func() error) error {
 	err := apply()
 	for range 100 {
