--- a/internal/frontsoak/links_test.go
+++ b/internal/frontsoak/links_test.go
@@ -115,11 +115,11 @@
 		return err
 	})
 	if err != nil {
-		return err
+		return fmt.Errorf("bind: %w", err)
 	}
 	link.closed = func() { _ = syscall.Close(socket) }
 	if err := retry(func() error { return syscall.Listen(socket, 0) }); err != nil {
-		return err
+		return fmt.Errorf("listen: %w", err)
 	}
 	for range 2 {
 		filler, err := net.DialTimeout("tcp", link.address, 20*time.Millisecond)
@@ -132,7 +132,7 @@
 }
 
 // retry calls the function until it succeeds, for a second at most: a listener that was closed may go on for a moment while it
-// accepts a connection.
+// accepts a connection, or while a process that is being started has a copy of it.
 func retry(apply func() error) error {
 	err := apply()
 	for range 100 {
