Forget a release that left although daemons ask each other about it

Not seen at clients: after a rollout in which streams are taken up at least every 90 s, a service counted as one of several releases for good. Every resumable stream was recorded, every take-up was asked for at up to 64 daemons, and those of streams that nobody knows any more were refused although one release served.

Cause: what a daemon heard of a release from others, or read in a row of the table of origins, counted for 90 s from then on, and it passed that on in answers and rows of its own. Two daemons could keep each other's memory alive. The class: hearsay that is passed on as new.

Change: answers between daemons say how long ago each release served (a new field; an answer without it counts as now, as before), and rows name only what their daemon itself saw within 90 s, since a row has no time.

--- a/front/originfinder.go
+++ b/front/originfinder.go
@@ -186,7 +186,7 @@
 	if err != nil {
 		return mesh.OriginAnswer{}, err
 	}
-	answer := mesh.OriginAnswer{Lately: origin.Releases{}}
+	answer := mesh.OriginAnswer{Lately: origin.Sightings{}}
 	for _, row := range rows {
 		daemon.originRows.track(row.Row, row.Version, daemon.clock.Now())
 		page, err := decodeOriginPage(row.Value)
@@ -196,7 +196,9 @@
 		}
 		answer.Streams = append(answer.Streams, page.streams()...)
 		for service, releases := range page.Releases {
-			answer.Lately[service] = append(answer.Lately[service], releases...)
+			for _, release := range releases {
+				answer.Lately.Add(service, release, 0)
+			}
 		}
 	}
 	return answer, nil
--- a/front/originrecorder.go
+++ b/front/originrecorder.go
@@ -123,7 +123,7 @@
 // late changes nothing.
 func (recorder *originRecorder) writePage(ctx context.Context, page origin.Page) error {
 	daemon := recorder.daemon
-	value, err := json.Marshal(newOriginPage(page, daemon.origins.Lately(daemon.clock.Now())))
+	value, err := json.Marshal(newOriginPage(page, daemon.origins.Witnessed(daemon.clock.Now())))
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/front/originrow.go
+++ b/front/originrow.go
@@ -19,7 +19,7 @@
 
 // originPage is the value of a row of the table.
 type originPage struct {
-	// Releases lists the releases that served when the row was written, or lately.
+	// Releases lists the releases that served when the row was written, or lately, as its daemon itself saw.
 	Releases origin.Releases
 	// Groups lists the streams by origin.
 	Groups []originGroup
@@ -31,7 +31,7 @@
 	Attempts         []string
 }
 
-// newOriginPage returns the value of the row of a page. lately lists the releases that serve or did lately.
+// newOriginPage returns the value of the row of a page. lately lists the releases that the daemon itself saw lately.
 func newOriginPage(page origin.Page, lately origin.Releases) originPage {
 	content := originPage{Releases: origin.Releases{}}
 	for service, releases := range lately {
--- a/front/originrow_test.go
+++ b/front/originrow_test.go
@@ -39,7 +39,7 @@
 	f.Fuzz(func(_ *testing.T, value []byte) {
 		if page, err := decodeOriginPage(value); err == nil {
 			origin.New().Learn(page.streams(), time.Unix(1, 0))
-			origin.New().LearnReleases(page.Releases, time.Unix(1, 0))
+			origin.New().LearnReleases(page.Releases.Sightings(), time.Unix(1, 0))
 		}
 	})
 }
--- a/front/origins.go
+++ b/front/origins.go
@@ -69,7 +69,7 @@
 	confirmed := query.Confirm && daemon.confirmReleases(ctx)
 	now := daemon.clock.Now()
 	answer := mesh.OriginAnswer{
-		Lately:    daemon.origins.Lately(now),
+		Lately:    daemon.origins.Sightings(now),
 		Complete:  daemon.origins.IsComplete() && daemon.dataAge() <= maxStoreAge,
 		Confirmed: confirmed && daemon.origins.Knows(now),
 	}
@@ -120,7 +120,7 @@
 func (daemon *Daemon) seeRelease(replica *topology.Replica) {
 	began := origin.Origin{Service: replica.Service, Release: replica.Release}
 	if !daemon.origins.Serves(began) {
-		daemon.origins.LearnReleases(origin.Releases{began.Service: {began.Release}}, daemon.clock.Now())
+		daemon.origins.Witness(began, daemon.clock.Now())
 	}
 }
 
--- a/mesh/origins.go
+++ b/mesh/origins.go
@@ -28,7 +28,7 @@
 	// Streams lists those of the streams asked for that it knows.
 	Streams []origin.Stream
 	// Lately lists the releases that serve or did lately.
-	Lately origin.Releases
+	Lately origin.Sightings
 	// Complete states that the daemon has read what is recorded in the store.
 	Complete bool
 	// Confirmed states that it has read the table of replicas since the query came, and knows all releases that served lately.
@@ -42,17 +42,29 @@
 	if err != nil {
 		return OriginAnswer{}, err
 	}
-	answer := OriginAnswer{Lately: origin.Releases{}, Complete: response.GetComplete(), Confirmed: response.GetConfirmed()}
+	answer := OriginAnswer{Lately: origin.Sightings{}, Complete: response.GetComplete(), Confirmed: response.GetConfirmed()}
 	for _, stream := range response.GetStreams() {
 		began := origin.Origin{Service: stream.GetService(), Release: stream.GetRelease()}
 		answer.Streams = append(answer.Streams, origin.Stream{Origin: began, ID: stream.GetAttempt()})
 	}
 	for _, service := range response.GetServices() {
-		answer.Lately[service.GetService()] = service.GetReleases()
+		addSightings(answer.Lately, service)
 	}
 	return answer, nil
 }
 
+// addSightings adds the releases of a service. Those without an age count as seen just now.
+func addSightings(sightings origin.Sightings, service *meshpb.ServiceReleases) {
+	ages := service.GetAges()
+	for index, release := range service.GetReleases() {
+		age := time.Duration(0)
+		if index < len(ages) {
+			age = max(milliseconds(ages[index]), 0)
+		}
+		sightings.Add(service.GetService(), release, age)
+	}
+}
+
 // serveOrigins responds to the question of another daemon.
 func (node *Node) serveOrigins(ctx context.Context, query *meshpb.OriginQuery) (*meshpb.OriginAnswer, error) {
 	attempts := query.GetAttempts()
@@ -62,7 +74,12 @@
 		encoded.Streams = append(encoded.Streams, &meshpb.StreamOrigin{Attempt: stream.ID, Service: stream.Service, Release: stream.Release})
 	}
 	for service, releases := range answer.Lately {
-		encoded.Services = append(encoded.Services, &meshpb.ServiceReleases{Service: service, Releases: releases})
+		seen := &meshpb.ServiceReleases{Service: service}
+		for release, age := range releases {
+			seen.Releases = append(seen.Releases, release)
+			seen.Ages = append(seen.Ages, uint64(age.Milliseconds()))
+		}
+		encoded.Services = append(encoded.Services, seen)
 	}
 	return encoded, nil
 }
--- a/origin/history_test.go
+++ b/origin/history_test.go
@@ -95,7 +95,9 @@
 	defer close(done)
 	if !member.storeCut {
 		member.readRemovals()
-		member.registry.LearnReleases(Releases{"s": member.history.serving}, member.history.now)
+		for _, release := range member.history.serving {
+			member.registry.Witness(Origin{"s", release}, member.history.now)
+		}
 	}
 	done <- !member.storeCut
 	return done
@@ -107,7 +109,7 @@
 	for _, page := range history.rows {
 		if !member.storeCut {
 			member.registry.Learn(page.Streams, history.now)
-			member.registry.LearnReleases(page.lately, history.now)
+			member.registry.LearnReleases(page.lately.Sightings(), history.now)
 		}
 	}
 	for _, other := range history.daemons {
@@ -118,7 +120,7 @@
 			member.registry.Learn([]Stream{{found, id}}, history.now)
 		}
 		confirmed = confirmed || (confirm && <-other.Refresh() && other.registry.Knows(history.now))
-		member.registry.LearnReleases(other.registry.Lately(history.now), history.now)
+		member.registry.LearnReleases(other.registry.Sightings(history.now), history.now)
 	}
 	return Daemon, confirmed
 }
@@ -129,7 +131,7 @@
 	var streams []Stream
 	for _, page := range history.rows {
 		streams = append(streams, page.Streams...)
-		started.registry.LearnReleases(page.lately, history.now)
+		started.registry.LearnReleases(page.lately.Sightings(), history.now)
 	}
 	started.registry.Learn(streams, history.now)
 	started.registry.Complete()
@@ -143,7 +145,7 @@
 		return
 	}
 	for _, page := range member.log.Add(member.registry.TakeUnrecorded().Streams, history.now) {
-		history.rows[fmt.Sprint(member.name, "-", page.Number)] = recordedPage{page, member.registry.Lately(history.now), history.now}
+		history.rows[fmt.Sprint(member.name, "-", page.Number)] = recordedPage{page, member.registry.Witnessed(history.now), history.now}
 	}
 }
 
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -25,6 +25,28 @@
 // Releases maps services to their releases, in ascending order.
 type Releases map[string][]string
 
+// Sightings maps services to their releases, each with the time since it last served as far as is known.
+type Sightings map[string]map[string]time.Duration
+
+// Add adds a sighting.
+func (sightings Sightings) Add(service, release string, age time.Duration) {
+	if sightings[service] == nil {
+		sightings[service] = map[string]time.Duration{}
+	}
+	sightings[service][release] = age
+}
+
+// Sightings returns the releases as seen just now.
+func (releases Releases) Sightings() Sightings {
+	sightings := Sightings{}
+	for service, names := range releases {
+		for _, release := range names {
+			sightings.Add(service, release, 0)
+		}
+	}
+	return sightings
+}
+
 // Source is how the origin of a stream is known.
 type Source string
 
--- a/origin/registry.go
+++ b/origin/registry.go
@@ -194,14 +194,39 @@
 	}
 }
 
-// LearnReleases adds releases that others saw lately, or that a row names which was read just now. If a service has a second
-// release from now on, all streams that this daemon began there are to be recorded.
-func (registry *Registry) LearnReleases(seen Releases, now time.Time) {
+// LearnReleases adds releases that others saw. If a service has a second release from now on, all streams that this daemon began
+// there are to be recorded.
+func (registry *Registry) LearnReleases(seen Sightings, now time.Time) {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
 	registry.awaitAll(registry.services.learn(seen, now))
 }
 
+// Witness is LearnReleases for the release of a replica whose row this daemon read just now.
+func (registry *Registry) Witness(began Origin, now time.Time) {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	registry.awaitAll(registry.services.learn(Releases{began.Service: {began.Release}}.Sightings(), now))
+	known := registry.services[began.Service][began.Release]
+	known.witnessed = now
+	registry.services.add(began.Service, began.Release, known)
+}
+
+// Sightings returns the releases that serve or did lately, for other daemons.
+func (registry *Registry) Sightings(now time.Time) Sightings {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	return registry.services.sightings(now)
+}
+
+// Witnessed returns the releases that serve or did lately, but for those known from others only. Only these are recorded: what is
+// recorded has no time, and counts from when it is read.
+func (registry *Registry) Witnessed(now time.Time) Releases {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	return registry.services.witnessed(now)
+}
+
 // Serves reports whether the release serves, according to the last call of SetServing.
 func (registry *Registry) Serves(began Origin) bool {
 	registry.mutex.Lock()
--- a/origin/registry_test.go
+++ b/origin/registry_test.go
@@ -26,9 +26,9 @@
 		{"two serve", func(registry *Registry) { registry.SetServing(Releases{"s": {"v1", "v2"}}, at(1)) }, 2, ""},
 		{"the older one left just now", func(registry *Registry) { registry.SetServing(Releases{"s": {"v2"}}, at(1)) }, 2, ""},
 		{"the older one left long ago", func(registry *Registry) { registry.SetServing(Releases{"s": {"v2"}}, at(1)) }, 1 + Retention.Seconds(), "v2"},
-		{"another one was seen by others", func(registry *Registry) { registry.LearnReleases(Releases{"s": {"v0"}}, at(1)) }, 2, ""},
-		{"it was seen by others too", func(registry *Registry) { registry.LearnReleases(Releases{"s": {"v1"}}, at(1)) }, 2, "v1"},
-		{"it serves for long", func(registry *Registry) { registry.LearnReleases(Releases{"s": {"v1"}}, at(1)) }, 1e6, "v1"},
+		{"another one was seen by others", func(registry *Registry) { registry.LearnReleases(Releases{"s": {"v0"}}.Sightings(), at(1)) }, 2, ""},
+		{"it was seen by others too", func(registry *Registry) { registry.LearnReleases(Releases{"s": {"v1"}}.Sightings(), at(1)) }, 2, "v1"},
+		{"it serves for long", func(registry *Registry) { registry.LearnReleases(Releases{"s": {"v1"}}.Sightings(), at(1)) }, 1e6, "v1"},
 		{"another service has two", func(registry *Registry) { registry.SetServing(Releases{"s": {"v1"}, "r": {"v1", "v2"}}, at(1)) }, 2, "v1"},
 		{"none serves any more", func(registry *Registry) { registry.SetServing(Releases{}, at(1)) }, 2, "v1"},
 	}
@@ -127,11 +127,11 @@
 	registry := New()
 	registry.SetServing(Releases{"s": {"v1"}}, at(0))
 	registry.Begin(stream("a", "v1"), at(1))
-	registry.LearnReleases(Releases{"s": {"v1"}}, at(2))
+	registry.LearnReleases(Releases{"s": {"v1"}}.Sightings(), at(2))
 	if batch := registry.TakeUnrecorded(); len(batch.Streams) > 0 {
 		t.Errorf("%v are recorded while one release serves", batch.Streams)
 	}
-	registry.LearnReleases(Releases{"s": {"v2"}}, at(3))
+	registry.LearnReleases(Releases{"s": {"v2"}}.Sightings(), at(3))
 	registry.SetServing(Releases{"s": {"v1", "v2"}}, at(4))
 	if batch := registry.TakeUnrecorded(); !slices.Equal(batch.Streams, []Stream{stream("a", "v1")}) {
 		t.Errorf("%v are recorded, want a", batch.Streams)
@@ -184,3 +184,27 @@
 		t.Errorf("three streams of half a page need %d pages", len(pages))
 	}
 }
+
+// TestReleaseThatLeftIsForgottenWhileDaemonsAsk guards against releases that had left and counted for good: each daemon that heard of
+// one from another, or from a row, counted it anew from then on and passed it on.
+func TestReleaseThatLeftIsForgottenWhileDaemonsAsk(t *testing.T) {
+	a, b := New(), New()
+	a.Complete()
+	for _, registry := range []*Registry{a, b} {
+		registry.SetServing(Releases{"s": {"v1", "v2"}}, at(0))
+		registry.SetServing(Releases{"s": {"v2"}}, at(1))
+	}
+	row := Releases{}
+	for seconds := 20.0; seconds < 600; seconds += 20 {
+		a.LearnReleases(b.Sightings(at(seconds)), at(seconds))
+		b.LearnReleases(a.Sightings(at(seconds)), at(seconds))
+		b.LearnReleases(row.Sightings(), at(seconds))
+		row = a.Witnessed(at(seconds))
+	}
+	if _, ok := a.Only("s", at(1+Retention.Seconds())); ok {
+		t.Error("a release that left is forgotten too soon")
+	}
+	if a.Mixed(at(600)) || b.Mixed(at(600)) {
+		t.Error("ten minutes after a release left it counts still")
+	}
+}
--- a/origin/services.go
+++ b/origin/services.go
@@ -15,6 +15,8 @@
 	serving bool
 	// seen is when the release last had one, if serving is not set.
 	seen time.Time
+	// witnessed is when this daemon itself last saw that; zero if it knows the release from others only.
+	witnessed time.Time
 }
 
 // set replaces the releases that serve, and returns the services that have more than one release lately and had one before.
@@ -24,7 +26,7 @@
 		before[service] = len(services.lately(service, now))
 		for release, known := range releases {
 			if known.serving {
-				releases[release] = presence{seen: now}
+				releases[release] = presence{seen: now, witnessed: now}
 			}
 		}
 	}
@@ -50,32 +52,71 @@
 	services[service][release] = known
 }
 
-// learn adds releases that were seen lately, and returns the services that have more than one release lately and had one before.
-func (services services) learn(seen Releases, now time.Time) []string {
+// learn adds releases that others saw, and returns the services that have more than one release lately and had one before.
+func (services services) learn(seen Sightings, now time.Time) []string {
 	var mixed []string
 	for service, releases := range seen {
 		before := 0
 		if services.anyNew(service, releases, now) {
 			before = len(services.lately(service, now))
 		}
-		for _, release := range releases {
-			if !services[service][release].serving {
-				services.add(service, release, presence{seen: now})
-			}
+		for release, age := range releases {
+			services.sight(service, release, now.Add(-age))
 		}
-		if before == 1 {
+		if before == 1 && len(services.lately(service, now)) > 1 {
 			mixed = append(mixed, service)
 		}
 	}
 	return mixed
 }
 
+// sight records that the release served at the time.
+func (services services) sight(service, release string, at time.Time) {
+	known := services[service][release]
+	if !known.serving && at.After(known.seen) {
+		known.seen = at
+		services.add(service, release, known)
+	}
+}
+
 // anyNew reports whether one of the releases neither serves nor did lately.
-func (services services) anyNew(service string, releases []string, now time.Time) bool {
-	return slices.ContainsFunc(releases, func(release string) bool {
+func (services services) anyNew(service string, releases map[string]time.Duration, now time.Time) bool {
+	for release := range releases {
 		known, ok := services[service][release]
-		return !ok || (!known.serving && now.Sub(known.seen) >= Retention)
-	})
+		if !ok || (!known.serving && now.Sub(known.seen) >= Retention) {
+			return true
+		}
+	}
+	return false
+}
+
+// sightings returns the releases that serve or did within Retention.
+func (services services) sightings(now time.Time) Sightings {
+	found := Sightings{}
+	for service := range services {
+		for _, release := range services.lately(service, now) {
+			age := time.Duration(0)
+			if known := services[service][release]; !known.serving {
+				age = max(now.Sub(known.seen), 0)
+			}
+			found.Add(service, release, age)
+		}
+	}
+	return found
+}
+
+// witnessed returns the releases of all services that this daemon itself saw within Retention.
+func (services services) witnessed(now time.Time) Releases {
+	found := Releases{}
+	for service := range services {
+		for _, release := range services.lately(service, now) {
+			known := services[service][release]
+			if known.serving || (!known.witnessed.IsZero() && now.Sub(known.witnessed) < Retention) {
+				found[service] = append(found[service], release)
+			}
+		}
+	}
+	return found
 }
 
 // lately returns the releases of the service that serve or did within Retention, in ascending order.
