Record streams of a release that only another daemon has seen

Found by reading: a daemon that passes a request on through another one records the stream that begins there under the release that the other one names. If its own table lacked that release, it counted one release, so that the stream was not recorded in the store and the known release could pass for the only one.

Change: the beginning of a stream is a sighting of its release. origin.TestStreamOfAReleaseThatIsNotKnownIsRecorded failed before in its three checks.

--- a/origin/registry.go
+++ b/origin/registry.go
@@ -75,7 +75,8 @@
 	}
 }
 
-// Begin adds the origin of a stream before its first event is passed on. A second origin of the same attempt makes it unknown.
+// Begin adds the origin of a stream before its first event is passed on. A second origin of the same attempt makes it unknown. The
+// release counts as seen: another daemon may have sent the request to a replica that this one does not know.
 // If the stream is to be recorded, Begin returns a channel that is closed once it is; otherwise it returns nil.
 func (registry *Registry) Begin(stream Stream, now time.Time) <-chan struct{} {
 	registry.mutex.Lock()
@@ -85,6 +86,9 @@
 		return nil
 	}
 	known.own = true
+	if !registry.services[stream.Service][stream.Release].serving {
+		registry.witness(stream.Origin, now)
+	}
 	if len(registry.services.lately(stream.Service, now)) < 2 {
 		return nil
 	}
@@ -206,6 +210,11 @@
 func (registry *Registry) Witness(began Origin, now time.Time) {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
+	registry.witness(began, now)
+}
+
+// witness is Witness. The mutex is held.
+func (registry *Registry) witness(began Origin, now time.Time) {
 	registry.awaitAll(registry.services.learn(Releases{began.Service: {began.Release}}.Sightings(), now))
 	known := registry.services[began.Service][began.Release]
 	known.witnessed = now
--- a/origin/registry_test.go
+++ b/origin/registry_test.go
@@ -138,6 +138,24 @@
 	}
 }
 
+// TestStreamOfAReleaseThatIsNotKnownIsRecorded guards against streams that another daemon began for this one, at a release whose
+// replicas this one had not seen, and that were not recorded.
+func TestStreamOfAReleaseThatIsNotKnownIsRecorded(t *testing.T) {
+	registry := New()
+	registry.Complete()
+	registry.SetServing(Releases{"s": {"v1"}}, at(0))
+	registry.Begin(stream("a", "v1"), at(1))
+	if registry.Begin(stream("b", "v2"), at(2)) == nil {
+		t.Error("the stream does not wait to be recorded")
+	}
+	if _, ok := registry.Only("s", at(2)); ok {
+		t.Error("the known release counts as the only one")
+	}
+	if batch := registry.TakeUnrecorded(); !slices.Equal(batch.Streams, []Stream{stream("a", "v1"), stream("b", "v2")}) {
+		t.Errorf("%v are recorded", batch.Streams)
+	}
+}
+
 // TestFullRegistry covers a flood of invented attempts: the oldest origins yield and are counted.
 func TestFullRegistry(t *testing.T) {
 	registry := New()
