--- a/origin/registry.go
+++ b/origin/registry.go
@@ -75,7 +75,8 @@
 	}
 }
 
-// Begin adds the origin of a stream before its first event is passed on. A second origin of the same attempt makes it unknown.
+// Begin adds the origin of a stream before its first event is passed on. A second origin of the same attempt makes it unknown. The
+// release counts as seen: another daemon may have sent the request to a replica that this one does not know.
 // If the stream is to be recorded, Begin returns a channel that is closed once it is; otherwise it returns nil.
 func (registry *Registry) Begin(stream Stream, now time.Time) <-chan struct{} {
 	registry.mutex.Lock()
@@ -85,6 +86,9 @@
 		return nil
 	}
 	known.own = true
+	if !registry.services[stream.Service][stream.Release].serving {
+		registry.witness(stream.Origin, now)
+	}
 	if len(registry.services.lately(stream.Service, now)) < 2 {
 		return nil
 	}
@@ -194,14 +198,44 @@
 	}
 }
 
-// LearnReleases adds releases that others saw lately, or that a row names which was read just now. If a service has a second
-// release from now on, all streams that this daemon began there are to be recorded.
-func (registry *Registry) LearnReleases(seen Releases, now time.Time) {
+// LearnReleases adds releases that others saw. If a service has a second release from now on, all streams that this daemon began
+// there are to be recorded.
+func (registry *Registry) LearnReleases(seen Sightings, now time.Time) {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
 	registry.awaitAll(registry.services.learn(seen, now))
 }
 
+// Witness is LearnReleases for the release of a replica whose row this daemon read just now.
+func (registry *Registry) Witness(began Origin, now time.Time) {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	registry.witness(began, now)
+}
+
+// witness is Witness. The mutex is held.
+func (registry *Registry) witness(began Origin, now time.Time) {
+	registry.awaitAll(registry.services.learn(Releases{began.Service: {began.Release}}.Sightings(), now))
+	known := registry.services[began.Service][began.Release]
+	known.witnessed = now
+	registry.services.add(began.Service, began.Release, known)
+}
+
+// Sightings returns the releases that serve or did lately, for other daemons.
+func (registry *Registry) Sightings(now time.Time) Sightings {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	return registry.services.sightings(now)
+}
+
+// Witnessed returns the releases that serve or did lately, but for those known from others only. Only these are recorded: what is
+// recorded has no time, and counts from when it is read.
+func (registry *Registry) Witnessed(now time.Time) Releases {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	return registry.services.witnessed(now)
+}
+
 // Serves reports whether the release serves, according to the last call of SetServing.
 func (registry *Registry) Serves(began Origin) bool {
 	registry.mutex.Lock()
