Answer requests on kept connections at the product's own door when a stop begins

What callers saw: when a planned stop began, a request that was sent on a kept connection got EOF.

Cause: SetKeepAlivesEnabled(false) closes at once all connections between two requests, before the notice time in which the balancer still sends; Shutdown closes those whose request was just read.

The timeout of reading a body, which stood in ingress and in readtimeout, stands there only.

--- a/daemon/server.go
+++ b/daemon/server.go
@@ -5,9 +5,13 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
+	"k8s.io/utils/clock"
+
+	"github.com/bronzestall/bronzestall/inbound"
 )
 
 // headerTimeout is the time within which a client must send the header of a request.
@@ -17,11 +21,15 @@
 type server struct {
 	listener net.Listener
 	http     *http.Server
+	// connections tracks its connections.
+	connections *inbound.Connections
+	// stopping is set once the listener is closed by shutdown.
+	stopping atomic.Bool
 }
 
 // listen opens the address. An empty address returns a server that accepts no connections.
 func (daemon *Daemon) listen(address string, handler http.Handler) (*server, error) {
-	result := &server{http: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}}
+	result := &server{http: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}, connections: inbound.New()}
 	if address == "" {
 		return result, nil
 	}
@@ -29,7 +37,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "cannot listen on %s", address)
 	}
-	result.listener = listener
+	result.listener = result.connections.Track(result.http, listener)
 	return result, nil
 }
 
@@ -50,20 +58,23 @@
 		return nil
 	}
 	err := server.http.Serve(server.listener)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || server.stopping.Load() {
 		return nil
 	}
 	return trace.Wrap(err)
 }
 
-// disableKeepAlives makes the server close each connection after its current request.
+// disableKeepAlives makes the server close each connection after its next response.
 func (server *server) disableKeepAlives() {
-	server.http.SetKeepAlivesEnabled(false)
+	server.connections.CloseAfterResponses()
 }
 
-// shutdown closes the listener and waits for running requests until ctx ends; it then closes their connections.
-func (server *server) shutdown(ctx context.Context) {
-	if err := server.http.Shutdown(ctx); err != nil {
-		_ = server.http.Close()
+// shutdown closes the listener and waits until ctx ends for the requests that were read; it then closes their connections.
+func (server *server) shutdown(ctx context.Context, clk clock.WithTicker) {
+	server.stopping.Store(true)
+	if server.listener != nil {
+		_ = server.listener.Close()
 	}
+	server.connections.Drain(ctx, clk)
+	_ = server.http.Close()
 }
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -32,7 +32,7 @@
 	closed := make(chan struct{})
 	go func() {
 		defer close(closed)
-		daemon.callers.shutdown(answered)
+		daemon.callers.shutdown(answered, daemon.clock)
 	}()
 	drained := daemon.dispatcher.Drain(ctx)
 	daemon.claims.Flush(answered)
--- a/front/servers.go
+++ b/front/servers.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -9,8 +10,10 @@
 
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
+	"k8s.io/utils/clock"
 
 	"github.com/bronzestall/bronzestall/event"
+	"github.com/bronzestall/bronzestall/inbound"
 	"github.com/bronzestall/bronzestall/ingress"
 	"github.com/bronzestall/bronzestall/lending"
 )
@@ -27,7 +30,7 @@
 type servers struct {
 	// clients is the first server in all; it handles client requests. connections tracks its connections.
 	clients     *http.Server
-	connections *ingress.Connections
+	connections *inbound.Connections
 	all         []*http.Server
 	listeners   []net.Listener
 	// stopping is set once the listener for clients is closed.
@@ -36,7 +39,7 @@
 
 // newServers returns the servers with that of the clients, which accepts from the listener.
 func newServers(clients *http.Server, listener net.Listener) *servers {
-	connections := ingress.NewConnections()
+	connections := inbound.New()
 	return &servers{
 		clients: clients, connections: connections,
 		all: []*http.Server{clients}, listeners: []net.Listener{connections.Track(clients, listener)},
@@ -105,13 +108,12 @@
 
 // drain accepts no more connections of clients, closes those on which no request has arrived, and waits at most for the timeout until
 // the requests that did are answered.
-func (servers *servers) drain(timeout time.Duration) {
+func (servers *servers) drain(timeout time.Duration, clk clock.WithTicker) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
 	servers.stopping.Store(true)
 	_ = servers.listeners[0].Close()
-	until := time.Now().Add(timeout)
-	for servers.connections.CloseUnused() > 0 && time.Now().Before(until) {
-		time.Sleep(closeInterval)
-	}
+	servers.connections.Drain(ctx, clk)
 }
 
 // close closes all connections and listeners.
@@ -131,8 +133,6 @@
 	// the part reserved for closing the servers and ending the process.
 	finalAnswerReserve = 800 * time.Millisecond
 	exitReserve        = 250 * time.Millisecond
-	// closeInterval is the interval of closing client connections that have become unused.
-	closeInterval = 10 * time.Millisecond
 	// drainInterval is the interval of checking whether requests are in flight.
 	drainInterval = 50 * time.Millisecond
 )
@@ -150,7 +150,7 @@
 	started := daemon.clock.Now()
 	daemon.stopping.Store(true)
 	close(daemon.stopStarted)
-	daemon.ingress.DisableKeepAlives()
+	servers.connections.CloseAfterResponses()
 	event.FrontStopping.Log("Daemon", daemon.settings.Name, "Running", daemon.ingress.InFlight())
 	daemon.drain(started.Add(unreadyDelay), false)
 	daemon.relay.StopAccepting()
@@ -158,7 +158,7 @@
 	aborted := daemon.ingress.InFlight()
 	daemon.relay.CancelRequests()
 	daemon.drain(started.Add(daemon.settings.Grace-exitReserve), true)
-	servers.drain(max(started.Add(daemon.settings.Grace-exitReserve).Sub(daemon.clock.Now()), 0))
+	servers.drain(max(started.Add(daemon.settings.Grace-exitReserve).Sub(daemon.clock.Now()), 0), daemon.clock)
 	daemon.ingress.LogHeld()
 	servers.close()
 	event.FrontStopped.Log("Daemon", daemon.settings.Name, "Cut", aborted, "Took", daemon.clock.Since(started))
--- a/front/servers_test.go
+++ b/front/servers_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"k8s.io/utils/clock"
 )
 
 // TestRequestAcceptedBeforeShutdownIsAnswered covers a planned shutdown under load: a request that was
@@ -28,7 +29,7 @@
 	opened.serve(&group)
 	group.Go(func() error {
 		<-accepted
-		opened.drain(10 * time.Second)
+		opened.drain(10*time.Second, clock.RealClock{})
 		opened.close()
 		return nil
 	})
--- a/front/stop_test.go
+++ b/front/stop_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"k8s.io/utils/clock"
 )
 
 // slowListener accepts connections on which each read takes a while to return what it has read, as on a busy VM.
@@ -67,7 +68,7 @@
 	send(t, used)
 	<-listener.read
 	began := time.Now()
-	opened.drain(5 * time.Second)
+	opened.drain(5*time.Second, clock.RealClock{})
 	opened.close()
 	if took := time.Since(began); took > 4*time.Second {
 		t.Errorf("the stop took %v", took)
--- a/ingress/connections.go
+++ b/inbound/conn.go
@@ -1,95 +1,17 @@
-package ingress
+package inbound
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
-	"net/http"
 	"os"
 	"sync"
 	"syscall"
 	"time"
 )
 
-// Connections tracks the connections of clients, so that a daemon that stops closes those on which no request has arrived, and no
-// other. http.Server.Shutdown also closes a connection on which a request was just read. It is safe for concurrent use. Use
-// NewConnections.
-type Connections struct {
-	mutex sync.Mutex
-	open  map[*trackedConn]bool
-}
-
-// NewConnections returns a tracker without connections.
-func NewConnections() *Connections {
-	return &Connections{open: map[*trackedConn]bool{}}
-}
-
-// Track makes the server track its connections. It returns the listener that the server must accept from, which accepts from the
-// given one. The server must not serve yet.
-func (connections *Connections) Track(server *http.Server, inner net.Listener) net.Listener {
-	server.ConnState = connections.observe
-	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
-		return context.WithValue(ctx, trackedKey{}, conn)
-	}
-	handler := server.Handler
-	server.Handler = http.HandlerFunc(func(writer http.ResponseWriter, incoming *http.Request) {
-		if tracked, ok := incoming.Context().Value(trackedKey{}).(*trackedConn); ok {
-			tracked.requested()
-		}
-		handler.ServeHTTP(writer, incoming)
-	})
-	return &trackingListener{Listener: inner, connections: connections}
-}
-
-// trackedKey is the key of the connection in the contexts of its requests.
-type trackedKey struct{}
-
-// observe is the ConnState function of the server.
-func (connections *Connections) observe(conn net.Conn, state http.ConnState) {
-	tracked, ok := conn.(*trackedConn)
-	if !ok {
-		return
-	}
-	switch state {
-	case http.StateIdle:
-		tracked.responded()
-	case http.StateClosed, http.StateHijacked:
-		connections.mutex.Lock()
-		defer connections.mutex.Unlock()
-		delete(connections.open, tracked)
-	}
-}
-
-// CloseUnused closes the connections on which no byte has arrived since they were opened, or since their last response. The server
-// closes each a moment later. It returns the number of open connections.
-func (connections *Connections) CloseUnused() int {
-	connections.mutex.Lock()
-	defer connections.mutex.Unlock()
-	for tracked := range connections.open {
-		tracked.interrupt()
-	}
-	return len(connections.open)
-}
-
-// trackingListener tracks the connections that it accepts.
-type trackingListener struct {
-	net.Listener
-	connections *Connections
-}
-
-// Accept waits for the next connection.
-func (listener *trackingListener) Accept() (net.Conn, error) {
-	inner, err := listener.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	tracked := &trackedConn{Conn: inner, unused: true}
-	listener.connections.mutex.Lock()
-	defer listener.connections.mutex.Unlock()
-	listener.connections.open[tracked] = true
-	return tracked, nil
-}
+// pastDeadline is a read deadline that has passed on any clock.
+var pastDeadline = time.Unix(1, 0)
 
 // trackedConn is a connection whose reader decides whether it is closed as unused: only the reader knows whether it has taken bytes.
 type trackedConn struct {
--- a/ingress/connections_test.go
+++ b/inbound/connections_test.go
@@ -1,4 +1,4 @@
-package ingress
+package inbound
 
 import (
 	"bufio"
@@ -23,7 +23,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	connections := NewConnections()
+	connections := New()
 	server := &http.Server{Handler: handler}
 	listener := connections.Track(server, inner)
 	go func() { _ = server.Serve(listener) }()
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -8,9 +8,8 @@
 	"os"
 	"time"
 
-	"k8s.io/utils/clock"
-
 	"github.com/bronzestall/bronzestall/exchange"
+	"github.com/bronzestall/bronzestall/internal/readtimeout"
 	"github.com/bronzestall/bronzestall/outcome"
 )
 
@@ -21,9 +20,6 @@
 	defaultBodyTimeout = 30 * time.Second
 )
 
-// pastDeadline is a read deadline that has passed on any clock.
-var pastDeadline = time.Unix(1, 0)
-
 // readBody reads the whole body. It fails if the body is larger than the configured limit or does not arrive within
 // the timeout of the client.
 func (ingress *Ingress) readBody(writer http.ResponseWriter, incoming *http.Request, metadata *exchange.Metadata) ([]byte, *outcome.Error) {
@@ -32,7 +28,7 @@
 		limit = configuration.Limits.BodyBytes
 	}
 	if incoming.ContentLength != 0 {
-		stop := setReadTimeout(writer, ingress.deps.Clock, cmp.Or(metadata.ClientTimeout, defaultBodyTimeout))
+		stop := readtimeout.Set(writer, ingress.deps.Clock, cmp.Or(metadata.ClientTimeout, defaultBodyTimeout))
 		defer stop()
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(writer, incoming.Body, limit))
@@ -48,25 +44,3 @@
 	}
 	return nil, outcome.New(outcome.CallerGone, "the body ended early").WithCause(err)
 }
-
-// setReadTimeout makes reads from the client fail after the timeout, until the returned function is called.
-func setReadTimeout(writer http.ResponseWriter, clk clock.WithTicker, timeout time.Duration) func() {
-	controller := http.NewResponseController(writer)
-	timer := clk.NewTimer(timeout)
-	done, ended := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(ended)
-		select {
-		case <-timer.C():
-			// Connections without support for deadlines occur in tests only.
-			_ = controller.SetReadDeadline(pastDeadline)
-		case <-done:
-		}
-	}()
-	return func() {
-		timer.Stop()
-		close(done)
-		<-ended
-		_ = controller.SetReadDeadline(time.Time{})
-	}
-}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -40,9 +40,7 @@
 
 // Ingress is the HTTP handler for client requests. Use New.
 type Ingress struct {
-	deps Deps
-	// closing is set once responses carry "Connection: close".
-	closing  atomic.Bool
+	deps     Deps
 	inFlight atomic.Int64
 	// held holds the requests that the relay has.
 	held heldRequests
@@ -53,11 +51,6 @@
 	return &Ingress{deps: deps}
 }
 
-// DisableKeepAlives makes further responses carry "Connection: close", so that clients open new connections.
-func (ingress *Ingress) DisableKeepAlives() {
-	ingress.closing.Store(true)
-}
-
 // InFlight returns the number of requests that are not answered yet.
 func (ingress *Ingress) InFlight() int64 {
 	return ingress.inFlight.Load()
@@ -68,9 +61,6 @@
 func (ingress *Ingress) ServeHTTP(writer http.ResponseWriter, incoming *http.Request) {
 	ingress.inFlight.Add(1)
 	defer ingress.inFlight.Add(-1)
-	if ingress.closing.Load() {
-		writer.Header().Set("Connection", "close")
-	}
 	request, failure := ingress.read(writer, incoming)
 	sink := &sink{clock: ingress.deps.Clock, readAt: ingress.deps.Clock.Now(), writer: writer, controller: http.NewResponseController(writer)}
 	var summary relay.Summary
