--- /dev/null
+++ b/internal/frontsoak/upgradeshare_test.go
@@ -0,0 +1,91 @@
+package frontsoak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	// minUpgradeShare is the least share of first tries served during an upgrade, as a part of that while daemons of one build are
+	// stopped and started in the same way.
+	minUpgradeShare = 0.98
+	// shareClients is the number of clients, and sharePause the longest pause of each between two requests.
+	shareClients = 12
+	sharePause   = 80 * time.Millisecond
+)
+
+// TestUpgradeServesAsOneBuild measures the share of first tries served, without faults, while daemons are upgraded, go back and are
+// upgraded again, against the same with one build. It takes a minute and more, and runs only when -seed is given.
+func TestUpgradeServesAsOneBuild(t *testing.T) {
+	if *seedFlag == 0 {
+		t.Skip("NOT TESTED: a measurement, which runs by hand with -seed")
+	}
+	older, newer := buildCommit(t, *olderFlag), build(t)
+	for _, seed := range seedsOr(nil) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			one := measureReplacements(t, newer, newer, seed)
+			two := measureReplacements(t, older, newer, seed)
+			t.Logf("served first tries: one build %.4f, two builds %.4f", one, two)
+			if two < minUpgradeShare*one {
+				t.Errorf("%.4f of the first tries are served with two builds, %.4f with one", two, one)
+			}
+		})
+	}
+}
+
+// measureReplacements replaces all daemons of the older build by the newer one, back and forth again, and returns the share of first
+// tries served meanwhile. Violations fail the test.
+func measureReplacements(t *testing.T, older, newer string, seed uint64) float64 {
+	testbed, err := newTestbedOf(*upgradeFrontsFlag, t.TempDir(), older, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop := testbed.start()
+	time.Sleep(3 * time.Second)
+	ctx, cancel := context.WithCancel(context.Background())
+	result := &cutResult{sent: map[string]int{}, served: map[string]int{}}
+	wait := testbed.startShareClients(ctx, seed, result)
+	random := rand.New(rand.NewPCG(seed, 48))
+	for _, binary := range []string{newer, older, newer} {
+		testbed.replaceAll(t, random, upgradePass{binary, syscall.SIGTERM})
+	}
+	cancel()
+	wait()
+	stop()
+	for _, violation := range testbed.checker.finish() {
+		t.Error(violation)
+	}
+	var all []int
+	for number := range testbed.fronts {
+		all = append(all, number)
+	}
+	share, count := result.share(all)
+	t.Logf("%.4f of %d first tries served", share, count)
+	return share
+}
+
+// startShareClients starts clients that send requests to daemons that are ready, as a balancer does, until the context ends, and
+// returns what waits for them.
+func (testbed *testbed) startShareClients(ctx context.Context, seed uint64, result *cutResult) (wait func()) {
+	var clients sync.WaitGroup
+	for number := range shareClients {
+		client := newClient(fmt.Sprint("u", number), testbed.checker, seed*100+uint64(number), testbed.addresses())
+		random := rand.New(rand.NewPCG(seed, uint64(number)))
+		clients.Go(func() {
+			for count := 0; ctx.Err() == nil; count++ {
+				time.Sleep(time.Duration(random.Int64N(int64(sharePause))))
+				front := testbed.fronts[random.IntN(len(testbed.fronts))]
+				if front.isReady() {
+					kind := []string{pathCall, pathLookup, pathStream, pathResume}[count%4]
+					result.record(front.name, client.send(context.Background(), kind, front.client))
+				}
+			}
+		})
+	}
+	return clients.Wait
+}
