Send nothing to an earlier incarnation of a replica that leaves

Cause: leaving is known by incarnation. The store had come back from an older copy 0.4 s before, and its row named an earlier incarnation of the replica, at the same address, of which nobody had said that it leaves.

Change: an incarnation also counts as leaving if a later one of the same ID leaves. The earlier one has ended then, and what is sent to it reaches the later.

Failing test: notice.TestLeavingAppliesToEarlierIncarnations.

--- a/notice/registry.go
+++ b/notice/registry.go
@@ -21,6 +21,8 @@
 	mutex sync.Mutex
 	// leaving maps leaving incarnations to the time at which the first notice arrived.
 	leaving map[topology.Incarnation]time.Time
+	// latest maps the IDs of leaving incarnations to the start of the one that started last.
+	latest map[string]int64
 	// backoffs maps incarnations to the end of their backoff.
 	backoffs map[topology.Incarnation]time.Time
 	// malformed holds the headers, by incarnation, that could not be decoded as a notice.
@@ -39,6 +41,7 @@
 func New() *Registry {
 	return &Registry{
 		leaving:   map[topology.Incarnation]time.Time{},
+		latest:    map[string]int64{},
 		backoffs:  map[topology.Incarnation]time.Time{},
 		malformed: map[malformedHeader]bool{},
 		unknown:   map[string]bool{},
@@ -54,12 +57,28 @@
 		return false
 	}
 	if len(registry.leaving) >= maxIncarnations {
-		delete(registry.leaving, earliest(registry.leaving))
+		registry.forget(earliest(registry.leaving))
 	}
 	registry.leaving[incarnation] = now
+	registry.latest[incarnation.ID] = max(registry.latest[incarnation.ID], incarnation.Started)
 	return true
 }
 
+// forget drops a leaving incarnation. The mutex is held.
+func (registry *Registry) forget(incarnation topology.Incarnation) {
+	delete(registry.leaving, incarnation)
+	if registry.latest[incarnation.ID] == incarnation.Started {
+		delete(registry.latest, incarnation.ID)
+	}
+}
+
+// leaves reports whether the incarnation leaves, or a later one of the same ID does: the earlier has ended then, and what is sent to it
+// reaches the later. The mutex is held.
+func (registry *Registry) leaves(incarnation topology.Incarnation) bool {
+	_, leaving := registry.leaving[incarnation]
+	return leaving || incarnation.Started < registry.latest[incarnation.ID]
+}
+
 // SetBackoff records that the incarnation asks for no requests until the given time, but at most MaxBackoff from now.
 // It reports whether the backoff is longer than the recorded one. If the table is full, expired entries are evicted,
 // or else the one that ends first.
@@ -110,12 +129,12 @@
 	return true
 }
 
-// Leaving reports whether the incarnation leaves.
+// Leaving reports whether the incarnation leaves, or a later one of the same ID does. A store that came back from an older copy names
+// the earlier one.
 func (registry *Registry) Leaving(incarnation topology.Incarnation) bool {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
-	_, leaving := registry.leaving[incarnation]
-	return leaving
+	return registry.leaves(incarnation)
 }
 
 // BackoffUntil returns the end of the last backoff of the incarnation, and whether that is in the future.
@@ -130,8 +149,7 @@
 func (registry *Registry) Accepts(incarnation topology.Incarnation, now time.Time) bool {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
-	_, leaving := registry.leaving[incarnation]
-	return !leaving && !registry.backoffs[incarnation].After(now)
+	return !registry.leaves(incarnation) && !registry.backoffs[incarnation].After(now)
 }
 
 // LatestLeaving returns at most limit leaving incarnations, the most recently recorded first.
@@ -161,7 +179,11 @@
 func (registry *Registry) Prune(live map[topology.Incarnation]bool, before, now time.Time) {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
-	maps.DeleteFunc(registry.leaving, func(key topology.Incarnation, marked time.Time) bool { return !live[key] && marked.Before(before) })
+	for key, marked := range registry.leaving {
+		if !live[key] && marked.Before(before) {
+			registry.forget(key)
+		}
+	}
 	maps.DeleteFunc(registry.backoffs, func(_ topology.Incarnation, until time.Time) bool { return !until.After(now) })
 	maps.DeleteFunc(registry.malformed, func(key malformedHeader, _ bool) bool { return !live[key.Incarnation] })
 }
--- a/notice/registry_test.go
+++ b/notice/registry_test.go
@@ -36,6 +36,26 @@
 	}
 }
 
+// TestLeavingAppliesToEarlierIncarnations guards against issue 49: a store that came back from an older copy named an earlier incarnation
+// of a replica that leaves, at the same address, and requests were sent to it.
+func TestLeavingAppliesToEarlierIncarnations(t *testing.T) {
+	registry := New()
+	registry.MarkLeaving(next, start)
+	if registry.Accepts(incarnation, start) || !registry.Leaving(incarnation) {
+		t.Error("an earlier incarnation accepts requests")
+	}
+	if later := (topology.Incarnation{ID: "a", Started: 3}); !registry.Accepts(later, start) {
+		t.Error("a later incarnation accepts no requests")
+	}
+	if other := (topology.Incarnation{ID: "b", Started: 1}); !registry.Accepts(other, start) {
+		t.Error("another replica accepts no requests")
+	}
+	registry.Prune(nil, start.Add(time.Second), start)
+	if !registry.Accepts(incarnation, start) {
+		t.Error("the notice of an incarnation that is long gone was kept")
+	}
+}
+
 func TestBackoff(t *testing.T) {
 	cases := []struct {
 		name    string
