--- a/front/daemon.go
+++ b/front/daemon.go
@@ -102,8 +102,8 @@
 	ingress *ingress.Ingress
 	mesh    *mesh.Node
 	lease   *lease.Lease
-	// meetings keeps the versions of the protocol that other daemons tell.
-	meetings *protocol.Meetings
+	// protocols keeps the versions of the protocol that other daemons tell.
+	protocols *protocol.Registry
 	// eras is the era of the store, from its responses and from other daemons.
 	eras *platform.EraTracker
 	// rowStore reads and writes single rows of the store, through another daemon if the store does not answer
--- a/front/lender.go
+++ b/front/lender.go
@@ -176,7 +176,7 @@
 
 // newLendingHandler returns the handler of requests of other daemons' clients.
 func (daemon *Daemon) newLendingHandler() *lending.Handler {
-	return lending.NewHandler(daemon.relay, platform.DecodeRequestHeader, daemon.clock, daemon.meetings,
+	return lending.NewHandler(daemon.relay, platform.DecodeRequestHeader, daemon.clock, daemon.protocols,
 		func(from string, request *exchange.Request, failure *outcome.Error) {
 			daemon.meter.Count(meter.LentRequestsServed, meter.Labels{}, 1)
 			if failure == nil {
--- a/front/new.go
+++ b/front/new.go
@@ -62,7 +62,7 @@
 	daemon.originRecorder = newOriginRecorder(daemon)
 	daemon.suspects.SetTurns(daemon.partTurn)
 	daemon.limiter = ratelimit.NewLimiter(daemon.limits)
-	daemon.meetings = protocol.NewMeetings(clk)
+	daemon.protocols = protocol.NewRegistry(clk)
 	daemon.meter.Set(meter.Build, meter.Labels{Subject: protocol.Build()}, int64(protocol.Current))
 	daemon.eras = platform.NewEraTracker(&eraLog{daemon: daemon})
 	daemon.store = platform.NewRowStore(daemon.pool, settings.StoreAddress, storeTimeout, daemon.eras)
--- a/front/protocol.go
+++ b/front/protocol.go
@@ -10,7 +10,7 @@
 func (daemon *Daemon) updateProtocolMetrics(live []mesh.Peer) {
 	counts := map[protocol.Relation]int64{protocol.Same: 0, protocol.Older: 0, protocol.Newer: 0}
 	for _, peer := range live {
-		counts[daemon.meetings.Version(peer.Name).Relation()]++
+		counts[daemon.protocols.Version(peer.Name).Relation()]++
 	}
 	for relation, count := range counts {
 		daemon.meter.Set(meter.DaemonsByProtocol, meter.Labels{Kind: string(relation)}, count)
--- a/front/protocol_test.go
+++ b/front/protocol_test.go
@@ -14,7 +14,7 @@
 	daemon := New(Settings{Name: "a", StoreAddress: "127.0.0.1:1"}, "", nil)
 	var live []mesh.Peer
 	for name, told := range map[string]int64{"b": 0, "c": int64(protocol.Current), "d": int64(protocol.Current), "e": 7, "f": -1} {
-		daemon.meetings.Observe(name, told)
+		daemon.protocols.Observe(name, told)
 		live = append(live, mesh.Peer{Heartbeat: mesh.Heartbeat{Member: mesh.Member{Name: name}}})
 	}
 	daemon.updateProtocolMetrics(live)
--- a/front/wiring.go
+++ b/front/wiring.go
@@ -44,7 +44,7 @@
 		Proofs:          daemon.findProofs,
 		Sync:            daemon.serveSync,
 		Update:          daemon.waitForUpdate,
-		Meetings:        daemon.meetings,
+		Protocols:       daemon.protocols,
 		Store:           leaseStore,
 	}, daemon.clock, random)
 	daemon.rowStore = &fallbackStore{direct: leaseStore, viaPeer: daemon.mesh.StoreProxy(daemon.storePeer), lost: daemon.isStoreLost, eras: daemon.eras}
--- a/lending/handler.go
+++ b/lending/handler.go
@@ -40,19 +40,19 @@
 	relay  Relay
 	decode func(sent http.Header) (http.Header, exchange.Metadata)
 	clock  clock.PassiveClock
-	// meetings keeps the versions of the protocol that other daemons tell.
-	meetings *protocol.Meetings
+	// protocols keeps the versions of the protocol that other daemons tell.
+	protocols *protocol.Registry
 	// onServed is called after each request.
 	onServed func(daemon string, request *exchange.Request, failure *outcome.Error)
 	inFlight atomic.Int64
 }
 
 // NewHandler returns a handler. decode returns the headers to pass on and the metadata of a request, and onServed is called after
-// each request with its failure, or nil. The versions of the protocol that other daemons tell are observed by the meetings.
-func NewHandler(relay Relay, decode func(sent http.Header) (http.Header, exchange.Metadata), clk clock.PassiveClock, meetings *protocol.Meetings,
+// each request with its failure, or nil. The versions of the protocol that other daemons tell are recorded in protocols.
+func NewHandler(relay Relay, decode func(sent http.Header) (http.Header, exchange.Metadata), clk clock.PassiveClock, protocols *protocol.Registry,
 	onServed func(daemon string, request *exchange.Request, failure *outcome.Error),
 ) *Handler {
-	return &Handler{relay: relay, decode: decode, clock: clk, meetings: meetings, onServed: onServed}
+	return &Handler{relay: relay, decode: decode, clock: clk, protocols: protocols, onServed: onServed}
 }
 
 // InFlight returns the number of lent requests that are not answered yet.
@@ -75,7 +75,7 @@
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	handler.meetings.Observe(encoded.GetDaemon(), encoded.GetProtocol())
+	handler.protocols.Observe(encoded.GetDaemon(), encoded.GetProtocol())
 	request, allowance := handler.request(encoded)
 	summary, failure := handler.relay.ServeLent(incoming.Context(), request, allowance, sink)
 	handler.onServed(encoded.GetDaemon(), request, failure)
--- a/lending/lending_test.go
+++ b/lending/lending_test.go
@@ -33,8 +33,8 @@
 	return server.serve(ctx, sink)
 }
 
-// meetings keeps the versions that clients tell the daemons of start.
-var meetings = protocol.NewMeetings(clock.RealClock{})
+// protocols keeps the versions that clients tell the daemons of start.
+var protocols = protocol.NewRegistry(clock.RealClock{})
 
 // start returns the address of a daemon with the relay.
 func start(t *testing.T, server *server) string {
@@ -43,7 +43,7 @@
 		return sent, exchange.Metadata{ID: sent.Get("Id")}
 	}
 	mux := http.NewServeMux()
-	mux.Handle(Path, NewHandler(server, decode, clock.RealClock{}, meetings, func(string, *exchange.Request, *outcome.Error) {}))
+	mux.Handle(Path, NewHandler(server, decode, clock.RealClock{}, protocols, func(string, *exchange.Request, *outcome.Error) {}))
 	opened := httptest.NewServer(mux)
 	t.Cleanup(opened.Close)
 	return strings.TrimPrefix(opened.URL, "http://")
@@ -73,7 +73,7 @@
 	if values := reply.Header["X-Odd"]; len(values) != 2 || values[0] != "\xff\xfe" {
 		t.Errorf("headers are %q", reply.Header)
 	}
-	if version := meetings.Version("a"); version != protocol.Current {
+	if version := protocols.Version("a"); version != protocol.Current {
 		t.Errorf("the request tells the version %d", version)
 	}
 	got := served.request
@@ -191,7 +191,7 @@
 	f.Add([]byte("\x0a\x03GET\x12\x01/\x2a\x04\x0a\x02Id"))
 	handler := NewHandler(&server{serve: func(context.Context, relay.Sink) (relay.Summary, *outcome.Error) {
 		return relay.Summary{}, outcome.New(outcome.NotReady, "no")
-	}}, func(sent http.Header) (http.Header, exchange.Metadata) { return sent, exchange.Metadata{} }, clock.RealClock{}, protocol.NewMeetings(clock.RealClock{}),
+	}}, func(sent http.Header) (http.Header, exchange.Metadata) { return sent, exchange.Metadata{} }, clock.RealClock{}, protocol.NewRegistry(clock.RealClock{}),
 		func(string, *exchange.Request, *outcome.Error) {})
 	f.Fuzz(func(_ *testing.T, content []byte) {
 		handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, Path, strings.NewReader(string(content))))
--- a/mesh/deps.go
+++ b/mesh/deps.go
@@ -41,8 +41,8 @@
 	// Update returns the data that is newer than the versions in the request. It waits for newer data for at
 	// most request.Wait.
 	Update func(ctx context.Context, request UpdateRequest) UpdateResponse
-	// Meetings keeps the versions of the protocol that other daemons tell.
-	Meetings *protocol.Meetings
+	// Protocols keeps the versions of the protocol that other daemons tell.
+	Protocols *protocol.Registry
 	// Store makes calls to the platform's store for daemons that the store does not answer.
 	Store RowStore
 }
--- a/mesh/greet.go
+++ b/mesh/greet.go
@@ -84,7 +84,7 @@
 func (node *Node) receive(greeting *meshpb.Greeting) {
 	now := node.clock.Now()
 	if heartbeats := greeting.GetNews(); len(heartbeats) > 0 {
-		node.deps.Meetings.Observe(heartbeats[0].GetPeer().GetName(), greeting.GetProtocol())
+		node.deps.Protocols.Observe(heartbeats[0].GetPeer().GetName(), greeting.GetProtocol())
 	}
 	if suspects := decodeSuspects(greeting.GetSuspects(), now); len(suspects) > 0 {
 		node.deps.ReceiveSuspects(suspects)
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -62,12 +62,12 @@
 	grants []ratelimit.Grant
 	// proofs is what it answers to questions for proofs.
 	proofs []Proof
-	// meetings holds the versions that other daemons told.
-	meetings *protocol.Meetings
+	// protocols holds the versions that other daemons told.
+	protocols *protocol.Registry
 }
 
 func newTestDaemon(t *testing.T, name string, state State, failure error, seeds ...string) *testDaemon {
-	daemon := &testDaemon{tracker: quarantine.NewTracker(2), notices: notice.New(), limits: ratelimit.NewTable(), meetings: protocol.NewMeetings(clock.RealClock{})}
+	daemon := &testDaemon{tracker: quarantine.NewTracker(2), notices: notice.New(), limits: ratelimit.NewTable(), protocols: protocol.NewRegistry(clock.RealClock{})}
 	mux := http.NewServeMux()
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
@@ -105,8 +105,8 @@
 		Update: func(_ context.Context, request UpdateRequest) UpdateResponse {
 			return UpdateResponse{Configuration: []byte("c"), RosterVersion: request.RosterVersion + 1, Rows: []Row{{Key: "k", Version: 2, Value: []byte("v")}}}
 		},
-		Meetings: daemon.meetings,
-		Store:    fixedStore{failure},
+		Protocols: daemon.protocols,
+		Store:     fixedStore{failure},
 	}, clock.RealClock{}, rand.New(rand.NewPCG(1, 2)))
 	mux.Handle("/", daemon.Handler())
 	return daemon
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -76,7 +76,7 @@
 		node.merge(record, requestedAt)
 	}
 	node.markSeen(response.GetSender(), now)
-	node.meetings.Observe(response.GetSender().GetName(), response.GetProtocol())
+	node.protocols.Observe(response.GetSender().GetName(), response.GetProtocol())
 }
 
 // handleRequest serves an exchange that another daemon requested.
@@ -90,7 +90,7 @@
 		node.merge(record, node.sentNotBefore(request, now))
 	}
 	node.markSeen(sender, now)
-	node.meetings.Observe(sender.GetName(), request.GetProtocol())
+	node.protocols.Observe(sender.GetName(), request.GetProtocol())
 	known := indexDigests(request.GetKnown())
 	node.raiseIncarnation(known[node.settings.Name])
 	self := node.self.record
--- a/peer/node.go
+++ b/peer/node.go
@@ -23,8 +23,8 @@
 	settings Settings
 	clock    clock.WithTicker
 	client   *client
-	// meetings keeps the versions of the protocol that other daemons tell.
-	meetings *protocol.Meetings
+	// protocols keeps the versions of the protocol that other daemons tell.
+	protocols *protocol.Registry
 
 	mutex sync.Mutex
 	// random is guarded by mutex.
@@ -52,15 +52,15 @@
 func NewNode(settings Settings, clock clock.WithTicker, random *rand.Rand) *Node {
 	settings = settings.withDefaults()
 	node := &Node{
-		settings: settings,
-		clock:    clock,
-		client:   newRPCClient(settings),
-		meetings: protocol.NewMeetings(clock),
-		random:   random,
-		others:   map[string]*entry{},
-		links:    map[string]*link{},
-		changed:  make(chan struct{}),
-		urgent:   make(chan struct{}, 1),
+		settings:  settings,
+		clock:     clock,
+		client:    newRPCClient(settings),
+		protocols: protocol.NewRegistry(clock),
+		random:    random,
+		others:    map[string]*entry{},
+		links:     map[string]*link{},
+		changed:   make(chan struct{}),
+		urgent:    make(chan struct{}, 1),
 	}
 	node.started = clock.Now()
 	node.processID = random.Uint64()
@@ -135,7 +135,7 @@
 
 // Protocol returns the version of the protocol that another daemon told last.
 func (node *Node) Protocol(name string) protocol.Version {
-	return node.meetings.Version(name)
+	return node.protocols.Version(name)
 }
 
 // Changed returns a channel that is closed at the next change of Records.
--- a/protocol/meetings.go
+++ b/protocol/registry.go
@@ -17,17 +17,17 @@
 	logInterval = time.Minute
 )
 
-// Meetings keeps the version that each other daemon told last. It is safe for concurrent use. Use NewMeetings.
-type Meetings struct {
+// Registry keeps the version that each other daemon told last. It is safe for concurrent use. Use NewRegistry.
+type Registry struct {
 	clock clock.PassiveClock
 
 	mutex sync.Mutex
 	// daemons maps names to what daemons told; at most maxDaemons.
-	daemons map[string]meeting
+	daemons map[string]daemonVersion
 }
 
-// meeting is what one daemon told.
-type meeting struct {
+// daemonVersion is what one daemon told.
+type daemonVersion struct {
 	// told is what it told last, and version how that counts.
 	told    int64
 	version Version
@@ -35,36 +35,36 @@
 	loggedAt time.Time
 }
 
-// NewMeetings returns meetings with no daemon.
-func NewMeetings(clk clock.PassiveClock) *Meetings {
-	return &Meetings{clock: clk, daemons: map[string]meeting{}}
+// NewRegistry returns a registry without daemons.
+func NewRegistry(clk clock.PassiveClock) *Registry {
+	return &Registry{clock: clk, daemons: map[string]daemonVersion{}}
 }
 
-// Observe records the version that a message of the daemon itself tells. It logs a daemon that differs from this build when it is
-// met first and when it tells another version, at most every logInterval.
-func (meetings *Meetings) Observe(daemon string, told int64) {
-	meetings.mutex.Lock()
-	defer meetings.mutex.Unlock()
-	known, ok := meetings.daemons[daemon]
+// Observe records the version that a message of the daemon itself tells. It logs a daemon that differs from this build when it
+// tells its first version and each other one, at most every logInterval.
+func (registry *Registry) Observe(daemon string, told int64) {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	known, ok := registry.daemons[daemon]
 	if ok && known.told == told {
 		return
 	}
-	if !ok && len(meetings.daemons) >= maxDaemons {
-		clear(meetings.daemons)
+	if !ok && len(registry.daemons) >= maxDaemons {
+		clear(registry.daemons)
 	}
 	version, usable := Decode(told)
 	known.told, known.version = told, version
-	now := meetings.clock.Now()
+	now := registry.clock.Now()
 	if (version != Current || !usable) && (known.loggedAt.IsZero() || now.Sub(known.loggedAt) >= logInterval) {
 		known.loggedAt = now
 		event.ProtocolDiffers.Log("Daemon", daemon, "Told", told, "Own", int64(Current), "Usable", usable)
 	}
-	meetings.daemons[daemon] = known
+	registry.daemons[daemon] = known
 }
 
 // Version returns the version that the daemon told last, or Untold if it told none.
-func (meetings *Meetings) Version(daemon string) Version {
-	meetings.mutex.Lock()
-	defer meetings.mutex.Unlock()
-	return meetings.daemons[daemon].version
+func (registry *Registry) Version(daemon string) Version {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	return registry.daemons[daemon].version
 }
--- a/protocol/meetings_test.go
+++ b/protocol/registry_test.go
@@ -37,11 +37,11 @@
 		int64(Current): {Current, 0}, 0: {Untold, 1}, int64(Current) + 1: {Current + 1, 1}, int64(maxVersion): {maxVersion, 1},
 		1_000_000_000: {Untold, 1}, -1: {Untold, 1}, math.MinInt64: {Untold, 1}, math.MaxInt64: {Untold, 1},
 	} {
-		meetings := NewMeetings(testingclock.NewFakePassiveClock(time.Unix(1000, 0)))
+		registry := NewRegistry(testingclock.NewFakePassiveClock(time.Unix(1000, 0)))
 		for range 3 {
-			meetings.Observe("a", told)
+			registry.Observe("a", told)
 		}
-		if got, count := meetings.Version("a"), lines(); got != want.version || count != want.lines {
+		if got, count := registry.Version("a"), lines(); got != want.version || count != want.lines {
 			t.Errorf("a daemon that tells %d has the version %d after %d lines, want %+v", told, got, count, want)
 		}
 	}
@@ -50,27 +50,27 @@
 // TestTwoDaemonsOfOneName covers two daemons of one name and different builds, which tell their versions in turn.
 func TestTwoDaemonsOfOneName(t *testing.T) {
 	clk := testingclock.NewFakePassiveClock(time.Unix(1000, 0))
-	meetings := NewMeetings(clk)
+	registry := NewRegistry(clk)
 	for range 50 {
-		meetings.Observe("a", 0)
-		meetings.Observe("a", 5)
+		registry.Observe("a", 0)
+		registry.Observe("a", 5)
 	}
-	if count := lines(); count != 1 || meetings.Version("a") != 5 {
-		t.Errorf("%d lines, version %d", count, meetings.Version("a"))
+	if count := lines(); count != 1 || registry.Version("a") != 5 {
+		t.Errorf("%d lines, version %d", count, registry.Version("a"))
 	}
 	clk.SetTime(clk.Now().Add(logInterval))
-	meetings.Observe("a", 0)
-	if count := lines(); count != 1 || meetings.Version("a") != Untold {
-		t.Errorf("%d lines after the interval, version %d", count, meetings.Version("a"))
+	registry.Observe("a", 0)
+	if count := lines(); count != 1 || registry.Version("a") != Untold {
+		t.Errorf("%d lines after the interval, version %d", count, registry.Version("a"))
 	}
 }
 
 func TestDaemonsAreBounded(t *testing.T) {
-	meetings := NewMeetings(testingclock.NewFakePassiveClock(time.Unix(1000, 0)))
+	registry := NewRegistry(testingclock.NewFakePassiveClock(time.Unix(1000, 0)))
 	for number := range 3 * maxDaemons {
-		meetings.Observe(fmt.Sprint(number), int64(Current))
+		registry.Observe(fmt.Sprint(number), int64(Current))
 	}
-	if len(meetings.daemons) > maxDaemons {
-		t.Errorf("%d daemons are kept", len(meetings.daemons))
+	if len(registry.daemons) > maxDaemons {
+		t.Errorf("%d daemons are kept", len(registry.daemons))
 	}
 }
