Let a request hand its answer over before the test of a cut drain looks

Cause: Drain returns as soon as the request is counted as ended, which is before the request's goroutine has handed Do's result to the test; the test looked at once. The request had its answer. The test now lets all goroutines of its bubble come to rest before it looks; a request without an answer still blocks there and fails the test.

--- a/dispatch/drain_test.go
+++ b/dispatch/drain_test.go
@@ -80,6 +80,7 @@
 				begun := time.Now()
 				drained := dispatcher.Drain(ctx)
 				took := time.Since(begun)
+				synctest.Wait()
 				select {
 				case err := <-ended:
 					if !outcome.Is(err, c.want) || took > limit+finalAnswerTime {
