Forget a connection when it is closed, whatever the server has around it

Seen by reading: inbound.Connections forgot a connection when the server said that it was closed. The server of the peers accepts from a TLS listener around the tracking one, so that it named connections that are not tracked, and each connection of a peer stayed in the map for the life of the daemon.

A tracked connection now ends its tracking itself, in Close. The servers of operators and peers, which are never drained, track none.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -114,6 +114,7 @@
 	if daemon.callers, err = daemon.listen(daemon.settings.CallerAddress, callerHandler); err != nil {
 		return err
 	}
+	daemon.callers.track()
 	if daemon.operators, err = daemon.listen(daemon.settings.OperatorAddress, daemon.operatorHandler(callerHandler)); err != nil {
 		return err
 	}
--- a/daemon/server.go
+++ b/daemon/server.go
@@ -21,7 +21,7 @@
 type server struct {
 	listener net.Listener
 	http     *http.Server
-	// connections tracks its connections.
+	// connections tracks the connections of a server that is stopped by shutdown, and is nil for others.
 	connections *inbound.Connections
 	// stopping is set once the listener is closed by shutdown.
 	stopping atomic.Bool
@@ -29,7 +29,7 @@
 
 // listen opens the address. An empty address returns a server that accepts no connections.
 func (daemon *Daemon) listen(address string, handler http.Handler) (*server, error) {
-	result := &server{http: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}, connections: inbound.New()}
+	result := &server{http: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}}
 	if address == "" {
 		return result, nil
 	}
@@ -37,10 +37,18 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "cannot listen on %s", address)
 	}
-	result.listener = result.connections.Track(result.http, listener)
+	result.listener = listener
 	return result, nil
 }
 
+// track makes the server track its connections, as disableKeepAlives and shutdown need.
+func (server *server) track() {
+	server.connections = inbound.New()
+	if server.listener != nil {
+		server.listener = server.connections.Track(server.http, server.listener)
+	}
+}
+
 // closeListeners closes the listeners that are open.
 func (daemon *Daemon) closeListeners() {
 	for _, opened := range []*server{daemon.callers, daemon.operators, daemon.peers} {
@@ -64,12 +72,12 @@
 	return trace.Wrap(err)
 }
 
-// disableKeepAlives makes the server close each connection after its next response.
+// disableKeepAlives makes a server that tracks its connections close each connection after its next response.
 func (server *server) disableKeepAlives() {
 	server.connections.CloseAfterResponses()
 }
 
-// shutdown closes the listener and waits until ctx ends for the requests that were read; it then closes their connections.
+// shutdown closes the listener of a server that tracks its connections and waits until ctx ends for the requests that were read; it then closes their connections.
 func (server *server) shutdown(ctx context.Context, clk clock.WithTicker) {
 	server.stopping.Store(true)
 	if server.listener != nil {
--- a/daemon/server_test.go
+++ b/daemon/server_test.go
@@ -16,6 +16,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	opened.track()
 	go func() { _ = opened.serve() }()
 	defer func() { _ = opened.http.Close() }()
 	conn, err := net.Dial("tcp", opened.listener.Addr().String())
--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -16,6 +16,7 @@
 // trackedConn is a connection whose reader decides whether it is closed as unused: only the reader knows whether it has taken bytes.
 type trackedConn struct {
 	net.Conn
+	connections *Connections
 
 	mutex sync.Mutex
 	// unused is set while no byte was read and no request was served since the connection was opened, or since its last response.
@@ -75,6 +76,12 @@
 	return err == nil && arrived
 }
 
+// Close closes the connection and ends its tracking.
+func (tracked *trackedConn) Close() error {
+	tracked.connections.forget(tracked)
+	return tracked.Conn.Close()
+}
+
 // SetReadDeadline sets the read deadline, once no interruption is in force.
 func (tracked *trackedConn) SetReadDeadline(deadline time.Time) error {
 	tracked.mutex.Lock()
--- a/inbound/connections.go
+++ b/inbound/connections.go
@@ -60,13 +60,18 @@
 	switch state {
 	case http.StateIdle:
 		tracked.responded()
-	case http.StateClosed, http.StateHijacked:
-		connections.mutex.Lock()
-		defer connections.mutex.Unlock()
-		delete(connections.open, tracked)
+	case http.StateHijacked:
+		connections.forget(tracked)
 	}
 }
 
+// forget ends the tracking of a connection.
+func (connections *Connections) forget(tracked *trackedConn) {
+	connections.mutex.Lock()
+	defer connections.mutex.Unlock()
+	delete(connections.open, tracked)
+}
+
 // CloseAfterResponses makes further responses carry "Connection: close", so that clients open new connections, elsewhere if they
 // can. Unused connections stay open.
 func (connections *Connections) CloseAfterResponses() {
@@ -109,7 +114,7 @@
 	if err != nil {
 		return nil, err
 	}
-	tracked := &trackedConn{Conn: inner, unused: true}
+	tracked := &trackedConn{Conn: inner, connections: listener.connections, unused: true}
 	listener.connections.mutex.Lock()
 	defer listener.connections.mutex.Unlock()
 	listener.connections.open[tracked] = true
--- a/inbound/connections_test.go
+++ b/inbound/connections_test.go
@@ -76,6 +76,43 @@
 	}
 }
 
+// TestConnectionsInsideOfOthersAreForgotten guards against closed connections that stayed tracked, since the server had seen only the
+// connections of another listener around them, as with TLS.
+func TestConnectionsInsideOfOthersAreForgotten(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	connections := New()
+	server := &http.Server{Handler: http.NotFoundHandler()}
+	tracking := connections.Track(server, inner)
+	go func() { _ = server.Serve(wrappingListener{tracking}) }()
+	t.Cleanup(func() { _ = server.Close() })
+	for range 3 {
+		response, err := http.Get("http://" + inner.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		http.DefaultClient.CloseIdleConnections()
+	}
+	limit := time.Now().Add(5 * time.Second)
+	for connections.CloseUnused() > 0 {
+		if time.Now().After(limit) {
+			t.Fatalf("%d closed connections are tracked", connections.CloseUnused())
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// wrappingListener wraps each connection that it accepts.
+type wrappingListener struct{ net.Listener }
+
+func (listener wrappingListener) Accept() (net.Conn, error) {
+	inner, err := listener.Listener.Accept()
+	return struct{ net.Conn }{inner}, err
+}
+
 // TestRefusedBodyEndsItsConnection guards against a connection that stayed open for half a second after the response to a request
 // whose body was not read.
 func TestRefusedBodyEndsItsConnection(t *testing.T) {
