Measure the light tenant beside a flood for 100 s

Traced to the measurement: in 30 s the light tenant sends 240 requests, so that p99 is the third slowest. Time is virtual and the arrivals are seeded, but the order in which requests of one moment get their slots is not.

The light tenant now sends for 100 s.

--- a/dispatch/overload_test.go
+++ b/dispatch/overload_test.go
@@ -22,6 +22,11 @@
 // TestFloodDelaysOthersLittle measures the latency of a light tenant alone and beside one that floods every
 // daemon with five times the capacity.
 func TestFloodDelaysOthersLittle(t *testing.T) {
+	const (
+		// length is the time in which the light tenant sends requests, and lead that in which the flood comes before.
+		length = 100 * time.Second
+		lead   = 10 * time.Second
+	)
 	run := func(flood float64) (light *simResult) {
 		synctest.Test(t, func(t *testing.T) {
 			ctx, stop := context.WithCancel(t.Context())
@@ -30,12 +35,12 @@
 			task.Go(func() { cluster.refreshReports(ctx) })
 			if flood > 0 {
 				all.Go(func() {
-					heavy := cluster.sendRequests(ctx, "heavy", flood, 40*time.Second, 5*time.Second, 2)
+					heavy := cluster.sendRequests(ctx, "heavy", flood, lead+length, 5*time.Second, 2)
 					t.Logf("heavy: %d answered, refused %v", len(heavy.totalTimes), heavy.refusals)
 				})
-				time.Sleep(10 * time.Second)
+				time.Sleep(lead)
 			}
-			light = cluster.sendRequests(ctx, "light", 8, 30*time.Second, 5*time.Second, 3)
+			light = cluster.sendRequests(ctx, "light", 8, length, 5*time.Second, 3)
 			all.Wait()
 			stop()
 			task.Wait()
