Leave a silent stream only for an idle replica that has responded lately

Replicas with attempts of the daemon are known to be silent, but one without was trusted, and a silent replica rejects nothing. With few requests at many daemons that is the common case. Streams that were moved to one that stayed silent ended by their deadline.

One search asks four replicas at most. Searches that find a busy replica go as before.

--- a/front/new.go
+++ b/front/new.go
@@ -83,6 +83,7 @@
 		Limiter:     daemon.limiter,
 		Origins:     streamOrigins{daemon},
 		Lender:      daemon.lender,
+		Prover:      prover{daemon},
 		Brittle:     daemon.brittle,
 		DaemonIndex: func() int { return int(daemon.daemonIndex.Load()) },
 		Clock:       clk,
--- a/front/witness.go
+++ b/front/witness.go
@@ -27,12 +27,8 @@
 			continue
 		}
 		replicas = append(replicas, replica)
-		path, now := replicaPath(&replica), daemon.clock.Now()
-		if now.Sub(daemon.paths.Known(path, now).Proved) < recentProof {
-			continue
-		}
-		if probe, ok := daemon.paths.BeginProbe(path, now); ok {
-			probes.Go(func() { daemon.probe(context.WithoutCancel(ctx), probe, replica) })
+		if _, probe := daemon.proveSince(ctx, replica, daemon.clock.Now().Add(-recentProof)); probe != nil {
+			probes.Go(probe)
 		}
 	}
 	daemon.awaitProbes(ctx, &probes)
--- a/internal/frontsoak/silentpaths_test.go
+++ b/internal/frontsoak/silentpaths_test.go
@@ -13,7 +13,8 @@
 )
 
 // TestSilentReplicasCostNoRequest guards against daemons that take the silence of sound replicas for a cut of their paths: no request may
-// fail, none may be passed on to another daemon, and no daemon may count as cut off.
+// fail, none may be passed on to another daemon, and no daemon may count as cut off. While all are silent, no attempt may be ended for
+// a replica that has not responded.
 func TestSilentReplicasCostNoRequest(t *testing.T) {
 	binary := build(t)
 	for index, c := range []struct {
@@ -55,6 +56,11 @@
 			for _, line := range linesWith(t, folder, `"PathsLost"`, `"RequestLent"`, `"PathCut"`) {
 				t.Error(line)
 			}
+			for _, line := range unresponded(t, folder) {
+				if c.together {
+					t.Error(line)
+				}
+			}
 			for _, violation := range testbed.checker.finish() {
 				t.Error(violation)
 			}
@@ -130,3 +136,9 @@
 	}
 	return found
 }
+
+// unresponded returns the lines that tell of an attempt which was ended for a replica that had not responded.
+func unresponded(t *testing.T, folder string) []string {
+	t.Helper()
+	return slices.DeleteFunc(linesWith(t, folder, `"AttemptReplaced"`), func(line string) bool { return !strings.Contains(line, "Responded=false") })
+}
--- a/relay/activity.go
+++ b/relay/activity.go
@@ -63,6 +63,14 @@
 	}
 }
 
+// has reports whether the replica has attempts.
+func (activity *activity) has(replica topology.Incarnation) bool {
+	activity.mutex.Lock()
+	defer activity.mutex.Unlock()
+	_, ok := activity.replicas[replica]
+	return ok
+}
+
 // silent returns the replicas with attempts none of which yielded an event for longer than the limit.
 func (activity *activity) silent(limit time.Duration) []topology.Incarnation {
 	activity.mutex.Lock()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -45,6 +45,8 @@
 	Brittle *brittle.Guard
 	// Lender passes requests on through other daemons; nil means that there is none.
 	Lender Lender
+	// Prover knows when replicas responded; nil means that all do.
+	Prover Prover
 	// DaemonIndex returns the index of the daemon among all daemons; nil means zero.
 	DaemonIndex func() int
 	// Clock provides the time and timers.
--- a/relay/seek.go
+++ b/relay/seek.go
@@ -25,6 +25,9 @@
 	return transaction.runs < transaction.maxRuns && (transaction.sends < maxSends || transaction.goesOn())
 }
 
+// maxDoubtful is the largest number of replicas without attempts of this daemon that one search asks for a sign of life.
+const maxDoubtful = 4
+
 // seek makes one attempt at another replica than the current one, or at the same if mayRepeat is set, and returns it once it was
 // accepted. It returns nil if no replica accepts the request now, or only silent ones could be sent it; the current attempt goes on
 // meanwhile.
@@ -33,18 +36,12 @@
 	if !budget.Withdraw() {
 		return nil
 	}
-	transaction.silent = transaction.silentReplicas(current)
-	candidate, failure := transaction.selectReplica(ctx)
-	if failure != nil {
+	candidate, found := transaction.chooseSuccessor(ctx, current, mayRepeat)
+	if !found {
 		budget.Return()
 		return nil
 	}
 	same := candidate.Incarnation == current
-	if (same && !mayRepeat) || slices.Contains(transaction.silent, candidate.Incarnation) {
-		budget.Return()
-		transaction.unchoose(candidate)
-		return nil
-	}
 	opened := transaction.openUntil(ctx, cancel, candidate)
 	opened.start()
 	if opened.accepted(same) {
@@ -59,6 +56,40 @@
 	return nil
 }
 
+// chooseSuccessor chooses a replica that goes on as far as is known, or the current one if mayRepeat is set. It reports false if
+// there is none.
+func (transaction *transaction) chooseSuccessor(ctx context.Context, current topology.Incarnation, mayRepeat bool) (balance.Candidate, bool) {
+	transaction.silent = transaction.silentReplicas(current)
+	for range maxDoubtful {
+		candidate, failure := transaction.selectReplica(ctx)
+		if failure != nil {
+			return balance.Candidate{}, false
+		}
+		same := candidate.Incarnation == current
+		silent := slices.Contains(transaction.silent, candidate.Incarnation)
+		if (same && mayRepeat) || (!same && !silent && transaction.isAlive(ctx, candidate)) {
+			return candidate, true
+		}
+		transaction.unchoose(candidate)
+		if same || silent {
+			return balance.Candidate{}, false
+		}
+		transaction.silent = append(transaction.silent, candidate.Incarnation)
+	}
+	return balance.Candidate{}, false
+}
+
+// isAlive reports whether the candidate, which is not silent, has attempts of this daemon, or has responded to it lately. Otherwise it
+// is probed, and a later search knows whether it responds.
+func (transaction *transaction) isAlive(ctx context.Context, candidate balance.Candidate) bool {
+	relay := transaction.relay
+	if relay.deps.Prover == nil || relay.activity.has(candidate.Incarnation) {
+		return true
+	}
+	since := relay.deps.Clock.Now().Add(-transaction.silenceLimit())
+	return relay.deps.Prover.Responded(ctx, candidate.Incarnation, since)
+}
+
 // seekLent makes one attempt through another daemon, and returns it once that one has accepted the request, as a replica does. It
 // returns nil if none accepts it now; the current attempt goes on meanwhile.
 func (transaction *transaction) seekLent(ctx context.Context, cancel context.CancelCauseFunc) *leg {
@@ -84,10 +115,15 @@
 	return nil
 }
 
-// silentReplicas returns the replicas other than the current one that are silent by the gap target of the route, or by its latency
-// target if it has no gap target.
+// silenceLimit returns the time without an event, or a byte, after which a replica is silent: by the gap target of the route, or by its
+// latency target if it has no gap target.
+func (transaction *transaction) silenceLimit() time.Duration {
+	return cmp.Or(silentGaps*transaction.route.GapTarget, transaction.route.LatencyTarget)
+}
+
+// silentReplicas returns the replicas other than the current one that are silent.
 func (transaction *transaction) silentReplicas(current topology.Incarnation) []topology.Incarnation {
-	silent := transaction.relay.activity.silent(cmp.Or(silentGaps*transaction.route.GapTarget, transaction.route.LatencyTarget))
+	silent := transaction.relay.activity.silent(transaction.silenceLimit())
 	return slices.DeleteFunc(silent, func(replica topology.Incarnation) bool { return replica == current })
 }
 
