Take no late timeout of a connection for a path that is closed

Cause: the daemon itself stood still for 0.7 s: its log has no line between 14.49 s and 15.21 s, and then eight at once. The timeout of 500 ms for opening a connection was noticed after 726 ms, and the daemon concluded at once that the path was closed; with two such paths it would have counted as cut off. Other machines of the users stand still for moments, too.

A timeout that is noticed 100 ms late or more is a failure of its own, LateTimeout. It makes the path suspected, so that a probe is sent; a second one at least 100 ms later without a byte between shows the loss, as with resets.

Tests: connection.TestConnectionsThatAreNotOpened (the last kind was NotOpened before; it now runs in virtual time, so that its own machine's pauses do not matter) and four cases of reach.TestStates.

--- a/connection/pool.go
+++ b/connection/pool.go
@@ -120,7 +120,7 @@
 	inner, err := pool.settings.Dial(limited, "tcp", call.Address)
 	if err != nil {
 		if ctx.Err() == nil {
-			pool.settings.Observer.Failed(call.Key, dialFailure(err), begun)
+			pool.settings.Observer.Failed(call.Key, dialFailure(err, pool.clock.Since(begun)-pool.settings.DialTimeout), begun)
 		}
 		return nil, err
 	}
--- a/connection/proof.go
+++ b/connection/proof.go
@@ -9,13 +9,19 @@
 	"github.com/bronzestall/bronzestall/reach"
 )
 
-// dialFailure returns the kind of a failure to open a connection.
-func dialFailure(err error) reach.Failure {
+// lateness is the time after a timeout from which on this process may have stood still while a connection was opened.
+const lateness = 100 * time.Millisecond
+
+// dialFailure returns the kind of a failure to open a connection, which was noticed the given time after its timeout, or before it if the
+// time is negative.
+func dialFailure(err error, late time.Duration) reach.Failure {
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return reach.Refused
 	case errors.Is(err, syscall.ECONNRESET):
 		return reach.Reset
+	case late >= lateness:
+		return reach.LateTimeout
 	}
 	return reach.NotOpened
 }
--- a/connection/proof_test.go
+++ b/connection/proof_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"k8s.io/utils/clock"
@@ -73,20 +74,26 @@
 	}
 }
 
-// TestConnectionsThatAreNotOpened covers the kinds of failures to open a connection.
+// TestConnectionsThatAreNotOpened covers the kinds of failures to open a connection. A daemon that stands still notices a timeout late,
+// which guards against paths that counted as closed since the daemon itself had paused.
 func TestConnectionsThatAreNotOpened(t *testing.T) {
 	observer := &recorder{}
 	if _, err := get(New(Settings{Observer: observer}, clock.RealClock{}), "127.0.0.1:1", "1"); err == nil {
 		t.Fatal("got a response")
 	}
-	hanging := func(ctx context.Context, _, _ string) (net.Conn, error) {
-		<-ctx.Done()
-		return nil, ctx.Err()
-	}
-	if _, err := get(New(Settings{Observer: observer, Dial: hanging, DialTimeout: time.Millisecond}, clock.RealClock{}), "", "1"); err == nil {
-		t.Fatal("got a response")
-	}
-	if want := []string{"Refused", "NotOpened"}; !slices.Equal(observer.told, want) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, pause := range []time.Duration{0, lateness - time.Millisecond, lateness} {
+			hanging := func(ctx context.Context, _, _ string) (net.Conn, error) {
+				<-ctx.Done()
+				time.Sleep(pause)
+				return nil, ctx.Err()
+			}
+			if _, err := get(New(Settings{Observer: observer, Dial: hanging}, clock.RealClock{}), "", "1"); err == nil {
+				t.Fatal("got a response")
+			}
+		}
+	})
+	if want := []string{"Refused", "NotOpened", "NotOpened", "LateTimeout"}; !slices.Equal(observer.told, want) {
 		t.Errorf("told %v, want %v", observer.told, want)
 	}
 }
--- a/reach/path.go
+++ b/reach/path.go
@@ -20,8 +20,9 @@
 	// failure is the kind of the last failure, and failedSince when the first attempt began that failed; zero if none did.
 	failure     Failure
 	failedSince time.Time
-	// reset is when a new connection was reset first; zero if none was.
-	reset time.Time
+	// weak is when an attempt failed first in a way that shows a loss only if attempts do so again: by a reset or a late timeout; zero
+	// if none did.
+	weak time.Time
 	// lost is when the path was last found lost, and lostBegun when the attempt began that showed it first; both are zero if it is not.
 	lost, lostBegun time.Time
 	// vouched is the latest time at which another daemon had an answer of the replica.
@@ -103,12 +104,12 @@
 		path.failedSince = begun
 	}
 	switch failure {
-	case Reset:
+	case Reset, LateTimeout:
 		path.suspect(begun, now)
-		if path.reset.IsZero() {
-			path.reset = now
+		if path.weak.IsZero() {
+			path.weak = now
 		}
-		return now.Sub(path.reset) >= resetsSpan
+		return now.Sub(path.weak) >= weakSpan
 	case Silent:
 		path.suspect(begun, now)
 		return !path.lost.IsZero()
--- a/reach/paths.go
+++ b/reach/paths.go
@@ -18,9 +18,9 @@
 	maxSuspectAfter = time.Second
 	// usualDecay is the number of attempts over which the longest time of one is forgotten.
 	usualDecay = 32
-	// resetsSpan is the least time between the first and the last of several resets that show that a path is lost. A replica that has
+	// weakSpan is the least time between the first and the last of several resets, or late timeouts, that show that a path is lost. A replica that has
 	// too many connections resets new ones and answers on others meanwhile.
-	resetsSpan = 100 * time.Millisecond
+	weakSpan = 100 * time.Millisecond
 	// longestPause is the time for which a path stays suspected. Sound replicas pause for 2 s at most.
 	longestPause = 2500 * time.Millisecond
 	// answerTime is the time within which a sound path yields the answer to a probe, which waits for a slot at replicas without models.
--- a/reach/paths_test.go
+++ b/reach/paths_test.go
@@ -122,6 +122,17 @@
 			paths.Reached(key, at(200))
 			paths.Failed(key, Reset, at(300), at(301))
 		}, 400, Suspected},
+		{"not opened", func(paths *Paths) { paths.Failed(key, NotOpened, at(100), at(600)) }, 700, Closed},
+		{"not opened, noticed late", func(paths *Paths) { paths.Failed(key, LateTimeout, at(100), at(800)) }, 900, Suspected},
+		{"not opened, noticed late twice", func(paths *Paths) {
+			paths.Failed(key, LateTimeout, at(100), at(800))
+			paths.Failed(key, LateTimeout, at(810), at(1500))
+		}, 1600, Closed},
+		{"not opened, noticed late, with an answer between", func(paths *Paths) {
+			paths.Failed(key, LateTimeout, at(100), at(800))
+			paths.Reached(key, at(805))
+			paths.Failed(key, LateTimeout, at(810), at(1500))
+		}, 1600, Suspected},
 		{"refused", func(paths *Paths) { paths.Failed(key, Refused, at(100), at(101)) }, 200, Closed},
 		{"refused long ago", func(paths *Paths) { paths.Failed(key, Refused, at(100), at(101)) }, 5200, Sound},
 	}
--- a/reach/state.go
+++ b/reach/state.go
@@ -15,11 +15,13 @@
 	Reset
 	// Silent means that nothing came on an open connection.
 	Silent
+	// LateTimeout means that a connection was not opened in time, and that this daemon noticed it late: it may have stood still itself.
+	LateTimeout
 )
 
 // String returns the name of the failure.
 func (failure Failure) String() string {
-	return [...]string{"NotOpened", "Refused", "Reset", "Silent"}[failure]
+	return [...]string{"NotOpened", "Refused", "Reset", "Silent", "LateTimeout"}[failure]
 }
 
 // swallows reports whether requests may have been sent before the failure, so that the replica may have run them.
@@ -34,8 +36,8 @@
 const (
 	// Sound means that nothing speaks against the path.
 	Sound State = iota
-	// Suspected means that an attempt yielded nothing for a while or was reset, and that nothing was proved since: the replica may
-	// pause, or the path may be cut.
+	// Suspected means that an attempt yielded nothing for a while or was reset, or that its timeout came late, and that nothing was
+	// proved since: the replica, or this daemon, may pause, or the path may be cut.
 	Suspected
 	// Absent means that the path has been suspected for longer than replicas pause: the replica is likely dead for all daemons.
 	Absent
