Make each attempt through another daemon a leg of the relay

What stood twice: the first attempt through another daemon called the lender, counted the runs and closed the body by itself, while an attempt that follows a stalled one did all of this as a leg. The failure of a request that no daemon took was made in another place than the others.

Change: openLent opens an attempt through another daemon, and both kinds of attempts end in receiveLent and endLent. The flag that a response of another daemon is passed on was also set while a successor was sought, where nothing reads it; it is now set in one place.

Behaviour is as it was: no test changed. Run: relay, front, ingress and lending with -race, and frontsoak.TestCutOffDaemonsServe and TestFrozenLendersAreReplaced.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -68,18 +68,13 @@
 	return transaction.passOn(leg)
 }
 
-// receiveLent passes on the response to an attempt through another daemon.
+// receiveLent passes the response of another daemon on to the client.
 func (transaction *transaction) receiveLent(lent *leg) result {
 	failed := transaction.endLent(lent)
 	if lent.err != nil {
 		return failed
 	}
 	lent.candidate.Release = lent.release
-	return transaction.passOnLent(lent)
-}
-
-// passOnLent passes the response of another daemon on to the client.
-func (transaction *transaction) passOnLent(lent *leg) result {
 	transaction.lending, transaction.summary.Lender = true, lent.lender
 	defer func() { transaction.lending = false }()
 	return transaction.passOn(lent)
--- a/relay/leg.go
+++ b/relay/leg.go
@@ -7,8 +7,8 @@
 	"github.com/bronzestall/bronzestall/exchange"
 )
 
-// leg is one attempt that is under way. Use transaction.open, and end it by receive or discard. One through another daemon has only
-// what its response needs.
+// leg is one attempt that is under way. Use transaction.open or openLent, and end it by receive or discard. One through another
+// daemon has only what its response needs.
 type leg struct {
 	// transaction is that for which the attempt was opened; for a successor it is the copy that sought it.
 	transaction *transaction
@@ -51,6 +51,12 @@
 	}
 }
 
+// openLent is openUntil for an attempt through another daemon.
+func (transaction *transaction) openLent(ctx context.Context, cancel context.CancelCauseFunc) *leg {
+	transaction.sends++
+	return &leg{transaction: transaction, candidate: balance.Candidate{Release: transaction.release}, lent: true, ctx: ctx, cancel: cancel}
+}
+
 // send sends the request and waits for the head of the response.
 func (leg *leg) send() {
 	if leg.lent {
--- a/relay/lender.go
+++ b/relay/lender.go
@@ -160,15 +160,9 @@
 
 // lend makes one attempt through another daemon. It returns false if no daemon took the request.
 func (transaction *transaction) lend(ctx context.Context) (result, bool) {
-	transaction.sends++
-	reply, err := transaction.relay.deps.Lender.Lend(ctx, transaction.request, transaction.remaining(), transaction.allowance())
-	if err != nil {
-		return transaction.failLent(ctx, err)
-	}
-	defer reply.Body.Close()
-	transaction.runs += max(reply.Runs, 1)
-	lent := &leg{transaction: transaction, candidate: balance.Candidate{Release: reply.Release}, lent: true, lender: reply.Daemon, ctx: ctx, reply: reply.Reply}
-	return transaction.passOnLent(lent), true
+	lent := transaction.openLent(context.WithCancelCause(ctx))
+	received := transaction.receive(lent)
+	return received, !transaction.lendFailed
 }
 
 // allowance returns what another daemon may do for the request.
@@ -188,35 +182,32 @@
 	return allowance
 }
 
-// failLent ends an attempt through another daemon that got no response. It returns false if no daemon took the request.
-func (transaction *transaction) failLent(ctx context.Context, err error) (result, bool) {
-	if errors.Is(err, exchange.ErrNotSent) {
+// endLent counts the runs of an attempt through another daemon that has responded or failed, and returns why it failed.
+func (transaction *transaction) endLent(lent *leg) result {
+	if lent.err == nil {
+		transaction.runs += lent.runs
+		return result{}
+	}
+	if errors.Is(lent.err, exchange.ErrNotSent) {
 		transaction.lendFailed = true
 		transaction.sends--
-		return result{}, false
-	}
-	if refusal := AsRefusal(err); refusal != nil {
-		transaction.runs += refusal.Runs
-		return result{failure: refusal.Failure, notRun: refusal.NotRun()}, true
+		failure := outcome.New(outcome.UpstreamRefused, "%s", lent.err.Error()).WithRetryAfter(retryAfterBusy)
+		return result{failure: failure, notRun: true, unsent: true}
 	}
-	transaction.runs++
-	if ctx.Err() != nil {
-		return result{failure: contextFailure(ctx, true)}, true
-	}
-	return result{failure: outcome.New(outcome.UpstreamLost, "%s", err.Error()), reserved: errors.Is(err, ErrSilent)}, true
+	return transaction.failLent(lent)
 }
 
-// endLent counts the runs of an attempt through another daemon that has responded or failed, and returns why it failed.
-func (transaction *transaction) endLent(leg *leg) result {
-	if leg.err == nil {
-		transaction.runs += leg.runs
-		return result{}
+// failLent counts the runs of an attempt that another daemon took and did not answer, and returns why it failed.
+func (transaction *transaction) failLent(lent *leg) result {
+	if refusal := AsRefusal(lent.err); refusal != nil {
+		transaction.runs += refusal.Runs
+		return result{failure: refusal.Failure, notRun: refusal.NotRun()}
 	}
-	failed, taken := transaction.failLent(leg.ctx, leg.err)
-	if !taken {
-		return result{failure: outcome.New(outcome.UpstreamRefused, "%s", leg.err.Error()).WithRetryAfter(retryAfterBusy), notRun: true, unsent: true}
+	transaction.runs++
+	if lent.ctx.Err() != nil {
+		return result{failure: contextFailure(lent.ctx, true)}
 	}
-	return failed
+	return result{failure: outcome.New(outcome.UpstreamLost, "%s", lent.err.Error()), reserved: errors.Is(lent.err, ErrSilent)}
 }
 
 // senderNamer is a Sink that passes on which release responds. NameSender is called before Head.
--- a/relay/seek.go
+++ b/relay/seek.go
@@ -66,10 +66,7 @@
 	if !budget.Withdraw() {
 		return nil
 	}
-	transaction.sends++
-	transaction.lending = true
-	candidate := balance.Candidate{Release: transaction.release}
-	opened := &leg{transaction: transaction, candidate: candidate, lent: true, ctx: ctx, cancel: cancel}
+	opened := transaction.openLent(ctx, cancel)
 	opened.start()
 	if opened.accepted(false) {
 		return opened
@@ -80,7 +77,6 @@
 	if opened.reply != nil {
 		opened.end()
 	}
-	transaction.lending = false
 	return nil
 }
 
--- a/relay/transaction.go
+++ b/relay/transaction.go
@@ -45,7 +45,7 @@
 	maxRuns int
 	// lent is set if another daemon received the request from its client.
 	lent bool
-	// lending is set during an attempt through another daemon, and lendFailed once no daemon took the request.
+	// lending is set while the response of another daemon is passed on, and lendFailed once no daemon took the request.
 	lending, lendFailed bool
 	progress
 	// lastEvent is the ID of the last event that was passed to the client; zero if there is none.
