Read the bodies of requests in one place

What stood twice: ingress and gateway read the body of a request by the same code: the bound of its length, the time in which it must arrive, and the failures for both.

Change: package internal/requestbody, in place of internal/readtimeout, reads bodies for both doors. Each door keeps its own limits, and its own failure for a body that cannot be read for another reason.

Behaviour is as it was: no test changed.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -2,15 +2,12 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
-	"os"
 	"time"
 
 	"k8s.io/utils/ptr"
 
-	"github.com/bronzestall/bronzestall/internal/readtimeout"
+	"github.com/bronzestall/bronzestall/internal/requestbody"
 	"github.com/bronzestall/bronzestall/outcome"
 )
 
@@ -83,25 +80,14 @@
 // readBody reads the body. It returns BodyTooLarge if the body exceeds the limit of the settings, and DeadlineInQueue
 // if it has not arrived by the deadline.
 func (gateway *Gateway) readBody(writer http.ResponseWriter, req *http.Request, deadline time.Time) ([]byte, error) {
-	limit := gateway.settings.Queue.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
+	limits := requestbody.Limits{Bytes: gateway.settings.Queue.BodyBytes, Timeout: deadline.Sub(gateway.clock.Now())}
+	if limits.Bytes <= 0 {
+		limits.Bytes = defaultBodyBytes
 	}
-	if req.ContentLength != 0 {
-		stop := readtimeout.Set(writer, gateway.clock, deadline.Sub(gateway.clock.Now()))
-		defer stop()
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(writer, req.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, outcome.New(outcome.BodyTooLarge, "the body is larger than %d bytes", limit)
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		writer.Header().Set("Connection", "close")
-		return nil, outcome.New(outcome.DeadlineInQueue, "the deadline passed before the whole body came")
-	}
-	if err != nil {
-		return nil, outcome.New(outcome.InvalidBody, "the body could not be read").WithCause(err)
+	broken := outcome.New(outcome.InvalidBody, "the body could not be read")
+	body, failure := requestbody.Read(writer, req, gateway.clock, limits, broken)
+	if failure != nil {
+		return nil, failure
 	}
 	return body, nil
 }
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -2,14 +2,11 @@
 
 import (
 	"cmp"
-	"errors"
-	"io"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/bronzestall/bronzestall/exchange"
-	"github.com/bronzestall/bronzestall/internal/readtimeout"
+	"github.com/bronzestall/bronzestall/internal/requestbody"
 	"github.com/bronzestall/bronzestall/outcome"
 )
 
@@ -23,24 +20,10 @@
 // readBody reads the whole body. It fails if the body is larger than the configured limit or does not arrive within
 // the timeout of the client.
 func (ingress *Ingress) readBody(writer http.ResponseWriter, incoming *http.Request, metadata *exchange.Metadata) ([]byte, *outcome.Error) {
-	limit := int64(defaultBodyBytes)
+	limits := requestbody.Limits{Bytes: defaultBodyBytes, Timeout: cmp.Or(metadata.ClientTimeout, defaultBodyTimeout)}
 	if configuration := ingress.deps.Relay.Configuration(); configuration != nil && configuration.Limits.BodyBytes > 0 {
-		limit = configuration.Limits.BodyBytes
+		limits.Bytes = configuration.Limits.BodyBytes
 	}
-	if incoming.ContentLength != 0 {
-		stop := readtimeout.Set(writer, ingress.deps.Clock, cmp.Or(metadata.ClientTimeout, defaultBodyTimeout))
-		defer stop()
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(writer, incoming.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
-		return body, nil
-	case errors.As(err, &tooLarge):
-		return nil, outcome.New(outcome.BodyTooLarge, "the body is larger than %d bytes", limit)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		writer.Header().Set("Connection", "close")
-		return nil, outcome.New(outcome.DeadlineInQueue, "the deadline passed before the whole body came")
-	}
-	return nil, outcome.New(outcome.CallerGone, "the body ended early").WithCause(err)
+	broken := outcome.New(outcome.CallerGone, "the body ended early")
+	return requestbody.Read(writer, incoming, ingress.deps.Clock, limits, broken)
 }
--- a/internal/readtimeout/readtimeout.go
+++ b/internal/requestbody/timeout.go
@@ -1,5 +1,4 @@
-// Package readtimeout bounds the time in which the body of a request must arrive at an HTTP server.
-package readtimeout
+package requestbody
 
 import (
 	"net/http"
@@ -11,9 +10,9 @@
 // past is a read deadline that has passed on any clock.
 var past = time.Unix(1, 0)
 
-// Set makes reads from the client fail with os.ErrDeadlineExceeded after the timeout, until the returned function is
+// limitTime makes reads from the client fail with os.ErrDeadlineExceeded after the timeout, until the returned function is
 // called. That function must be called once.
-func Set(writer http.ResponseWriter, clk clock.WithTicker, timeout time.Duration) (stop func()) {
+func limitTime(writer http.ResponseWriter, clk clock.WithTicker, timeout time.Duration) (stop func()) {
 	controller := http.NewResponseController(writer)
 	timer := clk.NewTimer(timeout)
 	done, ended := make(chan struct{}), make(chan struct{})
