End the contexts of requests with what serves them in one place

What stood twice: relay and dispatch joined the context of each request with their own lifetime by the same code.

Change: package internal/lifetime, whose Join does it for both. The relay ends its lifetime with the cause that its requests get, as the dispatcher did already.

Behaviour is as it was: no test changed. Run: relay, dispatch, ingress, lending, front, daemon and gateway with -race.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -54,9 +54,9 @@
 	if deps.Peers == nil {
 		deps.Peers = noPeers{}
 	}
-	lifetime, cut := context.WithCancelCause(context.Background())
+	ctx, cut := context.WithCancelCause(context.Background())
 	return &Dispatcher{
-		lifetime:        lifetime,
+		lifetime:        ctx,
 		cut:             cut,
 		settings:        settings.withDefaults(),
 		deps:            deps,
--- a/dispatch/do.go
+++ b/dispatch/do.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/bronzestall/bronzestall/internal/invariant"
+	"github.com/bronzestall/bronzestall/internal/lifetime"
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/request"
 )
@@ -12,7 +13,7 @@
 // *outcome.Error, which is also sent as an event if a stream had begun. The end of ctx means that the caller
 // has disconnected or that the total time of the request has passed. What still runs at the end of a drain is ended.
 func (dispatcher *Dispatcher) Do(ctx context.Context, req request.Request, sink request.Sink) error {
-	ctx, release := dispatcher.withLifetime(ctx)
+	ctx, release := lifetime.Join(ctx, dispatcher.lifetime)
 	defer release()
 	transaction := &transaction{dispatcher: dispatcher, req: req, sink: sink}
 	failure := dispatcher.enter()
--- a/dispatch/drain.go
+++ b/dispatch/drain.go
@@ -60,16 +60,6 @@
 	return DrainResult{Finished: dispatcher.finished, Unfinished: dispatcher.serving}
 }
 
-// withLifetime returns a context that also ends when a drain cuts the request, and a function that releases it.
-func (dispatcher *Dispatcher) withLifetime(ctx context.Context) (context.Context, func()) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	stop := context.AfterFunc(dispatcher.lifetime, func() { cancel(errStopped) })
-	return ctx, func() {
-		stop()
-		cancel(nil)
-	}
-}
-
 // stop refuses new requests from now on.
 func (dispatcher *Dispatcher) stop() {
 	dispatcher.mutex.Lock()
--- a/dispatch/keyed.go
+++ b/dispatch/keyed.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bronzestall/bronzestall/claim"
+	"github.com/bronzestall/bronzestall/internal/lifetime"
 	"github.com/bronzestall/bronzestall/outcome"
 )
 
@@ -45,7 +46,7 @@
 	if transaction.ticket == nil {
 		return ctx, func() {}
 	}
-	ctx, release := transaction.dispatcher.withLifetime(context.WithoutCancel(ctx))
+	ctx, release := lifetime.Join(context.WithoutCancel(ctx), transaction.dispatcher.lifetime)
 	ctx, cancel := context.WithTimeout(ctx, transaction.dispatcher.settings.KeyedTimeout)
 	return ctx, func() {
 		cancel()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/bronzestall/bronzestall/demand"
 	"github.com/bronzestall/bronzestall/directory"
 	"github.com/bronzestall/bronzestall/exchange"
+	"github.com/bronzestall/bronzestall/internal/lifetime"
 	"github.com/bronzestall/bronzestall/notice"
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/quarantine"
@@ -57,9 +58,9 @@
 	settings Settings
 	// activity knows which replicas fell silent.
 	activity *activity
-	// lifetime ends when waiting and running requests must end; cancel ends it.
+	// lifetime ends, with errStopped, when waiting and running requests must end; cancel ends it.
 	lifetime context.Context
-	cancel   context.CancelFunc
+	cancel   context.CancelCauseFunc
 
 	mutex sync.Mutex
 	// configuration is the newest configuration, or nil before the first.
@@ -73,12 +74,12 @@
 
 // New returns a relay without a configuration.
 func New(settings Settings, deps Deps) *Relay {
-	lifetime, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancelCause(context.Background())
 	return &Relay{
 		deps:     deps,
 		settings: settings.withDefaults(),
 		activity: newActivity(deps.Clock),
-		lifetime: lifetime,
+		lifetime: ctx,
 		cancel:   cancel,
 		budgets:  map[string]*retry.Budget{},
 		maxSaved: settings.MaxSavedRetries,
@@ -175,8 +176,8 @@
 	transaction.deadline = relay.deadline(transaction.request, transaction.route)
 	ctx, cancel := context.WithTimeoutCause(ctx, transaction.deadline.Sub(relay.deps.Clock.Now()), errDeadline)
 	defer cancel()
-	ctx, stop := relay.withShutdown(ctx)
-	defer stop()
+	ctx, release := lifetime.Join(ctx, relay.lifetime)
+	defer release()
 	transaction.summary = Summary{Route: transaction.route.Name, Configuration: transaction.configuration.Version, Fingerprint: transaction.causes.Request}
 	failure := transaction.run(ctx)
 	transaction.recordEnd(failure)
