Decode the incarnations of replicas in one place of mesh

What stood twice: seven decoders of messages built an incarnation from the ID and the start time of a replica.

Change: decodeIncarnation does so for all, over an interface of the getters that these messages share. The file leaving.go becomes incarnation.go, which it is about.

Behaviour is as it was, and so are the messages: no test changed.

--- a/mesh/announcement.go
+++ b/mesh/announcement.go
@@ -55,12 +55,12 @@
 	if running := encoded.GetRunning(); len(running) > 0 {
 		announcement.InFlight = make(map[topology.Incarnation]demand.InFlight, len(running))
 		for _, load := range running {
-			announcement.InFlight[topology.Incarnation{ID: load.GetPlace().GetReplica(), Started: load.GetPlace().GetBorn()}] = decodeInFlight(load)
+			announcement.InFlight[decodeIncarnation(load.GetPlace())] = decodeInFlight(load)
 		}
 	}
 	for _, placement := range encoded.GetPlacements() {
 		next := directory.Placement{
-			Incarnation: topology.Incarnation{ID: placement.GetReplica(), Started: placement.GetBorn()},
+			Incarnation: decodeIncarnation(placement),
 			Holding:     topology.Holding{Orders: placement.GetOrders()},
 		}
 		if model := placement.GetLoading(); model != "" {
--- a/mesh/leaving.go
+++ b/mesh/incarnation.go
@@ -19,7 +19,18 @@
 func decodeIncarnations(encoded []*meshpb.Run) []topology.Incarnation {
 	incarnations := make([]topology.Incarnation, 0, len(encoded))
 	for _, incarnation := range encoded[:min(len(encoded), maxLeaving)] {
-		incarnations = append(incarnations, topology.Incarnation{ID: incarnation.GetReplica(), Started: incarnation.GetBorn()})
+		incarnations = append(incarnations, decodeIncarnation(incarnation))
 	}
 	return incarnations
 }
+
+// incarnationMessage is a message that names an incarnation of a replica.
+type incarnationMessage interface {
+	GetReplica() string
+	GetBorn() int64
+}
+
+// decodeIncarnation returns the incarnation that the message names.
+func decodeIncarnation(encoded incarnationMessage) topology.Incarnation {
+	return topology.Incarnation{ID: encoded.GetReplica(), Started: encoded.GetBorn()}
+}
--- a/mesh/inflight.go
+++ b/mesh/inflight.go
@@ -3,7 +3,6 @@
 import (
 	"github.com/bronzestall/bronzestall/demand"
 	"github.com/bronzestall/bronzestall/mesh/meshpb"
-	"github.com/bronzestall/bronzestall/topology"
 )
 
 // InFlightCounts maps models or adapters at replicas to their numbers of requests in flight.
@@ -32,7 +31,7 @@
 	for _, load := range encoded {
 		place := load.GetPlace()
 		counts[demand.ReplicaKey{
-			Incarnation: topology.Incarnation{ID: place.GetReplica(), Started: place.GetBorn()},
+			Incarnation: decodeIncarnation(place),
 			Key:         demand.Key{Service: place.GetService(), Model: place.GetModel(), Adapter: place.GetAdapter()},
 		}] = decodeInFlight(load)
 	}
--- a/mesh/limits.go
+++ b/mesh/limits.go
@@ -8,7 +8,6 @@
 
 	"github.com/bronzestall/bronzestall/mesh/meshpb"
 	"github.com/bronzestall/bronzestall/ratelimit"
-	"github.com/bronzestall/bronzestall/topology"
 )
 
 const (
@@ -70,7 +69,7 @@
 	entries := make([]ratelimit.Entry, 0, len(encoded))
 	for _, next := range encoded[:min(len(encoded), maxLimits)] {
 		entries = append(entries, ratelimit.Entry{
-			Incarnation: topology.Incarnation{ID: next.GetReplica(), Started: next.GetBorn()},
+			Incarnation: decodeIncarnation(next),
 			Limit: ratelimit.Limit{
 				PerSecond: float64(next.GetParts()) / limitParts,
 				Confirmed: now.Add(-limitAge(next)),
@@ -100,7 +99,7 @@
 	asks := make([]ratelimit.Ask, 0, len(encoded))
 	for _, next := range encoded[:min(len(encoded), maxAsks)] {
 		asks = append(asks, ratelimit.Ask{
-			Replica:  topology.Incarnation{ID: next.GetReplica(), Started: next.GetBorn()},
+			Replica:  decodeIncarnation(next),
 			Sequence: next.GetSequence(), Answered: next.GetAnswered(),
 			Held: int(next.GetHeld()), Wanted: int(next.GetWanted()), Unused: int(next.GetUnused()),
 		})
--- a/mesh/proofs.go
+++ b/mesh/proofs.go
@@ -56,7 +56,7 @@
 // decodeProofs decodes the proofs of an answer that was given at the time to a question about the replicas.
 func decodeProofs(encoded []*meshpb.Proof, replicas []topology.Incarnation, answered time.Time) (proofs []Proof, err error) {
 	for _, next := range encoded[:min(len(encoded), MaxProofQuery)] {
-		replica := topology.Incarnation{ID: next.GetReplica().GetReplica(), Started: next.GetReplica().GetBorn()}
+		replica := decodeIncarnation(next.GetReplica())
 		longest := maxProofAge.Milliseconds()
 		age := time.Duration(min(max(next.GetAge(), -longest), longest)) * time.Millisecond
 		if age < 0 || !slices.Contains(replicas, replica) {
