End the search of a handover of dispatch in one place

What stood twice: two places ended the search in progress by the same condition.

Change: handover.overtake does so for both, as in relay. ingress.LogHeld returns nothing any more: nobody used the number.

Behaviour is as it was: no test changed. Run: dispatch, ingress and front with -race.

--- a/dispatch/handover.go
+++ b/dispatch/handover.go
@@ -200,8 +200,8 @@
 	handover.mutex.Lock()
 	defer handover.mutex.Unlock()
 	handover.closed = true
-	if handover.endSearch != nil && (unwanted || !handover.sent) {
-		handover.endSearch(errOvertaken)
+	if unwanted || !handover.sent {
+		handover.overtake()
 	}
 	return handover.searched
 }
@@ -216,11 +216,16 @@
 	case <-timer.C():
 	}
 	handover.mutex.Lock()
+	handover.overtake()
+	handover.mutex.Unlock()
+	<-searched
+}
+
+// overtake ends the search in progress, if there is one. The mutex is held.
+func (handover *handover) overtake() {
 	if handover.endSearch != nil {
 		handover.endSearch(errOvertaken)
 	}
-	handover.mutex.Unlock()
-	<-searched
 }
 
 // recordSilence records that the upstream of a leg that was replaced may have run part of the request.
--- a/ingress/held.go
+++ b/ingress/held.go
@@ -41,12 +41,10 @@
 	return listed
 }
 
-// LogHeld logs each request that was read whole and has no final response yet, and returns their number. A daemon that ends calls it
-// before it closes the connections.
-func (ingress *Ingress) LogHeld() int {
-	held := ingress.held.list()
-	for _, request := range held {
+// LogHeld logs each request that was read whole and has no final response yet. A daemon that ends calls it before it closes the
+// connections.
+func (ingress *Ingress) LogHeld() {
+	for _, request := range ingress.held.list() {
 		event.RequestHeld.Log("Request", request.Metadata.ID, "Path", request.Path, "Took", ingress.deps.Clock.Since(request.Arrived))
 	}
-	return len(held)
 }
