Look up the replicas of proofs of paths in one place

What stood twice: daemons that ask others for proofs of paths, and those that answer, looked up one replica after the other, each by a walk over the whole table.

Change: replicasOf looks up all replicas of a question by one walk. The proofs of an answer come in no set order now; nothing reads their order.

Behaviour is otherwise as it was: no test changed.

--- a/front/witness.go
+++ b/front/witness.go
@@ -20,13 +20,8 @@
 // probed first. Replicas that are not known here are left out.
 func (daemon *Daemon) findProofs(ctx context.Context, incarnations []topology.Incarnation) []mesh.Proof {
 	var probes sync.WaitGroup
-	var replicas []topology.Replica
-	for _, incarnation := range incarnations {
-		replica, ok := daemon.replicaOf(incarnation)
-		if !ok {
-			continue
-		}
-		replicas = append(replicas, replica)
+	known := daemon.replicasOf(incarnations)
+	for _, replica := range known {
 		path, now := replicaPath(&replica), daemon.clock.Now()
 		if now.Sub(daemon.paths.Known(path, now).Proved) < recentProof {
 			continue
@@ -37,7 +32,7 @@
 	}
 	daemon.awaitProbes(ctx, &probes)
 	var proofs []mesh.Proof
-	for _, replica := range replicas {
+	for _, replica := range known {
 		if proved := daemon.paths.Known(replicaPath(&replica), daemon.clock.Now()).Proved; !proved.IsZero() {
 			proofs = append(proofs, mesh.Proof{Replica: replica.Incarnation, At: proved})
 		}
