Wait for reads of releases in one place

What stood twice: the resolver of origins, and the daemon that confirms releases to another one, waited for a read of the releases by the same code. Registry.Complete was used by tests only, and not the way by which a daemon marks its registry as complete.

Change: origin.Await waits for both. Registry.Complete is gone; the tests call CompleteAt with the current number of gaps, which does the same, and assert what they did.

Behaviour is as it was. Run: origin, front, relay and mesh with -race.

--- a/front/originfinder_test.go
+++ b/front/originfinder_test.go
@@ -14,7 +14,7 @@
 // and a flood of others costs few lookups, which name a bounded number.
 func TestInventedAttemptsShareLookups(t *testing.T) {
 	daemon := New(Settings{Name: "a", StoreAddress: "127.0.0.1:1"}, "", nil)
-	daemon.origins.Complete()
+	daemon.origins.CompleteAt(daemon.origins.Gaps())
 	daemon.origins.SetServing(origin.Releases{"s": {"v1", "v2"}}, daemon.clock.Now())
 	known := streamOrigins{daemon}
 	if _, source := known.Find(t.Context(), strings.Repeat("x", 10<<10), "s"); source != origin.Unknown || daemon.originFinder.gathering != nil {
--- a/front/origins.go
+++ b/front/origins.go
@@ -86,15 +86,7 @@
 
 // confirmReleases reads the releases of all replicas, and reports whether that succeeded.
 func (daemon *Daemon) confirmReleases(ctx context.Context) bool {
-	timer := daemon.clock.NewTimer(confirmTimeout)
-	defer timer.Stop()
-	select {
-	case ok := <-daemon.releaseReader.refresh():
-		return ok
-	case <-timer.C():
-	case <-ctx.Done():
-	}
-	return false
+	return origin.Await(ctx, daemon.clock, daemon.releaseReader.refresh(), confirmTimeout)
 }
 
 // observeReleases records which releases have replicas.
--- a/front/releasereader_test.go
+++ b/front/releasereader_test.go
@@ -70,7 +70,7 @@
 			row := datastore.Row{Key: datastore.Key{Table: known.Table, Row: known.Key}, Version: datastore.NewVersion(1, 3), Value: known.Value}
 			daemon.replaceReplicas(daemon.decodeEntries([]datastore.Row{row}), datastore.NewVersion(1, 5))
 			daemon.apply(nil)
-			daemon.origins.Complete()
+			daemon.origins.CompleteAt(daemon.origins.Gaps())
 			daemon.replicasResponded()
 			if found, source := (streamOrigins{daemon}).Find(t.Context(), "begun elsewhere", "s"); source != c.want {
 				t.Errorf("began at %+v, source %s, want %s", found, source, c.want)
@@ -101,7 +101,7 @@
 	}
 	daemon.replaceReplicas(daemon.decodeEntries(rows), version)
 	daemon.apply(nil)
-	daemon.origins.Complete()
+	daemon.origins.CompleteAt(daemon.origins.Gaps())
 	if found, source := (streamOrigins{daemon}).Find(t.Context(), "begun elsewhere", "s"); source != origin.Unknown {
 		t.Errorf("before the daemon read the whole table again, the stream began at %+v, %s", found, source)
 	}
--- a/origin/completeness.go
+++ b/origin/completeness.go
@@ -26,13 +26,6 @@
 	return registry.complete && !now.Before(registry.doubtUntil)
 }
 
-// Complete records that all recorded origins and releases were read.
-func (registry *Registry) Complete() {
-	registry.mutex.Lock()
-	defer registry.mutex.Unlock()
-	registry.complete = true
-}
-
 // MarkIncomplete records that rows may have come and gone unseen, so that the recorded origins and releases must be read again.
 func (registry *Registry) MarkIncomplete() {
 	registry.mutex.Lock()
@@ -49,8 +42,8 @@
 	return registry.gaps
 }
 
-// CompleteAt is Complete, unless the registry was marked as incomplete since Gaps returned the number. It reports whether the registry is
-// complete.
+// CompleteAt records that all recorded origins and releases were read, unless the registry was marked as incomplete since Gaps returned
+// the number. It reports whether the registry is complete.
 func (registry *Registry) CompleteAt(gaps int) bool {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
--- a/origin/history_test.go
+++ b/origin/history_test.go
@@ -134,7 +134,7 @@
 		started.registry.LearnReleases(page.lately.Sightings(), history.now)
 	}
 	started.registry.Learn(streams, history.now)
-	started.registry.Complete()
+	started.registry.CompleteAt(started.registry.Gaps())
 	started.readTable()
 	history.daemons[index] = started
 }
--- a/origin/registry_test.go
+++ b/origin/registry_test.go
@@ -35,7 +35,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			registry := New()
-			registry.Complete()
+			registry.CompleteAt(registry.Gaps())
 			registry.SetServing(Releases{"s": {"v1"}}, at(0))
 			c.change(registry)
 			if got, ok := registry.Only("s", at(c.at)); got != c.want || ok != (c.want != "") {
@@ -48,7 +48,7 @@
 	if _, ok := registry.Only("s", at(1)); ok {
 		t.Error("a registry that is not complete knows the only release")
 	}
-	registry.Complete()
+	registry.CompleteAt(registry.Gaps())
 	gaps := registry.Gaps()
 	registry.MarkIncomplete()
 	if registry.CompleteAt(gaps) {
@@ -142,7 +142,7 @@
 // replicas this one had not seen, and that were not recorded.
 func TestStreamOfAReleaseThatIsNotKnownIsRecorded(t *testing.T) {
 	registry := New()
-	registry.Complete()
+	registry.CompleteAt(registry.Gaps())
 	registry.SetServing(Releases{"s": {"v1"}}, at(0))
 	registry.Begin(stream("a", "v1"), at(1))
 	if registry.Begin(stream("b", "v2"), at(2)) == nil {
@@ -207,7 +207,7 @@
 // one from another, or from a row, counted it anew from then on and passed it on.
 func TestReleaseThatLeftIsForgottenWhileDaemonsAsk(t *testing.T) {
 	a, b := New(), New()
-	a.Complete()
+	a.CompleteAt(a.Gaps())
 	for _, registry := range []*Registry{a, b} {
 		registry.SetServing(Releases{"s": {"v1", "v2"}}, at(0))
 		registry.SetServing(Releases{"s": {"v2"}}, at(1))
--- a/origin/resolver.go
+++ b/origin/resolver.go
@@ -49,7 +49,7 @@
 	if _, ok := resolver.only(service); ok {
 		refreshed = resolver.Sources.Refresh()
 	}
-	if resolver.await(ctx, refreshed, askDelay) {
+	if Await(ctx, resolver.Clock, refreshed, askDelay) {
 		if only, ok := resolver.only(service); ok {
 			return only, Only
 		}
@@ -61,7 +61,7 @@
 	if releases := resolver.lately(service); confirmed && len(releases) == 1 {
 		return Origin{Service: service, Release: releases[0]}, Only
 	}
-	if resolver.await(ctx, refreshed, refreshWait) {
+	if Await(ctx, resolver.Clock, refreshed, refreshWait) {
 		if only, ok := resolver.only(service); ok {
 			return only, Only
 		}
@@ -80,12 +80,13 @@
 	return resolver.Registry.Lately(resolver.Clock.Now())[service]
 }
 
-// await returns what the channel receives, or false if that is nothing within the time. A nil channel receives nothing.
-func (resolver *Resolver) await(ctx context.Context, refreshed <-chan bool, wait time.Duration) bool {
+// Await returns what the channel receives about a read of the releases, or false if that is nothing within the time. A nil channel
+// receives nothing, and is not waited for.
+func Await(ctx context.Context, clk clock.WithTicker, refreshed <-chan bool, wait time.Duration) bool {
 	if refreshed == nil {
 		return false
 	}
-	timer := resolver.Clock.NewTimer(wait)
+	timer := clk.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case ok := <-refreshed:
