Begin streams that may be taken up at releases that stay

What callers saw: in a rollout, streams that began at the last replica of the older release were refused (NoReplica) when their clients took them up after that replica had left.

What was right already: a replica that is draining or announced that it leaves gets neither new streams nor take-ups (relay.TestLeavingReplicasGetNoRequests). So a stream whose release has lost its last replica can go on nowhere.

Cause: the choice of a replica knew nothing of releases before a stream has begun. Long streams went to both releases alike, also to the last replica of the one that leaves.

Change: package rollout counts the replicas of each release that accept new requests, and expects the end of a release at the pace at which its replicas leave while another one grows. A new resumable stream begins at a leaving release only if the other sound replicas have all slots taken, or if the release has several candidates and is expected to outlast the deadline of the request. balance has a class for that.

Requests of services without a leaving release are chosen as before. In a rollout, replicas of the newer release fill up to their slots while those of the older have room.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -138,19 +138,32 @@
 	return candidates[best]
 }
 
-// class returns zero for candidates without restriction, 1 for ejected ones, 2 for excluded ones and 3 for silent ones; lower
-// classes are chosen first. The mutex must be held.
+// The classes of candidates. Lower ones are chosen first.
+const (
+	// classFirst is that of candidates without restriction.
+	classFirst = iota
+	// classLast is that of replicas of a leaving release, and of those without a free slot while a release leaves.
+	classLast
+	classEjected
+	classExcluded
+	classSilent
+)
+
+// class returns the class of the candidate. The mutex must be held.
 func (balancer *Balancer) class(candidate *Candidate, criteria Criteria, now time.Time) int {
-	if slices.Contains(criteria.Silent, candidate.Incarnation) {
-		return 3
-	}
-	if slices.Contains(criteria.Exclude, candidate.Incarnation) {
-		return 2
-	}
-	if now.Before(balancer.load(candidate.Incarnation).ejectedUntil) {
-		return 1
+	load := balancer.load(candidate.Incarnation)
+	switch {
+	case slices.Contains(criteria.Silent, candidate.Incarnation):
+		return classSilent
+	case slices.Contains(criteria.Exclude, candidate.Incarnation):
+		return classExcluded
+	case now.Before(load.ejectedUntil):
+		return classEjected
+	case len(criteria.Leaving) > 0 && (slices.Contains(criteria.Leaving, candidate.Release) || load.inFlight() >= candidate.Slots):
+		return classLast
+	default:
+		return classFirst
 	}
-	return 0
 }
 
 // score returns the expected cost of the candidate, or its requests in flight if the quietest is wanted; lower is better. The mutex
--- a/balance/balancer_test.go
+++ b/balance/balancer_test.go
@@ -209,3 +209,35 @@
 		balancer.Withdraw(chosen, Criteria{})
 	}
 }
+
+// TestLeavingReleaseIsChosenLast covers streams that should not begin at a release that leaves: its replicas get those for which the
+// others have no free slot, and requests without that wish as before.
+func TestLeavingReleaseIsChosenLast(t *testing.T) {
+	candidates := replicas(3)
+	candidates[0].Release, candidates[1].Release, candidates[2].Release = "v1", "v1", "v2"
+	for _, c := range []struct {
+		name                 string
+		leaving              []string
+		exclude              []topology.Incarnation
+		streams, least, most int
+	}{
+		{"no release leaves", nil, nil, 30, 8, 12},
+		{"the older one leaves", []string{"v1"}, nil, 16, 16, 16},
+		{"the newer one has no free slot", []string{"v1"}, nil, 24, 16, 19},
+		{"both leave", []string{"v1", "v2"}, nil, 30, 8, 12},
+		{"the newer one failed before", []string{"v1"}, []topology.Incarnation{candidates[2].Incarnation}, 30, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			balancer, newer := newBalancer(), 0
+			for range c.streams {
+				chosen, _ := balancer.Choose(candidates, Criteria{Zone: "near", Leaving: c.leaving, Exclude: c.exclude, MaxLoad: 2}, start)
+				if chosen.Release == "v2" {
+					newer++
+				}
+			}
+			if newer < c.least || newer > c.most {
+				t.Errorf("%d of %d streams went to the newer release, want %d to %d", newer, c.streams, c.least, c.most)
+			}
+		})
+	}
+}
--- a/balance/criteria.go
+++ b/balance/criteria.go
@@ -27,6 +27,8 @@
 	MaxLoad float64
 	// Quietest states that the candidate with the fewest requests in flight is chosen, whatever else speaks for others.
 	Quietest bool
+	// Leaving lists releases whose replicas are chosen only if no other sound one has a free slot.
+	Leaving []string
 	// Exclude lists replicas that were tried already; they are chosen only if there is no other.
 	Exclude []topology.Incarnation
 	// Silent lists replicas that are chosen only if all others are among them.
--- a/front/daemon.go
+++ b/front/daemon.go
@@ -30,6 +30,7 @@
 	"github.com/bronzestall/bronzestall/ratelimit"
 	"github.com/bronzestall/bronzestall/reach"
 	"github.com/bronzestall/bronzestall/relay"
+	"github.com/bronzestall/bronzestall/rollout"
 	"github.com/bronzestall/bronzestall/roster"
 	"github.com/bronzestall/bronzestall/scheduler"
 	"github.com/bronzestall/bronzestall/topology"
@@ -87,6 +88,8 @@
 	// lately had, several.
 	releaseReader *releaseReader
 	releasesMixed atomic.Bool
+	// rollouts knows which releases leave.
+	rollouts *rollout.Tracker
 	// originRecorder records those that this daemon began.
 	originRecorder *originRecorder
 	// lender passes requests to other daemons, and lent serves theirs.
--- a/front/new.go
+++ b/front/new.go
@@ -19,6 +19,7 @@
 	"github.com/bronzestall/bronzestall/ratelimit"
 	"github.com/bronzestall/bronzestall/reach"
 	"github.com/bronzestall/bronzestall/relay"
+	"github.com/bronzestall/bronzestall/rollout"
 	"github.com/bronzestall/bronzestall/roster"
 )
 
@@ -49,6 +50,7 @@
 		suspectRows:     newExpiringRows(suspectTable),
 		originRows:      newExpiringRows(originTable),
 		origins:         origin.New(),
+		rollouts:        rollout.New(),
 		paths:           reach.New(),
 		reportRequested: make(chan struct{}, 1),
 		stopStarted:     make(chan struct{}),
@@ -82,6 +84,7 @@
 		OnModelWait: daemon.requestReport,
 		Limiter:     daemon.limiter,
 		Origins:     streamOrigins{daemon},
+		Rollouts:    daemon.rollouts,
 		Lender:      daemon.lender,
 		Brittle:     daemon.brittle,
 		DaemonIndex: func() int { return int(daemon.daemonIndex.Load()) },
--- a/front/replicas.go
+++ b/front/replicas.go
@@ -143,6 +143,8 @@
 	wasReady := daemon.isReady()
 	daemon.observeReleases(entries)
 	daemon.directory.SetReplicas(usable)
+	// Once the directory no longer lists the last replica of a release, no stream begins there because its release seems to stay.
+	daemon.rollouts.Observe(usable, daemon.clock.Now())
 	if configuration := daemon.relay.Configuration(); configuration != nil {
 		daemon.scheduler.Update(configuration, usable)
 	}
--- a/internal/frontsoak/release_test.go
+++ b/internal/frontsoak/release_test.go
@@ -78,6 +78,15 @@
 	}
 }
 
+// replaceOldRelease has the engines of the older release leave one after the other. Each starts again with the newer release.
+func (testbed *testbed) replaceOldRelease() {
+	repeat(engineCount, 2*time.Second, func(number int) {
+		replica := testbed.replicas[number]
+		replica.withLock(func() { replica.nextRelease = "v2" })
+		replica.drain()
+	})
+}
+
 var releaseCases = []releaseCase{
 	{name: "clients leave", leaving: 40, inject: func(*testbed) {}},
 	{name: "engines break streams off", inject: func(testbed *testbed) {
@@ -98,6 +107,7 @@
 		time.Sleep(400 * time.Millisecond)
 		testbed.signalAll(syscall.SIGKILL)
 	}},
+	{name: "the old release is replaced", leaving: 100, inject: (*testbed).replaceOldRelease},
 }
 
 // TestStreamsHaveEventsOfOneRelease guards against issue 42: streams that were taken up, at any daemon or within one answer,
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -18,6 +18,7 @@
 	"github.com/bronzestall/bronzestall/quarantine"
 	"github.com/bronzestall/bronzestall/ratelimit"
 	"github.com/bronzestall/bronzestall/retry"
+	"github.com/bronzestall/bronzestall/rollout"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
@@ -41,6 +42,8 @@
 	Limiter *ratelimit.Limiter
 	// Origins knows which releases began streams.
 	Origins Origins
+	// Rollouts knows which releases leave; nil means that none does.
+	Rollouts *rollout.Tracker
 	// Brittle keeps rejections rare at replicas that fall over for them; nil means that none does.
 	Brittle *brittle.Guard
 	// Lender passes requests on through other daemons; nil means that there is none.
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -121,6 +121,7 @@
 	available := selection.availability(candidates, !selection.counted, now)
 	selection.counted = true
 	selection.criteria.MaxLoad = selection.maxLoad(now)
+	selection.criteria.Leaving = selection.leavingReleases(candidates, now)
 	// A trial may end its replica with all that runs there.
 	selection.criteria.Quietest = selection.trial != 0
 	if chosen, ok := selection.choose(available.accepting, now); ok {
