Keep the fields of a later build in notes and in the catalogue

What callers saw: nothing yet; two builds that differ in the fields of a model, an adapter or a service have not met.

Files of notes stay strict. openjson.Decode finds unknown members in one pass over the outer object, since it is now used for entries within entries; it also took a member named "-" for one that has a field where a field is left out by its tag.

--- a/catalogue/apply.go
+++ b/catalogue/apply.go
@@ -21,6 +21,7 @@
 		services:  builder.services.list,
 		adapters:  builder.adapters,
 		withdrawn: builder.withdrawn,
+		unknown:   catalogue.unknown,
 	}, nil
 }
 
@@ -110,7 +111,7 @@
 		if current == nil {
 			return &ChangeError{Entry: EntryName{Kind: ModelKind, Name: model.Name}, Fault: Absent}
 		}
-		changed := &modelEntry{model: model, previous: &current.model, adapters: current.adapters}
+		changed := &modelEntry{model: model, previous: &current.model, adapters: current.adapters, unknown: current.unknown}
 		builder.models.Put(model.Name, changed)
 	}
 	return nil
@@ -127,7 +128,7 @@
 		if current == nil {
 			return &ChangeError{Entry: EntryName{Kind: AdapterKind, Name: adapter.FullName().String()}, Fault: Absent}
 		}
-		builder.putAdapter(&adapterEntry{adapter: adapter, previous: &current.adapter})
+		builder.putAdapter(&adapterEntry{adapter: adapter, previous: &current.adapter, unknown: current.unknown})
 	}
 	return nil
 }
--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -1,6 +1,10 @@
 package catalogue
 
-import "iter"
+import (
+	"iter"
+
+	"github.com/bronzestall/bronzestall/internal/openjson"
+)
 
 // Catalogue contains the models, adapters and plain services in force. It is immutable and safe for concurrent use.
 // The zero value is empty.
@@ -13,6 +17,8 @@
 	adapters int
 	// withdrawn holds the withdrawn entries; none of them is in force.
 	withdrawn withdrawals
+	// unknown holds the members of its snapshot that only a later build knows.
+	unknown openjson.Rest
 }
 
 // modelEntry is one model with its adapters. It is immutable.
@@ -22,6 +28,8 @@
 	previous *Model
 	// adapters are sorted by name.
 	adapters sortedList[string, adapterEntry]
+	// unknown holds what only a later build knows of the entry. It outlives changes of the model.
+	unknown openjson.Rest
 }
 
 // adapterEntry is one adapter. It is immutable.
@@ -29,6 +37,8 @@
 	adapter Adapter
 	// previous is the adapter before its last change, or nil.
 	previous *Adapter
+	// unknown holds what only a later build knows of the entry. It outlives changes of the adapter.
+	unknown openjson.Rest
 }
 
 // Model returns the model in force, and whether there is one. The lookup is a binary search.
--- a/catalogue/change.go
+++ b/catalogue/change.go
@@ -1,5 +1,7 @@
 package catalogue
 
+import "github.com/bronzestall/bronzestall/internal/openjson"
+
 // Changes lists the changes to entries of one kind.
 type Changes[T, N any] struct {
 	// Added are the new entries.
@@ -8,6 +10,8 @@
 	Changed []T `yaml:"Changed" json:"Changed,omitempty"`
 	// Withdrawn are the names of the entries to remove.
 	Withdrawn []N `yaml:"Withdrawn" json:"Withdrawn,omitempty"`
+	// Unknown holds the members that only a later build knows. They do not change a catalogue.
+	Unknown openjson.Rest `yaml:"-" json:"-"`
 }
 
 // Len returns the number of entries in the lists.
--- a/catalogue/model.go
+++ b/catalogue/model.go
@@ -1,5 +1,7 @@
 package catalogue
 
+import "github.com/bronzestall/bronzestall/internal/openjson"
+
 // Model is a model that clients can request.
 type Model struct {
 	// Name is unique among models.
@@ -20,6 +22,8 @@
 	MaxReplicas int `yaml:"MaxReplicas,omitempty" json:"MaxReplicas,omitempty"`
 	// Concurrency is the number of requests that one replica should process at once; zero means 16.
 	Concurrency int `yaml:"Concurrency,omitempty" json:"Concurrency,omitempty"`
+	// Unknown holds the members that only a later build knows.
+	Unknown openjson.Rest `yaml:"-" json:"-"`
 }
 
 // Memory returns the accelerator memory in bytes that one replica requires: weights, reserve and adapter slots.
--- a/catalogue/service.go
+++ b/catalogue/service.go
@@ -1,5 +1,7 @@
 package catalogue
 
+import "github.com/bronzestall/bronzestall/internal/openjson"
+
 // Service is a plain service, which is not a model engine.
 type Service struct {
 	// Name is unique among services and is the path segment after /services/.
@@ -8,6 +10,8 @@
 	Upstreams []string `yaml:"Upstreams" json:"Upstreams"`
 	// Calls are the calls of the service. Other calls are rejected.
 	Calls []Call `yaml:"Calls" json:"Calls"`
+	// Unknown holds the members that only a later build knows.
+	Unknown openjson.Rest `yaml:"-" json:"-"`
 }
 
 // Call is one HTTP call of a plain service.
@@ -18,4 +22,6 @@
 	Path string `yaml:"Path" json:"Path"`
 	// Idempotent is true if the call may be executed more than once.
 	Idempotent bool `yaml:"Idempotent,omitempty" json:"Idempotent,omitempty"`
+	// Unknown holds the members that only a later build knows.
+	Unknown openjson.Rest `yaml:"-" json:"-"`
 }
--- a/internal/openjson/openjson.go
+++ b/internal/openjson/openjson.go
@@ -3,27 +3,23 @@
 package openjson
 
 import (
-	"bytes"
 	"encoding/json"
 	"reflect"
+	"slices"
 	"strings"
+	"sync"
 )
 
 // Rest holds the members of a JSON object that have no field, as a JSON object; empty if there are none.
 type Rest string
 
 // Decode decodes the content, a JSON object, into a struct, to which into points, and returns the members without a field. It
-// fails as json.Unmarshal does. The type must not implement json.Unmarshaler by this function. An object without unknown members
-// is decoded once, others twice.
+// fails as json.Unmarshal does. The type must not implement json.Unmarshaler by this function. The content is read twice, and what
+// lies in its members is decoded once.
 func Decode(content []byte, into any) (Rest, error) {
 	if err := json.Unmarshal(content, into); err != nil {
 		return "", err
 	}
-	strict := json.NewDecoder(bytes.NewReader(content))
-	strict.DisallowUnknownFields()
-	if strict.Decode(reflect.New(reflect.TypeOf(into).Elem()).Interface()) == nil {
-		return "", nil
-	}
 	return unknown(content, reflect.TypeOf(into).Elem())
 }
 
@@ -33,9 +29,10 @@
 	if err := json.Unmarshal(content, &members); err != nil {
 		return "", err
 	}
-	for name := range members {
-		if hasField(structure, name) {
-			delete(members, name)
+	known := names(structure)
+	for member := range members {
+		if slices.ContainsFunc(known, func(name string) bool { return strings.EqualFold(name, member) }) {
+			delete(members, member)
 		}
 	}
 	if len(members) == 0 {
@@ -45,18 +42,27 @@
 	return Rest(rest), err
 }
 
-// hasField reports whether json.Unmarshal finds a field for the member.
-func hasField(structure reflect.Type, member string) bool {
+// namesByType maps types of structs to what names returns for them.
+var namesByType sync.Map
+
+// names returns the names of the members that json.Unmarshal finds a field for, whatever their case.
+func names(structure reflect.Type) []string {
+	if known, ok := namesByType.Load(structure); ok {
+		return known.([]string)
+	}
+	var known []string
 	for _, field := range reflect.VisibleFields(structure) {
-		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		tag := field.Tag.Get("json")
+		name, _, _ := strings.Cut(tag, ",")
 		if name == "" {
 			name = field.Name
 		}
-		if field.IsExported() && strings.EqualFold(name, member) {
-			return true
+		if field.IsExported() && tag != "-" {
+			known = append(known, name)
 		}
 	}
-	return false
+	namesByType.Store(structure, known)
+	return known
 }
 
 // Encode encodes a struct as a JSON object with the members of the rest behind its own. The rest must be one that Decode returned
--- a/internal/openjson/openjson_test.go
+++ b/internal/openjson/openjson_test.go
@@ -13,6 +13,7 @@
 	Count int
 	Inner inner
 	List  []inner `json:",omitempty"`
+	Left  int     `json:"-"`
 	local int
 }
 
@@ -22,7 +23,8 @@
 		`{"New":{"b":[1, 2]},"Count":3}`:                  `{"Count":3,"Inner":{"Number":0},"New":{"b":[1,2]}}`,
 		`{"count":4,"TITLE":"b","local":5,"Old":null}`:    `{"Title":"b","Count":4,"Inner":{"Number":0},"Old":null,"local":5}`,
 		`{"Inner":{"Number":1,"Lost":2},"Z":1e400,"A":0}`: `{"Count":0,"Inner":{"Number":1},"A":0,"Z":1e400}`,
-		`{}`: `{"Count":0,"Inner":{"Number":0}}`,
+		`{"-":6,"Left":7}`:                                `{"Count":0,"Inner":{"Number":0},"-":6,"Left":7}`,
+		`{}`:                                              `{"Count":0,"Inner":{"Number":0}}`,
 	} {
 		var decoded object
 		rest, err := Decode([]byte(content), &decoded)
--- a/note/note.go
+++ b/note/note.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/bronzestall/bronzestall/catalogue"
+	"github.com/bronzestall/bronzestall/internal/openjson"
 	"github.com/bronzestall/bronzestall/internal/strictyaml"
 )
 
@@ -19,6 +20,8 @@
 	Adapters catalogue.Changes[catalogue.Adapter, catalogue.AdapterName] `yaml:"Adapters" json:"Adapters,omitzero"`
 	// Services lists changes of plain services.
 	Services catalogue.Changes[catalogue.Service, string] `yaml:"Services" json:"Services,omitzero"`
+	// Unknown holds the members that only a later build knows. They do not change a catalogue.
+	Unknown openjson.Rest `yaml:"-" json:"-"`
 
 	// lines maps keys to lines of the file. It is empty for a note that was not parsed.
 	lines strictyaml.Lines
@@ -31,3 +34,16 @@
 func (note Note) Change() catalogue.Change {
 	return catalogue.Change{Models: note.Models, Adapters: note.Adapters, Services: note.Services}
 }
+
+// UnmarshalJSON decodes the note and keeps the members that it does not know.
+func (note *Note) UnmarshalJSON(content []byte) (err error) {
+	type plain Note
+	note.Unknown, err = openjson.Decode(content, (*plain)(note))
+	return err
+}
+
+// MarshalJSON encodes the note with the members that were unknown when it was decoded.
+func (note Note) MarshalJSON() ([]byte, error) {
+	type plain Note
+	return openjson.Encode(plain(note), note.Unknown)
+}
