Show what follows when clients take streams up, and how releases shift

What operators lacked: 855 StreamTakenUp was written when the origin was found, and told neither for how long the daemon knew it nor what followed. Take-ups were counted by source only. Nothing showed the replicas of each release, so that a refused take-up led to the rollout only through the lines of single replicas.

Partial: Age is the time for which the answering daemon knew the origin, and zero if it asked others: messages between daemons carry no age of a stream. If a daemon is killed during a take-up, only 854 tells of it.

--- a/front/daemon.go
+++ b/front/daemon.go
@@ -88,8 +88,9 @@
 	// lately had, several.
 	releaseReader *releaseReader
 	releasesMixed atomic.Bool
-	// rollouts knows which releases leave.
-	rollouts *rollout.Tracker
+	// rollouts knows which releases leave, and releaseMeter shows the replicas of all. Only housekeeping uses the latter.
+	rollouts     *rollout.Tracker
+	releaseMeter releaseMeter
 	// originRecorder records those that this daemon began.
 	originRecorder *originRecorder
 	// lender passes requests to other daemons, and lent serves theirs.
--- a/front/origins.go
+++ b/front/origins.go
@@ -53,6 +53,11 @@
 	return found, source
 }
 
+// Age returns how long this daemon has known the origin of the stream.
+func (known streamOrigins) Age(id string) time.Duration {
+	return known.origins.Age(id, known.clock.Now())
+}
+
 // originSources is where the daemon learns of origins and releases.
 type originSources struct{ *Daemon }
 
--- a/front/replicas.go
+++ b/front/replicas.go
@@ -144,7 +144,7 @@
 	daemon.observeReleases(entries)
 	daemon.directory.SetReplicas(usable)
 	// Once the directory no longer lists the last replica of a release, no stream begins there because its release seems to stay.
-	daemon.rollouts.Observe(usable, daemon.clock.Now())
+	logShifts(daemon.rollouts.Observe(usable, daemon.clock.Now()))
 	if configuration := daemon.relay.Configuration(); configuration != nil {
 		daemon.scheduler.Update(configuration, usable)
 	}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -101,6 +101,7 @@
 // record logs and counts how the request ended.
 func (ingress *Ingress) record(request *exchange.Request, sink *sink, summary relay.Summary, failure *outcome.Error) {
 	took := ingress.deps.Clock.Since(request.Arrived)
+	ingress.recordTakeUp(request, summary, failure)
 	labels := meter.Labels{Class: summary.Route}
 	fields := []any{
 		"Request", request.Metadata.ID, "Path", request.Path, "Route", summary.Route, "Configuration", summary.Configuration,
--- a/meter/name.go
+++ b/meter/name.go
@@ -48,6 +48,10 @@
 	SuspectsEvicted Name = "bronzestall_suspects_evicted"
 	// StreamsTakenUp counts the streams that clients took up, by how the release that began them is known.
 	StreamsTakenUp Name = "bronzestall_streams_taken_up"
+	// TakeUpsEnded counts the requests that took up streams, by their outcome: Answered or the error kind.
+	TakeUpsEnded Name = "bronzestall_take_ups_ended"
+	// ReplicasByRelease is the number of replicas that accept new requests, by service and release.
+	ReplicasByRelease Name = "bronzestall_replicas_by_release"
 	// OriginsHeld is the number of streams whose origin the daemon holds.
 	OriginsHeld Name = "bronzestall_origins_held"
 	// OriginsLate counts the streams whose first event was passed on before their origin was recorded.
--- a/origin/registry.go
+++ b/origin/registry.go
@@ -145,6 +145,17 @@
 	return known.Origin, true
 }
 
+// Age returns how long the origin of the stream that the attempt began has been known; zero if it is not.
+func (registry *Registry) Age(id string, now time.Time) time.Duration {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	known, ok := registry.streams[id]
+	if !ok {
+		return 0
+	}
+	return now.Sub(known.since)
+}
+
 // Held returns the number of origins held.
 func (registry *Registry) Held() int {
 	registry.mutex.Lock()
--- a/relay/continuation.go
+++ b/relay/continuation.go
@@ -27,6 +27,8 @@
 	// Find returns the origin of the stream that the attempt began at the service, if the client names no other, and how it is
 	// known: origin.Unknown if it is not.
 	Find(ctx context.Context, id, service string) (origin.Origin, origin.Source)
+	// Age returns how long this daemon has known the origin of the stream; zero if it does not.
+	Age(id string) time.Duration
 }
 
 // streamID returns the ID of the attempt that began the stream, which is that of the request unless it takes one up.
@@ -47,9 +49,10 @@
 		return nil
 	}
 	metadata := &transaction.request.Metadata
+	taken := &TakeUp{Age: transaction.relay.deps.Origins.Age(metadata.Resumes)}
+	transaction.summary.TakeUp = taken
 	found, source := transaction.relay.deps.Origins.Find(ctx, metadata.Resumes, transaction.service.Name)
-	event.StreamTakenUp.Log("Request", metadata.ID, "Resumes", metadata.Resumes[:min(len(metadata.Resumes), maxLoggedID)],
-		"LastEvent", metadata.LastEventID, "Service", found.Service, "Begun", found.Release, "Source", source)
+	taken.Origin, taken.Source = found, source
 	service, allowed := transaction.targetOf(found.Service)
 	if source == origin.Unknown || !allowed {
 		return outcome.New(outcome.OriginUnknown, "it is not known which release began the stream").WithRetryAfter(retryAfterUnknown)
@@ -58,9 +61,6 @@
 	return nil
 }
 
-// maxLoggedID bounds the bytes of an ID in a log line.
-const maxLoggedID = 64
-
 // targetOf returns the service with the name, and whether the route leads to it.
 func (transaction *transaction) targetOf(name string) (topology.Service, bool) {
 	for _, target := range transaction.route.Targets {
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -220,6 +220,8 @@
 	return origin.Origin{}, origin.Unknown
 }
 
+func (origins *origins) Age(string) time.Duration { return time.Second }
+
 func newFixture(steps ...step) *fixture {
 	clk := clock.RealClock{}
 	built := &fixture{upstream: &replicas{steps: steps}, directory: directory.New(clk), demand: demand.New(), limits: ratelimit.NewTable(), origins: &origins{known: map[string]origin.Origin{}}}
--- a/rollout/tracker.go
+++ b/rollout/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -38,8 +39,18 @@
 	return &Tracker{services: map[string]map[string]*release{}}
 }
 
-// Observe records the replicas that accept new requests, which must be all of them.
-func (tracker *Tracker) Observe(accepting []topology.Replica, now time.Time) {
+// Shift is a change in the number of replicas of a release whose service has, or lately had, another one.
+type Shift struct {
+	// Service and Release name the release.
+	Service, Release string
+	// Before and Accepting are the former and the present number of replicas that accept new requests.
+	Before, Accepting int
+	// Leaves states that the release gives way to another one.
+	Leaves bool
+}
+
+// Observe records the replicas that accept new requests, which must be all of them, and returns what shifted, in no certain order.
+func (tracker *Tracker) Observe(accepting []topology.Replica, now time.Time) []Shift {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	counts := countReleases(accepting)
@@ -49,20 +60,50 @@
 		}
 	}
 	moving := false
+	var shifts []Shift
 	for service, releases := range tracker.services {
-		for name, known := range releases {
-			known.observe(counts[service][name], tracker.begun, now)
-			if known.isOver(now) {
-				delete(releases, name)
+		shifted := observe(releases, counts[service], tracker.begun, now)
+		if len(releases) > 1 {
+			for _, shift := range shifted {
+				shift.Service = service
+				shifts = append(shifts, shift)
 			}
-			moving = moving || (len(releases) > 1 && known.accepting > 0 && len(known.departures) > 0)
 		}
+		maps.DeleteFunc(releases, func(_ string, known *release) bool { return known.isOver(now) })
 		if len(releases) == 0 {
 			delete(tracker.services, service)
 		}
+		moving = moving || mayLeave(releases)
 	}
 	tracker.begun = true
 	tracker.moving.Store(moving)
+	return shifts
+}
+
+// observe records the numbers of replicas of the releases of one service, and returns the changes, without the service.
+func observe(releases map[string]*release, counts map[string]int, begun bool, now time.Time) []Shift {
+	var shifts []Shift
+	for name, known := range releases {
+		before := known.accepting
+		known.observe(counts[name], begun, now)
+		if begun && known.accepting != before {
+			shifts = append(shifts, Shift{Release: name, Before: before, Accepting: known.accepting})
+		}
+	}
+	for index := range shifts {
+		shifts[index].Leaves = yields(releases[shifts[index].Release], releases, now)
+	}
+	return shifts
+}
+
+// mayLeave reports whether one of several releases lost replicas and has some left.
+func mayLeave(releases map[string]*release) bool {
+	for _, known := range releases {
+		if len(releases) > 1 && known.accepting > 0 && len(known.departures) > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // add adds the release of a service. The mutex is held.
@@ -78,12 +119,16 @@
 // countReleases returns the number of replicas by service and release.
 func countReleases(replicas []topology.Replica) map[string]map[string]int {
 	counts := map[string]map[string]int{}
-	for index := range replicas {
-		replica := &replicas[index]
-		if counts[replica.Service] == nil {
-			counts[replica.Service] = map[string]int{}
+	for begin := 0; begin < len(replicas); {
+		first, end := &replicas[begin], begin+1
+		for end < len(replicas) && replicas[end].Service == first.Service && replicas[end].Release == first.Release {
+			end++
+		}
+		if counts[first.Service] == nil {
+			counts[first.Service] = map[string]int{}
 		}
-		counts[replica.Service][replica.Release]++
+		counts[first.Service][first.Release] += end - begin
+		begin = end
 	}
 	return counts
 }
--- a/rollout/tracker_test.go
+++ b/rollout/tracker_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"testing"
@@ -97,3 +98,30 @@
 		})
 	}
 }
+
+// TestShifts covers what the log tells of a rollout.
+func TestShifts(t *testing.T) {
+	tracker, now := observed([]counts{{2, 0, 0}})
+	of := func(older, newer int) []topology.Replica {
+		return append(slices.Repeat([]topology.Replica{{Service: "s", Release: "v1"}}, older), slices.Repeat([]topology.Replica{{Service: "s", Release: "v2"}}, newer)...)
+	}
+	for _, c := range []struct {
+		older, newer int
+		want         []Shift
+	}{
+		{2, 0, nil},
+		{1, 0, nil},
+		{2, 0, nil},
+		{2, 1, []Shift{{"s", "v2", 0, 1, false}}},
+		{1, 1, []Shift{{"s", "v1", 2, 1, true}}},
+		{1, 1, nil},
+		{0, 2, []Shift{{"s", "v1", 1, 0, true}, {"s", "v2", 1, 2, false}}},
+		{0, 2, nil},
+	} {
+		got := tracker.Observe(of(c.older, c.newer), now)
+		slices.SortFunc(got, func(a, b Shift) int { return cmp.Compare(a.Release, b.Release) })
+		if !slices.Equal(got, c.want) {
+			t.Errorf("%d and %d replicas: %+v, want %+v", c.older, c.newer, got, c.want)
+		}
+	}
+}
