Take every Last-Event-Id but zero for a take-up

What callers may have seen: a request with a Last-Event-Id that is no number, is over 63 bits or is given twice passed for a new stream where Resumes was missing. It went to any release, and its header with it, so that a replica that reads the number in its own way goes on with a stream of another release. Of several values of Resumes the first one was believed.

Cause: an event that could not be read counted as none.

Change: it is kept as unreadable, and makes the request a take-up, which needs a known origin or a service with one release.

Tests that failed first: platform.TestOddTakeUpHeaders (8 of 13 cases) and one case of relay.TestOddTakeUps, "none, after an event that cannot be read".

--- a/exchange/request.go
+++ b/exchange/request.go
@@ -38,6 +38,9 @@
 	Prefix []Part
 	// LastEventID is the ID of the last event that the client has received; zero if it has none.
 	LastEventID uint64
+	// UnreadableEvent is set if the client names an event that it has received by something else than a number. A replica may
+	// understand it.
+	UnreadableEvent bool
 	// Resumes is the ID of the attempt that brought the first event of the stream that the client takes up; empty if it
 	// begins a new one.
 	Resumes string
--- a/relay/continuation.go
+++ b/relay/continuation.go
@@ -39,7 +39,7 @@
 // takesUp reports whether the client goes on with a stream that another request began.
 func (transaction *transaction) takesUp() bool {
 	metadata := &transaction.request.Metadata
-	return transaction.route.Kind == topology.Streaming && (metadata.Resumes != "" || metadata.LastEventID > 0)
+	return transaction.route.Kind == topology.Streaming && (metadata.Resumes != "" || metadata.LastEventID > 0 || metadata.UnreadableEvent)
 }
 
 // findOrigin sets the release at which a stream that the client takes up may go on. It returns the refusal of the request if
