Show operators which daemon runs which build

What operators saw: `bronzestall status` had the versions of the protocol in its JSON only and no builds, and `bronzestall_build` named every build "unknown" where the revision is not recorded, as in a build without version control, so that an upgrade half done looked like one that is complete.

The records of daemons tell the build in their identity, which is sent once for each process, so that exchanges do not grow. `bronzestall status` prints build and protocol of the daemon and of each other one; the metric is set at the product's own door too. Nothing is decided by the build.

--- a/cmd/bronzestall/commands_test.go
+++ b/cmd/bronzestall/commands_test.go
@@ -201,8 +201,11 @@
 
 func TestStatus(t *testing.T) {
 	report := status.Report{
-		At:        time.Unix(0, 0).UTC(),
-		Daemon:    status.Daemon{Name: "entry-1", DataCentre: "fukuoka", Ready: true},
+		At:     time.Unix(0, 0).UTC(),
+		Daemon: status.Daemon{Name: "entry-1", DataCentre: "fukuoka", Ready: true, Build: "c0ffee", Protocol: 2},
+		Peers: []status.Peer{
+			{Name: "entry-3", Build: "f00d", Protocol: 1, HeardAgo: 3 * time.Second}, {Name: "entry-4", HeardAgo: 2 * time.Second},
+		},
 		InForce:   status.InForce{Known: true, Number: 7, Models: 4, Behind: []string{"entry-4"}},
 		Decider:   status.Decider{Name: "entry-2"},
 		Platform:  status.Platform{TablesAwayFor: 90 * time.Second},
@@ -223,6 +226,7 @@
 	for _, part := range []string{
 		"number 7 with 4 models", "Not yet in force at: entry-4", "Decider: entry-2", "could not be read for 1m30s",
 		"1.2s ago", "38GiB", "QueueFull", "never",
+		"Build c0ffee, protocol 2.", "f00d   1         3s ago", "-      -         2s ago",
 	} {
 		session.expect("status SETTINGS --address "+address, exitDone, part)
 	}
--- a/cmd/bronzestall/report.go
+++ b/cmd/bronzestall/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"strings"
 	"time"
 
@@ -28,6 +29,20 @@
 	}
 	page.line("Daemon %s in %s at %s: %s, %d requests running.", report.Daemon.Name, report.Daemon.DataCentre,
 		report.At.Format(time.RFC3339), state, report.Daemon.Running)
+	page.line("Build %s, protocol %s.", buildName(report.Daemon.Build), protocolName(report.Daemon.Protocol))
+}
+
+// buildName returns the name of a build, or a dash for one that told none.
+func buildName(build string) string {
+	return cmp.Or(build, "-")
+}
+
+// protocolName returns the version of the protocol between daemons, or a dash for a daemon that told none.
+func protocolName(version int64) string {
+	if version == 0 {
+		return "-"
+	}
+	return fmt.Sprint(version)
 }
 
 func printInForce(page *page, inForce status.InForce) {
@@ -113,13 +128,14 @@
 		return
 	}
 	page.line("")
-	page.row("DAEMON", "DATA CENTRE", "IN FORCE", "RUNNING", "WAITING", "STATE", "HEARD")
+	page.row("DAEMON", "DATA CENTRE", "IN FORCE", "RUNNING", "WAITING", "STATE", "BUILD", "PROTOCOL", "HEARD")
 	for _, peer := range peers {
 		state := "serving"
 		if peer.Leaving {
 			state = "leaving"
 		}
-		page.row(peer.Name, peer.DataCentre, peer.InForce, peer.Running, peer.Waiting, state, age(peer.HeardAgo)+" ago")
+		page.row(peer.Name, peer.DataCentre, peer.InForce, peer.Running, peer.Waiting, state,
+			buildName(peer.Build), protocolName(peer.Protocol), age(peer.HeardAgo)+" ago")
 	}
 }
 
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -6,6 +6,7 @@
 
 	"github.com/bronzestall/bronzestall/internal/invariant"
 	"github.com/bronzestall/bronzestall/meter"
+	"github.com/bronzestall/bronzestall/protocol"
 	"github.com/bronzestall/bronzestall/upstream"
 )
 
@@ -17,6 +18,7 @@
 		_, number, _ := daemon.catalogue()
 		daemon.meter.Set(meter.InForce, meter.Labels{}, int64(number))
 		daemon.meter.Set(meter.PeersHeard, meter.Labels{}, int64(len(daemon.node.Records())))
+		daemon.meter.Set(meter.Build, meter.Labels{Subject: protocol.Build()}, int64(protocol.Current))
 		daemon.meter.Set(meter.InvariantsBroken, meter.Labels{}, invariant.Violations())
 		daemon.setCandidateGauges()
 		daemon.meter.Set(meter.ReplicasLoaded, meter.Labels{Subject: daemon.settings.DataCentre}, daemon.readyReplicas())
--- a/daemon/report.go
+++ b/daemon/report.go
@@ -9,6 +9,7 @@
 	"github.com/bronzestall/bronzestall/fleet"
 	"github.com/bronzestall/bronzestall/internal/invariant"
 	"github.com/bronzestall/bronzestall/meter"
+	"github.com/bronzestall/bronzestall/protocol"
 	"github.com/bronzestall/bronzestall/status"
 	"github.com/bronzestall/bronzestall/upstream"
 )
@@ -26,6 +27,8 @@
 			Ready:       ready,
 			Reason:      reason,
 			Running:     daemon.arrivals.running(),
+			Build:       protocol.Build(),
+			Protocol:    int64(protocol.Current),
 		},
 		InForce:          daemon.reportInForce(),
 		Decider:          daemon.reportDecider(now),
@@ -82,6 +85,7 @@
 		report.Peers = append(report.Peers, status.Peer{
 			Name:       record.Name,
 			DataCentre: record.DataCentre,
+			Build:      record.Build,
 			Protocol:   int64(daemon.node.Protocol(record.Name)),
 			InForce:    record.InForce,
 			Leaving:    record.Leaving,
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -8,6 +8,7 @@
 	"github.com/bronzestall/bronzestall/meter"
 	"github.com/bronzestall/bronzestall/observer"
 	"github.com/bronzestall/bronzestall/peer"
+	"github.com/bronzestall/bronzestall/protocol"
 	"github.com/bronzestall/bronzestall/quarantine"
 	"github.com/bronzestall/bronzestall/release"
 	"github.com/bronzestall/bronzestall/request"
@@ -40,6 +41,7 @@
 		Incarnation:   uint64(daemon.started.UnixNano()),
 		PeerAddress:   daemon.settings.PeerAddress,
 		CallerAddress: daemon.settings.CallerAddress,
+		Build:         protocol.Build(),
 		Client:        daemon.deps.PeerClient,
 		UseTLS:        daemon.credentials != nil,
 		Members:       peer.MembersFunc(daemon.peerMembers),
--- a/meter/name.go
+++ b/meter/name.go
@@ -79,8 +79,7 @@
 	LimitRefused Name = "bronzestall_limit_requests_refused"
 	// NoticesMalformed counts responses with a notice of the replica that could not be decoded, by header.
 	NoticesMalformed Name = "bronzestall_notices_malformed"
-	// Build is the version of the protocol between daemons that the daemon knows; its subject is the source revision of the build, or
-	// "unknown" if the build recorded none.
+	// Build is the version of the protocol between daemons that the daemon knows; its subject is protocol.Build.
 	Build Name = "bronzestall_build"
 	// DaemonsByProtocol is the number of other live daemons by the version of the protocol that they told: Same, Older or Newer.
 	DaemonsByProtocol Name = "bronzestall_daemons_by_protocol"
--- a/peer/decode.go
+++ b/peer/decode.go
@@ -28,6 +28,7 @@
 		next.DataCentre = identity.GetDataCentre()
 		next.PeerAddress = identity.GetPeerAddress()
 		next.CallerAddress = identity.GetCallerAddress()
+		next.Build = identity.GetBuild()
 	}
 	if suspects := message.GetSuspects(); suspects != nil {
 		next.Suspects = decodeSuspects(suspects, now)
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -71,6 +71,7 @@
 		DataCentre:    record.DataCentre,
 		PeerAddress:   record.PeerAddress,
 		CallerAddress: record.CallerAddress,
+		Build:         record.Build,
 	}
 }
 
--- a/peer/node.go
+++ b/peer/node.go
@@ -75,6 +75,7 @@
 	record.DataCentre = node.settings.DataCentre
 	record.PeerAddress = node.settings.PeerAddress
 	record.CallerAddress = node.settings.CallerAddress
+	record.Build = node.settings.Build
 	return record
 }
 
--- a/peer/record.go
+++ b/peer/record.go
@@ -20,6 +20,8 @@
 	PeerAddress string
 	// CallerAddress is its address for callers.
 	CallerAddress string
+	// Build tells its build from others for operators; it is empty if the daemon, or one that handed the record on, knows none.
+	Build string
 	// InForce is the number of the newest release note in force at the daemon.
 	InForce uint64
 	// Leaving states that the daemon is draining.
--- a/peer/settings.go
+++ b/peer/settings.go
@@ -31,6 +31,8 @@
 	PeerAddress string
 	// CallerAddress is its address for callers.
 	CallerAddress string
+	// Build tells its build from others, for operators.
+	Build string
 	// Mode selects how records are exchanged.
 	Mode Mode
 	// Fanout is the number of peers to exchange with in each interval by Gossip; zero means 2.
--- a/status/report.go
+++ b/status/report.go
@@ -40,6 +40,10 @@
 	Reason string `json:"Reason,omitempty"`
 	// Running is the number of requests in progress in the daemon.
 	Running int64 `json:"Running"`
+	// Build tells its build from others; it is empty in reports of builds that do not name themselves.
+	Build string `json:"Build,omitempty"`
+	// Protocol is its version of the protocol between daemons, or zero if it knows none.
+	Protocol int64 `json:"Protocol,omitempty"`
 }
 
 // InForce describes the release note in force at one daemon and the size of its catalogue.
@@ -85,6 +89,8 @@
 	Name string `json:"Name"`
 	// DataCentre is its data centre.
 	DataCentre string `json:"DataCentre"`
+	// Build tells its build from others; it is empty if the daemon told none.
+	Build string `json:"Build,omitempty"`
 	// Protocol is the version of the protocol between daemons that it told, or zero if it told none.
 	Protocol int64 `json:"Protocol,omitempty"`
 	// InForce is the number of the release note in force there.
