Log two live daemons of one name once a minute

What operators saw: while two live daemons at the product's own door have one name, such as two builds started with the same settings, each raised its incarnation above that of the other in turn, and logged 552 PeerOutlived with nearly every exchange. Nothing else stops.

Cause: the line was written at each rise.

--- a/peer/node.go
+++ b/peer/node.go
@@ -18,6 +18,9 @@
 // liveIntervals is the number of intervals without a message after which a daemon no longer counts as live.
 const liveIntervals = 5
 
+// outlivedLogInterval is the shortest time between two log lines about other processes of the name of this daemon.
+const outlivedLogInterval = time.Minute
+
 // Node is one daemon's side of the exchange. It is safe for concurrent use. Use NewNode.
 type Node struct {
 	settings Settings
@@ -44,6 +47,8 @@
 	regularRounds int
 	// remoteExchanges counts the exchanges with other data centres. It selects the next data centre.
 	remoteExchanges int
+	// outlivedLoggedAt is when the incarnation was last raised with a log line; zero if it never was.
+	outlivedLoggedAt time.Time
 	// urgent holds at most one signal, which requests a round at once.
 	urgent chan struct{}
 }
@@ -227,7 +232,18 @@
 	node.self = &entry{record: Record{}}
 	node.self.replace(record)
 	node.links = map[string]*link{}
-	event.PeerOutlived.Log("Incarnation", record.Incarnation)
+	node.logOutlived(record.Incarnation)
+}
+
+// logOutlived logs that the incarnation was raised, at most every outlivedLogInterval: two live daemons of one name raise theirs in
+// turn with each exchange.
+func (node *Node) logOutlived(incarnation uint64) {
+	now := node.clock.Now()
+	if !node.outlivedLoggedAt.IsZero() && now.Sub(node.outlivedLoggedAt) < outlivedLogInterval {
+		return
+	}
+	node.outlivedLoggedAt = now
+	event.PeerOutlived.Log("Incarnation", incarnation)
 }
 
 // removeSilent removes the records of daemons that were not seen within the forget timeout, and links that are no
