Name the build in the version of the program

`bronzestall version` names the build as status and metrics do, so that an operator can tell which file runs where. The search for the recorded revision stood twice, in the command and in protocol; it is protocol.Revision now. Version, revision and Go version are as before.

--- a/cmd/bronzestall/commands_test.go
+++ b/cmd/bronzestall/commands_test.go
@@ -19,6 +19,7 @@
 	"k8s.io/utils/clock"
 
 	"github.com/bronzestall/bronzestall/internal/platformfake"
+	"github.com/bronzestall/bronzestall/protocol"
 	"github.com/bronzestall/bronzestall/settings"
 	"github.com/bronzestall/bronzestall/status"
 )
@@ -187,6 +188,7 @@
 	session.expect("", exitUsage, "expected one of")
 	session.expect("note aply", exitUsage, "did you mean")
 	session.expect("note apply NOTE", exitUsage, "missing flags: --settings")
+	session.expect("version", exitDone, ", build "+protocol.Build()+", go")
 	session.expect("--output yaml version", exitUsage, "must be one of")
 	broken := writeFile(t, "Name: x\nLease: {Term: 1}\n")
 	session.expect("settings check "+broken, exitRefused, "line 2: Lease.Term: must be a duration")
--- a/cmd/bronzestall/version.go
+++ b/cmd/bronzestall/version.go
@@ -1,9 +1,15 @@
 package main
 
 import (
+	"cmp"
 	"runtime/debug"
+
+	"github.com/bronzestall/bronzestall/protocol"
 )
 
+// unknown stands for what the build did not record.
+const unknown = "unknown"
+
 // versionCommand shows the version of the program.
 type versionCommand struct{}
 
@@ -11,30 +17,24 @@
 type buildInfo struct {
 	Version  string
 	Revision string
-	Go       string
+	// Build tells the build from others, as the status of daemons and their metrics name it.
+	Build string
+	Go    string
 }
 
-// Run prints the version, the source revision and the Go version of the build.
+// Run prints the version, the source revision, the build and the Go version.
 func (*versionCommand) Run(printer *printer) error {
 	info := readBuildInfo()
 	printer.print(info, func(page *page) {
-		page.line("bronzestall %s, revision %s, %s", info.Version, info.Revision, info.Go)
+		page.line("bronzestall %s, revision %s, build %s, %s", info.Version, info.Revision, info.Build, info.Go)
 	})
 	return nil
 }
 
 func readBuildInfo() buildInfo {
-	info := buildInfo{Version: "unknown", Revision: "unknown", Go: "unknown"}
-	build, ok := debug.ReadBuildInfo()
-	if !ok {
-		return info
-	}
-	info.Version = build.Main.Version
-	info.Go = build.GoVersion
-	for _, setting := range build.Settings {
-		if setting.Key == "vcs.revision" {
-			info.Revision = setting.Value
-		}
+	info := buildInfo{Version: unknown, Revision: cmp.Or(protocol.Revision(), unknown), Build: protocol.Build(), Go: unknown}
+	if build, ok := debug.ReadBuildInfo(); ok {
+		info.Version, info.Go = build.Main.Version, build.GoVersion
 	}
 	return info
 }
--- a/protocol/build.go
+++ b/protocol/build.go
@@ -20,7 +20,7 @@
 // Build returns what tells this build from others, for operators: the source revision of the program, or the begin of the hash of
 // its content if the build did not record the revision, or "unknown". The first call reads headers of the program's file.
 var Build = sync.OnceValue(func() string {
-	if revision := recordedRevision(); revision != "" {
+	if revision := Revision(); revision != "" {
 		return revision
 	}
 	if id := contentID(); id != "" {
@@ -29,8 +29,8 @@
 	return unknownBuild
 })
 
-// recordedRevision returns the source revision, or an empty string if the build did not record it.
-func recordedRevision() string {
+// Revision returns the source revision of the program, or an empty string if the build did not record it.
+func Revision() string {
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
 		return ""
