Let paths that fell prove themselves before requests that run once use them

Callers saw: while the links of a daemon come and go each second, requests that may run once were lost in each cut, until the paths were suspected again.

Cause: a path that was proved again counted as sound at once, and a cut of a second ends before it is found: what is silent for a second may pause. But what was sent in a pause is answered at its end, and what was sent in a cut is not.

Change: a path falls when it is found dead, or when a probe stays silent although the replica answered another daemon, or something else of this one, 800 ms and more after the probe began. Two falls in a period in which all paths were suspected are a fall of all paths, also of those that no attempt met. A path that fell must be proved for 3 s, twice as long after each further fall, 30 s at most, with a half-life of 30 s (reach.damping). Meanwhile it is Unsteady: what may be repeated uses it, what may run once is passed on to a daemon whose paths are not, and uses own links if no daemon takes it, so that nothing is refused for it. Unsteady paths are probed at most every 500 ms.

Ruled out: holding paths for suspicion alone, which pauses would pay for; and the end of a probe's silence after a pause as a fall: its answer may wait for a slot, so that 800 ms from the first byte of the path are needed.

--- a/reach/paths.go
+++ b/reach/paths.go
@@ -43,8 +43,17 @@
 	reached time.Time
 	// allSuspected is set while no path counts as sound, since several are suspected and no replica was reached since.
 	allSuspected bool
+	// suspicion is the last period in which that was so.
+	suspicion episode
+	// damping is that of all paths, which fell together, and unsteady whether any path may be unsteady.
+	damping  damping
+	unsteady atomic.Bool
 	// found lists the replicas whose paths were found lost since the last step.
 	found []string
+	// becameUnsteady lists the replicas whose paths fell since the last step and were not unsteady, and allBecameUnsteady is set if all
+	// paths fell together.
+	becameUnsteady    []string
+	allBecameUnsteady bool
 	// cutOff is set while the daemon counts as cut off, since cutSince.
 	cutOff   bool
 	cutSince time.Time
@@ -76,7 +85,7 @@
 	defer paths.mutex.Unlock()
 	paths.update(key, func(known *path) { known.prove(now) })
 	paths.reached = now
-	paths.allSuspected = false
+	paths.endSuspicion(now)
 	if !paths.cutOff {
 		return Unchanged
 	}
@@ -99,8 +108,13 @@
 		return Unchanged
 	}
 	paths.update(key, func(known *path) {
-		if known.fail(failure, begun, now) {
-			known.lose(begun, now)
+		wasLost := !known.lost.IsZero()
+		if !known.fail(failure, begun, now) {
+			return
+		}
+		known.lose(begun, now)
+		if failure.swallows() && !wasLost {
+			paths.recordFall(key, known, known.suspectedBegun, now)
 		}
 	})
 	return paths.conclude(now)
@@ -123,6 +137,9 @@
 func (paths *Paths) observe(key string, now time.Time) {
 	paths.update(key, func(known *path) {
 		known.observeSilence(now)
+		if known.isSwallowed(now) {
+			paths.recordFall(key, known, known.probeBegun, now)
+		}
 		if known.isCut(now) {
 			known.failure = Silent
 			known.suspect(known.probeBegun, now)
@@ -163,14 +180,21 @@
 }
 
 // observeSuspicion concludes whether all paths are suspected: several are, and no replica was reached since their attempts began.
-func (paths *Paths) observeSuspicion() {
+func (paths *Paths) observeSuspicion(now time.Time) {
 	suspected := 0
 	for _, known := range paths.replicas {
 		if known.suspectedBegun.After(paths.reached) {
 			suspected++
 		}
 	}
-	paths.allSuspected = suspected >= min(minLost, len(paths.replicas)) && suspected > 0
+	if suspected < min(minLost, len(paths.replicas)) || suspected == 0 {
+		paths.endSuspicion(now)
+		return
+	}
+	if !paths.allSuspected {
+		paths.allSuspected = true
+		paths.suspicion = episode{from: now}
+	}
 }
 
 // get returns what is known of the path, which it adds if it is unknown.
@@ -210,12 +234,15 @@
 func (paths *Paths) State(key string, now time.Time) State {
 	paths.mutex.Lock()
 	defer paths.mutex.Unlock()
-	state := Sound
+	state, unsteady := Sound, paths.damping.isUnsteady(now)
 	if known, ok := paths.replicas[key]; ok {
-		state = known.state(now)
+		state, unsteady = known.state(now), paths.isUnsteady(known, now)
 	}
-	if state == Sound && paths.allSuspected {
+	switch {
+	case state == Sound && paths.allSuspected:
 		return Suspected
+	case state == Sound && unsteady:
+		return Unsteady
 	}
 	return state
 }
@@ -243,9 +270,9 @@
 	return int(paths.lost.Load())
 }
 
-// AnyDoubted reports whether any path is suspected, or was found lost and not proved since. It is cheap.
+// AnyDoubted reports whether any path is unsteady or suspected, or was found lost and not proved since. It is cheap.
 func (paths *Paths) AnyDoubted() bool {
-	return paths.doubted.Load() > 0
+	return paths.doubted.Load() > 0 || paths.unsteady.Load()
 }
 
 // Keep drops the paths to replicas that are not among the given ones.
--- a/relay/lender.go
+++ b/relay/lender.go
@@ -116,12 +116,12 @@
 	if !lender.AnyDoubted() {
 		return false
 	}
-	// After a reset, another path that is not sound is not tried.
+	candidates := transaction.ofRelease(transaction.holders())
+	// After a reset, another path that is not sound is not tried. What may run once is not sent on an unsteady one.
 	excluded := reach.State.Lost
-	if transaction.resets > 0 {
+	if transaction.resets > 0 || !transaction.route.Repeatable() && transaction.anyUnsteady(candidates) {
 		excluded = isDoubted
 	}
-	candidates := transaction.ofRelease(transaction.holders())
 	return len(candidates) > 0 && len(transaction.without(candidates, excluded)) == 0
 }
 
@@ -131,17 +131,22 @@
 	return lender.Path(candidate.Incarnation, candidate.Address).Lost()
 }
 
-// reachable returns the candidates with sound paths, or else those whose paths are not lost, or all if there are none either.
+// anyUnsteady reports whether the path to any of the candidates is unsteady.
+func (transaction *transaction) anyUnsteady(candidates []balance.Candidate) bool {
+	return len(transaction.without(candidates, isUnsteady)) < len(candidates)
+}
+
+// reachable returns the candidates with sound paths, or else those with unsteady ones, or those whose paths are not lost, or all if there
+// are none either.
 func (transaction *transaction) reachable(candidates []balance.Candidate) []balance.Candidate {
 	lender := transaction.relay.deps.Lender
 	if lender == nil || !lender.AnyDoubted() {
 		return candidates
 	}
-	if sound := transaction.without(candidates, isDoubted); len(sound) > 0 {
-		return sound
-	}
-	if reached := transaction.without(candidates, reach.State.Lost); len(reached) > 0 {
-		return reached
+	for _, excluded := range []func(reach.State) bool{isDoubted, isUnproved, reach.State.Lost} {
+		if reached := transaction.without(candidates, excluded); len(reached) > 0 {
+			return reached
+		}
 	}
 	return candidates
 }
@@ -158,6 +163,16 @@
 	return state != reach.Sound
 }
 
+// isUnsteady reports whether the path leads to the replica, but may not soon.
+func isUnsteady(state reach.State) bool {
+	return state == reach.Unsteady
+}
+
+// isUnproved reports whether nothing came back on the path since an attempt yielded nothing.
+func isUnproved(state reach.State) bool {
+	return state > reach.Unsteady
+}
+
 // lend makes one attempt through another daemon. It returns false if no daemon took the request.
 func (transaction *transaction) lend(ctx context.Context) (result, bool) {
 	transaction.sends++
@@ -196,6 +211,11 @@
 		return result{}, false
 	}
 	if refusal := AsRefusal(err); refusal != nil {
+		if refusal.NotRun() && !transaction.route.Repeatable() && transaction.anyUnsteady(transaction.ofRelease(transaction.holders())) {
+			transaction.lendFailed = true
+			transaction.sends--
+			return result{}, false
+		}
 		transaction.runs += refusal.Runs
 		return result{failure: refusal.Failure, notRun: refusal.NotRun()}, true
 	}
--- a/relay/lender_test.go
+++ b/relay/lender_test.go
@@ -158,4 +158,10 @@
 	if _, failure := serve(fixture, "/resume/x", Allowance{Attempts: 1, Configuration: 2}); failure == nil || failure.Kind != outcome.NotReady {
 		t.Errorf("an older configuration serves the request: %v", failure)
 	}
+	fixture = newFixture(ok("swallowed"))
+	fixture.relay.deps.Lender = &lenders{path: always(reach.Unsteady)}
+	_, failure := serve(fixture, "/once/x", Allowance{Attempts: 1, Configuration: 1})
+	if failure == nil || failure.Kind != outcome.UpstreamRefused || len(fixture.upstream.attempts) > 0 {
+		t.Errorf("a request that may run once goes on unsteady paths of another daemon: %v", failure)
+	}
 }
