Start the testbeds of short soaks, and read their logs, in one place

What stood twice: nine tests of frontsoak made a folder, started the testbed, waited for it and saved the logs of a failure by the same lines, five more did so with links or daemons of their own, and two judges read the daemons' logs each in its own way.

Change: newServingTestbed, or newTestbed and serve, start all of them; a testbed knows its folder and saves its logs if the test fails, also by a fatal error, and after the daemons were stopped. eachLogLine reads the logs for both judges: each now fails if there are no logs, which one did not, and if a line is over 1 MiB, which the other did not.

No test asserts less. Gaps and run times of replicas are set after the wait for the start, in which no client sends.

--- a/internal/frontsoak/begun_test.go
+++ b/internal/frontsoak/begun_test.go
@@ -1,7 +1,6 @@
 package frontsoak
 
 import (
-	"bufio"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -19,28 +18,12 @@
 // givenUp returns the lines of the daemons' logs that tell of a begun stream which the daemon gave up without a need.
 func givenUp(t *testing.T, folder string) []string {
 	t.Helper()
-	logs, err := filepath.Glob(filepath.Join(folder, "*.log"))
-	if err != nil {
-		t.Fatal(err)
-	}
 	var found []string
-	for _, path := range logs {
-		file, err := os.Open(path)
-		if err != nil {
-			t.Fatal(err)
-		}
-		lines := bufio.NewScanner(file)
-		lines.Buffer(nil, 1<<20)
-		for lines.Scan() {
-			if line := lines.Text(); givenUpLine.MatchString(line) && !allowedCause.MatchString(line) {
-				found = append(found, "a begun stream was given up: "+line)
-			}
+	eachLogLine(t, folder, func(_, line string) {
+		if givenUpLine.MatchString(line) && !allowedCause.MatchString(line) {
+			found = append(found, "a begun stream was given up: "+line)
 		}
-		if err := lines.Err(); err != nil {
-			t.Error(err)
-		}
-		_ = file.Close()
-	}
+	})
 	return found
 }
 
--- a/internal/frontsoak/crash_test.go
+++ b/internal/frontsoak/crash_test.go
@@ -95,10 +95,8 @@
 	for index, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			folder := t.TempDir()
-			testbed, stop := startTestbed(t, folder, binary, 5000+uint64(index))
+			testbed, stop := newServingTestbed(t, binary, 5000+uint64(index), 2*time.Second)
 			defer stop()
-			time.Sleep(2 * time.Second)
 			ctx, cancel := context.WithTimeout(context.Background(), crashDuration)
 			defer cancel()
 			if c.killAt > 0 {
@@ -109,9 +107,6 @@
 			for _, violation := range testbed.checker.finish() {
 				t.Error(violation)
 			}
-			if t.Failed() {
-				saveLogs(t, folder, 5000+uint64(index))
-			}
 		})
 	}
 }
--- a/internal/frontsoak/cut_test.go
+++ b/internal/frontsoak/cut_test.go
@@ -98,14 +98,9 @@
 
 // run cuts the daemons off and checks that they serve as much as the others.
 func (c cutCase) run(t *testing.T, binary string, seed uint64) {
-	folder := t.TempDir()
-	testbed, err := newTestbed(folder, binary, seed)
-	if err != nil {
-		t.Fatal(err)
-	}
+	testbed := newTestbed(t, *frontsFlag, binary, seed)
 	views := testbed.useLinks(t)
-	stop := testbed.start()
-	time.Sleep(3 * time.Second)
+	stop := testbed.serve(3 * time.Second)
 	result := testbed.runCut(t, seed, views, c.fault, c.cut)
 	stop()
 	cutShare, cutCount := result.share(c.cut)
@@ -120,9 +115,6 @@
 	for _, violation := range testbed.checker.finish() {
 		t.Error(violation)
 	}
-	if t.Failed() {
-		saveLogs(t, folder, seed)
-	}
 }
 
 // useLinks gives each daemon links of its own to all replicas.
--- a/internal/frontsoak/deadly_test.go
+++ b/internal/frontsoak/deadly_test.go
@@ -228,13 +228,10 @@
 	for index, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			seed := 5100 + uint64(index)
-			folder := t.TempDir()
-			testbed, stop := startTestbed(t, folder, binary, seed)
+			testbed, stop := newServingTestbed(t, binary, 5100+uint64(index), 2*time.Second)
 			defer stop()
 			deadly := &deadlyPart{id: "dead", afterEvent: c.afterEvent, silent: c.silent}
 			testbed.checker.deadly.Store(deadly)
-			time.Sleep(2 * time.Second)
 			ctx, cancel := context.WithTimeout(context.Background(), deadlyDuration)
 			defer cancel()
 			if c.killAt > 0 {
@@ -251,9 +248,6 @@
 			for _, violation := range append(testbed.checker.finish(), deadly.check()...) {
 				t.Error(violation)
 			}
-			if t.Failed() {
-				saveLogs(t, folder, seed)
-			}
 		})
 	}
 }
--- a/internal/frontsoak/lenders_test.go
+++ b/internal/frontsoak/lenders_test.go
@@ -22,14 +22,9 @@
 		cut, lender = 0, 2
 		clientsEach = 6
 	)
-	folder := t.TempDir()
-	testbed, err := newTestbed(folder, build(t), seed)
-	if err != nil {
-		t.Fatal(err)
-	}
+	testbed := newTestbed(t, *frontsFlag, build(t), seed)
 	views := testbed.useLinks(t)
-	stop := testbed.start()
-	time.Sleep(3 * time.Second)
+	stop := testbed.serve(3 * time.Second)
 	if err := views[cut].each(func(link *replicaLink) error { return link.cut(hanging) }); err != nil {
 		t.Fatal(err)
 	}
@@ -69,7 +64,4 @@
 	for _, violation := range testbed.checker.finish() {
 		t.Error(violation)
 	}
-	if t.Failed() {
-		saveLogs(t, folder, seed)
-	}
 }
--- a/internal/frontsoak/limits_test.go
+++ b/internal/frontsoak/limits_test.go
@@ -183,11 +183,8 @@
 	for index, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			folder := t.TempDir()
-			seed := 6000 + uint64(index)
-			testbed, stop := startTestbed(t, folder, binary, seed)
+			testbed, stop := newServingTestbed(t, binary, 6000+uint64(index), 4*time.Second)
 			defer stop()
-			time.Sleep(4 * time.Second)
 			for _, replica := range testbed.replicas[engineCount : engineCount+c.limited] {
 				replica.nameLimit(c.perSecond)
 			}
@@ -201,9 +198,6 @@
 			for _, period := range testbed.checker.limits {
 				t.Logf("%s got at most %d in a window, %v are allowed, %d in all", period.replica, period.most(), period.allowed(), period.arrivedAll)
 			}
-			if t.Failed() {
-				saveLogs(t, folder, seed)
-			}
 		})
 	}
 }
@@ -213,10 +207,8 @@
 func TestModelsAreServedBesideALimitedEngine(t *testing.T) {
 	t.Parallel()
 	const perSecond, seed = 30, 6100
-	folder := t.TempDir()
-	testbed, stop := startTestbed(t, folder, build(t), seed)
+	testbed, stop := newServingTestbed(t, build(t), seed, 4*time.Second)
 	defer stop()
-	time.Sleep(4 * time.Second)
 	ctx, cancel := context.WithTimeout(t.Context(), 25*time.Second)
 	defer cancel()
 	time.AfterFunc(5*time.Second, func() {
@@ -232,9 +224,6 @@
 	if served := outcomes["200 true"]; served < 9*(served+outcomes["429 true"]+outcomes["503 true"])/10 {
 		t.Error("more than one request in ten is refused")
 	}
-	if t.Failed() {
-		saveLogs(t, folder, seed)
-	}
 }
 
 // soleHolder returns an engine that holds a model which no other engine holds, or the first engine if there is none.
--- a/internal/frontsoak/outofstep_test.go
+++ b/internal/frontsoak/outofstep_test.go
@@ -94,26 +94,18 @@
 	for index, c := range outOfStepCases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			folder := t.TempDir()
 			seed := 5600 + uint64(index)
-			testbed, err := newTestbed(folder, binary, seed)
-			if err != nil {
-				t.Fatal(err)
-			}
+			testbed := newTestbed(t, *frontsFlag, binary, seed)
 			late := testbed.fronts[len(testbed.fronts)-1]
 			if c.prepare != nil {
 				c.prepare(t, late)
 			}
-			stopDaemons := testbed.start()
-			time.Sleep(4 * time.Second)
+			stopDaemons := testbed.serve(4 * time.Second)
 			stop := make(chan struct{})
 			chains := testbed.runOutOfStep(t, c, late, seed, stop)
 			stopDaemons()
 			close(stop)
 			checkReleases(t, releaseCase{anyShare: c.anyShare}, chains)
-			if t.Failed() {
-				saveLogs(t, folder, seed)
-			}
 		})
 	}
 }
--- a/internal/frontsoak/release_test.go
+++ b/internal/frontsoak/release_test.go
@@ -107,9 +107,8 @@
 	for index, c := range releaseCases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			folder := t.TempDir()
 			seed := 5200 + uint64(index)
-			testbed, stopDaemons := startTestbed(t, folder, binary, seed)
+			testbed, stopDaemons := newServingTestbed(t, binary, seed, 0)
 			stop := make(chan struct{})
 			testbed.startReleases(t, stop)
 			time.Sleep(3 * time.Second)
@@ -117,9 +116,6 @@
 			stopDaemons()
 			close(stop)
 			checkReleases(t, c, chains)
-			if t.Failed() {
-				saveLogs(t, folder, seed)
-			}
 		})
 	}
 }
--- a/internal/frontsoak/restore_test.go
+++ b/internal/frontsoak/restore_test.go
@@ -64,8 +64,7 @@
 		t.Run(fmt.Sprint(restores, " times"), func(t *testing.T) {
 			t.Parallel()
 			seed := 5200 + uint64(index)
-			folder := t.TempDir()
-			testbed, stop := startTestbed(t, folder, binary, seed)
+			testbed, stop := newServingTestbed(t, binary, seed, 0)
 			ctx, cancel := context.WithCancel(context.Background())
 			clients := testbed.startClients(ctx, seed)
 			time.Sleep(8 * time.Second)
@@ -89,9 +88,6 @@
 			for _, violation := range violations[:min(len(violations), 10)] {
 				t.Error(violation)
 			}
-			if len(violations) > 0 {
-				saveLogs(t, folder, seed)
-			}
 		})
 	}
 }
--- a/internal/frontsoak/silence_test.go
+++ b/internal/frontsoak/silence_test.go
@@ -44,13 +44,11 @@
 	for index, c := range silenceCases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			folder := t.TempDir()
 			seed := 5700 + uint64(index)
-			testbed, stop := startTestbed(t, folder, binary, seed)
+			testbed, stop := newServingTestbed(t, binary, seed, 3*time.Second)
 			for _, replica := range testbed.replicas[:engineCount] {
 				replica.withLock(func() { replica.gap = silenceGap })
 			}
-			time.Sleep(3 * time.Second)
 			testbed.serveBesideSilences(seed, func(number int) []*replica { return c.silent(testbed, number) })
 			stop()
 			outcomes := testbed.checker.outcomes
@@ -61,9 +59,6 @@
 			for _, violation := range testbed.checker.finish() {
 				t.Error(violation)
 			}
-			if t.Failed() {
-				saveLogs(t, folder, seed)
-			}
 		})
 	}
 }
--- a/internal/frontsoak/silentpaths_test.go
+++ b/internal/frontsoak/silentpaths_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -30,9 +28,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			folder, seed := t.TempDir(), 5330+uint64(index)
-			testbed, stop := startTestbed(t, folder, binary, seed)
-			time.Sleep(3 * time.Second)
+			seed := 5330 + uint64(index)
+			testbed, stop := newServingTestbed(t, binary, seed, 3*time.Second)
 			ctx, cancel := context.WithCancel(context.Background())
 			result, clients := testbed.startFirstTries(ctx, seed)
 			if c.configures {
@@ -52,15 +49,12 @@
 			if share < 1 || count < 200 {
 				t.Errorf("the silence of replicas cost requests")
 			}
-			for _, line := range linesWith(t, folder, `"PathsLost"`, `"RequestLent"`, `"PathCut"`) {
+			for _, line := range linesWith(t, testbed.folder, `"PathsLost"`, `"RequestLent"`, `"PathCut"`) {
 				t.Error(line)
 			}
 			for _, violation := range testbed.checker.finish() {
 				t.Error(violation)
 			}
-			if t.Failed() {
-				saveLogs(t, folder, seed)
-			}
 		})
 	}
 }
@@ -111,22 +105,12 @@
 
 // linesWith returns the lines of the logs in the folder that have one of the texts.
 func linesWith(t *testing.T, folder string, texts ...string) (found []string) {
-	files, err := filepath.Glob(filepath.Join(folder, "*.log"))
-	if err != nil || len(files) == 0 {
-		t.Errorf("no logs in %s: %v", folder, err)
-	}
-	for _, file := range files {
-		content, err := os.ReadFile(file)
-		if err != nil {
-			t.Error(err)
-		}
-		for _, line := range strings.Split(string(content), "\n") {
-			for _, text := range texts {
-				if strings.Contains(line, text) {
-					found = append(found, filepath.Base(file)+": "+line)
-				}
+	eachLogLine(t, folder, func(file, line string) {
+		for _, text := range texts {
+			if strings.Contains(line, text) {
+				found = append(found, file+": "+line)
 			}
 		}
-	}
+	})
 	return found
 }
--- a/internal/frontsoak/soak_test.go
+++ b/internal/frontsoak/soak_test.go
@@ -101,6 +101,8 @@
 
 // testbed holds the daemons, replicas and store of one run.
 type testbed struct {
+	// folder has the settings and logs of the daemons.
+	folder   string
 	checker  *checker
 	store    *store
 	replicas []*replica
@@ -123,11 +125,7 @@
 
 // soak runs one seed: it sends requests, injects faults, waits for recovery and reports all violations.
 func soak(t *testing.T, binary string, seed uint64, c soakCase) {
-	folder := t.TempDir()
-	testbed, err := newTestbedOf(c.fronts, folder, binary, seed)
-	if err != nil {
-		t.Fatal(err)
-	}
+	testbed := newTestbed(t, c.fronts, binary, seed)
 	views := testbed.useLinks(t)
 	stop := testbed.start()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -155,14 +153,11 @@
 	stop()
 	deadly := testbed.checker.deadly.Load()
 	violations := append(testbed.checker.finish(), deadly.check()...)
-	violations = append(violations, givenUp(t, folder)...)
+	violations = append(violations, givenUp(t, testbed.folder)...)
 	t.Logf("outcomes %v, %d ends by a deadly part", testbed.checker.outcomes, deadly.ends)
 	for _, violation := range violations {
 		t.Error(violation)
 	}
-	if t.Failed() {
-		saveLogs(t, folder, seed)
-	}
 }
 
 // startClients starts clients that send requests until the context ends, and returns what waits for them.
@@ -175,13 +170,17 @@
 	return clients
 }
 
-// startTestbed starts the daemons, replicas and store of one run, and returns a function that stops the daemons.
-func startTestbed(t *testing.T, folder, binary string, seed uint64) (*testbed, func()) {
-	testbed, err := newTestbed(folder, binary, seed)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return testbed, testbed.start()
+// newServingTestbed starts the daemons, replicas and store of one run, waits for warmUp, and returns a function that stops the daemons.
+func newServingTestbed(t *testing.T, binary string, seed uint64, warmUp time.Duration) (*testbed, func()) {
+	testbed := newTestbed(t, *frontsFlag, binary, seed)
+	return testbed, testbed.serve(warmUp)
+}
+
+// serve starts the daemons and replicas, waits for warmUp, and returns a function that stops the daemons.
+func (testbed *testbed) serve(warmUp time.Duration) func() {
+	stop := testbed.start()
+	time.Sleep(warmUp)
+	return stop
 }
 
 // start starts the daemons and replicas, and returns a function that stops the daemons.
@@ -216,18 +215,18 @@
 	t.Logf("logs are in %s", directory)
 }
 
-// newTestbed starts the store and the replicas, and prepares the daemons.
-func newTestbed(folder, binary string, seed uint64) (*testbed, error) {
-	return newTestbedOf(*frontsFlag, folder, binary, seed)
-}
-
-// newTestbedOf is newTestbed with so many daemons.
-func newTestbedOf(fronts int, folder, binary string, seed uint64) (*testbed, error) {
-	created := &testbed{checker: newChecker(), store: newStore(), random: rand.New(rand.NewPCG(seed, 7))}
+// newTestbed starts the store and the replicas, and prepares so many daemons. If the test fails, their logs are kept.
+func newTestbed(t *testing.T, fronts int, binary string, seed uint64) *testbed {
+	created := &testbed{folder: t.TempDir(), checker: newChecker(), store: newStore(), random: rand.New(rand.NewPCG(seed, 7))}
+	t.Cleanup(func() {
+		if t.Failed() {
+			saveLogs(t, created.folder, seed)
+		}
+	})
 	created.configure()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, err
+		t.Fatal(err)
 	}
 	go func() { _ = http.Serve(listener, created.store) }()
 	for number := range engineCount + plainReplicaCount {
@@ -237,12 +236,15 @@
 		}
 		next, err := newReplica(fmt.Sprintf("i-%d", number), service, fmt.Sprintf("z%d", number%2), created.checker, created.store)
 		if err != nil {
-			return nil, err
+			t.Fatal(err)
 		}
 		created.replicas = append(created.replicas, next)
 	}
-	created.fronts, err = newProcesses(fronts, loopbackIP(seed), binary, folder, listener.Addr().String())
-	return created, err
+	created.fronts, err = newProcesses(fronts, loopbackIP(seed), binary, created.folder, listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return created
 }
 
 // configure writes the configuration under a higher version number. Some numbers are skipped.
--- a/internal/frontsoak/stop_test.go
+++ b/internal/frontsoak/stop_test.go
@@ -32,13 +32,11 @@
 // TestStopCutsNoRequestThatWasPassedOn guards against a report in issue 42: in a planned stop, requests that came late in the
 // grace were passed on and then cut with no answer. Clients keep using their open connections until the process is gone.
 func TestStopCutsNoRequestThatWasPassedOn(t *testing.T) {
-	folder := t.TempDir()
-	testbed, stop := startTestbed(t, folder, build(t), 5400)
+	testbed, stop := newServingTestbed(t, build(t), 5400, 3*time.Second)
 	defer stop()
 	for _, replica := range testbed.replicas {
 		replica.withLock(func() { replica.runTime = stopRunTime })
 	}
-	time.Sleep(3 * time.Second)
 	stopped := testbed.fronts[0]
 	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
 	defer cancel()
--- a/internal/frontsoak/upgradeshare_test.go
+++ b/internal/frontsoak/upgradeshare_test.go
@@ -41,12 +41,8 @@
 // measureReplacements replaces all daemons of the older build by the newer one, back and forth again, and returns the share of first
 // tries served meanwhile. Violations fail the test.
 func measureReplacements(t *testing.T, older, newer string, seed uint64) float64 {
-	testbed, err := newTestbedOf(*upgradeFrontsFlag, t.TempDir(), older, seed)
-	if err != nil {
-		t.Fatal(err)
-	}
-	stop := testbed.start()
-	time.Sleep(3 * time.Second)
+	testbed := newTestbed(t, *upgradeFrontsFlag, older, seed)
+	stop := testbed.serve(3 * time.Second)
 	ctx, cancel := context.WithCancel(context.Background())
 	result := &cutResult{sent: map[string]int{}, served: map[string]int{}}
 	wait := testbed.startShareClients(ctx, seed, result)
