--- a/front/daemon.go
+++ b/front/daemon.go
@@ -30,6 +30,7 @@
 	"github.com/bronzestall/bronzestall/ratelimit"
 	"github.com/bronzestall/bronzestall/reach"
 	"github.com/bronzestall/bronzestall/relay"
+	"github.com/bronzestall/bronzestall/rollout"
 	"github.com/bronzestall/bronzestall/roster"
 	"github.com/bronzestall/bronzestall/scheduler"
 	"github.com/bronzestall/bronzestall/topology"
@@ -87,6 +88,9 @@
 	// lately had, several.
 	releaseReader *releaseReader
 	releasesMixed atomic.Bool
+	// rollouts knows which releases leave, and releaseMeter shows the replicas of all. Only housekeeping uses the latter.
+	rollouts     *rollout.Tracker
+	releaseMeter releaseMeter
 	// originRecorder records those that this daemon began.
 	originRecorder *originRecorder
 	// lender passes requests to other daemons, and lent serves theirs.
--- a/meter/name.go
+++ b/meter/name.go
@@ -48,6 +48,10 @@
 	SuspectsEvicted Name = "bronzestall_suspects_evicted"
 	// StreamsTakenUp counts the streams that clients took up, by how the release that began them is known.
 	StreamsTakenUp Name = "bronzestall_streams_taken_up"
+	// TakeUpsEnded counts the requests that took up streams, by their outcome: Answered or the error kind.
+	TakeUpsEnded Name = "bronzestall_take_ups_ended"
+	// ReplicasByRelease is the number of replicas that accept new requests, by service and release.
+	ReplicasByRelease Name = "bronzestall_replicas_by_release"
 	// OriginsHeld is the number of streams whose origin the daemon holds.
 	OriginsHeld Name = "bronzestall_origins_held"
 	// OriginsLate counts the streams whose first event was passed on before their origin was recorded.
@@ -79,8 +83,7 @@
 	LimitRefused Name = "bronzestall_limit_requests_refused"
 	// NoticesMalformed counts responses with a notice of the replica that could not be decoded, by header.
 	NoticesMalformed Name = "bronzestall_notices_malformed"
-	// Build is the version of the protocol between daemons that the daemon knows; its subject is the source revision of the build, or
-	// "unknown" if the build recorded none.
+	// Build is the version of the protocol between daemons that the daemon knows; its subject is protocol.Build.
 	Build Name = "bronzestall_build"
 	// DaemonsByProtocol is the number of other live daemons by the version of the protocol that they told: Same, Older or Newer.
 	DaemonsByProtocol Name = "bronzestall_daemons_by_protocol"
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -19,6 +19,7 @@
 	"github.com/bronzestall/bronzestall/quarantine"
 	"github.com/bronzestall/bronzestall/ratelimit"
 	"github.com/bronzestall/bronzestall/retry"
+	"github.com/bronzestall/bronzestall/rollout"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
@@ -42,10 +43,14 @@
 	Limiter *ratelimit.Limiter
 	// Origins knows which releases began streams.
 	Origins Origins
+	// Rollouts knows which releases leave; nil means that none does.
+	Rollouts *rollout.Tracker
 	// Brittle keeps rejections rare at replicas that fall over for them; nil means that none does.
 	Brittle *brittle.Guard
 	// Lender passes requests on through other daemons; nil means that there is none.
 	Lender Lender
+	// Prover knows when replicas responded; nil means that all do.
+	Prover Prover
 	// DaemonIndex returns the index of the daemon among all daemons; nil means zero.
 	DaemonIndex func() int
 	// Clock provides the time and timers.
