--- a/internal/frontsoak/soak_test.go
+++ b/internal/frontsoak/soak_test.go
@@ -2,13 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"io/fs"
-	"math/rand/v2"
-	"net"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -99,19 +95,6 @@
 	}
 }
 
-// testbed holds the daemons, replicas and store of one run.
-type testbed struct {
-	checker  *checker
-	store    *store
-	replicas []*replica
-	fronts   []*process
-
-	// configureMutex guards version.
-	configureMutex sync.Mutex
-	version        uint64
-	random         *rand.Rand
-}
-
 // soakCase is what differs between soaks.
 type soakCase struct {
 	// fronts is the number of daemons, and length the time for which faults are injected.
@@ -123,11 +106,7 @@
 
 // soak runs one seed: it sends requests, injects faults, waits for recovery and reports all violations.
 func soak(t *testing.T, binary string, seed uint64, c soakCase) {
-	folder := t.TempDir()
-	testbed, err := newTestbedOf(c.fronts, folder, binary, seed)
-	if err != nil {
-		t.Fatal(err)
-	}
+	testbed := newTestbed(t, c.fronts, binary, seed)
 	views := testbed.useLinks(t)
 	stop := testbed.start()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -155,14 +134,11 @@
 	stop()
 	deadly := testbed.checker.deadly.Load()
 	violations := append(testbed.checker.finish(), deadly.check()...)
-	violations = append(violations, givenUp(t, folder)...)
+	violations = append(violations, givenUp(t, testbed.folder)...)
 	t.Logf("outcomes %v, %d ends by a deadly part", testbed.checker.outcomes, deadly.ends)
 	for _, violation := range violations {
 		t.Error(violation)
 	}
-	if t.Failed() {
-		saveLogs(t, folder, seed)
-	}
 }
 
 // startClients starts clients that send requests until the context ends, and returns what waits for them.
@@ -175,33 +151,6 @@
 	return clients
 }
 
-// startTestbed starts the daemons, replicas and store of one run, and returns a function that stops the daemons.
-func startTestbed(t *testing.T, folder, binary string, seed uint64) (*testbed, func()) {
-	testbed, err := newTestbed(folder, binary, seed)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return testbed, testbed.start()
-}
-
-// start starts the daemons and replicas, and returns a function that stops the daemons.
-func (testbed *testbed) start() func() {
-	stop := make(chan struct{})
-	for _, replica := range testbed.replicas {
-		go replica.heartbeat(stop)
-	}
-	for _, front := range testbed.fronts {
-		front.onStart = testbed.checker.recordStart
-		go front.supervise()
-	}
-	return func() {
-		for _, front := range testbed.fronts {
-			front.terminate()
-		}
-		close(stop)
-	}
-}
-
 // saveLogs copies the logs of a failed run to a directory of its own that is not deleted after the test.
 func saveLogs(t *testing.T, folder string, seed uint64) {
 	directory, err := os.MkdirTemp("", fmt.Sprintf("frontsoak-%d-", seed))
@@ -216,77 +165,6 @@
 	t.Logf("logs are in %s", directory)
 }
 
-// newTestbed starts the store and the replicas, and prepares the daemons.
-func newTestbed(folder, binary string, seed uint64) (*testbed, error) {
-	return newTestbedOf(*frontsFlag, folder, binary, seed)
-}
-
-// newTestbedOf is newTestbed with so many daemons.
-func newTestbedOf(fronts int, folder, binary string, seed uint64) (*testbed, error) {
-	created := &testbed{checker: newChecker(), store: newStore(), random: rand.New(rand.NewPCG(seed, 7))}
-	created.configure()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	go func() { _ = http.Serve(listener, created.store) }()
-	for number := range engineCount + plainReplicaCount {
-		service := engineService
-		if number >= engineCount {
-			service = plainService
-		}
-		next, err := newReplica(fmt.Sprintf("i-%d", number), service, fmt.Sprintf("z%d", number%2), created.checker, created.store)
-		if err != nil {
-			return nil, err
-		}
-		created.replicas = append(created.replicas, next)
-	}
-	created.fronts, err = newProcesses(fronts, loopbackIP(seed), binary, folder, listener.Addr().String())
-	return created, err
-}
-
-// configure writes the configuration under a higher version number. Some numbers are skipped.
-func (testbed *testbed) configure() {
-	testbed.configureMutex.Lock()
-	defer testbed.configureMutex.Unlock()
-	testbed.version += 1 + testbed.version%3
-	route := func(path, kind, service string, attempts int, resumable bool) map[string]any {
-		return map[string]any{
-			"name": path, "host": "h.example", "pathPrefix": path, "kind": kind, "service": service, "timeoutMs": 4000,
-			"targetLatencyMs": 1500, "targetGapMs": 300, "priority": 1, "maxAttempts": attempts, "resumable": resumable,
-		}
-	}
-	var models []map[string]any
-	for _, name := range modelNames() {
-		models = append(models, map[string]any{"name": name, "weightsMb": 100, "loadTimeS": 2, "diskS": loadTime.Seconds(), "warmS": loadTime.Seconds()})
-	}
-	content, _ := json.Marshal(map[string]any{
-		"version": testbed.version,
-		"routes": []any{
-			route(pathCall, "non_idempotent", plainService, 1, false), route(pathLookup, "idempotent", plainService, 2, false),
-			route(pathStream, "streaming", engineService, 1, false), route(pathResume, "streaming", engineService, 2, true),
-			route(addedRoute(testbed.version), "idempotent", plainService, 2, false),
-		},
-		"services": []any{
-			map[string]any{"name": plainService, "healthPath": "/health", "maxConnections": 100},
-			map[string]any{"name": engineService, "healthPath": "/health", "maxConnections": 100, "engine": map[string]any{
-				"slots": 8, "weightsMb": 100 * modelsPerEngine, "maxAdapters": 2, "loadsPerS": 5, "models": models,
-			}},
-		},
-		"limits": map[string]any{"maxBodyBytes": 65536},
-	})
-	testbed.store.put("op", "config", content)
-}
-
-// addresses returns the addresses on which the daemons serve clients.
-func (testbed *testbed) addresses() []string {
-	var addresses []string
-	for _, front := range testbed.fronts {
-		addresses = append(addresses, front.client)
-	}
-	return addresses
-}
-
 // checkRecovery checks that each daemon serves each kind of request after the faults, in one of 5 attempts.
 func (testbed *testbed) checkRecovery(seed uint64) {
 	client := newClient("last", testbed.checker, seed, testbed.addresses())
