Name a release that has left, so that no stream begins where it was listed

What callers may see: a stream begins at the last replica of a release in the instant in which that replica leaves.

Cause: a request lists the candidates before it asks which releases leave. If the replica left in between, its release had no replica, and did not count as one that leaves.

Change: a release that has left is named for as long as its departures count, and leaves only for requests that have listed a replica of it. Other requests are sent as before.

--- a/relay/leaving.go
+++ b/relay/leaving.go
@@ -15,7 +15,8 @@
 	}
 	var leaving []string
 	for _, end := range rollouts.Ends(transaction.service.Name, now) {
-		if end.At.Before(transaction.deadline) || countOfRelease(candidates, end.Release) == 1 {
+		count := countOfRelease(candidates, end.Release)
+		if count == 1 || (count > 1 && end.At.Before(transaction.deadline)) {
 			leaving = append(leaving, end.Release)
 		}
 	}
--- a/relay/rollout_test.go
+++ b/relay/rollout_test.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/bronzestall/bronzestall/balance"
 	"github.com/bronzestall/bronzestall/exchange"
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/rollout"
@@ -169,3 +171,34 @@
 		})
 	}
 }
+
+// TestReleaseThatLeftChangesNoChoice guards against streams that avoid busy replicas after a rollout, when no replica of the older
+// release is left to choose.
+func TestReleaseThatLeftChangesNoChoice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		run := &rolloutRun{fixture: newFixture()}
+		run.fixture.relay.deps.Rollouts = rollout.New()
+		for _, step := range []rolloutStep{{0, 1, 0}, {0, 1, 1}, {0, 0, 1}} {
+			run.set(step.old, step.new)
+		}
+		now := time.Now()
+		route := run.fixture.relay.Configuration().Match("h", "/resume/x")
+		begins := &transaction{relay: run.fixture.relay, route: route, service: topology.Service{Name: "engine"}, deadline: now.Add(time.Second)}
+		left := []balance.Candidate{{Release: "v1"}, {Release: "v2"}}
+		for _, c := range []struct {
+			name       string
+			candidates []balance.Candidate
+			release    string
+			want       []string
+		}{
+			{"listed before its last replica left", left, "", []string{"v1"}},
+			{"no longer listed", left[1:], "", nil},
+			{"a stream that has begun", left, "v1", nil},
+		} {
+			begins.release = c.release
+			if got := begins.leavingReleases(c.candidates, now); !slices.Equal(got, c.want) {
+				t.Errorf("%s: the releases that leave are %v, want %v", c.name, got, c.want)
+			}
+		}
+	})
+}
--- a/rollout/tracker.go
+++ b/rollout/tracker.go
@@ -96,10 +96,10 @@
 	return shifts
 }
 
-// mayLeave reports whether one of several releases lost replicas and has some left.
+// mayLeave reports whether one of several releases lost replicas.
 func mayLeave(releases map[string]*release) bool {
 	for _, known := range releases {
-		if len(releases) > 1 && known.accepting > 0 && len(known.departures) > 0 {
+		if len(releases) > 1 && len(known.departures) > 0 {
 			return true
 		}
 	}
@@ -133,7 +133,8 @@
 	return counts
 }
 
-// Ends returns the expected ends of the releases of the service that leave, ordered by release. A service with one release has none.
+// Ends returns the expected ends of the releases of the service that leave or have left within Window, ordered by release. One that has
+// left is named too, since a caller may have listed its last replica before. A service with one release has none.
 func (tracker *Tracker) Ends(service string, now time.Time) []End {
 	if !tracker.moving.Load() {
 		return nil
@@ -146,7 +147,7 @@
 	}
 	var ends []End
 	for name, known := range releases {
-		if known.accepting > 0 && yields(known, releases, now) {
+		if yields(known, releases, now) {
 			ends = append(ends, End{name, known.end(now)})
 		}
 	}
