Prefer a release that stays only up to three quarters of the slots

While a release leaves, new resumable streams filled all slots of the replicas that stay before one went to the others. With all slots taken each token takes longer, and a rollout that replaces only a part of the replicas, or new ones that are slow after their start, made that a price for every stream, while few are broken off and taken up.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -33,6 +33,9 @@
 	prefillUnitTokens = 1000.0
 	// jitter is the random fraction of a score, which makes daemons with the same data choose differently.
 	jitter = 0.06
+	// leavingMaxLoad is the number of requests in flight, as a multiple of its slots, from which a replica is no longer preferred to
+	// those of a leaving release: with all slots taken, each token takes longer than at replicas that have room.
+	leavingMaxLoad = 0.75
 	// maxLatencyFactor bounds the factor for the latency of a replica.
 	maxLatencyFactor = 6.0
 )
@@ -142,7 +145,7 @@
 const (
 	// classFirst is that of candidates without restriction.
 	classFirst = iota
-	// classLast is that of replicas of a leaving release, and of those without a free slot while a release leaves.
+	// classLast is that of replicas of a leaving release, and of those above leavingMaxLoad while a release leaves.
 	classLast
 	classEjected
 	classExcluded
@@ -159,7 +162,7 @@
 		return classExcluded
 	case now.Before(load.ejectedUntil):
 		return classEjected
-	case len(criteria.Leaving) > 0 && (slices.Contains(criteria.Leaving, candidate.Release) || load.inFlight() >= candidate.Slots):
+	case len(criteria.Leaving) > 0 && (slices.Contains(criteria.Leaving, candidate.Release) || float64(load.inFlight()) >= leavingMaxLoad*float64(candidate.Slots)):
 		return classLast
 	default:
 		return classFirst
--- a/balance/criteria.go
+++ b/balance/criteria.go
@@ -27,7 +27,7 @@
 	MaxLoad float64
 	// Quietest states that the candidate with the fewest requests in flight is chosen, whatever else speaks for others.
 	Quietest bool
-	// Leaving lists releases whose replicas are chosen only if no other sound one has a free slot.
+	// Leaving lists releases whose replicas are chosen only if all other sound ones have most of their slots taken.
 	Leaving []string
 	// Exclude lists replicas that were tried already; they are chosen only if there is no other.
 	Exclude []topology.Incarnation
