Show the release of each engine in the status of the product's own door

The report has Release for each upstream that names one, and the printed table a column. Nothing else changes.

--- a/cmd/bronzestall/commands_test.go
+++ b/cmd/bronzestall/commands_test.go
@@ -207,7 +207,7 @@
 		Decider:   status.Decider{Name: "entry-2"},
 		Platform:  status.Platform{TablesAwayFor: 90 * time.Second},
 		Replicas:  []status.Replica{{Model: "round-assistant", Version: "1", Phase: "Ready", Use: "idle", HeardAgo: 1200 * time.Millisecond}},
-		Upstreams: []status.Upstream{{Name: "engine-1", Kind: "Engine", Capacity: 80 << 30, Used: 38 << 30}},
+		Upstreams: []status.Upstream{{Name: "engine-1", Kind: "Engine", Release: "engine-2.4.1", Capacity: 80 << 30, Used: 38 << 30}},
 		Refusals:  []status.Refusal{{Kind: "QueueFull", Count: 3}},
 	}
 	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
@@ -222,7 +222,7 @@
 	session := newSession(t)
 	for _, part := range []string{
 		"number 7 with 4 models", "Not yet in force at: entry-4", "Decider: entry-2", "could not be read for 1m30s",
-		"1.2s ago", "38GiB", "QueueFull", "never",
+		"1.2s ago", "engine-2.4.1", "38GiB", "QueueFull", "never",
 	} {
 		session.expect("status SETTINGS --address "+address, exitDone, part)
 	}
--- a/cmd/bronzestall/report.go
+++ b/cmd/bronzestall/report.go
@@ -85,7 +85,7 @@
 		return
 	}
 	page.line("")
-	page.row("UPSTREAM", "DATA CENTRE", "KIND", "MEMORY USED", "OF", "STATE", "HEARD")
+	page.row("UPSTREAM", "DATA CENTRE", "KIND", "RELEASE", "MEMORY USED", "OF", "STATE", "HEARD")
 	for _, upstream := range upstreams {
 		state := "serving"
 		if upstream.Leaving {
@@ -95,7 +95,7 @@
 		if upstream.Heard {
 			lastSeen = age(upstream.HeardAgo) + " ago"
 		}
-		page.row(upstream.Name, upstream.DataCentre, upstream.Kind, memory(upstream, upstream.Used),
+		page.row(upstream.Name, upstream.DataCentre, upstream.Kind, cmp.Or(upstream.Release, "-"), memory(upstream, upstream.Used),
 			memory(upstream, upstream.Capacity), state, lastSeen)
 	}
 }
--- a/daemon/report.go
+++ b/daemon/report.go
@@ -114,6 +114,7 @@
 		Name:       observed.Member.Name,
 		DataCentre: observed.Member.DataCentre,
 		Kind:       string(observed.Member.Kind),
+		Release:    observed.State.Release,
 		Leaving:    observed.Leaving(),
 		Capacity:   observed.State.Capacity,
 		Heard:      observed.State.BootID != "",
--- a/status/report.go
+++ b/status/report.go
@@ -106,6 +106,8 @@
 	DataCentre string `json:"DataCentre"`
 	// Kind is "Engine" or "Service".
 	Kind string `json:"Kind"`
+	// Release is the release of the engine's software, or empty if it names none. A stream goes on only at the release that began it.
+	Release string `json:"Release,omitempty"`
 	// Leaving is true if the upstream accepts no new requests.
 	Leaving bool `json:"Leaving,omitempty"`
 	// Capacity and Used are accelerator memory in bytes: the total, and that of the replicas.
