Refuse what another daemon passed on if the own paths are lost

Cause: a daemon that reaches some replicas is not cut off, so that others pass requests on to it. It served those for a service that it does not reach on paths that it had found dead: reset ones failed after the attempts that the route allows, mute ones held the request until its deadline. Its answer says that the request may have run, so that no third daemon was asked.

Change: such a request is refused as not run if all paths to its replicas are closed or dead, whether it may run once or again. The daemon of the client asks the next one.

--- a/relay/lender_test.go
+++ b/relay/lender_test.go
@@ -158,10 +158,36 @@
 	if _, failure := serve(fixture, "/resume/x", Allowance{Attempts: 1, Configuration: 2}); failure == nil || failure.Kind != outcome.NotReady {
 		t.Errorf("an older configuration serves the request: %v", failure)
 	}
-	fixture = newFixture(ok("swallowed"))
-	fixture.relay.deps.Lender = &lenders{path: always(reach.Unsteady)}
-	_, failure := serve(fixture, "/once/x", Allowance{Attempts: 1, Configuration: 1})
-	if failure == nil || failure.Kind != outcome.UpstreamRefused || len(fixture.upstream.attempts) > 0 {
-		t.Errorf("a request that may run once goes on unsteady paths of another daemon: %v", failure)
+}
+
+// TestLentRequestsOnPathsOfTheOtherDaemon guards against a daemon that served a request for another one on paths that it had found lost,
+// so that requests for a service that several daemons do not reach were lost at the second one, although a third one reached it.
+func TestLentRequestsOnPathsOfTheOtherDaemon(t *testing.T) {
+	for _, c := range []struct {
+		path  string
+		state reach.State
+		sent  bool
+	}{
+		{"/again/x", reach.Sound, true},
+		{"/again/x", reach.Unsteady, true},
+		{"/again/x", reach.Suspected, true},
+		{"/again/x", reach.Absent, true},
+		{"/again/x", reach.Closed, false},
+		{"/again/x", reach.Dead, false},
+		{"/resume/x", reach.Dead, false},
+		{"/once/x", reach.Sound, true},
+		{"/once/x", reach.Unsteady, false},
+		{"/once/x", reach.Closed, false},
+		{"/once/x", reach.Dead, false},
+	} {
+		fixture := newFixture(ok("answer"))
+		fixture.relay.deps.Lender = &lenders{path: always(c.state)}
+		_, failure := fixture.relay.ServeLent(t.Context(), fixture.request(c.path), Allowance{Attempts: 1, Configuration: 1}, &fixture.client)
+		if sent := len(fixture.upstream.attempts) > 0; sent != c.sent {
+			t.Errorf("%s on a path in state %d: sent is %v", c.path, c.state, sent)
+		}
+		if !c.sent && (failure == nil || failure.Kind != outcome.UpstreamRefused) {
+			t.Errorf("%s on a path in state %d ends as %v", c.path, c.state, failure)
+		}
 	}
 }
--- a/relay/path.go
+++ b/relay/path.go
@@ -15,13 +15,20 @@
 // lendInstead is the failure of a choice of a replica that ends since the request is to go through another daemon.
 var lendInstead = outcome.New(outcome.UpstreamRefused, "the request goes through another daemon")
 
-// pathToWaitFor returns the state of the paths to the candidates that keeps a request that may run once from being sent: reach.Suspected
+// pathToWaitFor returns the state of the paths to the candidates that keeps a request from being sent that may run once: reach.Suspected
 // if it may wait for one, reach.Unsteady if another daemon should send it, or else reach.Absent or reach.Dead if all that is sent would be
 // lost. It returns reach.Sound if the request may be sent, also on unsteady paths if no daemon took it. The candidates are those of
-// reachable, so that all paths are sound, or all unsteady, or all neither.
+// reachable, so that all paths are sound, or all unsteady, or all neither. Another daemon's request waits for none that is lost, whether it
+// may run once or again: a further daemon may reach the replicas.
 func (transaction *transaction) pathToWaitFor(candidates []balance.Candidate) reach.State {
 	lender := transaction.relay.deps.Lender
-	if lender == nil || transaction.route.Repeatable() || !lender.AnyDoubted() {
+	if lender == nil || !lender.AnyDoubted() {
+		return reach.Sound
+	}
+	if transaction.lent && len(candidates) > 0 && len(transaction.without(candidates, reach.State.Lost)) == 0 {
+		return reach.Dead
+	}
+	if transaction.route.Repeatable() {
 		return reach.Sound
 	}
 	found := reach.Sound
