Cut the links to one service only in tests of cut-off daemons

The soak drew the replicas of one service among other parts already (drawScope); the tests that look at first tries from 3 s after the cut on cut all links of a daemon only.

--- a/internal/frontsoak/cut_test.go
+++ b/internal/frontsoak/cut_test.go
@@ -45,22 +45,24 @@
 	return float64(served) / float64(max(sent, 1)), sent
 }
 
-// cutCase is a fault of the links of some daemons to all replicas, and the daemons that are and are not cut off.
+// cutCase is a fault of the links of some daemons, and the daemons whose links are and are not cut.
 type cutCase struct {
 	name   string
 	fault  linkFault
 	cut    []int
 	others []int
+	// service names the one whose replicas the links lead to; empty for all replicas.
+	service string
 }
 
 // TestCutOffDaemonsServe guards against issue 42: daemons that were cut off from all replicas refused or held what the others could
 // serve.
 func TestCutOffDaemonsServe(t *testing.T) {
 	testCuts(t, 5300, []cutCase{
-		{"one daemon, links refuse", refused, []int{1}, []int{0, 2, 3}},
-		{"one daemon, links hang", hanging, []int{1}, []int{0, 2, 3}},
-		{"a data centre, links refuse", refused, []int{0, 2}, []int{1, 3}},
-		{"a data centre, links hang", hanging, []int{0, 2}, []int{1, 3}},
+		{"one daemon, links refuse", refused, []int{1}, []int{0, 2, 3}, ""},
+		{"one daemon, links hang", hanging, []int{1}, []int{0, 2, 3}, ""},
+		{"a data centre, links refuse", refused, []int{0, 2}, []int{1, 3}, ""},
+		{"a data centre, links hang", hanging, []int{0, 2}, []int{1, 3}, ""},
 	})
 }
 
@@ -68,10 +70,10 @@
 // path, so that daemons with such links lent nothing and held each request until its deadline.
 func TestDaemonsWithMuteLinksServe(t *testing.T) {
 	testCuts(t, 5310, []cutCase{
-		{"one daemon", mute, []int{1}, []int{0, 2, 3}},
-		{"a data centre", mute, []int{0, 2}, []int{1, 3}},
-		{"three quarters of the daemons", mute, []int{0, 1, 2}, []int{3}},
-		{"one daemon, one way", oneWay, []int{1}, []int{0, 2, 3}},
+		{"one daemon", mute, []int{1}, []int{0, 2, 3}, ""},
+		{"a data centre", mute, []int{0, 2}, []int{1, 3}, ""},
+		{"three quarters of the daemons", mute, []int{0, 1, 2}, []int{3}, ""},
+		{"one daemon, one way", oneWay, []int{1}, []int{0, 2, 3}, ""},
 	})
 }
 
@@ -79,9 +81,20 @@
 // the path, so that daemons with such links failed each request.
 func TestDaemonsWithResettingLinksServe(t *testing.T) {
 	testCuts(t, 5320, []cutCase{
-		{"one daemon", resetting, []int{1}, []int{0, 2, 3}},
-		{"a data centre", resetting, []int{0, 2}, []int{1, 3}},
-		{"three quarters of the daemons", resetting, []int{0, 1, 2}, []int{3}},
+		{"one daemon", resetting, []int{1}, []int{0, 2, 3}, ""},
+		{"a data centre", resetting, []int{0, 2}, []int{1, 3}, ""},
+		{"three quarters of the daemons", resetting, []int{0, 1, 2}, []int{3}, ""},
+	})
+}
+
+// TestDaemonsWithoutOneServiceServe guards against daemons that reach the replicas of all services but one: they are not cut off, and
+// requests for that service must go through other daemons.
+func TestDaemonsWithoutOneServiceServe(t *testing.T) {
+	testCuts(t, 5340, []cutCase{
+		{"plain service, mute", mute, []int{1}, []int{0, 2, 3}, plainService},
+		{"engines, mute", mute, []int{1}, []int{0, 2, 3}, engineService},
+		{"plain service of a data centre, links reset", resetting, []int{0, 2}, []int{1, 3}, plainService},
+		{"engines of three quarters of the daemons, one way", oneWay, []int{0, 1, 2}, []int{3}, engineService},
 	})
 }
 
@@ -106,7 +119,7 @@
 	views := testbed.useLinks(t)
 	stop := testbed.start()
 	time.Sleep(3 * time.Second)
-	result := testbed.runCut(t, seed, views, c.fault, c.cut)
+	result := testbed.runCut(t, seed, testbed.linksOf(views, c.cut, c.service), c.fault)
 	stop()
 	cutShare, cutCount := result.share(c.cut)
 	share, count := result.share(c.others)
@@ -139,12 +152,24 @@
 	return views
 }
 
-// runCut sends requests to all daemons, cuts the links of some, and returns the first tries that count.
-func (testbed *testbed) runCut(t *testing.T, seed uint64, views []*view, fault linkFault, cut []int) *cutResult {
+// linksOf returns the links of the daemons to the replicas of the service, or to all if it is empty.
+func (testbed *testbed) linksOf(views []*view, daemons []int, service string) (links []*view) {
+	targets := map[string]bool{}
+	for _, replica := range testbed.replicas {
+		targets[replica.proxy.address()] = service == "" || replica.service == service
+	}
+	for _, number := range daemons {
+		links = append(links, views[number].some(func(target string) bool { return targets[target] }))
+	}
+	return links
+}
+
+// runCut sends requests to all daemons, cuts the links, and returns the first tries that count.
+func (testbed *testbed) runCut(t *testing.T, seed uint64, cut []*view, fault linkFault) *cutResult {
 	ctx, cancel := context.WithTimeout(context.Background(), cutLength)
 	defer cancel()
-	for _, number := range cut {
-		if err := views[number].each(func(link *replicaLink) error { return link.cut(fault) }); err != nil {
+	for _, links := range cut {
+		if err := links.each(func(link *replicaLink) error { return link.cut(fault) }); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -169,8 +194,8 @@
 		}
 	}
 	clients.Wait()
-	for _, number := range cut {
-		if err := views[number].each(func(link *replicaLink) error { return link.heal() }); err != nil {
+	for _, links := range cut {
+		if err := links.each(func(link *replicaLink) error { return link.heal() }); err != nil {
 			t.Error(err)
 		}
 	}
