Count replicas that name no release as none in a rollout

A replica whose row names no release has one of its own. The tracker of rollouts held each of them as a release that grows or leaves: replicas without a release that joined made a named one leave, although no stream can go on at them, and each request of a service with hundreds of them paid a walk over all pairs while some were replaced.

Change: they are counted together, and neither grow nor leave. Whether a release leaves is decided against one growing release, the one that lost no replica for the longest time, in place of all pairs. Between named releases the decisions are as before.

--- a/rollout/release.go
+++ b/rollout/release.go
@@ -49,6 +49,12 @@
 	return release.accepting > 0 && !release.joined.IsZero() && now.Sub(release.joined) < Window
 }
 
+// yieldsTo reports whether the release lost a replica later than the growing one did.
+func (release *release) yieldsTo(growing *release, now time.Time) bool {
+	last := release.lastDeparture(now)
+	return !last.IsZero() && growing.lastDeparture(now).Before(last)
+}
+
 // end returns when the last replica leaves if all leave at the pace of those that left within Window. A longer time without a departure
 // is a slower pace. One departure must have been observed.
 func (release *release) end(now time.Time) time.Time {
--- a/rollout/tracker.go
+++ b/rollout/tracker.go
@@ -90,8 +90,9 @@
 			shifts = append(shifts, Shift{Release: name, Before: before, Accepting: known.accepting})
 		}
 	}
+	heir, ok := findHeir(releases, now)
 	for index := range shifts {
-		shifts[index].Leaves = yields(releases[shifts[index].Release], releases, now)
+		shifts[index].Leaves = ok && releases[shifts[index].Release].yieldsTo(heir, now)
 	}
 	return shifts
 }
@@ -116,6 +117,9 @@
 	}
 }
 
+// unnamed stands for the releases of all replicas that name none. A stream that begins at one of them can go on at no other.
+const unnamed = ""
+
 // countReleases returns the number of replicas by service and release.
 func countReleases(replicas []topology.Replica) map[string]map[string]int {
 	counts := map[string]map[string]int{}
@@ -127,7 +131,11 @@
 		if counts[first.Service] == nil {
 			counts[first.Service] = map[string]int{}
 		}
-		counts[first.Service][first.Release] += end - begin
+		name := first.Release
+		if !topology.IsReleaseName(name) {
+			name = unnamed
+		}
+		counts[first.Service][name] += end - begin
 		begin = end
 	}
 	return counts
@@ -145,9 +153,13 @@
 	if len(releases) < 2 {
 		return nil
 	}
+	heir, ok := findHeir(releases, now)
+	if !ok {
+		return nil
+	}
 	var ends []End
 	for name, known := range releases {
-		if yields(known, releases, now) {
+		if name != unnamed && known.yieldsTo(heir, now) {
 			ends = append(ends, End{name, known.end(now)})
 		}
 	}
@@ -169,16 +181,16 @@
 	return counts
 }
 
-// yields reports whether the release loses replicas while another one of its service grows.
-func yields(leaving *release, releases map[string]*release, now time.Time) bool {
-	last := leaving.lastDeparture(now)
-	if last.IsZero() {
-		return false
-	}
-	for _, other := range releases {
-		if other != leaving && other.grows(now) && other.lastDeparture(now).Before(last) {
-			return true
+// findHeir returns the growing release that lost no replica for the longest time, or false if none grows.
+func findHeir(releases map[string]*release, now time.Time) (*release, bool) {
+	var heir *release
+	for name, known := range releases {
+		if name == unnamed || !known.grows(now) {
+			continue
+		}
+		if heir == nil || known.lastDeparture(now).Before(heir.lastDeparture(now)) {
+			heir = known
 		}
 	}
-	return false
+	return heir, heir != nil
 }
--- a/rollout/tracker_test.go
+++ b/rollout/tracker_test.go
@@ -126,3 +126,24 @@
 		}
 	}
 }
+
+// TestReplicasWithoutAReleaseAreNoRelease covers replicas that name none: streams of one can go on at no other, so that they take the
+// place of no release, and many of them cost no more than one.
+func TestReplicasWithoutAReleaseAreNoRelease(t *testing.T) {
+	tracker, now := New(), time.Unix(1000, 0)
+	for _, c := range []struct{ named, unnamed int }{{3, 1}, {3, 600}, {2, 400}, {1, 600}} {
+		replicas := slices.Repeat([]topology.Replica{{Service: "s", Release: "v1"}}, c.named)
+		for number := range c.unnamed {
+			incarnation := topology.Incarnation{ID: fmt.Sprint(number)}
+			replicas = append(replicas, topology.Replica{Incarnation: incarnation, Service: "s", Release: topology.UnnamedRelease(incarnation)})
+		}
+		now = now.Add(time.Second)
+		tracker.Observe(replicas, now)
+		if ends := tracker.Ends("s", now); len(ends) > 0 {
+			t.Errorf("%d and %d replicas: the releases %v leave", c.named, c.unnamed, ends)
+		}
+		if held := len(tracker.Accepting()["s"]); held != 2 {
+			t.Errorf("%d releases are held, want 2", held)
+		}
+	}
+}
