Let a cut of the soak wait for its port while processes start

Cause: in the test bed. A link that is cut closes its listener and binds the port again, for a second at most. A process that is being started has a copy of the listener until it runs its own program.

Ruled out: another owner of the port. It is reserved by a socket of its own for the whole run, and the kernel gives such ports to nobody.

Change: the link waits for 10 s. No check is touched; a cut that cannot be made still fails the run.

Failing test: TestCutWaitsForTheFormerListener, with a copy of the listener that lasts 2 s in place of 0.1 s.

--- a/internal/frontsoak/links_test.go
+++ b/internal/frontsoak/links_test.go
@@ -27,6 +27,9 @@
 	resetting
 )
 
+// portTimeout is the longest time for which a link waits for its port. Starting a process takes a second and more where many are started.
+const portTimeout = 10 * time.Second
+
 // replicaLink is the path from one daemon to one replica: a proxy of its own.
 type replicaLink struct {
 	address string
@@ -131,14 +134,11 @@
 	return nil
 }
 
-// retry calls the function until it succeeds, for a second at most: a listener that was closed may go on for a moment while it
-// accepts a connection, or while a process that is being started has a copy of it.
+// retry calls the function until it succeeds, for portTimeout at most: a listener that was closed goes on while it accepts a
+// connection, or while a process that is being started has a copy of it.
 func retry(apply func() error) error {
 	err := apply()
-	for range 100 {
-		if err == nil {
-			return nil
-		}
+	for end := time.Now().Add(portTimeout); err != nil && time.Now().Before(end); {
 		time.Sleep(10 * time.Millisecond)
 		err = apply()
 	}
@@ -256,7 +256,7 @@
 }
 
 // TestCutWaitsForTheFormerListener guards against a cut that failed with "address already in use": the listener of the link was closed
-// and went on for a moment, while the port was bound again at once.
+// and went on for more than a second in processes that were being started, while the port was bound again.
 func TestCutWaitsForTheFormerListener(t *testing.T) {
 	link, err := newLink("127.0.0.1:1")
 	if err != nil {
@@ -266,7 +266,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	time.AfterFunc(100*time.Millisecond, func() { _ = file.Close() })
+	time.AfterFunc(2*time.Second, func() { _ = file.Close() })
 	if err := link.cut(hanging); err != nil {
 		t.Error(err)
 	}
