Measure what is served while half of the daemons are of each build

It counts violations and starts of daemons too. What it shares with TestUpgradeServesAsOneBuild is measureShare, which behaves as before but for the counts in the log.

--- a/internal/frontsoak/upgradeshare_test.go
+++ b/internal/frontsoak/upgradeshare_test.go
@@ -17,6 +17,9 @@
 	// shareClients is the number of clients, and sharePause the longest pause of each between two requests.
 	shareClients = 12
 	sharePause   = 80 * time.Millisecond
+	// halfTime is the time for which half of the daemons are of each build, and configureInterval that between two configurations.
+	halfTime          = 30 * time.Second
+	configureInterval = 3 * time.Second
 )
 
 // TestUpgradeServesAsOneBuild measures the share of first tries served, without faults, while daemons are upgraded, go back and are
@@ -38,26 +41,71 @@
 	}
 }
 
+// TestHalfOfTheDaemonsServesAsOneBuild measures the share of first tries served, without faults, while half of the daemons are of each
+// build, against the same with one build. It takes a minute and more, and runs only when -seed is given.
+func TestHalfOfTheDaemonsServesAsOneBuild(t *testing.T) {
+	if *seedFlag == 0 {
+		t.Skip("NOT TESTED: a measurement, which runs by hand with -seed")
+	}
+	older, newer := buildCommit(t, *olderFlag), build(t)
+	for _, seed := range seedsOr(nil) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			one := measureHalf(t, newer, newer, seed)
+			two := measureHalf(t, older, newer, seed)
+			t.Logf("served first tries: one build %.4f, two builds %.4f", one, two)
+			if two < minUpgradeShare*one {
+				t.Errorf("%.4f of the first tries are served with two builds, %.4f with one", two, one)
+			}
+		})
+	}
+}
+
 // measureReplacements replaces all daemons of the older build by the newer one, back and forth again, and returns the share of first
-// tries served meanwhile. Violations fail the test.
+// tries served meanwhile.
 func measureReplacements(t *testing.T, older, newer string, seed uint64) float64 {
-	testbed, err := newTestbedOf(*upgradeFrontsFlag, t.TempDir(), older, seed)
+	random := rand.New(rand.NewPCG(seed, 48))
+	return measureShare(t, older, seed, func(*testbed) {}, func(testbed *testbed) {
+		for _, binary := range []string{newer, older, newer} {
+			testbed.replaceAll(t, random, upgradePass{binary, syscall.SIGTERM})
+		}
+	})
+}
+
+// measureHalf replaces half of the daemons of the older build by the newer one, and returns the share of first tries served in the
+// time after that, with a new configuration every configureInterval.
+func measureHalf(t *testing.T, older, newer string, seed uint64) float64 {
+	prepare := func(testbed *testbed) {
+		for _, front := range testbed.fronts[:len(testbed.fronts)/2] {
+			front.replace(upgradePass{newer, syscall.SIGTERM})
+		}
+	}
+	return measureShare(t, older, seed, prepare, func(testbed *testbed) {
+		for end := time.Now().Add(halfTime); time.Now().Before(end); time.Sleep(configureInterval) {
+			testbed.configure()
+		}
+	})
+}
+
+// measureShare starts daemons of the build, prepares them, and returns the share of first tries served during what follows. Violations
+// fail the test.
+func measureShare(t *testing.T, binary string, seed uint64, prepare, during func(testbed *testbed)) float64 {
+	testbed, err := newTestbedOf(*upgradeFrontsFlag, t.TempDir(), binary, seed)
 	if err != nil {
 		t.Fatal(err)
 	}
 	stop := testbed.start()
 	time.Sleep(3 * time.Second)
+	prepare(testbed)
 	ctx, cancel := context.WithCancel(context.Background())
 	result := &cutResult{sent: map[string]int{}, served: map[string]int{}}
 	wait := testbed.startShareClients(ctx, seed, result)
-	random := rand.New(rand.NewPCG(seed, 48))
-	for _, binary := range []string{newer, older, newer} {
-		testbed.replaceAll(t, random, upgradePass{binary, syscall.SIGTERM})
-	}
+	during(testbed)
 	cancel()
 	wait()
+	restarts := testbed.restarts()
 	stop()
-	for _, violation := range testbed.checker.finish() {
+	violations := testbed.checker.finish()
+	for _, violation := range violations {
 		t.Error(violation)
 	}
 	var all []int
@@ -65,10 +113,21 @@
 		all = append(all, number)
 	}
 	share, count := result.share(all)
-	t.Logf("%.4f of %d first tries served", share, count)
+	t.Logf("%.4f of %d first tries served, %d violations, %d daemons started anew", share, count, len(violations), restarts)
 	return share
 }
 
+// restarts returns how often daemons were started again, replacements included.
+func (testbed *testbed) restarts() int {
+	count := 0
+	for _, front := range testbed.fronts {
+		front.mutex.Lock()
+		count += len(front.started) - 1
+		front.mutex.Unlock()
+	}
+	return count
+}
+
 // startShareClients starts clients that send requests to daemons that are ready, as a balancer does, until the context ends, and
 // returns what waits for them.
 func (testbed *testbed) startShareClients(ctx context.Context, seed uint64, result *cutResult) (wait func()) {
