--- a/reach/simulation_test.go
+++ b/reach/simulation_test.go
@@ -148,7 +148,8 @@
 	})
 }
 
-// request sends a request, half of which may run once. These go on sound paths only, the others also on suspected ones.
+// request sends a request, half of which may run once. These go on sound paths only, the others also on suspected ones. What finds unsteady
+// ones at best goes through another daemon.
 func (sim *simulation) request(daemon *simDaemon) {
 	sim.after(simRequests/2+sim.upTo(simRequests), func() { sim.request(daemon) })
 	if _, cutOff := daemon.IsCutOff(); cutOff {
@@ -172,6 +173,9 @@
 func (sim *simulation) choose(daemon *simDaemon, worst State) (int, bool) {
 	for state := Sound; state <= worst; state++ {
 		for _, replica := range sim.random.Perm(simReplicas) {
+			if (state == Unsteady || state == Relapsed) && daemon.State(strconv.Itoa(replica), sim.time()) == state {
+				return 0, false
+			}
 			if daemon.State(strconv.Itoa(replica), sim.time()) == state {
 				return replica, true
 			}
--- a/relay/lender.go
+++ b/relay/lender.go
@@ -117,9 +117,9 @@
 		return false
 	}
 	candidates := transaction.ofRelease(transaction.holders())
-	// After a reset, another path that is not sound is not tried. What may run once is not sent on an unsteady one.
+	// After a reset, another path that is not sound is not tried. An unsteady one is used if no daemon takes the request.
 	excluded := reach.State.Lost
-	if transaction.resets > 0 || !transaction.route.Repeatable() && transaction.anyUnsteady(candidates) {
+	if transaction.resets > 0 || transaction.anyUnsteady(candidates) {
 		excluded = isDoubted
 	}
 	return len(candidates) > 0 && len(transaction.without(candidates, excluded)) == 0
@@ -163,9 +163,9 @@
 	return state != reach.Sound
 }
 
-// isUnsteady reports whether the path leads to the replica, but may not soon.
+// isUnsteady reports whether the path comes and goes.
 func isUnsteady(state reach.State) bool {
-	return state == reach.Unsteady
+	return state == reach.Unsteady || state == reach.Relapsed
 }
 
 // isUnproved reports whether nothing came back on the path since an attempt yielded nothing.
@@ -211,7 +211,7 @@
 		return result{}, false
 	}
 	if refusal := AsRefusal(err); refusal != nil {
-		if refusal.NotRun() && !transaction.route.Repeatable() && transaction.anyUnsteady(transaction.ofRelease(transaction.holders())) {
+		if refusal.NotRun() && transaction.anyUnsteady(transaction.ofRelease(transaction.holders())) {
 			transaction.lendFailed = true
 			transaction.sends--
 			return result{}, false
