--- a/reach/falls.go
+++ b/reach/falls.go
@@ -2,23 +2,17 @@
 
 import "time"
 
-// minHeld is the time without a byte after which the reset of a new connection shows that what was sent on it was swallowed. A replica that
-// wants no connection resets it at once, and the answers of one that paused come at the end of the pause.
-const minHeld = 200 * time.Millisecond
-
-// episode is a period without a byte of any replica, in which several paths became suspected, so that none counted as sound.
+// episode is a period in which no path counted as sound, since several were suspected.
 type episode struct {
-	// began is set once there was one.
-	began bool
-	// from and to are the times of the last byte before it and of the first one after it; to is zero while it lasts.
+	// from and to are its begin and end; to is zero while it lasts.
 	from, to time.Time
 	// swallowed is the number of paths that fell by attempts of the period, or in it.
 	swallowed int
 }
 
-// includes reports whether the time is in the period.
-func (episode *episode) includes(at time.Time) bool {
-	return episode.began && !at.Before(episode.from) && (episode.to.IsZero() || !at.After(episode.to))
+// holds reports whether the time is in the period.
+func (episode *episode) holds(at time.Time) bool {
+	return !episode.from.IsZero() && !at.Before(episode.from) && (episode.to.IsZero() || !at.After(episode.to))
 }
 
 // endSuspicion ends the period in which no path counted as sound, if there is one.
@@ -41,7 +35,7 @@
 	known.damping = known.damping.withFall(now)
 	paths.damping = paths.damping.withDoubt(now)
 	paths.unsteady.Store(true)
-	if !paths.allSuspected && !paths.suspicion.includes(begun) {
+	if !paths.allSuspected && !paths.suspicion.holds(begun) {
 		return
 	}
 	paths.suspicion.swallowed++
--- a/reach/state.go
+++ b/reach/state.go
@@ -39,8 +39,6 @@
 	// Unsteady means that the path swallowed attempts lately and was proved since, for a shorter time than it must be after as many falls:
 	// it may swallow the next one.
 	Unsteady
-	// Relapsed means that the path is suspected while it would be unsteady.
-	Relapsed
 	// Suspected means that an attempt yielded nothing for a while or was reset, or that its timeout came late, and that nothing was
 	// proved since: the replica, or this daemon, may pause, or the path may be cut.
 	Suspected
--- a/relay/lender.go
+++ b/relay/lender.go
@@ -117,9 +117,9 @@
 		return false
 	}
 	candidates := transaction.ofRelease(transaction.holders())
-	// After a reset, another path that is not sound is not tried. An unsteady one is used if no daemon takes the request.
+	// After a reset, another path that is not sound is not tried. What may run once is not sent on an unsteady one.
 	excluded := reach.State.Lost
-	if transaction.resets > 0 || transaction.anyUnsteady(candidates) {
+	if transaction.resets > 0 || !transaction.route.Repeatable() && transaction.anyUnsteady(candidates) {
 		excluded = isDoubted
 	}
 	return len(candidates) > 0 && len(transaction.without(candidates, excluded)) == 0
@@ -163,9 +163,9 @@
 	return state != reach.Sound
 }
 
-// isUnsteady reports whether the path comes and goes.
+// isUnsteady reports whether the path leads to the replica, but may not soon.
 func isUnsteady(state reach.State) bool {
-	return state == reach.Unsteady || state == reach.Relapsed
+	return state == reach.Unsteady
 }
 
 // isUnproved reports whether nothing came back on the path since an attempt yielded nothing.
@@ -212,10 +212,11 @@
 	return transaction.failLent(lent)
 }
 
-// mayUseUnsteadyPath reports whether a request that other daemons refused and did not run may use a path of this one that is unsteady.
+// mayUseUnsteadyPath reports whether a request that may run once, which other daemons refused and did not run, may use a path of this
+// one that is unsteady.
 func (transaction *transaction) mayUseUnsteadyPath(err error) bool {
 	refusal := AsRefusal(err)
-	return refusal != nil && refusal.NotRun() && transaction.anyUnsteady(transaction.ofRelease(transaction.holders()))
+	return refusal != nil && refusal.NotRun() && !transaction.route.Repeatable() && transaction.anyUnsteady(transaction.ofRelease(transaction.holders()))
 }
 
 // failLent counts the runs of an attempt that another daemon took and did not answer, and returns why it failed.
--- a/relay/path.go
+++ b/relay/path.go
@@ -18,16 +18,13 @@
 // pathToWaitFor returns the state of the paths to the candidates that keeps a request from being sent that may run once: reach.Suspected
 // if it may wait for one, reach.Unsteady if another daemon should send it, or else reach.Absent or reach.Dead if all that is sent would be
 // lost. It returns reach.Sound if the request may be sent, also on unsteady paths if no daemon took it. The candidates are those of
-// reachable, so that all paths are sound, or all unsteady, or all neither. Another daemon's request uses none that is unsteady or lost,
-// whether it may run once or again: a further daemon may reach the replicas.
+// reachable, so that all paths are sound, or all unsteady, or all neither. Another daemon's request waits for none that is lost, whether it
+// may run once or again: a further daemon may reach the replicas.
 func (transaction *transaction) pathToWaitFor(candidates []balance.Candidate) reach.State {
 	lender := transaction.relay.deps.Lender
 	if lender == nil || !lender.AnyDoubted() {
 		return reach.Sound
 	}
-	if transaction.lent && transaction.anyUnsteady(candidates) {
-		return reach.Unsteady
-	}
 	if transaction.lent && len(candidates) > 0 && len(transaction.without(candidates, reach.State.Lost)) == 0 {
 		return reach.Dead
 	}
@@ -39,12 +36,9 @@
 		switch state := lender.Path(candidate.Incarnation, candidate.Address); state {
 		case reach.Suspected:
 			return state
-		case reach.Unsteady, reach.Relapsed:
+		case reach.Unsteady:
 			if !transaction.lendFailed {
-				return reach.Unsteady
-			}
-			if state == reach.Relapsed {
-				return reach.Suspected
+				return state
 			}
 		case reach.Absent, reach.Dead:
 			found = max(found, state)
