Take the damping of paths that flap back

The logs show that two engines that ended at once, by resets after 200 ms without a byte, passed for paths that flap (PathUnsteady, PathsUnsteady, then PathsLost for 0.1 s), so that the daemons passed all requests on, and no whole answer spoke for the first part. A crash of replicas is no cut.

--- a/event/front.go
+++ b/event/front.go
@@ -47,8 +47,6 @@
 	PathsLost          = define(860, "PathsLost", Warning, "This daemon reaches no replica: connections to several could not be opened or yielded nothing, and none was reached since. Replica is the last one, Failure how an attempt to reach it failed last, and Since when the first attempt began that failed.")
 	PathsBack          = define(861, "PathsBack", Info, "This daemon reaches a replica again; For is how long it reached none.")
 	PathCut            = define(876, "PathCut", Warning, "This daemon does not reach a replica; logged once until it does again. Failure is how an attempt failed last, Since when the first attempt began that failed, and Proved when a byte of a response came last.")
-	PathUnsteady       = define(878, "PathUnsteady", Warning, "The path to a replica swallowed requests or probes: for a time that grows with each such fall, requests that may run once go on other paths or through other daemons, until nothing speaks against the path any more.")
-	PathsUnsteady      = define(879, "PathsUnsteady", Warning, "All paths of this daemon fell together: each is treated like that of PathUnsteady.")
 	ProofIgnored       = define(877, "ProofIgnored", Warning, "Another daemon, Daemon, claims an answer of a replica that it was not asked about, or from the future; that is ignored.")
 	RequestLent        = define(862, "RequestLent", Info, "A request was passed to another daemon, Daemon, since this one reaches no replica for it; the cause is why that daemon did not answer it.")
 	LentRequestServed  = define(863, "LentRequestServed", Info, "A request that another daemon, Daemon, passed on was answered, or not for the reason in Failure.")
--- a/front/paths.go
+++ b/front/paths.go
@@ -109,12 +109,6 @@
 		work.Change = reach.Unchanged
 	}
 	daemon.logCutOff("", work.Change)
-	for _, path := range work.Unsteady {
-		event.PathUnsteady.Log("Replica", path)
-	}
-	if work.AllUnsteady {
-		event.PathsUnsteady.Log("Daemon", daemon.settings.Name)
-	}
 	if len(work.Probes)+len(work.Questions) == 0 {
 		return
 	}
--- a/reach/path.go
+++ b/reach/path.go
@@ -29,15 +29,11 @@
 	vouched time.Time
 	// probeBegun is when the probe began that is under way; zero if none is.
 	probeBegun time.Time
-	// probeProved is when the path was proved first since then; zero if it was not. That may be by the answer to the probe.
-	probeProved time.Time
 	// probeTimeout is the time after which the last probe ended, or ends, without an answer.
 	probeTimeout time.Duration
 	// nextProbe is the earliest time of the next probe, and probeDelay the time between the last two.
 	nextProbe  time.Time
 	probeDelay time.Duration
-	// damping is what is known of the falls of the path.
-	damping damping
 	// nextQuestion is the earliest time at which other daemons are asked about the replica.
 	nextQuestion time.Time
 }
@@ -82,12 +78,7 @@
 	}
 	proved.awaited = path.awaited[:0]
 	proved.probeBegun, proved.probeTimeout = path.probeBegun, path.probeTimeout
-	proved.probeProved = path.probeProved
-	if proved.probeProved.IsZero() {
-		proved.probeProved = now
-	}
-	proved.nextProbe, proved.nextQuestion = path.nextProbe, path.nextQuestion
-	proved.damping = path.damping
+	proved.nextProbe = path.nextProbe
 	return proved
 }
 
@@ -155,17 +146,6 @@
 
 // isCut reports whether the probe that is under way yields nothing, although another daemon had an answer of the replica since.
 func (path *path) isCut(now time.Time) bool {
-	return path.lost.IsZero() && path.probeBegun.After(path.proved) && path.isSwallowed(now)
-}
-
-// isSwallowed reports whether the probe that is under way yields nothing, although the replica answered another daemon, or something
-// else of this one, since. After a pause the answer to the probe may wait for a slot like any other.
-func (path *path) isSwallowed(now time.Time) bool {
-	if path.probeBegun.IsZero() || !path.probeProved.IsZero() && now.Sub(path.probeProved) < answerTime {
-		return false
-	}
-	answered := func(at time.Time) bool {
-		return at.Sub(path.probeBegun) >= answerTime && now.Sub(at) >= graceTime
-	}
-	return answered(path.vouched) || answered(path.proved)
+	return !path.probeBegun.IsZero() && path.lost.IsZero() && path.probeBegun.After(path.proved) &&
+		path.vouched.Sub(path.probeBegun) >= answerTime && now.Sub(path.vouched) >= graceTime
 }
--- a/reach/state.go
+++ b/reach/state.go
@@ -36,9 +36,6 @@
 const (
 	// Sound means that nothing speaks against the path.
 	Sound State = iota
-	// Unsteady means that the path swallowed attempts lately and was proved since, for a shorter time than it must be after as many falls:
-	// it may swallow the next one.
-	Unsteady
 	// Suspected means that an attempt yielded nothing for a while or was reset, or that its timeout came late, and that nothing was
 	// proved since: the replica, or this daemon, may pause, or the path may be cut.
 	Suspected
--- a/reach/work.go
+++ b/reach/work.go
@@ -14,8 +14,6 @@
 	// maxProbeDelay.
 	minProbeDelay = 250 * time.Millisecond
 	maxProbeDelay = 2 * time.Second
-	// unsteadyProbeDelay is added to the time between two probes of a path that is unsteady only.
-	unsteadyProbeDelay = 250 * time.Millisecond
 	// questionInterval is the time between two questions to other daemons about one replica.
 	questionInterval = 250 * time.Millisecond
 	// maxQuestions bounds the replicas that other daemons are asked about at once.
@@ -44,9 +42,6 @@
 	Questions []string
 	// Lost lists the replicas that were found lost since the last step.
 	Lost []string
-	// Unsteady lists the replicas whose paths became unsteady since the last step, and AllUnsteady is set if all paths did together.
-	Unsteady    []string
-	AllUnsteady bool
 	// Change is how the time that passed changed what the daemon concludes about itself.
 	Change Change
 }
@@ -70,12 +65,9 @@
 		}
 	}
 	slices.SortStableFunc(due, func(a, b string) int { return paths.replicas[a].nextProbe.Compare(paths.replicas[b].nextProbe) })
-	paths.observeSuspicion(now)
-	paths.observeSteadiness(now)
+	paths.observeSuspicion()
 	work.Change = paths.conclude(now)
 	work.Lost, paths.found = paths.found, nil
-	work.Unsteady, paths.becameUnsteady = paths.becameUnsteady, nil
-	work.AllUnsteady, paths.allBecameUnsteady = paths.allBecameUnsteady, false
 	for _, key := range due[:min(len(due), max(minProbes, len(due)/probeShare))] {
 		work.Probes = append(work.Probes, Probe{key, paths.replicas[key].beginProbe(now)})
 	}
@@ -90,26 +82,20 @@
 	return paths.sorted
 }
 
-// mayProbe reports whether the replica is due to be probed: its path is doubted or unsteady, or all are.
+// mayProbe reports whether the replica is due to be probed: its path is doubted, or all are.
 func (paths *Paths) mayProbe(known *path, now time.Time) bool {
-	if !known.probeBegun.IsZero() {
-		return false
-	}
-	if paths.cutOff || paths.allSuspected || known.isDoubted() {
-		return !now.Before(known.nextProbe)
-	}
-	return paths.isUnsteady(known, now) && now.Sub(known.nextProbe) >= unsteadyProbeDelay
+	return (paths.cutOff || paths.allSuspected || known.isDoubted()) && known.probeBegun.IsZero() && !now.Before(known.nextProbe)
 }
 
-// isQuestionDue reports whether others must be asked about the replica: it has not answered a probe in time.
+// isQuestionDue reports whether others must be asked about the replica: it is suspected, and has not answered a probe in time.
 func (path *path) isQuestionDue(now time.Time) bool {
-	return path.lost.IsZero() && !path.probeBegun.IsZero() &&
+	return !path.suspected.IsZero() && path.lost.IsZero() && !path.probeBegun.IsZero() &&
 		now.Sub(path.probeBegun) >= answerTime && !now.Before(path.nextQuestion)
 }
 
 // beginProbe records that a probe begins, and returns the time after which it ends without an answer.
 func (path *path) beginProbe(now time.Time) time.Duration {
-	path.probeBegun, path.probeProved = now, time.Time{}
+	path.probeBegun = now
 	path.probeTimeout = probeTimeout
 	if !path.lost.IsZero() {
 		path.probeTimeout = lostProbeTimeout
--- a/relay/lender.go
+++ b/relay/lender.go
@@ -116,12 +116,12 @@
 	if !lender.AnyDoubted() {
 		return false
 	}
-	candidates := transaction.ofRelease(transaction.holders())
-	// After a reset, another path that is not sound is not tried. What may run once is not sent on an unsteady one.
+	// After a reset, another path that is not sound is not tried.
 	excluded := reach.State.Lost
-	if transaction.resets > 0 || !transaction.route.Repeatable() && transaction.anyUnsteady(candidates) {
+	if transaction.resets > 0 {
 		excluded = isDoubted
 	}
+	candidates := transaction.ofRelease(transaction.holders())
 	return len(candidates) > 0 && len(transaction.without(candidates, excluded)) == 0
 }
 
@@ -131,22 +131,17 @@
 	return lender.Path(candidate.Incarnation, candidate.Address).Lost()
 }
 
-// anyUnsteady reports whether the path to any of the candidates is unsteady.
-func (transaction *transaction) anyUnsteady(candidates []balance.Candidate) bool {
-	return len(transaction.without(candidates, isUnsteady)) < len(candidates)
-}
-
-// reachable returns the candidates with sound paths, or else those with unsteady ones, or those whose paths are not lost, or all if there
-// are none either.
+// reachable returns the candidates with sound paths, or else those whose paths are not lost, or all if there are none either.
 func (transaction *transaction) reachable(candidates []balance.Candidate) []balance.Candidate {
 	lender := transaction.relay.deps.Lender
 	if lender == nil || !lender.AnyDoubted() {
 		return candidates
 	}
-	for _, excluded := range []func(reach.State) bool{isDoubted, isUnproved, reach.State.Lost} {
-		if reached := transaction.without(candidates, excluded); len(reached) > 0 {
-			return reached
-		}
+	if sound := transaction.without(candidates, isDoubted); len(sound) > 0 {
+		return sound
+	}
+	if reached := transaction.without(candidates, reach.State.Lost); len(reached) > 0 {
+		return reached
 	}
 	return candidates
 }
@@ -163,16 +158,6 @@
 	return state != reach.Sound
 }
 
-// isUnsteady reports whether the path leads to the replica, but may not soon.
-func isUnsteady(state reach.State) bool {
-	return state == reach.Unsteady
-}
-
-// isUnproved reports whether nothing came back on the path since an attempt yielded nothing.
-func isUnproved(state reach.State) bool {
-	return state > reach.Unsteady
-}
-
 // lend makes one attempt through another daemon. It returns false if no daemon took the request.
 func (transaction *transaction) lend(ctx context.Context) (result, bool) {
 	lent := transaction.openLent(context.WithCancelCause(ctx))
@@ -203,7 +188,7 @@
 		transaction.runs += lent.runs
 		return result{}
 	}
-	if errors.Is(lent.err, exchange.ErrNotSent) || transaction.mayUseUnsteadyPath(lent.err) {
+	if errors.Is(lent.err, exchange.ErrNotSent) {
 		transaction.lendFailed = true
 		transaction.sends--
 		failure := outcome.New(outcome.UpstreamRefused, "%s", lent.err.Error()).WithRetryAfter(retryAfterBusy)
@@ -212,13 +197,6 @@
 	return transaction.failLent(lent)
 }
 
-// mayUseUnsteadyPath reports whether a request that may run once, which other daemons refused and did not run, may use a path of this
-// one that is unsteady.
-func (transaction *transaction) mayUseUnsteadyPath(err error) bool {
-	refusal := AsRefusal(err)
-	return refusal != nil && refusal.NotRun() && !transaction.route.Repeatable() && transaction.anyUnsteady(transaction.ofRelease(transaction.holders()))
-}
-
 // failLent counts the runs of an attempt that another daemon took and did not answer, and returns why it failed.
 func (transaction *transaction) failLent(lent *leg) result {
 	if refusal := AsRefusal(lent.err); refusal != nil {
--- a/relay/path.go
+++ b/relay/path.go
@@ -15,11 +15,10 @@
 // lendInstead is the failure of a choice of a replica that ends since the request is to go through another daemon.
 var lendInstead = outcome.New(outcome.UpstreamRefused, "the request goes through another daemon")
 
-// pathToWaitFor returns the state of the paths to the candidates that keeps a request from being sent that may run once: reach.Suspected
-// if it may wait for one, reach.Unsteady if another daemon should send it, or else reach.Absent or reach.Dead if all that is sent would be
-// lost. It returns reach.Sound if the request may be sent, also on unsteady paths if no daemon took it. The candidates are those of
-// reachable, so that all paths are sound, or all unsteady, or all neither. Another daemon's request waits for none that is lost, whether it
-// may run once or again: a further daemon may reach the replicas.
+// pathToWaitFor returns the state of the paths to the candidates that keeps a request that may run once from being sent: reach.Suspected
+// if it may wait for one, or else reach.Absent or reach.Dead if all that is sent would be lost. It returns reach.Sound if the request
+// may be sent. The candidates are those of reachable, so that either all paths are sound or none is. Another daemon's request waits for
+// none that is lost, whether it may run once or again: a further daemon may reach the replicas.
 func (transaction *transaction) pathToWaitFor(candidates []balance.Candidate) reach.State {
 	lender := transaction.relay.deps.Lender
 	if lender == nil || !lender.AnyDoubted() {
@@ -36,10 +35,6 @@
 		switch state := lender.Path(candidate.Incarnation, candidate.Address); state {
 		case reach.Suspected:
 			return state
-		case reach.Unsteady:
-			if !transaction.lendFailed {
-				return state
-			}
 		case reach.Absent, reach.Dead:
 			found = max(found, state)
 		}
@@ -48,16 +43,12 @@
 }
 
 // waitForPath lets a request that may run once wait while paths to its replicas are suspected: on one that yields nothing it would be
-// lost. A request of another daemon's client is refused if they are unsteady, so that a third daemon or that one's own paths serve it. It
-// returns why there is nothing to wait for, or nil after it has waited for a moment.
+// lost. It returns why there is nothing to wait for, or nil after it has waited for a moment.
 func (selection *selection) waitForPath(ctx context.Context, state reach.State, changes changes) *outcome.Error {
 	if selection.lends() {
 		return lendInstead
 	}
-	if state == reach.Unsteady && selection.lent {
-		return outcome.New(outcome.UpstreamRefused, "connections to the replicas yielded nothing lately").WithRetryAfter(retryAfterBusy)
-	}
-	if state > reach.Suspected {
+	if state != reach.Suspected {
 		return outcome.New(outcome.UpstreamRefused, "connections to the replicas yield nothing").WithRetryAfter(retryAfterBusy)
 	}
 	selection.waitForChange(ctx, pathPollInterval, changes)
