Close the listener of a drained server in one place

Both doors kept a flag that says whether the listener was closed by a stop, closed it themselves and read the flag when the server ended. Drain of inbound closes the listener now and makes the server return http.ErrServerClosed, as http.Server does for its own shutdown; both flags are gone, and so is a field of front's servers that nothing read. Behaviour is as it was: the same tests of stops pass.

--- a/daemon/server.go
+++ b/daemon/server.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -23,8 +22,6 @@
 	http     *http.Server
 	// connections tracks the connections of a server that is stopped by shutdown, and is nil for others.
 	connections *inbound.Connections
-	// stopping is set once the listener is closed by shutdown.
-	stopping atomic.Bool
 }
 
 // listen opens the address. An empty address returns a server that accepts no connections.
@@ -66,7 +63,7 @@
 		return nil
 	}
 	err := server.http.Serve(server.listener)
-	if errors.Is(err, http.ErrServerClosed) || server.stopping.Load() {
+	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return trace.Wrap(err)
@@ -79,10 +76,6 @@
 
 // shutdown closes the listener of a server that tracks its connections and waits until ctx ends for the requests that were read; it then closes their connections.
 func (server *server) shutdown(ctx context.Context, clk clock.WithTicker) {
-	server.stopping.Store(true)
-	if server.listener != nil {
-		_ = server.listener.Close()
-	}
 	server.connections.Drain(ctx, clk)
 	_ = server.http.Close()
 }
--- a/front/servers.go
+++ b/front/servers.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -28,22 +27,16 @@
 
 // servers holds the HTTP servers of a daemon and their listeners, by the same index.
 type servers struct {
-	// clients is the first server in all; it handles client requests. connections tracks its connections.
-	clients     *http.Server
-	connections *inbound.Connections
+	// all begins with the server that handles client requests, whose connections are tracked.
 	all         []*http.Server
 	listeners   []net.Listener
-	// stopping is set once the listener for clients is closed.
-	stopping atomic.Bool
+	connections *inbound.Connections
 }
 
 // newServers returns the servers with that of the clients, which accepts from the listener.
 func newServers(clients *http.Server, listener net.Listener) *servers {
 	connections := inbound.New()
-	return &servers{
-		clients: clients, connections: connections,
-		all: []*http.Server{clients}, listeners: []net.Listener{connections.Track(clients, listener)},
-	}
+	return &servers{all: []*http.Server{clients}, listeners: []net.Listener{connections.Track(clients, listener)}, connections: connections}
 }
 
 // listen opens all listeners, or none if one fails.
@@ -98,7 +91,7 @@
 		listener := servers.listeners[index]
 		group.Go(func() error {
 			err := server.Serve(listener)
-			if errors.Is(err, http.ErrServerClosed) || servers.stopping.Load() {
+			if errors.Is(err, http.ErrServerClosed) {
 				return nil
 			}
 			return trace.Wrap(err)
@@ -111,8 +104,6 @@
 func (servers *servers) drain(timeout time.Duration, clk clock.WithTicker) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	servers.stopping.Store(true)
-	_ = servers.listeners[0].Close()
 	servers.connections.Drain(ctx, clk)
 }
 
--- a/inbound/connections.go
+++ b/inbound/connections.go
@@ -18,6 +18,10 @@
 type Connections struct {
 	// closing is set once responses carry "Connection: close".
 	closing atomic.Bool
+	// listener is that from which the connections are accepted, or nil; it is fixed once the server serves. draining is set once Drain
+	// closes it.
+	listener net.Listener
+	draining atomic.Bool
 
 	mutex sync.Mutex
 	open  map[*trackedConn]bool
@@ -35,6 +39,7 @@
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		return context.WithValue(ctx, trackedKey{}, conn)
 	}
+	connections.listener = inner
 	handler := server.Handler
 	server.Handler = http.HandlerFunc(func(writer http.ResponseWriter, incoming *http.Request) {
 		if tracked, ok := incoming.Context().Value(trackedKey{}).(*trackedConn); ok {
@@ -78,8 +83,14 @@
 	connections.closing.Store(true)
 }
 
-// Drain closes connections as they become unused, until none is open or the context ends. The listener must be closed.
+// Drain closes the listener, which makes the server return http.ErrServerClosed, and connections as they become unused, until none is
+// open or the context ends.
 func (connections *Connections) Drain(ctx context.Context, clk clock.WithTicker) {
+	connections.draining.Store(true)
+	if connections.listener != nil {
+		// It may be closed already.
+		_ = connections.listener.Close()
+	}
 	ticker := clk.NewTicker(closeInterval)
 	defer ticker.Stop()
 	for connections.CloseUnused() > 0 {
@@ -108,9 +119,12 @@
 	connections *Connections
 }
 
-// Accept waits for the next connection.
+// Accept waits for the next connection. It fails with http.ErrServerClosed once the connections are drained.
 func (listener *trackingListener) Accept() (net.Conn, error) {
 	inner, err := listener.Listener.Accept()
+	if err != nil && listener.connections.draining.Load() {
+		return nil, http.ErrServerClosed
+	}
 	if err != nil {
 		return nil, err
 	}
