Look up single replicas by the index of the roster

The replica of an incarnation was found by walking all entries, for each proof of a path, each question of another daemon and each search for a successor that meets an idle replica. The roster has an index by identifier: Find reads it, Has is now Find without the replica, and replicasOf, which built a map for it, is gone. Proofs are answered in the order of the question again. Otherwise behaviour is as it was.

--- a/front/paths.go
+++ b/front/paths.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/bronzestall/bronzestall/event"
@@ -200,22 +199,10 @@
 		event.ProofIgnored.LogError(err, "Daemon", witness.Name)
 	}
 	now := daemon.clock.Now()
-	known := daemon.replicasOf(replicas)
 	for _, proof := range proofs {
-		if replica, ok := known[proof.Replica]; ok {
+		if replica, ok := daemon.roster.Find(proof.Replica); ok {
 			path := replicaPath(&replica)
 			daemon.logCutOff(path, daemon.paths.Vouched(path, proof.At, now))
 		}
 	}
 }
-
-// replicasOf returns the replicas of those of the incarnations that are known.
-func (daemon *Daemon) replicasOf(incarnations []topology.Incarnation) map[topology.Incarnation]topology.Replica {
-	known := make(map[topology.Incarnation]topology.Replica, len(incarnations))
-	for _, entry := range daemon.roster.Entries() {
-		if slices.Contains(incarnations, entry.Replica.Incarnation) {
-			known[entry.Replica.Incarnation] = entry.Replica
-		}
-	}
-	return known
-}
--- a/front/prover.go
+++ b/front/prover.go
@@ -16,7 +16,7 @@
 // under way or was just sent. A replica that is not known any more has not responded.
 func (prover prover) Responded(ctx context.Context, incarnation topology.Incarnation, since time.Time) bool {
 	daemon := prover.daemon
-	replica, ok := daemon.replicasOf([]topology.Incarnation{incarnation})[incarnation]
+	replica, ok := daemon.roster.Find(incarnation)
 	if !ok {
 		return false
 	}
--- a/front/witness.go
+++ b/front/witness.go
@@ -20,8 +20,13 @@
 // probed first. Replicas that are not known here are left out.
 func (daemon *Daemon) findProofs(ctx context.Context, incarnations []topology.Incarnation) []mesh.Proof {
 	var probes sync.WaitGroup
-	known := daemon.replicasOf(incarnations)
-	for _, replica := range known {
+	var known []topology.Replica
+	for _, incarnation := range incarnations {
+		replica, ok := daemon.roster.Find(incarnation)
+		if !ok {
+			continue
+		}
+		known = append(known, replica)
 		if _, probe := daemon.proveSince(ctx, replica, daemon.clock.Now().Add(-recentProof)); probe != nil {
 			probes.Go(probe)
 		}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -217,12 +217,18 @@
 	return roster.sorted
 }
 
-// Has reports whether this incarnation of the replica is in the roster.
-func (roster *Roster) Has(incarnation topology.Incarnation) bool {
+// Find returns the replica of the incarnation, and whether it is in the roster.
+func (roster *Roster) Find(incarnation topology.Incarnation) (topology.Replica, bool) {
 	roster.mutex.Lock()
 	defer roster.mutex.Unlock()
 	entry, ok := roster.entries[incarnation.ID]
-	return ok && entry.Replica.Incarnation == incarnation
+	return entry.Replica, ok && entry.Replica.Incarnation == incarnation
+}
+
+// Has reports whether this incarnation of the replica is in the roster.
+func (roster *Roster) Has(incarnation topology.Incarnation) bool {
+	_, ok := roster.Find(incarnation)
+	return ok
 }
 
 // Knew reports whether the roster has or lately had a row with the identifier.
