--- a/front/releasereader.go
+++ b/front/releasereader.go
@@ -22,13 +22,7 @@
 	begun time.Time
 
 	mutex sync.Mutex
-	// next is the read that has not begun; nil if there is none.
-	next *releaseRead
-}
-
-// releaseRead is one read of the table of replicas.
-type releaseRead struct {
-	// waiters receive whether it succeeded.
+	// waiters receive whether the read succeeded that has not begun; there are none without such a read.
 	waiters []chan<- bool
 }
 
@@ -46,11 +40,10 @@
 	}
 	reader.mutex.Lock()
 	defer reader.mutex.Unlock()
-	if reader.next == nil {
-		reader.next = &releaseRead{}
+	if len(reader.waiters) == 0 {
 		go reader.run()
 	}
-	reader.next.waiters = append(reader.next.waiters, done)
+	reader.waiters = append(reader.waiters, done)
 	return done
 }
 
@@ -60,11 +53,11 @@
 	defer func() { <-reader.turn }()
 	reader.daemon.clock.Sleep(reader.pause(reader.daemon.clock.Now()))
 	reader.begun = reader.daemon.clock.Now()
-	begun := reader.begin()
+	waiters := reader.begin()
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	ok := reader.read(ctx) == nil
-	for _, waiter := range begun.waiters {
+	for _, waiter := range waiters {
 		waiter <- ok
 		close(waiter)
 	}
@@ -76,13 +69,13 @@
 	return max(interval-now.Sub(reader.begun), 0)
 }
 
-// begin returns the read that begins now: those that come later share the next one.
-func (reader *releaseReader) begin() *releaseRead {
+// begin returns those that wait for the read that begins now: those that come later share the next one.
+func (reader *releaseReader) begin() []chan<- bool {
 	reader.mutex.Lock()
 	defer reader.mutex.Unlock()
-	begun := reader.next
-	reader.next = nil
-	return begun
+	waiters := reader.waiters
+	reader.waiters = nil
+	return waiters
 }
 
 // read reads what changed in the table since it was last read, or the whole table if the store does not know that. Decoding a row
--- a/front/releasereader_test.go
+++ b/front/releasereader_test.go
@@ -129,7 +129,7 @@
 	for range 100 {
 		reader.refresh()
 	}
-	if waiters := len(reader.next.waiters); waiters != 101 {
+	if waiters := len(reader.waiters); waiters != 101 {
 		t.Errorf("%d requests share the next read, want 101", waiters)
 	}
 	<-reader.turn
