Say once which candidates end the choice of a successor

The current replica and silent ones were told apart twice in chooseSuccessor. A comment says why an attempt through another daemon that got no reply keeps the context. Behaviour is as it was.

--- a/relay/seek.go
+++ b/relay/seek.go
@@ -16,18 +16,19 @@
 // at once. Until then two replicas may run the request, for which the users' platform leaves 400 ms.
 const acceptTime = 150 * time.Millisecond
 
-// silentGaps multiplies the gap target of a route: a replica is silent once none of its attempts has yielded an event, or a whole
-// response, for longer.
-const silentGaps = 2
+const (
+	// silentGaps multiplies the gap target of a route: a replica is silent once none of its attempts has yielded an event, or a whole
+	// response, for longer.
+	silentGaps = 2
+	// maxDoubtful is the largest number of replicas without attempts of this daemon that one search asks for a sign of life.
+	maxDoubtful = 4
+)
 
 // maySeek reports whether the request may be sent once more.
 func (transaction *transaction) maySeek() bool {
 	return transaction.runs < transaction.maxRuns && (transaction.sends < maxSends || transaction.goesOn())
 }
 
-// maxDoubtful is the largest number of replicas without attempts of this daemon that one search asks for a sign of life.
-const maxDoubtful = 4
-
 // seek makes one attempt at another replica than the current one, or at the same if mayRepeat is set, and returns it once it was
 // accepted. It returns nil if no replica accepts the request now, or only silent ones could be sent it; the current attempt goes on
 // meanwhile.
@@ -66,12 +67,13 @@
 			return balance.Candidate{}, false
 		}
 		same := candidate.Incarnation == current
-		silent := slices.Contains(transaction.silent, candidate.Incarnation)
-		if (same && mayRepeat) || (!same && !silent && transaction.isAlive(ctx, candidate)) {
+		// Others are chosen before these, so that there is none.
+		last := same || slices.Contains(transaction.silent, candidate.Incarnation)
+		if (same && mayRepeat) || (!last && transaction.isAlive(ctx, candidate)) {
 			return candidate, true
 		}
 		transaction.unchoose(candidate)
-		if same || silent {
+		if last {
 			return balance.Candidate{}, false
 		}
 		transaction.silent = append(transaction.silent, candidate.Incarnation)
@@ -105,6 +107,7 @@
 	if failed := transaction.endLent(opened); failed.unsent {
 		budget.Return()
 	}
+	// Without a reply the attempt holds nothing but the context, which the search goes on with.
 	if opened.reply != nil {
 		opened.end()
 	}
