--- a/dispatch/leaving.go
+++ b/dispatch/leaving.go
@@ -14,12 +14,8 @@
 	if dispatcher.clock.Since(reservation.since) < recheckAfter {
 		return true
 	}
-	snapshot, err := reservation.workload.lookup()
-	if err != nil {
-		return false
-	}
-	found, ok := snapshot.find(reservation.candidate.Upstream)
-	return ok && !found.Leaving
+	leaving, known := reservation.isLeaving()
+	return known && !leaving
 }
 
 // leavingBound is the time after an upstream was first seen leaving from which it must get no work.
@@ -34,10 +30,16 @@
 
 // leaving reports whether the reserved upstream is leaving.
 func (dispatcher *Dispatcher) leaving(reservation *reservation) bool {
+	leaving, _ := reservation.isLeaving()
+	return leaving
+}
+
+// isLeaving reports whether the reserved upstream is leaving, and whether it is still a candidate.
+func (reservation *reservation) isLeaving() (leaving, known bool) {
 	snapshot, err := reservation.workload.lookup()
 	if err != nil {
-		return false
+		return false, false
 	}
-	found, ok := snapshot.find(reservation.candidate.Upstream)
-	return ok && found.Leaving
+	found, known := snapshot.find(reservation.candidate.Upstream)
+	return found.Leaving, known
 }
