--- a/internal/frontsoak/upgradeshare_test.go
+++ b/internal/frontsoak/upgradeshare_test.go
@@ -25,33 +25,25 @@
 // TestUpgradeServesAsOneBuild measures the share of first tries served, without faults, while daemons are upgraded, go back and are
 // upgraded again, against the same with one build. It takes a minute and more, and runs only when -seed is given.
 func TestUpgradeServesAsOneBuild(t *testing.T) {
-	if *seedFlag == 0 {
-		t.Skip("NOT TESTED: a measurement, which runs by hand with -seed")
-	}
-	older, newer := buildCommit(t, *olderFlag), build(t)
-	for _, seed := range seedsOr(nil) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			one := measureReplacements(t, newer, newer, seed)
-			two := measureReplacements(t, older, newer, seed)
-			t.Logf("served first tries: one build %.4f, two builds %.4f", one, two)
-			if two < minUpgradeShare*one {
-				t.Errorf("%.4f of the first tries are served with two builds, %.4f with one", two, one)
-			}
-		})
-	}
+	compareBuilds(t, measureReplacements)
 }
 
 // TestHalfOfTheDaemonsServesAsOneBuild measures the share of first tries served, without faults, while half of the daemons are of each
 // build, against the same with one build. It takes a minute and more, and runs only when -seed is given.
 func TestHalfOfTheDaemonsServesAsOneBuild(t *testing.T) {
+	compareBuilds(t, measureHalf)
+}
+
+// compareBuilds checks that two builds serve as much as one by the measure, which returns the share of first tries served.
+func compareBuilds(t *testing.T, measure func(t *testing.T, older, newer string, seed uint64) float64) {
 	if *seedFlag == 0 {
 		t.Skip("NOT TESTED: a measurement, which runs by hand with -seed")
 	}
 	older, newer := buildCommit(t, *olderFlag), build(t)
 	for _, seed := range seedsOr(nil) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			one := measureHalf(t, newer, newer, seed)
-			two := measureHalf(t, older, newer, seed)
+			one := measure(t, newer, newer, seed)
+			two := measure(t, older, newer, seed)
 			t.Logf("served first tries: one build %.4f, two builds %.4f", one, two)
 			if two < minUpgradeShare*one {
 				t.Errorf("%.4f of the first tries are served with two builds, %.4f with one", two, one)
