--- a/front/prover_test.go
+++ b/front/prover_test.go
@@ -8,7 +8,6 @@
 	"testing"
 	"time"
 
-	"github.com/bronzestall/bronzestall/roster"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
@@ -26,33 +25,26 @@
 	daemon := New(Settings{Name: "a", StoreAddress: "127.0.0.1:1"}, "", nil)
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
-	replicas := map[string]topology.Incarnation{}
-	var entries []roster.Entry
-	for id, address := range map[string]string{"silent": silent.Addr().String(), "sound": sound.Listener.Addr().String()} {
-		replica := topology.Replica{Incarnation: topology.Incarnation{ID: id}, Service: "s", Address: address}
-		replicas[id] = replica.Incarnation
-		entries = append(entries, roster.Entry{Replica: replica, Version: 1})
-	}
-	daemon.roster.Replace(entries, 1, daemon.clock.Now())
+	replicas := takeReplicas(daemon, map[string]string{"silent": silent.Addr().String(), "sound": sound.Listener.Addr().String()})
 	began := daemon.clock.Now()
-	for id, incarnation := range replicas {
-		if (prover{daemon}).Responded(ctx, incarnation, began) {
+	for id, replica := range replicas {
+		if (prover{daemon}).Responded(ctx, replica.Incarnation, began) {
 			t.Errorf("replica %s has responded before it was probed", id)
 		}
 	}
-	for !(prover{daemon}).Responded(ctx, replicas["sound"], began) {
+	for !(prover{daemon}).Responded(ctx, replicas["sound"].Incarnation, began) {
 		if ctx.Err() != nil {
 			t.Fatal("the probe of a sound replica showed no response")
 		}
 		daemon.sleep(ctx, time.Millisecond)
 	}
-	if (prover{daemon}).Responded(ctx, replicas["silent"], began) {
+	if (prover{daemon}).Responded(ctx, replicas["silent"].Incarnation, began) {
 		t.Error("a silent replica has responded")
 	}
 	if (prover{daemon}).Responded(ctx, topology.Incarnation{ID: "unknown"}, began) {
 		t.Error("an unknown replica has responded")
 	}
-	if (prover{daemon}).Responded(ctx, replicas["sound"], daemon.clock.Now().Add(time.Second)) {
+	if (prover{daemon}).Responded(ctx, replicas["sound"].Incarnation, daemon.clock.Now().Add(time.Second)) {
 		t.Error("a replica has responded since a later time")
 	}
 }
