--- /dev/null
+++ b/review/standin/todo.go
@@ -0,0 +1,3 @@
+package main
+
+func endlessBodies(bed *bed) (bool, error) { return false, nil }
