Show streams joined after the store came back older

Case 3 of the review: one of four replicas has started again with the newer version when the store comes back from a copy 9 s old. Until the replica writes its row again, daemons send it streams of the older version that another replica broke off by a crash.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -21,7 +23,9 @@
 	// versions lists the versions of the software that wrote events, in their order.
 	versions []string
 	complete bool
-	status   string
+	// tries counts the requests, and lastOfFirst is the number of the last event of the first one that brought events.
+	tries, lastOfFirst int
+	status             string
 }
 
 // newRequest returns a request of a client to the machine.
@@ -48,12 +52,13 @@
 	id := fmt.Sprintf("%s-%d", chain.name, number)
 	request := newRequest(ctx, http.MethodPost, machine.front, planPath+"x", id, time.Until(deadline), `{"ask":"`+chain.name+`"}`)
 	request.Header.Set("Bronzestall-Model", chain.model)
-	request.Header.Set("Bronzestall-Token-Usage", "1460,240")
+	request.Header.Set("Bronzestall-Token-Usage", fmt.Sprintf("1460,%d", events*eventTokens))
 	request.Header.Set("Bronzestall-Prompt-Prefix", "5c1e07a2:350,"+fmt.Sprintf("%x", len(chain.name)*7919+number)+":1110")
 	if chain.first != "" {
 		request.Header.Set("Resumes", chain.first)
 		request.Header.Set("Last-Event-Id", strconv.Itoa(chain.last))
 	}
+	chain.tries++
 	bed.record.add("request %s sent to %s, resumes %q after event %d", id, machine.name, chain.first, chain.last)
 	response, err := newClient().Do(request)
 	if err != nil {
@@ -69,6 +74,9 @@
 		return min(seconds(after), time.Until(deadline)/3)
 	}
 	chain.read(bufio.NewReader(response.Body), id, events)
+	if chain.first == id {
+		chain.lastOfFirst = chain.last
+	}
 	bed.record.add("request %s ended: %d events, versions %v, complete %v", id, chain.last, chain.versions, chain.complete)
 	return 0
 }
@@ -109,3 +117,34 @@
 		}
 	}
 }
+
+// chatter sends short streams at the rate until the context ends, each to the next machine.
+func (bed *bed) chatter(ctx context.Context, perSecond int, clients *sync.WaitGroup) {
+	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
+	defer ticker.Stop()
+	for number := 0; ; number++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		machine := bed.machines[number%len(bed.machines)]
+		clients.Go(func() {
+			sending, release := context.WithTimeout(context.Background(), 15*time.Second)
+			defer release()
+			id := fmt.Sprintf("chat-%d", number)
+			sent := newRequest(sending, http.MethodPost, machine.front, chatPath+"x", id, 15*time.Second, "{}")
+			sent.Header.Set("Bronzestall-Model", heldModel)
+			sent.Header.Set("Bronzestall-Token-Usage", "1460,12")
+			sent.Header.Set("Bronzestall-Prompt-Prefix", fmt.Sprintf("5c1e07a2:350,%x:1110", 4096+number))
+			response, err := newClient().Do(sent)
+			if err != nil {
+				bed.record.add("request %s at %s: no answer", id, machine.name)
+				return
+			}
+			defer response.Body.Close()
+			_, err = io.Copy(io.Discard, response.Body)
+			bed.record.add("request %s at %s: %d, whole %v", id, machine.name, response.StatusCode, err == nil)
+		})
+	}
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -38,6 +38,7 @@
 var cases = map[string]func(bed *bed) (bool, error){
 	"version-replaced-while-down": versionReplacedWhileDown,
 	"same-name-new-machine":       sameNameNewMachine,
+	"version-in-older-copy":       versionInOlderCopy,
 }
 
 func main() {
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -18,7 +18,10 @@
 const (
 	heartbeat = 1200 * time.Millisecond
 	loadTime  = 6 * time.Second
+	diskTime  = 600 * time.Millisecond
 	eventGap  = 100 * time.Millisecond
+	// eventTokens is the number of tokens in an event.
+	eventTokens = 3
 	// maxAdapters is the number of adapters that a replica has places for.
 	maxAdapters = 8
 )
@@ -40,7 +43,6 @@
 type replica struct {
 	id, service, zone, release string
 	engine                     bool
-	events                     int
 	record                     *record
 	store                      *store
 	server                     *http.Server
@@ -59,6 +61,10 @@
 	loading  string
 	writes   int
 	stop     chan struct{}
+	// onDisk lists the models whose weights the machine of the replica has on its disk.
+	onDisk []string
+	// beat is replaced and closed to begin the time to the next heartbeat anew.
+	beat chan struct{}
 }
 
 // startReplica starts a replica that holds the models and registers itself.
@@ -67,21 +73,45 @@
 	if replica.listener, err = net.Listen("tcp", ip+":0"); err != nil {
 		return err
 	}
+	replica.onDisk, replica.beat = slices.Clone(replica.models), make(chan struct{}, 1)
+	replica.begin()
+	return nil
+}
+
+// begin starts a process of the replica at its listener.
+func (replica *replica) begin() {
 	replica.born, replica.stop, replica.adapters = time.Now().UnixMilli(), make(chan struct{}), map[string][]string{}
 	replica.server = &http.Server{Handler: replica}
-	go func() { _ = replica.server.Serve(replica.listener) }()
+	go func(server *http.Server, listener net.Listener) { _ = server.Serve(listener) }(replica.server, replica.listener)
 	replica.record.add("replica %s of %s starts, version %s, models %v", replica.id, replica.service, replica.release, replica.models)
 	replica.register()
-	go func() {
+	go func(stop chan struct{}) {
 		for {
 			select {
-			case <-replica.stop:
+			case <-stop:
 				return
+			case <-replica.beat:
 			case <-time.After(heartbeat):
 				replica.register()
 			}
 		}
-	}()
+	}(replica.stop)
+}
+
+// restart ends the process of the replica, and starts one of the release under the same identifier and address after the time. It is
+// empty, but the disk keeps its copies.
+func (replica *replica) restart(release string, after time.Duration) error {
+	address := replica.listener.Addr().String()
+	replica.exit()
+	time.Sleep(after)
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	replica.mutex.Lock()
+	replica.listener, replica.release, replica.models, replica.sequence, replica.loading, replica.writes = listener, release, nil, 0, "", 0
+	replica.mutex.Unlock()
+	replica.begin()
 	return nil
 }
 
@@ -112,6 +142,7 @@
 	}
 	if replica.engine {
 		content["stage"], content["models"] = "colocated", replica.held()
+		content["atHand"] = map[string]any{"inMemory": []string{}, "onDisk": replica.onDisk}
 	}
 	value, _ := json.Marshal(content)
 	replica.store.put("servers", replica.id, value)
@@ -208,7 +239,7 @@
 	case received.Operation == "load":
 		replica.sequence++
 		replica.loading = received.Model
-		time.AfterFunc(loadTime, replica.finishLoad)
+		replica.startLoad(received.Model)
 		return http.StatusAccepted
 	case received.Operation == "unload":
 		replica.sequence++
@@ -219,8 +250,27 @@
 	return http.StatusBadRequest
 }
 
+// startLoad loads the model, from disk if there is a copy. The mutex is held.
+func (replica *replica) startLoad(model string) {
+	took := loadTime
+	if slices.Contains(replica.onDisk, model) {
+		took = diskTime
+	}
+	stop := replica.stop
+	time.AfterFunc(took, func() {
+		select {
+		case <-stop:
+		default:
+			replica.finishLoad()
+		}
+	})
+}
+
 func (replica *replica) finishLoad() {
 	replica.mutex.Lock()
+	if !slices.Contains(replica.onDisk, replica.loading) {
+		replica.onDisk = append(replica.onDisk, replica.loading)
+	}
 	replica.models = append(replica.models, replica.loading)
 	replica.record.add("replica %s has loaded %s", replica.id, replica.loading)
 	replica.loading = ""
@@ -256,21 +306,26 @@
 	replica.stream(writer, request)
 }
 
-// stream sends the events after Last-Event-Id. Each names the version of the software that wrote it.
+// stream sends the events after Last-Event-Id, as many as the tokens of the request fill. Each names the version of the software that wrote it.
 func (replica *replica) stream(writer http.ResponseWriter, request *http.Request) {
+	replica.mutex.Lock()
+	release, stop := replica.release, replica.stop
+	replica.mutex.Unlock()
 	writer.Header().Set("Content-Type", "text/event-stream")
 	writer.Header().Set("Bronzestall-Weight-Versions", "1")
 	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+	_, output, _ := strings.Cut(request.Header.Get("Bronzestall-Token-Usage"), ",")
+	tokens, _ := strconv.Atoi(output)
 	controller := http.NewResponseController(writer)
-	for number := last + 1; number <= replica.events; number++ {
+	for number := last + 1; number <= tokens/eventTokens; number++ {
 		select {
 		case <-request.Context().Done():
 			return
-		case <-replica.stop:
+		case <-stop:
 			panic(http.ErrAbortHandler)
 		case <-time.After(eventGap):
 		}
-		if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s %s\n\n", number, replica.release, replica.id); err != nil {
+		if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s %s\n\n", number, release, replica.id); err != nil {
 			return
 		}
 		_ = controller.Flush()
--- a/review/standin/samename.go
+++ b/review/standin/samename.go
@@ -35,7 +35,7 @@
 	var mutex sync.Mutex
 	var orders []order
 	for number := range engineCount {
-		next := &replica{id: fmt.Sprintf("i-eng%d", number), service: engineService, zone: zone(number), release: "v1", engine: true, events: 4, models: []string{models[number]}}
+		next := &replica{id: fmt.Sprintf("i-eng%d", number), service: engineService, zone: zone(number), release: "v1", engine: true, models: []string{models[number]}}
 		next.onOrder = func(received order) {
 			mutex.Lock()
 			defer mutex.Unlock()
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -28,10 +28,23 @@
 	history []row
 	version uint64
 	start   time.Time
+	// journal lists all changes with their times, era counts the returns from a copy, and oldest is the version from which on the
+	// history is complete.
+	journal []change
+	era     uint64
+	oldest  uint64
+	// away is set while the store answers nothing but 503.
+	away bool
+}
+
+// change is a change with the time at which it was made.
+type change struct {
+	row
+	at time.Time
 }
 
 func newStore() *store {
-	created := &store{rows: map[[3]string]row{}, start: time.Now()}
+	created := &store{rows: map[[3]string]row{}, start: time.Now(), era: 1}
 	created.changed = sync.NewCond(&created.mutex)
 	return created
 }
@@ -40,6 +53,9 @@
 func (store *store) put(table, key string, value []byte) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
+	if store.away {
+		return
+	}
 	store.version++
 	store.apply(row{Table: table, Key: key, Value: value, Tombstone: value == nil})
 }
@@ -54,12 +70,52 @@
 		store.rows[id] = next
 	}
 	store.history = append(store.history, next)
+	store.journal = append(store.journal, change{next, time.Now()})
+	store.changed.Broadcast()
+}
+
+// leave makes the store answer nothing but 503.
+func (store *store) leave() {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.away = true
+	store.changed.Broadcast()
+}
+
+// comeBack makes the store answer again, from the copy of the time: all later changes are gone, and their versions are given out again.
+func (store *store) comeBack(copied time.Time) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	kept := 0
+	for kept < len(store.journal) && store.journal[kept].at.Before(copied) {
+		kept++
+	}
+	store.journal = store.journal[:kept]
+	store.rows, store.version, store.history = map[[3]string]row{}, 0, nil
+	for _, change := range store.journal {
+		store.version = change.Version
+		id := [3]string{change.Table, change.Part, change.Key}
+		if change.Tombstone {
+			delete(store.rows, id)
+		} else {
+			store.rows[id] = change.row
+		}
+	}
+	store.oldest, store.away = store.version, false
+	store.era++
 	store.changed.Broadcast()
 }
 
 func (store *store) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	writer.Header().Set("Content-Type", "application/json")
-	writer.Header().Set("Store-Era", "1")
+	store.mutex.Lock()
+	away := store.away
+	writer.Header().Set("Store-Era", strconv.FormatUint(store.era, 10))
+	store.mutex.Unlock()
+	if away {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	switch request.URL.Path {
 	case "/rows-get":
 		store.get(writer, request)
@@ -106,7 +162,17 @@
 	defer timer.Stop()
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
+	era := store.era
 	for {
+		if store.away {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if after < store.oldest || after > store.version || store.era != era {
+			writer.Header().Set("Store-Era", strconv.FormatUint(store.era, 10))
+			writer.WriteHeader(http.StatusGone)
+			return
+		}
 		var found []row
 		for _, next := range store.history {
 			if next.Table == query.Get("table") && next.Version > after {
@@ -132,6 +198,10 @@
 	time.Sleep(3 * time.Millisecond)
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
+	if store.away {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	var current []row
 	failed := false
 	for _, condition := range call.ExpectedRev {
--- a/review/standin/versionreplaced.go
+++ b/review/standin/versionreplaced.go
@@ -27,7 +27,7 @@
 func versionReplacedWhileDown(bed *bed) (bool, error) {
 	bed.configure([]string{heldModel}, 0)
 	for number := range 3 {
-		if err := bed.addReplica(&replica{id: fmt.Sprintf("i-old%d", number), service: engineService, zone: zone(number), release: "v1", engine: true, events: streamLength, models: []string{heldModel}}, 100+number); err != nil {
+		if err := bed.addReplica(&replica{id: fmt.Sprintf("i-old%d", number), service: engineService, zone: zone(number), release: "v1", engine: true, models: []string{heldModel}}, 100+number); err != nil {
 			return false, err
 		}
 	}
@@ -41,7 +41,7 @@
 		chains[number] = &chain{name: fmt.Sprintf("plan%02d", number), model: heldModel}
 		clients.Go(func() {
 			time.Sleep(time.Duration(number) * 20 * time.Millisecond)
-			chains[number].run(bed, number)
+			chains[number].run(bed, number, streamLength)
 		})
 	}
 	time.Sleep(seconds(2))
@@ -96,7 +96,7 @@
 // replaceReplicas starts a replica of the newer version for each one, which leaves then.
 func (bed *bed) replaceReplicas() error {
 	for number, replaced := range bed.replicas {
-		if err := bed.addReplica(&replica{id: fmt.Sprintf("i-new%d", number), service: engineService, zone: replaced.zone, release: "v2", engine: true, events: streamLength}, 110+number); err != nil {
+		if err := bed.addReplica(&replica{id: fmt.Sprintf("i-new%d", number), service: engineService, zone: replaced.zone, release: "v2", engine: true}, 110+number); err != nil {
 			return err
 		}
 		replaced.leaveSilently(serveOn)
@@ -106,13 +106,13 @@
 }
 
 // run sends the stream, and takes it up where it broke off, each time at the next machine.
-func (chain *chain) run(bed *bed, number int) {
+func (chain *chain) run(bed *bed, number, events int) {
 	deadline := time.Now().Add(30 * time.Second)
 	moved := time.Now()
 	last := 0
 	for tries := range clientTries {
 		machine := bed.machines[(number+tries)%len(bed.machines)]
-		pause := chain.try(bed, machine, tries, deadline, streamLength)
+		pause := chain.try(bed, machine, tries, deadline, events)
 		if chain.last > last {
 			last, moved = chain.last, time.Now()
 		}
