Show begun streams refused though replicas of their version serve

Case 4 of the review: a model is held by one replica of the older version and by three of the newer one. The former crashes. Clients take its streams up, and every try is refused, while two replicas of the older version serve and have room for the model.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -39,6 +39,7 @@
 	"version-replaced-while-down": versionReplacedWhileDown,
 	"same-name-new-machine":       sameNameNewMachine,
 	"version-in-older-copy":       versionInOlderCopy,
+	"model-on-other-version":      modelOnOtherVersion,
 }
 
 func main() {
