--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -118,8 +118,8 @@
 	}
 }
 
-// chatter sends short streams at the rate until the context ends, each to the next machine.
-func (bed *bed) chatter(ctx context.Context, perSecond int, clients *sync.WaitGroup) {
+// chatter sends streams of the tokens at the rate until the context ends, each to the next machine.
+func (bed *bed) chatter(ctx context.Context, perSecond, tokens int, clients *sync.WaitGroup) {
 	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
 	defer ticker.Stop()
 	for number := 0; ; number++ {
@@ -135,7 +135,7 @@
 			id := fmt.Sprintf("chat-%d", number)
 			sent := newRequest(sending, http.MethodPost, machine.front, chatPath+"x", id, 15*time.Second, "{}")
 			sent.Header.Set("Bronzestall-Model", heldModel)
-			sent.Header.Set("Bronzestall-Token-Usage", "1460,12")
+			sent.Header.Set("Bronzestall-Token-Usage", fmt.Sprintf("1460,%d", tokens))
 			sent.Header.Set("Bronzestall-Prompt-Prefix", fmt.Sprintf("5c1e07a2:350,%x:1110", 4096+number))
 			response, err := newClient().Do(sent)
 			if err != nil {
--- a/review/standin/oldercopy.go
+++ b/review/standin/oldercopy.go
@@ -39,7 +39,7 @@
 	var chatting sync.WaitGroup
 	defer chatting.Wait()
 	defer cancel()
-	chatting.Go(func() { bed.chatter(ctx, chatsPerSecond, &chatting) })
+	chatting.Go(func() { bed.chatter(ctx, chatsPerSecond, 12, &chatting) })
 	time.Sleep(seconds(6))
 	chains := make([]*chain, copyStreams)
 	var clients sync.WaitGroup
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -50,6 +50,8 @@
 	born                       int64
 	// onOrder, if set, is called with each order after it was judged.
 	onOrder func(order)
+	// header, if set, adds to the headers of all answers.
+	header func(header http.Header)
 	// override, if set, may answer a request in place of the replica.
 	override func(writer http.ResponseWriter, request *http.Request) bool
 
@@ -165,7 +167,17 @@
 	replica.record.add("replica %s has exited", replica.id)
 }
 
+// holds reports whether the replica has loaded the model.
+func (replica *replica) holds(model string) bool {
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	return slices.Contains(replica.models, model)
+}
+
 func (replica *replica) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if replica.header != nil {
+		replica.header(writer.Header())
+	}
 	if id := request.Header.Get("Bronzestall-Request-Id"); id != "" {
 		writer.Header().Set("Bronzestall-Request-Id", id)
 	}
--- a/review/standin/samename.go
+++ b/review/standin/samename.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// leaseMs is the bound of the sheet: within it, holders may not take turns.
-	leaseMs = 3000 * time.Millisecond
+	// leaseTime is the bound leaseMs of the sheet: within it, holders may not take turns.
+	leaseTime = 3000 * time.Millisecond
 	// replacedAfter is the time from the loss of a machine until another one comes in its place.
 	replacedAfter = time.Second
 	// Each engine holds one model. adapterCount adapters of each are asked for in turn, each askEvery, so that orders go out all the
@@ -97,8 +97,8 @@
 		return false, nil
 	}
 	bed.record.add("%s got an order of the lost machine %s (%s, token %d) at %.3f s and one of another machine (%s, token %d) at %.3f s: %.3f s later, the rule asks for %.1f s",
-		next.replica, lost.ip, former.Holder, former.Fence, bed.record.since(former.at), next.Holder, next.Fence, bed.record.since(next.at), shortest.Seconds(), leaseMs.Seconds())
-	return shortest < leaseMs, nil
+		next.replica, lost.ip, former.Holder, former.Fence, bed.record.since(former.at), next.Holder, next.Fence, bed.record.since(next.at), shortest.Seconds(), leaseTime.Seconds())
+	return shortest < leaseTime, nil
 }
 
 // replace starts another machine at another address in place of the lost one, under its name, or under a new one if TROUBLE is renamed.
@@ -147,7 +147,7 @@
 func (bed *bed) awaitFreshOrder(last func() (order, bool)) (*machine, bool) {
 	begin, deadline := time.Now().Add(6*time.Second), time.Now().Add(40*time.Second)
 	for time.Now().Before(deadline) {
-		if latest, any := last(); any && time.Now().After(begin) && time.Since(latest.at) < 200*time.Millisecond && latest.status < http.StatusMultipleChoices {
+		if latest, given := last(); given && time.Now().After(begin) && time.Since(latest.at) < 200*time.Millisecond && latest.status < http.StatusMultipleChoices {
 			for _, machine := range bed.machines {
 				if machine.name == latest.Holder {
 					return machine, true
