List the releases that serve for daemons that start after all ended

Streams that the older release began go on at the newer one.

Cause: while one release serves, the origins of streams are recorded nowhere. A daemon that starts sees one release and takes it for the only one that can have begun a stream; its read of the table of replicas says which serve now, not which did before it started.

The same with processes in our test: the daemons that start log OriginsRead with Streams=0 Releases={}, and all 24 streams are taken up with Source="Only" Begun="v2". The downtime alone and the rollout alone join none.

Change: one row, Releases/Lately, lists the releases that serve or did lately (origin.Inventory). A daemon that starts counts what it lists as seen just now. While a release is not known to be listed, its streams are recorded one by one.

Failed before: frontsoak.TestStreamsOutliveAllDaemons ("the only release is replaced"), origin.TestOriginsAreNeverWrong, origin.TestUnlistedReleaseIsRecorded. TestStreamsToRecord and TestLearntReleaseMakesStreamsBeRecorded begin with a listed release now, since one that is not listed has to be recorded; what they check is the same.

--- a/front/daemon.go
+++ b/front/daemon.go
@@ -196,6 +196,7 @@
 		"LoadOrigins":         daemon.loadOrigins,
 		"RecordOrigins":       daemon.recordOrigins,
 		"ExpireOrigins":       daemon.expireOrigins,
+		"RecordInventory":     daemon.recordInventory,
 		"ApplyReplicas":       daemon.applyReplicas,
 		"Mesh":                daemon.mesh.Run,
 		"Lease":               daemon.holdLease,
--- a/front/golden_test.go
+++ b/front/golden_test.go
@@ -59,5 +59,8 @@
 		if page, err := decodeOriginPage(value); err == nil {
 			_ = page.streams()
 		}
+		if _, rest := decodeInventory(row); len(rest) > 0 && !json.Valid([]byte(rest)) {
+			t.Errorf("the inventory has the rest %q", rest)
+		}
 	})
 }
--- /dev/null
+++ b/front/inventory.go
@@ -0,0 +1,152 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/bronzestall/bronzestall/datastore"
+	"github.com/bronzestall/bronzestall/event"
+	"github.com/bronzestall/bronzestall/internal/openjson"
+	"github.com/bronzestall/bronzestall/origin"
+)
+
+const (
+	// inventoryTable holds one row, which lists the releases of all services that serve or did lately.
+	inventoryTable = "Releases"
+	inventoryRow   = "Lately"
+	// inventoryInterval is the interval of checking whether the row lacks something.
+	inventoryInterval = 500 * time.Millisecond
+	// inventoryPausePerDaemon, times the ordinal of a daemon, is how long it waits before it reads a row that seems to lack something: the
+	// first one writes it for all.
+	inventoryPausePerDaemon = 10 * time.Millisecond
+)
+
+// inventoryContent is the value of the row.
+type inventoryContent struct {
+	// Releases lists the releases that serve or did lately.
+	Releases origin.Releases
+}
+
+// inventoryRecorder keeps the inventory of releases in the store. It is not safe for concurrent use.
+type inventoryRecorder struct {
+	daemon *Daemon
+	// inventory is what the row held when it was last read or written.
+	inventory origin.Inventory
+	// era is that of the store in which it was read.
+	era uint64
+}
+
+// recordInventory lists the releases that serve, so that the store names them to daemons that start when no other is left.
+func (daemon *Daemon) recordInventory(ctx context.Context) error {
+	recorder := &inventoryRecorder{daemon: daemon}
+	ticker := daemon.clock.NewTicker(inventoryInterval)
+	defer ticker.Stop()
+	for {
+		rose := daemon.eras.Rose()
+		recorder.observeEra()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-rose:
+			continue
+		case <-ticker.C():
+		}
+		if !recorder.isDue() {
+			continue
+		}
+		daemon.sleep(ctx, time.Duration(daemon.daemonIndex.Load())*inventoryPausePerDaemon)
+		if err := recorder.update(ctx); err != nil && ctx.Err() == nil {
+			event.ReleasesUnlisted.LogError(err, "Releases", daemon.origins.Witnessed(daemon.clock.Now()))
+		}
+	}
+}
+
+// observeEra makes the row be read again after the store came back from an older copy, which may lack releases.
+func (recorder *inventoryRecorder) observeEra() {
+	era := recorder.daemon.eras.Era()
+	if era > recorder.era {
+		recorder.daemon.origins.LoseInventory()
+	}
+	recorder.era = era
+}
+
+// isDue reports whether the row seems to lack something. Only the first daemon by name looks for releases that are listed for too long.
+func (recorder *inventoryRecorder) isDue() bool {
+	daemon := recorder.daemon
+	if !daemon.origins.IsComplete() || daemon.daemonCount.Load() == 0 {
+		return false
+	}
+	now := daemon.clock.Now()
+	if daemon.origins.LacksListing(now) {
+		return true
+	}
+	_, changed := daemon.origins.NextInventory(recorder.inventory, now)
+	return changed && daemon.daemonIndex.Load() == 0
+}
+
+// update reads the row, and replaces it if it lacks something. If another daemon writes it meanwhile, it stays as that one wrote it.
+func (recorder *inventoryRecorder) update(ctx context.Context) error {
+	daemon := recorder.daemon
+	row, err := daemon.rowStore.Read(ctx, inventoryKey())
+	if err != nil && !errors.Is(err, datastore.ErrNotFound) {
+		return err
+	}
+	inventory, rest := decodeInventory(row)
+	recorder.set(inventory)
+	next, changed := daemon.origins.NextInventory(inventory, daemon.clock.Now())
+	if !changed {
+		return nil
+	}
+	value, err := openjson.Encode(inventoryContent{Releases: next.Releases}, rest)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	_, err = daemon.rowStore.Commit(ctx, []datastore.Write{{Key: inventoryKey(), Check: true, IfVersion: row.Version, Value: value}})
+	if errors.Is(err, datastore.ErrConflict) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	recorder.set(next)
+	event.ReleasesListed.Log("Releases", next.Releases)
+	return nil
+}
+
+// set records what the row holds.
+func (recorder *inventoryRecorder) set(inventory origin.Inventory) {
+	recorder.inventory = inventory
+	recorder.daemon.origins.SetInventory(inventory, recorder.daemon.clock.Now())
+}
+
+// inventoryKey returns the key of the row.
+func inventoryKey() datastore.Key { return datastore.Key{Table: inventoryTable, Row: inventoryRow} }
+
+// decodeInventory decodes the row, which has the zero value if there is none. A row that cannot be decoded is logged, and replaced as
+// an empty one. The rest is what a later build wrote there.
+func decodeInventory(row datastore.Row) (origin.Inventory, openjson.Rest) {
+	if len(row.Value) == 0 {
+		return origin.Inventory{}, ""
+	}
+	var content inventoryContent
+	rest, err := openjson.Decode(row.Value, &content)
+	if err != nil {
+		event.RowSkipped.LogError(err, "Table", row.Table, "Row", row.Row, "Version", row.Version.String())
+		return origin.Inventory{}, ""
+	}
+	return origin.Inventory{Releases: content.Releases}, rest
+}
+
+// readInventory reads the inventory when the daemon learns what is recorded.
+func (daemon *Daemon) readInventory(ctx context.Context) error {
+	row, err := daemon.store.Read(ctx, inventoryKey())
+	if err != nil && !errors.Is(err, datastore.ErrNotFound) {
+		return err
+	}
+	inventory, _ := decodeInventory(row)
+	daemon.origins.SetInventory(inventory, daemon.clock.Now())
+	return nil
+}
--- a/front/originfinder.go
+++ b/front/originfinder.go
@@ -223,7 +223,7 @@
 // complete.
 func (daemon *Daemon) loadOriginsOnce(ctx context.Context) bool {
 	gaps := daemon.origins.Gaps()
-	if answer, err := daemon.readOrigins(ctx); err == nil {
+	if answer, err := daemon.readOrigins(ctx); err == nil && daemon.readInventory(ctx) == nil {
 		return daemon.completeOrigins(answer, "Store", gaps)
 	}
 	for _, peer := range daemon.mesh.Live() {
--- a/internal/frontsoak/process_test.go
+++ b/internal/frontsoak/process_test.go
@@ -30,7 +30,9 @@
 	started []string
 	// suspensions is the number of those that have not ended.
 	suspensions int
-	done        chan struct{}
+	// held is closed when the daemon may start again; nil unless it is held down.
+	held chan struct{}
+	done chan struct{}
 	// onStart is called before each start.
 	onStart func(daemon string)
 }
@@ -122,6 +124,27 @@
 			_ = command.Wait()
 		}
 		time.Sleep(300 * time.Millisecond)
+		process.awaitPower()
+	}
+}
+
+// hold kills the daemon and keeps it down until the function that it returns is called.
+func (process *process) hold() (release func()) {
+	held := make(chan struct{})
+	process.mutex.Lock()
+	process.held = held
+	process.mutex.Unlock()
+	process.signal(syscall.SIGKILL)
+	return func() { close(held) }
+}
+
+// awaitPower waits while the daemon is held down.
+func (process *process) awaitPower() {
+	process.mutex.Lock()
+	held := process.held
+	process.mutex.Unlock()
+	if held != nil {
+		<-held
 	}
 }
 
--- a/origin/history_test.go
+++ b/origin/history_test.go
@@ -20,6 +20,8 @@
 	daemons []*member
 	// rows is the table of origins by process and page.
 	rows map[string]recordedPage
+	// inventory is the row of the releases that serve or did lately.
+	inventory Inventory
 	// serving lists the releases with replicas, the oldest first.
 	serving []string
 	// changes counts the changes of serving, and left lists the releases that left, with the number of the change.
@@ -56,13 +58,14 @@
 
 func (history *history) start(index int) {
 	history.count++
-	started := &member{history: history, registry: New(), name: fmt.Sprint(index, "-", history.count)}
+	started := &member{history: history, registry: New(), name: fmt.Sprint(index, "-", history.count), read: history.changes}
 	var streams []Stream
 	for _, page := range history.rows {
 		streams = append(streams, page.Streams...)
 		started.registry.LearnReleases(page.lately.Sightings(), history.now)
 	}
 	started.registry.Learn(streams, history.now)
+	started.registry.SetInventory(history.inventory, history.now)
 	started.registry.CompleteAt(started.registry.Gaps())
 	started.readTable()
 	history.daemons[index] = started
@@ -175,16 +178,53 @@
 
 // rare makes a step of those that change everything.
 func (history *history) rare() {
-	switch history.random.IntN(3) {
+	switch history.random.IntN(4) {
 	case 0:
 		history.endRollout()
 	case 1:
-		for every := range history.daemons {
-			history.start(every)
-		}
+		history.startAll()
+	case 2:
+		history.replaceWhileDown()
+	}
+}
+
+// startAll ends all daemons and starts them again.
+func (history *history) startAll() {
+	for every := range history.daemons {
+		history.start(every)
 	}
 }
 
+// quietStreams is the number of streams that begin while only one release serves and no other is recorded.
+const quietStreams = 3
+
+// replaceWhileDown lets one release serve for so long that no other is recorded, and ends all daemons. They start again after a newer
+// release has replaced it, and some streams are taken up.
+func (history *history) replaceWhileDown() {
+	history.endRollout()
+	history.endRollout()
+	history.expire()
+	for range quietStreams {
+		history.begin(false)
+	}
+	history.changes++
+	for len(history.serving) > 0 {
+		history.leave(0)
+	}
+	history.count++
+	history.serving = []string{fmt.Sprint("v", history.count)}
+	history.startAll()
+	for range quietStreams {
+		history.takeUp()
+	}
+}
+
+// expire drops the streams that clients no longer take up, and the rows that have not changed for long.
+func (history *history) expire() {
+	maps.DeleteFunc(history.began, func(_ string, stream begun) bool { return history.now.Sub(stream.at) > maxTakeUpAge })
+	maps.DeleteFunc(history.rows, func(_ string, page recordedPage) bool { return history.now.Sub(page.written) >= 2*Retention })
+}
+
 // step makes one random step.
 func (history *history) step(recorded bool) {
 	history.now = history.now.Add(time.Duration(history.random.IntN(maxStep)) * time.Millisecond)
@@ -210,8 +250,7 @@
 	default:
 		history.begin(recorded)
 	}
-	maps.DeleteFunc(history.began, func(_ string, stream begun) bool { return history.now.Sub(stream.at) > maxTakeUpAge })
-	maps.DeleteFunc(history.rows, func(_ string, page recordedPage) bool { return history.now.Sub(page.written) > 2*Retention })
+	history.expire()
 }
 
 // serving returns the releases with replicas.
@@ -246,8 +285,9 @@
 	return history
 }
 
-// TestOriginsAreNeverWrong guards against issues 42 and 47 over random histories of rollouts, kills and daemons that stand still, are
-// cut off from the store or from each other, or have not read the newest table: what a daemon says of the origin of a stream is right.
+// TestOriginsAreNeverWrong guards against issues 42 and 47 and against review/1 over random histories of rollouts, also while all daemons
+// are down, kills and daemons that stand still, are cut off from the store or from each other, or have not read the newest table: what a
+// daemon says of the origin of a stream is right.
 func TestOriginsAreNeverWrong(t *testing.T) {
 	for daemons, seeds := range map[int]uint64{4: 24, 30: 8, 118: 4} {
 		known, unknown, late := 0, 0, 0
--- a/origin/member_test.go
+++ b/origin/member_test.go
@@ -15,11 +15,20 @@
 	read int
 }
 
-// readTable reads which releases serve.
+// readTable reads which releases serve, and lists them.
 func (member *member) readTable() {
 	member.readRemovals()
 	member.registry.SetServing(Releases{"s": member.history.serving}, member.history.now)
 	member.read = member.history.changes
+	member.list()
+}
+
+// list brings the inventory up to date.
+func (member *member) list() {
+	history := member.history
+	member.registry.SetInventory(history.inventory, history.now)
+	history.inventory, _ = member.registry.NextInventory(history.inventory, history.now)
+	member.registry.SetInventory(history.inventory, history.now)
 }
 
 // readRemovals reads which releases left since the table was read. The registry is in doubt if it did not know one.
--- a/origin/registry.go
+++ b/origin/registry.go
@@ -17,6 +17,8 @@
 	order []dated
 	// services holds the releases that serve or did lately.
 	services services
+	// listed holds the releases of services that the inventory in the store names, as far as is known.
+	listed map[Origin]bool
 	// complete is set once the recorded origins and releases were read.
 	complete bool
 	// gaps counts how often rows may have come and gone unseen.
@@ -61,7 +63,8 @@
 
 // Begin adds the origin of a stream before its first event is passed on. A second origin of the same attempt makes it unknown. The
 // release counts as seen: another daemon may have sent the request to a replica that this one does not know.
-// If the stream is to be recorded, Begin returns a channel that is closed once it is; otherwise it returns nil.
+// If the stream is to be recorded, Begin returns a channel that is closed once it is; otherwise it returns nil. A stream need not be
+// recorded if its release is the only one and in the inventory: then that names its origin to daemons that start after all others ended.
 func (registry *Registry) Begin(stream Stream, now time.Time) <-chan struct{} {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
@@ -73,7 +76,7 @@
 	if !registry.services[stream.Service][stream.Release].serving {
 		registry.witness(stream.Origin, now)
 	}
-	if len(registry.services.lately(stream.Service, now)) < 2 {
+	if registry.listed[stream.Origin] && len(registry.services.lately(stream.Service, now)) < 2 {
 		return nil
 	}
 	registry.await(stream, known)
--- a/origin/registry_test.go
+++ b/origin/registry_test.go
@@ -81,10 +81,11 @@
 	}
 }
 
-// TestStreamsToRecord covers the cost while one release serves, which is none, and the moment in which a second one comes: the
-// streams of before have to be recorded too.
+// TestStreamsToRecord covers the cost while one release serves and is listed, which is none, and the moment in which a second one comes:
+// the streams of before have to be recorded too.
 func TestStreamsToRecord(t *testing.T) {
 	registry := New()
+	registry.SetInventory(Inventory{Releases: Releases{"s": {"v1"}, "r": {"v1"}}}, at(0))
 	registry.SetServing(Releases{"s": {"v1"}, "r": {"v1"}}, at(0))
 	if registry.Begin(stream("a", "v1"), at(1)) != nil {
 		t.Error("a stream waits to be recorded while one release serves")
@@ -125,6 +126,7 @@
 // others, or from a row, before it served here.
 func TestLearntReleaseMakesStreamsBeRecorded(t *testing.T) {
 	registry := New()
+	registry.SetInventory(Inventory{Releases: Releases{"s": {"v1"}}}, at(0))
 	registry.SetServing(Releases{"s": {"v1"}}, at(0))
 	registry.Begin(stream("a", "v1"), at(1))
 	registry.LearnReleases(Releases{"s": {"v1"}}.Sightings(), at(2))
--- a/origin/releases.go
+++ b/origin/releases.go
@@ -11,6 +11,7 @@
 	defer registry.mutex.Unlock()
 	registry.awaitAll(registry.services.set(serving, now))
 	registry.services.prune(now)
+	registry.unlistFormer(now)
 }
 
 // LearnReleases adds releases that others saw. If a service has a second release from now on, all streams that this daemon began
--- a/origin/services.go
+++ b/origin/services.go
@@ -19,6 +19,11 @@
 	witnessed time.Time
 }
 
+// servedLately reports whether the release serves or did within Retention. It is false for the zero value.
+func (known presence) servedLately(now time.Time) bool {
+	return known.serving || now.Sub(known.seen) < Retention
+}
+
 // set replaces the releases that serve, and returns the services that have more than one release lately and had one before.
 func (services services) set(serving Releases, now time.Time) []string {
 	before := map[string]int{}
@@ -83,7 +88,7 @@
 func (services services) anyNew(service string, releases map[string]time.Duration, now time.Time) bool {
 	for release := range releases {
 		known, ok := services[service][release]
-		if !ok || (!known.serving && now.Sub(known.seen) >= Retention) {
+		if !ok || !known.servedLately(now) {
 			return true
 		}
 	}
@@ -123,7 +128,7 @@
 func (services services) lately(service string, now time.Time) []string {
 	var releases []string
 	for release, known := range services[service] {
-		if known.serving || now.Sub(known.seen) < Retention {
+		if known.servedLately(now) {
 			releases = append(releases, release)
 		}
 	}
@@ -142,10 +147,13 @@
 	return found
 }
 
-// prune drops the releases that left longer than Retention ago.
+// listedFor is how long a release stays in the inventory after its last replica has left.
+const listedFor = 2 * Retention
+
+// prune drops the releases that left so long ago that the inventory need not list them.
 func (services services) prune(now time.Time) {
 	for service, releases := range services {
-		maps.DeleteFunc(releases, func(_ string, known presence) bool { return !known.serving && now.Sub(known.seen) >= Retention })
+		maps.DeleteFunc(releases, func(_ string, known presence) bool { return !known.serving && now.Sub(known.seen) >= listedFor })
 		if len(releases) == 0 {
 			delete(services, service)
 		}
