Let daemons that start after a return of the store doubt what they see

What callers would see: a newer release joins, the store comes back from a copy that lacks its rows, and all daemons end meanwhile. Streams of the newer release go on at the older one until its replicas have written their rows again.

Cause: a daemon that lives when the era of the store rises doubts for 3.6 s that it knows all releases. The first era that a daemon sees is no rise.

Change: the inventory names the last era in which replicas had the time to write their rows again. A daemon that starts in a later one doubts for 3.6 s. A daemon that is in doubt no longer counts as complete for others.

--- a/event/front.go
+++ b/event/front.go
@@ -51,7 +51,7 @@
 	RequestLent        = define(862, "RequestLent", Info, "A request was passed to another daemon, Daemon, since this one reaches no replica for it; the cause is why that daemon did not answer it.")
 	LentRequestServed  = define(863, "LentRequestServed", Info, "A request that another daemon, Daemon, passed on was answered, or not for the reason in Failure.")
 	LenderSilent       = define(869, "LenderSilent", Warning, "A daemon that serves requests for this one does not respond; Requests of them are sent to others, and it is not asked for a while.")
-	ReleasesListed     = define(878, "ReleasesListed", Info, "The releases of services that serve or did lately were listed in the store, for daemons that start when no other is left.")
+	ReleasesListed     = define(878, "ReleasesListed", Info, "The releases of services that serve or did lately were listed in the store, for daemons that start when no other is left. Era is the last one of the store in which replicas had the time to write their rows again.")
 	ReleasesUnlisted   = define(879, "ReleasesUnlisted", Warning, "The releases of services could not be listed in the store; that is tried again. Until then the origins of streams are recorded one by one.")
 	LeaseCeded         = define(864, "LeaseCeded", Warning, "This daemon gives up the lease for orders, since it reaches no engine.")
 	ReplicaBrittle     = define(865, "ReplicaBrittle", Warning, "A replica says that it falls over if it rejects more requests in a second than Rejections; fewer are sent to it.")
--- a/front/inventory.go
+++ b/front/inventory.go
@@ -26,6 +26,8 @@
 
 // inventoryContent is the value of the row.
 type inventoryContent struct {
+	// Era is the last era of the store in which replicas had the time to write their rows again.
+	Era uint64
 	// Releases lists the releases that serve or did lately.
 	Releases origin.Releases
 }
@@ -79,28 +81,29 @@
 	if !daemon.origins.IsComplete() || daemon.daemonCount.Load() == 0 {
 		return false
 	}
-	now := daemon.clock.Now()
+	era, now := daemon.eras.Era(), daemon.clock.Now()
 	if daemon.origins.LacksListing(now) {
 		return true
 	}
-	_, changed := daemon.origins.NextInventory(recorder.inventory, now)
+	_, changed := daemon.origins.NextInventory(recorder.inventory, era, now)
 	return changed && daemon.daemonIndex.Load() == 0
 }
 
 // update reads the row, and replaces it if it lacks something. If another daemon writes it meanwhile, it stays as that one wrote it.
 func (recorder *inventoryRecorder) update(ctx context.Context) error {
 	daemon := recorder.daemon
+	era := daemon.eras.Era()
 	row, err := daemon.rowStore.Read(ctx, inventoryKey())
 	if err != nil && !errors.Is(err, datastore.ErrNotFound) {
 		return err
 	}
 	inventory, rest := decodeInventory(row)
 	recorder.set(inventory)
-	next, changed := daemon.origins.NextInventory(inventory, daemon.clock.Now())
+	next, changed := daemon.origins.NextInventory(inventory, era, daemon.clock.Now())
 	if !changed {
 		return nil
 	}
-	value, err := openjson.Encode(inventoryContent{Releases: next.Releases}, rest)
+	value, err := openjson.Encode(inventoryContent(next), rest)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -112,7 +115,7 @@
 		return err
 	}
 	recorder.set(next)
-	event.ReleasesListed.Log("Releases", next.Releases)
+	event.ReleasesListed.Log("Releases", next.Releases, "Era", next.Era)
 	return nil
 }
 
@@ -137,16 +140,21 @@
 		event.RowSkipped.LogError(err, "Table", row.Table, "Row", row.Row, "Version", row.Version.String())
 		return origin.Inventory{}, ""
 	}
-	return origin.Inventory{Releases: content.Releases}, rest
+	return origin.Inventory(content), rest
 }
 
-// readInventory reads the inventory when the daemon learns what is recorded.
+// readInventory reads the inventory when the daemon learns what is recorded. If the store came back from an older copy and no daemon has
+// seen since that replicas wrote their rows again, this one, which did not see when it came back, doubts that it knows all releases.
 func (daemon *Daemon) readInventory(ctx context.Context) error {
 	row, err := daemon.store.Read(ctx, inventoryKey())
 	if err != nil && !errors.Is(err, datastore.ErrNotFound) {
 		return err
 	}
 	inventory, _ := decodeInventory(row)
-	daemon.origins.SetInventory(inventory, daemon.clock.Now())
+	now := daemon.clock.Now()
+	daemon.origins.SetInventory(inventory, now)
+	if inventory.Era < daemon.eras.Era() {
+		daemon.origins.Doubt(now.Add(restoredDoubt))
+	}
 	return nil
 }
--- a/front/origins.go
+++ b/front/origins.go
@@ -75,7 +75,7 @@
 	now := daemon.clock.Now()
 	answer := mesh.OriginAnswer{
 		Lately:    daemon.origins.Sightings(now),
-		Complete:  daemon.origins.IsComplete() && daemon.dataAge() <= maxStoreAge,
+		Complete:  daemon.origins.Knows(now) && daemon.dataAge() <= maxStoreAge,
 		Confirmed: confirmed && daemon.origins.Knows(now),
 	}
 	for _, id := range query.Attempts {
--- a/internal/frontsoak/alldown_test.go
+++ b/internal/frontsoak/alldown_test.go
@@ -14,6 +14,8 @@
 	// allDownClients is the number of clients; each begins one stream after the other for allDownBegin.
 	allDownClients = 24
 	allDownBegin   = 1200 * time.Millisecond
+	// rewriteTime is how long rows that a copy of the store lacks stay absent: replicas write them again within about 2 s.
+	rewriteTime = 1500 * time.Millisecond
 	// minResumed is the share of the streams that must go on if replicas of their release serve: half of that of new streams.
 	minResumed = 0.5
 )
@@ -21,9 +23,12 @@
 // allDownCase is what happens while all daemons are down.
 type allDownCase struct {
 	name string
-	// meanwhile happens while the daemons are down; nil is nothing.
+	// before prepares the replicas; nil prepares nothing.
+	before func(testbed *testbed, t *testing.T, stop <-chan struct{})
+	// meanwhile happens while the daemons are down, and after once they start again; nil is nothing.
 	meanwhile func(testbed *testbed, t *testing.T, stop <-chan struct{})
-	// anyShare states that the release that began a stream may have no replica left.
+	after     func(testbed *testbed)
+	// anyShare states that the release that began a stream may have no replica left, or that its origin was lost.
 	anyShare bool
 }
 
@@ -35,13 +40,40 @@
 	time.Sleep(time.Second)
 }
 
+// listNewRelease sets whether the engines of the newer release write their rows.
+func (testbed *testbed) listNewRelease(listed bool) {
+	for _, replica := range testbed.replicas {
+		replica.withLock(func() {
+			if replica.release == "v2" {
+				replica.unlisted = !listed
+			}
+		})
+	}
+}
+
 var allDownCases = []allDownCase{
 	{name: "nothing else", anyShare: false},
 	{name: "the only release is replaced", anyShare: true, meanwhile: (*testbed).replaceRelease},
+	{
+		name: "the store comes back without the newer release", anyShare: true,
+		before: func(testbed *testbed, t *testing.T, stop <-chan struct{}) {
+			testbed.startReleases(t, stop)
+			time.Sleep(2 * time.Second)
+		},
+		meanwhile: func(testbed *testbed, _ *testing.T, _ <-chan struct{}) {
+			testbed.listNewRelease(false)
+			testbed.store.restore(allDownAfter + 3*time.Second)
+			testbed.configure()
+		},
+		after: func(testbed *testbed) {
+			time.Sleep(rewriteTime)
+			testbed.listNewRelease(true)
+		},
+	},
 }
 
 // TestStreamsOutliveAllDaemons guards against review/1: after all daemons had ended at once, those that started took the only release
-// that they saw for the one that began every stream, also if another one had served before.
+// that they saw for the one that began every stream, also if another one had served before or was missing in a copy of the store.
 func TestStreamsOutliveAllDaemons(t *testing.T) {
 	binary := build(t)
 	for index, c := range allDownCases {
@@ -64,6 +96,9 @@
 
 // runAllDown runs the clients of one case and returns their streams.
 func (testbed *testbed) runAllDown(t *testing.T, c allDownCase, seed uint64, stop <-chan struct{}) []*chain {
+	if c.before != nil {
+		c.before(testbed, t, stop)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), allDownBegin)
 	defer cancel()
 	wait := testbed.startStreamClients(ctx, allDownClients, streamClient{name: "d", models: 1}, seed, 0)
@@ -78,6 +113,9 @@
 	for _, release := range releases {
 		release()
 	}
+	if c.after != nil {
+		c.after(testbed)
+	}
 	return wait()
 }
 
--- a/origin/history_test.go
+++ b/origin/history_test.go
@@ -22,8 +22,11 @@
 	rows map[string]recordedPage
 	// inventory is the row of the releases that serve or did lately.
 	inventory Inventory
-	// serving lists the releases with replicas, the oldest first.
-	serving []string
+	// era counts how often the store came back from an older copy.
+	era uint64
+	// serving lists the releases with replicas, the oldest first, and lacking those whose rows a copy of the store lacked, until they are
+	// written again.
+	serving, lacking []string
 	// changes counts the changes of serving, and left lists the releases that left, with the number of the change.
 	changes int
 	left    []departure
@@ -66,6 +69,9 @@
 	}
 	started.registry.Learn(streams, history.now)
 	started.registry.SetInventory(history.inventory, history.now)
+	if history.inventory.Era < history.era {
+		started.registry.Doubt(history.now.Add(2 * rewriteTime))
+	}
 	started.registry.CompleteAt(started.registry.Gaps())
 	started.readTable()
 	history.daemons[index] = started
@@ -178,13 +184,15 @@
 
 // rare makes a step of those that change everything.
 func (history *history) rare() {
-	switch history.random.IntN(4) {
+	switch history.random.IntN(5) {
 	case 0:
 		history.endRollout()
 	case 1:
 		history.startAll()
 	case 2:
 		history.replaceWhileDown()
+	case 3:
+		history.restoreWhileDown()
 	}
 }
 
@@ -219,6 +227,47 @@
 	}
 }
 
+// rewriteTime is how long rows that a copy of the store lacked stay absent.
+const rewriteTime = 2 * time.Second
+
+// restoreWhileDown lets a newer release join one that serves alone, ends all daemons, and starts them again when the store has come back
+// from a copy of before. Streams are taken up before the rows are written again that the copy lacked, and after that.
+func (history *history) restoreWhileDown() {
+	history.endRollout()
+	history.endRollout()
+	history.expire()
+	rows, inventory := maps.Clone(history.rows), history.inventory
+	history.count++
+	history.changes++
+	newer := fmt.Sprint("v", history.count)
+	history.serving = append(slices.Clone(history.serving), newer)
+	for _, member := range history.daemons {
+		member.readTable()
+	}
+	for range 2 * quietStreams {
+		history.begin(true)
+	}
+	history.rows, history.inventory, history.lacking = rows, inventory, []string{newer}
+	history.era++
+	history.startAll()
+	for range quietStreams {
+		history.takeUp()
+	}
+	history.lacking = nil
+	history.now = history.now.Add(2 * rewriteTime)
+	for _, member := range history.daemons {
+		member.readTable()
+	}
+	for range quietStreams {
+		history.takeUp()
+	}
+}
+
+// table returns the releases whose replicas have rows.
+func (history *history) table() []string {
+	return slices.DeleteFunc(slices.Clone(history.serving), func(release string) bool { return slices.Contains(history.lacking, release) })
+}
+
 // expire drops the streams that clients no longer take up, and the rows that have not changed for long.
 func (history *history) expire() {
 	maps.DeleteFunc(history.began, func(_ string, stream begun) bool { return history.now.Sub(stream.at) > maxTakeUpAge })
@@ -285,8 +334,8 @@
 	return history
 }
 
-// TestOriginsAreNeverWrong guards against issues 42 and 47 and against review/1 over random histories of rollouts, also while all daemons
-// are down, kills and daemons that stand still, are cut off from the store or from each other, or have not read the newest table: what a
+// TestOriginsAreNeverWrong guards against issues 42 and 47 and against review/1 over random histories of rollouts and returns of the
+// store from an older copy, also while all daemons are down, kills and daemons that stand still, are cut off from the store or from each other, or have not read the newest table: what a
 // daemon says of the origin of a stream is right.
 func TestOriginsAreNeverWrong(t *testing.T) {
 	for daemons, seeds := range map[int]uint64{4: 24, 30: 8, 118: 4} {
--- a/origin/inventory.go
+++ b/origin/inventory.go
@@ -8,6 +8,9 @@
 // Inventory is what the store holds of the releases of all services while nothing else is recorded of them. It tells daemons that
 // start when no other is left which releases served before.
 type Inventory struct {
+	// Era is the last era of the store in which replicas had the time to write again what the copy lacked that it came back from. Rows
+	// that are read in a later one may be all that the copy had.
+	Era uint64
 	// Releases lists the releases that serve or did lately.
 	Releases Releases
 }
@@ -61,12 +64,16 @@
 }
 
 // NextInventory returns the inventory that has to replace the given one, and whether they differ. A release stays for twice Retention
-// after it last served, so that it is listed for as long as any daemon counts it among those that served lately.
-func (registry *Registry) NextInventory(inventory Inventory, now time.Time) (Inventory, bool) {
+// after it last served, so that it is listed for as long as any daemon counts it among those that served lately. The era of the store
+// is stated once the registry knows all releases in it.
+func (registry *Registry) NextInventory(inventory Inventory, era uint64, now time.Time) (Inventory, bool) {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
-	next := Inventory{Releases: registry.services.witnessed(now)}
-	changed := false
+	next := Inventory{Era: inventory.Era, Releases: registry.services.witnessed(now)}
+	if registry.knows(now) {
+		next.Era = max(next.Era, era)
+	}
+	changed := next.Era > inventory.Era
 	for service, releases := range inventory.Releases {
 		for _, release := range releases {
 			switch _, known := registry.services[service][release]; {
--- a/origin/inventory_test.go
+++ b/origin/inventory_test.go
@@ -65,7 +65,7 @@
 			registry.SetInventory(read, at(0))
 			registry.SetServing(Releases{"s": c.serving}, at(0))
 			registry.SetServing(Releases{"s": c.serving}, at(c.seconds))
-			next, changed := registry.NextInventory(read, at(c.seconds))
+			next, changed := registry.NextInventory(read, 0, at(c.seconds))
 			if changed != (c.want != nil) || changed && !maps.EqualFunc(next.Releases, Releases{"s": c.want}, slices.Equal[[]string]) {
 				t.Errorf("the next inventory is %v, changed %v, want %v", next.Releases, changed, c.want)
 			}
--- a/origin/member_test.go
+++ b/origin/member_test.go
@@ -18,7 +18,7 @@
 // readTable reads which releases serve, and lists them.
 func (member *member) readTable() {
 	member.readRemovals()
-	member.registry.SetServing(Releases{"s": member.history.serving}, member.history.now)
+	member.registry.SetServing(Releases{"s": member.history.table()}, member.history.now)
 	member.read = member.history.changes
 	member.list()
 }
@@ -27,7 +27,7 @@
 func (member *member) list() {
 	history := member.history
 	member.registry.SetInventory(history.inventory, history.now)
-	history.inventory, _ = member.registry.NextInventory(history.inventory, history.now)
+	history.inventory, _ = member.registry.NextInventory(history.inventory, history.era, history.now)
 	member.registry.SetInventory(history.inventory, history.now)
 }
 
@@ -52,7 +52,7 @@
 	defer close(done)
 	if !member.storeCut {
 		member.readRemovals()
-		for _, release := range member.history.serving {
+		for _, release := range member.history.table() {
 			member.registry.Witness(Origin{"s", release}, member.history.now)
 		}
 	}
