Ask the store anew when it falls silent and when it answers again

Cause: a long poll that was begun on a connection which yields nothing was waited for until its end, 4.9 s for the configuration. The failure or the response of another call did not end it. Daemons went on with long polls while the store was silent, and the late failure made it count as lost.

Change: watchers end their calls and ask anew when the store falls silent and when it answers again; a store that is not known to answer is asked without a wait; a failure says nothing of a store that answered since.

--- a/connection/pool.go
+++ b/connection/pool.go
@@ -97,6 +97,16 @@
 	}
 }
 
+// CloseUnused closes the unused connections of the key. Those of an upstream that fell silent may yield nothing more after its return.
+func (pool *Pool) CloseUnused(key string) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	for _, c := range pool.idle[key] {
+		_ = c.Close()
+	}
+	delete(pool.idle, key)
+}
+
 // acquire returns an unused connection or opens a new one.
 func (pool *Pool) acquire(ctx context.Context, call Call) (*conn, error) {
 	for !call.ForceNew {
--- a/front/daemon.go
+++ b/front/daemon.go
@@ -130,6 +130,9 @@
 	reportRequested chan struct{}
 	// updates is notified when this daemon has something new for other daemons.
 	updates broadcast
+	// storeTurned is notified when the store falls silent and when it answers again: calls that wait for it may wait in vain on
+	// connections that yield nothing more.
+	storeTurned broadcast
 	// suspectRows and originRows hold the known rows of the tables of suspects and of origins.
 	suspectRows, originRows *expiringRows
 	// replicasChanged requests that the replica table is applied again.
@@ -143,8 +146,8 @@
 	storeSeen time.Time
 	// replicasSeen is when the store last answered a call for the replica table.
 	replicasSeen time.Time
-	// storeLost is set while the store does not answer.
-	storeLost bool
+	// storeLost is set while the store does not answer, and storeSilent while it lets calls wait in vain rather than refuse them.
+	storeLost, storeSilent bool
 	// relayedStoreSeen is when the store last answered the reader named currentReader, from which this daemon
 	// last received an update.
 	relayedStoreSeen time.Time
--- a/front/store.go
+++ b/front/store.go
@@ -19,6 +19,10 @@
 		daemon.storeLost = false
 		event.StoreRegained.Log("Store", daemon.settings.StoreAddress)
 	}
+	if daemon.storeSilent {
+		daemon.storeSilent = false
+		daemon.storeTurned.notify()
+	}
 }
 
 // eraLogInterval is the shortest time between two log lines about unusable eras.
@@ -56,10 +60,22 @@
 	event.EraUnusable.Log("Problem", string(problem), "Era", known, "Count", log.unusable)
 }
 
-// storeFailed records that a call to the store failed.
-func (daemon *Daemon) storeFailed(err error, table string) {
+// minSilence is how long a call to the store goes without a response before its failure counts as silence. A refusal comes sooner.
+const minSilence = 400 * time.Millisecond
+
+// storeFailed records that a call to the store failed, which began at the time. It says nothing of the store if that answered another
+// call meanwhile.
+func (daemon *Daemon) storeFailed(err error, table string, begun time.Time) {
 	daemon.mutex.Lock()
 	defer daemon.mutex.Unlock()
+	if daemon.storeSeen.After(begun) {
+		return
+	}
+	if !daemon.storeSilent && daemon.clock.Since(begun) >= minSilence {
+		daemon.storeSilent = true
+		daemon.pool.CloseUnused(daemon.settings.StoreAddress)
+		daemon.storeTurned.notify()
+	}
 	if !daemon.storeLost {
 		daemon.storeLost = true
 		daemon.updates.notify()
--- a/front/watch.go
+++ b/front/watch.go
@@ -14,8 +14,8 @@
 	// configurationWait is the longest time that the store delays its response if the configuration does not
 	// change.
 	configurationWait = 4 * time.Second
-	// minRetryPause and maxRetryPause bound the pause before the store is called again after a failure. It
-	// doubles with each failure.
+	// minRetryPause and maxRetryPause bound the time from a call that failed to the next one, which doubles with each failure. After a
+	// call that failed late the pause is minRetryPause.
 	minRetryPause = 50 * time.Millisecond
 	maxRetryPause = 800 * time.Millisecond
 )
@@ -24,8 +24,8 @@
 type tableWatcher struct {
 	daemon *Daemon
 	table  string
-	// wait is the longest time that the store delays its response if nothing changed, and pause is the time
-	// between two calls.
+	// wait is the longest time that the store delays its response if nothing changed, as long as it is known to answer, and pause is the
+	// time between two calls.
 	wait  time.Duration
 	pause time.Duration
 	// onSnapshot receives all rows, and onChanges receives changes, both up to the version.
@@ -55,7 +55,9 @@
 			watcher.daemon.sleep(ctx, readerCheckInterval)
 			continue
 		}
-		err := watcher.poll(ctx, &version, &known)
+		begun := watcher.daemon.clock.Now()
+		turned := watcher.daemon.storeTurned.next()
+		err := watcher.pollUntil(ctx, turned, &version, &known)
 		switch {
 		case err == nil:
 			pause = minRetryPause
@@ -67,16 +69,49 @@
 		case errors.Is(err, platform.ErrHistoryUnavailable):
 			event.HistoryForgotten.Log("Table", watcher.table, "After", version.String())
 			known = false
+		case errors.Is(err, errStoreTurned):
+			watcher.failed = true
 		default:
 			watcher.failed = true
-			watcher.daemon.storeFailed(err, watcher.table)
-			watcher.daemon.sleep(ctx, pause)
+			watcher.daemon.storeFailed(err, watcher.table, begun)
+			rest := pause - watcher.daemon.clock.Since(begun)
+			watcher.daemon.waitOrSleep(ctx, turned, max(rest, minRetryPause))
 			pause = min(2*pause, maxRetryPause)
 		}
 	}
 	return ctx.Err()
 }
 
+// errStoreTurned ends a call that waits while the store falls silent, or answers again.
+var errStoreTurned = errors.New("the store fell silent or answers again")
+
+// pollUntil is poll, but it fails with errStoreTurned once the channel is closed: the connection of the call may yield nothing more.
+func (watcher *tableWatcher) pollUntil(ctx context.Context, turned <-chan struct{}, version *datastore.Version, known *bool) error {
+	limited, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		select {
+		case <-turned:
+			cancel(errStoreTurned)
+		case <-limited.Done():
+		}
+	}()
+	err := watcher.poll(limited, version, known)
+	if err != nil && errors.Is(context.Cause(limited), errStoreTurned) {
+		return errStoreTurned
+	}
+	return err
+}
+
+// longestWait returns the longest time that the store may delay the response to the next call. A store that is not known to answer is
+// asked for a response at once, so that its return is seen soon.
+func (watcher *tableWatcher) longestWait() time.Duration {
+	if watcher.failed || watcher.daemon.isStoreLost() {
+		return 0
+	}
+	return watcher.wait
+}
+
 // isActive reports whether this daemon watches the table now.
 func (watcher *tableWatcher) isActive() bool {
 	if watcher.active == nil {
@@ -103,7 +138,7 @@
 		*version, *known = current, true
 		return nil
 	}
-	changes, current, err := watcher.daemon.store.Changes(ctx, watcher.table, *version, watcher.wait)
+	changes, current, err := watcher.daemon.store.Changes(ctx, watcher.table, *version, watcher.longestWait())
 	if err != nil {
 		return err
 	}
--- a/internal/frontsoak/proxy_test.go
+++ b/internal/frontsoak/proxy_test.go
@@ -19,6 +19,8 @@
 	connections map[net.Conn]net.Conn
 	// faults holds those that have begun and not ended. They add up.
 	faults map[*proxyFault]bool
+	// silent holds the inbound connections that pass nothing on any more.
+	silent map[net.Conn]bool
 }
 
 // proxyFault is a fault of a proxy.
@@ -26,6 +28,8 @@
 	// stalls states that no bytes are forwarded, mutes that none are from the target to clients, and refuses that new connections are
 	// reset.
 	stalls, mutes, refuses bool
+	// silences states that the connections which are open meanwhile never pass a byte on again, also after the fault.
+	silences bool
 	// delay is added before each forwarded chunk.
 	delay time.Duration
 }
@@ -38,6 +42,11 @@
 		proxy.faults = map[*proxyFault]bool{}
 	}
 	proxy.faults[&fault] = true
+	if fault.silences {
+		for inbound := range proxy.connections {
+			proxy.silent[inbound] = true
+		}
+	}
 	return func() {
 		proxy.mutex.Lock()
 		defer proxy.mutex.Unlock()
@@ -53,6 +62,7 @@
 	for fault := range proxy.faults {
 		sum.stalls, sum.mutes = sum.stalls || fault.stalls, sum.mutes || fault.mutes
 		sum.refuses, sum.delay = sum.refuses || fault.refuses, max(sum.delay, fault.delay)
+		sum.silences = sum.silences || fault.silences
 	}
 	return sum
 }
@@ -67,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	created := &proxy{listener: listener, target: target, connections: map[net.Conn]net.Conn{}}
+	created := &proxy{listener: listener, target: target, connections: map[net.Conn]net.Conn{}, silent: map[net.Conn]bool{}}
 	go created.accept()
 	return created, nil
 }
@@ -99,12 +109,14 @@
 		reset(inbound)
 		return
 	}
+	silences := proxy.fault().silences
 	proxy.mutex.Lock()
 	proxy.connections[inbound] = outbound
+	proxy.silent[inbound] = silences
 	proxy.mutex.Unlock()
 	done := make(chan bool, 2)
-	go func() { done <- proxy.copyOneWay(outbound, inbound, false) }()
-	go func() { done <- proxy.copyOneWay(inbound, outbound, true) }()
+	go func() { done <- proxy.copyOneWay(outbound, inbound, inbound) }()
+	go func() { done <- proxy.copyOneWay(inbound, outbound, inbound) }()
 	if clean := <-done; !clean {
 		reset(inbound)
 		reset(outbound)
@@ -113,16 +125,25 @@
 	_ = outbound.Close()
 	proxy.mutex.Lock()
 	delete(proxy.connections, inbound)
+	delete(proxy.silent, inbound)
 	proxy.mutex.Unlock()
 }
 
-// copyOneWay copies bytes until the source ends, and reports whether it ended without an error. toClient states the direction.
-func (proxy *proxy) copyOneWay(to, from net.Conn, toClient bool) bool {
+// isSilent reports whether the inbound connection passes nothing on any more.
+func (proxy *proxy) isSilent(inbound net.Conn) bool {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	return proxy.silent[inbound]
+}
+
+// copyOneWay copies bytes until the source ends, and reports whether it ended without an error. inbound is the one of both that a
+// client opened.
+func (proxy *proxy) copyOneWay(to, from, inbound net.Conn) bool {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
 		wasStalled := false
-		for proxy.stalling(toClient) {
+		for proxy.stalling(to == inbound) {
 			wasStalled = true
 			time.Sleep(5 * time.Millisecond)
 		}
@@ -130,7 +151,7 @@
 			// The sender closed or reset the connection while it was stalled, so what it had sent is lost.
 			return false
 		}
-		if n > 0 {
+		if n > 0 && !proxy.isSilent(inbound) {
 			if _, failure := to.Write(buffer[:n]); failure != nil {
 				return false
 			}
