--- a/internal/frontsoak/silentstore_test.go
+++ b/internal/frontsoak/silentstore_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"testing"
 	"time"
 )
@@ -50,7 +49,7 @@
 				time.Sleep(c.inForce)
 				for _, front := range testbed.fronts {
 					if path := addedRoute(testbed.version); !client.send(context.Background(), path, front.client) {
-						t.Error(fmt.Sprintf("round %d: %s does not serve the newest route %v after its acknowledgement", round, front.name, c.inForce))
+						t.Errorf("round %d: %s does not serve the newest route %v after its acknowledgement", round, front.name, c.inForce)
 					}
 				}
 			}
