Bound the bytes held of all responses together

The daemon holds nearly 8 MiB for each until its deadline, is ended for its memory, and the requests of all other clients end with it.

Cause: each response that is read whole is bounded, their sum is not.

Change: package bytebudget. Readers draw on a budget of a fifth of MemoryLimit as their responses grow. When it is short, the largest response of the replica that holds the most is ended, which counts as a failure of that replica; a request that may be repeated goes on elsewhere.

Failed before: frontsoak.TestSlowBodiesWithoutEndTakeNoDaemon.

--- a/front/new.go
+++ b/front/new.go
@@ -6,6 +6,7 @@
 	"github.com/bronzestall/bronzestall/balance"
 	"github.com/bronzestall/bronzestall/boottime"
 	"github.com/bronzestall/bronzestall/brittle"
+	"github.com/bronzestall/bronzestall/bytebudget"
 	"github.com/bronzestall/bronzestall/connection"
 	"github.com/bronzestall/bronzestall/demand"
 	"github.com/bronzestall/bronzestall/directory"
@@ -52,6 +53,7 @@
 		origins:         origin.New(),
 		rollouts:        rollout.New(),
 		paths:           reach.New(),
+		held:            bytebudget.New(heldBytes(settings.MemoryLimit)),
 		reportRequested: make(chan struct{}, 1),
 		stopStarted:     make(chan struct{}),
 		replicasChanged: make(chan struct{}, 1),
@@ -88,6 +90,7 @@
 		Lender:      daemon.lender,
 		Prover:      prover{daemon},
 		Brittle:     daemon.brittle,
+		Held:        daemon.held,
 		DaemonIndex: func() int { return int(daemon.daemonIndex.Load()) },
 		Clock:       clk,
 	})
--- a/front/notices.go
+++ b/front/notices.go
@@ -103,6 +103,8 @@
 	daemon.meter.Set(meter.RequestsQuarantined, meter.Labels{}, int64(daemon.suspects.CountRefused(now)))
 	daemon.meter.Set(meter.SuspectsEvicted, meter.Labels{}, int64(daemon.suspects.Evicted()))
 	daemon.meter.Set(meter.OriginsHeld, meter.Labels{}, int64(daemon.origins.Held()))
+	daemon.meter.Set(meter.ResponseBytesHeld, meter.Labels{}, daemon.held.Held())
+	daemon.meter.Set(meter.ResponsesEndedForRoom, meter.Labels{}, daemon.held.Ended())
 	daemon.meter.Set(meter.OriginsEvicted, meter.Labels{}, int64(daemon.origins.Evicted()))
 	daemon.releaseMeter.update(daemon.meter, daemon.rollouts.Accepting())
 	daemon.meter.Set(meter.PathsLost, meter.Labels{}, int64(daemon.paths.LostCount()))
--- a/internal/frontsoak/replica_test.go
+++ b/internal/frontsoak/replica_test.go
@@ -193,7 +193,7 @@
 		return
 	}
 	replica.checker.recordExecution(id, replica.id, time.Now())
-	if replica.crashIfRequested(id, body) || replica.endIfDeadly(writer, request, id) {
+	if replica.flood(writer, request, id) || replica.crashIfRequested(id, body) || replica.endIfDeadly(writer, request, id) {
 		panic(http.ErrAbortHandler)
 	}
 	replica.mutex.Lock()
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -8,15 +8,16 @@
 	"slices"
 
 	"github.com/bronzestall/bronzestall/balance"
+	"github.com/bronzestall/bronzestall/bytebudget"
 	"github.com/bronzestall/bronzestall/exchange"
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
-// maxResponseBytes is the largest response, in bytes, that is read whole before it is passed on.
-const maxResponseBytes = 8 << 20
+// MaxResponseBytes is the largest response, in bytes, that is read whole before it is passed on.
+const MaxResponseBytes = 8 << 20
 
-// errLongResponse is the failure of a response larger than maxResponseBytes.
+// errLongResponse is the failure of a response larger than MaxResponseBytes.
 var errLongResponse = errors.New("the response is over the limit ResponseBytes of 8388608 bytes")
 
 // result is the outcome of one attempt.
@@ -140,7 +141,7 @@
 	if ctx.Err() != nil && saysNoResponse(context.Cause(ctx)) && !transaction.lending {
 		transaction.relay.deps.Suspects.NoResponse(transaction.causes, CrashOf(candidate.Incarnation), now)
 	}
-	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled) {
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled) && !errors.Is(context.Cause(ctx), bytebudget.ErrShort) {
 		deadlinePassed := errors.Is(context.Cause(ctx), errDeadline)
 		if deadlinePassed {
 			transaction.endAt(candidate, true)
@@ -164,13 +165,13 @@
 
 // saysNoResponse reports whether the cancellation cause of an attempt is that the client or this daemon waited long enough.
 func saysNoResponse(cause error) bool {
-	return !errors.Is(cause, errStopped) && !errors.Is(cause, errOvertaken)
+	return !errors.Is(cause, errStopped) && !errors.Is(cause, errOvertaken) && !errors.Is(cause, bytebudget.ErrShort)
 }
 
 // rejectAttempt ends an attempt that the replica proved not to have run.
 func (transaction *transaction) rejectAttempt(candidate balance.Candidate, reply *exchange.Reply) result {
 	transaction.runs--
-	_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, maxResponseBytes))
+	_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, MaxResponseBytes))
 	transaction.cancelAt(candidate)
 	if guard := transaction.relay.deps.Brittle; guard != nil && !reply.Misdirected {
 		guard.Rejected(candidate.Incarnation, transaction.relay.deps.Clock.Now())
@@ -188,15 +189,24 @@
 // completeResponse is a response whose body was read to its end.
 type completeResponse struct {
 	reply *exchange.Reply
-	body  []byte
+	// body is the body in pieces, and held what counts for it until it is delivered or dropped.
+	body [][]byte
+	held *bytebudget.Account
 }
 
 // deliver passes the response on to the client.
 func (completeResponse *completeResponse) deliver(sink Sink) {
-	sink.Head(completeResponse.reply.Status, completeResponse.reply.Header, int64(len(completeResponse.body)))
-	if len(completeResponse.body) > 0 {
-		// The error means that the client has disconnected; nothing is left to do.
-		_ = sink.Write(completeResponse.body)
+	defer completeResponse.held.Close()
+	length := 0
+	for _, piece := range completeResponse.body {
+		length += len(piece)
+	}
+	sink.Head(completeResponse.reply.Status, completeResponse.reply.Header, int64(length))
+	for _, piece := range completeResponse.body {
+		if len(piece) > 0 && sink.Write(piece) != nil {
+			// The client has disconnected; nothing is left to do.
+			return
+		}
 	}
 }
 
@@ -204,22 +214,19 @@
 // another replica.
 func (transaction *transaction) completeResponse(leg *leg) result {
 	reply := leg.reply
-	content, err := io.ReadAll(io.LimitReader(reply.Body, maxResponseBytes+1))
-	if len(content) > maxResponseBytes {
-		err = errLongResponse
-	}
+	response, err := transaction.readWhole(leg)
 	if err != nil {
 		return transaction.failAttempt(leg.ctx, leg.candidate, lostError(err))
 	}
 	if !reply.Signed && reply.Success() {
+		response.held.Close()
 		return transaction.failAttempt(leg.ctx, leg.candidate, exchange.ErrInvalidResponse)
 	}
 	leg.record.event()
 	failed := reply.Status >= http.StatusInternalServerError
 	transaction.endAt(leg.candidate, failed)
-	response := &completeResponse{reply, content}
 	if failed && transaction.route.Repeatable() && transaction.runs < transaction.maxRuns {
-		transaction.failedResponse = response
+		transaction.keepFailed(response)
 		return result{failure: outcome.New(outcome.UpstreamLost, "%s", "the replica failed: "+http.StatusText(reply.Status))}
 	}
 	transaction.countAnswer(reply.Success())
@@ -228,3 +235,34 @@
 	response.deliver(transaction.sink)
 	return result{done: true}
 }
+
+// readWhole reads the body of the response to its end. The bytes held count until the response is delivered or dropped.
+func (transaction *transaction) readWhole(leg *leg) (*completeResponse, error) {
+	held := transaction.relay.deps.Held.Open(leg.source(), leg.cancel)
+	body, err := bytebudget.Read(leg.reply.Body, MaxResponseBytes, held)
+	if err == nil {
+		err = held.Keep()
+	}
+	if err == nil {
+		return &completeResponse{reply: leg.reply, body: body, held: held}, nil
+	}
+	held.Close()
+	if errors.Is(err, bytebudget.ErrLong) {
+		return nil, errLongResponse
+	}
+	return nil, err
+}
+
+// keepFailed keeps the response of a replica that failed in place of an earlier one.
+func (transaction *transaction) keepFailed(response *completeResponse) {
+	transaction.dropFailed()
+	transaction.failedResponse = response
+}
+
+// dropFailed drops the response of a replica that failed, if there is one.
+func (transaction *transaction) dropFailed() {
+	if transaction.failedResponse != nil {
+		transaction.failedResponse.held.Close()
+	}
+	transaction.failedResponse = nil
+}
--- a/relay/ended.go
+++ b/relay/ended.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 
+	"github.com/bronzestall/bronzestall/bytebudget"
 	"github.com/bronzestall/bronzestall/exchange"
 )
 
@@ -26,6 +27,8 @@
 	EndedBySuccessor Ender = "Successor"
 	// EndedByPredecessor means that this daemon ended an attempt that was to replace a stalled one, which went on.
 	EndedByPredecessor Ender = "Predecessor"
+	// EndedForRoom means that this daemon held too many bytes of responses, and most for this replica.
+	EndedForRoom Ender = "Room"
 )
 
 // enderOf returns who ended the attempt with the context.
@@ -42,6 +45,8 @@
 		return EndedBySuccessor
 	case errors.Is(cause, errOvertaken):
 		return EndedByPredecessor
+	case errors.Is(cause, bytebudget.ErrShort):
+		return EndedForRoom
 	default:
 		return EndedByClient
 	}
--- a/relay/ended_test.go
+++ b/relay/ended_test.go
@@ -30,7 +30,7 @@
 		{"a lost connection", "/once/x", lost, nil, EndedByReplica, 1},
 		{"a stream that breaks off", "/stream/x", breaking(events(1, 1), 0), nil, EndedByReplica, 1},
 		{"a response without a signature", "/once/x", unsigned, nil, EndedByReplica, 0},
-		{"a response that is too long", "/once/x", ok(strings.Repeat("x", maxResponseBytes+1)), nil, EndedByReplica, 0},
+		{"a response that is too long", "/once/x", ok(strings.Repeat("x", MaxResponseBytes+1)), nil, EndedByReplica, 0},
 		{"an event that is too long", "/stream/x", answered(200, events(1, 1)+strings.Repeat("x", 2*maxEventBytes), io.EOF), nil, EndedByReplica, 0},
 		{"a failure of the replica, which is passed on", "/stream/x", answered(500, "oops", io.EOF), nil, "", 0},
 		{"the deadline", "/stream/x", silent(), nil, EndedByDeadline, 0},
--- a/relay/leg.go
+++ b/relay/leg.go
@@ -57,6 +57,14 @@
 	return &leg{transaction: transaction, candidate: balance.Candidate{Release: transaction.release}, lent: true, ctx: ctx, cancel: cancel}
 }
 
+// source names what sends the response: the replica, or the other daemon.
+func (leg *leg) source() string {
+	if leg.lent {
+		return leg.lender
+	}
+	return leg.candidate.ID
+}
+
 // send sends the request and waits for the head of the response.
 func (leg *leg) send() {
 	if leg.lent {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -10,6 +10,7 @@
 
 	"github.com/bronzestall/bronzestall/balance"
 	"github.com/bronzestall/bronzestall/brittle"
+	"github.com/bronzestall/bronzestall/bytebudget"
 	"github.com/bronzestall/bronzestall/demand"
 	"github.com/bronzestall/bronzestall/directory"
 	"github.com/bronzestall/bronzestall/exchange"
@@ -53,10 +54,15 @@
 	Prover Prover
 	// DaemonIndex returns the index of the daemon among all daemons; nil means zero.
 	DaemonIndex func() int
+	// Held bounds the bytes held of responses; nil means 64 MiB.
+	Held *bytebudget.Budget
 	// Clock provides the time and timers.
 	Clock clock.WithTicker
 }
 
+// defaultHeldBytes bounds the bytes held of responses without a budget in Deps.
+const defaultHeldBytes = 64 << 20
+
 // Relay forwards requests to replicas. It is safe for concurrent use. Use New.
 type Relay struct {
 	deps     Deps
@@ -80,6 +86,9 @@
 // New returns a relay without a configuration.
 func New(settings Settings, deps Deps) *Relay {
 	ctx, cancel := context.WithCancelCause(context.Background())
+	if deps.Held == nil {
+		deps.Held = bytebudget.New(defaultHeldBytes)
+	}
 	return &Relay{
 		deps:     deps,
 		settings: settings.withDefaults(),
--- a/relay/transaction.go
+++ b/relay/transaction.go
@@ -95,6 +95,7 @@
 func (transaction *transaction) run(ctx context.Context) *outcome.Error {
 	relay := transaction.relay
 	defer transaction.endTrial()
+	defer transaction.dropFailed()
 	if failure := transaction.quarantineFailure(relay.deps.Clock.Now()); failure != nil {
 		return failure
 	}
