--- a/internal/frontsoak/flood_test.go
+++ b/internal/frontsoak/flood_test.go
@@ -24,7 +24,7 @@
 	floodChunk = 100 << 10
 	floodPause = 50 * time.Millisecond
 	// soundInterval is the time between two sound requests beside them, and minServedBesideFlood the share of these that must be served.
-	soundInterval  = 50 * time.Millisecond
+	soundInterval        = 50 * time.Millisecond
 	minServedBesideFlood = 0.99
 	// maxPeakShare is the share of the memory limit that a daemon may take at its peak, and daemonMemory that limit in bytes.
 	maxPeakShare = 0.6
