Keep the known incarnation when an older copy names an earlier one

Cause: the roster took any row of a later era of the store, also one of an incarnation that started before the known one and so has ended.

Change: the known incarnation stays in use until the replica has written its row again, for 3.6 s at most; then the copy is believed.

Failed before: roster.TestRowsAfterTheStoreCameBackOlder, "the row of an earlier incarnation does not replace the later one".

--- a/front/inventory.go
+++ b/front/inventory.go
@@ -11,6 +11,7 @@
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/internal/openjson"
 	"github.com/bronzestall/bronzestall/origin"
+	"github.com/bronzestall/bronzestall/roster"
 )
 
 const (
@@ -154,7 +155,7 @@
 	now := daemon.clock.Now()
 	daemon.origins.SetInventory(inventory, now)
 	if inventory.Era < daemon.eras.Era() {
-		daemon.origins.Doubt(now.Add(restoredDoubt))
+		daemon.origins.Doubt(now.Add(roster.RewriteTime))
 	}
 	return nil
 }
--- a/front/store.go
+++ b/front/store.go
@@ -37,12 +37,9 @@
 	unusable int
 }
 
-// restoredDoubt is how long rows that a copy of the store lacked may be absent: replicas that are alive write them again.
-const restoredDoubt = 2 * roster.GracePeriod
-
 // EraRose records and logs that the store came back from an older copy.
 func (log *eraLog) EraRose(before, era uint64) {
-	log.daemon.origins.Doubt(log.daemon.clock.Now().Add(restoredDoubt))
+	log.daemon.origins.Doubt(log.daemon.clock.Now().Add(roster.RewriteTime))
 	version, _ := log.daemon.roster.Version()
 	event.StoreRestored.Log("Era", era, "Before", before, "Roster", version.String(), "StoreAge", log.daemon.storeAge())
 }
--- a/roster/entry.go
+++ b/roster/entry.go
@@ -19,6 +19,15 @@
 	Raw []byte
 	// Missing is when the row was first missing after an outage; zero while it is in the table.
 	Missing time.Time
+	// Copied is what a store that came back from an older copy says of the replica, if that is an earlier incarnation than Replica; nil
+	// otherwise. It replaces the entry unless a newer row comes within RewriteTime.
+	Copied *Entry
+}
+
+// isFormerOf reports whether the entry, from a later era of the store, describes an incarnation before the known one: it is from an older
+// copy, and the replica will write its row again.
+func (entry *Entry) isFormerOf(known *Entry) bool {
+	return known.Version.Era() < entry.Version.Era() && entry.Replica.Started < known.Replica.Started
 }
 
 // sameRoute reports whether requests are routed to the replica of both entries in the same way. The models that an
--- a/roster/era_test.go
+++ b/roster/era_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/bronzestall/bronzestall/datastore"
 )
@@ -10,6 +11,13 @@
 // at returns a version of the era.
 func at(era, number uint64) datastore.Version { return datastore.NewVersion(era, number) }
 
+// incarnation returns the entry of a replica that started at the time, in Unix ms.
+func incarnation(id string, started int64, version datastore.Version, draining bool) Entry {
+	described := entry(id, version)
+	described.Replica.Started, described.Replica.Draining = started, draining
+	return described
+}
+
 // TestRowsAfterTheStoreCameBackOlder guards against issue 37: rows of a store that came back from an older copy were ignored,
 // since their numbers were below the known ones.
 func TestRowsAfterTheStoreCameBackOlder(t *testing.T) {
@@ -52,6 +60,28 @@
 			roster.EndOutage(start)
 			roster.Replace([]Entry{entry("a", at(2, 20))}, at(2, 40), start)
 		}, []string{"a", "b"}},
+		{"the row of an earlier incarnation does not replace the later one", func(roster *Roster) {
+			roster.Put(incarnation("a", 7, at(1, 99), true))
+			roster.EndOutage(start)
+			roster.Replace([]Entry{incarnation("a", 3, at(2, 20), false), entry("b", at(2, 30))}, at(2, 40), start)
+			roster.ExpireMissing(start.Add(RewriteTime - 1))
+		}, []string{"b"}},
+		{"it replaces the later one that does not write its row again", func(roster *Roster) {
+			roster.Put(incarnation("a", 7, at(1, 99), true))
+			roster.EndOutage(start)
+			roster.Replace([]Entry{incarnation("a", 3, at(2, 20), false), entry("b", at(2, 30))}, at(2, 40), start)
+			roster.ExpireMissing(start.Add(RewriteTime))
+		}, []string{"a", "b"}},
+		{"the later incarnation writes its row again", func(roster *Roster) {
+			roster.Put(incarnation("a", 7, at(1, 99), false))
+			roster.EndOutage(start)
+			roster.Replace([]Entry{incarnation("a", 3, at(2, 20), false), entry("b", at(2, 30))}, at(2, 40), start)
+			roster.Put(incarnation("a", 7, at(2, 41), false))
+			roster.ExpireMissing(start.Add(RewriteTime))
+			if _, known := roster.Find(incarnation("a", 7, 0, false).Replica.Incarnation); !known {
+				roster.Remove("a", at(2, 99), start.Add(time.Hour))
+			}
+		}, []string{"a", "b"}},
 		{"a late snapshot of the earlier era is ignored", func(roster *Roster) {
 			roster.Replace([]Entry{entry("a", at(2, 20)), entry("b", at(2, 30))}, at(2, 40), start)
 			roster.Replace([]Entry{entry("a", at(1, 99))}, at(1, 99), start)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -14,6 +14,9 @@
 // of the outage, not from when the row was first missing, since the row may have been removed right after the outage.
 const GracePeriod = 1800 * time.Millisecond
 
+// RewriteTime is how long after the store came back from an older copy replicas that are alive may take to write their rows again.
+const RewriteTime = 2 * GracePeriod
+
 // Roster is the set of replicas. It is safe for concurrent use. Use New.
 type Roster struct {
 	mutex sync.Mutex
@@ -117,6 +120,11 @@
 		}
 		return false
 	}
+	if ok && entry.isFormerOf(&known) {
+		known.Copied = &entry
+		roster.set(known)
+		return false
+	}
 	if ok && known.Replica.Incarnation == entry.Replica.Incarnation && known.Version.Era() < entry.Version.Era() {
 		// The row may be from an older copy of the store, from before the replica began to drain.
 		entry.Replica.Draining = entry.Replica.Draining || known.Replica.Draining
@@ -186,17 +194,26 @@
 	return roster.version, roster.loaded
 }
 
-// ExpireMissing deletes missing replicas once the grace period is over, and reports whether there were any.
+// ExpireMissing deletes missing replicas once the grace period is over, believes the copy of the store of replicas that did not write
+// their rows again within RewriteTime, and reports whether there were any of both.
 func (roster *Roster) ExpireMissing(now time.Time) bool {
 	roster.mutex.Lock()
 	defer roster.mutex.Unlock()
-	before := len(roster.entries)
+	expired := false
+	age := now.Sub(roster.outageEnded)
 	for id, entry := range roster.entries {
-		if !entry.Missing.IsZero() && now.Sub(roster.outageEnded) >= GracePeriod {
+		switch {
+		case !entry.Missing.IsZero() && age >= GracePeriod:
 			roster.deleteEntry(id)
+			expired = true
+		case entry.Copied != nil && age >= RewriteTime:
+			copied := *entry.Copied
+			copied.Changed = copied.Version
+			roster.set(copied)
+			expired = true
 		}
 	}
-	return len(roster.entries) != before
+	return expired
 }
 
 // Entries returns all entries, ordered by identifier. The slice is shared between calls until the next change; the
