--- a/front/golden_test.go
+++ b/front/golden_test.go
@@ -29,6 +29,17 @@
 	}.Check(t)
 }
 
+func TestInventoryOfOtherBuilds(t *testing.T) {
+	golden.Format[origin.Inventory]{
+		Name: "releases", Variants: golden.JSON, Sample: origin.Inventory{Era: 3, Releases: origin.Releases{"s": {"v1", "v2"}}},
+		Encode: func(sample origin.Inventory) []byte { return encodeRow(t, inventoryContent(sample)) },
+		Decode: func(content []byte) (origin.Inventory, error) {
+			inventory, _ := decodeInventory(datastore.Row{Key: inventoryKey(), Value: content})
+			return inventory, nil
+		},
+	}.Check(t)
+}
+
 func TestSuspectRowOfOtherBuilds(t *testing.T) {
 	now := time.Unix(1000, 0)
 	crash := func(boot string) quarantine.Crash { return quarantine.Crash{Upstream: "r", BootID: boot, Sequence: 1} }
--- a/internal/frontsoak/links_test.go
+++ b/internal/frontsoak/links_test.go
@@ -172,7 +172,7 @@
 	if err != nil {
 		return err
 	}
-	link.proxy = &proxy{listener: listener, target: link.target, connections: map[net.Conn]net.Conn{}}
+	link.proxy = newProxyOn(listener, link.target)
 	go link.proxy.accept()
 	return nil
 }
--- a/internal/frontsoak/proxy_test.go
+++ b/internal/frontsoak/proxy_test.go
@@ -77,11 +77,16 @@
 	if err != nil {
 		return nil, err
 	}
-	created := &proxy{listener: listener, target: target, connections: map[net.Conn]net.Conn{}, silent: map[net.Conn]bool{}}
+	created := newProxyOn(listener, target)
 	go created.accept()
 	return created, nil
 }
 
+// newProxyOn returns a proxy that accepts no connections yet.
+func newProxyOn(listener net.Listener, target string) *proxy {
+	return &proxy{listener: listener, target: target, connections: map[net.Conn]net.Conn{}, silent: map[net.Conn]bool{}}
+}
+
 func (proxy *proxy) address() string { return proxy.listener.Addr().String() }
 
 // accept forwards each new connection until the listener is closed.
--- a/internal/frontsoak/upgrade_test.go
+++ b/internal/frontsoak/upgrade_test.go
@@ -14,7 +14,7 @@
 )
 
 // lastLanding is the commit of the last landing.
-const lastLanding = "f035bfbaa197f841b94e251c6683fef4639e901b"
+const lastLanding = "c94232e3cce6c76d793810cdabcac3374d745c5a"
 
 var (
 	olderFlag         = flag.String("older", lastLanding, "commit of the older build of an upgrade")
