Check the keys of client accounts at the door of the users' platform

Cause: the configuration of a deployment may have client accounts; the door decoded neither accounts nor public routes, passed clients' keys on to replicas and served requests without a valid key.

Change: accounts are decoded into topology, with digests of their keys. A request is admitted by its head, before its body is read: it needs a valid key unless its route is public, the key is not passed on, and replicas are told the account. A daemon knows since when its configuration is in force, from before the call that showed it, and refuses keys once a removed one could still be among those it knows. Daemons that the store does not answer ask others for the confirmation; its age is added along the way.

Tests of the packages pass.

--- a/exchange/request.go
+++ b/exchange/request.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/bronzestall/bronzestall/topology"
 )
 
 // Request is one attempt of a client. It must not be changed after it was read.
@@ -20,6 +22,8 @@
 	Body []byte
 	// Metadata is what was decoded from the headers.
 	Metadata Metadata
+	// Account is the client account of the request; nil without accounts, and on public routes.
+	Account *topology.Account
 	// Arrived is when the head of the request was read.
 	Arrived time.Time
 }
@@ -34,6 +38,10 @@
 	Model, Adapter string
 	// PromptTokens and OutputTokens are the size of a generation; OutputTokens is a maximum.
 	PromptTokens, OutputTokens int
+	// TokensStated is set if the request names its size.
+	TokensStated bool
+	// Key is the key that the client sent; empty if there is none.
+	Key Secret
 	// Prefix lists the parts of the prompt in order; other requests may share the first ones.
 	Prefix []Part
 	// LastEventID is the ID of the last event that the client has received; zero if it has none.
@@ -54,6 +62,14 @@
 	Tokens int
 }
 
+// AccountName returns the name of the client account, or an empty text.
+func (request *Request) AccountName() string {
+	if request.Account == nil {
+		return ""
+	}
+	return request.Account.Name
+}
+
 // Fingerprint returns the same value for requests with the same method, host, path and body, whatever their IDs.
 // Without a body the query counts too, since nothing else tells such requests apart. The cost is linear in the size
 // of the body.
--- a/front/daemon.go
+++ b/front/daemon.go
@@ -155,6 +155,8 @@
 	// configurationRow is the stored row of the configuration in force, for daemons that cannot read it
 	// themselves.
 	configurationRow []byte
+	// configurationConfirmed is the latest time at which the configuration is known to have been in force; zero if none is.
+	configurationConfirmed time.Time
 	// storeSeen is when the store last answered.
 	storeSeen time.Time
 	// replicasSeen is when the store last answered a call for the replica table.
@@ -239,9 +241,14 @@
 // With more, greetings to each daemon are too rare for the counts to be useful.
 const maxPeersForInFlight = 8
 
-// isReady reports whether the daemon accepts requests: it has a configuration, knows a replica and the limits that
-// other daemons know, and is not shutting down.
+// isReady reports whether the daemon accepts requests: it is informed and can check keys.
 func (daemon *Daemon) isReady() bool {
+	return daemon.isInformed() && daemon.relay.KeysUsable()
+}
+
+// isInformed reports whether the daemon has a configuration, knows a replica and the limits that other daemons know, and is not shutting
+// down.
+func (daemon *Daemon) isInformed() bool {
 	return !daemon.stopping.Load() && daemon.relay.Configuration() != nil && daemon.directory.HasReplicas() && daemon.knowsLimits()
 }
 
@@ -278,5 +285,6 @@
 	daemon.updates.notify()
 	event.ConfigurationTaken.Log("Version", configuration.Version, "Routes", len(configuration.Routes),
 		"Services", len(configuration.Services), "Source", source)
+	logAccounts(configuration)
 	daemon.scheduler.Update(configuration, daemon.usable(daemon.roster.Entries()))
 }
--- a/front/fallbackstore.go
+++ b/front/fallbackstore.go
@@ -60,13 +60,19 @@
 // forward calls to it.
 const maxPeerStoreAge = 3 * time.Second
 
-// storePeer returns the address of the daemon that the store answered last, and whether there is one.
-func (daemon *Daemon) storePeer() (string, bool) {
+// storePeerAddress returns the address of storePeer.
+func (daemon *Daemon) storePeerAddress() (string, bool) {
+	peer, found := daemon.storePeer()
+	return peer.Address, found
+}
+
+// storePeer returns the daemon that the store answered last, and whether there is one.
+func (daemon *Daemon) storePeer() (mesh.Peer, bool) {
 	best, found := mesh.Peer{}, false
 	for _, peer := range daemon.mesh.Live() {
 		if peer.StoreAge <= maxPeerStoreAge && !peer.Leaving && (!found || peer.StoreAge < best.StoreAge) {
 			best, found = peer, true
 		}
 	}
-	return best.Address, found
+	return best, found
 }
--- a/front/lender.go
+++ b/front/lender.go
@@ -18,6 +18,7 @@
 	"github.com/bronzestall/bronzestall/meter"
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/platform"
+	"github.com/bronzestall/bronzestall/protocol"
 	"github.com/bronzestall/bronzestall/reach"
 	"github.com/bronzestall/bronzestall/relay"
 	"github.com/bronzestall/bronzestall/topology"
@@ -66,7 +67,7 @@
 // Lend sends the request to one daemon after the other until one takes it.
 func (lender *lender) Lend(ctx context.Context, request *exchange.Request, budget time.Duration, allowance relay.Allowance) (*relay.LentReply, error) {
 	var last error = exchange.ErrNotSent
-	for _, peer := range lender.choose() {
+	for _, peer := range lender.chooseFor(request) {
 		lentContext, finish := lender.begin(ctx, peer, allowance)
 		reply, err := lender.client.Send(lentContext, peer.Address, request, budget, allowance)
 		event.RequestLent.LogError(err, "Request", request.Metadata.ID, "Daemon", peer.Name, "ResumeAfter", allowance.ResumeAfter)
@@ -103,6 +104,15 @@
 	}
 }
 
+// chooseFor returns the daemons to ask for the request, the best first. A request of an account goes to daemons that name it to replicas.
+func (lender *lender) chooseFor(request *exchange.Request) []mesh.Peer {
+	peers := lender.choose()
+	if request.Account == nil {
+		return peers
+	}
+	return slices.DeleteFunc(peers, func(peer mesh.Peer) bool { return lender.daemon.protocols.Version(peer.Name) < protocol.Accounts })
+}
+
 // choose returns the daemons to ask, the best first: with few requests of this one, and of the same data centre.
 func (lender *lender) choose() []mesh.Peer {
 	type scored struct {
--- a/front/readers.go
+++ b/front/readers.go
@@ -31,7 +31,7 @@
 // readsStore reports whether this daemon reads the tables itself: if it is not ready, is a reader or holds
 // the lease, if the lease holder does not respond, or if the readers' data is too old.
 func (daemon *Daemon) readsStore() bool {
-	if !daemon.isReady() || daemon.relayedStoreAge() > maxStoreAge || daemon.holderLost() {
+	if !daemon.isInformed() || daemon.relayedStoreAge() > maxStoreAge || daemon.holderLost() {
 		return true
 	}
 	if _, owned := daemon.lease.Owned(); owned {
@@ -69,7 +69,7 @@
 	// retryAt maps the addresses of readers that failed to the time at which they are polled again.
 	retryAt := map[string]time.Time{}
 	for ctx.Err() == nil {
-		if !daemon.isReady() || daemon.readerRole.Load() || !daemon.pollFirstReader(ctx, retryAt) {
+		if !daemon.isInformed() || daemon.readerRole.Load() || !daemon.pollFirstReader(ctx, retryAt) {
 			daemon.sleep(ctx, readerCheckInterval)
 		}
 	}
@@ -98,9 +98,10 @@
 func (daemon *Daemon) pollReader(ctx context.Context, reader mesh.Peer) bool {
 	own := daemon.state()
 	request := mesh.UpdateRequest{ConfigurationVersion: own.ConfigurationVersion, RosterVersion: own.RosterVersion, Wait: readerWait}
+	asked := daemon.clock.Now()
 	response, err := daemon.mesh.FetchUpdate(ctx, reader.Address, request)
 	if err == nil && !response.StoreLost && response.StoreAge <= maxStoreAge {
-		daemon.applyUpdate(response, reader.Name)
+		daemon.applyUpdate(response, reader.Name, asked)
 		daemon.readerResponded(response.StoreAge, reader.Name)
 		return true
 	}
--- a/front/replicas.go
+++ b/front/replicas.go
@@ -28,7 +28,7 @@
 		table:      platform.ReplicaTable,
 		wait:       replicaWait,
 		pause:      replicaPause,
-		onResponse: daemon.replicasResponded,
+		onResponse: func(time.Time) { daemon.replicasResponded() },
 		onRecovery: func() { daemon.roster.EndOutage(daemon.clock.Now()) },
 		onSnapshot: func(rows []datastore.Row, version datastore.Version) {
 			daemon.replaceReplicas(daemon.decodeEntries(rows), version)
--- a/front/settings.go
+++ b/front/settings.go
@@ -47,6 +47,14 @@
 	// LoadsAtOnce is the number of model loads from the weight store that run at full speed together; zero
 	// means 4.
 	LoadsAtOnce int `yaml:"LoadsAtOnce"`
+	// KeyRevocation is the time after the acknowledgement of a configuration from which a key that it removed is no longer accepted; zero
+	// means that it is not bounded.
+	KeyRevocation time.Duration `yaml:"KeyRevocation"`
+	// QuotaWindow, QuotaExcess and QuotaSlack bound what the requests of an account use within QuotaWindow: what its quota allows in that
+	// time, more by the fraction QuotaExcess, and by QuotaSlack in the unit of the quota.
+	QuotaWindow time.Duration `yaml:"QuotaWindow"`
+	QuotaExcess float64       `yaml:"QuotaExcess"`
+	QuotaSlack  float64       `yaml:"QuotaSlack"`
 }
 
 // Load reads and checks a settings file. It fails if the file cannot be read, is invalid or has unknown keys.
@@ -107,6 +115,7 @@
 	maxCores       = 1024
 	maxRetrySlack  = 1_000_000
 	maxLoadsAtOnce = 1000
+	maxQuotaSlack  = 1e9
 )
 
 // check returns the invalid settings, ordered by line.
@@ -175,6 +184,18 @@
 	if settings.LoadsAtOnce < 0 || settings.LoadsAtOnce > maxLoadsAtOnce {
 		report("LoadsAtOnce", "must be 0 to 1000")
 	}
+	if settings.KeyRevocation < 0 || settings.KeyRevocation > maxWindow {
+		report("KeyRevocation", "must be 0s to 10m")
+	}
+	if settings.QuotaWindow < 0 || settings.QuotaWindow > maxWindow {
+		report("QuotaWindow", "must be 0s to 10m")
+	}
+	if !(settings.QuotaExcess >= 0 && settings.QuotaExcess <= 1) {
+		report("QuotaExcess", "must be 0 to 1")
+	}
+	if !(settings.QuotaSlack >= 0 && settings.QuotaSlack <= maxQuotaSlack) {
+		report("QuotaSlack", "must be 0 to 1000000000")
+	}
 	if settings.RetryWindow <= 0 || settings.RetryWindow > maxWindow {
 		report("RetryWindow", "must be above 0s and at most 10m")
 	}
--- a/front/settings_test.go
+++ b/front/settings_test.go
@@ -17,6 +17,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	// Deployments without accounts lack these fields, and so the sections that are filled in by them.
+	content = regexp.MustCompile(`(?s){{#bounds.strictRevoke}}.*{{/bounds.strictRevoke}}|{{#bounds.quotaWindowS}}.*{{/bounds.quotaWindowS}}`).ReplaceAll(content, nil)
 	text := strings.NewReplacer(
 		`{{#seeds}}"{{.}}"{{,}}{{/seeds}}`, `"10.1.0.38:8144","10.2.0.40:8144"`,
 		"{{node}}", "front-1", "{{zone}}", "fukuoka", "{{ip}}", "10.1.0.38", "{{internalPorts.0}}", "7380",
@@ -41,6 +43,25 @@
 	}
 }
 
+// TestTemplateOfADeploymentWithAccounts covers the sections of the template that only deployments with accounts fill in.
+func TestTemplateOfADeploymentWithAccounts(t *testing.T) {
+	content, err := os.ReadFile("../deploy/front.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	sections := strings.NewReplacer(
+		"{{#bounds.strictRevoke}}", "", "{{/bounds.strictRevoke}}", "", "{{#bounds.quotaWindowS}}", "", "{{/bounds.quotaWindowS}}", "",
+		"{{bounds.revokeMs}}", "5000", "{{bounds.quotaWindowS}}", "8", "{{bounds.quotaOver}}", "0.1", "{{bounds.quotaSlack}}", "11000",
+	).Replace(string(content[strings.Index(string(content), "{{#bounds.strictRevoke}}"):]))
+	settings, err := Parse("front.yaml", []byte(renderTemplate(t)+sections))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if settings.KeyRevocation != 5*time.Second || settings.QuotaWindow != 8*time.Second || settings.QuotaExcess != 0.1 || settings.QuotaSlack != 11000 {
+		t.Errorf("unexpected settings %+v", settings)
+	}
+}
+
 // TestSettingsOfALaterBuildStartADaemon guards against issue 48: a daemon that was started with the settings of a later build refused
 // to start. The check of a settings file still lists unknown keys.
 func TestSettingsOfALaterBuildStartADaemon(t *testing.T) {
--- a/front/sync.go
+++ b/front/sync.go
@@ -134,7 +134,7 @@
 		case <-ticker.C():
 		}
 		daemon.learnEra()
-		if peer, ok := daemon.mostInformedPeer(); ok {
+		if peer, ok := daemon.peerToAsk(); ok {
 			daemon.fetchUpdate(ctx, peer)
 		}
 	}
@@ -147,6 +147,17 @@
 	}
 }
 
+// peerToAsk returns the daemon to ask for an update, and whether one is needed.
+func (daemon *Daemon) peerToAsk() (mesh.Peer, bool) {
+	if peer, ok := daemon.mostInformedPeer(); ok {
+		return peer, true
+	}
+	if !daemon.needsConfirmation() {
+		return mesh.Peer{}, false
+	}
+	return daemon.storePeer()
+}
+
 // mostInformedPeer returns the daemon with the newest replica table among those that have newer data than
 // this one.
 func (daemon *Daemon) mostInformedPeer() (mesh.Peer, bool) {
@@ -165,11 +176,12 @@
 
 func (daemon *Daemon) fetchUpdate(ctx context.Context, peer mesh.Peer) {
 	own := daemon.state()
+	asked := daemon.clock.Now()
 	response, err := daemon.mesh.FetchUpdate(ctx, peer.Address, mesh.UpdateRequest{ConfigurationVersion: own.ConfigurationVersion, RosterVersion: own.RosterVersion})
 	if err != nil {
 		return
 	}
 	event.PeerAnswered.Log("Daemon", peer.Name, "Configuration", len(response.Configuration) > 0, "Roster", response.RosterVersion,
 		"Rows", len(response.Rows), "StoreAge", response.StoreAge)
-	daemon.applyUpdate(response, peer.Name)
+	daemon.applyUpdate(response, peer.Name, asked)
 }
--- a/front/updates.go
+++ b/front/updates.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/bronzestall/bronzestall/datastore"
 	"github.com/bronzestall/bronzestall/event"
@@ -32,7 +33,9 @@
 
 // updateSince returns the data that this daemon has now and that is newer than the versions in the request.
 func (daemon *Daemon) updateSince(request mesh.UpdateRequest) mesh.UpdateResponse {
-	response := mesh.UpdateResponse{StoreAge: daemon.replicasAge(), StoreLost: daemon.isStoreLost()}
+	// The age is read before the configuration, which may only be newer.
+	age, confirmed := daemon.confirmedAge()
+	response := mesh.UpdateResponse{StoreAge: daemon.replicasAge(), StoreLost: daemon.isStoreLost(), ConfigurationAge: age, ConfigurationConfirmed: confirmed}
 	if configuration := daemon.relay.Configuration(); configuration != nil && configuration.Version > request.ConfigurationVersion {
 		daemon.mutex.Lock()
 		response.Configuration = daemon.configurationRow
@@ -53,16 +56,10 @@
 	return response
 }
 
-// applyUpdate applies the update of another daemon. A configuration that cannot be decoded is logged and
-// skipped.
-func (daemon *Daemon) applyUpdate(response mesh.UpdateResponse, source string) {
-	if len(response.Configuration) > 0 {
-		configuration, err := platform.DecodeConfiguration(response.Configuration)
-		if err != nil {
-			event.RowSkipped.LogError(err, "Table", platform.OperatorTable, "Row", platform.ConfigurationKey, "Source", source)
-		} else {
-			daemon.applyConfiguration(configuration, response.Configuration, source)
-		}
+// applyUpdate applies the update of another daemon, which was asked for it at the time.
+func (daemon *Daemon) applyUpdate(response mesh.UpdateResponse, source string, asked time.Time) {
+	if daemon.applyPeerConfiguration(response.Configuration, source) && response.ConfigurationConfirmed {
+		daemon.confirmConfiguration(asked.Add(-response.ConfigurationAge))
 	}
 	if response.OutageEnded {
 		daemon.roster.EndOutage(daemon.clock.Now().Add(-response.OutageEndAge))
@@ -88,6 +85,21 @@
 	}
 }
 
+// applyPeerConfiguration applies the configuration of another daemon, unless it is empty. It reports whether this daemon has it then: one
+// that cannot be decoded is logged and skipped.
+func (daemon *Daemon) applyPeerConfiguration(row []byte, source string) bool {
+	if len(row) == 0 {
+		return true
+	}
+	configuration, err := platform.DecodeConfiguration(row)
+	if err != nil {
+		event.RowSkipped.LogError(err, "Table", platform.OperatorTable, "Row", platform.ConfigurationKey, "Source", source)
+		return false
+	}
+	daemon.applyConfiguration(configuration, row, source)
+	return true
+}
+
 // replicaRows returns the received rows as rows of the replica table.
 func replicaRows(received []mesh.Row) []datastore.Row {
 	rows := make([]datastore.Row, 0, len(received))
--- a/front/watch.go
+++ b/front/watch.go
@@ -38,8 +38,8 @@
 	onRecovery func()
 	// onRestored is called after onSnapshot if the store came back from an older copy since the last one; may be nil.
 	onRestored func()
-	// onResponse is called after each result was applied; may be nil.
-	onResponse func()
+	// onResponse is called after each result was applied, with the time before the call; may be nil.
+	onResponse func(begun time.Time)
 	// failed is set if the last call failed. Daemon.storeLost cannot replace it, since the watcher of another
 	// table may have reset it already.
 	failed bool
@@ -63,7 +63,7 @@
 			pause = minRetryPause
 			watcher.daemon.storeResponded()
 			if watcher.onResponse != nil {
-				watcher.onResponse()
+				watcher.onResponse(begun)
 			}
 			watcher.daemon.sleep(ctx, watcher.pause)
 		case errors.Is(err, platform.ErrHistoryUnavailable):
@@ -157,13 +157,15 @@
 }
 
 // watchConfiguration applies the operator's configuration. Rows that cannot be decoded are logged and
-// skipped.
+// skipped; the configuration is not confirmed while the newest row is such a one.
 func (daemon *Daemon) watchConfiguration(ctx context.Context) error {
+	skipped := false
 	apply := func(row datastore.Row) {
 		if row.Row != platform.ConfigurationKey {
 			return
 		}
 		configuration, err := platform.DecodeConfiguration(row.Value)
+		skipped = err != nil
 		if err != nil {
 			event.RowSkipped.LogError(err, "Table", row.Table, "Row", row.Row, "Version", row.Version.String())
 			return
@@ -187,5 +189,11 @@
 			}
 		},
 	}
+	watcher.onResponse = func(begun time.Time) {
+		if !skipped {
+			daemon.confirmConfiguration(begun)
+		}
+		watcher.wait = daemon.configurationPollWait()
+	}
 	return watcher.run(ctx)
 }
--- a/front/wiring.go
+++ b/front/wiring.go
@@ -47,7 +47,7 @@
 		Protocols:       daemon.protocols,
 		Store:           leaseStore,
 	}, daemon.clock, random)
-	daemon.rowStore = &fallbackStore{direct: leaseStore, viaPeer: daemon.mesh.StoreProxy(daemon.storePeer), lost: daemon.isStoreLost, eras: daemon.eras}
+	daemon.rowStore = &fallbackStore{direct: leaseStore, viaPeer: daemon.mesh.StoreProxy(daemon.storePeerAddress), lost: daemon.isStoreLost, eras: daemon.eras}
 	daemon.lease = lease.New(daemon.rowStore, lease.Settings{
 		OneProcess: true,
 		SettleTime: daemon.settings.Turnover,
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -22,6 +22,8 @@
 type Relay interface {
 	// Configuration returns the configuration in force, or nil before the first.
 	Configuration() *topology.Configuration
+	// Admit decides by the head of a request whether it may be served, or returns why not.
+	Admit(request *exchange.Request) (relay.Admission, *outcome.Error)
 	// Serve answers the request through the sink, or returns why it did not.
 	Serve(ctx context.Context, request *exchange.Request, sink relay.Sink) (relay.Summary, *outcome.Error)
 }
@@ -32,6 +34,8 @@
 	Relay Relay
 	// Decode returns the headers to pass on, and the metadata of the request that they contain.
 	Decode func(sent http.Header) (http.Header, exchange.Metadata)
+	// RemoveKey removes the client's key from headers that are passed on.
+	RemoveKey func(header http.Header)
 	// Meter counts requests.
 	Meter *meter.Meter
 	// Clock provides the time and timers.
@@ -83,7 +87,7 @@
 	return sink.Begun() || failure.Kind == outcome.CallerGone
 }
 
-// read reads the whole request.
+// read reads the whole request. The body is read only if the head is admitted.
 func (ingress *Ingress) read(writer http.ResponseWriter, incoming *http.Request) (*exchange.Request, *outcome.Error) {
 	request := &exchange.Request{
 		Method:  incoming.Method,
@@ -93,11 +97,26 @@
 		Arrived: ingress.deps.Clock.Now(),
 	}
 	request.Header, request.Metadata = ingress.deps.Decode(incoming.Header)
+	if failure := ingress.admit(request); failure != nil {
+		return request, failure
+	}
 	body, failure := ingress.readBody(writer, incoming, &request.Metadata)
 	request.Body = body
 	return request, failure
 }
 
+// admit decides by the head of the request whether it may be served. The key is kept no longer than that, unless it means nothing here
+// and is passed on as any other header.
+func (ingress *Ingress) admit(request *exchange.Request) *outcome.Error {
+	admission, failure := ingress.deps.Relay.Admit(request)
+	request.Metadata.Key = ""
+	request.Account = admission.Account
+	if admission.KeyChecked {
+		ingress.deps.RemoveKey(request.Header)
+	}
+	return failure
+}
+
 // record logs and counts how the request ended.
 func (ingress *Ingress) record(request *exchange.Request, sink *sink, summary relay.Summary, failure *outcome.Error) {
 	took := ingress.deps.Clock.Since(request.Arrived)
@@ -105,7 +124,7 @@
 	labels := meter.Labels{Class: summary.Route}
 	fields := []any{
 		"Request", request.Metadata.ID, "Path", request.Path, "Route", summary.Route, "Configuration", summary.Configuration,
-		"Model", request.Metadata.Model, "Adapter", request.Metadata.Adapter, "PromptTokens", request.Metadata.PromptTokens,
+		"Account", request.AccountName(), "Model", request.Metadata.Model, "Adapter", request.Metadata.Adapter, "PromptTokens", request.Metadata.PromptTokens,
 		"Replica", summary.Replica.ID, "InFlight", summary.InFlight, "Sends", summary.Sends, "Runs", summary.Runs, "EndedBy", summary.EndedBy, "Lender", summary.Lender, "Waited", summary.Waited,
 		"Took", took, "First", sink.firstPart, "LongestGap", sink.longestGap, "Silent", sink.silence(), "Bytes", sink.bytes,
 	}
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -33,6 +33,10 @@
 	return &topology.Configuration{Limits: topology.Limits{BodyBytes: 10}}
 }
 
+func (relayFunc) Admit(*exchange.Request) (relay.Admission, *outcome.Error) {
+	return relay.Admission{}, nil
+}
+
 func (serve relayFunc) Serve(ctx context.Context, request *exchange.Request, sink relay.Sink) (relay.Summary, *outcome.Error) {
 	return relay.Summary{}, serve(ctx, request, sink)
 }
--- a/lending/client.go
+++ b/lending/client.go
@@ -63,7 +63,7 @@
 
 // encode encodes the request.
 func (client *Client) encode(request *exchange.Request, budget time.Duration, allowance relay.Allowance) *lendingpb.Request {
-	return &lendingpb.Request{
+	encoded := &lendingpb.Request{
 		Method:        []byte(request.Method),
 		Target:        []byte(request.Target),
 		Host:          []byte(request.Host),
@@ -79,6 +79,13 @@
 		Daemon:        client.daemon,
 		Protocol:      int64(protocol.Current),
 	}
+	if account := request.Account; account != nil {
+		encoded.Account = account.Name
+		if account.HasPriority {
+			encoded.AccountPriority = uint64(max(account.Priority, 0)) + 1
+		}
+	}
+	return encoded
 }
 
 // decodeResponse reads the head of a response.
--- a/lending/handler.go
+++ b/lending/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/protocol"
 	"github.com/bronzestall/bronzestall/relay"
+	"github.com/bronzestall/bronzestall/topology"
 )
 
 const (
@@ -99,6 +101,8 @@
 		Arrived: handler.clock.Now(),
 	}
 	request.Header, request.Metadata = handler.decode(decodeHeader(encoded.GetHeader()))
+	request.Metadata.Key = ""
+	request.Account = decodeAccount(encoded)
 	request.Metadata.ClientTimeout = time.Duration(encoded.GetBudget()) * time.Millisecond
 	return request, relay.Allowance{
 		Attempts:      int(encoded.GetAttempts()),
@@ -109,6 +113,18 @@
 	}
 }
 
+// decodeAccount returns the account of the request, which the daemon that received it has checked, or nil.
+func decodeAccount(encoded *lendingpb.Request) *topology.Account {
+	if encoded.GetAccount() == "" {
+		return nil
+	}
+	account := &topology.Account{Name: encoded.GetAccount()}
+	if priority := encoded.GetAccountPriority(); priority > 0 {
+		account.Priority, account.HasPriority = int(min(priority-1, math.MaxInt32)), true
+	}
+	return account
+}
+
 // sink writes a response to the daemon that sent the request.
 type sink struct {
 	writer     http.ResponseWriter
--- a/mesh/update.go
+++ b/mesh/update.go
@@ -32,6 +32,10 @@
 	// set if its last call failed.
 	StoreAge  time.Duration
 	StoreLost bool
+	// ConfigurationConfirmed is set if the responding daemon knows since when its configuration, which is Configuration or the one that
+	// the request names, was in force, and ConfigurationAge is the time since then.
+	ConfigurationConfirmed bool
+	ConfigurationAge       time.Duration
 	// OutageEnded is set if the responding daemon had an outage of the store, and OutageEndAge is the time
 	// since the last one ended.
 	OutageEnded  bool
@@ -62,6 +66,10 @@
 	if response.OutageEnded {
 		encoded.RegainedAge = uint64(response.OutageEndAge.Milliseconds()) + 1
 	}
+	if response.ConfigurationConfirmed {
+		// Rounded up, since a removed key must not be accepted for longer.
+		encoded.ConfigurationAge = uint64((response.ConfigurationAge + time.Millisecond - 1).Milliseconds()) + 1
+	}
 	for _, row := range response.Rows {
 		encoded.Rows = append(encoded.Rows, &meshpb.Row{Key: row.Key, Version: uint64(row.Version), Value: row.Value})
 	}
@@ -81,6 +89,9 @@
 	if response.OutageEnded {
 		response.OutageEndAge = milliseconds(encoded.GetRegainedAge() - 1)
 	}
+	if age := encoded.GetConfigurationAge(); age > 0 {
+		response.ConfigurationConfirmed, response.ConfigurationAge = true, milliseconds(age-1)
+	}
 	for _, row := range encoded.GetRows() {
 		response.Rows = append(response.Rows, Row{Key: row.GetKey(), Version: datastore.Version(row.GetVersion()), Value: row.GetValue()})
 	}
--- a/protocol/version.go
+++ b/protocol/version.go
@@ -6,8 +6,10 @@
 const (
 	// Untold is the version of a daemon that tells none, or none that is usable.
 	Untold Version = 0
+	// Accounts is the first version whose daemons name the account of a request to replicas.
+	Accounts Version = 2
 	// Current is the version of this build.
-	Current Version = 1
+	Current Version = 2
 	// maxVersion is the highest version that counts as one.
 	maxVersion Version = 100_000
 )
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -116,11 +116,15 @@
 	return false
 }
 
-// priority returns the priority that is sent to engines: that of the route, limited to the range 0 to 9 that they
-// accept.
-func priority(route *topology.Route) int {
+// priority returns the priority that is sent to engines: that of the account, or else of the route, limited to the range 0 to 9 that
+// they accept.
+func (transaction *transaction) priority() int {
 	const lowest = 9
-	return min(max(route.Priority, 0), lowest)
+	priority := transaction.route.Priority
+	if account := transaction.request.Account; account != nil && account.HasPriority {
+		priority = account.Priority
+	}
+	return min(max(priority, 0), lowest)
 }
 
 // failAttempt ends an attempt that got no usable response.
--- a/relay/availability.go
+++ b/relay/availability.go
@@ -109,7 +109,7 @@
 		limiter.Refuse(replicas)
 		return balance.Candidate{}, false, failure
 	}
-	waiter := limiter.Wait(replicas, priority(transaction.route), transaction.request.Arrived, now)
+	waiter := limiter.Wait(replicas, transaction.priority(), transaction.request.Arrived, now)
 	changes.token = waiter.Ready()
 	transaction.waitForChange(ctx, until.Sub(now), changes)
 	permit, ok := limiter.Leave(waiter)
--- a/relay/leg.go
+++ b/relay/leg.go
@@ -143,7 +143,7 @@
 		Replica:     candidate.Incarnation,
 		Address:     candidate.Address,
 		Budget:      transaction.remaining(),
-		Priority:    priority(transaction.route),
+		Priority:    transaction.priority(),
 		HasPriority: transaction.service.Engine != nil,
 		AtMostOnce:  !transaction.route.Repeatable(),
 		Counted:     transaction.permit.Counted,
--- a/relay/lender.go
+++ b/relay/lender.go
@@ -93,6 +93,9 @@
 	if configuration.Version < allowance.Configuration {
 		return Summary{}, outcome.New(outcome.NotReady, "the configuration %d is not known yet", allowance.Configuration)
 	}
+	if configuration.HasAccounts() && !route.Public && request.Account == nil {
+		return Summary{}, outcome.New(outcome.NotReady, "the account of the request is not known")
+	}
 	service, known := configuration.Services[allowance.Service]
 	if !known {
 		service = configuration.Services[pickTarget(route.Targets, streamID(request))]
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -73,7 +73,7 @@
 		DaemonIndex:       transaction.relay.daemonIndex(),
 		Exclude:           transaction.tried,
 		Silent:            transaction.silent,
-		Priority:          priority(transaction.route),
+		Priority:          transaction.priority(),
 		FirstEventTarget:  transaction.route.LatencyTarget,
 		AdmissionQuantile: float64(xxhash.Sum64String(transaction.request.Metadata.ID)) / math.MaxUint64,
 	}
--- a/relay/settings.go
+++ b/relay/settings.go
@@ -14,6 +14,8 @@
 	// RetryShare is the number of retries that each request adds to the budget of its service, and MaxSavedRetries
 	// the largest budget.
 	RetryShare, MaxSavedRetries float64
+	// KeyRevocation is how long a removed key may still be accepted. Zero means that it is not bounded.
+	KeyRevocation time.Duration
 }
 
 func (settings Settings) withDefaults() Settings {
--- a/topology/configuration.go
+++ b/topology/configuration.go
@@ -16,6 +16,10 @@
 	Services map[string]Service
 	// Limits bounds the requests of clients.
 	Limits Limits
+	// Accounts lists the client accounts. If there are any, requests need a key unless their route is public.
+	Accounts []Account
+	// byKey maps the digests of keys to accounts. A key of several accounts belongs to the first.
+	byKey map[KeyDigest]*Account
 	// byHost maps hosts to routes, the longest prefix first.
 	byHost map[string][]*Route
 }
@@ -29,13 +33,22 @@
 	HeaderTimeout, IdleTimeout time.Duration
 }
 
-// Index builds the look-up table of Match and returns the configuration.
+// Index builds the look-up tables of Match and AccountOf and returns the configuration.
 func (configuration *Configuration) Index() *Configuration {
 	configuration.byHost = map[string][]*Route{}
 	for index := range configuration.Routes {
 		route := &configuration.Routes[index]
 		configuration.byHost[route.Host] = append(configuration.byHost[route.Host], route)
 	}
+	configuration.byKey = map[KeyDigest]*Account{}
+	for index := range configuration.Accounts {
+		account := &configuration.Accounts[index]
+		for _, key := range account.Keys {
+			if _, taken := configuration.byKey[key]; !taken {
+				configuration.byKey[key] = account
+			}
+		}
+	}
 	for _, routes := range configuration.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
 	}
@@ -53,6 +66,19 @@
 	return nil
 }
 
+// HasAccounts reports whether requests need keys.
+func (configuration *Configuration) HasAccounts() bool {
+	return len(configuration.Accounts) > 0
+}
+
+// AccountOf returns the account that the key identifies, or nil.
+func (configuration *Configuration) AccountOf(key string) *Account {
+	if key == "" {
+		return nil
+	}
+	return configuration.byKey[DigestKey(key)]
+}
+
 // VisitEngineServices calls visit for each service with model engines, in no particular order.
 func (configuration *Configuration) VisitEngineServices(visit func(service *Service)) {
 	for name := range configuration.Services {
--- a/topology/route.go
+++ b/topology/route.go
@@ -26,6 +26,8 @@
 	MaxAttempts int
 	// Sticky is set if requests name the shared prefixes of their prompts.
 	Sticky bool
+	// Public is set if requests need no key.
+	Public bool
 	// Resumable is set if a stream may continue on another replica after the last event received.
 	Resumable bool
 }
