--- a/internal/frontsoak/client_test.go
+++ b/internal/frontsoak/client_test.go
@@ -48,6 +48,8 @@
 
 	// model is the model that the client asks for; empty draws one for each request.
 	model string
+	// key is the key of its account; empty if it has none.
+	key string
 
 	// mutex guards random and count.
 	mutex sync.Mutex
@@ -108,6 +110,9 @@
 	request.Host = "h.example"
 	request.Header.Set("Bronzestall-Request-Id", id)
 	request.Header.Set("Bronzestall-Deadline-Ms", "4000")
+	if client.key != "" {
+		request.Header.Set("Authorization", "Bearer "+client.key)
+	}
 	if prefix != "" {
 		request.Header.Set("Bronzestall-Prompt-Prefix", prefix)
 	}
--- a/internal/frontsoak/replica_test.go
+++ b/internal/frontsoak/replica_test.go
@@ -193,6 +193,9 @@
 		return
 	}
 	replica.checker.recordExecution(id, replica.id, time.Now())
+	if key := request.Header.Get("Authorization"); key != "" {
+		replica.checker.recordViolation("%s ran with the key %q of its client", id, key)
+	}
 	if replica.flood(writer, request, id) || replica.crashIfRequested(id, body) || replica.endIfDeadly(writer, request, id) {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/frontsoak/testbed_test.go
+++ b/internal/frontsoak/testbed_test.go
@@ -24,6 +24,8 @@
 	configureMutex sync.Mutex
 	version        uint64
 	random         *rand.Rand
+	// accounts maps client accounts to their keys; empty if there are none.
+	accounts map[string][]string
 }
 
 // newServingTestbed starts the daemons, replicas and store of one run, waits for warmUp, and returns a function that stops the daemons.
@@ -106,6 +108,7 @@
 	}
 	content, _ := json.Marshal(map[string]any{
 		"version": testbed.version,
+		"tenants": testbed.tenants(),
 		"routes": []any{
 			route(pathCall, "non_idempotent", plainService, 1, false), route(pathLookup, "idempotent", plainService, 2, false),
 			route(pathStream, "streaming", engineService, 1, false), route(pathResume, "streaming", engineService, 2, true),
@@ -122,6 +125,15 @@
 	testbed.store.put("op", "config", content)
 }
 
+// tenants returns the accounts as the configuration has them.
+func (testbed *testbed) tenants() []map[string]any {
+	var tenants []map[string]any
+	for name, keys := range testbed.accounts {
+		tenants = append(tenants, map[string]any{"name": name, "apiKeys": keys})
+	}
+	return tenants
+}
+
 // addresses returns the addresses on which the daemons serve clients.
 func (testbed *testbed) addresses() []string {
 	var addresses []string
