Refuse requests at once whose model no daemon can order to be loaded

Change: without a forecast, or with one that is two seconds late, a request for a model that is not loaded is refused while neither a holder of the lease nor the store answers, with a Retry-After of a third of its remaining time. Waiting requests look again every half a second.

--- a/front/new.go
+++ b/front/new.go
@@ -93,6 +93,7 @@
 		Brittle:          daemon.brittle,
 		Held:             daemon.held,
 		ConfigurationAge: daemon.configurationAge,
+		MayLoad:          daemon.mayLoad,
 		DaemonIndex:      func() int { return int(daemon.daemonIndex.Load()) },
 		Clock:            clk,
 	})
--- a/front/readers.go
+++ b/front/readers.go
@@ -48,6 +48,11 @@
 	return !lastSeen.IsZero() && daemon.clock.Since(lastSeen) > holderTimeout
 }
 
+// mayLoad reports whether some daemon may order loads: one holds the lease, or may acquire it since the store answers.
+func (daemon *Daemon) mayLoad() bool {
+	return !daemon.holderLost() || !daemon.isStoreLost()
+}
+
 // updateReaderRole sets whether this daemon is one of the readers of its data centre.
 func (daemon *Daemon) updateReaderRole() {
 	daemon.readerRole.Store(daemon.rankAmong(daemon.localPeers()) < readersPerDataCentre)
--- a/relay/modelwait.go
+++ b/relay/modelwait.go
@@ -27,6 +27,10 @@
 	total := transaction.deadline.Sub(transaction.request.Arrived)
 	latestSend := transaction.latestSend(total)
 	ready, known := transaction.forecast()
+	known = known && now.Sub(ready) < staleForecast
+	if !known && !transaction.relay.mayBeLoaded() {
+		return now, transaction.outageFailure(now)
+	}
 	if known && ready.After(latestSend) {
 		return latestSend, outcome.New(outcome.DeadlineUnmeetable, "the model will be loaded too late").WithRetryAfter(ready.Sub(now))
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -24,7 +24,7 @@
 	"github.com/bronzestall/bronzestall/topology"
 )
 
-// Deps holds the dependencies of a Relay. All fields but OnModelWait, ConfigurationAge and DaemonIndex must be set.
+// Deps holds the dependencies of a Relay. All fields but OnModelWait, ConfigurationAge, MayLoad and DaemonIndex must be set.
 type Deps struct {
 	// Upstream sends requests to replicas.
 	Upstream Upstream
@@ -54,6 +54,8 @@
 	Prover Prover
 	// ConfigurationAge returns the time since which the configuration is not known to be in force; nil means that it always is.
 	ConfigurationAge func() time.Duration
+	// MayLoad reports whether some daemon may order loads of models, as far as is known; nil means that one always may.
+	MayLoad func() bool
 	// DaemonIndex returns the index of the daemon among all daemons; nil means zero.
 	DaemonIndex func() int
 	// Held bounds the bytes held of responses; nil means 64 MiB.
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -180,7 +180,7 @@
 		return failure
 	}
 	selection.startWait()
-	selection.waitForChange(ctx, until.Sub(now), changes)
+	selection.waitForChange(ctx, min(until.Sub(now), loadPollInterval), changes)
 	return nil
 }
 
