Choose grantors by any key, so that other limits than those of replicas can be divided

Membership, Grantors and Route took incarnations, of which they used only the ID. They take a string now, and Membership counts the daemons seen within its retention. Nothing else changes; the tests of ratelimit named Grantors, Route and Shared pass under the race detector.

--- a/front/tokens.go
+++ b/front/tokens.go
@@ -52,7 +52,7 @@
 	live := daemon.membership.Live()
 	byGrantor := map[string][]ratelimit.Ask{}
 	for _, ask := range asks {
-		grantors := ratelimit.Grantors(live, ask.Replica)
+		grantors := ratelimit.Grantors(live, ask.Replica.ID)
 		if len(grantors) == 0 {
 			daemon.limiter.Failed(ask, now)
 			continue
@@ -108,7 +108,7 @@
 	now := daemon.clock.Now()
 	grants := make([]ratelimit.Grant, 0, len(asks))
 	for _, ask := range asks {
-		share := daemon.membership.Share(ask.Replica, now)
+		share := daemon.membership.Share(ask.Replica.ID, now)
 		perSecond, limited := daemon.limits.Limit(ask.Replica)
 		if share == 0 || !limited {
 			grants = append(grants, ratelimit.Grant{Refused: true})
--- a/ratelimit/allocator_test.go
+++ b/ratelimit/allocator_test.go
@@ -49,7 +49,7 @@
 
 func TestGrantors(t *testing.T) {
 	names := []string{"a", "b", "c", "d"}
-	first := Grantors(names, replica)
+	first := Grantors(names, replica.ID)
 	if len(first) != 2 || first[0] == first[1] {
 		t.Fatalf("grantors are %v", first)
 	}
@@ -61,23 +61,23 @@
 		}
 	}
 	membership.Observe(others, false, start)
-	if share := membership.Share(replica, start); share != 0 {
+	if share := membership.Share(replica.ID, start); share != 0 {
 		t.Errorf("a daemon that has just started grants %v", share)
 	}
 	later := start.Add(settleTime)
-	if share := membership.Share(replica, later); share != firstShare {
+	if share := membership.Share(replica.ID, later); share != firstShare {
 		t.Errorf("the first grantor grants %v", share)
 	}
 	membership.Observe(others[:1], false, later)
-	if share := membership.Share(replica, later); share != firstShare/2 {
+	if share := membership.Share(replica.ID, later); share != firstShare/2 {
 		t.Errorf("with two of four daemons in sight it grants %v", share)
 	}
 	membership.Observe(others[:1], false, later.Add(2*memberRetention))
-	if share := membership.Share(replica, later); share != firstShare {
+	if share := membership.Share(replica.ID, later); share != firstShare {
 		t.Errorf("with two daemons left it grants %v", share)
 	}
 	membership.Observe(others, true, later)
-	if share := membership.Share(replica, later); share != 0 {
+	if share := membership.Share(replica.ID, later); share != 0 {
 		t.Errorf("a daemon that leaves grants %v", share)
 	}
 }
--- a/ratelimit/faults_test.go
+++ b/ratelimit/faults_test.go
@@ -20,7 +20,7 @@
 
 // firstGrantor returns the daemon that all ask first.
 func (fleet *fleet) firstGrantor() *simDaemon {
-	name := Grantors(fleet.daemons[0].membership.Live(), fleet.replica)[0]
+	name := Grantors(fleet.daemons[0].membership.Live(), fleet.replica.ID)[0]
 	index := slices.IndexFunc(fleet.daemons, func(daemon *simDaemon) bool { return daemon.name == name })
 	return fleet.daemons[index]
 }
--- a/ratelimit/grantor.go
+++ b/ratelimit/grantor.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/bronzestall/bronzestall/rendezvous"
-	"github.com/bronzestall/bronzestall/topology"
 )
 
 // The shares of a limit that a daemon grants, by its rank among the live daemons for the replica. Daemons that differ in
@@ -16,18 +15,18 @@
 	secondShare = 0.25
 )
 
-// maxGrantors is the number of daemons that may be asked for tokens of one replica.
+// maxGrantors is the number of daemons that may be asked for tokens of one key.
 const maxGrantors = 2
 
-// Grantors returns up to maxGrantors daemons that divide the limit of the replica among all, the first being the one to
-// ask. All daemons that see the same others choose the same ones.
-func Grantors(daemons []string, replica topology.Incarnation) []string {
-	return rendezvous.Choose(replica.ID, daemons, maxGrantors)
+// Grantors returns up to maxGrantors daemons that divide the limit of the key, which is the ID of a replica or any other name,
+// among all, the first being the one to ask. All daemons that see the same others choose the same ones.
+func Grantors(daemons []string, key string) []string {
+	return rendezvous.Choose(key, daemons, maxGrantors)
 }
 
-// shareOf returns the share of the limit of the replica that the daemon may grant while it sees the live daemons.
-func shareOf(name string, live []string, replica topology.Incarnation) float64 {
-	switch slices.Index(Grantors(live, replica), name) {
+// shareOf returns the share of the limit of the key that the daemon may grant while it sees the live daemons.
+func shareOf(name string, live []string, key string) float64 {
+	switch slices.Index(Grantors(live, key), name) {
 	case 0:
 		return firstShare
 	case 1:
@@ -43,7 +42,7 @@
 	avoidTime  = 2 * time.Second
 )
 
-// Route chooses which of the grantors of a replica a daemon asks. It is safe for concurrent use. Use NewRoute.
+// Route chooses which of the grantors of a key a daemon asks. It is safe for concurrent use. Use NewRoute.
 type Route struct {
 	mutex sync.Mutex
 	// failures maps grantors to their consecutive failures.
--- a/ratelimit/membership.go
+++ b/ratelimit/membership.go
@@ -4,8 +4,6 @@
 	"slices"
 	"sync"
 	"time"
-
-	"github.com/bronzestall/bronzestall/topology"
 )
 
 const (
@@ -69,14 +67,21 @@
 	return slices.Clone(membership.live)
 }
 
-// Share returns the share of the limit of the replica that this daemon may grant; zero if another one must be asked. It
+// Seen returns the number of daemons that were seen within memberRetention and are not known to leave.
+func (membership *Membership) Seen() int {
+	membership.mutex.Lock()
+	defer membership.mutex.Unlock()
+	return max(len(membership.seen), 1)
+}
+
+// Share returns the share of the limit of the key that this daemon may grant; zero if another one must be asked. It
 // is smaller while daemons are out of sight, since these may have a grantor of their own.
-func (membership *Membership) Share(replica topology.Incarnation, now time.Time) float64 {
+func (membership *Membership) Share(key string, now time.Time) float64 {
 	if now.Sub(membership.started) < settleTime {
 		return 0
 	}
 	membership.mutex.Lock()
 	defer membership.mutex.Unlock()
 	reachable := float64(len(membership.live)) / float64(max(len(membership.seen), 1))
-	return shareOf(membership.name, membership.live, replica) * min(reachable, 1)
+	return shareOf(membership.name, membership.live, key) * min(reachable, 1)
 }
--- a/ratelimit/simdaemon_test.go
+++ b/ratelimit/simdaemon_test.go
@@ -156,7 +156,7 @@
 func (daemon *simDaemon) ask() {
 	fleet := daemon.fleet
 	for _, ask := range daemon.limiter.Due(fleet.now) {
-		name := daemon.route.Choose(Grantors(daemon.membership.Live(), ask.Replica), fleet.now)
+		name := daemon.route.Choose(Grantors(daemon.membership.Live(), ask.Replica.ID), fleet.now)
 		var index int
 		_, _ = fmt.Sscanf(name, "d%d", &index)
 		grantor := fleet.daemons[index]
@@ -198,7 +198,7 @@
 // grant responds to a question.
 func (daemon *simDaemon) grant(asker string, ask Ask) Grant {
 	now := daemon.fleet.now
-	share := daemon.membership.Share(ask.Replica, now)
+	share := daemon.membership.Share(ask.Replica.ID, now)
 	perSecond, limited := daemon.table.Limit(ask.Replica)
 	if share == 0 || !limited {
 		return Grant{Refused: true}
