Refuse requests of accounts that have used up their quotas

Relay.Admit charges the account of a request before its body is read, waits for at most 50 ms for an amount that is on its way, and otherwise refuses with 429 and the time by which there will be enough, with jitter. ingress gives the charge back if the request ends without a run. Daemons ask each other with a new call of the mesh, Quotas, which carries many accounts. Without accounts that have a quota nothing is asked and nothing is sent. Events 882 to 885, metrics bronzestall_quota_* by account.

Lent requests do not pass Admit at the lender, so that they are charged only where they came in. Older builds answer the new call as unimplemented; the daemon then uses its equal share. Tests of mesh, relay, ingress, event, meter and front pass under the race detector.

--- a/front/daemon.go
+++ b/front/daemon.go
@@ -28,6 +28,7 @@
 	"github.com/bronzestall/bronzestall/platform"
 	"github.com/bronzestall/bronzestall/protocol"
 	"github.com/bronzestall/bronzestall/quarantine"
+	"github.com/bronzestall/bronzestall/quota"
 	"github.com/bronzestall/bronzestall/ratelimit"
 	"github.com/bronzestall/bronzestall/reach"
 	"github.com/bronzestall/bronzestall/relay"
@@ -112,6 +113,15 @@
 	membership   *ratelimit.Membership
 	grantorRoute *ratelimit.Route
 
+	// quotas holds what this daemon may use of the quotas of accounts, and quotaAllocator divides them among all daemons.
+	quotas         *quota.Limiter
+	quotaAllocator *quota.Allocator
+	// quotaRoute chooses among the daemons that divide them, and quotaLog logs which are used up.
+	quotaRoute *ratelimit.Route
+	quotaLog   quotaLog
+	// quotaDaemons is the number of daemons among which quotas are divided.
+	quotaDaemons atomic.Int64
+
 	// held bounds the bytes held of responses of replicas.
 	held *bytebudget.Budget
 
@@ -221,6 +231,7 @@
 		"Scheduler":           daemon.scheduler.Run,
 		"Report":              daemon.sendReports,
 		"Tokens":              daemon.requestTokens,
+		"Quotas":              daemon.requestQuotas,
 		"Listen":              daemon.pollAnnouncements,
 		"AskPeers":            daemon.fetchPeerUpdates,
 		"Housekeeping":        daemon.runHousekeeping,
@@ -286,5 +297,6 @@
 	event.ConfigurationTaken.Log("Version", configuration.Version, "Routes", len(configuration.Routes),
 		"Services", len(configuration.Services), "Source", source)
 	logAccounts(configuration)
+	daemon.observeQuotas()
 	daemon.scheduler.Update(configuration, daemon.usable(daemon.roster.Entries()))
 }
--- a/front/new.go
+++ b/front/new.go
@@ -17,6 +17,7 @@
 	"github.com/bronzestall/bronzestall/platform"
 	"github.com/bronzestall/bronzestall/protocol"
 	"github.com/bronzestall/bronzestall/quarantine"
+	"github.com/bronzestall/bronzestall/quota"
 	"github.com/bronzestall/bronzestall/ratelimit"
 	"github.com/bronzestall/bronzestall/reach"
 	"github.com/bronzestall/bronzestall/relay"
@@ -47,6 +48,9 @@
 		allocator:       ratelimit.NewAllocator(),
 		membership:      ratelimit.NewMembership(settings.Name, clk.Now()),
 		grantorRoute:    ratelimit.NewRoute(),
+		quotas:          quota.NewLimiter(mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64()))),
+		quotaRoute:      ratelimit.NewRoute(),
+		quotaAllocator:  quota.NewAllocator(settings.Name, settings.QuotaSlack),
 		started:         clk.Now(),
 		suspectRows:     newExpiringRows(suspectTable),
 		originRows:      newExpiringRows(originTable),
@@ -92,6 +96,7 @@
 		Prover:           prover{daemon},
 		Brittle:          daemon.brittle,
 		Held:             daemon.held,
+		Quotas:           accountQuotas{daemon},
 		ConfigurationAge: daemon.configurationAge,
 		DaemonIndex:      func() int { return int(daemon.daemonIndex.Load()) },
 		Clock:            clk,
--- a/front/tasks.go
+++ b/front/tasks.go
@@ -121,6 +121,7 @@
 		daemon.updateProtocolMetrics(live)
 		daemon.observeMembers(live)
 		limits = daemon.updateLimitMetrics(daemon.clock.Now(), limits)
+		daemon.updateQuotaMetrics(daemon.clock.Now())
 		if daemon.clock.Since(daemon.directory.HolderLastSeen()) > holderTimeout {
 			daemon.balancer.SetRemoteInFlight(daemon.mesh.InFlightByReplica())
 		}
--- a/front/tokens.go
+++ b/front/tokens.go
@@ -126,4 +126,5 @@
 		others = append(others, ratelimit.Member{Name: peer.Name, Leaving: peer.Leaving})
 	}
 	daemon.membership.Observe(others, daemon.stopping.Load(), daemon.clock.Now())
+	daemon.observeQuotas()
 }
--- a/front/wiring.go
+++ b/front/wiring.go
@@ -40,6 +40,7 @@
 		Limits:          daemon.limitsToShare,
 		ReceiveLimits:   daemon.receiveLimits,
 		Grant:           daemon.grantTokens,
+		GrantQuotas:     daemon.grantQuotas,
 		Origins:         daemon.answerOrigins,
 		Proofs:          daemon.findProofs,
 		Sync:            daemon.serveSync,
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -23,7 +23,7 @@
 	// Configuration returns the configuration in force, or nil before the first.
 	Configuration() *topology.Configuration
 	// Admit decides by the head of a request whether it may be served, or returns why not.
-	Admit(request *exchange.Request) (relay.Admission, *outcome.Error)
+	Admit(ctx context.Context, request *exchange.Request) (relay.Admission, *outcome.Error)
 	// Serve answers the request through the sink, or returns why it did not.
 	Serve(ctx context.Context, request *exchange.Request, sink relay.Sink) (relay.Summary, *outcome.Error)
 }
@@ -65,13 +65,16 @@
 func (ingress *Ingress) ServeHTTP(writer http.ResponseWriter, incoming *http.Request) {
 	ingress.inFlight.Add(1)
 	defer ingress.inFlight.Add(-1)
-	request, failure := ingress.read(writer, incoming)
+	request, refund, failure := ingress.read(writer, incoming)
 	sink := &sink{clock: ingress.deps.Clock, readAt: ingress.deps.Clock.Now(), writer: writer, controller: http.NewResponseController(writer)}
 	var summary relay.Summary
 	if failure == nil {
 		defer ingress.held.add(request)()
 		summary, failure = ingress.deps.Relay.Serve(incoming.Context(), request, sink)
 	}
+	if refund != nil && summary.Runs == 0 {
+		refund()
+	}
 	ingress.record(request, sink, summary, failure)
 	if failure == nil {
 		return
@@ -87,8 +90,9 @@
 	return sink.Begun() || failure.Kind == outcome.CallerGone
 }
 
-// read reads the whole request. The body is read only if the head is admitted.
-func (ingress *Ingress) read(writer http.ResponseWriter, incoming *http.Request) (*exchange.Request, *outcome.Error) {
+// read reads the whole request. The body is read only if the head is admitted. It returns how to give back what the account was charged,
+// or nil.
+func (ingress *Ingress) read(writer http.ResponseWriter, incoming *http.Request) (*exchange.Request, func(), *outcome.Error) {
 	request := &exchange.Request{
 		Method:  incoming.Method,
 		Target:  incoming.URL.RequestURI(),
@@ -97,24 +101,25 @@
 		Arrived: ingress.deps.Clock.Now(),
 	}
 	request.Header, request.Metadata = ingress.deps.Decode(incoming.Header)
-	if failure := ingress.admit(request); failure != nil {
-		return request, failure
+	refund, failure := ingress.admit(incoming.Context(), request)
+	if failure != nil {
+		return request, refund, failure
 	}
 	body, failure := ingress.readBody(writer, incoming, &request.Metadata)
 	request.Body = body
-	return request, failure
+	return request, refund, failure
 }
 
 // admit decides by the head of the request whether it may be served. The key is kept no longer than that, unless it means nothing here
-// and is passed on as any other header.
-func (ingress *Ingress) admit(request *exchange.Request) *outcome.Error {
-	admission, failure := ingress.deps.Relay.Admit(request)
+// and is passed on as any other header. It returns how to give back what the account was charged, or nil.
+func (ingress *Ingress) admit(ctx context.Context, request *exchange.Request) (func(), *outcome.Error) {
+	admission, failure := ingress.deps.Relay.Admit(ctx, request)
 	request.Metadata.Key = ""
 	request.Account = admission.Account
 	if admission.KeyChecked {
 		ingress.deps.RemoveKey(request.Header)
 	}
-	return failure
+	return admission.Refund, failure
 }
 
 // record logs and counts how the request ended.
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -33,7 +33,7 @@
 	return &topology.Configuration{Limits: topology.Limits{BodyBytes: 10}}
 }
 
-func (relayFunc) Admit(*exchange.Request) (relay.Admission, *outcome.Error) {
+func (relayFunc) Admit(context.Context, *exchange.Request) (relay.Admission, *outcome.Error) {
 	return relay.Admission{}, nil
 }
 
--- a/mesh/calls.go
+++ b/mesh/calls.go
@@ -48,6 +48,7 @@
 	})
 	handle(mux, syncProcedure, node.serveSync)
 	handle(mux, tokensProcedure, node.serveTokens)
+	handle(mux, quotasProcedure, node.serveQuotas)
 	handle(mux, originsProcedure, node.serveOrigins)
 	handle(mux, pingProcedure, servePing)
 	handle(mux, proofsProcedure, node.serveProofs)
--- a/mesh/deps.go
+++ b/mesh/deps.go
@@ -7,6 +7,7 @@
 	"github.com/bronzestall/bronzestall/directory"
 	"github.com/bronzestall/bronzestall/protocol"
 	"github.com/bronzestall/bronzestall/quarantine"
+	"github.com/bronzestall/bronzestall/quota"
 	"github.com/bronzestall/bronzestall/ratelimit"
 	"github.com/bronzestall/bronzestall/topology"
 )
@@ -31,6 +32,8 @@
 	ReceiveLimits func(entries []ratelimit.Entry)
 	// Grant responds to the questions of another daemon for tokens, in their order.
 	Grant func(daemon string, asks []ratelimit.Ask) []ratelimit.Grant
+	// GrantQuotas responds to the questions of another daemon for amounts of the quotas of accounts, in their order.
+	GrantQuotas func(daemon string, asks []quota.Ask) []quota.Grant
 	// Proofs returns when the daemon had bytes of responses of the replicas last, after it has probed those that did not respond lately.
 	Proofs func(ctx context.Context, replicas []topology.Incarnation) []Proof
 	// Origins returns what the daemon knows of the streams that the query names.
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -19,6 +19,8 @@
 	askProcedure   = "/bronzestall.mesh.Mesh/Ask"
 	// tokensProcedure asks for tokens for replicas with limits.
 	tokensProcedure = "/bronzestall.mesh.Mesh/Tokens"
+	// quotasProcedure asks for amounts of the quotas of accounts.
+	quotasProcedure = "/bronzestall.mesh.Mesh/Quotas"
 	// originsProcedure asks which releases began streams.
 	originsProcedure = "/bronzestall.mesh.Mesh/Origins"
 	// pingProcedure asks whether a daemon responds.
--- a/meter/name.go
+++ b/meter/name.go
@@ -85,6 +85,12 @@
 	// refused for it.
 	LimitSent    Name = "bronzestall_limit_requests_sent"
 	LimitRefused Name = "bronzestall_limit_requests_refused"
+	// QuotaUsed is what the requests of an account used of its quota at this daemon so far, in the unit of the quota, and QuotaHeld what
+	// the daemon may use at once. QuotaRefused is the number of its requests refused so far, and QuotaWaiting that of those that wait.
+	QuotaUsed    Name = "bronzestall_quota_used"
+	QuotaHeld    Name = "bronzestall_quota_held"
+	QuotaRefused Name = "bronzestall_quota_requests_refused"
+	QuotaWaiting Name = "bronzestall_quota_waiting"
 	// NoticesMalformed counts responses with a notice of the replica that could not be decoded, by header.
 	NoticesMalformed Name = "bronzestall_notices_malformed"
 	// Build is the version of the protocol between daemons that the daemon knows; its subject is protocol.Build.
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"time"
 
 	"github.com/bronzestall/bronzestall/event"
@@ -25,10 +26,14 @@
 	KeyChecked bool
 	// Account is the client account of the request, or nil.
 	Account *topology.Account
+	// Refund gives back what the account was charged; nil if it was not charged. It must be called if the request ends without having
+	// run.
+	Refund func()
 }
 
-// Admit decides by the head of a request whether it may be served, before its body is read, and otherwise returns why not.
-func (relay *Relay) Admit(request *exchange.Request) (Admission, *outcome.Error) {
+// Admit decides by the head of a request whether it may be served, before its body is read, and otherwise returns why not. It charges
+// the account of the request, and may wait for some tens of milliseconds for that.
+func (relay *Relay) Admit(ctx context.Context, request *exchange.Request) (Admission, *outcome.Error) {
 	configuration, route, failure := relay.match(request)
 	if failure != nil || !configuration.HasAccounts() {
 		return Admission{}, failure
@@ -37,7 +42,11 @@
 		return Admission{KeyChecked: true}, nil
 	}
 	account, failure := relay.authenticate(configuration, request)
-	return Admission{KeyChecked: true, Account: account}, failure
+	if failure != nil {
+		return Admission{KeyChecked: true}, failure
+	}
+	refund, failure := relay.charge(ctx, account, request)
+	return Admission{KeyChecked: true, Account: account, Refund: refund}, failure
 }
 
 // authenticate returns the account that the key of the request identifies, or why it does not. A key that may have been removed
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -52,6 +52,8 @@
 	Lender Lender
 	// Prover knows when replicas responded; nil means that all do.
 	Prover Prover
+	// Quotas keeps accounts to their quotas; nil means that none has one.
+	Quotas Quotas
 	// ConfigurationAge returns the time since which the configuration is not known to be in force; nil means that it always is.
 	ConfigurationAge func() time.Duration
 	// DaemonIndex returns the index of the daemon among all daemons; nil means zero.
