--- a/relay/admit_test.go
+++ b/relay/admit_test.go
@@ -56,7 +56,7 @@
 	} {
 		t.Run(fmt.Sprint(c.path, " ", string(c.key), " ", c.age), func(t *testing.T) {
 			request := &exchange.Request{Host: "h", Path: c.path, Metadata: exchange.Metadata{Key: c.key}}
-			admission, failure := newAdmission(c.age, testAccounts...).Admit(request)
+			admission, failure := newAdmission(c.age, testAccounts...).Admit(t.Context(), request)
 			name, kind := "", admitted
 			if admission.Account != nil {
 				name = admission.Account.Name
@@ -74,7 +74,7 @@
 // TestNoKeysWithoutAccounts guards against deployments without accounts whose requests are refused or lose a header.
 func TestNoKeysWithoutAccounts(t *testing.T) {
 	relay := newAdmission(1 << 62)
-	admission, failure := relay.Admit(&exchange.Request{Host: "h", Path: "/x"})
+	admission, failure := relay.Admit(t.Context(), &exchange.Request{Host: "h", Path: "/x"})
 	if failure != nil || admission.KeyChecked || !relay.KeysUsable() {
 		t.Errorf("%+v, %v", admission, failure)
 	}
