Test charges from the head of a request to the grantor

In its first 3 s a daemon updates the daemons that it sees for questions about quotas, at most every 100 ms: with every question it would cost more with hundreds of daemons.

--- a/front/daemon.go
+++ b/front/daemon.go
@@ -121,6 +121,8 @@
 	quotaLog   quotaLog
 	// quotaDaemons is the number of daemons among which quotas are divided.
 	quotaDaemons atomic.Int64
+	// membersLearnt is the age of this daemon when it last updated the daemons that it sees for a question about quotas.
+	membersLearnt atomic.Int64
 
 	// held bounds the bytes held of responses of replicas.
 	held *bytebudget.Budget
--- a/front/quotas.go
+++ b/front/quotas.go
@@ -11,6 +11,9 @@
 	"github.com/bronzestall/bronzestall/topology"
 )
 
+// learnInterval is the shortest time between two updates of the daemons that are seen, while this one has just started.
+const learnInterval = 100 * time.Millisecond
+
 // accountQuotas charges the accounts of requests.
 type accountQuotas struct{ *Daemon }
 
@@ -116,9 +119,12 @@
 
 // learnMembers updates the daemons that are seen more often than housekeeping does, while this one has just started and learns of them.
 func (daemon *Daemon) learnMembers() {
-	if daemon.clock.Since(daemon.started) < quota.SettleTime {
-		daemon.observeMembers(daemon.mesh.Live())
+	age := daemon.clock.Since(daemon.started)
+	last := daemon.membersLearnt.Load()
+	if age >= quota.SettleTime || age-time.Duration(last) < learnInterval || !daemon.membersLearnt.CompareAndSwap(last, int64(age)) {
+		return
 	}
+	daemon.observeMembers(daemon.mesh.Live())
 }
 
 // observeQuotas updates the accounts with quotas, and the daemons among which they are divided.
@@ -128,7 +134,7 @@
 		return
 	}
 	now := daemon.clock.Now()
-	members := quota.NewMembers(daemon.membership.Live(), daemon.membership.Seen(), len(daemon.settings.Seeds), now.Sub(daemon.started))
+	members := daemon.quotaMembers(now)
 	daemon.quotaDaemons.Store(int64(members.Seen))
 	daemon.quotas.SetSeen(members.Seen)
 	daemon.quotas.Prune(configuration.Accounts)
@@ -137,3 +143,8 @@
 	}
 	daemon.quotaAllocator.Observe(configuration.Accounts, members, now)
 }
+
+// quotaMembers returns the daemons among which quotas are divided.
+func (daemon *Daemon) quotaMembers(now time.Time) quota.Members {
+	return quota.NewMembers(daemon.membership.Live(), daemon.membership.Seen(), len(daemon.settings.Seeds), now.Sub(daemon.started))
+}
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -234,3 +235,47 @@
 		t.Errorf("%v are held, want none", got)
 	}
 }
+
+// chargingRelay is a Relay that charges accounts. A request runs once if its path says so.
+type chargingRelay struct {
+	relayFunc
+	refunds *atomic.Int64
+}
+
+func (charging chargingRelay) Admit(context.Context, *exchange.Request) (relay.Admission, *outcome.Error) {
+	return relay.Admission{Refund: func() { charging.refunds.Add(1) }}, nil
+}
+
+func (charging chargingRelay) Serve(_ context.Context, request *exchange.Request, sink relay.Sink) (relay.Summary, *outcome.Error) {
+	if request.Path == "/runs" {
+		sink.Head(http.StatusOK, http.Header{}, 0)
+		return relay.Summary{Runs: 1}, nil
+	}
+	return relay.Summary{}, outcome.New(outcome.QueueFull, "no")
+}
+
+// TestChargeOfRequestThatDidNotRunIsGivenBack guards against requests that are refused after their admission, or whose bodies are refused,
+// and use up the quota, and against refunds of requests that ran.
+func TestChargeOfRequestThatDidNotRunIsGivenBack(t *testing.T) {
+	for _, test := range []struct {
+		path, body string
+		refunds    int64
+	}{{"/runs", "", 0}, {"/refused", "", 1}, {"/runs", "more than ten bytes", 1}} {
+		refunds := &atomic.Int64{}
+		server := httptest.NewServer(New(Deps{
+			Relay:  chargingRelay{refunds: refunds},
+			Decode: func(sent http.Header) (http.Header, exchange.Metadata) { return sent, exchange.Metadata{} },
+			Meter:  meter.New(),
+			Clock:  clock.RealClock{},
+		}))
+		response, err := http.Post(server.URL+test.path, "", strings.NewReader(test.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		server.Close()
+		if refunds.Load() != test.refunds {
+			t.Errorf("%s with %q: %d refunds", test.path, test.body, refunds.Load())
+		}
+	}
+}
--- a/mesh/limits_test.go
+++ b/mesh/limits_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/bronzestall/bronzestall/quota"
 	"github.com/bronzestall/bronzestall/ratelimit"
 	"github.com/bronzestall/bronzestall/topology"
 )
@@ -56,6 +57,24 @@
 	}
 }
 
+func TestAskQuotas(t *testing.T) {
+	grantor := newTestDaemon(t, "a", State{}, nil)
+	asker := newTestDaemon(t, "b", State{}, nil)
+	asks := []quota.Ask{{Account: "x", Sequence: 7, Answered: 6, Held: 1, First: 0.25, Need: 2, Ahead: 3, Mean: 4, Returned: 5, Demand: 6, Closing: true}, {Account: "y"}}
+	grantor.quotaGrants = []quota.Grant{{Amount: 2.5, Next: 200 * time.Millisecond, Available: time.Second}, {Refused: true}}
+	grants, err := asker.AskQuotas(t.Context(), grantor.address, asks)
+	if err != nil || !slices.Equal(grants, grantor.quotaGrants) {
+		t.Errorf("grants are %+v, %v", grants, err)
+	}
+	if grantor.asker != "b" || !slices.Equal(grantor.quotaAsks, asks) {
+		t.Errorf("the grantor was asked %+v by %s", grantor.quotaAsks, grantor.asker)
+	}
+	grantor.quotaGrants = grantor.quotaGrants[:1]
+	if _, err := asker.AskQuotas(t.Context(), grantor.address, asks); err == nil {
+		t.Error("a response with too few grants is accepted")
+	}
+}
+
 func TestAddressOf(t *testing.T) {
 	seed := newTestDaemon(t, "a", State{}, nil)
 	joining := newTestDaemon(t, "b", State{}, nil, seed.address)
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -22,6 +22,7 @@
 	"github.com/bronzestall/bronzestall/notice"
 	"github.com/bronzestall/bronzestall/protocol"
 	"github.com/bronzestall/bronzestall/quarantine"
+	"github.com/bronzestall/bronzestall/quota"
 	"github.com/bronzestall/bronzestall/ratelimit"
 	"github.com/bronzestall/bronzestall/topology"
 )
@@ -60,6 +61,9 @@
 	asker  string
 	asks   []ratelimit.Ask
 	grants []ratelimit.Grant
+	// quotaAsks are the last questions for amounts of quotas, and quotaGrants the response to them.
+	quotaAsks   []quota.Ask
+	quotaGrants []quota.Grant
 	// proofs is what it answers to questions for proofs.
 	proofs []Proof
 	// protocols holds the versions that other daemons told.
@@ -98,6 +102,11 @@
 			daemon.asks = asks
 			return daemon.grants
 		},
+		GrantQuotas: func(asker string, asks []quota.Ask) []quota.Grant {
+			daemon.asker = asker
+			daemon.quotaAsks = asks
+			return daemon.quotaGrants
+		},
 		Sync: func(_ context.Context, report Report) (directory.Announcement, error) {
 			daemon.report = report
 			return testAnnouncement, nil
