--- a/mesh/golden_test.go
+++ b/mesh/golden_test.go
@@ -12,6 +12,7 @@
 	"github.com/bronzestall/bronzestall/internal/golden"
 	"github.com/bronzestall/bronzestall/mesh/meshpb"
 	"github.com/bronzestall/bronzestall/quarantine"
+	"github.com/bronzestall/bronzestall/quota"
 	"github.com/bronzestall/bronzestall/ratelimit"
 	"github.com/bronzestall/bronzestall/topology"
 )
@@ -149,6 +150,20 @@
 		func(encoded *meshpb.TokenResponse) []ratelimit.Grant { return decodeGrants(encoded.GetGrants()) })
 }
 
+func TestQuotasOfOtherBuilds(t *testing.T) {
+	ask := quota.Ask{Account: "x", Sequence: 2, Answered: 1, Held: 3, First: 0.5, Need: 4, Ahead: 5, Mean: 6, Returned: 7, Demand: 8, Closing: true}
+	checkMessage(t, "quotas", &meshpb.QuotaRequest{}, []quota.Ask{ask},
+		func(asks []quota.Ask) *meshpb.QuotaRequest {
+			return &meshpb.QuotaRequest{Daemon: "a", Asks: encodeQuotaAsks(asks)}
+		},
+		func(encoded *meshpb.QuotaRequest) []quota.Ask { return decodeQuotaAsks(encoded.GetAsks()) })
+	checkMessage(t, "quotagrants", &meshpb.QuotaResponse{}, []quota.Grant{{Amount: 2.5, Next: time.Second, Available: time.Minute, Refused: true}},
+		func(grants []quota.Grant) *meshpb.QuotaResponse {
+			return &meshpb.QuotaResponse{Grants: encodeQuotaGrants(grants)}
+		},
+		func(encoded *meshpb.QuotaResponse) []quota.Grant { return decodeQuotaGrants(encoded.GetGrants()) })
+}
+
 func TestStoreCallOfOtherBuilds(t *testing.T) {
 	checkMessage(t, "storecall", &meshpb.TableCall{}, []datastore.Write{
 		{Key: datastore.Key{Table: "t", Row: "r"}, Check: true, IfVersion: datastore.NewVersion(1, 2), Value: []byte("v")},
@@ -201,6 +216,10 @@
 		if proto.Unmarshal(content, tokens) == nil && len(decodeAsks(tokens.GetAsks())) > maxAsks {
 			t.Error("too many questions are accepted")
 		}
+		quotas := &meshpb.QuotaRequest{}
+		if proto.Unmarshal(content, quotas) == nil && len(decodeQuotaAsks(quotas.GetAsks())) > maxAsks {
+			t.Error("too many questions are accepted")
+		}
 		if proto.Unmarshal(content, grants) == nil {
 			_ = decodeGrants(grants.GetGrants())
 		}
