Wake the loop that asks for quotas after every response

The loop sleeps until the next question is due, which nobody knows while one is under way, and a response woke it only if requests waited.

The simulation let daemons ask in every step and did not see it.

--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -72,6 +72,8 @@
 	// lastSeen and knownFrom state by daemon when it was last in reach, and when a daemon that has just started learns of it.
 	lastSeen, knownFrom []time.Time
 	waiting             []*Waiter
+	// wakeAt is when the loop wakes up to ask, unless it is woken before; zero if only then.
+	wakeAt time.Time
 }
 
 func newFleet(size int, perSecond float64, seed uint64) *fleet {
@@ -103,7 +105,7 @@
 	daemon.allocator = NewAllocator(daemon.name, slack)
 	daemon.membership = ratelimit.NewMembership(daemon.name, fleet.now)
 	daemon.route = ratelimit.NewRoute()
-	daemon.waiting = nil
+	daemon.waiting, daemon.wakeAt = nil, time.Time{}
 	for index := range daemon.lastSeen {
 		daemon.lastSeen[index] = fleet.now
 		daemon.knownFrom[index] = fleet.now.Add(time.Duration(fleet.random.Float64() * float64(within)))
@@ -214,9 +216,23 @@
 	return daemon.side == other.side && !daemon.frozen && !other.frozen && (daemon == other || daemon.fleet.random.Float64() >= daemon.fleet.loss)
 }
 
-// ask sends the questions that are due to their grantors.
+// sleeps reports whether the loop of the daemon waits for a question to be due.
+func (daemon *simDaemon) sleeps() bool {
+	select {
+	case <-daemon.limiter.Asks():
+		return false
+	default:
+		return daemon.wakeAt.IsZero() || daemon.fleet.now.Before(daemon.wakeAt)
+	}
+}
+
+// ask sends the questions that are due to their grantors, unless the loop sleeps.
 func (daemon *simDaemon) ask() {
 	fleet := daemon.fleet
+	if daemon.sleeps() {
+		return
+	}
+	defer func() { daemon.wakeAt, _ = daemon.limiter.NextDue(fleet.now) }()
 	for _, ask := range daemon.limiter.Due(fleet.now) {
 		name := daemon.route.Choose(ratelimit.Grantors(daemon.membership.Live(), ask.Account), fleet.now)
 		index := slices.IndexFunc(fleet.daemons, func(daemon *simDaemon) bool { return daemon.name == name })
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -189,9 +189,8 @@
 		share.nextAhead = now.Add(shortAheadInterval)
 	}
 	limiter.serve(share, now)
-	if len(share.waiters) > 0 {
-		limiter.requestAsk()
-	}
+	// Whoever asks does not know when the next question is due while one is under way.
+	limiter.requestAsk()
 }
 
 // Failed records that a question got no response. Whether an amount was granted is not known: none is used.
