Settle a conflicting order by the engine's report at the first conflict

Cause: an order that ended in conflict was sent up to eight times, 25 ms apart, with the same expected number of orders, before the engine was queried.

Change: the first conflict marks the state as unknown and queries the engine at once.

An engine with an order that the holder does not know gets the next one with the right number at the first repetition; the former code repeated the same number.

--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -23,12 +23,13 @@
 	changedAt time.Time
 	// callInFlight is set while an order or a query is in flight.
 	callInFlight bool
-	// uncertain is set while the outcome of an order is unknown, since uncertainSince.
+	// uncertain is set while the content of the engine is unknown, since uncertainSince. A report that shows no further
+	// order settles it once settleAfter has passed since then.
 	uncertain      bool
 	uncertainSince time.Time
-	// backoffUntil is the time before which no order is sent. conflicts counts consecutive conflicts.
+	settleAfter    time.Duration
+	// backoffUntil is the time before which no order is sent.
 	backoffUntil time.Time
-	conflicts    int
 	// queryAt is when the engine is to be queried; zero if no query is due.
 	queryAt time.Time
 	// reservedFor is the model for which another one was unloaded, until reservedUntil.
--- a/scheduler/fixture_test.go
+++ b/scheduler/fixture_test.go
@@ -69,6 +69,10 @@
 	// lostResponses is the number of responses to drop, and delayedOrders that of orders to execute 5 s late.
 	lostResponses, delayedOrders int
 	maxModels                    int
+	// unloadTime is how long the engine is busy with an unload, until unloadUntil. conflicts counts its refusals.
+	unloadTime  time.Duration
+	unloadUntil time.Time
+	conflicts   int
 }
 
 func (engine *fakeEngine) completeLoad() {
@@ -77,6 +81,9 @@
 		engine.loading = ""
 		engine.state.Busy = false
 	}
+	if engine.loading == "" {
+		engine.state.Busy = time.Now().Before(engine.unloadUntil)
+	}
 }
 
 func (engine *fakeEngine) Order(_ context.Context, order residency.Order, holder string, fence uint64) (residency.Verdict, error) {
@@ -103,10 +110,12 @@
 func (engine *fakeEngine) execute(order residency.Order) residency.Verdict {
 	engine.completeLoad()
 	if engine.state.Busy || order.After != engine.state.Orders {
+		engine.conflicts++
 		return residency.Conflicting
 	}
 	engine.state.Orders++
 	if order.Operation == residency.Unload {
+		engine.unloadUntil = time.Now().Add(engine.unloadTime)
 		engine.state.Models = slices.DeleteFunc(engine.state.Models, func(loaded topology.LoadedModel) bool { return loaded.Model == order.Model })
 		return residency.Accepted
 	}
--- a/scheduler/query.go
+++ b/scheduler/query.go
@@ -97,7 +97,7 @@
 		return
 	}
 	accepted := holding.Orders > engine.holding.Orders
-	if holding.Busy || (!accepted && now.Sub(engine.uncertainSince) < unansweredTimeout) {
+	if holding.Busy || (!accepted && now.Sub(engine.uncertainSince) < engine.settleAfter) {
 		engine.queryAt = now.Add(queryInterval)
 		return
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -175,7 +175,7 @@
 			known = newEngine(replica)
 			known.queryAt = now
 			known.uncertain = true
-			known.uncertainSince = now.Add(-unansweredTimeout)
+			known.uncertainSince, known.settleAfter = now, 0
 			known.inheritLoad(scheduler.loadings[replica.Incarnation], now)
 			scheduler.engines[replica.Incarnation] = known
 		}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -109,6 +109,39 @@
 	})
 }
 
+// TestConflictIsSettledByReport guards against repeated orders to an engine that is busy for longer than expected with
+// an unload: one conflict, then its report, then the order that the report allows.
+func TestConflictIsSettledByReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := &fakeEngine{unloadTime: 400 * time.Millisecond}
+		fixture := newFixture("a", &fakeLease{}, engine)
+		fixture.lease.grant(1, time.Minute)
+		for _, model := range []string{"m0", "m1", "m2"} {
+			fixture.request(model, 1)
+			fixture.run(t, 3*time.Second)
+		}
+		if engine.conflicts != 1 || !engine.state.Has("m2", "") {
+			t.Errorf("%d conflicts, want 1; the engine holds %+v", engine.conflicts, engine.state.Models)
+		}
+	})
+}
+
+// TestConflictWithUnseenOrderIsSettledAtOnce covers an engine that has accepted an order which the holder does not know.
+func TestConflictWithUnseenOrderIsSettledAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := &fakeEngine{}
+		fixture := newFixture("a", &fakeLease{}, engine)
+		fixture.lease.grant(1, time.Minute)
+		fixture.run(t, time.Second)
+		engine.state.Orders = 7
+		fixture.request("m1", 1)
+		fixture.run(t, 100*time.Millisecond)
+		if engine.conflicts != 1 || engine.loads("m1") != 2 || engine.log[1].After != 7 {
+			t.Errorf("%d conflicts after orders %+v, want one and a second order after 7", engine.conflicts, engine.log)
+		}
+	})
+}
+
 // TestDelayedOrdersDoNotOvercommit covers orders without a response that the engine executes seconds later, after
 // others.
 func TestDelayedOrdersDoNotOvercommit(t *testing.T) {
--- a/scheduler/send.go
+++ b/scheduler/send.go
@@ -27,10 +27,6 @@
 	// accepted. If it arrives later it is harmless, because each order states the number of orders accepted before
 	// it.
 	unansweredTimeout = 300 * time.Millisecond
-	// conflictBackoff is the pause after an engine refused an order because another one was in progress.
-	conflictBackoff = 25 * time.Millisecond
-	// maxConflicts is the number of consecutive conflicts after which the engine is queried.
-	maxConflicts = 8
 	// unloadDuration is the expected duration of an unload, and adapterLoadDuration that of an adapter load.
 	unloadDuration      = 45 * time.Millisecond
 	adapterLoadDuration = 20 * time.Millisecond
@@ -121,21 +117,29 @@
 	target.applyVerdict(order, verdict, sent, now, expected)
 }
 
-// markUncertain marks the state of the engine as unknown until a report clears it.
+// markUncertain marks the state of the engine as unknown until a report clears it. The last order may still arrive
+// within unansweredTimeout.
 func (engine *engine) markUncertain(now time.Time) {
 	engine.uncertain = true
 	engine.uncertainSince = now
+	engine.settleAfter = unansweredTimeout
 	engine.queryAt = now.Add(reportLag)
 }
 
+// markConflicting marks the state of the engine as unknown after it answered that an order conflicts. The engine is
+// queried at once. That order will not be carried out, so that any report of a later state shows what holds.
+func (engine *engine) markConflicting(now time.Time) {
+	engine.markUncertain(now)
+	engine.settleAfter = reportLag
+	engine.queryAt = now
+}
+
 // applyVerdict updates the engine after the verdict on an order.
 func (engine *engine) applyVerdict(order residency.Order, verdict residency.Verdict, sent, now, expected time.Time) {
 	switch verdict {
 	case residency.Accepted:
-		engine.conflicts = 0
 		engine.applyAccepted(order, sent, now, expected)
 	case residency.Fulfilled:
-		engine.conflicts = 0
 		if order.Adapter != "" && order.Operation == residency.Unload {
 			engine.holding.Orders++
 			engine.removeAdapter(order.Model, order.Adapter)
@@ -143,12 +147,7 @@
 		}
 		engine.markUncertain(now)
 	case residency.Conflicting:
-		engine.conflicts++
-		engine.backoffUntil = now.Add(conflictBackoff)
-		if engine.conflicts >= maxConflicts {
-			engine.conflicts = 0
-			engine.markUncertain(now)
-		}
+		engine.markConflicting(now)
 	default:
 		engine.markUncertain(now)
 		engine.backoffUntil = now.Add(time.Second)
