Report refused requests and the recent rate of arrivals to the holder

Cause: a request that is refused because the replicas of its model are full left no trace at the holder, and a rate that averages over seconds tells late that demand rises.

Change: a daemon counts, by model or adapter, requests that end as QueueFull, DeadlineUnmeetable or DeadlineInQueue, and the arrivals of the last moment; both are two optional numbers of each reported demand. A build that does not know them ignores them; without them the holder counts no refusal and no change.

Result: tests of demand, mesh, scheduler and relay pass. No order depends on the numbers yet.

--- a/demand/counter.go
+++ b/demand/counter.go
@@ -10,8 +10,12 @@
 	"github.com/bronzestall/bronzestall/topology"
 )
 
-// halfLife is the time in which the weight of an arrival in the rates halves.
-const halfLife = 1500 * time.Millisecond
+const (
+	// halfLife is the time in which the weight of an arrival in the rates halves.
+	halfLife = 1500 * time.Millisecond
+	// recentHalfLife is that of the rate from which a rise is told.
+	recentHalfLife = 500 * time.Millisecond
+)
 
 // Key identifies a model of a service, or one of its adapters.
 type Key struct {
@@ -35,6 +39,10 @@
 	Oldest  time.Time
 	// Rate is the number of arrivals per second, and Tokens that of their prompt tokens.
 	Rate, Tokens float64
+	// Rise is the number of arrivals per second over a shorter time, minus Rate; negative if they fall.
+	Rise float64
+	// Refused is the number of requests per second that were refused for want of capacity. They are counted in Rate too.
+	Refused float64
 	// Target is the shortest time to the first event that callers expect; zero if unknown.
 	Target time.Duration
 	// LastArrival is when the last request arrived.
@@ -54,8 +62,13 @@
 	arrivals []time.Time
 	// rate is the decayed count of arrivals as of lastArrival, and tokens that of their prompt tokens.
 	rate, tokens float64
-	lastArrival  time.Time
-	target       time.Duration
+	// recent is the count of arrivals as of lastArrival, decayed with recentHalfLife.
+	recent      float64
+	lastArrival time.Time
+	target      time.Duration
+	// refused is the decayed count of refused requests as of lastRefused.
+	refused     float64
+	lastRefused time.Time
 }
 
 // New returns a counter without requests.
@@ -69,14 +82,25 @@
 	counter.mutex.Lock()
 	defer counter.mutex.Unlock()
 	known := counter.state(key)
-	known.rate = decayed(known.rate, now.Sub(known.lastArrival)) + 1
-	known.tokens = decayed(known.tokens, now.Sub(known.lastArrival)) + float64(tokens)
+	passed := now.Sub(known.lastArrival)
+	known.rate = decayed(known.rate, passed, halfLife) + 1
+	known.recent = decayed(known.recent, passed, recentHalfLife) + 1
+	known.tokens = decayed(known.tokens, passed, halfLife) + float64(tokens)
 	known.lastArrival = now
 	if target > 0 && (known.target == 0 || target < known.target) {
 		known.target = target
 	}
 }
 
+// AddRefused counts a request that was refused for want of capacity, after AddArrival was called for it.
+func (counter *Counter) AddRefused(key Key, now time.Time) {
+	counter.mutex.Lock()
+	defer counter.mutex.Unlock()
+	known := counter.state(key)
+	known.refused = decayed(known.refused, now.Sub(known.lastRefused), halfLife) + 1
+	known.lastRefused = now
+}
+
 // AddWaiting counts a request that waits for the key since its arrival.
 func (counter *Counter) AddWaiting(key Key, arrived time.Time) {
 	counter.mutex.Lock()
@@ -147,8 +171,11 @@
 			continue
 		}
 		next := KeyDemand{Key: key, Waiting: len(known.arrivals), Target: known.target, LastArrival: known.lastArrival}
-		next.Rate = decayed(known.rate, now.Sub(known.lastArrival)) * math.Ln2 / halfLife.Seconds()
-		next.Tokens = decayed(known.tokens, now.Sub(known.lastArrival)) * math.Ln2 / halfLife.Seconds()
+		passed := now.Sub(known.lastArrival)
+		next.Rate = rate(known.rate, passed, halfLife)
+		next.Rise = rate(known.recent, passed, recentHalfLife) - next.Rate
+		next.Tokens = rate(known.tokens, passed, halfLife)
+		next.Refused = rate(known.refused, now.Sub(known.lastRefused), halfLife)
 		if len(known.arrivals) > 0 {
 			next.Oldest = slices.MinFunc(known.arrivals, time.Time.Compare)
 		}
@@ -164,8 +191,13 @@
 	return maps.Clone(counter.inFlight)
 }
 
+// rate returns the events per second that a decaying count stands for after the given time.
+func rate(count float64, passed, halfLife time.Duration) float64 {
+	return decayed(count, passed, halfLife) * math.Ln2 / halfLife.Seconds()
+}
+
 // decayed returns the rest of a decaying count after the given time.
-func decayed(count float64, passed time.Duration) float64 {
+func decayed(count float64, passed, halfLife time.Duration) float64 {
 	if passed <= 0 {
 		return count
 	}
--- a/demand/counter_test.go
+++ b/demand/counter_test.go
@@ -66,3 +66,23 @@
 		t.Errorf("the oldest arrived %v after the first", demands[0].Oldest.Sub(now))
 	}
 }
+
+// TestRefusedAndRise covers requests that come ever more often, half of which are refused.
+func TestRefusedAndRise(t *testing.T) {
+	counter, now, key := New(), start, Key{Model: "m"}
+	for arrival := range 120 {
+		now = now.Add(time.Second / time.Duration(1+arrival/3))
+		counter.AddArrival(key, 1, time.Second, now)
+		if arrival%2 == 0 {
+			counter.AddRefused(key, now)
+		}
+	}
+	demands, _ := counter.Snapshot(now)
+	if known := demands[0]; known.Rise < 1 || math.Abs(known.Refused/known.Rate-0.5) > 0.1 {
+		t.Errorf("demand is %+v, want a rise and half of it refused", known)
+	}
+	demands, _ = counter.Snapshot(now.Add(3 * time.Second))
+	if known := demands[0]; known.Rise > 0 {
+		t.Errorf("demand is %+v 3 s after the last arrival, want a fall", known)
+	}
+}
--- a/mesh/report.go
+++ b/mesh/report.go
@@ -49,6 +49,8 @@
 			Tokens:    uint64(entry.Tokens),
 			Target:    uint64(entry.Target.Milliseconds()),
 			UsedAge:   ageMilliseconds(entry.LastArrival, now),
+			Refused:   uint64(entry.Refused * perMille),
+			Recent:    1 + uint64(max(entry.Rate+entry.Rise, 0)*perMille),
 		})
 	}
 	return encoded
@@ -70,9 +72,13 @@
 			Waiting:     int(entry.GetWaiting()),
 			Rate:        float64(entry.GetRate()) / perMille,
 			Tokens:      float64(entry.GetTokens()),
+			Refused:     float64(entry.GetRefused()) / perMille,
 			Target:      milliseconds(entry.GetTarget()),
 			LastArrival: now.Add(-milliseconds(entry.GetUsedAge())),
 		}
+		if recent := entry.GetRecent(); recent > 0 {
+			decoded.Rise = float64(recent-1)/perMille - decoded.Rate
+		}
 		if decoded.Waiting > 0 {
 			decoded.Oldest = now.Add(-milliseconds(entry.GetOldestAge()))
 		}
--- a/mesh/report_test.go
+++ b/mesh/report_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/bronzestall/bronzestall/demand"
 	"github.com/bronzestall/bronzestall/mesh/meshpb"
 )
 
@@ -16,3 +17,18 @@
 		}
 	}
 }
+
+// TestRiseAndRefusedInReports checks that both are passed on, and that a build without them reports neither rise nor fall.
+func TestRiseAndRefusedInReports(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, rise := range []float64{-8, -1, 0, 4} {
+		sent := Report{Demand: []demand.KeyDemand{{Rate: 8, Rise: rise, Refused: 2}}}
+		got := decodeReport(sent.encode(now), now).Demand[0]
+		if math.Abs(got.Rise-rise) > 0.01 || got.Refused != 2 {
+			t.Errorf("got %+v for a rise of %v", got, rise)
+		}
+	}
+	if got := decodeReport(&meshpb.Report{Wants: []*meshpb.Want{{Rate: 8000}}}, now).Demand[0]; got.Rise != 0 || got.Refused != 0 {
+		t.Errorf("got %+v of a build without rise", got)
+	}
+}
--- a/relay/transaction.go
+++ b/relay/transaction.go
@@ -167,6 +167,7 @@
 // finalFailure returns the failure to report, or nil if it delivered an earlier response with an error status
 // instead. If an earlier attempt may have run the request, the result never claims that it has not run.
 func (transaction *transaction) finalFailure(ctx context.Context, failure *outcome.Error) *outcome.Error {
+	transaction.countRefused(failure)
 	if transaction.failedResponse != nil && ctx.Err() == nil && !transaction.sink.Begun() {
 		transaction.nameSender()
 		transaction.failedResponse.deliver(transaction.sink)
@@ -178,6 +179,18 @@
 	return failure
 }
 
+// countRefused counts the request as refused for want of capacity if that is why it failed. A lent request is counted by the daemon
+// that lent it.
+func (transaction *transaction) countRefused(failure *outcome.Error) {
+	if transaction.lent || transaction.service.Engine == nil {
+		return
+	}
+	switch failure.Kind {
+	case outcome.QueueFull, outcome.DeadlineUnmeetable, outcome.DeadlineInQueue:
+		transaction.relay.deps.Demand.AddRefused(transaction.key(), transaction.relay.deps.Clock.Now())
+	}
+}
+
 // remaining returns the time until the deadline.
 func (transaction *transaction) remaining() time.Duration {
 	return transaction.deadline.Sub(transaction.relay.deps.Clock.Now())
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -12,6 +12,10 @@
 	Rate float64
 	// Tokens is the number of prompt tokens per second.
 	Tokens float64
+	// Rise is the number of requests per second over the last moment, minus Rate; negative if they fall.
+	Rise float64
+	// Refused is the number of requests per second that were refused for want of capacity. They are counted in Rate too.
+	Refused float64
 	// Running is the number of requests in flight.
 	Running int
 	// Target is the time to the first event that callers expect; zero if unknown.
--- a/scheduler/totals.go
+++ b/scheduler/totals.go
@@ -66,6 +66,8 @@
 	known.Waiting += sign * keyDemand.Waiting
 	known.Rate += float64(sign) * keyDemand.Rate
 	known.Tokens += float64(sign) * keyDemand.Tokens
+	known.Rise += float64(sign) * keyDemand.Rise
+	known.Refused += float64(sign) * keyDemand.Refused
 	known.Target = sources.setTarget(keyDemand.Target, sign)
 	if keyDemand.LastArrival.After(known.LastArrival) {
 		known.LastArrival = keyDemand.LastArrival
