Order as many copies of a full model as its demand needs, and keep last copies in use

Cause: a model whose replicas were full got at most one further copy in a step, only where no model in use had to leave, and refused requests did not count. The only copy of a model in use was unloaded like any other. An order in flight was not known to the planner, which could plan another load for the same model, or one more load from the weight store than it serves at full speed.

Change: the planner tells models whose replicas are full (requests refused, or as many in flight as the replicas have slots), extrapolates a clear rise, and orders all missing copies in one step: the cheapest from host memory or disk first, from the weight store if no copy can be loaded soon and the rate does not fall. What is unloaded for that must be worth less than the copy. The last copy of a model requested within 6 s is unloaded only for a model that requests wait for, after these have waited for a second if the last request is less than 2 s old. Copies that are being unloaded no longer count. Engine.Speed prefers faster engines for busy and latency-sensitive models and leaves them free of idle ones. The view of an engine shows the effect of the order in flight.

--- a/residency/demand.go
+++ b/residency/demand.go
@@ -24,6 +24,43 @@
 	LastArrival time.Time
 }
 
+// The thresholds of refusals and rises.
+const (
+	// unloadedRefusedRate is the number of refused requests per second from which a model that no engine has is loaded
+	// although none waits. One refused request counts for about three seconds.
+	unloadedRefusedRate = 0.1
+	// fullRefusedRate and fullRefusedShare are the number of refused requests per second, and their share of all, from
+	// which the replicas of a model count as full.
+	fullRefusedRate  = 0.4
+	fullRefusedShare = 0.05
+	// minRise and minRiseShare are the rise per second, and relative to the rate, from which it is no chance variation.
+	minRise      = 2.0
+	minRiseShare = 0.5
+	// riseAhead is the multiple of the rise that is expected until a copy ordered now serves, and maxGrowth the largest
+	// factor by which the demand is extrapolated.
+	riseAhead = 2.0
+	maxGrowth = 3.0
+)
+
+// wanted reports whether the model is to be loaded if no engine has it: requests wait for it, or were refused lately.
+func (demand *Demand) wanted() bool {
+	return demand.Waiting > 0 || demand.Refused >= unloadedRefusedRate
+}
+
+// refusing reports whether so many requests are refused that the replicas of the model count as full.
+func (demand *Demand) refusing() bool {
+	return demand.Refused >= fullRefusedRate && demand.Refused >= fullRefusedShare*demand.Rate
+}
+
+// growth returns the factor by which the demand will have risen when a copy that is ordered now serves; 1 unless the
+// rate rises clearly.
+func (demand *Demand) growth() float64 {
+	if demand.Rate <= 0 || demand.Rise < max(minRise, minRiseShare*demand.Rate) {
+		return 1
+	}
+	return min(1+riseAhead*demand.Rise/demand.Rate, maxGrowth)
+}
+
 // mayNeedReplica reports whether the demand is high enough that a further replica may be needed.
 func (demand *Demand) mayNeedReplica() bool {
 	return demand.Rate >= latencySensitiveRate || demand.Running > 1
@@ -31,5 +68,5 @@
 
 // active reports whether the planner may load the model for this demand.
 func (demand *Demand) active() bool {
-	return demand.Waiting > 0 || demand.mayNeedReplica()
+	return demand.wanted() || demand.mayNeedReplica()
 }
--- a/residency/engine.go
+++ b/residency/engine.go
@@ -22,8 +22,12 @@
 	LoadingTier Tier
 	// ReadyAt is the expected end of the load in progress.
 	ReadyAt time.Time
-	// ReservedFor is the model for which memory was freed, or empty.
+	// ReservedFor is the model for which memory was freed or is being freed, or empty.
 	ReservedFor string
+	// Unloading is the model that an order in flight, or of unknown outcome, unloads; it is empty if there is none.
+	Unloading string
+	// Speed is the speed of the engine relative to the mean of the service; zero means 1.
+	Speed float64
 	// Limit is the number of requests per second that the engine accepts from all daemons together; zero if it named none.
 	Limit float64
 	// Running maps models to their requests in flight on the engine, from all daemons.
--- a/residency/eviction.go
+++ b/residency/eviction.go
@@ -34,7 +34,13 @@
 	}
 	var candidates []victim
 	for _, loaded := range engine.Holding.Models {
-		if value, allowed := plan.mayUnload(engine, loaded.Model); allowed && (purpose == onDemand || value == 0 || !plan.popular(loaded.Model)) {
+		if value, allowed := plan.mayUnload(engine, loaded.Model); allowed && plan.mayMakeRoom(loaded.Model, model.Name, purpose, value) {
+			if remaining := plan.remaining(loaded.Model); purpose != prefetch && remaining > 1 {
+				value /= float64(remaining)
+			}
+			if plan.lastOfRecent(loaded.Model) {
+				value += lastCopyCost
+			}
 			candidates = append(candidates, victim{loaded.Model, value})
 		}
 	}
@@ -52,6 +58,39 @@
 	return victims, loss, need <= 0
 }
 
+// mayMakeRoom reports whether the victim, whose unload loses the given value, may be unloaded for a load of the model.
+func (plan *plan) mayMakeRoom(victim, model string, purpose purpose, loss float64) bool {
+	switch purpose {
+	case onDemand:
+		return !plan.lastOfRecent(victim) || plan.quiet(victim) || plan.impatient(model)
+	case relief:
+		return !plan.lastOfRecent(victim) && !plan.full(victim)
+	default:
+		return !plan.lastOfRecent(victim) && (loss == 0 || !plan.popular(victim))
+	}
+}
+
+// lastOfRecent reports whether a single copy of the model is loaded, and was used within recentUse.
+func (plan *plan) lastOfRecent(name string) bool {
+	return plan.remaining(name) <= 1 && plan.state.Now.Sub(plan.state.Models[name].LastArrival) < recentUse
+}
+
+// quiet reports whether the last request for the model came at least quietTime ago.
+func (plan *plan) quiet(name string) bool {
+	return plan.state.Now.Sub(plan.state.Models[name].LastArrival) >= quietTime
+}
+
+// impatient reports whether requests have waited for the model for longPatience.
+func (plan *plan) impatient(name string) bool {
+	demand := plan.state.Models[name]
+	return demand.Waiting > 0 && plan.state.Now.Sub(demand.Oldest) >= longPatience
+}
+
+// remaining returns the number of loaded copies of the model, without those that are being unloaded.
+func (plan *plan) remaining(name string) int {
+	return len(plan.index.loaded[name]) - plan.index.leaving[name] - plan.unloads[name]
+}
+
 // mayUnload reports whether the engine may unload the model now, and the value lost by that.
 func (plan *plan) mayUnload(engine *Engine, name string) (loss float64, allowed bool) {
 	demand := plan.state.Models[name]
@@ -61,11 +100,11 @@
 	if at, ok := engine.LoadedAt[name]; ok && plan.state.Now.Sub(at) < minResidency {
 		return 0, false
 	}
-	loaded := plan.index.loaded[name]
-	if demand.Waiting > 0 && len(loaded) == 1 {
+	remaining := plan.remaining(name)
+	if demand.Waiting > 0 && remaining <= 1 {
 		return 0, false
 	}
-	if len(loaded) > max(plan.targetReplicas(name), 1) {
+	if remaining > max(plan.targetReplicas(name), plan.refusedReplicas(name), 1) {
 		return 0, true
 	}
 	model := plan.state.Spec.Models[name]
--- a/residency/forecast.go
+++ b/residency/forecast.go
@@ -21,13 +21,13 @@
 
 // Forecasts returns the expected load time of every model that requests wait for and that is not loaded yet.
 func (planner Planner) Forecasts(state *State) []Forecast {
-	if !state.hasWaiting() {
+	if !state.hasWanted() {
 		return nil
 	}
 	var forecasts []Forecast
-	plan := &plan{planner: planner, state: state, index: state.index()}
+	plan := newPlan(planner, state)
 	queued := plan.index.storeLoads
-	for _, name := range plan.modelsWhere(func(demand Demand) bool { return demand.Waiting > 0 }) {
+	for _, name := range plan.modelsWhere(func(demand Demand) bool { return demand.wanted() }) {
 		switch loading := plan.index.loading[name]; {
 		case len(plan.index.loaded[name]) > 0:
 		case len(loading) > 0:
--- a/residency/load.go
+++ b/residency/load.go
@@ -7,13 +7,26 @@
 )
 
 // load plans a load of the model on the engine with the lowest cost, or an unload that frees memory for it. If
-// that engine is busy nothing is planned, so that the load waits for it. Data centres in avoid are left out.
-func (plan *plan) load(name, reason string, purpose purpose, avoid map[string]bool) {
+// that engine is busy nothing is planned, so that the load waits for it. Data centres in avoid are left out. It returns
+// why nothing was planned, or None.
+func (plan *plan) load(name, reason string, purpose purpose, avoid map[string]bool) Cause {
 	model := plan.state.Spec.Models[name]
 	best := plan.cheapest(&model, purpose, avoid)
-	if best.engine == nil || !plan.available(best.engine) {
-		return
+	switch {
+	case best.engine != nil && plan.available(best.engine):
+		plan.order(best, name, reason)
+		return None
+	case best.engine != nil:
+		return EngineBusy
+	case plan.index.hasCopy(name) || plan.mayUseStore():
+		return NoRoom
+	default:
+		return StoreBusy
 	}
+}
+
+// order plans what the option needs next: the unload of a victim, or the load of the model.
+func (plan *plan) order(best option, name, reason string) {
 	if len(best.victims) > 0 {
 		plan.addOrder(best.engine, Order{Operation: Unload, Model: best.victims[0], For: name, Reason: reason + "MakeRoom"})
 		return
@@ -29,7 +42,9 @@
 	engine  *Engine
 	tier    Tier
 	victims []string
-	cost    float64
+	// loss is the value of the victims, in seconds of expected waiting per second.
+	loss float64
+	cost float64
 }
 
 // option returns the cost of loading the model on the engine, in seconds, and whether that is possible.
@@ -38,7 +53,7 @@
 	if !ok {
 		return option{}, false
 	}
-	cost := tier.Duration(model).Seconds() + evictionCost*float64(len(victims)) + lossWeight*loss
+	cost := tier.Duration(model).Seconds() + evictionCost*float64(len(victims)) + lossWeight*loss + plan.speedCost(engine, model.Name)
 	if wait := engine.ReadyAt.Sub(plan.state.Now); wait > 0 {
 		cost += wait.Seconds()
 	}
@@ -51,7 +66,7 @@
 	if tier == Store {
 		cost += plan.occupancyCost(engine)
 	}
-	return option{engine, tier, victims, cost}, true
+	return option{engine, tier, victims, loss, cost}, true
 }
 
 // purpose is the reason for a load. It decides which models may be unloaded for it.
@@ -62,6 +77,9 @@
 	onDemand purpose = iota
 	// prefetch loads serve later requests. They unload no popular model that still has value.
 	prefetch
+	// relief loads serve requests of a model whose replicas are full. They unload no last copy that was used lately, and
+	// nothing that is worth more than they are.
+	relief
 )
 
 // cheapest returns the cheapest option over all engines that may get loads, including busy ones. The weight store is used only if no
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -37,6 +37,14 @@
 	// for another model.
 	busyCost     = 0.05
 	reservedCost = 2.0
+	// recentUse is the time since the last request in which the last loaded copy of a model is unloaded only for a model
+	// that requests wait for and that fits nowhere else. quietTime is the one in which it is not unloaded even for those,
+	// unless they have waited for longPatience.
+	recentUse    = 6 * time.Second
+	quietTime    = 2 * time.Second
+	longPatience = time.Second
+	// lastCopyCost is added for the unload of such a copy.
+	lastCopyCost = 2.0
 	// minResidency is the minimum time that a model stays loaded, so that the requests that waited for it can run.
 	minResidency = 1500 * time.Millisecond
 )
@@ -53,12 +61,33 @@
 
 // Plan returns the orders to send now, at most one for each engine that is not busy.
 func (planner Planner) Plan(state *State) []Order {
-	plan := &plan{planner: planner, state: state, index: state.index(), taken: map[string]bool{}}
+	return planner.Decide(state).Orders
+}
+
+// Decision is the result of a plan.
+type Decision struct {
+	// Orders lists the orders to send now, at most one for each engine that is not busy.
+	Orders []Order
+	// Shortages lists the models that need a copy and get no order for it.
+	Shortages []Shortage
+}
+
+// Decide returns the orders to send now, and the models for which nothing can be done.
+func (planner Planner) Decide(state *State) Decision {
+	plan := newPlan(planner, state)
 	plan.loadAwaitedAdapters()
 	plan.loadAwaited()
+	plan.relieve()
 	plan.replicate()
 	plan.copyWeights()
-	return plan.orders
+	return Decision{Orders: plan.orders, Shortages: plan.shortages}
+}
+
+func newPlan(planner Planner, state *State) *plan {
+	return &plan{
+		planner: planner, state: state, index: state.index(),
+		taken: map[string]bool{}, unloads: map[string]int{}, ordered: map[string]int{},
+	}
 }
 
 // plan is the state while one plan is made.
@@ -73,6 +102,14 @@
 	orders []Order
 	// storeLoads is the number of loads from the weight store in this plan.
 	storeLoads int
+	// unloads counts the unloads of each model in this plan, and ordered the copies that it brings or makes room for.
+	unloads, ordered map[string]int
+	// relieved holds the models whose replicas are full; relieve has ordered copies of them.
+	relieved map[string]bool
+	// storeSearches counts the searches for an engine for a load from the weight store.
+	storeSearches int
+	// shortages lists the models that need a copy and get no order for it.
+	shortages []Shortage
 }
 
 func (plan *plan) available(engine *Engine) bool {
@@ -84,14 +121,23 @@
 	order.Address = engine.Address
 	order.After = engine.Holding.Orders
 	plan.taken[engine.ID] = true
+	switch {
+	case order.Adapter != "":
+	case order.Operation == Load:
+		plan.ordered[order.Model]++
+	default:
+		plan.unloads[order.Model]++
+		plan.ordered[order.For]++
+	}
 	plan.orders = append(plan.orders, order)
 }
 
-// loadAwaited plans loads of the models that requests wait for, those with the most waiting requests first.
+// loadAwaited plans loads of the models that requests wait for or were refused for, those with the most waiting requests
+// first.
 func (plan *plan) loadAwaited() {
-	for _, name := range plan.modelsWhere(func(demand Demand) bool { return demand.Waiting > 0 }) {
+	for _, name := range plan.modelsWhere(func(demand Demand) bool { return demand.wanted() }) {
 		if plan.index.replicaCount(name) == 0 {
-			plan.load(name, "Awaited", onDemand, nil)
+			plan.noteShortage(name, 1, plan.load(name, "Awaited", onDemand, nil))
 		}
 	}
 }
--- a/residency/replicate.go
+++ b/residency/replicate.go
@@ -32,7 +32,7 @@
 // replicate adds a replica to models that have too few, first in data centres without one.
 func (plan *plan) replicate() {
 	for _, name := range plan.modelsWhere(func(demand Demand) bool { return demand.mayNeedReplica() }) {
-		if plan.index.replicaCount(name) >= plan.targetReplicas(name) {
+		if plan.relieved[name] || plan.index.replicaCount(name) >= plan.targetReplicas(name) {
 			continue
 		}
 		zones := map[string]bool{}
--- a/residency/state.go
+++ b/residency/state.go
@@ -23,10 +23,10 @@
 	Now time.Time
 }
 
-// hasWaiting reports whether requests wait for any model.
-func (state *State) hasWaiting() bool {
+// hasWanted reports whether any model is wanted.
+func (state *State) hasWanted() bool {
 	for _, demand := range state.Models {
-		if demand.Waiting > 0 {
+		if demand.wanted() {
 			return true
 		}
 	}
@@ -60,6 +60,8 @@
 	// copies maps models to the engines that have a copy of the weights and neither hold nor load the model, without
 	// exhausted ones.
 	copies map[string][]*Engine
+	// leaving counts the engines from which a model is being unloaded, and reserved the busy ones with memory for it.
+	leaving, reserved map[string]int
 	// storeLoads is the number of loads from the weight store in progress.
 	storeLoads int
 	// zones is the number of data centres with engines.
@@ -68,7 +70,7 @@
 
 // index builds the look-ups. The cost is linear in the number of engines and their copies.
 func (state *State) index() *index {
-	made := &index{loaded: map[string][]*Engine{}, loading: map[string][]*Engine{}, copies: map[string][]*Engine{}, exhausted: map[string][]*Engine{}}
+	made := &index{loaded: map[string][]*Engine{}, loading: map[string][]*Engine{}, copies: map[string][]*Engine{}, exhausted: map[string][]*Engine{}, leaving: map[string]int{}, reserved: map[string]int{}}
 	zones := map[string]bool{}
 	for _, engine := range state.Engines {
 		zones[engine.Zone] = true
@@ -84,6 +86,12 @@
 		for _, loaded := range engine.Holding.Models {
 			made.loaded[loaded.Model] = append(made.loaded[loaded.Model], engine)
 		}
+		if engine.Unloading != "" {
+			made.leaving[engine.Unloading]++
+		}
+		if engine.Busy && engine.ReservedFor != "" && !loads && !engine.Holding.Has(engine.ReservedFor, "") {
+			made.reserved[engine.ReservedFor]++
+		}
 		if loads {
 			made.loading[engine.Loading] = append(made.loading[engine.Loading], engine)
 		}
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -19,6 +19,9 @@
 	holding topology.Holding
 	// order is the accepted order in progress, or nil.
 	order *pendingOrder
+	// sent is the order in flight, or of unknown outcome until sentUntil; nil if there is none.
+	sent      *pendingOrder
+	sentUntil time.Time
 	// changedAt is when an order or a report last changed the holding.
 	changedAt time.Time
 	// callInFlight is set while an order or a query is in flight.
@@ -228,5 +231,18 @@
 		view.LoadingTier = engine.order.Tier
 		view.ReadyAt = engine.order.expected
 	}
+	engine.viewSent(view, now)
 	return view
 }
+
+// viewSent adds the effect that the order in flight, or of unknown outcome, may have.
+func (engine *engine) viewSent(view *residency.Engine, now time.Time) {
+	if engine.sent == nil || engine.order != nil || engine.sent.Adapter != "" || !now.Before(engine.sentUntil) {
+		return
+	}
+	if engine.sent.Operation == residency.Unload {
+		view.Unloading, view.ReservedFor = engine.sent.Model, engine.sent.For
+		return
+	}
+	view.Loading, view.LoadingTier, view.ReadyAt = engine.sent.Model, engine.sent.Tier, engine.sent.expected
+}
--- a/scheduler/query.go
+++ b/scheduler/query.go
@@ -102,6 +102,7 @@
 		return
 	}
 	engine.uncertain = false
+	engine.sent = nil
 	engine.queryAt = time.Time{}
 	before := engine.holding.Orders
 	engine.setHolding(holding, now)
--- a/scheduler/send.go
+++ b/scheduler/send.go
@@ -48,6 +48,8 @@
 		scheduler.storeLoadStarts = append(scheduler.storeLoadStarts, now)
 	}
 	expected := now.Add(scheduler.expectedDuration(&order, service))
+	target.sent = &pendingOrder{Order: order, sent: now, expected: expected}
+	target.sentUntil = now.Add(orderTimeout + unansweredTimeout + reportTimeout)
 	timeout := min(orderTimeout, left)
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -114,6 +116,7 @@
 		target.markUncertain(now)
 		return
 	}
+	target.sent = nil
 	target.applyVerdict(order, verdict, sent, now, expected)
 }
 
