Log and count models that need a copy and get no order for it

Cause: a step that could do nothing for a model whose replicas were full left no trace.

Change: Planner.Decide returns such models with their cause beside the orders. The holder logs event 897, bounded by model and in number, and counts them by cause in bronzestall_copies_missing.

--- a/event/front.go
+++ b/event/front.go
@@ -67,5 +67,6 @@
 	OrderSent          = define(840, "OrderSent", Info, "An order was sent to an engine; the fields state its reason and result.")
 	OrderSettled       = define(841, "OrderSettled", Info, "An order was carried out, or its uncertain outcome was resolved.")
 	EngineUnanswered   = define(843, "EngineUnanswered", Warning, "An engine did not report what it holds, or another incarnation of it responded; it is queried again.")
+	CopyMissing        = define(897, "CopyMissing", Info, "A model needs Missing further copies, and no order for one can be sent now. Reason is EngineBusy (those that have its weights have orders in progress), NoRoom (no engine has memory that may be freed for it), StoreBusy (the weight store serves no further load) or NotLasting (the demand falls). Logged at most every 5 s for each model, for 20 models.")
 	OrdersHeld         = define(842, "OrdersHeld", Info, "The new holder of the lease does not send orders yet, because orders of the former holder may still arrive.")
 )
--- a/front/notices.go
+++ b/front/notices.go
@@ -95,7 +95,8 @@
 	return daemon.notices.LatestLeaving(leavingPerGreeting)
 }
 
-// updateMetrics sets the metrics of leaving replicas, replicas in backoff, quarantined requests and the era of the store.
+// updateMetrics sets the metrics of leaving replicas, replicas in backoff, quarantined requests, the era of the store and missing
+// copies.
 func (daemon *Daemon) updateMetrics(now time.Time) {
 	leaving, inBackoff := daemon.notices.Counts(now)
 	daemon.meter.Set(meter.ReplicasLeaving, meter.Labels{}, int64(leaving))
@@ -109,4 +110,7 @@
 	daemon.releaseMeter.update(daemon.meter, daemon.rollouts.Accepting())
 	daemon.meter.Set(meter.PathsLost, meter.Labels{}, int64(daemon.paths.LostCount()))
 	daemon.meter.Set(meter.StoreEra, meter.Labels{}, int64(daemon.eras.Era()))
+	for cause, count := range daemon.scheduler.Shortages() {
+		daemon.meter.Set(meter.CopiesMissing, meter.Labels{Kind: string(cause)}, count)
+	}
 }
--- a/meter/name.go
+++ b/meter/name.go
@@ -73,6 +73,9 @@
 	ReplicasLeaving Name = "bronzestall_replicas_leaving"
 	// ReplicasResting is the number of upstreams in backoff, which asked for no requests for a period.
 	ReplicasResting Name = "bronzestall_replicas_resting"
+	// CopiesMissing is the number of times that a model needed a copy in a step of the lease holder and got no order for
+	// it. The label Kind is the cause.
+	CopiesMissing Name = "bronzestall_copies_missing"
 	// ReplicaLimit is the limit that a replica named, in thousandths of a request per second; zero after it ended.
 	ReplicaLimit Name = "bronzestall_replica_limit_milli"
 	// ReplicaLimitAge is the time since a response last confirmed the limit of a replica, in milliseconds.
--- a/residency/load.go
+++ b/residency/load.go
@@ -8,7 +8,7 @@
 
 // load plans a load of the model on the engine with the lowest cost, or an unload that frees memory for it. If
 // that engine is busy nothing is planned, so that the load waits for it. Data centres in avoid are left out. It returns
-// why nothing was planned, or None.
+// why nothing was planned; None if something was, or if memory for the model is being freed.
 func (plan *plan) load(name, reason string, purpose purpose, avoid map[string]bool) Cause {
 	model := plan.state.Spec.Models[name]
 	best := plan.cheapest(&model, purpose, avoid)
@@ -16,6 +16,8 @@
 	case best.engine != nil && plan.available(best.engine):
 		plan.order(best, name, reason)
 		return None
+	case plan.index.reserved[name] > 0:
+		return None
 	case best.engine != nil:
 		return EngineBusy
 	case plan.index.hasCopy(name) || plan.mayUseStore():
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -57,6 +57,8 @@
 	storeLoadStarts []time.Time
 	// storeLimit is the measured concurrency limit of the weight store.
 	storeLimit residency.StoreLimit
+	// shortages counts the models that got no order for a copy that they need.
+	shortages shortages
 	// announced is the latest announcement. changed is closed when the next one is published.
 	announced directory.Announcement
 	changed   chan struct{}
@@ -71,6 +73,7 @@
 		wake:       make(chan struct{}, 1),
 		engines:    map[topology.Incarnation]*engine{},
 		aggregator: newAggregator(),
+		shortages:  newShortages(),
 		changed:    make(chan struct{}),
 	}
 }
@@ -193,11 +196,13 @@
 	scheduler.storeLoadStarts = slices.DeleteFunc(scheduler.storeLoadStarts, func(at time.Time) bool { return now.Sub(at) > storeLoadStartsKept })
 }
 
-// planService sends the planned orders of one service. The mutex is held.
+// planService sends the planned orders of one service and records what could not be planned. The mutex is held.
 func (scheduler *Scheduler) planService(ctx context.Context, service *topology.Service, state *residency.State) {
-	for _, order := range scheduler.planner.Plan(state) {
+	decision := scheduler.planner.Decide(state)
+	for _, order := range decision.Orders {
 		scheduler.startSend(ctx, order, service)
 	}
+	scheduler.shortages.add(service.Name, decision.Shortages, state.Now)
 }
 
 // plannerState returns the planner's input for the service. The mutex is held.
