Compute what the planner asks of a loaded model once in a plan

Cause: the search for victims asked the same of each loaded model again for each engine and each copy.

Change: it is kept by model until the plan unloads a copy of it; models are ranked by pointer; a plan searches all engines for a load from the weight store at most twice.

--- a/residency/planner.go
+++ b/residency/planner.go
@@ -86,7 +86,7 @@
 func newPlan(planner Planner, state *State) *plan {
 	return &plan{
 		planner: planner, state: state, index: state.index(),
-		taken: map[string]bool{}, unloads: map[string]int{}, ordered: map[string]int{},
+		taken: map[string]bool{}, unloads: map[string]int{}, ordered: map[string]int{}, facts: map[string]*facts{},
 	}
 }
 
@@ -96,7 +96,7 @@
 	state   *State
 	index   *index
 	// ranked lists the models with demand, those with the most waiting requests first; nil until it is computed.
-	ranked []rankedModel
+	ranked []*rankedModel
 	// taken holds the engines that have an order in this plan.
 	taken  map[string]bool
 	orders []Order
@@ -104,6 +104,8 @@
 	storeLoads int
 	// unloads counts the unloads of each model in this plan, and ordered the copies that it brings or makes room for.
 	unloads, ordered map[string]int
+	// facts holds the facts of models that were asked for.
+	facts map[string]*facts
 	// relieved holds the models whose replicas are full; relieve has ordered copies of them.
 	relieved map[string]bool
 	// storeSearches counts the searches for an engine for a load from the weight store.
@@ -127,6 +129,7 @@
 		plan.ordered[order.Model]++
 	default:
 		plan.unloads[order.Model]++
+		delete(plan.facts, order.Model)
 		plan.ordered[order.For]++
 	}
 	plan.orders = append(plan.orders, order)
@@ -154,23 +157,23 @@
 		plan.ranked = plan.rankModels()
 	}
 	var names []string
-	for index := range plan.ranked {
-		if condition(plan.ranked[index].Demand) {
-			names = append(names, plan.ranked[index].name)
+	for _, ranked := range plan.ranked {
+		if condition(ranked.Demand) {
+			names = append(names, ranked.name)
 		}
 	}
 	return names
 }
 
 // rankModels returns the known models with active demand, those with the most waiting requests first.
-func (plan *plan) rankModels() []rankedModel {
-	ranked := make([]rankedModel, 0, len(plan.state.Models))
+func (plan *plan) rankModels() []*rankedModel {
+	ranked := make([]*rankedModel, 0, len(plan.state.Models))
 	for name, demand := range plan.state.Models {
 		if _, known := plan.state.Spec.Models[name]; known && demand.active() {
-			ranked = append(ranked, rankedModel{name, demand})
+			ranked = append(ranked, &rankedModel{name, demand})
 		}
 	}
-	slices.SortFunc(ranked, func(a, b rankedModel) int {
+	slices.SortFunc(ranked, func(a, b *rankedModel) int {
 		return cmp.Or(
 			cmp.Compare(b.Waiting, a.Waiting),
 			a.Oldest.Compare(b.Oldest),
--- a/residency/planner_test.go
+++ b/residency/planner_test.go
@@ -258,6 +258,24 @@
 	}
 }
 
+// BenchmarkPlanFull measures a plan for 60 models that refuse requests and whose copies are on engines in use.
+func BenchmarkPlanFull(b *testing.B) {
+	state := fleet(600, 1900)
+	for i := range 1900 {
+		state.hold(i%600, fmt.Sprintf("m%d", i))
+		state.Models[fmt.Sprintf("m%d", i)] = Demand{Rate: 2, LastArrival: start}
+	}
+	for i := range 60 {
+		state.Models[fmt.Sprintf("m%d", i)] = Demand{Rate: 40, Refused: 20, Running: 64, LastArrival: start}
+		for copies := range 40 {
+			state.Engines[(i*7+copies*13+1)%600].Holding.OnDisk = append(state.Engines[(i*7+copies*13+1)%600].Holding.OnDisk, fmt.Sprintf("m%d", i))
+		}
+	}
+	for b.Loop() {
+		New(Settings{}).Plan(state)
+	}
+}
+
 func BenchmarkPlan(b *testing.B) {
 	state := fleet(600, 1900)
 	for i := range 1900 {
--- a/residency/relief.go
+++ b/residency/relief.go
@@ -26,7 +26,7 @@
 	// lastingFall is the fall of the rate, as a fraction of it, from which demand is not expected to last.
 	lastingFall = 0.3
 	// maxStoreSearches bounds the searches for an engine for a load from the weight store in one plan.
-	maxStoreSearches = 4
+	maxStoreSearches = 2
 )
 
 // relieve plans further copies of models whose replicas are full, as many as their demand needs, those with the most
--- a/residency/state.go
+++ b/residency/state.go
@@ -70,7 +70,11 @@
 
 // index builds the look-ups. The cost is linear in the number of engines and their copies.
 func (state *State) index() *index {
-	made := &index{loaded: map[string][]*Engine{}, loading: map[string][]*Engine{}, copies: map[string][]*Engine{}, exhausted: map[string][]*Engine{}, leaving: map[string]int{}, reserved: map[string]int{}}
+	models := len(state.Spec.Models)
+	made := &index{
+		loaded: make(map[string][]*Engine, models), loading: map[string][]*Engine{}, copies: make(map[string][]*Engine, models),
+		exhausted: map[string][]*Engine{}, leaving: map[string]int{}, reserved: map[string]int{},
+	}
 	zones := map[string]bool{}
 	for _, engine := range state.Engines {
 		zones[engine.Zone] = true
