Count the turnover from the end of the former holder's term

Cause: a successor acquires the lease up to a poll interval after the term of the former holder has ended, later still at a lower rank, and then waited for the whole turnover.

Change: Lease.FormerEnded tells by when the former holder's right to send orders had ended: a term after its last renewal was read, or when its release was. The holder counts the turnover from there; where that is unknown (earlier process of the VM, restored store) from the acquisition, as before.

Result: with a turnover of 3 s, a successor that acquires the lease 1 s late sends its first order 3.0 to 3.2 s after the former term, 4 s before (TestTurnoverCountsFromTheEndOfTheFormerHolder). The time without orders is still the rest of the term plus the turnover, above 3 s.

--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -77,10 +77,24 @@
 	return Holder{Name: found.Former}
 }
 
-func (lease *Lease) setFormer(former Holder) {
+func (lease *Lease) setFormer(former Holder, ended time.Time) {
 	lease.mutex.Lock()
 	defer lease.mutex.Unlock()
 	lease.former = former
+	lease.formerEnded = ended
+}
+
+// endOf returns the time by which the right of the holder in the record had ended, if it was the former one: a term after its last
+// renewal was read, or when its release was. It is zero for any other.
+func (lease *Lease) endOf(found record, former Holder) time.Time {
+	switch {
+	case former != found.Holder || found.Holder == (Holder{}) || lease.heldByEarlierProcess(found.Holder):
+		return time.Time{}
+	case found.Released:
+		return lease.seenAt
+	default:
+		return lease.seenAt.Add(lease.settings.Term)
+	}
 }
 
 // mayAcquire reports whether the lease may be acquired now. Daemons of the leased data centre have precedence.
@@ -115,7 +129,7 @@
 		next.Former, next.Steps = found.Former, found.Steps
 		former = lease.effectiveFormer(found)
 	}
-	lease.setFormer(former)
+	lease.setFormer(former, lease.endOf(found, former))
 	sent := lease.clock.Now()
 	versions, err := lease.tables.Commit(ctx, []datastore.Write{
 		{Key: lease.key(), Check: true, IfVersion: row.Version, Value: encode(next)},
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -47,6 +47,8 @@
 	leader Holder
 	// former is the holder before this process acquired the lease; empty if there was none.
 	former Holder
+	// formerEnded is the time by which the right of the former holder had ended; zero if unknown.
+	formerEnded time.Time
 }
 
 // New returns a candidate that holds no lease yet.
@@ -86,6 +88,14 @@
 	return lease.former
 }
 
+// FormerEnded returns the time by which the right of the former holder had ended, at most the time of the acquisition; zero if that
+// is unknown.
+func (lease *Lease) FormerEnded() time.Time {
+	lease.mutex.Lock()
+	defer lease.mutex.Unlock()
+	return lease.formerEnded
+}
+
 // Leader returns the holder as last read, and whether one is known.
 func (lease *Lease) Leader() (Holder, bool) {
 	lease.mutex.Lock()
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -74,6 +74,33 @@
 	}
 }
 
+// TestEndOfFormerHolderIsNoEarlierThanItsTerm guards against a successor that counts the turnover from a time at which the former
+// holder could still send orders. The successor acquires the lease late.
+func TestEndOfFormerHolderIsNoEarlierThanItsTerm(t *testing.T) {
+	for _, released := range []bool{false, true} {
+		fixture := newFixture(1)
+		first, _ := fixture.candidate("entry-1", "fukuoka")
+		second, _ := fixture.candidate("entry-2", "fukuoka")
+		mustStep(t, first)
+		fixture.clock.Step(time.Second)
+		_, until, _ := first.Held()
+		want := fixture.clock.Now().Add(10 * time.Second)
+		if released {
+			if err := first.Release(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+			until, want = fixture.clock.Now(), fixture.clock.Now()
+		} else {
+			mustStep(t, second)
+			fixture.clock.Step(13 * time.Second)
+		}
+		mustStep(t, second)
+		if got := second.FormerEnded(); !held(second) || got.Before(until) || !got.Equal(want) {
+			t.Errorf("released %t: the former holder ended %v after its term, want %v", released, got.Sub(until), want.Sub(until))
+		}
+	}
+}
+
 func TestFormerHolderCannotWriteUnderItsGuard(t *testing.T) {
 	fixture := newFixture(1)
 	first, client := fixture.candidate("entry-1", "fukuoka")
--- a/scheduler/deps.go
+++ b/scheduler/deps.go
@@ -18,6 +18,8 @@
 	Held() (fence uint64, until time.Time, ok bool)
 	// Former returns the previous holder; it is empty if there was none.
 	Former() lease.Holder
+	// FormerEnded returns the time by which the right of the previous holder to send orders had ended; zero if unknown.
+	FormerEnded() time.Time
 }
 
 // Engines sends orders and queries to engines.
--- a/scheduler/fixture_test.go
+++ b/scheduler/fixture_test.go
@@ -34,6 +34,8 @@
 	fence  uint64
 	until  time.Time
 	former lease.Holder
+	// formerEnded is the end of the right of the former holder; zero if unknown.
+	formerEnded time.Time
 }
 
 func (granted *fakeLease) Held() (uint64, time.Time, bool) {
@@ -44,6 +46,8 @@
 
 func (granted *fakeLease) Former() lease.Holder { return granted.former }
 
+func (granted *fakeLease) FormerEnded() time.Time { return granted.formerEnded }
+
 func (granted *fakeLease) grant(fence uint64, term time.Duration) {
 	granted.mutex.Lock()
 	defer granted.mutex.Unlock()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -148,7 +148,7 @@
 }
 
 // beginTerm resets the state for a new term. If the former holder was another daemon, orders are held back for the
-// turnover time. The mutex is held.
+// turnover time after its right to send them ended, or after now if that is unknown. The mutex is held.
 func (scheduler *Scheduler) beginTerm(fence uint64, now time.Time) {
 	scheduler.fence = fence
 	scheduler.engines = map[topology.Incarnation]*engine{}
@@ -158,8 +158,12 @@
 	scheduler.ordersHeldUntil = now
 	former := scheduler.deps.Lease.Former()
 	if former.Name != "" && former.Name != scheduler.settings.Name {
-		scheduler.ordersHeldUntil = now.Add(scheduler.settings.Turnover)
-		event.OrdersHeld.Log("Fence", fence, "Former", former.Name, "For", scheduler.settings.Turnover)
+		ended := scheduler.deps.Lease.FormerEnded()
+		if ended.IsZero() || ended.After(now) {
+			ended = now
+		}
+		scheduler.ordersHeldUntil = ended.Add(scheduler.settings.Turnover)
+		event.OrdersHeld.Log("Fence", fence, "Former", former.Name, "For", scheduler.ordersHeldUntil.Sub(now))
 	}
 }
 
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -209,6 +209,24 @@
 	}
 }
 
+// TestTurnoverCountsFromTheEndOfTheFormerHolder covers a successor that acquires the lease some time after the former holder
+// could last send orders: that time is not waited for twice.
+func TestTurnoverCountsFromTheEndOfTheFormerHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ended := time.Now()
+		time.Sleep(time.Second)
+		fixture := newFixture("b", &fakeLease{former: lease.Holder{Name: "a"}, formerEnded: ended}, &fakeEngine{})
+		fixture.lease.grant(2, time.Minute)
+		for range 3 {
+			fixture.request("m1", 1)
+			fixture.run(t, time.Second)
+		}
+		if at := fixture.engine.log[0].at.Sub(ended); at < 3*time.Second || at > 3200*time.Millisecond {
+			t.Errorf("the first order came %v after the end of the former holder, want 3 s", at)
+		}
+	})
+}
+
 func TestNoOrdersAfterTheTerm(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fixture := newFixture("a", &fakeLease{}, &fakeEngine{})
