Count on an unanswered order for a bounded time

Cause: with the effect of an order in flight in the plan, a model waited up to 1.1 s for an engine that did not answer while others had a copy.

Change: an order without a response counts for 150 ms, a load from the weight store until a report must have settled it, since it may take a place there.

Result: TestOrderInFlightCountsInThePlan; the tests of scheduler pass under the race detector.

--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -142,6 +142,35 @@
 	})
 }
 
+// TestOrderInFlightCountsInThePlan guards against a second load of a model, or one more from the weight store, while the
+// response to the first order is on its way; and against a model that waits for an engine which does not answer.
+func TestOrderInFlightCountsInThePlan(t *testing.T) {
+	for _, c := range []struct {
+		tier  residency.Tier
+		after time.Duration
+		want  string
+	}{
+		{residency.Disk, sentCounts / 2, "m"}, {residency.Disk, sentCounts, ""},
+		{residency.Store, sentCounts, "m"}, {residency.Store, 2 * time.Second, ""},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			fixture := newFixture("a", &fakeLease{}, &fakeEngine{delayedOrders: 1})
+			fixture.lease.grant(1, time.Minute)
+			fixture.run(t, time.Second)
+			incarnation := topology.Incarnation{ID: "e", Started: 1}
+			fixture.mutex.Lock()
+			fixture.startSend(t.Context(), residency.Order{Engine: incarnation, Model: "m", Tier: c.tier}, &topology.Service{Engine: &topology.EngineSpec{}})
+			fixture.mutex.Unlock()
+			time.Sleep(c.after)
+			fixture.mutex.Lock()
+			defer fixture.mutex.Unlock()
+			if got := fixture.engines[incarnation].view(time.Now(), newTotals(), false, 0).Loading; got != c.want {
+				t.Errorf("%s, %v after the order: %q is being loaded, want %q", c.tier, c.after, got, c.want)
+			}
+		})
+	}
+}
+
 // TestDelayedOrdersDoNotOvercommit covers orders without a response that the engine executes seconds later, after
 // others.
 func TestDelayedOrdersDoNotOvercommit(t *testing.T) {
--- a/scheduler/send.go
+++ b/scheduler/send.go
@@ -27,6 +27,10 @@
 	// accepted. If it arrives later it is harmless, because each order states the number of orders accepted before
 	// it.
 	unansweredTimeout = 300 * time.Millisecond
+	// sentCounts is the time for which the planner counts on an order without a response; then another engine may get
+	// one for the same model. A load from the weight store counts until a report must have settled it, since it may take
+	// the place of another one there.
+	sentCounts = 150 * time.Millisecond
 	// unloadDuration is the expected duration of an unload, and adapterLoadDuration that of an adapter load.
 	unloadDuration      = 45 * time.Millisecond
 	adapterLoadDuration = 20 * time.Millisecond
@@ -49,7 +53,10 @@
 	}
 	expected := now.Add(scheduler.expectedDuration(&order, service))
 	target.sent = &pendingOrder{Order: order, sent: now, expected: expected}
-	target.sentUntil = now.Add(orderTimeout + unansweredTimeout + reportTimeout)
+	target.sentUntil = now.Add(sentCounts)
+	if order.Operation == residency.Load && order.Tier == residency.Store {
+		target.sentUntil = now.Add(orderTimeout + unansweredTimeout + reportTimeout)
+	}
 	timeout := min(orderTimeout, left)
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
