Count requests that the last replica asked rejects as refused for want of capacity

Cause: most requests that replicas had no room for were rejected by them, and only those that daemons refused counted as demand.

Change: a request whose last attempt a replica rejected as not run is counted, but not one that reached the wrong replica or none.

--- a/demand/counter.go
+++ b/demand/counter.go
@@ -41,7 +41,7 @@
 	Rate, Tokens float64
 	// Rise is the number of arrivals per second over a shorter time, minus Rate; negative if they fall.
 	Rise float64
-	// Refused is the number of requests per second that were refused for want of capacity. They are counted in Rate too.
+	// Refused is the number of requests per second that were refused for want of capacity, by replicas or daemons. They are counted in Rate too.
 	Refused float64
 	// Target is the shortest time to the first event that callers expect; zero if unknown.
 	Target time.Duration
--- a/relay/transaction.go
+++ b/relay/transaction.go
@@ -130,6 +130,9 @@
 		}
 		transaction.logFailure(candidate, result)
 		if !transaction.prepareRetry(ctx, candidate, result) {
+			if result.notRun && !result.unsent && !result.misdirected {
+				transaction.addRefused()
+			}
 			return transaction.finalFailure(ctx, transaction.lastFailure(ctx, result))
 		}
 	}
@@ -179,14 +182,17 @@
 	return failure
 }
 
-// countRefused counts the request as refused for want of capacity if that is why it failed. A lent request is counted by the daemon
-// that lent it.
+// countRefused counts the request as refused for want of capacity if that is why it failed.
 func (transaction *transaction) countRefused(failure *outcome.Error) {
-	if transaction.lent || transaction.service.Engine == nil {
-		return
-	}
 	switch failure.Kind {
 	case outcome.QueueFull, outcome.DeadlineUnmeetable, outcome.DeadlineInQueue:
+		transaction.addRefused()
+	}
+}
+
+// addRefused counts the request as refused for want of capacity. A lent request is counted by the daemon that lent it.
+func (transaction *transaction) addRefused() {
+	if !transaction.lent && transaction.service.Engine != nil {
 		transaction.relay.deps.Demand.AddRefused(transaction.key(), transaction.relay.deps.Clock.Now())
 	}
 }
