--- a/relay/refused_test.go
+++ b/relay/refused_test.go
@@ -17,7 +17,7 @@
 		want  int
 	}{{"/stream/x", 5 * time.Second, 1}, {"/stream/x", 0, 1}, {"/once/x", 5 * time.Second, 0}} {
 		synctest.Test(t, func(t *testing.T) {
-			fixture := newFixture(repeated(9, rejected(false))...)
+			fixture := newFixture(repeated(9, func() step { return rejected(false) })...)
 			now := time.Now()
 			for _, id := range []string{"enginea", "engineb", "plaina", "plainb"} {
 				fixture.relay.deps.Notices.SetBackoff(topology.Incarnation{ID: id}, now.Add(c.pause), now)
