--- a/residency/planner_test.go
+++ b/residency/planner_test.go
@@ -218,7 +218,7 @@
 		state.Now = state.Now.Add(100 * time.Millisecond)
 		for i := range 12 {
 			name := fmt.Sprintf("m%d", i)
-			state.Models[name] = Demand{Waiting: (step*7 + i*3) % 5 / 4, Oldest: state.Now, Rate: float64((step/50 + i) % 12)}
+			state.Models[name] = Demand{Waiting: (step*7 + i*3) % 5 / 4, Oldest: state.Now, Rate: float64((step/50 + i) % 12), Refused: float64((step + i) % 5), Running: i}
 			state.Adapters[name+"/a1"] = Demand{Waiting: (step + i) % 2, Oldest: state.Now}
 		}
 		for _, order := range New(Settings{}).Plan(state) {
--- a/residency/simulation_test.go
+++ b/residency/simulation_test.go
@@ -265,10 +265,13 @@
 	}{
 		{"one model rises by 40 within 2 s", 50, 10, 2 * time.Second, func() *simulation { return rising(1, 40) }},
 		{"eight models rise by 8 at once", 10, 30, 2 * time.Second, func() *simulation { return rising(8, 8) }},
-		{"a model every 3 s beside a busy one", 25, 0, 2 * time.Second, func() *simulation {
+		{"five models every 4 s beside a busy one", 25, 0, 2 * time.Second, func() *simulation {
 			sim := simulate(6, 12)
 			sim.begin(1)
-			sim.rates["m0"], sim.every["m3"], sim.every["m6"] = 4, 3*time.Second, 3*time.Second
+			sim.rates["m0"] = 4
+			for i := 1; i <= 5; i++ {
+				sim.every[fmt.Sprintf("m%d", i)] = 4 * time.Second
+			}
 			sim.run(10 * time.Second)
 			sim.rates["m0"] = 20
 			sim.run(30 * time.Second)
@@ -311,6 +314,12 @@
 			if sim.maxStoreLoads > sim.StoreLimit {
 				t.Errorf("%d loads at once from the weight store, at most %d allowed", sim.maxStoreLoads, sim.StoreLimit)
 			}
+			window, allowed := New(Settings{}).settings.LoadWindow, int(sim.Spec.LoadsPerSecond*New(Settings{}).settings.LoadWindow.Seconds())
+			for i, at := range sim.StoreLoadStarts[min(allowed, len(sim.StoreLoadStarts)):] {
+				if took := at.Sub(sim.StoreLoadStarts[i]); took < window {
+					t.Errorf("%d loads from the weight store began within %v", allowed+1, took)
+				}
+			}
 			for _, engine := range sim.Engines {
 				if used := engine.used(sim.Spec.Models); used > sim.Spec.Memory {
 					t.Errorf("%s uses %d of %d bytes", engine.ID, used, sim.Spec.Memory)
