--- a/residency/relief.go
+++ b/residency/relief.go
@@ -132,13 +132,34 @@
 
 // reliefOption returns the cheapest way to load one more copy now: from an engine that has the weights, or from the
 // weight store if none can load them soon and the demand lasts. gain is the value of the copy, in seconds of waiting per
-// second.
+// second. The cause is why there is no way.
 func (plan *plan) reliefOption(name string, gain float64) (option, Cause) {
 	model := plan.state.Spec.Models[name]
-	best, soon := option{cost: math.Inf(1)}, false
-	for _, engine := range plan.index.copies[name] {
-		tier := tierOf(&engine.Holding, name)
-		next, ok := plan.option(engine, &model, tier, relief)
+	demand := plan.state.Models[name]
+	best, soon := plan.copyOption(&model, gain)
+	switch {
+	case best.engine != nil:
+		return best, None
+	case soon:
+		return best, EngineBusy
+	case demand.Rise < -lastingFall*demand.Rate:
+		return best, NotLasting
+	case !plan.mayUseStore():
+		return best, StoreBusy
+	}
+	if best = plan.storeOption(&model, gain); best.engine == nil {
+		return best, NoRoom
+	}
+	return best, None
+}
+
+// copyOption returns the cheapest way to load one more copy on an available engine that has the weights, and whether a
+// busy one can load them soon.
+func (plan *plan) copyOption(model *topology.Model, gain float64) (best option, soon bool) {
+	best.cost = math.Inf(1)
+	for _, engine := range plan.index.copies[model.Name] {
+		tier := tierOf(&engine.Holding, model.Name)
+		next, ok := plan.option(engine, model, tier, relief)
 		switch {
 		case !ok || !worthwhile(next, gain):
 		case plan.available(engine):
@@ -146,24 +167,11 @@
 				best = next
 			}
 		case !plan.taken[engine.ID]:
-			wait := max(engine.ReadyAt.Sub(plan.state.Now), 0) + tier.Duration(&model)
+			wait := max(engine.ReadyAt.Sub(plan.state.Now), 0) + tier.Duration(model)
 			soon = soon || wait.Seconds() < waitShare*model.StoreLoad.Seconds()
 		}
 	}
-	switch demand := plan.state.Models[name]; {
-	case best.engine != nil:
-		return best, None
-	case soon:
-		return option{}, EngineBusy
-	case demand.Rise < -lastingFall*demand.Rate:
-		return option{}, NotLasting
-	case !plan.mayUseStore():
-		return option{}, StoreBusy
-	}
-	if best = plan.storeOption(&model, gain); best.engine == nil {
-		return option{}, NoRoom
-	}
-	return best, None
+	return best, soon
 }
 
 // storeOption returns the cheapest way to load one more copy from the weight store. After maxStoreSearches in one plan it
