Order no copies for refusals from before the first replica

Cause: a rare model whose first requests were refused, since it was loaded too late, counted as full once it was loaded: with nothing served yet, up to eight copies were ordered for it.

Change: refusals that may be older than the first replica count only if the replicas are in use; there is at most one further copy for each refusal per second.

Result: TestRefusalsBeforeTheFirstLoadOrderNoCopies.

--- a/residency/relief.go
+++ b/residency/relief.go
@@ -17,6 +17,8 @@
 	// rateHalfLife is the time in which a replica comes to count half in the rate of served requests, as package demand
 	// averages it.
 	rateHalfLife = 1500 * time.Millisecond
+	// refusalsForgotten is the time after which refusals hardly count in their rate any more.
+	refusalsForgotten = 2 * rateHalfLife
 	// maxRefusedGrowth bounds the factor by which refusals raise the number of replicas at once.
 	maxRefusedGrowth = 8.0
 	// refusalCost is the waiting, in seconds, that counts for one refused request: its client comes back about that late.
@@ -63,13 +65,29 @@
 
 // full reports whether the replicas of the model have no capacity left for its demand.
 func (plan *plan) full(name string) bool {
-	demand := plan.state.Models[name]
-	if demand.refusing() && len(plan.index.loaded[name]) > 0 {
+	if plan.refusing(name) {
 		return true
 	}
 	return plan.inFlight(name) >= float64(plan.slots()*max(plan.index.replicaCount(name), 1))
 }
 
+// refusing reports whether requests are refused because the loaded replicas of the model are full. Refusals that may be
+// from before the first of them was loaded count only if these are in use.
+func (plan *plan) refusing(name string) bool {
+	demand := plan.state.Models[name]
+	loaded := plan.index.loaded[name]
+	if len(loaded) == 0 || !demand.refusing() {
+		return false
+	}
+	if float64(demand.Running) >= inFlightShare*float64(plan.slots()*len(loaded)) {
+		return true
+	}
+	return slices.ContainsFunc(loaded, func(engine *Engine) bool {
+		at, ok := engine.LoadedAt[name]
+		return !ok || plan.state.Now.Sub(at) >= refusalsForgotten
+	})
+}
+
 // inFlight returns the number of requests that will run or wait when a copy ordered now serves. The requests that were
 // refused while no engine had the model count as waiting, since their clients come back.
 func (plan *plan) inFlight(name string) float64 {
@@ -96,10 +114,11 @@
 }
 
 // refusedReplicas returns the number of replicas that would serve the refused requests too, each as many as those that
-// serve now; zero if none is refused. Each refused request is taken to have come twice.
+// serve now; zero if none is refused. Each refused request is taken to have come twice. There is at most one further
+// replica for each request that is refused per second.
 func (plan *plan) refusedReplicas(name string) int {
 	demand := plan.state.Models[name]
-	if !demand.refusing() {
+	if !plan.refusing(name) {
 		return 0
 	}
 	wanted := demand.growth() * (demand.Rate - demand.Refused/2)
@@ -107,7 +126,8 @@
 	if served := demand.Rate - demand.Refused; served > 0 {
 		factor = min(wanted/served, maxRefusedGrowth)
 	}
-	return min(int(math.Ceil(factor*plan.serving(name))), len(plan.state.Engines))
+	needed := min(math.Ceil(factor*plan.serving(name)), float64(len(plan.index.loaded[name]))+math.Ceil(demand.Refused))
+	return min(int(needed), len(plan.state.Engines))
 }
 
 // serving returns the number of replicas that the rate of served requests stands for: one that was loaded lately counts
--- a/residency/relief_test.go
+++ b/residency/relief_test.go
@@ -21,6 +21,21 @@
 	wantOrders(t, state, "Load m0 e3", "Load m0 e4")
 }
 
+// TestRefusalsBeforeTheFirstLoadOrderNoCopies guards against copies of a rare model for the requests that were refused while no
+// engine had it.
+func TestRefusalsBeforeTheFirstLoadOrderNoCopies(t *testing.T) {
+	state := fleet(6, 1)
+	state.hold(0, "m0")
+	for _, engine := range state.Engines[1:] {
+		engine.Holding.OnDisk = []string{"m0"}
+	}
+	state.Models["m0"] = Demand{Rate: 0.9, Refused: 0.8, Running: 1}
+	state.Engines[0].LoadedAt = map[string]time.Time{"m0": start.Add(-time.Second)}
+	wantOrders(t, state)
+	state.Engines[0].LoadedAt["m0"] = start.Add(-refusalsForgotten)
+	wantOrders(t, state, "Load m0 e1")
+}
+
 // TestFullModelUsesTheWeightStore covers a full model whose other copies are on engines that must not unload what they have:
 // demand that lasts is worth a slow load, and one that falls is not.
 func TestFullModelUsesTheWeightStore(t *testing.T) {
