Rank models and compare placements at less cost

Each comparison of models computed all keys, each placement was compared by reflection, and full models were looked for among all.

Change: keys are compared one after the other, models ranked in one block, placements compared by field, and only models with enough requests looked at.

--- a/residency/adapters.go
+++ b/residency/adapters.go
@@ -38,6 +38,9 @@
 		model, _, _ := strings.Cut(name, "/")
 		withAdapters[model] = true
 	}
+	if len(withAdapters) == 0 {
+		return
+	}
 	for _, name := range plan.modelsWhere(func(demand Demand) bool { return demand.Rate >= popularRate }) {
 		if !withAdapters[name] {
 			continue
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -33,6 +33,8 @@
 	// which the replicas of a model count as full.
 	fullRefusedRate  = 0.4
 	fullRefusedShare = 0.05
+	// refusalCost is the waiting, in seconds, that counts for one refused request: its client comes back about that late.
+	refusalCost = 2.0
 	// minRise and minRiseShare are the rise per second, and relative to the rate, from which it is no chance variation.
 	minRise      = 2.0
 	minRiseShare = 0.5
@@ -52,6 +54,12 @@
 	return demand.Refused >= fullRefusedRate && demand.Refused >= fullRefusedShare*demand.Rate
 }
 
+// inFlight returns the number of requests that will run or wait when a copy that is ordered now serves, with those that
+// were refused lately.
+func (demand *Demand) inFlight() float64 {
+	return demand.growth() * (float64(demand.Running+demand.Waiting) + refusalCost*demand.Refused)
+}
+
 // growth returns the factor by which the demand will have risen when a copy that is ordered now serves; 1 unless the
 // rate rises clearly.
 func (demand *Demand) growth() float64 {
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -167,19 +167,34 @@
 
 // rankModels returns the known models with active demand, those with the most waiting requests first.
 func (plan *plan) rankModels() []*rankedModel {
-	ranked := make([]*rankedModel, 0, len(plan.state.Models))
+	models := make([]rankedModel, 0, len(plan.state.Models))
 	for name, demand := range plan.state.Models {
-		if _, known := plan.state.Spec.Models[name]; known && demand.active() {
-			ranked = append(ranked, &rankedModel{name, demand})
+		if !demand.active() {
+			continue
 		}
+		if _, known := plan.state.Spec.Models[name]; known {
+			models = append(models, rankedModel{name, demand})
+		}
+	}
+	ranked := make([]*rankedModel, len(models))
+	for i := range models {
+		ranked[i] = &models[i]
 	}
-	slices.SortFunc(ranked, func(a, b *rankedModel) int {
-		return cmp.Or(
-			cmp.Compare(b.Waiting, a.Waiting),
-			a.Oldest.Compare(b.Oldest),
-			cmp.Compare(b.Rate, a.Rate),
-			strings.Compare(a.name, b.name),
-		)
-	})
+	slices.SortFunc(ranked, (*rankedModel).compare)
 	return ranked
 }
+
+// compare orders models by waiting requests, the longest wait, rate and name. It compares no more than it has to, since it
+// is called thousands of times in a step.
+func (model *rankedModel) compare(other *rankedModel) int {
+	if order := cmp.Compare(other.Waiting, model.Waiting); order != 0 {
+		return order
+	}
+	if order := model.Oldest.Compare(other.Oldest); order != 0 {
+		return order
+	}
+	if order := cmp.Compare(other.Rate, model.Rate); order != 0 {
+		return order
+	}
+	return strings.Compare(model.name, other.name)
+}
--- a/residency/relief.go
+++ b/residency/relief.go
@@ -21,8 +21,6 @@
 	refusalsForgotten = 2 * rateHalfLife
 	// maxRefusedGrowth bounds the factor by which refusals raise the number of replicas at once.
 	maxRefusedGrowth = 8.0
-	// refusalCost is the waiting, in seconds, that counts for one refused request: its client comes back about that late.
-	refusalCost = 2.0
 	// waitShare is the part of a load from the weight store that copies on busy engines may take to be worth waiting for.
 	waitShare = 0.5
 	// lastingFall is the fall of the rate, as a fraction of it, from which demand is not expected to last.
@@ -35,7 +33,8 @@
 // refused requests first.
 func (plan *plan) relieve() {
 	plan.relieved = map[string]bool{}
-	names := plan.modelsWhere(func(demand Demand) bool { return demand.refusing() || demand.mayNeedReplica() })
+	slots := float64(plan.slots())
+	names := plan.modelsWhere(func(demand Demand) bool { return demand.refusing() || demand.inFlight() >= slots })
 	names = slices.DeleteFunc(names, func(name string) bool { return !plan.full(name) })
 	slices.SortFunc(names, func(a, b string) int {
 		return cmp.Or(cmp.Compare(plan.pressure(b), plan.pressure(a)), strings.Compare(a, b))
@@ -92,11 +91,10 @@
 // refused while no engine had the model count as waiting, since their clients come back.
 func (plan *plan) inFlight(name string) float64 {
 	demand := plan.state.Models[name]
-	count := float64(demand.Running + demand.Waiting)
-	if len(plan.index.loaded[name]) == 0 {
-		count += refusalCost * demand.Refused
+	if len(plan.index.loaded[name]) > 0 {
+		demand.Refused = 0
 	}
-	return count * demand.growth()
+	return demand.inFlight()
 }
 
 // slots returns the number of requests that an engine runs at once.
--- a/scheduler/announce.go
+++ b/scheduler/announce.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"reflect"
 	"slices"
 	"strings"
 
@@ -22,7 +21,7 @@
 	}
 	for _, engine := range scheduler.engines {
 		placement := directory.Placement{Incarnation: engine.Incarnation, Holding: engine.usableHolding(), Loading: engine.loading(), Revision: next.Revision}
-		if known, ok := before[engine.Incarnation]; ok && known.Loading == placement.Loading && reflect.DeepEqual(known.Holding, placement.Holding) {
+		if known, ok := before[engine.Incarnation]; ok && known.Loading == placement.Loading && sameUsable(&known.Holding, &placement.Holding) {
 			placement.Revision = known.Revision
 		} else {
 			changed = true
@@ -38,6 +37,13 @@
 	scheduler.changed = make(chan struct{})
 }
 
+// sameUsable reports whether two usable holdings are equal. It runs for each engine in each step.
+func sameUsable(a, b *topology.Holding) bool {
+	return a.Orders == b.Orders && slices.EqualFunc(a.Models, b.Models, func(first, second topology.LoadedModel) bool {
+		return first.Model == second.Model && first.Version == second.Version && slices.Equal(first.Adapters, second.Adapters)
+	})
+}
+
 // Sync records the report of a daemon and returns the newest announcement. It waits up to report.Wait for one
 // newer than the announcement named in the report. It returns ErrNotHolder if the lease is not held.
 func (scheduler *Scheduler) Sync(ctx context.Context, report mesh.Report) (directory.Announcement, error) {
