--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -150,8 +150,10 @@
 		after time.Duration
 		want  string
 	}{
-		{residency.Disk, sentCounts / 2, "m"}, {residency.Disk, sentCounts, ""},
-		{residency.Store, sentCounts, "m"}, {residency.Store, 2 * time.Second, ""},
+		{residency.Disk, sentCounts / 2, "m"},
+		{residency.Disk, sentCounts, ""},
+		{residency.Store, sentCounts, "m"},
+		{residency.Store, 2 * time.Second, ""},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			fixture := newFixture("a", &fakeLease{}, &fakeEngine{delayedOrders: 1})
