--- a/relay/transaction.go
+++ b/relay/transaction.go
@@ -130,6 +130,9 @@
 		}
 		transaction.logFailure(candidate, result)
 		if !transaction.prepareRetry(ctx, candidate, result) {
+			if result.notRun && !result.unsent && !result.misdirected {
+				transaction.addRefused()
+			}
 			return transaction.finalFailure(ctx, transaction.lastFailure(ctx, result))
 		}
 	}
@@ -167,6 +170,7 @@
 // finalFailure returns the failure to report, or nil if it delivered an earlier response with an error status
 // instead. If an earlier attempt may have run the request, the result never claims that it has not run.
 func (transaction *transaction) finalFailure(ctx context.Context, failure *outcome.Error) *outcome.Error {
+	transaction.countRefused(failure)
 	if transaction.failedResponse != nil && ctx.Err() == nil && !transaction.sink.Begun() {
 		transaction.nameSender()
 		transaction.failedResponse.deliver(transaction.sink)
@@ -178,6 +182,21 @@
 	return failure
 }
 
+// countRefused counts the request as refused for want of capacity if that is why it failed.
+func (transaction *transaction) countRefused(failure *outcome.Error) {
+	switch failure.Kind {
+	case outcome.QueueFull, outcome.DeadlineUnmeetable, outcome.DeadlineInQueue:
+		transaction.addRefused()
+	}
+}
+
+// addRefused counts the request as refused for want of capacity. A lent request is counted by the daemon that lent it.
+func (transaction *transaction) addRefused() {
+	if !transaction.lent && transaction.service.Engine != nil {
+		transaction.relay.deps.Demand.AddRefused(transaction.key(), transaction.relay.deps.Clock.Now())
+	}
+}
+
 // remaining returns the time until the deadline.
 func (transaction *transaction) remaining() time.Duration {
 	return transaction.deadline.Sub(transaction.relay.deps.Clock.Now())
--- a/residency/eviction.go
+++ b/residency/eviction.go
@@ -34,9 +34,18 @@
 	}
 	var candidates []victim
 	for _, loaded := range engine.Holding.Models {
-		if value, allowed := plan.mayUnload(engine, loaded.Model); allowed && (purpose == onDemand || value == 0 || !plan.popular(loaded.Model)) {
-			candidates = append(candidates, victim{loaded.Model, value})
+		facts := plan.factsOf(loaded.Model)
+		value, allowed := plan.mayUnload(engine, loaded.Model, facts)
+		if !allowed || !plan.mayMakeRoom(facts, model.Name, purpose, value) {
+			continue
 		}
+		if purpose != prefetch && facts.remaining > 1 {
+			value /= float64(facts.remaining)
+		}
+		if facts.lastOfRecent {
+			value += lastCopyCost
+		}
+		candidates = append(candidates, victim{loaded.Model, value})
 	}
 	slices.SortFunc(candidates, func(a, b victim) int {
 		return cmp.Or(cmp.Compare(a.loss, b.loss), strings.Compare(a.name, b.name))
@@ -52,25 +61,42 @@
 	return victims, loss, need <= 0
 }
 
-// mayUnload reports whether the engine may unload the model now, and the value lost by that.
-func (plan *plan) mayUnload(engine *Engine, name string) (loss float64, allowed bool) {
+// mayMakeRoom reports whether the victim, whose unload loses the given value, may be unloaded for a load of the model.
+func (plan *plan) mayMakeRoom(victim *facts, model string, purpose purpose, loss float64) bool {
+	switch purpose {
+	case onDemand:
+		quiet := plan.state.Now.Sub(victim.LastArrival) >= quietTime
+		return !victim.lastOfRecent || quiet || plan.impatient(model)
+	case relief:
+		return !victim.lastOfRecent && !victim.full
+	default:
+		return !victim.lastOfRecent && (loss == 0 || !victim.popular)
+	}
+}
+
+// impatient reports whether requests have waited for the model for longPatience.
+func (plan *plan) impatient(name string) bool {
 	demand := plan.state.Models[name]
+	return demand.Waiting > 0 && plan.state.Now.Sub(demand.Oldest) >= longPatience
+}
+
+// mayUnload reports whether the engine may unload the model with the facts now, and the value lost by that.
+func (plan *plan) mayUnload(engine *Engine, name string, facts *facts) (loss float64, allowed bool) {
 	if engine.Running[name] > 0 {
 		return 0, false
 	}
 	if at, ok := engine.LoadedAt[name]; ok && plan.state.Now.Sub(at) < minResidency {
 		return 0, false
 	}
-	loaded := plan.index.loaded[name]
-	if demand.Waiting > 0 && len(loaded) == 1 {
+	if facts.Waiting > 0 && facts.remaining <= 1 {
 		return 0, false
 	}
-	if len(loaded) > max(plan.targetReplicas(name), 1) {
+	if facts.surplus {
 		return 0, true
 	}
 	model := plan.state.Spec.Models[name]
 	reload := plan.reloadTime(engine, &model)
-	return demand.Rate * reload.Seconds(), true
+	return facts.Rate * reload.Seconds(), true
 }
 
 // reloadTime returns the duration of a later load of the model on the engine, which keeps a copy on disk.
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -19,16 +19,20 @@
 	holding topology.Holding
 	// order is the accepted order in progress, or nil.
 	order *pendingOrder
+	// sent is the order in flight, or of unknown outcome until sentUntil; nil if there is none.
+	sent      *pendingOrder
+	sentUntil time.Time
 	// changedAt is when an order or a report last changed the holding.
 	changedAt time.Time
 	// callInFlight is set while an order or a query is in flight.
 	callInFlight bool
-	// uncertain is set while the outcome of an order is unknown, since uncertainSince.
+	// uncertain is set while the content of the engine is unknown, since uncertainSince. A report that shows no further
+	// order settles it once settleAfter has passed since then.
 	uncertain      bool
 	uncertainSince time.Time
-	// backoffUntil is the time before which no order is sent. conflicts counts consecutive conflicts.
+	settleAfter    time.Duration
+	// backoffUntil is the time before which no order is sent.
 	backoffUntil time.Time
-	conflicts    int
 	// queryAt is when the engine is to be queried; zero if no query is due.
 	queryAt time.Time
 	// reservedFor is the model for which another one was unloaded, until reservedUntil.
@@ -227,5 +231,18 @@
 		view.LoadingTier = engine.order.Tier
 		view.ReadyAt = engine.order.expected
 	}
+	engine.viewSent(view, now)
 	return view
 }
+
+// viewSent adds the effect that the order in flight, or of unknown outcome, may have.
+func (engine *engine) viewSent(view *residency.Engine, now time.Time) {
+	if engine.sent == nil || engine.order != nil || engine.sent.Adapter != "" || !now.Before(engine.sentUntil) {
+		return
+	}
+	if engine.sent.Operation == residency.Unload {
+		view.Unloading, view.ReservedFor = engine.sent.Model, engine.sent.For
+		return
+	}
+	view.Loading, view.LoadingTier, view.ReadyAt = engine.sent.Model, engine.sent.Tier, engine.sent.expected
+}
--- a/scheduler/fixture_test.go
+++ b/scheduler/fixture_test.go
@@ -34,6 +34,8 @@
 	fence  uint64
 	until  time.Time
 	former lease.Holder
+	// formerEnded is the end of the right of the former holder; zero if unknown.
+	formerEnded time.Time
 }
 
 func (granted *fakeLease) Held() (uint64, time.Time, bool) {
@@ -44,6 +46,8 @@
 
 func (granted *fakeLease) Former() lease.Holder { return granted.former }
 
+func (granted *fakeLease) FormerEnded() time.Time { return granted.formerEnded }
+
 func (granted *fakeLease) grant(fence uint64, term time.Duration) {
 	granted.mutex.Lock()
 	defer granted.mutex.Unlock()
@@ -69,6 +73,10 @@
 	// lostResponses is the number of responses to drop, and delayedOrders that of orders to execute 5 s late.
 	lostResponses, delayedOrders int
 	maxModels                    int
+	// unloadTime is how long the engine is busy with an unload, until unloadUntil. conflicts counts its refusals.
+	unloadTime  time.Duration
+	unloadUntil time.Time
+	conflicts   int
 }
 
 func (engine *fakeEngine) completeLoad() {
@@ -77,6 +85,9 @@
 		engine.loading = ""
 		engine.state.Busy = false
 	}
+	if engine.loading == "" {
+		engine.state.Busy = time.Now().Before(engine.unloadUntil)
+	}
 }
 
 func (engine *fakeEngine) Order(_ context.Context, order residency.Order, holder string, fence uint64) (residency.Verdict, error) {
@@ -103,10 +114,12 @@
 func (engine *fakeEngine) execute(order residency.Order) residency.Verdict {
 	engine.completeLoad()
 	if engine.state.Busy || order.After != engine.state.Orders {
+		engine.conflicts++
 		return residency.Conflicting
 	}
 	engine.state.Orders++
 	if order.Operation == residency.Unload {
+		engine.unloadUntil = time.Now().Add(engine.unloadTime)
 		engine.state.Models = slices.DeleteFunc(engine.state.Models, func(loaded topology.LoadedModel) bool { return loaded.Model == order.Model })
 		return residency.Accepted
 	}
--- a/scheduler/query.go
+++ b/scheduler/query.go
@@ -97,11 +97,12 @@
 		return
 	}
 	accepted := holding.Orders > engine.holding.Orders
-	if holding.Busy || (!accepted && now.Sub(engine.uncertainSince) < unansweredTimeout) {
+	if holding.Busy || (!accepted && now.Sub(engine.uncertainSince) < engine.settleAfter) {
 		engine.queryAt = now.Add(queryInterval)
 		return
 	}
 	engine.uncertain = false
+	engine.sent = nil
 	engine.queryAt = time.Time{}
 	before := engine.holding.Orders
 	engine.setHolding(holding, now)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -57,6 +57,8 @@
 	storeLoadStarts []time.Time
 	// storeLimit is the measured concurrency limit of the weight store.
 	storeLimit residency.StoreLimit
+	// shortages counts the models that got no order for a copy that they need.
+	shortages shortages
 	// announced is the latest announcement. changed is closed when the next one is published.
 	announced directory.Announcement
 	changed   chan struct{}
@@ -71,6 +73,7 @@
 		wake:       make(chan struct{}, 1),
 		engines:    map[topology.Incarnation]*engine{},
 		aggregator: newAggregator(),
+		shortages:  newShortages(),
 		changed:    make(chan struct{}),
 	}
 }
@@ -145,7 +148,7 @@
 }
 
 // beginTerm resets the state for a new term. If the former holder was another daemon, orders are held back for the
-// turnover time. The mutex is held.
+// turnover time after its right to send them ended, or after now if that is unknown. The mutex is held.
 func (scheduler *Scheduler) beginTerm(fence uint64, now time.Time) {
 	scheduler.fence = fence
 	scheduler.engines = map[topology.Incarnation]*engine{}
@@ -155,8 +158,12 @@
 	scheduler.ordersHeldUntil = now
 	former := scheduler.deps.Lease.Former()
 	if former.Name != "" && former.Name != scheduler.settings.Name {
-		scheduler.ordersHeldUntil = now.Add(scheduler.settings.Turnover)
-		event.OrdersHeld.Log("Fence", fence, "Former", former.Name, "For", scheduler.settings.Turnover)
+		ended := scheduler.deps.Lease.FormerEnded()
+		if ended.IsZero() || ended.After(now) {
+			ended = now
+		}
+		scheduler.ordersHeldUntil = ended.Add(scheduler.settings.Turnover)
+		event.OrdersHeld.Log("Fence", fence, "Former", former.Name, "For", scheduler.ordersHeldUntil.Sub(now))
 	}
 }
 
@@ -175,7 +182,7 @@
 			known = newEngine(replica)
 			known.queryAt = now
 			known.uncertain = true
-			known.uncertainSince = now.Add(-unansweredTimeout)
+			known.uncertainSince, known.settleAfter = now, 0
 			known.inheritLoad(scheduler.loadings[replica.Incarnation], now)
 			scheduler.engines[replica.Incarnation] = known
 		}
@@ -193,11 +200,13 @@
 	scheduler.storeLoadStarts = slices.DeleteFunc(scheduler.storeLoadStarts, func(at time.Time) bool { return now.Sub(at) > storeLoadStartsKept })
 }
 
-// planService sends the planned orders of one service. The mutex is held.
+// planService sends the planned orders of one service and records what could not be planned. The mutex is held.
 func (scheduler *Scheduler) planService(ctx context.Context, service *topology.Service, state *residency.State) {
-	for _, order := range scheduler.planner.Plan(state) {
+	decision := scheduler.planner.Decide(state)
+	for _, order := range decision.Orders {
 		scheduler.startSend(ctx, order, service)
 	}
+	scheduler.shortages.add(service.Name, decision.Shortages, state.Now)
 }
 
 // plannerState returns the planner's input for the service. The mutex is held.
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -109,6 +109,70 @@
 	})
 }
 
+// TestConflictIsSettledByReport guards against repeated orders to an engine that is busy for longer than expected with
+// an unload: one conflict, then its report, then the order that the report allows.
+func TestConflictIsSettledByReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := &fakeEngine{unloadTime: 400 * time.Millisecond}
+		fixture := newFixture("a", &fakeLease{}, engine)
+		fixture.lease.grant(1, time.Minute)
+		for _, model := range []string{"m0", "m1", "m2"} {
+			fixture.request(model, 1)
+			fixture.run(t, 3*time.Second)
+		}
+		if engine.conflicts != 1 || !engine.state.Has("m2", "") {
+			t.Errorf("%d conflicts, want 1; the engine holds %+v", engine.conflicts, engine.state.Models)
+		}
+	})
+}
+
+// TestConflictWithUnseenOrderIsSettledAtOnce covers an engine that has accepted an order which the holder does not know.
+func TestConflictWithUnseenOrderIsSettledAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := &fakeEngine{}
+		fixture := newFixture("a", &fakeLease{}, engine)
+		fixture.lease.grant(1, time.Minute)
+		fixture.run(t, time.Second)
+		engine.state.Orders = 7
+		fixture.request("m1", 1)
+		fixture.run(t, 100*time.Millisecond)
+		if engine.conflicts != 1 || engine.loads("m1") != 2 || engine.log[1].After != 7 {
+			t.Errorf("%d conflicts after orders %+v, want one and a second order after 7", engine.conflicts, engine.log)
+		}
+	})
+}
+
+// TestOrderInFlightCountsInThePlan guards against a second load of a model, or one more from the weight store, while the
+// response to the first order is on its way; and against a model that waits for an engine which does not answer.
+func TestOrderInFlightCountsInThePlan(t *testing.T) {
+	for _, c := range []struct {
+		tier  residency.Tier
+		after time.Duration
+		want  string
+	}{
+		{residency.Disk, sentCounts / 2, "m"},
+		{residency.Disk, sentCounts, ""},
+		{residency.Store, sentCounts, "m"},
+		{residency.Store, 2 * time.Second, ""},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			fixture := newFixture("a", &fakeLease{}, &fakeEngine{delayedOrders: 1})
+			fixture.lease.grant(1, time.Minute)
+			fixture.run(t, time.Second)
+			incarnation := topology.Incarnation{ID: "e", Started: 1}
+			fixture.mutex.Lock()
+			fixture.startSend(t.Context(), residency.Order{Engine: incarnation, Model: "m", Tier: c.tier}, &topology.Service{Engine: &topology.EngineSpec{}})
+			fixture.mutex.Unlock()
+			time.Sleep(c.after)
+			fixture.mutex.Lock()
+			defer fixture.mutex.Unlock()
+			if got := fixture.engines[incarnation].view(time.Now(), newTotals(), false, 0).Loading; got != c.want {
+				t.Errorf("%s, %v after the order: %q is being loaded, want %q", c.tier, c.after, got, c.want)
+			}
+		})
+	}
+}
+
 // TestDelayedOrdersDoNotOvercommit covers orders without a response that the engine executes seconds later, after
 // others.
 func TestDelayedOrdersDoNotOvercommit(t *testing.T) {
@@ -176,6 +240,24 @@
 	}
 }
 
+// TestTurnoverCountsFromTheEndOfTheFormerHolder covers a successor that acquires the lease some time after the former holder
+// could last send orders: that time is not waited for twice.
+func TestTurnoverCountsFromTheEndOfTheFormerHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ended := time.Now()
+		time.Sleep(time.Second)
+		fixture := newFixture("b", &fakeLease{former: lease.Holder{Name: "a"}, formerEnded: ended}, &fakeEngine{})
+		fixture.lease.grant(2, time.Minute)
+		for range 3 {
+			fixture.request("m1", 1)
+			fixture.run(t, time.Second)
+		}
+		if at := fixture.engine.log[0].at.Sub(ended); at < 3*time.Second || at > 3200*time.Millisecond {
+			t.Errorf("the first order came %v after the end of the former holder, want 3 s", at)
+		}
+	})
+}
+
 func TestNoOrdersAfterTheTerm(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fixture := newFixture("a", &fakeLease{}, &fakeEngine{})
