--- a/topology/replica.go
+++ b/topology/replica.go
@@ -30,6 +30,8 @@
 	Draining bool
 	// Remaining is the time until the replica stops, from when the row was written; zero if unknown.
 	Remaining time.Duration
+	// ColdRemaining is the time for which the replica is slow after its start, from when the row was written; zero if it is not.
+	ColdRemaining time.Duration
 	// Slots is the number of requests that the replica runs concurrently.
 	Slots int
 	// Holding is the content of an engine. Its fields Orders and Busy are not set, since a row does not have them.
@@ -62,6 +64,11 @@
 	return replica.ReceivedAt.Sub(at) < maxRowAge
 }
 
+// IsCold reports whether the replica is slow after its start, according to its row.
+func (replica *Replica) IsCold(now time.Time) bool {
+	return now.Sub(replica.ReceivedAt) < replica.ColdRemaining
+}
+
 // Holding is the content of an engine at one moment.
 type Holding struct {
 	// Orders is the number of orders that the engine accepted since its start.
