Choose replicas by their speed, late pauses and pace of recovery

Cause: a choice weighed requests in flight and the own time to the first byte only.

Change: package relay observes the gaps of each stream without further readings of the clock; the balancer keeps the sums for reports. A score weighs the speed, the chance of a pause longer than the route allows and the streams that a long prompt stalls, where replicas are known to differ. A replica with a window gets the share of each daemon's requests that its window is of the load of the others, unhurried ones first and those that may run once last; beyond that it is chosen after others. Where no difference is known, scores are as before.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -66,11 +66,12 @@
 	random *rand.Rand
 	// loads maps incarnations to their loads.
 	loads map[topology.Incarnation]*load
+	paces paces
 }
 
 // New returns a balancer without any load data.
 func New(random *rand.Rand) *Balancer {
-	return &Balancer{random: random, loads: map[topology.Incarnation]*load{}}
+	return &Balancer{random: random, loads: map[topology.Incarnation]*load{}, paces: newPaces()}
 }
 
 // Choose returns the best candidate and counts a request in flight at it, until Done or Cancel is called. Ejected,
@@ -82,6 +83,7 @@
 	if len(candidates) == 0 {
 		return Candidate{}, false
 	}
+	balancer.refreshPaces(now)
 	if criteria.MaxLoad > 0 {
 		candidates = balancer.withCapacity(candidates, criteria)
 	}
@@ -96,6 +98,7 @@
 	load.local = load.local.Plus(demand.OneWaiting(criteria.Priority))
 	load.pendingPromptTokens += criteria.Tokens
 	load.lastUsed = now
+	load.observed.Service, load.observed.Slots = criteria.Service, pick.Slots
 	if load.consecutiveFailures >= ejectionFailures {
 		load.ejectedUntil = now.Add(ejectionTime)
 	}
@@ -110,7 +113,7 @@
 	longestWait := time.Duration((certainWaitFactor + quantileWaitFactor*math.Pow(criteria.AdmissionQuantile, 3)) * float64(criteria.FirstEventTarget))
 	for index := range candidates {
 		load := balancer.load(candidates[index].Incarnation)
-		slots := max(candidates[index].Slots, 1)
+		slots := load.slots(&candidates[index])
 		if float64(load.inFlight()) >= criteria.MaxLoad*float64(slots) {
 			continue
 		}
@@ -123,14 +126,14 @@
 
 // pick returns the candidate with the lowest score in the best class. The mutex must be held.
 func (balancer *Balancer) pick(candidates []Candidate, criteria Criteria, now time.Time) Candidate {
-	lowestLatency := balancer.lowestLatency(candidates, now)
+	field := balancer.survey(candidates, criteria, now)
 	preferred := preferredIndex(candidates, criteria.DaemonIndex)
 	best := -1
 	bestScore, bestClass := 0.0, 0
 	for index := range candidates {
 		candidate := &candidates[index]
-		class := balancer.class(candidate, criteria, now)
-		score := balancer.score(candidate, criteria, lowestLatency, now)
+		class := balancer.class(candidate, criteria, &field, now)
+		score := balancer.score(candidate, criteria, &field, now)
 		if index == preferred {
 			score *= preferredFactor
 		}
@@ -145,6 +148,8 @@
 const (
 	// classFirst is that of candidates without restriction.
 	classFirst = iota
+	// classBeyondWindow is that of replicas that start or recover and have all requests that they should for now.
+	classBeyondWindow
 	// classLast is that of replicas of a leaving release, and of those above leavingMaxLoad while a release leaves.
 	classLast
 	classEjected
@@ -153,7 +158,7 @@
 )
 
 // class returns the class of the candidate. The mutex must be held.
-func (balancer *Balancer) class(candidate *Candidate, criteria Criteria, now time.Time) int {
+func (balancer *Balancer) class(candidate *Candidate, criteria Criteria, field *field, now time.Time) int {
 	load := balancer.load(candidate.Incarnation)
 	switch {
 	case slices.Contains(criteria.Silent, candidate.Incarnation):
@@ -164,6 +169,8 @@
 		return classEjected
 	case len(criteria.Leaving) > 0 && (slices.Contains(criteria.Leaving, candidate.Release) || float64(load.inFlight()) >= leavingMaxLoad*float64(candidate.Slots)):
 		return classLast
+	case load.pace.Window > 0 && !balancer.admits(load, criteria, field):
+		return classBeyondWindow
 	default:
 		return classFirst
 	}
@@ -171,14 +178,18 @@
 
 // score returns the expected cost of the candidate, or its requests in flight if the quietest is wanted; lower is better. The mutex
 // must be held.
-func (balancer *Balancer) score(candidate *Candidate, criteria Criteria, lowestLatency time.Duration, now time.Time) float64 {
+func (balancer *Balancer) score(candidate *Candidate, criteria Criteria, field *field, now time.Time) float64 {
 	load := balancer.load(candidate.Incarnation)
 	if criteria.Quietest {
 		return float64(load.inFlight())
 	}
-	score := 1 + loadCost*float64(load.inFlight())/float64(max(candidate.Slots, 1))
-	if lowestLatency > 0 && load.latency > 0 && now.Sub(load.lastUsed) < latencyExpiry {
-		score *= min(float64(load.latency)/float64(lowestLatency), maxLatencyFactor)
+	used := float64(load.inFlight()) / float64(load.slots(candidate))
+	score := 1 + loadCost*used
+	if field.uneven {
+		score *= field.paceFactor(load)
+		score += field.pauseCost(load, criteria, used)
+	} else if field.lowestLatency > 0 && load.latency > 0 && now.Sub(load.lastUsed) < latencyExpiry {
+		score *= min(float64(load.latency)/float64(field.lowestLatency), maxLatencyFactor)
 	}
 	score += failureCost*load.failureRate + prefillCost*float64(load.pendingPromptTokens)/prefillUnitTokens
 	if candidate.Zone != criteria.Zone {
@@ -238,6 +249,9 @@
 	balancer.mutex.Lock()
 	defer balancer.mutex.Unlock()
 	load := balancer.load(chosen.Incarnation)
+	if begun {
+		load.observeStart(&chosen, criteria, wait)
+	}
 	load.pendingPromptTokens -= criteria.Tokens
 	load.local = load.local.AfterFirstEvent(criteria.Priority)
 	load.observeWait(criteria.Priority, chosen.QueuedAhead, wait, begun)
@@ -255,6 +269,7 @@
 		load.ejectedUntil = time.Time{}
 		return
 	}
+	load.observed.Failed++
 	load.consecutiveFailures++
 	if load.consecutiveFailures >= ejectionFailures {
 		load.ejectedUntil = now.Add(ejectionTime)
--- a/balance/criteria.go
+++ b/balance/criteria.go
@@ -25,6 +25,17 @@
 	// MaxLoad is the number of requests in flight, as a multiple of its slots, from which a replica is not chosen;
 	// zero means no limit.
 	MaxLoad float64
+	// Service is the service of the candidates.
+	Service string
+	// GapTarget is the longest pause between events for which a stream counts as in time; zero if no pause counts.
+	GapTarget time.Duration
+	// OutputTokens is the most tokens that the replica generates; zero if unknown. Longer streams have late pauses more often.
+	OutputTokens int
+	// LateAnyway states that the response is late already, so that pauses do not matter.
+	LateAnyway bool
+	// Unhurried and AtMostOnce state that the request has time, and that it must not run twice: the first are sent to replicas that
+	// start or recover before others, and the second after others.
+	Unhurried, AtMostOnce bool
 	// Quietest states that the candidate with the fewest requests in flight is chosen, whatever else speaks for others.
 	Quietest bool
 	// Leaving lists releases whose replicas are chosen only if all other sound ones have most of their slots taken.
--- a/balance/load.go
+++ b/balance/load.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/bronzestall/bronzestall/demand"
+	"github.com/bronzestall/bronzestall/pace"
 )
 
 // load is the known load and health of one replica.
@@ -27,6 +28,9 @@
 	ejectedUntil time.Time
 	// lastUsed is when the replica was last chosen.
 	lastUsed time.Time
+	// observed has the observations since the last call of TakeObservations, and pace what is known from them and from other daemons.
+	observed pace.Sums
+	pace     pace.Value
 }
 
 // The weights of the moving averages: the fraction that the newest value contributes.
--- a/relay/activity.go
+++ b/relay/activity.go
@@ -48,9 +48,11 @@
 	return known
 }
 
-// event records an event of an attempt.
-func (activity *activity) event(known *replicaActivity) {
-	known.yielded.Store(int64(activity.clock.Since(activity.created)))
+// event records an event of an attempt, and returns the time since the activity was created.
+func (activity *activity) event(known *replicaActivity) time.Duration {
+	now := activity.clock.Since(activity.created)
+	known.yielded.Store(int64(now))
+	return now
 }
 
 // end records the end of an attempt.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -177,6 +177,9 @@
 	transaction.runs--
 	_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, MaxResponseBytes))
 	transaction.cancelAt(candidate)
+	if !reply.Misdirected {
+		transaction.relay.deps.Balancer.ObserveRejection(candidate)
+	}
 	if guard := transaction.relay.deps.Brittle; guard != nil && !reply.Misdirected {
 		guard.Rejected(candidate.Incarnation, transaction.relay.deps.Clock.Now())
 	}
--- a/relay/record.go
+++ b/relay/record.go
@@ -22,6 +22,8 @@
 	activity *replicaActivity
 	// waitEnded is set once the first event arrived or the attempt ended without one.
 	waitEnded bool
+	// gaps has the times between events.
+	gaps gaps
 }
 
 // startRecord records the start of an attempt at the candidate.
@@ -46,14 +48,29 @@
 		return
 	}
 	relay := attemptRecord.transaction.relay
-	relay.activity.event(attemptRecord.activity)
+	at := relay.activity.event(attemptRecord.activity)
 	if attemptRecord.waitEnded {
+		attemptRecord.observeGap(at)
 		return
 	}
+	attemptRecord.gaps.begin(at)
 	attemptRecord.endWait(true)
 	relay.deps.Balancer.ObserveLatency(attemptRecord.candidate.Incarnation, relay.deps.Clock.Since(attemptRecord.sent))
 }
 
+// observeGap records the time since the last event, and reports to the balancer what is due.
+func (attemptRecord *attemptRecord) observeGap(at time.Duration) {
+	target := attemptRecord.transaction.criteria.GapTarget
+	balancer := attemptRecord.transaction.relay.deps.Balancer
+	mean, late := attemptRecord.gaps.observe(at, target)
+	if late {
+		balancer.ObserveLatePause(attemptRecord.candidate.Incarnation, target)
+	}
+	if mean > 0 {
+		balancer.ObserveGap(attemptRecord.candidate.Incarnation, mean)
+	}
+}
+
 // showLife records that the replica has completed the response, so that a connection that it broke meanwhile was no crash. A nil
 // record has no effect.
 func (attemptRecord *attemptRecord) showLife() {
@@ -75,6 +92,9 @@
 	if !attemptRecord.waitEnded {
 		attemptRecord.endWait(false)
 	}
+	if mean := attemptRecord.gaps.rest(); mean > 0 {
+		attemptRecord.transaction.relay.deps.Balancer.ObserveGap(attemptRecord.candidate.Incarnation, mean)
+	}
 	attemptRecord.transaction.relay.activity.end(attemptRecord.candidate.Incarnation, attemptRecord.activity)
 	attemptRecord.transaction.relay.deps.Demand.RemoveInFlight(attemptRecord.replicaKey)
 }
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -80,6 +80,7 @@
 	if transaction.service.Engine != nil {
 		transaction.criteria.Tokens = transaction.request.Metadata.PromptTokens
 	}
+	transaction.setPaceCriteria()
 	return &selection{transaction: transaction, begun: transaction.relay.deps.Clock.Now()}
 }
 
