Share the pace of replicas among daemons through the lease holder

Cause: with 62 daemons and 60 replicas one pair meets only every 20 s or so, so that a daemon alone learns little of a replica.

Change: full reports carry the sums of observations since the last one, by replica that had requests; the holder merges them and states the values with the requests in flight of the announcement. An announcement of an older build says that it has none, and own observations count; the weight of an announced value falls with its age, to none after 5 s. Windows are logged (904, or 905 by a daemon alone) and shown in metrics, as are speeds and late pauses.

--- a/directory/placement.go
+++ b/directory/placement.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/bronzestall/bronzestall/demand"
+	"github.com/bronzestall/bronzestall/pace"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
@@ -47,6 +48,8 @@
 	Forecasts []Forecast
 	// InFlight maps engines to the requests in flight of all daemons; nil if it is not announced.
 	InFlight map[topology.Incarnation]demand.InFlight
+	// Paces maps replicas to their paces, without those that do not differ from others; nil if it is not announced.
+	Paces map[topology.Incarnation]pace.Value
 }
 
 // ChangesSince returns the announcement with only the placements that changed after the revision. It returns
--- a/event/front.go
+++ b/event/front.go
@@ -56,6 +56,8 @@
 	ReleasesListed     = define(878, "ReleasesListed", Info, "The releases of services that serve or did lately were listed in the store, for daemons that start when no other is left. Era is the last one of the store in which replicas had the time to write their rows again.")
 	ReleasesUnlisted   = define(879, "ReleasesUnlisted", Warning, "The releases of services could not be listed in the store; that is tried again. Until then the origins of streams are recorded one by one.")
 	LeaseCeded         = define(864, "LeaseCeded", Warning, "This daemon gives up the lease for orders, since it reaches no engine.")
+	ReplicaPaced       = define(904, "ReplicaPaced", Info, "The holder of the lease bounds the requests in flight at a replica that starts or recovers to Window, or lowers the bound, for the cause: Cold (its row says so), New, Failing, Rejecting or Slow; zero ends the bound.")
+	ReplicaPacedAlone  = define(905, "ReplicaPacedAlone", Info, "The same as ReplicaPaced, by what this daemon alone observed, since no holder announces paces.")
 	ReplicaBrittle     = define(865, "ReplicaBrittle", Warning, "A replica says that it falls over if it rejects more requests in a second than Rejections; fewer are sent to it.")
 	ReplicaSturdy      = define(866, "ReplicaSturdy", Info, "A replica no longer says that it falls over for rejections.")
 	PeerFound          = define(830, "PeerFound", Info, "Another daemon was seen for the first time, or again after it was lost.")
--- a/front/replicas.go
+++ b/front/replicas.go
@@ -143,6 +143,7 @@
 	wasReady := daemon.isReady()
 	daemon.observeReleases(entries)
 	daemon.directory.SetReplicas(usable)
+	daemon.balancer.SetReplicas(usable, daemon.clock.Now())
 	// Once the directory no longer lists the last replica of a release, no stream begins there because its release seems to stay.
 	logShifts(daemon.rollouts.Observe(usable, daemon.clock.Now()))
 	if configuration := daemon.relay.Configuration(); configuration != nil {
--- a/front/sync.go
+++ b/front/sync.go
@@ -55,6 +55,7 @@
 			report.Demand, report.InFlight = changedDemand(report.Demand, reported), nil
 		} else {
 			last = now
+			report.Paces = daemon.balancer.TakeObservations(now)
 		}
 		report.Fence, report.Revision = daemon.directory.Version()
 		if daemon.sync(ctx, report) {
@@ -115,6 +116,9 @@
 	if announcement.InFlight != nil {
 		daemon.balancer.SetRemoteInFlight(announcement.InFlight)
 	}
+	if announcement.Paces != nil {
+		daemon.balancer.SetPaces(announcement.Paces, daemon.clock.Now())
+	}
 	if announcement.Revision > 0 {
 		daemon.directory.Apply(announcement)
 	}
--- a/front/tasks.go
+++ b/front/tasks.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bronzestall/bronzestall/event"
+	"github.com/bronzestall/bronzestall/pace"
 	"github.com/bronzestall/bronzestall/ratelimit"
 	"github.com/bronzestall/bronzestall/roster"
 	"github.com/bronzestall/bronzestall/topology"
@@ -100,6 +101,7 @@
 	defer ticker.Stop()
 	var daemons recentPeak
 	var limits []ratelimit.Entry
+	var paces map[topology.Incarnation]pace.Value
 	step := 0
 	for {
 		select {
@@ -121,6 +123,7 @@
 		daemon.updateProtocolMetrics(live)
 		daemon.observeMembers(live)
 		limits = daemon.updateLimitMetrics(daemon.clock.Now(), limits)
+		paces = daemon.updatePaces(daemon.clock.Now(), paces)
 		if daemon.clock.Since(daemon.directory.HolderLastSeen()) > holderTimeout {
 			daemon.balancer.SetRemoteInFlight(daemon.mesh.InFlightByReplica())
 		}
--- a/mesh/announcement.go
+++ b/mesh/announcement.go
@@ -14,11 +14,21 @@
 func encodeAnnouncement(announcement *directory.Announcement, newer bool, now time.Time) *meshpb.Announcement {
 	encoded := &meshpb.Announcement{Fence: announcement.Fence, Revision: announcement.Revision, Newer: newer, Since: announcement.Since}
 	for replica, inFlight := range announcement.InFlight {
-		encoded.Running = append(encoded.Running, &meshpb.Load{
+		load := &meshpb.Load{
 			Place:   &meshpb.Place{Replica: replica.ID, Born: replica.Started},
 			Running: uint32(inFlight.Running),
 			Waiting: encodeWaiting(inFlight),
-		})
+		}
+		encodeValue(announcement.Paces[replica], load)
+		encoded.Running = append(encoded.Running, load)
+	}
+	encoded.Paced = announcement.Paces != nil
+	for replica, value := range announcement.Paces {
+		if _, listed := announcement.InFlight[replica]; !listed {
+			load := &meshpb.Load{Place: &meshpb.Place{Replica: replica.ID, Born: replica.Started}}
+			encodeValue(value, load)
+			encoded.Running = append(encoded.Running, load)
+		}
 	}
 	if !newer {
 		return encoded
@@ -58,6 +68,9 @@
 			announcement.InFlight[decodeIncarnation(load.GetPlace())] = decodeInFlight(load)
 		}
 	}
+	if encoded.GetPaced() {
+		announcement.Paces = decodeValues(encoded.GetRunning())
+	}
 	for _, placement := range encoded.GetPlacements() {
 		next := directory.Placement{
 			Incarnation: decodeIncarnation(placement),
--- a/mesh/report.go
+++ b/mesh/report.go
@@ -6,6 +6,8 @@
 
 	"github.com/bronzestall/bronzestall/demand"
 	"github.com/bronzestall/bronzestall/mesh/meshpb"
+	"github.com/bronzestall/bronzestall/pace"
+	"github.com/bronzestall/bronzestall/topology"
 )
 
 // Report is what a daemon reports to the lease holder.
@@ -15,6 +17,8 @@
 	// Demand is the demand of its requests by model or adapter, and InFlight the number in flight by replica.
 	Demand   []demand.KeyDemand
 	InFlight InFlightCounts
+	// Paces has the observations since the last full report, by replica.
+	Paces map[topology.Incarnation]pace.Sums
 	// Fence and Revision identify the last announcement that it received.
 	Fence, Revision uint64
 	// Wait is the longest time that the response is delayed until there is a newer announcement.
@@ -37,6 +41,7 @@
 		Wait:     uint64(report.Wait.Milliseconds()),
 		OnlyAsk:  report.PollOnly,
 		Partial:  report.Partial,
+		Paces:    encodeSums(report.Paces),
 	}
 	for _, entry := range report.Demand {
 		encoded.Wants = append(encoded.Wants, &meshpb.Want{
@@ -63,6 +68,7 @@
 		Wait:     min(milliseconds(encoded.GetWait()), maxWait),
 		PollOnly: encoded.GetOnlyAsk(),
 		Partial:  encoded.GetPartial(),
+		Paces:    decodeSums(encoded.GetPaces()),
 	}
 	for _, entry := range encoded.GetWants() {
 		decoded := demand.KeyDemand{
--- a/meter/name.go
+++ b/meter/name.go
@@ -73,6 +73,14 @@
 	ReplicasLeaving Name = "bronzestall_replicas_leaving"
 	// ReplicasResting is the number of upstreams in backoff, which asked for no requests for a period.
 	ReplicasResting Name = "bronzestall_replicas_resting"
+	// ReplicaSpeed is the speed of a replica in thousandths of the mean of its service, and ReplicaLatePauses by how many thousandths its
+	// chance of a late pause exceeds the mean; both are shown for replicas that differ from others.
+	ReplicaSpeed      Name = "bronzestall_replica_speed_milli"
+	ReplicaLatePauses Name = "bronzestall_replica_late_pauses_milli"
+	// ReplicaWindow is the number of requests that a replica that starts or recovers may have in flight; zero after that ended.
+	ReplicaWindow Name = "bronzestall_replica_window"
+	// ReplicasPaced is the number of replicas that start or recover, by cause.
+	ReplicasPaced Name = "bronzestall_replicas_paced"
 	// ReplicaLimit is the limit that a replica named, in thousandths of a request per second; zero after it ended.
 	ReplicaLimit Name = "bronzestall_replica_limit_milli"
 	// ReplicaLimitAge is the time since a response last confirmed the limit of a replica, in milliseconds.
--- a/scheduler/aggregator.go
+++ b/scheduler/aggregator.go
@@ -6,6 +6,7 @@
 
 	"github.com/bronzestall/bronzestall/demand"
 	"github.com/bronzestall/bronzestall/mesh"
+	"github.com/bronzestall/bronzestall/pace"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
@@ -44,6 +45,8 @@
 	services map[string]*totals
 	// inFlight maps replicas to the sum of requests in flight; zero sums are removed.
 	inFlight map[topology.Incarnation]demand.InFlight
+	// paces has what all daemons observed of the pace of replicas.
+	paces *pace.Estimator
 }
 
 func newAggregator() *aggregator {
@@ -52,6 +55,7 @@
 		waiting:  map[string]bool{},
 		services: map[string]*totals{},
 		inFlight: map[topology.Incarnation]demand.InFlight{},
+		paces:    pace.NewEstimator(),
 	}
 }
 
@@ -80,6 +84,9 @@
 		aggregator.addInFlight(report.InFlight, added)
 		known.inFlight = report.InFlight
 	}
+	for replica, observed := range report.Paces {
+		aggregator.paces.Add(replica, &observed, aggregator.inFlight[replica].Running, now)
+	}
 	known.receivedAt = now
 	aggregator.reports[report.Name] = known
 	aggregator.setWaiting(report.Name, known.waiting())
@@ -151,6 +158,11 @@
 	}
 }
 
+// speed returns the speed of the replica relative to the mean of its service; one if it is not known to differ.
+func (aggregator *aggregator) speed(replica topology.Incarnation, now time.Time) float64 {
+	return aggregator.paces.Values(now)[replica].RelativeSpeed()
+}
+
 // inFlightOfOthers returns the requests in flight of all daemons except the named one, by replica.
 func (aggregator *aggregator) inFlightOfOthers(except string) map[topology.Incarnation]demand.InFlight {
 	sum := maps.Clone(aggregator.inFlight)
--- a/scheduler/longpoll.go
+++ b/scheduler/longpoll.go
@@ -56,6 +56,7 @@
 	announced := scheduler.announced
 	if !report.PollOnly && !report.Partial {
 		announced.InFlight = scheduler.aggregator.inFlightOfOthers(report.Name)
+		announced.Paces = scheduler.aggregator.paces.Values(scheduler.deps.Clock.Now())
 	}
 	newer := announced.Revision > 0 && announced.IsNewerThan(report.Fence, report.Revision)
 	due := poll.pauseOver || report.Fence != announced.Fence || scheduler.aggregator.waiting[report.Name]
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -11,6 +11,7 @@
 
 	"github.com/bronzestall/bronzestall/directory"
 	"github.com/bronzestall/bronzestall/event"
+	"github.com/bronzestall/bronzestall/pace"
 	"github.com/bronzestall/bronzestall/residency"
 	"github.com/bronzestall/bronzestall/topology"
 )
@@ -24,6 +25,9 @@
 	stepPausePerEngine = 100 * time.Microsecond
 	// storeLoadStartsKept is how long the starts of loads from the weight store are kept.
 	storeLoadStartsKept = 10 * time.Second
+	// startRetention is the age up to which a new holder bounds the requests at replicas that started before its term. What came of
+	// requests at earlier ones was reported to its predecessor.
+	startRetention = 5 * time.Second
 	// forecastRounding is the precision of forecasts; small changes are not announced.
 	forecastRounding = 250 * time.Millisecond
 )
@@ -43,6 +47,8 @@
 	// configuration and replicas are the latest passed to Update.
 	configuration *topology.Configuration
 	replicas      []topology.Replica
+	// knownReplicas holds the latest replicas; nil before the first.
+	knownReplicas map[topology.Incarnation]bool
 	// fence is the fencing token of the term that the state below belongs to; zero before the first term.
 	fence uint64
 	// ordersHeldUntil is the time before which no order is sent.
@@ -80,6 +86,7 @@
 	scheduler.mutex.Lock()
 	scheduler.configuration = configuration
 	scheduler.replicas = replicas
+	scheduler.knownReplicas = pace.BeginStarts(scheduler.aggregator.paces, replicas, scheduler.knownReplicas, scheduler.deps.Clock.Now())
 	scheduler.mutex.Unlock()
 	scheduler.Wake()
 }
@@ -122,9 +129,14 @@
 	defer scheduler.mutex.Unlock()
 	now := scheduler.deps.Clock.Now()
 	fence, _, held := scheduler.deps.Lease.Held()
+	scheduler.aggregator.paces.Values(now)
+	changes := scheduler.aggregator.paces.Changes()
 	if !held || scheduler.configuration == nil {
 		return
 	}
+	for _, change := range changes {
+		event.ReplicaPaced.Log("Replica", change.ID, "Service", change.Service, "Window", change.Window, "Cause", change.Cause.String())
+	}
 	if fence != scheduler.fence {
 		scheduler.beginTerm(fence, now)
 	}
@@ -149,6 +161,7 @@
 func (scheduler *Scheduler) beginTerm(fence uint64, now time.Time) {
 	scheduler.fence = fence
 	scheduler.engines = map[topology.Incarnation]*engine{}
+	scheduler.aggregator.paces.EndWindows(now.Add(-startRetention))
 	scheduler.storeLoadStarts = nil
 	scheduler.loadings = scheduler.deps.Loadings()
 	scheduler.announced = directory.Announcement{Fence: fence}
