--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -67,6 +67,8 @@
 	// loads maps incarnations to their loads.
 	loads map[topology.Incarnation]*load
 	paces paces
+	// field is that of the choice under way, kept for its memory.
+	field field
 }
 
 // New returns a balancer without any load data.
@@ -132,8 +134,9 @@
 	bestScore, bestClass := 0.0, 0
 	for index := range candidates {
 		candidate := &candidates[index]
-		class := balancer.class(candidate, criteria, &field, now)
-		score := balancer.score(candidate, criteria, &field, now)
+		load := field.loads[index]
+		class := balancer.class(load, candidate, criteria, field, now)
+		score := balancer.score(load, candidate, criteria, field, now)
 		if index == preferred {
 			score *= preferredFactor
 		}
@@ -158,8 +161,7 @@
 )
 
 // class returns the class of the candidate. The mutex must be held.
-func (balancer *Balancer) class(candidate *Candidate, criteria Criteria, field *field, now time.Time) int {
-	load := balancer.load(candidate.Incarnation)
+func (balancer *Balancer) class(load *load, candidate *Candidate, criteria Criteria, field *field, now time.Time) int {
 	switch {
 	case slices.Contains(criteria.Silent, candidate.Incarnation):
 		return classSilent
@@ -178,8 +180,7 @@
 
 // score returns the expected cost of the candidate, or its requests in flight if the quietest is wanted; lower is better. The mutex
 // must be held.
-func (balancer *Balancer) score(candidate *Candidate, criteria Criteria, field *field, now time.Time) float64 {
-	load := balancer.load(candidate.Incarnation)
+func (balancer *Balancer) score(load *load, candidate *Candidate, criteria Criteria, field *field, now time.Time) float64 {
 	if criteria.Quietest {
 		return float64(load.inFlight())
 	}
@@ -201,18 +202,6 @@
 	return score * (1 + jitter*balancer.random.Float64())
 }
 
-// lowestLatency returns the lowest known latency of the candidates, or zero. The mutex must be held.
-func (balancer *Balancer) lowestLatency(candidates []Candidate, now time.Time) time.Duration {
-	lowest := time.Duration(0)
-	for index := range candidates {
-		load := balancer.load(candidates[index].Incarnation)
-		if load.latency > 0 && now.Sub(load.lastUsed) < latencyExpiry && (lowest == 0 || load.latency < lowest) {
-			lowest = load.latency
-		}
-	}
-	return lowest
-}
-
 // preferredIndex returns the index of the candidate that the daemon with the given index prefers. Candidates are
 // ordered by a hash, so that the preferences for different models are independent.
 func preferredIndex(candidates []Candidate, daemonIndex int) int {
--- a/balance/pace.go
+++ b/balance/pace.go
@@ -106,16 +106,6 @@
 	return known
 }
 
-// PaceOf returns what is known of the pace of the replica.
-func (balancer *Balancer) PaceOf(incarnation topology.Incarnation) pace.Value {
-	balancer.mutex.Lock()
-	defer balancer.mutex.Unlock()
-	if known, ok := balancer.loads[incarnation]; ok {
-		return known.pace
-	}
-	return pace.Value{}
-}
-
 // refreshPaces updates the paces of all loads at intervals. The mutex must be held.
 func (balancer *Balancer) refreshPaces(now time.Time) {
 	paces := &balancer.paces
@@ -187,6 +177,8 @@
 
 // field is what a choice needs of all candidates together.
 type field struct {
+	// loads has those of the candidates, in their order.
+	loads []*load
 	// lowestLatency is the lowest known latency, or zero.
 	lowestLatency time.Duration
 	// uneven is set if candidates are known to differ in their pace.
@@ -199,21 +191,26 @@
 	openSlots int
 }
 
-// survey returns what a choice needs of all candidates. The mutex must be held.
-func (balancer *Balancer) survey(candidates []Candidate, criteria Criteria, now time.Time) field {
-	field := field{lowestLatency: balancer.lowestLatency(candidates, now), count: len(candidates), lowestLate: math.Inf(1)}
+// survey returns what a choice needs of all candidates, until the next call. The mutex must be held.
+func (balancer *Balancer) survey(candidates []Candidate, criteria Criteria, now time.Time) *field {
+	surveyed := &balancer.field
+	*surveyed = field{loads: surveyed.loads[:0], count: len(candidates), lowestLate: math.Inf(1)}
 	for index := range candidates {
 		load := balancer.load(candidates[index].Incarnation)
+		surveyed.loads = append(surveyed.loads, load)
+		if load.latency > 0 && now.Sub(load.lastUsed) < latencyExpiry && (surveyed.lowestLatency == 0 || load.latency < surveyed.lowestLatency) {
+			surveyed.lowestLatency = load.latency
+		}
 		late := load.pace.LateChance(criteria.GapTarget)
-		field.uneven = field.uneven || load.pace.Speed > 0 || late != 0
-		field.lowestLate = min(field.lowestLate, late)
+		surveyed.uneven = surveyed.uneven || load.pace.Speed > 0 || late != 0
+		surveyed.lowestLate = min(surveyed.lowestLate, late)
 		if load.pace.Window == 0 {
-			field.open++
-			field.openInFlight += load.inFlight()
-			field.openSlots += max(candidates[index].Slots, 1)
+			surveyed.open++
+			surveyed.openInFlight += load.inFlight()
+			surveyed.openSlots += max(candidates[index].Slots, 1)
 		}
 	}
-	return field
+	return surveyed
 }
 
 // paceFactor returns the factor of the score for the speed of the replica.
