Share windows by need, bound refusals for them, and measure the pace in one table

Cause: replicas with a window got their share only while others had slots, and came back to their load late; a window of one request could refuse nearly all requests of a model; where speeds differ the own latency no longer counted; each applied table of replicas was copied.

Change: the share of requests for a replica with a window rises as the others' slots are taken. A window refuses requests only down to a quarter of the slots. The latency counts beside the speed. New replicas are found by one look-up for each listed one. The simulation is package internal/pacesim, which make measure-pace prints.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 TOOL = $(GO) tool -modfile=tools/go.mod
 
-.PHONY: build test lint try shake soak generate measure-relay measure-overload measure-keepwarm measure-peers
+.PHONY: build test lint try shake soak generate measure-relay measure-overload measure-keepwarm measure-pace measure-peers
 
 build:
 	$(GO) build -o bin/bronzestall ./cmd/bronzestall
@@ -48,6 +48,10 @@
 $(GO) run ./internal/cmd/protogen request $(1)/$(2) | $(TOOL) protoc-gen-go | $(GO) run ./internal/cmd/protogen write $(1)
 endef
 
+# measure-pace compares the choice of replicas by pace with the one without, in virtual time.
+measure-pace:
+	$(GO) run ./internal/cmd/measure pace
+
 # measure-keepwarm measures keep-warm policies on simulated workloads.
 measure-keepwarm:
 	$(GO) run ./internal/cmd/measure keepwarm
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -116,7 +116,7 @@
 	for index := range candidates {
 		load := balancer.load(candidates[index].Incarnation)
 		slots := load.slots(&candidates[index])
-		if float64(load.inFlight()) >= criteria.MaxLoad*float64(slots) {
+		if load.inFlight() >= load.accepted(&candidates[index], criteria.MaxLoad) {
 			continue
 		}
 		if criteria.FirstEventTarget <= 0 || load.queuedAhead(criteria.Priority) < slots/slotsPerWaiting || load.expectedWait(criteria.Priority) <= longestWait {
@@ -189,7 +189,8 @@
 	if field.uneven {
 		score *= field.paceFactor(load)
 		score += field.pauseCost(load, criteria, used)
-	} else if field.lowestLatency > 0 && load.latency > 0 && now.Sub(load.lastUsed) < latencyExpiry {
+	}
+	if field.lowestLatency > 0 && load.latency > 0 && now.Sub(load.lastUsed) < latencyExpiry {
 		score *= min(float64(load.latency)/float64(field.lowestLatency), maxLatencyFactor)
 	}
 	score += failureCost*load.failureRate + prefillCost*float64(load.pendingPromptTokens)/prefillUnitTokens
--- a/balance/pace.go
+++ b/balance/pace.go
@@ -27,6 +27,10 @@
 	// unhurriedShare and atMostOnceShare multiply the share of requests that are sent to a replica that starts or recovers.
 	unhurriedShare  = 2.0
 	atMostOnceShare = 0.25
+	// neededFrom is the share of slots in use at the others from which a replica that starts or recovers gets more requests.
+	neededFrom = 0.5
+	// minAcceptedShare is the share of its slots for which a replica is accepted at least, however small its window.
+	minAcceptedShare = 0.25
 	// paceInterval is the interval at which the paces of all replicas are updated.
 	paceInterval = 100 * time.Millisecond
 )
@@ -40,8 +44,7 @@
 	announcedAt time.Time
 	// refreshed is when the paces of the loads were last updated.
 	refreshed time.Time
-	// known holds the replicas that were listed last; nil before the first list.
-	known map[topology.Incarnation]bool
+	starts    pace.Starts
 }
 
 func newPaces() paces {
@@ -79,7 +82,7 @@
 func (balancer *Balancer) SetReplicas(replicas []topology.Replica, now time.Time) {
 	balancer.mutex.Lock()
 	defer balancer.mutex.Unlock()
-	balancer.paces.known = pace.BeginStarts(balancer.paces.own, replicas, balancer.paces.known, now)
+	balancer.paces.starts.Observe(balancer.paces.own, replicas, now)
 }
 
 // PaceChanges returns the windows that changed by the observations of this daemon alone; none while the lease holder announces paces.
@@ -175,6 +178,16 @@
 	return slots
 }
 
+// accepted returns the number of requests in flight from which the replica is not chosen. A window counts only down to minAcceptedShare
+// of the slots, so that few requests are refused for it where all replicas have small ones.
+func (load *load) accepted(candidate *Candidate, maxLoad float64) int {
+	slots := float64(max(candidate.Slots, 1))
+	if load.pace.Window > 0 {
+		return int(math.Ceil(min(max(load.pace.Window, minAcceptedShare*slots), maxLoad*slots)))
+	}
+	return int(math.Ceil(maxLoad * slots))
+}
+
 // field is what a choice needs of all candidates together.
 type field struct {
 	// loads has those of the candidates, in their order.
@@ -252,11 +265,6 @@
 		// The few others could not take what is kept from those with windows.
 		return true
 	}
-	// Once the others have no free slots, the replica is needed.
-	used := float64(field.openInFlight) / float64(field.openSlots)
-	if used >= 1 {
-		return true
-	}
 	share := 1 / float64(field.count)
 	if others := float64(field.openInFlight) / float64(field.open); others > load.pace.Window {
 		share *= load.pace.Window / others
@@ -267,5 +275,8 @@
 	if criteria.Unhurried {
 		share *= unhurriedShare
 	}
+	// The replica is needed the more the fewer slots the others have free.
+	used := float64(field.openInFlight) / float64(field.openSlots)
+	share = max(share, (used-neededFrom)/(1-neededFrom))
 	return balancer.random.Float64() < share
 }
--- a/balance/pace_test.go
+++ b/balance/pace_test.go
@@ -16,7 +16,7 @@
 	now := start
 	for range 500 {
 		now = now.Add(50 * time.Millisecond)
-		criteria := Criteria{Service: "s", Zone: "near", Tokens: random.IntN(2000), GapTarget: paceGapTarget, OutputTokens: random.IntN(900)}
+		criteria := Criteria{Service: "s", Zone: "near", Tokens: random.IntN(2000), GapTarget: 300 * time.Millisecond, OutputTokens: random.IntN(900)}
 		wait := time.Duration(100+random.IntN(100)) * time.Millisecond
 		gap := time.Duration(40+random.IntN(20)) * time.Millisecond
 		var ids [2]string
--- a/balance/pace_sim_test.go
+++ b/internal/pacesim/simulation.go
@@ -1,4 +1,4 @@
-package balance
+package pacesim
 
 import (
 	"fmt"
@@ -7,37 +7,48 @@
 	"slices"
 	"time"
 
+	"github.com/bronzestall/bronzestall/balance"
 	"github.com/bronzestall/bronzestall/demand"
 	"github.com/bronzestall/bronzestall/pace"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
-// The load of the simulation: daemons that learn each other's requests at intervals, and replicas that decode all their streams in
-// steps and read the prompts of new ones between two steps, during which the other streams pause.
+// The load of the simulation.
 const (
-	paceDaemons       = 62
-	paceReplicas      = 8
-	paceSlots         = 32
-	paceReport        = 746 * time.Millisecond
-	paceStep          = 40 * time.Millisecond
-	paceStreamCost    = 1200 * time.Microsecond
-	paceTokensPerMS   = 20.4
-	paceGapTarget     = 300 * time.Millisecond
-	paceStartTarget   = 600 * time.Millisecond
-	paceRate          = 24.0
-	paceEvents        = 75.0
-	pacePrompt        = 1000.0
-	paceDisturbed     = 20 * time.Second
-	paceLength        = 45 * time.Second
-	paceCarriesShare  = 0.8
-	paceRejectedAbove = 48
+	daemons        = 62
+	replicaCount   = 8
+	slots          = 32
+	reportInterval = 746 * time.Millisecond
+	// reportOffset is the time between the reports of two daemons.
+	reportOffset = 12 * time.Millisecond
+	// A step takes stepTime and streamCost for each stream, and reading a prompt the time for its tokens.
+	stepTime             = 40 * time.Millisecond
+	streamCost           = 1200 * time.Microsecond
+	tokensPerMillisecond = 20.4
+	gapTarget            = 300 * time.Millisecond
+	startTarget          = 600 * time.Millisecond
+	// requestRate is the number of requests per second.
+	requestRate = 24.0
+	// meanEvents and meanPrompt are the mean numbers of events of a stream and of tokens of a prompt.
+	meanEvents = 75.0
+	meanPrompt = 1000.0
+	// disturbedAt is when a case begins, and length when it ends.
+	disturbedAt = 20 * time.Second
+	length      = 45 * time.Second
+	// carriedShare is the part of its share of the requests from which a replica counts as carrying it.
+	carriedShare = 0.8
+	// rejectedAbove is the number of requests from which a replica rejects further ones.
+	rejectedAbove = 48
 )
 
-// paceStream is one stream at a replica.
-type paceStream struct {
+// start is when a simulation begins.
+var start = time.Unix(1000, 0)
+
+// stream is one stream at a replica.
+type stream struct {
 	daemon    int
-	criteria  Criteria
-	chosen    Candidate
+	criteria  balance.Criteria
+	chosen    balance.Candidate
 	events    int
 	begun     bool
 	lastEvent time.Time
@@ -46,64 +57,65 @@
 	gapsSince time.Time
 }
 
-// paceReplica is one simulated replica.
-type paceReplica struct {
+// replica is one simulated replica.
+type replica struct {
 	topology.Incarnation
 	speed    float64
-	queue    []*paceStream
-	running  []*paceStream
+	queue    []*stream
+	running  []*stream
 	nextStep time.Time
 	down     bool
 	// failsAbove is the number of streams above which it fails new ones; zero means that it does not.
 	failsAbove int
 	// work is what it was sent since the simulation or the disturbance began, in ms of a replica of speed one.
-	work                                 float64
-	sent, failed, lateStarts, latePauses int
+	work                                        float64
+	sent, failed, began, lateStarts, latePauses int
 	// carriedAt is when it first had its share of the requests sent within a second after the disturbance.
 	carriedAt time.Duration
 	recent    int
 }
 
-// paceSimulation runs daemons and replicas in virtual time.
-type paceSimulation struct {
+// simulation runs daemons and replicas in virtual time.
+type simulation struct {
 	random    *rand.Rand
 	now       time.Time
-	balancers []*Balancer
+	balancers []*balance.Balancer
 	inFlight  []map[topology.Incarnation]demand.InFlight
 	total     map[topology.Incarnation]demand.InFlight
-	replicas  []*paceReplica
+	replicas  []*replica
 	holder    *pace.Estimator
+	starts    pace.Starts
 	// paced is set if daemons use the paces of replicas.
 	paced bool
 	rate  float64
 }
 
-func newPaceSimulation(paced bool, seed uint64, speeds []float64) *paceSimulation {
-	sim := &paceSimulation{random: rand.New(rand.NewPCG(seed, 5)), now: start, holder: pace.NewEstimator(), paced: paced, rate: paceRate, total: map[topology.Incarnation]demand.InFlight{}}
-	for daemon := range paceDaemons {
-		sim.balancers = append(sim.balancers, New(rand.New(rand.NewPCG(seed, uint64(daemon)))))
+func newSimulation(paced bool, seed uint64, speeds []float64) *simulation {
+	sim := &simulation{random: rand.New(rand.NewPCG(seed, 5)), now: start, holder: pace.NewEstimator(), paced: paced, rate: requestRate, total: map[topology.Incarnation]demand.InFlight{}}
+	for daemon := range daemons {
+		sim.balancers = append(sim.balancers, balance.New(rand.New(rand.NewPCG(seed, uint64(daemon)))))
 		sim.inFlight = append(sim.inFlight, map[topology.Incarnation]demand.InFlight{})
 	}
-	for number := range paceReplicas {
-		sim.replicas = append(sim.replicas, &paceReplica{Incarnation: topology.Incarnation{ID: fmt.Sprintf("r%d", number)}, speed: speeds[number%len(speeds)]})
+	for number := range replicaCount {
+		sim.replicas = append(sim.replicas, &replica{Incarnation: topology.Incarnation{ID: fmt.Sprintf("r%d", number)}, speed: speeds[number%len(speeds)]})
 	}
 	return sim
 }
 
 // arrive sends one request from a random daemon, at most three times.
-func (sim *paceSimulation) arrive() {
-	daemon := sim.random.IntN(paceDaemons)
-	criteria := Criteria{
-		Service: "s", Zone: "near", DaemonIndex: daemon, Tokens: int(pacePrompt * sim.random.ExpFloat64()), FirstEventTarget: paceStartTarget,
-		GapTarget: paceGapTarget, MaxLoad: 2, OutputTokens: int(4 * paceEvents), Unhurried: sim.random.IntN(10) == 0,
+func (sim *simulation) arrive() {
+	daemon := sim.random.IntN(daemons)
+	criteria := balance.Criteria{
+		Service: "s", Zone: "near", DaemonIndex: daemon, Tokens: int(meanPrompt * sim.random.ExpFloat64()), FirstEventTarget: startTarget,
+		GapTarget: gapTarget, MaxLoad: 2, OutputTokens: int(4 * meanEvents), Unhurried: sim.random.IntN(10) == 0,
 	}
-	var candidates []Candidate
+	var candidates []balance.Candidate
 	for _, replica := range sim.replicas {
-		candidates = append(candidates, Candidate{Incarnation: replica.Incarnation, Zone: "near", Slots: paceSlots})
+		candidates = append(candidates, balance.Candidate{Incarnation: replica.Incarnation, Zone: "near", Slots: slots})
 	}
 	for range 3 {
 		chosen, ok := sim.balancers[daemon].Choose(candidates, criteria, sim.now)
-		if !ok || sim.send(&paceStream{daemon: daemon, criteria: criteria, chosen: chosen, events: 1 + int(paceEvents*sim.random.ExpFloat64())}) {
+		if !ok || sim.send(&stream{daemon: daemon, criteria: criteria, chosen: chosen, events: 1 + int(meanEvents*sim.random.ExpFloat64())}) {
 			return
 		}
 		criteria.Exclude = append(criteria.Exclude, chosen.Incarnation)
@@ -111,8 +123,8 @@
 }
 
 // send sends the stream to its replica, and reports whether that takes it.
-func (sim *paceSimulation) send(stream *paceStream) bool {
-	replica := sim.replicas[slices.IndexFunc(sim.replicas, func(replica *paceReplica) bool { return replica.Incarnation == stream.chosen.Incarnation })]
+func (sim *simulation) send(stream *stream) bool {
+	replica := sim.replicas[slices.IndexFunc(sim.replicas, func(replica *replica) bool { return replica.Incarnation == stream.chosen.Incarnation })]
 	replica.sent++
 	replica.recent++
 	balancer := sim.balancers[stream.daemon]
@@ -123,19 +135,19 @@
 		balancer.EndWait(stream.chosen, stream.criteria, 0, false)
 		balancer.Done(replica.Incarnation, true, sim.now)
 		return false
-	case load >= paceRejectedAbove:
+	case load >= rejectedAbove:
 		balancer.ObserveRejection(stream.chosen)
 		balancer.Withdraw(stream.chosen, stream.criteria)
 		return false
 	}
-	replica.work += float64(stream.criteria.Tokens)/paceTokensPerMS + float64(stream.events)*float64(paceStreamCost.Milliseconds())
+	replica.work += float64(stream.criteria.Tokens)/tokensPerMillisecond + float64(stream.events)*float64(streamCost.Milliseconds())
 	replica.queue = append(replica.queue, stream)
 	sim.count(stream, 1)
 	return true
 }
 
 // count adds the stream to what its daemon reports, or removes it.
-func (sim *paceSimulation) count(stream *paceStream, sign int) {
+func (sim *simulation) count(stream *stream, sign int) {
 	for _, counts := range []map[topology.Incarnation]demand.InFlight{sim.inFlight[stream.daemon], sim.total} {
 		entry := counts[stream.chosen.Incarnation]
 		entry.Running += sign
@@ -144,7 +156,7 @@
 }
 
 // step runs one step of the replica, and plans the next.
-func (sim *paceSimulation) step(replica *paceReplica) {
+func (sim *simulation) step(replica *replica) {
 	if len(replica.queue)+len(replica.running) == 0 || replica.down {
 		replica.nextStep = sim.now.Add(10 * time.Millisecond)
 		return
@@ -160,35 +172,36 @@
 		sim.count(stream, -1)
 	}
 	replica.running = running
-	took := paceStep + time.Duration(len(replica.running))*paceStreamCost
-	for len(replica.queue) > 0 && len(replica.running) < paceSlots {
+	took := stepTime + time.Duration(len(replica.running))*streamCost
+	for len(replica.queue) > 0 && len(replica.running) < slots {
 		stream := replica.queue[0]
 		replica.queue = replica.queue[1:]
 		replica.running = append(replica.running, stream)
-		took += time.Duration(float64(stream.criteria.Tokens) / paceTokensPerMS * float64(time.Millisecond))
+		took += time.Duration(float64(stream.criteria.Tokens) / tokensPerMillisecond * float64(time.Millisecond))
 	}
 	noise := math.Exp(0.15 * sim.random.NormFloat64())
 	replica.nextStep = sim.now.Add(time.Duration(float64(took) * noise / replica.speed))
 }
 
 // observeEvent records the next event of the stream at its daemon, as package relay does.
-func (sim *paceSimulation) observeEvent(replica *paceReplica, stream *paceStream) {
+func (sim *simulation) observeEvent(replica *replica, stream *stream) {
 	balancer := sim.balancers[stream.daemon]
 	if !stream.begun {
 		wait := sim.now.Sub(stream.chosen.ChosenAt)
-		if wait > paceStartTarget {
+		if wait > startTarget {
 			replica.lateStarts++
 		}
 		balancer.EndWait(stream.chosen, stream.criteria, wait, true)
 		balancer.ObserveLatency(replica.Incarnation, wait)
+		replica.began++
 		stream.begun, stream.lastEvent, stream.gapsSince = true, sim.now, sim.now
 		return
 	}
-	if gap := sim.now.Sub(stream.lastEvent); gap > paceGapTarget && !stream.late {
+	if gap := sim.now.Sub(stream.lastEvent); gap > gapTarget && !stream.late {
 		stream.late = true
 		replica.latePauses++
 		if sim.paced {
-			balancer.ObserveLatePause(replica.Incarnation, paceGapTarget)
+			balancer.ObserveLatePause(replica.Incarnation, gapTarget)
 		}
 	}
 	stream.lastEvent = sim.now
@@ -202,7 +215,7 @@
 }
 
 // report exchanges a report of the daemon for the counts and paces of the holder.
-func (sim *paceSimulation) report(daemon int) {
+func (sim *simulation) report(daemon int) {
 	balancer, sums := sim.balancers[daemon], map[topology.Incarnation]demand.InFlight{}
 	for incarnation, count := range sim.total {
 		sums[incarnation] = count.Minus(sim.inFlight[daemon][incarnation])
@@ -218,7 +231,7 @@
 }
 
 // crash ends all streams of the replica, which fails further ones until it is up again.
-func (sim *paceSimulation) crash(replica *paceReplica) {
+func (sim *simulation) crash(replica *replica) {
 	replica.down = true
 	for _, stream := range slices.Concat(replica.queue, replica.running) {
 		if !stream.begun {
@@ -231,24 +244,24 @@
 }
 
 // list passes the replicas to all daemons and the holder, as rows of the store do.
-func (sim *paceSimulation) list(cold time.Duration, known map[topology.Incarnation]bool) map[topology.Incarnation]bool {
+func (sim *simulation) list(cold time.Duration) {
 	var listed []topology.Replica
 	for _, replica := range sim.replicas {
-		listed = append(listed, topology.Replica{Incarnation: replica.Incarnation, Service: "s", Slots: paceSlots, ReceivedAt: sim.now, ColdRemaining: cold})
+		listed = append(listed, topology.Replica{Incarnation: replica.Incarnation, Service: "s", Slots: slots, ReceivedAt: sim.now, ColdRemaining: cold})
 	}
 	if !sim.paced {
-		return nil
+		return
 	}
 	for _, balancer := range sim.balancers {
 		balancer.SetReplicas(listed, sim.now)
 	}
-	return pace.BeginStarts(sim.holder, listed, known, sim.now)
+	sim.starts.Observe(sim.holder, listed, sim.now)
 }
 
 // run runs until the length, calling disturb at each millisecond.
-func (sim *paceSimulation) run(disturb func(passed time.Duration)) {
+func (sim *simulation) run(disturb func(passed time.Duration)) {
 	next := time.Duration(0)
-	for passed := time.Duration(0); passed < paceLength; passed += time.Millisecond {
+	for passed := time.Duration(0); passed < length; passed += time.Millisecond {
 		sim.now = start.Add(passed)
 		disturb(passed)
 		for ; next <= passed; next += time.Duration(sim.random.ExpFloat64() / sim.rate * float64(time.Second)) {
@@ -260,7 +273,7 @@
 			}
 		}
 		for daemon := range sim.balancers {
-			if (passed+time.Duration(daemon)*12*time.Millisecond)%paceReport == 0 {
+			if (passed+time.Duration(daemon)*reportOffset)%reportInterval == 0 {
 				sim.report(daemon)
 			}
 		}
@@ -271,22 +284,22 @@
 }
 
 // observeShares finds the replicas that had their share of the last second's requests.
-func (sim *paceSimulation) observeShares(passed time.Duration) {
+func (sim *simulation) observeShares(passed time.Duration) {
 	sum, speeds := 0, 0.0
 	for _, replica := range sim.replicas {
 		sum, speeds = sum+replica.recent, speeds+replica.speed
 	}
 	for _, replica := range sim.replicas {
-		if share := float64(sum) * replica.speed / speeds; passed > paceDisturbed && replica.carriedAt == 0 && !replica.down && float64(replica.recent) >= paceCarriesShare*share {
-			replica.carriedAt = passed - paceDisturbed
+		if share := float64(sum) * replica.speed / speeds; passed > disturbedAt && replica.carriedAt == 0 && !replica.down && float64(replica.recent) >= carriedShare*share {
+			replica.carriedAt = passed - disturbedAt
 		}
 		replica.recent = 0
 	}
 }
 
 // reset forgets the results so far.
-func (sim *paceSimulation) reset() {
+func (sim *simulation) reset() {
 	for _, replica := range sim.replicas {
-		replica.work, replica.sent, replica.failed, replica.lateStarts, replica.latePauses = 0, 0, 0, 0, 0
+		replica.work, replica.sent, replica.failed, replica.began, replica.lateStarts, replica.latePauses = 0, 0, 0, 0, 0, 0
 	}
 }
--- a/pace/estimator_test.go
+++ b/pace/estimator_test.go
@@ -136,9 +136,13 @@
 	replica := func(number int, cold time.Duration) topology.Replica {
 		return topology.Replica{Incarnation: incarnation(number), Service: "s", Slots: 16, ReceivedAt: start, ColdRemaining: cold}
 	}
-	known := BeginStarts(estimator, nil, nil, start)
-	known = BeginStarts(estimator, []topology.Replica{replica(0, 0), replica(1, time.Second)}, known, start)
-	BeginStarts(estimator, []topology.Replica{replica(0, 0), replica(1, 0), replica(2, 0)}, known, start)
+	var starts Starts
+	starts.Observe(estimator, nil, start)
+	starts.Observe(estimator, []topology.Replica{replica(0, 0), replica(1, time.Second), replica(3, 0)}, start)
+	starts.Observe(estimator, []topology.Replica{replica(0, 0), replica(1, 0), replica(2, 0)}, start)
+	if len(starts.known) != 3 {
+		t.Errorf("%d replicas are known", len(starts.known))
+	}
 	values := estimator.Values(start)
 	for number, cause := range []Cause{None, Cold, New} {
 		if value := values[incarnation(number)]; value.Cause != cause || (cause != None) != (value.Window == 4) {
--- a/pace/starts.go
+++ b/pace/starts.go
@@ -6,25 +6,44 @@
 	"github.com/bronzestall/bronzestall/topology"
 )
 
-// BeginStarts begins the windows of replicas that are cold, or not among the known ones. It returns the replicas listed, which are the
-// known ones of the next call. Before the first list, known is nil: then no replica counts as new.
-func BeginStarts(estimator *Estimator, replicas []topology.Replica, known map[topology.Incarnation]bool, now time.Time) map[topology.Incarnation]bool {
-	if known == nil && len(replicas) == 0 {
-		return nil
+// Starts finds replicas that start. The zero value knows none. It is not safe for concurrent use.
+type Starts struct {
+	// known holds the replicas that were listed last; nil before the first list.
+	known map[topology.Incarnation]bool
+}
+
+// Observe begins the windows of replicas that are cold, or were not listed before. In the first list that has any, no replica counts as
+// new. Its cost is that of one look-up for each replica while none starts or ends.
+func (starts *Starts) Observe(estimator *Estimator, replicas []topology.Replica, now time.Time) {
+	if starts.known == nil && len(replicas) == 0 {
+		return
+	}
+	first := starts.known == nil
+	if first {
+		starts.known = make(map[topology.Incarnation]bool, len(replicas))
 	}
-	listed := make(map[topology.Incarnation]bool, len(replicas))
 	for index := range replicas {
 		replica := &replicas[index]
-		listed[replica.Incarnation] = true
-		if known[replica.Incarnation] {
+		if starts.known[replica.Incarnation] {
 			continue
 		}
+		starts.known[replica.Incarnation] = true
 		switch {
 		case replica.IsCold(now):
 			estimator.Begin(replica.Incarnation, replica.Service, replica.Slots, Cold, now)
-		case known != nil:
+		case !first:
 			estimator.Begin(replica.Incarnation, replica.Service, replica.Slots, New, now)
 		}
 	}
-	return listed
+	if len(starts.known) > len(replicas) {
+		starts.forget(replicas)
+	}
+}
+
+// forget drops the replicas that are not listed.
+func (starts *Starts) forget(replicas []topology.Replica) {
+	clear(starts.known)
+	for index := range replicas {
+		starts.known[replicas[index].Incarnation] = true
+	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -47,8 +47,8 @@
 	// configuration and replicas are the latest passed to Update.
 	configuration *topology.Configuration
 	replicas      []topology.Replica
-	// knownReplicas holds the latest replicas; nil before the first.
-	knownReplicas map[topology.Incarnation]bool
+	// starts knows which replicas are new.
+	starts pace.Starts
 	// fence is the fencing token of the term that the state below belongs to; zero before the first term.
 	fence uint64
 	// ordersHeldUntil is the time before which no order is sent.
@@ -86,7 +86,7 @@
 	scheduler.mutex.Lock()
 	scheduler.configuration = configuration
 	scheduler.replicas = replicas
-	scheduler.knownReplicas = pace.BeginStarts(scheduler.aggregator.paces, replicas, scheduler.knownReplicas, scheduler.deps.Clock.Now())
+	scheduler.starts.Observe(scheduler.aggregator.paces, replicas, scheduler.deps.Clock.Now())
 	scheduler.mutex.Unlock()
 	scheduler.Wake()
 }
