Test that streams and rejections are observed

Cause: no test failed if the relay told the balancer nothing of a stream.

Change: relay.TestStreamsAreObserved serves two streams with one rejection between them and reads the observations.

Measured: passes under the race detector.

--- a/relay/gaps_test.go
+++ b/relay/gaps_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/bronzestall/bronzestall/pace"
 )
 
 // TestGapsOfAStream guards against late pauses that are missed or counted twice, and against means of few gaps.
@@ -30,3 +32,26 @@
 		t.Errorf("one gap has the mean %v", rest)
 	}
 }
+
+// TestStreamsAreObserved guards against requests whose results the balancer does not learn, and against rejections that count as starts.
+func TestStreamsAreObserved(t *testing.T) {
+	fixture := newFixture(ok(events(1, 3)), rejected(false), ok(events(1, 3)))
+	for _, path := range []string{"/stream/x", "/resume/x"} {
+		fixture.client = client{}
+		if failure := fixture.serve(t.Context(), path); failure != nil {
+			t.Fatal(failure)
+		}
+	}
+	var sum pace.Sums
+	for _, observed := range fixture.relay.deps.Balancer.TakeObservations(time.Now()) {
+		sum.Good += observed.Good
+		sum.Rejected += observed.Rejected
+		sum.Pauses[0].Streams += observed.Pauses[0].Streams
+		if observed.Service != "engine" || observed.Slots != 4 || observed.Pauses[0].Target != 250*time.Millisecond {
+			t.Errorf("observed %+v", observed)
+		}
+	}
+	if sum.Good != 2 || sum.Rejected != 1 || sum.Pauses[0].Streams != 2 {
+		t.Errorf("observed %+v in all", sum)
+	}
+}
