Let as many connections rest as replicas accept from all daemons

Cause: one connection of a pair that rests for 15 s does not serve streams that overlap, and pairs meet less often than that.

The daemon passes the number of daemons to the pool.

Tests of connection, platform and front pass under the race detector.

--- a/connection/pool.go
+++ b/connection/pool.go
@@ -34,13 +34,15 @@
 	mutex sync.Mutex
 	// idle maps keys to unused connections, the most recently used last; each list has at most MaxIdle entries.
 	idle map[string][]*conn
+	// resting is the number of unused connections of a key that may rest.
+	resting int
 	// cautiousUntil is until when no connection is used that was unused for longer than the IdleTimeout.
 	cautiousUntil time.Time
 }
 
 // New returns a pool without connections.
 func New(settings Settings, clk clock.PassiveClock) *Pool {
-	return &Pool{settings: settings.withDefaults(), clock: clk, idle: map[string][]*conn{}}
+	return &Pool{settings: settings.withDefaults(), clock: clk, idle: map[string][]*conn{}, resting: 1}
 }
 
 // Do sends the call once and returns the response once its head was read. The context also bounds the reading of the
@@ -87,8 +89,8 @@
 	for key, list := range pool.idle {
 		kept := list[:0]
 		for index, c := range list {
-			// The most recently used one rests.
-			if c.expires.After(now) || (index == len(list)-1 && c.rests.After(now)) {
+			// The most recently used ones rest.
+			if c.expires.After(now) || (index >= len(list)-pool.resting && c.rests.After(now)) {
 				kept = append(kept, c)
 				continue
 			}
--- a/connection/settings.go
+++ b/connection/settings.go
@@ -13,7 +13,7 @@
 const (
 	defaultDialTimeout = 500 * time.Millisecond
 	defaultIdleTimeout = time.Second
-	defaultRestTimeout = 15 * time.Second
+	defaultRestTimeout = time.Minute
 	defaultUserTimeout = 3 * time.Second
 	defaultMaxIdle     = 64
 	defaultHeadBytes   = 32 << 10
@@ -48,8 +48,8 @@
 	// IdleTimeout is how long an unused connection is kept at most; zero means 1 s. A shorter timeout that the
 	// upstream states takes precedence.
 	IdleTimeout time.Duration
-	// RestTimeout is how long the last unused connection of a key is kept at most, in place of IdleTimeout; zero means 15 s. An upstream
-	// so has no more such connections than it has clients. A shorter timeout that it states takes precedence.
+	// RestTimeout is how long the unused connections of a key that may rest (see SetClients) are kept at most, in place of IdleTimeout;
+	// zero means one minute. A shorter timeout that the upstream states takes precedence.
 	RestTimeout time.Duration
 	// UserTimeout is how long sent bytes may stay unacknowledged; zero means 3 s.
 	UserTimeout time.Duration
--- a/front/tasks.go
+++ b/front/tasks.go
@@ -114,6 +114,7 @@
 		daemon.daemonIndex.Store(int64(daemon.rankAmong(live)))
 		daemon.daemonCount.Store(int64(len(live) + 1))
 		daemon.brittle.SetDaemons(len(live) + 1)
+		daemon.pool.SetClients(len(live) + 1)
 		daemon.updateReaderRole()
 		daemon.logDroppedLines()
 		if step++; step%pruneEvery == 0 {
