--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -66,11 +66,14 @@
 	random *rand.Rand
 	// loads maps incarnations to their loads.
 	loads map[topology.Incarnation]*load
+	paces paces
+	// field is that of the choice under way, kept for its memory.
+	field field
 }
 
 // New returns a balancer without any load data.
 func New(random *rand.Rand) *Balancer {
-	return &Balancer{random: random, loads: map[topology.Incarnation]*load{}}
+	return &Balancer{random: random, loads: map[topology.Incarnation]*load{}, paces: newPaces()}
 }
 
 // Choose returns the best candidate and counts a request in flight at it, until Done or Cancel is called. Ejected,
@@ -82,6 +85,7 @@
 	if len(candidates) == 0 {
 		return Candidate{}, false
 	}
+	balancer.refreshPaces(now)
 	if criteria.MaxLoad > 0 {
 		candidates = balancer.withCapacity(candidates, criteria)
 	}
@@ -96,6 +100,7 @@
 	load.local = load.local.Plus(demand.OneWaiting(criteria.Priority))
 	load.pendingPromptTokens += criteria.Tokens
 	load.lastUsed = now
+	load.observed.Service, load.observed.Slots = criteria.Service, pick.Slots
 	if load.consecutiveFailures >= ejectionFailures {
 		load.ejectedUntil = now.Add(ejectionTime)
 	}
@@ -110,8 +115,8 @@
 	longestWait := time.Duration((certainWaitFactor + quantileWaitFactor*math.Pow(criteria.AdmissionQuantile, 3)) * float64(criteria.FirstEventTarget))
 	for index := range candidates {
 		load := balancer.load(candidates[index].Incarnation)
-		slots := max(candidates[index].Slots, 1)
-		if float64(load.inFlight()) >= criteria.MaxLoad*float64(slots) {
+		slots := load.slots(&candidates[index])
+		if load.inFlight() >= load.accepted(&candidates[index], criteria.MaxLoad) {
 			continue
 		}
 		if criteria.FirstEventTarget <= 0 || load.queuedAhead(criteria.Priority) < slots/slotsPerWaiting || load.expectedWait(criteria.Priority) <= longestWait {
@@ -123,14 +128,15 @@
 
 // pick returns the candidate with the lowest score in the best class. The mutex must be held.
 func (balancer *Balancer) pick(candidates []Candidate, criteria Criteria, now time.Time) Candidate {
-	lowestLatency := balancer.lowestLatency(candidates, now)
+	field := balancer.survey(candidates, criteria, now)
 	preferred := preferredIndex(candidates, criteria.DaemonIndex)
 	best := -1
 	bestScore, bestClass := 0.0, 0
 	for index := range candidates {
 		candidate := &candidates[index]
-		class := balancer.class(candidate, criteria, now)
-		score := balancer.score(candidate, criteria, lowestLatency, now)
+		load := field.loads[index]
+		class := balancer.class(load, candidate, criteria, field, now)
+		score := balancer.score(load, candidate, criteria, field, now)
 		if index == preferred {
 			score *= preferredFactor
 		}
@@ -145,6 +151,8 @@
 const (
 	// classFirst is that of candidates without restriction.
 	classFirst = iota
+	// classBeyondWindow is that of replicas that start or recover and have all requests that they should for now.
+	classBeyondWindow
 	// classLast is that of replicas of a leaving release, and of those above leavingMaxLoad while a release leaves.
 	classLast
 	classEjected
@@ -153,8 +161,7 @@
 )
 
 // class returns the class of the candidate. The mutex must be held.
-func (balancer *Balancer) class(candidate *Candidate, criteria Criteria, now time.Time) int {
-	load := balancer.load(candidate.Incarnation)
+func (balancer *Balancer) class(load *load, candidate *Candidate, criteria Criteria, field *field, now time.Time) int {
 	switch {
 	case slices.Contains(criteria.Silent, candidate.Incarnation):
 		return classSilent
@@ -164,6 +171,8 @@
 		return classEjected
 	case len(criteria.Leaving) > 0 && (slices.Contains(criteria.Leaving, candidate.Release) || float64(load.inFlight()) >= leavingMaxLoad*float64(candidate.Slots)):
 		return classLast
+	case load.pace.Window > 0 && !balancer.admits(load, criteria, field):
+		return classBeyondWindow
 	default:
 		return classFirst
 	}
@@ -171,14 +180,18 @@
 
 // score returns the expected cost of the candidate, or its requests in flight if the quietest is wanted; lower is better. The mutex
 // must be held.
-func (balancer *Balancer) score(candidate *Candidate, criteria Criteria, lowestLatency time.Duration, now time.Time) float64 {
-	load := balancer.load(candidate.Incarnation)
+func (balancer *Balancer) score(load *load, candidate *Candidate, criteria Criteria, field *field, now time.Time) float64 {
 	if criteria.Quietest {
 		return float64(load.inFlight())
 	}
-	score := 1 + loadCost*float64(load.inFlight())/float64(max(candidate.Slots, 1))
-	if lowestLatency > 0 && load.latency > 0 && now.Sub(load.lastUsed) < latencyExpiry {
-		score *= min(float64(load.latency)/float64(lowestLatency), maxLatencyFactor)
+	used := float64(load.inFlight()) / float64(load.slots(candidate))
+	score := 1 + loadCost*used
+	if field.uneven {
+		score *= field.paceFactor(load)
+		score += field.pauseCost(load, criteria, used)
+	}
+	if field.lowestLatency > 0 && load.latency > 0 && now.Sub(load.lastUsed) < latencyExpiry {
+		score *= min(float64(load.latency)/float64(field.lowestLatency), maxLatencyFactor)
 	}
 	score += failureCost*load.failureRate + prefillCost*float64(load.pendingPromptTokens)/prefillUnitTokens
 	if candidate.Zone != criteria.Zone {
@@ -190,18 +203,6 @@
 	return score * (1 + jitter*balancer.random.Float64())
 }
 
-// lowestLatency returns the lowest known latency of the candidates, or zero. The mutex must be held.
-func (balancer *Balancer) lowestLatency(candidates []Candidate, now time.Time) time.Duration {
-	lowest := time.Duration(0)
-	for index := range candidates {
-		load := balancer.load(candidates[index].Incarnation)
-		if load.latency > 0 && now.Sub(load.lastUsed) < latencyExpiry && (lowest == 0 || load.latency < lowest) {
-			lowest = load.latency
-		}
-	}
-	return lowest
-}
-
 // preferredIndex returns the index of the candidate that the daemon with the given index prefers. Candidates are
 // ordered by a hash, so that the preferences for different models are independent.
 func preferredIndex(candidates []Candidate, daemonIndex int) int {
@@ -238,6 +239,9 @@
 	balancer.mutex.Lock()
 	defer balancer.mutex.Unlock()
 	load := balancer.load(chosen.Incarnation)
+	if begun {
+		load.observeStart(&chosen, criteria, wait)
+	}
 	load.pendingPromptTokens -= criteria.Tokens
 	load.local = load.local.AfterFirstEvent(criteria.Priority)
 	load.observeWait(criteria.Priority, chosen.QueuedAhead, wait, begun)
@@ -255,6 +259,7 @@
 		load.ejectedUntil = time.Time{}
 		return
 	}
+	load.observed.Failed++
 	load.consecutiveFailures++
 	if load.consecutiveFailures >= ejectionFailures {
 		load.ejectedUntil = now.Add(ejectionTime)
--- a/front/tasks.go
+++ b/front/tasks.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bronzestall/bronzestall/event"
+	"github.com/bronzestall/bronzestall/pace"
 	"github.com/bronzestall/bronzestall/ratelimit"
 	"github.com/bronzestall/bronzestall/roster"
 	"github.com/bronzestall/bronzestall/topology"
@@ -100,6 +101,7 @@
 	defer ticker.Stop()
 	var daemons recentPeak
 	var limits []ratelimit.Entry
+	var paces map[topology.Incarnation]pace.Value
 	step := 0
 	for {
 		select {
@@ -112,6 +114,7 @@
 		daemon.daemonIndex.Store(int64(daemon.rankAmong(live)))
 		daemon.daemonCount.Store(int64(len(live) + 1))
 		daemon.brittle.SetDaemons(len(live) + 1)
+		daemon.pool.SetClients(len(live) + 1)
 		daemon.updateReaderRole()
 		daemon.logDroppedLines()
 		if step++; step%pruneEvery == 0 {
@@ -122,6 +125,7 @@
 		daemon.observeMembers(live)
 		limits = daemon.updateLimitMetrics(daemon.clock.Now(), limits)
 		daemon.updateQuotaMetrics(daemon.clock.Now())
+		paces = daemon.updatePaces(daemon.clock.Now(), paces)
 		if daemon.clock.Since(daemon.directory.HolderLastSeen()) > holderTimeout {
 			daemon.balancer.SetRemoteInFlight(daemon.mesh.InFlightByReplica())
 		}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -11,6 +11,7 @@
 
 	"github.com/bronzestall/bronzestall/directory"
 	"github.com/bronzestall/bronzestall/event"
+	"github.com/bronzestall/bronzestall/pace"
 	"github.com/bronzestall/bronzestall/residency"
 	"github.com/bronzestall/bronzestall/topology"
 )
@@ -24,6 +25,9 @@
 	stepPausePerEngine = 100 * time.Microsecond
 	// storeLoadStartsKept is how long the starts of loads from the weight store are kept.
 	storeLoadStartsKept = 10 * time.Second
+	// startRetention is the age up to which a new holder bounds the requests at replicas that started before its term. What came of
+	// requests at earlier ones was reported to its predecessor.
+	startRetention = 5 * time.Second
 	// forecastRounding is the precision of forecasts; small changes are not announced.
 	forecastRounding = 250 * time.Millisecond
 )
@@ -43,6 +47,8 @@
 	// configuration and replicas are the latest passed to Update.
 	configuration *topology.Configuration
 	replicas      []topology.Replica
+	// starts knows which replicas are new.
+	starts pace.Starts
 	// fence is the fencing token of the term that the state below belongs to; zero before the first term.
 	fence uint64
 	// ordersHeldUntil is the time before which no order is sent.
@@ -83,6 +89,7 @@
 	scheduler.mutex.Lock()
 	scheduler.configuration = configuration
 	scheduler.replicas = replicas
+	scheduler.starts.Observe(scheduler.aggregator.paces, replicas, scheduler.deps.Clock.Now())
 	scheduler.mutex.Unlock()
 	scheduler.Wake()
 }
@@ -125,9 +132,14 @@
 	defer scheduler.mutex.Unlock()
 	now := scheduler.deps.Clock.Now()
 	fence, _, held := scheduler.deps.Lease.Held()
+	scheduler.aggregator.paces.Values(now)
+	changes := scheduler.aggregator.paces.Changes()
 	if !held || scheduler.configuration == nil {
 		return
 	}
+	for _, change := range changes {
+		event.ReplicaPaced.Log("Replica", change.ID, "Service", change.Service, "Window", change.Window, "Cause", change.Cause.String())
+	}
 	if fence != scheduler.fence {
 		scheduler.beginTerm(fence, now)
 	}
@@ -152,6 +164,7 @@
 func (scheduler *Scheduler) beginTerm(fence uint64, now time.Time) {
 	scheduler.fence = fence
 	scheduler.engines = map[topology.Incarnation]*engine{}
+	scheduler.aggregator.paces.EndWindows(now.Add(-startRetention))
 	scheduler.storeLoadStarts = nil
 	scheduler.loadings = scheduler.deps.Loadings()
 	scheduler.announced = directory.Announcement{Fence: fence}
@@ -222,7 +235,9 @@
 	}
 	for _, engine := range scheduler.engines {
 		if engine.service == service.Name {
-			state.Engines = append(state.Engines, engine.view(now, sum, scheduler.inBackoff(engine.Incarnation, now), scheduler.limitOf(engine.Incarnation)))
+			view := engine.view(now, sum, scheduler.inBackoff(engine.Incarnation, now), scheduler.limitOf(engine.Incarnation))
+			view.Speed = scheduler.aggregator.speed(engine.Incarnation, now)
+			state.Engines = append(state.Engines, view)
 		}
 	}
 	slices.SortFunc(state.Engines, func(a, b *residency.Engine) int { return strings.Compare(a.ID, b.ID) })
