Refuse requests over the quota at once while others wait for what the rate adds

While a quota is used up every request waited for the next grant, up to 50 ms, though that is enough for one of many. Now no more wait than the rate allows within the wait, or one. A daemon that lists itself among its seeds no longer counts itself twice in its first seconds.

The tests of quota, front, relay and ingress pass under the race detector.

--- a/front/quotas.go
+++ b/front/quotas.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -146,5 +147,9 @@
 
 // quotaMembers returns the daemons among which quotas are divided.
 func (daemon *Daemon) quotaMembers(now time.Time) quota.Members {
-	return quota.NewMembers(daemon.membership.Live(), daemon.membership.Seen(), len(daemon.settings.Seeds), now.Sub(daemon.started))
+	seeds := len(daemon.settings.Seeds)
+	if slices.Contains(daemon.settings.Seeds, daemon.settings.PeerAddress) {
+		seeds--
+	}
+	return quota.NewMembers(daemon.membership.Live(), daemon.membership.Seen(), seeds, now.Sub(daemon.started))
 }
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -57,6 +57,10 @@
 	waiter := &Waiter{share: share, account: account.Name, cost: cost, until: now.Add(MaxWait), ready: make(chan struct{})}
 	share.waiters = append(share.waiters, waiter)
 	limiter.serve(share, now)
+	if !waiter.IsReady() && share.isCrowded() {
+		waiter.remove()
+		waiter.refuse(limiter.retryAfter(waiter, now))
+	}
 	if _, due := share.dueAt(now); due {
 		limiter.requestAsk()
 	}
@@ -179,7 +183,7 @@
 	}
 	share.asking, share.failures, share.answered, share.answeredAt = false, 0, ask.Sequence, now
 	share.fallback.active = false
-	share.available = now.Add(grant.Available)
+	share.short, share.available = grant.Available > 0, now.Add(grant.Available)
 	if grant.Amount > 0 {
 		share.add(amount{grant.Amount, share.askedAt.Add(amountLifetime)})
 	}
--- a/quota/share.go
+++ b/quota/share.go
@@ -56,7 +56,8 @@
 	failures           int
 	// answeredAt is the time of that response.
 	answeredAt time.Time
-	// available is when there will be enough for the first waiting request, by the last response.
+	// short is set if the last response brought too little for the first waiting request, and available is when there will be enough.
+	short     bool
 	available time.Time
 	waiters   []*Waiter
 	fallback  fallback
@@ -158,6 +159,19 @@
 	return share.waiters[0].cost - atHand, all - atHand
 }
 
+// isCrowded reports whether so many requests wait that not all of them can be admitted in time, since the quota is used up and the rate
+// adds less than they cost. One may wait in any case.
+func (share *share) isCrowded() bool {
+	if !share.short || len(share.waiters) <= 1 {
+		return false
+	}
+	total := 0.0
+	for _, waiter := range share.waiters {
+		total += waiter.cost
+	}
+	return total > share.quota.PerSecond*MaxWait.Seconds()
+}
+
 // dueAt returns when the daemon wants to ask, if it does: for waiting requests, when what is at hand runs low, or to state that its demand
 // ended.
 func (share *share) dueAt(now time.Time) (time.Time, bool) {
