--- a/internal/frontsoak/replica_test.go
+++ b/internal/frontsoak/replica_test.go
@@ -210,6 +210,9 @@
 		if broken || lost {
 			panic(http.ErrAbortHandler)
 		}
+		if strings.HasPrefix(id, largePrefix) {
+			body = largeBody
+		}
 		_, _ = io.WriteString(writer, expectedBody(id, body))
 		return
 	}
--- a/internal/frontsoak/testbed_test.go
+++ b/internal/frontsoak/testbed_test.go
@@ -20,9 +20,11 @@
 	replicas []*replica
 	fronts   []*process
 
-	// configureMutex guards version.
+	// configureMutex guards version and bodyBytes.
 	configureMutex sync.Mutex
 	version        uint64
+	// bodyBytes is the largest body that the configuration allows.
+	bodyBytes int
 	random         *rand.Rand
 }
 
@@ -59,7 +61,7 @@
 
 // newTestbed starts the store and the replicas, and prepares so many daemons. If the test fails, their logs are kept.
 func newTestbed(t *testing.T, fronts int, binary string, seed uint64) *testbed {
-	created := &testbed{folder: t.TempDir(), checker: newChecker(), store: newStore(), random: rand.New(rand.NewPCG(seed, 7))}
+	created := &testbed{folder: t.TempDir(), checker: newChecker(), store: newStore(), bodyBytes: 64 << 10, random: rand.New(rand.NewPCG(seed, 7))}
 	t.Cleanup(func() {
 		if t.Failed() {
 			saveLogs(t, created.folder, seed)
@@ -117,7 +119,7 @@
 				"slots": 8, "weightsMb": 100 * modelsPerEngine, "maxAdapters": 2, "loadsPerS": 5, "models": models,
 			}},
 		},
-		"limits": map[string]any{"maxBodyBytes": 65536},
+		"limits": map[string]any{"maxBodyBytes": testbed.bodyBytes},
 	})
 	testbed.store.put("op", "config", content)
 }
