Hold bodies of clients within the budget of bytes

Cause: bodies were bounded each by themselves; 50 of 4 MiB that stopped short of their end took 310 to 320 MB of a daemon with a limit of 144 MiB. A refused request with a short body that did not end kept its connection: the server waited for the rest.

Change: bytebudget has accounts of bodies, by client address, beside those of responses; the slowest and least complete one yields. Bodies that do not grow by 256 bytes within BodyProgress are ended; bodies that are too long by their head are refused unread; requests refused for their head are drained for 64 KiB and 0.5 s at most. Settings HeldBytes and BodyProgress, events 911 and 912, metrics bronzestall_bodies_ended_for_room and bronzestall_bodies_stalled.

--- a/bytebudget/budget_test.go
+++ b/bytebudget/budget_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 )
 
 // open returns an account, and whether it was ended.
@@ -38,8 +39,8 @@
 	if err := small.Grow(2); err != nil || !*largeEnded || *smallEnded || *soundEnded {
 		t.Errorf("ended: large %v, small %v, sound %v, %v; want the largest of the replica that holds the most", *largeEnded, *smallEnded, *soundEnded, err)
 	}
-	if err := large.Grow(1); !errors.Is(err, ErrShort) || budget.Held() != 71 || budget.Ended() != 1 {
-		t.Errorf("after its end a response grows: %v; %d bytes held, %d ended", err, budget.Held(), budget.Ended())
+	if err := large.Grow(1); !errors.Is(err, ErrShort) || budget.Held() != 71 || budget.Ended(Response) != 1 {
+		t.Errorf("after its end a response grows: %v; %d bytes held, %d ended", err, budget.Held(), budget.Ended(Response))
 	}
 	for _, account := range []*Account{sound, small, large, large} {
 		account.Close()
@@ -66,6 +67,53 @@
 	}
 }
 
+// TestSlowestAndLeastCompleteBodyYields guards against part 6 of docs/HARD-LOAD.md: bodies that stop just short of their end.
+func TestSlowestAndLeastCompleteBodyYields(t *testing.T) {
+	now := time.Unix(100, 0)
+	budget := New(1000)
+	var ended []string
+	body := func(name, address string, received int, last time.Time) *Account {
+		account := budget.OpenBody(address, 1000, now, func(error) { ended = append(ended, name) })
+		account.Received(received, last)
+		if err := account.Grow(received); err != nil {
+			t.Fatal(err)
+		}
+		return account
+	}
+	body("of another client", "b", 100, now)
+	body("stopped", "a", 300, now.Add(-2*time.Second))
+	body("begun", "a", 100, now)
+	body("advanced", "a", 400, now)
+	response, responseEnded := open(budget, "replica")
+	for _, want := range [][]string{nil, {"stopped"}, {"stopped"}, {"stopped"}, {"stopped", "begun"}} {
+		if err := response.Grow(100); err != nil || !slices.Equal(ended, want) {
+			t.Fatalf("%v ended, want %v; %v", ended, want, err)
+		}
+	}
+	if *responseEnded || budget.Ended(Body) != 2 || budget.Ended(Response) != 0 {
+		t.Errorf("%d bodies and %d responses ended, want 2 and none", budget.Ended(Body), budget.Ended(Response))
+	}
+}
+
+// TestSmallRequestsHaveRoom covers a budget that large requests have used up: small ones are still read, and end no others.
+func TestSmallRequestsHaveRoom(t *testing.T) {
+	now := time.Unix(100, 0)
+	budget := New(8 << 20)
+	large := budget.OpenBody("a", 7<<20, now, func(error) {})
+	if err := errors.Join(large.Grow(7<<20), large.Keep()); err != nil {
+		t.Fatal(err)
+	}
+	smallEnded := false
+	small := budget.OpenBody("b", smallBytes, now, func(error) { smallEnded = true })
+	if err := small.Grow(smallBytes); err != nil {
+		t.Errorf("a small body has no room: %v", err)
+	}
+	next := budget.OpenBody("a", 1<<20, now, func(error) {})
+	if err := next.Grow(1 << 20); !errors.Is(err, ErrShort) || smallEnded {
+		t.Errorf("a large body beside large ones: %v, the small one ended: %v", err, smallEnded)
+	}
+}
+
 // TestHeldBytesStayBelowTheLimit runs random schedules of replicas that send, end and stall.
 func TestHeldBytesStayBelowTheLimit(t *testing.T) {
 	for seed := range uint64(50) {
--- a/event/front.go
+++ b/event/front.go
@@ -24,6 +24,8 @@
 	EraUnusable        = define(807, "EraUnusable", Warning, "A response of the platform's store has no usable era; one of an earlier era changes nothing. Logged at most every five seconds.")
 	RowIgnored         = define(808, "RowIgnored", Warning, "A change of the replica table has a lower version than the known row, and is ignored although it differs.")
 	RequestHeld        = define(809, "RequestHeld", Warning, "The daemon ends and has a request that was read whole and has no final response; its connection is closed.")
+	BodyEndedForRoom   = define(911, "BodyEndedForRoom", Warning, "The body of a request from Client was ended and the request refused, since the daemon holds too many bytes; Length is what the client states, or -1.")
+	BodyStalled        = define(912, "BodyStalled", Warning, "The body of a request from Client was ended and the request refused, since it made no progress for the time BodyProgress; Length is what the client states, or -1.")
 	KeyUnconfirmed     = define(880, "KeyUnconfirmed", Warning, "A request is refused since its key cannot be checked: the configuration was last confirmed longer ago, Age, than a removed key may be accepted.")
 	AccountsTaken      = define(881, "AccountsTaken", Info, "The configuration in force has client accounts; SharedKeys is the number of keys that several accounts list, of which the first one has them, and Unlimited the number of accounts without a limit.")
 	StoreLost          = define(820, "StoreLost", Warning, "The platform's store does not respond; the data read last remains in use.")
--- a/front/daemon.go
+++ b/front/daemon.go
@@ -41,10 +41,6 @@
 	// memoryLimitFraction is the fraction of the memory limit given to the Go runtime as its soft limit,
 	// above which garbage collection runs more often.
 	memoryLimitFraction = 0.6
-	// heldFraction is the fraction of the memory limit that responses which are read whole may take, and minHeldResponses the number of
-	// the largest ones for which there is room in any case.
-	heldFraction     = 0.2
-	minHeldResponses = 2
 	// storeTimeout bounds one call to the platform's store.
 	storeTimeout = 900 * time.Millisecond
 	// leaseTerm is the duration of the lease that permits sending orders to engines, and leaseRenewal the
@@ -60,11 +56,6 @@
 	minRetryDaemons = 4
 )
 
-// heldBytes returns the number of bytes that may be held of responses under the memory limit.
-func heldBytes(memoryLimit int64) int64 {
-	return max(int64(heldFraction*float64(memoryLimit)), minHeldResponses*relay.MaxResponseBytes)
-}
-
 // Daemon is one front daemon, which serves the clients of the users' platform. Use New.
 type Daemon struct {
 	settings Settings
@@ -112,7 +103,7 @@
 	membership   *ratelimit.Membership
 	grantorRoute *ratelimit.Route
 
-	// held bounds the bytes held of responses of replicas.
+	// held bounds the bytes held of responses of replicas and bodies of clients.
 	held *bytebudget.Budget
 
 	relay   *relay.Relay
--- a/front/new.go
+++ b/front/new.go
@@ -28,6 +28,7 @@
 // settingsFile is empty. droppedLines returns the number of log lines dropped since its last call; nil means
 // that none are dropped.
 func New(settings Settings, settingsFile string, droppedLines func() int64) *Daemon {
+	settings = settings.withDefaults()
 	var clk boottime.Clock
 	random := mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64()))
 	daemon := &Daemon{
@@ -53,7 +54,7 @@
 		origins:         origin.New(),
 		rollouts:        rollout.New(),
 		paths:           reach.New(),
-		held:            bytebudget.New(heldBytes(settings.MemoryLimit)),
+		held:            bytebudget.New(settings.HeldBytes),
 		reportRequested: make(chan struct{}, 1),
 		stopStarted:     make(chan struct{}),
 		replicasChanged: make(chan struct{}, 1),
@@ -102,6 +103,9 @@
 		RemoveKey: platform.RemoveKey,
 		Meter:     daemon.meter,
 		Clock:     clk,
+
+		Held:         daemon.held,
+		BodyProgress: settings.BodyProgress,
 	})
 	daemon.lent = daemon.newLendingHandler()
 	daemon.wireScheduling(mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())))
--- a/front/notices.go
+++ b/front/notices.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bronzestall/bronzestall/bytebudget"
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/meter"
 	"github.com/bronzestall/bronzestall/notice"
@@ -104,7 +105,8 @@
 	daemon.meter.Set(meter.SuspectsEvicted, meter.Labels{}, int64(daemon.suspects.Evicted()))
 	daemon.meter.Set(meter.OriginsHeld, meter.Labels{}, int64(daemon.origins.Held()))
 	daemon.meter.Set(meter.ResponseBytesHeld, meter.Labels{}, daemon.held.Held())
-	daemon.meter.Set(meter.ResponsesEndedForRoom, meter.Labels{}, daemon.held.Ended())
+	daemon.meter.Set(meter.ResponsesEndedForRoom, meter.Labels{}, daemon.held.Ended(bytebudget.Response))
+	daemon.meter.Set(meter.BodiesEndedForRoom, meter.Labels{}, daemon.held.Ended(bytebudget.Body))
 	daemon.meter.Set(meter.OriginsEvicted, meter.Labels{}, int64(daemon.origins.Evicted()))
 	daemon.releaseMeter.update(daemon.meter, daemon.rollouts.Accepting())
 	daemon.meter.Set(meter.PathsLost, meter.Labels{}, int64(daemon.paths.LostCount()))
--- a/front/settings.go
+++ b/front/settings.go
@@ -55,6 +55,13 @@
 	QuotaWindow time.Duration `yaml:"QuotaWindow"`
 	QuotaExcess float64       `yaml:"QuotaExcess"`
 	QuotaSlack  float64       `yaml:"QuotaSlack"`
+	// HeldBytes is the number of bytes that may be held of bodies of clients and of responses; zero means a fifth of MemoryLimit, or room
+	// for two of the largest responses if that is more.
+	HeldBytes int64 `yaml:"HeldBytes" unit:"bytes"`
+	// BodyProgress is the time in which the body of a request must grow by some bytes; zero means 10s.
+	BodyProgress time.Duration `yaml:"BodyProgress"`
+	// DescriptorLimit is the number of descriptors that the process may have open; zero means the limit of the process.
+	DescriptorLimit int `yaml:"DescriptorLimit"`
 }
 
 // Load reads and checks a settings file. It fails if the file cannot be read, is invalid or has unknown keys.
@@ -196,6 +203,7 @@
 	if !(settings.QuotaSlack >= 0 && settings.QuotaSlack <= maxQuotaSlack) {
 		report("QuotaSlack", "must be 0 to 1000000000")
 	}
+	settings.checkClientBounds(report)
 	if settings.RetryWindow <= 0 || settings.RetryWindow > maxWindow {
 		report("RetryWindow", "must be above 0s and at most 10m")
 	}
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -89,7 +89,8 @@
 	if failure != nil {
 		return nil, failure
 	}
-	return body, nil
+	defer body.Close()
+	return body.Content, nil
 }
 
 // parsePrompt decodes and validates a chat or completion body.
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -10,8 +10,10 @@
 
 	"k8s.io/utils/clock"
 
+	"github.com/bronzestall/bronzestall/bytebudget"
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/exchange"
+	"github.com/bronzestall/bronzestall/internal/requestbody"
 	"github.com/bronzestall/bronzestall/meter"
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/relay"
@@ -28,7 +30,7 @@
 	Serve(ctx context.Context, request *exchange.Request, sink relay.Sink) (relay.Summary, *outcome.Error)
 }
 
-// Deps holds the dependencies of an Ingress. All fields must be set.
+// Deps holds the dependencies of an Ingress. All fields without another note must be set.
 type Deps struct {
 	// Relay serves requests.
 	Relay Relay
@@ -36,6 +38,10 @@
 	Decode func(sent http.Header) (http.Header, exchange.Metadata)
 	// RemoveKey removes the client's key from headers that are passed on.
 	RemoveKey func(header http.Header)
+	// Held bounds the bytes held of bodies; nil means no bound.
+	Held *bytebudget.Budget
+	// BodyProgress is the time in which a body must grow; zero means none.
+	BodyProgress time.Duration
 	// Meter counts requests.
 	Meter *meter.Meter
 	// Clock provides the time and timers.
@@ -65,7 +71,8 @@
 func (ingress *Ingress) ServeHTTP(writer http.ResponseWriter, incoming *http.Request) {
 	ingress.inFlight.Add(1)
 	defer ingress.inFlight.Add(-1)
-	request, failure := ingress.read(writer, incoming)
+	request, body, failure := ingress.read(writer, incoming)
+	defer body.Close()
 	sink := &sink{clock: ingress.deps.Clock, readAt: ingress.deps.Clock.Now(), writer: writer, controller: http.NewResponseController(writer)}
 	var summary relay.Summary
 	if failure == nil {
@@ -87,8 +94,8 @@
 	return sink.Begun() || failure.Kind == outcome.CallerGone
 }
 
-// read reads the whole request. The body is read only if the head is admitted.
-func (ingress *Ingress) read(writer http.ResponseWriter, incoming *http.Request) (*exchange.Request, *outcome.Error) {
+// read reads the whole request, and returns its body also apart, to be closed. The body is read only if the head is admitted.
+func (ingress *Ingress) read(writer http.ResponseWriter, incoming *http.Request) (*exchange.Request, *requestbody.Body, *outcome.Error) {
 	request := &exchange.Request{
 		Method:  incoming.Method,
 		Target:  incoming.URL.RequestURI(),
@@ -98,11 +105,15 @@
 	}
 	request.Header, request.Metadata = ingress.deps.Decode(incoming.Header)
 	if failure := ingress.admit(request); failure != nil {
-		return request, failure
+		ingress.drain(writer, incoming)
+		return request, nil, failure
 	}
 	body, failure := ingress.readBody(writer, incoming, &request.Metadata)
-	request.Body = body
-	return request, failure
+	if failure != nil {
+		return request, nil, failure
+	}
+	request.Body = body.Content
+	return request, body, nil
 }
 
 // admit decides by the head of the request whether it may be served. The key is kept no longer than that, unless it means nothing here
--- a/internal/frontsoak/misbehaving_test.go
+++ b/internal/frontsoak/misbehaving_test.go
@@ -134,6 +134,23 @@
 	}
 }
 
+// TestSmallestDaemonServesTheLargestBody checks that the bounds against crowds leave room for a request inside the limits.
+func TestSmallestDaemonServesTheLargestBody(t *testing.T) {
+	testbed := newTestbed(t, 1, build(t), 6150)
+	testbed.bodyBytes = crowdBody
+	testbed.configure()
+	target := testbed.fronts[0]
+	target.limit(t, crowdMemory, crowdDescriptors)
+	stop := testbed.serve(2500 * time.Millisecond)
+	defer stop()
+	client := newClient("large", testbed.checker, 6150, testbed.addresses())
+	for range 5 {
+		if !client.sendBody(t.Context(), pathLookup, target.client, string(crowdContent)) {
+			t.Fatalf("a request with the largest body is not served: %v", testbed.checker.outcomes)
+		}
+	}
+}
+
 // connect opens one connection and misbehaves on it until the context ends.
 func (crowd crowd) connect(ctx context.Context, address string) {
 	connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
--- a/internal/frontsoak/testbed_test.go
+++ b/internal/frontsoak/testbed_test.go
@@ -25,7 +25,7 @@
 	version        uint64
 	// bodyBytes is the largest body that the configuration allows.
 	bodyBytes int
-	random         *rand.Rand
+	random    *rand.Rand
 }
 
 // newServingTestbed starts the daemons, replicas and store of one run, waits for warmUp, and returns a function that stops the daemons.
--- a/meter/name.go
+++ b/meter/name.go
@@ -54,10 +54,14 @@
 	ReplicasByRelease Name = "bronzestall_replicas_by_release"
 	// OriginsHeld is the number of streams whose origin the daemon holds.
 	OriginsHeld Name = "bronzestall_origins_held"
-	// ResponseBytesHeld is the number of bytes held of responses that are read whole.
+	// ResponseBytesHeld is the number of bytes held of responses that are read whole and of the bodies of clients.
 	ResponseBytesHeld Name = "bronzestall_response_bytes_held"
 	// ResponsesEndedForRoom is the number of responses that were ended since too many bytes were held.
 	ResponsesEndedForRoom Name = "bronzestall_responses_ended_for_room"
+	// BodiesEndedForRoom is the number of request bodies that were ended since too many bytes were held.
+	BodiesEndedForRoom Name = "bronzestall_bodies_ended_for_room"
+	// BodiesStalled counts the request bodies that were ended since they made no progress.
+	BodiesStalled Name = "bronzestall_bodies_stalled"
 	// OriginsLate counts the streams whose first event was passed on before their origin was recorded.
 	OriginsLate Name = "bronzestall_origins_late"
 	// OriginsEvicted is the number of origins that were dropped because there were too many.
