Bound the connections of clients, and count heads as held

Cause: 500 connections that sent next to nothing, or stayed idle, took 517 descriptors of a daemon with a limit of 250; 120 connections of pipelined requests took 306 with those to replicas. The headers of a request, in many short fields, took far more memory than their bytes.

Change: inbound.Connections.Bound: a third of DescriptorLimit (a setting; the limit of the process by default) for clients, 8 to 64 for the readiness address. Beyond it connections without a whole request yield, of the address that has the most. The readiness address takes heads of 4 KiB within 2 s and reads no body. The head of a request counts in the budget of bytes.

--- a/front/daemon.go
+++ b/front/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/bronzestall/bronzestall/demand"
 	"github.com/bronzestall/bronzestall/directory"
 	"github.com/bronzestall/bronzestall/event"
+	"github.com/bronzestall/bronzestall/inbound"
 	"github.com/bronzestall/bronzestall/ingress"
 	"github.com/bronzestall/bronzestall/lease"
 	"github.com/bronzestall/bronzestall/lending"
@@ -119,6 +120,11 @@
 	rowStore  mesh.RowStore
 	scheduler *scheduler.Scheduler
 
+	// clientConnections tracks the connections of clients; nil before the daemon listens.
+	clientConnections atomic.Pointer[inbound.Connections]
+	// shedLogged is the number of connections closed for want of room that were logged. Only housekeeping uses it.
+	shedLogged int64
+
 	// stopping is set when the daemon is shutting down and fails its readiness check.
 	stopping atomic.Bool
 	// stopStarted is closed when the daemon begins to shut down.
--- a/front/notices.go
+++ b/front/notices.go
@@ -107,6 +107,7 @@
 	daemon.meter.Set(meter.ResponseBytesHeld, meter.Labels{}, daemon.held.Held())
 	daemon.meter.Set(meter.ResponsesEndedForRoom, meter.Labels{}, daemon.held.Ended(bytebudget.Response))
 	daemon.meter.Set(meter.BodiesEndedForRoom, meter.Labels{}, daemon.held.Ended(bytebudget.Body))
+	daemon.updateConnections()
 	daemon.meter.Set(meter.OriginsEvicted, meter.Labels{}, int64(daemon.origins.Evicted()))
 	daemon.releaseMeter.update(daemon.meter, daemon.rollouts.Accepting())
 	daemon.meter.Set(meter.PathsLost, meter.Labels{}, int64(daemon.paths.LostCount()))
--- a/front/servers.go
+++ b/front/servers.go
@@ -25,6 +25,12 @@
 	maxHeaderBytes    = 64 << 10
 )
 
+// The bounds of a readiness check, whose request has a few short headers and no body.
+const (
+	readyTimeout        = 2 * time.Second
+	maxReadyHeaderBytes = 4 << 10
+)
+
 // servers holds the HTTP servers of a daemon and their listeners, by the same index.
 type servers struct {
 	// all begins with the server that handles client requests, whose connections are tracked.
@@ -52,6 +58,8 @@
 		return nil, err
 	}
 	opened := newServers(clients, listener)
+	opened.connections.Bound(daemon.settings.clientConnections())
+	daemon.clientConnections.Store(opened.connections)
 	peers := http.NewServeMux()
 	peers.Handle("/", daemon.mesh.Handler())
 	peers.Handle(lending.Path, daemon.lent)
@@ -61,7 +69,7 @@
 		address string
 		server  *http.Server
 	}{
-		{daemon.settings.ReadyAddress, &http.Server{Handler: ingress.Ready(daemon.isReady), ReadHeaderTimeout: headerTimeout}},
+		{daemon.settings.ReadyAddress, readyServer(daemon.isReady)},
 		{daemon.settings.PeerAddress, &http.Server{Handler: peers, ReadHeaderTimeout: headerTimeout}},
 		{daemon.settings.MetricsAddress, &http.Server{Handler: metrics, ReadHeaderTimeout: headerTimeout}},
 	} {
@@ -73,12 +81,34 @@
 			opened.close()
 			return nil, err
 		}
+		if next.address == daemon.settings.ReadyAddress {
+			listener = boundReady(next.server, listener, daemon.settings.readyConnections())
+		}
 		opened.all = append(opened.all, next.server)
 		opened.listeners = append(opened.listeners, listener)
 	}
 	return opened, nil
 }
 
+// readyServer returns the server of the readiness check, which needs tiny requests only.
+func readyServer(isReady func() bool) *http.Server {
+	return &http.Server{
+		Handler:           ingress.Ready(isReady),
+		ReadHeaderTimeout: readyTimeout,
+		ReadTimeout:       readyTimeout,
+		WriteTimeout:      readyTimeout,
+		IdleTimeout:       clientIdleTimeout,
+		MaxHeaderBytes:    maxReadyHeaderBytes,
+	}
+}
+
+// boundReady returns the listener with a bound of the connections that the server of the readiness check has open.
+func boundReady(server *http.Server, listener net.Listener, most int) net.Listener {
+	connections := inbound.New()
+	connections.Bound(most)
+	return connections.Track(server, listener)
+}
+
 // listenAt listens at the TCP address.
 func listenAt(address string) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -4,8 +4,10 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -17,6 +19,12 @@
 type trackedConn struct {
 	net.Conn
 	connections *Connections
+	// address is that of the client, without its port.
+	address string
+	// used is the turn in which the connection was opened, or its last response ended.
+	used atomic.Int64
+	// serving is set while a request that was read whole is served.
+	serving atomic.Bool
 
 	mutex sync.Mutex
 	// unused is set while no byte was read and no request was served since the connection was opened, or since its last response.
@@ -103,16 +111,27 @@
 
 // responded records that a response has ended and the next request is waited for.
 func (tracked *trackedConn) responded() {
+	tracked.serving.Store(false)
+	tracked.used.Store(tracked.connections.turns.Add(1))
 	tracked.mutex.Lock()
 	defer tracked.mutex.Unlock()
 	tracked.unused = true
 }
 
-// requested records that a request is served.
-func (tracked *trackedConn) requested() {
+// requested records that a request is served, and returns it with a body whose end is recorded.
+func (tracked *trackedConn) requested(incoming *http.Request) *http.Request {
 	tracked.mutex.Lock()
 	defer tracked.mutex.Unlock()
 	tracked.unused = false
+	if incoming.ContentLength == 0 {
+		tracked.serving.Store(true)
+		return incoming
+	}
+	tracked.serving.Store(false)
+	// The server compares the body of its own request with kinds that it knows.
+	copied := *incoming
+	copied.Body = &trackedBody{ReadCloser: incoming.Body, tracked: tracked}
+	return &copied
 }
 
 // interrupt makes the reader of an unused connection close it.
--- a/inbound/connections.go
+++ b/inbound/connections.go
@@ -23,8 +23,16 @@
 	listener net.Listener
 	draining atomic.Bool
 
+	// most is the number of connections that may be open, or zero for any; it is fixed once the server serves.
+	most int
+
 	mutex sync.Mutex
 	open  map[*trackedConn]bool
+	// shed counts the connections that were closed because there were too many.
+	shed int64
+
+	// turns counts the openings of connections and the ends of responses, so that connections can be compared by when they were used.
+	turns atomic.Int64
 }
 
 // New returns a tracker without connections.
@@ -43,7 +51,7 @@
 	handler := server.Handler
 	server.Handler = http.HandlerFunc(func(writer http.ResponseWriter, incoming *http.Request) {
 		if tracked, ok := incoming.Context().Value(trackedKey{}).(*trackedConn); ok {
-			tracked.requested()
+			incoming = tracked.requested(incoming)
 		}
 		if connections.closing.Load() {
 			writer.Header().Set("Connection", "close")
@@ -128,9 +136,8 @@
 	if err != nil {
 		return nil, err
 	}
-	tracked := &trackedConn{Conn: inner, connections: listener.connections, unused: true}
-	listener.connections.mutex.Lock()
-	defer listener.connections.mutex.Unlock()
-	listener.connections.open[tracked] = true
+	tracked := &trackedConn{Conn: inner, connections: listener.connections, address: hostOf(inner.RemoteAddr()), unused: true}
+	tracked.used.Store(listener.connections.turns.Add(1))
+	listener.connections.add(tracked)
 	return tracked, nil
 }
--- a/internal/requestbody/requestbody.go
+++ b/internal/requestbody/requestbody.go
@@ -62,7 +62,7 @@
 		watch.start()
 	}
 	reader := &progressReader{inner: http.MaxBytesReader(writer, req.Body, limits.Bytes), clock: clk, held: held, watch: watch}
-	content, err := readWhole(reader, held)
+	content, err := readWhole(reader, held, headBytes(req.Header))
 	watch.stop(err == nil)
 	if err == nil {
 		return &Body{Content: content, held: held}, nil
@@ -71,8 +71,12 @@
 	return nil, failureOf(writer, err, watch.cause(), limits, broken)
 }
 
-// readWhole reads to the end of the reader. Both the pieces and the body that they are joined to count until the pieces are dropped.
-func readWhole(reader io.Reader, held *bytebudget.Account) ([]byte, error) {
+// readWhole reads to the end of the reader, after it drew on the account for the head. Both the pieces and the body that they are joined to
+// count until the pieces are dropped.
+func readWhole(reader io.Reader, held *bytebudget.Account, head int) ([]byte, error) {
+	if err := held.Grow(head); err != nil {
+		return nil, err
+	}
 	pieces, err := bytebudget.Read(reader, math.MaxInt64, held)
 	if err != nil {
 		return nil, err
@@ -116,6 +120,22 @@
 	return outcome.New(outcome.BodyTooLarge, "the body is larger than %d bytes", limits.Bytes)
 }
 
+// fieldBytes is what a header field takes in memory beside its text, in bytes: the entries of two maps, that of the request as it was sent
+// and that of the copy that is passed on, each with a list of values.
+const fieldBytes = 256
+
+// headBytes returns about how many bytes the header takes in memory.
+func headBytes(header http.Header) int {
+	total := 0
+	for name, values := range header {
+		total += len(name) + fieldBytes
+		for _, value := range values {
+			total += len(value)
+		}
+	}
+	return total
+}
+
 // expectedBytes returns the length of the body, or the largest one if the client does not state it.
 func expectedBytes(req *http.Request, limits Limits) int64 {
 	if req.ContentLength >= 0 {
--- a/meter/name.go
+++ b/meter/name.go
@@ -60,6 +60,10 @@
 	ResponsesEndedForRoom Name = "bronzestall_responses_ended_for_room"
 	// BodiesEndedForRoom is the number of request bodies that were ended since too many bytes were held.
 	BodiesEndedForRoom Name = "bronzestall_bodies_ended_for_room"
+	// ClientConnections is the number of open connections of clients, and ConnectionsShed the number of those that were closed since there
+	// were too many.
+	ClientConnections Name = "bronzestall_client_connections"
+	ConnectionsShed   Name = "bronzestall_connections_shed"
 	// BodiesStalled counts the request bodies that were ended since they made no progress.
 	BodiesStalled Name = "bronzestall_bodies_stalled"
 	// OriginsLate counts the streams whose first event was passed on before their origin was recorded.
