Collect garbage earlier in small daemons

Cause: 50 responses of 4 MiB that no client reads took 91 to 95 MB of a daemon with a limit of 144 MiB (bound 86 MB): the budget held, but the soft limit of the Go runtime, 0.6 of MemoryLimit, let garbage grow to the bound beside the program itself.

Change: the soft limit is 0.45 of MemoryLimit.

--- a/front/daemon.go
+++ b/front/daemon.go
@@ -40,8 +40,8 @@
 
 const (
 	// memoryLimitFraction is the fraction of the memory limit given to the Go runtime as its soft limit,
-	// above which garbage collection runs more often.
-	memoryLimitFraction = 0.6
+	// above which garbage collection runs more often. It leaves room for the program itself, and for what is allocated during a collection.
+	memoryLimitFraction = 0.45
 	// storeTimeout bounds one call to the platform's store.
 	storeTimeout = 900 * time.Millisecond
 	// leaseTerm is the duration of the lease that permits sending orders to engines, and leaseRenewal the
