End responses that their clients do not read

Cause: a client that reads nothing kept its response, and its connection, until it closed it.

Change: writes to clients fail if the next 64 KiB, or all that there is, are not read within ResponseProgress (a setting; 30 s by default). Event 914, metric bronzestall_responses_unread. The write deadline is set at most once per second and connection.

--- a/event/front.go
+++ b/event/front.go
@@ -27,6 +27,7 @@
 	BodyEndedForRoom   = define(911, "BodyEndedForRoom", Warning, "The body of a request from Client was ended and the request refused, since the daemon holds too many bytes; Length is what the client states, or -1.")
 	BodyStalled        = define(912, "BodyStalled", Warning, "The body of a request from Client was ended and the request refused, since it made no progress for the time BodyProgress; Length is what the client states, or -1.")
 	ConnectionsShed    = define(913, "ConnectionsShed", Warning, "Connections of clients were closed since there were too many; Shed counts those since the last line, Open is the number that is open, and Most the bound. Logged at most twice per second.")
+	ResponsesUnread    = define(914, "ResponsesUnread", Warning, "Responses were ended since their clients did not read on within the time ResponseProgress, Progress; Ended counts those since the last line. Logged at most twice per second.")
 	KeyUnconfirmed     = define(880, "KeyUnconfirmed", Warning, "A request is refused since its key cannot be checked: the configuration was last confirmed longer ago, Age, than a removed key may be accepted.")
 	AccountsTaken      = define(881, "AccountsTaken", Info, "The configuration in force has client accounts; SharedKeys is the number of keys that several accounts list, of which the first one has them, and Unlimited the number of accounts without a limit.")
 	StoreLost          = define(820, "StoreLost", Warning, "The platform's store does not respond; the data read last remains in use.")
--- a/front/clientbounds.go
+++ b/front/clientbounds.go
@@ -20,6 +20,9 @@
 	defaultBodyProgress = 10 * time.Second
 	// minHeldBytes bounds HeldBytes below: room for one of the largest responses, of which part of the budget is kept for small requests.
 	minHeldBytes = minHeldResponses * relay.MaxResponseBytes
+	// defaultResponseProgress is the default of ResponseProgress. It exceeds the time for which any client is expected to wait between two
+	// parts of a response.
+	defaultResponseProgress = 30 * time.Second
 	// clientShare is the part of the descriptors that connections of clients may take: each may need another one to a replica, and unused
 	// connections to replicas stay open for a while.
 	clientShare = 3
@@ -40,6 +43,7 @@
 func (settings Settings) withDefaults() Settings {
 	settings.HeldBytes = cmp.Or(settings.HeldBytes, heldBytes(settings.MemoryLimit))
 	settings.DescriptorLimit = cmp.Or(settings.DescriptorLimit, processDescriptors())
+	settings.ResponseProgress = cmp.Or(settings.ResponseProgress, defaultResponseProgress)
 	settings.BodyProgress = cmp.Or(settings.BodyProgress, defaultBodyProgress)
 	return settings
 }
@@ -69,12 +73,15 @@
 	if settings.BodyProgress < 0 || settings.BodyProgress > maxWindow {
 		report("BodyProgress", "must be 0s to 10m")
 	}
+	if settings.ResponseProgress < 0 || settings.ResponseProgress > maxWindow {
+		report("ResponseProgress", "must be 0s to 10m")
+	}
 	if settings.DescriptorLimit != 0 && (settings.DescriptorLimit < minDescriptors || settings.DescriptorLimit > maxDescriptors) {
 		report("DescriptorLimit", "must be 64 to 16777216, or 0")
 	}
 }
 
-// updateConnections sets the metrics of the connections of clients, and logs how many were closed since the last call. Only housekeeping
+// updateConnections sets the metrics of the connections of clients, and logs how many were closed, and how many responses ended unread, since the last call. Only housekeeping
 // calls it.
 func (daemon *Daemon) updateConnections() {
 	connections := daemon.clientConnections.Load()
@@ -88,4 +95,10 @@
 		event.ConnectionsShed.Log("Shed", fresh, "Open", open, "Most", daemon.settings.clientConnections())
 	}
 	daemon.shedLogged = shed
+	unread := connections.Unread()
+	daemon.meter.Set(meter.ResponsesUnread, meter.Labels{}, unread)
+	if fresh := unread - daemon.unreadLogged; fresh > 0 {
+		event.ResponsesUnread.Log("Ended", fresh, "Progress", daemon.settings.ResponseProgress)
+	}
+	daemon.unreadLogged = unread
 }
--- a/front/daemon.go
+++ b/front/daemon.go
@@ -122,8 +122,9 @@
 
 	// clientConnections tracks the connections of clients; nil before the daemon listens.
 	clientConnections atomic.Pointer[inbound.Connections]
-	// shedLogged is the number of connections closed for want of room that were logged. Only housekeeping uses it.
-	shedLogged int64
+	// shedLogged and unreadLogged are the numbers of connections closed for want of room, and of responses that ended unread, that were
+	// logged. Only housekeeping uses them.
+	shedLogged, unreadLogged int64
 
 	// stopping is set when the daemon is shutting down and fails its readiness check.
 	stopping atomic.Bool
--- a/front/servers.go
+++ b/front/servers.go
@@ -59,6 +59,7 @@
 	}
 	opened := newServers(clients, listener)
 	opened.connections.Bound(daemon.settings.clientConnections())
+	opened.connections.BoundWrites(daemon.settings.ResponseProgress)
 	daemon.clientConnections.Store(opened.connections)
 	peers := http.NewServeMux()
 	peers.Handle("/", daemon.mesh.Handler())
--- a/front/settings.go
+++ b/front/settings.go
@@ -60,6 +60,8 @@
 	HeldBytes int64 `yaml:"HeldBytes" unit:"bytes"`
 	// BodyProgress is the time in which the body of a request must grow by some bytes; zero means 10s.
 	BodyProgress time.Duration `yaml:"BodyProgress"`
+	// ResponseProgress is the time within which a client must read the next 64 KiB of a response, or all that there is; zero means 30s.
+	ResponseProgress time.Duration `yaml:"ResponseProgress"`
 	// DescriptorLimit is the number of descriptors that the process may have open; zero means the limit of the process.
 	DescriptorLimit int `yaml:"DescriptorLimit"`
 }
--- a/front/settings_test.go
+++ b/front/settings_test.go
@@ -113,6 +113,7 @@
 		{"LoadWindow: 5s", "LoadWindow: 5s\nHeldBytes: 1MiB"},
 		{"LoadWindow: 5s", "LoadWindow: 5s\nBodyProgress: -1s"},
 		{"LoadWindow: 5s", "LoadWindow: 5s\nDescriptorLimit: 10"},
+		{"LoadWindow: 5s", "LoadWindow: 5s\nResponseProgress: 1h"},
 		{"10.1.0.38:7380", "somewhere:7380"},
 		{"10.2.0.40:8144", "10.2.0.40"},
 		{"Seeds:", "Seed:"},
--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -23,6 +23,8 @@
 	address string
 	// used is the turn in which the connection was opened, or its last response ended.
 	used atomic.Int64
+	// extended is when the write deadline was last set. Only the writer uses it; there is one at a time.
+	extended time.Time
 	// serving is set while a request that was read whole is served.
 	serving atomic.Bool
 
--- a/inbound/connections.go
+++ b/inbound/connections.go
@@ -23,6 +23,10 @@
 	listener net.Listener
 	draining atomic.Bool
 
+	// writeProgress is the time within which clients must read on, or zero for any; it is fixed once the server serves. unread counts the
+	// responses that ended for it.
+	writeProgress time.Duration
+	unread        atomic.Int64
 	// most is the number of connections that may be open, or zero for any; it is fixed once the server serves.
 	most int
 
--- a/meter/name.go
+++ b/meter/name.go
@@ -64,6 +64,8 @@
 	// were too many.
 	ClientConnections Name = "bronzestall_client_connections"
 	ConnectionsShed   Name = "bronzestall_connections_shed"
+	// ResponsesUnread is the number of responses that were ended since their clients did not read them.
+	ResponsesUnread Name = "bronzestall_responses_unread"
 	// BodiesStalled counts the request bodies that were ended since they made no progress.
 	BodiesStalled Name = "bronzestall_bodies_stalled"
 	// OriginsLate counts the streams whose first event was passed on before their origin was recorded.
