Draw on the budget of bytes for lent requests

Cause: a daemon read up to 256 lent requests of up to 8 MiB each outside the budget.

Change: they draw on it as bodies of clients do, for the address of the daemon that sent them, and must arrive within 10 s. One without room is refused as NotReady, not run. The handler needs a clock with timers, so its golden test has another fake clock of the same time.

Measured: the tests of lending and front pass under the race detector; the memory of many lent requests was not measured.

--- a/front/new.go
+++ b/front/new.go
@@ -108,6 +108,7 @@
 		BodyProgress: settings.BodyProgress,
 	})
 	daemon.lent = daemon.newLendingHandler()
+	daemon.lent.Hold(daemon.held)
 	daemon.wireScheduling(mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())))
 	return daemon
 }
--- a/lending/golden_test.go
+++ b/lending/golden_test.go
@@ -27,7 +27,7 @@
 func TestRequestOfOtherBuilds(t *testing.T) {
 	now := time.Unix(1000, 0)
 	decode := func(sent http.Header) (http.Header, exchange.Metadata) { return sent, exchange.Metadata{} }
-	handler := NewHandler(nil, decode, testingclock.NewFakePassiveClock(now), nil, nil)
+	handler := NewHandler(nil, decode, testingclock.NewFakeClock(now), nil, nil)
 	golden.Format[lentContent]{
 		Name: "request", Variants: golden.Message(&lendingpb.Request{}),
 		Sample: lentContent{
--- a/lending/handler.go
+++ b/lending/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math"
 	"net/http"
 	"strings"
@@ -13,7 +12,9 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/utils/clock"
 
+	"github.com/bronzestall/bronzestall/bytebudget"
 	"github.com/bronzestall/bronzestall/exchange"
+	"github.com/bronzestall/bronzestall/internal/requestbody"
 	"github.com/bronzestall/bronzestall/lending/lendingpb"
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/protocol"
@@ -27,6 +28,8 @@
 	maxLent = 256
 	// maxRequestBytes bounds a lent request.
 	maxRequestBytes = 8 << 20
+	// requestTimeout is the time in which a lent request must arrive; daemons send it at once.
+	requestTimeout = 10 * time.Second
 	// retryAfterFull is the Retry-After value of a refused lent request.
 	retryAfterFull = 200 * time.Millisecond
 )
@@ -41,7 +44,9 @@
 type Handler struct {
 	relay  Relay
 	decode func(sent http.Header) (http.Header, exchange.Metadata)
-	clock  clock.PassiveClock
+	clock  clock.WithTicker
+	// held bounds the bytes held of requests; nil means no bound.
+	held *bytebudget.Budget
 	// protocols keeps the versions of the protocol that other daemons tell.
 	protocols *protocol.Registry
 	// onServed is called after each request.
@@ -51,12 +56,17 @@
 
 // NewHandler returns a handler. decode returns the headers to pass on and the metadata of a request, and onServed is called after
 // each request with its failure, or nil. The versions of the protocol that other daemons tell are recorded in protocols.
-func NewHandler(relay Relay, decode func(sent http.Header) (http.Header, exchange.Metadata), clk clock.PassiveClock, protocols *protocol.Registry,
+func NewHandler(relay Relay, decode func(sent http.Header) (http.Header, exchange.Metadata), clk clock.WithTicker, protocols *protocol.Registry,
 	onServed func(daemon string, request *exchange.Request, failure *outcome.Error),
 ) *Handler {
 	return &Handler{relay: relay, decode: decode, clock: clk, protocols: protocols, onServed: onServed}
 }
 
+// Hold makes the handler draw on the budget for the requests that it reads. It must be called before the first request.
+func (handler *Handler) Hold(held *bytebudget.Budget) {
+	handler.held = held
+}
+
 // InFlight returns the number of lent requests that are not answered yet.
 func (handler *Handler) InFlight() int64 {
 	return handler.inFlight.Load()
@@ -71,9 +81,15 @@
 		sink.refuse(outcome.New(outcome.NotReady, "the daemon serves too many requests of others").WithRetryAfter(retryAfterFull), 0)
 		return
 	}
-	content, err := io.ReadAll(http.MaxBytesReader(writer, incoming.Body, maxRequestBytes))
+	limits := requestbody.Limits{Bytes: maxRequestBytes, Timeout: requestTimeout, Held: handler.held}
+	body, failure := requestbody.Read(writer, incoming, handler.clock, limits, outcome.New(outcome.CallerGone, "the request ended early"))
+	defer body.Close()
+	if failure != nil && failure.Kind == outcome.NotReady {
+		sink.refuse(failure, 0)
+		return
+	}
 	encoded := &lendingpb.Request{}
-	if err != nil || proto.Unmarshal(content, encoded) != nil {
+	if failure != nil || proto.Unmarshal(body.Content, encoded) != nil {
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
--- a/lending/lending_test.go
+++ b/lending/lending_test.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 	"k8s.io/utils/clock"
 
+	"github.com/bronzestall/bronzestall/bytebudget"
 	"github.com/bronzestall/bronzestall/exchange"
 	"github.com/bronzestall/bronzestall/lending/lendingpb"
 	"github.com/bronzestall/bronzestall/outcome"
@@ -185,6 +186,23 @@
 	}
 }
 
+// TestRequestWithoutRoomIsRefused covers lent requests that the budget has no room for: the daemon that sent them learns that they have not
+// run.
+func TestRequestWithoutRoomIsRefused(t *testing.T) {
+	handler := NewHandler(&server{serve: func(context.Context, relay.Sink) (relay.Summary, *outcome.Error) {
+		t.Error("the request reached the relay")
+		return relay.Summary{}, nil
+	}}, func(sent http.Header) (http.Header, exchange.Metadata) { return sent, exchange.Metadata{} }, clock.RealClock{}, protocol.NewRegistry(clock.RealClock{}),
+		func(string, *exchange.Request, *outcome.Error) {})
+	handler.Hold(bytebudget.New(1))
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, Path, strings.NewReader("x")))
+	head := &lendingpb.Head{}
+	if err := protodelim.UnmarshalFrom(recorder.Body, head); err != nil || head.GetRefusal() != outcome.NotReady.String() || !head.GetNotRun() {
+		t.Errorf("got %v, %v; want a refusal of a request that has not run", head, err)
+	}
+}
+
 // FuzzRequest checks that no message ends the daemon.
 func FuzzRequest(f *testing.F) {
 	f.Add([]byte(""))
