--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -10,8 +10,10 @@
 
 	"k8s.io/utils/clock"
 
+	"github.com/bronzestall/bronzestall/bytebudget"
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/exchange"
+	"github.com/bronzestall/bronzestall/internal/requestbody"
 	"github.com/bronzestall/bronzestall/meter"
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/relay"
@@ -28,7 +30,7 @@
 	Serve(ctx context.Context, request *exchange.Request, sink relay.Sink) (relay.Summary, *outcome.Error)
 }
 
-// Deps holds the dependencies of an Ingress. All fields must be set.
+// Deps holds the dependencies of an Ingress. All fields without another note must be set.
 type Deps struct {
 	// Relay serves requests.
 	Relay Relay
@@ -36,6 +38,10 @@
 	Decode func(sent http.Header) (http.Header, exchange.Metadata)
 	// RemoveKey removes the client's key from headers that are passed on.
 	RemoveKey func(header http.Header)
+	// Held bounds the bytes held of bodies; nil means no bound.
+	Held *bytebudget.Budget
+	// BodyProgress is the time in which a body must grow; zero means none.
+	BodyProgress time.Duration
 	// Meter counts requests.
 	Meter *meter.Meter
 	// Clock provides the time and timers.
@@ -65,15 +71,17 @@
 func (ingress *Ingress) ServeHTTP(writer http.ResponseWriter, incoming *http.Request) {
 	ingress.inFlight.Add(1)
 	defer ingress.inFlight.Add(-1)
-	request, refund, failure := ingress.read(writer, incoming)
+	received, failure := ingress.read(writer, incoming)
+	defer received.close()
+	request := received.request
 	sink := &sink{clock: ingress.deps.Clock, readAt: ingress.deps.Clock.Now(), writer: writer, controller: http.NewResponseController(writer)}
 	var summary relay.Summary
 	if failure == nil {
 		defer ingress.held.add(request)()
 		summary, failure = ingress.deps.Relay.Serve(incoming.Context(), request, sink)
 	}
-	if refund != nil && summary.Runs == 0 {
-		refund()
+	if summary.Runs == 0 {
+		received.giveBack()
 	}
 	ingress.record(request, sink, summary, failure)
 	if failure == nil {
@@ -90,9 +98,29 @@
 	return sink.Begun() || failure.Kind == outcome.CallerGone
 }
 
-// read reads the whole request. The body is read only if the head is admitted. It returns how to give back what the account was charged,
-// or nil.
-func (ingress *Ingress) read(writer http.ResponseWriter, incoming *http.Request) (*exchange.Request, func(), *outcome.Error) {
+// received is a request with what must be settled when it ends.
+type received struct {
+	request *exchange.Request
+	// body is the body, to be closed; nil if it was not read.
+	body *requestbody.Body
+	// refund gives back what the account was charged; nil if it was not charged.
+	refund func()
+}
+
+// close releases the body.
+func (received received) close() {
+	received.body.Close()
+}
+
+// giveBack gives back what the account was charged, since the request has not run.
+func (received received) giveBack() {
+	if received.refund != nil {
+		received.refund()
+	}
+}
+
+// read reads the whole request. The body is read only if the head is admitted.
+func (ingress *Ingress) read(writer http.ResponseWriter, incoming *http.Request) (received, *outcome.Error) {
 	request := &exchange.Request{
 		Method:  incoming.Method,
 		Target:  incoming.URL.RequestURI(),
@@ -103,11 +131,15 @@
 	request.Header, request.Metadata = ingress.deps.Decode(incoming.Header)
 	refund, failure := ingress.admit(incoming.Context(), request)
 	if failure != nil {
-		return request, refund, failure
+		ingress.drain(writer, incoming)
+		return received{request: request, refund: refund}, failure
 	}
 	body, failure := ingress.readBody(writer, incoming, &request.Metadata)
-	request.Body = body
-	return request, refund, failure
+	if failure != nil {
+		return received{request: request, refund: refund}, failure
+	}
+	request.Body = body.Content
+	return received{request: request, body: body, refund: refund}, nil
 }
 
 // admit decides by the head of the request whether it may be served. The key is kept no longer than that, unless it means nothing here
