--- a/front/daemon.go
+++ b/front/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/bronzestall/bronzestall/demand"
 	"github.com/bronzestall/bronzestall/directory"
 	"github.com/bronzestall/bronzestall/event"
+	"github.com/bronzestall/bronzestall/inbound"
 	"github.com/bronzestall/bronzestall/ingress"
 	"github.com/bronzestall/bronzestall/lease"
 	"github.com/bronzestall/bronzestall/lending"
@@ -40,12 +41,8 @@
 
 const (
 	// memoryLimitFraction is the fraction of the memory limit given to the Go runtime as its soft limit,
-	// above which garbage collection runs more often.
-	memoryLimitFraction = 0.6
-	// heldFraction is the fraction of the memory limit that responses which are read whole may take, and minHeldResponses the number of
-	// the largest ones for which there is room in any case.
-	heldFraction     = 0.2
-	minHeldResponses = 2
+	// above which garbage collection runs more often. It leaves room for the program itself, and for what is allocated during a collection.
+	memoryLimitFraction = 0.45
 	// storeTimeout bounds one call to the platform's store.
 	storeTimeout = 900 * time.Millisecond
 	// leaseTerm is the duration of the lease that permits sending orders to engines, and leaseRenewal the
@@ -61,11 +58,6 @@
 	minRetryDaemons = 4
 )
 
-// heldBytes returns the number of bytes that may be held of responses under the memory limit.
-func heldBytes(memoryLimit int64) int64 {
-	return max(int64(heldFraction*float64(memoryLimit)), minHeldResponses*relay.MaxResponseBytes)
-}
-
 // Daemon is one front daemon, which serves the clients of the users' platform. Use New.
 type Daemon struct {
 	settings Settings
@@ -124,7 +116,7 @@
 	// membersLearnt is the age of this daemon when it last updated the daemons that it sees for a question about quotas.
 	membersLearnt atomic.Int64
 
-	// held bounds the bytes held of responses of replicas.
+	// held bounds the bytes held of responses of replicas and bodies of clients.
 	held *bytebudget.Budget
 
 	relay   *relay.Relay
@@ -140,6 +132,12 @@
 	rowStore  mesh.RowStore
 	scheduler *scheduler.Scheduler
 
+	// clientConnections tracks the connections of clients; nil before the daemon listens.
+	clientConnections atomic.Pointer[inbound.Connections]
+	// shedLogged and unreadLogged are the numbers of connections closed for want of room, and of responses that ended unread, that were
+	// logged. Only housekeeping uses them.
+	shedLogged, unreadLogged int64
+
 	// stopping is set when the daemon is shutting down and fails its readiness check.
 	stopping atomic.Bool
 	// stopStarted is closed when the daemon begins to shut down.
