Let requests wait for capacity in the admission queue of their model

Selection polled each 25 ms, all waiting requests at once. Now a request that gets its first event or ends, and newer loads of other daemons, give the turn to the first of the queue, and one request for each model polls for what nothing reports. New requests do not overtake waiting ones of their priority or a more urgent one. Unhurried requests wait until latestSend while the forecast says that they will be served; others are refused at once with the forecast, spread, as Retry-After. A refused request takes a free slot if there is one. Replicas that rejected a request are offered fewer for two seconds, and requests that exceed the memory of an engine with what runs there go elsewhere.

--- a/front/sync.go
+++ b/front/sync.go
@@ -114,6 +114,7 @@
 func (daemon *Daemon) applyAnnouncement(announcement directory.Announcement) {
 	if announcement.InFlight != nil {
 		daemon.balancer.SetRemoteInFlight(announcement.InFlight)
+		daemon.relay.CapacityChanged()
 	}
 	if announcement.Revision > 0 {
 		daemon.directory.Apply(announcement)
--- a/front/tasks.go
+++ b/front/tasks.go
@@ -123,6 +123,7 @@
 		limits = daemon.updateLimitMetrics(daemon.clock.Now(), limits)
 		if daemon.clock.Since(daemon.directory.HolderLastSeen()) > holderTimeout {
 			daemon.balancer.SetRemoteInFlight(daemon.mesh.InFlightByReplica())
+			daemon.relay.CapacityChanged()
 		}
 		daemons.observe(len(live)+1, daemon.clock.Now())
 		daemon.relay.LimitRetries(retryBudgetLimit(daemon.settings, daemons.value))
--- a/relay/changes.go
+++ b/relay/changes.go
@@ -11,6 +11,8 @@
 	directory, refusals <-chan struct{}
 	// token is closed when there is a token for the request.
 	token <-chan struct{}
+	// turn yields a value when the request may try to find a replica with capacity.
+	turn <-chan struct{}
 }
 
 // changes returns the channels of the next changes of the directory and of the refused requests.
@@ -26,6 +28,7 @@
 	case <-changes.directory:
 	case <-changes.refusals:
 	case <-changes.token:
+	case <-changes.turn:
 	case <-timer.C():
 	case <-ctx.Done():
 	}
--- a/relay/record.go
+++ b/relay/record.go
@@ -33,6 +33,9 @@
 		sent:        transaction.relay.deps.Clock.Now(),
 		activity:    transaction.relay.activity.begin(candidate.Incarnation),
 	}
+	if transaction.service.Engine != nil {
+		transaction.relay.memory.Add(candidate.Incarnation, transaction.service.Name, transaction.size())
+	}
 	transaction.relay.deps.Demand.AddInFlight(record.replicaKey, transaction.criteria.Priority)
 	if guard := transaction.relay.deps.Brittle; guard != nil {
 		record.begun = guard.Sent(candidate.Incarnation)
@@ -51,6 +54,7 @@
 		return
 	}
 	attemptRecord.endWait(true)
+	relay.lines.offerReplica(attemptRecord.candidate.Incarnation, relay.deps.Clock.Now())
 	relay.deps.Balancer.ObserveLatency(attemptRecord.candidate.Incarnation, relay.deps.Clock.Since(attemptRecord.sent))
 }
 
@@ -75,8 +79,13 @@
 	if !attemptRecord.waitEnded {
 		attemptRecord.endWait(false)
 	}
-	attemptRecord.transaction.relay.activity.end(attemptRecord.candidate.Incarnation, attemptRecord.activity)
-	attemptRecord.transaction.relay.deps.Demand.RemoveInFlight(attemptRecord.replicaKey)
+	relay, replica := attemptRecord.transaction.relay, attemptRecord.candidate.Incarnation
+	relay.activity.end(replica, attemptRecord.activity)
+	relay.deps.Demand.RemoveInFlight(attemptRecord.replicaKey)
+	if attemptRecord.transaction.service.Engine != nil {
+		relay.memory.Remove(replica, attemptRecord.transaction.size())
+	}
+	relay.lines.offerReplica(replica, relay.deps.Clock.Now())
 }
 
 // endWait records the end of the wait for the first event. begun states whether the event arrived.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"k8s.io/utils/clock"
 
+	"github.com/bronzestall/bronzestall/admission"
 	"github.com/bronzestall/bronzestall/balance"
 	"github.com/bronzestall/bronzestall/brittle"
 	"github.com/bronzestall/bronzestall/bytebudget"
@@ -71,6 +72,11 @@
 	settings Settings
 	// activity knows which replicas fell silent.
 	activity *activity
+	// lines holds the requests that wait for capacity, ceilings bounds what replicas that rejected requests are offered, and memory
+	// counts the tokens that requests need at engines.
+	lines    *lines
+	ceilings *admission.Ceilings
+	memory   *admission.Memory
 	// lifetime ends, with errStopped, when waiting and running requests must end; cancel ends it.
 	lifetime context.Context
 	cancel   context.CancelCauseFunc
@@ -95,6 +101,9 @@
 		deps:     deps,
 		settings: settings.withDefaults(),
 		activity: newActivity(deps.Clock),
+		lines:    newLines(),
+		ceilings: admission.NewCeilings(),
+		memory:   admission.NewMemory(),
 		lifetime: ctx,
 		cancel:   cancel,
 		budgets:  map[string]*retry.Budget{},
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/bronzestall/bronzestall/admission"
 	"github.com/bronzestall/bronzestall/balance"
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/outcome"
@@ -32,7 +33,7 @@
 	// relaxedTarget is the latency target from which maxLoadRelaxed applies.
 	relaxedTarget = time.Second
 	// capacityWaitPart is the fraction of the latency target for which a request waits for a replica with capacity,
-	// and capacityPollInterval the interval between checks.
+	// and capacityPollInterval the interval at which one request of each model checks for capacity that nothing reports.
 	capacityWaitPart     = 0.4
 	capacityPollInterval = 25 * time.Millisecond
 	// retryAfterOverload is the mean Retry-After value if all replicas are overloaded.
@@ -65,6 +66,8 @@
 	waiting bool
 	// counted is set once the request is counted as one that replicas with limits could serve.
 	counted bool
+	// entry is that of the request in the admission queue of its model; nil if it does not wait there.
+	entry *admission.Entry
 }
 
 func (transaction *transaction) newSelection() *selection {
@@ -83,8 +86,9 @@
 	return &selection{transaction: transaction, begun: transaction.relay.deps.Clock.Now()}
 }
 
-// finish ends the wait for the model, if there was one.
+// finish ends the waits for capacity and for the model, if there were any.
 func (selection *selection) finish() {
+	selection.leaveLine(selection.relay.deps.Clock.Now())
 	if selection.waiting {
 		selection.summary.Waited += selection.relay.deps.Clock.Since(selection.begun)
 		selection.relay.deps.Demand.RemoveWaiting(selection.key(), selection.request.Arrived)
@@ -116,6 +120,7 @@
 		}
 	}
 	if state := selection.pathToWaitFor(candidates); state != reach.Sound {
+		selection.leaveLine(now)
 		return balance.Candidate{}, false, selection.waitForPath(ctx, state, changes)
 	}
 	available := selection.availability(candidates, !selection.counted, now)
@@ -124,12 +129,17 @@
 	selection.criteria.Leaving = selection.leavingReleases(candidates, now)
 	// A trial may end its replica with all that runs there.
 	selection.criteria.Quietest = selection.trial != 0
-	if chosen, ok := selection.choose(available.accepting, now); ok {
-		return chosen, true, nil
+	if selection.mayTry(now) {
+		if chosen, ok := selection.choose(selection.offered(available.accepting, now), now); ok {
+			selection.admitted(now)
+			return chosen, true, nil
+		}
+	}
+	if len(available.accepting) > 0 {
+		return selection.waitForCapacity(ctx, available.accepting, now, changes)
 	}
+	selection.leaveLine(now)
 	switch {
-	case len(available.accepting) > 0:
-		return balance.Candidate{}, false, selection.waitForCapacity(ctx, now, changes)
 	case len(available.limited) > 0:
 		return selection.chooseLimited(ctx, available.limited, now, changes)
 	case !available.resumeAt.IsZero():
@@ -139,15 +149,6 @@
 	}
 }
 
-// waitForCapacity waits for a moment, or returns why the request must not wait any longer.
-func (selection *selection) waitForCapacity(ctx context.Context, now time.Time, changes changes) *outcome.Error {
-	if failure := selection.overloadFailure(now); failure != nil {
-		return failure
-	}
-	selection.waitForChange(ctx, capacityPollInterval, changes)
-	return nil
-}
-
 // chooseLimited waits until one of the candidates has a token and returns it, or returns why none has one in time.
 func (selection *selection) chooseLimited(ctx context.Context, limited []balance.Candidate, now time.Time, changes changes) (balance.Candidate, bool, *outcome.Error) {
 	if selection.service.Engine != nil {
@@ -221,12 +222,13 @@
 
 // maxLoad returns the most requests in flight that a replica may have to be chosen, as a multiple of its slots; zero
 // means no limit. Above it the first event arrives later than clients expect. Routes with a long latency target
-// accept more after a wait. A stream that has begun may continue at any replica.
+// accept more after a wait, unless more urgent requests wait. A stream that has begun may continue at any replica.
 func (transaction *transaction) maxLoad(now time.Time) float64 {
 	if transaction.service.Engine == nil || transaction.sink.Begun() {
 		return 0
 	}
-	if transaction.route.LatencyTarget >= relaxedTarget && now.Sub(transaction.request.Arrived) >= transaction.capacityWait() {
+	if transaction.route.LatencyTarget >= relaxedTarget && now.Sub(transaction.request.Arrived) >= transaction.capacityWait() &&
+		!transaction.relay.lines.moreUrgent(transaction.modelKey(), transaction.priority()) {
 		return maxLoadRelaxed
 	}
 	return maxLoadInteractive
