Show the requests that wait for capacity in logs and metrics

Operators saw neither how many requests wait for capacity nor why one was refused. Event 890 sums the refusals of a model every five seconds with the forecast, 891 names replicas that rejected requests, Waited in the line of a request includes the wait for capacity, and metrics give the waiting requests by priority, refusals by cause and the time waited.

go test -race passes for relay, admission, event, meter and front.

--- a/admission/ceilings.go
+++ b/admission/ceilings.go
@@ -42,16 +42,19 @@
 }
 
 // Rejected records that the replica rejected a request while the given number of others were known to be in flight there.
-func (ceilings *Ceilings) Rejected(replica topology.Incarnation, inFlight int, now time.Time) {
+// It returns true unless the replica has a bound already.
+func (ceilings *Ceilings) Rejected(replica topology.Incarnation, inFlight int, now time.Time) bool {
 	ceilings.mutex.Lock()
 	defer ceilings.mutex.Unlock()
-	for known, ceiling := range ceilings.replicas {
+	for old, ceiling := range ceilings.replicas {
 		if now.Sub(ceiling.since) > ceilingTTL {
-			delete(ceilings.replicas, known)
+			delete(ceilings.replicas, old)
 		}
 	}
+	_, known := ceilings.replicas[replica]
 	ceilings.replicas[replica] = ceiling{least: ceilingPart * float64(inFlight), since: now}
 	ceilings.count.Store(int32(min(len(ceilings.replicas), math.MaxInt32)))
+	return !known
 }
 
 // Any reports whether any replica has a bound.
--- a/event/front.go
+++ b/event/front.go
@@ -26,6 +26,8 @@
 	RequestHeld        = define(809, "RequestHeld", Warning, "The daemon ends and has a request that was read whole and has no final response; its connection is closed.")
 	KeyUnconfirmed     = define(880, "KeyUnconfirmed", Warning, "A request is refused since its key cannot be checked: the configuration was last confirmed longer ago, Age, than a removed key may be accepted.")
 	AccountsTaken      = define(881, "AccountsTaken", Info, "The configuration in force has client accounts; SharedKeys is the number of keys that several accounts list, of which the first one has them, and Unlimited the number of accounts without a limit.")
+	CapacityShort      = define(890, "CapacityShort", Warning, "Requests for Model are refused since its replicas are full: Refused is their number since the last line, logged at most every five seconds for each model. Waiting is the number of those that wait, Priority that of the last one refused, Ahead the number of requests before it, Wait the time after which it was expected to start, and Measured whether starts were measured long enough to rely on that.")
+	ReplicaOffered     = define(891, "ReplicaOffered", Info, "A replica rejected a request and gets fewer for two seconds; InFlight is the number of requests that this daemon knew there. Logged at the first rejection after a time without.")
 	StoreLost          = define(820, "StoreLost", Warning, "The platform's store does not respond; the data read last remains in use.")
 	StoreRegained      = define(821, "StoreRegained", Info, "The platform's store responds again.")
 	HistoryForgotten   = define(822, "HistoryForgotten", Info, "The store no longer has the requested changes of a table; the whole table is read again.")
--- a/front/tasks.go
+++ b/front/tasks.go
@@ -100,6 +100,7 @@
 	defer ticker.Stop()
 	var daemons recentPeak
 	var limits []ratelimit.Entry
+	priorities := map[int]bool{}
 	step := 0
 	for {
 		select {
@@ -118,6 +119,7 @@
 			daemon.pruneReplicas(daemon.roster.Entries())
 		}
 		daemon.updateMetrics(daemon.clock.Now())
+		daemon.updateCapacityMetrics(priorities)
 		daemon.updateProtocolMetrics(live)
 		daemon.observeMembers(live)
 		limits = daemon.updateLimitMetrics(daemon.clock.Now(), limits)
--- a/meter/name.go
+++ b/meter/name.go
@@ -85,6 +85,13 @@
 	// refused for it.
 	LimitSent    Name = "bronzestall_limit_requests_sent"
 	LimitRefused Name = "bronzestall_limit_requests_refused"
+	// CapacityWaiting is the number of requests that wait for a replica with capacity, by priority, and CapacityRefused that of those
+	// refused for want of it so far, by cause: AtOnce or AfterWait.
+	CapacityWaiting Name = "bronzestall_capacity_waiting"
+	CapacityRefused Name = "bronzestall_capacity_requests_refused"
+	// CapacityWaits is the number of waits for capacity that ended so far, and CapacityWaited their sum in milliseconds.
+	CapacityWaits  Name = "bronzestall_capacity_waits"
+	CapacityWaited Name = "bronzestall_capacity_waited_milliseconds"
 	// NoticesMalformed counts responses with a notice of the replica that could not be decoded, by header.
 	NoticesMalformed Name = "bronzestall_notices_malformed"
 	// Build is the version of the protocol between daemons that the daemon knows; its subject is protocol.Build.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -181,7 +181,7 @@
 		guard.Rejected(candidate.Incarnation, transaction.relay.deps.Clock.Now())
 	}
 	if !reply.Misdirected && transaction.service.Engine != nil {
-		transaction.relay.ceilings.Rejected(candidate.Incarnation, candidate.InFlight, transaction.relay.deps.Clock.Now())
+		transaction.lowerCeiling(candidate)
 	}
 	failure := outcome.New(outcome.UpstreamRefused, "%s", "the replica did not run the request: "+http.StatusText(reply.Status))
 	return result{failure: failure.WithRetryAfter(retryAfterBusy), notRun: true, misdirected: reply.Misdirected}
--- a/relay/capacity.go
+++ b/relay/capacity.go
@@ -10,6 +10,7 @@
 	"github.com/bronzestall/bronzestall/admission"
 	"github.com/bronzestall/bronzestall/balance"
 	"github.com/bronzestall/bronzestall/demand"
+	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/outcome"
 )
 
@@ -55,6 +56,7 @@
 // admitted records that the request found a replica.
 func (selection *selection) admitted(now time.Time) {
 	if selection.queues() {
+		selection.countWait(now)
 		selection.relay.lines.start(selection.modelKey(), selection.entry, selection.priority(), now)
 		selection.entry = nil
 	}
@@ -63,11 +65,24 @@
 // leaveLine removes the request from the queue of its model, if it is there.
 func (selection *selection) leaveLine(now time.Time) {
 	if selection.entry != nil {
+		selection.countWait(now)
 		selection.relay.lines.leave(selection.modelKey(), selection.entry, now)
 		selection.entry = nil
 	}
 }
 
+// countWait counts the time that the request waited for capacity, if it did.
+func (selection *selection) countWait(now time.Time) {
+	if selection.entry == nil {
+		return
+	}
+	waited := now.Sub(selection.joined)
+	selection.summary.Waited += waited
+	selection.waited += waited
+	selection.relay.lines.waits.Add(1)
+	selection.relay.lines.waited.Add(int64(waited))
+}
+
 // newEntry returns the entry of the request in the queue of its model.
 func (selection *selection) newEntry(now time.Time) *admission.Entry {
 	entry := admission.Entry{
@@ -106,17 +121,32 @@
 		if chosen, ok := selection.chooseFree(candidates, now); ok {
 			return chosen, true, nil
 		}
-		selection.relay.lines.refuse(selection.modelKey(), selection.priority(), selection.causes.Request, now)
+		selection.refuse(entry, now)
 		return balance.Candidate{}, false, failure
 	}
 	if selection.entry == nil {
-		selection.entry = entry
+		selection.entry, selection.joined = entry, now
 		selection.relay.lines.join(selection.modelKey(), entry, now)
 	}
 	selection.waitForTurn(ctx, candidates, until, now, changes)
 	return balance.Candidate{}, false, nil
 }
 
+// refuse records that the request with the entry is refused for want of capacity.
+func (selection *selection) refuse(entry *admission.Entry, now time.Time) {
+	lines, key := selection.relay.lines, selection.modelKey()
+	forecast := lines.forecast(key, entry, now)
+	lines.remember(selection.causes.Request, now)
+	cause := RefusedAtOnce
+	if selection.entry != nil {
+		cause = RefusedAfterWait
+	}
+	if refused, waiting := lines.refuse(key, selection.priority(), cause, now); refused > 0 {
+		event.CapacityShort.Log("Service", key.Service, "Model", key.Model, "Refused", refused, "Waiting", waiting, "Priority", selection.priority(),
+			"Ahead", forecast.Ahead, "Wait", forecast.Wait, "Measured", forecast.Known)
+	}
+}
+
 // waitForTurn passes the turn on, if the request has it, and waits for the next one, or until the forecast is to be repeated.
 func (selection *selection) waitForTurn(ctx context.Context, candidates []balance.Candidate, until, now time.Time, changes changes) {
 	lines, key := selection.relay.lines, selection.modelKey()
@@ -197,6 +227,13 @@
 	return offered
 }
 
+// lowerCeiling records that the candidate rejected the request.
+func (transaction *transaction) lowerCeiling(candidate balance.Candidate) {
+	if transaction.relay.ceilings.Rejected(candidate.Incarnation, candidate.InFlight, transaction.relay.deps.Clock.Now()) {
+		event.ReplicaOffered.Log("Replica", candidate.ID, "Born", candidate.Started, "InFlight", candidate.InFlight)
+	}
+}
+
 // size returns the tokens that the request needs in the memory of an engine, at most.
 func (transaction *transaction) size() int {
 	return transaction.request.Metadata.PromptTokens + transaction.request.Metadata.OutputTokens
--- a/relay/lines.go
+++ b/relay/lines.go
@@ -15,15 +15,22 @@
 // lineTTL is how long the admission queue of a model is kept after its last use, with what it measured.
 const lineTTL = 15 * time.Second
 
+// refusalLogInterval is the shortest time between two log lines about refusals for one model.
+const refusalLogInterval = 5 * time.Second
+
 // lines holds the admission queues of one daemon by service and model. A queue exists only while requests of its model wait for
 // capacity, or did lately. It is safe for concurrent use. Use newLines.
 type lines struct {
 	// kept is the number of queues, and waiting that of all waiting requests, so that requests take no lock without a shortage.
 	kept, waiting atomic.Int64
+	// waits is the number of waits that ended, and waited their sum as a time.Duration.
+	waits, waited atomic.Int64
 
 	mutex    sync.Mutex
 	queues   map[demand.Key]*line
 	refusals *admission.Refusals
+	// refused counts the refusals by cause.
+	refused map[RefusalCause]int
 }
 
 // line is the admission queue of one model.
@@ -33,6 +40,9 @@
 	replicas []topology.Incarnation
 	// poller is the waiting request that offers the turn at intervals, since not all that makes room is reported; nil if there is none.
 	poller *admission.Entry
+	// refused is the number of refusals that were not logged, and logged when the last ones were.
+	refused int
+	logged  time.Time
 }
 
 func newLine(now time.Time) *line {
@@ -40,7 +50,7 @@
 }
 
 func newLines() *lines {
-	return &lines{queues: map[demand.Key]*line{}, refusals: admission.NewRefusals()}
+	return &lines{queues: map[demand.Key]*line{}, refusals: admission.NewRefusals(), refused: map[RefusalCause]int{}}
 }
 
 // blocks reports whether a request that arrives now must wait for others of its model.
@@ -65,6 +75,13 @@
 	return ok && known.queue.MoreUrgent(priority)
 }
 
+// remember remembers the refusal of the request with the fingerprint.
+func (lines *lines) remember(fingerprint uint64, now time.Time) {
+	lines.mutex.Lock()
+	defer lines.mutex.Unlock()
+	lines.refusals.Add(fingerprint, now)
+}
+
 // returned reports whether the request with the fingerprint was refused for want of capacity lately.
 func (lines *lines) returned(fingerprint uint64, now time.Time) bool {
 	if lines.kept.Load() == 0 {
@@ -174,12 +191,20 @@
 	}
 }
 
-// refuse records that a request of the priority is refused for want of capacity.
-func (lines *lines) refuse(key demand.Key, priority int, fingerprint uint64, now time.Time) {
+// refuse records that a request of the priority is refused for want of capacity. It returns the number of refusals that are to be
+// logged now, or zero, and that of the waiting requests.
+func (lines *lines) refuse(key demand.Key, priority int, cause RefusalCause, now time.Time) (refused, waiting int) {
 	lines.mutex.Lock()
 	defer lines.mutex.Unlock()
-	lines.line(key, now).queue.CountRefusal(priority, now)
-	lines.refusals.Add(fingerprint, now)
+	line := lines.line(key, now)
+	line.queue.CountRefusal(priority, now)
+	lines.refused[cause]++
+	line.refused++
+	if now.Sub(line.logged) < refusalLogInterval {
+		return 0, 0
+	}
+	refused, line.refused, line.logged = line.refused, 0, now
+	return refused, line.queue.Len()
 }
 
 // leave removes the entry, which waits no longer.
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -68,6 +68,9 @@
 	counted bool
 	// entry is that of the request in the admission queue of its model; nil if it does not wait there.
 	entry *admission.Entry
+	// joined is when it began to wait there, and waited how long it did before.
+	joined time.Time
+	waited time.Duration
 }
 
 func (transaction *transaction) newSelection() *selection {
@@ -90,7 +93,7 @@
 func (selection *selection) finish() {
 	selection.leaveLine(selection.relay.deps.Clock.Now())
 	if selection.waiting {
-		selection.summary.Waited += selection.relay.deps.Clock.Since(selection.begun)
+		selection.summary.Waited += selection.relay.deps.Clock.Since(selection.begun) - selection.waited
 		selection.relay.deps.Demand.RemoveWaiting(selection.key(), selection.request.Arrived)
 	}
 }
--- a/relay/summary.go
+++ b/relay/summary.go
@@ -37,6 +37,6 @@
 	Lender string
 	// TakeUp states with what the request goes on; nil if it begins anew.
 	TakeUp *TakeUp
-	// Waited is how long the request waited for its model or adapter.
+	// Waited is how long the request waited for its model or adapter, and for capacity.
 	Waited time.Duration
 }
