Leave room for more urgent requests while these are short of capacity

While requests wait, replicas are filled to 1.5 times their slots, and a priority that is served more often than a more urgent one, or hardly less, gets free slots only. Requests that do not wait take no clock and no lock for it, and queues that are not in use are dropped each second.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -38,7 +38,7 @@
 	tries  int
 	// again is set if capacity may have appeared since the round began.
 	again bool
-	// used is when the queue was last used.
+	// used is when a request last began or ceased to wait, or was refused.
 	used time.Time
 }
 
@@ -186,7 +186,6 @@
 
 // CountStart counts a request of the priority that found a replica, also one that did not wait.
 func (queue *Queue) CountStart(priority int, now time.Time) {
-	queue.used = now
 	queue.classes[priority].served.add(1, servedHalfLife, now)
 	queue.classes[priority].offered.add(1, servedHalfLife, now)
 }
--- a/relay/capacity.go
+++ b/relay/capacity.go
@@ -12,6 +12,7 @@
 	"github.com/bronzestall/bronzestall/demand"
 	"github.com/bronzestall/bronzestall/event"
 	"github.com/bronzestall/bronzestall/outcome"
+	"github.com/bronzestall/bronzestall/topology"
 )
 
 const (
@@ -88,7 +89,7 @@
 	entry := admission.Entry{
 		Priority: selection.priority(),
 		Returned: selection.isReturned(now),
-		StartBy:  selection.capacityDeadline(),
+		StartBy:  selection.request.Arrived.Add(selection.capacityWait()),
 		Account:  selection.request.AccountName(),
 		Tokens:   selection.request.Metadata.PromptTokens,
 		Arrived:  selection.request.Arrived,
@@ -239,6 +240,18 @@
 	return transaction.request.Metadata.PromptTokens + transaction.request.Metadata.OutputTokens
 }
 
+// countsMemory reports whether the memory of the engines is known, so that what requests need of it is counted.
+func (transaction *transaction) countsMemory() bool {
+	return transaction.service.Engine != nil && transaction.service.Engine.CacheTokens > 0
+}
+
+// offerCapacity lets waiting requests try, since the replica may have capacity.
+func (relay *Relay) offerCapacity(replica topology.Incarnation) {
+	if relay.lines.waiting.Load() > 0 {
+		relay.lines.offerReplica(replica, relay.deps.Clock.Now())
+	}
+}
+
 // CapacityChanged states that replicas may have capacity that this daemon did not know of.
 func (relay *Relay) CapacityChanged() {
 	relay.lines.offerAll(relay.deps.Clock.Now())
--- a/relay/capacity_test.go
+++ b/relay/capacity_test.go
@@ -21,10 +21,12 @@
 	}
 }
 
-// release frees one place at an engine.
+// release frees places at a full engine until waiting requests may use one of them.
 func (fixture *fixture) release() {
 	replica := topology.Incarnation{ID: "enginea"}
-	fixture.relay.deps.Balancer.Cancel(replica)
+	for range 4*int(maxLoadInteractive) - int(4*maxLoadShort) + 1 {
+		fixture.relay.deps.Balancer.Cancel(replica)
+	}
 	fixture.relay.lines.offerReplica(replica, time.Now())
 }
 
--- a/relay/capacitystate.go
+++ b/relay/capacitystate.go
@@ -29,11 +29,13 @@
 	Waited time.Duration
 }
 
-// Capacity returns the state of the requests that wait for capacity.
+// Capacity returns the state of the requests that wait for capacity, and drops the queues that are not in use any more. It is to be
+// called about every second.
 func (relay *Relay) Capacity() CapacityState {
 	lines := relay.lines
 	lines.mutex.Lock()
 	defer lines.mutex.Unlock()
+	lines.prune(relay.deps.Clock.Now())
 	state := CapacityState{Refused: maps.Clone(lines.refused), Waits: lines.waits.Load(), Waited: time.Duration(lines.waited.Load())}
 	for _, line := range lines.queues {
 		for priority := range state.Waiting {
--- a/relay/lines.go
+++ b/relay/lines.go
@@ -64,15 +64,33 @@
 	return ok && known.queue.Blocks(priority, returned)
 }
 
-// moreUrgent reports whether a more urgent request waits for the model.
-func (lines *lines) moreUrgent(key demand.Key, priority int) bool {
+// standing returns how requests of the priority for the model are served compared with more urgent ones.
+func (lines *lines) standing(key demand.Key, priority int, now time.Time) admission.Standing {
+	if lines.kept.Load() == 0 {
+		return admission.Unrivalled
+	}
+	lines.mutex.Lock()
+	defer lines.mutex.Unlock()
+	known, ok := lines.queues[key]
+	switch {
+	case !ok:
+		return admission.Unrivalled
+	case known.queue.MoreUrgent(priority):
+		return max(known.queue.Standing(priority, now), admission.Behind)
+	default:
+		return known.queue.Standing(priority, now)
+	}
+}
+
+// short reports whether requests for the model wait.
+func (lines *lines) short(key demand.Key) bool {
 	if lines.waiting.Load() == 0 {
 		return false
 	}
 	lines.mutex.Lock()
 	defer lines.mutex.Unlock()
 	known, ok := lines.queues[key]
-	return ok && known.queue.MoreUrgent(priority)
+	return ok && known.queue.Len() > 0
 }
 
 // remember remembers the refusal of the request with the fingerprint.
@@ -232,13 +250,18 @@
 	if ok {
 		return known
 	}
-	for old, line := range lines.queues {
-		if line.queue.IsIdle(lineTTL, now) {
-			delete(lines.queues, old)
-		}
-	}
 	known = newLine(now)
 	lines.queues[key] = known
 	lines.kept.Store(int64(len(lines.queues)))
 	return known
 }
+
+// prune drops the queues that were not used for lineTTL. The mutex must be held.
+func (lines *lines) prune(now time.Time) {
+	for key, line := range lines.queues {
+		if line.queue.IsIdle(lineTTL, now) {
+			delete(lines.queues, key)
+		}
+	}
+	lines.kept.Store(int64(len(lines.queues)))
+}
--- a/relay/record.go
+++ b/relay/record.go
@@ -33,7 +33,7 @@
 		sent:        transaction.relay.deps.Clock.Now(),
 		activity:    transaction.relay.activity.begin(candidate.Incarnation),
 	}
-	if transaction.service.Engine != nil {
+	if transaction.countsMemory() {
 		transaction.relay.memory.Add(candidate.Incarnation, transaction.service.Name, transaction.size())
 	}
 	transaction.relay.deps.Demand.AddInFlight(record.replicaKey, transaction.criteria.Priority)
@@ -54,7 +54,7 @@
 		return
 	}
 	attemptRecord.endWait(true)
-	relay.lines.offerReplica(attemptRecord.candidate.Incarnation, relay.deps.Clock.Now())
+	relay.offerCapacity(attemptRecord.candidate.Incarnation)
 	relay.deps.Balancer.ObserveLatency(attemptRecord.candidate.Incarnation, relay.deps.Clock.Since(attemptRecord.sent))
 }
 
@@ -82,10 +82,10 @@
 	relay, replica := attemptRecord.transaction.relay, attemptRecord.candidate.Incarnation
 	relay.activity.end(replica, attemptRecord.activity)
 	relay.deps.Demand.RemoveInFlight(attemptRecord.replicaKey)
-	if attemptRecord.transaction.service.Engine != nil {
+	if attemptRecord.transaction.countsMemory() {
 		relay.memory.Remove(replica, attemptRecord.transaction.size())
 	}
-	relay.lines.offerReplica(replica, relay.deps.Clock.Now())
+	relay.offerCapacity(replica)
 }
 
 // endWait records the end of the wait for the first event. begun states whether the event arrived.
--- a/relay/selection.go
+++ b/relay/selection.go
@@ -30,6 +30,9 @@
 	// the first event in time. maxLoadRelaxed is the limit for routes with a latency target of at least relaxedTarget.
 	maxLoadInteractive = 2.0
 	maxLoadRelaxed     = 3.0
+	// maxLoadShort is the limit while requests wait for the model: what waits at the replica keeps its slots taken until news of it
+	// arrives, and the order of the rest is decided here.
+	maxLoadShort = 1.5
 	// relaxedTarget is the latency target from which maxLoadRelaxed applies.
 	relaxedTarget = time.Second
 	// capacityWaitPart is the fraction of the latency target for which a request waits for a replica with capacity,
@@ -91,7 +94,9 @@
 
 // finish ends the waits for capacity and for the model, if there were any.
 func (selection *selection) finish() {
-	selection.leaveLine(selection.relay.deps.Clock.Now())
+	if selection.entry != nil {
+		selection.leaveLine(selection.relay.deps.Clock.Now())
+	}
 	if selection.waiting {
 		selection.summary.Waited += selection.relay.deps.Clock.Since(selection.begun) - selection.waited
 		selection.relay.deps.Demand.RemoveWaiting(selection.key(), selection.request.Arrived)
@@ -225,15 +230,24 @@
 
 // maxLoad returns the most requests in flight that a replica may have to be chosen, as a multiple of its slots; zero
 // means no limit. Above it the first event arrives later than clients expect. Routes with a long latency target
-// accept more after a wait, unless more urgent requests wait. A stream that has begun may continue at any replica.
+// accept more after a wait. While requests wait for the model, replicas are filled less, and a priority that is served
+// more often than a more urgent one, or hardly less, gets free slots only. A stream that has begun may continue at any replica.
 func (transaction *transaction) maxLoad(now time.Time) float64 {
 	if transaction.service.Engine == nil || transaction.sink.Begun() {
 		return 0
 	}
-	if transaction.route.LatencyTarget >= relaxedTarget && now.Sub(transaction.request.Arrived) >= transaction.capacityWait() &&
-		!transaction.relay.lines.moreUrgent(transaction.modelKey(), transaction.priority()) {
+	switch transaction.relay.lines.standing(transaction.modelKey(), transaction.priority(), now) {
+	case admission.Ahead:
+		return freeLoad
+	case admission.Behind:
+		return maxLoadShort
+	}
+	if transaction.route.LatencyTarget >= relaxedTarget && now.Sub(transaction.request.Arrived) >= transaction.capacityWait() {
 		return maxLoadRelaxed
 	}
+	if transaction.relay.lines.short(transaction.modelKey()) {
+		return maxLoadShort
+	}
 	return maxLoadInteractive
 }
 
