--- a/event/front.go
+++ b/event/front.go
@@ -34,6 +34,8 @@
 	QuotaAvailable     = define(883, "QuotaAvailable", Info, "No request of an account was refused for ten seconds for its quota; Refused is the number of those refused since 882.")
 	QuotaAlone         = define(884, "QuotaAlone", Warning, "No daemon that divides the quota of an account answers; this one uses its equal share of the rate, among Daemons.")
 	QuotaDivided       = define(885, "QuotaDivided", Info, "A daemon that divides the quota of an account answers again; For is how long none did.")
+	CapacityShort      = define(890, "CapacityShort", Warning, "Requests for Model are refused since its replicas are full: Refused is their number since the last line, logged at most every five seconds for each model. Waiting is the number of those that wait, Priority that of the last one refused, Ahead the number of requests before it, Wait the time after which it was expected to start, and Measured whether starts were measured long enough to rely on that.")
+	ReplicaOffered     = define(891, "ReplicaOffered", Info, "A replica rejected a request and gets fewer for two seconds; InFlight is the number of requests that this daemon knew there. Logged at the first rejection after a time without.")
 	StoreLost          = define(820, "StoreLost", Warning, "The platform's store does not respond; the data read last remains in use.")
 	StoreRegained      = define(821, "StoreRegained", Info, "The platform's store responds again.")
 	HistoryForgotten   = define(822, "HistoryForgotten", Info, "The store no longer has the requested changes of a table; the whole table is read again.")
--- a/front/sync.go
+++ b/front/sync.go
@@ -115,6 +115,7 @@
 func (daemon *Daemon) applyAnnouncement(announcement directory.Announcement) {
 	if announcement.InFlight != nil {
 		daemon.balancer.SetRemoteInFlight(announcement.InFlight)
+		daemon.relay.CapacityChanged()
 	}
 	if announcement.Paces != nil {
 		daemon.balancer.SetPaces(announcement.Paces, daemon.clock.Now())
--- a/front/tasks.go
+++ b/front/tasks.go
@@ -102,6 +102,7 @@
 	var daemons recentPeak
 	var limits []ratelimit.Entry
 	var paces map[topology.Incarnation]pace.Value
+	priorities := map[int]bool{}
 	step := 0
 	for {
 		select {
@@ -121,6 +122,7 @@
 			daemon.pruneReplicas(daemon.roster.Entries())
 		}
 		daemon.updateMetrics(daemon.clock.Now())
+		daemon.updateCapacityMetrics(priorities)
 		daemon.updateProtocolMetrics(live)
 		daemon.observeMembers(live)
 		limits = daemon.updateLimitMetrics(daemon.clock.Now(), limits)
@@ -128,6 +130,7 @@
 		paces = daemon.updatePaces(daemon.clock.Now(), paces)
 		if daemon.clock.Since(daemon.directory.HolderLastSeen()) > holderTimeout {
 			daemon.balancer.SetRemoteInFlight(daemon.mesh.InFlightByReplica())
+			daemon.relay.CapacityChanged()
 		}
 		daemons.observe(len(live)+1, daemon.clock.Now())
 		daemon.relay.LimitRetries(retryBudgetLimit(daemon.settings, daemons.value))
--- a/meter/name.go
+++ b/meter/name.go
@@ -112,6 +112,13 @@
 	QuotaHeld    Name = "bronzestall_quota_held"
 	QuotaRefused Name = "bronzestall_quota_requests_refused"
 	QuotaWaiting Name = "bronzestall_quota_waiting"
+	// CapacityWaiting is the number of requests that wait for a replica with capacity, by priority, and CapacityRefused that of those
+	// refused for want of it so far, by cause: AtOnce or AfterWait.
+	CapacityWaiting Name = "bronzestall_capacity_waiting"
+	CapacityRefused Name = "bronzestall_capacity_requests_refused"
+	// CapacityWaits is the number of waits for capacity that ended so far, and CapacityWaited their sum in milliseconds.
+	CapacityWaits  Name = "bronzestall_capacity_waits"
+	CapacityWaited Name = "bronzestall_capacity_waited_milliseconds"
 	// NoticesMalformed counts responses with a notice of the replica that could not be decoded, by header.
 	NoticesMalformed Name = "bronzestall_notices_malformed"
 	// Build is the version of the protocol between daemons that the daemon knows; its subject is protocol.Build.
--- a/relay/record.go
+++ b/relay/record.go
@@ -35,6 +35,9 @@
 		sent:        transaction.relay.deps.Clock.Now(),
 		activity:    transaction.relay.activity.begin(candidate.Incarnation),
 	}
+	if transaction.countsMemory() {
+		transaction.relay.memory.Add(candidate.Incarnation, transaction.service.Name, transaction.size())
+	}
 	transaction.relay.deps.Demand.AddInFlight(record.replicaKey, transaction.criteria.Priority)
 	if guard := transaction.relay.deps.Brittle; guard != nil {
 		record.begun = guard.Sent(candidate.Incarnation)
@@ -55,6 +58,7 @@
 	}
 	attemptRecord.gaps.begin(at)
 	attemptRecord.endWait(true)
+	relay.offerCapacity(attemptRecord.candidate.Incarnation)
 	relay.deps.Balancer.ObserveLatency(attemptRecord.candidate.Incarnation, relay.deps.Clock.Since(attemptRecord.sent))
 }
 
@@ -92,11 +96,16 @@
 	if !attemptRecord.waitEnded {
 		attemptRecord.endWait(false)
 	}
+	relay, replica := attemptRecord.transaction.relay, attemptRecord.candidate.Incarnation
 	if mean := attemptRecord.gaps.rest(); mean > 0 {
-		attemptRecord.transaction.relay.deps.Balancer.ObserveGap(attemptRecord.candidate.Incarnation, mean)
+		relay.deps.Balancer.ObserveGap(replica, mean)
+	}
+	relay.activity.end(replica, attemptRecord.activity)
+	relay.deps.Demand.RemoveInFlight(attemptRecord.replicaKey)
+	if attemptRecord.transaction.countsMemory() {
+		relay.memory.Remove(replica, attemptRecord.transaction.size())
 	}
-	attemptRecord.transaction.relay.activity.end(attemptRecord.candidate.Incarnation, attemptRecord.activity)
-	attemptRecord.transaction.relay.deps.Demand.RemoveInFlight(attemptRecord.replicaKey)
+	relay.offerCapacity(replica)
 }
 
 // endWait records the end of the wait for the first event. begun states whether the event arrived.
