Mend what two readers of the change found

Cause, found by reading: a size that cannot be read cost nothing, and an absurd one left a debt for years; a bucket whose callers read the clock in another order granted an interval twice; a question that came late gave an amount back that had arrived; a key was looked up in a configuration older than the age that was checked; a request admitted under a configuration without accounts ran under one with them; an ignored row confirmed the configuration; more than 1,024 accounts in one message failed; the forecast by prompt tokens grew without bound while nothing started; a refused request kept changed criteria; bounds of replicas that are gone stayed; the returned requests of one account went before those of another.

Change: each mended; daemons that see others stay ready while no daemon can check keys.

--- a/admission/ceilings.go
+++ b/admission/ceilings.go
@@ -31,7 +31,7 @@
 
 // ceiling is that of one replica.
 type ceiling struct {
-	// least is the number of requests in flight up to which the replica was offered more when it rejected one, at the time since.
+	// least is the number of requests in flight up to which the replica is offered more right after the rejection, at the time since.
 	least float64
 	since time.Time
 }
@@ -46,17 +46,30 @@
 func (ceilings *Ceilings) Rejected(replica topology.Incarnation, inFlight int, now time.Time) bool {
 	ceilings.mutex.Lock()
 	defer ceilings.mutex.Unlock()
-	for old, ceiling := range ceilings.replicas {
-		if now.Sub(ceiling.since) > ceilingTTL {
-			delete(ceilings.replicas, old)
-		}
-	}
+	ceilings.expire(now)
 	_, known := ceilings.replicas[replica]
 	ceilings.replicas[replica] = ceiling{least: ceilingPart * float64(inFlight), since: now}
 	ceilings.count.Store(int32(min(len(ceilings.replicas), math.MaxInt32)))
 	return !known
 }
 
+// Prune drops the bounds without effect.
+func (ceilings *Ceilings) Prune(now time.Time) {
+	ceilings.mutex.Lock()
+	defer ceilings.mutex.Unlock()
+	ceilings.expire(now)
+	ceilings.count.Store(int32(min(len(ceilings.replicas), math.MaxInt32)))
+}
+
+// expire is Prune with the mutex held.
+func (ceilings *Ceilings) expire(now time.Time) {
+	for replica, ceiling := range ceilings.replicas {
+		if now.Sub(ceiling.since) > ceilingTTL {
+			delete(ceilings.replicas, replica)
+		}
+	}
+}
+
 // Any reports whether any replica has a bound.
 func (ceilings *Ceilings) Any() bool {
 	return ceilings.count.Load() > 0
--- a/admission/forecast.go
+++ b/admission/forecast.go
@@ -38,10 +38,12 @@
 	}
 	ahead, tokensAhead := queue.ahead(entry)
 	seconds := float64(ahead+1) / (starts * left)
-	if tokens > 0 {
+	moving := known && queue.rate.isMoving(now)
+	// Without starts the tokens per second fall towards zero, and say nothing.
+	if tokens > 0 && moving {
 		seconds = max(seconds, float64(tokensAhead+entry.Tokens)/(tokens*left))
 	}
-	return Forecast{Ahead: ahead, Wait: time.Duration(min(seconds, time.Hour.Seconds()) * float64(time.Second)), Known: known, Moving: known && queue.rate.isMoving(now)}
+	return Forecast{Ahead: ahead, Wait: time.Duration(min(seconds, time.Hour.Seconds()) * float64(time.Second)), Known: known, Moving: moving}
 }
 
 // servedRate returns the decayed number of starts of the priorities from first up to, not including, end.
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -24,6 +24,8 @@
 	Metadata Metadata
 	// Account is the client account of the request; nil without accounts, and on public routes.
 	Account *topology.Account
+	// KeyChecked is set if the request was admitted by a configuration with accounts, and has no key in its headers.
+	KeyChecked bool
 	// Arrived is when the head of the request was read.
 	Arrived time.Time
 }
--- a/front/daemon.go
+++ b/front/daemon.go
@@ -252,9 +252,10 @@
 // With more, greetings to each daemon are too rare for the counts to be useful.
 const maxPeersForInFlight = 8
 
-// isReady reports whether the daemon accepts requests: it is informed and can check keys.
+// isReady reports whether the daemon accepts requests: it is informed, and can check keys unless others seem unable to, too. A daemon that
+// sees others would be told by them; if none can check keys, all still serve public routes.
 func (daemon *Daemon) isReady() bool {
-	return daemon.isInformed() && daemon.relay.KeysUsable()
+	return daemon.isInformed() && (daemon.relay.KeysUsable() || daemon.mesh.LiveCount() > 0)
 }
 
 // isInformed reports whether the daemon has a configuration, knows a replica and the limits that other daemons know, and is not shutting
--- a/front/keys.go
+++ b/front/keys.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bytes"
 	"math"
 	"time"
 
@@ -27,6 +28,13 @@
 	}
 }
 
+// isInForce reports whether the stored row is that of the configuration in force.
+func (daemon *Daemon) isInForce(row []byte) bool {
+	daemon.mutex.Lock()
+	defer daemon.mutex.Unlock()
+	return bytes.Equal(row, daemon.configurationRow)
+}
+
 // confirmedAge returns the time since the configuration was known to be in force, and false if it never was.
 func (daemon *Daemon) confirmedAge() (time.Duration, bool) {
 	daemon.mutex.Lock()
--- a/front/quotas.go
+++ b/front/quotas.go
@@ -15,6 +15,9 @@
 // learnInterval is the shortest time between two updates of the daemons that are seen, while this one has just started.
 const learnInterval = 100 * time.Millisecond
 
+// maxQuotaAsks is the number of accounts in one message.
+const maxQuotaAsks = 512
+
 // accountQuotas charges the accounts of requests.
 type accountQuotas struct{ *Daemon }
 
@@ -36,7 +39,9 @@
 func (daemon *Daemon) requestQuotas(ctx context.Context) error {
 	for ctx.Err() == nil {
 		for grantor, asks := range daemon.dueQuotaAsks() {
-			go daemon.askQuotaGrantor(ctx, grantor, asks)
+			for batch := range slices.Chunk(asks, maxQuotaAsks) {
+				go daemon.askQuotaGrantor(ctx, grantor, batch)
+			}
 		}
 		daemon.awaitQuotaAsk(ctx)
 	}
--- a/front/replicas.go
+++ b/front/replicas.go
@@ -140,7 +140,7 @@
 func (daemon *Daemon) apply(last []roster.Entry) []roster.Entry {
 	entries := daemon.roster.Entries()
 	usable := daemon.usable(entries)
-	wasReady := daemon.isReady()
+	wasReady := daemon.isInformed()
 	daemon.observeReleases(entries)
 	daemon.directory.SetReplicas(usable)
 	daemon.balancer.SetReplicas(usable, daemon.clock.Now())
@@ -149,7 +149,7 @@
 	if configuration := daemon.relay.Configuration(); configuration != nil {
 		daemon.scheduler.Update(configuration, usable)
 	}
-	if !wasReady && daemon.isReady() {
+	if !wasReady && daemon.isInformed() {
 		event.FrontReady.Log("Daemon", daemon.settings.Name, "Replicas", len(usable))
 	}
 	daemon.processChanges(last, entries)
--- a/front/settings.go
+++ b/front/settings.go
@@ -50,8 +50,9 @@
 	// KeyRevocation is the time after the acknowledgement of a configuration from which a key that it removed is no longer accepted; zero
 	// means that it is not bounded.
 	KeyRevocation time.Duration `yaml:"KeyRevocation"`
-	// QuotaWindow, QuotaExcess and QuotaSlack bound what the requests of an account use within QuotaWindow: what its quota allows in that
-	// time, more by the fraction QuotaExcess, and by QuotaSlack in the unit of the quota.
+	// QuotaWindow, QuotaExcess and QuotaSlack state what the operator bears: within QuotaWindow, the requests of an account use what its
+	// quota allows in that time, more by the fraction QuotaExcess, and by QuotaSlack in the unit of the quota. Part of QuotaSlack is used
+	// as a larger burst; the rest, and the other two, are not used but left for faults.
 	QuotaWindow time.Duration `yaml:"QuotaWindow"`
 	QuotaExcess float64       `yaml:"QuotaExcess"`
 	QuotaSlack  float64       `yaml:"QuotaSlack"`
--- a/front/watch.go
+++ b/front/watch.go
@@ -157,7 +157,7 @@
 }
 
 // watchConfiguration applies the operator's configuration. Rows that cannot be decoded are logged and
-// skipped; the configuration is not confirmed while the newest row is such a one.
+// skipped; the configuration is not confirmed while the newest row is such a one, or has no higher version than the one in force.
 func (daemon *Daemon) watchConfiguration(ctx context.Context) error {
 	skipped := false
 	apply := func(row datastore.Row) {
@@ -171,6 +171,7 @@
 			return
 		}
 		daemon.applyConfiguration(configuration, row.Value, "Store")
+		skipped = !daemon.isInForce(row.Value)
 	}
 	watcher := &tableWatcher{
 		daemon: daemon,
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -147,7 +147,7 @@
 func (ingress *Ingress) admit(ctx context.Context, request *exchange.Request) (func(), *outcome.Error) {
 	admission, failure := ingress.deps.Relay.Admit(ctx, request)
 	request.Metadata.Key = ""
-	request.Account = admission.Account
+	request.Account, request.KeyChecked = admission.Account, admission.KeyChecked
 	if admission.KeyChecked {
 		ingress.deps.RemoveKey(request.Header)
 	}
--- a/lending/client.go
+++ b/lending/client.go
@@ -79,6 +79,7 @@
 		Daemon:        client.daemon,
 		Protocol:      int64(protocol.Current),
 	}
+	encoded.KeyChecked = request.KeyChecked
 	if account := request.Account; account != nil {
 		encoded.Account = account.Name
 		if account.HasPriority {
--- a/lending/handler.go
+++ b/lending/handler.go
@@ -84,12 +84,12 @@
 	limits := requestbody.Limits{Bytes: maxRequestBytes, Timeout: requestTimeout, Held: handler.held}
 	body, failure := requestbody.Read(writer, incoming, handler.clock, limits, outcome.New(outcome.CallerGone, "the request ended early"))
 	defer body.Close()
-	if failure != nil && failure.Kind == outcome.NotReady {
+	if failure != nil {
 		sink.refuse(failure, 0)
 		return
 	}
 	encoded := &lendingpb.Request{}
-	if failure != nil || proto.Unmarshal(body.Content, encoded) != nil {
+	if proto.Unmarshal(body.Content, encoded) != nil {
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -119,6 +119,7 @@
 	request.Header, request.Metadata = handler.decode(decodeHeader(encoded.GetHeader()))
 	request.Metadata.Key = ""
 	request.Account = decodeAccount(encoded)
+	request.KeyChecked = encoded.GetKeyChecked()
 	request.Metadata.ClientTimeout = time.Duration(encoded.GetBudget()) * time.Millisecond
 	return request, relay.Allowance{
 		Attempts:      int(encoded.GetAttempts()),
--- a/lending/lending_test.go
+++ b/lending/lending_test.go
@@ -13,6 +13,7 @@
 
 	"google.golang.org/protobuf/encoding/protodelim"
 	"k8s.io/utils/clock"
+	testingclock "k8s.io/utils/clock/testing"
 
 	"github.com/bronzestall/bronzestall/bytebudget"
 	"github.com/bronzestall/bronzestall/exchange"
@@ -20,6 +21,7 @@
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/protocol"
 	"github.com/bronzestall/bronzestall/relay"
+	"github.com/bronzestall/bronzestall/topology"
 )
 
 // server is a Relay that answers as the test says.
@@ -215,3 +217,16 @@
 		handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, Path, strings.NewReader(string(content))))
 	})
 }
+
+// TestAccountsAreLent guards against lent requests that lose their account, or the fact that their key was checked.
+func TestAccountsAreLent(t *testing.T) {
+	for _, account := range []*topology.Account{nil, {Name: "a"}, {Name: "b", Priority: 0, HasPriority: true}, {Name: "c", Priority: 7, HasPriority: true}} {
+		sent := &exchange.Request{Method: "GET", Path: "/", Header: http.Header{}, Account: account, KeyChecked: account != nil}
+		encoded := NewClient("d", nil).encode(sent, time.Second, relay.Allowance{})
+		decode := func(header http.Header) (http.Header, exchange.Metadata) { return header, exchange.Metadata{} }
+		handler := &Handler{decode: decode, clock: testingclock.NewFakeClock(time.Unix(1000, 0))}
+		if received, _ := handler.request(encoded); !reflect.DeepEqual(received.Account, account) || received.KeyChecked != sent.KeyChecked {
+			t.Errorf("account %+v, checked %t; sent %+v", received.Account, received.KeyChecked, account)
+		}
+	}
+}
--- a/quota/asker.go
+++ b/quota/asker.go
@@ -29,10 +29,16 @@
 	return asker.held
 }
 
-// returned returns what comes back with the question, at most the amount of the last response if that did not arrive.
+// isLate reports whether the question was asked before another one that was answered already.
+func (asker *asker) isLate(ask Ask) bool {
+	return ask.Answered > 0 && ask.Sequence <= asker.sequence
+}
+
+// returned returns what comes back with the question, with the amount of the last response if that did not arrive. A process that got no
+// response yet may be a new one, whose predecessor used that amount.
 func (asker *asker) returned(ask Ask) float64 {
 	back := max(ask.Returned, 0)
-	if ask.Answered < asker.sequence {
+	if ask.Answered > 0 && ask.Answered < asker.sequence {
 		back += asker.granted
 	}
 	return back
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -120,7 +120,11 @@
 
 // refill adds what the time since the last call allows.
 func (bucket *bucket) refill(now time.Time) {
-	passed := min(max(now.Sub(bucket.updated), 0), maxRefill)
+	// Callers take the time before they get the mutex, so that it may be earlier than that of the last call.
+	if !now.After(bucket.updated) {
+		return
+	}
+	passed := min(now.Sub(bucket.updated), maxRefill)
 	bucket.updated = now
 	bucket.add(bucket.rate(now)*passed.Seconds(), now)
 }
@@ -137,6 +141,9 @@
 		known = &asker{}
 		bucket.askers[daemon] = known
 	}
+	if known.isLate(ask) {
+		return Grant{Next: minNext}
+	}
 	back := known.returned(ask)
 	known.observe(ask, 0, now)
 	known.held = max(ask.Held, 0)
--- a/quota/fallback.go
+++ b/quota/fallback.go
@@ -38,7 +38,9 @@
 // missing returns what must be added before a request of the cost is admitted; zero or less if none is needed.
 func (fallback *fallback) missing(cost, perSecond float64, now time.Time) float64 {
 	size := perSecond * fallbackSize.Seconds()
-	fallback.tokens = min(fallback.tokens+perSecond*max(now.Sub(fallback.updated), 0).Seconds(), size)
-	fallback.updated = now
+	if now.After(fallback.updated) {
+		fallback.tokens = min(fallback.tokens+perSecond*now.Sub(fallback.updated).Seconds(), size)
+		fallback.updated = now
+	}
 	return min(cost, size) - fallback.tokens
 }
--- a/quota/limiter_test.go
+++ b/quota/limiter_test.go
@@ -67,3 +67,37 @@
 		t.Errorf("%v is held after its lifetime", held)
 	}
 }
+
+// TestRefillWithEarlierTimes guards against an interval that is granted twice since a caller read the clock before another one that came
+// first.
+func TestRefillWithEarlierTimes(t *testing.T) {
+	filled := newBucket(start)
+	filled.observe(topology.Quota{PerSecond: 100, Burst: 1000}, 0, true, Members{Live: []string{"a"}, Seen: 1}, start)
+	filled.firstSince = start.Add(-firmTime)
+	for _, at := range []time.Duration{time.Second, 0, time.Second, 500 * time.Millisecond, time.Second} {
+		filled.refill(start.Add(at))
+	}
+	if filled.tokens != 100 {
+		t.Errorf("%v tokens after a second at 100 per second", filled.tokens)
+	}
+}
+
+// TestLateQuestionsGrantNothing guards against an amount that comes back although it arrived, since a question was answered after a later
+// one, or since the process that got it has ended.
+func TestLateQuestionsGrantNothing(t *testing.T) {
+	known := &asker{sequence: 7, granted: 50}
+	for _, c := range []struct {
+		ask  Ask
+		late bool
+		back float64
+	}{
+		{Ask{Sequence: 6, Answered: 5}, true, 50},
+		{Ask{Sequence: 8, Answered: 7}, false, 0},
+		{Ask{Sequence: 8, Answered: 6}, false, 50},
+		{Ask{Sequence: 1}, false, 0},
+	} {
+		if late, back := known.isLate(c.ask), known.returned(c.ask); late != c.late || back != c.back {
+			t.Errorf("%+v: late %t, %v comes back", c.ask, late, back)
+		}
+	}
+}
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -34,6 +34,8 @@
 // Admit decides by the head of a request whether it may be served, before its body is read, and otherwise returns why not. It charges
 // the account of the request, and may wait for some tens of milliseconds for that.
 func (relay *Relay) Admit(ctx context.Context, request *exchange.Request) (Admission, *outcome.Error) {
+	// The age is read first: a configuration that is newer than the age only makes it safer.
+	age := relay.configurationAge()
 	configuration, route, failure := relay.match(request)
 	if failure != nil || !configuration.HasAccounts() {
 		return Admission{}, failure
@@ -41,7 +43,7 @@
 	if route.Public {
 		return Admission{KeyChecked: true}, nil
 	}
-	account, failure := relay.authenticate(configuration, request)
+	account, failure := relay.authenticate(configuration, request, age)
 	if failure != nil {
 		return Admission{KeyChecked: true}, failure
 	}
@@ -51,10 +53,8 @@
 
 // authenticate returns the account that the key of the request identifies, or why it does not. A key that may have been removed
 // identifies nobody: the age of the configuration counts from before the call that confirmed it.
-func (relay *Relay) authenticate(configuration *topology.Configuration, request *exchange.Request) (*topology.Account, *outcome.Error) {
-	// The age is read first: a configuration that is newer than the age only makes it safer.
-	age := relay.configurationAge()
-	if !relay.KeysUsable() {
+func (relay *Relay) authenticate(configuration *topology.Configuration, request *exchange.Request, age time.Duration) (*topology.Account, *outcome.Error) {
+	if !relay.keysUsableAt(age) {
 		event.KeyUnconfirmed.Log("Request", request.Metadata.ID, "Configuration", configuration.Version, "Age", age)
 		return nil, outcome.New(outcome.NotReady, "keys cannot be checked: the configuration was confirmed %v ago", age.Round(time.Millisecond)).WithRetryAfter(retryAfterUnconfirmed)
 	}
@@ -69,17 +69,24 @@
 	}
 }
 
+// checkAdmitted returns the refusal of a request that was admitted without the check that the configuration now in force asks for, or nil.
+func checkAdmitted(configuration *topology.Configuration, route *topology.Route, request *exchange.Request) *outcome.Error {
+	if !configuration.HasAccounts() || (request.KeyChecked && (route.Public || request.Account != nil)) {
+		return nil
+	}
+	return outcome.New(outcome.NotReady, "the account of the request is not known").WithRetryAfter(retryAfterUnconfirmed)
+}
+
 // KeysUsable reports whether the configuration was confirmed so lately that no key in it was removed longer than KeyRevocation ago.
 func (relay *Relay) KeysUsable() bool {
-	limit := relay.settings.KeyRevocation
-	if limit <= 0 {
-		return true
-	}
 	configuration := relay.Configuration()
-	if configuration == nil || !configuration.HasAccounts() {
-		return true
-	}
-	return relay.configurationAge() <= limit-keyMargin
+	return configuration == nil || !configuration.HasAccounts() || relay.keysUsableAt(relay.configurationAge())
+}
+
+// keysUsableAt is KeysUsable for a configuration with accounts that was confirmed so long ago.
+func (relay *Relay) keysUsableAt(age time.Duration) bool {
+	limit := relay.settings.KeyRevocation
+	return limit <= 0 || age <= limit-keyMargin
 }
 
 // configurationAge returns the time since which the configuration is not known to be in force.
--- a/relay/admit_test.go
+++ b/relay/admit_test.go
@@ -97,3 +97,28 @@
 		t.Errorf("ended as %v", failure)
 	}
 }
+
+// TestRequestsAdmittedByAnotherConfiguration guards against a request that was admitted without a key while a configuration with accounts
+// came into force: it must not run without an account.
+func TestRequestsAdmittedByAnotherConfiguration(t *testing.T) {
+	for _, c := range []struct {
+		request exchange.Request
+		refused bool
+	}{
+		{exchange.Request{Path: "/x"}, true},
+		{exchange.Request{Path: "/x", KeyChecked: true}, true},
+		{exchange.Request{Path: "/x", KeyChecked: true, Account: &testAccounts[0]}, false},
+		{exchange.Request{Path: "/public/x"}, true},
+		{exchange.Request{Path: "/public/x", KeyChecked: true}, false},
+	} {
+		c.request.Host = "h"
+		relay := newAdmission(0, testAccounts...)
+		configuration, route, failure := relay.match(&c.request)
+		if failure != nil {
+			t.Fatal(failure)
+		}
+		if failure := checkAdmitted(configuration, route, &c.request); (failure != nil) != c.refused {
+			t.Errorf("%s, checked %t, account %q: %v", c.request.Path, c.request.KeyChecked, c.request.AccountName(), failure)
+		}
+	}
+}
--- a/relay/capacity.go
+++ b/relay/capacity.go
@@ -38,7 +38,12 @@
 
 // isReturned reports whether the request was sent or refused before.
 func (transaction *transaction) isReturned(now time.Time) bool {
-	return transaction.sends > 0 || transaction.relay.lines.returned(transaction.causes.Request, now)
+	return transaction.sends > 0 || transaction.relay.lines.returned(transaction.refusalKey(), now)
+}
+
+// refusalKey identifies the request among refused ones: by content and account, since the requests of other accounts may be equal.
+func (transaction *transaction) refusalKey() uint64 {
+	return transaction.causes.Request ^ xxhash.Sum64String(transaction.request.AccountName())
 }
 
 // mayTry reports whether the request may take capacity now: one that waits has to have the turn, and a new one overtakes none of its
@@ -97,7 +102,7 @@
 	if account := selection.request.Account; account != nil && account.Quota.Limited() {
 		// The number of such requests per second is comparable between accounts with different units.
 		metadata := &selection.request.Metadata
-		cost := account.Quota.Cost(metadata.PromptTokens+metadata.OutputTokens, metadata.TokensStated)
+		cost := account.Quota.Cost(metadata.PromptTokens, metadata.OutputTokens, metadata.TokensStated)
 		entry.Share = account.Quota.PerSecond / max(cost, 1)
 	}
 	return admission.NewEntry(entry)
@@ -137,7 +142,7 @@
 func (selection *selection) refuse(entry *admission.Entry, now time.Time) {
 	lines, key := selection.relay.lines, selection.modelKey()
 	forecast := lines.forecast(key, entry, now)
-	lines.remember(selection.causes.Request, now)
+	lines.remember(selection.refusalKey(), now)
 	cause := RefusedAtOnce
 	if selection.entry != nil {
 		cause = RefusedAfterWait
@@ -202,8 +207,8 @@
 	before := selection.criteria
 	selection.criteria.MaxLoad, selection.criteria.FirstEventTarget = freeLoad, 0
 	chosen, ok := selection.choose(selection.offered(candidates, now), now)
+	selection.criteria.MaxLoad, selection.criteria.FirstEventTarget = before.MaxLoad, before.FirstEventTarget
 	if !ok {
-		selection.criteria = before
 		return balance.Candidate{}, false
 	}
 	selection.admitted(now)
--- a/relay/capacitystate.go
+++ b/relay/capacitystate.go
@@ -33,6 +33,7 @@
 // called about every second.
 func (relay *Relay) Capacity() CapacityState {
 	lines := relay.lines
+	relay.ceilings.Prune(relay.deps.Clock.Now())
 	lines.mutex.Lock()
 	defer lines.mutex.Unlock()
 	lines.prune(relay.deps.Clock.Now())
--- a/relay/lender.go
+++ b/relay/lender.go
@@ -93,8 +93,8 @@
 	if configuration.Version < allowance.Configuration {
 		return Summary{}, outcome.New(outcome.NotReady, "the configuration %d is not known yet", allowance.Configuration)
 	}
-	if configuration.HasAccounts() && !route.Public && request.Account == nil {
-		return Summary{}, outcome.New(outcome.NotReady, "the account of the request is not known")
+	if failure := checkAdmitted(configuration, route, request); failure != nil {
+		return Summary{}, failure
 	}
 	service, known := configuration.Services[allowance.Service]
 	if !known {
--- a/relay/quotas.go
+++ b/relay/quotas.go
@@ -23,7 +23,7 @@
 		return nil, nil
 	}
 	metadata := &request.Metadata
-	cost := account.Quota.Cost(metadata.PromptTokens+metadata.OutputTokens, metadata.TokensStated)
+	cost := account.Quota.Cost(metadata.PromptTokens, metadata.OutputTokens, metadata.TokensStated)
 	refund, retryAfter := relay.deps.Quotas.Charge(ctx, account, cost)
 	if refund == nil {
 		return nil, outcome.New(outcome.TenantLimit, "the quota of account %s is used up", account.Name).WithRetryAfter(retryAfter)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -170,6 +170,9 @@
 	if failure != nil {
 		return Summary{Configuration: versionOf(configuration)}, failure
 	}
+	if failure := checkAdmitted(configuration, route, request); failure != nil {
+		return Summary{Configuration: configuration.Version}, failure
+	}
 	service := configuration.Services[pickTarget(route.Targets, streamID(request))]
 	return relay.serve(ctx, &transaction{request: request, configuration: configuration, route: route, service: service, sink: sink, maxRuns: route.MaxAttempts})
 }
--- a/topology/account.go
+++ b/topology/account.go
@@ -3,9 +3,10 @@
 import (
 	"crypto/sha256"
 	"math"
+	"time"
 )
 
-// Account is a client account: who sends requests, how urgent they are and how much they may use.
+// Account is a client account, with the priority and the quota of its requests.
 type Account struct {
 	// Name is unique in a configuration.
 	Name string
@@ -34,20 +35,24 @@
 	return quota.PerSecond > 0 && !math.IsInf(quota.PerSecond, 1)
 }
 
-// Cost returns what a request with the size costs; stated is set if the request names its tokens.
-func (quota Quota) Cost(tokens int, stated bool) float64 {
+// maxCostTime is the time at the rate of the quota that one request may cost at most, beside the burst. A size beyond every engine's memory
+// would otherwise leave a debt that lasts for years.
+const maxCostTime = 10 * time.Second
+
+// Cost returns what a request costs with the numbers of tokens of its prompt and output; stated is set if the request names them.
+func (quota Quota) Cost(prompt, output int, stated bool) float64 {
 	switch {
 	case !quota.Tokens:
 		return 1
 	case !stated:
 		return float64(max(quota.PlainTokens, 0))
 	default:
-		return float64(max(tokens, 0))
+		return min(float64(max(prompt, 0))+float64(max(output, 0)), quota.PerSecond*maxCostTime.Seconds()+quota.Burst)
 	}
 }
 
-// KeyDigest is the digest of a key. Keys themselves are not kept, so that no log, message or memory dump reveals them, and a look-up by
-// digest takes no longer for a key that is nearly right.
+// KeyDigest is the digest of a key. Keys themselves are not kept, so that requests are compared with digests, and a look-up by digest
+// takes no longer for a key that is nearly right. The stored row of the configuration, which daemons hand to each other, has the keys.
 type KeyDigest [sha256.Size]byte
 
 // DigestKey returns the digest of the key.
