--- a/internal/frontsoak/upgrade_test.go
+++ b/internal/frontsoak/upgrade_test.go
@@ -14,7 +14,7 @@
 )
 
 // lastLanding is the commit of the last landing.
-const lastLanding = "c94232e3cce6c76d793810cdabcac3374d745c5a"
+const lastLanding = "a58442e9ecb7c5f32dcd5c861604b2baf9c84609"
 
 var (
 	olderFlag         = flag.String("older", lastLanding, "commit of the older build of an upgrade")
