--- a/admission/ceilings.go
+++ b/admission/ceilings.go
@@ -12,7 +12,8 @@
 const (
 	// ceilingPart is the part of the requests that were known in flight at a replica which is still offered after it rejected another.
 	ceilingPart = 0.8
-	// restTime is how long a replica that rejected a request is offered none, so that what it finishes can be known.
+	// restTime is how long a replica that rejected a request is offered none, so that requests that end there
+	// are seen before the next one is sent.
 	restTime = 50 * time.Millisecond
 	// recoveryTime is the time in which the ceiling of a replica rises by all its slots.
 	recoveryTime = 2 * time.Second
--- a/admission/standing.go
+++ b/admission/standing.go
@@ -16,7 +16,7 @@
 const (
 	// Unrivalled means that all more urgent priorities were served lately, or had no requests.
 	Unrivalled Standing = iota
-	// Behind means that some of them were refused, and none was served less often.
+	// Behind means that some of them were refused or wait, and none was served less often.
 	Behind
 	// Ahead means that one of them was served less often, or hardly more often: the priority should get only what these leave.
 	Ahead
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -61,7 +61,7 @@
 // after the response.
 func (ingress *Ingress) drain(writer http.ResponseWriter, incoming *http.Request) {
 	if incoming.ContentLength == 0 || incoming.Header.Get("Expect") != "" {
-		// A client that waits for leave to send its body gets the refusal instead; the server closes the connection.
+		// A client that waits for 100 Continue gets the refusal instead; the server closes the connection.
 		return
 	}
 	if incoming.ContentLength > maxDrainedBytes || !requestbody.Drain(writer, incoming, ingress.deps.Clock, maxDrainedBytes, drainTimeout) {
--- a/internal/requestbody/timeout.go
+++ b/internal/requestbody/timeout.go
@@ -13,8 +13,8 @@
 // ErrStalled is the cause of a failure of a body that made no progress.
 var ErrStalled = errors.New("the body made no progress")
 
-// minProgress is the number of bytes by which a body must grow within the time Limits.Progress. It is small, so that only a client that
-// means to be slow does not reach it.
+// minProgress is the number of bytes by which a body must grow within the time Limits.Progress. At the default of 10 s that is
+// 26 bytes per second, less than the slowest links yield.
 const minProgress = 256
 
 // past is a read deadline that has passed on any clock.
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -193,7 +193,7 @@
 		share.nextAhead = now.Add(shortAheadInterval)
 	}
 	limiter.serve(share, now)
-	// Whoever asks does not know when the next question is due while one is under way.
+	// NextDue states no time for an account while a question about it is under way, so that its caller must be woken.
 	limiter.requestAsk()
 }
 
