Share the code that quotas, limits and rates had twice

Quotas of accounts asked the daemons that divide them with a copy of the code for limits of replicas, and the exponential decay of rates stood in seven packages, one of them with a copied half-life. A refusal for want of capacity computed its forecast twice, the spread of Retry-After hashed the request ID again, and counts in headers were parsed twice.

The generic front.grantors serves quotas and limits. Package internal/decay serves all half-lives, and residency takes the one of demand. Also shared: the cost of a request, the check for more urgent requests, the number of different keys, the bound of connections of a server. Behaviour is meant to stay as it is, but for observations dated after the present, whose weight is now one in dispatch and residency too.

The tests of the eleven touched packages that have any pass with the race detector, and those of balance, scheduler, ingress, internal/requestbody and internal/pacesim; relay.TestShortage passes without it, as in make test.

--- a/admission/ceilings.go
+++ b/admission/ceilings.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,10 +21,10 @@
 )
 
 // Ceilings bounds what one daemon offers to replicas that rejected requests: they have more in flight than it knows. It is safe for
-// concurrent use. Use NewCeilings.
+// concurrent use. Use NewCeilings, and call Prune at intervals.
 type Ceilings struct {
 	// count is the number of entries of replicas, so that it costs nothing to ask while there is none.
-	count    atomic.Int32
+	count    atomic.Int64
 	mutex    sync.Mutex
 	replicas map[topology.Incarnation]ceiling
 }
@@ -50,7 +49,7 @@
 	ceilings.expire(now)
 	_, known := ceilings.replicas[replica]
 	ceilings.replicas[replica] = ceiling{least: ceilingPart * float64(inFlight), since: now}
-	ceilings.count.Store(int32(min(len(ceilings.replicas), math.MaxInt32)))
+	ceilings.count.Store(int64(len(ceilings.replicas)))
 	return !known
 }
 
@@ -59,7 +58,7 @@
 	ceilings.mutex.Lock()
 	defer ceilings.mutex.Unlock()
 	ceilings.expire(now)
-	ceilings.count.Store(int32(min(len(ceilings.replicas), math.MaxInt32)))
+	ceilings.count.Store(int64(len(ceilings.replicas)))
 }
 
 // expire is Prune with the mutex held.
@@ -89,8 +88,6 @@
 		return false
 	}
 	if passed > ceilingTTL {
-		delete(ceilings.replicas, replica)
-		ceilings.count.Store(int32(min(len(ceilings.replicas), math.MaxInt32)))
 		return true
 	}
 	return float64(inFlight) < known.least+float64(max(slots, 1))*passed.Seconds()/recoveryTime.Seconds()
--- a/admission/decay.go
+++ b/admission/decay.go
@@ -1,8 +1,9 @@
 package admission
 
 import (
-	"math"
 	"time"
+
+	"github.com/bronzestall/bronzestall/internal/decay"
 )
 
 // decayedCount is a sum whose parts lose half their weight in a half-life. The zero value is empty.
@@ -19,9 +20,5 @@
 
 // at returns the sum as of the time.
 func (count *decayedCount) at(halfLife time.Duration, now time.Time) float64 {
-	passed := now.Sub(count.as)
-	if count.value == 0 || passed <= 0 {
-		return count.value
-	}
-	return count.value * math.Exp2(-passed.Seconds()/halfLife.Seconds())
+	return count.value * decay.Weight(now.Sub(count.as), halfLife)
 }
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -65,10 +65,8 @@
 // Blocks reports whether a request of the priority that arrives now must wait for others: none overtakes a waiting one of its priority
 // or a more urgent one.
 func (queue *Queue) Blocks(priority int, returned bool) bool {
-	for more := range priority {
-		if queue.classes[more].length() > 0 {
-			return true
-		}
+	if queue.MoreUrgent(priority) {
+		return true
 	}
 	class := &queue.classes[priority]
 	if !returned {
--- a/demand/counter.go
+++ b/demand/counter.go
@@ -2,17 +2,17 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/bronzestall/bronzestall/internal/decay"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
 const (
-	// halfLife is the time in which the weight of an arrival in the rates halves.
-	halfLife = 1500 * time.Millisecond
+	// HalfLife is the time in which the weight of an arrival in the rates halves.
+	HalfLife = 1500 * time.Millisecond
 	// recentHalfLife is that of the rate from which a rise is told.
 	recentHalfLife = 500 * time.Millisecond
 )
@@ -83,9 +83,9 @@
 	defer counter.mutex.Unlock()
 	known := counter.state(key)
 	passed := now.Sub(known.lastArrival)
-	known.rate = decayed(known.rate, passed, halfLife) + 1
-	known.recent = decayed(known.recent, passed, recentHalfLife) + 1
-	known.tokens = decayed(known.tokens, passed, halfLife) + float64(tokens)
+	known.rate = known.rate*decay.Weight(passed, HalfLife) + 1
+	known.recent = known.recent*decay.Weight(passed, recentHalfLife) + 1
+	known.tokens = known.tokens*decay.Weight(passed, HalfLife) + float64(tokens)
 	known.lastArrival = now
 	if target > 0 && (known.target == 0 || target < known.target) {
 		known.target = target
@@ -97,7 +97,7 @@
 	counter.mutex.Lock()
 	defer counter.mutex.Unlock()
 	known := counter.state(key)
-	known.refused = decayed(known.refused, now.Sub(known.lastRefused), halfLife) + 1
+	known.refused = known.refused*decay.Weight(now.Sub(known.lastRefused), HalfLife) + 1
 	known.lastRefused = now
 }
 
@@ -172,10 +172,10 @@
 		}
 		next := KeyDemand{Key: key, Waiting: len(known.arrivals), Target: known.target, LastArrival: known.lastArrival}
 		passed := now.Sub(known.lastArrival)
-		next.Rate = rate(known.rate, passed, halfLife)
-		next.Rise = rate(known.recent, passed, recentHalfLife) - next.Rate
-		next.Tokens = rate(known.tokens, passed, halfLife)
-		next.Refused = rate(known.refused, now.Sub(known.lastRefused), halfLife)
+		next.Rate = decay.Rate(known.rate, passed, HalfLife)
+		next.Rise = decay.Rate(known.recent, passed, recentHalfLife) - next.Rate
+		next.Tokens = decay.Rate(known.tokens, passed, HalfLife)
+		next.Refused = decay.Rate(known.refused, now.Sub(known.lastRefused), HalfLife)
 		if len(known.arrivals) > 0 {
 			next.Oldest = slices.MinFunc(known.arrivals, time.Time.Compare)
 		}
@@ -190,16 +190,3 @@
 	defer counter.mutex.Unlock()
 	return maps.Clone(counter.inFlight)
 }
-
-// rate returns the events per second that a decaying count stands for after the given time.
-func rate(count float64, passed, halfLife time.Duration) float64 {
-	return decayed(count, passed, halfLife) * math.Ln2 / halfLife.Seconds()
-}
-
-// decayed returns the rest of a decaying count after the given time.
-func decayed(count float64, passed, halfLife time.Duration) float64 {
-	if passed <= 0 {
-		return count
-	}
-	return count * math.Exp2(-passed.Seconds()/halfLife.Seconds())
-}
--- a/demand/counter_test.go
+++ b/demand/counter_test.go
@@ -19,7 +19,7 @@
 	if len(demands) != 1 || math.Abs(demands[0].Rate-10) > 1 || math.Abs(demands[0].Tokens-500) > 50 || demands[0].Target != time.Second {
 		t.Errorf("demand is %+v, want 10 a second with 500 tokens", demands)
 	}
-	demands, _ = counter.Snapshot(now.Add(halfLife))
+	demands, _ = counter.Snapshot(now.Add(HalfLife))
 	if math.Abs(demands[0].Rate-5) > 0.5 {
 		t.Errorf("the rate is %v a half-life later", demands[0].Rate)
 	}
--- a/dispatch/peak.go
+++ b/dispatch/peak.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/bronzestall/bronzestall/internal/decay"
 )
 
 // The decay of a peak and the limits derived from it.
@@ -45,7 +47,7 @@
 
 // now returns the decayed peak.
 func (peak peak) now(now time.Time) float64 {
-	return peak.value * math.Exp2(-float64(now.Sub(peak.at))/float64(peakHalfLife))
+	return peak.value * decay.Weight(now.Sub(peak.at), peakHalfLife)
 }
 
 // slotsNeeded returns the slots that the tenant needs at a peak. It is the peak, but at most deviations above
--- a/front/clientbounds.go
+++ b/front/clientbounds.go
@@ -81,8 +81,8 @@
 	}
 }
 
-// updateConnections sets the metrics of the connections of clients, and logs how many were closed, and how many responses ended unread, since the last call. Only housekeeping
-// calls it.
+// updateConnections sets the metrics of the connections of clients, and logs how many were closed, and how many responses ended unread,
+// since the last call. Only housekeeping calls it.
 func (daemon *Daemon) updateConnections() {
 	connections := daemon.clientConnections.Load()
 	if connections == nil {
--- a/front/daemon.go
+++ b/front/daemon.go
@@ -101,16 +101,14 @@
 	lent   *lending.Handler
 	// paths holds which replicas this daemon reaches.
 	paths *reach.Paths
-	// membership is what this daemon knows of all daemons that may divide limits, and grantorRoute chooses among them.
-	membership   *ratelimit.Membership
-	grantorRoute *ratelimit.Route
+	// membership is what this daemon knows of all daemons that may divide limits.
+	membership *ratelimit.Membership
 
 	// quotas holds what this daemon may use of the quotas of accounts, and quotaAllocator divides them among all daemons.
 	quotas         *quota.Limiter
 	quotaAllocator *quota.Allocator
-	// quotaRoute chooses among the daemons that divide them, and quotaLog logs which are used up.
-	quotaRoute *ratelimit.Route
-	quotaLog   quotaLog
+	// quotaLog logs which are used up.
+	quotaLog quotaLog
 	// quotaDaemons is the number of daemons among which quotas are divided.
 	quotaDaemons atomic.Int64
 	// membersLearnt is the age of this daemon when it last updated the daemons that it sees for a question about quotas.
--- a/front/keys.go
+++ b/front/keys.go
@@ -82,17 +82,13 @@
 		return
 	}
 	keys, unlimited := 0, 0
-	distinct := map[topology.KeyDigest]bool{}
 	for index := range configuration.Accounts {
 		account := &configuration.Accounts[index]
 		keys += len(account.Keys)
-		for _, key := range account.Keys {
-			distinct[key] = true
-		}
 		if !account.Quota.Limited() {
 			unlimited++
 		}
 	}
 	event.AccountsTaken.Log("Version", configuration.Version, "Accounts", len(configuration.Accounts), "Keys", keys,
-		"SharedKeys", keys-len(distinct), "Unlimited", unlimited)
+		"SharedKeys", keys-configuration.KeyCount(), "Unlimited", unlimited)
 }
--- a/front/quotas.go
+++ b/front/quotas.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/gravitational/trace"
-
 	"github.com/bronzestall/bronzestall/quota"
 	"github.com/bronzestall/bronzestall/ratelimit"
 	"github.com/bronzestall/bronzestall/topology"
@@ -37,12 +35,10 @@
 // requestQuotas asks the daemons that divide the quotas of accounts for what requests need. It sleeps while no account with a quota has
 // requests.
 func (daemon *Daemon) requestQuotas(ctx context.Context) error {
+	grantors := daemon.quotaGrantors()
 	for ctx.Err() == nil {
-		for grantor, asks := range daemon.dueQuotaAsks() {
-			for batch := range slices.Chunk(asks, maxQuotaAsks) {
-				go daemon.askQuotaGrantor(ctx, grantor, batch)
-			}
-		}
+		daemon.learnMembers()
+		grantors.askDue(ctx)
 		daemon.awaitQuotaAsk(ctx)
 	}
 	return ctx.Err()
@@ -61,55 +57,19 @@
 	}
 }
 
-// dueQuotaAsks returns the questions that are due, by the daemons to ask.
-func (daemon *Daemon) dueQuotaAsks() map[string][]quota.Ask {
-	daemon.learnMembers()
-	now := daemon.clock.Now()
-	asks := daemon.quotas.Due(now)
-	if len(asks) == 0 {
-		return nil
-	}
-	live := daemon.membership.Live()
-	byGrantor := map[string][]quota.Ask{}
-	for _, ask := range asks {
-		grantors := ratelimit.Grantors(live, ask.Account)
-		if len(grantors) == 0 {
-			daemon.quotas.Failed(ask, now)
-			continue
-		}
-		grantor := daemon.quotaRoute.Choose(grantors, now)
-		byGrantor[grantor] = append(byGrantor[grantor], ask)
-	}
-	return byGrantor
-}
-
-// askQuotaGrantor asks the daemon of the name, which may be this one, and records its grants.
-func (daemon *Daemon) askQuotaGrantor(ctx context.Context, grantor string, asks []quota.Ask) {
-	grants, err := daemon.quotaGrantsOf(ctx, grantor, asks)
-	now := daemon.clock.Now()
-	if err != nil {
-		daemon.quotaRoute.Failed(grantor, now)
-		for _, ask := range asks {
-			daemon.quotas.Failed(ask, now)
-		}
-		return
-	}
-	daemon.quotaRoute.Answered(grantor)
-	for index, ask := range asks {
-		daemon.quotas.Granted(ask, grants[index], now)
-	}
-}
-
-// quotaGrantsOf returns the grants of the daemon of the name.
-func (daemon *Daemon) quotaGrantsOf(ctx context.Context, grantor string, asks []quota.Ask) ([]quota.Grant, error) {
-	if grantor == daemon.settings.Name {
-		return daemon.grantQuotas(grantor, asks), nil
-	}
-	address, seen := daemon.mesh.AddressOf(grantor)
-	if !seen {
-		return nil, trace.NotFound("the daemon %s is not seen", grantor)
+// quotaGrantors returns how the daemons that divide the quotas of accounts are asked.
+func (daemon *Daemon) quotaGrantors() *grantors[quota.Ask, quota.Grant] {
+	return &grantors[quota.Ask, quota.Grant]{
+		daemon:   daemon,
+		route:    ratelimit.NewRoute(),
+		due:      daemon.quotas.Due,
+		keyOf:    func(ask quota.Ask) string { return ask.Account },
+		mostAsks: maxQuotaAsks,
+		local:    daemon.grantQuotas,
+		remote:   daemon.mesh.AskQuotas,
+		granted:  daemon.quotas.Granted,
+		failed:   daemon.quotas.Failed,
 	}
-	return daemon.mesh.AskQuotas(ctx, address, asks)
 }
 
 // grantQuotas responds to the questions of a daemon for amounts of the quotas of accounts, in their order.
--- a/front/servers.go
+++ b/front/servers.go
@@ -69,10 +69,12 @@
 	for _, next := range []struct {
 		address string
 		server  *http.Server
+		// most bounds the open connections; zero for no bound.
+		most int
 	}{
-		{daemon.settings.ReadyAddress, readyServer(daemon.isReady)},
-		{daemon.settings.PeerAddress, &http.Server{Handler: peers, ReadHeaderTimeout: headerTimeout}},
-		{daemon.settings.MetricsAddress, &http.Server{Handler: metrics, ReadHeaderTimeout: headerTimeout}},
+		{daemon.settings.ReadyAddress, readyServer(daemon.isReady), daemon.settings.readyConnections()},
+		{daemon.settings.PeerAddress, &http.Server{Handler: peers, ReadHeaderTimeout: headerTimeout}, 0},
+		{daemon.settings.MetricsAddress, &http.Server{Handler: metrics, ReadHeaderTimeout: headerTimeout}, 0},
 	} {
 		if next.address == "" {
 			continue
@@ -82,8 +84,8 @@
 			opened.close()
 			return nil, err
 		}
-		if next.address == daemon.settings.ReadyAddress {
-			listener = boundReady(next.server, listener, daemon.settings.readyConnections())
+		if next.most > 0 {
+			listener = boundConnections(next.server, listener, next.most)
 		}
 		opened.all = append(opened.all, next.server)
 		opened.listeners = append(opened.listeners, listener)
@@ -103,8 +105,8 @@
 	}
 }
 
-// boundReady returns the listener with a bound of the connections that the server of the readiness check has open.
-func boundReady(server *http.Server, listener net.Listener, most int) net.Listener {
+// boundConnections returns the listener with a bound of the connections that the server has open.
+func boundConnections(server *http.Server, listener net.Listener, most int) net.Listener {
 	connections := inbound.New()
 	connections.Bound(most)
 	return connections.Track(server, listener)
--- a/front/tokens.go
+++ b/front/tokens.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/gravitational/trace"
-
 	"github.com/bronzestall/bronzestall/mesh"
 	"github.com/bronzestall/bronzestall/ratelimit"
 )
@@ -19,11 +17,10 @@
 
 // requestTokens asks the daemons that divide the limits of replicas for the tokens that requests need.
 func (daemon *Daemon) requestTokens(ctx context.Context) error {
+	grantors := daemon.tokenGrantors()
 	for ctx.Err() == nil {
 		daemon.limiter.Prune()
-		for grantor, asks := range daemon.dueAsks() {
-			go daemon.askGrantor(ctx, grantor, asks)
-		}
+		grantors.askDue(ctx)
 		daemon.waitOrSleep(ctx, daemon.limiter.Asks(), daemon.tokenPause())
 	}
 	return ctx.Err()
@@ -42,58 +39,23 @@
 	return min(max(next.Sub(now), time.Millisecond), maxTokenPause)
 }
 
-// dueAsks returns the questions that are due, by the daemons to ask.
-func (daemon *Daemon) dueAsks() map[string][]ratelimit.Ask {
-	now := daemon.clock.Now()
-	asks := daemon.limiter.Due(now)
-	if len(asks) == 0 {
-		return nil
+// tokenGrantors returns how the daemons that divide the limits of replicas are asked.
+func (daemon *Daemon) tokenGrantors() *grantors[ratelimit.Ask, ratelimit.Grant] {
+	return &grantors[ratelimit.Ask, ratelimit.Grant]{
+		daemon:  daemon,
+		route:   ratelimit.NewRoute(),
+		due:     daemon.limiter.Due,
+		keyOf:   func(ask ratelimit.Ask) string { return ask.Replica.ID },
+		local:   daemon.grantTokens,
+		remote:  daemon.askTokens,
+		refused: func(grant ratelimit.Grant) bool { return grant.Refused },
+		granted: daemon.limiter.Granted,
+		failed:  daemon.limiter.Failed,
 	}
-	live := daemon.membership.Live()
-	byGrantor := map[string][]ratelimit.Ask{}
-	for _, ask := range asks {
-		grantors := ratelimit.Grantors(live, ask.Replica.ID)
-		if len(grantors) == 0 {
-			daemon.limiter.Failed(ask, now)
-			continue
-		}
-		grantor := daemon.grantorRoute.Choose(grantors, now)
-		byGrantor[grantor] = append(byGrantor[grantor], ask)
-	}
-	return byGrantor
 }
 
-// askGrantor asks the daemon of the name, which may be this one, and records its grants.
-func (daemon *Daemon) askGrantor(ctx context.Context, grantor string, asks []ratelimit.Ask) {
-	grants, err := daemon.grantsOf(ctx, grantor, asks)
-	now := daemon.clock.Now()
-	if err != nil {
-		daemon.grantorRoute.Failed(grantor, now)
-		for _, ask := range asks {
-			daemon.limiter.Failed(ask, now)
-		}
-		return
-	}
-	daemon.grantorRoute.Answered(grantor)
-	for index, ask := range asks {
-		if grants[index].Refused {
-			daemon.grantorRoute.Refused(grantor, now)
-			daemon.limiter.Failed(ask, now)
-			continue
-		}
-		daemon.limiter.Granted(ask, grants[index], now)
-	}
-}
-
-// grantsOf returns the grants of the daemon of the name.
-func (daemon *Daemon) grantsOf(ctx context.Context, grantor string, asks []ratelimit.Ask) ([]ratelimit.Grant, error) {
-	if grantor == daemon.settings.Name {
-		return daemon.grantTokens(grantor, asks), nil
-	}
-	address, seen := daemon.mesh.AddressOf(grantor)
-	if !seen {
-		return nil, trace.NotFound("the daemon %s is not seen", grantor)
-	}
+// askTokens asks the daemon at the address for tokens, and tells it the limits that are known here.
+func (daemon *Daemon) askTokens(ctx context.Context, address string, asks []ratelimit.Ask) ([]ratelimit.Grant, error) {
 	var limits []ratelimit.Entry
 	for _, ask := range asks {
 		if entry, known := daemon.limits.Entry(ask.Replica); known {
--- a/pace/estimator.go
+++ b/pace/estimator.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/bronzestall/bronzestall/internal/decay"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
@@ -117,7 +118,7 @@
 
 // decayed returns the observations with their weights at the time.
 func (replica *replica) decayed(now time.Time) Sums {
-	return replica.sums.scaled(math.Exp2(-float64(max(now.Sub(replica.updated), 0)) / float64(halfLife)))
+	return replica.sums.scaled(decay.Weight(now.Sub(replica.updated), halfLife))
 }
 
 // Values returns the values of all replicas that differ from others. The caller must not change the result.
--- a/quota/share.go
+++ b/quota/share.go
@@ -1,10 +1,10 @@
 package quota
 
 import (
-	"math"
 	"slices"
 	"time"
 
+	"github.com/bronzestall/bronzestall/internal/decay"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
@@ -111,19 +111,14 @@
 
 // addDemand counts a request.
 func (share *share) addDemand(cost float64, now time.Time) {
-	weight := share.weight(now)
+	weight := decay.Weight(now.Sub(share.demandAt), demandHalfLife)
 	share.cost, share.count = share.cost*weight+cost, share.count*weight+1
 	share.demandAt = now
 }
 
-// weight returns what remains of the demand as of demandAt.
-func (share *share) weight(now time.Time) float64 {
-	return math.Exp2(-max(now.Sub(share.demandAt), 0).Seconds() / demandHalfLife.Seconds())
-}
-
 // demand returns what requests cost per second.
 func (share *share) demand(now time.Time) float64 {
-	return share.cost * share.weight(now) * math.Ln2 / demandHalfLife.Seconds()
+	return decay.Rate(share.cost, now.Sub(share.demandAt), demandHalfLife)
 }
 
 // mean returns what a request costs on average; zero before the first.
--- a/ratelimit/share.go
+++ b/ratelimit/share.go
@@ -1,9 +1,10 @@
 package ratelimit
 
 import (
-	"math"
 	"slices"
 	"time"
+
+	"github.com/bronzestall/bronzestall/internal/decay"
 )
 
 // share is what the daemon has of one limit, and what it wants.
@@ -47,13 +48,13 @@
 
 // addDemand counts a request that could be sent to the replica.
 func (share *share) addDemand(now time.Time) {
-	share.demand = share.decayedDemand(now) + 1
+	share.demand = share.demand*decay.Weight(now.Sub(share.demandAt), demandHalfLife) + 1
 	share.demandAt = now
 }
 
 // demandRate returns the number of requests per second that could be sent to the replica.
 func (share *share) demandRate(now time.Time) float64 {
-	return share.decayedDemand(now) * math.Ln2 / demandHalfLife.Seconds()
+	return decay.Rate(share.demand, now.Sub(share.demandAt), demandHalfLife)
 }
 
 // observeGrant counts the granted tokens while they are fewer than those wanted.
@@ -68,9 +69,3 @@
 		share.shortTokens += grant.Tokens
 	}
 }
-
-// decayedDemand returns what is left of the demand.
-func (share *share) decayedDemand(now time.Time) float64 {
-	passed := max(now.Sub(share.demandAt), 0)
-	return share.demand * math.Exp2(-passed.Seconds()/demandHalfLife.Seconds())
-}
--- a/relay/capacity.go
+++ b/relay/capacity.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -101,9 +100,7 @@
 	}
 	if account := selection.request.Account; account != nil && account.Quota.Limited() {
 		// The number of such requests per second is comparable between accounts with different units.
-		metadata := &selection.request.Metadata
-		cost := account.Quota.Cost(metadata.PromptTokens, metadata.OutputTokens, metadata.TokensStated)
-		entry.Share = account.Quota.PerSecond / max(cost, 1)
+		entry.Share = account.Quota.PerSecond / max(cost(account, selection.request), 1)
 	}
 	return admission.NewEntry(entry)
 }
@@ -122,12 +119,13 @@
 	if entry == nil {
 		entry = selection.newEntry(now)
 	}
-	until, failure := selection.admissionFailure(entry, now)
+	forecast := selection.relay.lines.forecast(selection.modelKey(), entry, now)
+	until, failure := selection.admissionFailure(forecast, now)
 	if failure != nil {
 		if chosen, ok := selection.chooseFree(candidates, now); ok {
 			return chosen, true, nil
 		}
-		selection.refuse(entry, now)
+		selection.refuse(forecast, now)
 		return balance.Candidate{}, false, failure
 	}
 	if selection.entry == nil {
@@ -138,10 +136,9 @@
 	return balance.Candidate{}, false, nil
 }
 
-// refuse records that the request with the entry is refused for want of capacity.
-func (selection *selection) refuse(entry *admission.Entry, now time.Time) {
+// refuse records that the request with the forecast is refused for want of capacity.
+func (selection *selection) refuse(forecast admission.Forecast, now time.Time) {
 	lines, key := selection.relay.lines, selection.modelKey()
-	forecast := lines.forecast(key, entry, now)
 	lines.remember(selection.refusalKey(), now)
 	cause := RefusedAtOnce
 	if selection.entry != nil {
@@ -172,10 +169,9 @@
 	}
 }
 
-// admissionFailure returns until when the entry of the request may wait for capacity, or the refusal if it must not wait: it will not be
-// served in time.
-func (selection *selection) admissionFailure(entry *admission.Entry, now time.Time) (time.Time, *outcome.Error) {
-	forecast := selection.relay.lines.forecast(selection.modelKey(), entry, now)
+// admissionFailure returns until when the request with the forecast may wait for capacity, or the refusal if it must not wait: it will
+// not be served in time.
+func (selection *selection) admissionFailure(forecast admission.Forecast, now time.Time) (time.Time, *outcome.Error) {
 	until := selection.admissionDeadline(forecast)
 	if now.Before(until) && forecast.InTime(now, until) {
 		return until, nil
@@ -198,7 +194,7 @@
 
 // spread returns the Retry-After value for capacity that is expected after the wait. It differs by request.
 func (transaction *transaction) spread(wait time.Duration) time.Duration {
-	quantile := float64(xxhash.Sum64String(transaction.request.Metadata.ID)) / math.MaxUint64
+	quantile := transaction.criteria.AdmissionQuantile
 	return max(time.Duration((1+retryJitterPart*quantile)*float64(wait)), minRetryAfter+time.Duration(quantile*float64(minRetryAfter)))
 }
 
--- a/relay/lines.go
+++ b/relay/lines.go
@@ -167,9 +167,6 @@
 
 // offerReplica gives the turn to the first request of each model for which the replica may have capacity now.
 func (lines *lines) offerReplica(replica topology.Incarnation, now time.Time) {
-	if lines.waiting.Load() == 0 {
-		return
-	}
 	lines.mutex.Lock()
 	defer lines.mutex.Unlock()
 	for _, line := range lines.queues {
--- a/relay/quotas.go
+++ b/relay/quotas.go
@@ -22,11 +22,15 @@
 	if relay.deps.Quotas == nil || !account.Quota.Limited() {
 		return nil, nil
 	}
-	metadata := &request.Metadata
-	cost := account.Quota.Cost(metadata.PromptTokens, metadata.OutputTokens, metadata.TokensStated)
-	refund, retryAfter := relay.deps.Quotas.Charge(ctx, account, cost)
+	refund, retryAfter := relay.deps.Quotas.Charge(ctx, account, cost(account, request))
 	if refund == nil {
 		return nil, outcome.New(outcome.TenantLimit, "the quota of account %s is used up", account.Name).WithRetryAfter(retryAfter)
 	}
 	return refund, nil
 }
+
+// cost returns what the request costs of the quota of the account.
+func cost(account *topology.Account, request *exchange.Request) float64 {
+	metadata := &request.Metadata
+	return account.Quota.Cost(metadata.PromptTokens, metadata.OutputTokens, metadata.TokensStated)
+}
--- a/residency/relief.go
+++ b/residency/relief.go
@@ -5,8 +5,9 @@
 	"math"
 	"slices"
 	"strings"
-	"time"
 
+	"github.com/bronzestall/bronzestall/demand"
+	"github.com/bronzestall/bronzestall/internal/decay"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
@@ -14,11 +15,8 @@
 	// reliefShare is the number of requests in flight per replica, as a fraction of an engine's slots, that copies
 	// ordered for a full model lead to.
 	reliefShare = 0.5
-	// rateHalfLife is the time in which a replica comes to count half in the rate of served requests, as package demand
-	// averages it.
-	rateHalfLife = 1500 * time.Millisecond
 	// refusalsForgotten is the time after which refusals hardly count in their rate any more.
-	refusalsForgotten = 2 * rateHalfLife
+	refusalsForgotten = 2 * demand.HalfLife
 	// maxRefusedGrowth bounds the factor by which refusals raise the number of replicas at once.
 	maxRefusedGrowth = 8.0
 	// waitShare is the part of a load from the weight store that copies on busy engines may take to be worth waiting for.
@@ -134,7 +132,7 @@
 	count := 0.0
 	for _, engine := range plan.index.loaded[name] {
 		if at, ok := engine.LoadedAt[name]; ok {
-			count -= math.Exp2(-plan.state.Now.Sub(at).Seconds() / rateHalfLife.Seconds())
+			count -= decay.Weight(plan.state.Now.Sub(at), demand.HalfLife)
 		}
 		count++
 	}
--- a/topology/configuration.go
+++ b/topology/configuration.go
@@ -71,6 +71,11 @@
 	return len(configuration.Accounts) > 0
 }
 
+// KeyCount returns the number of different keys of all accounts.
+func (configuration *Configuration) KeyCount() int {
+	return len(configuration.byKey)
+}
+
 // AccountOf returns the account that the key identifies, or nil.
 func (configuration *Configuration) AccountOf(key string) *Account {
 	if key == "" {
