--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -43,9 +43,11 @@
 
 // cases maps names to what plays them, once all is calm, and returns what they came to.
 var cases = map[string]func(bed *bed) int{
-	"heads":  playHeads,
-	"models": playModels,
-	"paths":  playPaths,
+	"heads":      playHeads,
+	"models":     playModels,
+	"paths":      playPaths,
+	"heartbeats": playHeartbeats,
+	"zero":       playZero,
 }
 
 func main() {
@@ -156,9 +158,10 @@
 // configuration returns the configuration, with the limits of the site calabaza-boletos.
 func configuration() []byte {
 	route := func(path, kind, service string, attempts int, target int) map[string]any {
+		resumable := path == pathResume
 		return map[string]any{
 			"name": "r-" + strings.ReplaceAll(path[1:len(path)-1], "/", "-"), "host": host, "pathPrefix": path, "kind": kind, "service": service, "timeoutMs": 5000,
-			"targetLatencyMs": target, "targetGapMs": 250, "priority": 1, "maxAttempts": attempts, "resumable": false, "sticky": kind == "streaming",
+			"targetLatencyMs": target, "targetGapMs": 250, "priority": 1, "maxAttempts": attempts, "resumable": resumable, "sticky": kind == "streaming",
 		}
 	}
 	var models []map[string]any
@@ -172,6 +175,7 @@
 		"routes": []any{
 			route(pathCall, "non_idempotent", "taquilla", 1, 100), route(pathLookup, "idempotent", "taquilla", 2, 100),
 			route(pathStream, "streaming", "asistente", 1, 500),
+			route(pathResume, "streaming", "asistente", 2, 500),
 			route(pathCharge, "non_idempotent", "taquilla", 1, 100), route(pathState, "idempotent", "taquilla", 2, 100),
 		},
 		"services": []any{
--- a/review/standin2/replica.go
+++ b/review/standin2/replica.go
@@ -43,6 +43,9 @@
 	runs map[string]int
 	// lossEvery is how many requests run for each whose answer is lost, zero if none is, and sinceLoss counts them.
 	lossEvery, sinceLoss int
+	// kind is how streams are written, breakEvery how many there are for each that is broken off, and streams counts them.
+	kind                streamKind
+	breakEvery, streams int
 }
 
 func newReplica(id, service, zone, ip string, models []string, engine bool, store *store, record *record) (*replica, error) {
@@ -52,7 +55,7 @@
 	}
 	created := &replica{
 		id: id, service: service, zone: zone, address: listener.Addr().String(), engine: engine, born: time.Now().UnixMilli(),
-		store: store, record: record, models: models, runs: map[string]int{},
+		store: store, record: record, models: models, runs: map[string]int{}, kind: streamKind{first: 1},
 	}
 	go func() { _ = http.Serve(listener, created) }()
 	go created.beat()
@@ -225,13 +228,5 @@
 		_, _ = fmt.Fprintf(writer, "%s: %d bytes", id, len(body))
 		return
 	}
-	writer.Header().Set("Content-Type", "text/event-stream")
-	controller := http.NewResponseController(writer)
-	for number := 1; number <= streamEvents; number++ {
-		time.Sleep(eventGap)
-		if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", number, id); err != nil {
-			return
-		}
-		_ = controller.Flush()
-	}
+	replica.stream(writer, request, id)
 }
