--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -38,7 +38,9 @@
 	machines []*machine
 	replicas []*replica
 	clients  []*client
-	trouble  bool
+	// proxies carry the connections of the machines to the store.
+	proxies []*storeProxy
+	trouble bool
 }
 
 // cases maps names to what plays them, once all is calm, and returns what they came to.
@@ -48,6 +50,7 @@
 	"paths":      playPaths,
 	"heartbeats": playHeartbeats,
 	"zero":       playZero,
+	"silence":    playSilence,
 }
 
 func main() {
@@ -120,11 +123,11 @@
 		return nil, err
 	}
 	go func() { _ = http.Serve(listener, bed.store) }()
-	bed.store.put("op", "config", configuration())
+	bed.store.put("op", "config", configuration(firstVersion))
 	zones := []string{"bajio-a", "bajio-b", "bajio-c"}
-	for number := range 6 {
+	for number := range 9 {
 		engine := number < 3
-		service := map[bool]string{true: "asistente", false: "taquilla"}[engine]
+		service := []string{"asistente", movedFrom, movedTo}[number/3]
 		models := []string{}
 		if engine {
 			models = []string{"m0", fmt.Sprintf("m%d", number+1)}
@@ -148,19 +151,31 @@
 		}
 	}
 	for _, machine := range bed.machines {
-		if err := machine.configure(seeds, listener.Addr().String()); err != nil {
+		proxy, err := newStoreProxy(machine.ip, listener.Addr().String())
+		if err != nil {
+			return nil, err
+		}
+		bed.proxies = append(bed.proxies, proxy)
+		if err := machine.configure(seeds, proxy.listener.Addr().String()); err != nil {
 			return nil, err
 		}
 	}
 	return bed, nil
 }
 
-// configuration returns the configuration, with the limits of the site calabaza-boletos.
-func configuration() []byte {
+// configuration returns the configuration of the version, with the limits of the site calabaza-boletos.
+func configuration(version int) []byte {
+	target, timeout := movedFrom, 5000
+	if version >= timeoutVersion {
+		timeout = 4000
+	}
+	if version >= movedVersion {
+		target = movedTo
+	}
 	route := func(path, kind, service string, attempts int, target int) map[string]any {
 		resumable := path == pathResume
 		return map[string]any{
-			"name": "r-" + strings.ReplaceAll(path[1:len(path)-1], "/", "-"), "host": host, "pathPrefix": path, "kind": kind, "service": service, "timeoutMs": 5000,
+			"name": "r-" + strings.ReplaceAll(path[1:len(path)-1], "/", "-"), "host": host, "pathPrefix": path, "kind": kind, "service": service, "timeoutMs": timeout,
 			"targetLatencyMs": target, "targetGapMs": 250, "priority": 1, "maxAttempts": attempts, "resumable": resumable, "sticky": kind == "streaming",
 		}
 	}
@@ -171,14 +186,16 @@
 		})
 	}
 	content, _ := json.Marshal(map[string]any{
-		"version": 7,
+		"version": version,
 		"routes": []any{
 			route(pathCall, "non_idempotent", "taquilla", 1, 100), route(pathLookup, "idempotent", "taquilla", 2, 100),
 			route(pathStream, "streaming", "asistente", 1, 500),
+			route(pathMoved, "idempotent", target, 2, 100),
 			route(pathResume, "streaming", "asistente", 2, 500),
 			route(pathCharge, "non_idempotent", "taquilla", 1, 100), route(pathState, "idempotent", "taquilla", 2, 100),
 		},
 		"services": []any{
+			map[string]any{"name": movedTo, "healthPath": "/health", "maxConnections": 96, "protocol": "h1", "tls": false},
 			map[string]any{"name": "taquilla", "healthPath": "/health", "maxConnections": 96, "protocol": "h1", "tls": false},
 			map[string]any{"name": "asistente", "healthPath": "/health", "maxConnections": 360, "protocol": "h1", "tls": false, "engine": map[string]any{
 				"slots": engineSlots, "kvCapacity": 140294, "kvTokenBytes": 327680, "linkMbps": 740000, "weightsMb": 34300 * modelsPerEngine,
--- a/review/standin2/paths.go
+++ b/review/standin2/paths.go
@@ -36,7 +36,7 @@
 	if bed.trouble {
 		var loser *replica
 		for _, replica := range bed.replicas {
-			if !replica.engine {
+			if replica.service == movedFrom {
 				loser = replica
 			}
 		}
