--- a/review/standin2/silence.go
+++ b/review/standin2/silence.go
@@ -18,7 +18,7 @@
 	firstVersion, timeoutVersion, movedVersion = 7, 9, 12
 	// silenceDelay is the time from the first change to the silence, and moveDelay that from the silence to the second one.
 	silenceDelay = 400 * time.Millisecond
-	moveDelay    = 100 * time.Millisecond
+	moveDelay    = 600 * time.Millisecond
 	// configApply and contact are configApplyMs and contactMs of the site.
 	configApply = 2 * time.Second
 	contact     = 3 * time.Second
