Tell the end of a response from a reset that the writer was told of

Callers saw: a replica answered a long upload at once with a 200 that had neither a length nor chunks, sent a part of its body and reset the connection while the upload was being written. The client got that part as a whole answer (MIXED).

Cause: bodies over 16 KiB are written beside the reading. A socket reports a failure once, to whoever uses it next. If that was the writer, the reader found the end of the connection, which is the end of an unframed body. The writer then closed the connection, but the reader was often faster.

Change: when the reader of a connection finds its end while a body was written beside it, it stops the writing and asks how that ended. A failure that the system reported is then the result of the read. EPIPE and the deadline that stops the writing are not such failures: on Linux, EPIPE means that the upstream had ended the connection in order before it reset it. This cannot be overtaken, since the read waits for the writer's result.

Other readers: engines and services of the product's own door already refuse bodies that end with their connection, and objects and rows are read after the request was written.

--- a/connection/conn.go
+++ b/connection/conn.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"errors"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -17,6 +19,8 @@
 	reader *bufio.Reader
 	// limited bounds what the reader takes from the connection.
 	limited *limitedReader
+	// upload writes the body of the current request beside the reading; nil if the body was written before.
+	upload *upload
 	// reused is set once an exchange was completed on the connection.
 	reused bool
 	// lastUsed is when the last exchange was completed.
@@ -31,8 +35,22 @@
 }
 
 func newConn(inner net.Conn, key string) *conn {
-	limited := &limitedReader{inner: inner}
-	return &conn{Conn: inner, key: key, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes)}
+	c := &conn{Conn: inner, key: key}
+	c.limited = &limitedReader{inner: c}
+	c.reader = bufio.NewReaderSize(c.limited, readBufferBytes)
+	return c
+}
+
+// Read reads from the connection. io.EOF means that the upstream has ended it in order.
+func (c *conn) Read(into []byte) (int, error) {
+	n, err := c.Conn.Read(into)
+	if !errors.Is(err, io.EOF) || c.upload == nil {
+		return n, err
+	}
+	if failure := c.upload.stop(); failure != nil {
+		return n, failure
+	}
+	return n, err
 }
 
 // abort closes the connection with a reset, so that bytes still in transit are never delivered.
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -222,11 +222,7 @@
 	if err != nil {
 		return written, err
 	}
-	go func() {
-		if _, err := c.Write(call.Body); err != nil {
-			c.abort()
-		}
-	}()
+	c.upload = startUpload(c.Conn, call.Body, c.abort)
 	return written, nil
 }
 
--- a/lending/client.go
+++ b/lending/client.go
@@ -89,12 +89,17 @@
 	return encoded
 }
 
-// decodeResponse reads the head of a response.
+// decodeResponse reads the head of a response. Daemons always frame its body: the end of one that ends with its connection cannot be
+// told from a lost connection.
 func decodeResponse(response *http.Response) (*relay.LentReply, error) {
 	if response.StatusCode != http.StatusOK {
 		_ = response.Body.Close()
 		return nil, decodeStatus(response)
 	}
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		_ = response.Body.Close()
+		return nil, fmt.Errorf("%w: the response of a daemon has neither a length nor a chunked encoding", exchange.ErrLost)
+	}
 	reader := bufio.NewReader(response.Body)
 	head := &lendingpb.Head{}
 	if err := (protodelim.UnmarshalOptions{MaxSize: maxHeadBytes}).UnmarshalFrom(reader, head); err != nil {
