Refuse responses whose status is none in the protocol

Callers saw, on other systems: an answer with the status 000 reached the client.

Cause: net/http takes any three characters that are a number of zero or more, and the pool took all below 200 for interim responses.

Change: internal/responsehead checks the bytes of a head as they arrive, below the parser, for the connection pool and the client of the product's own door alike. A code outside 100 to 599 (RFC 9110, section 15) ends the exchange at once: the replica's bytes are no response (AnswerInvalid, may have run).

--- a/connection/conn.go
+++ b/connection/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 )
@@ -53,6 +54,16 @@
 	return n, err
 }
 
+// readHead reads the head of the next response to the request. It fails with a *responsehead.Error if the head is not valid.
+func (c *conn) readHead(request *http.Request) (*http.Response, error) {
+	// What is buffered can always be returned.
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	if err := c.limited.head.Begin(buffered); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(c.reader, request)
+}
+
 // abort closes the connection with a reset, so that bytes still in transit are never delivered.
 func (c *conn) abort() {
 	if inner, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
--- a/connection/limit.go
+++ b/connection/limit.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"math"
+
+	"github.com/bronzestall/bronzestall/internal/responsehead"
 )
 
 // LimitError is the failure of a response that exceeds a limit.
@@ -18,17 +20,19 @@
 	return fmt.Sprintf("answer is over the limit %s of %d bytes", failure.Limit, failure.Bytes)
 }
 
-// limitedReader reads up to a number of bytes, which is set anew for each part of a response.
+// limitedReader reads up to a number of bytes, which is set anew for each part of a response, and checks the heads of responses.
 type limitedReader struct {
 	inner io.Reader
 	limit LimitError
+	// head checks the head of the response that is read.
+	head responsehead.Scanner
 	// remaining is the number of bytes that may still be read.
 	remaining int64
 	// received is set once any byte was read since it was cleared.
 	received bool
 }
 
-// Read fails with a *LimitError once no bytes remain.
+// Read fails with a *LimitError once no bytes remain, and with a *responsehead.Error if the head is not valid.
 func (limited *limitedReader) Read(into []byte) (int, error) {
 	if limited.remaining <= 0 {
 		failure := limited.limit
@@ -37,6 +41,9 @@
 	n, err := limited.inner.Read(into[:min(int64(len(into)), limited.remaining)])
 	limited.remaining -= int64(n)
 	limited.received = limited.received || n > 0
+	if invalid := limited.head.Scan(into[:n]); invalid != nil {
+		return 0, invalid
+	}
 	return n, err
 }
 
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -231,7 +231,7 @@
 	request := &http.Request{Method: call.Method}
 	for range maxMismatched {
 		c.limited.setLimit("HeadBytes", pool.settings.HeadBytes)
-		response, err := http.ReadResponse(c.reader, request)
+		response, err := c.readHead(request)
 		if err != nil {
 			return nil, err
 		}
--- a/front/earlyanswers_test.go
+++ b/front/earlyanswers_test.go
@@ -53,22 +53,9 @@
 
 // resetEarly answers each request with a part of a response before its body is read, and resets the connection.
 func resetEarly(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = http.ReadRequest(bufio.NewReader(c))
-			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nBronzestall-Request-Id: 9c\r\nBronzestall-Response-Signature: s\r\n\r\nid: 1\ndata: x\n\n")
-			_ = c.(*net.TCPConn).SetLinger(0)
-			_ = c.Close()
-		}
-	}()
-	return listener.Addr().String()
+	return listen(t, func(c *net.TCPConn) {
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nBronzestall-Request-Id: 9c\r\nBronzestall-Response-Signature: s\r\n\r\nid: 1\ndata: x\n\n")
+		_ = c.SetLinger(0)
+	})
 }
--- a/front/endings_test.go
+++ b/front/endings_test.go
@@ -29,8 +29,8 @@
 	return nil
 }
 
-// serveOnce answers one request on each connection with the text, and then closes it or resets it.
-func serveOnce(t *testing.T, text string, reset bool) string {
+// listen serves each connection, which is closed afterwards, until the end of the test, and returns the address.
+func listen(t *testing.T, serve func(c *net.TCPConn)) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -44,22 +44,29 @@
 			}
 			go func() {
 				defer func() { _ = c.Close() }()
-				request, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, request.Body)
-				_, _ = io.WriteString(c, text)
-				if reset {
-					time.Sleep(20 * time.Millisecond)
-					_ = c.(*net.TCPConn).SetLinger(0)
-				}
+				serve(c.(*net.TCPConn))
 			}()
 		}
 	}()
 	return listener.Addr().String()
 }
 
+// serveOnce answers one request on each connection with the text, and then closes it or resets it.
+func serveOnce(t *testing.T, text string, reset bool) string {
+	return listen(t, func(c *net.TCPConn) {
+		request, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = io.WriteString(c, text)
+		if reset {
+			time.Sleep(20 * time.Millisecond)
+			_ = c.SetLinger(0)
+		}
+	})
+}
+
 // newServingDaemon returns a daemon that sends all requests for the path /s/ to the address, as a stream or a call.
 func newServingDaemon(kind topology.Kind, address string) *Daemon {
 	daemon := New(Settings{Name: "a", StoreAddress: "127.0.0.1:1"}, "", nil)
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -5,12 +5,14 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/bronzestall/bronzestall/internal/responsehead"
 )
 
 // errSealed is the error of a write to a sealed connection.
 var errSealed = errors.New("connection is sealed against further requests")
 
-// conn is a connection that counts its writes and can be sealed against further ones.
+// conn is a connection that counts its writes, can be sealed against further ones, and checks the heads of responses.
 type conn struct {
 	net.Conn
 	opened time.Time
@@ -20,6 +22,27 @@
 	writes int
 	// sealed makes further writes fail before a byte is written.
 	sealed bool
+	// head checks the head of the response that is read.
+	head responsehead.Scanner
+}
+
+// Read reads from the connection. It fails with a *responsehead.Error, and returns no byte, if they are not the head of a response.
+func (c *conn) Read(into []byte) (int, error) {
+	n, err := c.Conn.Read(into)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if invalid := c.head.Scan(into[:n]); invalid != nil {
+		return 0, invalid
+	}
+	return n, err
+}
+
+// beginResponse makes the next byte that is read the first one of the head of a response.
+func (c *conn) beginResponse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	// Without received bytes, Begin does not fail.
+	_ = c.head.Begin(nil)
 }
 
 // Write writes to the connection unless it is sealed. A write is counted before its first byte is written, and is
--- a/internal/transport/roundtrip.go
+++ b/internal/transport/roundtrip.go
@@ -34,6 +34,7 @@
 	trip.mu.Lock()
 	defer trip.mu.Unlock()
 	trip.conn, trip.writesBefore, trip.reused = c, c.writeCount(), info.Reused
+	c.beginResponse()
 	if trip.ended || c.opened.Before(trip.minOpened) {
 		c.seal(trip.writesBefore)
 	}
--- a/lending/client.go
+++ b/lending/client.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bronzestall/bronzestall/exchange"
+	"github.com/bronzestall/bronzestall/internal/responsehead"
 	"github.com/bronzestall/bronzestall/lending/lendingpb"
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/protocol"
@@ -58,7 +59,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", exchange.ErrLost, err)
 	}
-	return decodeResponse(response)
+	reply, err := decodeResponse(response)
+	if err != nil {
+		return nil, err
+	}
+	if err := verify(reply); err != nil {
+		_ = reply.Body.Close()
+		return nil, err
+	}
+	return reply, nil
 }
 
 // encode encodes the request.
@@ -124,6 +133,14 @@
 	}, nil
 }
 
+// verify returns the error for a response that no replica can have given in the protocol. A daemon of an earlier build may pass one on.
+func verify(reply *relay.LentReply) error {
+	if !responsehead.IsFinalStatus(reply.Status) {
+		return fmt.Errorf("%w: a daemon passed on the status %d", exchange.ErrLost, reply.Status)
+	}
+	return nil
+}
+
 // decodeStatus returns the error for a response without a head. A daemon that has no such path, or cannot decode the request, has
 // not run it; after any other status the request may have run.
 func decodeStatus(response *http.Response) error {
--- a/lending/invalid_test.go
+++ b/lending/invalid_test.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"testing"
@@ -55,3 +57,23 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// TestInvalidHeadIsLost guards against issue 71: what follows an invalid head of a replica must not pass for the body of a response.
+func TestInvalidHeadIsLost(t *testing.T) {
+	for name, head := range map[string]*lendingpb.Head{
+		"status 0":                 {},
+		"status 102":               {Status: http.StatusProcessing},
+		"status 600":               {Status: 600},
+		"status over all integers": {Status: math.MaxUint64},
+	} {
+		t.Run(name, func(t *testing.T) {
+			text := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+			encoded := encodeHead(t, head)
+			address := respondOnce(t, fmt.Sprintf("%s%x\r\n%s\r\n0\r\n\r\n", text, len(encoded), encoded))
+			_, err := NewClient("a", http.DefaultClient).Send(t.Context(), address, &exchange.Request{Method: http.MethodPost, Header: http.Header{}}, time.Second, relay.Allowance{})
+			if !errors.Is(err, exchange.ErrLost) {
+				t.Errorf("got %v", err)
+			}
+		})
+	}
+}
--- a/relay/upstream.go
+++ b/relay/upstream.go
@@ -8,7 +8,7 @@
 
 // Upstream sends requests to replicas.
 type Upstream interface {
-	// Send makes one attempt and returns the response once its head was read. It fails with exchange.ErrNotSent or
-	// exchange.ErrLost.
+	// Send makes one attempt and returns the response once its head was read. It fails with exchange.ErrNotSent,
+	// exchange.ErrLost or exchange.ErrInvalidResponse.
 	Send(ctx context.Context, request *exchange.Request, attempt exchange.Attempt) (*exchange.Reply, error)
 }
