Refuse responses whose fields have names that are none

Callers saw, on other systems: an answer in whose head the name of a field held a blank or a control byte reached the client, with that line passed on or with a body that was not the replica's.

Cause: net/http accepts names with blanks, and folds a line that begins with a blank or a tab into the field before it. A length or an encoding in such a line is not found, so that the body is another one than the replica's.

Change: internal/responsehead checks that the name of each field is a token, and refuses lines that begin with a blank; senders must not use that form (RFC 9112, section 5.2).

--- a/internal/responsehead/scanner.go
+++ b/internal/responsehead/scanner.go
@@ -1,6 +1,10 @@
 package responsehead
 
-import "bytes"
+import (
+	"bytes"
+
+	"golang.org/x/net/http/httpguts"
+)
 
 // Scanner checks the head of a response while its bytes arrive, however they are divided. The zero value checks nothing until Begin
 // is called. Its user must bound the bytes of a head.
@@ -52,8 +56,9 @@
 		return scanner.checkStatus(line)
 	case len(line) == 0:
 		scanner.inHead, scanner.begun = scanner.interim, false
+		return nil
 	}
-	return nil
+	return checkField(line)
 }
 
 // checkStatus checks the status code of a status line. Codes outside 100 to 599 are not valid (RFC 9110, section 15).
@@ -67,6 +72,16 @@
 	return nil
 }
 
+// checkField checks the name of a field. A line that begins with a blank would continue the line before it, a form that senders must not
+// use (RFC 9112, section 5.2) and that hides a field such as the length of the body.
+func checkField(line []byte) error {
+	name, _, found := bytes.Cut(line, []byte(":"))
+	if !found || !httpguts.ValidHeaderFieldName(string(name)) {
+		return newError(line)
+	}
+	return nil
+}
+
 func isDigit(char byte) bool {
 	return '0' <= char && char <= '9'
 }
--- a/internal/transport/invalid_test.go
+++ b/internal/transport/invalid_test.go
@@ -20,6 +20,9 @@
 		"status 000":                "HTTP/1.1 000 Trouble\r\nContent-Length: 3\r\n\r\n",
 		"status 000, after interim": "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 000 Trouble\r\nContent-Length: 3\r\n\r\n",
 		"status 999":                "HTTP/1.1 999 Trouble\r\nContent-Length: 3\r\n\r\n",
+		"blank before the colon":    "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\nContent-Length: 3\r\n\r\n",
+		"blank before a name":       "HTTP/1.1 200 OK\r\nX: y\r\n Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n",
+		"control byte in a name":    "HTTP/1.1 200 OK\r\nX\x01Y: z\r\nContent-Length: 3\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/lending/client.go
+++ b/lending/client.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
@@ -138,6 +139,11 @@
 	if !responsehead.IsFinalStatus(reply.Status) {
 		return fmt.Errorf("%w: a daemon passed on the status %d", exchange.ErrLost, reply.Status)
 	}
+	for name := range reply.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: a daemon passed on a field with the name %q", exchange.ErrLost, name)
+		}
+	}
 	return nil
 }
 
--- a/lending/invalid_test.go
+++ b/lending/invalid_test.go
@@ -65,6 +65,9 @@
 		"status 102":               {Status: http.StatusProcessing},
 		"status 600":               {Status: 600},
 		"status over all integers": {Status: math.MaxUint64},
+		"blank in a name":          {Status: 200, Header: []*lendingpb.Field{{Name: []byte("X Y"), Values: [][]byte{[]byte("z")}}}},
+		"blank after a name":       {Status: 200, Header: []*lendingpb.Field{{Name: []byte("Content-Length "), Values: [][]byte{[]byte("3")}}}},
+		"control byte in a name":   {Status: 200, Header: []*lendingpb.Field{{Name: []byte("X\x01"), Values: [][]byte{[]byte("z")}}}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			text := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
