--- a/connection/conn.go
+++ b/connection/conn.go
@@ -42,7 +42,7 @@
 	return c
 }
 
-// Read reads from the connection. io.EOF means that the upstream has ended it in order.
+// Read reads from the connection. io.EOF means that the upstream has ended it in order, after which an upload has no purpose.
 func (c *conn) Read(into []byte) (int, error) {
 	n, err := c.Conn.Read(into)
 	if !errors.Is(err, io.EOF) || c.upload == nil {
--- a/connection/upload.go
+++ b/connection/upload.go
@@ -12,8 +12,8 @@
 
 // upload writes the body of a request while the response is read. Use startUpload.
 //
-// The operating system reports a broken connection once, to whoever uses the connection next. If that is the writer, the
-// reader gets the same end as of a connection that the upstream closed in order.
+// The system reports that a connection broke once, to whoever uses it next. If that is the writer, the reader finds the same end as
+// if the upstream had closed the connection in order.
 type upload struct {
 	inner net.Conn
 	// ended is closed once the writing has ended.
@@ -35,7 +35,7 @@
 	return upload
 }
 
-// stop ends the writing and returns the failure of the connection that it was told of, or nil.
+// stop ends the writing and returns the failure of the connection that the writer was told of, or nil.
 func (upload *upload) stop() error {
 	// If the deadline cannot be set, the connection is closed, which ends the writing too.
 	_ = upload.inner.SetWriteDeadline(pastDeadline)
@@ -46,8 +46,8 @@
 	return nil
 }
 
-// isBroken reports whether the error of a write means that the connection broke before the upstream had ended it: EPIPE means
-// that the end came first.
+// isBroken reports whether the error of a write means that the connection broke before the upstream had ended it. On Linux, a
+// reset after that end gives EPIPE. Errors that are not the system's come from this process.
 func isBroken(err error) bool {
 	var number syscall.Errno
 	return errors.As(err, &number) && number != syscall.EPIPE
--- a/internal/responsehead/error.go
+++ b/internal/responsehead/error.go
@@ -21,7 +21,7 @@
 
 // Error returns a message that quotes the line.
 func (failure *Error) Error() string {
-	return fmt.Sprintf("the head of the response has the line %q", failure.Line)
+	return fmt.Sprintf("the head of the response has the invalid line %q", failure.Line)
 }
 
 // IsInvalid reports whether err is an Error.
