Decide in one place whether the body of a response is framed

Change: responsehead.IsFramed serves all four, and upstream.isDelimited is gone; newRequest builds the request of these tests, whose checks are the same. Result: behaviour is the same. Linter clean; connection, front, platform, lending, service, upstream, responsehead, transport, dispatch, gateway, daemon and relay pass with the race detector.

--- a/front/earlyanswers_test.go
+++ b/front/earlyanswers_test.go
@@ -9,7 +9,6 @@
 	"sync"
 	"testing"
 
-	"github.com/bronzestall/bronzestall/exchange"
 	"github.com/bronzestall/bronzestall/topology"
 )
 
@@ -33,11 +32,7 @@
 				group.Go(func() {
 					for number := range uploads {
 						// Paths differ, so that the requests do not count as one that crashes replicas.
-						path := fmt.Sprintf("/s/%d/%d", uploader, number)
-						request := &exchange.Request{
-							Method: http.MethodPost, Target: path, Path: path, Host: "h", Header: http.Header{}, Body: body,
-							Metadata: exchange.Metadata{ID: "9c"}, Arrived: daemon.clock.Now(),
-						}
+						request := newRequest(daemon, fmt.Sprintf("/s/%d/%d", uploader, number), body)
 						sink := &recordingSink{}
 						if _, failure := daemon.relay.Serve(t.Context(), request, sink); failure == nil {
 							t.Errorf("%q passed for a whole response", sink.body.String())
--- a/front/endings_test.go
+++ b/front/endings_test.go
@@ -79,6 +79,14 @@
 	return daemon
 }
 
+// newRequest returns a request with the identifier 9c that the daemon has just received.
+func newRequest(daemon *Daemon, path string, body []byte) *exchange.Request {
+	return &exchange.Request{
+		Method: http.MethodPost, Target: path, Path: path, Host: "h", Header: http.Header{}, Body: body,
+		Metadata: exchange.Metadata{ID: "9c"}, Arrived: daemon.clock.Now(),
+	}
+}
+
 // TestEndingsOfResponses lists the ways in which the response of a replica ends, for each framing, against what they mean.
 // It guards against issue 37: a response with neither a length nor chunks, of a replica that had ended, passed for complete.
 func TestEndingsOfResponses(t *testing.T) {
@@ -122,11 +130,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			daemon, sink := newServingDaemon(c.kind, serveOnce(t, c.text, c.reset)), &recordingSink{}
-			request := &exchange.Request{
-				Method: http.MethodPost, Target: "/s/x", Path: "/s/x", Host: "h", Header: http.Header{},
-				Metadata: exchange.Metadata{ID: "9c"}, Arrived: daemon.clock.Now(),
-			}
-			_, failure := daemon.relay.Serve(t.Context(), request, sink)
+			_, failure := daemon.relay.Serve(t.Context(), newRequest(daemon, "/s/x", nil), sink)
 			kind := outcome.Kind(-1)
 			if failure != nil {
 				kind = failure.Kind
--- a/front/invalidheads_test.go
+++ b/front/invalidheads_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"testing"
 
-	"github.com/bronzestall/bronzestall/exchange"
 	"github.com/bronzestall/bronzestall/outcome"
 	"github.com/bronzestall/bronzestall/topology"
 )
@@ -51,11 +50,7 @@
 		for kind, label := range map[topology.Kind]string{topology.NonIdempotent: "call", topology.Streaming: "stream"} {
 			t.Run(name+", "+label, func(t *testing.T) {
 				daemon, sink := newServingDaemon(kind, serveKept(t, text)), &recordingSink{}
-				request := &exchange.Request{
-					Method: http.MethodPost, Target: "/s/x", Path: "/s/x", Host: "h", Header: http.Header{},
-					Metadata: exchange.Metadata{ID: "9c"}, Arrived: daemon.clock.Now(),
-				}
-				_, failure := daemon.relay.Serve(t.Context(), request, sink)
+				_, failure := daemon.relay.Serve(t.Context(), newRequest(daemon, "/s/x", nil), sink)
 				if failure == nil || failure.Kind != outcome.AnswerInvalid || sink.Begun() {
 					t.Errorf("ended as %v, status %d, body %q", failure, sink.status, sink.body.String())
 				}
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -69,8 +69,9 @@
 }
 
 // Do sends the request with the body and returns the response once its header is received. The context also
-// bounds the reading of the response body. Errors are of type *Error; bytes that are not the head of a response cause one. If the deadline of the context passes, all
-// idle connections are closed, since the cause of a stalled connection often affects the others too.
+// bounds the reading of the response body. Errors are of type *Error; bytes that are not the head of a response
+// cause one. If the deadline of the context passes, all idle connections are closed, since the cause of a stalled
+// connection often affects the others too.
 func (client *Client) Do(ctx context.Context, request *http.Request, body []byte) (*http.Response, error) {
 	for attempt := 1; ; attempt++ {
 		trip := &roundTrip{minOpened: client.clock.Now().Add(-client.settings.ConnectionAge)}
--- a/lending/client.go
+++ b/lending/client.go
@@ -106,7 +106,7 @@
 		_ = response.Body.Close()
 		return nil, decodeStatus(response)
 	}
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+	if !responsehead.IsFramed(response) {
 		_ = response.Body.Close()
 		return nil, fmt.Errorf("%w: the response of a daemon has neither a length nor a chunked encoding", exchange.ErrLost)
 	}
--- a/service/client.go
+++ b/service/client.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 	"k8s.io/utils/clock"
 
+	"github.com/bronzestall/bronzestall/internal/responsehead"
 	"github.com/bronzestall/bronzestall/internal/transport"
 	"github.com/bronzestall/bronzestall/request"
 	"github.com/bronzestall/bronzestall/upstream"
@@ -105,7 +106,7 @@
 
 // content reads the complete body. It returns ErrTruncated if the end of the body cannot be verified.
 func (client *Client) content(response *http.Response) ([]byte, error) {
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+	if !responsehead.IsFramed(response) {
 		return nil, fmt.Errorf("%w: response has neither a length nor a chunked encoding", upstream.ErrTruncated)
 	}
 	content, err := io.ReadAll(io.LimitReader(response.Body, client.settings.MaxBody+1))
--- a/upstream/bufferedstream.go
+++ b/upstream/bufferedstream.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"net/http"
+
+	"github.com/bronzestall/bronzestall/internal/responsehead"
 )
 
 // bufferedStream is a response that is not streamed. It is returned as one piece.
@@ -25,7 +27,7 @@
 	}
 	stream.done = true
 	stream.ctx = ctx
-	if !isDelimited(stream.response) {
+	if !responsehead.IsFramed(stream.response) {
 		return Piece{}, fmt.Errorf("%w: response has neither a length nor a chunked encoding", ErrTruncated)
 	}
 	content, err := io.ReadAll(io.LimitReader(stream.responseBody, stream.limit+1))
@@ -72,8 +74,3 @@
 	stream.close()
 	return nil
 }
-
-// isDelimited reports whether the end of the body can be distinguished from a lost connection.
-func isDelimited(response *http.Response) bool {
-	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-}
