--- a/review/standin3/bed.go
+++ b/review/standin3/bed.go
@@ -19,6 +19,8 @@
 	memoryMb = 284
 	maxFds   = 4200
 	host     = "ficu95.example"
+	// modelCount is the number of models, of which an engine holds two at once.
+	modelCount = 12
 )
 
 // bed is a small deployment: the store, replicas and front daemons as processes.
@@ -89,8 +91,8 @@
 func (bed *bed) configure(routes []any) {
 	bed.version += 3
 	models := []any{}
-	for _, name := range []string{"m0", "m1"} {
-		models = append(models, map[string]any{"name": name, "weightsMb": 34300.0, "loadTimeS": 6.0, "adapters": 0, "adapterMb": 40.0, "warmS": 0.42, "diskS": 0.6})
+	for number := range modelCount {
+		models = append(models, map[string]any{"name": fmt.Sprint("m", number), "weightsMb": 72700.0, "loadTimeS": 6.0, "adapters": 0, "adapterMb": 40.0, "warmS": 0.42, "diskS": 0.6})
 	}
 	content, _ := json.Marshal(map[string]any{
 		"version": bed.version, "routes": routes,
@@ -233,3 +235,20 @@
 		front.kill()
 	}
 }
+
+// usual prepares and starts a small deployment: three replicas of each service and two daemons.
+func (bed *bed) usual() error {
+	bed.configure(usualRoutes())
+	for _, zone := range []string{"a", "b", "c"} {
+		if _, err := bed.addReplica("i-desk-"+zone, desk, zone, "v1"); err != nil {
+			return err
+		}
+		if _, err := bed.addReplica("i-engine-"+zone, engines, zone, "v1", "m0", "m1"); err != nil {
+			return err
+		}
+	}
+	if err := bed.addFronts("a", "b"); err != nil {
+		return err
+	}
+	return bed.startFronts()
+}
--- a/review/standin3/heads.go
+++ b/review/standin3/heads.go
@@ -21,19 +21,7 @@
 // heads plays a crowd whose clients send a head of many short fields, inside the limit of the configuration, and stop before its end. The
 // daemon must stay within the memory of its machine.
 func heads(bed *bed, trouble bool) (bool, error) {
-	bed.configure(usualRoutes())
-	for _, zone := range []string{"a", "b", "c"} {
-		if _, err := bed.addReplica("i-desk-"+zone, desk, zone, "v1"); err != nil {
-			return false, err
-		}
-		if _, err := bed.addReplica("i-engine-"+zone, engines, zone, "v1", "m0", "m1"); err != nil {
-			return false, err
-		}
-	}
-	if err := bed.addFronts("a", "b"); err != nil {
-		return false, err
-	}
-	if err := bed.startFronts(); err != nil {
+	if err := bed.usual(); err != nil {
 		return false, err
 	}
 	time.Sleep(3 * time.Second)
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -8,12 +8,19 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
+// longest is the time after which a case that has not ended is given up.
+const longest = 115 * time.Second
+
 // cases maps their names to what plays them and reports whether the rule was broken.
 var cases = map[string]func(bed *bed, trouble bool) (broken bool, err error){
 	"heads":  heads,
 	"tokens": tokens,
+	"models": models,
 }
 
 func main() {
@@ -47,6 +54,16 @@
 		return 2
 	}
 	defer bed.stop()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		select {
+		case <-signals:
+		case <-time.After(longest):
+		}
+		bed.stop()
+		os.Exit(2)
+	}()
 	broken, err := one(bed, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
--- a/review/standin3/replica.go
+++ b/review/standin3/replica.go
@@ -118,7 +118,7 @@
 	content, _ := json.Marshal(map[string]any{
 		"service": replica.service, "address": replica.address, "zone": replica.zone, "version": replica.version, "slots": 64,
 		"state": "ready", "born": replica.born, "sequence": replica.beats, "coldRemainingMs": 0, "models": replica.held(),
-		"atHand": map[string]any{"inMemory": replica.models, "onDisk": replica.models},
+		"atHand": map[string]any{"inMemory": replica.models, "onDisk": allModels()},
 	})
 	replica.mutex.Unlock()
 	replica.bed.store.put("servers", replica.id, content)
@@ -144,7 +144,7 @@
 		replica.mutex.Lock()
 		defer replica.mutex.Unlock()
 		_ = json.NewEncoder(writer).Encode(map[string]any{"stage": "colocated", "models": replica.held(), "busy": false, "sequence": replica.revision, "born": replica.born,
-			"queued": 0, "running": 0, "kvUsed": 0, "kvTotal": 140000, "handles": 0, "atHand": map[string]any{"inMemory": replica.models, "onDisk": replica.models}})
+			"queued": 0, "running": 0, "kvUsed": 0, "kvTotal": 140000, "handles": 0, "atHand": map[string]any{"inMemory": replica.models, "onDisk": allModels()}})
 	case "/order":
 		replica.order(writer, body)
 	default:
@@ -220,3 +220,12 @@
 		_ = controller.Flush()
 	}
 }
+
+// allModels returns the names of all models: each engine has them on its disk.
+func allModels() []string {
+	var names []string
+	for number := range modelCount {
+		names = append(names, fmt.Sprint("m", number))
+	}
+	return names
+}
