review: case 11 is comments in streams, 14 events from zero; stand-ins restart empty

The engines of the stand-in now do after a crash what PROTOCOL.md says: they hold no model, have copies on disk and load from these in 0.6 s. They also name weight versions, mark each refusal as not executed, wait for runs before an unload, and report what runs.

--- a/review/standin3/bed.go
+++ b/review/standin3/bed.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -68,7 +69,7 @@
 
 // addReplica starts a replica.
 func (bed *bed) addReplica(id, service, zone, version string, models ...string) (*replica, error) {
-	created := &replica{id: id, service: service, zone: zone, version: version, models: models, bed: bed, first: 1, events: 57, gap: 30 * time.Millisecond, work: 15 * time.Millisecond}
+	created := &replica{id: id, service: service, zone: zone, version: version, models: models, inMemory: slices.Clone(models), onDisk: slices.Clone(models), running: map[string]int{}, bed: bed, first: 1, events: 57, gap: 30 * time.Millisecond, work: 15 * time.Millisecond}
 	bed.replicas = append(bed.replicas, created)
 	return created, created.start()
 }
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -18,8 +18,9 @@
 
 // cases maps their names to what plays them and reports whether the rule was broken.
 var cases = map[string]func(bed *bed, trouble bool) (broken bool, err error){
-	"tokens": tokens,
-	"zero":   zero,
+	"comments": comments,
+	"tokens":   tokens,
+	"zero":     zero,
 }
 
 func main() {
--- a/review/standin3/replica.go
+++ b/review/standin3/replica.go
@@ -18,8 +18,11 @@
 	desk    = "desk"
 	// heartbeat is the interval at which a replica writes its row.
 	heartbeat = 1200 * time.Millisecond
-	// loadTime is the time that a load takes, the loadTimeS of the configuration.
+	// loadTime, diskTime and warmTime are the times that a load takes from the store, the replica's disk and its memory: loadTimeS,
+	// diskS and warmS of the configuration.
 	loadTime = 6 * time.Second
+	diskTime = 600 * time.Millisecond
+	warmTime = 420 * time.Millisecond
 )
 
 // kvCapacity is the memory of an engine in tokens.
@@ -41,7 +44,8 @@
 	at                   time.Time
 }
 
-// replica is a stand-in of a replica of a plain service or of an engine, which holds its models from the start and takes orders.
+// replica is a stand-in of a replica of a plain service or of an engine, which holds its models from the start and takes orders. After a
+// crash it holds no model, and has copies of those of before on its disk.
 type replica struct {
 	id, service, zone string
 	bed               *bed
@@ -50,16 +54,23 @@
 	version  string
 	born     int64
 	models   []string
+	inMemory []string
+	onDisk   []string
 	revision int
-	busy     bool
+	// ordered is the model of the order under way, if any.
+	ordered string
+	// running and tokens are the runs of each model and the sizes of all of them.
+	running  map[string]int
+	tokens   int
 	beats    int
 	listener net.Listener
 	server   *http.Server
 	address  string
 	stop     chan struct{}
 
-	// first is the number of the first event of a stream.
-	first int
+	// first is the number of the first event of a stream, and comment is written after each event.
+	first   int
+	comment string
 	// events and gap are the number of events of a stream and the time between them; work is that of a call.
 	events int
 	gap    time.Duration
@@ -80,7 +91,7 @@
 	}
 	replica.mutex.Lock()
 	replica.listener, replica.address = listener, listener.Addr().String()
-	replica.born, replica.revision = time.Now().UnixMilli(), 0
+	replica.born, replica.revision, replica.beats = time.Now().UnixMilli(), 0, 0
 	replica.server = &http.Server{Handler: replica}
 	replica.stop = make(chan struct{})
 	server, stop := replica.server, replica.stop
@@ -90,12 +101,13 @@
 	return nil
 }
 
-// crash ends the replica without a word.
+// crash ends the replica without a word. Only what is on its disk stays.
 func (replica *replica) crash() {
 	replica.mutex.Lock()
 	defer replica.mutex.Unlock()
 	close(replica.stop)
 	_ = replica.server.Close()
+	replica.models, replica.inMemory, replica.ordered = nil, nil, ""
 }
 
 func (replica *replica) beat(stop chan struct{}) {
@@ -117,13 +129,18 @@
 	return list
 }
 
+// atHand returns the copies of weights.
+func (replica *replica) atHand() map[string]any {
+	return map[string]any{"inMemory": append([]string{}, replica.inMemory...), "onDisk": append([]string{}, replica.onDisk...)}
+}
+
 func (replica *replica) write() {
 	replica.mutex.Lock()
 	replica.beats++
 	content, _ := json.Marshal(map[string]any{
 		"service": replica.service, "address": replica.address, "zone": replica.zone, "version": replica.version, "slots": 64,
 		"state": "ready", "born": replica.born, "sequence": replica.beats, "coldRemainingMs": 0, "models": replica.held(),
-		"atHand": map[string]any{"inMemory": replica.models, "onDisk": replica.models},
+		"atHand": replica.atHand(),
 	})
 	replica.mutex.Unlock()
 	replica.bed.store.put("servers", replica.id, content)
@@ -139,6 +156,7 @@
 		return
 	}
 	if expected := request.Header.Get("Bronzestall-Expect-Instance"); expected != "" && expected != replica.id {
+		writer.Header().Set("Bronzestall-Not-Executed", "1")
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -148,9 +166,13 @@
 	case "/report":
 		replica.mutex.Lock()
 		defer replica.mutex.Unlock()
+		running := 0
+		for _, count := range replica.running {
+			running += count
+		}
 		_ = json.NewEncoder(writer).Encode(map[string]any{
-			"stage": "colocated", "models": replica.held(), "busy": replica.busy, "sequence": replica.revision, "born": replica.born,
-			"queued": 0, "running": 0, "kvUsed": 0, "kvTotal": 140000, "handles": 0, "atHand": map[string]any{"inMemory": replica.models, "onDisk": replica.models},
+			"stage": "colocated", "models": replica.held(), "busy": replica.ordered != "", "sequence": replica.revision, "born": replica.born,
+			"queued": 0, "running": running, "kvUsed": replica.tokens, "kvTotal": kvCapacity, "handles": 0, "atHand": replica.atHand(),
 		})
 	case "/order":
 		replica.order(writer, body)
@@ -159,7 +181,7 @@
 	}
 }
 
-// order carries an unload out at once, and a load after loadTime.
+// order carries out a load, whose time depends on the copies at hand, or an unload, which waits for the runs of the model.
 func (replica *replica) order(writer http.ResponseWriter, body []byte) {
 	var order struct {
 		Operation, Model, Adapter, Holder string
@@ -173,43 +195,112 @@
 	replica.mutex.Lock()
 	defer replica.mutex.Unlock()
 	replica.bed.record.add("order %s %s%s at %s of %s token %d", order.Operation, order.Model, order.Adapter, replica.id, order.Holder, order.FencingToken)
-	if replica.busy || (order.ExpectedRev != nil && *order.ExpectedRev != replica.revision) {
+	if replica.ordered != "" || (order.ExpectedRev != nil && *order.ExpectedRev != replica.revision) {
 		writer.WriteHeader(http.StatusConflict)
 		return
 	}
+	load := order.Operation == "load"
+	if slices.Contains(replica.models, order.Model) == load {
+		writer.WriteHeader(http.StatusOK)
+		return
+	}
 	replica.revision++
-	replica.models = slices.DeleteFunc(replica.models, func(model string) bool { return model == order.Model })
-	if order.Operation == "load" {
-		replica.busy = true
-		time.AfterFunc(loadTime, func() { replica.loaded(order.Model) })
+	replica.ordered = order.Model
+	born := replica.born
+	if load {
+		time.AfterFunc(replica.timeOfLoad(order.Model), func() { replica.loaded(order.Model, born) })
+	} else {
+		go replica.unload(order.Model, born)
 	}
 	writer.WriteHeader(http.StatusAccepted)
 }
 
-// loaded ends a load.
-func (replica *replica) loaded(model string) {
+// timeOfLoad returns how long a load of the model takes.
+func (replica *replica) timeOfLoad(model string) time.Duration {
+	switch {
+	case slices.Contains(replica.inMemory, model):
+		return warmTime
+	case slices.Contains(replica.onDisk, model):
+		return diskTime
+	default:
+		return loadTime
+	}
+}
+
+// loaded ends a load, unless the replica has crashed or started again since.
+func (replica *replica) loaded(model string, born int64) {
 	replica.mutex.Lock()
-	replica.busy = false
+	if replica.born != born || replica.ordered != model {
+		replica.mutex.Unlock()
+		return
+	}
+	replica.ordered = ""
 	replica.models = append(replica.models, model)
+	for _, copies := range []*[]string{&replica.inMemory, &replica.onDisk} {
+		if !slices.Contains(*copies, model) {
+			*copies = append(*copies, model)
+		}
+	}
 	replica.mutex.Unlock()
 	replica.write()
 }
 
+// unload waits for the runs of the model and drops it, unless the replica has crashed or started again since.
+func (replica *replica) unload(model string, born int64) {
+	for ; ; time.Sleep(20 * time.Millisecond) {
+		replica.mutex.Lock()
+		if replica.born != born || replica.ordered != model {
+			replica.mutex.Unlock()
+			return
+		}
+		if replica.running[model] == 0 {
+			break
+		}
+		replica.mutex.Unlock()
+	}
+	replica.ordered = ""
+	replica.models = slices.DeleteFunc(replica.models, func(held string) bool { return held == model })
+	replica.mutex.Unlock()
+	replica.write()
+}
+
+// begin counts a run and returns what ends it, or the status of the refusal if the replica has no such model, if an order concerns the
+// model, or if the request is larger than the memory.
+func (replica *replica) begin(model string, tokens int) (end func(), refusal int) {
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	switch {
+	case replica.ordered == model, tokens > kvCapacity:
+		return nil, http.StatusServiceUnavailable
+	case !slices.Contains(replica.models, model):
+		return nil, http.StatusMisdirectedRequest
+	}
+	replica.running[model]++
+	replica.tokens += tokens
+	return func() {
+		replica.mutex.Lock()
+		defer replica.mutex.Unlock()
+		replica.running[model]--
+		replica.tokens -= tokens
+	}, 0
+}
+
 // serve runs a request.
 func (replica *replica) serve(writer http.ResponseWriter, request *http.Request, id, body string) {
 	replica.mutex.Lock()
-	lacks := replica.service == engines && !slices.Contains(replica.models, request.Header.Get("Bronzestall-Model"))
-	version, first, events, gap, work, answer := replica.version, replica.first, replica.events, replica.gap, replica.work, replica.answer
+	version, first, comment, events, gap, work, answer := replica.version, replica.first, replica.comment, replica.events, replica.gap, replica.work, replica.answer
 	replica.mutex.Unlock()
-	if lacks {
-		writer.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	if replica.service == engines && tokensOf(request.Header) > kvCapacity {
-		writer.Header().Set("Bronzestall-Not-Executed", "1")
-		writer.WriteHeader(http.StatusServiceUnavailable)
-		replica.bed.record.add("rejected %s at %s: larger than its memory", id, replica.id)
-		return
+	if replica.service == engines {
+		model, tokens := request.Header.Get("Bronzestall-Model"), tokensOf(request.Header)
+		end, refusal := replica.begin(model, tokens)
+		if end == nil {
+			writer.Header().Set("Bronzestall-Not-Executed", "1")
+			writer.WriteHeader(refusal)
+			replica.bed.record.add("rejected %s (%s, %d tokens) at %s with %d", id, model, tokens, replica.id, refusal)
+			return
+		}
+		defer end()
+		writer.Header().Set("Bronzestall-Weight-Versions", "1")
 	}
 	replica.bed.ran(run{id, replica.id, replica.service, request.Header.Clone(), request.Method, request.URL.RequestURI(), body, time.Now()})
 	replica.bed.record.add("run %s at %s (%s %s) after event %q", id, replica.id, replica.service, version, request.Header.Get("Last-Event-Id"))
@@ -234,7 +325,7 @@
 			return
 		case <-time.After(gap):
 		}
-		if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s.%d\n\n", number, version, number); err != nil {
+		if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s.%d\n\n%s", number, version, number, comment); err != nil {
 			return
 		}
 		_ = controller.Flush()
--- a/review/standin3/zero.go
+++ b/review/standin3/streams.go
@@ -11,18 +11,25 @@
 )
 
 const (
-	// zeroEvents is the number of events of each stream, and zeroGap the time before each, within the targetGapMs of the route.
-	zeroEvents = 15
-	zeroGap    = 240 * time.Millisecond
+	// streamEvents is the number of events of each stream, and streamGap the time before each, within the targetGapMs of the route.
+	streamEvents = 15
+	streamGap    = 240 * time.Millisecond
 	// crashes is how often an engine crashes, crashDown how long it is away, and crashPause the time from one crash to the next.
 	crashes    = 8
 	crashDown  = 3 * time.Second
 	crashPause = 4500 * time.Millisecond
 )
 
-// zero plays engines that number the events of their streams from zero, and crashes of one engine at a time. No client may get an event
-// twice, or miss one.
-func zero(bed *bed, trouble bool) (bool, error) {
+// zero plays engines that number the events of their streams from zero.
+func zero(bed *bed, trouble bool) (bool, error) { return streams(bed, trouble, 0, "") }
+
+// comments plays engines that write a comment after each event, as text/event-stream allows.
+func comments(bed *bed, trouble bool) (bool, error) {
+	return streams(bed, trouble, 1, ": heartbeat\n\n")
+}
+
+// streams plays streams with such events, and crashes of one engine at a time. No client may get an event twice, or miss one.
+func streams(bed *bed, trouble bool, firstEvent int, comment string) (bool, error) {
 	for _, zone := range []string{"a", "b", "c"} {
 		// A sixth of the engines is the share that crashes at a time.
 		if _, err := bed.addReplica("i-engine-"+zone+"2", engines, zone, "v1", "m0", "m1"); err != nil {
@@ -36,7 +43,7 @@
 	for _, replica := range bed.replicas {
 		if replica.service == engines {
 			replica.mutex.Lock()
-			replica.first, replica.events, replica.gap = 0, zeroEvents, zeroGap
+			replica.first, replica.comment, replica.events, replica.gap = firstEvent, comment, streamEvents, streamGap
 			replica.mutex.Unlock()
 			engineReplicas = append(engineReplicas, replica)
 		}
@@ -84,7 +91,7 @@
 			if got.status == http.StatusOK && got.complete {
 				whole++
 			}
-			if got.status == http.StatusOK && (repeated || gap || (got.complete && len(ids) != zeroEvents)) {
+			if got.status == http.StatusOK && (repeated || gap || (got.complete && len(ids) != streamEvents)) {
 				bed.record.add("WRONG %s has the events %v, complete %v, %d runs", id, ids, got.complete, len(bed.runsOf(id)))
 			}
 			if repeated {
@@ -113,7 +120,7 @@
 	return ids
 }
 
-// faults reports whether one of the IDs, which should be those from zero on, comes twice, and whether one is missing in between.
+// faults reports whether one of the IDs comes twice, and whether one is missing in between.
 func faults(ids []int) (twice, missing bool) {
 	sorted := slices.Clone(ids)
 	slices.Sort(sorted)
