Go on after the last event of a stream also where comments follow it

Cause: the relay took the ID of the last event that a client has from the last block of what was read at once. A comment is a block without an ID, so that the event before it was not counted. The next replica was asked for the whole stream, and what it sent again was not dropped. A field "retry:" alone, and blank lines beyond the one that ends an event, lost the event in the same way; after one of the latter a resumed stream was ended, as if its event had no number.

An ID above 64 bits counts as none. The replicas of frontsoak write a comment with each event.

--- a/internal/frontsoak/client_test.go
+++ b/internal/frontsoak/client_test.go
@@ -161,6 +161,7 @@
 	want := expectedBody(id, "body of "+id)
 	if kind == pathStream || kind == pathResume {
 		want = expectedEvents(id)
+		content = withoutComments(content)
 	}
 	if err == nil && content != want {
 		client.checker.recordViolation("%s got a complete response of %d bytes that is not its own: %q", id, len(content), content[:min(len(content), 80)])
@@ -171,7 +172,16 @@
 	return err == nil
 }
 
-// expectedEvents returns the complete event stream of a request.
+// withoutComments returns the stream without the comments of replicas, and without one whose end is missing.
+func withoutComments(content string) string {
+	content = strings.ReplaceAll(content, streamComment, "")
+	if begin := strings.LastIndex(content, "\n\n:"); begin >= 0 && strings.HasPrefix(streamComment, content[begin+len("\n\n"):]) {
+		content = content[:begin+len("\n\n")]
+	}
+	return content
+}
+
+// expectedEvents returns the complete event stream of a request, without comments.
 func expectedEvents(id string) string {
 	var text strings.Builder
 	for number := 1; number <= streamEvents; number++ {
--- a/internal/frontsoak/replica_test.go
+++ b/internal/frontsoak/replica_test.go
@@ -21,6 +21,8 @@
 	// streamEvents is the number of events of each stream, and eventGap the time before each event.
 	streamEvents = 12
 	eventGap     = 25 * time.Millisecond
+	// streamComment is sent with each event of a stream.
+	streamComment = ": heartbeat\n\n"
 	// runTime is the time that a plain service takes for a call.
 	runTime = 15 * time.Millisecond
 )
@@ -222,7 +224,7 @@
 	replica.stream(writer, request, id, broken)
 }
 
-// stream sends the events that follow Last-Event-Id. A broken stream is cut in the middle of an event.
+// stream sends the events that follow Last-Event-Id, each with a comment after it. A broken stream is cut in the middle of an event.
 func (replica *replica) stream(writer http.ResponseWriter, request *http.Request, id string, broken bool) {
 	writer.Header().Set("Content-Type", "text/event-stream")
 	var lastEventID int
@@ -236,7 +238,7 @@
 			_ = controller.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", number, text); err != nil {
+		if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s\n\n%s", number, text, streamComment); err != nil {
 			return
 		}
 		_ = controller.Flush()
--- a/relay/splitter_test.go
+++ b/relay/splitter_test.go
@@ -61,3 +61,29 @@
 		}
 	}
 }
+
+func TestEventID(t *testing.T) {
+	for _, c := range []struct {
+		event    string
+		id       uint64
+		numbered bool
+	}{
+		{"id: 7\ndata: x\n\n", 7, true},
+		{"id:7\ndata: x\n\n", 7, true},
+		{"weight-versions: 3\nid: 7\ndata: x\n\n", 7, true},
+		{": heartbeat\nid: 7\n\n", 7, true},
+		{"\n\nid: 7\n\n", 7, true},
+		{"id: 6\ndata: x\nid: 7\n\n", 7, true},
+		{"id: 7\nid: x\n\n", 0, false},
+		{"data: id: 7\n\n", 0, false},
+		{": id: 7\n\n", 0, false},
+		{"id: 18446744073709551616\n\n", 0, false},
+		{"id: -7\n\n", 0, false},
+		{"id:\n\n", 0, false},
+		{"\n\n", 0, false},
+	} {
+		if id, numbered := eventID([]byte(c.event)); id != c.id || numbered != c.numbered {
+			t.Errorf("the ID of %q is %d, %v, want %d, %v", c.event, id, numbered, c.id, c.numbered)
+		}
+	}
+}
--- a/upstream/eventstream_test.go
+++ b/upstream/eventstream_test.go
@@ -36,6 +36,7 @@
 	}{
 		{"two pieces", "id: 1\ndata: " + valid + "\n\nid: 2\ndata: " + valid + "\n\ndata: [DONE]\n\n", []string{valid, valid}, io.EOF},
 		{"with heartbeats and CRLF", ": heartbeat\r\n\r\nid: 1\r\ndata: " + valid + "\r\n\r\ndata: [DONE]\r\n\r\n", []string{valid}, io.EOF},
+		{"a comment after each piece", "id: 1\ndata: " + valid + "\n\n: heartbeat\n\nid: 2\ndata: " + valid + "\n\n: heartbeat\n\ndata: [DONE]\n\n", []string{valid, valid}, io.EOF},
 		{"identifier not at the start", "id: 1\ndata: {\"a\": 1, \"id\": \"r1\"}\n\ndata: [DONE]\n\n", []string{`{"a": 1, "id": "r1"}`}, io.EOF},
 		{"payload on two lines", "id: 1\ndata: {\"id\":\ndata: \"r1\"}\n\ndata: [DONE]\n\n", []string{"{\"id\":\n\"r1\"}"}, io.EOF},
 		{"long piece", "id: 1\ndata: " + long + "\n\ndata: [DONE]\n\n", []string{long}, io.EOF},
