Tell the event zero of a stream from no event

Cause: the last event of a client was a number whose zero meant none. The next replica was sent no Last-Event-Id, and what it sent again was not dropped. The same number with the same meaning stood in what other daemons are told that pass a stream on, in what a successor is sought with, in the header of clients, in the end of responses without a length, and in the logs.

Change: exchange.EventID has a value for none, and replaces the number in all of these. In lent requests event zero has a field of its own; daemons before version 3 of the protocol, which would ask for the whole stream, are not lent such requests. A client's "Last-Event-Id: 0" names an event now: without "Resumes" it passed for a new stream and went to any release. The product's own door counts pieces from one and ends a response with any other number, which its test now states.

Half of the streams of the soak are numbered from zero, and those that are broken off end right after it.

--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -26,6 +26,7 @@
 	// Counted states that the attempt counts against the limit that the replica named. Others are not sent to a replica
 	// with a limit.
 	Counted bool
-	// ResumeAfter is the ID of the last event that the client has received; zero requests the whole stream.
-	ResumeAfter uint64
+	// ResumeAfter is the ID of the last event that the client has received within this response; without one, the replica goes by the
+	// headers of the request.
+	ResumeAfter EventID
 }
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -46,8 +46,8 @@
 	Key Secret
 	// Prefix lists the parts of the prompt in order; other requests may share the first ones.
 	Prefix []Part
-	// LastEventID is the ID of the last event that the client has received; zero if it has none.
-	LastEventID uint64
+	// LastEventID is the ID of the last event that the client has received, if it names one.
+	LastEventID EventID
 	// UnreadableEvent is set if the client names an event that it has received by something else than a number. A replica may
 	// understand it.
 	UnreadableEvent bool
--- a/front/lender.go
+++ b/front/lender.go
@@ -67,7 +67,7 @@
 // Lend sends the request to one daemon after the other until one takes it.
 func (lender *lender) Lend(ctx context.Context, request *exchange.Request, budget time.Duration, allowance relay.Allowance) (*relay.LentReply, error) {
 	var last error = exchange.ErrNotSent
-	for _, peer := range lender.chooseFor(request) {
+	for _, peer := range lender.chooseFor(request, allowance) {
 		lentContext, finish := lender.begin(ctx, peer, allowance)
 		reply, err := lender.client.Send(lentContext, peer.Address, request, budget, allowance)
 		event.RequestLent.LogError(err, "Request", request.Metadata.ID, "Daemon", peer.Name, "ResumeAfter", allowance.ResumeAfter)
@@ -104,13 +104,22 @@
 	}
 }
 
-// chooseFor returns the daemons to ask for the request, the best first. A request of an account goes to daemons that name it to replicas.
-func (lender *lender) chooseFor(request *exchange.Request) []mesh.Peer {
-	peers := lender.choose()
-	if request.Account == nil {
-		return peers
+// chooseFor returns the daemons to ask for the request, the best first, without those whose build would not carry out all of it.
+func (lender *lender) chooseFor(request *exchange.Request, allowance relay.Allowance) []mesh.Peer {
+	least := leastVersion(request, allowance)
+	return slices.DeleteFunc(lender.choose(), func(peer mesh.Peer) bool { return lender.daemon.protocols.Version(peer.Name) < least })
+}
+
+// leastVersion returns the first version of the protocol whose daemons carry out the request as stated.
+func leastVersion(request *exchange.Request, allowance relay.Allowance) protocol.Version {
+	switch {
+	case allowance.ResumeAfter == exchange.NewEventID(0):
+		return protocol.EventZero
+	case request.Account != nil:
+		return protocol.Accounts
+	default:
+		return protocol.Untold
 	}
-	return slices.DeleteFunc(peers, func(peer mesh.Peer) bool { return lender.daemon.protocols.Version(peer.Name) < protocol.Accounts })
 }
 
 // choose returns the daemons to ask, the best first: with few requests of this one, and of the same data centre.
--- a/ingress/takeup_test.go
+++ b/ingress/takeup_test.go
@@ -24,7 +24,7 @@
 	klog.SetOutput(&logged)
 	defer klog.SetOutput(io.Discard)
 	ingress := New(Deps{Meter: meter.New(), Clock: clock.RealClock{}})
-	request := &exchange.Request{Metadata: exchange.Metadata{ID: "next", Resumes: strings.Repeat("f", 10_000), LastEventID: 7}}
+	request := &exchange.Request{Metadata: exchange.Metadata{ID: "next", Resumes: strings.Repeat("f", 10_000), LastEventID: exchange.NewEventID(7)}}
 	taken := relay.Summary{
 		TakeUp:  &relay.TakeUp{Origin: origin.Origin{Service: "s", Release: "v1"}, Source: origin.Daemon, Age: time.Second},
 		Replica: topology.Incarnation{ID: "r"},
--- a/internal/frontsoak/client_test.go
+++ b/internal/frontsoak/client_test.go
@@ -184,7 +184,7 @@
 // expectedEvents returns the complete event stream of a request, without comments.
 func expectedEvents(id string) string {
 	var text strings.Builder
-	for number := 1; number <= streamEvents; number++ {
+	for number := firstEvent(id); number < firstEvent(id)+streamEvents; number++ {
 		_, _ = fmt.Fprintf(&text, "id: %d\ndata: %s\n\n", number, id)
 	}
 	return text.String()
--- a/internal/frontsoak/replica_test.go
+++ b/internal/frontsoak/replica_test.go
@@ -3,10 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
+	"hash/crc32"
 	"io"
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -224,16 +226,23 @@
 	replica.stream(writer, request, id, broken)
 }
 
-// stream sends the events that follow Last-Event-Id, each with a comment after it. A broken stream is cut in the middle of an event.
+// stream sends the events that follow Last-Event-Id, each with a comment after it. A broken stream is cut in the middle of an event, the
+// one after event zero if there is such an event.
 func (replica *replica) stream(writer http.ResponseWriter, request *http.Request, id string, broken bool) {
 	writer.Header().Set("Content-Type", "text/event-stream")
-	var lastEventID int
-	_, _ = fmt.Sscan(request.Header.Get("Last-Event-Id"), &lastEventID)
+	next, end := firstEvent(id), firstEvent(id)+streamEvents
+	if last, err := strconv.Atoi(request.Header.Get("Last-Event-Id")); err == nil {
+		next = last + 1
+	}
+	breakAt := next + streamEvents/3
+	if next == 0 {
+		breakAt = 1
+	}
 	controller := http.NewResponseController(writer)
 	text, gap := replica.startStream(id)
-	for number := lastEventID + 1; number <= streamEvents; number++ {
+	for number := next; number < end; number++ {
 		time.Sleep(gap)
-		if broken && number > lastEventID+streamEvents/3 {
+		if broken && number >= breakAt {
 			_, _ = fmt.Fprintf(writer, "id: %d\nda", number)
 			_ = controller.Flush()
 			panic(http.ErrAbortHandler)
@@ -245,6 +254,14 @@
 	}
 }
 
+// firstEvent returns the number of the first event of a stream, which is zero for about half of the streams that no client takes up.
+func firstEvent(id string) int {
+	if strings.HasPrefix(id, takeUpPrefix) {
+		return 1
+	}
+	return int(crc32.ChecksumIEEE([]byte(id)) % 2)
+}
+
 // startStream returns the data of the events of a stream that begins, and the time before each. The data is the identifier of the
 // request, or the release if the client may take the stream up. A restart does not change what the old process writes.
 func (replica *replica) startStream(id string) (text string, gap time.Duration) {
--- a/internal/frontsoak/soak_test.go
+++ b/internal/frontsoak/soak_test.go
@@ -34,9 +34,10 @@
 // parallel, since two runs had been given the same port for a daemon; TestDaemonAddressesDifferBetweenSeeds covers them.
 //
 //	2: after a stall the proxy delivered an order whose connection the sender had reset meanwhile.
+//	5: a stream that its replica broke off after the event with the number zero got that event twice.
 //	32: a daemon that had acquired the lease from one on another VM was killed within the turnover; its next process
 //	sent orders at once.
-var fixedSeeds = []uint64{1, 2, 32}
+var fixedSeeds = []uint64{1, 2, 5, 32}
 
 func TestSoak(t *testing.T) {
 	binary := build(t)
--- a/lending/client.go
+++ b/lending/client.go
@@ -84,12 +84,12 @@
 		Attempts:      uint64(max(allowance.Attempts, 1)),
 		Service:       []byte(allowance.Service),
 		Release:       []byte(allowance.Release),
-		ResumeAfter:   allowance.ResumeAfter,
 		Configuration: allowance.Configuration,
 		Daemon:        client.daemon,
 		Protocol:      int64(protocol.Current),
 	}
 	encoded.KeyChecked = request.KeyChecked
+	encodeResumeAfter(encoded, allowance.ResumeAfter)
 	if account := request.Account; account != nil {
 		encoded.Account = account.Name
 		if account.HasPriority {
--- a/lending/golden_test.go
+++ b/lending/golden_test.go
@@ -35,7 +35,7 @@
 				Method: "PUT", Target: "/a%2Fb", Host: "h", Path: "/a/b", Header: http.Header{"Id": {"7"}}, Body: []byte("b"), Arrived: now,
 				Metadata: exchange.Metadata{ClientTimeout: time.Second},
 			},
-			Allowance: relay.Allowance{Attempts: 2, Service: "s", Release: "v", ResumeAfter: 3, Configuration: 4},
+			Allowance: relay.Allowance{Attempts: 2, Service: "s", Release: "v", ResumeAfter: exchange.NewEventID(3), Configuration: 4},
 		},
 		Encode: func(sample lentContent) []byte {
 			content, err := proto.Marshal(NewClient("a", nil).encode(&sample.Request, time.Second, sample.Allowance))
--- a/lending/handler.go
+++ b/lending/handler.go
@@ -125,7 +125,7 @@
 		Attempts:      int(encoded.GetAttempts()),
 		Service:       string(encoded.GetService()),
 		Release:       string(encoded.GetRelease()),
-		ResumeAfter:   encoded.GetResumeAfter(),
+		ResumeAfter:   decodeResumeAfter(encoded),
 		Configuration: encoded.GetConfiguration(),
 	}
 }
--- a/lending/lending_test.go
+++ b/lending/lending_test.go
@@ -64,7 +64,7 @@
 		Method: "PUT", Target: "/a%2Fb?c=\xe4", Path: "/a/b", Host: "h.example", Body: []byte("\x00body\xff"),
 		Header: http.Header{"Id": {"7"}, "X-Twice": {"1", "\xff"}},
 	}
-	allowance := relay.Allowance{Attempts: 2, Service: "s", Release: "v2", ResumeAfter: 9, Configuration: 11}
+	allowance := relay.Allowance{Attempts: 2, Service: "s", Release: "v2", ResumeAfter: exchange.NewEventID(9), Configuration: 11}
 	reply, err := NewClient("a", http.DefaultClient).Send(t.Context(), start(t, served), request, 1500*time.Millisecond, allowance)
 	if err != nil {
 		t.Fatal(err)
--- a/protocol/version.go
+++ b/protocol/version.go
@@ -8,8 +8,10 @@
 	Untold Version = 0
 	// Accounts is the first version whose daemons name the account of a request to replicas.
 	Accounts Version = 2
+	// EventZero is the first version whose daemons can go on with a stream after an event with the number zero for another daemon.
+	EventZero Version = 3
 	// Current is the version of this build.
-	Current Version = 2
+	Current Version = 3
 	// maxVersion is the highest version that counts as one.
 	maxVersion Version = 100_000
 )
--- a/relay/continuation.go
+++ b/relay/continuation.go
@@ -39,7 +39,7 @@
 // takesUp reports whether the client goes on with a stream that another request began.
 func (transaction *transaction) takesUp() bool {
 	metadata := &transaction.request.Metadata
-	return transaction.route.Kind == topology.Streaming && (metadata.Resumes != "" || metadata.LastEventID > 0 || metadata.UnreadableEvent)
+	return transaction.route.Kind == topology.Streaming && (metadata.Resumes != "" || metadata.LastEventID.Known() || metadata.UnreadableEvent)
 }
 
 // findOrigin sets the release at which a stream that the client takes up may go on. It returns the refusal of the request if
@@ -118,10 +118,10 @@
 // logContinuation logs that the attempt at the candidate goes on with a stream.
 func (transaction *transaction) logContinuation(candidate balance.Candidate) {
 	metadata := &transaction.request.Metadata
-	if transaction.lastEvent == 0 && !transaction.takesUp() {
+	if !transaction.lastEvent.Known() && !transaction.takesUp() {
 		return
 	}
 	event.StreamContinued.Log("Request", metadata.ID, "Service", transaction.service.Name,
-		"LastEvent", max(transaction.lastEvent, metadata.LastEventID), "Begun", transaction.release,
+		"LastEvent", transaction.lastEvent.Or(metadata.LastEventID), "Begun", transaction.release,
 		"Replica", candidate.ID, "Born", candidate.Started, "Release", candidate.Release)
 }
--- a/relay/events.go
+++ b/relay/events.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"iter"
 	"strconv"
+
+	"github.com/bronzestall/bronzestall/exchange"
 )
 
 // The beginnings of the lines of an event stream that are told apart, as the HTML standard defines them for text/event-stream.
@@ -65,7 +67,7 @@
 // hasUnnumbered reports whether one of the events has content but no numeric ID.
 func hasUnnumbered(events []byte) bool {
 	for event := range split(events) {
-		if _, numbered := eventID(event); !numbered && hasContent(event) {
+		if !eventID(event).Known() && hasContent(event) {
 			return true
 		}
 	}
@@ -74,31 +76,35 @@
 
 // eventsAfter returns the events whose IDs are above last, and the highest ID. Events without an ID are kept. The result uses the
 // array of the argument, whose content is lost.
-func eventsAfter(events []byte, last uint64) ([]byte, uint64) {
+func eventsAfter(events []byte, last exchange.EventID) ([]byte, exchange.EventID) {
 	fresh := events[:0]
 	for event := range split(events) {
-		id, numbered := eventID(event)
-		if numbered && last > 0 && id <= last {
+		id := eventID(event)
+		if last.Covers(id) {
 			continue
 		}
-		last = max(last, id)
+		last = id.Or(last)
 		fresh = append(fresh, event...)
 	}
 	return fresh, last
 }
 
-// eventID returns the ID of the event, and whether it has a numeric one. Of several IDs the last one counts.
-func eventID(event []byte) (id uint64, numbered bool) {
+// eventID returns the numeric ID of the event, if it has one. Of several IDs the last one counts.
+func eventID(event []byte) exchange.EventID {
+	var id exchange.EventID
 	for line := range eventLines(event) {
-		value, found := bytes.CutPrefix(line, idPrefix)
-		if !found {
-			continue
+		if value, found := bytes.CutPrefix(line, idPrefix); found {
+			id = parseEventID(value)
 		}
-		parsed, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
-		id, numbered = parsed, err == nil
 	}
-	if !numbered {
-		return 0, false
+	return id
+}
+
+// parseEventID returns the ID that the text is, or none if it is no number of 64 bits.
+func parseEventID(text []byte) exchange.EventID {
+	number, err := strconv.ParseUint(string(bytes.TrimSpace(text)), 10, 64)
+	if err != nil {
+		return exchange.EventID{}
 	}
-	return id, true
+	return exchange.NewEventID(number)
 }
--- a/relay/lastevent_test.go
+++ b/relay/lastevent_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/bronzestall/bronzestall/exchange"
 )
 
 // heartbeat is a comment as replicas send it to keep connections open.
@@ -18,22 +20,22 @@
 	// prepare returns a relay whose first replica streams the parts, and which sends the rest next.
 	prepare func(parts []part, rest step) *fixture
 	// resumedAfter returns the event after which the rest was asked for, and whether it was.
-	resumedAfter func(fixture *fixture) (uint64, bool)
+	resumedAfter func(fixture *fixture) (exchange.EventID, bool)
 }
 
 // ownResumedAfter returns the event after which the second attempt of this daemon goes on.
-func ownResumedAfter(fixture *fixture) (uint64, bool) {
+func ownResumedAfter(fixture *fixture) (exchange.EventID, bool) {
 	if len(fixture.upstream.attempts) != 2 {
-		return 0, false
+		return exchange.EventID{}, false
 	}
 	return fixture.upstream.attempts[1].ResumeAfter, true
 }
 
 // lentResumedAfter returns the event after which the second attempt through another daemon goes on.
-func lentResumedAfter(fixture *fixture) (uint64, bool) {
+func lentResumedAfter(fixture *fixture) (exchange.EventID, bool) {
 	allowances := fixture.relay.deps.Lender.(*lenders).allowances
 	if len(allowances) != 2 {
-		return 0, false
+		return exchange.EventID{}, false
 	}
 	return allowances[1].ResumeAfter, true
 }
@@ -96,8 +98,8 @@
 				synctest.Test(t, func(t *testing.T) {
 					fixture := way.prepare(c.parts, ok(events(1, 4)))
 					failure := fixture.serve(t.Context(), "/resume/x")
-					if after, resumed := way.resumedAfter(fixture); !resumed || after != 2 {
-						t.Errorf("goes on after event %d, resumed %v", after, resumed)
+					if after, resumed := way.resumedAfter(fixture); !resumed || after != exchange.NewEventID(2) {
+						t.Errorf("goes on after event %v, resumed %v", after, resumed)
 					}
 					if got, want := fixture.client.body.String(), joinedText(c.parts)+events(3, 4); failure != nil || got != want {
 						t.Errorf("ended as %v with %q", failure, got)
@@ -120,3 +122,24 @@
 		}
 	})
 }
+
+// TestStreamGoesOnAfterEventZero guards against issue 77 (review/14): the number zero of a last event counted as none, so that the stream
+// went on from its first event, and its client got that one twice.
+func TestStreamGoesOnAfterEventZero(t *testing.T) {
+	for _, way := range waysToGoOn {
+		for name, rest := range map[string]string{"the rest": events(1, 3), "the whole stream again": events(0, 3)} {
+			t.Run(way.name+", "+name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					fixture := way.prepare(reads(events(0, 0)), ok(rest))
+					failure := fixture.serve(t.Context(), "/resume/x")
+					if after, resumed := way.resumedAfter(fixture); !resumed || after != exchange.NewEventID(0) {
+						t.Errorf("goes on after event %v, resumed %v", after, resumed)
+					}
+					if got := fixture.client.body.String(); failure != nil || got != events(0, 3) {
+						t.Errorf("ended as %v with %q", failure, got)
+					}
+				})
+			})
+		}
+	}
+}
--- a/relay/lender.go
+++ b/relay/lender.go
@@ -38,8 +38,8 @@
 	Attempts int
 	// Service and Release name where a stream goes on; both are empty for a new one.
 	Service, Release string
-	// ResumeAfter is the ID of the last event that the client has received within this answer; zero if it has none.
-	ResumeAfter uint64
+	// ResumeAfter is the ID of the last event that the client has received within this answer, if it has one.
+	ResumeAfter exchange.EventID
 	// Repeat is called if the daemon that serves the request falls silent. If it returns true, a further attempt is reserved, and the
 	// exchange must fail with ErrSilent. It may be called again if it returns false; nil means that the request must not be sent again.
 	Repeat func() bool
--- a/relay/lender_test.go
+++ b/relay/lender_test.go
@@ -149,10 +149,10 @@
 	}
 	fixture = newFixture(ok(events(3, 4)))
 	fixture.setReleases(takeUpReleases)
-	if _, failure := serve(fixture, "/resume/x", Allowance{Attempts: 1, Service: "engine", Release: "v2", ResumeAfter: 2}); failure != nil {
+	if _, failure := serve(fixture, "/resume/x", Allowance{Attempts: 1, Service: "engine", Release: "v2", ResumeAfter: exchange.NewEventID(2)}); failure != nil {
 		t.Errorf("the stream does not go on: %v", failure)
 	}
-	if attempt := fixture.upstream.attempts[0]; attempt.Replica.ID != "b" || attempt.ResumeAfter != 2 {
+	if attempt := fixture.upstream.attempts[0]; attempt.Replica.ID != "b" || attempt.ResumeAfter != exchange.NewEventID(2) {
 		t.Errorf("the stream goes on at %+v", attempt)
 	}
 	if _, failure := serve(fixture, "/resume/x", Allowance{Attempts: 1, Configuration: 2}); failure == nil || failure.Kind != outcome.NotReady {
--- a/relay/oddtakeups_test.go
+++ b/relay/oddtakeups_test.go
@@ -21,6 +21,8 @@
 		next.reply.EventStream = true
 		return next
 	}
+	unframed := asStream("")
+	unframed.reply.Unframed = true
 	refused := answered(400, "no such event", io.EOF)
 	cases := []struct {
 		name, path string
@@ -33,12 +35,15 @@
 		{"of another route of the service", "/stream/x", func(*exchange.Metadata) {}, asStream(events(3, 4)), events(3, 4), false},
 		{"of another service", "/resume/x", func(metadata *exchange.Metadata) { metadata.Resumes = "plain" }, asStream(events(3, 4)), "", true},
 		{"of another prompt, as of another client account", "/resume/x", func(metadata *exchange.Metadata) { metadata.Prefix = []exchange.Part{{ID: "theirs", Tokens: 9}} }, asStream(events(3, 4)), events(3, 4), false},
-		{"that ended whole", "/resume/x", func(metadata *exchange.Metadata) { metadata.LastEventID = 4 }, asStream(""), "", false},
-		{"behind the end", "/resume/x", func(metadata *exchange.Metadata) { metadata.LastEventID = math.MaxInt64 }, asStream(""), "", false},
-		{"behind the end, which the replica refuses", "/resume/x", func(metadata *exchange.Metadata) { metadata.LastEventID = math.MaxInt64 }, refused, "no such event", false},
-		{"after an event that cannot be read", "/resume/x", func(metadata *exchange.Metadata) { metadata.LastEventID, metadata.UnreadableEvent = 0, true }, asStream(events(3, 4)), events(3, 4), false},
+		{"that ended whole", "/resume/x", func(metadata *exchange.Metadata) { metadata.LastEventID = exchange.NewEventID(4) }, asStream(""), "", false},
+		{"behind the end", "/resume/x", func(metadata *exchange.Metadata) { metadata.LastEventID = exchange.NewEventID(math.MaxInt64) }, asStream(""), "", false},
+		{"that ended whole after event zero, with its connection", "/resume/x", func(metadata *exchange.Metadata) { metadata.LastEventID = exchange.NewEventID(0) }, unframed, "", false},
+		{"behind the end, which the replica refuses", "/resume/x", func(metadata *exchange.Metadata) { metadata.LastEventID = exchange.NewEventID(math.MaxInt64) }, refused, "no such event", false},
+		{"after an event that cannot be read", "/resume/x", func(metadata *exchange.Metadata) {
+			metadata.LastEventID, metadata.UnreadableEvent = exchange.EventID{}, true
+		}, asStream(events(3, 4)), events(3, 4), false},
 		{"none, after an event that cannot be read", "/resume/x", func(metadata *exchange.Metadata) {
-			metadata.Resumes, metadata.LastEventID, metadata.UnreadableEvent = "", 0, true
+			metadata.Resumes, metadata.LastEventID, metadata.UnreadableEvent = "", exchange.EventID{}, true
 		}, asStream(events(3, 4)), "", true},
 		{"itself, which began before", "/resume/x", func(metadata *exchange.Metadata) { metadata.Resumes = metadata.ID }, asStream(events(3, 4)), events(3, 4), false},
 		{"one that names it too", "/resume/x", func(metadata *exchange.Metadata) { metadata.ID, metadata.Resumes = "a", "b" }, asStream(events(3, 4)), "", true},
@@ -50,7 +55,7 @@
 			fixture.setReleases(takeUpReleases)
 			fixture.origins.known = begun
 			request := fixture.request(c.path)
-			request.Metadata.ID, request.Metadata.Resumes, request.Metadata.LastEventID = "next", "first", 2
+			request.Metadata.ID, request.Metadata.Resumes, request.Metadata.LastEventID = "next", "first", exchange.NewEventID(2)
 			c.change(&request.Metadata)
 			_, failure := fixture.relay.Serve(t.Context(), request, &fixture.client)
 			attempts := fixture.upstream.attempts
@@ -78,7 +83,7 @@
 	for _, id := range []string{"next", "again"} {
 		attempts.Go(func() {
 			request := fixture.request("/resume/x")
-			request.Metadata.ID, request.Metadata.Resumes, request.Metadata.LastEventID = id, "first", rolloutEvents-1
+			request.Metadata.ID, request.Metadata.Resumes, request.Metadata.LastEventID = id, "first", exchange.NewEventID(rolloutEvents-1)
 			var received client
 			summary, failure := fixture.relay.Serve(t.Context(), request, &received)
 			if failure != nil || summary.Replica.ID != "a" || received.body.String() != events(rolloutEvents, rolloutEvents) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -77,8 +77,8 @@
 		if failure := fixture.serve(t.Context(), "/resume/x"); failure != nil {
 			t.Fatal(failure)
 		}
-		if got := fixture.upstream.attempts[1].ResumeAfter; got != 2 {
-			t.Errorf("resumed after %d, want 2", got)
+		if got := fixture.upstream.attempts[1].ResumeAfter; got != exchange.NewEventID(2) {
+			t.Errorf("resumed after %v, want 2", got)
 		}
 		if fixture.upstream.attempts[0].Replica == fixture.upstream.attempts[1].Replica {
 			t.Error("resumed at the replica that failed")
--- a/relay/rollout_test.go
+++ b/relay/rollout_test.go
@@ -31,7 +31,8 @@
 
 func (streamers) Send(ctx context.Context, request *exchange.Request, attempt exchange.Attempt) (*exchange.Reply, error) {
 	var parts []part
-	for id := int(max(attempt.ResumeAfter, request.Metadata.LastEventID)) + 1; id <= rolloutEvents; id++ {
+	last, _ := attempt.ResumeAfter.Or(request.Metadata.LastEventID).Number()
+	for id := int(last) + 1; id <= rolloutEvents; id++ {
 		parts = append(parts, part{rolloutGap, events(id, id)})
 	}
 	return &exchange.Reply{
@@ -81,7 +82,7 @@
 	defer cancel()
 	_, _ = run.fixture.relay.Serve(ctx, first, &client{})
 	next := run.fixture.request("/resume/x")
-	next.Metadata.ID, next.Metadata.Resumes, next.Metadata.LastEventID = fmt.Sprint("next-", number), first.Metadata.ID, rolloutEvents/2
+	next.Metadata.ID, next.Metadata.Resumes, next.Metadata.LastEventID = fmt.Sprint("next-", number), first.Metadata.ID, exchange.NewEventID(rolloutEvents/2)
 	_, failure := run.fixture.relay.Serve(t.Context(), next, &client{})
 	run.mutex.Lock()
 	defer run.mutex.Unlock()
--- a/relay/splitter_test.go
+++ b/relay/splitter_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"testing"
+
+	"github.com/bronzestall/bronzestall/exchange"
 )
 
 func TestSplitterKeepsEvents(t *testing.T) {
@@ -40,9 +42,9 @@
 }
 
 func TestEventsAfterDropsKnownEvents(t *testing.T) {
-	fresh, last := eventsAfter([]byte(events(1, 5)), 3)
-	if string(fresh) != events(4, 5) || last != 5 {
-		t.Errorf("got %q up to %d", fresh, last)
+	fresh, last := eventsAfter([]byte(events(1, 5)), exchange.NewEventID(3))
+	if string(fresh) != events(4, 5) || last != exchange.NewEventID(5) {
+		t.Errorf("got %q up to %v", fresh, last)
 	}
 	if !slices.Equal([]byte(events(4, 5)), fresh) {
 		t.Error("events changed")
@@ -64,26 +66,26 @@
 
 func TestEventID(t *testing.T) {
 	for _, c := range []struct {
-		event    string
-		id       uint64
-		numbered bool
+		event string
+		id    exchange.EventID
 	}{
-		{"id: 7\ndata: x\n\n", 7, true},
-		{"id:7\ndata: x\n\n", 7, true},
-		{"weight-versions: 3\nid: 7\ndata: x\n\n", 7, true},
-		{": heartbeat\nid: 7\n\n", 7, true},
-		{"\n\nid: 7\n\n", 7, true},
-		{"id: 6\ndata: x\nid: 7\n\n", 7, true},
-		{"id: 7\nid: x\n\n", 0, false},
-		{"data: id: 7\n\n", 0, false},
-		{": id: 7\n\n", 0, false},
-		{"id: 18446744073709551616\n\n", 0, false},
-		{"id: -7\n\n", 0, false},
-		{"id:\n\n", 0, false},
-		{"\n\n", 0, false},
+		{"id: 7\ndata: x\n\n", exchange.NewEventID(7)},
+		{"id:7\ndata: x\n\n", exchange.NewEventID(7)},
+		{"weight-versions: 3\nid: 7\ndata: x\n\n", exchange.NewEventID(7)},
+		{": heartbeat\nid: 7\n\n", exchange.NewEventID(7)},
+		{"\n\nid: 7\n\n", exchange.NewEventID(7)},
+		{"id: 6\ndata: x\nid: 7\n\n", exchange.NewEventID(7)},
+		{"id: 7\nid: x\n\n", exchange.EventID{}},
+		{"data: id: 7\n\n", exchange.EventID{}},
+		{": id: 7\n\n", exchange.EventID{}},
+		{"id: 18446744073709551616\n\n", exchange.EventID{}},
+		{"id: 0\n\n", exchange.NewEventID(0)},
+		{"id: -7\n\n", exchange.EventID{}},
+		{"id:\n\n", exchange.EventID{}},
+		{"\n\n", exchange.EventID{}},
 	} {
-		if id, numbered := eventID([]byte(c.event)); id != c.id || numbered != c.numbered {
-			t.Errorf("the ID of %q is %d, %v, want %d, %v", c.event, id, numbered, c.id, c.numbered)
+		if id := eventID([]byte(c.event)); id != c.id {
+			t.Errorf("the ID of %q is %v, want %v", c.event, id, c.id)
 		}
 	}
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -17,7 +17,7 @@
 	}
 	splitter := newSplitter()
 	defer splitter.release()
-	resumed := transaction.sink.Begun() && transaction.lastEvent > 0
+	resumed := transaction.sink.Begun() && transaction.lastEvent.Known()
 	for {
 		events, err := splitter.next(reply.Body)
 		if resumed && hasUnnumbered(events) {
@@ -49,7 +49,7 @@
 // endsBeforeItsBegin reports whether a stream that ended with its connection had no event: its replica may have ended before
 // it sent one. A resumed stream may have no further event.
 func (transaction *transaction) endsBeforeItsBegin(reply *exchange.Reply) bool {
-	return reply.Unframed && !transaction.sink.Begun() && transaction.request.Metadata.LastEventID == 0
+	return reply.Unframed && !transaction.sink.Begun() && !transaction.request.Metadata.LastEventID.Known()
 }
 
 // forward passes on the events that the client has not received yet.
--- a/relay/takeup_test.go
+++ b/relay/takeup_test.go
@@ -15,7 +15,7 @@
 func (fixture *fixture) takeUp(t *testing.T, change func(metadata *exchange.Metadata)) *outcome.Error {
 	t.Helper()
 	request := fixture.request("/resume/x")
-	request.Metadata.ID, request.Metadata.Resumes, request.Metadata.LastEventID = "next", "first", 2
+	request.Metadata.ID, request.Metadata.Resumes, request.Metadata.LastEventID = "next", "first", exchange.NewEventID(2)
 	change(&request.Metadata)
 	_, failure := fixture.relay.Serve(t.Context(), request, &fixture.client)
 	return failure
@@ -38,8 +38,11 @@
 		{"begun by a release that left", map[string]origin.Origin{"first": {Service: "engine", Release: "v0"}}, keep, "", outcome.NoReplica},
 		{"begun by another service", map[string]origin.Origin{"first": {Service: "plain", Release: "v1"}}, keep, "", outcome.OriginUnknown},
 		{"an attempt that never was", nil, keep, "", outcome.OriginUnknown},
-		{"no event named", nil, func(metadata *exchange.Metadata) { metadata.LastEventID = 0 }, "", outcome.OriginUnknown},
+		{"no event named", nil, func(metadata *exchange.Metadata) { metadata.LastEventID = exchange.EventID{} }, "", outcome.OriginUnknown},
 		{"no attempt named", nil, func(metadata *exchange.Metadata) { metadata.Resumes = "" }, "", outcome.OriginUnknown},
+		{"no attempt named, after event zero", nil, func(metadata *exchange.Metadata) {
+			metadata.Resumes, metadata.LastEventID = "", exchange.NewEventID(0)
+		}, "", outcome.OriginUnknown},
 		{"itself named", nil, func(metadata *exchange.Metadata) { metadata.Resumes = metadata.ID }, "", outcome.OriginUnknown},
 	}
 	for _, c := range cases {
--- a/relay/takeupsummary_test.go
+++ b/relay/takeupsummary_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/bronzestall/bronzestall/exchange"
 	"github.com/bronzestall/bronzestall/origin"
 )
 
@@ -22,7 +23,7 @@
 		fixture.setReleases(takeUpReleases)
 		fixture.origins.known = c.known
 		request := fixture.request("/resume/x")
-		request.Metadata.Resumes, request.Metadata.LastEventID = "first", 2
+		request.Metadata.Resumes, request.Metadata.LastEventID = "first", exchange.NewEventID(2)
 		if summary, _ := fixture.relay.Serve(t.Context(), request, &fixture.client); summary.TakeUp == nil || *summary.TakeUp != c.want {
 			t.Errorf("%s: the summary names %+v, want %+v", name, summary.TakeUp, c.want)
 		}
--- a/relay/transaction.go
+++ b/relay/transaction.go
@@ -48,8 +48,8 @@
 	// lending is set while the response of another daemon is passed on, and lendFailed once no daemon took the request.
 	lending, lendFailed bool
 	progress
-	// lastEvent is the ID of the last event that was passed to the client; zero if there is none.
-	lastEvent uint64
+	// lastEvent is the ID of the last event that was passed to the client, if there is one.
+	lastEvent exchange.EventID
 	// brokenAt is when the replica of a begun stream broke it off, before another one sent an event; zero if none did.
 	brokenAt time.Time
 	// release is that of the replica that began the stream; empty if that is unknown or the stream has not begun.
--- a/upstream/eventstream_test.go
+++ b/upstream/eventstream_test.go
@@ -45,6 +45,7 @@
 		{"no end marker", "id: 1\ndata: " + valid + "\n\n", []string{valid}, ErrTruncated},
 		{"connection closed within a piece", "id: 1\ndata: " + valid[:5], nil, ErrTruncated},
 		{"missing piece", "id: 1\ndata: " + valid + "\n\nid: 3\ndata: " + valid + "\n\n", []string{valid}, ErrTruncated},
+		{"pieces from zero", "id: 0\ndata: " + valid + "\n\nid: 1\ndata: " + valid + "\n\ndata: [DONE]\n\n", nil, ErrTruncated},
 		{"repeated piece", "id: 1\ndata: " + valid + "\n\nid: 1\ndata: " + valid + "\n\n", []string{valid}, ErrTruncated},
 		{"no index", "data: " + valid + "\n\n", nil, ErrTruncated},
 		{"another request", "id: 1\ndata: {\"id\":\"r2\"}\n\n", nil, ErrMismatched},
