Do not resume a stream whose last event has no number

Callers would see: where a replica broke off, or fell silent, after an event without a number or with an ID that is none, a stream of a resumable route got all its events again, in one response that ended as complete.

Cause: the last event that has a number stood for how far the client is, although it had received more; without one, nothing was known, and the whole stream was asked for.

Change: the relay keeps the position of its client: the last number, and whether an event without one came after it. While that is so, the stream is neither sent on nor is a successor sought or accepted. The client may take it up itself. An event with a number ends that state.

--- a/relay/continuation.go
+++ b/relay/continuation.go
@@ -118,10 +118,10 @@
 // logContinuation logs that the attempt at the candidate goes on with a stream.
 func (transaction *transaction) logContinuation(candidate balance.Candidate) {
 	metadata := &transaction.request.Metadata
-	if !transaction.lastEvent.Known() && !transaction.takesUp() {
+	if !transaction.reached.last.Known() && !transaction.takesUp() {
 		return
 	}
 	event.StreamContinued.Log("Request", metadata.ID, "Service", transaction.service.Name,
-		"LastEvent", transaction.lastEvent.Or(metadata.LastEventID), "Begun", transaction.release,
+		"LastEvent", transaction.reached.last.Or(metadata.LastEventID), "Begun", transaction.release,
 		"Replica", candidate.ID, "Born", candidate.Started, "Release", candidate.Release)
 }
--- a/relay/events.go
+++ b/relay/events.go
@@ -74,19 +74,19 @@
 	return false
 }
 
-// eventsAfter returns the events whose IDs are above last, and the highest ID. Events without an ID are kept. The result uses the
-// array of the argument, whose content is lost.
-func eventsAfter(events []byte, last exchange.EventID) ([]byte, exchange.EventID) {
+// eventsAfter returns the events that a client at the position has not received, and its position after them. Events without an ID are
+// kept. The result uses the array of the argument, whose content is lost.
+func eventsAfter(events []byte, reached position) ([]byte, position) {
 	fresh := events[:0]
 	for event := range split(events) {
 		id := eventID(event)
-		if last.Covers(id) {
+		if reached.last.Covers(id) {
 			continue
 		}
-		last = id.Or(last)
+		reached = reached.after(event, id)
 		fresh = append(fresh, event...)
 	}
-	return fresh, last
+	return fresh, reached
 }
 
 // eventID returns the numeric ID of the event, if it has one. Of several IDs the last one counts.
--- a/relay/handover.go
+++ b/relay/handover.go
@@ -94,7 +94,7 @@
 	defer handover.mutex.Unlock()
 	handover.progressAt = transaction.relay.deps.Clock.Now()
 	handover.template.sink = heldSink(transaction.sink.Begun())
-	handover.template.lastEvent, handover.template.release = transaction.lastEvent, transaction.release
+	handover.template.reached, handover.template.release = transaction.reached, transaction.release
 	handover.overtake()
 }
 
@@ -158,7 +158,10 @@
 
 // mayFollow reports whether what the successor responds may follow what the client has.
 func (transaction *transaction) mayFollow(successor *leg) bool {
-	return !transaction.sink.Begun() || transaction.release == successor.candidate.Release
+	if !transaction.sink.Begun() {
+		return true
+	}
+	return transaction.mayResume() && transaction.release == successor.candidate.Release
 }
 
 // run seeks successors whenever the attempt has stalled, until one is accepted, none is allowed or the attempt ends.
@@ -227,7 +230,7 @@
 		return false
 	}
 	event.AttemptReplaced.Log("Request", seeker.request.Metadata.ID, "Replica", handover.leg.candidate.ID,
-		"Successor", successor.candidate.ID, "LastEvent", seeker.lastEvent, "Silent", handover.silentFor(), "Responded", successor.responded())
+		"Successor", successor.candidate.ID, "LastEvent", seeker.reached.last, "Silent", handover.silentFor(), "Responded", successor.responded())
 	handover.leg.cancel(errStalled)
 	return true
 }
--- a/relay/lastevent_test.go
+++ b/relay/lastevent_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/bronzestall/bronzestall/exchange"
+	"github.com/bronzestall/bronzestall/outcome"
 )
 
 // heartbeat is a comment as replicas send it to keep connections open.
@@ -90,6 +91,8 @@
 		{"blank lines after the event", reads(events(1, 2) + "\n\n")},
 		{"a blank line that is read with the next event", reads(events(1, 1), "\n"+events(2, 2))},
 		{"a blank line between events", reads(events(1, 1) + "\n" + events(2, 2))},
+		{"an event without a number before the last one", reads(events(1, 1)+"data: c\n\n", events(2, 2))},
+		{"an event without a number before the first one", reads("data: a\n\n" + events(1, 2))},
 		{"a time to connect again after the last one", reads(events(1, 2) + "retry: 100\n\n")},
 	}
 	for _, way := range waysToGoOn {
@@ -143,3 +146,29 @@
 		}
 	}
 }
+
+// TestStreamWithoutNumbersDoesNotGoOn guards against issue 77: a stream of events without numbers went on from its first event after a
+// break, so that its client got all events again. Nothing tells where such a stream would go on.
+func TestStreamWithoutNumbersDoesNotGoOn(t *testing.T) {
+	for name, parts := range map[string][]part{
+		"no event has a number":         reads("data: a\n\n", "data: b\n\n"),
+		"IDs that are no numbers":       reads("id: a\ndata: x\n\n", "id: b\ndata: x\n\n"),
+		"the last event has no number":  reads(events(1, 2) + "data: c\n\n"),
+		"no number, and then a comment": reads("data: a\n\n" + heartbeat),
+	} {
+		for _, way := range waysToGoOn {
+			t.Run(way.name+", "+name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					fixture := way.prepare(parts, ok(joinedText(parts)+events(3, 4)))
+					failure := fixture.serve(t.Context(), "/resume/x")
+					if after, resumed := way.resumedAfter(fixture); resumed {
+						t.Errorf("goes on after event %v", after)
+					}
+					if got := fixture.client.body.String(); failure == nil || failure.Kind == outcome.AnswerInvalid || got != joinedText(parts) {
+						t.Errorf("ended as %v with %q", failure, got)
+					}
+				})
+			})
+		}
+	}
+}
--- a/relay/leg.go
+++ b/relay/leg.go
@@ -147,7 +147,7 @@
 		HasPriority: transaction.service.Engine != nil,
 		AtMostOnce:  !transaction.route.Repeatable(),
 		Counted:     transaction.permit.Counted,
-		ResumeAfter: transaction.lastEvent,
+		ResumeAfter: transaction.reached.last,
 		SentBefore:  transaction.markSent(candidate.Incarnation),
 	}
 }
--- a/relay/lender.go
+++ b/relay/lender.go
@@ -102,7 +102,7 @@
 	}
 	return relay.serve(ctx, &transaction{
 		request: request, configuration: configuration, route: route, service: service, sink: sink, lent: true,
-		maxRuns: min(route.MaxAttempts, allowance.Attempts), release: allowance.Release, lastEvent: allowance.ResumeAfter,
+		maxRuns: min(route.MaxAttempts, allowance.Attempts), release: allowance.Release, reached: position{last: allowance.ResumeAfter},
 	})
 }
 
@@ -173,7 +173,7 @@
 	allowance := Allowance{
 		Attempts:      max(transaction.maxRuns-transaction.runs, 1),
 		Release:       transaction.release,
-		ResumeAfter:   transaction.lastEvent,
+		ResumeAfter:   transaction.reached.last,
 		Configuration: transaction.configuration.Version,
 	}
 	if transaction.release != "" {
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -22,15 +22,20 @@
 	budgetPollInterval = 50 * time.Millisecond
 )
 
-// begunResumable reports whether the client has a part of a stream that another replica may go on with.
+// begunResumable reports whether the client has a part of a stream of a resumable route, which it may take up.
 func (transaction *transaction) begunResumable() bool {
 	return transaction.sink.Begun() && transaction.route.Resumable
 }
 
+// mayResume reports whether the client has a part of a stream, and another replica can be told where to go on with it.
+func (transaction *transaction) mayResume() bool {
+	return transaction.begunResumable() && !transaction.reached.unnumbered
+}
+
 // goesOn reports whether the client has a part of a stream that may still go on. Such a stream is not given up for want of a replica
 // that takes it now: until resumeDeadline, one may.
 func (transaction *transaction) goesOn() bool {
-	return transaction.begunResumable() && transaction.relay.deps.Clock.Now().Before(transaction.resumeDeadline())
+	return transaction.mayResume() && transaction.relay.deps.Clock.Now().Before(transaction.resumeDeadline())
 }
 
 // resumeDeadline returns until when a begun stream waits for a replica that goes on with it. While its replica is alive, that is its
@@ -78,7 +83,7 @@
 	if ctx.Err() != nil || (transaction.sends >= maxSends && !transaction.goesOn()) {
 		return false
 	}
-	if transaction.sink.Begun() && !transaction.route.Resumable {
+	if transaction.sink.Begun() && !transaction.mayResume() {
 		return false
 	}
 	return result.notRun || (transaction.route.Repeatable() && transaction.runs < transaction.maxRuns)
--- a/relay/seek.go
+++ b/relay/seek.go
@@ -26,6 +26,9 @@
 
 // maySeek reports whether the request may be sent once more.
 func (transaction *transaction) maySeek() bool {
+	if transaction.sink.Begun() && !transaction.mayResume() {
+		return false
+	}
 	return transaction.runs < transaction.maxRuns && (transaction.sends < maxSends || transaction.goesOn())
 }
 
--- a/relay/splitter_test.go
+++ b/relay/splitter_test.go
@@ -42,8 +42,8 @@
 }
 
 func TestEventsAfterDropsKnownEvents(t *testing.T) {
-	fresh, last := eventsAfter([]byte(events(1, 5)), exchange.NewEventID(3))
-	if string(fresh) != events(4, 5) || last != exchange.NewEventID(5) {
+	fresh, last := eventsAfter([]byte(events(1, 5)), position{last: exchange.NewEventID(3)})
+	if string(fresh) != events(4, 5) || last != (position{last: exchange.NewEventID(5)}) {
 		t.Errorf("got %q up to %v", fresh, last)
 	}
 	if !slices.Equal([]byte(events(4, 5)), fresh) {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -17,7 +17,7 @@
 	}
 	splitter := newSplitter()
 	defer splitter.release()
-	resumed := transaction.sink.Begun() && transaction.lastEvent.Known()
+	resumed := transaction.sink.Begun() && transaction.reached.last.Known()
 	for {
 		events, err := splitter.next(reply.Body)
 		if resumed && hasUnnumbered(events) {
@@ -54,7 +54,7 @@
 
 // forward passes on the events that the client has not received yet.
 func (transaction *transaction) forward(reply *exchange.Reply, events []byte) *outcome.Error {
-	fresh, lastEvent := eventsAfter(events, transaction.lastEvent)
+	fresh, reached := eventsAfter(events, transaction.reached)
 	if len(fresh) == 0 {
 		return nil
 	}
@@ -65,7 +65,7 @@
 	if err := transaction.sink.Write(fresh); err != nil {
 		return outcome.New(outcome.CallerGone, "the client takes no more of the answer")
 	}
-	transaction.lastEvent, transaction.brokenAt = lastEvent, time.Time{}
+	transaction.reached, transaction.brokenAt = reached, time.Time{}
 	return nil
 }
 
--- a/relay/transaction.go
+++ b/relay/transaction.go
@@ -48,8 +48,8 @@
 	// lending is set while the response of another daemon is passed on, and lendFailed once no daemon took the request.
 	lending, lendFailed bool
 	progress
-	// lastEvent is the ID of the last event that was passed to the client, if there is one.
-	lastEvent exchange.EventID
+	// reached is how far the client has received the stream within this response.
+	reached position
 	// brokenAt is when the replica of a begun stream broke it off, before another one sent an event; zero if none did.
 	brokenAt time.Time
 	// release is that of the replica that began the stream; empty if that is unknown or the stream has not begun.
@@ -157,7 +157,7 @@
 func (transaction *transaction) logFailure(candidate balance.Candidate, result result) {
 	transaction.summary.EndedBy = result.endedBy
 	event.AttemptFailed.Log("Request", transaction.request.Metadata.ID, "Fingerprint", transaction.causes.Request,
-		"Replica", candidate.ID, "Born", candidate.Started, "Release", candidate.Release, "LastEvent", transaction.lastEvent,
+		"Replica", candidate.ID, "Born", candidate.Started, "Release", candidate.Release, "LastEvent", transaction.reached.last,
 		"Sends", transaction.sends, "Runs", transaction.runs, "NotRun", result.notRun, "EndedBy", result.endedBy, "Cause", result.failure.Error())
 }
 
