--- a/relay/events.go
+++ b/relay/events.go
@@ -22,9 +22,9 @@
 	eventEnd = []byte("\n\n")
 )
 
-// split returns the events in order, each with the blank line that ends it. Comments between two blank lines count as an event.
+// splitEvents returns the events in order, each with the blank line that ends it. A comment between two blank lines counts as an event.
 // Further blank lines belong to the event after them, or are an event without lines.
-func split(events []byte) iter.Seq[[]byte] {
+func splitEvents(events []byte) iter.Seq[[]byte] {
 	return func(yield func([]byte) bool) {
 		for len(events) > 0 {
 			end := bytes.Index(events, eventEnd)
@@ -66,7 +66,7 @@
 
 // hasUnnumbered reports whether one of the events has content but no numeric ID.
 func hasUnnumbered(events []byte) bool {
-	for event := range split(events) {
+	for event := range splitEvents(events) {
 		if !eventID(event).Known() && hasContent(event) {
 			return true
 		}
@@ -78,7 +78,7 @@
 // kept. The result uses the array of the argument, whose content is lost.
 func eventsAfter(events []byte, reached position) ([]byte, position) {
 	fresh := events[:0]
-	for event := range split(events) {
+	for event := range splitEvents(events) {
 		id := eventID(event)
 		if reached.last.Covers(id) {
 			continue
