Test upgrades from the last landing, with streams that it keeps whole

The last landing was still there, whose protocol is older. Change: the form of the events is a value of the soak (eventForm). The two tests of upgrades have events as they were before, numbered from one and without comments; all others keep the new form.

--- a/internal/frontsoak/checker_test.go
+++ b/internal/frontsoak/checker_test.go
@@ -41,6 +41,8 @@
 	limits []*limitPeriod
 	// deadly is the part of prompts that ends replicas; nil means that there is none.
 	deadly atomic.Pointer[deadlyPart]
+	// streams is the form of the events of all replicas. It must not change once the first request was sent.
+	streams eventForm
 }
 
 // receivedOrder is an order with the time at which an engine received it.
--- a/internal/frontsoak/soak_test.go
+++ b/internal/frontsoak/soak_test.go
@@ -103,11 +103,14 @@
 	length time.Duration
 	// alongside, if it is not nil, runs beside the faults. Recovery begins after it.
 	alongside func(testbed *testbed)
+	// streams is the form of the events of replicas.
+	streams eventForm
 }
 
 // soak runs one seed: it sends requests, injects faults, waits for recovery and reports all violations.
 func soak(t *testing.T, binary string, seed uint64, c soakCase) {
 	testbed := newTestbed(t, c.fronts, binary, seed)
+	testbed.checker.streams = c.streams
 	views := testbed.useLinks(t)
 	stop := testbed.start()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/frontsoak/upgradeshare_test.go
+++ b/internal/frontsoak/upgradeshare_test.go
@@ -82,6 +82,7 @@
 // fail the test.
 func measureShare(t *testing.T, binary string, seed uint64, prepare, during func(testbed *testbed)) float64 {
 	testbed := newTestbed(t, *upgradeFrontsFlag, binary, seed)
+	testbed.checker.streams = eventForm{plain: true}
 	stop := testbed.serve(3 * time.Second)
 	prepare(testbed)
 	ctx, cancel := context.WithCancel(context.Background())
