--- a/relay/lastevent_test.go
+++ b/relay/lastevent_test.go
@@ -113,11 +113,11 @@
 	}
 }
 
-// TestResumedStreamWithBlankLinesIsPassedOn guards against issue 77: an event after a blank line of its own counted as one without a
-// number, for which a resumed stream is ended.
-func TestResumedStreamWithBlankLinesIsPassedOn(t *testing.T) {
+// TestResumedStreamWithOddLinesIsPassedOn guards against issue 77: an event after a blank line of its own, and a time to connect again,
+// counted as events without a number, for which a resumed stream is ended.
+func TestResumedStreamWithOddLinesIsPassedOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		rest := reads(heartbeat+events(3, 3), "\n"+events(4, 4))
+		rest := reads("retry: 100\n\n"+heartbeat+events(3, 3), "\n"+events(4, 4))
 		fixture := newFixture(answered(200, events(1, 2), errors.New("reset")), parted(io.EOF, rest...))
 		failure := fixture.serve(t.Context(), "/resume/x")
 		if got := fixture.client.body.String(); failure != nil || got != events(1, 2)+joinedText(rest) {
