--- a/relay/lastevent_test.go
+++ b/relay/lastevent_test.go
@@ -172,3 +172,16 @@
 		}
 	}
 }
+
+// TestStreamWithCarriageReturnsIsPassedOn is for streams whose lines end with a carriage return and a line feed, as text/event-stream
+// allows.
+func TestStreamWithCarriageReturnsIsPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		text := strings.ReplaceAll(events(1, 2), "\n", "\r\n")
+		fixture := newFixture(ok(text), ok(text))
+		failure := fixture.serve(t.Context(), "/resume/x")
+		if got := fixture.client.body.String(); failure != nil || got != text {
+			t.Errorf("ended as %v with %q", failure, got)
+		}
+	})
+}
