--- a/exchange/eventid.go
+++ b/exchange/eventid.go
@@ -1,5 +1,10 @@
 package exchange
 
+import (
+	"strconv"
+	"strings"
+)
+
 // EventID is the ID of an event of a stream, or no ID. Replicas number the events of a stream in ascending order, the first of them with
 // any number, also zero. The zero value is no ID; values can be compared with ==.
 type EventID struct {
@@ -13,6 +18,15 @@
 	return EventID{number: number, known: true}
 }
 
+// ParseEventID returns the ID that the text is, without the blanks around it, or none if it is no decimal number of 64 bits.
+func ParseEventID(text string) EventID {
+	number, err := strconv.ParseUint(strings.TrimSpace(text), 10, 64)
+	if err != nil {
+		return EventID{}
+	}
+	return NewEventID(number)
+}
+
 // Known reports whether there is an ID.
 func (id EventID) Known() bool { return id.known }
 
--- a/relay/events.go
+++ b/relay/events.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"iter"
-	"strconv"
 
 	"github.com/bronzestall/bronzestall/exchange"
 )
@@ -94,17 +93,8 @@
 	var id exchange.EventID
 	for line := range eventLines(event) {
 		if value, found := bytes.CutPrefix(line, idPrefix); found {
-			id = parseEventID(value)
+			id = exchange.ParseEventID(string(value))
 		}
 	}
 	return id
 }
-
-// parseEventID returns the ID that the text is, or none if it is no number of 64 bits.
-func parseEventID(text []byte) exchange.EventID {
-	number, err := strconv.ParseUint(string(bytes.TrimSpace(text)), 10, 64)
-	if err != nil {
-		return exchange.EventID{}
-	}
-	return exchange.NewEventID(number)
-}
--- a/relay/handover.go
+++ b/relay/handover.go
@@ -158,10 +158,7 @@
 
 // mayFollow reports whether what the successor responds may follow what the client has.
 func (transaction *transaction) mayFollow(successor *leg) bool {
-	if !transaction.sink.Begun() {
-		return true
-	}
-	return transaction.mayResume() && transaction.release == successor.candidate.Release
+	return transaction.maySendOn() && (!transaction.sink.Begun() || transaction.release == successor.candidate.Release)
 }
 
 // run seeks successors whenever the attempt has stalled, until one is accepted, none is allowed or the attempt ends.
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -27,15 +27,16 @@
 	return transaction.sink.Begun() && transaction.route.Resumable
 }
 
-// mayResume reports whether the client has a part of a stream, and another replica can be told where to go on with it.
-func (transaction *transaction) mayResume() bool {
-	return transaction.begunResumable() && !transaction.reached.unnumbered
+// maySendOn reports whether another replica may be sent the request: the client has no part of the response, or one of a resumable
+// stream, and the replica can be told where to go on with it.
+func (transaction *transaction) maySendOn() bool {
+	return !transaction.sink.Begun() || (transaction.route.Resumable && !transaction.reached.unnumbered)
 }
 
 // goesOn reports whether the client has a part of a stream that may still go on. Such a stream is not given up for want of a replica
 // that takes it now: until resumeDeadline, one may.
 func (transaction *transaction) goesOn() bool {
-	return transaction.mayResume() && transaction.relay.deps.Clock.Now().Before(transaction.resumeDeadline())
+	return transaction.sink.Begun() && transaction.maySendOn() && transaction.relay.deps.Clock.Now().Before(transaction.resumeDeadline())
 }
 
 // resumeDeadline returns until when a begun stream waits for a replica that goes on with it. While its replica is alive, that is its
@@ -83,7 +84,7 @@
 	if ctx.Err() != nil || (transaction.sends >= maxSends && !transaction.goesOn()) {
 		return false
 	}
-	if transaction.sink.Begun() && !transaction.mayResume() {
+	if !transaction.maySendOn() {
 		return false
 	}
 	return result.notRun || (transaction.route.Repeatable() && transaction.runs < transaction.maxRuns)
--- a/relay/seek.go
+++ b/relay/seek.go
@@ -26,10 +26,7 @@
 
 // maySeek reports whether the request may be sent once more.
 func (transaction *transaction) maySeek() bool {
-	if transaction.sink.Begun() && !transaction.mayResume() {
-		return false
-	}
-	return transaction.runs < transaction.maxRuns && (transaction.sends < maxSends || transaction.goesOn())
+	return transaction.maySendOn() && transaction.runs < transaction.maxRuns && (transaction.sends < maxSends || transaction.goesOn())
 }
 
 // seek makes one attempt at another replica than the current one, or at the same if mayRepeat is set, and returns it once it was
